--- /dev/null
+++ b/src/core/__tests__/configuration.test.ts
@@ -0,0 +1,74 @@
+import {describe, expect, it} from 'vitest';
+import {
+	codes,
+	initialState,
+	step,
+	type Configuration,
+	type Context,
+	type State,
+} from '../index.js';
+
+const self = {
+	incarnation: {host: 'a1', started: 1},
+	failureDomain: 'a',
+	peerAddress: {host: '127.0.0.1', port: 1},
+	callerAddress: {host: '127.0.0.1', port: 2},
+};
+const context: Context = {now: 0, wall: 0, random: {integer: least => least}};
+
+function document(revision: number): Configuration {
+	return {
+		schema: 1,
+		revision,
+		failureDomains: [{id: 'a', region: 'r'}],
+		services: [],
+		organisations: [],
+		upstreams: [],
+		tokenKeys: [{id: 'k', secret: '0'.repeat(64)}],
+		plannedStops: [],
+		stopRule: {concurrentHosts: 1, concurrentUpstreams: 1},
+		takeovers: [],
+	};
+}
+
+function receive(state: State, revision: number, digest = `d${revision}`) {
+	return step(state, {
+		type: 'configuration-received',
+		source: {type: 'platform'},
+		configuration: document(revision),
+		digest,
+		text: '',
+	}, context);
+}
+
+function refusalCode(result: ReturnType<typeof receive>): number | undefined {
+	for (const effect of result.effects) {
+		if (effect.type === 'log' && effect.decision.type === 'configuration' && !effect.decision.accepted) {
+			return effect.decision.code;
+		}
+	}
+
+	return undefined;
+}
+
+describe('configuration', () => {
+	it('serves once a first document is in force', () => {
+		const {state, effects} = receive(initialState(self), 3);
+		expect(state.configuration.inForce?.revision).toBe(3);
+		expect(effects).toContainEqual({type: 'ready', ready: true});
+	});
+
+	it('never goes back to a lower revision', () => {
+		const {state} = receive(initialState(self), 3);
+		const after = receive(state, 2);
+		expect(after.state.configuration.inForce?.revision).toBe(3);
+		expect(refusalCode(after)).toBe(codes.staleRevision);
+	});
+
+	it('refuses the same revision with other content', () => {
+		const {state} = receive(initialState(self), 3);
+		const after = receive(state, 3, 'other');
+		expect(refusalCode(after)).toBe(codes.sameRevisionOtherContent);
+		expect(refusalCode(receive(state, 3))).toBeUndefined();
+	});
+});
--- /dev/null
+++ b/src/core/errors.ts
@@ -0,0 +1,159 @@
+/** Result codes, their texts, and the one function that raises them. */
+
+/**
+ * Result codes. 0 done, 1xxx the caller's input, 2xxx not run, 3xxx failed, 4xxx outcome unknown,
+ * 5xxx configuration, 6xxx settings and start-up, 7xxx operators' tools, 8xxx peers and upstream orders.
+ */
+export const codes = {
+	done: 0,
+	badBody: 1001,
+	unknownKey: 1002,
+	bodyTooLarge: 1003,
+	unknownService: 1004,
+	badHeader: 1005,
+	ticketRequired: 1006,
+	badTicket: 1007,
+	expiredTicket: 1008,
+	keyReused: 1009,
+	badPosition: 1010,
+	promptTooLong: 1011,
+	unknownPath: 1012,
+	overloaded: 2001,
+	deadlineUnreachable: 2002,
+	organisationLimit: 2003,
+	leaving: 2004,
+	noUpstream: 2005,
+	notConfigured: 2006,
+	convicted: 2007,
+	sealed: 2008,
+	refusedByUpstream: 2009,
+	notConnected: 2010,
+	deadlineBeforeStart: 2011,
+	servedElsewhere: 2012,
+	abandoned: 2013,
+	upstreamFailed: 3001,
+	deadlinePassed: 3002,
+	streamCut: 3003,
+	frameMismatch: 3004,
+	callerGone: 3005,
+	callerTooSlow: 3006,
+	outcomeUnknown: 4001,
+	keeperGone: 4002,
+	keeperUnreachable: 4003,
+	badDocument: 5001,
+	staleRevision: 5002,
+	sameRevisionOtherContent: 5003,
+	documentTooLarge: 5004,
+	brokenReference: 5005,
+	impossibleLimit: 5006,
+	dangerousChange: 5007,
+	badSettings: 6001,
+	unreadableSettings: 6002,
+	portInUse: 6003,
+	unreadableFile: 7001,
+	unreachableHost: 7002,
+	badArgument: 7003,
+	differs: 7004,
+	badPeerMessage: 8001,
+	orderRefused: 8002,
+	internal: 9001,
+} as const;
+
+export type CodeName = keyof typeof codes;
+export type Code = (typeof codes)[CodeName];
+
+/** What each code says to people. */
+export const texts: Readonly<Record<CodeName, string>> = {
+	done: 'Done.',
+	badBody: 'The body is not valid for this service.',
+	unknownKey: 'The API key belongs to no organisation.',
+	bodyTooLarge: 'The body is larger than this host takes.',
+	unknownService: 'The configuration has no such service.',
+	badHeader: 'A header is not valid.',
+	ticketRequired: 'The request may run only once and needs a ticket; the answer brings one.',
+	badTicket: 'The ticket is not one of ours or not this organisation\'s.',
+	expiredTicket: 'The ticket has expired.',
+	keyReused: 'The idempotency key was used for another request.',
+	badPosition: 'The stream position is not one of ours.',
+	promptTooLong: 'The prompt is longer than the service\'s engines hold together.',
+	unknownPath: 'There is nothing at this path.',
+	overloaded: 'The service has more work than it can take.',
+	deadlineUnreachable: 'The request could not finish within its time.',
+	organisationLimit: 'The organisation is at its limit.',
+	leaving: 'This host is leaving and takes no new work.',
+	noUpstream: 'No upstream of the service can take the request.',
+	notConfigured: 'This host has no configuration yet.',
+	convicted: 'The request has crashed upstreams and is not run again.',
+	sealed: 'The request was sealed before it ran and never will run.',
+	refusedByUpstream: 'The upstream refused the request before running it.',
+	notConnected: 'No connection to the upstream could be made.',
+	deadlineBeforeStart: 'The time was over before the request was sent.',
+	servedElsewhere: 'The service is served by the old endpoint.',
+	abandoned: 'The caller left before the request was sent.',
+	upstreamFailed: 'The upstream failed while running the request.',
+	deadlinePassed: 'The time was over while the request ran.',
+	streamCut: 'The answer stopped before its end.',
+	frameMismatch: 'The upstream\'s answer did not belong to this request.',
+	callerGone: 'The caller left while the request ran.',
+	callerTooSlow: 'The caller did not take the answer in time.',
+	outcomeUnknown: 'The request may have run.',
+	keeperGone: 'The host that keeps the ticket is gone; the request may have run.',
+	keeperUnreachable: 'The host that keeps the ticket cannot be reached; the request may have run.',
+	badDocument: 'The configuration document is not valid.',
+	staleRevision: 'A higher revision is in force.',
+	sameRevisionOtherContent: 'Another document with the same revision is in force.',
+	documentTooLarge: 'The configuration document is larger than a megabyte.',
+	brokenReference: 'The document refers to something it does not have.',
+	impossibleLimit: 'The document has a limit that cannot be met.',
+	dangerousChange: 'The change is valid but dangerous.',
+	badSettings: 'A setting is not valid.',
+	unreadableSettings: 'The settings file cannot be read.',
+	portInUse: 'The port is in use.',
+	unreadableFile: 'The file cannot be read.',
+	unreachableHost: 'The host cannot be reached.',
+	badArgument: 'An argument is not valid.',
+	differs: 'The documents differ.',
+	badPeerMessage: 'A peer sent a message that is not valid.',
+	orderRefused: 'The engine refused an order.',
+	internal: 'An internal error.',
+};
+
+/** An error with a result code. */
+export class Failure extends Error {
+	override readonly name = 'Failure';
+	readonly #code: Code;
+	readonly #detail: string | undefined;
+
+	constructor(code: CodeName, detail?: string) {
+		super(detail === undefined ? texts[code] : `${texts[code]} ${detail}`);
+		this.#code = codes[code];
+		this.#detail = detail;
+	}
+
+	get code(): Code {
+		return this.#code;
+	}
+
+	get detail(): string | undefined {
+		return this.#detail;
+	}
+}
+
+/**
+ * Raises a coded error.
+ *
+ * @param code - Name of the result code.
+ * @param detail - What was wrong, for people.
+ * @returns Never.
+ */
+export function raise(code: CodeName, detail?: string): never {
+	throw new Failure(code, detail);
+}
+
+/**
+ * @param error - Anything thrown.
+ * @returns Whether it carries a result code.
+ */
+export function isFailure(error: unknown): error is Failure {
+	return error instanceof Failure;
+}
--- /dev/null
+++ b/src/core/features/tickets/types.ts
@@ -0,0 +1,6 @@
+/** Rights to run non-idempotent requests that this host keeps. */
+export type TicketsState = {
+	readonly nextSequence: number;
+};
+
+export const initialTickets: TicketsState = {nextSequence: 1};
--- /dev/null
+++ b/src/core/step.ts
@@ -0,0 +1,73 @@
+/** The core: gives each event to every feature and collects what they want done. */
+import {configurationFeature} from './features/configuration/feature.js';
+import {initialConfiguration} from './features/configuration/types.js';
+import {membershipFeature} from './features/membership/feature.js';
+import {initialMembership} from './features/membership/types.js';
+import {requestsFeature} from './features/requests/feature.js';
+import {initialRequests} from './features/requests/types.js';
+import {ticketsFeature} from './features/tickets/feature.js';
+import {initialTickets} from './features/tickets/types.js';
+import {upstreamsFeature} from './features/upstreams/feature.js';
+import {initialUpstreams} from './features/upstreams/types.js';
+import {type Effect} from './types/effect.js';
+import {type Event} from './types/event.js';
+import {type Member} from './types/peer.js';
+import {
+	type Context,
+	type Feature,
+	type State,
+	type Step,
+} from './types/state.js';
+
+/** The order matters: views of upstreams and members come before the decisions that read them. */
+const features: readonly Feature[] = [
+	configurationFeature,
+	upstreamsFeature,
+	ticketsFeature,
+	requestsFeature,
+	membershipFeature,
+];
+
+/**
+ * @param self - The host that the state belongs to.
+ * @returns The state of a host that has just started.
+ */
+export function initialState(self: Member): State {
+	return {
+		self,
+		configuration: initialConfiguration,
+		membership: initialMembership,
+		requests: initialRequests,
+		tickets: initialTickets,
+		upstreams: initialUpstreams,
+	};
+}
+
+/**
+ * Takes one event. Events that features raise are taken within the same step, in order.
+ *
+ * @param state - Core state.
+ * @param event - What happened.
+ * @param context - Time and random source.
+ * @returns The next state and the effects wanted, in order.
+ */
+export function step(state: State, event: Event, context: Context): Step {
+	const pending: Event[] = [event];
+	const effects: Effect[] = [];
+	let current = state;
+	for (let next = pending.shift(); next !== undefined; next = pending.shift()) {
+		for (const feature of features) {
+			const result = feature.handle(current, next, context);
+			current = result.state;
+			for (const effect of result.effects) {
+				if (effect.type === 'raise') {
+					pending.push(effect.event);
+				} else {
+					effects.push(effect);
+				}
+			}
+		}
+	}
+
+	return {state: current, effects};
+}
--- /dev/null
+++ b/src/core/types/event.ts
@@ -0,0 +1,60 @@
+/** Everything that can happen to the core. Events are plain data. */
+import {
+	type Attempt, type Ending, type Incarnation, type Outcome, type Request,
+} from './request.js';
+import {type Configuration} from './configuration.js';
+import {
+	type CacheChange, type Hold, type Order, type OrderNumber, type Report,
+} from './upstream.js';
+import {type Member, type PeerMessage} from './peer.js';
+
+/** Where a configuration document came from. */
+export type Source
+	= | {readonly type: 'platform'}
+		| {readonly type: 'peer'; readonly host: string}
+		| {readonly type: 'file'};
+
+export type Event
+	/** Time passed; sent every few milliseconds. */
+	= | {readonly type: 'tick'}
+	// From callers.
+		| {readonly type: 'request-arrived'; readonly request: Request}
+		| {readonly type: 'request-abandoned'; readonly request: string}
+		| {readonly type: 'ticket-wanted'; readonly request: string; readonly organisation: string}
+	// From attempts.
+		| {readonly type: 'attempt-written'; readonly attempt: string}
+		| {readonly type: 'attempt-progressed'; readonly attempt: string; readonly tokens: number; readonly cachedTokens?: number}
+		| {readonly type: 'attempt-ended'; readonly attempt: string; readonly ending: Ending}
+	// From forwarding to a keeper or another domain.
+		| {readonly type: 'forward-ended'; readonly request: string; readonly ending: Ending}
+	// From upstreams.
+		| {readonly type: 'report-received'; readonly report: Report}
+		| {readonly type: 'upstream-unreachable'; readonly upstream: string}
+		| {readonly type: 'cache-changed'; readonly upstream: string; readonly incarnation: string; readonly changes: readonly CacheChange[]; readonly gap: boolean}
+		| {readonly type: 'holds-listed'; readonly upstream: string; readonly holds: readonly Hold[]}
+		| {readonly type: 'hold-answered'; readonly hold: string; readonly upstream: string; readonly granted: boolean}
+		| {readonly type: 'hold-released'; readonly hold: string; readonly upstream: string}
+		| {readonly type: 'order-answered'; readonly upstream: string; readonly order: Order; readonly accepted: boolean; readonly seen?: OrderNumber}
+	// From the platform.
+		| {readonly type: 'configuration-received'; readonly source: Source; readonly configuration: Configuration; readonly digest: string; readonly text: string}
+		| {readonly type: 'configuration-refused'; readonly source: Source; readonly code: number; readonly detail: string}
+		| {readonly type: 'hosts-listed'; readonly members: readonly Member[]; readonly leaving: readonly string[]}
+		| {readonly type: 'platform-unreachable'}
+	// From peers.
+		| {readonly type: 'peer-connected'; readonly host: string}
+		| {readonly type: 'peer-lost'; readonly host: string}
+		| {readonly type: 'peer-message'; readonly from: string; readonly message: PeerMessage}
+	// From operators and the machine.
+		| {readonly type: 'stop-asked'; readonly grace: number}
+	/** The clock jumped: the process was paused for this many milliseconds. */
+		| {readonly type: 'woken'; readonly pause: number}
+	// Raised by one feature for the others, within the same step.
+		| {readonly type: 'request-cleared'; readonly request: Request}
+		| {readonly type: 'request-concluded'; readonly request: Request; readonly outcome: Outcome; readonly attempt?: Attempt}
+		| {readonly type: 'attempt-began'; readonly request: Request; readonly attempt: Attempt}
+		| {readonly type: 'attempt-over'; readonly request: Request; readonly attempt: Attempt; readonly ending: Ending}
+		| {readonly type: 'upstream-restarted'; readonly upstream: string; readonly before: string; readonly incarnation: string}
+		| {readonly type: 'peer-departed'; readonly incarnation: Incarnation}
+		| {readonly type: 'configuration-adopted'; readonly configuration: Configuration; readonly before?: Configuration};
+
+export type EventOf<T extends Event['type']> = Extract<Event, {readonly type: T}>;
--- /dev/null
+++ b/src/core/types/peer.ts
@@ -0,0 +1,77 @@
+/** Messages between the hosts of the system. */
+import {type Address} from './configuration.js';
+import {type Incarnation} from './request.js';
+
+export type Phase = 'starting' | 'serving' | 'leaving';
+
+/** Work a host has in flight at one upstream. */
+export type Load = {
+	readonly upstream: string;
+	readonly requests: number;
+	readonly prefill: number;
+	readonly decode: number;
+};
+
+/** Demand of one organisation at a host. */
+export type Demand = {
+	readonly organisation: string;
+	readonly requestsPerSecond: number;
+	readonly tokensPerSecond: number;
+};
+
+/** A request that is believed to crash upstreams. */
+export type Suspicion = {
+	readonly fingerprint: string;
+	/** Upstream incarnations that ended while it ran. */
+	readonly crashes: readonly string[];
+	/** Wall-clock time in milliseconds since 1970. */
+	readonly expires: number;
+};
+
+/** A host as others know it. */
+export type Member = {
+	readonly incarnation: Incarnation;
+	readonly failureDomain: string;
+	/** Peer link and caller address. */
+	readonly peerAddress: Address;
+	readonly callerAddress: Address;
+};
+
+export type PeerMessage
+	/** First message on a link, both ways. */
+	= | {readonly type: 'hello'; readonly member: Member; readonly phase: Phase; readonly revision: number}
+		| {
+			readonly type: 'heartbeat';
+			readonly sequence: number;
+			readonly phase: Phase;
+			readonly revision: number;
+			readonly digest: string;
+			/** Whole in-flight work, or only what changed since the last heartbeat. */
+			readonly whole: boolean;
+			readonly loads: readonly Load[];
+			readonly demands: readonly Demand[];
+			readonly suspicions: readonly Suspicion[];
+			/** Members this host hears of, a few at a time. */
+			readonly members: readonly Member[];
+		}
+		| {readonly type: 'configuration-wanted'; readonly above: number}
+	/** A whole document, as text so that its digest is the same everywhere. */
+		| {readonly type: 'configuration'; readonly text: string}
+		| {readonly type: 'key-claim'; readonly id: string; readonly key: string; readonly organisation: string; readonly minted?: number}
+		| {readonly type: 'key-answer'; readonly id: string; readonly answer: KeyAnswer}
+		| {readonly type: 'seal'; readonly id: string; readonly sequence: number; readonly keeper: Incarnation}
+		| {readonly type: 'sealed'; readonly id: string; readonly answer: SealAnswer};
+
+export type KeyAnswer
+	/** Never seen here, and promised never to run here from now on. */
+	= | {readonly type: 'yielded'}
+	/** This host keeps it. */
+		| {readonly type: 'kept'}
+	/** This host may have run it in an earlier incarnation. */
+		| {readonly type: 'unsure'};
+
+export type SealAnswer
+	/** Will never run. */
+	= | {readonly type: 'sealed'}
+	/** Already sent to an upstream, or already over. */
+		| {readonly type: 'used'};
