--- a/src/core/types/configuration.ts
+++ b/src/core/types/configuration.ts
@@ -4,7 +4,7 @@
  */
 import {z} from 'zod';
 
-const name = z.string().min(1).max(64).regex(/^[\w.-]+$/v);
+const name = z.string().min(1).max(64).regex(/^[\w.\-]+$/v);
 const milliseconds = z.number().int().positive();
 const tokens = z.number().int().positive();
 const address = z.object({
