--- /dev/null
+++ b/src/protocol/configuration/group.ts
@@ -0,0 +1,21 @@
+/** Groups entries by a key. */
+
+/**
+ * @param entries - What to group.
+ * @param keyOf - Gives the group of an entry.
+ * @returns The entries of each group, both in the order of first appearance.
+ */
+export function groupBy<Entry, Key>(entries: readonly Entry[], keyOf: (entry: Entry) => Key): ReadonlyMap<Key, readonly Entry[]> {
+	const groups = new Map<Key, Entry[]>();
+	for (const entry of entries) {
+		const key = keyOf(entry);
+		const group = groups.get(key);
+		if (group === undefined) {
+			groups.set(key, [entry]);
+		} else {
+			group.push(entry);
+		}
+	}
+
+	return groups;
+}
--- /dev/null
+++ b/src/protocol/configuration/path.ts
@@ -0,0 +1,18 @@
+/** JSON paths in the form `$.services[0].deadline`. */
+
+/**
+ * @param steps - Keys and indices from the document down.
+ * @returns The JSON path.
+ */
+export function formatPath(steps: readonly PropertyKey[]): string {
+	let path = '$';
+	for (const step of steps) {
+		path += typeof step === 'number' ? `[${step}]` : formatKey(String(step));
+	}
+
+	return path;
+}
+
+function formatKey(key: string): string {
+	return /^[\p{L}_]\w*$/v.test(key) ? `.${key}` : `[${JSON.stringify(key)}]`;
+}
