--- a/src/core/types/peer.ts
+++ b/src/core/types/peer.ts
@@ -37,6 +37,17 @@
 	readonly callerAddress: Address;
 };
 
+/** What a host last said of itself, passed on by another where the two have no link. */
+export type Digest = {
+	readonly incarnation: Incarnation;
+	readonly sequence: number;
+	readonly phase: Phase;
+	readonly revision: number;
+	/** The heaviest of its loads. */
+	readonly loads: readonly Load[];
+	readonly demands: readonly Demand[];
+};
+
 export type PeerMessage
 	/** First message on a link, both ways. */
 	= | {readonly type: 'hello'; readonly member: Member; readonly phase: Phase; readonly revision: number}
@@ -53,6 +64,8 @@
 			readonly suspicions: readonly Suspicion[];
 			/** Members this host hears of, a few at a time. */
 			readonly members: readonly Member[];
+			/** Hosts of the same failure domain, a few at a time, where it is too large for links between all. */
+			readonly relayed: readonly Digest[];
 		}
 		| {readonly type: 'configuration-wanted'; readonly above: number}
 	/** A whole document, as text so that its digest is the same everywhere. */
--- /dev/null
+++ b/src/protocol/peers.ts
@@ -0,0 +1,173 @@
+/** Messages between hosts on the wire: a length of four bytes, big-endian, then one CBOR value. */
+import {Buffer} from 'node:buffer';
+import {Encoder} from 'cbor-x';
+import {z} from 'zod';
+import {raise, type PeerMessage} from '../core/index.js';
+
+/** The longest message taken: a whole configuration document and some room. */
+export const longestMessage = 1_200_000;
+
+const lengthBytes = 4;
+const listLimit = 4096;
+
+const text = z.string().max(256);
+const count = z.number().int().nonnegative();
+const amount = z.number().nonnegative();
+const phase = z.enum(['starting', 'serving', 'leaving']);
+const address = z.object({host: text.min(1), port: z.number().int().min(0).max(65_535)});
+const incarnation = z.object({host: text.min(1), started: z.number()});
+const member = z.object({
+	incarnation,
+	failureDomain: text,
+	peerAddress: address,
+	callerAddress: address,
+});
+const load = z.object({
+	upstream: text, requests: count, prefill: amount, decode: amount,
+});
+const demand = z.object({organisation: text, requestsPerSecond: amount, tokensPerSecond: amount});
+const suspicion = z.object({
+	fingerprint: text,
+	crashes: z.array(text).max(listLimit),
+	expires: z.number(),
+});
+const digest = z.object({
+	incarnation,
+	sequence: count,
+	phase,
+	revision: count,
+	loads: z.array(load).max(listLimit),
+	demands: z.array(demand).max(listLimit),
+});
+
+const messageSchema = z.discriminatedUnion('type', [
+	z.object({
+		type: z.literal('hello'), member, phase, revision: count,
+	}),
+	z.object({
+		type: z.literal('heartbeat'),
+		sequence: count,
+		phase,
+		revision: count,
+		digest: text,
+		whole: z.boolean(),
+		loads: z.array(load).max(listLimit),
+		demands: z.array(demand).max(listLimit),
+		suspicions: z.array(suspicion).max(listLimit),
+		members: z.array(member).max(listLimit),
+		relayed: z.array(digest).max(listLimit),
+	}),
+	z.object({type: z.literal('configuration-wanted'), above: count}),
+	z.object({type: z.literal('configuration'), text: z.string().max(longestMessage)}),
+	z.object({
+		type: z.literal('key-claim'), id: text, key: text, organisation: text, minted: z.number().optional(),
+	}),
+	z.object({
+		type: z.literal('key-answer'),
+		id: text,
+		answer: z.discriminatedUnion('type', [
+			z.object({type: z.literal('yielded')}),
+			z.object({type: z.literal('kept')}),
+			z.object({type: z.literal('unsure')}),
+		]),
+	}),
+	z.object({
+		type: z.literal('seal'), id: text, sequence: count, keeper: incarnation,
+	}),
+	z.object({
+		type: z.literal('sealed'),
+		id: text,
+		answer: z.discriminatedUnion('type', [
+			z.object({type: z.literal('sealed')}),
+			z.object({type: z.literal('used')}),
+		]),
+	}),
+]) satisfies z.ZodType<PeerMessage>;
+
+// Records write the field names of a list's items once per message.
+const codec = new Encoder({useRecords: true, mapsAsObjects: true, tagUint8Array: false});
+
+/**
+ * @param message - Message to send.
+ * @returns Its frame.
+ */
+export function encodeFrame(message: PeerMessage): Uint8Array {
+	const body = codec.encode(message);
+	const frame = new Uint8Array(lengthBytes + body.length);
+	new DataView(frame.buffer).setUint32(0, body.length);
+	frame.set(body, lengthBytes);
+	return frame;
+}
+
+function decodeBody(body: Uint8Array): PeerMessage {
+	let value: unknown;
+	try {
+		value = codec.decode(body);
+	} catch {
+		return raise('badPeerMessage', 'not CBOR');
+	}
+
+	const parsed = messageSchema.safeParse(value);
+	if (!parsed.success) {
+		const issue = parsed.error.issues[0];
+		return raise('badPeerMessage', `${issue?.path.join('.') ?? ''}: ${issue?.message ?? ''}`);
+	}
+
+	return parsed.data;
+}
+
+/** Cuts a byte stream into messages; holds at most one incomplete frame. */
+export class FrameReader {
+	#chunks: Uint8Array[] = [];
+	#held = 0;
+
+	/**
+	 * @param chunk - Next bytes of the stream.
+	 * @returns The messages that are complete now, in order.
+	 * @throws Failure `badPeerMessage` when the stream cannot be read on.
+	 */
+	push(chunk: Uint8Array): readonly PeerMessage[] {
+		this.#chunks.push(chunk);
+		this.#held += chunk.length;
+		const messages: PeerMessage[] = [];
+		for (let body = this.#take(); body !== undefined; body = this.#take()) {
+			messages.push(decodeBody(body));
+		}
+
+		return messages;
+	}
+
+	#take(): Uint8Array | undefined {
+		if (this.#held < lengthBytes) {
+			return undefined;
+		}
+
+		const length = this.#length();
+		if (length > longestMessage) {
+			raise('badPeerMessage', `a message of ${length} bytes`);
+		}
+
+		if (this.#held < lengthBytes + length) {
+			return undefined;
+		}
+
+		const bytes = this.#joined();
+		const rest = bytes.subarray(lengthBytes + length);
+		this.#chunks = rest.length === 0 ? [] : [rest];
+		this.#held = rest.length;
+		return bytes.subarray(lengthBytes, lengthBytes + length);
+	}
+
+	#length(): number {
+		if (this.#chunks[0]!.length < lengthBytes) {
+			this.#chunks = [this.#joined()];
+		}
+
+		const {buffer, byteOffset} = this.#chunks[0]!;
+		return new DataView(buffer, byteOffset, lengthBytes).getUint32(0);
+	}
+
+	#joined(): Uint8Array {
+		return this.#chunks.length === 1 ? this.#chunks[0]! : Buffer.concat(this.#chunks);
+	}
+}
