--- a/src/core/features/membership/types.ts
+++ b/src/core/features/membership/types.ts
@@ -1,6 +1,8 @@
 /** What this host knows of the others and of its own place among them. */
 import {Map as Table} from 'immutable';
-import {type Load, type Member, type Phase} from '../../types/peer.js';
+import {
+	type Demand, type Load, type Member, type Mix, type Phase,
+} from '../../types/peer.js';
 
 export type Peer = {
 	readonly member: Member;
@@ -11,6 +13,9 @@
 	readonly revision: number;
 	/** Work the peer has in flight, by upstream. */
 	readonly loads: Table<string, Load>;
+	/** What arrives at the peer, by organisation and by service. */
+	readonly demands: readonly Demand[];
+	readonly mixes: readonly Mix[];
 };
 
 export type MembershipState = {
--- a/src/core/features/requests/feature.ts
+++ b/src/core/features/requests/feature.ts
@@ -60,6 +60,7 @@
 		began: context.now,
 		prefill: request.promptTokens,
 		decode: request.outputLimit ?? (wanted?.kind === 'model' ? wanted.expectedOutput : defaultOutput),
+		ahead: 0,
 		written: false,
 		received: 0,
 	};
--- a/src/core/types/event.ts
+++ b/src/core/types/event.ts
@@ -50,6 +50,11 @@
 		| {readonly type: 'woken'; readonly pause: number}
 	// Raised by one feature for the others, within the same step.
 		| {readonly type: 'request-cleared'; readonly request: Request}
+	/** Taken in: it waits in a queue or runs at once. */
+		| {readonly type: 'request-admitted'; readonly request: Request}
+		| {readonly type: 'request-retried'; readonly request: Request}
+	/** An upstream may have room for a request that waits. */
+		| {readonly type: 'dispatch-wanted'; readonly service: string}
 		| {readonly type: 'request-concluded'; readonly request: Request; readonly outcome: Outcome; readonly attempt?: Attempt}
 		| {readonly type: 'attempt-began'; readonly request: Request; readonly attempt: Attempt}
 		| {readonly type: 'attempt-over'; readonly request: Request; readonly attempt: Attempt; readonly ending: Ending}
--- a/src/core/types/peer.ts
+++ b/src/core/types/peer.ts
@@ -19,6 +19,14 @@
 	readonly tokensPerSecond: number;
 };
 
+/** Work that arrives at a host for one model service, in tokens per second by prompt length. */
+export type Mix = {
+	readonly service: string;
+	readonly short: number;
+	readonly middle: number;
+	readonly long: number;
+};
+
 /** A request that is believed to crash upstreams. */
 export type Suspicion = {
 	readonly fingerprint: string;
@@ -61,6 +69,8 @@
 			readonly whole: boolean;
 			readonly loads: readonly Load[];
 			readonly demands: readonly Demand[];
+			/** Absent when it has hardly changed. */
+			readonly mixes?: readonly Mix[];
 			readonly suspicions: readonly Suspicion[];
 			/** Members this host hears of, a few at a time. */
 			readonly members: readonly Member[];
--- a/src/core/types/request.ts
+++ b/src/core/types/request.ts
@@ -51,6 +51,12 @@
 	readonly spilledFrom?: string;
 };
 
+/** Prefill that one engine of several does for an attempt, in tokens. */
+export type Part = {
+	readonly upstream: string;
+	readonly prefill: number;
+};
+
 /** One sending of a request to one upstream. */
 export type Attempt = {
 	readonly id: string;
@@ -63,6 +69,10 @@
 	/** Tokens of work estimated when it was sent: uncached prefill and expected decode. */
 	readonly prefill: number;
 	readonly decode: number;
+	/** Tokens of prefill that the upstream had before it when it was sent. */
+	readonly ahead: number;
+	/** Parts of the work at the engines that hold the prompt together; absent when one engine holds it all. */
+	readonly parts?: readonly Part[];
 	/** Set once at least one byte was written to the upstream. */
 	readonly written: boolean;
 	/** Time of the first frame. */
--- /dev/null
+++ b/src/core/utils/hashes.ts
@@ -0,0 +1,67 @@
+/** Hashes that every host computes alike, and rendezvous hashing on them. Not for secrets. */
+
+const offsetBasis = 0x81_1C_9D_C5;
+const prime = 0x01_00_01_93;
+
+/**
+ * @param text - Any text.
+ * @returns A 32-bit FNV-1a hash of its UTF-16 units.
+ */
+export function hashText(text: string): number {
+	let hash = offsetBasis;
+	for (let index = 0; index < text.length; index++) {
+		// The unit at each index, surrogates included: any fixed rule will do.
+		// eslint-disable-next-line unicorn/prefer-code-point
+		hash = Math.imul(hash ^ text.charCodeAt(index), prime);
+	}
+
+	return hash >>> 0;
+}
+
+/**
+ * @param a - A hash.
+ * @param b - Another hash.
+ * @returns A hash of both in which every bit depends on every bit.
+ */
+export function mix(a: number, b: number): number {
+	let hash = (a ^ Math.imul(b, 0x9E_37_79_B1)) >>> 0;
+	hash = Math.imul(hash ^ (hash >>> 16), 0x85_EB_CA_6B);
+	hash = Math.imul(hash ^ (hash >>> 13), 0xC2_B2_AE_35);
+	return (hash ^ (hash >>> 16)) >>> 0;
+}
+
+/**
+ * Ranks members for a key; a member that comes or goes moves no other one.
+ *
+ * @param key - Hash of what is placed.
+ * @param members - Members with their hashes.
+ * @returns The members, the first choice first.
+ */
+export function rank<T extends {readonly hash: number}>(key: number, members: readonly T[]): readonly T[] {
+	return members.toSorted((a, b) => mix(key, b.hash) - mix(key, a.hash));
+}
+
+/**
+ * The first choices without ranking all.
+ *
+ * @param key - Hash of what is placed.
+ * @param members - Members with their hashes.
+ * @param most - Number of members wanted.
+ * @returns Up to `most` members, the first choice first.
+ */
+export function firstChoices<T extends {readonly hash: number}>(key: number, members: readonly T[], most: number): readonly T[] {
+	const chosen: Array<{readonly member: T; readonly weight: number}> = [];
+	for (const member of members) {
+		const weight = mix(key, member.hash);
+		const place = chosen.findIndex(each => each.weight < weight);
+		if (place !== -1) {
+			chosen.splice(place, 0, {member, weight});
+		} else if (chosen.length < most) {
+			chosen.push({member, weight});
+		}
+
+		chosen.length = Math.min(chosen.length, most);
+	}
+
+	return chosen.map(each => each.member);
+}
--- /dev/null
+++ b/src/core/utils/rates.ts
@@ -0,0 +1,57 @@
+/** Averages and rates that forget: each sample or second counts less than the one after it. */
+
+/** A mean of samples and how many it was made of, up to where it forgets. */
+export type Mean = {
+	readonly value: number;
+	readonly count: number;
+	/** Time of the last sample, in milliseconds. */
+	readonly at: number;
+};
+
+/** An amount that decays with time. */
+export type Rate = {
+	/** Decayed amount as of `at`. */
+	readonly amount: number;
+	/** In milliseconds. */
+	readonly at: number;
+};
+
+export const noRate: Rate = {amount: 0, at: 0};
+
+/**
+ * @param mean - Mean so far.
+ * @param sample - Next sample.
+ * @param now - Time of the sample, in milliseconds.
+ * @param memory - Number of samples after which older ones fade.
+ * @returns The mean with the sample in it.
+ */
+export function include(mean: Mean | undefined, sample: number, now: number, memory: number): Mean {
+	const count = Math.min((mean?.count ?? 0) + 1, memory);
+	const before = mean?.value ?? 0;
+	return {value: before + ((sample - before) / count), count, at: now};
+}
+
+/**
+ * @param rate - Rate so far.
+ * @param amount - What came now.
+ * @param now - Time, in milliseconds.
+ * @param span - Time after which an amount counts a third, in milliseconds.
+ * @returns The rate with the amount in it.
+ */
+export function increase(rate: Rate, amount: number, now: number, span: number): Rate {
+	return {amount: remaining(rate, now, span) + amount, at: now};
+}
+
+/**
+ * @param rate - Rate.
+ * @param now - Time, in milliseconds.
+ * @param span - Time after which an amount counts a third, in milliseconds.
+ * @returns Amount per second.
+ */
+export function perSecond(rate: Rate, now: number, span: number): number {
+	return remaining(rate, now, span) * 1000 / span;
+}
+
+function remaining(rate: Rate, now: number, span: number): number {
+	return rate.amount * Math.exp((rate.at - now) / span);
+}
