--- a/src/core/utils/hashes.ts
+++ b/src/core/utils/hashes.ts
@@ -1,4 +1,5 @@
 /** Hashes that every host computes alike, and rendezvous hashing on them. Not for secrets. */
+/* eslint-disable no-bitwise -- Hashes are made of bit operations. */
 
 const offsetBasis = 0x81_1C_9D_C5;
 const prime = 0x01_00_01_93;
