--- a/src/protocol/token.ts
+++ b/src/protocol/token.ts
@@ -53,7 +53,7 @@
 function sign(keys: readonly TokenKey[], kind: Kind, value: unknown): string {
 	const first = keys[0] ?? raise('notConfigured', 'there is no token key');
 	const payload = Buffer.from(JSON.stringify(value)).toString('base64url');
-	return `${payload}.${signature(first, kind, payload).toString('base64url')}`;
+	return `${payload}.${Buffer.from(signature(first, kind, payload)).toString('base64url')}`;
 }
 
 function isSigned(keys: readonly TokenKey[], kind: Kind, payload: string, mark: Uint8Array): boolean {
