Types for relayed documents, fresh order reads and seed addresses

Peers relay configuration as text that the core must not trust before it is parsed, so parsing becomes an effect. Orders to engines that ignore numbers need a report read just before, which is an effect and an event of its own. Heartbeats validate what arrives by length, which the schema had dropped.

--- a/src/core/types/effect.ts
+++ b/src/core/types/effect.ts
@@ -3,7 +3,7 @@
 import {type Outcome, type Ticket} from './request.js';
 import {type Order} from './upstream.js';
 import {type PeerMessage} from './peer.js';
-import {type Event} from './event.js';
+import {type Event, type Source} from './event.js';
 
 /** How a candidate was scored; lower is better. */
 export type Candidate = {
@@ -71,6 +71,10 @@
 	| {readonly type: 'hold'; readonly hold: string; readonly upstream: string; readonly address: Address; readonly tokens: number; readonly deadline: number}
 	| {readonly type: 'release'; readonly hold: string; readonly upstream: string; readonly address: Address}
 	| {readonly type: 'order'; readonly upstream: string; readonly address: Address; readonly order: Order}
+	/** Ask an engine for its orders afresh; answered by `orders-read`. */
+	| {readonly type: 'read-orders'; readonly upstream: string; readonly address: Address}
+	/** Parse and validate a document's text; answered by `configuration-received` or `configuration-refused` with the same source. */
+	| {readonly type: 'parse-configuration'; readonly source: Source; readonly text: string}
 	| {readonly type: 'connect'; readonly host: string; readonly address: Address}
 	| {readonly type: 'disconnect'; readonly host: string}
 	| {readonly type: 'peer-send'; readonly to: string; readonly message: PeerMessage}
--- a/src/core/types/event.ts
+++ b/src/core/types/event.ts
@@ -2,7 +2,7 @@
 import {
 	type Attempt, type Ending, type Incarnation, type Outcome, type Request,
 } from './request.js';
-import {type Configuration} from './configuration.js';
+import {type Address, type Configuration, type Target} from './configuration.js';
 import {
 	type CacheChange, type Hold, type Order, type OrderNumber, type Report,
 } from './upstream.js';
@@ -35,11 +35,23 @@
 		| {readonly type: 'hold-answered'; readonly hold: string; readonly upstream: string; readonly granted: boolean}
 		| {readonly type: 'hold-released'; readonly hold: string; readonly upstream: string}
 		| {readonly type: 'order-answered'; readonly upstream: string; readonly order: Order; readonly accepted: boolean; readonly seen?: OrderNumber}
+	/** What an engine says of its orders when asked, not lagged as reports are; `known` is false if it did not answer. */
+		| {
+			readonly type: 'orders-read';
+			readonly upstream: string;
+			readonly known: boolean;
+			readonly highest?: OrderNumber;
+			readonly current?: Target;
+			readonly loading?: Target;
+		}
 	// From the platform.
 		| {readonly type: 'configuration-received'; readonly source: Source; readonly configuration: Configuration; readonly digest: string; readonly text: string}
 		| {readonly type: 'configuration-refused'; readonly source: Source; readonly code: number; readonly detail: string}
 		| {readonly type: 'hosts-listed'; readonly members: readonly Member[]; readonly leaving: readonly string[]}
 		| {readonly type: 'platform-unreachable'}
+	// From the settings.
+	/** Peer addresses to ask when the platform's list is out of reach. */
+		| {readonly type: 'seeds-given'; readonly addresses: readonly Address[]}
 	// From peers.
 		| {readonly type: 'peer-connected'; readonly host: string}
 		| {readonly type: 'peer-lost'; readonly host: string}
--- a/src/core/types/peer.ts
+++ b/src/core/types/peer.ts
@@ -48,12 +48,14 @@
 /** What a host last said of itself, passed on by another where the two have no link. */
 export type Digest = {
 	readonly incarnation: Incarnation;
+	readonly failureDomain: string;
 	readonly sequence: number;
 	readonly phase: Phase;
 	readonly revision: number;
 	/** The heaviest of its loads. */
 	readonly loads: readonly Load[];
 	readonly demands: readonly Demand[];
+	readonly mixes?: readonly Mix[];
 };
 
 export type PeerMessage
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -26,6 +26,9 @@
 	upstream: text, requests: count, prefill: amount, decode: amount,
 });
 const demand = z.object({organisation: text, requestsPerSecond: amount, tokensPerSecond: amount});
+const mix = z.object({
+	service: text, short: amount, middle: amount, long: amount,
+});
 const suspicion = z.object({
 	fingerprint: text,
 	crashes: z.array(text).max(listLimit),
@@ -34,10 +37,12 @@
 const digest = z.object({
 	incarnation,
 	sequence: count,
+	failureDomain: text,
 	phase,
 	revision: count,
 	loads: z.array(load).max(listLimit),
 	demands: z.array(demand).max(listLimit),
+	mixes: z.array(mix).max(listLimit).optional(),
 });
 
 const messageSchema = z.discriminatedUnion('type', [
@@ -53,6 +58,7 @@
 		whole: z.boolean(),
 		loads: z.array(load).max(listLimit),
 		demands: z.array(demand).max(listLimit),
+		mixes: z.array(mix).max(listLimit).optional(),
 		suspicions: z.array(suspicion).max(listLimit),
 		members: z.array(member).max(listLimit),
 		relayed: z.array(digest).max(listLimit),
