Compare documents in words and warn of dangerous changes

Cause: operators see each change before they publish it; some valid changes refuse callers, lose tickets or let a payment run twice.

Difference compares entries by name, so order matters only for token keys. Warnings are a union with the figures in each member; texts name the safer way. Secrets and whole key hashes never appear in words.

--- /dev/null
+++ b/src/protocol/configuration/__tests__/difference.test.ts
@@ -0,0 +1,98 @@
+import {describe, expect, it} from 'vitest';
+import {type Configuration} from '../../../core/index.js';
+import {
+	changeInWords, difference, parseConfiguration, warningsOf,
+} from '../index.js';
+import {base, text} from './documents.js';
+
+function read(overrides: Readonly<Record<string, unknown>> = {}): Configuration {
+	const parsed = parseConfiguration(text(overrides));
+	if (parsed.type === 'invalid') {
+		throw new Error(JSON.stringify(parsed.mistakes));
+	}
+
+	return parsed.configuration;
+}
+
+function words(overrides: Readonly<Record<string, unknown>>): readonly string[] {
+	return difference(read(), read(overrides)).map(change => changeInWords(change));
+}
+
+function warnings(overrides: Readonly<Record<string, unknown>>): readonly string[] {
+	return warningsOf(read({revision: 8, ...overrides}), read()).map(({type}) => type);
+}
+
+const [check, reference] = base.services;
+const [daily, weekly] = base.organisations;
+const [k1, k2] = base.tokenKeys;
+
+describe('difference', () => {
+	it('finds none in the same document, whatever the order of its entries', () => {
+		expect(words({})).toEqual([]);
+		expect(words({services: [reference, check], upstreams: base.upstreams.toReversed()})).toEqual([]);
+	});
+
+	it.each([
+		[{revision: 8}, 'Document: revision changes from 7 to 8'],
+		[{stopRule: {concurrentHosts: 2, concurrentUpstreams: 1}}, 'Document: stopRule.concurrentHosts changes from 1 to 2'],
+		[{weightStore: {address: {host: 'h', port: 1}, loadsPerSecond: 3}}, 'Document: weightStore.address.host becomes "h"'],
+		[{services: [{...check, deadline: {default: 60_000, most: 7_200_000}}, reference]}, 'Service "check": deadline.most changes from 10 min to 2 h'],
+		[{services: [{...check, idempotent: true}, reference]}, 'Service "check": idempotent changes from no to yes'],
+		[{services: [check, reference, {...reference, id: 'extra'}]}, 'Adds the service "extra"'],
+		[{organisations: [daily]}, 'Removes the organisation "weekly"'],
+		[{organisations: [{...daily, keyHashes: ['d'.repeat(64)]}, weekly]}, 'Organisation "daily": keyHashes gains dddddddd… and loses aaaaaaaa…'],
+		[{organisations: [{...daily, limits: {concurrent: 4}}, weekly]}, 'Organisation "daily": limits.concurrent becomes 4'],
+		[{tokenKeys: [k2, k1]}, 'Tokens are signed with the key "k2" in place of "k1"'],
+		[{tokenKeys: [k1, {...k2, secret: '3'.repeat(64)}]}, 'Token key "k2": its secret changes'],
+		[{plannedStops: [{id: 'p', target: {kind: 'host', id: 'h'}, notBefore: 9e15}]}, 'Adds the planned stop "p"'],
+		[
+			{takeovers: [{service: 'check', failureDomain: 'north', servedBy: 'legacy'}]},
+			'Service "check" in "north" for every organisation: served by the old endpoint',
+		],
+	])('says in words: %j', (overrides, expected) => {
+		expect(words(overrides)[0]).toBe(expected);
+	});
+
+	it('shows no secret', () => {
+		const secret = '3'.repeat(64);
+		const said = words({tokenKeys: [{...k1, secret}, {id: 'k3', secret}]}).join('\n');
+		expect(said).not.toContain('333');
+	});
+});
+
+describe('warnings', () => {
+	it('is silent on a harmless change', () => {
+		expect(warnings({organisations: [{...daily, weight: 2}, weekly]})).toEqual(['no-engine-to-spare']);
+	});
+
+	it.each([
+		[{revision: 7}, 'revision-not-higher'],
+		[{services: [{...check, idempotent: true}, reference]}, 'service-now-idempotent'],
+		[{services: [{...check, deadline: {default: 1, most: 2}}, reference]}, 'deadline-shortened'],
+		[{services: [check, reference, {...reference, id: 'extra'}]}, 'service-without-upstream'],
+		[{services: [check], upstreams: base.upstreams.filter(each => each.kind !== 'plain')}, 'service-removed'],
+		[{organisations: [daily]}, 'organisation-removed'],
+		[{organisations: [{...daily, keyHashes: ['d'.repeat(64)]}, weekly]}, 'keys-replaced-at-once'],
+		[{organisations: [{...daily, keyHashes: []}, weekly]}, 'organisation-without-key'],
+		[{upstreams: base.upstreams.filter(each => each.failureDomain !== 'south')}, 'upstreams-halved'],
+		[{upstreams: base.upstreams.map(each => ({...each, fencing: false}))}, 'fencing-changed'],
+		[{upstreams: base.upstreams.map(each => ({...each, address: {...each.address, host: '10.0.0.2'}}))}, 'address-changed'],
+		[{tokenKeys: [k2]}, 'token-key-removed-at-once'],
+		[{tokenKeys: [{id: 'k3', secret: k1!.secret}, k1]}, 'token-key-signs-at-once'],
+		[{tokenKeys: [k1, {...k2, secret: '3'.repeat(64)}]}, 'secret-changed'],
+		[{takeovers: [{service: 'check', failureDomain: 'north', servedBy: 'legacy'}]}, 'unrepeatable-service-moved'],
+		[{
+			plannedStops: [{
+				id: 'p', target: {kind: 'host', id: 'h'}, notBefore: 0, grace: 1000,
+			}],
+		}, 'grace-below-deadline'],
+	])('warns of %j', (overrides, expected) => {
+		expect(warnings(overrides)).toContain(expected);
+	});
+
+	it('lets a key rotate in three safe steps', () => {
+		const steps = [[k1, k2], [k2, k1], [k2]].map((tokenKeys, index) => read({revision: 8 + index, tokenKeys}));
+		const types = steps.slice(1).flatMap((after, index) => warningsOf(after, steps[index]).map(({type}) => type));
+		expect(types.filter(type => type.includes('key'))).toEqual([]);
+	});
+});
--- /dev/null
+++ b/src/protocol/configuration/warning.ts
@@ -0,0 +1,124 @@
+/** Dangers that an operator should know before a document is published. */
+import {assertNever, type Takeover} from '../../core/index.js';
+import {durationInWords, scopeInWords} from './words.js';
+
+export type Warning
+	= | {readonly type: 'revision-not-higher'; readonly before: number; readonly after: number}
+		| {readonly type: 'service-removed'; readonly service: string}
+		| {readonly type: 'service-kind-changed'; readonly service: string}
+		| {readonly type: 'service-now-idempotent'; readonly service: string}
+		| {readonly type: 'ticket-rule-relaxed'; readonly service: string}
+		| {readonly type: 'deadline-shortened'; readonly service: string; readonly before: number; readonly after: number}
+		| {readonly type: 'organisation-removed'; readonly organisation: string}
+		| {readonly type: 'keys-replaced-at-once'; readonly organisation: string}
+		| {readonly type: 'limit-halved'; readonly organisation: string; readonly limit: string; readonly before: number; readonly after: number}
+		| {readonly type: 'failure-domain-removed'; readonly failureDomain: string}
+		| {readonly type: 'upstreams-halved'; readonly service: string; readonly failureDomain: string; readonly before: number; readonly after: number}
+		| {readonly type: 'fencing-changed'; readonly upstream: string; readonly fencing: boolean}
+		| {readonly type: 'address-changed'; readonly upstream: string}
+		| {readonly type: 'token-key-removed-at-once'; readonly key: string}
+		| {readonly type: 'token-key-signs-at-once'; readonly key: string}
+		| {readonly type: 'secret-changed'; readonly key: string}
+		| {readonly type: 'unrepeatable-service-moved'; readonly scope: Omit<Takeover, 'servedBy'>; readonly servedBy: Takeover['servedBy'] | 'default'}
+		| {readonly type: 'service-without-upstream'; readonly service: string}
+		| {readonly type: 'no-engine-to-spare'; readonly service: string; readonly failureDomain: string; readonly readyEngines: number}
+		| {readonly type: 'grace-below-deadline'; readonly stop: string; readonly grace: number; readonly deadline: number}
+		| {readonly type: 'organisation-without-key'; readonly organisation: string};
+
+/**
+ * @param warning - A danger.
+ * @returns What may happen and, where there is one, the safer way.
+ */
+export function warningInWords(warning: Warning): string {
+	switch (warning.type) {
+		case 'revision-not-higher': {
+			return `Revision ${warning.after} is not above ${warning.before}: no host will adopt the document.`;
+		}
+
+		case 'service-removed': {
+			return `The service "${warning.service}" goes: its callers are refused from then on.`;
+		}
+
+		case 'service-kind-changed': {
+			return `The service "${warning.service}" changes its kind: its callers' requests no longer fit it.`;
+		}
+
+		case 'service-now-idempotent': {
+			return `Requests of "${warning.service}" that say nothing may be repeated from now on: a payment or booking could run twice.`;
+		}
+
+		case 'ticket-rule-relaxed': {
+			return `"${warning.service}" no longer asks for a ticket: more requests can end with an unknown outcome.`;
+		}
+
+		case 'deadline-shortened': {
+			return `"${warning.service}" gives at most ${durationInWords(warning.after)} in place of ${durationInWords(warning.before)}: long work may no longer finish.`;
+		}
+
+		case 'organisation-removed': {
+			return `The organisation "${warning.organisation}" goes: its keys are refused from then on.`;
+		}
+
+		case 'keys-replaced-at-once': {
+			return `No key of "${warning.organisation}" stays valid: its callers are refused until they change keys. Add the new key first.`;
+		}
+
+		case 'limit-halved': {
+			return `The limit ${warning.limit} of "${warning.organisation}" falls from ${warning.before} to ${warning.after}, below half.`;
+		}
+
+		case 'failure-domain-removed': {
+			return `The failure domain "${warning.failureDomain}" goes: hosts there find no upstreams of their own.`;
+		}
+
+		case 'upstreams-halved': {
+			return `"${warning.service}" keeps ${warning.after} of ${warning.before} upstreams in "${warning.failureDomain}".`;
+		}
+
+		case 'fencing-changed': {
+			return warning.fencing
+				? `"${warning.upstream}" is now said to refuse old orders. If it does not, a late order can undo a newer one.`
+				: `"${warning.upstream}" is now said not to refuse old orders: a late order is repaired, not prevented.`;
+		}
+
+		case 'address-changed': {
+			return `"${warning.upstream}" gets another address: work that runs at the old one can no longer be resumed or cancelled there.`;
+		}
+
+		case 'token-key-removed-at-once': {
+			return `The key "${warning.key}" signed until now: its tickets and stream positions are refused. Keep it second until they have expired.`;
+		}
+
+		case 'token-key-signs-at-once': {
+			return `The key "${warning.key}" signs at once: hosts that adopt the document later refuse its tokens. Add it second first.`;
+		}
+
+		case 'secret-changed': {
+			return `The secret of "${warning.key}" changes under the same name: tokens in use are refused. Add a new key instead.`;
+		}
+
+		case 'unrepeatable-service-moved': {
+			return `${scopeInWords(warning.scope)} moves and may not be repeated: while hosts adopt this, both sides serve it. A caller must not send a request again at another host.`;
+		}
+
+		case 'service-without-upstream': {
+			return `The service "${warning.service}" has no upstream: its requests are refused.`;
+		}
+
+		case 'no-engine-to-spare': {
+			return `"${warning.service}" has ${warning.readyEngines} engines in "${warning.failureDomain}" and all must stay ready: none may stop or change its version.`;
+		}
+
+		case 'grace-below-deadline': {
+			return `The planned stop "${warning.stop}" gives ${durationInWords(warning.grace)}, but requests may run ${durationInWords(warning.deadline)}: some could be cut.`;
+		}
+
+		case 'organisation-without-key': {
+			return `The organisation "${warning.organisation}" has no key: nobody can call in its name.`;
+		}
+
+		default: {
+			return assertNever(warning);
+		}
+	}
+}
