Hash prompt blocks in one module for entry hosts and engines

Prefix-aware routing works only if both hash alike. Block constants move below the engine protocol, which re-exports them.

--- a/src/upstream/protocol.ts
+++ b/src/upstream/protocol.ts
@@ -19,6 +19,8 @@
 import {z} from 'zod';
 import {targetSchema} from '../core/index.js';
 
+export {blockTokens, charactersPerToken} from '../protocol/blocks.js';
+
 /** Request headers. */
 export const headers = {
 	/** Echoed in every frame. */
@@ -35,12 +37,6 @@
 	promptTokens: 'x-prompt-tokens',
 } as const;
 
-/** Characters that count as one token. */
-export const charactersPerToken = 4;
-
-/** Tokens in one block of the prefix cache. */
-export const blockTokens = 256;
-
 /** One frame of a stream, as the data of an event whose id is `attempt/offset`. */
 export const frameSchema = z.object({
 	attempt: z.string(),
