--- /dev/null
+++ b/stand-ins/engine/process.ts
@@ -0,0 +1,66 @@
+/** Several engines in one process, each on its own port, with one control server for tests. */
+import {z} from 'zod';
+import {answerJson, readText, Server} from '../common/server.js';
+import {type Running} from '../common/command.js';
+import {faultSchema} from './faults.js';
+import {EngineHost} from './host.js';
+import {type Settings} from './settings.js';
+
+/** Body of `POST /control`; without an engine the fault is for all. */
+export const controlSchema = z.object({engine: z.string().optional(), fault: faultSchema});
+
+export type Control = z.infer<typeof controlSchema>;
+
+export class EngineProcess implements Running {
+	/**
+	 * @param settings - Checked settings.
+	 * @returns The engines, listening.
+	 */
+	static async start(settings: Settings): Promise<EngineProcess> {
+		const started = new EngineProcess(settings);
+		await Promise.all([started.#control, ...started.#hosts].map(async each => each.listen()));
+		return started;
+	}
+
+	readonly #hosts: readonly EngineHost[];
+	readonly #control: Server;
+
+	private constructor(settings: Settings) {
+		const {timeScale, seed, weightStore} = settings;
+		this.#hosts = settings.engines.map((each, index) =>
+			new EngineHost(each, {timeScale, seed: seed + index, weightStore}));
+		this.#control = new Server('engine-control', settings.control);
+		this.#addControl();
+	}
+
+	get hosts(): readonly EngineHost[] {
+		return this.#hosts;
+	}
+
+	get addresses() {
+		return {
+			control: this.#control.address,
+			engines: this.#hosts.map(({id, address}) => ({id, ...address})),
+		};
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		await Promise.all([this.#control, ...this.#hosts].map(async each => each[Symbol.asyncDispose]()));
+	}
+
+	#chosen(id: string | undefined): readonly EngineHost[] {
+		return id === undefined ? this.#hosts : this.#hosts.filter(each => each.id === id);
+	}
+
+	#addControl(): void {
+		this.#control.route('post', '/control', async ({incoming, outgoing}) => {
+			const {engine, fault} = controlSchema.parse(JSON.parse(await readText(incoming)));
+			await Promise.all(this.#chosen(engine).map(async each => each.apply(fault)));
+			answerJson(outgoing, 204);
+		});
+		this.#control.route('get', '/control/executions', async ({outgoing, query}) => {
+			const chosen = this.#chosen(query.get('engine') ?? undefined);
+			answerJson(outgoing, 200, {engines: chosen.map(each => each.executions)});
+		});
+	}
+}
--- /dev/null
+++ b/stand-ins/plain/service.ts
@@ -0,0 +1,220 @@
+/** A plain service that answers any path and counts what it executes. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {z} from 'zod';
+import {shortDigest} from '../../src/protocol/blocks.js';
+import {Gate} from '../common/gate.js';
+import {
+	answerError, answerJson, header, readText, Server, type Call,
+} from '../common/server.js';
+import {type Running} from '../common/command.js';
+import {listenSchema, millisecondsSchema} from '../common/settings.js';
+import {type CallFault, type Fault, faultSchema} from './faults.js';
+
+export const settingsSchema = z.object({
+	id: z.string().min(1),
+	listen: listenSchema.prefault({}),
+	control: listenSchema.prefault({}),
+	/** Time that each call takes, in real milliseconds. */
+	duration: millisecondsSchema.default(2),
+}).readonly();
+
+export const countsSchema = z.object({
+	service: z.string(),
+	executed: z.number(),
+	/** Executions by Idempotency-Key and by body digest. */
+	byKey: z.record(z.string(), z.number()),
+	byBody: z.record(z.string(), z.number()),
+});
+
+export type Settings = z.infer<typeof settingsSchema>;
+export type Counts = z.infer<typeof countsSchema>;
+
+const methods = ['get', 'post', 'put', 'del', 'patch', 'head'] as const;
+
+function increment(table: Map<string, number>, key: string): void {
+	table.set(key, (table.get(key) ?? 0) + 1);
+}
+
+export class PlainService implements Running {
+	/**
+	 * @param settings - Checked settings.
+	 * @returns The service, listening.
+	 */
+	static async start(settings: Settings): Promise<PlainService> {
+		const started = new PlainService(settings);
+		await started.#server.listen();
+		await started.#control.listen();
+		return started;
+	}
+
+	readonly #settings: Settings;
+	readonly #server: Server;
+	readonly #control: Server;
+	readonly #gate = new Gate();
+	readonly #byKey = new Map<string, number>();
+	readonly #byBody = new Map<string, number>();
+	#executed = 0;
+	#due: readonly CallFault[] = [];
+	#late = 0;
+	#poisons: ReadonlyArray<Extract<Fault, {type: 'poison'}>> = [];
+	#return: NodeJS.Timeout | undefined;
+	#isUp = true;
+
+	private constructor(settings: Settings) {
+		this.#settings = settings;
+		this.#server = new Server(settings.id, settings.listen);
+		this.#control = new Server(`${settings.id}-control`, settings.control);
+		for (const method of methods) {
+			this.#server.route(method, '/*', async call => this.#answer(call));
+		}
+
+		this.#control.route('post', '/control', async ({incoming, outgoing}) => {
+			await this.#apply(faultSchema.parse(JSON.parse(await readText(incoming))));
+			answerJson(outgoing, 204);
+		});
+		this.#control.route('get', '/control/executions', async ({outgoing}) => {
+			answerJson(outgoing, 200, this.counts);
+		});
+	}
+
+	get addresses() {
+		return {id: this.#settings.id, address: this.#server.address, control: this.#control.address};
+	}
+
+	get counts(): Counts {
+		return {
+			service: this.#settings.id,
+			executed: this.#executed,
+			byKey: Object.fromEntries(this.#byKey),
+			byBody: Object.fromEntries(this.#byBody),
+		};
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		clearTimeout(this.#return);
+		this.#gate.open();
+		await Promise.all([this.#server[Symbol.asyncDispose](), this.#control[Symbol.asyncDispose]()]);
+	}
+
+	async #answer({incoming, outgoing}: Call): Promise<void> {
+		const body = await readText(incoming);
+		const fault = this.#takeDue();
+		if (fault?.type === 'refuse') {
+			answerError(outgoing, fault.status, 'refused', 'refused on demand');
+			return;
+		}
+
+		if (fault?.type === 'drop-before') {
+			outgoing.destroy();
+			return;
+		}
+
+		const key = header(incoming, 'idempotency-key');
+		this.#execute(key, body);
+		await sleep(this.#settings.duration + this.#late);
+		await this.#gate.opened();
+		if (fault?.type === 'drop-after') {
+			outgoing.destroy();
+			return;
+		}
+
+		if (fault?.type === 'fail-after') {
+			answerError(outgoing, fault.status, 'failed', 'failed on demand');
+			return;
+		}
+
+		answerJson(outgoing, 200, {
+			service: this.#settings.id, method: incoming.method, path: incoming.url, key, body: shortDigest(body),
+		});
+	}
+
+	#execute(key: string | undefined, body: string): void {
+		this.#executed++;
+		increment(this.#byBody, shortDigest(body));
+		if (key !== undefined) {
+			increment(this.#byKey, key);
+		}
+
+		const poison = this.#poisons.find(each => body.includes(each.marker));
+		if (poison !== undefined) {
+			void this.#crash(poison.returnAfter);
+		}
+	}
+
+	/** Takes one use of the first fault that is due. */
+	#takeDue(): CallFault | undefined {
+		const [first, ...rest] = this.#due;
+		if (first !== undefined) {
+			this.#due = first.count > 1 ? [{...first, count: first.count - 1}, ...rest] : rest;
+		}
+
+		return first;
+	}
+
+	async #apply(fault: Fault): Promise<void> {
+		switch (fault.type) {
+			case 'hang': {
+				this.#gate.shut();
+				break;
+			}
+
+			case 'late': {
+				this.#late = fault.delay;
+				break;
+			}
+
+			case 'crash': {
+				await this.#crash(fault.returnAfter);
+				break;
+			}
+
+			case 'restart': {
+				await this.#restart();
+				break;
+			}
+
+			case 'poison': {
+				this.#poisons = [...this.#poisons, fault];
+				break;
+			}
+
+			case 'heal': {
+				this.#heal();
+				break;
+			}
+
+			default: {
+				this.#due = [...this.#due, fault];
+			}
+		}
+	}
+
+	#heal(): void {
+		this.#gate.open();
+		this.#late = 0;
+		this.#due = [];
+		this.#poisons = [];
+	}
+
+	async #crash(returnAfter: number | undefined): Promise<void> {
+		if (!this.#isUp) {
+			return;
+		}
+
+		this.#isUp = false;
+		await this.#server.vanish();
+		if (returnAfter !== undefined) {
+			this.#return = setTimeout(() => {
+				void this.#restart();
+			}, returnAfter);
+		}
+	}
+
+	async #restart(): Promise<void> {
+		clearTimeout(this.#return);
+		if (!this.#isUp) {
+			this.#isUp = true;
+			await this.#server.listen();
+		}
+	}
+}
--- /dev/null
+++ b/stand-ins/platform/service.ts
@@ -0,0 +1,201 @@
+/** The platform: a configuration that can be read and watched, and a host list that lags. */
+import {performance} from 'node:perf_hooks';
+import {z} from 'zod';
+import {assertNever} from '../../src/core/index.js';
+import {revisionHeader, type Hosts} from '../../src/platform/protocol.js';
+import {
+	answerError, answerJson, header, readText, Server, type Answer, type Call,
+} from '../common/server.js';
+import {type Running} from '../common/command.js';
+import {listenSchema, millisecondsSchema} from '../common/settings.js';
+import {CallBudget} from './budget.js';
+import {controlSchema, type Control} from './control.js';
+import {Documents, type Publication} from './documents.js';
+
+export const settingsSchema = z.object({
+	listen: listenSchema.prefault({}),
+	control: listenSchema.prefault({}),
+	callsPerSecond: z.number().positive().default(2000),
+	/** Lag of the host list in real milliseconds. */
+	hostLag: millisecondsSchema.default(2000),
+}).readonly();
+
+export type Settings = z.infer<typeof settingsSchema>;
+
+type Waiter = () => void;
+type HostVersion = {readonly hosts: Hosts['hosts']; readonly at: number};
+
+const longestWait = 300_000;
+/** Names the reader to the budget; the remote address stands in where it is absent. */
+const readerHeader = 'x-reader';
+
+export class PlatformService implements Running {
+	/**
+	 * @param settings - Checked settings.
+	 * @returns The platform, listening.
+	 */
+	static async start(settings: Settings): Promise<PlatformService> {
+		const started = new PlatformService(settings);
+		await started.#server.listen();
+		await started.#control.listen();
+		return started;
+	}
+
+	readonly #server: Server;
+	readonly #control: Server;
+	readonly #budget: CallBudget;
+	readonly #documents = new Documents();
+	readonly #waiters = new Set<Waiter>();
+	#hostVersions: readonly HostVersion[] = [];
+	#hostLag: number;
+	#isUp = true;
+
+	private constructor(settings: Settings) {
+		this.#budget = new CallBudget(settings.callsPerSecond);
+		this.#hostLag = settings.hostLag;
+		this.#server = new Server('platform', settings.listen);
+		this.#control = new Server('platform-control', settings.control);
+		this.#server.route('get', '/v1/configuration', this.#counted(async call => this.#answerConfiguration(call)));
+		this.#server.route('get', '/v1/hosts', this.#counted(async ({outgoing}) => {
+			answerJson(outgoing, 200, {hosts: this.#visibleHosts()});
+		}));
+		this.#control.route('post', '/control', async ({incoming, outgoing}) => {
+			await this.apply(controlSchema.parse(JSON.parse(await readText(incoming))));
+			answerJson(outgoing, 204);
+		});
+		this.#control.route('get', '/control/calls', async ({outgoing}) => {
+			answerJson(outgoing, 200, this.counts);
+		});
+	}
+
+	get addresses() {
+		return {address: this.#server.address, control: this.#control.address};
+	}
+
+	/** Calls and refusals so far, and watches that wait now. */
+	get counts() {
+		return {...this.#budget.counts, waiting: this.#waiters.size};
+	}
+
+	/**
+	 * Does what a test asks.
+	 *
+	 * @param control - What to do.
+	 */
+	async apply(control: Control): Promise<void> {
+		switch (control.type) {
+			case 'publish': {
+				this.#documents.publish(control);
+				break;
+			}
+
+			case 'stale':
+			case 'alternate':
+			case 'fresh': {
+				this.#documents.show(control);
+				break;
+			}
+
+			case 'hosts': {
+				this.#hostVersions = [...this.#hostVersions, {hosts: control.hosts, at: performance.now()}];
+				break;
+			}
+
+			case 'host-lag': {
+				this.#hostLag = control.lag;
+				break;
+			}
+
+			case 'down': {
+				this.#isUp = false;
+				await this.#server.vanish();
+				break;
+			}
+
+			case 'up': {
+				await this.#rise();
+				break;
+			}
+
+			default: {
+				assertNever(control);
+			}
+		}
+
+		this.#wake();
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.#wake();
+		await Promise.all([this.#server[Symbol.asyncDispose](), this.#control[Symbol.asyncDispose]()]);
+	}
+
+	async #rise(): Promise<void> {
+		if (!this.#isUp) {
+			this.#isUp = true;
+			await this.#server.listen();
+		}
+	}
+
+	#wake(): void {
+		for (const waiter of this.#waiters) {
+			waiter();
+		}
+	}
+
+	#counted(answer: Answer): Answer {
+		return async call => {
+			const reader = header(call.incoming, readerHeader) ?? call.incoming.socket.remoteAddress ?? '';
+			if (!this.#budget.take(reader, performance.now())) {
+				answerError(call.outgoing, 429, 'too-many-calls', 'the call budget is used up');
+				return;
+			}
+
+			await answer(call);
+		};
+	}
+
+	async #answerConfiguration({outgoing, query}: Call): Promise<void> {
+		this.#documents.turn();
+		const above = Number(query.get('above') ?? -1);
+		const end = performance.now() + Math.min(Number(query.get('wait') ?? 0), longestWait);
+		const found = await this.#await(above, end, outgoing);
+		if (found === undefined) {
+			outgoing.writeHead(204);
+			outgoing.end();
+			return;
+		}
+
+		outgoing.writeHead(200, {'content-type': 'application/json', [revisionHeader]: found.revision});
+		outgoing.end(found.text);
+	}
+
+	/** Waits until a document above a revision is shown, the time is over or the reader has left. */
+	async #await(above: number, end: number, outgoing: Call['outgoing']): Promise<Publication | undefined> {
+		for (;;) {
+			const found = this.#documents.read(above);
+			const left = end - performance.now();
+			if (found !== undefined || left <= 0 || outgoing.destroyed) {
+				return found;
+			}
+
+			await new Promise<void>(resolve => {
+				const finish = (): void => {
+					clearTimeout(timer);
+					this.#waiters.delete(finish);
+					outgoing.off('close', finish);
+					resolve();
+				};
+
+				const timer = setTimeout(finish, left);
+				this.#waiters.add(finish);
+				outgoing.once('close', finish);
+			});
+		}
+	}
+
+	#visibleHosts(): Hosts['hosts'] {
+		const until = performance.now() - this.#hostLag;
+		return this.#hostVersions.findLast(each => each.at <= until)?.hosts ?? [];
+	}
+}
--- /dev/null
+++ b/stand-ins/weights/service.ts
@@ -0,0 +1,72 @@
+/** A weight store that serves a limited number of loads a second to everyone together. */
+import {performance} from 'node:perf_hooks';
+import {z} from 'zod';
+import {answerError, answerJson, Server} from '../common/server.js';
+import {type Running} from '../common/command.js';
+import {listenSchema} from '../common/settings.js';
+
+export const settingsSchema = z.object({
+	listen: listenSchema.prefault({}),
+	/** Loads a real second; above it a load is refused with 429. */
+	loadsPerSecond: z.number().positive().default(4),
+}).readonly();
+
+export type Settings = z.infer<typeof settingsSchema>;
+
+const second = 1000;
+
+export class WeightStoreService implements Running {
+	/**
+	 * @param settings - Checked settings.
+	 * @returns The store, listening.
+	 */
+	static async start(settings: Settings): Promise<WeightStoreService> {
+		const started = new WeightStoreService(settings);
+		await started.#server.listen();
+		return started;
+	}
+
+	readonly #server: Server;
+	readonly #interval: number;
+	readonly #counters = {served: 0, refused: 0};
+	/** Monotonic time at which the next load may be served. */
+	#nextAt = 0;
+
+	private constructor(settings: Settings) {
+		this.#interval = second / settings.loadsPerSecond;
+		this.#server = new Server('weights', settings.listen);
+		this.#server.route('get', '/v1/weights/:model/:version', async ({outgoing, parameters}) => {
+			const wait = this.#take(performance.now());
+			if (wait > 0) {
+				outgoing.setHeader('retry-after', Math.ceil(wait / second));
+				answerError(outgoing, 429, 'too-many-loads', 'the store is at its rate');
+				return;
+			}
+
+			answerJson(outgoing, 200, {model: parameters.model, version: parameters.version});
+		});
+		this.#server.route('get', '/control/counters', async ({outgoing}) => {
+			answerJson(outgoing, 200, this.#counters);
+		});
+	}
+
+	get addresses() {
+		return {address: this.#server.address};
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		await this.#server[Symbol.asyncDispose]();
+	}
+
+	/** Takes a load now, or returns the milliseconds until one is free. */
+	#take(now: number): number {
+		if (now < this.#nextAt) {
+			this.#counters.refused++;
+			return this.#nextAt - now;
+		}
+
+		this.#counters.served++;
+		this.#nextAt = Math.max(this.#nextAt, now - this.#interval) + this.#interval;
+		return 0;
+	}
+}
