The entry daemon: callers, relays, watches, admin listener and wiring

Requests come in over restify, go through the core and out through got. The engine's frames are checked by attempt and offset before they are relayed; a broken stream is asked for again at the engine from the next offset on. Forwarding to another host is a plain relay to its caller address, so that large bodies need no second transport.

--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -37,6 +37,7 @@
 	frameMismatch: 3004,
 	callerGone: 3005,
 	callerTooSlow: 3006,
+	answerNotKept: 3007,
 	outcomeUnknown: 4001,
 	keeperGone: 4002,
 	keeperUnreachable: 4003,
@@ -64,7 +65,7 @@
 export type Code = (typeof codes)[CodeName];
 
 /** What each code says to people. */
-export const texts: Readonly<Record<CodeName, string>> = {
+export const texts = {
 	done: 'Done.',
 	badBody: 'The body is not valid for this service.',
 	unknownKey: 'The API key belongs to no organisation.',
@@ -97,6 +98,7 @@
 	frameMismatch: 'The upstream\'s answer did not belong to this request.',
 	callerGone: 'The caller left while the request ran.',
 	callerTooSlow: 'The caller did not take the answer in time.',
+	answerNotKept: 'The request is done, but its answer is no longer held.',
 	outcomeUnknown: 'The request may have run.',
 	keeperGone: 'The host that keeps the ticket is gone; the request may have run.',
 	keeperUnreachable: 'The host that keeps the ticket cannot be reached; the request may have run.',
@@ -118,7 +120,17 @@
 	badPeerMessage: 'A peer sent a message that is not valid.',
 	orderRefused: 'The engine refused an order.',
 	internal: 'An internal error.',
-};
+} satisfies Readonly<Record<CodeName, string>>;
+
+const codeNames = Object.keys(codes).filter(name => isCodeName(name));
+
+/**
+ * @param name - Any text.
+ * @returns Whether it names a result code.
+ */
+export function isCodeName(name: string): name is CodeName {
+	return Object.hasOwn(codes, name);
+}
 
 /** An error with a result code. */
 export class Failure extends Error {
@@ -159,3 +171,25 @@
 export function isFailure(error: unknown): error is Failure {
 	return error instanceof Failure;
 }
+
+/**
+ * @param error - Anything thrown.
+ * @returns What it says, for people.
+ */
+export function messageOf(error: unknown): string {
+	return error instanceof Error ? error.message : String(error);
+}
+
+/**
+ * @param code - Result code.
+ * @returns Its name; that of an internal error for a number that is not one.
+ */
+export function nameOfCode(code: number): CodeName {
+	for (const name of codeNames) {
+		if (codes[name] === code) {
+			return name;
+		}
+	}
+
+	return 'internal';
+}
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -2,7 +2,10 @@
 export {
 	codes,
 	Failure,
+	isCodeName,
 	isFailure,
+	messageOf,
+	nameOfCode,
 	raise,
 	texts,
 } from './errors.js';
--- /dev/null
+++ b/src/entry/callers/answer.ts
@@ -0,0 +1,159 @@
+/** The answer of one request: passed to its callers as it comes, and kept where it may be asked for again. */
+import {once} from 'node:events';
+import {type Outcome} from '../../core/index.js';
+import {
+	endAnswer,
+	writePiece,
+	type Piece,
+	type Receiver,
+} from './receivers.js';
+
+/** Bytes of one answer that are kept for repeats. */
+const keptLimit = 4_000_000;
+
+/** Bytes that may wait for one of several callers before it is given up. */
+const waitingLimit = 1_000_000;
+
+type End = {
+	readonly outcome: Outcome;
+	readonly ticket?: string;
+};
+
+export class Answer {
+	readonly #isKept: boolean;
+	readonly #receivers = new Set<Receiver>();
+	readonly #pieces: Piece[] = [];
+	#size = 0;
+	#end: End | undefined;
+
+	/**
+	 * @param isKept - Whether the answer may be asked for again.
+	 */
+	constructor(isKept: boolean) {
+		this.#isKept = isKept;
+	}
+
+	get isKept(): boolean {
+		return this.#isKept;
+	}
+
+	get hasEnded(): boolean {
+		return this.#end !== undefined;
+	}
+
+	/** Whether the answer grew too long to be given again. */
+	get isTooLong(): boolean {
+		return this.#size > keptLimit;
+	}
+
+	get receivers(): number {
+		return this.#receivers.size;
+	}
+
+	/**
+	 * Adds a caller and gives it what has come so far.
+	 *
+	 * @param receiver - Caller.
+	 */
+	attach(receiver: Receiver): void {
+		for (const piece of this.#pieces) {
+			writePiece(receiver, piece);
+		}
+
+		if (this.#end === undefined) {
+			this.#receivers.add(receiver);
+		} else {
+			endAnswer(receiver, this.#end.outcome, this.#end.ticket);
+		}
+	}
+
+	/**
+	 * @param receiver - Caller that left or moved to another answer.
+	 */
+	detach(receiver: Receiver): void {
+		this.#receivers.delete(receiver);
+	}
+
+	/**
+	 * @returns The callers attached, no longer attached here.
+	 */
+	release(): readonly Receiver[] {
+		const released = [...this.#receivers];
+		this.#receivers.clear();
+		return released;
+	}
+
+	/**
+	 * Passes a part on.
+	 *
+	 * @param piece - Part of the answer.
+	 * @returns A promise to wait for where the only caller's buffer is full.
+	 */
+	push(piece: Piece): Promise<void> | undefined {
+		this.#keep(piece);
+		const full = [...this.#receivers].filter(receiver => !writePiece(receiver, piece));
+		if (full.length === 0) {
+			return undefined;
+		}
+
+		if (this.#isKept) {
+			this.#dropSlow(full);
+			return undefined;
+		}
+
+		return drained(full[0]!);
+	}
+
+	/**
+	 * @param outcome - End of the request.
+	 * @param ticket - Ticket for the caller to come back with, if one was issued.
+	 */
+	end(outcome: Outcome, ticket?: string): void {
+		if (this.#end !== undefined) {
+			return;
+		}
+
+		this.#end = {outcome, ticket};
+		for (const receiver of this.release()) {
+			endAnswer(receiver, outcome, ticket);
+		}
+	}
+
+	#keep(piece: Piece): void {
+		if (!this.#isKept) {
+			return;
+		}
+
+		this.#size += piece.type === 'bytes' ? piece.chunk.byteLength : (piece.type === 'frame' ? piece.data.length : 0);
+		if (this.isTooLong) {
+			this.#pieces.length = 0;
+		} else {
+			this.#pieces.push(piece);
+		}
+	}
+
+	#dropSlow(full: readonly Receiver[]): void {
+		for (const receiver of full) {
+			if (receiver.response.writableLength > waitingLimit) {
+				this.detach(receiver);
+				receiver.response.destroy();
+			}
+		}
+	}
+}
+
+async function drained({response}: Receiver): Promise<void> {
+	if (response.destroyed) {
+		return;
+	}
+
+	const controller = new AbortController();
+	try {
+		await Promise.race([
+			once(response, 'drain', {signal: controller.signal}),
+			once(response, 'close', {signal: controller.signal}),
+		]);
+	} finally {
+		controller.abort();
+	}
+}
--- /dev/null
+++ b/src/entry/logs.ts
@@ -0,0 +1,36 @@
+/** JSON lines on standard output, one for each routing or placement decision and each event of the daemon. */
+import process from 'node:process';
+import {createConsola, type ConsolaInstance, type LogObject} from 'consola';
+
+/** Fields of one line beside its time and level. */
+export type Line = Readonly<Record<string, unknown>> & {readonly event: string};
+
+const levels = {info: 'info', warn: 'warn', error: 'error'} as const;
+export type Level = keyof typeof levels;
+
+function reporter(entry: LogObject): void {
+	const line: unknown = entry.args[0];
+	process.stdout.write(`${JSON.stringify({time: entry.date.toISOString(), level: entry.type, ...(typeof line === 'object' && line)})}\n`);
+}
+
+/** Writes log lines. */
+export class Log {
+	readonly #consola: ConsolaInstance;
+	readonly #host: string;
+
+	/**
+	 * @param host - Host named in each line.
+	 */
+	constructor(host: string) {
+		this.#host = host;
+		this.#consola = createConsola({reporters: [{log: reporter}]});
+	}
+
+	/**
+	 * @param line - Fields of the line.
+	 * @param level - Severity.
+	 */
+	write(line: Line, level: Level = 'info'): void {
+		this.#consola[level]({host: this.#host, ...line});
+	}
+}
--- /dev/null
+++ b/src/entry/main.ts
@@ -0,0 +1,51 @@
+#!/usr/bin/env node
+/** The entry daemon: `cranberrytide-entry --settings FILE`. */
+import process from 'node:process';
+import 'reflect-metadata';
+import {Command} from 'commander';
+import {messageOf, codes, isFailure} from '../core/index.js';
+import {startDaemon} from './daemon.js';
+import {Log} from './logs.js';
+import {readSettings, type Settings} from './settings.js';
+
+const badSettingsExit = 2;
+const failedExit = 1;
+
+async function run(settings: Settings): Promise<void> {
+	await using daemon = await startDaemon(settings);
+	const stop = () => {
+		daemon.stop();
+	};
+
+	process.once('SIGTERM', stop);
+	process.once('SIGINT', stop);
+	await daemon.finished;
+}
+
+function isSystemError(error: unknown): error is NodeJS.ErrnoException {
+	return error instanceof Error && 'code' in error;
+}
+
+function codeOf(error: unknown): number {
+	if (isFailure(error)) {
+		return error.code;
+	}
+
+	return isSystemError(error) && error.code === 'EADDRINUSE' ? codes.portInUse : codes.internal;
+}
+
+const command = new Command('cranberrytide-entry')
+	.description('Serves callers at one entry host.')
+	.requiredOption('--settings <file>', 'JSON settings of this host')
+	.addHelpText('after', '\nExample:\n  cranberrytide-entry --settings host-a1.json')
+	.action(async ({settings}: {settings: string}) => {
+		try {
+			await run(readSettings(settings));
+			process.exitCode = 0;
+		} catch (error) {
+			new Log('').write({event: 'failed', code: codeOf(error), detail: messageOf(error)}, 'error');
+			process.exitCode = isFailure(error) ? badSettingsExit : failedExit;
+		}
+	});
+
+await command.parseAsync();
--- /dev/null
+++ b/src/entry/relays/relays.ts
@@ -0,0 +1,337 @@
+/** Sends attempts to upstreams and passes their answers to callers. */
+import {
+	messageOf,
+	assertNever,
+	codes,
+	type Address,
+	type Effect,
+	type Ending,
+	type Event,
+	type State,
+} from '../../core/index.js';
+import {positionOf, signStream} from '../../protocol/token.js';
+import {cancelAttempt, prefillSegment} from '../../upstream/control.js';
+import {runOnEngine, type Call, type Sink} from '../../upstream/engine.js';
+import {endToEnd, runOnPlain, type PassedHeaders} from '../../upstream/plain.js';
+import {callerHeaders} from '../callers/headers.js';
+import {requestHeader} from '../callers/outcomes.js';
+import {type Exchange, type Exchanges} from '../callers/exchange.js';
+import {type Clock} from '../clock.js';
+import {ignore} from '../ignore.js';
+import {type Log} from '../logs.js';
+import {type Metrics} from '../metrics.js';
+
+type EffectOf<T extends Effect['type']> = Extract<Effect, {readonly type: T}>;
+
+/** What relays need of the daemon. */
+export type Surroundings = {
+	readonly exchanges: Exchanges;
+	readonly clock: Clock;
+	readonly log: Log;
+	readonly metrics: Metrics;
+	readonly state: () => State;
+	readonly dispatch: (event: Event) => void;
+};
+
+/** Tokens after which the core hears of an attempt's progress again. */
+const progressStep = 32;
+
+/** How long a position in a stream stays valid after its request's deadline, in milliseconds. */
+const positionLife = 600_000;
+
+/** Milliseconds between tries of a cancellation, and the longest time they go on. */
+const cancelPause = 500;
+const cancelLife = 120_000;
+
+const noKind: Ending = {
+	type: 'not-run', code: codes.noUpstream, overload: false, detail: 'the upstream is no longer configured',
+};
+
+export class Relays implements AsyncDisposable {
+	readonly #surroundings: Surroundings;
+	readonly #running = new Map<string, AbortController>();
+	readonly #closing = new AbortController();
+
+	/**
+	 * @param surroundings - Parts of the daemon.
+	 */
+	constructor(surroundings: Surroundings) {
+		this.#surroundings = surroundings;
+	}
+
+	/**
+	 * @param effect - Attempt to send.
+	 */
+	send(effect: EffectOf<'send'>): void {
+		const {exchanges, dispatch} = this.#surroundings;
+		const exchange = exchanges.get(effect.request);
+		if (exchange === undefined) {
+			dispatch({
+				type: 'attempt-ended', attempt: effect.attempt, ending: {
+					type: 'not-run', code: codes.abandoned, overload: false, detail: 'no caller',
+				},
+			});
+			return;
+		}
+
+		const controller = this.#begin(effect.attempt);
+		void this.#finish(effect.attempt, this.#run(effect, exchange, controller.signal));
+	}
+
+	/**
+	 * Stops an attempt, and tells its upstream until it confirms.
+	 *
+	 * @param effect - Attempt to stop.
+	 */
+	cancel(effect: EffectOf<'cancel'>): void {
+		this.#running.get(effect.attempt)?.abort();
+		if (this.#kindOf(effect.upstream) === 'engine') {
+			void this.#cancelUntilConfirmed(effect.address, effect.attempt);
+		}
+	}
+
+	/**
+	 * Passes a request to another host, which answers through this one.
+	 *
+	 * @param effect - Request and host.
+	 */
+	forward(effect: EffectOf<'forward'>): void {
+		const exchange = this.#surroundings.exchanges.get(effect.request);
+		if (exchange === undefined) {
+			return;
+		}
+
+		const controller = this.#begin(effect.request);
+		void this.#finishForward(effect.request, this.#forward(effect, exchange, controller.signal));
+	}
+
+	/**
+	 * @param request - Forwarded request whose caller left.
+	 */
+	abandon(request: string): void {
+		this.#running.get(request)?.abort();
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.#closing.abort();
+		for (const controller of this.#running.values()) {
+			controller.abort();
+		}
+	}
+
+	#begin(id: string): AbortController {
+		const controller = new AbortController();
+		this.#running.set(id, controller);
+		return controller;
+	}
+
+	async #finish(attempt: string, running: Promise<Ending>): Promise<void> {
+		const ending = await this.#settle(running);
+		this.#running.delete(attempt);
+		this.#surroundings.dispatch({type: 'attempt-ended', attempt, ending});
+	}
+
+	async #finishForward(request: string, running: Promise<Ending>): Promise<void> {
+		const ending = await this.#settle(running);
+		this.#running.delete(request);
+		this.#surroundings.dispatch({type: 'forward-ended', request, ending});
+	}
+
+	async #settle(running: Promise<Ending>): Promise<Ending> {
+		try {
+			return await running;
+		} catch (error) {
+			const detail = messageOf(error);
+			this.#surroundings.log.write({event: 'relay-failed', code: codes.internal, detail}, 'error');
+			return {
+				type: 'unknown', code: codes.outcomeUnknown, detail, relayed: true,
+			};
+		}
+	}
+
+	#kindOf(upstream: string) {
+		return this.#surroundings.state().configuration.inForce?.upstreams.find(each => each.id === upstream)?.kind;
+	}
+
+	async #run(effect: EffectOf<'send'>, exchange: Exchange, signal: AbortSignal): Promise<Ending> {
+		const kind = this.#kindOf(effect.upstream);
+		switch (kind) {
+			case 'engine': {
+				return this.#runOnEngine(effect, exchange, signal);
+			}
+
+			case 'plain': {
+				return this.#passOn(effect, exchange, exchange.payload.path, signal);
+			}
+
+			case 'legacy': {
+				return this.#passOn(effect, exchange, exchange.payload.path, signal);
+			}
+
+			case undefined: {
+				return noKind;
+			}
+
+			default: {
+				return assertNever(kind);
+			}
+		}
+	}
+
+	async #runOnEngine(effect: EffectOf<'send'>, exchange: Exchange, signal: AbortSignal): Promise<Ending> {
+		const segments = effect.segments ?? [];
+		const early = await this.#prefill(effect, signal);
+		if (early !== undefined) {
+			return early;
+		}
+
+		const {payload, request} = exchange;
+		const {self} = this.#surroundings.state();
+		const call: Call = {
+			address: effect.address,
+			attempt: effect.attempt,
+			body: payload.engineBody,
+			priority: effect.priority,
+			timeout: effect.deadline - this.#surroundings.clock.now(),
+			owner: `${self.incarnation.host}/${self.incarnation.started}`,
+			mayRepeat: request.proof.type === 'idempotent',
+			key: payload.key,
+			...(segments.length > 0 && {holds: segments.map(segment => segment.hold)}),
+			promptTokens: payload.statedPromptTokens,
+			signal,
+		};
+		return runOnEngine(call, this.#sink(effect, exchange));
+	}
+
+	/** Engines of a group work on their segments at the same time. */
+	async #prefill(effect: EffectOf<'send'>, signal: AbortSignal): Promise<Ending | undefined> {
+		const timeout = effect.deadline - this.#surroundings.clock.now();
+		const {upstreams = []} = this.#surroundings.state().configuration.inForce ?? {};
+		try {
+			await Promise.all((effect.segments ?? []).map(async segment => {
+				const target = upstreams.find(each => each.id === segment.upstream);
+				if (target !== undefined) {
+					await prefillSegment(target.address, segment, [], timeout);
+				}
+			}));
+		} catch (error) {
+			return {
+				type: 'not-run', code: codes.refusedByUpstream, overload: false, detail: `a segment failed: ${messageOf(error)}`,
+			};
+		}
+
+		return signal.aborted ? {type: 'cancelled'} : undefined;
+	}
+
+	#sink(effect: EffectOf<'send'>, exchange: Exchange): Sink {
+		const {attempt} = effect;
+		const {dispatch, metrics} = this.#surroundings;
+		const {answer} = exchange;
+		const token = this.#streamToken(effect, exchange);
+		let pending = 0;
+		return {
+			written() {
+				dispatch({type: 'attempt-written', attempt});
+			},
+			async frame(offset, data) {
+				pending++;
+				if (offset === 0 || pending >= progressStep) {
+					dispatch({type: 'attempt-progressed', attempt, tokens: pending});
+					pending = 0;
+				}
+
+				return answer.push({type: 'frame', position: positionOf(token, offset + 1), data});
+			},
+			stray(reason) {
+				metrics.count('frames.stray', 1, {reason});
+			},
+		};
+	}
+
+	#streamToken({attempt, upstream, deadline}: EffectOf<'send'>, {request}: Exchange): string {
+		const {clock, state} = this.#surroundings;
+		const keys = state().configuration.inForce?.tokenKeys ?? [];
+		return signStream(keys, {
+			service: request.service,
+			organisation: request.organisation,
+			upstream,
+			attempt,
+			expires: Math.round(clock.wall() + deadline - clock.now() + positionLife),
+		});
+	}
+
+	async #passOn(effect: EffectOf<'send'>, exchange: Exchange, path: string, signal: AbortSignal): Promise<Ending> {
+		const {payload, request, answer} = exchange;
+		const {dispatch} = this.#surroundings;
+		return runOnPlain({
+			address: effect.address,
+			method: payload.method,
+			path,
+			headers: this.#headersFor(exchange),
+			body: payload.body,
+			mayRepeat: request.proof.type === 'idempotent',
+			signal,
+		}, {
+			written() {
+				dispatch({type: 'attempt-written', attempt: effect.attempt});
+			},
+			head(status, headers) {
+				void answer.push({type: 'head', status, headers});
+				dispatch({type: 'attempt-progressed', attempt: effect.attempt, tokens: 0});
+			},
+			bytes: async chunk => answer.push({type: 'bytes', chunk}),
+		});
+	}
+
+	/** Our callers' keys are not the upstreams' business. */
+	#headersFor({payload, request}: Exchange): PassedHeaders {
+		const {authorization, [callerHeaders.ticket]: ticket, ...headers} = endToEnd(payload.headers);
+		return {
+			...headers,
+			[requestHeader]: request.id,
+			...(payload.key !== undefined && {'idempotency-key': payload.key}),
+		};
+	}
+
+	async #forward(effect: EffectOf<'forward'>, exchange: Exchange, signal: AbortSignal): Promise<Ending> {
+		const {payload, request, answer} = exchange;
+		const {clock, state} = this.#surroundings;
+		const {self} = state();
+		return runOnPlain({
+			address: effect.address,
+			method: payload.method,
+			path: payload.callerPath,
+			headers: {
+				...endToEnd(payload.headers),
+				[callerHeaders.timeout]: String(Math.max(1, Math.round(effect.deadline - clock.now()))),
+				[callerHeaders.forwardedBy]: self.incarnation.host,
+				...(effect.reason === 'spill' && {[callerHeaders.spilledFrom]: self.failureDomain}),
+			},
+			body: payload.body,
+			mayRepeat: request.proof.type === 'idempotent',
+			signal,
+		}, {
+			// The other host's answer says what became of it.
+			written: ignore,
+			head(status, headers) {
+				void answer.push({type: 'head', status, headers});
+			},
+			bytes: async chunk => answer.push({type: 'bytes', chunk}),
+		});
+	}
+
+	async #cancelUntilConfirmed(address: Address, attempt: string): Promise<void> {
+		const {clock} = this.#surroundings;
+		const end = clock.now() + cancelLife;
+		while (clock.now() < end && !this.#closing.signal.aborted) {
+			try {
+				await cancelAttempt(address, attempt);
+				return;
+			} catch {
+				await new Promise(resolve => {
+					setTimeout(resolve, cancelPause).unref();
+				});
+			}
+		}
+	}
+}
