Tickets: the gate that every arrived request passes

Until now every request was cleared, so a payment sent twice ran twice. Now only the incarnation that issued a ticket runs it, its table attaches a repeat to the running attempt or replays the recorded end, and another host passes the request on over HTTP (the endpoint callers use: bodies and streams need no second transport between hosts). Bare keys get a ticket until claims are built.

--- a/src/core/features/requests/feature.ts
+++ b/src/core/features/requests/feature.ts
@@ -12,6 +12,7 @@
 import {assertNever, chain, only} from '../../utils/common.js';
 import {service, upstream} from '../configuration/queries.js';
 import {isServing} from '../membership/queries.js';
+import {dispatchRefusal} from '../tickets/queries.js';
 import {admissionOf, choose} from './queries.js';
 import {type Admission} from './types.js';
 
@@ -47,6 +48,11 @@
 }
 
 function send(state: State, request: Request, attempts: number, context: Context): Step {
+	const refusal = dispatchRefusal(state, request, context);
+	if (refusal !== undefined) {
+		return refuse(state, request, refusal, 'no right to run');
+	}
+
 	const choice = choose(state, request, context);
 	if (choice === undefined) {
 		return refuse(state, request, 'noUpstream', 'no upstream in reach');
@@ -223,6 +229,10 @@
 				return end(state, event.attempt, event.ending);
 			}
 
+			case 'request-sealed': {
+				return stop(state, event.request, {type: 'not-run', code: codes.sealed}, {type: 'cancelled'});
+			}
+
 			case 'request-abandoned': {
 				return stop(state, event.request, {type: 'failed', code: codes.callerGone}, {type: 'cancelled'});
 			}
--- /dev/null
+++ b/src/core/features/tickets/commands/answers.ts
@@ -0,0 +1,98 @@
+/** Answers that the gate gives by itself, without running anything. */
+import {codes, type CodeName} from '../../../errors.js';
+import {type Outcome, type Request, type Ticket} from '../../../types/request.js';
+import {type Context, type State, type Step} from '../../../types/state.js';
+import {ticketLife} from '../types.js';
+
+/** Wait that a caller is told after a refusal, in milliseconds. */
+const retryAfter = 1000;
+
+/**
+ * @param state - Core state.
+ * @param request - Request that was not taken.
+ * @param outcome - What its caller is told.
+ * @param reason - Why, for the log.
+ * @returns The state as it was and the answer.
+ */
+export function answer(state: State, request: Request, outcome: Outcome, reason: string): Step {
+	const code = outcome.type === 'done' ? codes.done : outcome.code;
+	return {
+		state,
+		effects: [
+			{
+				type: 'log', decision: {
+					type: 'refused', request: request.id, organisation: request.organisation, service: request.service, code, reason,
+				},
+			},
+			{type: 'answer', request: request.id, outcome},
+		],
+	};
+}
+
+/**
+ * @param state - Core state.
+ * @param request - Request that provably never ran and never will.
+ * @param code - Why.
+ * @param reason - Why, for the log.
+ * @returns The state as it was and the answer.
+ */
+export function answerNotRun(state: State, request: Request, code: CodeName, reason: string): Step {
+	return answer(state, request, {type: 'not-run', code: codes[code], retryAfter}, reason);
+}
+
+/**
+ * @param state - Core state.
+ * @param request - Request that may have run.
+ * @param code - Why that is not known.
+ * @param reason - Why, for the log.
+ * @returns The state as it was and the answer.
+ */
+export function answerUnknown(state: State, request: Request, code: CodeName, reason: string): Step {
+	return answer(state, request, {type: 'unknown', code: codes[code]}, reason);
+}
+
+/** Takes the next sequence number; nothing else is kept of a ticket until it is used. */
+function issue(state: State, organisation: string, {wall}: Context): {readonly state: State; readonly ticket: Ticket} {
+	const {self, tickets} = state;
+	return {
+		state: {...state, tickets: {...tickets, nextSequence: tickets.nextSequence + 1}},
+		ticket: {
+			keeper: self.incarnation,
+			failureDomain: self.failureDomain,
+			address: self.callerAddress,
+			sequence: tickets.nextSequence,
+			organisation,
+			expires: wall + ticketLife,
+		},
+	};
+}
+
+/**
+ * @param state - Core state.
+ * @param request - HTTP request that asked for a ticket.
+ * @param organisation - Organisation that may use it.
+ * @param context - Time and random source.
+ * @returns The state with the sequence number taken, and the ticket.
+ */
+export function issueTicket(state: State, request: string, organisation: string, context: Context): Step {
+	const issued = issue(state, organisation, context);
+	return {state: issued.state, effects: [{type: 'issue-ticket', request, ticket: issued.ticket}]};
+}
+
+/**
+ * Answers a non-idempotent request that showed nothing this host could prove anything by.
+ *
+ * @param state - Core state.
+ * @param request - The request, which has not run.
+ * @param context - Time and random source.
+ * @returns The state with a sequence number taken, and the answer with a ticket.
+ */
+export function requireTicket(state: State, request: Request, context: Context): Step {
+	const issued = issue(state, request.organisation, context);
+	const outcome: Outcome = {type: 'not-run', code: codes.ticketRequired};
+	const refused = answer(issued.state, request, outcome, 'no ticket');
+	return {
+		state: refused.state,
+		effects: refused.effects.map(each => each.type === 'answer' ? {...each, ticket: issued.ticket} : each),
+	};
+}
--- /dev/null
+++ b/src/core/features/tickets/commands/forwards.ts
@@ -0,0 +1,237 @@
+/**
+ * Requests whose right another host keeps: passed on whole, through the same HTTP endpoint that callers use.
+ * If the keeper cannot be reached there, it is asked over its peer link to seal the right; only its promise makes
+ * a "not run" true.
+ */
+import {codes} from '../../../errors.js';
+import {type Member, type SealAnswer} from '../../../types/peer.js';
+import {type Ending, type Outcome, type Request} from '../../../types/request.js';
+import {type Effect} from '../../../types/effect.js';
+import {type Context, type State, type Step} from '../../../types/state.js';
+import {assertNever, chain, only} from '../../../utils/common.js';
+import {isSame} from '../queries.js';
+import {type Forward} from '../types.js';
+import {answerUnknown} from './answers.js';
+
+/** Hosts that may pass one request on, one after another. */
+const mostHops = 3;
+const mostTries = 2;
+
+/** Time between two asks for a seal, and for all of them, in milliseconds. */
+const sealInterval = 200;
+const sealTime = 1000;
+
+function put(state: State, forward: Forward): State {
+	return {...state, tickets: {...state.tickets, forwards: state.tickets.forwards.set(forward.request.id, forward)}};
+}
+
+function drop(state: State, request: string): State {
+	return {...state, tickets: {...state.tickets, forwards: state.tickets.forwards.delete(request)}};
+}
+
+function finish(state: State, forward: Forward, outcome: Outcome): Step {
+	return {
+		state: drop(state, forward.request.id),
+		effects: [
+			{type: 'log', decision: {type: 'concluded', request: forward.request.id, outcome}},
+			{type: 'answer', request: forward.request.id, outcome},
+		],
+	};
+}
+
+function giveUp(state: State, forward: Forward): Step {
+	return finish(state, forward, {type: 'unknown', code: codes.keeperUnreachable});
+}
+
+function send(state: State, forward: Forward): Step {
+	const {request, keeper} = forward;
+	const to = keeper.incarnation.host;
+	return {
+		state: put(state, forward),
+		effects: [
+			{
+				type: 'log', decision: {
+					type: 'forwarded', request: request.id, to, reason: 'keeper of its right',
+				},
+			},
+			{
+				type: 'forward', request: request.id, address: keeper.callerAddress, host: to, deadline: request.deadline, reason: 'keeper',
+			},
+		],
+	};
+}
+
+/**
+ * Passes a request on to the host that keeps its right.
+ *
+ * @param state - Core state.
+ * @param request - Request that arrived here.
+ * @param right - Name of its right at the keeper.
+ * @param keeper - The keeper; its address may by now be another incarnation's, which then says so.
+ * @returns The next state and the forwarding, or the answer if the keeper is gone.
+ */
+export function forwardToKeeper(state: State, request: Request, right: string, keeper: Member): Step {
+	const {incarnation} = keeper;
+	const successor = incarnation.host === state.self.incarnation.host || isReplaced(state, keeper);
+	if (successor) {
+		return answerUnknown(state, request, 'keeperGone', `${incarnation.host} was restarted`);
+	}
+
+	if ((request.hops ?? 0) >= mostHops) {
+		return answerUnknown(state, request, 'keeperUnreachable', 'passed on too often');
+	}
+
+	return send(state, {
+		request, right, keeper, tries: 1,
+	});
+}
+
+function isReplaced(state: State, keeper: Member): boolean {
+	const peer = state.membership.peers.get(keeper.incarnation.host);
+	return peer !== undefined && peer.member.incarnation.started > keeper.incarnation.started;
+}
+
+function isLinked(state: State, keeper: Member): boolean {
+	const peer = state.membership.peers.get(keeper.incarnation.host);
+	return peer?.connected === true && isSame(peer.member.incarnation, keeper.incarnation);
+}
+
+function askSeal(forward: Forward): Effect {
+	const {request, right, keeper} = forward;
+	return {
+		type: 'peer-send', to: keeper.incarnation.host, message: {
+			type: 'seal', id: request.id, right, keeper: keeper.incarnation,
+		},
+	};
+}
+
+function seal(state: State, forward: Forward, {now}: Context): Step {
+	if (!isLinked(state, forward.keeper)) {
+		return giveUp(state, forward);
+	}
+
+	const until = Math.min(now + sealTime, forward.request.deadline);
+	return {
+		state: put(state, {...forward, seal: {askAt: now + sealInterval, until}}),
+		effects: [askSeal(forward)],
+	};
+}
+
+/** Without a full answer of the keeper nothing is known: the right may have been used before, through any host. */
+function isKeepersWord(ending: Ending): boolean {
+	return ending.type !== 'unknown' && ending.type !== 'cancelled' && !(ending.type === 'not-run' && ending.code === codes.notConnected);
+}
+
+function wordOf(ending: Ending): Outcome {
+	switch (ending.type) {
+		case 'done': {
+			return {type: 'done'};
+		}
+
+		case 'failed':
+		case 'unknown':
+		case 'not-run': {
+			return {type: ending.type, code: ending.code, detail: ending.detail};
+		}
+
+		case 'cancelled': {
+			return {type: 'unknown', code: codes.callerGone};
+		}
+
+		default: {
+			return assertNever(ending);
+		}
+	}
+}
+
+/** An answer that began to reach the caller cannot be replaced by another one. */
+function isRelayed(ending: Ending): boolean {
+	return ending.type === 'unknown' && ending.relayed;
+}
+
+/**
+ * @param state - Core state.
+ * @param id - Request that was passed on.
+ * @param ending - What came back; `unknown` or not connected if the keeper did not answer in full.
+ * @param context - Time and random source.
+ * @returns The next state and the answer, or the ask for a seal.
+ */
+export function endForward(state: State, id: string, ending: Ending, context: Context): Step {
+	const forward = state.tickets.forwards.get(id);
+	if (forward === undefined) {
+		return only(state);
+	}
+
+	if (isKeepersWord(ending) || isRelayed(ending)) {
+		return finish(state, forward, wordOf(ending));
+	}
+
+	return seal(state, forward, context);
+}
+
+/**
+ * @param state - Core state.
+ * @param from - Host that sent the answer.
+ * @param id - Request whose right it was asked to seal.
+ * @param sealAnswer - Its answer.
+ * @returns The next state, with the request answered, or passed on once more if it was used.
+ */
+export function takeSealAnswer(state: State, from: string, id: string, sealAnswer: SealAnswer): Step {
+	const forward = state.tickets.forwards.get(id);
+	if (forward?.seal === undefined || forward.keeper.incarnation.host !== from) {
+		return only(state);
+	}
+
+	switch (sealAnswer.type) {
+		case 'sealed': {
+			return finish(state, forward, {type: 'not-run', code: codes.sealed});
+		}
+
+		case 'used': {
+			const {seal: asked, ...again} = forward;
+			return forward.tries < mostTries
+				? send(state, {...again, tries: forward.tries + 1})
+				: giveUp(state, forward);
+		}
+
+		default: {
+			return assertNever(sealAnswer);
+		}
+	}
+}
+
+function press(state: State, forward: Forward, now: number): Step {
+	if (forward.request.deadline <= now || (forward.seal !== undefined && forward.seal.until <= now)) {
+		return giveUp(state, forward);
+	}
+
+	if (forward.seal === undefined || forward.seal.askAt > now) {
+		return only(state);
+	}
+
+	return {
+		state: put(state, {...forward, seal: {...forward.seal, askAt: now + sealInterval}}),
+		effects: [askSeal(forward)],
+	};
+}
+
+/**
+ * Asks again for seals and gives up on what took too long.
+ *
+ * @param state - Core state.
+ * @param context - Time and random source.
+ * @returns The next state and the effects.
+ */
+export function pressForwards(state: State, {now}: Context): Step {
+	const all = [...state.tickets.forwards.values()];
+	return chain(state, ...all.map(forward => (current: State) => press(current, forward, now)));
+}
+
+/**
+ * @param state - Core state.
+ * @param request - Request whose caller has left.
+ * @returns The state without it.
+ */
+export function abandonForward(state: State, request: string): State {
+	return state.tickets.forwards.has(request) ? drop(state, request) : state;
+}
--- a/src/core/types/event.ts
+++ b/src/core/types/event.ts
@@ -67,6 +67,8 @@
 		| {readonly type: 'request-retried'; readonly request: Request}
 	/** An upstream may have room for a request that waits. */
 		| {readonly type: 'dispatch-wanted'; readonly service: string}
+	/** Sealed while it waited: it must never be sent. */
+		| {readonly type: 'request-sealed'; readonly request: string}
 		| {readonly type: 'request-concluded'; readonly request: Request; readonly outcome: Outcome; readonly attempt?: Attempt}
 		| {readonly type: 'attempt-began'; readonly request: Request; readonly attempt: Attempt}
 		| {readonly type: 'attempt-over'; readonly request: Request; readonly attempt: Attempt; readonly ending: Ending}
--- a/src/core/types/peer.ts
+++ b/src/core/types/peer.ts
@@ -82,18 +82,24 @@
 		| {readonly type: 'configuration-wanted'; readonly above: number}
 	/** A whole document, as text so that its digest is the same everywhere. */
 		| {readonly type: 'configuration'; readonly text: string}
-		| {readonly type: 'key-claim'; readonly id: string; readonly key: string; readonly organisation: string; readonly minted?: number}
+	/** The sender wants to run keys and tells whom it knows; it may once each of these has answered. */
+		| {readonly type: 'key-join'; readonly member: Member}
+		| {readonly type: 'key-joined'; readonly incarnation: Incarnation; readonly members: readonly Member[]}
+	/** The claimant asks for a promise that the key never runs at the receiver. */
+		| {readonly type: 'key-claim'; readonly id: string; readonly minted: number; readonly claimant: Member}
 		| {readonly type: 'key-answer'; readonly id: string; readonly answer: KeyAnswer}
-		| {readonly type: 'seal'; readonly id: string; readonly sequence: number; readonly keeper: Incarnation}
+		| {readonly type: 'seal'; readonly id: string; readonly right: string; readonly keeper: Incarnation}
 		| {readonly type: 'sealed'; readonly id: string; readonly answer: SealAnswer};
 
 export type KeyAnswer
-	/** Never seen here, and promised never to run here from now on. */
+	/** Promised never to run here, and certain that it never ran anywhere. */
 	= | {readonly type: 'yielded'}
-	/** This host keeps it. */
-		| {readonly type: 'kept'}
-	/** This host may have run it in an earlier incarnation. */
-		| {readonly type: 'unsure'};
+	/** Promised never to run here; this host is too young to know whether it ran. */
+		| {readonly type: 'unsure'}
+	/** A host keeps it, and alone can say what became of it. */
+		| {readonly type: 'kept'; readonly by: Member}
+	/** Nothing was promised. */
+		| {readonly type: 'refused'};
 
 export type SealAnswer
 	/** Will never run. */
--- a/src/core/types/request.ts
+++ b/src/core/types/request.ts
@@ -49,6 +49,8 @@
 	readonly fingerprint: string;
 	/** Domain the request was spilled from, where another host passed it on. */
 	readonly spilledFrom?: string;
+	/** Hosts that passed it on before this one; absent for 0. */
+	readonly hops?: number;
 };
 
 /** Prefill that one engine of several does for an attempt, in tokens. */
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -65,20 +65,23 @@
 	}),
 	z.object({type: z.literal('configuration-wanted'), above: count}),
 	z.object({type: z.literal('configuration'), text: z.string().max(longestMessage)}),
+	z.object({type: z.literal('key-join'), member}),
+	z.object({type: z.literal('key-joined'), incarnation, members: z.array(member).max(listLimit)}),
 	z.object({
-		type: z.literal('key-claim'), id: text, key: text, organisation: text, minted: z.number().optional(),
+		type: z.literal('key-claim'), id: text, minted: count, claimant: member,
 	}),
 	z.object({
 		type: z.literal('key-answer'),
 		id: text,
 		answer: z.discriminatedUnion('type', [
 			z.object({type: z.literal('yielded')}),
-			z.object({type: z.literal('kept')}),
 			z.object({type: z.literal('unsure')}),
+			z.object({type: z.literal('kept'), by: member}),
+			z.object({type: z.literal('refused')}),
 		]),
 	}),
 	z.object({
-		type: z.literal('seal'), id: text, sequence: count, keeper: incarnation,
+		type: z.literal('seal'), id: text, right: text, keeper: incarnation,
 	}),
 	z.object({
 		type: z.literal('sealed'),
