Give a call without a body an empty one, and dispose of parts without the later platform's stack

Cause: got's stream waits to be written to when no body is given, so every GET to a plain service ran into its deadline; and Node 20 has no AsyncDisposableStack.

--- a/src/entry/daemon.ts
+++ b/src/entry/daemon.ts
@@ -8,6 +8,7 @@
 } from '../core/index.js';
 import {type Cost} from './admin/server.js';
 import {createContainer} from './container.js';
+import {Disposal} from './disposal.js';
 import {type Driver} from './driver.js';
 import {CoreExecutor} from './executor.js';
 import {Links} from './peers/links.js';
@@ -35,7 +36,7 @@
  * @returns The running daemon.
  */
 export async function startDaemon(settings: Settings): Promise<Daemon> {
-	const parts = new AsyncDisposableStack();
+	const parts = new Disposal();
 	const container = createContainer(settings, () => costOf(container, links));
 	const driver = container.get(tokens.driver);
 	const started = container.get(tokens.clock).wall();
@@ -69,7 +70,7 @@
 			driver.dispatch({type: 'stop-asked', grace: settings.drainGrace});
 		},
 		finished: container.get(tokens.lifecycle).finished,
-		[Symbol.asyncDispose]: async () => parts.disposeAsync(),
+		[Symbol.asyncDispose]: async () => parts[Symbol.asyncDispose](),
 	};
 }
 
@@ -107,7 +108,7 @@
 	});
 }
 
-function startWatches(parts: AsyncDisposableStack, container: Container, settings: Settings, driver: Driver): void {
+function startWatches(parts: Disposal, container: Container, settings: Settings, driver: Driver): void {
 	const platform = container.get(tokens.platform);
 	const state = () => driver.state;
 	const dispatch = (event: Event) => {
@@ -120,7 +121,7 @@
 	const ticks = setInterval(() => {
 		driver.dispatch({type: 'tick'});
 	}, settings.tickInterval);
-	parts.defer(async () => {
+	parts.defer(() => {
 		clearInterval(ticks);
 	});
 }
--- a/src/upstream/plain.ts
+++ b/src/upstream/plain.ts
@@ -72,6 +72,12 @@
 	return chunk instanceof Uint8Array ? chunk : new TextEncoder().encode(String(chunk));
 }
 
+/** Without a body of its own, got waits for one to be written, except where the method has none. */
+function bodyOf({method, body}: PlainCall) {
+	const isBodiless = method === 'GET' || method === 'HEAD' || method === 'OPTIONS';
+	return isBodiless && body.byteLength === 0 ? {} : {body, allowGetBody: true};
+}
+
 /**
  * Passes one call on and its answer back.
  *
@@ -84,12 +90,11 @@
 	const stream = got.stream(urlOf(call.address, call.path), {
 		method: call.method,
 		headers: copyOf(call.headers),
-		...(call.body.byteLength > 0 && {body: call.body}),
+		...bodyOf(call),
 		agent: {http: call.mayRepeat ? reusingAgent : singleAgent},
 		retry: {limit: 0},
 		followRedirect: false,
 		throwHttpErrors: false,
-		allowGetBody: true,
 		timeout: {connect: connectTimeout},
 		signal: call.signal,
 		decompress: false,
