--- /dev/null
+++ b/src/core/features/suspicion/commands.ts
@@ -0,0 +1,188 @@
+/** Blames requests for crashes of upstreams, and clears those that were only near. */
+import {type Attempt, type Request} from '../../types/request.js';
+import {type Suspicion} from '../../types/peer.js';
+import {type Report} from '../../types/upstream.js';
+import {type Context, type State, type Step} from '../../types/state.js';
+import {only} from '../../utils/common.js';
+import {crashesOf} from './queries.js';
+import {
+	confirmedLife, convictingCrashes, suspectLimit, unconfirmedLife, type Crash, type SuspicionState,
+} from './types.js';
+
+/** Attempts at an upstream without reports that break within this time are taken for one crash, in milliseconds. */
+const crashWindow = 10_000;
+
+function update(state: State, part: Partial<SuspicionState>): State {
+	return {...state, suspicion: {...state.suspicion, ...part}};
+}
+
+function changed(fingerprint: string, change: string, reason: string): Step['effects'] {
+	return [{
+		type: 'log', decision: {
+			type: 'suspected', fingerprint, change, reason,
+		},
+	}];
+}
+
+/**
+ * @param state - Core state.
+ * @param request - Request that was sent.
+ * @param attempt - Its sending.
+ * @returns The state with the attempt at its upstream.
+ */
+export function depart(state: State, request: Request, attempt: Attempt): State {
+	const {upstream, upstreamIncarnation, began} = attempt;
+	return update(state, {
+		flights: state.suspicion.flights.set(attempt.id, {
+			fingerprint: request.fingerprint, upstream, incarnation: upstreamIncarnation, began,
+		}),
+	});
+}
+
+/**
+ * @param state - Core state.
+ * @param attempt - Sending that is over.
+ * @returns The state without it.
+ */
+export function land(state: State, attempt: string): State {
+	return update(state, {flights: state.suspicion.flights.delete(attempt)});
+}
+
+function keepCrashes(state: State, keeps: (crash: Crash, fingerprint: string) => boolean): State {
+	const crashes = state.suspicion.crashes
+		.map((list, fingerprint) => list.every(each => keeps(each, fingerprint)) ? list : list.filter(each => keeps(each, fingerprint)))
+		.filter(list => list.length > 0);
+	return update(state, {crashes});
+}
+
+function crashOf(attempt: Attempt, {now, wall}: Context): Crash {
+	const {upstream, upstreamIncarnation: incarnation} = attempt;
+	const moment = incarnation ?? `at-${Math.floor(wall / crashWindow)}`;
+	return {
+		id: `${upstream}/${moment}`, upstream, incarnation, at: now, expires: wall + unconfirmedLife,
+	};
+}
+
+/** Whether a request that is already convicted explains the crash. */
+function isExplained(state: State, crash: Crash, fingerprint: string, context: Context): boolean {
+	return state.suspicion.crashes.some((list, other) => other !== fingerprint
+		&& list.some(each => each.id === crash.id)
+		&& crashesOf(state, other, context).size >= convictingCrashes);
+}
+
+/**
+ * Holds a broken attempt against its request, until the upstream proves that it did not crash. A request that ran
+ * alone at its second crash is convicted, and whoever else was there is cleared of that crash.
+ *
+ * @param state - Core state.
+ * @param request - Request whose attempt broke.
+ * @param attempt - The attempt.
+ * @param context - Time and random source.
+ * @returns The next state and what is logged.
+ */
+export function blame(state: State, request: Request, attempt: Attempt, context: Context): Step {
+	const {fingerprint} = request;
+	const crash = crashOf(attempt, context);
+	const before = state.suspicion.crashes.get(fingerprint) ?? [];
+	const isKnown = before.some(each => each.id === crash.id);
+	const isFull = before.length === 0 && state.suspicion.crashes.size >= suspectLimit;
+	if (isKnown || isFull || isExplained(state, crash, fingerprint, context)) {
+		return only(state);
+	}
+
+	const blamed = update(state, {crashes: state.suspicion.crashes.set(fingerprint, [...before, crash])});
+	const convicted = crashesOf(blamed, fingerprint, context).size >= convictingCrashes;
+	return convicted
+		? {
+			state: keepCrashes(blamed, (each, other) => other === fingerprint || each.id !== crash.id),
+			effects: changed(fingerprint, 'convicted', crash.id),
+		}
+		: {state: blamed, effects: changed(fingerprint, 'suspected', crash.id)};
+}
+
+/**
+ * A request that was answered in full crashed nothing, and an upstream that went on with an older attempt did not end.
+ *
+ * @param state - Core state.
+ * @param request - Request that is done.
+ * @param attempt - The attempt that answered it.
+ * @returns The next state and what is logged.
+ */
+export function clear(state: State, request: Request, attempt: Attempt): Step {
+	const {fingerprint} = request;
+	const wasSuspect = state.suspicion.crashes.has(fingerprint) || state.suspicion.heard.has(fingerprint);
+	const survived = keepCrashes(state, each => each.upstream !== attempt.upstream || each.at < attempt.began);
+	const {crashes, heard} = survived.suspicion;
+	return {
+		state: wasSuspect ? update(survived, {crashes: crashes.delete(fingerprint), heard: heard.delete(fingerprint)}) : survived,
+		effects: wasSuspect ? changed(fingerprint, 'cleared', 'answered in full') : [],
+	};
+}
+
+/**
+ * A report from the same incarnation after a break shows that the upstream did not crash.
+ *
+ * @param state - Core state.
+ * @param report - Report of an upstream.
+ * @param context - Time and random source.
+ * @returns The next state.
+ */
+export function acquit(state: State, report: Report, {now}: Context): State {
+	const trueAt = now - report.age;
+	const survived = (crash: Crash): boolean => crash.upstream === report.upstream
+		&& crash.incarnation === report.incarnation
+		&& crash.at < trueAt;
+	return state.suspicion.crashes.isEmpty() ? state : keepCrashes(state, each => !survived(each));
+}
+
+/**
+ * @param state - Core state.
+ * @param upstream - Upstream that came back as another incarnation.
+ * @param before - The incarnation that ended.
+ * @param context - Time and random source.
+ * @returns The state with the crash held against its suspects for longer.
+ */
+export function confirm(state: State, upstream: string, before: string, {wall}: Context): State {
+	const isIt = (crash: Crash): boolean => crash.upstream === upstream && (crash.incarnation ?? before) === before;
+	const crashes = state.suspicion.crashes.map(list =>
+		list.some(crash => isIt(crash))
+			? list.map(crash => isIt(crash) ? {...crash, expires: wall + confirmedLife} : crash)
+			: list);
+	return update(state, {crashes});
+}
+
+/**
+ * @param state - Core state.
+ * @param suspicions - What a peer holds against requests.
+ * @param context - Time and random source.
+ * @returns The state with it merged.
+ */
+export function hear(state: State, suspicions: readonly Suspicion[], {wall}: Context): State {
+	let {heard} = state.suspicion;
+	for (const {fingerprint, crashes, expires} of suspicions) {
+		const before = heard.get(fingerprint);
+		const isNew = before === undefined && heard.size >= suspectLimit;
+		if (!isNew && expires > wall) {
+			heard = heard.set(fingerprint, {
+				crashes: [...new Set([...(before !== undefined && before.expires > wall ? before.crashes : []), ...crashes])].slice(0, 8),
+				expires: Math.max(before?.expires ?? 0, Math.min(expires, wall + confirmedLife)),
+			});
+		}
+	}
+
+	return heard === state.suspicion.heard ? state : update(state, {heard});
+}
+
+/**
+ * @param state - Core state.
+ * @param context - Time and random source.
+ * @returns The state without what has expired.
+ */
+export function forgetExpired(state: State, {wall}: Context): State {
+	const {crashes, heard} = state.suspicion;
+	if (crashes.isEmpty() && heard.isEmpty()) {
+		return state;
+	}
+
+	return keepCrashes(update(state, {heard: heard.filter(each => each.expires > wall)}), each => each.expires > wall);
+}
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -5,6 +5,8 @@
 import {initialMembership} from './features/membership/types.js';
 import {requestsFeature} from './features/requests/feature.js';
 import {initialRequests} from './features/requests/types.js';
+import {suspicionFeature} from './features/suspicion/feature.js';
+import {initialSuspicion} from './features/suspicion/types.js';
 import {ticketsFeature} from './features/tickets/feature.js';
 import {initialTickets} from './features/tickets/types.js';
 import {upstreamsFeature} from './features/upstreams/feature.js';
@@ -23,6 +25,7 @@
 const features: readonly Feature[] = [
 	configurationFeature,
 	upstreamsFeature,
+	suspicionFeature,
 	ticketsFeature,
 	requestsFeature,
 	membershipFeature,
@@ -38,6 +41,7 @@
 		configuration: initialConfiguration,
 		membership: initialMembership,
 		requests: initialRequests,
+		suspicion: initialSuspicion,
 		tickets: initialTickets,
 		upstreams: initialUpstreams,
 	};
--- a/src/core/types/state.ts
+++ b/src/core/types/state.ts
@@ -2,6 +2,7 @@
 import {type ConfigurationState} from '../features/configuration/types.js';
 import {type MembershipState} from '../features/membership/types.js';
 import {type RequestsState} from '../features/requests/types.js';
+import {type SuspicionState} from '../features/suspicion/types.js';
 import {type TicketsState} from '../features/tickets/types.js';
 import {type UpstreamsState} from '../features/upstreams/types.js';
 import {type Effect} from './effect.js';
@@ -14,6 +15,7 @@
 	readonly configuration: ConfigurationState;
 	readonly membership: MembershipState;
 	readonly requests: RequestsState;
+	readonly suspicion: SuspicionState;
 	readonly tickets: TicketsState;
 	readonly upstreams: UpstreamsState;
 };
