The operators' command line: check, diff, show, status, drain, explain, send, completion

Cause: operators need one tool that reads documents and hosts and sends requests, with exit codes that scripts can rely on.

Exit codes are the class of the result code times ten; documents that differ exit with 1 as diff does; an answer that some hosts did not give is a failure with the rest still shown. send comes back with the ticket it is given, resumes a cut stream at the next host by Last-Event-ID, and repeats by itself only what shows that it may be repeated.

--- /dev/null
+++ b/src/cli/__tests__/documents.test.ts
@@ -0,0 +1,97 @@
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {
+	afterAll, beforeAll, describe, expect, it,
+} from 'vitest';
+import {base, text} from '../../protocol/configuration/__tests__/documents.js';
+import {command} from './fakes.js';
+
+let folder = '';
+const file = (name: string) => path.join(folder, name);
+
+beforeAll(async () => {
+	folder = await mkdtemp(path.join(tmpdir(), 'cranberrytide-'));
+	await writeFile(file('a.json'), text());
+	await writeFile(file('b.json'), text({revision: 8, organisations: [base.organisations[0]]}));
+	await writeFile(file('bad.json'), text({revision: 0, services: []}));
+});
+
+afterAll(async () => {
+	await rm(folder, {recursive: true});
+});
+
+describe('check', () => {
+	it('sums up a valid document from a file or standard input', async () => {
+		const fromFile = await command(['check', file('a.json')]);
+		expect(fromFile).toMatchObject({code: 0, complaints: ''});
+		expect(fromFile.out).toContain('Revision 7 is valid: 2 services, 2 organisations, 5 upstreams.');
+		expect(await command(['check', '-'], text())).toEqual(fromFile);
+	});
+
+	it('names mistakes and exits with their class', async () => {
+		const {code, out} = await command(['check', file('bad.json')]);
+		expect(code).toBe(50);
+		expect(out).toMatch(/^\$\.revision: .+ \(badDocument\)$/mv);
+		const {out: json} = await command(['check', '--json', file('bad.json')]);
+		expect(JSON.parse(json)).toMatchObject({valid: false, mistakes: [{path: '$.revision', number: 5001}]});
+	});
+
+	it('warns of dangerous changes', async () => {
+		const {out} = await command(['check', file('b.json'), '--against', file('a.json')]);
+		expect(out).toContain('warning: The organisation "weekly" goes');
+	});
+});
+
+describe('diff', () => {
+	it('says what changes and exits with 1', async () => {
+		const {code, out} = await command(['diff', file('a.json'), file('b.json')]);
+		expect(code).toBe(1);
+		expect(out.split('\n').slice(0, 2)).toEqual(['Document: revision changes from 7 to 8', 'Removes the organisation "weekly"']);
+	});
+
+	it('is silent on the same document', async () => {
+		expect(await command(['diff', file('a.json'), '-'], text())).toEqual({code: 0, out: '', complaints: ''});
+	});
+
+	it('refuses an invalid or absent document', async () => {
+		expect(await command(['diff', file('a.json'), file('bad.json')])).toMatchObject({code: 50});
+		const absent = await command(['diff', file('a.json'), file('none.json')]);
+		expect(absent.code).toBe(70);
+		expect(absent.complaints).toMatch(/^error 7001: /v);
+	});
+});
+
+describe('program', () => {
+	it('shows an example with each command', async () => {
+		const {out} = await command(['--help']);
+		const names = [...out.matchAll(/^ {2}([a-z]+) (?:\[options\]|<)/gmv)].map(match => match[1]!).filter(name => name !== 'help');
+		expect(names).toEqual(['check', 'diff', 'show', 'status', 'drain', 'explain', 'send', 'completion']);
+		for (const name of names) {
+			const help = await command([name, '--help']);
+			expect(help.code).toBe(0);
+			expect(help.out).toMatch(/Examples?:\n {2}.*cranberrytide/v);
+		}
+	});
+
+	it.each([
+		[['nothing'], 70],
+		[['check'], 70],
+		[['status'], 70],
+		[['status', '--hosts', 'nowhere'], 70],
+		[['drain', 'a', '--hosts', '127.0.0.1:1', '--grace', 'long'], 70],
+		[['completion', 'fish'], 70],
+	])('refuses %j with a code', async (words, expected) => {
+		const {code, complaints} = await command(words);
+		expect(code).toBe(expected);
+		expect(complaints).toMatch(/^error 700\d: /v);
+	});
+
+	it.each(['bash', 'zsh'])('completes every command in %s', async shell => {
+		const {code, out} = await command(['completion', shell]);
+		expect(code).toBe(0);
+		for (const word of ['explain', '--against', '--key-file']) {
+			expect(out).toContain(word);
+		}
+	});
+});
--- a/src/protocol/configuration/index.ts
+++ b/src/protocol/configuration/index.ts
@@ -1,6 +1,7 @@
 /** Configuration documents beyond their shape. */
 export type {Change, Entry, Value} from './changes.js';
 export {difference} from './difference.js';
+export {groupBy} from './group.js';
 export {digestOf, parseConfiguration} from './parse.js';
 export {documentLimit, mistakeLimit} from './types.js';
 export type {
