Membership with bounded cost, and documents relayed between peers

Cause: hosts knew nothing of each other; a host out of the platform's reach had no configuration, and a restarted one would take a stale document.

Hosts of a domain link each other up to 8 peers, beyond that along a ring at distances 1, 2, 4 and so on, and at most three other domains. Heartbeats carry changes of load, wholes from time to time, and what was heard of hosts without a link, longest untold first. A lost link makes a peer suspect at once, and the news of it is passed on by sequence number. Newer incarnations replace older ones for certain; silence never does. Gone peers are dialled in turn, so that a healed partition is noticed without the platform.

A host that hears of a higher revision asks one peer at a time for the document, has the text parsed by the driver and takes only what it asked for. A host with known peers waits for their answers, at most 3 s, before it serves.

--- /dev/null
+++ b/src/core/__tests__/adoption.test.ts
@@ -0,0 +1,132 @@
+import {describe, expect, it} from 'vitest';
+import {codes, type Effect} from '../index.js';
+import {documentOf, Network} from './network.js';
+
+const hosts = ['a1', 'a2', 'b1', 'b2', 'c1'];
+
+function fleet(seed = 1) {
+	const network = new Network(seed);
+	for (const host of hosts) {
+		network.add(host, host[0]!);
+	}
+
+	network.list(...hosts);
+	return network;
+}
+
+function revisionOf(network: Network, host: string) {
+	return network.state(host).configuration.inForce?.revision ?? 0;
+}
+
+function isEverywhere(network: Network, revision: number) {
+	return hosts.every(host => revisionOf(network, host) === revision);
+}
+
+function refusals(network: Network): readonly number[] {
+	const codesOf = (effect: Effect) => effect.type === 'log' && effect.decision.type === 'configuration' && !effect.decision.accepted
+		? [effect.decision.code]
+		: [];
+	return network.effects.flatMap(({effect}) => codesOf(effect));
+}
+
+describe('adoption', () => {
+	it('reaches every host through one, over a domain that links two others', () => {
+		const network = fleet();
+		network.cut((x, y) => (x.failureDomain === 'a' && y.failureDomain === 'c') || (x.failureDomain === 'c' && y.failureDomain === 'a'));
+		network.publish(documentOf(1), 'a1');
+		expect(network.run(10_000, () => isEverywhere(network, 1))).toBe(true);
+		network.publish(documentOf(2), 'a1');
+		expect(network.run(2000, () => isEverywhere(network, 2))).toBe(true);
+	});
+
+	it('serves nothing before it has a document, nor before peers with a higher one were asked', () => {
+		const network = fleet();
+		network.run(5000);
+		expect(network.effects.some(({effect}) => effect.type === 'ready')).toBe(false);
+		network.publish(documentOf(7), 'a1');
+		network.run(5000);
+		network.add('b1', 'b', 5_000_000);
+		network.list('b1');
+		network.publish(documentOf(3), 'b1');
+		const from = network.effects.length;
+		const isReady = () => network.effects.slice(from).some(({host, effect}) => host === 'b1' && effect.type === 'ready');
+		expect(isReady()).toBe(false);
+		expect(network.run(8000, isReady)).toBe(true);
+		expect(revisionOf(network, 'b1')).toBe(7);
+	});
+
+	it('serves after a bounded wait when no listed peer answers', () => {
+		const network = fleet();
+		network.cut(() => true);
+		network.publish(documentOf(1), 'a1');
+		expect(network.run(4000, () => network.state('a1').membership.phase === 'serving')).toBe(true);
+	});
+
+	it.each([1, 2, 3])('goes back on no host over 200 changes with stale reads and restarts (seed %i)', seed => {
+		const network = fleet(seed);
+		network.publish(documentOf(1), ...hosts);
+		network.run(4000);
+		const serving = new Map<string, number>();
+		let reversions = 0;
+		for (let revision = 2; revision <= 200; revision++) {
+			const reader = hosts[revision % hosts.length]!;
+			network.publish(documentOf(revision), reader);
+			network.publish(documentOf(Math.max(1, revision - 5)), hosts[(revision + 2) % hosts.length]!);
+			if (revision % 10 === 0) {
+				const restarted = hosts[(revision / 10) % hosts.length]!;
+				network.add(restarted, restarted[0]!);
+				network.list(...hosts);
+				network.publish(documentOf(Math.max(1, revision - 9)), restarted);
+			}
+
+			for (let turn = 0; turn < 10; turn++) {
+				network.run(50);
+				for (const host of hosts) {
+					const {phase} = network.state(host).membership;
+					const held = revisionOf(network, host);
+					const before = serving.get(host) ?? 0;
+					reversions += phase === 'serving' && held < before ? 1 : 0;
+					serving.set(host, phase === 'serving' ? Math.max(before, held) : before);
+				}
+			}
+		}
+
+		expect(reversions).toBe(0);
+		// The last reader may have been restarted before it told anyone; the platform still has the document.
+		network.publish(documentOf(200), 'b2');
+		expect(network.run(5000, () => isEverywhere(network, 200))).toBe(true);
+		expect(new Set(refusals(network))).toEqual(new Set([codes.staleRevision]));
+	});
+
+	it('alarms when a peer has other content of the same revision, and keeps its own', () => {
+		const network = fleet();
+		network.cut(() => true);
+		network.publish(documentOf(2), 'a1', 'a2');
+		network.publish(documentOf(2, {failureDomains: [{id: 'z', region: 'z'}]}), 'b1');
+		network.cut(() => false);
+		network.run(20_000);
+		expect(refusals(network)).toContain(codes.sameRevisionOtherContent);
+		expect(network.state('a1').configuration.inForce?.failureDomains[0]?.id).toBe('a');
+		expect(network.state('b1').configuration.inForce?.failureDomains[0]?.id).toBe('z');
+	});
+
+	it('parses only what it asked for, and asks a peer with a bad document no more for a while', () => {
+		const network = fleet();
+		network.publish(documentOf(1), ...hosts);
+		network.run(4000);
+		const parses = () => network.effects.filter(({host, effect}) => host === 'a1' && effect.type === 'parse-configuration').length;
+		const before = parses();
+		network.dispatch('a1', {type: 'peer-message', from: 'b1', message: {type: 'configuration', text: 'unasked'}});
+		expect(parses()).toBe(before);
+		network.dispatch('a1', {
+			type: 'configuration-refused', source: {type: 'peer', host: 'b1'}, code: codes.badDocument, detail: '',
+		});
+		const wanted = () => network.effects.filter(({host, effect}) => host === 'a1' && effect.type === 'peer-send' && effect.message.type === 'configuration-wanted').length;
+		const asked = wanted();
+		const hello = {
+			type: 'hello', member: network.nodes.get('b1')!.member, phase: 'serving', revision: 9,
+		} as const;
+		network.dispatch('a1', {type: 'peer-message', from: 'b1', message: hello});
+		expect(wanted()).toBe(asked);
+	});
+});
--- /dev/null
+++ b/src/core/__tests__/membership.test.ts
@@ -0,0 +1,149 @@
+import {describe, expect, it} from 'vitest';
+import {
+	isCertainlyGone,
+	livePeers,
+	peersWork,
+	reachableDomains,
+	servingHosts,
+} from '../features/membership/queries.js';
+import {documentOf, Network} from './network.js';
+
+function fleet(sizes: Readonly<Record<string, number>>, seed = 1) {
+	const network = new Network(seed);
+	const hosts: string[] = [];
+	for (const [domain, size] of Object.entries(sizes)) {
+		for (let index = 1; index <= size; index++) {
+			const host = `${domain}${index}`;
+			network.add(host, domain);
+			hosts.push(host);
+		}
+	}
+
+	network.list(...hosts);
+	network.publish(documentOf(1), ...hosts);
+	return {network, hosts};
+}
+
+function statusOf(network: Network, host: string, peer: string) {
+	return network.state(host).membership.peers.get(peer)?.status;
+}
+
+function areAllLive(network: Network, hosts: readonly string[]) {
+	return hosts.every(host => livePeers(network.state(host)).length === hosts.length - 1);
+}
+
+describe('membership', () => {
+	it('hears of every host from a list that names one', () => {
+		const network = new Network();
+		for (const host of ['a1', 'a2', 'a3', 'b1', 'b2']) {
+			network.add(host, host[0]!);
+		}
+
+		const hosts = [...network.nodes.keys()];
+		const seed = network.nodes.get('a1')!.member;
+		for (const host of hosts) {
+			network.dispatch(host, {type: 'seeds-given', addresses: [seed.peerAddress]});
+		}
+
+		network.publish(documentOf(1), 'a1');
+		expect(network.run(10_000, () => areAllLive(network, hosts))).toBe(true);
+		expect(reachableDomains(network.state('b2'))).toEqual(['a', 'b']);
+	});
+
+	it('keeps a peer that answers although the list drops it', () => {
+		const {network, hosts} = fleet({a: 3});
+		expect(network.run(5000, () => areAllLive(network, hosts))).toBe(true);
+		network.dispatch('a1', {type: 'hosts-listed', members: [], leaving: []});
+		network.run(20_000);
+		expect(areAllLive(network, hosts)).toBe(true);
+	});
+
+	it('suspects a dead host at once, a paused one by its silence, and takes it back when it wakes', () => {
+		const {network, hosts} = fleet({a: 4});
+		network.run(5000);
+		network.remove('a2');
+		expect(statusOf(network, 'a1', 'a2')).toBe('suspect');
+		network.pause('a3');
+		expect(network.run(4000, () => statusOf(network, 'a1', 'a3') === 'suspect')).toBe(true);
+		network.run(20_000);
+		expect(statusOf(network, 'a1', 'a3')).toBe('gone');
+		expect(isCertainlyGone(network.state('a1'), network.nodes.get('a3')!.member.incarnation)).toBe(false);
+		network.wake('a3', 24_000);
+		const rest = hosts.filter(host => host !== 'a2');
+		expect(network.run(8000, () => rest.every(host => livePeers(network.state(host)).length === 2))).toBe(true);
+	});
+
+	it('knows a replaced incarnation as certainly gone, on hosts that never linked the new one too', () => {
+		const {network} = fleet({a: 3, b: 2});
+		network.run(5000);
+		const old = network.nodes.get('a2')!.member.incarnation;
+		network.add('a2', 'a');
+		network.list('a2', 'a1');
+		network.publish(documentOf(1), 'a2');
+		network.run(5000);
+		for (const host of ['a1', 'a3', 'b1', 'b2']) {
+			expect(isCertainlyGone(network.state(host), old)).toBe(true);
+		}
+
+		const departures = network.effects.filter(({effect}) => effect.type === 'log' && effect.decision.type === 'member' && effect.decision.change === 'replaced');
+		expect(departures).toHaveLength(4);
+	});
+
+	it('leaves gracefully when it wakes to find its name taken', () => {
+		const {network} = fleet({a: 2});
+		network.run(3000);
+		const {member} = network.nodes.get('a1')!;
+		const newer = {...member, incarnation: {host: 'a1', started: member.incarnation.started + 60_000}};
+		network.dispatch('a1', {type: 'hosts-listed', members: [newer], leaving: []});
+		expect(network.state('a1').membership.phase).toBe('leaving');
+	});
+
+	it.each([1, 2, 3])('reconverges within seconds after an hour of partition without a platform (seed %i)', seed => {
+		const {network, hosts} = fleet({a: 3, b: 3, c: 3}, seed);
+		expect(network.run(8000, () => areAllLive(network, hosts))).toBe(true);
+		network.cut((a, b) => a.failureDomain !== b.failureDomain);
+		network.run(120_000);
+		expect(livePeers(network.state('a1'))).toHaveLength(2);
+		network.publish(documentOf(2), 'c1');
+		network.cut(() => false);
+		expect(network.run(10_000, () => areAllLive(network, hosts))).toBe(true);
+		expect(hosts.map(host => network.state(host).configuration.inForce?.revision)).toEqual(hosts.map(() => 2));
+	});
+
+	it('announces leaving at once, and is no serving host to anyone 3 s later', () => {
+		const {network, hosts} = fleet({a: 12, b: 3});
+		network.run(30_000);
+		network.dispatch('a5', {type: 'stop-asked', grace: 60_000});
+		expect(network.effects.some(({host, effect}) => host === 'a5' && effect.type === 'ready' && !effect.ready)).toBe(true);
+		network.run(1500);
+		for (const host of hosts) {
+			expect(servingHosts(network.state(host), 'a').map(member => member.incarnation.host)).not.toContain('a5');
+		}
+
+		expect(network.run(3000, () => !network.nodes.has('a5'))).toBe(true);
+	});
+
+	it('publishes work as changes and whole from time to time, and forgets that of a lost host', () => {
+		const {network} = fleet({a: 3});
+		network.run(3000);
+		const attempt = {
+			id: 'r.1', request: 'r', upstream: 'e', began: 0, prefill: 700, decode: 300, ahead: 0, written: false, received: 0,
+		};
+		const request = {
+			id: 'r', organisation: 'o', service: 's', priority: 1, arrival: 0, deadline: 1e9, promptTokens: 700, blocks: [], proof: {type: 'idempotent'}, fingerprint: 'f',
+		} as const;
+		network.dispatch('a1', {type: 'attempt-began', request, attempt});
+		network.run(1000);
+		expect(peersWork(network.state('a2'), 'e')).toBe(1000);
+		network.dispatch('a2', {type: 'attempt-began', request, attempt});
+		network.run(1000);
+		expect(peersWork(network.state('a3'), 'e')).toBe(2000);
+		network.dispatch('a2', {
+			type: 'attempt-over', request, attempt, ending: {type: 'done', tokens: 1},
+		});
+		network.run(1000);
+		expect(peersWork(network.state('a3'), 'e')).toBe(1000);
+		network.remove('a1');
+		expect(peersWork(network.state('a3'), 'e')).toBe(0);
+	});
+});
--- /dev/null
+++ b/src/core/features/membership/commands/peers.ts
@@ -0,0 +1,164 @@
+/** Puts peers into the state: what is learnt of them, and the work of those that live. */
+import {Map as Table} from 'immutable';
+import {type Load, type Member} from '../../../types/peer.js';
+import {type State, type Step} from '../../../types/state.js';
+import {trim} from '../../../utils/bounded.js';
+import {chain, only} from '../../../utils/common.js';
+import {peerLimit, replacedGrace} from '../constants.js';
+import {type MembershipState, type Peer} from '../types.js';
+
+/**
+ * @param state - Core state.
+ * @param changes - Fields of membership that change.
+ * @returns The next state.
+ */
+export function update(state: State, changes: Partial<MembershipState>): State {
+	return {...state, membership: {...state.membership, ...changes}};
+}
+
+function loadsOf(peer: Peer | undefined): Table<string, Load> {
+	return peer?.status === 'live' ? peer.loads : Table();
+}
+
+function addWork(work: Table<string, number>, loads: Table<string, Load>, sign: 1 | -1): Table<string, number> {
+	return work.withMutations(next => {
+		for (const load of loads.values()) {
+			const sum = (next.get(load.upstream) ?? 0) + (sign * (load.prefill + load.decode));
+			next.set(load.upstream, Math.max(0, sum));
+		}
+	});
+}
+
+/**
+ * @param state - Core state.
+ * @param peer - Peer as it is now.
+ * @returns The next state.
+ */
+export function putPeer(state: State, peer: Peer): State {
+	const {host} = peer.member.incarnation;
+	const {peers, work} = state.membership;
+	const before = loadsOf(peers.get(host));
+	const after = loadsOf(peer);
+	return update(state, {
+		peers: peers.set(host, peer),
+		work: before === after ? work : addWork(addWork(work, before, -1), after, 1),
+	});
+}
+
+/**
+ * @param state - Core state.
+ * @param host - Host to forget.
+ * @returns The next state.
+ */
+export function dropPeer(state: State, host: string): State {
+	const {peers, told, work} = state.membership;
+	return update(state, {
+		peers: peers.delete(host),
+		told: told.delete(host),
+		work: addWork(work, loadsOf(peers.get(host)), -1),
+	});
+}
+
+function fresh(member: Member, now: number): Peer {
+	return {
+		member,
+		phase: 'starting',
+		status: 'known',
+		connected: false,
+		heard: now,
+		learnt: now,
+		changed: Number.NEGATIVE_INFINITY,
+		sequence: 0,
+		isWhole: false,
+		revision: 0,
+		digest: '',
+		loads: Table(),
+		demands: [],
+		mixes: [],
+	};
+}
+
+/**
+ * @param host - Host.
+ * @param change - What became of it.
+ * @param reason - Why.
+ * @returns The effect that logs it.
+ */
+export function memberLog(host: string, change: string, reason: string) {
+	return {
+		type: 'log', decision: {
+			type: 'member', host, change, reason,
+		},
+	} as const;
+}
+
+function departed(host: string, started: number, reason: string) {
+	return [
+		memberLog(host, 'replaced', reason),
+		{type: 'raise', event: {type: 'peer-departed', incarnation: {host, started}}},
+	] as const;
+}
+
+/** A host at the same address with an older start: two processes cannot listen at one address. */
+function displace(state: State, member: Member): Step {
+	const {host, port} = member.peerAddress;
+	const old = [...state.membership.peers.values()].find(peer =>
+		peer.member.peerAddress.port === port
+		&& peer.member.peerAddress.host === host
+		&& peer.member.incarnation.host !== member.incarnation.host
+		&& peer.member.incarnation.started < member.incarnation.started);
+	if (old === undefined) {
+		return only(state);
+	}
+
+	const {incarnation} = old.member;
+	const next = update(dropPeer(state, incarnation.host), {newest: state.membership.newest.set(incarnation.host, member.incarnation.started)});
+	return {state: next, effects: departed(incarnation.host, incarnation.started, `${member.incarnation.host} is at its address`)};
+}
+
+function add(state: State, member: Member, now: number): Step {
+	const {host, started} = member.incarnation;
+	const before = state.membership.peers.get(host);
+	const newest = trim(state.membership.newest.set(host, started), peerLimit * 2, value => value);
+	// The newer incarnation is dialled anew: its address may be another one.
+	const next = update(putPeer(state, fresh(member, now)), {newest, asked: state.membership.asked.delete(host), told: state.membership.told.delete(host)});
+	return before === undefined
+		? {state: next, effects: [memberLog(host, 'learnt', `of ${member.failureDomain}`)]}
+		: {state: next, effects: departed(host, before.member.incarnation.started, 'a newer incarnation was seen')};
+}
+
+/** This host was paused for so long that another took its name: it leaves as if asked to. */
+function replaced(state: State, member: Member): Step {
+	return state.membership.phase === 'leaving'
+		? only(state)
+		: {
+			state,
+			effects: [
+				memberLog(member.incarnation.host, 'replaced', 'a newer incarnation of this host was seen'),
+				{type: 'raise', event: {type: 'stop-asked', grace: replacedGrace}},
+			],
+		};
+}
+
+/**
+ * Learns of a host. Older incarnations than one seen are left out, newer ones take the place of the older.
+ *
+ * @param state - Core state.
+ * @param member - Host, as it or another says.
+ * @param now - Monotonic time in milliseconds.
+ * @returns The next step.
+ */
+export function learn(state: State, member: Member, now: number): Step {
+	const {host, started} = member.incarnation;
+	const {peers, newest} = state.membership;
+	if (host === state.self.incarnation.host) {
+		return started > state.self.incarnation.started ? replaced(state, member) : only(state);
+	}
+
+	const seen = newest.get(host) ?? 0;
+	if (started < seen || (started === seen && peers.has(host)) || (!peers.has(host) && peers.size >= peerLimit)) {
+		return only(state);
+	}
+
+	return chain(state, current => displace(current, member), current => add(current, member, now));
+}
--- a/src/core/features/membership/queries.ts
+++ b/src/core/features/membership/queries.ts
@@ -1,5 +1,8 @@
 /** Reads membership. */
+import {type Incarnation} from '../../types/request.js';
+import {type Member} from '../../types/peer.js';
 import {type State} from '../../types/state.js';
+import {type Peer} from './types.js';
 
 /**
  * @param state - Core state.
@@ -12,14 +15,66 @@
 /**
  * @param state - Core state.
  * @param upstream - Upstream.
- * @returns Prefill and decode tokens that connected peers have in flight there.
+ * @returns Prefill and decode tokens that live peers have in flight there.
  */
 export function peersWork(state: State, upstream: string): number {
-	let work = 0;
-	for (const peer of state.membership.peers.values()) {
-		const load = peer.connected ? peer.loads.get(upstream) : undefined;
-		work += load === undefined ? 0 : load.prefill + load.decode;
+	return state.membership.work.get(upstream) ?? 0;
+}
+
+/**
+ * @param state - Core state.
+ * @returns Peers that are heard of.
+ */
+export function livePeers(state: State): readonly Peer[] {
+	return [...state.membership.peers.values()].filter(peer => peer.status === 'live');
+}
+
+/**
+ * @param state - Core state.
+ * @param failureDomain - Failure domain.
+ * @returns Hosts that serve there as far as this host knows, itself included, sorted by name.
+ */
+export function servingHosts(state: State, failureDomain: string): readonly Member[] {
+	const others = livePeers(state)
+		.filter(peer => peer.phase === 'serving' && peer.member.failureDomain === failureDomain)
+		.map(peer => peer.member);
+	const own = isServing(state) && state.self.failureDomain === failureDomain ? [state.self] : [];
+	return [...others, ...own].toSorted((a, b) => a.incarnation.host < b.incarnation.host ? -1 : 1);
+}
+
+/**
+ * @param state - Core state.
+ * @returns Failure domains with a host that is heard of and serves, this host's own included, sorted.
+ */
+export function reachableDomains(state: State): readonly string[] {
+	const domains = new Set([state.self.failureDomain]);
+	for (const peer of livePeers(state)) {
+		if (peer.phase === 'serving') {
+			domains.add(peer.member.failureDomain);
+		}
 	}
 
-	return work;
+	return [...domains].toSorted();
+}
+
+/**
+ * @param state - Core state.
+ * @param incarnation - Incarnation of a host.
+ * @returns Whether it is certainly over, as a newer one of the same host was seen. Silence alone is never certain.
+ */
+export function isCertainlyGone(state: State, incarnation: Incarnation): boolean {
+	const {host, started} = incarnation;
+	const own = state.self.incarnation;
+	const newest = host === own.host ? own.started : state.membership.newest.get(host);
+	return newest !== undefined && newest > started;
+}
+
+/**
+ * @param state - Core state.
+ * @param incarnation - Incarnation of a host.
+ * @returns Whether that incarnation has a link to this host now.
+ */
+export function isLinked(state: State, incarnation: Incarnation): boolean {
+	const peer = state.membership.peers.get(incarnation.host);
+	return peer?.connected === true && peer.member.incarnation.started === incarnation.started;
 }
--- a/src/core/types/peer.ts
+++ b/src/core/types/peer.ts
@@ -48,10 +48,12 @@
 /** What a host last said of itself, passed on by another where the two have no link. */
 export type Digest = {
 	readonly incarnation: Incarnation;
-	readonly failureDomain: string;
+	/** Of its last heartbeat that was heard of. */
 	readonly sequence: number;
 	readonly phase: Phase;
 	readonly revision: number;
+	/** Set when nothing was heard since, and a link to it was lost. */
+	readonly silent?: boolean;
 	/** The heaviest of its loads. */
 	readonly loads: readonly Load[];
 	readonly demands: readonly Demand[];
--- /dev/null
+++ b/src/entry/peers/__tests__/cost.test.ts
@@ -0,0 +1,30 @@
+import {describe, expect, it} from 'vitest';
+import {livePeers} from '../../../core/features/membership/queries.js';
+import {documentOf, Network} from '../../../core/__tests__/network.js';
+import {encodeFrame} from '../../../protocol/peers.js';
+
+describe('cost of membership', () => {
+	it.each([7, 42])('of a host in a domain of %i stays under 10 KB a second', size => {
+		const network = new Network();
+		const hosts = [...Array.from({length: size}, (_, index) => `a${index}`), 'b1', 'b2', 'c1', 'c2'];
+		for (const host of hosts) {
+			network.add(host, host[0]!);
+		}
+
+		network.list(...hosts);
+		network.publish(documentOf(1), ...hosts);
+		network.run(30_000);
+		expect(hosts.map(host => livePeers(network.state(host)).length)).toEqual(hosts.map(() => hosts.length - 1));
+		const from = network.now;
+		network.run(10_000);
+		const bytes = new Map<string, number>();
+		for (const {at, from: host, message} of network.sent) {
+			if (at > from) {
+				bytes.set(host, (bytes.get(host) ?? 0) + encodeFrame(message).length);
+			}
+		}
+
+		const perSecond = [...bytes.values()].map(sum => sum / 10);
+		expect(Math.max(...perSecond)).toBeLessThan(10_000);
+	});
+});
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -37,9 +37,9 @@
 const digest = z.object({
 	incarnation,
 	sequence: count,
-	failureDomain: text,
 	phase,
 	revision: count,
+	silent: z.boolean().optional(),
 	loads: z.array(load).max(listLimit),
 	demands: z.array(demand).max(listLimit),
 	mixes: z.array(mix).max(listLimit).optional(),
--- a/xo.config.js
+++ b/xo.config.js
@@ -29,7 +29,7 @@
 			'@typescript-eslint/require-await': 'off',
 			'require-await': 'off',
 			// Immutable's collections are called without `new`.
-			'new-cap': ['error', {capIsNewExceptions: ['Table', 'List']}],
+			'new-cap': ['error', {capIsNewExceptions: ['Table', 'List', 'Group']}],
 			// Requests and frames are handled in order on purpose.
 			'no-await-in-loop': 'off',
 			'import-x/no-unassigned-import': ['error', {allow: ['reflect-metadata']}],
