Say outcome unknown for an expired ticket, end passed answers with their outcome, list holds

Cause: an expired ticket may have been used before it expired, so the listener's 'not run' was not known to be true. An answer that is passed on as bytes had no outcome for its caller; it now follows as trailers. Holds were never listed, so the core could not clean up after dead hosts.

--- a/src/entry/callers/receivers.ts
+++ b/src/entry/callers/receivers.ts
@@ -4,18 +4,22 @@
 import {frameSchema, streamEnd, type Frame} from '../../upstream/protocol.js';
 import {assertNever, type Outcome} from '../../core/index.js';
 import {
+	codeHeader,
 	codeOf,
 	complaint,
 	nameOf,
+	outcomeHeader,
 	outcomeHeaders,
 	requestHeader,
 } from './outcomes.js';
 import {statusOf} from './statuses.js';
 
+type Headers = Readonly<Record<string, string | readonly string[]>>;
+
 /** A part of an answer. */
 export type Piece
 	/** Status and headers of an answer that is passed on as it is. */
-	= | {readonly type: 'head'; readonly status: number; readonly headers: Readonly<Record<string, string | readonly string[]>>}
+	= | {readonly type: 'head'; readonly status: number; readonly headers: Headers}
 		| {readonly type: 'bytes'; readonly chunk: Uint8Array}
 	/** A frame of an engine's stream with the position from which a caller can resume. */
 		| {readonly type: 'frame'; readonly position: string; readonly data: string};
@@ -46,6 +50,18 @@
 	});
 }
 
+/** The outcome is known only after the bytes, so it follows them as trailers. */
+function openPassed({response, request}: Receiver, status: number, headers: Headers): void {
+	response.statusCode = status;
+	for (const [name, value] of Object.entries(headers)) {
+		response.setHeader(name, value);
+	}
+
+	response.setHeader(requestHeader, request);
+	response.setHeader('trailer', `${outcomeHeader}, ${codeHeader}`);
+	response.flushHeaders();
+}
+
 /**
  * @param receiver - Caller.
  * @param piece - Part of the answer.
@@ -59,7 +75,7 @@
 
 	switch (piece.type) {
 		case 'head': {
-			response.writeHead(piece.status, {...piece.headers, [requestHeader]: receiver.request} as Record<string, string>);
+			openPassed(receiver, piece.status, piece.headers);
 			return true;
 		}
 
@@ -126,6 +142,7 @@
 	} else if (form === 'whole' && !response.headersSent) {
 		sendJson(receiver, outcome, completion(receiver));
 	} else {
+		response.addTrailers({[outcomeHeader]: nameOf(outcome), [codeHeader]: String(codeOf(outcome))});
 		response.end();
 	}
 }
--- a/src/entry/callers/server.ts
+++ b/src/entry/callers/server.ts
@@ -15,6 +15,7 @@
 	raise,
 	type Configuration,
 	type Event,
+	type Failure,
 	type Outcome,
 	type Service,
 	type State,
@@ -195,7 +196,7 @@
 
 	#fail(response: ServerResponse, id: string, error: unknown): void {
 		if (isFailure(error)) {
-			refuse(response, id, {type: 'not-run', code: error.code, detail: error.detail});
+			refuse(response, id, outcomeOf(error));
 			return;
 		}
 
--- a/src/entry/watch/upstreams.ts
+++ b/src/entry/watch/upstreams.ts
@@ -1,11 +1,14 @@
 /** Reads what the engines of this host's failure domain publish. */
 import {type Engine, type Event, type State} from '../../core/index.js';
-import {readCacheEvents, readReport} from '../../upstream/control.js';
+import {readCacheEvents, readHolds, readReport} from '../../upstream/control.js';
 import {Loop} from './loop.js';
 
 /** The most load reports that one host asks for in a second. */
 const readingsPerSecond = 24;
 
+/** Load reports of an engine between two listings of its holds. */
+const reportsPerListing = 8;
+
 const millisecondsPerSecond = 1000;
 
 /** A cursor in one engine's cache events. */
@@ -27,6 +30,7 @@
 	readonly #interval: number;
 	readonly #cursors = new Map<string, Cursor>();
 	readonly #busy = new Set<string>();
+	readonly #reports = new Map<string, number>();
 	readonly #loop: Loop;
 	#position = 0;
 
@@ -68,6 +72,7 @@
 			const report = await readReport(engine.id, engine.address);
 			this.#dispatch({type: 'report-received', report});
 			await this.#followCache(engine);
+			await this.#listHolds(engine);
 		} catch {
 			this.#dispatch({type: 'upstream-unreachable', upstream: engine.id});
 		} finally {
@@ -75,6 +80,15 @@
 		}
 	}
 
+	async #listHolds(engine: Engine): Promise<void> {
+		const reports = this.#reports.get(engine.id) ?? 0;
+		this.#reports.set(engine.id, reports + 1);
+		if (reports % reportsPerListing === 0) {
+			const holds = await readHolds(engine.id, engine.address);
+			this.#dispatch({type: 'holds-listed', upstream: engine.id, holds});
+		}
+	}
+
 	async #followCache(engine: Engine): Promise<void> {
 		const cursor = this.#cursors.get(engine.id);
 		const {incarnation, next, gap, changes} = await readCacheEvents(engine.address, cursor?.next ?? 0);
