--- a/src/entry/callers/server.ts
+++ b/src/entry/callers/server.ts
@@ -205,6 +205,11 @@
 	}
 }
 
+/** An expired ticket may have been used before it expired, so "not run" would not be known to be true. */
+function outcomeOf({code, detail}: Failure): Outcome {
+	return code === codes.expiredTicket ? {type: 'unknown', code, detail} : {type: 'not-run', code, detail};
+}
+
 const parametersSchema = z.object({service: z.string()});
 
 function serviceOf(parameters: unknown): string {
