--- a/stand-ins/proxy/service.ts
+++ b/stand-ins/proxy/service.ts
@@ -14,7 +14,8 @@
 const linkSchema = z.object({
 	name: z.string().min(1),
 	listen: listenSchema.prefault({}),
-	target: addressSchema,
+	/** Connections are reset while there is none. */
+	target: addressSchema.optional(),
 	/** Failure domain of the target. */
 	domain: z.string().optional(),
 }).readonly();
@@ -49,6 +50,7 @@
 	readonly #control: Server;
 	readonly #sources: Map<string, string>;
 	readonly #links = new Map<string, OpenLink>();
+	readonly #targets = new Map<string, Address>();
 	readonly #pipes = new Set<Pipe>();
 	#faults: readonly Fault[] = [];
 
@@ -82,16 +84,30 @@
 	async open(link: Link): Promise<Address> {
 		const {name, listen, target, domain} = linkSchema.parse(link);
 		const server = createServer({allowHalfOpen: true, pauseOnConnect: true}, socket => {
-			this.#accept(socket, target, {from: this.#sources.get(socket.remoteAddress ?? ''), to: domain, link: name});
+			this.#accept(socket, {from: this.#sources.get(socket.remoteAddress ?? ''), to: domain, link: name});
 		});
 		server.listen(listen.port, listen.host);
 		await once(server, 'listening');
 		const bound = server.address();
 		const address = {host: listen.host, port: typeof bound === 'object' ? bound?.port ?? 0 : 0};
 		this.#links.set(name, {name, server, address});
+		if (target !== undefined) {
+			this.retarget(name, target);
+		}
+
 		return address;
 	}
 
+	/**
+	 * Leads new connections of a link elsewhere, as when a replaced process listens on another port.
+	 *
+	 * @param name - Link.
+	 * @param target - Where its process listens now.
+	 */
+	retarget(name: string, target: Address): void {
+		this.#targets.set(name, target);
+	}
+
 	/**
 	 * Names the failure domain of a process.
 	 *
@@ -138,9 +154,10 @@
 		return [...this.#pipes].filter(pipe => concerns(fault, pipe.route));
 	}
 
-	#accept(socket: Socket, target: Address, route: Route): void {
+	#accept(socket: Socket, route: Route): void {
 		const condition = conditionOf(this.#faults, route);
-		if (condition.isRefused) {
+		const target = this.#targets.get(route.link);
+		if (condition.isRefused || target === undefined) {
 			socket.resetAndDestroy();
 			return;
 		}
