Log decisions whatever NODE_ENV says

Cause: consola lowers its level where NODE_ENV is test, so a daemon started by tests printed no listening line and no decision; the fleet harness waited 20 s in vain. The level is now given.

--- a/src/entry/logs.ts
+++ b/src/entry/logs.ts
@@ -1,6 +1,8 @@
 /** JSON lines on standard output, one for each routing or placement decision and each event of the daemon. */
 import process from 'node:process';
-import {createConsola, type ConsolaInstance, type LogObject} from 'consola';
+import {
+	createConsola, LogLevels, type ConsolaInstance, type LogObject,
+} from 'consola';
 
 /** Fields of one line beside its time and level. */
 export type Line = Readonly<Record<string, unknown>> & {readonly event: string};
@@ -23,7 +25,8 @@
 	 */
 	constructor(host: string) {
 		this.#host = host;
-		this.#consola = createConsola({reporters: [{log: reporter}]});
+		// Without a level consola drops lines that it takes for noise where NODE_ENV or CI is set.
+		this.#consola = createConsola({level: LogLevels.info, reporters: [{log: reporter}]});
 	}
 
 	/**
