--- /dev/null
+++ b/__tests__/fleet.test.ts
@@ -0,0 +1,83 @@
+import got from 'got';
+import {describe, expect, it} from 'vitest';
+import {Fleet} from '../bench/fleet/fleet.js';
+import {apiKey, type ShapeInput} from '../bench/fleet/shape.js';
+import {answerLength, answerText, promptDigest} from '../stand-ins/engine/answer.js';
+import {renderPrompt} from '../src/protocol/blocks.js';
+
+const messages = [{role: 'user', content: 'one line'}];
+
+function shape(isProxied: boolean): ShapeInput {
+	return {
+		isProxied,
+		timeScale: 20,
+		domains: ['a', 'b'],
+		hosts: [1],
+		engines: [{service: 'check', perDomain: 1}],
+		plains: [{service: 'book', perDomain: 1}],
+		services: [
+			{
+				kind: 'model', id: 'check', model: 'm', idempotent: true, deadline: {default: 10_000, most: 20_000},
+			},
+			{
+				kind: 'plain', id: 'book', idempotent: false, deadline: {default: 10_000, most: 20_000},
+			},
+		],
+		organisations: [{id: 'one'}],
+	};
+}
+
+async function ask(fleet: Fleet, host: string): Promise<string> {
+	const {caller} = fleet.hosts.get(host);
+	const answer = await got.post(`http://${caller.host}:${caller.port}/v1/chat/completions`, {
+		json: {model: 'check', messages, max_tokens: 20},
+		headers: {authorization: `Bearer ${apiKey('one')}`},
+		retry: {limit: 0},
+	}).json<{choices: Array<{message: {content: string}}>}>();
+	return answer.choices[0]!.message.content;
+}
+
+function expected(): string {
+	const digest = promptDigest(renderPrompt(messages));
+	return answerText(digest, answerLength(digest, {least: 16, most: 256}, 20));
+}
+
+async function revisionAt(fleet: Fleet, host: string): Promise<number> {
+	const {admin} = fleet.hosts.get(host);
+	const {revision} = await got(`http://${admin!.host}:${admin!.port}/admin/status`).json<{revision: number}>();
+	return revision;
+}
+
+async function adopted(fleet: Fleet, host: string, revision: number): Promise<void> {
+	while (await revisionAt(fleet, host) < revision) {
+		await new Promise(resolve => {
+			setTimeout(resolve, 20);
+		});
+	}
+}
+
+describe('fleet', () => {
+	for (const isProxied of [false, true]) {
+		it(`serves through every host, ${isProxied ? 'with' : 'without'} fault proxies, and replaces one`, async () => {
+			await using fleet = await Fleet.start(shape(isProxied));
+			expect(await ask(fleet, 'a-host-1')).toBe(expected());
+			expect(await ask(fleet, 'b-host-1')).toBe(expected());
+			await fleet.replaceHost('a-host-1');
+			await fleet.hosts.ready();
+			expect(await ask(fleet, 'a-host-1')).toBe(expected());
+			const executions = await fleet.upstreams.executions();
+			expect(executions.reduce((sum, each) => sum + each.counters.finished, 0)).toBe(3);
+		});
+	}
+
+	it('cuts a failure domain off from the others and the platform, but not from callers', async () => {
+		await using fleet = await Fleet.start(shape(true));
+		fleet.partition(['a'], ['b', 'platform']);
+		const next = await fleet.publish(before => before);
+		await adopted(fleet, 'b-host-1', next);
+		expect(await revisionAt(fleet, 'a-host-1')).toBe(next - 1);
+		expect(await ask(fleet, 'a-host-1')).toBe(expected());
+		fleet.heal();
+		await adopted(fleet, 'a-host-1', next);
+	});
+});
--- a/bench/fleet/child.ts
+++ b/bench/fleet/child.ts
@@ -1,11 +1,10 @@
 /** One process of a fleet, addressed only by its own process id. */
-import {spawn, type ChildProcessByStdio} from 'node:child_process';
+import {spawn, type ChildProcessWithoutNullStreams} from 'node:child_process';
 import {once} from 'node:events';
 import {existsSync} from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
 import {createInterface} from 'node:readline';
-import {type Readable} from 'node:stream';
 import {z} from 'zod';
 
 const lineSchema = z.record(z.string(), z.unknown());
@@ -70,7 +69,7 @@
 	}
 
 	readonly #launch: Launch;
-	readonly #process: ChildProcessByStdio<undefined, Readable, Readable>;
+	readonly #process: ChildProcessWithoutNullStreams;
 	readonly #lines: Line[] = [];
 	readonly #exit: Promise<unknown>;
 	#errors = '';
@@ -82,7 +81,7 @@
 		this.#process = spawn(
 			process.execPath,
 			['--no-deprecation', ...preload, path.join(compiled, launch.program), '--settings', launch.settings],
-			{stdio: ['ignore', 'pipe', 'pipe'], env: {...process.env, ...launch.environment}},
+			{stdio: 'pipe', env: {...process.env, ...launch.environment}},
 		);
 		this.#exit = once(this.#process, 'exit');
 		this.#process.stderr.on('data', chunk => {
@@ -145,7 +144,7 @@
 			await this.#exit;
 		}
 
-		return this.#process.exitCode;
+		return this.#process.exitCode ?? undefined;
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
