Keys: unanimous claims for bare idempotency keys

Callers that only resend a key got a 428 with a ticket. Now a host asks every other one for a promise never to run the key, and runs it when all have promised and one of them, older than the key by its UUIDv7 time, is certain that it never ran. Hosts introduce themselves to everyone they know before they run any key, so of two that do each asks the other; a woken one has to introduce itself anew. A missing promise seals the key, which one host can do alone.

--- /dev/null
+++ b/src/core/features/keys/queries.ts
@@ -0,0 +1,105 @@
+/** Reads what this host knows of idempotency keys and of the hosts that may run them. */
+import {type Effect} from '../../types/effect.js';
+import {type KeyMessage} from '../../types/peer.js';
+import {type State} from '../../types/state.js';
+import {callerAhead, clockError, type Acquaintance} from './types.js';
+
+const versionSeven = /^[\da-f]{8}-[\da-f]{4}-7[\da-f]{3}-[89ab][\da-f]{3}-[\da-f]{12}$/iv;
+const timeDigits = 12;
+
+/** Hosts that may pass one message on. */
+const mostHops = 2;
+
+/**
+ * @param key - Idempotency key.
+ * @returns When it was minted, in milliseconds since 1970; undefined if it is not a UUID of version 7.
+ */
+export function mintedAt(key: string): number | undefined {
+	return versionSeven.test(key) ? Number.parseInt(key.replaceAll('-', '').slice(0, timeDigits), 16) : undefined;
+}
+
+/**
+ * A key runs nowhere before its minting, less what a caller's clock may be ahead; whoever has known all runners since
+ * before then knows whether it ran.
+ *
+ * @param state - Core state.
+ * @param minted - When the key was minted, in milliseconds since 1970.
+ * @returns Whether this host would know if the key had run elsewhere.
+ */
+export function canVouch(state: State, minted: number): boolean {
+	const {joined, vouchFrom} = state.keys;
+	return joined && vouchFrom + callerAhead + clockError < minted;
+}
+
+/**
+ * @param state - Core state.
+ * @returns Hosts whose promise this host needs before it runs a key.
+ */
+export function others(state: State): readonly Acquaintance[] {
+	return [...state.keys.acquaintances.values()].filter(each => !each.ended);
+}
+
+/**
+ * @param state - Core state.
+ * @param host - Host.
+ * @returns Whether this host has a link to it.
+ */
+export function isLinked(state: State, host: string): boolean {
+	return state.membership.peers.get(host)?.connected === true;
+}
+
+/** A linked host that is likely to have a link to the target: one of its failure domain, else any. */
+function relayTo(state: State, to: string, from: string): string | undefined {
+	const domain = state.keys.acquaintances.get(to)?.member.failureDomain;
+	const linked = [...state.membership.peers.values()]
+		.filter(peer => peer.connected && peer.member.incarnation.host !== from);
+	return (linked.find(peer => peer.member.failureDomain === domain) ?? linked[0])?.member.incarnation.host;
+}
+
+/** A message that this host sends, or passes on for another. */
+export type Letter = {
+	readonly from: string;
+	readonly to: string;
+	/** Hosts that have passed it on. */
+	readonly hops: number;
+	readonly message: KeyMessage;
+};
+
+/**
+ * @param state - Core state.
+ * @param letter - Message and whom it is for.
+ * @returns The sending over a link, or through a host that may have one; nothing if there is no way.
+ */
+export function deliver(state: State, letter: Letter): readonly Effect[] {
+	const {from, to, hops, message} = letter;
+	if (isLinked(state, to)) {
+		return [{
+			type: 'peer-send', to, message: hops === 0
+				? message
+				: {
+					type: 'key-relay', from, to, hops, message,
+				},
+		}];
+	}
+
+	const relay = hops < mostHops ? relayTo(state, to, from) : undefined;
+	return relay === undefined
+		? []
+		: [{
+			type: 'peer-send', to: relay, message: {
+				type: 'key-relay', from, to, hops: hops + 1, message,
+			},
+		}];
+}
+
+/**
+ * @param state - Core state.
+ * @param to - Host that the message is for.
+ * @param message - Message of this host.
+ * @returns The sending, as {@link deliver} does it.
+ */
+export function tell(state: State, to: string, message: KeyMessage): readonly Effect[] {
+	return deliver(state, {
+		from: state.self.incarnation.host, to, hops: 0, message,
+	});
+}
--- /dev/null
+++ b/src/core/features/keys/types.ts
@@ -0,0 +1,86 @@
+/** Bare idempotency keys: who may run each, agreed by unanimous claims. docs/design/idempotency-keys.md gives the reasons. */
+import {Map as Table} from 'immutable';
+import {type Member} from '../../types/peer.js';
+import {type Request} from '../../types/request.js';
+
+/** Time after its minting in which a key may run, in milliseconds. */
+export const keyLife = 600_000;
+
+/** How far a caller's clock may be ahead, and how far hosts' clocks may be apart, in milliseconds. */
+export const callerAhead = 2000;
+export const clockError = 1000;
+
+/** Claims and promises remembered at one host. */
+export const claimLimit = 50_000;
+
+/** Requests that may wait for one claim. */
+export const waitingLimit = 16;
+
+/** Hosts remembered. */
+export const acquaintanceLimit = 2048;
+
+/** Another host that may run keys. */
+export type Acquaintance = {
+	readonly member: Member;
+	/** Whether it has answered this host's introduction, and so will ask it about each key. */
+	readonly met: boolean;
+	/** Whether it is over for certain, or leaving: it runs no key from now on. */
+	readonly ended: boolean;
+};
+
+export type ClaimProgress
+	/** This host asks the others. */
+	= | {
+		readonly type: 'claiming';
+		readonly waiting: readonly Request[];
+		/** Hosts whose promise is missing. */
+		readonly pending: readonly string[];
+		/** Whether somebody was certain that the key never ran. */
+		readonly vouched: boolean;
+		/** Whether a host gave no promise, so that it may run the key without this host. */
+		readonly refused: boolean;
+		/** When to ask again and when to give up, on the core's clock. */
+		readonly askAt: number;
+		readonly until: number;
+	}
+	/** This host keeps it; the tickets feature has the entry. */
+	| {readonly type: 'kept'}
+	/** Promised to another host. */
+	| {readonly type: 'yielded'; readonly to: Member}
+	/** Nobody could tell whether it ran. */
+	| {readonly type: 'doubtful'};
+
+export type Claim = {
+	/** From the key, wall-clock time in milliseconds since 1970. */
+	readonly minted: number;
+	readonly progress: ClaimProgress;
+};
+
+export type KeysState = {
+	/** By host. */
+	readonly acquaintances: Table<string, Acquaintance>;
+	/** Whether the platform's list was seen since the start. */
+	readonly listed: boolean;
+	/** Whether everyone known has answered this host's introduction. */
+	readonly joined: boolean;
+	/** Keys minted well after this wall-clock time cannot have run without this host knowing it. */
+	readonly vouchFrom: number;
+	/** By right. */
+	readonly claims: Table<string, Claim>;
+	/** Rights that this host is claiming now. */
+	readonly claiming: readonly string[];
+	/** When to introduce itself again and when to forget old claims, on the core's clock. */
+	readonly joinAt: number;
+	readonly sweepAt: number;
+};
+
+export const initialKeys: KeysState = {
+	acquaintances: Table(),
+	listed: false,
+	joined: false,
+	vouchFrom: Number.MAX_SAFE_INTEGER,
+	claims: Table(),
+	claiming: [],
+	joinAt: 0,
+	sweepAt: 0,
+};
--- a/src/core/features/tickets/feature.ts
+++ b/src/core/features/tickets/feature.ts
@@ -54,8 +54,7 @@
 			return {state, effects: [{type: 'raise', event: {type: 'request-cleared', request}}]};
 		}
 
-		case 'none':
-		case 'key': {
+		case 'none': {
 			return requireTicket(state, request, context);
 		}
 
@@ -63,6 +62,11 @@
 			return arriveWithTicket(state, request, request.proof.ticket, context);
 		}
 
+		// The keys feature takes these.
+		case 'key': {
+			return only(state);
+		}
+
 		default: {
 			return assertNever(request.proof);
 		}
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -1,6 +1,8 @@
 /** The core: gives each event to every feature and collects what they want done. */
 import {configurationFeature} from './features/configuration/feature.js';
 import {initialConfiguration} from './features/configuration/types.js';
+import {keysFeature} from './features/keys/feature.js';
+import {initialKeys} from './features/keys/types.js';
 import {membershipFeature} from './features/membership/feature.js';
 import {initialMembership} from './features/membership/types.js';
 import {requestsFeature} from './features/requests/feature.js';
@@ -27,6 +29,7 @@
 	upstreamsFeature,
 	suspicionFeature,
 	ticketsFeature,
+	keysFeature,
 	requestsFeature,
 	membershipFeature,
 ];
@@ -39,6 +42,7 @@
 	return {
 		self,
 		configuration: initialConfiguration,
+		keys: initialKeys,
 		membership: initialMembership,
 		requests: initialRequests,
 		suspicion: initialSuspicion,
--- a/src/core/types/peer.ts
+++ b/src/core/types/peer.ts
@@ -84,15 +84,22 @@
 		| {readonly type: 'configuration-wanted'; readonly above: number}
 	/** A whole document, as text so that its digest is the same everywhere. */
 		| {readonly type: 'configuration'; readonly text: string}
-	/** The sender wants to run keys and tells whom it knows; it may once each of these has answered. */
-		| {readonly type: 'key-join'; readonly member: Member}
-		| {readonly type: 'key-joined'; readonly incarnation: Incarnation; readonly members: readonly Member[]}
-	/** The claimant asks for a promise that the key never runs at the receiver. */
-		| {readonly type: 'key-claim'; readonly id: string; readonly minted: number; readonly claimant: Member}
-		| {readonly type: 'key-answer'; readonly id: string; readonly answer: KeyAnswer}
+		| KeyMessage
+	/** Passed on to a host that the sender has no link to. */
+		| {readonly type: 'key-relay'; readonly from: string; readonly to: string; readonly hops: number; readonly message: KeyMessage}
 		| {readonly type: 'seal'; readonly id: string; readonly right: string; readonly keeper: Incarnation}
 		| {readonly type: 'sealed'; readonly id: string; readonly answer: SealAnswer};
 
+/** Messages by which hosts agree on who runs an idempotency key. */
+export type KeyMessage
+	/** The sender wants to run keys; it may once everyone it knows has answered. */
+	= | {readonly type: 'key-join'; readonly member: Member}
+	/** Whom the sender knows, and who of these is over for certain. */
+		| {readonly type: 'key-joined'; readonly member: Member; readonly members: readonly Member[]; readonly ended: readonly Incarnation[]}
+	/** The claimant asks for a promise that the key never runs at the receiver. */
+		| {readonly type: 'key-claim'; readonly id: string; readonly minted: number; readonly claimant: Member}
+		| {readonly type: 'key-answer'; readonly id: string; readonly claimant: Incarnation; readonly answer: KeyAnswer};
+
 export type KeyAnswer
 	/** Promised never to run here, and certain that it never ran anywhere. */
 	= | {readonly type: 'yielded'}
--- a/src/core/types/state.ts
+++ b/src/core/types/state.ts
@@ -1,5 +1,6 @@
 /** The core's state: one read-only part for each feature, and what a step needs and gives. */
 import {type ConfigurationState} from '../features/configuration/types.js';
+import {type KeysState} from '../features/keys/types.js';
 import {type MembershipState} from '../features/membership/types.js';
 import {type RequestsState} from '../features/requests/types.js';
 import {type SuspicionState} from '../features/suspicion/types.js';
@@ -13,6 +14,7 @@
 	/** This host. */
 	readonly self: Member;
 	readonly configuration: ConfigurationState;
+	readonly keys: KeysState;
 	readonly membership: MembershipState;
 	readonly requests: RequestsState;
 	readonly suspicion: SuspicionState;
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -45,6 +45,27 @@
 	mixes: z.array(mix).max(listLimit).optional(),
 });
 
+const keyMessages = [
+	z.object({type: z.literal('key-join'), member}),
+	z.object({
+		type: z.literal('key-joined'), member, members: z.array(member).max(listLimit), ended: z.array(incarnation).max(listLimit),
+	}),
+	z.object({
+		type: z.literal('key-claim'), id: text, minted: count, claimant: member,
+	}),
+	z.object({
+		type: z.literal('key-answer'),
+		id: text,
+		claimant: incarnation,
+		answer: z.discriminatedUnion('type', [
+			z.object({type: z.literal('yielded')}),
+			z.object({type: z.literal('unsure')}),
+			z.object({type: z.literal('kept'), by: member}),
+			z.object({type: z.literal('refused')}),
+		]),
+	}),
+] as const;
+
 const messageSchema = z.discriminatedUnion('type', [
 	z.object({
 		type: z.literal('hello'), member, phase, revision: count,
@@ -65,20 +86,9 @@
 	}),
 	z.object({type: z.literal('configuration-wanted'), above: count}),
 	z.object({type: z.literal('configuration'), text: z.string().max(longestMessage)}),
-	z.object({type: z.literal('key-join'), member}),
-	z.object({type: z.literal('key-joined'), incarnation, members: z.array(member).max(listLimit)}),
+	...keyMessages,
 	z.object({
-		type: z.literal('key-claim'), id: text, minted: count, claimant: member,
-	}),
-	z.object({
-		type: z.literal('key-answer'),
-		id: text,
-		answer: z.discriminatedUnion('type', [
-			z.object({type: z.literal('yielded')}),
-			z.object({type: z.literal('unsure')}),
-			z.object({type: z.literal('kept'), by: member}),
-			z.object({type: z.literal('refused')}),
-		]),
+		type: z.literal('key-relay'), from: text, to: text, hops: count, message: z.discriminatedUnion('type', keyMessages),
 	}),
 	z.object({
 		type: z.literal('seal'), id: text, right: text, keeper: incarnation,
