Count the hosts that pass a request on

Hosts that cannot claim a key pass the request to another; a header with the number of hops keeps two of them from passing it between them for ever.

--- a/src/entry/callers/chat.ts
+++ b/src/entry/callers/chat.ts
@@ -16,6 +16,7 @@
 import {
 	callerHeaders,
 	header,
+	readHops,
 	readPriority,
 	readPromptTokens,
 	readProof,
@@ -94,6 +95,7 @@
 	const {headers, service, organisation} = reading;
 	const proof = readProof(reading);
 	const spilledFrom = header(headers, callerHeaders.spilledFrom);
+	const hops = readHops(headers);
 	return {
 		id: reading.id,
 		organisation: organisation.id,
@@ -104,6 +106,7 @@
 		proof,
 		fingerprint: fingerprint(reading),
 		...(spilledFrom !== undefined && {spilledFrom}),
+		...(hops !== undefined && {hops}),
 	};
 }
 
--- a/src/entry/callers/headers.ts
+++ b/src/entry/callers/headers.ts
@@ -24,6 +24,8 @@
 	/** Set by a host that passes a request on. */
 	forwardedBy: 'x-forwarded-by',
 	spilledFrom: 'x-spilled-from',
+	/** How many hosts have passed it on. */
+	hops: 'x-forwarded-hops',
 	position: 'last-event-id',
 } as const;
 
@@ -97,6 +99,15 @@
 	return readWhole(headers, callerHeaders.promptTokens, 1, 10_000_000);
 }
 
+/**
+ * @param headers - Headers of a request.
+ * @returns How many hosts have passed it on.
+ * @throws Failure `badHeader`.
+ */
+export function readHops(headers: IncomingMessage['headers']): number | undefined {
+	return readWhole(headers, callerHeaders.hops, 1, 255);
+}
+
 function readIdempotent(headers: IncomingMessage['headers'], service: Service, method: string): boolean {
 	const text = header(headers, callerHeaders.idempotent);
 	switch (text) {
--- a/src/entry/relays/relays.ts
+++ b/src/entry/relays/relays.ts
@@ -305,6 +305,7 @@
 				...endToEnd(payload.headers),
 				[callerHeaders.timeout]: String(Math.max(1, Math.round(effect.deadline - clock.now()))),
 				[callerHeaders.forwardedBy]: self.incarnation.host,
+				[callerHeaders.hops]: String((request.hops ?? 0) + 1),
 				...(effect.reason === 'spill' && {[callerHeaders.spilledFrom]: self.failureDomain}),
 			},
 			body: payload.body,
