--- /dev/null
+++ b/bench/load/run.ts
@@ -0,0 +1,53 @@
+/** Runs a scenario: sends each request at its intended time, whatever became of those before. */
+import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {renderPrompt} from '../../src/protocol/blocks.js';
+import {answerLength, answerText, promptDigest} from '../../stand-ins/engine/answer.js';
+import {sendRequest, type Ending} from './client.js';
+import {Recorder, type Result} from './recorder.js';
+import {type Scenario} from './scenario.js';
+import {contentOf, planTrace, type Planned} from './trace.js';
+
+const millisecondsPerSecond = 1000;
+const shortestSleep = 1;
+
+function isWhole(planned: Planned, scenario: Scenario, content: string, ending: Ending): boolean {
+	if (scenario.answer === undefined) {
+		return true;
+	}
+
+	const digest = promptDigest(renderPrompt([{role: 'user', content}]));
+	return ending.content === answerText(digest, answerLength(digest, scenario.answer, planned.output));
+}
+
+async function runOne(planned: Planned, scenario: Scenario, intendedAt: number, recorder: Recorder): Promise<void> {
+	const sentAt = performance.now();
+	const content = contentOf(planned, scenario);
+	const ending = await sendRequest(planned, scenario, content);
+	if (planned.at >= scenario.warmUp) {
+		recorder.add({
+			planned, ending, intendedAt, sentAt, isWhole: isWhole(planned, scenario, content, ending), timeout: scenario.timeout,
+		});
+	}
+}
+
+/**
+ * @param scenario - Checked scenario.
+ * @returns What was measured.
+ */
+export async function runLoad(scenario: Scenario): Promise<Result> {
+	const recorder = new Recorder();
+	const start = performance.now();
+	const running: Array<Promise<void>> = [];
+	for (const planned of planTrace(scenario)) {
+		const intendedAt = start + planned.at;
+		while (performance.now() < intendedAt) {
+			await sleep(Math.max(Math.floor(intendedAt - performance.now()), shortestSleep));
+		}
+
+		running.push(runOne(planned, scenario, intendedAt, recorder));
+	}
+
+	await Promise.all(running);
+	return recorder.result((scenario.duration - scenario.warmUp) / millisecondsPerSecond);
+}
