--- a/src/cli/admin-client.ts
+++ b/src/admin/client.ts
@@ -1,4 +1,4 @@
-/** Asks hosts on their operators' listener. */
+/** Asks hosts on their operators' listener; the command line and the console share it. */
 import {got, type Response} from 'got';
 import {type z} from 'zod';
 import {
@@ -16,7 +16,7 @@
 	type InForce,
 	type Status,
 } from '../protocol/admin.js';
-import {formatAddress} from './hosts.js';
+import {formatAddress} from '../protocol/address.js';
 
 /** Milliseconds for one answer. */
 const patience = 5000;
--- a/src/cli/commands/drain.ts
+++ b/src/cli/commands/drain.ts
@@ -11,9 +11,10 @@
 import {type Drain} from '../../protocol/admin.js';
 import {
 	askAll, fetchStatus, orderDrain,
-} from '../admin-client.js';
+} from '../../admin/client.js';
 import {addHostOptions} from '../fleet.js';
-import {formatAddress, readHosts, type HostSource} from '../hosts.js';
+import {formatAddress} from '../../protocol/address.js';
+import {readHosts, type HostSource} from '../hosts.js';
 import {type Registration} from '../registration.js';
 import {type Terminal} from '../terminal.js';
 
--- a/src/cli/commands/explain.ts
+++ b/src/cli/commands/explain.ts
@@ -3,7 +3,7 @@
 import {z} from 'zod';
 import {codes, raise, type Code} from '../../core/index.js';
 import {type LoggedDecision} from '../../protocol/admin.js';
-import {askAll, fetchDecisions} from '../admin-client.js';
+import {askAll, fetchDecisions} from '../../admin/client.js';
 import {decisionInWords} from '../decisions.js';
 import {addHostOptions, complainOfSilent} from '../fleet.js';
 import {readHosts, type HostSource} from '../hosts.js';
--- a/src/cli/commands/show.ts
+++ b/src/cli/commands/show.ts
@@ -2,8 +2,9 @@
 import {type Command} from 'commander';
 import {codes, type Code} from '../../core/index.js';
 import {type InForce} from '../../protocol/admin.js';
-import {askAll, fetchInForce, type Answer} from '../admin-client.js';
-import {formatAddress, readHosts, type HostSource} from '../hosts.js';
+import {askAll, fetchInForce, type Answer} from '../../admin/client.js';
+import {formatAddress} from '../../protocol/address.js';
+import {readHosts, type HostSource} from '../hosts.js';
 import {type Registration} from '../registration.js';
 import {addHostOptions, complainOfSilent, resultOf} from '../fleet.js';
 import {formatTable} from '../table.js';
--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -3,7 +3,7 @@
 import {type Code} from '../../core/index.js';
 import {type Status} from '../../protocol/admin.js';
 import {durationInWords, groupBy} from '../../protocol/configuration/index.js';
-import {askAll, fetchStatus} from '../admin-client.js';
+import {askAll, fetchStatus} from '../../admin/client.js';
 import {addHostOptions, complainOfSilent, resultOf} from '../fleet.js';
 import {readHosts, type HostSource} from '../hosts.js';
 import {type Registration} from '../registration.js';
--- a/src/cli/fleet.ts
+++ b/src/cli/fleet.ts
@@ -1,7 +1,7 @@
 /** What commands that ask many hosts share. */
 import {type Command} from 'commander';
 import {codes, type Code} from '../core/index.js';
-import {type Answer} from './admin-client.js';
+import {type Answer} from '../admin/client.js';
 import {settingsVariable} from './hosts.js';
 import {type Terminal} from './terminal.js';
 
--- a/src/cli/sending/call.ts
+++ b/src/cli/sending/call.ts
@@ -4,7 +4,7 @@
 	got, type Method, type PlainResponse, type Request,
 } from 'got';
 import {type Address} from '../../core/index.js';
-import {formatAddress} from '../hosts.js';
+import {formatAddress} from '../../protocol/address.js';
 
 /** What is sent. */
 export type Call = {
--- a/src/cli/sending/sender.ts
+++ b/src/cli/sending/sender.ts
@@ -2,7 +2,7 @@
 import {setTimeout} from 'node:timers/promises';
 import {codes, type Address} from '../../core/index.js';
 import {answerHeaders, callerHeaders} from '../../protocol/callers.js';
-import {formatAddress} from '../hosts.js';
+import {formatAddress} from '../../protocol/address.js';
 import {type Terminal} from '../terminal.js';
 import {
 	followStream,
