--- a/src/core/__tests__/network.ts
+++ b/src/core/__tests__/network.ts
@@ -57,6 +57,8 @@
 	readonly nodes = new Map<string, Node>();
 	readonly effects: Array<{readonly at: number; readonly host: string; readonly effect: Effect}> = [];
 	readonly sent: Array<{readonly at: number; readonly from: string; readonly message: PeerMessage}> = [];
+	/** Carries out what a core asks of the world outside. */
+	outside: (host: string, effect: Effect) => void;
 	readonly #links = new Map<string, number>();
 	readonly #queue: Delivery[] = [];
 	readonly #last = new Map<string, number>();
@@ -69,6 +71,7 @@
 		const generator = xoroshiro128plus(seed);
 		this.#random = (least, most) => uniformInt(generator, least, most);
 		this.#cut = () => false;
+		this.outside = () => undefined;
 	}
 
 	add(host: string, failureDomain: string, started = epoch + this.now): Member {
@@ -161,6 +164,11 @@
 		return holds();
 	}
 
+	/** Something happens to a host within the next few ticks; a paused host hears of it when it wakes. */
+	later(host: string, event: Event) {
+		this.#later(host, event);
+	}
+
 	#execute(node: Node, effect: Effect) {
 		const {host} = node.member.incarnation;
 		switch (effect.type) {
@@ -195,6 +203,7 @@
 			}
 
 			default: {
+				this.outside(host, effect);
 				break;
 			}
 		}
--- /dev/null
+++ b/src/core/features/placement/store.ts
@@ -0,0 +1,47 @@
+/**
+ * The weight store's rate, shared without shared state: wall-clock time is cut into slots of one load, slots go to failure
+ * domains in turn, and within a domain to its serving hosts in turn. A domain that is cut off keeps its own slots.
+ */
+import {type State} from '../../types/state.js';
+import {servingHosts} from '../membership/queries.js';
+
+const second = 1000;
+
+/** What was saved up to and is owned now. */
+export type Credit = {
+	readonly credit: number;
+	readonly slot: number;
+};
+
+function isOwn(state: State, domains: readonly string[], hosts: readonly string[], slot: number): boolean {
+	return domains[slot % domains.length] === state.self.failureDomain
+		&& hosts[Math.floor(slot / domains.length) % hosts.length] === state.self.incarnation.host;
+}
+
+/**
+ * @param state - Core state.
+ * @param wall - Wall-clock time in milliseconds since 1970.
+ * @returns Credit with the slots that have passed since; slots older than a second are lost.
+ */
+export function earnCredit(state: State, wall: number): Credit {
+	const {inForce} = state.configuration;
+	const {credit, slot} = state.placement;
+	const rate = inForce?.weightStore?.loadsPerSecond;
+	if (inForce === undefined || rate === undefined) {
+		return {credit: Number.POSITIVE_INFINITY, slot};
+	}
+
+	const domains = inForce.failureDomains.map(domain => domain.id).toSorted();
+	const hosts = servingHosts(state, state.self.failureDomain).map(member => member.incarnation.host);
+	const last = Math.floor(wall * rate / second);
+	const oldest = Math.floor(Math.max(0, wall - second) * rate / second);
+	let earned = 0;
+	for (let next = Math.max(slot, oldest) + 1; next <= last; next++) {
+		earned += isOwn(state, domains, hosts, next) ? 1 : 0;
+	}
+
+	// At most one load is saved up, or what one second gives; a debt is paid off first.
+	const most = Math.max(1, rate / domains.length / Math.max(1, hosts.length));
+	const held = Number.isFinite(credit) ? credit : 0;
+	return {credit: Math.min(most, held + earned), slot: Math.max(slot, last)};
+}
--- /dev/null
+++ b/src/core/features/stops/plan.ts
@@ -0,0 +1,65 @@
+/** The order of planned stops, a pure function of the document that every host computes alike. */
+import {type Configuration, type PlannedStop, type Upstream} from '../../types/configuration.js';
+
+/** Time in which one target stops, in milliseconds since 1970, the end excluded. */
+export type Window = {
+	readonly target: string;
+	readonly from: number;
+	readonly until: number;
+};
+
+/**
+ * @param configuration - Document in force.
+ * @param kind - Kind of target.
+ * @returns Its planned stops, the first to stop first.
+ */
+export function inOrder(configuration: Configuration, kind: PlannedStop['target']['kind']): readonly PlannedStop[] {
+	return configuration.plannedStops
+		.filter(stop => stop.target.kind === kind)
+		.toSorted((a, b) => a.notBefore - b.notBefore || (a.id < b.id ? -1 : 1));
+}
+
+/** Each stop takes the first lane that is free; there are as many lanes as may stop at a time. */
+function schedule(stops: readonly PlannedStop[], concurrent: number): readonly Window[] {
+	const lanes = Array.from({length: concurrent}, () => 0);
+	return stops.map(stop => {
+		const lane = lanes.indexOf(Math.min(...lanes));
+		const from = Math.max(stop.notBefore, lanes[lane]!);
+		lanes[lane] = from + stop.grace;
+		return {target: stop.target.id, from, until: from + stop.grace};
+	});
+}
+
+function groupOf(upstream: Upstream): string {
+	return `${upstream.service}/${upstream.failureDomain}`;
+}
+
+const plans = new WeakMap<Configuration, readonly Window[]>();
+
+/**
+ * Upstreams of one service and failure domain stop one after another, or as many at a time as the rule allows, each for its
+ * grace. Time alone decides, so that hosts agree without having seen the same reports.
+ *
+ * @param configuration - Document in force.
+ * @returns When each upstream stops.
+ */
+export function upstreamWindows(configuration: Configuration): readonly Window[] {
+	const known = plans.get(configuration);
+	if (known !== undefined) {
+		return known;
+	}
+
+	const upstreams = new Map(configuration.upstreams.map(upstream => [upstream.id, upstream]));
+	const groups = new Map<string, PlannedStop[]>();
+	for (const stop of inOrder(configuration, 'upstream')) {
+		const upstream = upstreams.get(stop.target.id);
+		if (upstream !== undefined) {
+			const key = groupOf(upstream);
+			groups.set(key, [...groups.get(key) ?? [], stop]);
+		}
+	}
+
+	const windows = [...groups.values()].flatMap(stops => schedule(stops, configuration.stopRule.concurrentUpstreams));
+	plans.set(configuration, windows);
+	return windows;
+}
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -5,8 +5,12 @@
 import {initialKeys} from './features/keys/types.js';
 import {membershipFeature} from './features/membership/feature.js';
 import {initialMembership} from './features/membership/types.js';
+import {placementFeature} from './features/placement/feature.js';
+import {initialPlacement} from './features/placement/types.js';
 import {requestsFeature} from './features/requests/feature.js';
 import {initialRequests} from './features/requests/types.js';
+import {stopsFeature} from './features/stops/feature.js';
+import {initialStops} from './features/stops/types.js';
 import {suspicionFeature} from './features/suspicion/feature.js';
 import {initialSuspicion} from './features/suspicion/types.js';
 import {ticketsFeature} from './features/tickets/feature.js';
@@ -32,6 +36,8 @@
 	keysFeature,
 	requestsFeature,
 	membershipFeature,
+	stopsFeature,
+	placementFeature,
 ];
 
 /**
@@ -44,7 +50,9 @@
 		configuration: initialConfiguration,
 		keys: initialKeys,
 		membership: initialMembership,
+		placement: initialPlacement,
 		requests: initialRequests,
+		stops: initialStops,
 		suspicion: initialSuspicion,
 		tickets: initialTickets,
 		upstreams: initialUpstreams,
--- a/src/core/types/state.ts
+++ b/src/core/types/state.ts
@@ -2,7 +2,9 @@
 import {type ConfigurationState} from '../features/configuration/types.js';
 import {type KeysState} from '../features/keys/types.js';
 import {type MembershipState} from '../features/membership/types.js';
+import {type PlacementState} from '../features/placement/types.js';
 import {type RequestsState} from '../features/requests/types.js';
+import {type StopsState} from '../features/stops/types.js';
 import {type SuspicionState} from '../features/suspicion/types.js';
 import {type TicketsState} from '../features/tickets/types.js';
 import {type UpstreamsState} from '../features/upstreams/types.js';
@@ -16,7 +18,9 @@
 	readonly configuration: ConfigurationState;
 	readonly keys: KeysState;
 	readonly membership: MembershipState;
+	readonly placement: PlacementState;
 	readonly requests: RequestsState;
+	readonly stops: StopsState;
 	readonly suspicion: SuspicionState;
 	readonly tickets: TicketsState;
 	readonly upstreams: UpstreamsState;
