Heartbeats carry suspicions; the first document waits for the first host list

Cause: suspicions were never told to peers. A restarted host could read a stale document before it knew any peer, and would then have served it. Eight suspicions go with each heartbeat, in turn, so that its size stays bounded. The daemon reads the host list first, for at most 3 s.

--- a/src/core/features/membership/commands/beat.ts
+++ b/src/core/features/membership/commands/beat.ts
@@ -2,7 +2,7 @@
 import {Map as Table} from 'immutable';
 import {type Effect} from '../../../types/effect.js';
 import {type Load} from '../../../types/peer.js';
-import {type State, type Step} from '../../../types/state.js';
+import {type Context, type State, type Step} from '../../../types/state.js';
 import {only} from '../../../utils/common.js';
 import {
 	beatInterval,
@@ -27,7 +27,8 @@
 	return whole ? Table(entries) : before.merge(Table(entries)).filter(load => load.requests > 0);
 }
 
-function send(state: State, now: number, isUrgent: boolean): Step {
+function send(state: State, context: Context, isUrgent: boolean): Step {
+	const {now} = context;
 	const linked = [...state.membership.peers.values()].filter(peer => peer.connected);
 	const sequence = state.membership.sequence + 1;
 	const whole = sequence % wholeBeats === 0;
@@ -41,8 +42,8 @@
 		announced: announce(state.membership.announced, told, whole),
 		told: state.membership.told.merge(relayed.map(peer => [peer.member.incarnation.host, peer.sequence])),
 	});
-	const near = composeHeartbeat(next, now, {loads: told, whole, relayed});
-	const far = composeHeartbeat(next, now, {whole: true, relayed: relayedFar(next, now)});
+	const near = composeHeartbeat(next, context, {loads: told, whole, relayed});
+	const far = composeHeartbeat(next, context, {whole: true, relayed: relayedFar(next, now)});
 	const isFarTurn = isUrgent || sequence % farBeats === 0;
 	const effects: Effect[] = [];
 	for (const peer of linked) {
@@ -58,20 +59,20 @@
 
 /**
  * @param state - Core state.
- * @param now - Monotonic time in milliseconds.
+ * @param context - Time.
  * @returns The next step; without change between two heartbeats.
  */
-export function beat(state: State, now: number): Step {
-	return now < state.membership.nextBeat ? only(state) : send(state, now, false);
+export function beat(state: State, context: Context): Step {
+	return context.now < state.membership.nextBeat ? only(state) : send(state, context, false);
 }
 
 /**
  * @param state - Core state.
- * @param now - Monotonic time in milliseconds.
+ * @param context - Time.
  * @returns A step that sends a heartbeat to every link at once.
  */
-export function beatNow(state: State, now: number): Step {
-	return send(state, now, true);
+export function beatNow(state: State, context: Context): Step {
+	return send(state, context, true);
 }
 
 /**
@@ -79,10 +80,10 @@
  *
  * @param state - Core state.
  * @param host - Peer that was linked.
- * @param now - Monotonic time in milliseconds.
+ * @param context - Time.
  * @returns The next step.
  */
-export function beatFirst(state: State, host: string, now: number): Step {
+export function beatFirst(state: State, host: string, context: Context): Step {
 	const {peers, announced} = state.membership;
 	const peer = peers.get(host);
 	if (peer === undefined) {
@@ -94,6 +95,6 @@
 		.filter(each => each.status !== 'gone')
 		.slice(0, membersAtStart)
 		.map(each => each.member);
-	const message = {...composeHeartbeat(state, now, {loads, whole: true, relayed: []}), members};
+	const message = {...composeHeartbeat(state, context, {loads, whole: true, relayed: []}), members};
 	return {state, effects: [{type: 'peer-send', to: host, message}]};
 }
--- a/src/core/features/membership/commands/phase.ts
+++ b/src/core/features/membership/commands/phase.ts
@@ -1,5 +1,5 @@
 /** The phase of this host: starting, serving, leaving. */
-import {type State, type Step} from '../../../types/state.js';
+import {type Context, type State, type Step} from '../../../types/state.js';
 import {chain, only} from '../../../utils/common.js';
 import {revision} from '../../configuration/queries.js';
 import {isIdle} from '../../requests/queries.js';
@@ -31,18 +31,18 @@
  * Serves once a document is in force and the peers have been asked.
  *
  * @param state - Core state.
- * @param now - Monotonic time in milliseconds.
+ * @param context - Time.
  * @returns The next step.
  */
-export function serveWhenReady(state: State, now: number): Step {
-	if (state.membership.phase !== 'starting' || revision(state) === 0 || !isAnswered(state, now)) {
+export function serveWhenReady(state: State, context: Context): Step {
+	if (state.membership.phase !== 'starting' || revision(state) === 0 || !isAnswered(state, context.now)) {
 		return only(state);
 	}
 
 	return chain(
 		update(state, {phase: 'serving'}),
 		current => ({state: current, effects: [{type: 'ready', ready: true}]}),
-		current => beatNow(current, now),
+		current => beatNow(current, context),
 	);
 }
 
@@ -51,10 +51,11 @@
  *
  * @param state - Core state.
  * @param grace - Time for running requests in milliseconds.
- * @param now - Monotonic time in milliseconds.
+ * @param context - Time.
  * @returns The next step.
  */
-export function leave(state: State, grace: number, now: number): Step {
+export function leave(state: State, grace: number, context: Context): Step {
+	const {now} = context;
 	if (state.membership.phase === 'leaving') {
 		return only(state);
 	}
@@ -68,7 +69,7 @@
 				memberLog(state.self.incarnation.host, 'leaving', `running requests get ${grace} ms`),
 			],
 		}),
-		current => beatNow(current, now),
+		current => beatNow(current, context),
 	);
 }
 
--- a/src/core/features/membership/commands/sweep.ts
+++ b/src/core/features/membership/commands/sweep.ts
@@ -40,7 +40,7 @@
 
 	if (silence > allowed + goneSilence) {
 		// The platform's list keeps a host that nobody has heard of known, so that it is still dialled.
-		return peer.status === 'known' && state.membership.listed.has(peer.member.incarnation.host) ? 'known' : 'gone';
+		return peer.status === 'known' && state.membership.listed?.has(peer.member.incarnation.host) === true ? 'known' : 'gone';
 	}
 
 	return peer.status === 'known' ? 'known' : 'suspect';
@@ -49,7 +49,7 @@
 function look(state: State, peer: Peer, now: number): Step {
 	const {host} = peer.member.incarnation;
 	const kept = peer.phase === 'leaving' ? leftSilence : forgetSilence;
-	if (now - peer.heard > kept && !state.membership.listed.has(host)) {
+	if (now - peer.heard > kept && state.membership.listed?.has(host) !== true) {
 		return only(dropPeer(state, host));
 	}
 
--- a/src/core/features/membership/constants.ts
+++ b/src/core/features/membership/constants.ts
@@ -44,6 +44,7 @@
 export const relayedLoadsTold = 3;
 export const relayedTold = 6;
 export const urgentTold = 8;
+export const suspicionsTold = 8;
 export const membersTold = 4;
 export const membersAtStart = 64;
 export const digestLength = 16;
--- a/src/core/features/membership/feature.ts
+++ b/src/core/features/membership/feature.ts
@@ -20,11 +20,11 @@
 }
 
 /** The hello that follows a link belongs to the incarnation at its other end; one without a link only names a host. */
-function attach(state: State, host: string, now: number): Step {
+function attach(state: State, host: string, context: Context): Step {
 	const peer = state.membership.peers.get(host);
 	return peer === undefined || !state.membership.linked.has(host)
 		? only(state)
-		: beatFirst(putPeer(state, {...peer, connected: true, isWhole: false}), host, now);
+		: beatFirst(putPeer(state, {...peer, connected: true, isWhole: false}), host, context);
 }
 
 /** A link that broke makes the peer suspect at once; links that this host gave up are no longer among the linked. */
@@ -67,7 +67,7 @@
 		: only(state);
 }
 
-function greet(state: State, event: EventOf<'peer-message'>, now: number): Step {
+function greet(state: State, event: EventOf<'peer-message'>, context: Context): Step {
 	const {message, from} = event;
 	if (message.type !== 'hello') {
 		return only(state);
@@ -75,20 +75,20 @@
 
 	return chain(
 		state,
-		current => hearHello(current, message, now),
+		current => hearHello(current, message, context.now),
 		current => resolveSeed(current, message.member.peerAddress),
-		current => attach(current, from, now),
+		current => attach(current, from, context),
 	);
 }
 
-function hear(state: State, event: EventOf<'peer-message'>, now: number): Step {
+function hear(state: State, event: EventOf<'peer-message'>, context: Context): Step {
 	switch (event.message.type) {
 		case 'hello': {
-			return greet(state, event, now);
+			return greet(state, event, context);
 		}
 
 		case 'heartbeat': {
-			return hearHeartbeat(state, event.from, event.message, now);
+			return hearHeartbeat(state, event.from, event.message, context.now);
 		}
 
 		default: {
@@ -103,22 +103,24 @@
 	return only(update(state, {peers}));
 }
 
-function tick(state: State, now: number): Step {
+function tick(state: State, context: Context): Step {
+	const {now} = context;
 	return chain(
 		begin(state, now),
 		current => sweep(current, now),
-		current => serveWhenReady(current, now),
-		current => beat(current, now),
+		current => serveWhenReady(current, context),
+		current => beat(current, context),
 		current => stopWhenIdle(current, now),
 	);
 }
 
 export const membershipFeature: Feature = {
 	name: 'membership',
-	handle(state, event, {now}: Context) {
+	handle(state, event, context) {
+		const {now} = context;
 		switch (event.type) {
 			case 'tick': {
-				return tick(state, now);
+				return tick(state, context);
 			}
 
 			case 'hosts-listed': {
@@ -138,15 +140,15 @@
 			}
 
 			case 'peer-message': {
-				return hear(state, event, now);
+				return hear(state, event, context);
 			}
 
 			case 'configuration-adopted': {
-				return chain(begin(state, now), current => serveWhenReady(current, now), current => beatNow(current, now));
+				return chain(begin(state, now), current => serveWhenReady(current, context), current => beatNow(current, context));
 			}
 
 			case 'stop-asked': {
-				return leave(state, event.grace, now);
+				return leave(state, event.grace, context);
 			}
 
 			case 'woken': {
--- a/src/core/features/membership/heartbeat.ts
+++ b/src/core/features/membership/heartbeat.ts
@@ -2,9 +2,10 @@
 import {
 	type Digest, type Load, type Member, type PeerMessage,
 } from '../../types/peer.js';
-import {type State} from '../../types/state.js';
+import {type Context, type State} from '../../types/state.js';
 import {hashText, mix} from '../../utils/hashes.js';
 import {revision} from '../configuration/queries.js';
+import {publishedSuspicions} from '../suspicion/queries.js';
 import {
 	digestLength,
 	loadsTold,
@@ -13,6 +14,7 @@
 	newsTime,
 	relayedLoadsTold,
 	relayedTold,
+	suspicionsTold,
 	urgentTold,
 	wholeLoadsTold,
 } from './constants.js';
@@ -152,23 +154,24 @@
 
 /**
  * @param state - Core state, with the heartbeat's own sequence number.
- * @param now - Monotonic time in milliseconds.
+ * @param context - Time.
  * @param contents - What else it carries.
  * @returns The heartbeat.
  */
-export function composeHeartbeat(state: State, now: number, contents: Contents): Heartbeat {
+export function composeHeartbeat(state: State, context: Context, contents: Contents): Heartbeat {
 	const {loads, whole, relayed} = contents;
+	const {sequence} = state.membership;
 	return {
 		type: 'heartbeat',
-		sequence: state.membership.sequence,
+		sequence,
 		phase: state.membership.phase,
 		revision: revision(state),
 		digest: state.configuration.digest.slice(0, digestLength),
 		whole,
 		loads: loads ?? [],
 		demands: [],
-		suspicions: [],
-		members: news(state, now),
+		suspicions: turn(publishedSuspicions(state, context), sequence, suspicionsTold),
+		members: news(state, context.now),
 		relayed: relayed.map(peer => digestOf(peer, loads === undefined)),
 	};
 }
--- a/src/core/features/membership/types.ts
+++ b/src/core/features/membership/types.ts
@@ -50,8 +50,8 @@
 	readonly asked: Group<string>;
 	/** Hosts that have a link to this one. */
 	readonly linked: Group<string>;
-	/** Hosts on the platform's last list. */
-	readonly listed: Group<string>;
+	/** Hosts on the platform's last list; absent before the first. */
+	readonly listed?: Group<string>;
 	/** Seed addresses that no host has answered at yet, as `host:port`. */
 	readonly seeds: Group<string>;
 	/** Of the last heartbeat sent. */
@@ -72,7 +72,6 @@
 	newest: Table(),
 	asked: Group(),
 	linked: Group(),
-	listed: Group(),
 	seeds: Group(),
 	sequence: 0,
 	nextBeat: 0,
--- a/src/entry/watch/configuration.ts
+++ b/src/entry/watch/configuration.ts
@@ -8,6 +8,10 @@
 const failurePause = 500;
 const answerPause = 20;
 
+/** Longest time for which the first document waits for the first host list, and time between looks, in milliseconds. */
+const listWait = 3000;
+const listPause = 20;
+
 /** Shortest time between two readings that brought nothing new, in milliseconds. */
 const repeatPause = 500;
 
@@ -58,7 +62,14 @@
 	state: () => State,
 	dispatch: (event: Event) => void,
 ): Loop {
+	let waited = 0;
 	return new Loop(async signal => {
+		// Peers must be known before the first document comes, so that they are asked for a newer one.
+		if (state().membership.listed === undefined && waited < listWait) {
+			waited += listPause;
+			return listPause;
+		}
+
 		const above = state().configuration.inForce?.revision ?? 0;
 		try {
 			const text = await platform.watchConfiguration(above, wait, signal);
