Work model, cost routing, admission, fair queues, limits, retries and circuits

Cause: the thin path sent everything at once to the less loaded of two upstreams, so short prompts waited behind long ones and nothing was refused that could not finish. Now: cost in tokens with learnt speeds and answer lengths; engines split between lengths by demand, all hosts alike; prefix index; per-lane start-time fair queueing with ageing; early refusal; limits shared by published demand; retry budget; circuit per upstream; spill to other failure domains. Conclusion: replaces the thin path.

--- /dev/null
+++ b/src/core/features/circuits/feature.ts
@@ -0,0 +1,28 @@
+/** A circuit for each upstream. */
+import {type Feature} from '../../types/state.js';
+import {only} from '../../utils/common.js';
+import {close, countFailure, isUpstreamFailure} from './commands.js';
+
+export const circuitsFeature: Feature = {
+	name: 'circuits',
+	handle(state, event, {now}) {
+		switch (event.type) {
+			case 'attempt-over': {
+				const {attempt, ending} = event;
+				if (isUpstreamFailure(ending)) {
+					return only(countFailure(state, attempt.upstream, now));
+				}
+
+				return only(ending.type === 'done' ? close(state, attempt.upstream) : state);
+			}
+
+			case 'upstream-restarted': {
+				return only(close(state, event.upstream));
+			}
+
+			default: {
+				return only(state);
+			}
+		}
+	},
+};
--- /dev/null
+++ b/src/core/features/circuits/queries.ts
@@ -0,0 +1,19 @@
+/** Reads circuits. */
+import {type State} from '../../types/state.js';
+import {view} from '../upstreams/queries.js';
+import {failuresToOpen} from './types.js';
+
+/**
+ * @param state - Core state.
+ * @param upstream - Upstream.
+ * @param now - Time in milliseconds.
+ * @returns Whether an attempt may be sent: always while closed, never while open, one at a time after that.
+ */
+export function isClosed(state: State, upstream: string, now: number): boolean {
+	const circuit = state.circuits.circuits.get(upstream);
+	if (circuit === undefined || circuit.failures < failuresToOpen) {
+		return true;
+	}
+
+	return now >= circuit.openUntil && view(state, upstream).requests === 0;
+}
--- /dev/null
+++ b/src/core/features/limits/commands.ts
@@ -0,0 +1,67 @@
+/** Keeps the accounts of organisations that have limits. */
+import {type Request} from '../../types/request.js';
+import {type State} from '../../types/state.js';
+import {trim} from '../../utils/bounded.js';
+import {increase} from '../../utils/rates.js';
+import {organisation} from '../configuration/queries.js';
+import {expectedOutput} from '../work/queries.js';
+import {pay, share} from './queries.js';
+import {demandSpan, noAccount, type Account} from './types.js';
+
+const mostAccounts = 8192;
+
+function put(state: State, id: string, account: Account): State {
+	const accounts = trim(state.limits.accounts.set(id, account), mostAccounts, each => each.requests.at);
+	return {...state, limits: {accounts}};
+}
+
+function hasLimits(state: State, id: string): boolean {
+	const limits = organisation(state, id)?.limits ?? {};
+	return Object.values(limits).some(each => each !== undefined);
+}
+
+function tokensOf(state: State, request: Request): number {
+	return request.promptTokens + expectedOutput(state, request);
+}
+
+/**
+ * Counts demand, whether or not the request is admitted later.
+ *
+ * @param state - Core state.
+ * @param request - Request that arrived.
+ * @param now - Time in milliseconds.
+ * @returns The next state.
+ */
+export function countDemand(state: State, request: Request, now: number): State {
+	if (!hasLimits(state, request.organisation)) {
+		return state;
+	}
+
+	const account = state.limits.accounts.get(request.organisation) ?? {...noAccount, at: now};
+	return put(state, request.organisation, {
+		...account,
+		requests: increase(account.requests, 1, now, demandSpan),
+		tokens: increase(account.tokens, tokensOf(state, request), now, demandSpan),
+	});
+}
+
+/**
+ * @param state - Core state.
+ * @param request - Request that was admitted.
+ * @param now - Time in milliseconds.
+ * @returns The next state.
+ */
+export function charge(state: State, request: Request, now: number): State {
+	const account = state.limits.accounts.get(request.organisation);
+	const limits = organisation(state, request.organisation)?.limits;
+	if (account === undefined || limits === undefined) {
+		return state;
+	}
+
+	const paid = pay(account, limits, share(state, request.organisation, now), now);
+	return put(state, request.organisation, {
+		...paid,
+		requestDebt: paid.requestDebt + 1,
+		tokenDebt: paid.tokenDebt + tokensOf(state, request),
+	});
+}
--- /dev/null
+++ b/src/core/features/limits/feature.ts
@@ -0,0 +1,23 @@
+/** Limits of organisations, shared between hosts by published demand alone. */
+import {type Feature} from '../../types/state.js';
+import {only} from '../../utils/common.js';
+import {charge, countDemand} from './commands.js';
+
+export const limitsFeature: Feature = {
+	name: 'limits',
+	handle(state, event, {now}) {
+		switch (event.type) {
+			case 'request-cleared': {
+				return only(countDemand(state, event.request, now));
+			}
+
+			case 'request-admitted': {
+				return only(charge(state, event.request, now));
+			}
+
+			default: {
+				return only(state);
+			}
+		}
+	},
+};
--- /dev/null
+++ b/src/core/features/prefixes/feature.ts
@@ -0,0 +1,38 @@
+/** Prefix index: learns from this host's own sends and from what engines publish of their caches. */
+import {type EventOf} from '../../types/event.js';
+import {type Feature, type State} from '../../types/state.js';
+import {only} from '../../utils/common.js';
+import {apply, clear, remember} from './commands.js';
+
+function applyAll(state: State, {upstream, changes}: EventOf<'cache-changed'>): State {
+	let next = state;
+	for (const each of changes) {
+		next = apply(next, upstream, each);
+	}
+
+	return next;
+}
+
+export const prefixesFeature: Feature = {
+	name: 'prefixes',
+	handle(state, event) {
+		switch (event.type) {
+			case 'attempt-began': {
+				const {request, attempt} = event;
+				return only(attempt.parts === undefined ? remember(state, request, attempt.upstream) : state);
+			}
+
+			case 'cache-changed': {
+				return only(applyAll(state, event));
+			}
+
+			case 'upstream-restarted': {
+				return only(clear(state, event.upstream));
+			}
+
+			default: {
+				return only(state);
+			}
+		}
+	},
+};
--- /dev/null
+++ b/src/core/features/prefixes/queries.ts
@@ -0,0 +1,35 @@
+/** Reads the prefix index. */
+import {type Request} from '../../types/request.js';
+import {type State} from '../../types/state.js';
+import {depths, type Holder} from './types.js';
+
+/**
+ * @param state - Core state.
+ * @param block - Hash of a block.
+ * @returns Upstreams believed to hold it.
+ */
+export function holders(state: State, block: string): readonly Holder[] {
+	const {young, old, epochs} = state.prefixes;
+	const known = young.get(block) ?? old.get(block) ?? [];
+	return known.filter(each => each.epoch === (epochs.get(each.upstream) ?? 0));
+}
+
+/**
+ * @param state - Core state.
+ * @param request - Request.
+ * @returns Prompt tokens that upstreams are believed to hold, by upstream; those with none are absent.
+ */
+export function cachedTokens(state: State, request: Request): ReadonlyMap<string, number> {
+	const found = new Map<string, number>();
+	const {blocks, promptTokens} = request;
+	const perBlock = promptTokens / Math.max(blocks.length, 1);
+	for (const index of depths(blocks.length).toReversed()) {
+		for (const holder of holders(state, blocks[index]!)) {
+			if (!found.has(holder.upstream)) {
+				found.set(holder.upstream, Math.floor((index + 1) * perBlock));
+			}
+		}
+	}
+
+	return found;
+}
--- /dev/null
+++ b/src/core/features/requests/commands/attempts.ts
@@ -0,0 +1,273 @@
+/** Sends requests to upstreams and takes what comes back. */
+import {codes, type CodeName} from '../../../errors.js';
+import {type EventOf} from '../../../types/event.js';
+import {type Segment} from '../../../types/effect.js';
+import {
+	type Attempt, type Ending, type LengthClass, type Outcome, type Request,
+} from '../../../types/request.js';
+import {type Context, type State, type Step} from '../../../types/state.js';
+import {chain, only} from '../../../utils/common.js';
+import {service, upstream as configured} from '../../configuration/queries.js';
+import {mayRetry} from '../../retries/queries.js';
+import {classOf} from '../../routing/segments.js';
+import {type Choice} from '../../routing/types.js';
+import {isConvicted} from '../../suspicion/queries.js';
+import {dispatchRefusal} from '../../tickets/queries.js';
+import {view} from '../../upstreams/queries.js';
+import {estimate} from '../../work/queries.js';
+import {admissionOf} from '../queries.js';
+import {type Admission} from '../types.js';
+import {conclude, outcomeOf, put} from './conclude.js';
+import {enqueue, remove, take} from './lanes.js';
+
+function lengthOf(state: State, request: Request): LengthClass {
+	return classOf(service(state, request.service), request.promptTokens);
+}
+
+const lengthRank: Readonly<Record<LengthClass, number>> = {short: 0, middle: 1, long: 2};
+
+/** Levels that organisations' priorities take up. */
+const priorityLevels = 10;
+
+/**
+ * At the upstream a shorter prompt goes first, whoever sends it; organisations' priorities order prompts of one length.
+ * The baselines leave lengths alone.
+ */
+function enginePriority(state: State, request: Request, attempt: Attempt): number {
+	if (service(state, request.service)?.policy !== 'cost') {
+		return request.priority;
+	}
+
+	return (lengthRank[attempt.length] * priorityLevels) + request.priority;
+}
+
+function attemptFor(state: State, admission: Admission, choice: Choice, segments: readonly Segment[] | undefined, now: number): Attempt {
+	const {request} = admission;
+	return {
+		id: `${request.id}.${admission.attempts + 1}`,
+		request: request.id,
+		upstream: choice.upstream.id,
+		began: now,
+		upstreamIncarnation: view(state, choice.upstream.id).report?.incarnation,
+		...estimate(state, request, choice.cached),
+		ahead: choice.ahead,
+		length: lengthOf(state, request),
+		parts: segments?.map(each => ({upstream: each.upstream, prefill: each.to - each.from})),
+		written: false,
+		received: 0,
+	};
+}
+
+/**
+ * @param state - Core state.
+ * @param request - Request about to be admitted or sent.
+ * @param context - Time.
+ * @returns Why it must not run, if so.
+ */
+export function refusalToSend(state: State, request: Request, context: Context): CodeName | undefined {
+	return isConvicted(state, request.fingerprint, context)
+		? 'convicted'
+		: dispatchRefusal(state, request, context);
+}
+
+/**
+ * @param state - Core state.
+ * @param admission - Request to send; taken from its lane if it waits in one.
+ * @param choice - Upstream.
+ * @param context - Time.
+ * @param segments - Parts of the prompt, where several engines hold it.
+ * @returns The next state and the effects.
+ */
+export function send(state: State, admission: Admission, choice: Choice, context: Context, segments?: readonly Segment[]): Step {
+	const {request} = admission;
+	const refusal = refusalToSend(state, request, context);
+	if (refusal !== undefined) {
+		return conclude(state, admission, admission.last ?? {type: 'not-run', code: codes[refusal]});
+	}
+
+	const attempt = attemptFor(state, admission, choice, segments, context.now);
+	const taken = admission.progress.type === 'queued' ? take(state, admission) : state;
+	const next = put(taken, {
+		...admission, attempts: admission.attempts + 1, progress: {type: 'running', attempt}, due: request.deadline,
+	});
+	return {
+		state: {...next, requests: {...next.requests, attempts: next.requests.attempts.set(attempt.id, request.id)}},
+		effects: [
+			{
+				type: 'log',
+				decision: {
+					type: 'routed',
+					request: request.id,
+					organisation: request.organisation,
+					service: request.service,
+					attempt: attempt.id,
+					upstream: choice.upstream.id,
+					candidates: choice.candidates,
+					reason: choice.reason,
+				},
+			},
+			{
+				type: 'send',
+				attempt: attempt.id,
+				request: request.id,
+				upstream: choice.upstream.id,
+				address: choice.upstream.address,
+				priority: enginePriority(state, request, attempt),
+				deadline: request.deadline,
+				segments,
+			},
+			{type: 'raise', event: {type: 'attempt-began', request, attempt}},
+			{type: 'raise', event: {type: 'dispatch-wanted', service: request.service}},
+		],
+	};
+}
+
+function endAttempt(state: State, admission: Admission, attempt: Attempt, ending: Ending): Step {
+	return {
+		state: {...state, requests: {...state.requests, attempts: state.requests.attempts.delete(attempt.id)}},
+		effects: [{
+			type: 'raise', event: {
+				type: 'attempt-over', request: admission.request, attempt, ending,
+			},
+		}],
+	};
+}
+
+function retry(state: State, admission: Admission, attempt: Attempt, ending: Ending): Step {
+	const {request} = admission;
+	const ran = ending.type !== 'not-run';
+	const next: Admission = {
+		...admission,
+		progress: {type: 'queued', since: attempt.began},
+		avoided: [...admission.avoided, attempt.upstream],
+		last: ran ? outcomeOf(ending) : admission.last,
+	};
+	return {
+		state: enqueue(put(state, next), next, true),
+		effects: [
+			{
+				type: 'log', decision: {
+					type: 'retried', request: request.id, attempt: attempt.id, reason: `${ending.type} at ${attempt.upstream}`,
+				},
+			},
+			{
+				type: 'count', name: 'retried', value: 1, tags: {service: request.service},
+			},
+			{type: 'raise', event: {type: 'request-retried', request}},
+			{type: 'raise', event: {type: 'dispatch-wanted', service: request.service}},
+		],
+	};
+}
+
+/** An earlier attempt that may have run outweighs a later one that did not. */
+function finalOutcome(admission: Admission, ending: Ending): Outcome {
+	const outcome = outcomeOf(ending);
+	return outcome.type === 'not-run' && admission.last !== undefined ? admission.last : outcome;
+}
+
+/**
+ * @param state - Core state.
+ * @param id - Attempt.
+ * @param ending - How it ended.
+ * @param now - Time in milliseconds.
+ * @returns The next state: another attempt, or the final answer.
+ */
+export function end(state: State, id: string, ending: Ending, now: number): Step {
+	const admission = admissionOf(state, id);
+	if (admission?.progress.type !== 'running') {
+		return only(state);
+	}
+
+	const {attempt} = admission.progress;
+	const isAgain = mayRetry(state, admission.request, attempt, ending, admission.attempts, now);
+	return chain(
+		state,
+		current => endAttempt(current, admission, attempt, ending),
+		current => isAgain
+			? retry(current, admission, attempt, ending)
+			: conclude(current, admission, finalOutcome(admission, ending)),
+	);
+}
+
+/**
+ * @param state - Core state.
+ * @param event - Tokens that came.
+ * @param now - Time in milliseconds.
+ * @returns The next state.
+ */
+export function progress(state: State, event: EventOf<'attempt-progressed'>, now: number): Step {
+	const admission = admissionOf(state, event.attempt);
+	if (admission?.progress.type !== 'running') {
+		return only(state);
+	}
+
+	const {attempt} = admission.progress;
+	const next: Attempt = {
+		...attempt, written: true, firstFrame: attempt.firstFrame ?? now, received: attempt.received + event.tokens,
+	};
+	const changed = put(state, {...admission, progress: {type: 'running', attempt: next}});
+	return attempt.firstFrame === undefined
+		? {state: changed, effects: [{type: 'raise', event: {type: 'dispatch-wanted', service: admission.request.service}}]}
+		: only(changed);
+}
+
+/**
+ * @param state - Core state.
+ * @param id - Attempt of which a byte was sent.
+ * @returns The next state.
+ */
+export function markWritten(state: State, id: string): State {
+	const admission = admissionOf(state, id);
+	return admission?.progress.type === 'running'
+		? put(state, {...admission, progress: {type: 'running', attempt: {...admission.progress.attempt, written: true}}})
+		: state;
+}
+
+/**
+ * Stops a request wherever it is. One that waits has not run. One that was sent may have, even if no byte is known to
+ * have left; it is cancelled at its upstream.
+ *
+ * @param state - Core state.
+ * @param admission - Request.
+ * @param ifRunning - What the caller is told if it may have run.
+ * @param ifWaiting - What the caller is told if it has not.
+ * @returns The next state, the cancellation and the final answer.
+ */
+export function stop(state: State, admission: Admission, ifRunning: Outcome, ifWaiting: Outcome): Step {
+	if (admission.progress.type !== 'running') {
+		return conclude(state, admission, admission.last ?? ifWaiting);
+	}
+
+	const {attempt} = admission.progress;
+	const target = configured(state, attempt.upstream);
+	return chain(
+		state,
+		current => ({
+			state: current,
+			effects: target === undefined
+				? []
+				: [{
+					type: 'cancel', attempt: attempt.id, upstream: attempt.upstream, address: target.address,
+				}],
+		}),
+		current => endAttempt(current, admission, attempt, {type: 'cancelled'}),
+		current => conclude(current, admission, ifRunning),
+	);
+}
+
+/**
+ * @param state - Core state.
+ * @param admission - Request that leaves its lane without being sent.
+ * @param progress - What becomes of it.
+ * @returns The next state.
+ */
+export function leaveLane(state: State, admission: Admission, progress: Admission['progress']): State {
+	return put(remove(state, admission), {...admission, progress});
+}
+
+/** @returns What a caller is told whose request's time is over while it ran. */
+export function lateOutcome(admission: Admission): Outcome {
+	return admission.request.proof.type === 'idempotent'
+		? {type: 'failed', code: codes.deadlinePassed}
+		: {type: 'unknown', code: codes.outcomeUnknown, detail: 'The time was over while it ran.'};
+}
--- /dev/null
+++ b/src/core/features/requests/commands/conclude.ts
@@ -0,0 +1,134 @@
+/** Keeps admissions and gives the final answer. */
+import {codes} from '../../../errors.js';
+import {type Ending, type Outcome, type Request} from '../../../types/request.js';
+import {type State, type Step} from '../../../types/state.js';
+import {assertNever} from '../../../utils/common.js';
+import {runningOf} from '../queries.js';
+import {type Admission} from '../types.js';
+import {remove} from './lanes.js';
+
+/** Told to callers when nothing better is known, in milliseconds. */
+export const usualRetryAfter = 1000;
+
+/**
+ * @param state - Core state.
+ * @param admission - Admission, new or changed.
+ * @returns The next state.
+ */
+export function put(state: State, admission: Admission): State {
+	const {request, due} = admission;
+	const {requests} = state;
+	const isNew = !requests.admissions.has(request.id);
+	return {
+		...state,
+		requests: {
+			...requests,
+			admissions: requests.admissions.set(request.id, admission),
+			organisations: isNew
+				? requests.organisations.set(request.organisation, runningOf(state, request.organisation) + 1)
+				: requests.organisations,
+			nextDue: Math.min(requests.nextDue, due),
+		},
+	};
+}
+
+function discard(state: State, admission: Admission): State {
+	const {request} = admission;
+	const left = runningOf(state, request.organisation) - 1;
+	const {requests} = state;
+	return {
+		...state,
+		requests: {
+			...requests,
+			admissions: requests.admissions.delete(request.id),
+			organisations: left > 0
+				? requests.organisations.set(request.organisation, left)
+				: requests.organisations.delete(request.organisation),
+		},
+	};
+}
+
+/**
+ * @param ending - How the last attempt ended.
+ * @returns What the caller is told.
+ */
+export function outcomeOf(ending: Ending): Outcome {
+	switch (ending.type) {
+		case 'done': {
+			return {type: 'done'};
+		}
+
+		case 'failed': {
+			return {type: 'failed', code: ending.code, detail: ending.detail};
+		}
+
+		case 'not-run': {
+			return {
+				type: 'not-run', code: ending.code, detail: ending.detail, retryAfter: usualRetryAfter,
+			};
+		}
+
+		case 'unknown': {
+			return {type: 'unknown', code: ending.code, detail: ending.detail};
+		}
+
+		case 'cancelled': {
+			return {type: 'failed', code: codes.callerGone};
+		}
+
+		default: {
+			return assertNever(ending);
+		}
+	}
+}
+
+function answered(request: Request, outcome: Outcome): Step['effects'] {
+	return [
+		{type: 'answer', request: request.id, outcome},
+		{type: 'raise', event: {type: 'request-concluded', request, outcome}},
+	];
+}
+
+/**
+ * @param state - Core state.
+ * @param admission - Request that is over.
+ * @param outcome - What its caller is told.
+ * @returns The next state and the answer.
+ */
+export function conclude(state: State, admission: Admission, outcome: Outcome): Step {
+	const {request} = admission;
+	const taken = admission.progress.type === 'queued' ? remove(state, admission) : state;
+	return {
+		state: discard(taken, admission),
+		effects: [
+			{type: 'log', decision: {type: 'concluded', request: request.id, outcome}},
+			...answered(request, outcome),
+			{type: 'raise', event: {type: 'dispatch-wanted', service: request.service}},
+		],
+	};
+}
+
+/**
+ * @param state - Core state.
+ * @param request - Request that is not admitted.
+ * @param outcome - Why, and when to try again.
+ * @param reason - The same for the log.
+ * @returns The answer.
+ */
+export function refuse(state: State, request: Request, outcome: Extract<Outcome, {readonly type: 'not-run'}>, reason: string): Step {
+	const {organisation, service} = request;
+	return {
+		state,
+		effects: [
+			{
+				type: 'log', decision: {
+					type: 'refused', request: request.id, organisation, service, code: outcome.code, reason,
+				},
+			},
+			{
+				type: 'count', name: 'refused', value: 1, tags: {service, code: String(outcome.code)},
+			},
+			...answered(request, outcome),
+		],
+	};
+}
--- /dev/null
+++ b/src/core/features/requests/commands/spill.ts
@@ -0,0 +1,74 @@
+/** Sends requests to upstreams of other failure domains when the own ones are full or gone. */
+import {type FailureDomain} from '../../../types/configuration.js';
+import {type Context, type State, type Step} from '../../../types/state.js';
+import {domainUpstreams, service} from '../../configuration/queries.js';
+import {draw} from '../../routing/candidates.js';
+import {route} from '../../routing/queries.js';
+import {view} from '../../upstreams/queries.js';
+import {type Admission} from '../types.js';
+import {send} from './attempts.js';
+
+/** This host's requests in flight for each upstream of another failure domain. */
+const mostPerUpstream = 0.5;
+
+/** Other failure domains, those of the own region first. */
+function others(state: State, context: Context): readonly FailureDomain[] {
+	const all = state.configuration.inForce?.failureDomains ?? [];
+	const region = all.find(each => each.id === state.self.failureDomain)?.region;
+	const away = all.filter(each => each.id !== state.self.failureDomain);
+	return draw(away, away.length, context)
+		.toSorted((a, b) => Number(b.region === region) - Number(a.region === region));
+}
+
+function hasSpillRoom(state: State, id: string, failureDomain: string): boolean {
+	const upstreams = domainUpstreams(state, id, failureDomain);
+	const running = upstreams.reduce((sum, each) => sum + view(state, each.id).requests, 0);
+	return running < Math.max(upstreams.length * mostPerUpstream, 1);
+}
+
+/**
+ * Straight to the upstream: the attempt stays this host's own, and so does what is provable of it.
+ *
+ * @param state - Core state.
+ * @param admission - Request that waits in its lane or is new.
+ * @param context - Time and random source.
+ * @returns The step that sends it, or undefined if no other failure domain has room.
+ */
+export function spill(state: State, admission: Admission, context: Context): Step | undefined {
+	const {request} = admission;
+	const wanted = service(state, request.service);
+	if (wanted === undefined || admission.lane === 'group') {
+		return undefined;
+	}
+
+	for (const domain of others(state, context)) {
+		if (!hasSpillRoom(state, wanted.id, domain.id)) {
+			continue;
+		}
+
+		const found = route(state, {
+			request, wanted, failureDomain: domain.id, avoided: admission.avoided,
+		}, context);
+		if (found.type === 'send') {
+			const choice = {...found.choice, reason: `spilled to ${domain.id}: ${found.choice.reason}`};
+			const sent = send(state, admission, choice, context);
+			return {
+				...sent, effects: [...sent.effects, {
+					type: 'count', name: 'spilled', value: 1, tags: {service: wanted.id, to: domain.id},
+				}],
+			};
+		}
+	}
+
+	return undefined;
+}
+
+/**
+ * @param state - Core state.
+ * @param admission - Request that is not in a lane.
+ * @param context - Time and random source.
+ * @returns The step that sends it, or undefined if no other failure domain has room.
+ */
+export function spillNew(state: State, admission: Admission, context: Context): Step | undefined {
+	return spill(state, {...admission, progress: {type: 'holding', since: context.now}}, context);
+}
--- a/src/core/features/requests/queries.ts
+++ b/src/core/features/requests/queries.ts
@@ -1,17 +1,8 @@
-/** Reads requests, and chooses upstreams for them. */
-import {type Upstream} from '../../types/configuration.js';
-import {type Candidate} from '../../types/effect.js';
-import {type Request} from '../../types/request.js';
-import {type Context, type State} from '../../types/state.js';
-import {ownUpstreams} from '../configuration/queries.js';
-import {view} from '../upstreams/queries.js';
-import {type Admission} from './types.js';
-
-export type Choice = {
-	readonly upstream: Upstream;
-	readonly candidates: readonly Candidate[];
-	readonly reason: string;
-};
+/** Reads requests and the lanes they wait in. */
+import {type State} from '../../types/state.js';
+import {
+	emptyLane, laneKey, laneNames, type Admission, type Lane, type LaneName,
+} from './types.js';
 
 /**
  * @param state - Core state.
@@ -31,28 +22,68 @@
 	return request === undefined ? undefined : state.requests.admissions.get(request);
 }
 
-function candidate(state: State, upstream: Upstream): Candidate {
-	const {prefill, decode, requests} = view(state, upstream.id);
-	return {upstream: upstream.id, score: upstream.kind === 'engine' ? prefill + decode : requests};
+/**
+ * @param state - Core state.
+ * @param organisation - Organisation.
+ * @returns Its requests that were admitted here and not answered yet.
+ */
+export function runningOf(state: State, organisation: string): number {
+	return state.requests.organisations.get(organisation) ?? 0;
+}
+
+/**
+ * @param state - Core state.
+ * @param service - Service.
+ * @param name - Lane name.
+ * @returns The lane, an empty one if nothing waits.
+ */
+export function lane(state: State, service: string, name: LaneName): Lane {
+	return state.requests.lanes.get(laneKey(service, name)) ?? emptyLane;
 }
 
 /**
- * Power of two choices by this host's own work in flight.
+ * @param state - Core state.
+ * @param service - Service.
+ * @returns Requests of the service that wait here.
+ */
+export function queueLength(state: State, service: string): number {
+	let length = 0;
+	for (const name of laneNames) {
+		for (const waiting of lane(state, service, name).waiting.values()) {
+			length += waiting.ids.size;
+		}
+	}
+
+	return length;
+}
+
+/**
+ * Start-time fair queueing within a priority: the organisation whose next request starts first in virtual time. A
+ * request gains one priority for every `ageing` milliseconds that it waits, so that none waits for ever.
  *
  * @param state - Core state.
- * @param request - Request to route.
- * @param context - Time and random source.
- * @returns The upstream chosen, or undefined if there is none.
+ * @param from - Lane.
+ * @param now - Time in milliseconds.
+ * @param ageing - Wait that is worth one priority, in milliseconds.
+ * @returns The request that is next, if any waits.
  */
-export function choose(state: State, request: Request, context: Context): Choice | undefined {
-	const reachable = ownUpstreams(state, request.service).filter(each => view(state, each.id).reachable);
-	const first = reachable[context.random.integer(0, Math.max(reachable.length - 1, 0))];
-	const second = reachable[context.random.integer(0, Math.max(reachable.length - 1, 0))];
-	if (first === undefined || second === undefined) {
-		return undefined;
+export function nextOf(state: State, from: Lane, now: number, ageing: number): Admission | undefined {
+	let best: Admission | undefined;
+	let bestRank = Number.POSITIVE_INFINITY;
+	let bestStart = Number.POSITIVE_INFINITY;
+	for (const waiting of from.waiting.values()) {
+		const head = state.requests.admissions.get(waiting.ids.first() ?? '');
+		if (head?.progress.type !== 'queued') {
+			continue;
+		}
+
+		const rank = Math.max(head.request.priority - Math.floor((now - head.progress.since) / ageing), 0);
+		if (rank < bestRank || (rank === bestRank && waiting.start < bestStart)) {
+			best = head;
+			bestRank = rank;
+			bestStart = waiting.start;
+		}
 	}
 
-	const candidates = [candidate(state, first), candidate(state, second)];
-	const isFirst = candidates[0]!.score <= candidates[1]!.score;
-	return {upstream: isFirst ? first : second, candidates, reason: 'less work of two'};
+	return best;
 }
--- a/src/core/features/requests/types.ts
+++ b/src/core/features/requests/types.ts
@@ -1,18 +1,59 @@
 /** Requests that this host has admitted and not yet answered. */
-import {Map as Table} from 'immutable';
-import {type Attempt, type Request} from '../../types/request.js';
+import {List, Map as Table} from 'immutable';
+import {
+	type Attempt, type LengthClass, type Outcome, type Request,
+} from '../../types/request.js';
+
+/** Requests of one kind that wait in one order. Prompts that need several engines have a lane to themselves. */
+export type LaneName = LengthClass | 'group';
+
+export const laneNames: readonly LaneName[] = ['short', 'middle', 'long', 'group'];
 
 export type Progress
 	= | {readonly type: 'queued'; readonly since: number}
-		| {readonly type: 'running'; readonly attempt: Attempt}
-	/** Stopped at its upstream; its answer is no longer wanted. */
-		| {readonly type: 'cancelling'; readonly attempt: Attempt};
+	/** Waits for memory at several engines. */
+		| {readonly type: 'holding'; readonly since: number}
+		| {readonly type: 'running'; readonly attempt: Attempt};
 
 export type Admission = {
 	readonly request: Request;
 	readonly progress: Progress;
+	readonly lane: LaneName;
+	/** Engine time that the request takes, in milliseconds; what fairness counts. */
+	readonly cost: number;
 	/** Attempts made, the running one included. */
 	readonly attempts: number;
+	/** Upstreams where it failed. */
+	readonly avoided: readonly string[];
+	/** How the last attempt ended, if it may have run: what its caller is told if there is no other. */
+	readonly last?: Outcome;
+	/** Time to look at it again, in milliseconds: a waiting one's latest start, a running one's deadline. */
+	readonly due: number;
+};
+
+/** Requests of one organisation in a lane. */
+export type Waiting = {
+	readonly ids: List<string>;
+	/** Virtual time at which the first of them may start. */
+	readonly start: number;
+	readonly weight: number;
+	/** Sum of the costs, in milliseconds of engine time. */
+	readonly cost: number;
+};
+
+export type Lane = {
+	/** Virtual start of the request that was taken last. */
+	readonly virtual: number;
+	/** By organisation; those with nothing waiting are absent. */
+	readonly waiting: Table<string, Waiting>;
+	/** Virtual time at which an organisation's next request may start, while that is ahead of `virtual`. */
+	readonly next: Table<string, number>;
+};
+
+export const emptyLane: Lane = {virtual: 0, waiting: Table(), next: Table()};
+
+export const noneWaiting: Waiting = {
+	ids: List(), start: 0, weight: 1, cost: 0,
 };
 
 export type RequestsState = {
@@ -20,6 +61,27 @@
 	readonly admissions: Table<string, Admission>;
 	/** Request of each running attempt. */
 	readonly attempts: Table<string, string>;
+	/** By service and lane name. */
+	readonly lanes: Table<string, Lane>;
+	/** Requests admitted and not answered, by organisation. */
+	readonly organisations: Table<string, number>;
+	/** No admission is due before this time, in milliseconds. */
+	readonly nextDue: number;
+};
+
+export const initialRequests: RequestsState = {
+	admissions: Table(),
+	attempts: Table(),
+	lanes: Table(),
+	organisations: Table(),
+	nextDue: Number.POSITIVE_INFINITY,
 };
 
-export const initialRequests: RequestsState = {admissions: Table(), attempts: Table()};
+/**
+ * @param service - Service; names have no slash.
+ * @param name - Lane.
+ * @returns The key of the lane.
+ */
+export function laneKey(service: string, name: LaneName): string {
+	return `${service}/${name}`;
+}
--- /dev/null
+++ b/src/core/features/retries/queries.ts
@@ -0,0 +1,70 @@
+/** Decides whether an attempt that ended may be followed by another. */
+import {type Attempt, type Ending, type Request} from '../../types/request.js';
+import {type State} from '../../types/state.js';
+import {assertNever} from '../../utils/common.js';
+import {codes} from '../../errors.js';
+import {service, upstream} from '../configuration/queries.js';
+import {estimate, prefillTime} from '../work/queries.js';
+
+/** Attempts of one request, the first included. */
+const mostAttempts = 3;
+
+/** Failures that another upstream may not have. */
+const passing: ReadonlySet<number> = new Set([codes.upstreamFailed, codes.streamCut, codes.frameMismatch]);
+
+/**
+ * @param state - Core state.
+ * @param id - Service.
+ * @returns Retries that the service may still make.
+ */
+export function budget(state: State, id: string): number {
+	return state.retries.budgets.get(id) ?? service(state, id)?.retryBudget.burst ?? 0;
+}
+
+/** Whether running the request once more is harmless: it never ran, or it may run twice and nothing was relayed. */
+function isHarmless(request: Request, attempt: Attempt, ending: Ending): boolean {
+	switch (ending.type) {
+		case 'not-run': {
+			return !ending.overload;
+		}
+
+		case 'unknown': {
+			return request.proof.type === 'idempotent' && !ending.relayed && attempt.received === 0;
+		}
+
+		case 'failed': {
+			return request.proof.type === 'idempotent' && attempt.received === 0 && passing.has(ending.code);
+		}
+
+		case 'done':
+		case 'cancelled': {
+			return false;
+		}
+
+		default: {
+			return assertNever(ending);
+		}
+	}
+}
+
+function hasTime(state: State, request: Request, attempt: Attempt, now: number): boolean {
+	const target = upstream(state, attempt.upstream);
+	const least = target === undefined ? 0 : prefillTime(state, target, estimate(state, request).prefill);
+	return now + least < request.deadline;
+}
+
+/**
+ * @param state - Core state.
+ * @param request - Request.
+ * @param attempt - Attempt that ended.
+ * @param ending - How it ended.
+ * @param attempts - Attempts made so far.
+ * @param now - Time in milliseconds.
+ * @returns Whether the request may be sent again.
+ */
+export function mayRetry(state: State, request: Request, attempt: Attempt, ending: Ending, attempts: number, now: number): boolean {
+	return isHarmless(request, attempt, ending)
+		&& attempts < mostAttempts
+		&& budget(state, request.service) >= 1
+		&& hasTime(state, request, attempt, now);
+}
--- /dev/null
+++ b/src/core/features/routing/commands.ts
@@ -0,0 +1,35 @@
+/** Counts turns and arrivals. */
+import {type Request} from '../../types/request.js';
+import {type State} from '../../types/state.js';
+import {increase} from '../../utils/rates.js';
+import {service} from '../configuration/queries.js';
+import {arrivalSpan, lengthClass} from './segments.js';
+import {noArrivals} from './types.js';
+
+/**
+ * @param state - Core state.
+ * @param id - Service of a request that was sent.
+ * @returns The next state.
+ */
+export function takeTurn(state: State, id: string): State {
+	const turns = state.routing.turns.set(id, (state.routing.turns.get(id) ?? 0) + 1);
+	return {...state, routing: {...state.routing, turns}};
+}
+
+/**
+ * @param state - Core state.
+ * @param request - Request that arrived.
+ * @param now - Time in milliseconds.
+ * @returns The next state.
+ */
+export function countArrival(state: State, request: Request, now: number): State {
+	const wanted = service(state, request.service);
+	if (wanted?.kind !== 'model') {
+		return state;
+	}
+
+	const length = lengthClass(wanted, request.promptTokens);
+	const before = state.routing.arrivals.get(wanted.id) ?? noArrivals;
+	const after = {...before, [length]: increase(before[length], request.promptTokens, now, arrivalSpan)};
+	return {...state, routing: {...state.routing, arrivals: state.routing.arrivals.set(wanted.id, after)}};
+}
--- /dev/null
+++ b/src/core/features/routing/feature.ts
@@ -0,0 +1,23 @@
+/** Routing: counts what arrives by length and whose turn it is. */
+import {type Feature} from '../../types/state.js';
+import {only} from '../../utils/common.js';
+import {countArrival, takeTurn} from './commands.js';
+
+export const routingFeature: Feature = {
+	name: 'routing',
+	handle(state, event, {now}) {
+		switch (event.type) {
+			case 'request-cleared': {
+				return only(countArrival(state, event.request, now));
+			}
+
+			case 'attempt-began': {
+				return only(takeTurn(state, event.request.service));
+			}
+
+			default: {
+				return only(state);
+			}
+		}
+	},
+};
--- /dev/null
+++ b/src/core/features/routing/segments.ts
@@ -0,0 +1,150 @@
+/** Splits the engines of a service and failure domain between prompts of different lengths; every host does it alike. */
+import {
+	type Engine, type ModelService, type Service, type Upstream,
+} from '../../types/configuration.js';
+import {type Mix} from '../../types/peer.js';
+import {type LengthClass} from '../../types/request.js';
+import {type State} from '../../types/state.js';
+import {hashText, rank} from '../../utils/hashes.js';
+import {perSecond} from '../../utils/rates.js';
+import {noArrivals} from './types.js';
+
+/** Time over which arrivals are counted, in milliseconds: long prompts are rare. */
+export const arrivalSpan = 300_000;
+
+/** Lengths that have engines of their own, the longest first. */
+const order = ['long', 'middle', 'short'] as const;
+
+/** Share of the work by length until enough has arrived. */
+const usualMix: Readonly<Record<LengthClass, number>> = {short: 0.2, middle: 0.4, long: 0.4};
+
+/** Weight of the usual mix, in tokens per second. */
+const usualWeight = 50;
+
+/** Spare engines for short prompts where the slowdown of short prompts is all that counts, as a part of their share. */
+const spare = 1;
+
+export type Segments = Readonly<Record<LengthClass, readonly Engine[]>>;
+
+/**
+ * @param wanted - Model service.
+ * @param promptTokens - Length of a prompt.
+ * @returns Its length class.
+ */
+export function lengthClass(wanted: ModelService, promptTokens: number): LengthClass {
+	const {short, long} = wanted.lengthClasses;
+	if (promptTokens <= short) {
+		return 'short';
+	}
+
+	return promptTokens < long ? 'middle' : 'long';
+}
+
+/**
+ * @param state - Core state.
+ * @param wanted - Service.
+ * @param promptTokens - Length of a prompt.
+ * @returns Its length class; requests to a plain service are all alike.
+ */
+export function classOf(wanted: Service | undefined, promptTokens: number): LengthClass {
+	return wanted?.kind === 'model' ? lengthClass(wanted, promptTokens) : 'short';
+}
+
+/**
+ * @param state - Core state.
+ * @param now - Time in milliseconds.
+ * @returns What arrives at this host, as it is published to peers.
+ */
+export function ownMixes(state: State, now: number): readonly Mix[] {
+	return [...state.routing.arrivals.entries()].map(([service, arrivals]) => ({
+		service,
+		short: Math.round(perSecond(arrivals.short, now, arrivalSpan)),
+		middle: Math.round(perSecond(arrivals.middle, now, arrivalSpan)),
+		long: Math.round(perSecond(arrivals.long, now, arrivalSpan)),
+	}));
+}
+
+function totalMix(state: State, service: string, now: number): Readonly<Record<LengthClass, number>> {
+	const own = state.routing.arrivals.get(service) ?? noArrivals;
+	const total = {
+		short: perSecond(own.short, now, arrivalSpan) + (usualMix.short * usualWeight),
+		middle: perSecond(own.middle, now, arrivalSpan) + (usualMix.middle * usualWeight),
+		long: perSecond(own.long, now, arrivalSpan) + (usualMix.long * usualWeight),
+	};
+	for (const peer of state.membership.peers.values()) {
+		const isNear = peer.connected && peer.member.failureDomain === state.self.failureDomain;
+		const published = isNear ? peer.mixes.find(each => each.service === service) : undefined;
+		total.short += published?.short ?? 0;
+		total.middle += published?.middle ?? 0;
+		total.long += published?.long ?? 0;
+	}
+
+	return total;
+}
+
+type Sizes = Readonly<Record<LengthClass, number>>;
+
+/**
+ * Every length has at least one engine; the rest go by work, short prompts with some to spare.
+ *
+ * @param mix - Work by length, in any unit.
+ * @param wanted - Service, for its weights.
+ * @param count - Engines to share out, three at least.
+ * @returns Engines for each length.
+ */
+export function sizes(mix: Readonly<Record<LengthClass, number>>, wanted: ModelService, count: number): Sizes {
+	const {slowdown, firstToken} = wanted.weights;
+	const care = slowdown + firstToken === 0 ? 0 : slowdown / (slowdown + firstToken);
+	const short = mix.short * (1 + (spare * care));
+	const all = short + mix.middle + mix.long;
+	const long = Math.min(Math.max(Math.round(count * mix.long / all), 1), count - 2);
+	const middle = Math.min(Math.max(Math.round(count * mix.middle / all), 1), count - long - 1);
+	return {long, middle, short: count - long - middle};
+}
+
+type Ranked = {readonly engine: Engine; readonly hash: number};
+
+const rankings = new WeakMap<readonly Upstream[], readonly Engine[]>();
+
+/** Ranked once for each list: the configuration keeps its lists as they are. */
+function ranked(wanted: ModelService, upstreams: readonly Upstream[]): readonly Engine[] {
+	const known = rankings.get(upstreams);
+	if (known !== undefined) {
+		return known;
+	}
+
+	const engines = upstreams.filter(each => each.kind === 'engine');
+	const hashed: readonly Ranked[] = engines.map(engine => ({engine, hash: hashText(engine.id)}));
+	const result = rank(hashText(wanted.id), hashed).map(each => each.engine);
+	rankings.set(upstreams, result);
+	return result;
+}
+
+const fewest = 3;
+
+/**
+ * Subsets of different sizes are nested, so hosts whose views of the demand differ a little disagree on an engine or
+ * two and no more.
+ *
+ * @param state - Core state.
+ * @param wanted - Model service.
+ * @param upstreams - Its upstreams in one failure domain, as the configuration lists them.
+ * @param now - Time in milliseconds.
+ * @returns Engines by the length of prompts that they are kept for.
+ */
+export function segments(state: State, wanted: ModelService, upstreams: readonly Upstream[], now: number): Segments {
+	const engines = ranked(wanted, upstreams);
+	if (engines.length < fewest) {
+		return {short: engines, middle: engines, long: engines.slice(0, 1)};
+	}
+
+	const size = sizes(totalMix(state, wanted.id, now), wanted, engines.length);
+	const parts: Record<LengthClass, readonly Engine[]> = {short: [], middle: [], long: []};
+	let start = 0;
+	for (const length of order) {
+		parts[length] = engines.slice(start, start + size[length]);
+		start += size[length];
+	}
+
+	return parts;
+}
--- a/src/core/features/upstreams/feature.ts
+++ b/src/core/features/upstreams/feature.ts
@@ -1,21 +1,16 @@
-/** Keeps a view of each upstream from its reports and this host's own work. */
-import {type Attempt} from '../../types/request.js';
+/** Keeps a view of each upstream from its reports, this host's own work and what peers say of theirs. */
 import {type Report} from '../../types/upstream.js';
 import {type Feature, type State, type Step} from '../../types/state.js';
 import {only} from '../../utils/common.js';
+import {admissionOf} from '../requests/queries.js';
+import {
+	beginWork, countPeers, endWork, finishPrefill, markUnreachable, takeReport,
+} from './commands.js';
 import {view} from './queries.js';
-import {type View} from './types.js';
-
-function put(state: State, next: View): State {
-	return {...state, upstreams: {...state.upstreams, views: state.upstreams.views.set(next.upstream, next)}};
-}
 
 function report(state: State, received: Report, now: number): Step {
-	const before = view(state, received.upstream);
-	const known = before.report?.incarnation;
-	const next = put(state, {
-		...before, report: received, reportedAt: now - received.age, reachable: true,
-	});
+	const known = view(state, received.upstream).report?.incarnation;
+	const next = takeReport(state, received, now);
 	if (known === undefined || known === received.incarnation) {
 		return only(next);
 	}
@@ -30,14 +25,12 @@
 	};
 }
 
-function add(state: State, attempt: Attempt, sign: 1 | -1): Step {
-	const before = view(state, attempt.upstream);
-	return only(put(state, {
-		...before,
-		requests: before.requests + sign,
-		prefill: before.prefill + (sign * attempt.prefill),
-		decode: before.decode + (sign * attempt.decode),
-	}));
+/** This feature comes before the requests' own, which sets the time of the first frame. */
+function progress(state: State, id: string, now: number): State {
+	const progress = admissionOf(state, id)?.progress;
+	return progress?.type === 'running' && progress.attempt.firstFrame === undefined
+		? finishPrefill(state, progress.attempt, now)
+		: state;
 }
 
 export const upstreamsFeature: Feature = {
@@ -49,15 +42,23 @@
 			}
 
 			case 'upstream-unreachable': {
-				return only(put(state, {...view(state, event.upstream), reachable: false}));
+				return only(markUnreachable(state, event.upstream));
 			}
 
 			case 'attempt-began': {
-				return add(state, event.attempt, 1);
+				return only(beginWork(state, event.request, event.attempt, now));
+			}
+
+			case 'attempt-progressed': {
+				return only(progress(state, event.attempt, now));
 			}
 
 			case 'attempt-over': {
-				return add(state, event.attempt, -1);
+				return only(endWork(state, event.request, event.attempt, now));
+			}
+
+			case 'tick': {
+				return only(countPeers(state, now));
 			}
 
 			default: {
--- /dev/null
+++ b/src/core/features/work/feature.ts
@@ -0,0 +1,39 @@
+/** Work model: learns speeds and answer lengths from attempts. */
+import {type EventOf} from '../../types/event.js';
+import {type Feature, type State} from '../../types/state.js';
+import {only} from '../../utils/common.js';
+import {admissionOf} from '../requests/queries.js';
+import {learnAnswer, learnPrefill} from './commands.js';
+
+function firstFrame(state: State, event: EventOf<'attempt-progressed'>, now: number): State {
+	const admission = admissionOf(state, event.attempt);
+	if (admission?.progress.type !== 'running' || admission.progress.attempt.firstFrame !== undefined) {
+		return state;
+	}
+
+	const {attempt} = admission.progress;
+	const prefill = event.cachedTokens === undefined
+		? attempt.prefill
+		: admission.request.promptTokens - event.cachedTokens;
+	return learnPrefill(state, attempt, prefill, now);
+}
+
+export const workFeature: Feature = {
+	name: 'work',
+	handle(state, event, {now}) {
+		switch (event.type) {
+			case 'attempt-progressed': {
+				return only(firstFrame(state, event, now));
+			}
+
+			case 'attempt-over': {
+				const {request, attempt, ending} = event;
+				return only(ending.type === 'done' ? learnAnswer(state, request, attempt, ending.tokens, now) : state);
+			}
+
+			default: {
+				return only(state);
+			}
+		}
+	},
+};
--- /dev/null
+++ b/src/core/features/work/queries.ts
@@ -0,0 +1,97 @@
+/** Estimates work in tokens and its time in milliseconds. */
+import {type Upstream} from '../../types/configuration.js';
+import {type Request} from '../../types/request.js';
+import {type State} from '../../types/state.js';
+import {assertNever} from '../../utils/common.js';
+import {service} from '../configuration/queries.js';
+import {outputKey, type Estimate} from './types.js';
+
+/** Samples of its own that an organisation needs to count as much as all others together. */
+const trust = 8;
+
+/** Time assumed for a call of a plain service until one has been seen, in milliseconds. */
+const plainDuration = 50;
+
+/** Prefill rate of an upstream that has no prefill, in tokens per second. */
+const withoutPrefill = 1e9;
+
+const defaultOutput = 256;
+
+/**
+ * @param state - Core state.
+ * @param upstream - Upstream.
+ * @returns Prefill tokens per second; very high for a plain service, which has no prefill.
+ */
+export function prefillRate(state: State, upstream: Upstream): number {
+	switch (upstream.kind) {
+		case 'engine': {
+			return state.work.speeds.get(upstream.id)?.prefill?.value ?? upstream.prefillRate;
+		}
+
+		case 'plain':
+		case 'legacy': {
+			return withoutPrefill;
+		}
+
+		default: {
+			return assertNever(upstream);
+		}
+	}
+}
+
+/**
+ * @param state - Core state.
+ * @param upstream - Upstream.
+ * @param tokens - Prefill tokens.
+ * @returns Time to work on them, in milliseconds.
+ */
+export function prefillTime(state: State, upstream: Upstream, tokens: number): number {
+	return tokens * 1000 / prefillRate(state, upstream);
+}
+
+/**
+ * @param state - Core state.
+ * @param upstream - Upstream.
+ * @param tokens - Tokens of an answer.
+ * @returns Time from its first to its last token, or of the whole call at a plain service, in milliseconds.
+ */
+export function decodeTime(state: State, upstream: Upstream, tokens: number): number {
+	const speed = state.work.speeds.get(upstream.id);
+	return upstream.kind === 'engine'
+		? tokens * (speed?.interval?.value ?? upstream.decodeInterval)
+		: speed?.duration?.value ?? plainDuration;
+}
+
+/**
+ * Answer length from the organisation's own answers, drawn towards all answers of the service while they are few.
+ *
+ * @param state - Core state.
+ * @param request - Request.
+ * @returns Expected tokens of its answer.
+ */
+export function expectedOutput(state: State, request: Request): number {
+	const wanted = service(state, request.service);
+	if (wanted?.kind === 'plain') {
+		return 1;
+	}
+
+	const {outputs} = state.work;
+	const common = outputs.get(outputKey(request.service))?.value ?? wanted?.expectedOutput ?? defaultOutput;
+	const own = outputs.get(outputKey(request.service, request.organisation));
+	const count = own?.count ?? 0;
+	const expected = (((own?.value ?? 0) * count) + (common * trust)) / (count + trust);
+	return Math.ceil(Math.min(expected, request.outputLimit ?? expected));
+}
+
+/**
+ * @param state - Core state.
+ * @param request - Request.
+ * @param cached - Prompt tokens that the upstream is believed to hold.
+ * @returns Work at that upstream.
+ */
+export function estimate(state: State, request: Request, cached = 0): Estimate {
+	return {
+		prefill: Math.max(request.promptTokens - cached, 1),
+		decode: expectedOutput(state, request),
+	};
+}
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -17,6 +17,18 @@
 import {initialTickets} from './features/tickets/types.js';
 import {upstreamsFeature} from './features/upstreams/feature.js';
 import {initialUpstreams} from './features/upstreams/types.js';
+import {circuitsFeature} from './features/circuits/feature.js';
+import {initialCircuits} from './features/circuits/types.js';
+import {limitsFeature} from './features/limits/feature.js';
+import {initialLimits} from './features/limits/types.js';
+import {prefixesFeature} from './features/prefixes/feature.js';
+import {initialPrefixes} from './features/prefixes/types.js';
+import {retriesFeature} from './features/retries/feature.js';
+import {initialRetries} from './features/retries/types.js';
+import {routingFeature} from './features/routing/feature.js';
+import {initialRouting} from './features/routing/types.js';
+import {workFeature} from './features/work/feature.js';
+import {initialWork} from './features/work/types.js';
 import {type Effect} from './types/effect.js';
 import {type Event} from './types/event.js';
 import {type Member} from './types/peer.js';
@@ -30,10 +42,16 @@
 /** The order matters: views of upstreams and members come before the decisions that read them. */
 const features: readonly Feature[] = [
 	configurationFeature,
+	workFeature,
+	prefixesFeature,
 	upstreamsFeature,
 	suspicionFeature,
+	circuitsFeature,
 	ticketsFeature,
 	keysFeature,
+	limitsFeature,
+	retriesFeature,
+	routingFeature,
 	requestsFeature,
 	membershipFeature,
 	stopsFeature,
@@ -56,6 +74,12 @@
 		suspicion: initialSuspicion,
 		tickets: initialTickets,
 		upstreams: initialUpstreams,
+		work: initialWork,
+		routing: initialRouting,
+		retries: initialRetries,
+		prefixes: initialPrefixes,
+		limits: initialLimits,
+		circuits: initialCircuits,
 	};
 }
 
--- a/src/core/types/event.ts
+++ b/src/core/types/event.ts
@@ -3,6 +3,7 @@
 	type Attempt, type Ending, type Incarnation, type Outcome, type Request,
 } from './request.js';
 import {type Address, type Configuration, type Target} from './configuration.js';
+import {type Segment} from './effect.js';
 import {
 	type CacheChange, type Hold, type Order, type OrderNumber, type Report,
 } from './upstream.js';
@@ -65,6 +66,10 @@
 	/** Taken in: it waits in a queue or runs at once. */
 		| {readonly type: 'request-admitted'; readonly request: Request}
 		| {readonly type: 'request-retried'; readonly request: Request}
+	/** The request needs the memory of several engines; answered by one of the two that follow. */
+		| {readonly type: 'group-wanted'; readonly request: Request}
+		| {readonly type: 'group-held'; readonly request: Request; readonly segments: readonly Segment[]}
+		| {readonly type: 'group-failed'; readonly request: Request}
 	/** An upstream may have room for a request that waits. */
 		| {readonly type: 'dispatch-wanted'; readonly service: string}
 	/** Sealed while it waited: it must never be sent. */
--- a/src/core/types/peer.ts
+++ b/src/core/types/peer.ts
@@ -10,6 +10,8 @@
 	readonly requests: number;
 	readonly prefill: number;
 	readonly decode: number;
+	/** Prefill of short prompts, which engines take first; absent when there is none. */
+	readonly urgent?: number;
 };
 
 /** Demand of one organisation at a host. */
--- a/src/core/types/request.ts
+++ b/src/core/types/request.ts
@@ -73,6 +73,7 @@
 	readonly decode: number;
 	/** Tokens of prefill that the upstream had before it when it was sent. */
 	readonly ahead: number;
+	readonly length: LengthClass;
 	/** Parts of the work at the engines that hold the prompt together; absent when one engine holds it all. */
 	readonly parts?: readonly Part[];
 	/** Set once at least one byte was written to the upstream. */
--- a/src/core/types/state.ts
+++ b/src/core/types/state.ts
@@ -1,13 +1,19 @@
 /** The core's state: one read-only part for each feature, and what a step needs and gives. */
+import {type CircuitsState} from '../features/circuits/types.js';
 import {type ConfigurationState} from '../features/configuration/types.js';
 import {type KeysState} from '../features/keys/types.js';
+import {type LimitsState} from '../features/limits/types.js';
 import {type MembershipState} from '../features/membership/types.js';
 import {type PlacementState} from '../features/placement/types.js';
 import {type RequestsState} from '../features/requests/types.js';
 import {type StopsState} from '../features/stops/types.js';
+import {type PrefixesState} from '../features/prefixes/types.js';
+import {type RetriesState} from '../features/retries/types.js';
+import {type RoutingState} from '../features/routing/types.js';
 import {type SuspicionState} from '../features/suspicion/types.js';
 import {type TicketsState} from '../features/tickets/types.js';
 import {type UpstreamsState} from '../features/upstreams/types.js';
+import {type WorkState} from '../features/work/types.js';
 import {type Effect} from './effect.js';
 import {type Event} from './event.js';
 import {type Member} from './peer.js';
@@ -24,6 +30,12 @@
 	readonly suspicion: SuspicionState;
 	readonly tickets: TicketsState;
 	readonly upstreams: UpstreamsState;
+	readonly work: WorkState;
+	readonly circuits: CircuitsState;
+	readonly prefixes: PrefixesState;
+	readonly limits: LimitsState;
+	readonly retries: RetriesState;
+	readonly routing: RoutingState;
 };
 
 /** Uniform whole numbers; seeded by whoever drives the core. */
