--- /dev/null
+++ b/bench/model/main.ts
@@ -0,0 +1,37 @@
+/** Prints what the policies achieve in virtual time, for several seeds. */
+import process from 'node:process';
+import {type Policy} from '../../src/core/index.js';
+import {summary} from './measure.js';
+import {run, type Scenario} from './scenarios.js';
+
+const policies: readonly Policy[] = ['cost', 'round-robin', 'random', 'least-requests'];
+const seeds = [1, 2, 3, 4, 5];
+const duration = 300_000;
+
+function line(scenario: Scenario): void {
+	const started = performance.now();
+	const {results, utilisation} = run(scenario);
+	const figures = summary(results, scenario.duration / 1000);
+	const rounded = Object.entries(figures).map(([name, value]) => `${name} ${Number(value.toPrecision(4))}`);
+	const took = Math.round(performance.now() - started);
+	const name = `${scenario.policy} seed ${scenario.seed} load ${scenario.load}${scenario.isShortAlone === true ? ' short alone' : ''}`;
+	process.stdout.write(`${name}: ${rounded.join(', ')}, utilisation ${utilisation.toPrecision(2)}, took ${took} ms\n`);
+}
+
+for (const seed of seeds.slice(0, Number(process.argv[2] ?? seeds.length))) {
+	for (const policy of policies) {
+		line({
+			policy, seed, load: 0.7, duration,
+		});
+	}
+
+	line({
+		policy: 'cost', seed, load: 0.7, duration, isShortAlone: true,
+	});
+	line({
+		policy: 'cost', seed, load: 1.3, duration,
+	});
+	line({
+		policy: 'round-robin', seed, load: 1.3, duration,
+	});
+}
