--- a/bench/model/fleet.ts
+++ b/bench/model/fleet.ts
@@ -19,9 +19,7 @@
 import {type Peer} from '../../src/core/features/membership/types.js';
 import {ownDemands} from '../../src/core/features/limits/queries.js';
 import {ownMixes} from '../../src/core/features/routing/segments.js';
-import {ownLoads} from '../../src/core/features/upstreams/queries.js';
-import {prefillRate} from '../../src/core/features/work/queries.js';
-import {upstream} from '../../src/core/features/configuration/queries.js';
+import {ownLoads} from '../../src/core/features/membership/heartbeat.js';
 import {ModelEngine, type EngineSpeed, type Job} from './engine.js';
 import {Timeline} from './timeline.js';
 import {seeded, type Arrival} from './workload.js';
@@ -305,14 +303,19 @@
 	#publish(host: number): void {
 		const state = this.#states[host]!;
 		const {now} = this.#timeline;
-		const rate = (id: string) => prefillRate(state, upstream(state, id)!);
-		const loads = Table(ownLoads(state, now, rate).map(load => [load.upstream, load] as [string, Load]));
+		const loads = Table(ownLoads(state).map(load => [load.upstream, load] as [string, Load]));
 		const peer: Peer = {
 			member: member(host),
 			phase: 'serving',
+			status: 'live',
 			connected: true,
 			heard: now,
+			learnt: 0,
+			changed: 0,
+			sequence: 0,
+			isWhole: true,
 			revision: 1,
+			digest: 'd',
 			loads,
 			demands: ownDemands(state, now),
 			mixes: ownMixes(state, now),
--- a/src/core/__tests__/membership.test.ts
+++ b/src/core/__tests__/membership.test.ts
@@ -6,6 +6,7 @@
 	reachableDomains,
 	servingHosts,
 } from '../features/membership/queries.js';
+import {type Attempt} from '../types/request.js';
 import {documentOf, Network} from './network.js';
 
 function fleet(sizes: Readonly<Record<string, number>>, seed = 1) {
@@ -126,8 +127,8 @@
 	it('publishes work as changes and whole from time to time, and forgets that of a lost host', () => {
 		const {network} = fleet({a: 3});
 		network.run(3000);
-		const attempt = {
-			id: 'r.1', request: 'r', upstream: 'e', began: 0, prefill: 700, decode: 300, ahead: 0, written: false, received: 0,
+		const attempt: Attempt = {
+			id: 'r.1', request: 'r', upstream: 'e', began: 0, prefill: 700, decode: 300, ahead: 0, length: 'short', written: false, received: 0,
 		};
 		const request = {
 			id: 'r', organisation: 'o', service: 's', priority: 1, arrival: 0, deadline: 1e9, promptTokens: 700, blocks: [], proof: {type: 'idempotent'}, fingerprint: 'f',
--- a/src/core/__tests__/suspicion.test.ts
+++ b/src/core/__tests__/suspicion.test.ts
@@ -22,7 +22,7 @@
 
 function attempt(of: Request, upstream: string, began: number): Attempt {
 	return {
-		id: `${of.id}.${upstream}.${began}`, request: of.id, upstream, began, upstreamIncarnation: 'i1', prefill: 1, decode: 1, ahead: 0, written: true, received: 0,
+		id: `${of.id}.${upstream}.${began}`, request: of.id, upstream, began, upstreamIncarnation: 'i1', prefill: 1, decode: 1, ahead: 0, length: 'short', written: true, received: 0,
 	};
 }
 
--- a/src/core/features/limits/queries.ts
+++ b/src/core/features/limits/queries.ts
@@ -58,7 +58,11 @@
 	const found = new Map<string, Domain>();
 	for (const peer of state.membership.peers.values()) {
 		const before = found.get(peer.member.failureDomain) ?? {heard: 0, known: 0, demand: 0};
-		const heard = peer.connected ? 1 : 0;
+		if (peer.status === 'gone') {
+			continue;
+		}
+
+		const heard = peer.status === 'live' ? 1 : 0;
 		found.set(peer.member.failureDomain, {
 			heard: before.heard + heard,
 			known: before.known + 1,
--- a/src/core/features/membership/constants.ts
+++ b/src/core/features/membership/constants.ts
@@ -61,3 +61,6 @@
 
 /** Time for running requests of a host that finds its name taken by a newer incarnation. */
 export const replacedGrace = 600_000;
+
+/** Heartbeats from one that tells the mix of prompt lengths to the next: it changes slowly. */
+export const mixInterval = 16;
--- a/src/core/features/membership/heartbeat.ts
+++ b/src/core/features/membership/heartbeat.ts
@@ -5,12 +5,15 @@
 import {type Context, type State} from '../../types/state.js';
 import {hashText, mix} from '../../utils/hashes.js';
 import {revision} from '../configuration/queries.js';
+import {ownDemands} from '../limits/queries.js';
+import {ownMixes} from '../routing/segments.js';
 import {publishedSuspicions} from '../suspicion/queries.js';
 import {
 	digestLength,
 	loadsTold,
 	membersTold,
 	meshDegree,
+	mixInterval,
 	newsTime,
 	relayedLoadsTold,
 	relayedTold,
@@ -39,6 +42,7 @@
 				requests: each.requests,
 				prefill: Math.max(0, Math.round(each.prefill)),
 				decode: Math.max(0, Math.round(each.decode)),
+				...(each.urgent > 0 && {urgent: Math.round(each.urgent)}),
 			});
 		}
 	}
@@ -169,7 +173,8 @@
 		digest: state.configuration.digest.slice(0, digestLength),
 		whole,
 		loads: loads ?? [],
-		demands: [],
+		demands: ownDemands(state, context.now),
+		...(sequence % mixInterval === 0 && {mixes: ownMixes(state, context.now)}),
 		suspicions: turn(publishedSuspicions(state, context), sequence, suspicionsTold),
 		members: news(state, context.now),
 		relayed: relayed.map(peer => digestOf(peer, loads === undefined)),
--- a/src/core/features/membership/queries.ts
+++ b/src/core/features/membership/queries.ts
@@ -78,17 +78,3 @@
 	const peer = state.membership.peers.get(incarnation.host);
 	return peer?.connected === true && peer.member.incarnation.started === incarnation.started;
 }
-
-/**
- * @param state - Core state.
- * @returns Hosts of this failure domain that take requests, this one included.
- */
-export function servingHosts(state: State): number {
-	let count = 1;
-	for (const peer of state.membership.peers.values()) {
-		const isNear = peer.member.failureDomain === state.self.failureDomain;
-		count += isNear && peer.connected && peer.phase === 'serving' ? 1 : 0;
-	}
-
-	return count;
-}
--- a/src/core/features/requests/prediction.ts
+++ b/src/core/features/requests/prediction.ts
@@ -89,7 +89,7 @@
 
 /** Share of the lane's upstreams that this host may count on: peers of the domain use them as well. */
 function capacity(state: State, upstreams: readonly Upstream[]): number {
-	return Math.max(upstreams.length, 1) / servingHosts(state);
+	return Math.max(upstreams.length, 1) / Math.max(servingHosts(state, state.self.failureDomain).length, 1);
 }
 
 /**
--- a/src/core/features/routing/segments.ts
+++ b/src/core/features/routing/segments.ts
@@ -72,7 +72,7 @@
 		long: perSecond(own.long, now, arrivalSpan) + (usualMix.long * usualWeight),
 	};
 	for (const peer of state.membership.peers.values()) {
-		const isNear = peer.connected && peer.member.failureDomain === state.self.failureDomain;
+		const isNear = peer.status === 'live' && peer.member.failureDomain === state.self.failureDomain;
 		const published = isNear ? peer.mixes.find(each => each.service === service) : undefined;
 		total.short += published?.short ?? 0;
 		total.middle += published?.middle ?? 0;
--- a/src/core/features/upstreams/commands.ts
+++ b/src/core/features/upstreams/commands.ts
@@ -160,7 +160,7 @@
 }
 
 /**
- * Counts the loads that changed since the last time; a peer that is gone or not connected counts nothing.
+ * Counts the loads that changed since the last time; a peer that is not heard of counts nothing.
  *
  * @param state - Core state.
  * @param now - Time in milliseconds.
@@ -174,7 +174,7 @@
 	for (const host of hosts) {
 		const peer = peers.get(host);
 		const before = counted.get(host) ?? noLoads;
-		const after = peer?.connected === true ? peer.loads : noLoads;
+		const after = peer?.status === 'live' ? peer.loads : noLoads;
 		if (before !== after) {
 			next = recount(next, host, before, after, now);
 		}
--- a/src/core/features/upstreams/queries.ts
+++ b/src/core/features/upstreams/queries.ts
@@ -1,5 +1,4 @@
 /** Reads the views of upstreams. */
-import {type Load} from '../../types/peer.js';
 import {type State} from '../../types/state.js';
 import {noWork, type View, type Work} from './types.js';
 
@@ -77,26 +76,3 @@
 		urgent: known.urgent + known.peers.urgent,
 	};
 }
-
-/**
- * @param state - Core state.
- * @param now - Time in milliseconds.
- * @param rateOf - Prefill tokens per second at an upstream.
- * @returns This host's own work in flight, as it is published to peers.
- */
-export function ownLoads(state: State, now: number, rateOf: (upstream: string) => number): readonly Load[] {
-	const loads: Load[] = [];
-	for (const known of state.upstreams.views.values()) {
-		if (known.requests > 0) {
-			const {
-				upstream, requests, decode, urgent,
-			} = known;
-			const prefill = Math.round(remaining(known, now, rateOf(upstream)));
-			loads.push({
-				upstream, requests, prefill, decode, urgent: urgent === 0 ? undefined : urgent,
-			});
-		}
-	}
-
-	return loads;
-}
