--- a/bench/model/fleet.ts
+++ b/bench/model/fleet.ts
@@ -157,6 +157,7 @@
 			run();
 			this.#timeline.add(this.#timeline.now + interval, next);
 		};
+
 		this.#timeline.add(this.#random.integer(0, interval), next);
 	}
 
