Mistakes of shape in an operator's words; console wording mended after a look in a browser

Cause: seen in Chromium, a wrong number was answered with a library's words, the weight store stood under "For all of them", and the tick box spoke of a notice that was not there. Schema patterns now carry their own words.

Conclusion: each shape mistake reads as one sentence; tools are tested against real hosts in __tests__/operators.test.ts.

--- /dev/null
+++ b/__tests__/operators.test.ts
@@ -0,0 +1,102 @@
+/** The operators' tools against real hosts. */
+import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {Fleet} from '../bench/fleet/fleet.js';
+import {apiKey} from '../bench/fleet/shape.js';
+import {command} from '../src/cli/__tests__/fakes.js';
+import {openConsole} from '../src/console/__tests__/browser.js';
+import {formatAddress} from '../src/protocol/address.js';
+
+const names = ['a-host-1', 'a-host-2'];
+const key = {CRANBERRYTIDE_KEY: apiKey('one')};
+let fleet: Fleet;
+
+function addresses(listener: 'admin' | 'caller'): string {
+	return names.map(name => formatAddress(fleet.hosts.get(name)[listener]!)).join(',');
+}
+
+beforeAll(async () => {
+	fleet = await Fleet.start({
+		timeScale: 20,
+		domains: ['a'],
+		hosts: [2],
+		engines: [{service: 'check', perDomain: 1}],
+		plains: [{service: 'book', perDomain: 1}],
+		services: [
+			{
+				kind: 'model', id: 'check', model: 'm', idempotent: true, deadline: {default: 10_000, most: 20_000},
+			},
+			{
+				kind: 'plain', id: 'book', idempotent: false, ticketRule: 'ticket', deadline: {default: 10_000, most: 20_000},
+			},
+		],
+		organisations: [{id: 'one'}],
+	});
+});
+
+afterAll(async () => {
+	await fleet[Symbol.asyncDispose]();
+});
+
+describe('operators\' tools', () => {
+	it('shows the document in force and the state of the fleet', async () => {
+		const shown = await command(['show', '--hosts', addresses('admin')]);
+		expect(shown).toMatchObject({code: 0, complaints: ''});
+		expect(shown.out.trim().split('\n')).toHaveLength(3);
+		const document = await command(['show', '--document', '--hosts', addresses('admin')]);
+		const checked = await command(['check', '-'], document.out);
+		expect(checked.code).toBe(0);
+		const status = await command(['status', '--hosts', addresses('admin')]);
+		expect(status.code).toBe(0);
+		expect(status.out).toMatch(/^a-host-2 +a +serving/mv);
+		expect(status.out).toMatch(/^a-check-1 +engine +check/mv);
+	});
+
+	it('sends a prompt and explains what became of it', async () => {
+		const answer = await command(['send', '--service', 'check', '--max-tokens', '20', '--hosts', addresses('caller')], 'one line', key);
+		expect(answer).toMatchObject({code: 0, complaints: ''});
+		expect(answer.out.length).toBeGreaterThan(1);
+		const {host, request} = await concludedRequest();
+		const explained = await command(['explain', request, '--hosts', addresses('admin')]);
+		expect(explained.code).toBe(0);
+		expect(explained.out).toContain(`${host}  Sent to a-check-1 as attempt ${request}`);
+		expect(explained.out).toContain('Answered in full');
+	});
+
+	it('runs a call that may run only once, with the ticket it is given', async () => {
+		const words = ['send', '--service', 'book', '--path', '/bookings', '--once', '--hosts', addresses('caller')];
+		expect(await command(words, '{"seat":1}', key)).toMatchObject({code: 0, complaints: ''});
+		const unknown = await command(['send', '--service', 'none', '--hosts', addresses('caller')], 'x', key);
+		expect(unknown.code).toBe(10);
+		expect(unknown.complaints).toContain('error 1004');
+	});
+
+	it('makes the next document from the one in force', async () => {
+		await using console = await openConsole({admin: addresses('admin').split(',')});
+		const start = await console.start();
+		expect(start).not.toContain('class="notice');
+		const page = await console.next(start, 'go/entry/organisations/0');
+		const review = await console.next(page, 'go/review', {'field.weight': '3'});
+		expect(review).toContain('Organisation &quot;one&quot;: weight changes from 1 to 3');
+	});
+
+	it('drains a host', async () => {
+		const drained = await command(['drain', 'a-host-2', '--wait', '--hosts', addresses('admin')]);
+		expect(drained.code).toBe(0);
+		expect(drained.out).toContain('a-host-2 is leaving');
+		expect(await command(['status', '--hosts', addresses('admin')])).toMatchObject({code: 70});
+	});
+});
+
+/** A request that some host still knows to have ended. */
+async function concludedRequest(): Promise<{readonly host: string; readonly request: string}> {
+	for (const name of names) {
+		const response = await fetch(`http://${formatAddress(fleet.hosts.get(name).admin!)}/admin/decisions`);
+		const {decisions} = await response.json() as {decisions: Array<{decision: {type: string; request: string}}>};
+		const concluded = decisions.find(({decision}) => decision.type === 'concluded');
+		if (concluded !== undefined) {
+			return {host: name, request: concluded.decision.request};
+		}
+	}
+
+	throw new Error('no host knows a request');
+}
--- a/src/console/desk.ts
+++ b/src/console/desk.ts
@@ -72,7 +72,7 @@
 	}
 
 	if (!isAccepted && (warnings.length > 0 || view.standing.type !== 'in-force')) {
-		return show({...view, place: review, refusal: 'Tick that you have read the warnings and the notice, then download again.'});
+		return show({...view, place: review, refusal: 'Tick that you have read the warnings, then download again.'});
 	}
 
 	return {type: 'document', text, revision};
--- a/src/console/draft/edit.ts
+++ b/src/console/draft/edit.ts
@@ -12,7 +12,7 @@
 } from './json.js';
 import {type Action, type Place} from './place.js';
 import {
-	documentFields,
+	documentGroups,
 	kindOf,
 	sectionOf,
 	type Section,
@@ -47,7 +47,7 @@
 		}
 
 		case 'list': {
-			return takeGroup(draft, [], documentFields[place.section.id] ?? [], form);
+			return takeGroup(draft, [], documentGroups[place.section.id]?.fields ?? [], form);
 		}
 
 		case 'entry': {
--- a/src/console/draft/sections.ts
+++ b/src/console/draft/sections.ts
@@ -253,19 +253,34 @@
 
 export const sections: readonly Section[] = [services, organisations, upstreams, plannedStops, takeovers, failureDomains, tokenKeys];
 
-/** Fields of the document itself, by the section under whose list they stand. */
-export const documentFields: Readonly<Partial<Record<Section['id'], readonly Field[]>>> = {
-	plannedStops: [
+/** Fields of the document itself that stand under one of its lists. */
+export type DocumentGroup = {
+	readonly title: string;
+	readonly fields: readonly Field[];
+};
+
+const stopRule: DocumentGroup = {
+	title: 'Stop rule',
+	fields: [
 		field('stopRule.concurrentHosts', 'Hosts of one failure domain that may stop at a time', number),
 		field('stopRule.concurrentUpstreams', 'Upstreams of one service and failure domain that may stop at a time', number),
 	],
-	upstreams: [
-		field('weightStore.address.host', 'IP number of the weight store', text, 'Leave all three empty where there is none.'),
-		field('weightStore.address.port', 'Port of the weight store', number),
-		field('weightStore.loadsPerSecond', 'Loads a second that the store accepts from everyone', number),
+};
+
+const weightStore: DocumentGroup = {
+	title: 'Weight store',
+	fields: [
+		field('weightStore.address.host', 'IP number', text, 'Leave all three empty where there is none.'),
+		field('weightStore.address.port', 'Port', number),
+		field('weightStore.loadsPerSecond', 'Loads a second that it accepts from everyone', number),
 	],
 };
 
+export const documentGroups: Readonly<Partial<Record<Section['id'], DocumentGroup>>> = {
+	plannedStops: stopRule,
+	upstreams: weightStore,
+};
+
 /**
  * @param id - Name of a list.
  * @returns Its section, if it has one.
--- a/src/console/pages/entry.ts
+++ b/src/console/pages/entry.ts
@@ -49,5 +49,5 @@
 }
 
 function newKey(apiKey: string): Html {
-	return html`<div class="notice strong" role="status"><p>New API key, shown only now; the document holds its hash alone:</p><p><code>${apiKey}</code></p></div>`;
+	return html`<div class="notice" role="status"><p>New API key, shown only now; the document holds its hash alone:</p><p><code>${apiKey}</code></p></div>`;
 }
--- a/src/console/pages/layout.ts
+++ b/src/console/pages/layout.ts
@@ -100,8 +100,7 @@
 }
 
 function reviewTab({place, review}: View): Html {
-	const label = 'Review and download';
-	return html`<li class="${place.type === 'review' ? 'current' : ''}">${button({type: 'go', place: {type: 'review'}}, label)}${badge(mistakeCount(review))}</li>`;
+	return html`<li class="${place.type === 'review' ? 'current' : ''}">${button({type: 'go', place: {type: 'review'}}, 'Review')}${badge(mistakeCount(review))}</li>`;
 }
 
 function tab({place, review, state}: View, id: string, title: string): Html {
--- a/src/console/pages/list.ts
+++ b/src/console/pages/list.ts
@@ -3,7 +3,7 @@
 	entriesOf, read, textOf, type Entry,
 } from '../draft/json.js';
 import {mistakesAt} from '../draft/review.js';
-import {documentFields, type Section} from '../draft/sections.js';
+import {documentGroups, type Section} from '../draft/sections.js';
 import {html, type Html} from '../html.js';
 import {count, draftPage, type View} from './layout.js';
 import {button, fieldList, mistakeList} from './parts.js';
@@ -22,13 +22,13 @@
 	const {draft} = view.state;
 	const all = entriesOf(draft, section.id).map((entry, index) => ({entry, index}));
 	const found = all.filter(({entry}) => nameOf(section, entry).includes(view.filter));
-	const fields = documentFields[section.id] ?? [];
+	const group = documentGroups[section.id];
 	return draftPage(view, section.title, html`
 		<p>${section.intro}</p>
 		<p class="bar">${section.kinds.map(kind => button({type: 'add', section, kind: kind.id}, `Add ${article(kind.label)} ${kind.label}`, 'primary'))}</p>
 		${all.length > rowsShown || view.filter !== '' ? filterBar(view, found.length, all.length) : undefined}
 		${found.length === 0 ? html`<p class="empty">There is none.</p>` : table(view, section, found.slice(0, rowsShown))}
-		${fields.length === 0 ? undefined : html`<h2>For all of them</h2>${fieldList(draft, [], fields, view.review.mistakes)}<p>${button({type: 'stay'}, 'Apply', 'primary')}</p>`}
+		${group === undefined ? undefined : html`<h2>${group.title}</h2>${fieldList(draft, [], group.fields, view.review.mistakes)}<p>${button({type: 'stay'}, 'Apply', 'primary')}</p>`}
 	`);
 }
 
--- a/src/console/pages/review.ts
+++ b/src/console/pages/review.ts
@@ -51,11 +51,13 @@
 
 function download(view: View): Html {
 	const {review, standing} = view;
-	const mustAccept = review.warnings.length > 0 || standing.type !== 'in-force';
+	const isInForce = standing.type === 'in-force';
+	const mustAccept = review.warnings.length > 0 || !isInForce;
+	const read = isInForce ? 'warnings' : 'notice about the base and all warnings';
 	return html`
 		<h2>Document</h2>
 		<p>The console publishes nothing. Download the document and give it to the platform's configuration service; hosts adopt it because its revision is higher.</p>
-		${mustAccept ? html`<p><label class="check"><input type="checkbox" name="accepted" value="yes"> I have read the warnings and the notice on this page.</label></p>` : undefined}
+		${mustAccept ? html`<p><label class="check"><input type="checkbox" name="accepted" value="yes"> I have read the ${read} on this page.</label></p>` : undefined}
 		<p>${button({type: 'download'}, `Download revision ${review.revision}`, 'primary')}</p>
 	`;
 }
--- a/src/core/types/configuration.ts
+++ b/src/core/types/configuration.ts
@@ -4,7 +4,7 @@
  */
 import {z} from 'zod';
 
-const name = z.string().min(1).max(64).regex(/^[\w.\-]+$/v);
+const name = z.string().min(1).max(64).regex(/^[\w.\-]+$/v, 'Only letters, digits, dots, hyphens and underscores are allowed');
 const milliseconds = z.number().int().positive();
 const tokens = z.number().int().positive();
 const address = z.object({
@@ -58,7 +58,7 @@
 export const organisationSchema = z.object({
 	id: name,
 	/** SHA-256 of each API key, in lower-case hexadecimal. */
-	keyHashes: z.array(z.string().regex(/^[\da-f]{64}$/v)).readonly(),
+	keyHashes: z.array(z.string().regex(/^[\da-f]{64}$/v, 'A SHA-256 has 64 hexadecimal digits in lower case')).readonly(),
 	/** Lower runs first. */
 	priority: z.number().int().min(0).max(9).default(5),
 	/** Share among organisations of the same priority. */
@@ -128,7 +128,7 @@
 export const tokenKeySchema = z.object({
 	id: name,
 	/** 32 bytes or more, in hexadecimal. */
-	secret: z.string().regex(/^[\da-f]{64,}$/v),
+	secret: z.string().regex(/^[\da-f]{64,}$/v, 'A secret has 64 or more hexadecimal digits in lower case'),
 }).readonly();
 
 export const plannedStopSchema = z.object({
--- a/src/protocol/configuration/parse.ts
+++ b/src/protocol/configuration/parse.ts
@@ -3,6 +3,7 @@
 import {createHash} from 'node:crypto';
 import {configurationSchema} from '../../core/index.js';
 import {capacityMistakes} from './capacities.js';
+import {issueInWords, sentence} from './issue.js';
 import {formatPath} from './path.js';
 import {referenceMistakes} from './references.js';
 import {
@@ -38,7 +39,7 @@
 	const shaped = configurationSchema.safeParse(raw);
 	if (!shaped.success) {
 		return invalid(shaped.error.issues.map(issue => ({
-			path: formatPath(issue.path), code: 'badDocument', text: sentence(issue.message),
+			path: formatPath(issue.path), code: 'badDocument', text: issueInWords(issue),
 		})));
 	}
 
@@ -84,10 +85,6 @@
 	};
 }
 
-function sentence(message: string): string {
-	return message.endsWith('.') ? message : `${message}.`;
-}
-
 function isObject(value: unknown): value is Readonly<Record<string, unknown>> {
 	return typeof value === 'object' && value !== null;
 }
--- a/src/protocol/configuration/warning.ts
+++ b/src/protocol/configuration/warning.ts
@@ -106,7 +106,7 @@
 		}
 
 		case 'no-engine-to-spare': {
-			return `"${warning.service}" has ${warning.readyEngines} engines in "${warning.failureDomain}" and all must stay ready: none may stop or change its version.`;
+			return `In "${warning.failureDomain}" as many engines of "${warning.service}" must stay ready as there are (${warning.readyEngines}): none may stop or change its version.`;
 		}
 
 		case 'grace-below-deadline': {
