--- a/__tests__/operators.test.ts
+++ b/__tests__/operators.test.ts
@@ -1,10 +1,13 @@
 /** The operators' tools against real hosts. */
-import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {
+	afterAll, beforeAll, describe, expect, it,
+} from 'vitest';
 import {Fleet} from '../bench/fleet/fleet.js';
 import {apiKey} from '../bench/fleet/shape.js';
 import {command} from '../src/cli/__tests__/fakes.js';
 import {openConsole} from '../src/console/__tests__/browser.js';
 import {formatAddress} from '../src/protocol/address.js';
+import {decisionsSchema} from '../src/protocol/admin.js';
 
 const names = ['a-host-1', 'a-host-2'];
 const key = {CRANBERRYTIDE_KEY: apiKey('one')};
@@ -91,10 +94,10 @@
 async function concludedRequest(): Promise<{readonly host: string; readonly request: string}> {
 	for (const name of names) {
 		const response = await fetch(`http://${formatAddress(fleet.hosts.get(name).admin!)}/admin/decisions`);
-		const {decisions} = await response.json() as {decisions: Array<{decision: {type: string; request: string}}>};
+		const {decisions} = decisionsSchema.parse(await response.json());
 		const concluded = decisions.find(({decision}) => decision.type === 'concluded');
 		if (concluded !== undefined) {
-			return {host: name, request: concluded.decision.request};
+			return {host: name, request: String(concluded.decision.request)};
 		}
 	}
 
