--- /dev/null
+++ b/bench/experiments/main.ts
@@ -0,0 +1,76 @@
+#!/usr/bin/env node
+/** `npm run bench -- qalamkar eau-saine`: compares routing policies and writes JSON and a markdown table. */
+import {mkdir, writeFile} from 'node:fs/promises';
+import path from 'node:path';
+import process from 'node:process';
+import {Command, InvalidArgumentError} from 'commander';
+import {measureCapacity} from './capacity.js';
+import {compare, policies, type Run} from './experiment.js';
+import {deployments, type Deployment} from './scenarios.js';
+import {summarise} from './summary.js';
+import {tableOf} from './table.js';
+
+type Flags = {
+	readonly seeds: number;
+	readonly duration: number;
+	readonly out: string;
+};
+
+function wholeNumber(text: string): number {
+	const value = Number(text);
+	if (!Number.isInteger(value) || value < 1) {
+		throw new InvalidArgumentError('a whole number above 0 is wanted');
+	}
+
+	return value;
+}
+
+function find(name: string): Deployment {
+	const found = deployments.find(each => each.name === name);
+	if (found === undefined) {
+		throw new InvalidArgumentError(`no deployment ${name}`);
+	}
+
+	return found;
+}
+
+function tell({policy, kind, seed, result}: Run): void {
+	const p95 = Object.entries(result.classes).map(([name, each]) => `${name} ${each.firstToken.p95.toFixed(0)} ms`).join(', ');
+	process.stderr.write(`seed ${seed} ${policy} ${kind}: ${result.sent} sent, ${JSON.stringify(result.outcomes)}, first token p95 ${p95}, sending lag p99 ${result.sendingLag.p99.toFixed(0)} ms\n`);
+}
+
+async function runOne(deployment: Deployment, {seeds, duration, out}: Flags): Promise<void> {
+	const plan = {seeds: Array.from({length: seeds}, (_, index) => index + 1), policies, duration};
+	const runs = await compare(deployment, plan, tell);
+	const summary = summarise(deployment.name, runs);
+	const table = tableOf(summary);
+	await mkdir(out, {recursive: true});
+	await writeFile(path.join(out, `${deployment.name}.json`), JSON.stringify({summary, runs}, undefined, '\t'));
+	await writeFile(path.join(out, `${deployment.name}.md`), table);
+	process.stdout.write(table);
+}
+
+const command = new Command('bench').description('Experiments on a whole fleet of this machine\'s processes.');
+command.command('compare', {isDefault: true})
+	.description('compare routing policies in alternation')
+	.argument('[deployments...]', 'qalamkar, eau-saine; both if absent')
+	.option('--seeds <count>', 'runs of each kind', wholeNumber, 5)
+	.option('--duration <ms>', 'real milliseconds of each run', wholeNumber, 12_000)
+	.option('--out <directory>', 'where results go', 'bench/results')
+	.addHelpText('after', '\nExample:\n  npm run bench -- qalamkar --seeds 5')
+	.action(async (names: readonly string[], flags: Flags) => {
+		const chosen = names.length === 0 ? deployments : names.map(name => find(name));
+		for (const deployment of chosen) {
+			await runOne(deployment, flags);
+		}
+	});
+command.command('capacity')
+	.description('measure the requests a second that a deployment\'s engines can just serve')
+	.addHelpText('after', '\nExample:\n  npm run bench -- capacity')
+	.action(async () => {
+		for (const deployment of deployments) {
+			const capacity = await measureCapacity(deployment);
+			process.stdout.write(`${deployment.name}: ${capacity.toFixed(1)} requests a second\n`);
+		}
+	});
+await command.parseAsync();
--- /dev/null
+++ b/bench/experiments/scenarios.ts
@@ -0,0 +1,161 @@
+/**
+ * The two deployments at today's sizes. Engines run `timeScale` times as fast as real ones; entry hosts run in real
+ * time, so their reports are that many times older, in engine time, than in production.
+ */
+import {type ShapeInput} from '../fleet/shape.js';
+import {type PromptClass, type ScenarioInput} from '../load/scenario.js';
+
+/** One deployment, and the load that it gets. */
+export type Deployment = {
+	readonly name: string;
+	readonly shape: ShapeInput;
+	/** The model service under test. */
+	readonly service: string;
+	readonly classes: readonly PromptClass[];
+	readonly organisations: ReadonlyArray<{readonly id: string; readonly weight: number}>;
+	/** Requests a real second that the engines can just serve, as `npm run bench -- capacity` measures it. */
+	readonly capacity: number;
+	readonly timeout: number;
+};
+
+export const timeScale = 5;
+
+/** Engine speeds in engine time. */
+const engineSettings = {
+	memory: 420_000,
+	prefillRate: 20_000,
+	decodeInterval: 25,
+	batch: 32,
+	chunk: 1024,
+	reportLag: 500,
+	answer: {least: 512, most: 512},
+} as const;
+
+const few = {large: [8, 6, 4], small: 7} as const;
+
+function organisations(): Deployment['organisations'] {
+	return [
+		...few.large.map((weight, index) => ({id: `large-${index + 1}`, weight})),
+		...Array.from({length: few.small}, (_, index) => ({id: `small-${index + 1}`, weight: 1})),
+	];
+}
+
+function classes(shortWeight: number, middleWeight: number): readonly PromptClass[] {
+	return [
+		{
+			name: 'short',
+			weight: shortWeight,
+			prompt: {least: 1000, most: 4000},
+			output: {least: 16, most: 96},
+			prefixes: {count: 24, tokens: 768, share: 0.7},
+		},
+		{
+			name: 'middle',
+			weight: middleWeight,
+			prompt: {least: 10_000, most: 100_000},
+			output: {least: 32, most: 128},
+			prefixes: {count: 24, tokens: 8192, share: 0.5},
+		},
+		{
+			name: 'long', weight: 2, prompt: {least: 100_000, most: 1_000_000}, output: {least: 64, most: 256},
+		},
+	];
+}
+
+const deadline = {default: 60_000, most: 60_000};
+
+export const qalamkar: Deployment = {
+	name: 'qalamkar',
+	service: 'style-check',
+	classes: classes(80, 18),
+	organisations: organisations(),
+	capacity: 94,
+	timeout: 60_000,
+	shape: {
+		timeScale,
+		domains: ['saddar', 'clifton', 'korangi'],
+		hosts: [3, 2, 2],
+		engines: [{service: 'style-check', perDomain: 8, settings: engineSettings}],
+		plains: [{service: 'reference', perDomain: 1}],
+		services: [
+			{
+				kind: 'model', id: 'style-check', model: 'style', idempotent: true, deadline, weights: {slowdown: 3, firstToken: 1},
+			},
+			{
+				kind: 'plain', id: 'reference', idempotent: true, deadline,
+			},
+		],
+		organisations: organisations().map(({id}) => ({id})),
+	},
+};
+
+export const eauSaine: Deployment = {
+	name: 'eau-saine',
+	service: 'cranberrytide',
+	classes: classes(70, 28),
+	organisations: organisations(),
+	capacity: 75,
+	timeout: 60_000,
+	shape: {
+		timeScale,
+		domains: ['nord', 'centre', 'sud'],
+		hosts: [2],
+		engines: [{service: 'cranberrytide', perDomain: 8, settings: engineSettings}],
+		plains: [{service: 'portal', perDomain: 1}],
+		services: [
+			{
+				kind: 'model', id: 'cranberrytide', model: 'dossier', idempotent: true, deadline, weights: {slowdown: 1, firstToken: 3},
+			},
+			{
+				kind: 'plain', id: 'portal', idempotent: false, deadline,
+			},
+		],
+		organisations: organisations().map(({id}) => ({id})),
+	},
+};
+
+export const deployments: readonly Deployment[] = [qalamkar, eauSaine];
+
+/** How one run differs from others of a deployment. */
+export type Variation = {
+	readonly seed: number;
+	readonly textSeed: number;
+	/** Share of the capacity that is asked for. */
+	readonly load: number;
+	/** Real milliseconds. */
+	readonly duration: number;
+	/** Only prompts of this class, at the rate that they have in the whole mix. */
+	readonly only?: string;
+};
+
+/**
+ * @param deployment - Deployment.
+ * @param entries - Its entry hosts.
+ * @param variation - What is special about the run.
+ * @returns The load scenario of the run.
+ */
+export function scenarioFor(deployment: Deployment, entries: ScenarioInput['entries'], variation: Variation): ScenarioInput {
+	const chosen = deployment.classes.filter(each => variation.only === undefined || each.name === variation.only);
+	const weightOf = (of: readonly PromptClass[]) => {
+		let sum = 0;
+		for (const {weight} of of) {
+			sum += weight;
+		}
+
+		return sum;
+	};
+
+	return {
+		seed: variation.seed,
+		textSeed: variation.textSeed,
+		entries,
+		service: deployment.service,
+		rate: deployment.capacity * variation.load * weightOf(chosen) / weightOf(deployment.classes),
+		duration: variation.duration,
+		warmUp: variation.duration / 5,
+		timeout: deployment.timeout,
+		organisations: deployment.organisations.map(each => ({...each, key: `key-${each.id}`})),
+		classes: chosen,
+		answer: engineSettings.answer,
+	};
+}
--- a/bench/fleet/upstreams.ts
+++ b/bench/fleet/upstreams.ts
@@ -2,7 +2,9 @@
 import got from 'got';
 import {z} from 'zod';
 import {type Address} from '../../src/core/index.js';
-import {executionsSchema, type Executions} from '../../stand-ins/engine/executions.js';
+import {
+	countersSchema, executionsSchema, type Counters, type Executions,
+} from '../../stand-ins/engine/executions.js';
 import {type Fault as EngineFault} from '../../stand-ins/engine/faults.js';
 import {
 	PlainService, settingsSchema as plainSettings, type Counts,
@@ -19,6 +21,8 @@
 });
 const allExecutionsSchema = z.object({engines: z.array(executionsSchema)});
 
+const allCountersSchema = z.object({engines: z.array(z.object({engine: z.string(), counters: countersSchema}))});
+
 type EngineGroup = {
 	readonly domain: string;
 	readonly child: Child;
@@ -120,6 +124,13 @@
 		return answers.flatMap(answer => answer.engines);
 	}
 
+	/** Counters of every engine, by engine id. */
+	async counters(): Promise<ReadonlyMap<string, Counters>> {
+		const answers = await Promise.all(this.#groups.map(async ({control}) =>
+			allCountersSchema.parse(await got(`http://${control.host}:${control.port}/control/counters`).json())));
+		return new Map(answers.flatMap(answer => answer.engines.map(({engine, counters}) => [engine, counters] as const)));
+	}
+
 	/**
 	 * @param service - Upstream id of a plain service.
 	 * @param fault - Fault to switch on or off.
--- a/bench/load/scenario.ts
+++ b/bench/load/scenario.ts
@@ -24,6 +24,8 @@
 
 export const scenarioSchema = z.object({
 	seed: z.number().int(),
+	/** Makes the prompts' texts differ between runs that share a seed, so that no run finds another's prompts cached. */
+	textSeed: z.number().int().default(0),
 	/** Entry hosts; each request goes to one at random. */
 	entries: z.array(addressSchema).min(1).readonly(),
 	/** Model service. */
--- a/bench/load/trace.ts
+++ b/bench/load/trace.ts
@@ -111,6 +111,10 @@
 	return text.slice(0, length);
 }
 
+function textSeedOf(seed: number, textSeed: number): number {
+	return Math.imul(seed + 1, 7919) + Math.imul(textSeed + 1, 611_953);
+}
+
 /** Repeats a text up to a length; a long prompt need differ from others only where its own text begins. */
 function repeated(pattern: string, length: number): string {
 	return pattern.repeat(Math.ceil(length / pattern.length)).slice(0, length);
@@ -118,14 +122,14 @@
 
 const prefixTexts = new Map<string, string>();
 
-function prefixText({promptClass, prefix}: Planned, {seed, tokensPerTextToken}: Scenario): string {
+function prefixText({promptClass, prefix}: Planned, {seed, textSeed, tokensPerTextToken}: Scenario): string {
 	if (prefix === undefined || promptClass.prefixes === undefined) {
 		return '';
 	}
 
-	const name = `${seed} ${promptClass.name} ${prefix}`;
+	const name = `${seed} ${textSeed} ${promptClass.name} ${prefix}`;
 	const characters = Math.floor(promptClass.prefixes.tokens * charactersPerToken / tokensPerTextToken);
-	const text = prefixTexts.get(name) ?? letters(Math.imul(seed + 1, 7919) + Math.imul(prefix + 1, 104_729), characters);
+	const text = prefixTexts.get(name) ?? letters(textSeedOf(seed, textSeed) + Math.imul(prefix + 1, 104_729), characters);
 	prefixTexts.set(name, text);
 	return text;
 }
@@ -138,6 +142,27 @@
 export function contentOf(planned: Planned, scenario: Scenario): string {
 	const characters = (planned.promptTokens * charactersPerToken / scenario.tokensPerTextToken) - roleCharacters;
 	const prefix = prefixText(planned, scenario).slice(0, Math.max(characters - charactersPerToken, 0));
-	const own = letters(Math.imul(scenario.seed + 1, 31) + Math.imul(planned.index + 1, 15_485_863), patternCharacters);
+	const own = letters(textSeedOf(scenario.seed, scenario.textSeed) + Math.imul(planned.index + 1, 15_485_863), patternCharacters);
 	return prefix + repeated(own, characters - prefix.length);
 }
+
+/**
+ * @param trace - Requests.
+ * @returns Share of prompt tokens that one router with one endless cache would find cached.
+ */
+export function reusableShare(trace: readonly Planned[]): number {
+	const seen = new Set<string>();
+	let reusable = 0;
+	let total = 0;
+	for (const {promptClass, prefix, promptTokens} of trace) {
+		total += promptTokens;
+		const name = `${promptClass.name} ${prefix}`;
+		if (prefix !== undefined && seen.has(name)) {
+			reusable += Math.min(promptClass.prefixes?.tokens ?? 0, promptTokens);
+		}
+
+		seen.add(name);
+	}
+
+	return total === 0 ? 0 : reusable / total;
+}
--- a/stand-ins/engine/process.ts
+++ b/stand-ins/engine/process.ts
@@ -58,6 +58,9 @@
 			await Promise.all(this.#chosen(engine).map(async each => each.apply(fault)));
 			answerJson(outgoing, 204);
 		});
+		this.#control.route('get', '/control/counters', async ({outgoing}) => {
+			answerJson(outgoing, 200, {engines: this.#hosts.map(({id, log}) => ({engine: id, counters: log.counters}))});
+		});
 		this.#control.route('get', '/control/executions', async ({outgoing, query}) => {
 			const chosen = this.#chosen(query.get('engine') ?? undefined);
 			answerJson(outgoing, 200, {engines: chosen.map(each => each.executions)});
