--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -8,8 +8,11 @@
 
 const idleSockets = 64;
 
+/** Milliseconds that an idle connection is kept; shorter than servers' usual five seconds, so that it is not closed as it is used. */
+const idleTimeout = 4000;
+
 /** Reuses connections; for calls that may be repeated. */
-export const reusingAgent = new http.Agent({keepAlive: true, maxFreeSockets: idleSockets});
+export const reusingAgent = new http.Agent({keepAlive: true, maxFreeSockets: idleSockets, timeout: idleTimeout});
 
 /** Opens a connection for each call: a reused one may close just as a call is written, which leaves its outcome unknown. */
 export const singleAgent = new http.Agent({keepAlive: false});
--- a/src/upstream/engine.ts
+++ b/src/upstream/engine.ts
@@ -1,8 +1,7 @@
 /** Runs requests on model engines and follows their streams, across broken connections where the engine still runs them. */
-import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
-import got from 'got';
-import {createParser, type EventSourceMessage} from 'eventsource-parser';
+import got, {type Request} from 'got';
+import {createParser, type EventSourceMessage, type EventSourceParser} from 'eventsource-parser';
 import {
 	messageOf, codes, type Address, type Ending,
 } from '../core/index.js';
@@ -50,6 +49,9 @@
 /** Milliseconds before a broken stream is asked for again. */
 const resumptionPause = 50;
 
+/** Characters kept of an engine's refusal. */
+const refusalLength = 500;
+
 const firstServerError = 500;
 const success = 200;
 const overloadStatuses: ReadonlySet<number> = new Set([429, 503]);
@@ -63,15 +65,19 @@
 
 /** Follows one attempt's frames. */
 class Follower {
-	readonly #call: Call;
 	readonly #sink: Sink;
+	readonly #prefix: string;
+	readonly #decoder = new TextDecoder();
 	#next: number;
 	#tokens = 0;
 	#cached: number | undefined;
+	#stretch: Stretch | undefined;
+	#room: Promise<void> | undefined;
+	#parser = this.#newParser();
 
-	constructor(call: Call, sink: Sink, next = 0) {
-		this.#call = call;
+	constructor(attempt: string, sink: Sink, next = 0) {
 		this.#sink = sink;
+		this.#prefix = `${attempt}/`;
 		this.#next = next;
 	}
 
@@ -83,57 +89,64 @@
 		return {type: 'done', tokens: this.#tokens, cachedTokens: this.#cached};
 	}
 
+	/** How the present connection came to its end, if it did. */
+	get stretch(): Stretch | undefined {
+		return this.#stretch;
+	}
+
+	/** Begins a new connection of the same stream. */
+	restart(): void {
+		this.#stretch = undefined;
+		this.#parser = this.#newParser();
+	}
+
 	/**
-	 * @param source - Response body of the engine.
-	 * @returns Whether the stream's end was seen, a frame was missing or the connection ended early.
+	 * @param chunk - Bytes of the engine's response.
+	 * @returns A promise to wait for where the caller's buffer is full.
 	 */
-	async follow(source: AsyncIterable<Uint8Array>): Promise<Stretch> {
-		const decoder = new TextDecoder();
-		const events: EventSourceMessage[] = [];
-		const parser = createParser({
-			onEvent(event) {
-				events.push(event);
+	feed(chunk: Uint8Array): Promise<void> | undefined {
+		this.#room = undefined;
+		this.#parser.feed(this.#decoder.decode(chunk, {stream: true}));
+		return this.#room;
+	}
+
+	#newParser(): EventSourceParser {
+		return createParser({
+			onEvent: event => {
+				this.#take(event);
 			},
 		});
-		for await (const chunk of source) {
-			parser.feed(decoder.decode(chunk, {stream: true}));
-			const taken = events.splice(0);
-			for (const event of taken) {
-				const stretch = await this.#take(event);
-				if (stretch !== undefined) {
-					return stretch;
-				}
-			}
-		}
-
-		return {type: 'broken', detail: 'the stream ended early'};
 	}
 
-	async #take(event: EventSourceMessage): Promise<Stretch | undefined> {
-		if (event.data === streamEnd) {
-			return {type: 'complete'};
+	#take({id = '', data}: EventSourceMessage): void {
+		if (this.#stretch !== undefined) {
+			return;
 		}
 
-		const [attempt, offset] = splitId(event.id);
-		if (attempt !== this.#call.attempt) {
-			this.#sink.stray('attempt');
-			return undefined;
-		}
-
-		if (offset !== this.#next) {
-			this.#sink.stray('offset');
-			return offset > this.#next ? {type: 'broken', detail: 'a frame is missing'} : undefined;
+		if (data === streamEnd) {
+			this.#stretch = {type: 'complete'};
+		} else if (id === this.#prefix + String(this.#next)) {
+			this.#pass(data);
+		} else {
+			this.#drop(id);
 		}
+	}
 
+	#pass(data: string): void {
+		const offset = this.#next;
 		this.#next++;
 		this.#tokens++;
-		this.#readUsage(event.data);
-		const room = this.#sink.frame(offset, event.data);
-		if (room !== undefined) {
-			await room;
-		}
+		this.#readUsage(data);
+		this.#room = this.#sink.frame(offset, data) ?? this.#room;
+	}
 
-		return undefined;
+	/** A frame that is repeated or another attempt's is left out; one too early means that others are missing. */
+	#drop(id: string): void {
+		const isOwn = id.startsWith(this.#prefix);
+		this.#sink.stray(isOwn ? 'offset' : 'attempt');
+		if (isOwn && Number(id.slice(this.#prefix.length)) > this.#next) {
+			this.#stretch = {type: 'broken', detail: 'a frame is missing'};
+		}
 	}
 
 	/** Only the last frame has usage, so the others need not be parsed. */
@@ -146,11 +159,6 @@
 	}
 }
 
-function splitId(id: string | undefined): readonly [attempt: string, offset: number] {
-	const slash = id?.lastIndexOf('/') ?? -1;
-	return id === undefined || slash < 0 ? ['', -1] : [id.slice(0, slash), Number(id.slice(slash + 1))];
-}
-
 /**
  * Runs one attempt to its end.
  *
@@ -160,7 +168,7 @@
  */
 export async function runOnEngine(call: Call, sink: Sink): Promise<Ending> {
 	const sending = new Sending();
-	const follower = new Follower(call, sink);
+	const follower = new Follower(call.attempt, sink);
 	let stretch = await post(call, sink, sending, follower);
 	if (stretch.type === 'silent') {
 		return {
@@ -190,7 +198,7 @@
  * @returns What is provably true of the attempt.
  */
 export async function resumeOnEngine(call: Call, offset: number, sink: Sink): Promise<Ending> {
-	const follower = new Follower(call, sink, offset);
+	const follower = new Follower(call.attempt, sink, offset);
 	let stretch = await resume(call, follower);
 	for (let tries = 1; stretch.type === 'broken' && tries < resumptions && !call.signal.aborted; tries++) {
 		await pause(resumptionPause * tries);
@@ -267,44 +275,51 @@
 	return read(stream, follower);
 }
 
-type Download = AsyncIterable<Uint8Array> & {
-	readonly response?: IncomingMessage;
-	readonly destroy: () => unknown;
-	readonly once: (event: 'response', listener: (response: IncomingMessage) => void) => unknown;
-};
-
-async function read(stream: Download, follower: Follower): Promise<Stretch> {
+/** Follows one connection to its end. */
+async function read(stream: Request, follower: Follower): Promise<Stretch> {
+	follower.restart();
 	let status = 0;
-	stream.once('response', response => {
+	let refusal = '';
+	stream.once('response', (response: IncomingMessage) => {
 		status = response.statusCode ?? 0;
 	});
 	try {
-		const chunks = stream[Symbol.asyncIterator]();
-		const first = await chunks.next();
-		const source: AsyncIterable<Uint8Array> = {
-			async * [Symbol.asyncIterator]() {
-				for (let item = first; !item.done; item = await chunks.next()) {
-					yield item.value;
+		return await new Promise<Stretch>(resolve => {
+			stream.on('data', (chunk: Uint8Array) => {
+				if (status !== success) {
+					refusal = (refusal + new TextDecoder().decode(chunk)).slice(0, refusalLength);
+					return;
 				}
-			},
-		};
-		return status === success
-			? await follower.follow(source)
-			: {type: 'refused', status, detail: await readText(source)};
-	} catch (error) {
-		return {type: 'broken', detail: messageOf(error)};
+
+				const room = follower.feed(chunk);
+				if (follower.stretch !== undefined) {
+					resolve(follower.stretch);
+				} else if (room !== undefined) {
+					void hold(stream, room);
+				}
+			});
+			stream.once('end', () => {
+				resolve(status === success
+					? {type: 'broken', detail: 'the stream ended early'}
+					: {type: 'refused', status, detail: refusal});
+			});
+			// Errors may follow the end, and must not go unheard.
+			stream.on('error', error => {
+				resolve({type: 'broken', detail: error.message});
+			});
+			stream.once('close', () => {
+				resolve({type: 'broken', detail: 'the connection was closed'});
+			});
+		});
 	} finally {
 		stream.destroy();
 	}
 }
 
-async function readText(source: AsyncIterable<Uint8Array>): Promise<string> {
-	const chunks: Uint8Array[] = [];
-	for await (const chunk of source) {
-		chunks.push(chunk);
-	}
-
-	return Buffer.concat(chunks).toString('utf8').slice(0, 500);
+async function hold(stream: Request, room: Promise<void>): Promise<void> {
+	stream.pause();
+	await room;
+	stream.resume();
 }
 
 async function pause(milliseconds: number): Promise<void> {
