--- /dev/null
+++ b/src/core/features/polling/types.ts
@@ -0,0 +1,19 @@
+/** Which engines this host asks for load reports, and what it tells its peers of them. */
+import {Map as Table} from 'immutable';
+import {type Report} from '../../types/upstream.js';
+
+/** A report with the time at which its figures were true. */
+export type DatedReport = {
+	readonly report: Report;
+	/** Monotonic time in milliseconds. */
+	readonly trueAt: number;
+};
+
+export type PollingState = {
+	/** Reports read here and not yet told to peers, by upstream. */
+	readonly unshared: Table<string, DatedReport>;
+	/** Monotonic time of the next telling, in milliseconds. */
+	readonly nextShare: number;
+};
+
+export const initialPolling: PollingState = {unshared: Table(), nextShare: 0};
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -10,6 +10,7 @@
 	texts,
 } from './errors.js';
 export type {Code, CodeName} from './errors.js';
+export {ownEngines, readingsDue} from './features/polling/queries.js';
 export {initialState, step} from './step.js';
 export * from './types/configuration.js';
 export type * from './types/effect.js';
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -7,6 +7,8 @@
 import {initialMembership} from './features/membership/types.js';
 import {placementFeature} from './features/placement/feature.js';
 import {initialPlacement} from './features/placement/types.js';
+import {pollingFeature} from './features/polling/feature.js';
+import {initialPolling} from './features/polling/types.js';
 import {requestsFeature} from './features/requests/feature.js';
 import {initialRequests} from './features/requests/types.js';
 import {stopsFeature} from './features/stops/feature.js';
@@ -45,6 +47,7 @@
 	workFeature,
 	prefixesFeature,
 	upstreamsFeature,
+	pollingFeature,
 	suspicionFeature,
 	circuitsFeature,
 	ticketsFeature,
@@ -69,6 +72,7 @@
 		keys: initialKeys,
 		membership: initialMembership,
 		placement: initialPlacement,
+		polling: initialPolling,
 		requests: initialRequests,
 		stops: initialStops,
 		suspicion: initialSuspicion,
--- a/src/core/types/event.ts
+++ b/src/core/types/event.ts
@@ -29,7 +29,7 @@
 	// From forwarding to a keeper or another domain.
 		| {readonly type: 'forward-ended'; readonly request: string; readonly ending: Ending}
 	// From upstreams.
-		| {readonly type: 'report-received'; readonly report: Report}
+		| {readonly type: 'report-received'; readonly report: Report; /** Read by another host. */ readonly isRelayed?: true}
 		| {readonly type: 'upstream-unreachable'; readonly upstream: string}
 		| {readonly type: 'cache-changed'; readonly upstream: string; readonly incarnation: string; readonly changes: readonly CacheChange[]; readonly gap: boolean}
 		| {readonly type: 'holds-listed'; readonly upstream: string; readonly holds: readonly Hold[]}
--- a/src/core/types/peer.ts
+++ b/src/core/types/peer.ts
@@ -1,6 +1,7 @@
 /** Messages between the hosts of the system. */
 import {type Address} from './configuration.js';
 import {type Incarnation} from './request.js';
+import {type Report} from './upstream.js';
 
 export type Phase = 'starting' | 'serving' | 'leaving';
 
@@ -83,6 +84,8 @@
 			/** Hosts of the same failure domain, a few at a time, where it is too large for links between all. */
 			readonly relayed: readonly Digest[];
 		}
+		/** Load reports that the sender read itself, for hosts of the same failure domain. */
+		| {readonly type: 'reports'; readonly reports: readonly Report[]}
 		| {readonly type: 'configuration-wanted'; readonly above: number}
 	/** A whole document, as text so that its digest is the same everywhere. */
 		| {readonly type: 'configuration'; readonly text: string}
--- a/src/core/types/state.ts
+++ b/src/core/types/state.ts
@@ -5,6 +5,7 @@
 import {type LimitsState} from '../features/limits/types.js';
 import {type MembershipState} from '../features/membership/types.js';
 import {type PlacementState} from '../features/placement/types.js';
+import {type PollingState} from '../features/polling/types.js';
 import {type RequestsState} from '../features/requests/types.js';
 import {type StopsState} from '../features/stops/types.js';
 import {type PrefixesState} from '../features/prefixes/types.js';
@@ -25,6 +26,7 @@
 	readonly keys: KeysState;
 	readonly membership: MembershipState;
 	readonly placement: PlacementState;
+	readonly polling: PollingState;
 	readonly requests: RequestsState;
 	readonly stops: StopsState;
 	readonly suspicion: SuspicionState;
--- a/src/entry/daemon.ts
+++ b/src/entry/daemon.ts
@@ -117,7 +117,12 @@
 
 	parts.use(watchConfiguration(platform, settings.watchWait, state, dispatch));
 	parts.use(watchHosts(platform, settings.hostsInterval, dispatch));
-	parts.use(new UpstreamWatch(settings.reportInterval, state, dispatch));
+	parts.use(new UpstreamWatch({
+		clock: container.get(tokens.clock),
+		interval: settings.reportInterval,
+		state,
+		dispatch,
+	}));
 	const ticks = setInterval(() => {
 		driver.dispatch({type: 'tick'});
 	}, settings.tickInterval);
--- a/src/entry/logs.ts
+++ b/src/entry/logs.ts
@@ -10,9 +10,27 @@
 const levels = {info: 'info', warn: 'warn', error: 'error'} as const;
 export type Level = keyof typeof levels;
 
+/** Lines of one turn of the loop go out in one write. */
+let waiting = '';
+
+function flush(): void {
+	const lines = waiting;
+	waiting = '';
+	if (lines !== '') {
+		process.stdout.write(lines);
+	}
+}
+
+// What is left when the process ends by itself is written then.
+process.once('exit', flush);
+
 function reporter(entry: LogObject): void {
 	const line: unknown = entry.args[0];
-	process.stdout.write(`${JSON.stringify({time: entry.date.toISOString(), level: entry.type, ...(typeof line === 'object' && line)})}\n`);
+	if (waiting === '') {
+		setImmediate(flush);
+	}
+
+	waiting += `${JSON.stringify({time: entry.date.toISOString(), level: entry.type, ...(typeof line === 'object' && line)})}\n`;
 }
 
 /** Writes log lines. */
--- a/src/entry/watch/upstreams.ts
+++ b/src/entry/watch/upstreams.ts
@@ -1,13 +1,21 @@
-/** Reads what the engines of this host's failure domain publish. */
-import {type Engine, type Event, type State} from '../../core/index.js';
+/** Reads what the engines of this host's failure domain publish, at a cost that does not grow with their number. */
+import {
+	ownEngines,
+	readingsDue,
+	type Engine,
+	type Event,
+	type State,
+} from '../../core/index.js';
 import {readCacheEvents, readHolds, readReport} from '../../upstream/control.js';
+import {type Clock} from '../clock.js';
 import {Loop} from './loop.js';
 
 /** The most load reports that one host asks for in a second. */
-const readingsPerSecond = 24;
+const reportsPerSecond = 8;
 
-/** Load reports of an engine between two listings of its holds. */
-const reportsPerListing = 8;
+/** Turns of reading a report between two readings of cache events, and of holds. */
+const turnsPerCacheReading = 4;
+const turnsPerListing = 8;
 
 const millisecondsPerSecond = 1000;
 
@@ -17,87 +25,90 @@
 	readonly next: number;
 };
 
-function ownEngines(state: State): readonly Engine[] {
-	return (state.configuration.inForce?.upstreams ?? [])
-		.filter(upstream => upstream.kind === 'engine')
-		.filter(engine => engine.failureDomain === state.self.failureDomain);
-}
+/** What the watch needs of the daemon. */
+export type Outlook = {
+	readonly clock: Clock;
+	/** Milliseconds between two reports of one engine, while there are few engines. */
+	readonly interval: number;
+	readonly state: () => State;
+	readonly dispatch: (event: Event) => void;
+};
 
-/** Asks one engine after another, so that the cost does not grow with their number. */
 export class UpstreamWatch implements AsyncDisposable {
-	readonly #state: () => State;
-	readonly #dispatch: (event: Event) => void;
-	readonly #interval: number;
+	readonly #outlook: Outlook;
 	readonly #cursors = new Map<string, Cursor>();
 	readonly #busy = new Set<string>();
-	readonly #reports = new Map<string, number>();
+	/** Monotonic time of the last reading of each engine, answered or not. */
+	readonly #asked = new Map<string, number>();
 	readonly #loop: Loop;
-	#position = 0;
+	#turn = 0;
 
 	/**
-	 * @param interval - Milliseconds between two reports of one engine, while there are few engines.
-	 * @param state - Reads the core's state.
-	 * @param dispatch - Tells the core.
+	 * @param outlook - Parts of the daemon.
 	 */
-	constructor(interval: number, state: () => State, dispatch: (event: Event) => void) {
-		this.#interval = interval;
-		this.#state = state;
-		this.#dispatch = dispatch;
-		this.#loop = new Loop(async () => this.#turn());
+	constructor(outlook: Outlook) {
+		this.#outlook = outlook;
+		this.#loop = new Loop(async () => this.#next());
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
 		await this.#loop[Symbol.asyncDispose]();
 	}
 
-	async #turn(): Promise<number> {
-		const engines = ownEngines(this.#state());
-		const engine = engines[this.#position % Math.max(engines.length, 1)];
-		this.#position++;
-		if (engine === undefined) {
-			return this.#interval;
+	async #next(): Promise<number> {
+		const {clock, interval, state} = this.#outlook;
+		const now = clock.now();
+		const engine = readingsDue(state(), now, interval)
+			.find(({id}) => !this.#busy.has(id) && now - (this.#asked.get(id) ?? 0) >= interval);
+		if (engine !== undefined) {
+			this.#asked.set(engine.id, now);
+			// A slow engine does not hold up the others.
+			void this.#ask(engine, async () => this.#report(engine));
 		}
 
-		// A slow engine does not hold up the others.
-		if (!this.#busy.has(engine.id)) {
-			void this.#ask(engine);
-		}
+		this.#turn++;
+		this.#readInTurn(turnsPerCacheReading, async engine => this.#followCache(engine));
+		this.#readInTurn(turnsPerListing, async engine => this.#listHolds(engine));
+		return millisecondsPerSecond / reportsPerSecond;
+	}
 
-		return Math.max(this.#interval / engines.length, millisecondsPerSecond / readingsPerSecond);
+	#readInTurn(turns: number, read: (engine: Engine) => Promise<void>): void {
+		const engines = ownEngines(this.#outlook.state());
+		const engine = engines[(this.#turn / turns) % Math.max(engines.length, 1)];
+		if (this.#turn % turns === 0 && engine !== undefined) {
+			void this.#ask(engine, async () => read(engine));
+		}
 	}
 
-	async #ask(engine: Engine): Promise<void> {
-		this.#busy.add(engine.id);
+	async #ask({id}: Engine, read: () => Promise<void>): Promise<void> {
+		this.#busy.add(id);
 		try {
-			const report = await readReport(engine.id, engine.address);
-			this.#dispatch({type: 'report-received', report});
-			await this.#followCache(engine);
-			await this.#listHolds(engine);
+			await read();
 		} catch {
-			this.#dispatch({type: 'upstream-unreachable', upstream: engine.id});
+			this.#outlook.dispatch({type: 'upstream-unreachable', upstream: id});
 		} finally {
-			this.#busy.delete(engine.id);
+			this.#busy.delete(id);
 		}
 	}
 
-	async #listHolds(engine: Engine): Promise<void> {
-		const reports = this.#reports.get(engine.id) ?? 0;
-		this.#reports.set(engine.id, reports + 1);
-		if (reports % reportsPerListing === 0) {
-			const holds = await readHolds(engine.id, engine.address);
-			this.#dispatch({type: 'holds-listed', upstream: engine.id, holds});
-		}
+	async #report({id, address}: Engine): Promise<void> {
+		this.#outlook.dispatch({type: 'report-received', report: await readReport(id, address)});
+	}
+
+	async #listHolds({id, address}: Engine): Promise<void> {
+		const holds = await readHolds(id, address);
+		this.#outlook.dispatch({type: 'holds-listed', upstream: id, holds});
 	}
 
-	async #followCache(engine: Engine): Promise<void> {
-		const cursor = this.#cursors.get(engine.id);
-		const {incarnation, next, gap, changes} = await readCacheEvents(engine.address, cursor?.next ?? 0);
-		this.#cursors.set(engine.id, {incarnation, next});
+	async #followCache({id, address}: Engine): Promise<void> {
+		const cursor = this.#cursors.get(id);
+		const {incarnation, next, gap, changes} = await readCacheEvents(address, cursor?.next ?? 0);
+		this.#cursors.set(id, {incarnation, next});
 		const isRestarted = cursor !== undefined && cursor.incarnation !== incarnation;
 		if (changes.length > 0 || gap || isRestarted) {
-			this.#dispatch({
+			this.#outlook.dispatch({
 				type: 'cache-changed',
-				upstream: engine.id,
+				upstream: id,
 				incarnation,
 				changes,
 				gap: gap || isRestarted,
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -34,6 +34,26 @@
 	crashes: z.array(text).max(listLimit),
 	expires: z.number(),
 });
+const target = z.object({
+	model: text,
+	version: text,
+	adapters: z.array(text).max(listLimit),
+	role: z.enum(['mixed', 'prefill', 'decode']),
+});
+const report = z.object({
+	upstream: text,
+	incarnation: text,
+	age: z.number(),
+	ready: z.boolean(),
+	running: amount,
+	waiting: amount,
+	queuedPrefill: amount,
+	usedMemory: amount,
+	memory: amount,
+	current: target.optional(),
+	loading: target.optional(),
+	orderNumber: z.object({counter: z.number().int(), host: text}).optional(),
+});
 const digest = z.object({
 	incarnation,
 	sequence: count,
@@ -84,6 +104,7 @@
 		members: z.array(member).max(listLimit),
 		relayed: z.array(digest).max(listLimit),
 	}),
+	z.object({type: z.literal('reports'), reports: z.array(report).max(listLimit)}),
 	z.object({type: z.literal('configuration-wanted'), above: count}),
 	z.object({type: z.literal('configuration'), text: z.string().max(longestMessage)}),
 	...keyMessages,
--- a/src/upstream/engine.ts
+++ b/src/upstream/engine.ts
@@ -2,9 +2,7 @@
 import {type IncomingMessage} from 'node:http';
 import got, {type Request} from 'got';
 import {createParser, type EventSourceMessage, type EventSourceParser} from 'eventsource-parser';
-import {
-	messageOf, codes, type Address, type Ending,
-} from '../core/index.js';
+import {codes, type Address, type Ending} from '../core/index.js';
 import {
 	connectTimeout,
 	reusingAgent,
