Fuzz runs over several hosts' cores, and what they found

It found a false 'not run': a keeper that had forgotten a used ticket after its expiry sealed it on request. The ask now carries the expiry, and an expired right without an entry is not sealed; fixed as a regression test. A forwarded answer counts as the keeper's word only when it was received in full.

--- /dev/null
+++ b/bench/fuzz/invariants.ts
@@ -0,0 +1,127 @@
+/** The invariants that every scenario and fuzz run is checked by. */
+import {assertNever, codes} from '../../src/core/index.js';
+import {type Ledger, type Told} from './ledger.js';
+
+export const checks = ['at-most-once', 'true-not-run', 'own-answer', 'answered-in-time', 'bounded-tables', 'holds-freed', 'live-holds-kept', 'few-crashes'] as const;
+
+export type Check = (typeof checks)[number];
+
+export type Violation = {
+	readonly check: Check;
+	readonly detail: string;
+};
+
+/** Time after its deadline by which a request must be answered, in milliseconds: a few ticks. */
+const slack = 250;
+
+/** Upstreams that one request may crash when it is sent through several hosts at once. */
+const mostCrashes = 3;
+
+/** A key refused with one of these may be sent again and run then; "not run" speaks of the time before it. */
+const openCodes: ReadonlySet<number> = new Set([
+	codes.overloaded,
+	codes.deadlineUnreachable,
+	codes.organisationLimit,
+	codes.leaving,
+	codes.noUpstream,
+	codes.notConfigured,
+	codes.refusedByUpstream,
+	codes.notConnected,
+	codes.abandoned,
+	codes.deadlineBeforeStart,
+	codes.badHeader,
+]);
+
+function countBy<T>(all: readonly T[], keyOf: (value: T) => string): ReadonlyMap<string, number> {
+	const counts = new Map<string, number>();
+	for (const each of all) {
+		counts.set(keyOf(each), (counts.get(keyOf(each)) ?? 0) + 1);
+	}
+
+	return counts;
+}
+
+function doubled({operations, executions}: Ledger): readonly string[] {
+	const once = executions.filter(each => operations.get(each.operation)?.idempotent === false);
+	return [...countBy(once, each => each.operation)]
+		.filter(([, count]) => count > 1)
+		.map(([operation, count]) => `${operation} ran ${count} times`);
+}
+
+function isOpen(told: Told): boolean {
+	return told.outcome.type === 'not-run' && told.right.startsWith('k') && openCodes.has(told.outcome.code);
+}
+
+function falselyNotRun(ledger: Ledger): readonly string[] {
+	const wrong = ledger.told.filter(each => each.outcome.type === 'not-run'
+		&& ledger.operations.get(each.operation)?.idempotent === false
+		&& ledger.executions.some(ran => ran.right === each.right && (!isOpen(each) || ran.at < each.at)));
+	return wrong.map(each => `${each.operation} under ${each.right}: ${JSON.stringify(each.outcome)} at ${each.at}`);
+}
+
+function crossed({told, executions}: Ledger): readonly string[] {
+	const ran = new Set(executions.map(each => each.operation));
+	return told
+		.filter(each => each.outcome.type === 'done' && (each.payload !== each.operation || !ran.has(each.operation)))
+		.map(each => `${each.operation} got the answer of ${each.payload ?? 'nobody'}`);
+}
+
+function late({visits}: Ledger): readonly string[] {
+	return visits
+		.filter(each => !each.excused && (each.answeredAt ?? Number.POSITIVE_INFINITY) > each.deadline + slack)
+		.map(each => `${each.request} at ${each.host}, due ${each.deadline}: ${each.answeredAt ?? 'never'}`);
+}
+
+function killed({crashes}: Ledger): readonly string[] {
+	return [...countBy(crashes, each => each.operation)]
+		.filter(([, count]) => count > mostCrashes)
+		.map(([operation, count]) => `${operation} crashed ${count} upstreams`);
+}
+
+function failures(ledger: Ledger, check: Check): readonly string[] {
+	switch (check) {
+		case 'at-most-once': {
+			return doubled(ledger);
+		}
+
+		case 'true-not-run': {
+			return falselyNotRun(ledger);
+		}
+
+		case 'own-answer': {
+			return crossed(ledger);
+		}
+
+		case 'answered-in-time': {
+			return late(ledger);
+		}
+
+		case 'bounded-tables': {
+			return ledger.leftovers;
+		}
+
+		case 'holds-freed': {
+			return ledger.leftHolds;
+		}
+
+		case 'live-holds-kept': {
+			return ledger.holdEnds.filter(each => each.wasLive).map(each => `${each.hold} of ${each.owner} at ${each.at}`);
+		}
+
+		case 'few-crashes': {
+			return killed(ledger);
+		}
+
+		default: {
+			return assertNever(check);
+		}
+	}
+}
+
+/**
+ * @param ledger - What happened.
+ * @returns Every breach of an invariant.
+ */
+export function violations(ledger: Ledger): readonly Violation[] {
+	return checks.flatMap(check => failures(ledger, check).map(detail => ({check, detail})));
+}
--- /dev/null
+++ b/bench/fuzz/ledger.ts
@@ -0,0 +1,59 @@
+/** What happened in a run, as an outside observer sees it; the invariants are checked on it. */
+import {type Outcome} from '../../src/core/index.js';
+
+/** One thing that a caller wants done, under whatever rights it is sent. */
+export type Operation = {
+	readonly id: string;
+	readonly idempotent: boolean;
+	/** Whether it crashes each upstream that runs it. */
+	readonly kills: boolean;
+};
+
+export type Execution = {
+	readonly operation: string;
+	readonly right: string;
+	readonly upstream: string;
+	readonly at: number;
+};
+
+/** What a caller was told for one sending. */
+export type Told = {
+	readonly operation: string;
+	readonly right: string;
+	readonly outcome: Outcome;
+	/** Operation whose result the answer carried, if it was done. */
+	readonly payload?: string;
+	readonly at: number;
+};
+
+/** A request at one host, answered or not. */
+export type Visit = {
+	readonly host: string;
+	readonly request: string;
+	readonly deadline: number;
+	answeredAt?: number;
+	/** The host died or stopped, was paused, or its caller left. */
+	excused: boolean;
+};
+
+export type HoldEnd = {
+	readonly hold: string;
+	readonly owner: string;
+	/** Whether the owner lived and the deadline, with its grace, lay ahead. */
+	readonly wasLive: boolean;
+	readonly at: number;
+};
+
+export class Ledger {
+	readonly operations = new Map<string, Operation>();
+	readonly executions: Execution[] = [];
+	readonly told: Told[] = [];
+	readonly visits: Visit[] = [];
+	readonly crashes: Array<{readonly upstream: string; readonly operation: string}> = [];
+	readonly holdEnds: HoldEnd[] = [];
+	/** Holds that nobody gave back in time. */
+	readonly leftHolds: string[] = [];
+	/** Tables of hosts that should be empty at the end but are not. */
+	readonly leftovers: string[] = [];
+	steps = 0;
+}
--- /dev/null
+++ b/src/core/__tests__/regressions.test.ts
@@ -0,0 +1,31 @@
+/** Faults that fuzz runs found, each as a fixed scenario. */
+import {describe, expect, it} from 'vitest';
+import {ticketLife} from '../features/tickets/types.js';
+import {type Event, type Ticket} from '../index.js';
+import {
+	at, effectsOf, member, play, request, serving,
+} from './hosts.js';
+
+describe('sealing', () => {
+	it('is refused for an expired ticket, whose use may have been forgotten', () => {
+		const self = member('a1');
+		const ticket: Ticket = {
+			keeper: self.incarnation, failureDomain: 'a', address: self.callerAddress, sequence: 1, organisation: 'paper', expires: at(1000).wall,
+		};
+		const ran = play(
+			play(serving(self), 0, {type: 'ticket-wanted', request: 'w', organisation: 'paper'}).state,
+			1,
+			{type: 'request-arrived', request: request('r1', {type: 'ticket', ticket})},
+		);
+		const [sent] = effectsOf(ran.effects, 'send');
+		const ended = play(ran.state, 2, {type: 'attempt-ended', attempt: sent!.attempt, ending: {type: 'done', tokens: 1}});
+		const swept = play(ended.state, ticketLife, {type: 'tick'});
+		const ask: Event = {
+			type: 'peer-message', from: 'a2', message: {
+				type: 'seal', id: 'r2', right: 't/1', expires: ticket.expires, keeper: self.incarnation,
+			},
+		};
+		expect(swept.state.tickets.entries.size).toBe(0);
+		expect(effectsOf(play(swept.state, ticketLife, ask).effects, 'peer-send')).toMatchObject([{message: {type: 'sealed', answer: {type: 'used'}}}]);
+	});
+});
--- /dev/null
+++ b/src/core/__tests__/truth.property.test.ts
@@ -0,0 +1,27 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {run} from '../../../bench/fuzz/run.js';
+
+const seeds = fc.integer({min: 1, max: 1_000_000});
+
+describe('several hosts under faults', () => {
+	it('keep every invariant whatever the order of delivery, loss, repeats, pauses, restarts and partitions', () => {
+		fc.assert(fc.property(seeds, seed => {
+			expect(run({seed, length: 8000, killers: false}).violations).toEqual([]);
+		}), {seed: 20_261_202, numRuns: 12});
+	});
+});
+
+describe('several hosts without faults', () => {
+	it('serve every operation, also those of callers that only resend a key to any host', () => {
+		fc.assert(fc.property(seeds, seed => {
+			const {world, violations} = run({
+				seed, length: 5000, faults: false, killers: false,
+			});
+			expect(violations).toEqual([]);
+			const served = new Set(world.ledger.told.filter(each => each.outcome.type === 'done').map(each => each.operation));
+			expect([...world.ledger.operations.keys()].filter(each => !served.has(each))).toEqual([]);
+			expect(world.ledger.told.filter(each => each.outcome.type === 'unknown')).toEqual([]);
+		}), {seed: 20_261_202, numRuns: 6});
+	});
+});
--- a/src/core/features/keys/commands/claims.ts
+++ b/src/core/features/keys/commands/claims.ts
@@ -1,6 +1,6 @@
 /** Claims: a host that wants to run a key asks everyone else for a promise never to run it. */
-import {type KeyAnswer, type Member} from '../../../types/peer.js';
-import {type Incarnation, type Request} from '../../../types/request.js';
+import {type KeyMessage, type Member} from '../../../types/peer.js';
+import {type Request} from '../../../types/request.js';
 import {type Context, type State, type Step} from '../../../types/state.js';
 import {assertNever, chain, only} from '../../../utils/common.js';
 import {isServing} from '../../membership/queries.js';
@@ -19,6 +19,16 @@
 /** Time a claim may take in milliseconds: long enough for a short pause of another host. */
 const claimTime = 1000;
 
+type AnswerMessage = Extract<KeyMessage, {readonly type: 'key-answer'}>;
+
+/** A key as it arrives with a request. */
+export type ShownKey = {
+	readonly right: string;
+	/** From the key, wall-clock time in milliseconds since 1970. */
+	readonly minted: number;
+	readonly request: Request;
+};
+
 type Claiming = Extract<ClaimProgress, {readonly type: 'claiming'}>;
 
 /**
@@ -98,13 +108,11 @@
 
 /**
  * @param state - Core state.
- * @param right - Name of the key's right, of which nothing is known here.
- * @param minted - When the key was minted.
- * @param request - Request that showed it.
+ * @param shown - A key of which nothing is known here.
  * @param context - Time and random source.
  * @returns The next state and the questions; the request is cleared at once if there is nobody to ask.
  */
-export function beginClaim(state: State, right: string, minted: number, request: Request, {now}: Context): Step {
+export function beginClaim(state: State, {right, minted, request}: ShownKey, {now}: Context): Step {
 	const pending = others(state).map(each => each.member.incarnation.host);
 	const progress: Claiming = {
 		type: 'claiming',
@@ -124,13 +132,17 @@
 
 /**
  * @param state - Core state.
- * @param right - Name of the key's right.
- * @param claim - Claim that runs.
- * @param progress - How far it is.
+ * @param right - Name of the right of a key that this host is claiming.
  * @param request - Another request with the same key.
  * @returns The next state, with the request waiting.
  */
-export function joinClaim(state: State, right: string, claim: Claim, progress: Claiming, request: Request): Step {
+export function joinClaim(state: State, right: string, request: Request): Step {
+	const claim = state.keys.claims.get(right);
+	if (claim?.progress.type !== 'claiming') {
+		return only(state);
+	}
+
+	const {progress} = claim;
 	return progress.waiting.length >= waitingLimit
 		? answerUnknown(state, request, 'outcomeUnknown', 'too many requests wait for the key')
 		: only(putClaim(state, right, {...claim, progress: {...progress, waiting: [...progress.waiting, request]}}));
@@ -159,12 +171,11 @@
 /**
  * @param state - Core state.
  * @param from - Host that answered.
- * @param right - Name of the key's right.
- * @param claimant - Incarnation of this host that asked.
- * @param answer - The answer.
+ * @param message - Its answer.
  * @returns The next state, with the requests cleared, passed on or answered if that was the last one missing.
  */
-export function takeAnswer(state: State, from: string, right: string, claimant: Incarnation, answer: KeyAnswer): Step {
+export function takeAnswer(state: State, from: string, message: AnswerMessage): Step {
+	const {id: right, claimant, answer} = message;
 	const claim = state.keys.claims.get(right);
 	if (claim?.progress.type !== 'claiming' || !isSame(claimant, state.self.incarnation)) {
 		return only(state);
--- a/src/core/features/keys/feature.ts
+++ b/src/core/features/keys/feature.ts
@@ -19,7 +19,7 @@
 	answered, attend, end, introduce, meet, stepBack, update,
 } from './commands/acquaintances.js';
 import {
-	beginClaim, hasRoom, joinClaim, pressClaims, takeAnswer,
+	beginClaim, hasRoom, joinClaim, pressClaims, takeAnswer, type ShownKey,
 } from './commands/claims.js';
 import {takeClaim} from './commands/promises.js';
 import {
@@ -43,7 +43,7 @@
 	const {progress} = claim;
 	switch (progress.type) {
 		case 'claiming': {
-			return joinClaim(state, right, claim, progress, request);
+			return joinClaim(state, right, request);
 		}
 
 		case 'kept': {
@@ -66,7 +66,8 @@
 	}
 }
 
-function arriveNew(state: State, request: Request, right: string, minted: number, context: Context): Step {
+function arriveNew(state: State, shown: ShownKey, context: Context): Step {
+	const {request, right, minted} = shown;
 	const {wall} = context;
 	if (minted <= wall - keyLife) {
 		return answerUnknown(state, request, 'outcomeUnknown', 'the key is too old to be remembered');
@@ -89,7 +90,7 @@
 			: answerUnknown(state, request, 'outcomeUnknown', 'too many keys in use');
 	}
 
-	return beginClaim(state, right, minted, request, context);
+	return beginClaim(state, shown, context);
 }
 
 function arrive(state: State, request: Request, key: string, context: Context): Step {
@@ -102,7 +103,7 @@
 	const right = keyRight(request.organisation, key);
 	const claim = state.keys.claims.get(right);
 	return claim === undefined
-		? arriveNew(state, request, right, minted, context)
+		? arriveNew(state, {request, right, minted}, context)
 		: arriveKnown(state, request, right, claim);
 }
 
@@ -134,7 +135,7 @@
 		}
 
 		case 'key-answer': {
-			return takeAnswer(state, from, message.id, message.claimant, message.answer);
+			return takeAnswer(state, from, message);
 		}
 
 		default: {
--- a/src/core/features/tickets/commands/forwards.ts
+++ b/src/core/features/tickets/commands/forwards.ts
@@ -98,9 +98,10 @@
 
 function askSeal(forward: Forward): Effect {
 	const {request, right, keeper} = forward;
+	const expires = request.proof.type === 'ticket' ? request.proof.ticket.expires : 0;
 	return {
 		type: 'peer-send', to: keeper.incarnation.host, message: {
-			type: 'seal', id: request.id, right, keeper: keeper.incarnation,
+			type: 'seal', id: request.id, right, expires, keeper: keeper.incarnation,
 		},
 	};
 }
@@ -117,42 +118,15 @@
 	};
 }
 
-/** Without a full answer of the keeper nothing is known: the right may have been used before, through any host. */
-function isKeepersWord(ending: Ending): boolean {
-	return ending.type !== 'unknown' && ending.type !== 'cancelled' && !(ending.type === 'not-run' && ending.code === codes.notConnected);
-}
-
-function wordOf(ending: Ending): Outcome {
-	switch (ending.type) {
-		case 'done': {
-			return {type: 'done'};
-		}
-
-		case 'failed':
-		case 'unknown':
-		case 'not-run': {
-			return {type: ending.type, code: ending.code, detail: ending.detail};
-		}
-
-		case 'cancelled': {
-			return {type: 'unknown', code: codes.callerGone};
-		}
-
-		default: {
-			return assertNever(ending);
-		}
-	}
-}
-
 /** An answer that began to reach the caller cannot be replaced by another one. */
-function isRelayed(ending: Ending): boolean {
+function isRelayed(ending: Ending): ending is Extract<Ending, {readonly type: 'unknown'}> {
 	return ending.type === 'unknown' && ending.relayed;
 }
 
 /**
  * @param state - Core state.
  * @param id - Request that was passed on.
- * @param ending - What came back; `unknown` or not connected if the keeper did not answer in full.
+ * @param ending - `done` if the keeper answered in full, whatever it said.
  * @param context - Time and random source.
  * @returns The next state and the answer, or the ask for a seal.
  */
@@ -162,11 +136,15 @@
 		return only(state);
 	}
 
-	if (isKeepersWord(ending) || isRelayed(ending)) {
-		return finish(state, forward, wordOf(ending));
+	// Whatever the keeper answered in full went to the caller as it was.
+	if (ending.type === 'done') {
+		return finish(state, forward, {type: 'done'});
 	}
 
-	return seal(state, forward, context);
+	// Without that nothing is known: the right may have been used before, through any host.
+	return isRelayed(ending)
+		? finish(state, forward, {type: 'unknown', code: ending.code, detail: ending.detail})
+		: seal(state, forward, context);
 }
 
 /**
--- a/src/core/features/tickets/commands/seals.ts
+++ b/src/core/features/tickets/commands/seals.ts
@@ -8,9 +8,17 @@
 import {type Context, type State, type Step} from '../../../types/state.js';
 import {chain} from '../../../utils/common.js';
 import {entry, isSame, isTicketRight} from '../queries.js';
-import {ticketLife} from '../types.js';
 import {sealRight} from './rights.js';
 
+/** What a host asks the keeper of a right. */
+export type SealAsk = {
+	readonly id: string;
+	readonly right: string;
+	/** Wall-clock time after which the right never runs, in milliseconds since 1970. */
+	readonly expires: number;
+	readonly keeper: Incarnation;
+};
+
 type Sealing = {
 	readonly state: State;
 	readonly answer: SealAnswer;
@@ -21,13 +29,17 @@
 const used: SealAnswer = {type: 'used'};
 const sealed: SealAnswer = {type: 'sealed'};
 
-function sealEntry(state: State, right: string, {wall}: Context): Sealing {
+/** A used right is remembered until it expires; one without an entry after that may have been used. */
+function mayBeForgotten(right: string, expires: number, wall: number): boolean {
+	return !isTicketRight(right) || expires <= wall;
+}
+
+function sealEntry(state: State, {right, expires}: SealAsk, {wall}: Context): Sealing {
 	const held = entry(state, right);
-	if (held === undefined && !isTicketRight(right)) {
+	if (held === undefined && mayBeForgotten(right, expires, wall)) {
 		return {state, answer: used};
 	}
 
-	const expires = held?.expires ?? wall + ticketLife;
 	const {progress} = held ?? {progress: {type: 'open'} as const};
 	if (progress.type === 'sealed' || (progress.type === 'ended' && progress.outcome.type === 'not-run')) {
 		return {state, answer: sealed};
@@ -53,11 +65,11 @@
 export function takeSeal(
 	state: State,
 	from: string,
-	ask: {readonly id: string; readonly right: string; readonly keeper: Incarnation},
+	ask: SealAsk,
 	context: Context,
 ): Step {
 	const isKeeper = isSame(ask.keeper, state.self.incarnation);
-	const sealing: Sealing = isKeeper ? sealEntry(state, ask.right, context) : {state, answer: used};
+	const sealing: Sealing = isKeeper ? sealEntry(state, ask, context) : {state, answer: used};
 	const {request} = sealing;
 	return chain(
 		sealing.state,
--- a/src/core/types/peer.ts
+++ b/src/core/types/peer.ts
@@ -92,7 +92,7 @@
 		| KeyMessage
 	/** Passed on to a host that the sender has no link to. */
 		| {readonly type: 'key-relay'; readonly from: string; readonly to: string; readonly hops: number; readonly message: KeyMessage}
-		| {readonly type: 'seal'; readonly id: string; readonly right: string; readonly keeper: Incarnation}
+		| {readonly type: 'seal'; readonly id: string; readonly right: string; readonly expires: number; readonly keeper: Incarnation}
 		| {readonly type: 'sealed'; readonly id: string; readonly answer: SealAnswer};
 
 /** Messages by which hosts agree on who runs an idempotency key. */
--- a/src/entry/peers/__tests__/links.test.ts
+++ b/src/entry/peers/__tests__/links.test.ts
@@ -68,7 +68,7 @@
 
 function seal(id: string) {
 	return {
-		type: 'seal', id, right: 't/1', keeper: {host: 'a', started: 1},
+		type: 'seal', id, right: 't/1', expires: 1, keeper: {host: 'a', started: 1},
 	} as const;
 }
 
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -112,7 +112,7 @@
 		type: z.literal('key-relay'), from: text, to: text, hops: count, message: z.discriminatedUnion('type', keyMessages),
 	}),
 	z.object({
-		type: z.literal('seal'), id: text, right: text, keeper: incarnation,
+		type: z.literal('seal'), id: text, right: text, expires: z.number(), keeper: incarnation,
 	}),
 	z.object({
 		type: z.literal('sealed'),
