Result codes and words as pages; takeovers judged as hosts judge them

Cause: hosts let a takeover of an organisation count before one of a failure domain, and use another domain's old endpoint where a domain has none. The parser refused both, which would have stood in the way of moving in step by step. It now warns and says which rule counts; a service without any old endpoint is still refused.

--- a/src/cli/decisions.ts
+++ b/src/cli/decisions.ts
@@ -1,6 +1,8 @@
 /** Puts logged decisions into words. */
 import {z} from 'zod';
-import {assertNever, codes, texts} from '../core/index.js';
+import {
+	assertNever, codes, nameOfCode, texts,
+} from '../core/index.js';
 import {type LoggedDecision} from '../protocol/admin.js';
 
 /** Fields of each decision that the words need. */
@@ -115,8 +117,8 @@
  * @returns The code with its text, if it has one.
  */
 export function codeInWords(code: number): string {
-	const text = Object.entries(texts).find(([name]) => Object.entries(codes).some(([other, value]) => other === name && value === code))?.[1];
-	return text === undefined ? String(code) : `${code} ${text}`;
+	const name = nameOfCode(code);
+	return codes[name] === code ? `${code} ${texts[name]}` : String(code);
 }
 
 function fieldsInWords({type, ...fields}: LoggedDecision): string {
--- a/src/console/desk.ts
+++ b/src/console/desk.ts
@@ -1,5 +1,10 @@
 /** Answers posts: takes what was typed, does what the button asks for and shows the next page. */
-import {raise} from '../core/index.js';
+import {
+	codes,
+	raise,
+	texts,
+	type CodeName,
+} from '../core/index.js';
 import {act, takeFields, type Edited} from './draft/edit.js';
 import {parseAction, parsePlace, type Place} from './draft/place.js';
 import {reviewOf} from './draft/review.js';
@@ -72,12 +77,17 @@
 	}
 
 	if (!isAccepted && (warnings.length > 0 || view.standing.type !== 'in-force')) {
-		return show({...view, place: review, refusal: 'Tick that you have read the warnings, then download again.'});
+		const reason = inWords(view.standing.type === 'superseded' ? 'baseNotInForce' : 'dangerousChange');
+		return show({...view, place: review, refusal: `${reason} Tick that you have read the warnings, then download again.`});
 	}
 
 	return {type: 'document', text, revision};
 }
 
+function inWords(name: CodeName): string {
+	return `${codes[name]} ${texts[name]}`;
+}
+
 function show(view: View): Answer {
 	return {type: 'page', text: pageOf(view)};
 }
--- a/src/protocol/configuration/__tests__/difference.test.ts
+++ b/src/protocol/configuration/__tests__/difference.test.ts
@@ -81,6 +81,13 @@
 		[{tokenKeys: [{id: 'k3', secret: k1!.secret}, k1]}, 'token-key-signs-at-once'],
 		[{tokenKeys: [k1, {...k2, secret: '3'.repeat(64)}]}, 'secret-changed'],
 		[{takeovers: [{service: 'check', failureDomain: 'north', servedBy: 'legacy'}]}, 'unrepeatable-service-moved'],
+		[{takeovers: [{service: 'check', servedBy: 'legacy'}]}, 'old-endpoint-elsewhere'],
+		[{
+			takeovers: [
+				{service: 'check', failureDomain: 'north', servedBy: 'legacy'},
+				{service: 'check', organisation: 'daily', servedBy: 'cranberrytide'},
+			],
+		}, 'takeovers-disagree'],
 		[{
 			plannedStops: [{
 				id: 'p', target: {kind: 'host', id: 'h'}, notBefore: 0, grace: 1000,
@@ -90,6 +97,18 @@
 		expect(warnings(overrides)).toContain(expected);
 	});
 
+	it('takes a third takeover as the settlement of two that disagree', () => {
+		expect(warnings({
+			takeovers: [
+				{service: 'check', failureDomain: 'north', servedBy: 'legacy'},
+				{service: 'check', organisation: 'daily', servedBy: 'cranberrytide'},
+				{
+					service: 'check', failureDomain: 'north', organisation: 'daily', servedBy: 'legacy',
+				},
+			],
+		})).not.toContain('takeovers-disagree');
+	});
+
 	it('lets a key rotate in three safe steps', () => {
 		const steps = [[k1, k2], [k2, k1], [k2]].map((tokenKeys, index) => read({revision: 8 + index, tokenKeys}));
 		const types = steps.slice(1).flatMap((after, index) => warningsOf(after, steps[index]).map(({type}) => type));
--- a/src/protocol/configuration/references.ts
+++ b/src/protocol/configuration/references.ts
@@ -7,7 +7,6 @@
 	type Takeover,
 	type Upstream,
 } from '../../core/index.js';
-import {groupBy} from './group.js';
 import {formatPath} from './path.js';
 import {type Mistake} from './types.js';
 
@@ -28,7 +27,6 @@
 		...configuration.plannedStops.flatMap((stop, index) => stopMistakes(stop, ['plannedStops', index], names)),
 		...duplicateTakeovers(configuration),
 		...configuration.takeovers.flatMap((takeover, index) => takeoverMistakes(takeover, ['takeovers', index], names)),
-		...ambiguousTakeovers(configuration),
 	];
 }
 
@@ -37,7 +35,7 @@
 	readonly services: ReadonlyMap<string, Service>;
 	readonly organisations: ReadonlySet<string>;
 	readonly upstreams: ReadonlySet<string>;
-	/** `service/failure domain` of every old endpoint. */
+	/** Services that have an old endpoint. */
 	readonly legacy: ReadonlySet<string>;
 };
 
@@ -49,7 +47,7 @@
 		upstreams: new Set(configuration.upstreams.map(each => each.id)),
 		legacy: new Set(configuration.upstreams
 			.filter(each => each.kind === 'legacy')
-			.map(each => `${each.service}/${each.failureDomain}`)),
+			.map(each => each.service)),
 	};
 }
 
@@ -192,34 +190,11 @@
 		return mistakes;
 	}
 
-	const domains = failureDomain === undefined ? [...names.failureDomains] : [failureDomain];
-	return domains
-		.filter(domain => !names.legacy.has(`${service}/${domain}`))
-		.map(domain => ({
+	return names.legacy.has(service)
+		? []
+		: [{
 			path: formatPath([...path, 'servedBy']),
 			code: 'brokenReference',
-			text: `The service "${service}" has no old endpoint in the failure domain "${domain}".`,
-		}));
-}
-
-/** One rule for a domain and one for an organisation must not disagree where both apply. */
-function ambiguousTakeovers({takeovers}: Configuration): readonly Mistake[] {
-	const scopes = new Set(takeovers.map(each => scopeOf(each)));
-	const byDomain = groupBy(
-		takeovers.filter(each => each.failureDomain !== undefined && each.organisation === undefined),
-		each => each.service,
-	);
-	return takeovers.flatMap((takeover, index) => {
-		if (takeover.organisation === undefined || takeover.failureDomain !== undefined) {
-			return [];
-		}
-
-		return (byDomain.get(takeover.service) ?? [])
-			.filter(each => each.servedBy !== takeover.servedBy
-				&& !scopes.has(scopeOf({...takeover, failureDomain: each.failureDomain})))
-			.map(each => duplicate(
-				['takeovers', index],
-				`In the failure domain "${each.failureDomain}" another takeover says otherwise; add one that names both.`,
-			));
-	});
+			text: `The service "${service}" has no old endpoint.`,
+		}];
 }
--- a/src/protocol/configuration/warning.ts
+++ b/src/protocol/configuration/warning.ts
@@ -2,7 +2,8 @@
 import {assertNever, type Takeover} from '../../core/index.js';
 import {durationInWords, scopeInWords} from './words.js';
 
-export type Warning
+/** Dangers of a change. */
+export type ChangeWarning
 	= | {readonly type: 'revision-not-higher'; readonly before: number; readonly after: number}
 		| {readonly type: 'service-removed'; readonly service: string}
 		| {readonly type: 'service-kind-changed'; readonly service: string}
@@ -19,12 +20,19 @@
 		| {readonly type: 'token-key-removed-at-once'; readonly key: string}
 		| {readonly type: 'token-key-signs-at-once'; readonly key: string}
 		| {readonly type: 'secret-changed'; readonly key: string}
-		| {readonly type: 'unrepeatable-service-moved'; readonly scope: Omit<Takeover, 'servedBy'>; readonly servedBy: Takeover['servedBy'] | 'default'}
+		| {readonly type: 'unrepeatable-service-moved'; readonly scope: Omit<Takeover, 'servedBy'>; readonly servedBy: Takeover['servedBy'] | 'default'};
+
+/** Dangers of a document by itself. */
+export type StandingWarning
+	= | {readonly type: 'old-endpoint-elsewhere'; readonly service: string; readonly failureDomain: string}
+		| {readonly type: 'takeovers-disagree'; readonly service: string; readonly failureDomain: string; readonly organisation: string; readonly servedBy: Takeover['servedBy']}
 		| {readonly type: 'service-without-upstream'; readonly service: string}
 		| {readonly type: 'no-engine-to-spare'; readonly service: string; readonly failureDomain: string; readonly readyEngines: number}
 		| {readonly type: 'grace-below-deadline'; readonly stop: string; readonly grace: number; readonly deadline: number}
 		| {readonly type: 'organisation-without-key'; readonly organisation: string};
 
+export type Warning = ChangeWarning | StandingWarning;
+
 /**
  * @param warning - A danger.
  * @returns What may happen and, where there is one, the safer way.
@@ -98,7 +106,25 @@
 		}
 
 		case 'unrepeatable-service-moved': {
-			return `${scopeInWords(warning.scope)} moves and may not be repeated: while hosts adopt this, both sides serve it. A caller must not send a request again at another host.`;
+			return `${scopeInWords(warning.scope)} moves and may not be repeated: `
+				+ 'hosts adopt this within seconds of each other, and until then both sides serve it. '
+				+ 'Callers must come through cranberrytide alone, which runs each request on one side.';
+		}
+
+		default: {
+			return standingInWords(warning);
+		}
+	}
+}
+
+function standingInWords(warning: StandingWarning): string {
+	switch (warning.type) {
+		case 'old-endpoint-elsewhere': {
+			return `"${warning.service}" has no old endpoint in "${warning.failureDomain}": hosts there use those of other failure domains and cannot when cut off.`;
+		}
+
+		case 'takeovers-disagree': {
+			return `For "${warning.organisation}" in "${warning.failureDomain}" two takeovers of "${warning.service}" disagree; that of the organisation counts (served by ${warning.servedBy}).`;
 		}
 
 		case 'service-without-upstream': {
--- a/src/protocol/configuration/warnings.ts
+++ b/src/protocol/configuration/warnings.ts
@@ -16,6 +16,8 @@
 		...crowdedDomains(after),
 		...shortGraces(after),
 		...openOrganisations(after),
+		...distantEndpoints(after),
+		...disagreements(after),
 	];
 }
 
@@ -61,3 +63,26 @@
 		.filter(organisation => organisation.keyHashes.length === 0)
 		.map(organisation => ({type: 'organisation-without-key', organisation: organisation.id}));
 }
+
+function distantEndpoints({takeovers, upstreams, failureDomains}: Configuration): readonly Warning[] {
+	const near = new Set(upstreams.filter(each => each.kind === 'legacy').map(each => `${each.service} ${each.failureDomain}`));
+	const needed = takeovers
+		.filter(each => each.servedBy === 'legacy')
+		.flatMap(({service, failureDomain}) => failureDomains
+			.filter(({id}) => failureDomain === undefined || failureDomain === id)
+			.map(({id}) => [`${service} ${id}`, {type: 'old-endpoint-elsewhere', service, failureDomain: id}] as const));
+	return [...new Map<string, Warning>(needed)].filter(([key]) => !near.has(key)).map(([, warning]) => warning);
+}
+
+/** Of a rule for an organisation and one for a failure domain, the organisation's counts where both apply. */
+function disagreements({takeovers}: Configuration): readonly Warning[] {
+	const byDomain = takeovers.filter(each => each.organisation === undefined && each.failureDomain !== undefined);
+	const byOrganisation = takeovers.filter(each => each.organisation !== undefined && each.failureDomain === undefined);
+	const settled = new Set(takeovers.map(each => JSON.stringify([each.service, each.failureDomain, each.organisation])));
+	return byOrganisation.flatMap(({service, organisation, servedBy}) => byDomain
+		.filter(each => each.service === service && each.servedBy !== servedBy)
+		.filter(each => !settled.has(JSON.stringify([service, each.failureDomain, organisation])))
+		.map(each => ({
+			type: 'takeovers-disagree', service, failureDomain: each.failureDomain!, organisation: organisation!, servedBy,
+		})));
+}
