Tests and tools with real processes: adoption, rolling replacement, a paused orderer

Cause: what the core's tests show must hold with processes, sockets and a platform that goes down or alternates fresh and stale.

A leaving host also waits for answers that other hosts give through it.

--- /dev/null
+++ b/__tests__/adoption.test.ts
@@ -0,0 +1,69 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {describe, expect, it} from 'vitest';
+import {Fleet} from '../bench/fleet/fleet.js';
+import {type ShapeInput} from '../bench/fleet/shape.js';
+import {countReversions} from '../bench/membership/reversions.js';
+import {inForce, linked, stateOf} from '../bench/membership/status.js';
+
+function shape(isProxied: boolean): ShapeInput {
+	return {
+		isProxied,
+		timeScale: 20,
+		domains: ['a', 'b', 'c'],
+		hosts: [2],
+		services: [],
+		organisations: [{id: 'one'}],
+		hostLag: 100,
+		entry: {hostsInterval: 300},
+	};
+}
+
+const hosts = ['a-host-1', 'a-host-2', 'b-host-1', 'b-host-2', 'c-host-1', 'c-host-2'];
+
+describe('adoption', () => {
+	it('brings a revision into force everywhere through one host that reads it, and one domain that links two', async () => {
+		await using fleet = await Fleet.start(shape(true));
+		await linked(fleet, hosts, 3);
+		for (const host of hosts.slice(1)) {
+			fleet.fault({type: 'refuse', where: {link: `${host}-platform`}});
+		}
+
+		fleet.fault({type: 'refuse', where: {from: 'a', to: 'c'}});
+		fleet.fault({type: 'refuse', where: {from: 'c', to: 'a'}});
+		for (let change = 0; change < 3; change++) {
+			const revision = await fleet.publish(before => before);
+			await inForce(fleet, hosts, revision);
+		}
+
+		expect(await stateOf(fleet, 'c-host-2')).toMatchObject({revision: 4});
+	});
+
+	it('refuses a stale, an invalid and another document of the same revision, and keeps serving', async () => {
+		await using fleet = await Fleet.start({...shape(false), hosts: [1]});
+		const first = fleet.configuration;
+		await inForce(fleet, ['a-host-1'], await fleet.publish(before => before));
+		await fleet.platform({type: 'publish', text: '{"revision": 9}', revision: 9});
+		await fleet.platform({type: 'publish', text: JSON.stringify(first), revision: 10});
+		await fleet.platform({type: 'publish', text: JSON.stringify({...first, revision: 2, tokenKeys: [{id: 'other', secret: 'a'.repeat(64)}]}), revision: 11});
+		await sleep(1500);
+		expect(await stateOf(fleet, 'a-host-1')).toMatchObject({phase: 'serving', revision: 2});
+	});
+
+	it('goes back on no host while the platform alternates fresh and stale and hosts restart', {timeout: 120_000}, async () => {
+		await using fleet = await Fleet.start({...shape(false), domains: ['a', 'b']});
+		const seen = await countReversions(fleet, 60, 20);
+		expect(seen).toMatchObject({changes: 60, restarts: 3, reversions: 0});
+		expect(seen.readings).toBeGreaterThan(0);
+	});
+
+	it('gives a host that starts during an outage the document of its peers', async () => {
+		await using fleet = await Fleet.start({...shape(true), domains: ['a']});
+		const revision = await fleet.publish(before => before);
+		await inForce(fleet, ['a-host-1', 'a-host-2'], revision);
+		await linked(fleet, ['a-host-1', 'a-host-2'], 1);
+		await fleet.platform({type: 'down'});
+		await fleet.replaceHost('a-host-1');
+		await fleet.hosts.ready(['a-host-1']);
+		expect(await stateOf(fleet, 'a-host-1')).toMatchObject({phase: 'serving', revision});
+	});
+});
--- /dev/null
+++ b/__tests__/membership.test.ts
@@ -0,0 +1,86 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import got from 'got';
+import {describe, expect, it} from 'vitest';
+import {z} from 'zod';
+import {Fleet} from '../bench/fleet/fleet.js';
+import {type ShapeInput} from '../bench/fleet/shape.js';
+import {rollHosts} from '../bench/membership/roll.js';
+import {inForce, stateOf} from '../bench/membership/status.js';
+import {orderStateSchema} from '../src/upstream/protocol.js';
+
+function shape(fencing: boolean): ShapeInput {
+	return {
+		timeScale: 20,
+		domains: ['a'],
+		hosts: [3],
+		engines: [{service: 'check', perDomain: 1, settings: {fencing}}],
+		services: [{
+			kind: 'model', id: 'check', model: 'm', idempotent: true, deadline: {default: 10_000, most: 20_000}, readyEngines: 0,
+		}],
+		organisations: [{id: 'one'}],
+		keepsLogs: true,
+		hostLag: 100,
+		entry: {hostsInterval: 300},
+	};
+}
+
+async function until(holds: () => Promise<boolean> | boolean): Promise<void> {
+	while (!await holds()) {
+		await sleep(20);
+	}
+}
+
+async function versionAt(fleet: Fleet): Promise<string | undefined> {
+	const [engine] = fleet.configuration.upstreams;
+	const orders = orderStateSchema.parse(await got(`http://${engine!.address.host}:${engine!.address.port}/v1/orders`).json());
+	return (orders.loading ?? orders.current)?.version;
+}
+
+async function publishVersion(fleet: Fleet, version: string): Promise<number> {
+	return fleet.publish(before => ({
+		...before,
+		upstreams: before.upstreams.map(upstream => upstream.kind === 'engine' ? {...upstream, target: {...upstream.target!, version}} : upstream),
+	}));
+}
+
+const loadSchema = z.object({
+	event: z.literal('ordered'),
+	order: z.object({type: z.literal('load'), target: z.object({version: z.string()})}),
+});
+
+/** Hosts that ordered a version; others may have sealed the engine while they did not know each other yet. */
+function orderersOf(fleet: Fleet, version: string): readonly string[] {
+	const isLoad = (line: unknown) => loadSchema.safeParse(line).data?.order.target.version === version;
+	return fleet.hosts.all.filter(({child}) => child.lines.some(line => isLoad(line))).map(host => host.id);
+}
+
+describe('hosts that are replaced', () => {
+	it('cut no stream and take nothing new 3 s after they announced leaving', {timeout: 180_000}, async () => {
+		await using fleet = await Fleet.start({...shape(true), engines: [{service: 'check', perDomain: 2}], keepsLogs: false});
+		const seen = await rollHosts(fleet, 4, 6);
+		expect(seen).toMatchObject({replacements: 4, cut: 0, late: 0});
+		expect(seen.streams).toBeGreaterThan(0);
+	});
+});
+
+describe('an orderer that is paused and wakes after a takeover', () => {
+	it.each([true, false])('leaves the engine with what the others ordered (numbers checked: %s)', {timeout: 120_000}, async fencing => {
+		await using fleet = await Fleet.start(shape(fencing));
+		await publishVersion(fleet, '2');
+		await until(async () => await versionAt(fleet) === '2');
+		const [paused, ...rest] = orderersOf(fleet, '2');
+		expect(rest).toEqual([]);
+		fleet.hosts.get(paused!).child.pause();
+		const others = fleet.hosts.all.map(host => host.id).filter(id => id !== paused);
+		await inForce(fleet, others, await publishVersion(fleet, '3'));
+		await until(async () => await versionAt(fleet) === '3');
+		fleet.hosts.get(paused!).child.resume();
+		await inForce(fleet, [paused!], fleet.configuration.revision);
+		for (let look = 0; look < 40; look++) {
+			expect(await versionAt(fleet)).toBe('3');
+			await sleep(100);
+		}
+
+		expect(await stateOf(fleet, paused!)).toMatchObject({phase: 'serving'});
+	});
+});
--- /dev/null
+++ b/bench/membership/status.ts
@@ -0,0 +1,89 @@
+/** Reads what hosts of a fleet say of themselves. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import got from 'got';
+import {z} from 'zod';
+import {type Fleet} from '../fleet/fleet.js';
+
+const pollInterval = 10;
+
+const stateSchema = z.object({
+	phase: z.string(),
+	revision: z.number(),
+	incarnation: z.object({started: z.number()}),
+	peers: z.array(z.object({connected: z.boolean()})),
+});
+
+const costSchema = z.object({
+	core: z.record(z.string(), z.object({events: z.number(), milliseconds: z.number()})),
+	peerBytes: z.object({sent: z.number(), received: z.number()}),
+	processor: z.object({user: z.number(), system: z.number()}),
+	memory: z.object({rss: z.number()}),
+});
+
+export type HostState = z.infer<typeof stateSchema>;
+export type HostCost = z.infer<typeof costSchema>;
+
+async function read(fleet: Fleet, host: string, page: string): Promise<unknown> {
+	const {admin} = fleet.hosts.get(host);
+	return got(`http://${admin?.host}:${admin?.port}/admin/${page}`, {retry: {limit: 0}, timeout: {request: 2000}}).json();
+}
+
+/**
+ * @param fleet - Fleet.
+ * @param host - Host.
+ * @returns Its phase, revision and start; undefined while it does not answer.
+ */
+export async function stateOf(fleet: Fleet, host: string): Promise<HostState | undefined> {
+	try {
+		return stateSchema.parse(await read(fleet, host, 'status'));
+	} catch {
+		return undefined;
+	}
+}
+
+/**
+ * @param fleet - Fleet.
+ * @param host - Host.
+ * @returns What it has cost so far.
+ */
+export async function costOf(fleet: Fleet, host: string): Promise<HostCost> {
+	return costSchema.parse(await read(fleet, host, 'cost'));
+}
+
+/**
+ * Waits until hosts have a revision in force.
+ *
+ * @param fleet - Fleet.
+ * @param hosts - Hosts.
+ * @param revision - Revision.
+ * @returns Milliseconds that the last of them took.
+ */
+export async function inForce(fleet: Fleet, hosts: readonly string[], revision: number): Promise<number> {
+	const began = performance.now();
+	await Promise.all(hosts.map(async host => {
+		for (let state = await stateOf(fleet, host); state?.revision !== revision; state = await stateOf(fleet, host)) {
+			await sleep(pollInterval);
+		}
+	}));
+	return performance.now() - began;
+}
+
+/**
+ * Waits until hosts have links to so many others.
+ *
+ * @param fleet - Fleet.
+ * @param hosts - Hosts.
+ * @param links - Links that each needs at least.
+ */
+export async function linked(fleet: Fleet, hosts: readonly string[], links: number): Promise<void> {
+	await Promise.all(hosts.map(async host => {
+		const count = async () => {
+			const state = await stateOf(fleet, host);
+			return state?.peers.filter(peer => peer.connected).length ?? 0;
+		};
+
+		while (await count() < links) {
+			await sleep(pollInterval);
+		}
+	}));
+}
--- a/src/core/features/membership/commands/phase.ts
+++ b/src/core/features/membership/commands/phase.ts
@@ -73,6 +73,12 @@
 	);
 }
 
+/** Answers that other hosts give through this one count as much as its own. */
+function hasNothingLeft(state: State): boolean {
+	const {forwards, followers} = state.tickets;
+	return isIdle(state) && forwards.isEmpty() && followers.isEmpty();
+}
+
 /**
  * @param state - Core state.
  * @param now - Monotonic time in milliseconds.
@@ -85,6 +91,6 @@
 	}
 
 	const isLingering = now < leaving.since + leavingLinger;
-	const isOver = now >= leaving.until || (isIdle(state) && !isLingering);
+	const isOver = now >= leaving.until || (hasNothingLeft(state) && !isLingering);
 	return isOver ? {state, effects: [{type: 'stopped'}]} : only(state);
 }
