--- a/src/core/features/routing/candidates.ts
+++ b/src/core/features/routing/candidates.ts
@@ -4,6 +4,7 @@
 import {type Context, type State} from '../../types/state.js';
 import {firstChoices, hashText} from '../../utils/hashes.js';
 import {isClosed} from '../circuits/queries.js';
+import {isStopping} from '../stops/queries.js';
 import {mayRunAt} from '../suspicion/queries.js';
 import {view} from '../upstreams/queries.js';
 import {
@@ -34,11 +35,11 @@
 /**
  * @param state - Core state.
  * @param upstream - Upstream.
- * @returns Whether it can be reached and says that it is ready; one that was never heard of counts as ready.
+ * @returns Whether it can be reached, says that it is ready and is not stopping; one never heard of counts as ready.
  */
 export function isUp(state: State, upstream: Upstream): boolean {
 	const known = view(state, upstream.id);
-	return known.reachable && known.report?.ready !== false;
+	return known.reachable && known.report?.ready !== false && !isStopping(state, upstream.id);
 }
 
 /**
--- a/src/core/features/upstreams/queries.ts
+++ b/src/core/features/upstreams/queries.ts
@@ -5,8 +5,8 @@
 /** A report older than this says nothing of load any more, in milliseconds. */
 const reportLife = 5000;
 
-/** Part of the prefill that is taken to remain while a first frame is missing. */
-const leastRemaining = 0.1;
+/** Time that overdue prefill is taken to need still, in milliseconds: a slow engine is not given more on a guess. */
+const leastRemaining = 150;
 
 /**
  * @param state - Core state.
@@ -47,7 +47,7 @@
 }
 
 function remaining(known: View, now: number, rate: number): number {
-	return Math.max(known.prefill - worked(known, now, rate), known.prefill * leastRemaining);
+	return Math.max(known.prefill - worked(known, now, rate), Math.min(known.prefill, rate * leastRemaining / 1000));
 }
 
 function unseenPrefill(known: View, now: number, rate: number): number {
