--- a/src/core/__tests__/requests.test.ts
+++ b/src/core/__tests__/requests.test.ts
@@ -43,7 +43,9 @@
 }
 
 function prompt(id: string, promptTokens: number, more: Partial<Request> = {}): Event {
-	return arrival(id, {service: 'm', organisation: 'large', promptTokens, outputLimit: 10, deadline: 10_000, fingerprint: id, ...more});
+	return arrival(id, {
+		service: 'm', organisation: 'large', promptTokens, outputLimit: 10, deadline: 10_000, fingerprint: id, ...more,
+	});
 }
 
 function arrival(id: string, more: Partial<Request> = {}, proof: Proof = idempotent): Event {
@@ -285,5 +287,4 @@
 		});
 		expect(cleared.state.prefixes.epochs.get(home!)).toBe(1);
 	});
-
 });
