Whole processes under faults: at most once, true outcomes, whole streams

Real entry hosts and stand-ins behind the fault proxy: dropped connections before and after running, a keeper killed and replaced, paused and woken, partitions with both sides serving, two faults together; streams resumed at another host, with crossed, repeated, reordered and cut frames, and with an engine that dies. One ledger checks execution counts read from the upstreams against what callers were told.

--- /dev/null
+++ b/__tests__/support/caller.ts
@@ -0,0 +1,212 @@
+/** A caller of a fleet: sends requests, keeps tickets, follows and resumes streams. */
+import {createParser} from 'eventsource-parser';
+import got, {type Response} from 'got';
+import {z} from 'zod';
+import {type Address} from '../../src/core/index.js';
+import {type Fleet} from '../../bench/fleet/fleet.js';
+import {apiKey} from '../../bench/fleet/shape.js';
+import {answerLength, answerText, promptDigest} from '../../stand-ins/engine/answer.js';
+import {renderPrompt} from '../../src/protocol/blocks.js';
+
+/** What a caller was told at the end. */
+export type Told = {
+	readonly status: number;
+	readonly outcome: string;
+	readonly code: number;
+	readonly body: string;
+	readonly ticket?: string;
+};
+
+/** A connection that broke before an answer. */
+const nothingTold: Told = {
+	status: 0,
+	outcome: 'outcome unknown',
+	code: -1,
+	body: '',
+};
+
+function told({statusCode, headers, trailers, body}: Response<string>): Told {
+	const {ticket} = headers['x-ticket'] === undefined ? {} : {ticket: String(headers['x-ticket'])};
+	return {
+		status: statusCode,
+		outcome: String(headers['x-outcome'] ?? trailers['x-outcome'] ?? 'outcome unknown'),
+		code: Number(headers['x-result-code'] ?? trailers['x-result-code'] ?? -1),
+		body,
+		ticket,
+	};
+}
+
+export type Sending = {
+	readonly host: string;
+	readonly path: string;
+	readonly body: string;
+	readonly ticket?: string;
+	readonly key?: string;
+	readonly timeout?: number;
+	/** Milliseconds after which the caller itself gives up. */
+	readonly patience?: number;
+};
+
+function urlOf({host, port}: Address, path: string): string {
+	return `http://${host}:${port}${path}`;
+}
+
+/**
+ * Sends a request that may run only once.
+ *
+ * @param fleet - Fleet.
+ * @param sending - Request.
+ * @returns What the caller was told.
+ */
+export async function sendOnce(fleet: Fleet, sending: Sending): Promise<Told> {
+	const {caller} = fleet.hosts.get(sending.host);
+	try {
+		return told(await got.post(urlOf(caller, sending.path), {
+			body: sending.body,
+			headers: {
+				authorization: `Bearer ${apiKey('one')}`,
+				'content-type': 'application/json',
+				'x-idempotent': 'false',
+				'x-timeout-ms': String(sending.timeout ?? 5000),
+				...(sending.ticket !== undefined && {'x-ticket': sending.ticket}),
+				...(sending.key !== undefined && {'idempotency-key': sending.key}),
+			},
+			throwHttpErrors: false,
+			retry: {limit: 0},
+			timeout: {request: sending.patience ?? 15_000},
+		}));
+	} catch {
+		return nothingTold;
+	}
+}
+
+/**
+ * @param fleet - Fleet.
+ * @param host - Host that issues it.
+ * @returns A ticket.
+ */
+export async function wantTicket(fleet: Fleet, host: string): Promise<string> {
+	const {caller} = fleet.hosts.get(host);
+	const {ticket} = await got.post(urlOf(caller, '/v1/tickets'), {
+		headers: {authorization: `Bearer ${apiKey('one')}`},
+		retry: {limit: 0},
+	}).json<{ticket: string}>();
+	return ticket;
+}
+
+/** A stream as far as its caller saw it. */
+export type Seen = {
+	readonly text: string;
+	readonly position: string | undefined;
+	/** Whether the terminal event came. */
+	readonly isWhole: boolean;
+	readonly status: number;
+	readonly error: string;
+};
+
+export type Streaming = {
+	readonly host: string;
+	readonly prompt: string;
+	readonly tokens: number;
+	readonly position?: string;
+	readonly ticket?: string;
+	/** Called with each frame's number. */
+	readonly onFrame?: (count: number) => void;
+};
+
+const chunkSchema = z.object({
+	choices: z.array(z.object({delta: z.object({content: z.string().optional()})})),
+});
+
+function contentOf(data: string): string {
+	const {choices} = chunkSchema.parse(JSON.parse(data));
+	return choices[0]?.delta.content ?? '';
+}
+
+/**
+ * Streams one answer until it ends or breaks.
+ *
+ * @param fleet - Fleet.
+ * @param streaming - Request, or the position from which to resume.
+ * @returns What the caller saw.
+ */
+export async function stream(fleet: Fleet, streaming: Streaming): Promise<Seen> {
+	const {caller} = fleet.hosts.get(streaming.host);
+	let text = '';
+	let position: string | undefined;
+	let isWhole = false;
+	let frames = 0;
+	let status = 0;
+	let error = '';
+	const parser = createParser({
+		onEvent(event) {
+			if (event.data === '[DONE]') {
+				isWhole = true;
+			} else if (event.event === 'error') {
+				error = event.data;
+			} else {
+				const content = contentOf(event.data);
+				position = event.id ?? position;
+				text += content;
+				frames += content === '' ? 0 : 1;
+				streaming.onFrame?.(frames);
+			}
+		},
+	});
+	const request = got.stream.post(urlOf(caller, '/v1/chat/completions'), {
+		json: bodyOf(streaming.prompt, streaming.tokens),
+		headers: {
+			authorization: `Bearer ${apiKey('one')}`,
+			...(streaming.position !== undefined && {'last-event-id': streaming.position}),
+			...(streaming.ticket !== undefined && {'x-ticket': streaming.ticket, 'x-idempotent': 'false'}),
+		},
+		throwHttpErrors: false,
+		retry: {limit: 0},
+	});
+	request.once('response', (response: Response) => {
+		status = response.statusCode;
+	});
+	try {
+		for await (const chunk of request) {
+			if (status === 200) {
+				parser.feed(String(chunk));
+			} else {
+				error += String(chunk);
+			}
+		}
+	} catch (error_) {
+		error = String(error_);
+	}
+
+	return {
+		text,
+		position,
+		isWhole,
+		status,
+		error,
+	};
+}
+
+/**
+ * @param prompt - Prompt.
+ * @param tokens - The most tokens wanted.
+ * @returns Body of a streamed chat.
+ */
+export function bodyOf(prompt: string, tokens: number) {
+	return {
+		model: 'check',
+		stream: true,
+		max_tokens: tokens,
+		messages: [{role: 'user', content: prompt}],
+	};
+}
+
+/**
+ * @param prompt - Prompt.
+ * @param tokens - Tokens of the answer; the fleet's engines answer with as many as are wanted.
+ * @returns The whole answer.
+ */
+export function expectedAnswer(prompt: string, tokens: number): string {
+	const digest = promptDigest(renderPrompt([{role: 'user', content: prompt}]));
+	return answerText(digest, answerLength(digest, {least: tokens, most: tokens}, tokens));
+}
--- /dev/null
+++ b/__tests__/truth.test.ts
@@ -0,0 +1,235 @@
+/** What must always hold, under faults, with real processes. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import got from 'got';
+import {
+	afterEach,
+	beforeEach,
+	describe,
+	expect,
+	it,
+} from 'vitest';
+import {Fleet} from '../bench/fleet/fleet.js';
+import {
+	expectedAnswer,
+	sendOnce,
+	stream,
+	wantTicket,
+} from './support/caller.js';
+import {Ledger} from './support/ledger.js';
+
+const path = '/v1/services/book/pay';
+const tokens = 60;
+let fleet: Fleet;
+let ledger: Ledger;
+
+beforeEach(async () => {
+	ledger = new Ledger();
+	fleet = await Fleet.start({
+		isProxied: true,
+		timeScale: 5,
+		domains: ['a', 'b'],
+		hosts: [2],
+		engines: [{service: 'check', perDomain: 2, settings: {answer: {least: tokens, most: tokens}}}],
+		plains: [{service: 'book', perDomain: 1}],
+		services: [
+			{
+				kind: 'model',
+				id: 'check',
+				model: 'check',
+				idempotent: true,
+				deadline: {default: 10_000, most: 20_000},
+			},
+			{
+				kind: 'plain',
+				id: 'book',
+				idempotent: false,
+				ticketRule: 'ticket',
+				deadline: {default: 5000, most: 20_000},
+			},
+		],
+		organisations: [{id: 'one'}],
+	});
+});
+
+afterEach(async () => {
+	await fleet[Symbol.asyncDispose]();
+});
+
+async function pay(host: string, body: string, ticket: string, timeout = 5000) {
+	return ledger.note(body, await sendOnce(fleet, {
+		host,
+		path,
+		body,
+		ticket,
+		timeout,
+	}));
+}
+
+function upstreamOf(domain: string): string {
+	return fleet.configuration.upstreams.find(each => each.kind === 'plain' && each.failureDomain === domain)!.id;
+}
+
+describe('a request that may run only once', () => {
+	it('asks for a ticket, runs once with it and replays its answer at any host', async () => {
+		const body = 'amount=1';
+		const refused = await sendOnce(fleet, {host: 'a-host-1', path, body});
+		expect(refused).toMatchObject({status: 428, outcome: 'not run', code: 1006});
+		const first = await pay('a-host-1', body, refused.ticket!);
+		expect(first).toMatchObject({status: 200, outcome: 'done'});
+		for (const host of ['a-host-2', 'b-host-1', 'a-host-1']) {
+			expect(await pay(host, body, refused.ticket!)).toMatchObject({status: 200, body: first.body});
+		}
+
+		expect(await ledger.check(fleet)).toEqual([]);
+	});
+
+	it('never runs again when its upstream drops the connection before or after running it', async () => {
+		for (const fault of ['drop-before', 'drop-after'] as const) {
+			const body = fault;
+			const ticket = await wantTicket(fleet, 'a-host-1');
+			await fleet.upstreams.faultPlain(upstreamOf('a'), {type: fault, count: 1});
+			expect(await pay('a-host-1', body, ticket)).toMatchObject({outcome: 'outcome unknown'});
+			expect(await pay('b-host-2', body, ticket)).toMatchObject({outcome: 'outcome unknown'});
+		}
+
+		expect(await ledger.check(fleet)).toEqual([]);
+	});
+
+	it('is not run, and says so, when its upstream refuses connections', async () => {
+		const ticket = await wantTicket(fleet, 'a-host-1');
+		for (const domain of ['a', 'b']) {
+			await fleet.upstreams.faultPlain(upstreamOf(domain), {type: 'crash'});
+		}
+
+		fleet.fault({type: 'refuse', where: {link: upstreamOf('a')}});
+		fleet.fault({type: 'refuse', where: {link: upstreamOf('b')}});
+		const told = await pay('a-host-1', 'refused', ticket);
+		expect(['not run', 'outcome unknown']).toContain(told.outcome);
+		expect(await ledger.check(fleet)).toEqual([]);
+	});
+
+	it('does not run again after its keeper died, whether or not another took its place', async () => {
+		const used = await wantTicket(fleet, 'a-host-1');
+		const unused = await wantTicket(fleet, 'a-host-1');
+		await pay('a-host-1', 'used', used);
+		await fleet.killHost('a-host-1');
+		expect(await pay('a-host-2', 'used', used)).toMatchObject({outcome: 'outcome unknown'});
+		await fleet.replaceHost('a-host-1');
+		await fleet.hosts.ready(['a-host-1']);
+		expect(await pay('a-host-1', 'used', used)).toMatchObject({outcome: 'outcome unknown', code: 4002});
+		expect(await pay('a-host-2', 'unused', unused)).toMatchObject({outcome: 'outcome unknown'});
+		expect(await ledger.check(fleet)).toEqual([]);
+	});
+
+	it('runs on its own side of a partition and never on both', async () => {
+		const tickets = {a: await wantTicket(fleet, 'a-host-1'), b: await wantTicket(fleet, 'b-host-1')};
+		fleet.partition(['a', 'platform'], ['b']);
+		const own = await Promise.all([pay('a-host-2', 'side a', tickets.a), pay('b-host-2', 'side b', tickets.b)]);
+		expect(own.map(({outcome}) => outcome)).toEqual(['done', 'done']);
+		const foreign = await Promise.all([
+			pay('b-host-1', 'side a', tickets.a, 2000),
+			pay('a-host-1', 'side b', tickets.b, 2000),
+		]);
+		expect(foreign.map(({outcome}) => outcome)).toEqual(['outcome unknown', 'outcome unknown']);
+		fleet.heal();
+		await sleep(3000);
+		expect(await pay('b-host-1', 'side a', tickets.a)).toMatchObject({status: 200});
+		expect(await ledger.check(fleet)).toEqual([]);
+	});
+
+	it('runs at most once when its keeper is paused in the middle and wakes late', async () => {
+		const body = 'paused';
+		const ticket = await wantTicket(fleet, 'a-host-1');
+		const {child} = fleet.hosts.get('a-host-1');
+		await fleet.upstreams.faultPlain(upstreamOf('a'), {type: 'late', delay: 500});
+		const first = pay('a-host-1', body, ticket, 1500);
+		await sleep(100);
+		child.pause();
+		const other = await pay('b-host-1', body, ticket, 2000);
+		expect(other.outcome).toBe('outcome unknown');
+		child.resume();
+		await first;
+		await fleet.upstreams.faultPlain(upstreamOf('a'), {type: 'heal'});
+		await pay('a-host-2', body, ticket);
+		expect(await ledger.check(fleet)).toEqual([]);
+	});
+
+	it('survives two faults together: a partition, and the upstream dropping what it ran', async () => {
+		const tickets = await Promise.all(['a-host-1', 'a-host-2', 'b-host-1', 'b-host-2'].map(async host =>
+			({host, ticket: await wantTicket(fleet, host)})));
+		await fleet.upstreams.faultPlain(upstreamOf('a'), {type: 'drop-after', count: 1});
+		fleet.partition(['a'], ['b', 'platform']);
+		await Promise.all(tickets.map(async ({host, ticket}) => pay(host, `both ${host}`, ticket)));
+		fleet.heal();
+		await sleep(2000);
+		await Promise.all(tickets.map(async ({host, ticket}) => pay(host, `both ${host}`, ticket)));
+		expect(await ledger.check(fleet)).toEqual([]);
+	});
+});
+
+describe('a stream', () => {
+	it('resumes at another host when its own dies, without a gap or a repeat', async () => {
+		const prompt = 'resumed elsewhere';
+		const before = await stream(fleet, {
+			host: 'a-host-1',
+			prompt,
+			tokens,
+			onFrame(count) {
+				if (count === 10) {
+					void fleet.killHost('a-host-1');
+				}
+			},
+		});
+		expect(before.isWhole).toBe(false);
+		const after = await stream(fleet, {
+			host: 'b-host-1',
+			prompt,
+			tokens,
+			position: before.position!,
+		});
+		expect(after.isWhole).toBe(true);
+		expect(before.text + after.text).toBe(expectedAnswer(prompt, tokens));
+	});
+
+	it('is whole and its own when frames come crossed, twice, out of order or the connection is cut', async () => {
+		await fleet.upstreams.faultEngines({type: 'cross', count: 20});
+		await fleet.upstreams.faultEngines({type: 'repeat', count: 20});
+		await fleet.upstreams.faultEngines({type: 'reorder', count: 20});
+		await fleet.upstreams.faultEngines({type: 'cut', afterFrames: 30, count: 2});
+		const prompts = Array.from({length: 12}, (_, index) => `mixed up ${index}`);
+		const seen = await Promise.all(prompts.map(async (prompt, index) =>
+			stream(fleet, {host: index % 2 === 0 ? 'a-host-1' : 'a-host-2', prompt, tokens})));
+		for (const [index, prompt] of prompts.entries()) {
+			expect(seen[index]).toMatchObject({isWhole: true, text: expectedAnswer(prompt, tokens)});
+		}
+	});
+
+	it('ends in an error, never in a silent cut, when its engine dies in the middle', async () => {
+		const prompt = 'engine dies';
+		let crashed = false;
+		const seen = await stream(fleet, {
+			host: 'a-host-1',
+			prompt,
+			tokens,
+			onFrame() {
+				if (!crashed) {
+					crashed = true;
+					void fleet.upstreams.faultEngines({type: 'crash', returnAfter: 200});
+				}
+			},
+		});
+		expect(seen.isWhole ? seen.text : seen.error).not.toBe('');
+		expect(seen.isWhole ? seen.text === expectedAnswer(prompt, tokens) : seen.error.includes('outcome unknown')).toBe(true);
+	});
+
+	it('leaves no engine memory held', async () => {
+		await Promise.all(Array.from({length: 8}, async (_, index) =>
+			stream(fleet, {host: 'a-host-1', prompt: `held ${index}`, tokens})));
+		for (const {address} of fleet.configuration.upstreams.filter(each => each.kind === 'engine')) {
+			const url = `http://${address.host}:${address.port}`;
+			// Reports lag, so they are asked for until they tell of the end.
+			await expect.poll(async () => got(`${url}/v1/load`).json(), {timeout: 10_000}).toMatchObject({running: 0, waiting: 0});
+			expect(await got(`${url}/v1/holds`).json()).toMatchObject({holds: []});
+		}
+	});
+});
