Operations page with a runnable example

Cause: operators need one page from set-up to alarms, and an example that runs on loopback with the stand-ins.

A test keeps the example's files valid, the HTTP column of docs/CODES.md in step with the daemon, and the pages' links alive. Columns of numbers with gaps are right-aligned; scores below ten show their digits.

--- /dev/null
+++ b/__tests__/examples.test.ts
@@ -0,0 +1,49 @@
+/** The files of docs/examples, and the tables of the pages, against the code. */
+import {existsSync, readFileSync} from 'node:fs';
+import path from 'node:path';
+import {describe, expect, it} from 'vitest';
+import {statusOf} from '../src/entry/callers/statuses.js';
+import {parseSettings} from '../src/entry/settings.js';
+import {parseConfiguration, warningsOf} from '../src/protocol/configuration/index.js';
+import {settingsSchema as engineSettings} from '../stand-ins/engine/settings.js';
+import {settingsSchema as plainSettings} from '../stand-ins/plain/service.js';
+import {settingsSchema as platformSettings} from '../stand-ins/platform/service.js';
+
+const docs = path.join(import.meta.dirname, '../docs');
+const example = (name: string) => readFileSync(path.join(docs, 'examples', name), 'utf8');
+const page = (name: string) => readFileSync(path.join(docs, name), 'utf8');
+
+describe('docs/examples', () => {
+	it('has a valid document without dangers', () => {
+		const parsed = parseConfiguration(example('configuration.json'));
+		expect(parsed).toMatchObject({type: 'valid', unknownFields: []});
+		expect(parsed.type === 'valid' && warningsOf(parsed.configuration)).toEqual([]);
+	});
+
+	it.each([
+		['host-a1.json', parseSettings],
+		['host-a2.json', parseSettings],
+		['platform.json', platformSettings.parse],
+		['engines.json', engineSettings.parse],
+		['portal.json', plainSettings.parse],
+		['old-portal.json', plainSettings.parse],
+	])('has valid settings in %s', (name, parse: (value: unknown) => unknown) => {
+		expect(() => parse(JSON.parse(example(name)))).not.toThrow();
+	});
+});
+
+describe('pages', () => {
+	it('give the HTTP status of every code that callers can get', () => {
+		const rows = [...page('CODES.md').matchAll(/^\| (\d+) \| `\w+` \| [^\|]+ \| (\d{3}) \|/gmv)];
+		expect(rows.length).toBeGreaterThan(20);
+		expect(rows.filter(([, code, status]) => statusOf(Number(code)) !== Number(status))).toEqual([]);
+	});
+
+	it.each(['OPERATIONS.md', 'CODES.md', 'GLOSSARY.md'])('%s links to files and headings that exist', name => {
+		const anchors = new Set([...page(name).matchAll(/^#+ (.+)$/gmv)].map(([, heading]) => heading!.toLowerCase().replaceAll(/[^\w \-]/gv, '').replaceAll(' ', '-')));
+		for (const [, link] of page(name).matchAll(/\]\(([^\)]+)\)/gv)) {
+			const [file, anchor] = link!.split('#');
+			expect(file === '' ? anchors.has(anchor!) : existsSync(path.join(docs, file!)), link).toBe(true);
+		}
+	});
+});
--- a/src/cli/__tests__/fleet.test.ts
+++ b/src/cli/__tests__/fleet.test.ts
@@ -151,7 +151,7 @@
 describe('explain', () => {
 	const words = [
 		'1970-01-01T00:00:00.002Z',
-		'+0 ms  a  Sent to n1 as attempt r1.1 for daily on check: less work of two (scores, lower is better: n1 10, n2 90)',
+		'+0 ms  a  Sent to n1 as attempt r1.1 for daily on check: less work of two (scores, lower is better: n1 10, n2 90.4)',
 		'+3 ms  a  Outcome unknown: 4001 The request may have run. (cut)',
 	];
 
--- a/src/cli/decisions.ts
+++ b/src/cli/decisions.ts
@@ -33,6 +33,9 @@
 type Known = z.infer<typeof knownSchema>;
 type Outcome = Extract<Known, {type: 'concluded'}>['outcome'];
 
+/** Significant digits of a score. */
+const scoreDigits = 3;
+
 /** Candidates that are named beside the chosen one. */
 const candidatesShown = 5;
 
@@ -82,7 +85,7 @@
 	const shown = candidates
 		.toSorted((first, second) => first.score - second.score)
 		.slice(0, candidatesShown)
-		.map(({upstream, score}) => `${upstream} ${Math.round(score)}`);
+		.map(({upstream, score}) => `${upstream} ${Number(score.toPrecision(scoreDigits))}`);
 	const further = candidates.length - shown.length;
 	return `scores, lower is better: ${shown.join(', ')}${further > 0 ? ` and ${further} more` : ''}`;
 }
--- a/src/cli/table.ts
+++ b/src/cli/table.ts
@@ -10,7 +10,7 @@
 export function formatTable(heads: readonly string[], rows: ReadonlyArray<ReadonlyArray<string | number>>): readonly string[] {
 	const columns = heads.map((head, column) => ({
 		width: Math.max(head.length, ...rows.map(row => String(row[column]).length)),
-		isNumeric: rows.length > 0 && rows.every(row => typeof row[column] === 'number'),
+		isNumeric: rows.some(row => typeof row[column] === 'number') && rows.every(row => typeof row[column] === 'number' || row[column] === ''),
 	}));
 	return [heads, ...rows].map(row => columns
 		.map(({width, isNumeric}, column) => {
