Requests go to the old scripts where the document says so

Cause: takeover rules were read by nobody. Routing, prediction and suspicion now ask upstreamsFor, which gives the old scripts' endpoints or the service's own upstreams. The gate of tickets and keys comes before that choice, so one keeper decides for a non-idempotent request, whatever revisions the hosts hold.

--- a/src/core/__tests__/network.ts
+++ b/src/core/__tests__/network.ts
@@ -61,6 +61,7 @@
 	outside: (host: string, effect: Effect) => void;
 	readonly #links = new Map<string, number>();
 	readonly #queue: Delivery[] = [];
+	readonly #held = new Map<string, number>();
 	readonly #last = new Map<string, number>();
 	readonly #random: (least: number, most: number) => number;
 	#order = 0;
@@ -133,6 +134,15 @@
 		}
 	}
 
+	/** Keeps documents above a revision from a host. */
+	holdRevision(host: string, revision: number | undefined) {
+		if (revision === undefined) {
+			this.#held.delete(host);
+		} else {
+			this.#held.set(host, revision);
+		}
+	}
+
 	pause(host: string) {
 		this.nodes.get(host)!.isPaused = true;
 	}
@@ -191,6 +201,10 @@
 
 			case 'parse-configuration': {
 				const configuration = configurationSchema.parse(JSON.parse(effect.text));
+				if (configuration.revision > (this.#held.get(host) ?? Number.POSITIVE_INFINITY)) {
+					break;
+				}
+
 				this.#later(host, {
 					type: 'configuration-received', source: effect.source, configuration, digest: digestOf(effect.text), text: effect.text,
 				});
--- a/src/core/features/requests/commands/admit.ts
+++ b/src/core/features/requests/commands/admit.ts
@@ -3,10 +3,11 @@
 import {type Service} from '../../../types/configuration.js';
 import {type Request} from '../../../types/request.js';
 import {type Context, type State, type Step} from '../../../types/state.js';
-import {domainUpstreams, organisation, service} from '../../configuration/queries.js';
+import {organisation, service} from '../../configuration/queries.js';
 import {limitedFor} from '../../limits/queries.js';
 import {isServing} from '../../membership/queries.js';
 import {footprint} from '../../routing/queries.js';
+import {upstreamsFor} from '../../takeover/queries.js';
 import {predict, type Prediction} from '../prediction.js';
 import {lane, queueLength} from '../queries.js';
 import {type Admission, type LaneName} from '../types.js';
@@ -41,7 +42,7 @@
 
 /** Whether all engines of the service here together are too small. */
 function isTooLong(state: State, request: Request): boolean {
-	const engines = domainUpstreams(state, request.service, state.self.failureDomain).filter(each => each.kind === 'engine');
+	const engines = upstreamsFor(state, request).filter(each => each.kind === 'engine');
 	const memory = engines.reduce((sum, each) => sum + each.memory, 0);
 	return engines.length > 0 && memory < footprint(state, request);
 }
--- a/src/core/features/requests/prediction.ts
+++ b/src/core/features/requests/prediction.ts
@@ -2,7 +2,8 @@
 import {type Upstream} from '../../types/configuration.js';
 import {type Request} from '../../types/request.js';
 import {type State} from '../../types/state.js';
-import {domainUpstreams, organisation, service} from '../configuration/queries.js';
+import {organisation, service} from '../configuration/queries.js';
+import {isLegacy, upstreamsFor} from '../takeover/queries.js';
 import {servingHosts} from '../membership/queries.js';
 import {cachedTokens} from '../prefixes/queries.js';
 import {isUsable} from '../routing/candidates.js';
@@ -37,8 +38,8 @@
 /** Upstreams that the lane's requests are sent to. */
 function laneUpstreams(state: State, request: Request, name: LaneName, now: number): readonly Upstream[] {
 	const wanted = service(state, request.service);
-	const all = domainUpstreams(state, request.service, state.self.failureDomain);
-	const isSplit = wanted?.kind === 'model' && wanted.policy === 'cost' && name !== 'group';
+	const all = upstreamsFor(state, request);
+	const isSplit = wanted?.kind === 'model' && wanted.policy === 'cost' && name !== 'group' && !isLegacy(state, request);
 	const kept = isSplit ? segments(state, wanted, all, now)[name] : all;
 	const open = kept.filter(each => isUsable(state, each, now));
 	return open.length === 0 ? all.filter(each => isUsable(state, each, now)) : open;
--- a/src/core/features/routing/queries.ts
+++ b/src/core/features/routing/queries.ts
@@ -5,6 +5,7 @@
 import {assertNever} from '../../utils/common.js';
 import {domainUpstreams, service} from '../configuration/queries.js';
 import {cachedTokens} from '../prefixes/queries.js';
+import {isLegacy, upstreamsFor} from '../takeover/queries.js';
 import {view} from '../upstreams/queries.js';
 import {expectedOutput} from '../work/queries.js';
 import {draw, engineCandidates, usable} from './candidates.js';
@@ -75,7 +76,7 @@
 function byCost(state: State, search: Search, {all, open}: Field, context: Context): Choice | undefined {
 	const {request, wanted} = search;
 	const prompt = promptOf(state, search);
-	if (wanted.kind === 'plain') {
+	if (wanted.kind === 'plain' || isLegacy(state, request)) {
 		const sights = draw(open, sampledPlain, context).map(each => look(state, each, prompt, context.now));
 		return chosen(state, sights.filter(each => hasRoom(each, 0)), wanted, 'least work of those drawn');
 	}
@@ -125,6 +126,15 @@
 	}
 }
 
+/** What the old scripts serve goes to them alone, and never to another failure domain. */
+function upstreamsOf(state: State, {request, wanted, failureDomain}: Search): readonly Upstream[] {
+	if (failureDomain === state.self.failureDomain) {
+		return upstreamsFor(state, request);
+	}
+
+	return isLegacy(state, request) ? [] : domainUpstreams(state, wanted.id, failureDomain);
+}
+
 /**
  * @param state - Core state.
  * @param search - What is routed, and where to.
@@ -132,7 +142,7 @@
  * @returns Where to send the request now, that it must wait, or that nothing there can run it.
  */
 export function route(state: State, search: Search, context: Context): Route {
-	const all = domainUpstreams(state, search.wanted.id, search.failureDomain);
+	const all = upstreamsOf(state, search);
 	const needed = footprint(state, search.request);
 	const fitting = all.filter(each => fits(each, needed));
 	const open = usable(state, fitting, search, context);
@@ -156,7 +166,7 @@
 	}
 
 	const needed = footprint(state, request);
-	const engines = domainUpstreams(state, wanted.id, state.self.failureDomain)
+	const engines = upstreamsFor(state, request)
 		.filter((each): each is Engine => each.kind === 'engine');
 	return engines.length > 0 && engines.every(each => each.memory < needed);
 }
--- a/src/core/features/suspicion/queries.ts
+++ b/src/core/features/suspicion/queries.ts
@@ -4,7 +4,7 @@
 import {type Request} from '../../types/request.js';
 import {type Context, type State} from '../../types/state.js';
 import {firstChoices, hashText} from '../../utils/hashes.js';
-import {ownUpstreams} from '../configuration/queries.js';
+import {upstreamsFor} from '../takeover/queries.js';
 import {convictingCrashes, suspectChoices} from './types.js';
 
 /** Suspicions in one heartbeat. */
@@ -55,7 +55,7 @@
  */
 export function suspectUpstreams(state: State, request: Request, context: Context): readonly Upstream[] {
 	const crashed = new Set([...crashesOf(state, request.fingerprint, context)].map(id => id.split('/')[0]));
-	const all = ownUpstreams(state, request.service);
+	const all = upstreamsFor(state, request);
 	const spared = all.filter(each => !crashed.has(each.id));
 	const members = (spared.length > 0 ? spared : all).map(upstream => ({upstream, hash: hashText(upstream.id)}));
 	return firstChoices(hashText(request.fingerprint), members, suspectChoices).map(each => each.upstream);
--- a/src/core/features/takeover/queries.ts
+++ b/src/core/features/takeover/queries.ts
@@ -39,11 +39,20 @@
 	return own.length > 0 ? own : all;
 }
 
+/**
+ * @param state - Core state.
+ * @param request - Request.
+ * @returns Whether the old scripts serve it.
+ */
+export function isLegacy(state: State, request: Pick<Request, 'service' | 'organisation'>): boolean {
+	return servedBy(state, request) === 'legacy';
+}
+
 /**
  * @param state - Core state.
  * @param request - Request.
  * @returns Upstreams in reach that may run it: those of the service, or the old scripts' endpoints.
  */
 export function upstreamsFor(state: State, request: Pick<Request, 'service' | 'organisation'>): readonly Upstream[] {
-	return servedBy(state, request) === 'legacy' ? legacyUpstreams(state, request.service) : ownUpstreams(state, request.service);
+	return isLegacy(state, request) ? legacyUpstreams(state, request.service) : ownUpstreams(state, request.service);
 }
