Holds: stale ones are cancelled, and each release is asked for until the engine confirms

An engine's memory stayed taken when its owner died or its release was lost. Hosts now compare an engine's own list with what may be there: past its deadline and grace, or of an owner whose newer incarnation was seen, a hold is cancelled; a silent owner's hold is left alone until its deadline. Asks are repeated with growing pauses.

--- /dev/null
+++ b/src/core/features/holds/commands.ts
@@ -0,0 +1,127 @@
+/** Asks engines for memory back, again until they confirm. */
+import {type Effect} from '../../types/effect.js';
+import {type Hold} from '../../types/upstream.js';
+import {type Context, type State, type Step} from '../../types/state.js';
+import {chain, only} from '../../utils/common.js';
+import {upstream as upstreamOf} from '../configuration/queries.js';
+import {isCertainlyGone} from '../membership/queries.js';
+import {
+	holdGrace, releaseLimit, type HoldsState, type Release,
+} from './types.js';
+
+/** Time between two asks: doubled each time up to the longest, in milliseconds. */
+const shortestInterval = 200;
+const longestInterval = 5000;
+
+function update(state: State, releases: HoldsState['releases']): State {
+	return {...state, holds: {releases}};
+}
+
+function ask(state: State, hold: string, release: Release, now: number): Step {
+	const target = upstreamOf(state, release.upstream);
+	const interval = Math.min(longestInterval, shortestInterval * (2 ** release.asks));
+	const effects: readonly Effect[] = target === undefined
+		? []
+		: [{
+			type: 'release', hold, upstream: release.upstream, address: target.address,
+		}];
+	return {
+		state: update(state, state.holds.releases.set(hold, {...release, askAt: now + interval, asks: release.asks + 1})),
+		effects,
+	};
+}
+
+/**
+ * @param state - Core state.
+ * @param hold - Hold that is needed no longer.
+ * @param upstream - Engine that has it.
+ * @param context - Time and random source.
+ * @returns The next state and the first ask.
+ */
+export function release(state: State, hold: string, upstream: string, {now}: Context): Step {
+	const {releases} = state.holds;
+	return releases.has(hold) || releases.size >= releaseLimit
+		? only(state)
+		: ask(state, hold, {upstream, askAt: now, asks: 0}, now);
+}
+
+/** Never a live owner's: its deadline is over with grace, or a newer incarnation of its owner was seen. */
+function staleness(state: State, hold: Hold, wall: number): string | undefined {
+	if (isCertainlyGone(state, hold.owner)) {
+		return 'its owner is gone';
+	}
+
+	return wall > hold.deadline + holdGrace ? 'its deadline is over' : undefined;
+}
+
+function review(state: State, hold: Hold, context: Context): Step {
+	const reason = staleness(state, hold, context.wall);
+	if (reason === undefined || state.holds.releases.has(hold.id)) {
+		return only(state);
+	}
+
+	const {id, upstream} = hold;
+	const asked = release(state, id, upstream, context);
+	return {
+		state: asked.state,
+		effects: [
+			{
+				type: 'log', decision: {
+					type: 'hold', hold: id, upstream, change: 'cancelled', reason,
+				},
+			},
+			...asked.effects,
+		],
+	};
+}
+
+/**
+ * Compares an engine's own list with what should be there.
+ *
+ * @param state - Core state.
+ * @param upstream - Engine.
+ * @param holds - All of its holds.
+ * @param context - Time and random source.
+ * @returns The next state and the asks; what the engine no longer lists needs none.
+ */
+export function reviewAll(state: State, upstream: string, holds: readonly Hold[], context: Context): Step {
+	const listed = new Set(holds.map(each => each.id));
+	const releases = state.holds.releases.filter((each, hold) => each.upstream !== upstream || listed.has(hold));
+	return chain(
+		releases.size === state.holds.releases.size ? state : update(state, releases),
+		...holds.map(hold => (current: State) => review(current, hold, context)),
+	);
+}
+
+/**
+ * @param state - Core state.
+ * @param hold - Hold that an engine has given back.
+ * @returns The state without the ask for it.
+ */
+export function confirm(state: State, hold: string): State {
+	return state.holds.releases.has(hold) ? update(state, state.holds.releases.delete(hold)) : state;
+}
+
+/**
+ * @param state - Core state.
+ * @param upstream - Engine that restarted, with empty memory.
+ * @returns The state without asks to it.
+ */
+export function forget(state: State, upstream: string): State {
+	return update(state, state.holds.releases.filter(each => each.upstream !== upstream));
+}
+
+/**
+ * @param state - Core state.
+ * @param context - Time and random source.
+ * @returns The next state and the asks that are due again; those to engines that left the configuration end.
+ */
+export function pressReleases(state: State, {now}: Context): Step {
+	if (state.holds.releases.isEmpty()) {
+		return only(state);
+	}
+
+	const known = state.holds.releases.filter(each => upstreamOf(state, each.upstream) !== undefined);
+	const due = [...known].filter(([, each]) => each.askAt <= now);
+	return chain(update(state, known), ...due.map(([hold, each]) => (current: State) => ask(current, hold, each, now)));
+}
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -1,6 +1,8 @@
 /** The core: gives each event to every feature and collects what they want done. */
 import {configurationFeature} from './features/configuration/feature.js';
 import {initialConfiguration} from './features/configuration/types.js';
+import {holdsFeature} from './features/holds/feature.js';
+import {initialHolds} from './features/holds/types.js';
 import {keysFeature} from './features/keys/feature.js';
 import {initialKeys} from './features/keys/types.js';
 import {membershipFeature} from './features/membership/feature.js';
@@ -52,6 +54,7 @@
 	circuitsFeature,
 	ticketsFeature,
 	keysFeature,
+	holdsFeature,
 	limitsFeature,
 	retriesFeature,
 	routingFeature,
@@ -69,6 +72,7 @@
 	return {
 		self,
 		configuration: initialConfiguration,
+		holds: initialHolds,
 		keys: initialKeys,
 		membership: initialMembership,
 		placement: initialPlacement,
--- a/src/core/types/event.ts
+++ b/src/core/types/event.ts
@@ -72,6 +72,8 @@
 		| {readonly type: 'group-failed'; readonly request: Request}
 	/** An upstream may have room for a request that waits. */
 		| {readonly type: 'dispatch-wanted'; readonly service: string}
+	/** A hold is needed no longer; it is asked back until the engine confirms. */
+		| {readonly type: 'release-wanted'; readonly hold: string; readonly upstream: string}
 	/** Sealed while it waited: it must never be sent. */
 		| {readonly type: 'request-sealed'; readonly request: string}
 		| {readonly type: 'request-concluded'; readonly request: Request; readonly outcome: Outcome; readonly attempt?: Attempt}
--- a/src/core/types/state.ts
+++ b/src/core/types/state.ts
@@ -1,6 +1,7 @@
 /** The core's state: one read-only part for each feature, and what a step needs and gives. */
 import {type CircuitsState} from '../features/circuits/types.js';
 import {type ConfigurationState} from '../features/configuration/types.js';
+import {type HoldsState} from '../features/holds/types.js';
 import {type KeysState} from '../features/keys/types.js';
 import {type LimitsState} from '../features/limits/types.js';
 import {type MembershipState} from '../features/membership/types.js';
@@ -23,6 +24,7 @@
 	/** This host. */
 	readonly self: Member;
 	readonly configuration: ConfigurationState;
+	readonly holds: HoldsState;
 	readonly keys: KeysState;
 	readonly membership: MembershipState;
 	readonly placement: PlacementState;
