--- a/src/core/__tests__/regressions.test.ts
+++ b/src/core/__tests__/regressions.test.ts
@@ -2,7 +2,9 @@
 import {describe, expect, it} from 'vitest';
 import {ticketLife} from '../features/tickets/types.js';
 import {isConvicted, isSuspect} from '../features/suspicion/queries.js';
-import {type Ending, type Event, type Ticket} from '../index.js';
+import {
+	type Attempt, type Ending, type Event, type Ticket,
+} from '../index.js';
 import {
 	at, effectsOf, member, play, request, serving,
 } from './hosts.js';
@@ -14,8 +16,8 @@
 		};
 		const crash = (fingerprint: string, upstream: string, now: number): readonly Event[] => {
 			const of = request(fingerprint, {type: 'idempotent'}, {fingerprint});
-			const attempt = {
-				id: `${fingerprint}.${upstream}`, request: of.id, upstream, began: now, prefill: 1, decode: 1, ahead: 0, written: true, received: 0,
+			const attempt: Attempt = {
+				id: `${fingerprint}.${upstream}`, request: of.id, upstream, began: now, prefill: 1, decode: 1, ahead: 0, length: 'short', written: true, received: 0,
 			};
 			return [
 				{type: 'attempt-began', request: of, attempt},
