The console finds mistakes of all sections together

Cause: a document with one field of the wrong form was not checked further, so an operator mended one mistake only to meet the next.

Broken fields are filled with stand-ins and the draft is read once more; mistakes beside a broken field or about a stand-in are left out.

--- a/src/console/__tests__/console.test.ts
+++ b/src/console/__tests__/console.test.ts
@@ -47,13 +47,24 @@
 		const wrong = await console.next(service, 'stay', {'field.deadline.default': '700000', 'field.retryBudget.ratio': 'a lot'});
 		expect(wrong).toMatch(/id="field\.retryBudget\.ratio"[^>]*aria-invalid="true" value="a lot"/v);
 		expect(wrong).toContain('id="field.retryBudget.ratio-mistakes"');
+		expect(wrong).toMatch(/id="field\.deadline\.default-mistakes"><li>The default of 700000 ms is above the most/v);
 		const mended = await console.next(wrong, 'stay', {'field.retryBudget.ratio': '0.2'});
-		expect(mended).toMatch(/id="field\.deadline\.default-mistakes"><li>The default of 700000 ms is above the most/v);
+		expect(mended).not.toContain('id="field.retryBudget.ratio-mistakes"');
 		const list = await console.next(mended, 'go/list/services');
 		expect(list).toContain('class="wrong"');
 		expect(await console.next(list, 'download', {accepted: 'yes'})).toContain('cannot be downloaded while it has mistakes');
 	});
 
+	it('shows mistakes of all sections together, and none that come of checking around a broken field', async () => {
+		await using console = await open();
+		const service = await console.next(await console.start(text()), checkEntry);
+		const upstream = await console.next(service, 'go/entry/upstreams/0', {'field.deadline.most': 'long', 'field.model': ''});
+		const review = await console.next(upstream, 'go/review', {'field.failureDomain': 'west', 'field.target.model': 'style', 'field.target.version': '1'});
+		expect([...review.matchAll(/value="go\/entry\/[^"]+" class="plain">([^<]+)<\/button>/gv)].map(match => match[1])).toEqual([
+			'$.services[0].deadline.most', '$.services[0].model', '$.upstreams[0].failureDomain',
+		]);
+	});
+
 	it.each([
 		['services', 'model'],
 		['services', 'plain'],
--- a/src/console/draft/review.ts
+++ b/src/console/draft/review.ts
@@ -9,9 +9,9 @@
 	warningsOf,
 	type Mistake,
 	type Parsed,
-	type Valid,
 } from '../../protocol/configuration/index.js';
 import {type Standing} from '../source.js';
+import {mistakesOf} from './findings.js';
 import {type State} from './state.js';
 
 /** What an operator should know before the document is published. */
@@ -38,13 +38,13 @@
 	const revision = highest + 1;
 	const text = writeDocument({...draft, revision});
 	const parsed = parseConfiguration(text);
-	return {revision, text, ...findings(base, parsed)};
+	return {revision, text, ...findings(state, parsed)};
 }
 
-function findings(base: Valid, parsed: Parsed): Omit<Review, 'revision' | 'text'> {
+function findings({base, draft}: State, parsed: Parsed): Omit<Review, 'revision' | 'text'> {
 	if (parsed.type === 'invalid') {
 		return {
-			mistakes: parsed.mistakes, further: parsed.further, changes: undefined, warnings: [],
+			mistakes: mistakesOf(draft, parsed), further: parsed.further, changes: undefined, warnings: [],
 		};
 	}
 
--- a/src/console/pages/style.ts
+++ b/src/console/pages/style.ts
@@ -41,7 +41,7 @@
 th, td { text-align: left; padding: .45rem .6rem; border-bottom: 1px solid var(--line); vertical-align: top; }
 thead th { font-size: .85rem; }
 tr.wrong { background: color-mix(in srgb, var(--bad) 10%, transparent); }
-th button { font-weight: 600; }
+th button { font-weight: 600; white-space: nowrap; }
 .actions { text-align: right; white-space: nowrap; }
 .bar { display: flex; flex-wrap: wrap; gap: .5rem; align-items: center; }
 .tag, .badge { font-size: .8rem; font-weight: 600; border-radius: 1rem; padding: .05rem .5rem; }
