--- a/bench/demo/main.ts
+++ b/bench/demo/main.ts
@@ -2,6 +2,7 @@
 /** `npm run demo`: a whole fleet on this machine, prompts from 1,000 to 1,000,000 tokens, first token by length class. */
 import process from 'node:process';
 import {codes} from '../../src/core/index.js';
+import {endWithChildren} from '../fleet/child.js';
 import {Fleet} from '../fleet/fleet.js';
 import {apiKey} from '../fleet/shape.js';
 import {type ClassResult, type Result} from '../load/recorder.js';
@@ -68,6 +69,7 @@
 	return result.wrongAnswers === 0 && result.outcomes[codes.done] === result.sent;
 }
 
+endWithChildren();
 const isWhole = await run();
 if (!isWhole) {
 	console.log('Some requests had no whole answer.');
--- a/bench/experiments/experiment.ts
+++ b/bench/experiments/experiment.ts
@@ -2,8 +2,8 @@
 import {type Policy} from '../../src/core/index.js';
 import {Fleet} from '../fleet/fleet.js';
 import {type Result} from '../load/recorder.js';
-import {scenarioSchema} from '../load/scenario.js';
-import {planTrace, reusableShare} from '../load/trace.js';
+import {scenarioSchema, type Scenario} from '../load/scenario.js';
+import {planTrace, reusableShare, type Planned} from '../load/trace.js';
 import {cacheUse, switchPolicy} from './control.js';
 import {runLoadProcess} from './load-process.js';
 import {scenarioFor, type Deployment, type Variation} from './scenarios.js';
@@ -21,6 +21,8 @@
 	/** Share of prompt tokens found cached, and the share that an all-knowing router would have found. */
 	readonly cached: number;
 	readonly reusable: number;
+	/** Prompt and answer tokens a second that were asked for. */
+	readonly offered: number;
 };
 
 export type Plan = {
@@ -30,11 +32,27 @@
 	readonly duration: number;
 };
 
-const loads: Readonly<Record<RunKind, number>> = {mixed: 0.7, alone: 0.7, overload: 1.3};
+const millisecondsPerSecond = 1000;
+export const loads: Readonly<Record<RunKind, number>> = {mixed: 0.7, alone: 0.7, overload: 1.3};
+
+/** Length of each kind of run, as a share of the plan's duration. */
+const lengths: Readonly<Record<RunKind, number>> = {mixed: 1, alone: 0.5, overload: 2.5};
+
+/** Short enough, in real milliseconds, that the queue of an overload run cannot hold all that is too much. */
+const overloadTimeout = 5000;
 
 /** Told of each run when it is over. */
 export type Progress = (run: Run) => void;
 
+function offeredPerSecond(trace: readonly Planned[], {warmUp, duration}: Scenario): number {
+	let tokens = 0;
+	for (const {at, promptTokens, output} of trace) {
+		tokens += at < warmUp ? 0 : promptTokens + output;
+	}
+
+	return tokens / (duration - warmUp) * millisecondsPerSecond;
+}
+
 class Experiment {
 	readonly #deployment: Deployment;
 	readonly #fleet: Fleet;
@@ -72,10 +90,12 @@
 			seed,
 			textSeed: this.#runs.length,
 			load: loads[kind],
-			duration: kind === 'alone' ? this.#plan.duration / 2 : this.#plan.duration,
+			duration: this.#plan.duration * lengths[kind],
 			...(kind === 'alone' && {only: 'short'}),
+			...(kind === 'overload' && {timeout: overloadTimeout}),
 		};
-		const scenario = scenarioFor(this.#deployment, this.#fleet.hosts.alive.map(host => host.caller), variation);
+		const scenario = scenarioSchema.parse(scenarioFor(this.#deployment, this.#fleet.hosts.alive.map(host => host.caller), variation));
+		const trace = planTrace(scenario);
 		const before = await cacheUse(this.#fleet);
 		const result = await runLoadProcess(scenario);
 		const after = await cacheUse(this.#fleet);
@@ -85,7 +105,8 @@
 			seed,
 			result,
 			cached: (after.cached - before.cached) / Math.max(after.prompt - before.prompt, 1),
-			reusable: reusableShare(planTrace(scenarioSchema.parse(scenario))),
+			reusable: reusableShare(trace),
+			offered: offeredPerSecond(trace, scenario),
 		};
 		this.#runs.push(run);
 		this.#progress(run);
--- a/bench/experiments/main.ts
+++ b/bench/experiments/main.ts
@@ -4,6 +4,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import {Command, InvalidArgumentError} from 'commander';
+import {endWithChildren} from '../fleet/child.js';
 import {measureCapacity} from './capacity.js';
 import {compare, policies, type Run} from './experiment.js';
 import {deployments, type Deployment} from './scenarios.js';
@@ -73,4 +74,5 @@
 			process.stdout.write(`${deployment.name}: ${capacity.toFixed(1)} requests a second\n`);
 		}
 	});
+endWithChildren();
 await command.parseAsync();
--- a/bench/experiments/scenarios.ts
+++ b/bench/experiments/scenarios.ts
@@ -62,7 +62,7 @@
 	];
 }
 
-const deadline = {default: 60_000, most: 60_000};
+const deadline = {default: 15_000, most: 15_000};
 
 export const qalamkar: Deployment = {
 	name: 'qalamkar',
@@ -70,7 +70,7 @@
 	classes: classes(80, 18),
 	organisations: organisations(),
 	capacity: 94,
-	timeout: 60_000,
+	timeout: 15_000,
 	shape: {
 		timeScale,
 		domains: ['saddar', 'clifton', 'korangi'],
@@ -95,7 +95,7 @@
 	classes: classes(70, 28),
 	organisations: organisations(),
 	capacity: 75,
-	timeout: 60_000,
+	timeout: 15_000,
 	shape: {
 		timeScale,
 		domains: ['nord', 'centre', 'sud'],
@@ -124,6 +124,8 @@
 	readonly load: number;
 	/** Real milliseconds. */
 	readonly duration: number;
+	/** Real milliseconds that each request is given; the deployment's own if absent. */
+	readonly timeout?: number;
 	/** Only prompts of this class, at the rate that they have in the whole mix. */
 	readonly only?: string;
 };
@@ -153,7 +155,7 @@
 		rate: deployment.capacity * variation.load * weightOf(chosen) / weightOf(deployment.classes),
 		duration: variation.duration,
 		warmUp: variation.duration / 5,
-		timeout: deployment.timeout,
+		timeout: variation.timeout ?? deployment.timeout,
 		organisations: deployment.organisations.map(each => ({...each, key: `key-${each.id}`})),
 		classes: chosen,
 		answer: engineSettings.answer,
--- a/bench/experiments/summary.ts
+++ b/bench/experiments/summary.ts
@@ -1,7 +1,7 @@
 /** What is read out of the runs of one deployment: figures by policy, and the ratios that bounds are set on. */
 import {codes, type Policy} from '../../src/core/index.js';
 import {type Result} from '../load/recorder.js';
-import {type Run, type RunKind} from './experiment.js';
+import {loads, type Run, type RunKind} from './experiment.js';
 import {spreadOf, type Spread} from './statistics.js';
 
 export type PolicyFigures = {
@@ -16,7 +16,7 @@
 };
 
 export type Overload = {
-	/** Tokens a second of finished requests over those at 70% load, scaled to the whole capacity. */
+	/** Tokens a second of finished requests over what the engines can serve. */
 	readonly goodput: Spread;
 	/** Milliseconds until a refusal, p95. */
 	readonly refusal: Spread;
@@ -39,7 +39,6 @@
 
 const classNames = ['short', 'middle', 'long'] as const;
 const baselines: readonly Policy[] = ['round-robin', 'least-requests', 'random'];
-const mixedLoad = 0.7;
 
 function select(runs: readonly Run[], kind: RunKind, policy: Policy): readonly Run[] {
 	return runs.filter(run => run.kind === kind && run.policy === policy);
@@ -83,9 +82,8 @@
 
 function overloadOf(runs: readonly Run[]): Overload {
 	const overloaded = select(runs, 'overload', 'cost');
-	const mixed = new Map(select(runs, 'mixed', 'cost').map(run => [run.seed, run.result.tokensPerSecond / mixedLoad]));
 	return {
-		goodput: spreadOf(overloaded.map(run => run.result.tokensPerSecond / (mixed.get(run.seed) ?? 1))),
+		goodput: spreadOf(overloaded.map(run => run.result.tokensPerSecond / (run.offered / loads.overload))),
 		refusal: spreadOf(overloaded.map(run => run.result.refusal.p95)),
 		late: overloaded.map(run => run.result.late).reduce((sum, each) => sum + each, 0),
 		wrong: overloaded.map(run => run.result.wrongAnswers).reduce((sum, each) => sum + each, 0),
--- a/bench/fleet/child.ts
+++ b/bench/fleet/child.ts
@@ -49,6 +49,24 @@
 	}
 }
 
+/** Processes that run, to be ended with this one. */
+const running = new Set<ChildProcessWithoutNullStreams>();
+
+process.once('exit', () => {
+	for (const each of running) {
+		each.kill('SIGKILL');
+	}
+});
+
+/** Lets SIGTERM and SIGINT end this process in a way that ends its children too. */
+export function endWithChildren(): void {
+	for (const [signal, code] of [['SIGTERM', 143], ['SIGINT', 130]] as const) {
+		process.once(signal, () => {
+			process.exit(code);
+		});
+	}
+}
+
 export class Child implements AsyncDisposable {
 	/**
 	 * Starts a process and waits until it says that it is up.
@@ -83,6 +101,10 @@
 			['--no-deprecation', ...preload, path.join(compiled, launch.program), '--settings', launch.settings],
 			{stdio: 'pipe', env: {...process.env, ...launch.environment}},
 		);
+		running.add(this.#process);
+		this.#process.once('exit', () => {
+			running.delete(this.#process);
+		});
 		this.#exit = once(this.#process, 'exit');
 		this.#process.stderr.on('data', chunk => {
 			this.#errors = (this.#errors + String(chunk)).slice(-mostLines);
