Groups of engines for prompts larger than one engine

Cause: the longest prompts need more than twice one engine's memory. Holds are asked for in the order of the engines' names with bounded waits, all or nothing, and given back until confirmed.

--- /dev/null
+++ b/src/core/features/groups/queries.ts
@@ -0,0 +1,111 @@
+/** Plans groups of engines. */
+import {type Engine} from '../../types/configuration.js';
+import {type Request} from '../../types/request.js';
+import {type Context, type State} from '../../types/state.js';
+import {domainUpstreams} from '../configuration/queries.js';
+import {usable} from '../routing/candidates.js';
+import {view} from '../upstreams/queries.js';
+import {expectedOutput} from '../work/queries.js';
+import {service} from '../configuration/queries.js';
+import {type Group, type Part} from './types.js';
+
+/** Part of an engine's memory that a segment may take, so that short prompts still fit beside it. */
+export const fill = 0.85;
+
+/** Groups of one service that a host forms or runs at a time. */
+const mostGroups = 2;
+
+/** Answers may grow longer than expected by this factor. */
+const outputSpare = 2;
+
+/**
+ * @param state - Core state.
+ * @param id - Service.
+ * @param now - Time in milliseconds.
+ * @returns Whether this host may form another group for the service now.
+ */
+export function mayFormGroup(state: State, id: string, now: number): boolean {
+	const count = state.groups.groups.count(each => each.request.service === id);
+	return count < mostGroups && now >= (state.groups.pauses.get(id) ?? 0);
+}
+
+/**
+ * @param state - Core state.
+ * @param hold - Hold.
+ * @returns The group it belongs to, if that still wants it.
+ */
+export function groupOf(state: State, hold: string): Group | undefined {
+	return state.groups.groups.find(each => each.parts.some(part => part.hold === hold));
+}
+
+function usedMemory(state: State, engine: Engine): number {
+	const {footprint, report} = view(state, engine.id);
+	return Math.max(footprint, report?.usedMemory ?? 0);
+}
+
+/** As few engines as are enough, those with the most free memory. */
+function chooseEngines(engines: readonly Engine[], tokens: number, used: (engine: Engine) => number): readonly Engine[] | undefined {
+	const chosen: Engine[] = [];
+	let room = 0;
+	for (const each of engines.toSorted((a, b) => (b.memory - used(b)) - (a.memory - used(a)))) {
+		if (room >= tokens) {
+			break;
+		}
+
+		chosen.push(each);
+		room += Math.floor(each.memory * fill);
+	}
+
+	return room >= tokens ? chosen : undefined;
+}
+
+/**
+ * Engines are listed, and later asked, in the order of their names. Everyone does so: of two hosts that want some of the
+ * same engines, the one that holds the first of these is never kept waiting by the other for a later one.
+ *
+ * @param state - Core state.
+ * @param request - Request whose prompt no engine holds alone.
+ * @param context - Time.
+ * @returns The parts, or undefined if too few engines take requests.
+ */
+export function planGroup(state: State, request: Request, context: Context): readonly Part[] | undefined {
+	const wanted = service(state, request.service);
+	if (wanted === undefined) {
+		return undefined;
+	}
+
+	const all = domainUpstreams(state, request.service, state.self.failureDomain);
+	const search = {
+		request, wanted, failureDomain: state.self.failureDomain, avoided: [],
+	};
+	const engines = usable(state, all, search, context).filter((each): each is Engine => each.kind === 'engine');
+	const output = Math.max(request.outputLimit ?? 0, expectedOutput(state, request) * outputSpare);
+	const chosen = chooseEngines(engines, request.promptTokens + output, each => usedMemory(state, each));
+	return chosen === undefined ? undefined : split(state, request, chosen, output);
+}
+
+/** In proportion to memory; the last engine decodes, so its segment is shorter by the answer. */
+function split(state: State, request: Request, engines: readonly Engine[], output: number): readonly Part[] {
+	const sorted = engines.toSorted((a, b) => a.id < b.id ? -1 : 1);
+	const {host, started} = state.self.incarnation;
+	let memory = 0;
+	for (const each of sorted) {
+		memory += each.memory;
+	}
+
+	let from = 0;
+	return sorted.map((engine, index) => {
+		const isLast = index === sorted.length - 1;
+		const tokens = Math.ceil((request.promptTokens + output) * engine.memory / memory);
+		const to = isLast ? request.promptTokens : Math.min(from + tokens, request.promptTokens);
+		const part: Part = {
+			upstream: engine.id,
+			hold: `${host}.${started}.${state.groups.tried}.${index}`,
+			tokens: Math.max(to - from, 1) + (isLast ? output : 0),
+			from,
+			to,
+		};
+		from = to;
+		return part;
+	});
+}
--- /dev/null
+++ b/src/core/features/groups/types.ts
@@ -0,0 +1,55 @@
+/** Engines that hold one prompt together, each a segment of its KV cache. */
+import {Map as Table} from 'immutable';
+import {type Request} from '../../types/request.js';
+
+/** Memory wanted at one engine. */
+export type Part = {
+	readonly upstream: string;
+	readonly hold: string;
+	/** Tokens to hold: the segment, and the answer where it is decoded. */
+	readonly tokens: number;
+	/** Range of prompt tokens, the end excluded. */
+	readonly from: number;
+	readonly to: number;
+};
+
+/** What a group waits for; its engines are asked one after another, in the order of their names. */
+export type GroupProgress
+	= | {
+		readonly type: 'asking';
+		/** The part that is asked for; those before it are held. */
+		readonly index: number;
+		/** Since when this part is asked for, in milliseconds. */
+		readonly since: number;
+		/** When to ask again; undefined while an answer is awaited. */
+		readonly again?: number;
+	}
+	| {readonly type: 'held'};
+
+export type Group = {
+	readonly request: Request;
+	readonly parts: readonly Part[];
+	readonly progress: GroupProgress;
+};
+
+/** A hold that is given back and not yet confirmed as such. */
+export type Release = {
+	readonly upstream: string;
+	/** When to ask again, in milliseconds. */
+	readonly again: number;
+};
+
+export type GroupsState = {
+	/** By request. */
+	readonly groups: Table<string, Group>;
+	/** By hold. */
+	readonly releases: Table<string, Release>;
+	/** Time before which a service tries no other group, in milliseconds. */
+	readonly pauses: Table<string, number>;
+	/** Groups tried so far; part of each hold's name. */
+	readonly tried: number;
+};
+
+export const initialGroups: GroupsState = {
+	groups: Table(), releases: Table(), pauses: Table(), tried: 0,
+};
--- a/src/core/features/requests/commands/admit.ts
+++ b/src/core/features/requests/commands/admit.ts
@@ -4,9 +4,10 @@
 import {type Request} from '../../../types/request.js';
 import {type Context, type State, type Step} from '../../../types/state.js';
 import {organisation, service} from '../../configuration/queries.js';
+import {fill} from '../../groups/queries.js';
 import {limitedFor} from '../../limits/queries.js';
 import {isServing} from '../../membership/queries.js';
-import {footprint} from '../../routing/queries.js';
+import {footprint, needsGroup} from '../../routing/queries.js';
 import {upstreamsFor} from '../../takeover/queries.js';
 import {predict, type Prediction} from '../prediction.js';
 import {lane, queueLength} from '../queries.js';
@@ -42,9 +43,16 @@
 
 /** Whether all engines of the service here together are too small. */
 function isTooLong(state: State, request: Request): boolean {
-	const engines = upstreamsFor(state, request).filter(each => each.kind === 'engine');
-	const memory = engines.reduce((sum, each) => sum + each.memory, 0);
-	return engines.length > 0 && memory < footprint(state, request);
+	if (!needsGroup(state, request)) {
+		return false;
+	}
+
+	let memory = 0;
+	for (const each of upstreamsFor(state, request)) {
+		memory += each.kind === 'engine' ? Math.floor(each.memory * fill) : 0;
+	}
+
+	return memory < footprint(state, request);
 }
 
 function admission(request: Request, prediction: Prediction, now: number): Admission {
--- a/src/core/features/requests/commands/attempts.ts
+++ b/src/core/features/requests/commands/attempts.ts
@@ -18,7 +18,7 @@
 import {admissionOf} from '../queries.js';
 import {type Admission} from '../types.js';
 import {conclude, outcomeOf, put} from './conclude.js';
-import {enqueue, remove, take} from './lanes.js';
+import {enqueue, take} from './lanes.js';
 
 function lengthOf(state: State, request: Request): LengthClass {
 	return classOf(service(state, request.service), request.promptTokens);
@@ -255,16 +255,6 @@
 	);
 }
 
-/**
- * @param state - Core state.
- * @param admission - Request that leaves its lane without being sent.
- * @param progress - What becomes of it.
- * @returns The next state.
- */
-export function leaveLane(state: State, admission: Admission, progress: Admission['progress']): State {
-	return put(remove(state, admission), {...admission, progress});
-}
-
 /** @returns What a caller is told whose request's time is over while it ran. */
 export function lateOutcome(admission: Admission): Outcome {
 	return admission.request.proof.type === 'idempotent'
--- a/src/core/features/requests/commands/dispatch.ts
+++ b/src/core/features/requests/commands/dispatch.ts
@@ -3,12 +3,15 @@
 import {type Context, type State, type Step} from '../../../types/state.js';
 import {only} from '../../../utils/common.js';
 import {service} from '../../configuration/queries.js';
+import {mayFormGroup} from '../../groups/queries.js';
 import {route} from '../../routing/queries.js';
 import {lane, nextOf} from '../queries.js';
 import {
 	laneKey, laneNames, type Admission, type LaneName,
 } from '../types.js';
-import {leaveLane, send} from './attempts.js';
+import {send} from './attempts.js';
+import {put} from './conclude.js';
+import {take} from './lanes.js';
 import {spill} from './spill.js';
 
 /** Part of the service's usual deadline that, waited, is worth one priority. */
@@ -39,6 +42,16 @@
 		: undefined;
 }
 
+function formGroup(state: State, admission: Admission, {now}: Context): Step | undefined {
+	const {request} = admission;
+	return mayFormGroup(state, request.service, now)
+		? {
+			state: put(take(state, admission), {...admission, progress: {type: 'holding', since: now}}),
+			effects: [{type: 'raise', event: {type: 'group-wanted', request}}],
+		}
+		: undefined;
+}
+
 function dispatchLane(state: State, wanted: Service, name: LaneName, context: Context): Step | undefined {
 	if (!state.requests.lanes.has(laneKey(wanted.id, name))) {
 		return undefined;
@@ -49,14 +62,7 @@
 		return undefined;
 	}
 
-	if (name === 'group') {
-		return {
-			state: leaveLane(state, next, {type: 'holding', since: context.now}),
-			effects: [{type: 'raise', event: {type: 'group-wanted', request: next.request}}],
-		};
-	}
-
-	return sendOne(state, wanted, next, context);
+	return name === 'group' ? formGroup(state, next, context) : sendOne(state, wanted, next, context);
 }
 
 /**
--- /dev/null
+++ b/src/core/features/requests/commands/group.ts
@@ -0,0 +1,49 @@
+/** Sends requests that several engines hold together, or lets them wait again. */
+import {type EventOf} from '../../../types/event.js';
+import {type Context, type State, type Step} from '../../../types/state.js';
+import {only} from '../../../utils/common.js';
+import {upstream as configured} from '../../configuration/queries.js';
+import {outstanding, view} from '../../upstreams/queries.js';
+import {prefillRate} from '../../work/queries.js';
+import {send} from './attempts.js';
+import {put} from './conclude.js';
+import {enqueue} from './lanes.js';
+
+/**
+ * @param state - Core state.
+ * @param event - Request and the engines that hold memory for it.
+ * @param context - Time.
+ * @returns The next state; the last engine decodes.
+ */
+export function sendToGroup(state: State, event: EventOf<'group-held'>, context: Context): Step {
+	const admission = state.requests.admissions.get(event.request.id);
+	const last = event.segments.at(-1);
+	const upstream = last === undefined ? undefined : configured(state, last.upstream);
+	if (admission?.progress.type !== 'holding' || upstream === undefined) {
+		return only(state);
+	}
+
+	const work = outstanding(view(state, upstream.id), context.now, prefillRate(state, upstream));
+	return send(state, admission, {
+		upstream,
+		cached: 0,
+		ahead: Math.round(work.prefill),
+		candidates: event.segments.map(each => ({upstream: each.upstream, score: 0})),
+		reason: `group of ${event.segments.length} engines`,
+	}, context, event.segments);
+}
+
+/**
+ * @param state - Core state.
+ * @param id - Request whose group came to nothing.
+ * @returns The next state; it waits first in its lane again.
+ */
+export function waitAgain(state: State, id: string): State {
+	const admission = state.requests.admissions.get(id);
+	if (admission?.progress.type !== 'holding') {
+		return state;
+	}
+
+	const waiting = {...admission, progress: {type: 'queued', since: admission.progress.since}} as const;
+	return enqueue(put(state, waiting), waiting, true);
+}
--- a/src/core/features/requests/feature.ts
+++ b/src/core/features/requests/feature.ts
@@ -5,6 +5,7 @@
 import {end, markWritten, progress} from './commands/attempts.js';
 import {dispatch, wakeQueues} from './commands/dispatch.js';
 import {abandon, expire, seal} from './commands/expire.js';
+import {sendToGroup, waitAgain} from './commands/group.js';
 
 export const requestsFeature: Feature = {
 	name: 'requests',
@@ -18,6 +19,14 @@
 				return dispatch(state, event.service, context);
 			}
 
+			case 'group-held': {
+				return sendToGroup(state, event, context);
+			}
+
+			case 'group-failed': {
+				return only(waitAgain(state, event.request.id));
+			}
+
 			case 'attempt-written': {
 				return only(markWritten(state, event.attempt));
 			}
--- a/src/core/features/requests/prediction.ts
+++ b/src/core/features/requests/prediction.ts
@@ -3,6 +3,7 @@
 import {type Request} from '../../types/request.js';
 import {type State} from '../../types/state.js';
 import {organisation, service} from '../configuration/queries.js';
+import {fill} from '../groups/queries.js';
 import {isLegacy, upstreamsFor} from '../takeover/queries.js';
 import {servingHosts} from '../membership/queries.js';
 import {cachedTokens} from '../prefixes/queries.js';
@@ -88,6 +89,11 @@
 	return upstream.kind === 'engine' ? upstream.batch : upstream.concurrent;
 }
 
+/** Engines that work on the segments of a prompt at the same time. */
+function enginesFor(typical: Upstream, prefill: number): number {
+	return typical.kind === 'engine' ? Math.max(Math.floor(prefill / (typical.memory * fill)), 1) : 1;
+}
+
 /** Share of the lane's upstreams that this host may count on: peers of the domain use them as well. */
 function capacity(state: State, upstreams: readonly Upstream[]): number {
 	return Math.max(upstreams.length, 1) / Math.max(servingHosts(state, state.self.failureDomain).length, 1);
@@ -109,7 +115,7 @@
 
 	const cached = Math.max(0, ...cachedTokens(state, request).values());
 	const {prefill, decode} = estimate(state, request, cached);
-	const prefilling = prefillTime(state, typical, prefill);
+	const prefilling = prefillTime(state, typical, prefill) / (name === 'group' ? enginesFor(typical, prefill) : 1);
 	const decoding = decodeTime(state, typical, decode);
 	const cost = prefilling + (decoding / batchOf(typical));
 	const queued = backlog(state, lane(state, request.service, name), request);
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -3,6 +3,8 @@
 import {initialConfiguration} from './features/configuration/types.js';
 import {holdsFeature} from './features/holds/feature.js';
 import {initialHolds} from './features/holds/types.js';
+import {groupsFeature} from './features/groups/feature.js';
+import {initialGroups} from './features/groups/types.js';
 import {keysFeature} from './features/keys/feature.js';
 import {initialKeys} from './features/keys/types.js';
 import {membershipFeature} from './features/membership/feature.js';
@@ -58,6 +60,7 @@
 	limitsFeature,
 	retriesFeature,
 	routingFeature,
+	groupsFeature,
 	requestsFeature,
 	membershipFeature,
 	stopsFeature,
@@ -88,6 +91,7 @@
 		prefixes: initialPrefixes,
 		limits: initialLimits,
 		circuits: initialCircuits,
+		groups: initialGroups,
 	};
 }
 
--- a/src/core/types/state.ts
+++ b/src/core/types/state.ts
@@ -2,6 +2,7 @@
 import {type CircuitsState} from '../features/circuits/types.js';
 import {type ConfigurationState} from '../features/configuration/types.js';
 import {type HoldsState} from '../features/holds/types.js';
+import {type GroupsState} from '../features/groups/types.js';
 import {type KeysState} from '../features/keys/types.js';
 import {type LimitsState} from '../features/limits/types.js';
 import {type MembershipState} from '../features/membership/types.js';
@@ -38,6 +39,7 @@
 	readonly circuits: CircuitsState;
 	readonly prefixes: PrefixesState;
 	readonly limits: LimitsState;
+	readonly groups: GroupsState;
 	readonly retries: RetriesState;
 	readonly routing: RoutingState;
 };
