--- a/src/core/features/groups/commands/seek.ts
+++ b/src/core/features/groups/commands/seek.ts
@@ -30,9 +30,11 @@
 	const {hold, upstream, tokens} = group.parts[group.progress.index]!;
 	const address = configured(state, upstream)?.address;
 	const deadline = wall + (group.request.deadline - now) + holdGrace;
-	return address === undefined ? [] : [{
-		type: 'hold', hold, upstream, address, tokens, deadline,
-	}];
+	return address === undefined
+		? []
+		: [{
+			type: 'hold', hold, upstream, address, tokens, deadline,
+		}];
 }
 
 function askFor(state: State, group: Group, index: number, context: Context): Step {
--- a/src/core/features/groups/queries.ts
+++ b/src/core/features/groups/queries.ts
@@ -2,11 +2,10 @@
 import {type Engine} from '../../types/configuration.js';
 import {type Request} from '../../types/request.js';
 import {type Context, type State} from '../../types/state.js';
-import {domainUpstreams} from '../configuration/queries.js';
+import {domainUpstreams, service} from '../configuration/queries.js';
 import {usable} from '../routing/candidates.js';
 import {view} from '../upstreams/queries.js';
 import {expectedOutput} from '../work/queries.js';
-import {service} from '../configuration/queries.js';
 import {type Group, type Part} from './types.js';
 
 /** Part of an engine's memory that a segment may take, so that short prompts still fit beside it. */
