--- a/bench/experiments/main.ts
+++ b/bench/experiments/main.ts
@@ -8,6 +8,7 @@
 import {measureCapacity} from './capacity.js';
 import {compare, policies, type Run} from './experiment.js';
 import {deployments, type Deployment} from './scenarios.js';
+import {axes, measureSlope, slopeTable} from './slopes.js';
 import {summarise} from './summary.js';
 import {tableOf} from './table.js';
 
@@ -74,5 +75,21 @@
 			process.stdout.write(`${deployment.name}: ${capacity.toFixed(1)} requests a second\n`);
 		}
 	});
+command.command('slopes')
+	.description('measure how a daemon\'s cost grows with each size')
+	.argument('[axes...]', `${axes.join(', ')}; all if absent`)
+	.option('--out <directory>', 'where results go', 'bench/results')
+	.addHelpText('after', '\nExample:\n  npm run bench -- slopes hosts engines')
+	.action(async (names: readonly string[], {out}: Pick<Flags, 'out'>) => {
+		const chosen = axes.filter(axis => names.length === 0 || names.includes(axis));
+		await mkdir(out, {recursive: true});
+		for (const axis of chosen) {
+			const slope = await measureSlope(axis, ({size, cost}) => {
+				process.stderr.write(`${axis} ${size}: ${JSON.stringify(cost)}\n`);
+			});
+			await writeFile(path.join(out, `slope-${axis}.json`), JSON.stringify(slope, undefined, '\t'));
+			process.stdout.write(`${slopeTable(slope)}\n`);
+		}
+	});
 endWithChildren();
 await command.parseAsync();
--- a/bench/load/client.ts
+++ b/bench/load/client.ts
@@ -12,6 +12,8 @@
 export type Ending = {
 	/** Result code; {@link cutCode} where the answer stopped without one. */
 	readonly code: number;
+	/** Why an answer ended without a code. */
+	readonly detail: string;
 	readonly content: string;
 	readonly firstTokenAt: number | undefined;
 	readonly endedAt: number;
@@ -77,6 +79,7 @@
 	const collector = new Collector();
 	let errorText = '';
 	let isStream = false;
+	let detail = '';
 	try {
 		const stream = got.stream.post(`http://${planned.entry.host}:${planned.entry.port}/v1/chat/completions`, {
 			body,
@@ -97,13 +100,14 @@
 				errorText += String(chunk);
 			}
 		}
-	} catch {
+	} catch (error) {
 		// A broken connection shows as an answer without a code.
+		detail = error instanceof Error ? error.message : String(error);
 	}
 
 	const {code, ticket: issued} = isStream ? {code: collector.code ?? cutCode, ticket: undefined} : readError(errorText);
 	return {
-		code, content: collector.content, firstTokenAt: collector.firstTokenAt, endedAt: performance.now(), ticket: issued,
+		code, detail, content: collector.content, firstTokenAt: collector.firstTokenAt, endedAt: performance.now(), ticket: issued,
 	};
 }
 
--- a/bench/load/recorder.ts
+++ b/bench/load/recorder.ts
@@ -1,7 +1,7 @@
 /** Histograms and counts of a run. */
 import {build, type Histogram} from 'hdr-histogram-js';
 import {codes} from '../../src/core/index.js';
-import {type Ending} from './client.js';
+import {cutCode, type Ending} from './client.js';
 import {type Planned} from './trace.js';
 
 /** Milliseconds at some percentiles. */
@@ -38,6 +38,8 @@
 	readonly organisations: Readonly<Record<string, OrganisationResult>>;
 	/** Finished requests whose answer was not whole or not their own. */
 	readonly wrongAnswers: number;
+	/** Some answers that ended without a result code. */
+	readonly cuts: readonly Cut[];
 	/** Finished requests that took longer than their time. */
 	readonly late: number;
 	/** Time until a request was told that it was not run. */
@@ -49,6 +51,17 @@
 	readonly tokensPerSecond: number;
 };
 
+/** An answer that ended without a result code. */
+export type Cut = {
+	readonly index: number;
+	readonly promptTokens: number;
+	/** Milliseconds after the intended time, and characters received by then. */
+	readonly after: number;
+	readonly received: number;
+	readonly detail: string;
+};
+
+const mostCuts = 20;
 const microseconds = 1000;
 const firstNotRun = 2000;
 const firstFailed = 3000;
@@ -114,6 +127,7 @@
 	readonly #classes = new Map<string, ClassRecorder>();
 	readonly #organisations = new Map<string, OrganisationRecorder>();
 	readonly #outcomes = new Map<number, number>();
+	readonly #cuts: Cut[] = [];
 	readonly #refusal = histogram();
 	readonly #sendingLag = histogram();
 	#sent = 0;
@@ -133,6 +147,12 @@
 		this.#organisationOf(planned).sent++;
 		if (ending.code === codes.done) {
 			this.#addDone(observation);
+		} else if (ending.code === cutCode && this.#cuts.length < mostCuts) {
+			const {index, promptTokens} = planned;
+			const {detail, content, endedAt} = ending;
+			this.#cuts.push({
+				index, promptTokens, after: endedAt - intendedAt, received: content.length, detail,
+			});
 		} else if (ending.code >= firstNotRun && ending.code < firstFailed) {
 			record(this.#refusal, ending.endedAt - sentAt);
 		}
@@ -149,6 +169,7 @@
 			classes: Object.fromEntries([...this.#classes].map(([name, each]) => [name, each.result])),
 			organisations: Object.fromEntries([...this.#organisations].map(([id, each]) => [id, each.result])),
 			wrongAnswers: this.#wrongAnswers,
+			cuts: this.#cuts,
 			late: this.#late,
 			refusal: summary(this.#refusal),
 			sendingLag: summary(this.#sendingLag),
