--- a/__tests__/membership.test.ts
+++ b/__tests__/membership.test.ts
@@ -5,7 +5,7 @@
 import {Fleet} from '../bench/fleet/fleet.js';
 import {type ShapeInput} from '../bench/fleet/shape.js';
 import {rollHosts} from '../bench/membership/roll.js';
-import {inForce, stateOf} from '../bench/membership/status.js';
+import {inForce, linked, stateOf} from '../bench/membership/status.js';
 import {orderStateSchema} from '../src/upstream/protocol.js';
 
 function shape(fencing: boolean): ShapeInput {
@@ -63,6 +63,28 @@
 	});
 });
 
+describe('planned stops of hosts', () => {
+	it('begin one after another, the second once the first is back', {timeout: 120_000}, async () => {
+		await using fleet = await Fleet.start({...shape(true), engines: []});
+		const hosts = fleet.hosts.all.map(host => host.id);
+		await linked(fleet, hosts, 2);
+		const notBefore = Date.now();
+		await fleet.publish(before => ({
+			...before,
+			plannedStops: ['a-host-2', 'a-host-1'].map((id, index) => ({
+				id: `stop-${index}`, target: {kind: 'host', id}, notBefore, grace: 5000,
+			} as const)),
+		}));
+		await until(() => !fleet.hosts.get('a-host-2').child.isAlive);
+		expect(fleet.hosts.get('a-host-1').child.isAlive).toBe(true);
+		expect(await stateOf(fleet, 'a-host-1')).toMatchObject({phase: 'serving'});
+		await fleet.replaceHost('a-host-2');
+		await until(() => !fleet.hosts.get('a-host-1').child.isAlive);
+		expect(await stateOf(fleet, 'a-host-2')).toMatchObject({phase: 'serving'});
+		expect(await stateOf(fleet, 'a-host-3')).toMatchObject({phase: 'serving'});
+	});
+});
+
 describe('an orderer that is paused and wakes after a takeover', () => {
 	it.each([true, false])('leaves the engine with what the others ordered (numbers checked: %s)', {timeout: 120_000}, async fencing => {
 		await using fleet = await Fleet.start(shape(fencing));
--- /dev/null
+++ b/__tests__/takeover.test.ts
@@ -0,0 +1,94 @@
+import got from 'got';
+import {describe, expect, it} from 'vitest';
+import {z} from 'zod';
+import {Fleet} from '../bench/fleet/fleet.js';
+import {apiKey, type ShapeInput} from '../bench/fleet/shape.js';
+import {inForce, linked, stateOf} from '../bench/membership/status.js';
+import {type Configuration} from '../src/core/index.js';
+
+const shape: ShapeInput = {
+	isProxied: true,
+	timeScale: 20,
+	domains: ['a', 'b'],
+	hosts: [2, 1],
+	plains: [{service: 'book', perDomain: 2}],
+	services: [{
+		kind: 'plain', id: 'book', idempotent: false, ticketRule: 'ticket', deadline: {default: 4000, most: 10_000},
+	}],
+	organisations: [{id: 'one'}],
+	hostLag: 100,
+	entry: {hostsInterval: 300},
+};
+
+const hosts = ['a-host-1', 'a-host-2', 'b-host-1'];
+const bookings = 12;
+const ticketSchema = z.object({ticket: z.string()});
+
+/** The second upstream of each domain stands for the old scripts. */
+function withLegacy(before: Configuration): Configuration {
+	return {
+		...before,
+		upstreams: before.upstreams.map(upstream => upstream.kind === 'plain' && upstream.id.endsWith('-2') ? {...upstream, kind: 'legacy'} : upstream),
+		takeovers: [{service: 'book', servedBy: 'legacy'}],
+	};
+}
+
+async function ticketFrom(fleet: Fleet, host: string): Promise<string> {
+	const {caller} = fleet.hosts.get(host);
+	const answer = await got.post(`http://${caller.host}:${caller.port}/v1/tickets`, {
+		headers: {authorization: `Bearer ${apiKey('one')}`}, retry: {limit: 0},
+	}).json();
+	return ticketSchema.parse(answer).ticket;
+}
+
+async function show(fleet: Fleet, host: string, ticket: string, body: string): Promise<number> {
+	const {caller} = fleet.hosts.get(host);
+	const {statusCode} = await got.post(`http://${caller.host}:${caller.port}/v1/services/book/seats`, {
+		headers: {authorization: `Bearer ${apiKey('one')}`, 'x-ticket': ticket}, body, retry: {limit: 0}, throwHttpErrors: false,
+	});
+	return statusCode;
+}
+
+/** Executions by upstream. */
+function executed(fleet: Fleet): Readonly<Record<string, number>> {
+	return Object.fromEntries(fleet.upstreams.plainCounts.map(each => [each.service, each.executed]));
+}
+
+describe('moving in while a failure domain is held at the old revision', () => {
+	it('runs each booking once, on one side', async () => {
+		await using fleet = await Fleet.start(shape);
+		await linked(fleet, hosts, 2);
+		await inForce(fleet, hosts, await fleet.publish(before => withLegacy(before)));
+		expect(await show(fleet, 'a-host-1', await ticketFrom(fleet, 'a-host-2'), 'first')).toBe(200);
+		expect(executed(fleet)).toMatchObject({'a-book-1': 0, 'a-book-2': 1});
+		// Hosts of b still reach the callers' listeners of a, but neither its peer links nor the platform.
+		fleet.fault({type: 'refuse', where: {link: 'b-host-1-platform'}});
+		for (const host of hosts) {
+			fleet.fault({type: 'refuse', where: {link: `${host}-peer`}});
+		}
+
+		const revision = await fleet.publish(before => ({...before, takeovers: []}));
+		await inForce(fleet, ['a-host-1', 'a-host-2'], revision);
+		expect(await stateOf(fleet, 'b-host-1')).toMatchObject({revision: revision - 1});
+		const codes = new Set<number>();
+		for (let booking = 0; booking < bookings; booking++) {
+			const ticket = await ticketFrom(fleet, hosts[booking % hosts.length]!);
+			const shown = await Promise.all(hosts.map(async host => show(fleet, host, ticket, `booking ${booking}`)));
+			for (const code of shown) {
+				codes.add(code);
+			}
+		}
+
+		expect(codes).toEqual(new Set([200]));
+		const counts = fleet.upstreams.plainCounts;
+		expect(counts.reduce((sum, each) => sum + each.executed, 0)).toBe(bookings + 1);
+		for (const {byBody} of counts) {
+			expect(new Set(Object.values(byBody))).toEqual(new Set(Object.keys(byBody).length === 0 ? [] : [1]));
+		}
+
+		// Of four bookings kept by b all went to the old scripts, of eight kept by a none.
+		expect(executed(fleet)).toMatchObject({'a-book-2': 1, 'b-book-1': 0, 'b-book-2': 4});
+		fleet.heal();
+		await inForce(fleet, hosts, revision);
+	});
+});
--- a/bench/membership/main.ts
+++ b/bench/membership/main.ts
@@ -12,6 +12,9 @@
 const publications = 20;
 const costTime = 20_000;
 const streamsAtOnce = 6;
+
+/** Links of each of the seven hosts: its own domain and one host of each other. */
+const leastLinks = 3;
 const second = 1000;
 
 type Counts = {
@@ -62,7 +65,7 @@
 async function measureAdoption(): Promise<void> {
 	await using fleet = await Fleet.start(shape({isProxied: true}));
 	const hosts = fleet.hosts.all.map(host => host.id);
-	await linked(fleet, hosts, hosts.length - 1);
+	await linked(fleet, hosts, leastLinks);
 	print('adoption, milliseconds until in force on 7 hosts', summary(await publishOften(fleet, hosts)));
 	for (const host of hosts.slice(1)) {
 		fleet.fault({type: 'refuse', where: {link: `${host}-platform`}});
@@ -77,7 +80,7 @@
 async function measureCost(): Promise<void> {
 	await using fleet = await Fleet.start(shape({}));
 	const hosts = fleet.hosts.all.map(host => host.id);
-	await linked(fleet, hosts, hosts.length - 1);
+	await linked(fleet, hosts, leastLinks);
 	const before = await Promise.all(hosts.map(async host => costOf(fleet, host)));
 	const callsBefore = fleet.platformCalls.calls;
 	await sleep(costTime);
