Names of callers' headers stand once, in the protocol

Cause: the command line and the daemon had the same table of header names.

Conclusion: entry/callers takes them from protocol/callers.

--- a/src/entry/callers/headers.ts
+++ b/src/entry/callers/headers.ts
@@ -7,26 +7,18 @@
 	type Proof,
 	type Service,
 } from '../../core/index.js';
+import {callerHeaders as sentByCallers} from '../../protocol/callers.js';
 import {verifyTicket} from '../../protocol/token.js';
 import {type Directory} from './directory.js';
 
-/** Headers that callers send. */
+/** Headers that callers send, and those that a host adds when it passes a request on. */
 export const callerHeaders = {
-	/** Milliseconds the caller gives the request. */
-	timeout: 'x-timeout-ms',
-	/** `true` if the request may be repeated, `false` if it may run only once. */
-	idempotent: 'x-idempotent',
-	key: 'idempotency-key',
-	ticket: 'x-ticket',
-	/** Urgency from 0 to 9; never above the organisation's. */
-	priority: 'x-priority',
-	promptTokens: 'x-prompt-tokens',
+	...sentByCallers,
 	/** Set by a host that passes a request on. */
 	forwardedBy: 'x-forwarded-by',
 	spilledFrom: 'x-spilled-from',
 	/** How many hosts have passed it on. */
 	hops: 'x-forwarded-hops',
-	position: 'last-event-id',
 } as const;
 
 const longestKey = 255;
--- a/src/entry/callers/outcomes.ts
+++ b/src/entry/callers/outcomes.ts
@@ -6,11 +6,12 @@
 	texts,
 	type Outcome,
 } from '../../core/index.js';
+import {answerHeaders} from '../../protocol/callers.js';
 
-export const outcomeHeader = 'x-outcome';
-export const codeHeader = 'x-result-code';
-export const requestHeader = 'x-request-id';
-export const ticketHeader = 'x-ticket';
+export const outcomeHeader = answerHeaders.outcome;
+export const codeHeader = answerHeaders.code;
+export const requestHeader = answerHeaders.request;
+export const ticketHeader = answerHeaders.ticket;
 
 const millisecondsPerSecond = 1000;
 
