One feature gives holds back

Cause: groups repeated their releases beside the holds feature, which does the same. Groups now only ask for a release.

--- a/src/core/features/groups/commands/seek.ts
+++ b/src/core/features/groups/commands/seek.ts
@@ -47,7 +47,7 @@
 	const pauses = state.groups.pauses.set(request.service, until);
 	return chain(
 		{...state, groups: {...state.groups, pauses}},
-		current => dissolve(current, request.id, context.now, reason),
+		current => dissolve(current, request.id, reason),
 		current => ({state: current, effects: [{type: 'raise', event: {type: 'group-failed', request}}]}),
 	);
 }
@@ -96,7 +96,7 @@
 export function hear(state: State, event: EventOf<'hold-answered'>, context: Context): Step {
 	const group = groupOf(state, event.hold);
 	if (group === undefined) {
-		return event.granted ? giveBack(state, [event], context.now, 'wanted no longer') : only(state);
+		return event.granted ? giveBack(state, [event], 'wanted no longer') : only(state);
 	}
 
 	const {progress} = group;
--- a/src/core/features/groups/feature.ts
+++ b/src/core/features/groups/feature.ts
@@ -1,9 +1,7 @@
 /** Groups of engines for prompts that no engine holds alone. */
 import {type Feature} from '../../types/state.js';
-import {chain, only} from '../../utils/common.js';
-import {
-	confirmRelease, dissolve, forgetReleases, pressReleases,
-} from './commands/release.js';
+import {only} from '../../utils/common.js';
+import {dissolve} from './commands/release.js';
 import {
 	form, hear, loseEngine, pressGroups,
 } from './commands/seek.js';
@@ -20,38 +18,23 @@
 				return hear(state, event, context);
 			}
 
-			case 'hold-released': {
-				return only(confirmRelease(state, event.hold));
-			}
-
 			case 'attempt-over': {
 				return event.attempt.parts === undefined
 					? only(state)
-					: dissolve(state, event.request.id, context.now, 'attempt over');
+					: dissolve(state, event.request.id, 'attempt over');
 			}
 
 			case 'request-concluded': {
-				return dissolve(state, event.request.id, context.now, 'request over');
-			}
-
-			case 'upstream-restarted': {
-				return chain(
-					state,
-					current => loseEngine(current, event.upstream, context),
-					current => only(forgetReleases(current, event.upstream)),
-				);
+				return dissolve(state, event.request.id, 'request over');
 			}
 
+			case 'upstream-restarted':
 			case 'upstream-unreachable': {
 				return loseEngine(state, event.upstream, context);
 			}
 
 			case 'tick': {
-				return chain(
-					state,
-					current => pressGroups(current, context),
-					current => pressReleases(current, context.now),
-				);
+				return pressGroups(state, context);
 			}
 
 			default: {
--- a/src/core/features/groups/types.ts
+++ b/src/core/features/groups/types.ts
@@ -32,24 +32,13 @@
 	readonly progress: GroupProgress;
 };
 
-/** A hold that is given back and not yet confirmed as such. */
-export type Release = {
-	readonly upstream: string;
-	/** When to ask again, in milliseconds. */
-	readonly again: number;
-};
-
 export type GroupsState = {
 	/** By request. */
 	readonly groups: Table<string, Group>;
-	/** By hold. */
-	readonly releases: Table<string, Release>;
 	/** Time before which a service tries no other group, in milliseconds. */
 	readonly pauses: Table<string, number>;
 	/** Groups tried so far; part of each hold's name. */
 	readonly tried: number;
 };
 
-export const initialGroups: GroupsState = {
-	groups: Table(), releases: Table(), pauses: Table(), tried: 0,
-};
+export const initialGroups: GroupsState = {groups: Table(), pauses: Table(), tried: 0};
