--- a/bench/fuzz/faults.ts
+++ b/bench/fuzz/faults.ts
@@ -55,6 +55,14 @@
 	});
 }
 
+/** A rack or a power line goes: nobody is left that remembers. */
+function endAll(world: World): void {
+	for (const host of world.living) {
+		world.end(host);
+		replace(world, host);
+	}
+}
+
 function strike(world: World): void {
 	const {dice} = world;
 	const awake = world.living.filter(host => !host.isPaused);
@@ -63,6 +71,11 @@
 	}
 
 	const host = dice.pick(awake);
+	if (dice.chance(4)) {
+		endAll(world);
+		return;
+	}
+
 	const die = dice.integer(1, 100);
 	if (die <= 20) {
 		partition(world);
--- a/bench/fuzz/invariants.ts
+++ b/bench/fuzz/invariants.ts
@@ -2,7 +2,7 @@
 import {assertNever, codes} from '../../src/core/index.js';
 import {type Ledger, type Told} from './ledger.js';
 
-export const checks = ['at-most-once', 'true-not-run', 'own-answer', 'answered-in-time', 'bounded-tables', 'holds-freed', 'live-holds-kept', 'few-crashes'] as const;
+export const checks = ['at-most-once', 'true-not-run', 'own-answer', 'answered-in-time', 'bounded-tables', 'expired-not-run', 'holds-freed', 'live-holds-kept', 'few-crashes'] as const;
 
 export type Check = (typeof checks)[number];
 
@@ -14,6 +14,9 @@
 /** Time after its deadline by which a request must be answered, in milliseconds: a few ticks. */
 const slack = 250;
 
+/** How far a host's clock may be from the world's. */
+const clockError = 400;
+
 /** A key refused with one of these may be sent again and run then; "not run" speaks of the time before it. */
 const openCodes: ReadonlySet<number> = new Set([
 	codes.overloaded,
@@ -69,6 +72,12 @@
 		.map(each => `${each.request} at ${each.host}, due ${each.deadline}: ${each.answeredAt ?? 'never'}`);
 }
 
+function expired({executions}: Ledger): readonly string[] {
+	return executions
+		.filter(each => each.expires !== undefined && each.at > each.expires + slack + clockError)
+		.map(each => `${each.operation} at ${each.at}, expired ${each.expires}`);
+}
+
 function killed({crashes, crashLimit}: Ledger): readonly string[] {
 	return [...countBy(crashes, each => `${each.operation} in ${each.failureDomain}`)]
 		.filter(([, count]) => count > crashLimit)
@@ -97,6 +106,10 @@
 			return ledger.leftovers;
 		}
 
+		case 'expired-not-run': {
+			return expired(ledger);
+		}
+
 		case 'holds-freed': {
 			return ledger.leftHolds;
 		}
--- a/bench/fuzz/ledger.ts
+++ b/bench/fuzz/ledger.ts
@@ -14,6 +14,8 @@
 	readonly right: string;
 	readonly upstream: string;
 	readonly at: number;
+	/** When its ticket expired, on the world's clock; the ticket as the caller has it. */
+	readonly expires?: number;
 };
 
 /** What a caller was told for one sending. */
--- a/bench/fuzz/mutations.ts
+++ b/bench/fuzz/mutations.ts
@@ -1,5 +1,8 @@
 /** Mechanisms turned off one at a time, to show that the invariants notice. Each acts on the stream of events, effects and states. */
-import {type Effect, type Event, type State} from '../../src/core/index.js';
+import {
+	codes, type Effect, type Event, type State, type Ticket,
+} from '../../src/core/index.js';
+import {initialSuspicion} from '../../src/core/features/suspicion/types.js';
 import {type Host} from './hosts.js';
 
 export type Mutation = {
@@ -10,3 +13,89 @@
 	readonly effect?: (effect: Effect, host: Host) => readonly Effect[] | undefined;
 	readonly state?: (state: State, host: Host) => State;
 };
+
+const distant = 1e15;
+
+function withKeys(state: State, keys: Partial<State['keys']>): State {
+	return {...state, keys: {...state.keys, ...keys}};
+}
+
+/** An arrived request with its ticket changed. */
+function changeTicket(event: Event, change: (ticket: Ticket) => Ticket): readonly Event[] | undefined {
+	if (event.type !== 'request-arrived' || event.request.proof.type !== 'ticket') {
+		return undefined;
+	}
+
+	const {request} = event;
+	return [{...event, request: {...request, proof: {type: 'ticket', ticket: change(event.request.proof.ticket)}}}];
+}
+
+/** An unfinished attempt of another request at the same host. */
+function otherAttempt(state: State, attempt: string): string {
+	return [...state.requests.attempts.keys()].find(each => each !== attempt) ?? attempt;
+}
+
+export const mutations: readonly Mutation[] = [
+	{
+		name: 'tickets run at any host',
+		event: (event, host) => changeTicket(event, ticket => ({...ticket, keeper: host.member.incarnation})),
+	},
+	{
+		name: 'used rights are forgotten',
+		state: state => ({...state, tickets: {...state.tickets, entries: state.tickets.entries.filter(each => each.progress.type === 'running')}}),
+	},
+	{
+		name: 'expiry is not checked',
+		event: event => changeTicket(event, ticket => ({...ticket, expires: distant})),
+	},
+	{
+		name: 'a seal is promised but not kept',
+		effect: effect => effect.type === 'peer-send' && effect.message.type === 'sealed'
+			? [{...effect, message: {...effect.message, answer: {type: 'sealed'}}}]
+			: undefined,
+	},
+	{
+		name: 'an unreachable keeper counts as not run',
+		effect: effect => effect.type === 'answer' && effect.outcome.type === 'unknown' && effect.outcome.code === codes.keeperUnreachable
+			? [{...effect, outcome: {type: 'not-run', code: codes.sealed}}]
+			: undefined,
+	},
+	{
+		name: 'promises are taken for granted',
+		state: state => withKeys(state, {
+			claims: state.keys.claims.map(claim => claim.progress.type === 'claiming' ? {...claim, progress: {...claim.progress, pending: []}} : claim),
+		}),
+	},
+	{
+		name: 'young hosts vouch for old keys',
+		state: state => state.keys.joined ? withKeys(state, {vouchFrom: 0}) : state,
+	},
+	{
+		name: 'hosts run keys before they are introduced',
+		state: (state, host) => state.keys.joined
+			? state
+			: withKeys(state, {joined: true, vouchFrom: host.member.incarnation.started, acquaintances: state.keys.acquaintances.clear()}),
+	},
+	{
+		name: 'answers are given to whoever waits',
+		event: (event, host) => event.type === 'attempt-ended' ? [{...event, attempt: otherAttempt(host.state, event.attempt)}] : undefined,
+	},
+	{
+		name: 'time is not told',
+		event: event => event.type === 'tick' ? [] : undefined,
+	},
+	{
+		name: 'suspicions are forgotten',
+		state: state => ({...state, suspicion: initialSuspicion}),
+	},
+	{
+		name: 'holds are not reviewed',
+		event: event => event.type === 'holds-listed' ? [] : undefined,
+	},
+	{
+		name: 'holds are reviewed without regard to their owners',
+		event: event => event.type === 'holds-listed' && event.holds.some(each => each.deadline > 0)
+			? [{...event, holds: event.holds.map(each => ({...each, deadline: 0}))}]
+			: undefined,
+	},
+];
--- a/bench/fuzz/run.ts
+++ b/bench/fuzz/run.ts
@@ -1,6 +1,7 @@
 /** One fuzz run: callers and faults for a while, then quiet, then the invariants. */
 import {type Proof} from '../../src/core/index.js';
 import {Caller} from './callers.js';
+import {noteLeftHolds, takeHold} from './holds.js';
 import {strikeUntil} from './faults.js';
 import {violations, type Violation} from './invariants.js';
 import {type Mutation} from './mutations.js';
@@ -44,6 +45,10 @@
 		if (world.now < until) {
 			const die = world.dice.integer(1, 100);
 			new Caller(world, kindOf(die), killers && die === 100).start();
+			if (world.living.length > 0 && world.dice.chance(20)) {
+				takeHold(world, world.dice.pick(world.living));
+			}
+
 			send(world, until, killers);
 		}
 	});
@@ -51,10 +56,13 @@
 
 function noteLeftovers(world: World): void {
 	for (const {name, state} of world.living) {
-		const {requests, tickets, keys} = state;
+		const {
+			requests, tickets, keys, holds,
+		} = state;
 		const sizes = {
 			admissions: requests.admissions.size,
 			attempts: requests.attempts.size,
+			releases: holds.releases.size,
 			forwards: tickets.forwards.size,
 			followers: tickets.followers.size,
 			running: tickets.running.size,
@@ -97,5 +105,6 @@
 
 	world.agenda.runUntil(warmUp + length + quiet);
 	noteLeftovers(world);
+	noteLeftHolds(world);
 	return {world, violations: violations(world.ledger)};
 }
--- a/bench/fuzz/world.ts
+++ b/bench/fuzz/world.ts
@@ -6,6 +6,7 @@
 import {
 	Host, epoch, type Answer, type Exchange,
 } from './hosts.js';
+import {listHolds, releaseHold} from './holds.js';
 import {Ledger} from './ledger.js';
 import {type Mutation} from './mutations.js';
 import {Agenda} from './queue.js';
@@ -14,6 +15,7 @@
 
 export const tickInterval = 50;
 const listInterval = 500;
+const listLag = 300;
 const firstPort = 1000;
 
 /** What a world is made of. */
@@ -64,6 +66,7 @@
 		}
 
 		this.#beat();
+		listHolds(this);
 	}
 
 	get now(): number {
@@ -90,7 +93,8 @@
 		const port = before?.member.peerAddress.port ?? firstPort * (2 + this.hosts.size);
 		const skew = this.dice.integer(-400, 400);
 		const member: Member = {
-			incarnation: {host: name, started: epoch + this.now + skew},
+			// A host's clock may be wrong, but a later start never looks earlier than the one before.
+			incarnation: {host: name, started: Math.max(epoch + this.now + skew, (before?.member.incarnation.started ?? 0) + 1)},
 			failureDomain,
 			peerAddress: {host: 'host', port},
 			callerAddress: {host: 'host', port: port + 1},
@@ -102,7 +106,7 @@
 			this.dispatch(host, {
 				type: 'configuration-received', source: {type: 'platform'}, configuration: this.configuration, digest: 'd', text: 'd',
 			});
-			this.dispatch(host, {type: 'hosts-listed', members: this.living.map(each => each.member), leaving: []});
+			this.dispatch(host, {type: 'hosts-listed', members: this.#lagging(), leaving: []});
 		});
 	}
 
@@ -196,6 +200,11 @@
 		});
 	}
 
+	/** Hosts that have run for some time: the platform's list lags. */
+	#lagging(): readonly Member[] {
+		return this.living.map(each => each.member).filter(each => each.incarnation.started < epoch + this.now - listLag);
+	}
+
 	/** The platform is on side 0; its list is one interval old. */
 	#list(): void {
 		const members = this.#listed;
@@ -315,6 +324,11 @@
 				break;
 			}
 
+			case 'release': {
+				releaseHold(this, host, effect);
+				break;
+			}
+
 			case 'stopped': {
 				this.end(host);
 				break;
@@ -361,7 +375,7 @@
 	#run(upstream: FakeUpstream, exchange: Exchange, attempt: string, over: (ending: Ending, payload?: string) => void): void {
 		const {operation, right} = exchange;
 		this.ledger.executions.push({
-			operation, right, upstream: upstream.id, at: this.now,
+			operation, right, upstream: upstream.id, at: this.now, expires: expiryOf(exchange),
 		});
 		upstream.runs.set(attempt, {
 			attempt, operation, breakOff() {
@@ -452,6 +466,10 @@
 	}
 }
 
+function expiryOf({request: {proof}}: Exchange): number | undefined {
+	return proof.type === 'ticket' ? proof.ticket.expires - epoch : undefined;
+}
+
 const broken: Ending = {
 	type: 'unknown', code: codes.streamCut, detail: 'cut', relayed: false,
 };
