--- a/bench/fuzz/callers.ts
+++ b/bench/fuzz/callers.ts
@@ -50,10 +50,19 @@
 	}
 }
 
+/** How a caller behaves. */
+export type Manner = {
+	/** Whether what it sends crashes upstreams. */
+	readonly kills?: boolean;
+	/** The one host it sends to; any host if absent. */
+	readonly at?: string;
+};
+
 /** One operation of one caller, until it is done or given up. */
 export class Caller {
 	readonly #world: World;
 	readonly #id: string;
+	readonly #at: string | undefined;
 	readonly #startsWithTicket: boolean;
 	#proof: Proof;
 	#sendings = 0;
@@ -61,8 +70,9 @@
 	/** Waits for a ticket: what was sent before never runs, and nothing is sent until it is there. */
 	#isFetching = false;
 
-	constructor(world: World, kind: Proof['type'], kills = false) {
+	constructor(world: World, kind: Proof['type'], {kills = false, at}: Manner = {}) {
 		this.#world = world;
+		this.#at = at;
 		this.#id = world.name('o');
 		this.#proof = kind === 'key'
 			? {type: 'key', key: keyOf(epoch + world.now + world.dice.integer(-300, 300), Number(this.#id.slice(1)))}
@@ -89,7 +99,11 @@
 	}
 
 	#host(): Host | undefined {
-		const {living} = this.#world;
+		const {living, hosts} = this.#world;
+		if (this.#at !== undefined) {
+			return hosts.get(this.#at);
+		}
+
 		return living.length > 0 ? this.#world.dice.pick(living) : undefined;
 	}
 
--- a/bench/fuzz/mutations.ts
+++ b/bench/fuzz/mutations.ts
@@ -50,8 +50,8 @@
 	},
 	{
 		name: 'a seal is promised but not kept',
-		effect: effect => effect.type === 'peer-send' && effect.message.type === 'sealed'
-			? [{...effect, message: {...effect.message, answer: {type: 'sealed'}}}]
+		event: event => event.type === 'peer-message' && event.message.type === 'sealed' && event.message.answer.type === 'used'
+			? [{...event, message: {...event.message, answer: {type: 'sealed'}}}]
 			: undefined,
 	},
 	{
--- a/bench/fuzz/run.ts
+++ b/bench/fuzz/run.ts
@@ -44,7 +44,7 @@
 	world.agenda.after(world.dice.integer(10, 200), () => {
 		if (world.now < until) {
 			const die = world.dice.integer(1, 100);
-			new Caller(world, kindOf(die), killers && die === 100).start();
+			new Caller(world, kindOf(die), {kills: killers && die === 100}).start();
 			if (world.living.length > 0 && world.dice.chance(20)) {
 				takeHold(world, world.dice.pick(world.living));
 			}
--- a/src/core/features/keys/commands/acquaintances.ts
+++ b/src/core/features/keys/commands/acquaintances.ts
@@ -7,13 +7,19 @@
 import {type Context, type State, type Step} from '../../../types/state.js';
 import {only} from '../../../utils/common.js';
 import {isServing} from '../../membership/queries.js';
+import {hashText} from '../../../utils/hashes.js';
 import {isSame} from '../../tickets/queries.js';
 import {
 	others, tell,
 } from '../queries.js';
 import {acquaintanceLimit, type Acquaintance, type KeysState} from '../types.js';
 
-const joinInterval = 200;
+/** Time between two rounds of introductions, doubled each time that nobody new was met, in milliseconds. */
+const shortestRound = 200;
+const longestRound = 10_000;
+
+/** Introductions in one round. */
+const roundSize = 8;
 
 /**
  * @param state - Core state.
@@ -67,17 +73,24 @@
 	const known = next.keys.acquaintances.get(member.incarnation.host);
 	return known === undefined || known.met || known.member.incarnation.started !== member.incarnation.started
 		? next
-		: put(next, {...known, met: true});
+		: update(put(next, {...known, met: true}), {rounds: 0});
+}
+
+/** Equal where two hosts know the same hosts, themselves included. */
+function digest(state: State): number {
+	const names = [state.self, ...others(state).map(each => each.member)].map(({incarnation: {host, started}}) => `${host}/${started}`);
+	return hashText(names.toSorted().join(' '));
 }
 
 /**
  * @param state - Core state.
  * @param member - Host that introduced itself.
+ * @param theirs - Digest of whom it knows.
  * @returns The state with it known, and the answer; none if it cannot be remembered or is over.
  */
-export function introduce(state: State, member: Member): Step {
+export function introduce(state: State, member: Member, theirs: number): Step {
 	const met = meet(state, member);
-	const all = [...met.keys.acquaintances.values()];
+	const all = digest(met) === theirs ? [] : [...met.keys.acquaintances.values()];
 	const known = met.keys.acquaintances.get(member.incarnation.host);
 	const isKnown = known?.ended === false && isSame(known.member.incarnation, member.incarnation);
 	return isKnown
@@ -109,6 +122,7 @@
 		vouchFrom: Number.MAX_SAFE_INTEGER,
 		acquaintances: state.keys.acquaintances.map(each => ({...each, met: false})),
 		claims,
+		rounds: 0,
 		joinAt: 0,
 	});
 }
@@ -135,14 +149,19 @@
 		return only(state);
 	}
 
-	let next = update(state, {joinAt: context.now + joinInterval});
+	const {rounds} = state.keys;
+	const interval = Math.min(longestRound, shortestRound * (2 ** rounds));
+	let next = update(state, {joinAt: context.now + interval});
 	for (const each of others(next)) {
 		next = isOver(next, each) ? end(next, each.member.incarnation) : next;
 	}
 
 	const strangers = others(next).filter(each => !each.met);
+	const first = (rounds * roundSize) % Math.max(strangers.length, 1);
+	const asked = [...strangers.slice(first), ...strangers.slice(0, first)].slice(0, roundSize);
+	const ownDigest = digest(next);
 	return {
-		state: join(next, context),
-		effects: strangers.flatMap(each => tell(next, each.member.incarnation.host, {type: 'key-join', member: next.self})),
+		state: join(strangers.length > 0 ? update(next, {rounds: rounds + 1}) : next, context),
+		effects: asked.flatMap(each => tell(next, each.member.incarnation.host, {type: 'key-join', member: next.self, digest: ownDigest})),
 	};
 }
--- a/src/core/features/keys/feature.ts
+++ b/src/core/features/keys/feature.ts
@@ -123,7 +123,7 @@
 function hearKeys(state: State, from: string, message: KeyMessage, context: Context): Step {
 	switch (message.type) {
 		case 'key-join': {
-			return introduce(state, message.member);
+			return introduce(state, message.member, message.digest);
 		}
 
 		case 'key-joined': {
@@ -163,9 +163,9 @@
 			return only(meetAll(state, message.members));
 		}
 
-		case 'key-relay': {
+		case 'relay': {
 			return message.to === state.self.incarnation.host
-				? hearKeys(state, message.from, message.message, context)
+				? {state, effects: [{type: 'raise', event: {type: 'peer-message', from: message.from, message: message.message}}]}
 				: {state, effects: deliver(state, message)};
 		}
 
--- a/src/core/features/keys/queries.ts
+++ b/src/core/features/keys/queries.ts
@@ -1,6 +1,6 @@
 /** Reads what this host knows of idempotency keys and of the hosts that may run them. */
 import {type Effect} from '../../types/effect.js';
-import {type KeyMessage} from '../../types/peer.js';
+import {type RelayedMessage} from '../../types/peer.js';
 import {type State} from '../../types/state.js';
 import {callerAhead, clockError, type Acquaintance} from './types.js';
 
@@ -62,34 +62,32 @@
 	readonly to: string;
 	/** Hosts that have passed it on. */
 	readonly hops: number;
-	readonly message: KeyMessage;
+	readonly message: RelayedMessage;
 };
 
 /**
  * @param state - Core state.
  * @param letter - Message and whom it is for.
- * @returns The sending over a link, or through a host that may have one; nothing if there is no way.
+ * @returns The sending over a link, or through a host that may have one; without either it is lost.
  */
 export function deliver(state: State, letter: Letter): readonly Effect[] {
 	const {from, to, hops, message} = letter;
-	if (isLinked(state, to)) {
+	const relay = isLinked(state, to) || hops >= mostHops ? undefined : relayTo(state, to, from);
+	if (relay === undefined) {
 		return [{
 			type: 'peer-send', to, message: hops === 0
 				? message
 				: {
-					type: 'key-relay', from, to, hops, message,
+					type: 'relay', from, to, hops, message,
 				},
 		}];
 	}
 
-	const relay = hops < mostHops ? relayTo(state, to, from) : undefined;
-	return relay === undefined
-		? []
-		: [{
-			type: 'peer-send', to: relay, message: {
-				type: 'key-relay', from, to, hops: hops + 1, message,
-			},
-		}];
+	return [{
+		type: 'peer-send', to: relay, message: {
+			type: 'relay', from, to, hops: hops + 1, message,
+		},
+	}];
 }
 
 /**
@@ -98,7 +96,7 @@
  * @param message - Message of this host.
  * @returns The sending, as {@link deliver} does it.
  */
-export function tell(state: State, to: string, message: KeyMessage): readonly Effect[] {
+export function tell(state: State, to: string, message: RelayedMessage): readonly Effect[] {
 	return deliver(state, {
 		from: state.self.incarnation.host, to, hops: 0, message,
 	});
--- a/src/core/features/keys/types.ts
+++ b/src/core/features/keys/types.ts
@@ -69,6 +69,8 @@
 	readonly claims: Table<string, Claim>;
 	/** Rights that this host is claiming now. */
 	readonly claiming: readonly string[];
+	/** Rounds of introductions since somebody was last met. */
+	readonly rounds: number;
 	/** When to introduce itself again and when to forget old claims, on the core's clock. */
 	readonly joinAt: number;
 	readonly sweepAt: number;
@@ -81,6 +83,7 @@
 	vouchFrom: Number.MAX_SAFE_INTEGER,
 	claims: Table(),
 	claiming: [],
+	rounds: 0,
 	joinAt: 0,
 	sweepAt: 0,
 };
--- a/src/core/features/tickets/commands/forwards.ts
+++ b/src/core/features/tickets/commands/forwards.ts
@@ -9,7 +9,7 @@
 import {type Effect} from '../../../types/effect.js';
 import {type Context, type State, type Step} from '../../../types/state.js';
 import {assertNever, chain, only} from '../../../utils/common.js';
-import {isSame} from '../queries.js';
+import {tell} from '../../keys/queries.js';
 import {type Forward} from '../types.js';
 import {answerUnknown} from './answers.js';
 
@@ -91,30 +91,22 @@
 	return peer !== undefined && peer.member.incarnation.started > keeper.incarnation.started;
 }
 
-function isLinked(state: State, keeper: Member): boolean {
-	const peer = state.membership.peers.get(keeper.incarnation.host);
-	return peer?.connected === true && isSame(peer.member.incarnation, keeper.incarnation);
-}
-
-function askSeal(forward: Forward): Effect {
-	const {request, right, keeper} = forward;
+function askSeal(state: State, {request, right, keeper}: Forward): readonly Effect[] {
 	const expires = request.proof.type === 'ticket' ? request.proof.ticket.expires : 0;
-	return {
-		type: 'peer-send', to: keeper.incarnation.host, message: {
-			type: 'seal', id: request.id, right, expires, keeper: keeper.incarnation,
-		},
-	};
+	return tell(state, keeper.incarnation.host, {
+		type: 'seal', id: request.id, right, expires, keeper: keeper.incarnation,
+	});
 }
 
 function seal(state: State, forward: Forward, {now}: Context): Step {
-	if (!isLinked(state, forward.keeper)) {
-		return giveUp(state, forward);
+	if (isReplaced(state, forward.keeper)) {
+		return finish(state, forward, {type: 'unknown', code: codes.keeperGone});
 	}
 
 	const until = Math.min(now + sealTime, forward.request.deadline);
 	return {
 		state: put(state, {...forward, seal: {askAt: now + sealInterval, until}}),
-		effects: [askSeal(forward)],
+		effects: askSeal(state, forward),
 	};
 }
 
@@ -189,7 +181,7 @@
 
 	return {
 		state: put(state, {...forward, seal: {...forward.seal, askAt: now + sealInterval}}),
-		effects: [askSeal(forward)],
+		effects: askSeal(state, forward),
 	};
 }
 
--- a/src/core/features/tickets/commands/seals.ts
+++ b/src/core/features/tickets/commands/seals.ts
@@ -7,6 +7,7 @@
 import {type SealAnswer} from '../../../types/peer.js';
 import {type Context, type State, type Step} from '../../../types/state.js';
 import {chain} from '../../../utils/common.js';
+import {tell} from '../../keys/queries.js';
 import {entry, isSame, isTicketRight} from '../queries.js';
 import {sealRight} from './rights.js';
 
@@ -79,7 +80,7 @@
 		}),
 		current => ({
 			state: current,
-			effects: [{type: 'peer-send', to: from, message: {type: 'sealed', id: ask.id, answer: sealing.answer}}],
+			effects: tell(current, from, {type: 'sealed', id: ask.id, answer: sealing.answer}),
 		}),
 	);
 }
--- a/src/core/types/peer.ts
+++ b/src/core/types/peer.ts
@@ -91,17 +91,22 @@
 		| {readonly type: 'configuration'; readonly text: string}
 	/** Suspicions that peers should not learn only with the next heartbeat. */
 		| {readonly type: 'suspected'; readonly suspicions: readonly Suspicion[]}
-		| KeyMessage
+		| RelayedMessage
 	/** Passed on to a host that the sender has no link to. */
-		| {readonly type: 'key-relay'; readonly from: string; readonly to: string; readonly hops: number; readonly message: KeyMessage}
+		| {readonly type: 'relay'; readonly from: string; readonly to: string; readonly hops: number; readonly message: RelayedMessage};
+
+/** Messages that reach also a host without a link, through one that has it. */
+export type RelayedMessage
+	= | KeyMessage
+	/** A right is to be marked never to run, if it has not. */
 		| {readonly type: 'seal'; readonly id: string; readonly right: string; readonly expires: number; readonly keeper: Incarnation}
 		| {readonly type: 'sealed'; readonly id: string; readonly answer: SealAnswer};
 
 /** Messages by which hosts agree on who runs an idempotency key. */
 export type KeyMessage
-	/** The sender wants to run keys; it may once everyone it knows has answered. */
-	= | {readonly type: 'key-join'; readonly member: Member}
-	/** Whom the sender knows, and who of these is over for certain. */
+	/** The sender wants to run keys; it may once everyone it knows has answered. The digest is of whom it knows. */
+	= | {readonly type: 'key-join'; readonly member: Member; readonly digest: number}
+	/** Whom the sender knows, and who of these is over for certain; nobody where the digests agree. */
 		| {readonly type: 'key-joined'; readonly member: Member; readonly members: readonly Member[]; readonly ended: readonly Incarnation[]}
 	/** The claimant asks for a promise that the key never runs at the receiver. */
 		| {readonly type: 'key-claim'; readonly id: string; readonly minted: number; readonly claimant: Member}
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -65,8 +65,8 @@
 	mixes: z.array(mix).max(listLimit).optional(),
 });
 
-const keyMessages = [
-	z.object({type: z.literal('key-join'), member}),
+const relayedMessages = [
+	z.object({type: z.literal('key-join'), member, digest: count}),
 	z.object({
 		type: z.literal('key-joined'), member, members: z.array(member).max(listLimit), ended: z.array(incarnation).max(listLimit),
 	}),
@@ -84,6 +84,17 @@
 			z.object({type: z.literal('refused')}),
 		]),
 	}),
+	z.object({
+		type: z.literal('seal'), id: text, right: text, expires: z.number(), keeper: incarnation,
+	}),
+	z.object({
+		type: z.literal('sealed'),
+		id: text,
+		answer: z.discriminatedUnion('type', [
+			z.object({type: z.literal('sealed')}),
+			z.object({type: z.literal('used')}),
+		]),
+	}),
 ] as const;
 
 const messageSchema = z.discriminatedUnion('type', [
@@ -108,20 +119,9 @@
 	z.object({type: z.literal('configuration-wanted'), above: count}),
 	z.object({type: z.literal('configuration'), text: z.string().max(longestMessage)}),
 	z.object({type: z.literal('suspected'), suspicions: z.array(suspicion).max(listLimit)}),
-	...keyMessages,
+	...relayedMessages,
 	z.object({
-		type: z.literal('key-relay'), from: text, to: text, hops: count, message: z.discriminatedUnion('type', keyMessages),
-	}),
-	z.object({
-		type: z.literal('seal'), id: text, right: text, expires: z.number(), keeper: incarnation,
-	}),
-	z.object({
-		type: z.literal('sealed'),
-		id: text,
-		answer: z.discriminatedUnion('type', [
-			z.object({type: z.literal('sealed')}),
-			z.object({type: z.literal('used')}),
-		]),
+		type: z.literal('relay'), from: text, to: text, hops: count, message: z.discriminatedUnion('type', relayedMessages),
 	}),
 ]) satisfies z.ZodType<PeerMessage>;
 
