Pages of the console wait 1.5 s for a host, and tools import no daemon

Cause: a host that is cut off without a word would have held up each page of the console for 5 s. The linter held the direction of imports for the daemon's layers but not for the tools.

--- a/src/admin/client.ts
+++ b/src/admin/client.ts
@@ -32,16 +32,17 @@
  * @throws Failure `unreachableHost` or `refusedByHost`.
  */
 export async function fetchStatus(address: Address): Promise<Status> {
-	return ask(address, 'status', statusSchema);
+	return ask(address, {path: 'status'}, statusSchema);
 }
 
 /**
  * @param address - Operators' listener of a host.
+ * @param timeout - Milliseconds for the answer.
  * @returns The document in force there.
  * @throws Failure `unreachableHost` or `refusedByHost`.
  */
-export async function fetchInForce(address: Address): Promise<InForce> {
-	return ask(address, 'configuration', inForceSchema);
+export async function fetchInForce(address: Address, timeout = patience): Promise<InForce> {
+	return ask(address, {path: 'configuration', timeout}, inForceSchema);
 }
 
 /**
@@ -51,7 +52,7 @@
  * @throws Failure `unreachableHost` or `refusedByHost`.
  */
 export async function fetchDecisions(address: Address, request: string): Promise<Decisions> {
-	return ask(address, `decisions?${new URLSearchParams({request}).toString()}`, decisionsSchema);
+	return ask(address, {path: `decisions?${new URLSearchParams({request}).toString()}`}, decisionsSchema);
 }
 
 /**
@@ -61,7 +62,7 @@
  * @throws Failure `unreachableHost` or `refusedByHost`.
  */
 export async function orderDrain(address: Address, wanted: DrainWanted): Promise<Drain> {
-	return ask(address, 'drain', drainSchema, wanted);
+	return ask(address, {path: 'drain', body: wanted}, drainSchema);
 }
 
 /**
@@ -83,8 +84,15 @@
 	}));
 }
 
-async function ask<Content>(address: Address, path: string, schema: z.ZodType<Content>, body?: DrainWanted): Promise<Content> {
-	const response = await call(address, path, body);
+type Question = {
+	readonly path: string;
+	readonly body?: DrainWanted;
+	/** Milliseconds for the answer. */
+	readonly timeout?: number;
+};
+
+async function ask<Content>(address: Address, question: Question, schema: z.ZodType<Content>): Promise<Content> {
+	const response = await call(address, question);
 	const value = parseJson(response.body);
 	if (!response.ok) {
 		const refusal = errorSchema.safeParse(value);
@@ -96,9 +104,9 @@
 	return content.success ? content.data : raise('refusedByHost', `${formatAddress(address)}: the answer is of another form.`);
 }
 
-async function call(address: Address, path: string, body?: DrainWanted): Promise<Response<string>> {
+async function call(address: Address, {path, body, timeout = patience}: Question): Promise<Response<string>> {
 	const url = `http://${formatAddress(address)}/admin/${path}`;
-	const common = {throwHttpErrors: false, retry: {limit: 0}, timeout: {request: patience}} as const;
+	const common = {throwHttpErrors: false, retry: {limit: 0}, timeout: {request: timeout}} as const;
 	try {
 		return body === undefined ? await got.get(url, common) : await got.post(url, {...common, json: body});
 	} catch (error) {
--- a/src/cli/commands/show.ts
+++ b/src/cli/commands/show.ts
@@ -29,7 +29,7 @@
 }
 
 async function show(terminal: Terminal, choices: Choices): Promise<Code> {
-	const answers = await askAll(await readHosts(terminal, choices, 'admin'), fetchInForce);
+	const answers = await askAll(await readHosts(terminal, choices, 'admin'), async address => fetchInForce(address));
 	const documents = answers.flatMap(answer => answer.type === 'answered' ? [answer.content] : []);
 	const newest = documents.toSorted((first, second) => second.revision - first.revision)[0];
 	if (choices.document === true) {
--- a/src/console/source.ts
+++ b/src/console/source.ts
@@ -4,6 +4,9 @@
 import {isFailure, raise, type Address} from '../core/index.js';
 import {parseConfiguration, type Valid} from '../protocol/configuration/index.js';
 
+/** Milliseconds that a page waits for a host. */
+const patience = 1500;
+
 export type Source
 	= | {readonly type: 'hosts'; readonly addresses: readonly Address[]}
 		| {readonly type: 'file'; readonly path: string}
@@ -60,7 +63,7 @@
 }
 
 async function readHosts(addresses: readonly Address[]): Promise<string> {
-	const answers = await askAll(addresses, fetchInForce);
+	const answers = await askAll(addresses, async address => fetchInForce(address, patience));
 	const documents = answers.flatMap(answer => answer.type === 'answered' ? [answer.content] : []);
 	const newest = documents.toSorted((first, second) => second.revision - first.revision)[0];
 	if (newest !== undefined) {
--- a/xo.config.js
+++ b/xo.config.js
@@ -78,6 +78,17 @@
 			}],
 		},
 	})),
+	...['admin', 'cli', 'console'].map(tool => ({
+		files: [`src/${tool}/**/*.ts`],
+		ignores: ['**/__tests__/**'],
+		rules: {
+			'no-restricted-imports': ['error', {
+				patterns: [
+					{group: ['**/entry/**', '**/platform/**'], message: 'Operators\' tools know hosts by their protocol only.'},
+				],
+			}],
+		},
+	})),
 	{
 		files: ['src/**/*.ts', 'stand-ins/**/*.ts'],
 		ignores: ['**/__tests__/**'],
