--- a/bench/experiments/main.ts
+++ b/bench/experiments/main.ts
@@ -4,6 +4,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import {Command, InvalidArgumentError} from 'commander';
+import {policySchema, type Policy} from '../../src/core/index.js';
 import {endWithChildren} from '../fleet/child.js';
 import {measureCapacity} from './capacity.js';
 import {compare, policies, type Run} from './experiment.js';
@@ -16,6 +17,7 @@
 	readonly seeds: number;
 	readonly duration: number;
 	readonly out: string;
+	readonly policies: readonly Policy[];
 };
 
 function wholeNumber(text: string): number {
@@ -27,6 +29,15 @@
 	return value;
 }
 
+function policyList(text: string): readonly Policy[] {
+	const parsed = policySchema.array().min(1).safeParse(text.split(','));
+	if (!parsed.success) {
+		throw new InvalidArgumentError(`policies are ${policySchema.options.join(', ')}`);
+	}
+
+	return parsed.data;
+}
+
 function find(name: string): Deployment {
 	const found = deployments.find(each => each.name === name);
 	if (found === undefined) {
@@ -41,8 +52,8 @@
 	process.stderr.write(`seed ${seed} ${policy} ${kind}: ${result.sent} sent, ${JSON.stringify(result.outcomes)}, first token p95 ${p95}, sending lag p99 ${result.sendingLag.p99.toFixed(0)} ms\n`);
 }
 
-async function runOne(deployment: Deployment, {seeds, duration, out}: Flags): Promise<void> {
-	const plan = {seeds: Array.from({length: seeds}, (_, index) => index + 1), policies, duration};
+async function runOne(deployment: Deployment, {seeds, duration, out, policies: compared}: Flags): Promise<void> {
+	const plan = {seeds: Array.from({length: seeds}, (_, index) => index + 1), policies: compared, duration};
 	const runs = await compare(deployment, plan, tell);
 	const summary = summarise(deployment.name, runs);
 	const table = tableOf(summary);
@@ -58,6 +69,7 @@
 	.argument('[deployments...]', 'qalamkar, eau-saine; both if absent')
 	.option('--seeds <count>', 'runs of each kind', wholeNumber, 5)
 	.option('--duration <ms>', 'real milliseconds of each run', wholeNumber, 12_000)
+	.option('--policies <list>', 'policies to compare, with commas', policyList, policies)
 	.option('--out <directory>', 'where results go', 'bench/results')
 	.addHelpText('after', '\nExample:\n  npm run bench -- qalamkar --seeds 5')
 	.action(async (names: readonly string[], flags: Flags) => {
