Ways to hosts without a link; introductions for keys reach every host of a large domain

Cause: key-join was relayed by any linked host, twice at most. In a domain of 42 many were never delivered and were sent again every 200 ms: 180 KB/s a host, 800 KB/s at 84 hosts, and the test of the 10 KB/s bound failed. nextHop takes greedy steps around the ring.

--- a/src/core/__tests__/membership.test.ts
+++ b/src/core/__tests__/membership.test.ts
@@ -7,6 +7,7 @@
 	servingHosts,
 } from '../features/membership/queries.js';
 import {type Attempt} from '../types/request.js';
+import {longestRoute, nextHop} from '../features/membership/routes.js';
 import {documentOf, Network} from './network.js';
 
 function fleet(sizes: Readonly<Record<string, number>>, seed = 1) {
@@ -124,6 +125,27 @@
 		expect(network.run(3000, () => !network.nodes.has('a5'))).toBe(true);
 	});
 
+	it('finds the way to every host of a large domain and of others within the longest route', () => {
+		const {network, hosts} = fleet({a: 24, b: 12, c: 3});
+		network.run(8000);
+		let longest = 0;
+		for (const from of hosts) {
+			for (const to of hosts) {
+				let at = from;
+				for (let hops = 0; at !== to && hops <= longestRoute; hops++) {
+					const next = nextHop(network.state(at), to, at === from ? undefined : from);
+					expect(next).toBeDefined();
+					at = next!;
+					longest = Math.max(longest, hops + 1);
+				}
+
+				expect(at).toBe(to);
+			}
+		}
+
+		expect(longest).toBeLessThanOrEqual(longestRoute);
+	});
+
 	it('publishes work as changes and whole from time to time, and forgets that of a lost host', () => {
 		const {network} = fleet({a: 3});
 		network.run(3000);
--- a/src/core/features/keys/queries.ts
+++ b/src/core/features/keys/queries.ts
@@ -2,14 +2,12 @@
 import {type Effect} from '../../types/effect.js';
 import {type RelayedMessage} from '../../types/peer.js';
 import {type State} from '../../types/state.js';
+import {longestRoute, nextHop} from '../membership/routes.js';
 import {callerAhead, clockError, type Acquaintance} from './types.js';
 
 const versionSeven = /^[\da-f]{8}-[\da-f]{4}-7[\da-f]{3}-[89ab][\da-f]{3}-[\da-f]{12}$/iv;
 const timeDigits = 12;
 
-/** Hosts that may pass one message on. */
-const mostHops = 2;
-
 /**
  * @param key - Idempotency key.
  * @returns When it was minted, in milliseconds since 1970; undefined if it is not a UUID of version 7.
@@ -48,14 +46,6 @@
 	return state.membership.peers.get(host)?.connected === true;
 }
 
-/** A linked host that is likely to have a link to the target: one of its failure domain, else any. */
-function relayTo(state: State, to: string, from: string): string | undefined {
-	const domain = state.keys.acquaintances.get(to)?.member.failureDomain;
-	const linked = [...state.membership.peers.values()]
-		.filter(peer => peer.connected && peer.member.incarnation.host !== from);
-	return (linked.find(peer => peer.member.failureDomain === domain) ?? linked[0])?.member.incarnation.host;
-}
-
 /** A message that this host sends, or passes on for another. */
 export type Letter = {
 	readonly from: string;
@@ -72,7 +62,7 @@
  */
 export function deliver(state: State, letter: Letter): readonly Effect[] {
 	const {from, to, hops, message} = letter;
-	const relay = isLinked(state, to) || hops >= mostHops ? undefined : relayTo(state, to, from);
+	const relay = isLinked(state, to) || hops >= longestRoute ? undefined : nextHop(state, to, from);
 	if (relay === undefined) {
 		return [{
 			type: 'peer-send', to, message: hops === 0
--- a/src/core/features/membership/links.ts
+++ b/src/core/features/membership/links.ts
@@ -27,25 +27,43 @@
 		return members;
 	}
 
-	const ring = [self, ...members]
-		.map(member => placed(member))
-		.toSorted((a, b) => mix(a.hash, 0) - mix(b.hash, 0) || (a.member.incarnation.host < b.member.incarnation.host ? -1 : 1));
-	const start = ring.findIndex(each => each.member === self);
+	const around = ring([self, ...members]);
+	const start = around.indexOf(self);
 	const chosen: Member[] = [];
-	for (let distance = 1; distance <= ring.length / 2; distance *= 2) {
-		chosen.push(ring[(start + distance) % ring.length]!.member);
+	for (let distance = 1; distance <= around.length / 2; distance *= 2) {
+		chosen.push(around[(start + distance) % around.length]!);
 	}
 
 	return chosen;
 }
 
+/**
+ * @param members - Hosts of one failure domain.
+ * @returns The same in the order of their hashes, alike on every host.
+ */
+export function ring(members: readonly Member[]): readonly Member[] {
+	return members
+		.map(member => placed(member))
+		.toSorted((a, b) => mix(a.hash, 0) - mix(b.hash, 0) || (a.member.incarnation.host < b.member.incarnation.host ? -1 : 1))
+		.map(each => each.member);
+}
+
+/**
+ * @param host - Host.
+ * @param domains - Failure domains beside its own.
+ * @returns Those of them that it links.
+ */
+export function farDomains(host: string, domains: readonly string[]): readonly string[] {
+	const all = domains.map(id => ({id, hash: hashText(id)}));
+	return rank(hashText(host), all).slice(0, farLinks).map(domain => domain.id);
+}
+
 /** One host of each other domain, of a few domains where there are many. */
 function far(self: Member, peers: readonly Peer[]): readonly Member[] {
 	const own = hashText(self.incarnation.host);
-	const domains = [...new Set(peers.map(peer => peer.member.failureDomain))]
-		.map(id => ({id, hash: hashText(id)}));
-	return rank(own, domains).slice(0, farLinks).map(domain => {
-		const inside = peers.filter(peer => peer.member.failureDomain === domain.id);
+	const domains = [...new Set(peers.map(peer => peer.member.failureDomain))];
+	return farDomains(self.incarnation.host, domains).map(domain => {
+		const inside = peers.filter(peer => peer.member.failureDomain === domain);
 		const answering = inside.filter(peer => peer.status === 'live');
 		const candidates = answering.length > 0 ? answering : inside;
 		return rank(own, candidates.map(peer => placed(peer.member)))[0]!.member;
--- /dev/null
+++ b/src/core/features/membership/routes.ts
@@ -0,0 +1,67 @@
+/** Finds the way to a host without a link: greedy steps around the ring of its failure domain. */
+import {type Member} from '../../types/peer.js';
+import {type State} from '../../types/state.js';
+import {farDomains, ring} from './links.js';
+import {type Peer} from './types.js';
+
+/** Hosts of the largest fleet that a message may pass on its way: around two rings and from one to the other. */
+export const longestRoute = 16;
+
+function inside(state: State, failureDomain: string): readonly Member[] {
+	const members = [...state.membership.peers.values()]
+		.filter(peer => peer.member.failureDomain === failureDomain && peer.status !== 'gone')
+		.map(peer => peer.member);
+	return ring(failureDomain === state.self.failureDomain ? [state.self, ...members] : members);
+}
+
+/** Of the candidates the one that stands nearest to the target on the ring, either way around. */
+function nearest(around: readonly Member[], candidates: readonly Member[], target: Member): Member | undefined {
+	const goal = around.indexOf(target);
+	const distance = (member: Member) => {
+		const apart = Math.abs(around.indexOf(member) - goal);
+		return Math.min(apart, around.length - apart);
+	};
+
+	return candidates.filter(member => around.includes(member)).toSorted((a, b) => distance(a) - distance(b))[0];
+}
+
+function within(state: State, linked: readonly Peer[], target: Member): Member | undefined {
+	const candidates = linked.map(peer => peer.member).filter(member => member.failureDomain === target.failureDomain);
+	return nearest(inside(state, target.failureDomain), candidates, target);
+}
+
+/** The host of this failure domain, nearest on the ring, that links the target's domain. */
+function gateway(state: State, target: Member): Member | undefined {
+	const {self} = state;
+	const own = inside(state, self.failureDomain);
+	const domains = new Set([...state.membership.peers.values()].map(peer => peer.member.failureDomain));
+	domains.delete(self.failureDomain);
+	const gates = own.filter(member => member !== self && farDomains(member.incarnation.host, [...domains]).includes(target.failureDomain));
+	return nearest(own, gates, self);
+}
+
+/**
+ * Each step halves the distance on the ring, as hosts link those at doubling distances. Where links are missing a message
+ * may go astray: bound its hops by {@link longestRoute}.
+ *
+ * @param state - Core state.
+ * @param host - Host to be reached.
+ * @param from - Host that the message came from, which is passed over.
+ * @returns The linked host to send to, the host itself if it has a link; undefined if there is no way.
+ */
+export function nextHop(state: State, host: string, from?: string): string | undefined {
+	const target = state.membership.peers.get(host);
+	if (target === undefined || target.connected) {
+		return target?.member.incarnation.host;
+	}
+
+	const linked = [...state.membership.peers.values()].filter(peer => peer.connected && peer.member.incarnation.host !== from);
+	const direct = within(state, linked, target.member);
+	if (direct !== undefined) {
+		return direct.incarnation.host;
+	}
+
+	const gate = gateway(state, target.member);
+	const step = gate === undefined ? undefined : linked.find(peer => peer.member === gate)?.member ?? within(state, linked, gate);
+	return (step ?? linked[0]?.member)?.incarnation.host;
+}
