--- a/bench/fuzz/experiments.ts
+++ b/bench/fuzz/experiments.ts
@@ -2,7 +2,7 @@
  * `node dist/bench/fuzz/experiments.js`: what sealing gains, and what each proof gives under a partition of domains.
  * Figures are of simulated networks and say nothing of speed.
  */
-import {codes, type Proof} from '../../src/core/index.js';
+import {codes, type PeerMessage, type Proof} from '../../src/core/index.js';
 import {Caller} from './callers.js';
 import {violations} from './invariants.js';
 import {type Told} from './ledger.js';
@@ -15,9 +15,13 @@
 const sendings = 300;
 const sendingInterval = 40;
 
+function isSeal(message: PeerMessage): boolean {
+	return message.type === 'seal' || (message.type === 'relay' && isSeal(message.message));
+}
+
 const withoutSeals: Mutation = {
 	name: 'without seals',
-	event: event => event.type === 'peer-message' && event.message.type === 'seal' ? [] : undefined,
+	event: event => event.type === 'peer-message' && isSeal(event.message) ? [] : undefined,
 };
 
 function isCode(told: Told, type: Told['outcome']['type'], code: number): boolean {
@@ -68,7 +72,8 @@
 		const first = new Map(told.toReversed().map(each => [each.operation, each]));
 		const last = new Map(told.map(each => [each.operation, each]));
 		const count = (all: ReadonlyMap<string, Told>, type: string): number => [...all.values()].filter(each => each.outcome.type === type).length;
-		console.log(`| ${kind} | ${label} | ${percent(count(first, 'done'), first.size)} | ${percent(count(first, 'not-run'), first.size)} | ${percent(count(first, 'unknown'), first.size)} | ${percent(count(last, 'done'), last.size)} |`);
+		const shares = ['done', 'not-run', 'unknown'].map(type => percent(count(first, type), first.size));
+		console.log(`| ${kind} | ${label} | ${shares.join(' | ')} | ${percent(count(last, 'done'), last.size)} |`);
 	}
 
 	console.log(`${violations(world.ledger).length} breaches`);
--- a/src/core/__tests__/tickets.test.ts
+++ b/src/core/__tests__/tickets.test.ts
@@ -2,6 +2,7 @@
 import {
 	codes, type Event, type State, type Ticket,
 } from '../index.js';
+import {isIdle} from '../features/requests/queries.js';
 import {dispatchRefusal, mayDispatch} from '../features/tickets/queries.js';
 import {ticketLife} from '../features/tickets/types.js';
 import {
@@ -126,6 +127,12 @@
 		expect(effectsOf(effects, 'answer')).toMatchObject([{request: 'r1', outcome: {type: 'done'}}]);
 	});
 
+	it('keeps a leaving host up until its answer is there', () => {
+		const passed = play(linked(), 1, arrival('r1', ticket));
+		expect(isIdle(passed.state)).toBe(false);
+		expect(isIdle(play(passed.state, 2, {type: 'forward-ended', request: 'r1', ending: {type: 'done', tokens: 1}}).state)).toBe(true);
+	});
+
 	it('is unknown when the keeper cannot be reached at all', () => {
 		const passed = play(serving(self), 1, arrival('r1', ticket));
 		const asked = play(passed.state, 2, cut);
--- a/src/core/features/requests/queries.ts
+++ b/src/core/features/requests/queries.ts
@@ -6,10 +6,10 @@
 
 /**
  * @param state - Core state.
- * @returns Whether no request is left at this host.
+ * @returns Whether no request is left at this host, those that it passed on or claims the keys of included.
  */
 export function isIdle(state: State): boolean {
-	return state.requests.admissions.isEmpty();
+	return state.requests.admissions.isEmpty() && state.tickets.forwards.isEmpty() && state.keys.claiming.length === 0;
 }
 
 /**
--- a/src/core/features/tickets/commands/rights.ts
+++ b/src/core/features/tickets/commands/rights.ts
@@ -21,6 +21,8 @@
 	codes.notConfigured,
 	codes.refusedByUpstream,
 	codes.notConnected,
+	codes.deadlineBeforeStart,
+	codes.abandoned,
 ]);
 
 /** A right as it is shown with a request. */
