--- a/bench/model/fleet.ts
+++ b/bench/model/fleet.ts
@@ -47,10 +47,11 @@
 };
 
 const oneWay = 0.5;
-const tickInterval = 10;
+const tickInterval = 25;
 const heartbeatInterval = 100;
 const reportInterval = 250;
 const reportLag = 500;
+const checkInterval = 1000;
 const blockTokens = 256;
 
 function configuration(layout: Layout): Configuration {
@@ -136,6 +137,11 @@
 		return worked / (this.#timeline.now * this.#engines.length);
 	}
 
+	/** Whether a request has not been answered. */
+	get #isWaited(): boolean {
+		return [...this.#results.values()].some(each => each.outcome === undefined);
+	}
+
 	/**
 	 * @param arrivals - Requests.
 	 * @param end - Time to stop at, in milliseconds.
@@ -148,10 +154,22 @@
 			});
 		}
 
-		this.#timeline.runUntil(end);
+		const last = arrivals.at(-1)?.at ?? end;
+		for (let time = last; time <= end && (time === last || this.#isWaited); time += checkInterval) {
+			this.#timeline.runUntil(time);
+		}
+
 		return [...this.#results.values()];
 	}
 
+	/**
+	 * @param host - Number of a host.
+	 * @returns Its core's state.
+	 */
+	stateOf(host: number): State {
+		return this.#states[host]!;
+	}
+
 	#repeat(interval: number, run: () => void): void {
 		const next = () => {
 			run();
--- a/bench/model/main.ts
+++ b/bench/model/main.ts
@@ -1,6 +1,7 @@
 /** Prints what the policies achieve in virtual time, for several seeds. */
 import process from 'node:process';
 import {type Policy} from '../../src/core/index.js';
+import {decisionCost} from './decision.js';
 import {summary} from './measure.js';
 import {run, type Scenario} from './scenarios.js';
 
@@ -18,6 +19,10 @@
 	process.stdout.write(`${name}: ${rounded.join(', ')}, utilisation ${utilisation.toPrecision(2)}, took ${took} ms\n`);
 }
 
+for (const promptTokens of [2000, 30_000, 400_000]) {
+	process.stdout.write(`one decision at 75 engines and 42 hosts, prompt of ${promptTokens} tokens: ${decisionCost(promptTokens).toFixed(1)} microseconds\n`);
+}
+
 for (const seed of seeds.slice(0, Number(process.argv[2] ?? seeds.length))) {
 	for (const policy of policies) {
 		line({
--- a/bench/model/measure.ts
+++ b/bench/model/measure.ts
@@ -12,6 +12,9 @@
 	return sorted[Math.min(Math.floor(part * sorted.length), sorted.length - 1)] ?? Number.NaN;
 }
 
+/** Part of the time in which queues fill. */
+const warmUp = 0.3;
+
 export type Figures = {
 	/** First token in milliseconds, by prompt length. */
 	readonly short: number;
@@ -26,7 +29,7 @@
 	readonly late: number;
 	/** Longest wait for the first token, as a part of the deadline. */
 	readonly worst: number;
-	/** Prompt tokens of requests that were done in time, a second. */
+	/** Prompt tokens of requests that ended in time while others arrived, the first part left out, a second. */
 	readonly goodput: number;
 	/** Part of the shareable prompt tokens that were cached. */
 	readonly hits: number;
@@ -57,6 +60,7 @@
 	const done = results.filter(each => each.outcome?.type === 'done' && each.end! <= each.deadline);
 	const notRun = results.filter(each => each.outcome?.type === 'not-run');
 	const refused = notRun.filter(each => each.end === each.arrival.at);
+	const steady = done.filter(each => each.end! >= seconds * 1000 * warmUp && each.end! <= seconds * 1000);
 	const firsts = results.filter(each => each.firstToken !== undefined);
 	return {
 		short: percentile(firstTokens(results, each => each.promptTokens <= shortTokens), part),
@@ -68,7 +72,7 @@
 		givenUp: notRun.length - refused.length,
 		late: results.length - done.length - notRun.length,
 		worst: Math.max(0, ...firsts.map(each => each.firstToken! / (each.deadline - each.arrival.at))),
-		goodput: sum(done.map(each => each.arrival.promptTokens)) / seconds,
+		goodput: sum(steady.map(each => each.arrival.promptTokens)) / (seconds * (1 - warmUp)),
 		hits: sum(results.map(each => each.cached)) / Math.max(sum(firsts.map(each => each.arrival.prefixTokens)), 1),
 	};
 }
--- a/bench/model/scenarios.ts
+++ b/bench/model/scenarios.ts
@@ -38,15 +38,18 @@
 	readonly duration: number;
 	/** Whether only the short prompts of the same arrivals come. */
 	readonly isShortAlone?: boolean;
+	/** Milliseconds. */
+	readonly deadline?: number;
 };
 
-const deadline = 120_000;
+const usualDeadline = 120_000;
 
 /**
  * @param scenario - What to run.
  * @returns What became of the requests, and how busy the engines were.
  */
 export function run(scenario: Scenario): {readonly results: readonly Result[]; readonly utilisation: number} {
+	const deadline = scenario.deadline ?? usualDeadline;
 	const layout: Layout = {
 		hosts: 7,
 		engines,
--- a/src/core/features/requests/prediction.ts
+++ b/src/core/features/requests/prediction.ts
@@ -12,13 +12,14 @@
 import {classOf, segments} from '../routing/segments.js';
 import {outstanding, view} from '../upstreams/queries.js';
 import {
-	decodeTime, estimate, prefillRate, prefillTime,
+	cautiousDecodeTime, cautiousPrefillTime, decodeTime, estimate, prefillRate, prefillTime,
 } from '../work/queries.js';
 import {lane} from './queries.js';
 import {type Lane, type LaneName, type Waiting} from './types.js';
 
-/** Predictions are stretched by this, so that a request that is admitted also finishes in time. */
-const caution = 1.15;
+/** Predictions are stretched by these, so that a request that is admitted also finishes in time. */
+const runCaution = 1.15;
+const waitCaution = 1.3;
 
 /** What a request is expected to need, in milliseconds. */
 export type Prediction = {
@@ -115,14 +116,16 @@
 
 	const cached = Math.max(0, ...cachedTokens(state, request).values());
 	const {prefill, decode} = estimate(state, request, cached);
-	const prefilling = prefillTime(state, typical, prefill) / (name === 'group' ? enginesFor(typical, prefill) : 1);
+	const engines = name === 'group' ? enginesFor(typical, prefill) : 1;
+	const prefilling = prefillTime(state, typical, prefill) / engines;
+	const longest = cautiousPrefillTime(state, typical, prefill) / engines;
 	const decoding = decodeTime(state, typical, decode);
 	const cost = prefilling + (decoding / batchOf(typical));
 	const queued = backlog(state, lane(state, request.service, name), request);
 	return {
 		lane: name,
 		cost,
-		run: (prefilling + decoding) * caution,
-		wait: (firstFree(state, upstreams, name, now) + (queued / capacity(state, upstreams))) * caution,
+		run: (longest + cautiousDecodeTime(state, request, typical)) * runCaution,
+		wait: (firstFree(state, upstreams, name, now) + (queued / capacity(state, upstreams))) * waitCaution,
 	};
 }
--- a/src/core/features/upstreams/commands.ts
+++ b/src/core/features/upstreams/commands.ts
@@ -183,14 +183,18 @@
 	return next;
 }
 
+function isSameLoad(a: Load | undefined, b: Load): boolean {
+	return a === b || (a?.requests === b.requests && a.prefill === b.prefill && a.decode === b.decode && a.urgent === b.urgent);
+}
+
 function recount(state: State, host: string, before: Table<string, Load>, after: Table<string, Load>, now: number): State {
 	let next = state;
 	for (const load of before.values()) {
-		next = after.get(load.upstream) === load ? next : addPeer(next, load, -1, now);
+		next = isSameLoad(after.get(load.upstream), load) ? next : addPeer(next, load, -1, now);
 	}
 
 	for (const load of after.values()) {
-		next = before.get(load.upstream) === load ? next : addPeer(next, load, 1, now);
+		next = isSameLoad(before.get(load.upstream), load) ? next : addPeer(next, load, 1, now);
 	}
 
 	const {counted} = next.upstreams;
--- a/src/core/features/work/queries.ts
+++ b/src/core/features/work/queries.ts
@@ -9,6 +9,12 @@
 /** Samples of its own that an organisation needs to count as much as all others together. */
 const trust = 8;
 
+/** Spreads beyond the mean that an answer's length may well reach. */
+const caution = 2;
+
+/** Part of the learnt prefill rate that is counted on at least. */
+const slowest = 0.5;
+
 /** Time assumed for a call of a plain service until one has been seen, in milliseconds. */
 const plainDuration = 50;
 
@@ -49,6 +55,18 @@
 	return tokens * 1000 / prefillRate(state, upstream);
 }
 
+/**
+ * @param state - Core state.
+ * @param upstream - Upstream.
+ * @param tokens - Prefill tokens.
+ * @returns Time that the work may well take, in milliseconds; other prompts slow it down at times.
+ */
+export function cautiousPrefillTime(state: State, upstream: Upstream, tokens: number): number {
+	const rate = prefillRate(state, upstream);
+	const spread = state.work.speeds.get(upstream.id)?.prefill?.spread ?? 0;
+	return tokens * 1000 / Math.max(rate - spread, rate * slowest);
+}
+
 /**
  * @param state - Core state.
  * @param upstream - Upstream.
@@ -83,6 +101,24 @@
 	return Math.ceil(Math.min(expected, request.outputLimit ?? expected));
 }
 
+/**
+ * What admission counts on: a request that is admitted should finish in time, not only on the average.
+ *
+ * @param state - Core state.
+ * @param request - Request.
+ * @param upstream - Upstream.
+ * @returns Time that its answer may well take from the first token to the last, in milliseconds.
+ */
+export function cautiousDecodeTime(state: State, request: Request, upstream: Upstream): number {
+	const {speeds, outputs} = state.work;
+	const expected = expectedOutput(state, request);
+	const longer = expected + (caution * (outputs.get(outputKey(request.service))?.spread ?? 0));
+	const tokens = Math.min(longer, request.outputLimit ?? longer);
+	const speed = speeds.get(upstream.id);
+	return decodeTime(state, upstream, tokens)
+		+ (upstream.kind === 'engine' ? tokens * (speed?.interval?.spread ?? 0) : speed?.duration?.spread ?? 0);
+}
+
 /**
  * @param state - Core state.
  * @param request - Request.
--- a/src/core/utils/rates.ts
+++ b/src/core/utils/rates.ts
@@ -3,6 +3,8 @@
 /** A mean of samples and how many it was made of, up to where it forgets. */
 export type Mean = {
 	readonly value: number;
+	/** Mean distance of samples from the mean. */
+	readonly spread: number;
 	readonly count: number;
 	/** Time of the last sample, in milliseconds. */
 	readonly at: number;
@@ -28,7 +30,11 @@
 export function include(mean: Mean | undefined, sample: number, now: number, memory: number): Mean {
 	const count = Math.min((mean?.count ?? 0) + 1, memory);
 	const before = mean?.value ?? 0;
-	return {value: before + ((sample - before) / count), count, at: now};
+	const distance = mean === undefined ? 0 : Math.abs(sample - before);
+	const spread = mean?.spread ?? 0;
+	return {
+		value: before + ((sample - before) / count), spread: spread + ((distance - spread) / count), count, at: now,
+	};
 }
 
 /**
