--- a/bench/model/main.ts
+++ b/bench/model/main.ts
@@ -37,6 +37,6 @@
 		policy: 'cost', seed, load: 1.3, duration,
 	});
 	line({
-		policy: 'round-robin', seed, load: 1.3, duration,
+		policy: 'least-requests', seed, load: 1.3, duration,
 	});
 }
--- a/src/core/features/routing/segments.ts
+++ b/src/core/features/routing/segments.ts
@@ -22,7 +22,7 @@
 const usualWeight = 50;
 
 /** Spare engines for short prompts where the slowdown of short prompts is all that counts, as a part of their share. */
-const spare = 1;
+const spare = 3;
 
 export type Segments = Readonly<Record<LengthClass, readonly Engine[]>>;
 
