--- a/bench/fuzz/faults.ts
+++ b/bench/fuzz/faults.ts
@@ -85,9 +85,9 @@
 	} else if (die <= 60) {
 		pause(world, host);
 	} else if (die <= 75) {
-		const links = world.links();
+		const links = world.links.names();
 		if (links.length > 0) {
-			world.cutLink(dice.pick(links));
+			world.links.cut(dice.pick(links));
 		}
 	} else if (die <= 90) {
 		world.crash(dice.pick([...world.upstreams.values()]));
--- a/bench/fuzz/world.ts
+++ b/bench/fuzz/world.ts
@@ -1,16 +1,16 @@
 /** Several hosts' cores, tiny upstreams and a network that delays, loses and repeats what it carries. */
 import {
-	codes, type Configuration, type Effect, type Ending, type Event, type Member, type PeerMessage, type Request,
+	type Configuration, type Effect, type Event, type Member, type Request,
 } from '../../src/core/index.js';
 import {configurationOf} from './configuration.js';
-import {
-	Host, epoch, type Answer, type Exchange,
-} from './hosts.js';
+import {Host, epoch, type Answer} from './hosts.js';
 import {listHolds, releaseHold} from './holds.js';
 import {Ledger} from './ledger.js';
+import {Links} from './links.js';
 import {type Mutation} from './mutations.js';
 import {Agenda} from './queue.js';
 import {Dice} from './random.js';
+import {forwardRequest, sendAttempt} from './relays.js';
 import {FakeUpstream} from './upstreams.js';
 
 export const tickInterval = 50;
@@ -29,11 +29,6 @@
 	readonly mutation?: Mutation;
 };
 
-type Link = {
-	/** Time of the last message each way, so that they keep their order. */
-	readonly last: Map<string, number>;
-};
-
 export class World {
 	readonly agenda = new Agenda();
 	readonly ledger = new Ledger();
@@ -44,7 +39,7 @@
 	readonly configuration: Configuration;
 	/** Side of the partition that each host and upstream is on; all on one when healed. */
 	readonly sides = new Map<string, number>();
-	readonly #links = new Map<string, Link>();
+	readonly links = new Links(this);
 	#ids = 0;
 	#listed: readonly Member[] = [];
 
@@ -113,9 +108,9 @@
 	/** The process ends: callers, links and attempts of it break. */
 	end(host: Host): void {
 		host.isAlive = false;
-		for (const key of this.#links.keys()) {
+		for (const key of this.links.names()) {
 			if (key.split(' ').includes(host.name)) {
-				this.cutLink(key);
+				this.links.cut(key);
 			}
 		}
 
@@ -124,19 +119,6 @@
 		}
 	}
 
-	cutLink(key: string): void {
-		if (this.#links.delete(key)) {
-			const [a, b] = key.split(' ');
-			this.dispatch(this.hosts.get(a!)!, {type: 'peer-lost', host: b!});
-			this.dispatch(this.hosts.get(b!)!, {type: 'peer-lost', host: a!});
-		}
-	}
-
-	/** @returns Names of all links, each the names of its two hosts. */
-	links(): readonly string[] {
-		return [...this.#links.keys()];
-	}
-
 	isCut(a: string, b: string): boolean {
 		return (this.sides.get(a) ?? 0) !== (this.sides.get(b) ?? 0);
 	}
@@ -187,7 +169,7 @@
 
 	#beat(): void {
 		this.agenda.after(tickInterval, () => {
-			this.#connect();
+			this.links.connect();
 			for (const host of this.living) {
 				this.dispatch(host, {type: 'tick'});
 			}
@@ -216,60 +198,6 @@
 		}
 	}
 
-	#connect(): void {
-		for (const key of this.#links.keys()) {
-			const [a, b] = key.split(' ');
-			if (this.isCut(a!, b!)) {
-				this.cutLink(key);
-			}
-		}
-
-		for (const host of this.living) {
-			for (const [name, port] of host.wanted) {
-				const other = this.living.find(each => each.member.peerAddress.port === port);
-				if (other?.name === name && !host.isPaused && !other.isPaused) {
-					this.#link(host, other);
-				}
-			}
-		}
-	}
-
-	#link(a: Host, b: Host): void {
-		const key = [a.name, b.name].toSorted().join(' ');
-		if (this.#links.has(key) || a === b || this.isCut(a.name, b.name)) {
-			return;
-		}
-
-		this.#links.set(key, {last: new Map()});
-		for (const [host, other] of [[a, b], [b, a]] as const) {
-			this.dispatch(host, {type: 'peer-connected', host: other.name});
-			this.dispatch(host, {
-				type: 'peer-message', from: other.name, message: {
-					type: 'hello', member: other.member, phase: other.state.membership.phase, revision: other.state.configuration.inForce?.revision ?? 0,
-				},
-			});
-		}
-	}
-
-	#carry(from: Host, to: string, message: PeerMessage): void {
-		const key = [from.name, to].toSorted().join(' ');
-		const link = this.#links.get(key);
-		if (link === undefined) {
-			return;
-		}
-
-		const at = Math.max(link.last.get(to) ?? 0, this.now + this.dice.integer(1, 10));
-		link.last.set(to, at);
-		const copies = this.plan.faults && this.dice.chance(2) ? 2 : 1;
-		for (let copy = 1; copy <= copies; copy++) {
-			this.agenda.after((at - this.now) * copy, () => {
-				if (this.#links.get(key) === link) {
-					this.dispatch(this.hosts.get(to)!, {type: 'peer-message', from: from.name, message});
-				}
-			});
-		}
-	}
-
 	#execute(host: Host, effects: readonly Effect[]): void {
 		for (const effect of effects) {
 			this.#do(host, effect);
@@ -279,7 +207,7 @@
 	#do(host: Host, effect: Effect): void {
 		switch (effect.type) {
 			case 'send': {
-				this.#send(host, effect);
+				sendAttempt(this, host, effect);
 				break;
 			}
 
@@ -299,7 +227,7 @@
 			}
 
 			case 'forward': {
-				this.#forward(host, effect);
+				forwardRequest(this, host, effect);
 				break;
 			}
 
@@ -309,7 +237,7 @@
 			}
 
 			case 'peer-send': {
-				this.#carry(host, effect.to, effect.message);
+				this.links.carry(host, effect.to, effect.message);
 				break;
 			}
 
@@ -320,7 +248,7 @@
 
 			case 'disconnect': {
 				host.wanted.delete(effect.host);
-				this.cutLink([host.name, effect.host].toSorted().join(' '));
+				this.links.cut([host.name, effect.host].toSorted().join(' '));
 				break;
 			}
 
@@ -340,69 +268,6 @@
 		}
 	}
 
-	/** An attempt's way to the upstream and back; anything may break at any point. */
-	#send(host: Host, effect: Extract<Effect, {readonly type: 'send'}>): void {
-		const {attempt, request} = effect;
-		const upstream = this.upstreams.get(effect.upstream)!;
-		const exchange = host.exchanges.get(request)!;
-		const over = (ending: Ending, payload?: string): void => {
-			exchange.payload = payload ?? exchange.payload;
-			this.dispatch(host, {type: 'attempt-ended', attempt, ending});
-		};
-
-		this.agenda.after(this.dice.integer(1, 10), () => {
-			if (!upstream.isUp || this.isCut(host.name, upstream.id)) {
-				over({
-					type: 'not-run', code: codes.notConnected, overload: false, detail: 'refused',
-				});
-				return;
-			}
-
-			this.dispatch(host, {type: 'attempt-written', attempt});
-			const fate = this.plan.faults ? this.dice.integer(1, 100) : 100;
-			if (fate <= 3) {
-				over(broken);
-			} else if (fate <= 6) {
-				over({
-					type: 'not-run', code: codes.refusedByUpstream, overload: true, detail: 'busy',
-				});
-			} else if (!upstream.cancelled.has(attempt)) {
-				this.#run(upstream, exchange, attempt, over);
-			}
-		});
-	}
-
-	#run(upstream: FakeUpstream, exchange: Exchange, attempt: string, over: (ending: Ending, payload?: string) => void): void {
-		const {operation, right} = exchange;
-		this.ledger.executions.push({
-			operation, right, upstream: upstream.id, at: this.now, expires: expiryOf(exchange),
-		});
-		upstream.runs.set(attempt, {
-			attempt, operation, breakOff() {
-				over(broken);
-			},
-		});
-		if (this.ledger.operations.get(operation)?.kills === true) {
-			this.agenda.after(this.dice.integer(1, 20), () => {
-				this.crash(upstream, operation);
-			});
-			return;
-		}
-
-		this.agenda.after(this.dice.integer(5, 300), () => {
-			if (!upstream.runs.delete(attempt)) {
-				return;
-			}
-
-			const isLost = this.plan.faults && this.dice.chance(5);
-			if (isLost) {
-				over(broken);
-			} else {
-				over({type: 'done', tokens: 1}, operation);
-			}
-		});
-	}
-
 	#answer(host: Host, request: string, effect: Extract<Effect, {readonly type: 'answer'}>): void {
 		const exchange = host.exchanges.get(request);
 		if (exchange === undefined || exchange.answer !== undefined) {
@@ -431,45 +296,4 @@
 			pass(source.answer);
 		}
 	}
-
-	#forward(host: Host, effect: Extract<Effect, {readonly type: 'forward'}>): void {
-		const exchange = host.exchanges.get(effect.request)!;
-		const target = this.living.find(each => each.member.callerAddress.port === effect.address.port);
-		const over = (ending: Ending): void => {
-			this.dispatch(host, {type: 'forward-ended', request: effect.request, ending});
-		};
-
-		this.agenda.after(this.dice.integer(1, 10), () => {
-			if (target?.isAlive !== true || this.isCut(host.name, target.name)) {
-				over({
-					type: 'not-run', code: codes.notConnected, overload: false, detail: 'refused',
-				});
-				return;
-			}
-
-			const request = {...exchange.request, id: this.name('f'), hops: (exchange.request.hops ?? 0) + 1};
-			if (this.plan.faults && this.dice.chance(3)) {
-				over(broken);
-			} else {
-				this.arrive(target, request, exchange, answer => {
-					this.agenda.after(this.dice.integer(1, 10), () => {
-						const isLost = this.isCut(host.name, target.name) || !target.isAlive || (this.plan.faults && this.dice.chance(3));
-						if (!isLost) {
-							exchange.passed = answer;
-						}
-
-						over(isLost ? broken : {type: 'done', tokens: 1});
-					});
-				});
-			}
-		});
-	}
 }
-
-function expiryOf({request: {proof}}: Exchange): number | undefined {
-	return proof.type === 'ticket' ? proof.ticket.expires - epoch : undefined;
-}
-
-const broken: Ending = {
-	type: 'unknown', code: codes.streamCut, detail: 'cut', relayed: false,
-};
