--- a/src/entry/callers/server.ts
+++ b/src/entry/callers/server.ts
@@ -49,6 +49,9 @@
 	readonly isReady: () => boolean;
 };
 
+/** Milliseconds that an idle connection stays open: longer than balancers keep theirs, so that none is closed as it is used. */
+const idleTimeout = 75_000;
+
 const methods = ['get', 'post', 'put', 'patch', 'del', 'head', 'opts'] as const;
 
 export class CallerServer implements AsyncDisposable {
@@ -61,6 +64,7 @@
 	constructor(counter: Counter) {
 		this.#counter = counter;
 		this.#server = restify.createServer({name: 'cranberrytide'});
+		this.#server.server.keepAliveTimeout = idleTimeout;
 		this.#routes();
 	}
 
