--- a/src/entry/admin/server.ts
+++ b/src/entry/admin/server.ts
@@ -1,11 +1,9 @@
 /** The listener that operators' tools connect to. */
-import {once} from 'node:events';
 import {type IncomingMessage} from 'node:http';
 import process from 'node:process';
 import restify, {
 	type Request as RestifyRequest,
 	type Response as RestifyResponse,
-	type Server,
 } from 'restify';
 import {z} from 'zod';
 import {
@@ -27,7 +25,7 @@
 import {decode, readBody} from '../callers/body.js';
 import {statusOf as httpStatusOf} from '../callers/statuses.js';
 import {type Clock} from '../clock.js';
-import {portOf} from '../ports.js';
+import {Listener} from '../listener.js';
 import {type Usage} from '../driver.js';
 import {type Settings} from '../settings.js';
 import {type Decisions} from './decisions.js';
@@ -56,15 +54,14 @@
 
 export class AdminServer implements AsyncDisposable {
 	readonly #office: Office;
-	readonly #server: Server;
+	readonly #listener = new Listener('cranberrytide-admin');
 
 	/**
 	 * @param office - Parts of the daemon.
 	 */
 	constructor(office: Office) {
 		this.#office = office;
-		this.#server = restify.createServer({name: 'cranberrytide-admin'});
-		this.#server.use(restify.plugins.queryParser());
+		this.#listener.server.use(restify.plugins.queryParser());
 		this.#routes();
 	}
 
@@ -72,17 +69,11 @@
 	 * @returns The port that operators' tools reach.
 	 */
 	async listen(): Promise<number> {
-		const {host, port} = this.#office.settings.admin;
-		this.#server.listen(port, host);
-		await once(this.#server.server, 'listening');
-		return portOf(this.#server.server);
+		return this.#listener.listen(this.#office.settings.admin);
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
-		const closed = once(this.#server.server, 'close');
-		this.#server.close();
-		this.#server.server.closeAllConnections();
-		await closed;
+		await this.#listener[Symbol.asyncDispose]();
 	}
 
 	#routes(): void {
@@ -94,7 +85,7 @@
 	}
 
 	#answer(method: 'get' | 'post', path: string, handle: (request: RestifyRequest) => Promise<unknown>, status = 200): void {
-		this.#server[method](path, async (request: RestifyRequest, response: RestifyResponse) => {
+		this.#listener.server[method](path, async (request: RestifyRequest, response: RestifyResponse) => {
 			try {
 				response.send(status, await handle(request));
 			} catch (error) {
--- a/src/entry/callers/server.ts
+++ b/src/entry/callers/server.ts
@@ -1,10 +1,9 @@
 /** The listener that callers connect to. */
 import {once} from 'node:events';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import restify, {
+import {
 	type Request as RestifyRequest,
 	type Response as RestifyResponse,
-	type Server,
 } from 'restify';
 import {v7} from 'uuid';
 import {z} from 'zod';
@@ -22,7 +21,7 @@
 } from '../../core/index.js';
 import {type Clock} from '../clock.js';
 import {type Log} from '../logs.js';
-import {portOf} from '../ports.js';
+import {Listener} from '../listener.js';
 import {type Settings} from '../settings.js';
 import {readBody} from './body.js';
 import {
@@ -49,22 +48,17 @@
 	readonly isReady: () => boolean;
 };
 
-/** Milliseconds that an idle connection stays open: longer than balancers keep theirs, so that none is closed as it is used. */
-const idleTimeout = 75_000;
-
 const methods = ['get', 'post', 'put', 'patch', 'del', 'head', 'opts'] as const;
 
 export class CallerServer implements AsyncDisposable {
 	readonly #counter: Counter;
-	readonly #server: Server;
+	readonly #listener = new Listener('cranberrytide');
 
 	/**
 	 * @param counter - Parts of the daemon.
 	 */
 	constructor(counter: Counter) {
 		this.#counter = counter;
-		this.#server = restify.createServer({name: 'cranberrytide'});
-		this.#server.server.keepAliveTimeout = idleTimeout;
 		this.#routes();
 	}
 
@@ -72,40 +66,35 @@
 	 * @returns The port that callers reach.
 	 */
 	async listen(): Promise<number> {
-		const {host, port} = this.#counter.settings.caller;
-		this.#server.listen(port, host);
-		await once(this.#server.server, 'listening');
-		return portOf(this.#server.server);
+		return this.#listener.listen(this.#counter.settings.caller);
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
-		const closed = once(this.#server.server, 'close');
-		this.#server.close();
-		this.#server.server.closeAllConnections();
-		await closed;
+		await this.#listener[Symbol.asyncDispose]();
 	}
 
 	#routes(): void {
-		this.#server.get('/health/live', async (request: RestifyRequest, response: RestifyResponse) => {
+		const {server} = this.#listener;
+		server.get('/health/live', async (request: RestifyRequest, response: RestifyResponse) => {
 			response.send(200, {live: true, id: request.getId()});
 		});
-		this.#server.get('/health/ready', async (request: RestifyRequest, response: RestifyResponse) => {
+		server.get('/health/ready', async (request: RestifyRequest, response: RestifyResponse) => {
 			const ready = this.#counter.isReady();
 			response.send(ready ? 200 : 503, {ready, id: request.getId()});
 		});
-		this.#server.post('/v1/chat/completions', async (request: RestifyRequest, response: RestifyResponse) => {
+		server.post('/v1/chat/completions', async (request: RestifyRequest, response: RestifyResponse) => {
 			await this.#take(request, response, async reading => this.#chat(reading));
 		});
-		this.#server.post('/v1/tickets', async (request: RestifyRequest, response: RestifyResponse) => {
+		server.post('/v1/tickets', async (request: RestifyRequest, response: RestifyResponse) => {
 			await this.#ticket(request, response);
 		});
 		for (const method of methods) {
-			this.#server[method](`${servicesPath}:service/*`, async (request: RestifyRequest, response: RestifyResponse) => {
+			server[method](`${servicesPath}:service/*`, async (request: RestifyRequest, response: RestifyResponse) => {
 				await this.#take(request, response, async reading => this.#plain(reading, serviceOf(request.params)));
 			});
 		}
 
-		this.#server.on('NotFound', (_request, response: RestifyResponse) => {
+		server.on('NotFound', (_request, response: RestifyResponse) => {
 			refuse(response, v7(), {type: 'not-run', code: codes.unknownPath});
 		});
 	}
--- a/src/entry/relays/relays.ts
+++ b/src/entry/relays/relays.ts
@@ -3,45 +3,18 @@
 	messageOf,
 	assertNever,
 	codes,
-	type Address,
-	type Effect,
 	type Ending,
-	type Event,
-	type State,
 } from '../../core/index.js';
-import {positionOf, signStream} from '../../protocol/token.js';
-import {cancelAttempt, prefillSegment} from '../../upstream/control.js';
-import {runOnEngine, type Call, type Sink} from '../../upstream/engine.js';
+import {prefillSegment} from '../../upstream/control.js';
+import {runOnEngine, type Call} from '../../upstream/engine.js';
 import {endToEnd, runOnPlain, type PassedHeaders} from '../../upstream/plain.js';
 import {callerHeaders} from '../callers/headers.js';
 import {requestHeader} from '../callers/outcomes.js';
-import {type Exchange, type Exchanges} from '../callers/exchange.js';
-import {type Clock} from '../clock.js';
+import {type Exchange} from '../callers/exchange.js';
 import {ignore} from '../ignore.js';
-import {type Log} from '../logs.js';
-import {type Metrics} from '../metrics.js';
-
-type EffectOf<T extends Effect['type']> = Extract<Effect, {readonly type: T}>;
-
-/** What relays need of the daemon. */
-export type Surroundings = {
-	readonly exchanges: Exchanges;
-	readonly clock: Clock;
-	readonly log: Log;
-	readonly metrics: Metrics;
-	readonly state: () => State;
-	readonly dispatch: (event: Event) => void;
-};
-
-/** Tokens after which the core hears of an attempt's progress again. */
-const progressStep = 32;
-
-/** How long a position in a stream stays valid after its request's deadline, in milliseconds. */
-const positionLife = 600_000;
-
-/** Milliseconds between tries of a cancellation, and the longest time they go on. */
-const cancelPause = 500;
-const cancelLife = 120_000;
+import {cancelUntilConfirmed} from './cancellation.js';
+import {createSink} from './sink.js';
+import {type EffectOf, type Surroundings} from './surroundings.js';
 
 const noKind: Ending = {
 	type: 'not-run', code: codes.noUpstream, overload: false, detail: 'the upstream is no longer configured',
@@ -86,7 +59,7 @@
 	cancel(effect: EffectOf<'cancel'>): void {
 		this.#running.get(effect.attempt)?.abort();
 		if (this.#kindOf(effect.upstream) === 'engine') {
-			void this.#cancelUntilConfirmed(effect.address, effect.attempt);
+			void cancelUntilConfirmed(effect.address, effect.attempt, this.#closing.signal);
 		}
 	}
 
@@ -200,7 +173,7 @@
 			promptTokens: payload.statedPromptTokens,
 			signal,
 		};
-		return runOnEngine(call, this.#sink(effect, exchange));
+		return runOnEngine(call, createSink(effect, exchange, this.#surroundings));
 	}
 
 	/** Engines of a group work on their segments at the same time. */
@@ -223,43 +196,6 @@
 		return signal.aborted ? {type: 'cancelled'} : undefined;
 	}
 
-	#sink(effect: EffectOf<'send'>, exchange: Exchange): Sink {
-		const {attempt} = effect;
-		const {dispatch, metrics} = this.#surroundings;
-		const {answer} = exchange;
-		const token = this.#streamToken(effect, exchange);
-		let pending = 0;
-		return {
-			written() {
-				dispatch({type: 'attempt-written', attempt});
-			},
-			async frame(offset, data) {
-				pending++;
-				if (offset === 0 || pending >= progressStep) {
-					dispatch({type: 'attempt-progressed', attempt, tokens: pending});
-					pending = 0;
-				}
-
-				return answer.push({type: 'frame', position: positionOf(token, offset + 1), data});
-			},
-			stray(reason) {
-				metrics.count('frames.stray', 1, {reason});
-			},
-		};
-	}
-
-	#streamToken({attempt, upstream, deadline}: EffectOf<'send'>, {request}: Exchange): string {
-		const {clock, state} = this.#surroundings;
-		const keys = state().configuration.inForce?.tokenKeys ?? [];
-		return signStream(keys, {
-			service: request.service,
-			organisation: request.organisation,
-			upstream,
-			attempt,
-			expires: Math.round(clock.wall() + deadline - clock.now() + positionLife),
-		});
-	}
-
 	async #passOn(effect: EffectOf<'send'>, exchange: Exchange, path: string, signal: AbortSignal): Promise<Ending> {
 		const {payload, request, answer} = exchange;
 		const {dispatch} = this.#surroundings;
@@ -320,19 +256,4 @@
 			bytes: async chunk => answer.push({type: 'bytes', chunk}),
 		});
 	}
-
-	async #cancelUntilConfirmed(address: Address, attempt: string): Promise<void> {
-		const {clock} = this.#surroundings;
-		const end = clock.now() + cancelLife;
-		while (clock.now() < end && !this.#closing.signal.aborted) {
-			try {
-				await cancelAttempt(address, attempt);
-				return;
-			} catch {
-				await new Promise(resolve => {
-					setTimeout(resolve, cancelPause).unref();
-				});
-			}
-		}
-	}
 }
