--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -1,8 +1,9 @@
 /** Messages between hosts on the wire: a length of four bytes, big-endian, then one CBOR value. */
 import {Buffer} from 'node:buffer';
+import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {Encoder} from 'cbor-x';
-import {z} from 'zod';
-import {raise, type PeerMessage} from '../core/index.js';
+import {z, type RefinementCtx} from 'zod';
+import {messageOf, raise, type PeerMessage} from '../core/index.js';
 
 /** The longest message taken: a whole configuration document and some room. */
 export const longestMessage = 1_200_000;
@@ -97,6 +98,27 @@
 	}),
 ] as const;
 
+/** The document deflated last: one goes to several peers. */
+let lastDeflated: {readonly text: string; readonly bytes: Uint8Array} = {text: '', bytes: new Uint8Array()};
+
+/** Documents repeat themselves and are relayed whole. */
+function deflated(text: string): Uint8Array {
+	if (lastDeflated.text !== text) {
+		lastDeflated = {text, bytes: deflateRawSync(Buffer.from(text))};
+	}
+
+	return lastDeflated.bytes;
+}
+
+function inflated(bytes: Uint8Array, context: RefinementCtx): string {
+	try {
+		return inflateRawSync(bytes, {maxOutputLength: longestMessage}).toString('utf8');
+	} catch (error) {
+		context.addIssue({code: 'custom', message: messageOf(error)});
+		return z.NEVER;
+	}
+}
+
 const messageSchema = z.discriminatedUnion('type', [
 	z.object({
 		type: z.literal('hello'), member, phase, revision: count,
@@ -117,7 +139,7 @@
 	}),
 	z.object({type: z.literal('reports'), reports: z.array(report).max(listLimit)}),
 	z.object({type: z.literal('configuration-wanted'), above: count}),
-	z.object({type: z.literal('configuration'), text: z.string().max(longestMessage)}),
+	z.object({type: z.literal('configuration'), text: z.instanceof(Uint8Array).transform((bytes, context) => inflated(bytes, context))}),
 	z.object({type: z.literal('suspected'), suspicions: z.array(suspicion).max(listLimit)}),
 	...relayedMessages,
 	z.object({
@@ -133,7 +155,7 @@
  * @returns Its frame.
  */
 export function encodeFrame(message: PeerMessage): Uint8Array {
-	const body = codec.encode(message);
+	const body = codec.encode(message.type === 'configuration' ? {...message, text: deflated(message.text)} : message);
 	const frame = new Uint8Array(lengthBytes + body.length);
 	new DataView(frame.buffer).setUint32(0, body.length);
 	frame.set(body, lengthBytes);
