--- a/bench/model/main.ts
+++ b/bench/model/main.ts
@@ -8,6 +8,8 @@
 const policies: readonly Policy[] = ['cost', 'round-robin', 'random', 'least-requests'];
 const seeds = [1, 2, 3, 4, 5];
 const duration = 300_000;
+/** Long enough that no policy refuses a long prompt and looks the better for it. */
+const patientDeadline = 300_000;
 
 function line(scenario: Scenario): void {
 	const started = performance.now();
@@ -26,12 +28,12 @@
 for (const seed of seeds.slice(0, Number(process.argv[2] ?? seeds.length))) {
 	for (const policy of policies) {
 		line({
-			policy, seed, load: 0.7, duration,
+			policy, seed, load: 0.7, duration, deadline: patientDeadline,
 		});
 	}
 
 	line({
-		policy: 'cost', seed, load: 0.7, duration, isShortAlone: true,
+		policy: 'cost', seed, load: 0.7, duration, deadline: patientDeadline, isShortAlone: true,
 	});
 	line({
 		policy: 'cost', seed, load: 1.3, duration,
--- a/src/core/features/routing/score.ts
+++ b/src/core/features/routing/score.ts
@@ -8,12 +8,10 @@
 import {decodeTime, prefillRate} from '../work/queries.js';
 
 /**
- * Prefill that an engine may have before it while it is given more, in milliseconds. Enough to keep it at work between
- * two of this host's decisions; everything beyond it waits in the host's queue, where order can still change.
+ * Prefill that an engine does not interrupt, in tokens: engines batch a chunk of a prompt at a time. It may have so much
+ * before it while it is given more: enough to keep it at work between two of this host's decisions. Everything beyond
+ * waits in the host's queue, where order can still change.
  */
-const aheadLimit = 100;
-
-/** Prefill that an engine does not interrupt, in tokens: engines batch a chunk of a prompt at a time. */
 const chunk = 1024;
 
 /** An upstream as one request finds it. */
@@ -80,16 +78,14 @@
  * @returns Whether it would be worked on at once or nearly so.
  */
 export function hasRoom(sight: Sight, footprint: number): boolean {
-	const {
-		upstream, known, work, rate,
-	} = sight;
+	const {upstream, known, work} = sight;
 	const queued = sight.length === 'short' ? work.urgent : work.prefill;
 	switch (upstream.kind) {
 		case 'engine': {
 			const used = Math.max(known.footprint, known.report?.usedMemory ?? 0);
 			return work.requests < upstream.batch
 				&& (work.requests === 0 || used + footprint <= upstream.memory)
-				&& queued * 1000 / rate <= aheadLimit;
+				&& queued <= chunk;
 		}
 
 		case 'plain':
--- a/src/core/features/upstreams/queries.ts
+++ b/src/core/features/upstreams/queries.ts
@@ -5,8 +5,8 @@
 /** A report older than this says nothing of load any more, in milliseconds. */
 const reportLife = 5000;
 
-/** Time that overdue prefill is taken to need still, in milliseconds: a slow engine is not given more on a guess. */
-const leastRemaining = 150;
+/** Overdue prefill that is taken to remain, in tokens: a slow engine is not given more on a guess. */
+const leastRemaining = 1536;
 
 /**
  * @param state - Core state.
@@ -47,7 +47,7 @@
 }
 
 function remaining(known: View, now: number, rate: number): number {
-	return Math.max(known.prefill - worked(known, now, rate), Math.min(known.prefill, rate * leastRemaining / 1000));
+	return Math.max(known.prefill - worked(known, now, rate), Math.min(known.prefill, leastRemaining));
 }
 
 function unseenPrefill(known: View, now: number, rate: number): number {
