--- a/bench/model/main.ts
+++ b/bench/model/main.ts
@@ -6,7 +6,8 @@
 import {run, type Scenario} from './scenarios.js';
 
 const policies: readonly Policy[] = ['cost', 'round-robin', 'random', 'least-requests'];
-const seeds = [1, 2, 3, 4, 5];
+/** Given as arguments, or these. */
+const usualSeeds = ['1', '2', '3', '4', '5'];
 const duration = 300_000;
 /** Long enough that no policy refuses a long prompt and looks the better for it. */
 const patientDeadline = 300_000;
@@ -25,7 +26,8 @@
 	process.stdout.write(`one decision at 75 engines and 42 hosts, prompt of ${promptTokens} tokens: ${decisionCost(promptTokens).toFixed(1)} microseconds\n`);
 }
 
-for (const seed of seeds.slice(0, Number(process.argv[2] ?? seeds.length))) {
+const given = process.argv.slice(2);
+for (const seed of (given.length > 0 ? given : usualSeeds).map(Number)) {
 	for (const policy of policies) {
 		line({
 			policy, seed, load: 0.7, duration, deadline: patientDeadline,
