Engines get a second more than the request has; at most two token keys

The host's own deadline now ends the request, with 3002 or 2011, and the engine's limit is for a host that died. Two keys are valid at a time so that they can be rotated; a third was accepted.

--- a/src/core/types/configuration.ts
+++ b/src/core/types/configuration.ts
@@ -161,6 +161,9 @@
 	loadsPerSecond: z.number().positive(),
 }).readonly();
 
+/** The key that signs and the one before it. */
+const mostTokenKeys = 2;
+
 export const configurationSchema = z.object({
 	schema: z.literal(1),
 	revision: z.number().int().positive(),
@@ -168,7 +171,7 @@
 	services: z.array(serviceSchema).readonly(),
 	organisations: z.array(organisationSchema).readonly(),
 	upstreams: z.array(upstreamSchema).readonly(),
-	tokenKeys: z.array(tokenKeySchema).min(1).readonly(),
+	tokenKeys: z.array(tokenKeySchema).min(1).max(mostTokenKeys).readonly(),
 	plannedStops: z.array(plannedStopSchema).readonly().default([]),
 	stopRule: stopRuleSchema.default({concurrentHosts: 1, concurrentUpstreams: 1}),
 	takeovers: z.array(takeoverSchema).readonly().default([]),
--- a/src/entry/relays/relays.ts
+++ b/src/entry/relays/relays.ts
@@ -16,6 +16,12 @@
 import {createSink} from './sink.js';
 import {type EffectOf, type Surroundings} from './surroundings.js';
 
+/**
+ * Milliseconds by which the engine is given longer than the request has: this host ends it in time and says why; the engine's
+ * own limit is for a host that died.
+ */
+const deadlineMargin = 1000;
+
 const noKind: Ending = {
 	type: 'not-run', code: codes.noUpstream, overload: false, detail: 'the upstream is no longer configured',
 };
@@ -165,7 +171,7 @@
 			attempt: effect.attempt,
 			body: payload.engineBody,
 			priority: effect.priority,
-			timeout: effect.deadline - this.#surroundings.clock.now(),
+			timeout: effect.deadline + deadlineMargin - this.#surroundings.clock.now(),
 			owner: `${self.incarnation.host}/${self.incarnation.started}`,
 			mayRepeat: request.proof.type === 'idempotent',
 			key: payload.key,
