--- a/src/core/features/polling/queries.ts
+++ b/src/core/features/polling/queries.ts
@@ -6,7 +6,7 @@
 import {view} from '../upstreams/queries.js';
 
 /** Milliseconds after which a report that another host should have brought is read by this one. */
-const overdue = 3000;
+const overdue = 5000;
 
 /**
  * @param state - Core state.
--- a/src/core/features/polling/types.ts
+++ b/src/core/features/polling/types.ts
@@ -12,8 +12,10 @@
 export type PollingState = {
 	/** Reports read here and not yet told to peers, by upstream. */
 	readonly unshared: Table<string, DatedReport>;
+	/** What peers were told last, by upstream. */
+	readonly told: Table<string, DatedReport>;
 	/** Monotonic time of the next telling, in milliseconds. */
 	readonly nextShare: number;
 };
 
-export const initialPolling: PollingState = {unshared: Table(), nextShare: 0};
+export const initialPolling: PollingState = {unshared: Table(), told: Table(), nextShare: 0};
--- a/src/entry/callers/answer.ts
+++ b/src/entry/callers/answer.ts
@@ -25,6 +25,8 @@
 	readonly #pieces: Piece[] = [];
 	#size = 0;
 	#end: End | undefined;
+	/** Settles when the only caller has room again. */
+	#room: Promise<void> | undefined;
 
 	/**
 	 * @param isKept - Whether the answer may be asked for again.
@@ -101,7 +103,8 @@
 			return undefined;
 		}
 
-		return drained(full[0]!);
+		this.#room ??= this.#awaitRoom(full[0]!);
+		return this.#room;
 	}
 
 	/**
@@ -119,6 +122,11 @@
 		}
 	}
 
+	async #awaitRoom(receiver: Receiver): Promise<void> {
+		await drained(receiver);
+		this.#room = undefined;
+	}
+
 	#keep(piece: Piece): void {
 		if (!this.#isKept) {
 			return;
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -35,7 +35,7 @@
 	/** Time between ticks of the core. */
 	tickInterval: z.number().int().min(1).max(1000).default(25),
 	/** Time between load reports asked of an engine. */
-	reportInterval: z.number().int().min(10).default(250),
+	reportInterval: z.number().int().min(10).default(500),
 	/** Longest wait of one watch at the platform. */
 	watchWait: z.number().int().min(100).default(20_000),
 	/** Time between readings of the host list. */
--- a/src/entry/watch/upstreams.ts
+++ b/src/entry/watch/upstreams.ts
@@ -14,8 +14,8 @@
 const reportsPerSecond = 8;
 
 /** Turns of reading a report between two readings of cache events, and of holds. */
-const turnsPerCacheReading = 4;
-const turnsPerListing = 8;
+const turnsPerCacheReading = 8;
+const turnsPerListing = 16;
 
 const millisecondsPerSecond = 1000;
 
