A daemon that cannot listen ends with its code; fleets take ports that no connection takes

The daemon itself threw the error twice and then hung, since what it had opened stayed open. Fleets take ports below the ephemeral range.

--- a/__tests__/input.test.ts
+++ b/__tests__/input.test.ts
@@ -123,6 +123,20 @@
 	});
 });
 
+describe('a port in use', () => {
+	it('stops the daemon with a code', async () => {
+		const {caller} = fleet.hosts.get('a-host-1');
+		const said = await startWith({
+			host: 'second',
+			failureDomain: 'a',
+			caller,
+			peer: {port: 0},
+			platform: fleet.platformAddress,
+		});
+		expect(said).toContain(`"code":${codes.portInUse}`);
+	});
+});
+
 describe('a bad document', () => {
 	it('is refused with a code in the log, and the one in force stays', async () => {
 		const {child, admin} = fleet.hosts.get('a-host-1');
--- a/bench/fleet/ports.ts
+++ b/bench/fleet/ports.ts
@@ -1,31 +1,44 @@
 /** Ports for processes that must be told theirs before they start. */
+import {randomInt} from 'node:crypto';
 import {once} from 'node:events';
-import {createServer, type Server} from 'node:net';
+import {createServer} from 'node:net';
 
 export type Ports = {
 	readonly caller: number;
 	readonly peer: number;
 };
 
-async function open(): Promise<Server> {
+/** Below the ports that the system gives to outgoing connections, which could take one before its process starts. */
+const least = 12_000;
+const most = 32_000;
+
+async function isFree(port: number): Promise<boolean> {
 	const server = createServer();
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	return server;
-}
+	try {
+		server.listen(port, '127.0.0.1');
+		await once(server, 'listening');
+	} catch {
+		return false;
+	}
 
-async function close(server: Server): Promise<number> {
-	const address = server.address();
 	const closed = once(server, 'close');
 	server.close();
 	await closed;
-	return typeof address === 'object' ? address?.port ?? 0 : 0;
+	return true;
+}
+
+async function freePort(): Promise<number> {
+	let port = randomInt(least, most);
+	while (!await isFree(port)) {
+		port = randomInt(least, most);
+	}
+
+	return port;
 }
 
 /**
  * @returns Two ports that were free just now.
  */
 export async function freePorts(): Promise<Ports> {
-	const servers = [await open(), await open()] as const;
-	return {caller: await close(servers[0]), peer: await close(servers[1])};
+	return {caller: await freePort(), peer: await freePort()};
 }
--- a/src/entry/daemon.ts
+++ b/src/entry/daemon.ts
@@ -37,6 +37,15 @@
  */
 export async function startDaemon(settings: Settings): Promise<Daemon> {
 	const parts = new Disposal();
+	try {
+		return await assemble(settings, parts);
+	} catch (error) {
+		await parts[Symbol.asyncDispose]();
+		throw error;
+	}
+}
+
+async function assemble(settings: Settings, parts: Disposal): Promise<Daemon> {
 	const container = createContainer(settings, () => costOf(container, links));
 	const driver = container.get(tokens.driver);
 	const started = container.get(tokens.clock).wall();
@@ -56,9 +65,7 @@
 		},
 	}));
 	parts.use(container.get(tokens.metrics));
-	const callers = parts.use(container.get(tokens.callers));
-	const admin = parts.use(container.get(tokens.admin));
-	const ports: Ports = {caller: await callers.listen(), admin: await admin.listen(), peer: links.port};
+	const ports = await openPorts(container, parts, links);
 	const self = memberOf(settings, ports, started);
 	driver.start(self, createExecutor(container, links));
 	parts.use(container.get(tokens.relays));
@@ -74,6 +81,17 @@
 	};
 }
 
+/** A listener is disposed of only once it listens. */
+async function openPorts(container: Container, parts: Disposal, links: Links): Promise<Ports> {
+	const callers = container.get(tokens.callers);
+	const admin = container.get(tokens.admin);
+	const callerPort = await callers.listen();
+	parts.use(callers);
+	const adminPort = await admin.listen();
+	parts.use(admin);
+	return {caller: callerPort, admin: adminPort, peer: links.port};
+}
+
 function memberOf(settings: Settings, ports: Ports, started: number): Member {
 	const callerAddress: Address = settings.advertised.caller ?? {host: settings.caller.host, port: ports.caller};
 	const peerAddress: Address = settings.advertised.peer ?? {host: settings.peer.host, port: ports.peer};
--- a/src/entry/listener.ts
+++ b/src/entry/listener.ts
@@ -1,6 +1,7 @@
 /** An HTTP listener of the daemon. */
 import {once} from 'node:events';
 import restify, {type Server} from 'restify';
+import {ignore} from './ignore.js';
 import {portOf} from './ports.js';
 
 /** Milliseconds that an idle connection stays open: longer than balancers keep theirs, so that none is closed as it is used. */
@@ -22,6 +23,8 @@
 	constructor(name: string) {
 		this.server = restify.createServer({name});
 		this.server.server.keepAliveTimeout = idleTimeout;
+		// Whoever listens is told by a rejection; without this restify would throw the error a second time.
+		this.server.on('error', ignore);
 	}
 
 	/**
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -33,7 +33,7 @@
 	/** Seed of the routing decisions; a random one if absent. */
 	seed: z.number().int().optional(),
 	/** Time between ticks of the core. */
-	tickInterval: z.number().int().min(1).max(1000).default(25),
+	tickInterval: z.number().int().min(1).max(1000).default(50),
 	/** Time between load reports asked of an engine. */
 	reportInterval: z.number().int().min(10).default(500),
 	/** Longest wait of one watch at the platform. */
