--- a/bench/experiments/slopes.ts
+++ b/bench/experiments/slopes.ts
@@ -24,6 +24,8 @@
 type Plan = {
 	readonly unit: string;
 	readonly sizes: readonly number[];
+	/** Milliseconds before costs are measured, where it takes long until hosts have met. */
+	readonly settling?: number;
 	readonly shape: (size: number) => ShapeInput;
 	/** Goes on while costs are measured. */
 	readonly activity?: (fleet: Fleet, size: number, milliseconds: number) => Promise<unknown>;
@@ -85,6 +87,7 @@
 	hosts: {
 		unit: 'hosts of a failure domain',
 		sizes: [2, 8, 20, 42],
+		settling: 20_000,
 		shape: size => small({hosts: [size]}),
 	},
 	engines: {
@@ -129,8 +132,9 @@
 
 async function measurePoint(plan: Plan, size: number): Promise<SlopePoint> {
 	await using fleet = await Fleet.start(plan.shape(size));
-	const activity = plan.activity?.(fleet, size, settling + measuring + settling);
-	await sleep(settling);
+	const settled = plan.settling ?? settling;
+	const activity = plan.activity?.(fleet, size, settled + measuring + settling);
+	await sleep(settled);
 	const cost = await measureCost(fleet, measuring);
 	await activity;
 	return {size, cost};
