Answers are kept only while they may be asked for again, within a bound

Cause, found by reading: every request that was not idempotent kept its exchange until the core forgot it, but the core forgets only those that used a right here. Now the core is asked at the end; what was sent upstream is dropped then; ended answers share 32 MB, the oldest give way and are told as 3007. A forwarding ends when its caller leaves. Fleets try again when a port they found free was taken.

--- a/bench/fleet/hosts.ts
+++ b/bench/fleet/hosts.ts
@@ -5,7 +5,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import got from 'got';
 import {z} from 'zod';
-import {type Address} from '../../src/core/index.js';
+import {codes, type Address} from '../../src/core/index.js';
 import {type Hosts as HostList} from '../../src/platform/protocol.js';
 import {type FaultProxy} from '../../stand-ins/proxy/service.js';
 import {Child} from './child.js';
@@ -38,6 +38,7 @@
 type Links = {readonly caller: Address; readonly peer: Address; readonly platform: Address};
 
 const pollInterval = 20;
+const startTries = 5;
 const loopback = '127.0.0.1';
 
 export class HostGroup implements AsyncDisposable {
@@ -115,20 +116,18 @@
 		}
 
 		const links = await this.#linksOf(planned);
-		const ports = await freePorts();
-		const file = path.join(this.#directory, `${id}.json`);
-		await writeFile(file, JSON.stringify(this.#settingsOf(planned, links, ports)));
-		const child = await Child.start({
-			name: id,
-			program: 'src/entry/main.js',
-			settings: file,
-			readyEvent: 'listening',
-			keepsLog: this.#shape.keepsLogs,
-			...(this.#proxy !== undefined && {
-				preload: 'bench/fleet/bind-address.js', environment: {FLEET_SOURCE_ADDRESS: planned.source},
-			}),
-		});
-		return this.#note(planned, child, ports);
+		for (let tries = 1; ; tries++) {
+			const ports = await freePorts();
+			try {
+				const child = await this.#startProcess(planned, links, ports);
+				return this.#note(planned, child, ports);
+			} catch (error) {
+				// Another process may have taken a port since it was found free.
+				if (tries === startTries || !String(error).includes(`"code":${codes.portInUse}`)) {
+					throw error;
+				}
+			}
+		}
 	}
 
 	/** Marks a host as leaving in the platform's list. */
@@ -159,6 +158,21 @@
 		await rm(this.#directory, {recursive: true, force: true});
 	}
 
+	async #startProcess(planned: Planned, links: Links | undefined, ports: Ports): Promise<Child> {
+		const file = path.join(this.#directory, `${planned.id}.json`);
+		await writeFile(file, JSON.stringify(this.#settingsOf(planned, links, ports)));
+		return Child.start({
+			name: planned.id,
+			program: 'src/entry/main.js',
+			settings: file,
+			readyEvent: 'listening',
+			keepsLog: this.#shape.keepsLogs,
+			...(this.#proxy !== undefined && {
+				preload: 'bench/fleet/bind-address.js', environment: {FLEET_SOURCE_ADDRESS: planned.source},
+			}),
+		});
+	}
+
 	#settingsOf({id, domain}: Planned, links: Links | undefined, ports: Ports): unknown {
 		return {
 			statedPromptTokens: true,
--- a/bench/fleet/ports.ts
+++ b/bench/fleet/ports.ts
@@ -8,9 +8,9 @@
 	readonly peer: number;
 };
 
-/** Below the ports that the system gives to outgoing connections, which could take one before its process starts. */
-const least = 12_000;
-const most = 32_000;
+/** Below the ports that systems give to outgoing connections, which could take one before its process starts. */
+const least = 10_000;
+const most = 16_000;
 
 async function isFree(port: number): Promise<boolean> {
 	const server = createServer();
--- a/src/core/features/tickets/queries.ts
+++ b/src/core/features/tickets/queries.ts
@@ -2,6 +2,7 @@
 import {type CodeName} from '../../errors.js';
 import {type Incarnation, type Request} from '../../types/request.js';
 import {type Context, type State} from '../../types/state.js';
+import {assertNever} from '../../utils/common.js';
 import {type Entry} from './types.js';
 
 /**
@@ -47,6 +48,38 @@
 	return state.tickets.entries.get(right);
 }
 
+/**
+ * @param state - Core state.
+ * @param request - Request that was answered.
+ * @returns Whether its answer may be asked for again here; the effect `forget` ends that.
+ */
+export function keepsAnswer(state: State, request: Request): boolean {
+	const {proof} = request;
+	switch (proof.type) {
+		case 'ticket': {
+			return isEndedBy(state, ticketRight(proof.ticket.sequence), request);
+		}
+
+		case 'key': {
+			return isEndedBy(state, keyRight(request.organisation, proof.key), request);
+		}
+
+		case 'idempotent':
+		case 'none': {
+			return false;
+		}
+
+		default: {
+			return assertNever(proof);
+		}
+	}
+}
+
+function isEndedBy(state: State, right: string, {id}: Request): boolean {
+	const progress = entry(state, right)?.progress;
+	return progress?.type === 'ended' && progress.request === id;
+}
+
 /**
  * To be asked before every send, also before a retry and after a wait: a ticket may have expired, or the request may
  * have been sealed meanwhile, and a paused process must not act on what was true before.
--- a/src/entry/callers/answer.ts
+++ b/src/entry/callers/answer.ts
@@ -1,6 +1,6 @@
 /** The answer of one request: passed to its callers as it comes, and kept where it may be asked for again. */
 import {once} from 'node:events';
-import {type Outcome} from '../../core/index.js';
+import {codes, type Outcome} from '../../core/index.js';
 import {
 	endAnswer,
 	writePiece,
@@ -11,10 +11,13 @@
 /** Bytes of one answer that are kept for repeats. */
 const keptLimit = 4_000_000;
 
+const notKept: Outcome = {type: 'failed', code: codes.answerNotKept};
+
 /** Bytes that may wait for one of several callers before it is given up. */
 const waitingLimit = 1_000_000;
 
-type End = {
+/** How an answer ended. */
+export type End = {
 	readonly outcome: Outcome;
 	readonly ticket?: string;
 };
@@ -24,6 +27,7 @@
 	readonly #receivers = new Set<Receiver>();
 	readonly #pieces: Piece[] = [];
 	#size = 0;
+	#isTrimmed = false;
 	#end: End | undefined;
 	/** Settles when the only caller has room again. */
 	#room: Promise<void> | undefined;
@@ -43,9 +47,9 @@
 		return this.#end !== undefined;
 	}
 
-	/** Whether the answer grew too long to be given again. */
-	get isTooLong(): boolean {
-		return this.#size > keptLimit;
+	/** Bytes kept for repeats. */
+	get size(): number {
+		return this.#size;
 	}
 
 	get receivers(): number {
@@ -58,6 +62,12 @@
 	 * @param receiver - Caller.
 	 */
 	attach(receiver: Receiver): void {
+		if (this.#isTrimmed) {
+			const outcome = this.#end?.outcome;
+			endAnswer(receiver, outcome === undefined || outcome.type === 'done' ? notKept : outcome);
+			return;
+		}
+
 		for (const piece of this.#pieces) {
 			writePiece(receiver, piece);
 		}
@@ -107,16 +117,23 @@
 		return this.#room;
 	}
 
+	/** Gives up the content; those who ask for it again are told so. */
+	trim(): void {
+		this.#isTrimmed = true;
+		this.#pieces.length = 0;
+		this.#size = 0;
+	}
+
 	/**
-	 * @param outcome - End of the request.
-	 * @param ticket - Ticket for the caller to come back with, if one was issued.
+	 * @param end - End of the request.
 	 */
-	end(outcome: Outcome, ticket?: string): void {
+	end(end: End): void {
 		if (this.#end !== undefined) {
 			return;
 		}
 
-		this.#end = {outcome, ticket};
+		this.#end = end;
+		const {outcome, ticket} = end;
 		for (const receiver of this.release()) {
 			endAnswer(receiver, outcome, ticket);
 		}
@@ -128,13 +145,13 @@
 	}
 
 	#keep(piece: Piece): void {
-		if (!this.#isKept) {
+		if (!this.#isKept || this.#isTrimmed) {
 			return;
 		}
 
 		this.#size += piece.type === 'bytes' ? piece.chunk.byteLength : (piece.type === 'frame' ? piece.data.length : 0);
-		if (this.isTooLong) {
-			this.#pieces.length = 0;
+		if (this.#size > keptLimit) {
+			this.trim();
 		} else {
 			this.#pieces.push(piece);
 		}
--- a/src/entry/callers/exchange.ts
+++ b/src/entry/callers/exchange.ts
@@ -6,7 +6,7 @@
 	type Outcome,
 	type Request,
 } from '../../core/index.js';
-import {Answer} from './answer.js';
+import {Answer, type End} from './answer.js';
 import {endAnswer, type Receiver} from './receivers.js';
 
 /** What is sent to upstreams for a request. */
@@ -33,11 +33,17 @@
 	readonly receiver: Receiver;
 };
 
+/** Bytes of answers kept for repeats after their end. */
+const keptLimit = 32_000_000;
+
 const notKept: Outcome = {type: 'failed', code: codes.answerNotKept};
 
 export class Exchanges {
 	readonly #exchanges = new Map<string, Exchange>();
 	readonly #waiting = new Map<string, (ticket: string, expires: number) => void>();
+	/** Bytes of each answer that is kept after its end, the oldest first, and of all. */
+	readonly #kept = new Map<string, number>();
+	#keptSize = 0;
 	/** Request whose answer a caller gets: its own, or the one it repeats. */
 	readonly #places = new WeakMap<Receiver, string>();
 
@@ -74,17 +80,19 @@
 	 * Ends a request's answer; one that may be asked for again stays until it is forgotten.
 	 *
 	 * @param request - Request.
-	 * @param outcome - Its end.
-	 * @param ticket - Ticket for the caller to come back with, if one was issued.
+	 * @param end - Its end.
+	 * @param isWanted - Tells whether a request's answer may be asked for again.
 	 */
-	end(request: string, outcome: Outcome, ticket?: string): void {
+	end(request: string, end: End, isWanted: (request: Request) => boolean): void {
 		const exchange = this.#exchanges.get(request);
 		if (exchange === undefined) {
 			return;
 		}
 
-		exchange.answer.end(outcome, ticket);
-		if (!exchange.answer.isKept) {
+		exchange.answer.end(end);
+		if (exchange.answer.isKept && isWanted(exchange.request)) {
+			this.#keep(exchange);
+		} else {
 			this.#exchanges.delete(request);
 		}
 	}
@@ -100,7 +108,7 @@
 		const receivers = this.#exchanges.get(request)?.answer.release() ?? [];
 		this.#exchanges.delete(request);
 		for (const receiver of receivers) {
-			if (source === undefined || source.isTooLong) {
+			if (source === undefined) {
 				endAnswer(receiver, notKept);
 			} else {
 				this.#places.set(receiver, original);
@@ -134,6 +142,12 @@
 	 * @param request - Request whose answer is wanted no longer.
 	 */
 	forget(request: string): void {
+		const size = this.#kept.get(request);
+		if (size !== undefined) {
+			this.#kept.delete(request);
+			this.#keptSize -= size;
+		}
+
 		this.#exchanges.delete(request);
 	}
 
@@ -153,4 +167,30 @@
 		answer.detach(receiver);
 		return answer.receivers === 0 ? place : undefined;
 	}
+
+	/** What was sent upstream is wanted no longer, and the oldest answers make room for new ones. */
+	#keep(exchange: Exchange): void {
+		const {request, answer} = exchange;
+		this.#exchanges.set(request.id, {...exchange, payload: emptied(exchange.payload)});
+		this.#kept.set(request.id, answer.size);
+		this.#keptSize += answer.size;
+		for (const [id, size] of this.#kept) {
+			if (this.#keptSize <= keptLimit) {
+				return;
+			}
+
+			this.#exchanges.get(id)?.answer.trim();
+			this.#kept.delete(id);
+			this.#keptSize -= size;
+		}
+	}
+}
+
+function emptied(payload: Payload): Payload {
+	return {
+		...payload,
+		headers: {},
+		body: new Uint8Array(),
+		engineBody: '',
+	};
 }
--- a/src/entry/callers/resumption.ts
+++ b/src/entry/callers/resumption.ts
@@ -60,7 +60,7 @@
 		const answer = new Answer(false);
 		answer.attach(receiver);
 		const ending = await this.#follow(position, answer, response);
-		answer.end(outcomeOf(ending));
+		answer.end({outcome: outcomeOf(ending)});
 	}
 
 	async #follow(position: Position, answer: Answer, response: ServerResponse): Promise<Ending> {
--- a/src/entry/callers/server.ts
+++ b/src/entry/callers/server.ts
@@ -46,6 +46,8 @@
 	readonly state: () => State;
 	readonly dispatch: (event: Event) => void;
 	readonly isReady: () => boolean;
+	/** Ends the forwarding of a request whose caller left. */
+	readonly abandon: (request: string) => void;
 };
 
 const methods = ['get', 'post', 'put', 'patch', 'del', 'head', 'opts'] as const;
@@ -150,6 +152,7 @@
 			const abandoned = this.#counter.exchanges.leave(receiver);
 			if (abandoned !== undefined) {
 				this.#counter.dispatch({type: 'request-abandoned', request: abandoned});
+				this.#counter.abandon(abandoned);
 			}
 		}
 	}
--- a/src/entry/container.ts
+++ b/src/entry/container.ts
@@ -53,6 +53,7 @@
 	}));
 	container.bind(tokens.callers).toDynamicValue(({get}) => {
 		const lifecycle = get(tokens.lifecycle);
+		const relays = get(tokens.relays);
 		return new CallerServer({
 			settings,
 			exchanges: get(tokens.exchanges),
@@ -61,6 +62,9 @@
 			log: get(tokens.log),
 			resumption: get(tokens.resumption),
 			isReady: () => lifecycle.isReady,
+			abandon(request) {
+				relays.abandon(request);
+			},
 			...core(get(tokens.driver)),
 		});
 	});
--- a/src/entry/executor.ts
+++ b/src/entry/executor.ts
@@ -1,6 +1,7 @@
 /** Carries out the core's effects. */
 import {
 	assertNever,
+	keepsAnswer,
 	type Address,
 	type Effect,
 	type Event,
@@ -84,7 +85,7 @@
 			}
 
 			case 'answer': {
-				exchanges.end(effect.request, effect.outcome, effect.ticket && signTicket(this.#keys(), effect.ticket));
+				this.#answer(effect);
 				break;
 			}
 
@@ -174,6 +175,11 @@
 		}
 	}
 
+	#answer({request, outcome, ticket}: EffectOf<'answer'>): void {
+		const {exchanges, state} = this.#parts;
+		exchanges.end(request, {outcome, ticket: ticket && signTicket(this.#keys(), ticket)}, original => keepsAnswer(state(), original));
+	}
+
 	#keys() {
 		return this.#parts.state().configuration.inForce?.tokenKeys ?? [];
 	}
