--- a/__tests__/examples.test.ts
+++ b/__tests__/examples.test.ts
@@ -3,7 +3,7 @@
 import path from 'node:path';
 import {describe, expect, it} from 'vitest';
 import {statusOf} from '../src/entry/callers/statuses.js';
-import {parseSettings} from '../src/entry/settings.js';
+import {settingsSchema as entrySettings} from '../src/entry/settings.js';
 import {parseConfiguration, warningsOf} from '../src/protocol/configuration/index.js';
 import {settingsSchema as engineSettings} from '../stand-ins/engine/settings.js';
 import {settingsSchema as plainSettings} from '../stand-ins/plain/service.js';
@@ -21,8 +21,8 @@
 	});
 
 	it.each([
-		['host-a1.json', parseSettings],
-		['host-a2.json', parseSettings],
+		['host-a1.json', entrySettings.parse],
+		['host-a2.json', entrySettings.parse],
 		['platform.json', platformSettings.parse],
 		['engines.json', engineSettings.parse],
 		['portal.json', plainSettings.parse],
--- a/src/console/__tests__/browser.ts
+++ b/src/console/__tests__/browser.ts
@@ -1,6 +1,7 @@
 /** Reads pages and sends their forms as a browser would. */
 import {ConsoleServer} from '../server.js';
-import {parseSettings} from '../settings.js';
+import {parseSettings} from '../../protocol/settings.js';
+import {settingsSchema} from '../settings.js';
 
 const entities: Readonly<Record<string, string>> = {
 	amp: '&', lt: '<', gt: '>', quot: '"', '#39': '\'',
@@ -33,7 +34,7 @@
 }
 
 export async function openConsole(settings: Readonly<Record<string, unknown>> = {}) {
-	const server = new ConsoleServer(parseSettings({listen: {port: 0}, ...settings}));
+	const server = new ConsoleServer(parseSettings(settingsSchema, {listen: {port: 0}, ...settings}));
 	const port = await server.listen();
 	const url = `http://127.0.0.1:${port}`;
 	const post = async (path: string, body: URLSearchParams | string, headers: Readonly<Record<string, string>> = {}) =>
--- a/src/console/main.ts
+++ b/src/console/main.ts
@@ -6,8 +6,9 @@
 import {createConsola, type LogObject} from 'consola';
 import {codes, isFailure} from '../core/index.js';
 import {formatAddress} from '../protocol/address.js';
+import {parseSettings, readSettings} from '../protocol/settings.js';
 import {ConsoleServer} from './server.js';
-import {parseSettings, readSettings, type Settings} from './settings.js';
+import {settingsSchema, type Settings} from './settings.js';
 
 type Choices = {
 	readonly settings?: string;
@@ -27,10 +28,10 @@
 
 async function settingsOf({settings, listen, hosts, document}: Choices): Promise<Settings> {
 	if (settings !== undefined) {
-		return readSettings(settings);
+		return readSettings(settingsSchema, settings);
 	}
 
-	return parseSettings({
+	return parseSettings(settingsSchema, {
 		...(listen !== undefined && {listen: splitListener(listen)}),
 		...(hosts !== undefined && {admin: hosts.split(',')}),
 		...(document !== undefined && {document}),
--- a/src/entry/main.ts
+++ b/src/entry/main.ts
@@ -4,9 +4,10 @@
 import 'reflect-metadata';
 import {Command} from 'commander';
 import {messageOf, codes, isFailure} from '../core/index.js';
+import {readSettings} from '../protocol/settings.js';
 import {startDaemon} from './daemon.js';
 import {Log} from './logs.js';
-import {readSettings, type Settings} from './settings.js';
+import {settingsSchema, type Settings} from './settings.js';
 
 const badSettingsExit = 2;
 const failedExit = 1;
@@ -40,7 +41,7 @@
 	.addHelpText('after', '\nExample:\n  cranberrytide-entry --settings host-a1.json')
 	.action(async ({settings}: {settings: string}) => {
 		try {
-			await run(readSettings(settings));
+			await run(readSettings(settingsSchema, settings));
 			process.exitCode = 0;
 		} catch (error) {
 			new Log('').write({event: 'failed', code: codeOf(error), detail: messageOf(error)}, 'error');
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -1,7 +1,5 @@
 /** Settings of the entry daemon: one JSON file, validated. Times are in milliseconds, sizes in bytes. */
-import {readFileSync} from 'node:fs';
 import {z} from 'zod';
-import {messageOf, raise} from '../core/index.js';
 
 const port = z.number().int().min(0).max(65_535);
 const listener = z.strictObject({host: z.string().min(1).default('127.0.0.1'), port}).readonly();
@@ -47,43 +45,3 @@
 }).readonly();
 
 export type Settings = z.infer<typeof settingsSchema>;
-
-/**
- * @param value - Parsed JSON.
- * @returns Valid settings.
- * @throws Failure `badSettings` that names each mistake with its path.
- */
-export function parseSettings(value: unknown): Settings {
-	const result = settingsSchema.safeParse(value);
-	if (result.success) {
-		return result.data;
-	}
-
-	const mistakes = result.error.issues.map(issue => `${issue.path.join('.') || '(root)'}: ${issue.message}`);
-	return raise('badSettings', mistakes.join('; '));
-}
-
-/**
- * @param path - Settings file.
- * @returns Valid settings.
- * @throws Failure `unreadableSettings` or `badSettings`.
- */
-export function readSettings(path: string): Settings {
-	return parseSettings(parseJson(readText(path), path));
-}
-
-function readText(path: string): string {
-	try {
-		return readFileSync(path, 'utf8');
-	} catch (error) {
-		return raise('unreadableSettings', messageOf(error));
-	}
-}
-
-function parseJson(text: string, path: string): unknown {
-	try {
-		return JSON.parse(text);
-	} catch (error) {
-		return raise('badSettings', `${path}: ${messageOf(error)}`);
-	}
-}
--- /dev/null
+++ b/src/protocol/settings.ts
@@ -0,0 +1,46 @@
+/** Settings files: JSON, validated, each mistake named with its path. */
+import {readFileSync} from 'node:fs';
+import {type z} from 'zod';
+import {messageOf, raise} from '../core/index.js';
+
+/**
+ * @param schema - Schema of the settings.
+ * @param value - Parsed JSON.
+ * @returns Valid settings.
+ * @throws Failure `badSettings` that names each mistake with its path.
+ */
+export function parseSettings<T>(schema: z.ZodType<T>, value: unknown): T {
+	const result = schema.safeParse(value);
+	if (result.success) {
+		return result.data;
+	}
+
+	const mistakes = result.error.issues.map(issue => `${issue.path.join('.') || '(root)'}: ${issue.message}`);
+	return raise('badSettings', mistakes.join('; '));
+}
+
+/**
+ * @param schema - Schema of the settings.
+ * @param path - Settings file.
+ * @returns Valid settings.
+ * @throws Failure `unreadableSettings` or `badSettings`.
+ */
+export function readSettings<T>(schema: z.ZodType<T>, path: string): T {
+	return parseSettings(schema, parseJson(readText(path), path));
+}
+
+function readText(path: string): string {
+	try {
+		return readFileSync(path, 'utf8');
+	} catch (error) {
+		return raise('unreadableSettings', messageOf(error));
+	}
+}
+
+function parseJson(text: string, path: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch (error) {
+		return raise('badSettings', `${path}: ${messageOf(error)}`);
+	}
+}
