Engines that fail at each stage of a request that may run only once

Refusing, gone before a byte, crashing before the first token and in the middle, cutting the stream and cutting it before its last frame; the ledger finds no breach in any.

--- a/__tests__/support/caller.ts
+++ b/__tests__/support/caller.ts
@@ -33,9 +33,23 @@
 		code: Number(headers['x-result-code'] ?? trailers['x-result-code'] ?? -1),
 		body,
 		ticket,
+		...streamEnd(body),
 	};
 }
 
+const errorSchema = z.object({error: z.object({type: z.string(), code: z.number()})});
+
+/** A stream tells its outcome in its terminal event. */
+function streamEnd(body: string): Partial<Told> {
+	const error = /^event: error\ndata: (.*)$/mv.exec(body)?.[1];
+	if (error !== undefined) {
+		const {type, code} = errorSchema.parse(JSON.parse(error)).error;
+		return {outcome: type, code};
+	}
+
+	return body.includes('\ndata: [DONE]\n') ? {outcome: 'done', code: 0} : {};
+}
+
 export type Sending = {
 	readonly host: string;
 	readonly path: string;
--- a/__tests__/truth.test.ts
+++ b/__tests__/truth.test.ts
@@ -10,6 +10,7 @@
 } from 'vitest';
 import {Fleet} from '../bench/fleet/fleet.js';
 import {
+	bodyOf,
 	expectedAnswer,
 	sendOnce,
 	stream,
@@ -154,6 +155,38 @@
 		expect(await ledger.check(fleet)).toEqual([]);
 	});
 
+	it.each([
+		['refuses it', 0, {type: 'refuse', status: 503, count: 50}],
+		['is gone before a byte is sent', 0, {type: 'crash', returnAfter: 20_000}],
+		['crashes before the first token', 300, {type: 'crash', returnAfter: 300}],
+		['crashes in the middle of the answer', 1200, {type: 'crash', returnAfter: 300}],
+		['cuts the stream and goes on', 0, {type: 'cut', afterFrames: 20, count: 2}],
+		['cuts the stream before its last frame', 0, {type: 'cut', afterFrames: tokens - 1, count: 2}],
+	] as const)('runs at most once when its engine %s', async (stage, after, fault) => {
+		const body = JSON.stringify({...bodyOf(stage, tokens), messages: [{role: 'user', content: `${stage} `.repeat(6000)}]});
+		const ticket = await wantTicket(fleet, 'a-host-1');
+		const send = async (host: string) => ledger.note(body, await sendOnce(fleet, {
+			host,
+			path: '/v1/chat/completions',
+			body,
+			ticket,
+			timeout: 8000,
+		}));
+		const early = after === 0 ? fleet.upstreams.faultEngines(fault) : undefined;
+		await early;
+		const first = send('a-host-1');
+		if (after > 0) {
+			await sleep(after);
+			await fleet.upstreams.faultEngines(fault);
+		}
+
+		const told = await first;
+		expect(['done', 'failed', 'not run', 'outcome unknown']).toContain(told.outcome);
+		expect(told.code).toBeGreaterThanOrEqual(0);
+		await send('b-host-1');
+		expect(await ledger.check(fleet)).toEqual([]);
+	});
+
 	it('survives two faults together: a partition, and the upstream dropping what it ran', async () => {
 		const tickets = await Promise.all(['a-host-1', 'a-host-2', 'b-host-1', 'b-host-2'].map(async host =>
 			({host, ticket: await wantTicket(fleet, host)})));
