Relays and kept answers: one lookup, one constant, no field that nobody reads

Each send searched all upstreams one by one though the core has them indexed; plain services and old endpoints had two equal branches and a parameter that was always the same; the outcome of an answer that was given up stood twice; and each exchange kept its caller's response, which nobody read, for as long as its answer was kept. Behaviour stays.

--- a/src/entry/callers/answer.ts
+++ b/src/entry/callers/answer.ts
@@ -11,7 +11,8 @@
 /** Bytes of one answer that are kept for repeats. */
 const keptLimit = 4_000_000;
 
-const notKept: Outcome = {type: 'failed', code: codes.answerNotKept};
+/** What those are told who ask again for an answer that was given up. */
+export const notKept: Outcome = {type: 'failed', code: codes.answerNotKept};
 
 /** Bytes that may wait for one of several callers before it is given up. */
 const waitingLimit = 1_000_000;
--- a/src/entry/callers/exchange.ts
+++ b/src/entry/callers/exchange.ts
@@ -1,12 +1,8 @@
 /** Requests that callers are waiting for at this host. */
 import {type IncomingMessage} from 'node:http';
 import {type Method} from 'got';
-import {
-	codes,
-	type Outcome,
-	type Request,
-} from '../../core/index.js';
-import {Answer, type End} from './answer.js';
+import {type Request} from '../../core/index.js';
+import {Answer, notKept, type End} from './answer.js';
 import {endAnswer, type Receiver} from './receivers.js';
 
 /** What is sent to upstreams for a request. */
@@ -30,14 +26,11 @@
 	readonly request: Request;
 	readonly payload: Payload;
 	readonly answer: Answer;
-	readonly receiver: Receiver;
 };
 
 /** Bytes of answers kept for repeats after their end. */
 const keptLimit = 32_000_000;
 
-const notKept: Outcome = {type: 'failed', code: codes.answerNotKept};
-
 export class Exchanges {
 	readonly #exchanges = new Map<string, Exchange>();
 	readonly #waiting = new Map<string, (ticket: string, expires: number) => void>();
@@ -64,7 +57,6 @@
 			request,
 			payload,
 			answer,
-			receiver,
 		});
 	}
 
--- a/src/entry/callers/resumption.ts
+++ b/src/entry/callers/resumption.ts
@@ -9,6 +9,7 @@
 	type Outcome,
 	type State,
 } from '../../core/index.js';
+import {upstream as upstreamOf} from '../../core/features/configuration/queries.js';
 import {positionOf, verifyPosition, type StreamPosition} from '../../protocol/token.js';
 import {resumeOnEngine} from '../../upstream/engine.js';
 import {type Clock} from '../clock.js';
@@ -106,7 +107,7 @@
 	}
 
 	#engine(id: string): Engine {
-		const upstream = this.#ground.state().configuration.inForce?.upstreams.find(each => each.id === id);
+		const upstream = upstreamOf(this.#ground.state(), id);
 		return upstream?.kind === 'engine' ? upstream : raise('noUpstream');
 	}
 }
--- a/src/entry/relays/relays.ts
+++ b/src/entry/relays/relays.ts
@@ -5,6 +5,7 @@
 	codes,
 	type Ending,
 } from '../../core/index.js';
+import {upstream as upstreamOf} from '../../core/features/configuration/queries.js';
 import {prefillSegment} from '../../upstream/control.js';
 import {runOnEngine, type Call} from '../../upstream/engine.js';
 import {endToEnd, runOnPlain, type PassedHeaders} from '../../upstream/plain.js';
@@ -129,7 +130,7 @@
 	}
 
 	#kindOf(upstream: string) {
-		return this.#surroundings.state().configuration.inForce?.upstreams.find(each => each.id === upstream)?.kind;
+		return upstreamOf(this.#surroundings.state(), upstream)?.kind;
 	}
 
 	async #run(effect: EffectOf<'send'>, exchange: Exchange, signal: AbortSignal): Promise<Ending> {
@@ -139,12 +140,9 @@
 				return this.#runOnEngine(effect, exchange, signal);
 			}
 
-			case 'plain': {
-				return this.#passOn(effect, exchange, exchange.payload.path, signal);
-			}
-
+			case 'plain':
 			case 'legacy': {
-				return this.#passOn(effect, exchange, exchange.payload.path, signal);
+				return this.#passOn(effect, exchange, signal);
 			}
 
 			case undefined: {
@@ -185,10 +183,10 @@
 	/** Engines of a group work on their segments at the same time. */
 	async #prefill(effect: EffectOf<'send'>, signal: AbortSignal): Promise<Ending | undefined> {
 		const timeout = effect.deadline - this.#surroundings.clock.now();
-		const {upstreams = []} = this.#surroundings.state().configuration.inForce ?? {};
+		const state = this.#surroundings.state();
 		try {
 			await Promise.all((effect.segments ?? []).map(async segment => {
-				const target = upstreams.find(each => each.id === segment.upstream);
+				const target = upstreamOf(state, segment.upstream);
 				if (target !== undefined) {
 					await prefillSegment(target.address, segment, [], timeout);
 				}
@@ -202,13 +200,13 @@
 		return signal.aborted ? {type: 'cancelled'} : undefined;
 	}
 
-	async #passOn(effect: EffectOf<'send'>, exchange: Exchange, path: string, signal: AbortSignal): Promise<Ending> {
+	async #passOn(effect: EffectOf<'send'>, exchange: Exchange, signal: AbortSignal): Promise<Ending> {
 		const {payload, request, answer} = exchange;
 		const {dispatch} = this.#surroundings;
 		return runOnPlain({
 			address: effect.address,
 			method: payload.method,
-			path,
+			path: payload.path,
 			headers: this.#headersFor(exchange),
 			body: payload.body,
 			mayRepeat: request.proof.type === 'idempotent',
