--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -18,6 +18,8 @@
 	badPosition: 1010,
 	promptTooLong: 1011,
 	unknownPath: 1012,
+	unknownRoute: 1013,
+	missingId: 1014,
 	overloaded: 2001,
 	deadlineUnreachable: 2002,
 	organisationLimit: 2003,
@@ -49,6 +51,7 @@
 	impossibleLimit: 5006,
 	dangerousChange: 5007,
 	duplicateEntry: 5008,
+	badRegistration: 5009,
 	badSettings: 6001,
 	unreadableSettings: 6002,
 	portInUse: 6003,
@@ -63,6 +66,8 @@
 	baseNotInForce: 7009,
 	badPeerMessage: 8001,
 	orderRefused: 8002,
+	storeUnavailable: 8003,
+	storeUnreadable: 8004,
 	internal: 9001,
 } as const;
 
@@ -84,6 +89,8 @@
 	badPosition: 'The stream position is not one of ours.',
 	promptTooLong: 'The prompt is longer than the service\'s engines hold together.',
 	unknownPath: 'There is nothing at this path.',
+	unknownRoute: 'No route leads from this host name and path.',
+	missingId: 'The request has no id.',
 	overloaded: 'The service has more work than it can take.',
 	deadlineUnreachable: 'The request could not finish within its time.',
 	organisationLimit: 'The organisation is at its limit.',
@@ -115,6 +122,7 @@
 	impossibleLimit: 'The document has a limit that cannot be met.',
 	dangerousChange: 'The change is valid but dangerous.',
 	duplicateEntry: 'The document names the same thing twice.',
+	badRegistration: 'The registration of an upstream cannot be read.',
 	badSettings: 'A setting is not valid.',
 	unreadableSettings: 'The settings file cannot be read.',
 	portInUse: 'The port is in use.',
@@ -129,6 +137,8 @@
 	baseNotInForce: 'The draft starts from a document that is no longer in force.',
 	badPeerMessage: 'A peer sent a message that is not valid.',
 	orderRefused: 'The engine refused an order.',
+	storeUnavailable: 'The platform\'s store does not serve this host now.',
+	storeUnreadable: 'The platform\'s store sent something that cannot be read.',
 	internal: 'An internal error.',
 } satisfies Readonly<Record<CodeName, string>>;
 
--- /dev/null
+++ b/src/core/gateway/directory.ts
@@ -0,0 +1,91 @@
+/** Finds the route and the organisation of a request in the configuration in force. */
+import {
+	type GatewayConfiguration, type GatewayOrganisation, type GatewayService, type Route,
+} from './types.js';
+
+export type Resolution
+	= | {readonly type: 'no-route'}
+		| {readonly type: 'unknown-key'; readonly route: Route}
+		| {readonly type: 'routed'; readonly route: Route; readonly organisation?: GatewayOrganisation};
+
+/** One configuration, indexed. */
+export class Directory {
+	readonly #configuration: GatewayConfiguration;
+	/** By authority and prefix. */
+	readonly #routes = new Map<string, Map<string, Route>>();
+	readonly #keys = new Map<string, GatewayOrganisation>();
+	readonly #services: ReadonlyMap<string, GatewayService>;
+
+	/**
+	 * @param configuration - Configuration in force.
+	 */
+	constructor(configuration: GatewayConfiguration) {
+		this.#configuration = configuration;
+		for (const route of configuration.routes) {
+			this.#prefixes(route.authority).set(route.prefix, route);
+		}
+
+		for (const organisation of configuration.organisations ?? []) {
+			for (const key of organisation.keys) {
+				this.#keys.set(key, organisation);
+			}
+		}
+
+		this.#services = new Map(configuration.services.map(service => [service.name, service]));
+	}
+
+	get configuration(): GatewayConfiguration {
+		return this.#configuration;
+	}
+
+	/**
+	 * @param name - Service.
+	 * @returns The service, if it is configured.
+	 */
+	service(name: string): GatewayService | undefined {
+		return this.#services.get(name);
+	}
+
+	/**
+	 * @param authority - Host and port that the caller named.
+	 * @param path - Path without its query.
+	 * @param key - API key, if the caller sent one.
+	 * @returns The route with the longest matching prefix and who calls, or why there is none.
+	 */
+	resolve(authority: string, path: string, key: string | undefined): Resolution {
+		const route = this.#route(authority, path);
+		if (route === undefined) {
+			return {type: 'no-route'};
+		}
+
+		const organisation = key === undefined ? undefined : this.#keys.get(key);
+		if (organisation === undefined && !route.isPublic && this.#configuration.organisations !== undefined) {
+			return {type: 'unknown-key', route};
+		}
+
+		return {type: 'routed', route, organisation};
+	}
+
+	#route(authority: string, path: string): Route | undefined {
+		const prefixes = this.#routes.get(authority.toLowerCase());
+		if (prefixes === undefined) {
+			return undefined;
+		}
+
+		for (let end = path.lastIndexOf('/'); end !== -1; end = end === 0 ? -1 : path.lastIndexOf('/', end - 1)) {
+			const route = prefixes.get(path.slice(0, end + 1));
+			if (route !== undefined) {
+				return route;
+			}
+		}
+
+		return undefined;
+	}
+
+	#prefixes(authority: string): Map<string, Route> {
+		const name = authority.toLowerCase();
+		const known = this.#routes.get(name) ?? new Map<string, Route>();
+		this.#routes.set(name, known);
+		return known;
+	}
+}
--- /dev/null
+++ b/src/core/gateway/health.ts
@@ -0,0 +1,100 @@
+/** How far upstreams can be trusted, from how attempts ended. */
+
+/** Half of what was seen counts no more after this time, in milliseconds: engines that crash are back within 3 to 5 s. */
+const halfLife = 2500;
+
+/** Attempts that an unknown upstream is taken to have had, and the failed part of them. */
+const priorAttempts = 4;
+const priorFailures = 0.04;
+
+/** Milliseconds that an upstream is left alone after a connection to it failed; doubled each time, up to the most. */
+const shortestPause = 250;
+const longestPause = 2000;
+
+/** What an attempt says of its upstream. */
+export type Verdict
+	/** It answered. */
+	= | 'sound'
+	/** It answered with a failure, refused without need or broke off. */
+		| 'faulty'
+	/** No connection could be made, or it fell silent. */
+		| 'unreachable';
+
+type Entry = {
+	attempts: number;
+	failures: number;
+	at: number;
+	/** Failed connections in a row. */
+	misses: number;
+	pausedUntil: number;
+};
+
+/** Failures of upstreams, forgotten with time. */
+export class Health {
+	readonly #entries = new Map<string, Entry>();
+
+	/**
+	 * @param upstream - Upstream.
+	 * @param verdict - What an attempt says of it.
+	 * @param now - Time in milliseconds.
+	 */
+	record(upstream: string, verdict: Verdict, now: number): void {
+		const entry = this.#decayed(upstream, now);
+		entry.attempts++;
+		entry.failures += verdict === 'sound' ? 0 : 1;
+		if (verdict === 'unreachable') {
+			entry.pausedUntil = now + Math.min(shortestPause * (2 ** entry.misses), longestPause);
+			entry.misses++;
+		} else if (verdict === 'sound') {
+			entry.misses = 0;
+			entry.pausedUntil = 0;
+		}
+
+		this.#entries.set(upstream, entry);
+	}
+
+	/**
+	 * @param upstream - Upstream that has started anew or is gone.
+	 */
+	forget(upstream: string): void {
+		this.#entries.delete(upstream);
+	}
+
+	/**
+	 * @param upstream - Upstream.
+	 * @param now - Time in milliseconds.
+	 * @returns Share of attempts that are expected to fail there, 0 to 1.
+	 */
+	risk(upstream: string, now: number): number {
+		const entry = this.#entries.get(upstream);
+		if (entry === undefined) {
+			return priorFailures / priorAttempts;
+		}
+
+		const kept = 0.5 ** ((now - entry.at) / halfLife);
+		return ((entry.failures * kept) + priorFailures) / ((entry.attempts * kept) + priorAttempts);
+	}
+
+	/**
+	 * @param upstream - Upstream.
+	 * @param now - Time in milliseconds.
+	 * @returns Whether it is left alone for now.
+	 */
+	isPaused(upstream: string, now: number): boolean {
+		return (this.#entries.get(upstream)?.pausedUntil ?? 0) > now;
+	}
+
+	#decayed(upstream: string, now: number): Entry {
+		const entry = this.#entries.get(upstream);
+		if (entry === undefined) {
+			return {
+				attempts: 0, failures: 0, at: now, misses: 0, pausedUntil: 0,
+			};
+		}
+
+		const kept = 0.5 ** ((now - entry.at) / halfLife);
+		return {
+			...entry, attempts: entry.attempts * kept, failures: entry.failures * kept, at: now,
+		};
+	}
+}
--- /dev/null
+++ b/src/core/gateway/load.ts
@@ -0,0 +1,275 @@
+/** What runs at each upstream, as far as this host knows: its own requests and those that its peers tell of. */
+import {footprint, writingPass} from './engine.js';
+import {type EngineModel} from './types.js';
+
+/** One sending of a request. Times are on this host's monotonic clock, in milliseconds. */
+export type Job = {
+	/** Unique over all hosts. */
+	readonly id: string;
+	/** Host that sent it. */
+	readonly host: string;
+	/** The upstream that answers. */
+	readonly upstream: string;
+	/** Engines that read a part of the prompt. */
+	readonly helpers: readonly string[];
+	readonly prompt: number;
+	readonly answer: number;
+	/** Whether the prompt's memory lies in holds at the upstream and the helpers alike. */
+	readonly isHeld: boolean;
+	/** Time that each engine reads, and the longest part of it within one pass. */
+	readonly read: number;
+	readonly readPerPass: number;
+	readonly pause?: number;
+	readonly weight: number;
+	readonly began: number;
+	/** When its first byte is due. */
+	readonly due: number;
+	/** It is over by then in any case. */
+	readonly deadline: number;
+	readonly firstByte?: number;
+};
+
+/** What an engine is expected to do next. */
+export type Forecast = {
+	/** Requests being read or written there, those of helpers excluded. */
+	readonly requests: number;
+	readonly writers: readonly Job[];
+	/** Prompts that are read there, in part or whole. */
+	readonly readers: readonly Job[];
+	/** Milliseconds of reading that stand before a new prompt. */
+	readonly backlog: number;
+	/** Milliseconds of a pass that reads nothing; 0 where nothing is written. */
+	readonly pass: number;
+	/** Tokens of memory that are not spoken for. */
+	readonly free: number;
+};
+
+/** What an engine has, beside the jobs themselves. */
+type Shelf = {
+	readonly jobs: Map<string, Job>;
+	/** When the reading that is known of will be done. */
+	readsUntil: number;
+};
+
+/** A reading that takes longer than predicted is taken to need this much more, in milliseconds. */
+const overrun = 20;
+
+/** Deadlines of peers' requests pass a little later here: clocks and messages differ, in milliseconds. */
+const expiryMargin = 500;
+
+/** Requests at upstreams. */
+export class Load {
+	readonly #jobs = new Map<string, Job>();
+	readonly #shelves = new Map<string, Shelf>();
+
+	/** Jobs known of. */
+	get size(): number {
+		return this.#jobs.size;
+	}
+
+	/**
+	 * @param id - Job.
+	 * @returns The job, while it runs.
+	 */
+	job(id: string): Job | undefined {
+		return this.#jobs.get(id);
+	}
+
+	/**
+	 * @param host - Host.
+	 * @returns The jobs that it sent.
+	 */
+	jobsOf(host: string): readonly Job[] {
+		return [...this.#jobs.values()].filter(job => job.host === host);
+	}
+
+	/**
+	 * @param upstream - Upstream.
+	 * @returns Requests that it has, those it only helps to read excluded.
+	 */
+	requests(upstream: string): number {
+		let count = 0;
+		for (const job of this.#shelves.get(upstream)?.jobs.values() ?? []) {
+			count += job.upstream === upstream ? 1 : 0;
+		}
+
+		return count;
+	}
+
+	/**
+	 * @param job - Job that was sent.
+	 * @param now - Time.
+	 */
+	begin(job: Job, now: number): void {
+		this.end(job.id, now);
+		this.#jobs.set(job.id, job);
+		for (const engine of enginesOf(job)) {
+			const shelf = this.#shelf(engine);
+			shelf.jobs.set(job.id, job);
+			if (job.firstByte === undefined) {
+				shelf.readsUntil = Math.max(shelf.readsUntil, now) + job.read;
+			}
+		}
+	}
+
+	/**
+	 * @param id - Job whose first byte has come.
+	 * @param now - Time.
+	 */
+	progress(id: string, now: number): void {
+		const job = this.#jobs.get(id);
+		if (job === undefined || job.firstByte !== undefined) {
+			return;
+		}
+
+		const next: Job = {...job, firstByte: now};
+		this.#jobs.set(id, next);
+		for (const engine of enginesOf(job)) {
+			const shelf = this.#shelf(engine);
+			shelf.jobs.set(id, next);
+			settle(shelf, now);
+		}
+	}
+
+	/**
+	 * @param id - Job that is over.
+	 * @param now - Time.
+	 */
+	end(id: string, now: number): void {
+		const job = this.#jobs.get(id);
+		if (job === undefined) {
+			return;
+		}
+
+		this.#jobs.delete(id);
+		for (const engine of enginesOf(job)) {
+			const shelf = this.#shelf(engine);
+			shelf.jobs.delete(id);
+			if (shelf.jobs.size === 0) {
+				this.#shelves.delete(engine);
+			} else if (job.firstByte === undefined) {
+				settle(shelf, now);
+			}
+		}
+	}
+
+	/**
+	 * Forgets the jobs of a host that has restarted or is gone.
+	 *
+	 * @param host - Host.
+	 * @param now - Time.
+	 */
+	forgetHost(host: string, now: number): void {
+		for (const job of this.jobsOf(host)) {
+			this.end(job.id, now);
+		}
+	}
+
+	/**
+	 * Forgets what ran at an upstream that has restarted.
+	 *
+	 * @param upstream - Upstream.
+	 * @param now - Time.
+	 */
+	forgetUpstream(upstream: string, now: number): void {
+		for (const job of this.#shelves.get(upstream)?.jobs.values() ?? []) {
+			if (job.upstream === upstream) {
+				this.end(job.id, now);
+			}
+		}
+	}
+
+	/**
+	 * Forgets jobs of others that must be over: their host may be cut off or gone.
+	 *
+	 * @param now - Time.
+	 */
+	expire(now: number): void {
+		for (const job of this.#jobs.values()) {
+			if (job.deadline + expiryMargin < now) {
+				this.end(job.id, now);
+			}
+		}
+	}
+
+	/**
+	 * @param upstream - Engine.
+	 * @param model - Its figures.
+	 * @param now - Time.
+	 * @returns What it is expected to do next.
+	 */
+	forecast(upstream: string, model: EngineModel, now: number): Forecast {
+		const shelf = this.#shelves.get(upstream);
+		if (shelf === undefined) {
+			return {
+				requests: 0, writers: [], readers: [], backlog: 0, pass: 0, free: model.memory,
+			};
+		}
+
+		const writers: Job[] = [];
+		const readers: Job[] = [];
+		const contexts: number[] = [];
+		let free = model.memory;
+		let requests = 0;
+		for (const job of shelf.jobs.values()) {
+			requests += job.upstream === upstream ? 1 : 0;
+			free -= memoryAt(job, upstream, model);
+			if (job.firstByte === undefined) {
+				readers.push(job);
+				continue;
+			}
+
+			contexts.push(contextAt(job, upstream));
+			if (job.upstream === upstream) {
+				writers.push(job);
+			}
+		}
+
+		const least = readers.length === 0 ? 0 : overrun;
+		return {
+			requests,
+			writers,
+			readers,
+			backlog: Math.max(shelf.readsUntil - now, least),
+			pass: contexts.length === 0 ? 0 : writingPass(model, contexts),
+			free,
+		};
+	}
+
+	#shelf(upstream: string): Shelf {
+		const known = this.#shelves.get(upstream) ?? {jobs: new Map<string, Job>(), readsUntil: 0};
+		this.#shelves.set(upstream, known);
+		return known;
+	}
+}
+
+function enginesOf(job: Job): readonly string[] {
+	return [job.upstream, ...job.helpers];
+}
+
+/** What is read there now that one reading less is known of: nothing, or what the others need at most. */
+function settle(shelf: Shelf, now: number): void {
+	let left = 0;
+	for (const job of shelf.jobs.values()) {
+		left += job.firstByte === undefined ? job.read : 0;
+	}
+
+	shelf.readsUntil = Math.min(shelf.readsUntil, now + left);
+}
+
+function memoryAt(job: Job, upstream: string, model: EngineModel): number {
+	const whole = footprint(model, job.prompt, job.answer);
+	if (job.isHeld) {
+		return whole / (job.helpers.length + 1);
+	}
+
+	return job.upstream === upstream ? whole : 0;
+}
+
+function contextAt(job: Job, upstream: string): number {
+	if (job.isHeld) {
+		return job.prompt / (job.helpers.length + 1);
+	}
+
+	return job.upstream === upstream ? job.prompt : 0;
+}
--- a/src/entry/peers/__tests__/links.test.ts
+++ b/src/entry/peers/__tests__/links.test.ts
@@ -4,7 +4,7 @@
 import {describe, expect, it} from 'vitest';
 import {type Hello} from '../connection.js';
 import {Links, type LinkEvent} from '../links.js';
-import {encodeFrame, FrameReader} from '../../../protocol/peers.js';
+import {encodeFrame, messageReader} from '../../../protocol/peers.js';
 
 function helloOf(host: string, started: number, port = 1): Hello {
 	return {
@@ -184,7 +184,7 @@
 	it('are read alike however the stream is cut', () => {
 		const stream = Buffer.concat([encodeFrame(helloOf('a', 1)), encodeFrame(seal('1')), encodeFrame({type: 'configuration', text: 'x'.repeat(70_000)})]);
 		for (const size of [1, 3, 1000, stream.length]) {
-			const reader = new FrameReader();
+			const reader = messageReader();
 			const messages = [];
 			for (let from = 0; from < stream.length; from += size) {
 				messages.push(...reader.push(stream.subarray(from, from + size)));
--- a/src/entry/peers/connection.ts
+++ b/src/entry/peers/connection.ts
@@ -1,7 +1,7 @@
 /** One TCP connection to another host: frames in and out, silence and buffers bounded. */
 import {type Socket} from 'node:net';
 import {isFailure, type PeerMessage} from '../../core/index.js';
-import {encodeFrame, FrameReader} from '../../protocol/peers.js';
+import {encodeFrame, messageReader} from '../../protocol/peers.js';
 
 export type Hello = Extract<PeerMessage, {readonly type: 'hello'}>;
 
@@ -34,7 +34,7 @@
 export class Connection implements AsyncDisposable {
 	readonly side: Side;
 	readonly #socket: Socket;
-	readonly #reader = new FrameReader();
+	readonly #reader = messageReader();
 	readonly #events: Events;
 	readonly #traffic: Traffic;
 	#greeting: Hello | undefined;
--- /dev/null
+++ b/src/gateway/answers.ts
@@ -0,0 +1,42 @@
+/** What callers are told when the gateway answers itself. */
+import {type ServerResponse} from 'node:http';
+import {codes, texts, type CodeName} from '../core/index.js';
+
+/** HTTP status of each answer of the gateway's own. 503 promises that the request has not run and never will. */
+const statuses = {
+	notConfigured: 503,
+	overloaded: 503,
+	noUpstream: 503,
+	deadlineUnreachable: 503,
+	deadlineBeforeStart: 503,
+	refusedByUpstream: 503,
+	notConnected: 503,
+	convicted: 503,
+	unknownKey: 401,
+	unknownRoute: 404,
+	missingId: 400,
+	bodyTooLarge: 413,
+	badBody: 400,
+	upstreamFailed: 502,
+	outcomeUnknown: 502,
+	deadlinePassed: 504,
+	internal: 502,
+} as const satisfies Partial<Record<CodeName, number>>;
+
+export type AnswerName = keyof typeof statuses;
+
+/**
+ * @param outgoing - Answer to a caller, nothing of which was sent.
+ * @param name - What it says.
+ * @param retryAfter - Seconds after which the caller may come again, for answers that promise it has not run.
+ */
+export function answer(outgoing: ServerResponse, name: AnswerName, retryAfter?: number): void {
+	const status = statuses[name];
+	const body = JSON.stringify({code: codes[name], message: texts[name]});
+	outgoing.writeHead(status, {
+		'content-type': 'application/json',
+		'content-length': body.length,
+		...(retryAfter !== undefined && status === 503 && {'retry-after': retryAfter.toFixed(2)}),
+	});
+	outgoing.end(body);
+}
--- /dev/null
+++ b/src/gateway/attempt.ts
@@ -0,0 +1,157 @@
+/** One sending of a request to one upstream, up to the head of its answer. */
+import {type Buffer} from 'node:buffer';
+import {
+	request, type Agent, type ClientRequest, type IncomingMessage,
+} from 'node:http';
+import {type Address} from '../core/index.js';
+import {type AttemptEnding} from '../core/gateway/retries.js';
+import {type Dialect, type ReplyFacts} from './dialect.js';
+
+/** Milliseconds to make a connection: over two round trips within a region with one packet lost. */
+const connectTimeout = 700;
+
+/** The head of an answer whose body has yet to be read. */
+export type Reply = {
+	readonly type: 'reply';
+	readonly status: number;
+	readonly raw: readonly string[];
+	readonly facts: ReplyFacts;
+	readonly body: IncomingMessage;
+};
+
+export type Sending = {
+	readonly id: string;
+	readonly method: string;
+	readonly path: string;
+	readonly headers: readonly string[];
+	readonly body: Buffer;
+	readonly address: Address;
+};
+
+/** An attempt that ended before any answer, and whether it says something of the upstream. */
+export type Ended = {
+	readonly type: 'ended';
+	readonly ending: AttemptEnding;
+	readonly isUnreachable: boolean;
+};
+
+function ended(ending: AttemptEnding, isUnreachable = false): Ended {
+	return {type: 'ended', ending, isUnreachable};
+}
+
+/** Why an answer's head can't be the one of this request, if so. */
+function flaw(id: string, status: number, facts: ReplyFacts, reply: IncomingMessage): string | undefined {
+	if (facts.request !== undefined && facts.request !== id) {
+		return 'answer of another request';
+	}
+
+	if (reply.headers['content-encoding'] !== undefined) {
+		return 'encoded answer';
+	}
+
+	return status >= 200 && status < 300 && !facts.isSigned ? 'unsigned answer' : undefined;
+}
+
+/** Sends a request and waits for the head of its answer. */
+export class Attempt {
+	readonly #sending: Sending;
+	readonly #dialect: Dialect;
+	readonly #outgoing: ClientRequest;
+	#isConnected = false;
+	#cancelled: string | undefined;
+	#timer: NodeJS.Timeout | undefined;
+
+	/**
+	 * @param sending - What is sent where.
+	 * @param dialect - Reads the answer's head.
+	 * @param agent - Connections.
+	 */
+	constructor(sending: Sending, dialect: Dialect, agent: Agent) {
+		this.#sending = sending;
+		this.#dialect = dialect;
+		this.#outgoing = request({
+			host: sending.address.host,
+			port: sending.address.port,
+			method: sending.method,
+			path: sending.path,
+			headers: sending.headers as unknown as Record<string, string>,
+			setHost: false,
+			agent,
+		});
+	}
+
+	/** Settles with the head of the answer, or with how the attempt ended without one. */
+	async reply(): Promise<Reply | Ended> {
+		const outgoing = this.#outgoing;
+		return new Promise(resolve => {
+			outgoing.on('socket', socket => {
+				if (!socket.connecting) {
+					this.#isConnected = true;
+					return;
+				}
+
+				this.#timer = setTimeout(() => {
+					outgoing.destroy(new Error('no connection in time'));
+				}, connectTimeout);
+				socket.once('connect', () => {
+					this.#isConnected = true;
+					clearTimeout(this.#timer);
+				});
+			});
+			outgoing.on('response', body => {
+				resolve(this.#read(body));
+			});
+			outgoing.on('error', error => {
+				clearTimeout(this.#timer);
+				resolve(this.#failed(error.message));
+			});
+			outgoing.on('close', () => {
+				clearTimeout(this.#timer);
+				resolve(this.#failed('closed'));
+			});
+			outgoing.end(this.#sending.body);
+		});
+	}
+
+	/**
+	 * Gives the attempt up: its connection is closed, which stops the upstream's work.
+	 *
+	 * @param reason - Why, for the log.
+	 */
+	cancel(reason: string): void {
+		this.#cancelled ??= reason;
+		this.#outgoing.destroy();
+	}
+
+	#read(body: IncomingMessage): Reply | Ended {
+		const status = body.statusCode ?? 0;
+		const facts = this.#dialect.readReply(status, body.headers);
+		const wrong = flaw(this.#sending.id, status, facts, body);
+		if (wrong !== undefined) {
+			this.#outgoing.destroy();
+			return ended({type: 'unknown', reason: wrong});
+		}
+
+		body.once('end', () => {
+			// An upstream may answer before it has read the body: what it reads next on this connection must not be another request.
+			if (!this.#outgoing.writableFinished) {
+				this.#outgoing.destroy();
+			}
+		});
+		return {
+			type: 'reply', status, raw: body.rawHeaders, facts, body,
+		};
+	}
+
+	#failed(reason: string): Ended {
+		if (!this.#isConnected) {
+			return ended({type: 'not-run', reason, isShed: false}, this.#cancelled === undefined);
+		}
+
+		if (this.#cancelled !== undefined) {
+			return ended({type: 'cancelled', reason: this.#cancelled});
+		}
+
+		return ended({type: 'unknown', reason});
+	}
+}
--- /dev/null
+++ b/src/gateway/calls.ts
@@ -0,0 +1,81 @@
+/** Small JSON calls over HTTP, for the store and for engines' orders. */
+import {Buffer} from 'node:buffer';
+import {request, type Agent} from 'node:http';
+import {messageOf, raise, type Address} from '../core/index.js';
+
+export type Call = {
+	readonly address: Address;
+	readonly method: 'GET' | 'POST';
+	readonly path: string;
+	readonly body?: unknown;
+	/** Milliseconds for the whole call. */
+	readonly timeout: number;
+	readonly agent: Agent;
+};
+
+export type CallAnswer = {
+	readonly status: number;
+	readonly text: string;
+};
+
+/** Bytes of an answer that is read. */
+const longestAnswer = 16_000_000;
+
+/**
+ * @param call - What is asked of whom.
+ * @returns The answer, whatever its status.
+ * @throws Error when no whole answer came in time.
+ */
+export async function callOnce(call: Call): Promise<CallAnswer> {
+	const {address, method, path, body, timeout, agent} = call;
+	const payload = body === undefined ? undefined : Buffer.from(JSON.stringify(body));
+	return new Promise((resolve, reject) => {
+		const outgoing = request({
+			host: address.host,
+			port: address.port,
+			method,
+			path,
+			agent,
+			headers: payload === undefined ? {} : {'content-type': 'application/json', 'content-length': payload.length},
+		});
+		const timer = setTimeout(() => {
+			outgoing.destroy(new Error(`no answer within ${timeout} ms`));
+		}, timeout);
+		const fail = (error: Error) => {
+			clearTimeout(timer);
+			reject(error);
+		};
+
+		outgoing.on('error', fail);
+		outgoing.on('response', response => {
+			const chunks: Buffer[] = [];
+			let length = 0;
+			response.on('data', (chunk: Buffer) => {
+				chunks.push(chunk);
+				length += chunk.length;
+				if (length > longestAnswer) {
+					outgoing.destroy(new Error('answer too long'));
+				}
+			});
+			response.on('error', fail);
+			response.on('end', () => {
+				clearTimeout(timer);
+				resolve({status: response.statusCode ?? 0, text: Buffer.concat(chunks).toString('utf8')});
+			});
+		});
+		outgoing.end(payload);
+	});
+}
+
+/**
+ * @param text - JSON.
+ * @returns Its value.
+ * @throws Failure `storeUnreadable` when it is no JSON.
+ */
+export function parseJson(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch (error) {
+		return raise('storeUnreadable', messageOf(error));
+	}
+}
--- /dev/null
+++ b/src/gateway/exchange.ts
@@ -0,0 +1,698 @@
+/** The life of one request at this host, from its head to the end of its answer. */
+import {Buffer} from 'node:buffer';
+import {createHash} from 'node:crypto';
+import {type Agent, type IncomingMessage, type ServerResponse} from 'node:http';
+import {messageOf} from '../core/index.js';
+import {type Resolution} from '../core/gateway/directory.js';
+import {type Place} from '../core/gateway/placement.js';
+import {isRepeatable, type AttemptEnding} from '../core/gateway/retries.js';
+import {type Demand, type Route} from '../core/gateway/types.js';
+import {type Clock} from '../entry/clock.js';
+import {type Log} from '../entry/logs.js';
+import {answer, type AnswerName} from './answers.js';
+import {Attempt, type Reply} from './attempt.js';
+import {type CallerFacts, type Dialect, type Helper} from './dialect.js';
+import {type Gateway} from './gateway.js';
+import {type Hold, type Holds} from './holds.js';
+import {lengthClass, type GatewayMetrics} from './metrics.js';
+import {
+	isStream, readBody, relayEvents, relayLong, writeHead, type Body,
+} from './relay.js';
+
+/** What exchanges share. */
+export type Parts = {
+	readonly gateway: Gateway;
+	readonly dialect: Dialect;
+	readonly agent: Agent;
+	readonly holds: Holds;
+	readonly metrics: GatewayMetrics;
+	readonly log: Log;
+	readonly clock: Clock;
+	/** Whether this host is about to stop: connections of callers end with their answer. */
+	readonly isLeaving: () => boolean;
+	/** Uniform from 0 to 1. */
+	readonly random: () => number;
+};
+
+type Routed = Extract<Resolution, {readonly type: 'routed'}>;
+
+/** Seconds after which a refused caller may come again: the mean of a usual answer, spread so that callers don't return together. */
+const usualRetryAfter = 0.4;
+const retrySpread = 0.6;
+
+/** Refusals of holds after which no other engines are tried. */
+const mostHoldTries = 3;
+
+/** Milliseconds without a first event, beyond the time predicted and its part, after which an engine is taken to be dark. */
+const darkAfter = 900;
+const predictionFactor = 2;
+
+/** Milliseconds without an event in mid-stream: callers give a stream up after 2 s. */
+const darkGap = 1200;
+
+/** Tokens up to which prompts go first at an engine, and from which on they go last. */
+const urgentTokens = 16_000;
+const patientTokens = 80_000;
+const urgencies = {urgent: 2, usual: 4, patient: 5} as const;
+
+/** Why an exchange must not go on. */
+type Stop = 'caller left' | 'time over';
+
+export class Exchange {
+	readonly #parts: Parts;
+	readonly #incoming: IncomingMessage;
+	readonly #outgoing: ServerResponse;
+	readonly #arrived: number;
+	readonly #tried = new Set<string>();
+	#facts: CallerFacts | undefined;
+	#demand: Demand | undefined;
+	#route: Route | undefined;
+	#organisation: string | undefined;
+	#body = Buffer.alloc(0);
+	#fingerprint: string | undefined;
+	#attempt: Attempt | undefined;
+	#attempts = 0;
+	#holdTries = 0;
+	#mayHaveRun = false;
+	#stop: Stop | undefined;
+	#lastEvent: string | undefined;
+	#firstByte: number | undefined;
+	#timer: NodeJS.Timeout | undefined;
+	#lastReply: {readonly reply: Reply; readonly body: Extract<Body, {type: 'whole'}>} | undefined;
+
+	/**
+	 * @param parts - What exchanges share.
+	 * @param incoming - Request of a caller.
+	 * @param outgoing - Its answer.
+	 */
+	constructor(parts: Parts, incoming: IncomingMessage, outgoing: ServerResponse) {
+		this.#parts = parts;
+		this.#incoming = incoming;
+		this.#outgoing = outgoing;
+		this.#arrived = parts.clock.now();
+	}
+
+	/** Serves the request; settles when its answer is over. */
+	async run(): Promise<void> {
+		const outgoing = this.#outgoing;
+		outgoing.once('close', () => {
+			if (!outgoing.writableFinished) {
+				this.#halt('caller left');
+			}
+		});
+		this.#facts = this.#parts.dialect.readCaller(this.#incoming.headers);
+		if (this.#parts.isLeaving()) {
+			outgoing.shouldKeepAlive = false;
+		}
+
+		if (this.#facts === undefined) {
+			this.#incoming.resume();
+			this.#refuse('missingId');
+			return;
+		}
+
+		if (!await this.#readRequest()) {
+			return;
+		}
+
+		const routed = this.#admit(this.#facts);
+		if (routed !== undefined) {
+			await this.#serve(this.#facts, routed);
+		}
+	}
+
+	get #isOver(): boolean {
+		return this.#stop !== undefined || this.#outgoing.destroyed;
+	}
+
+	async #readRequest(): Promise<boolean> {
+		const limit = this.#parts.gateway.directory?.configuration.limits.bodyBytes ?? Number.POSITIVE_INFINITY;
+		const chunks: Buffer[] = [];
+		let length = 0;
+		try {
+			for await (const chunk of this.#incoming as AsyncIterable<Buffer>) {
+				length += chunk.length;
+				if (length > limit) {
+					this.#outgoing.shouldKeepAlive = false;
+					this.#refuse('bodyTooLarge');
+					return false;
+				}
+
+				chunks.push(chunk);
+			}
+		} catch {
+			// The caller went before its request was whole: nothing was passed on and nobody waits.
+			return false;
+		}
+
+		this.#body = Buffer.concat(chunks);
+		return !this.#isOver;
+	}
+
+	#admit(facts: CallerFacts): Routed | undefined {
+		const {gateway} = this.#parts;
+		const path = (this.#incoming.url ?? '').split('?')[0]!;
+		const resolution = gateway.directory?.resolve(this.#incoming.headers.host ?? '', path, facts.key);
+		switch (resolution?.type) {
+			case undefined: {
+				this.#refuse('notConfigured', 1);
+				return undefined;
+			}
+
+			case 'no-route': {
+				// A host that has lost the store may not have heard of a new route.
+				this.#refuse(gateway.isKeyStale ? 'notConfigured' : 'unknownRoute', 1);
+				return undefined;
+			}
+
+			case 'unknown-key': {
+				this.#refuse(gateway.isKeyStale ? 'notConfigured' : 'unknownKey', 1);
+				return undefined;
+			}
+
+			case 'routed': {
+				if (resolution.organisation !== undefined && gateway.isKeyStale) {
+					this.#refuse('notConfigured', 1);
+					return undefined;
+				}
+
+				return resolution;
+			}
+
+			default: {
+				const never: never = resolution;
+				return never;
+			}
+		}
+	}
+
+	async #serve(facts: CallerFacts, {route, organisation}: Routed): Promise<void> {
+		const {gateway, clock} = this.#parts;
+		const limit = Math.min(facts.patience ?? route.timeout, route.timeout);
+		const now = clock.now();
+		this.#route = route;
+		this.#organisation = organisation?.name;
+		this.#lastEvent = facts.lastEvent;
+		this.#demand = {
+			id: facts.id,
+			service: this.#chooseService(route),
+			kind: route.kind,
+			priority: organisation?.priority ?? route.priority,
+			arrived: this.#arrived,
+			due: this.#arrived + route.objective,
+			deadline: this.#arrived + limit,
+			pause: route.pause,
+			prompt: facts.prompt,
+		};
+		this.#timer = setTimeout(() => {
+			this.#halt('time over');
+		}, Math.max(this.#demand.deadline - now, 0));
+		gateway.budget.countRequest(this.#demand.service, now);
+		try {
+			await this.#attemptAll(facts, route, this.#demand);
+		} finally {
+			clearTimeout(this.#timer);
+		}
+	}
+
+	#chooseService(route: Route): string {
+		const {targets} = route;
+		let total = 0;
+		for (const target of targets) {
+			total += target.weight;
+		}
+
+		let place = this.#parts.random() * total;
+		for (const target of targets) {
+			place -= target.weight;
+			if (place < 0) {
+				return target.service;
+			}
+		}
+
+		return targets.at(-1)?.service ?? '';
+	}
+
+	async #attemptAll(facts: CallerFacts, route: Route, demand: Demand): Promise<void> {
+		if (this.#isConvicted()) {
+			this.#refuse('convicted');
+			return;
+		}
+
+		for (;;) {
+			const place = this.#parts.gateway.place(demand, this.#tried);
+			if (place === undefined) {
+				this.#conclude('noUpstream');
+				return;
+			}
+
+			const ending = await this.#attemptAt(facts, route, demand, place);
+			if (ending.type === 'answered') {
+				this.#finish('answered');
+				return;
+			}
+
+			if (ending.type === 'unknown' || ending.type === 'failed' || (ending.type === 'cancelled' && !this.#isOver)) {
+				this.#mayHaveRun = true;
+			}
+
+			if (!this.#mayTryAgain(route, demand, ending)) {
+				this.#conclude(nameOf(ending));
+				return;
+			}
+		}
+	}
+
+	#isConvicted(): boolean {
+		const hash = createHash('sha1').update(this.#incoming.url ?? '').update('\0').update(this.#organisation ?? '').update('\0').update(this.#body);
+		this.#fingerprint = hash.digest('base64url');
+		return this.#parts.gateway.suspects.isConvicted(this.#fingerprint, this.#parts.clock.now());
+	}
+
+	#mayTryAgain(route: Route, demand: Demand, ending: AttemptEnding): boolean {
+		if (this.#isOver) {
+			return false;
+		}
+
+		const isGivenUp = ending.type === 'cancelled';
+		const asUnknown: AttemptEnding = isGivenUp ? {type: 'unknown', reason: ending.reason} : ending;
+		const {gateway, clock, metrics} = this.#parts;
+		const now = clock.now();
+		if (!isRepeatable(route.kind, route.isResumable, asUnknown) || this.#attempts >= route.attempts || this.#holdTries >= mostHoldTries) {
+			return false;
+		}
+
+		const isAllowed = gateway.budget.allows(demand.service, gateway.peers.fleetSize, now);
+		metrics.retries.inc({service: demand.service, allowed: String(isAllowed)});
+		if (isAllowed && this.#attempts > 0) {
+			gateway.budget.countRetry(demand.service, now);
+		}
+
+		return isAllowed;
+	}
+
+	async #attemptAt(facts: CallerFacts, route: Route, demand: Demand, place: Place): Promise<AttemptEnding> {
+		if (place.holdTokens === 0) {
+			return this.#send(facts, route, demand, place, undefined);
+		}
+
+		const engines = [place.upstream, ...place.helpers];
+		await using hold = this.#parts.holds.prepare(engines.map(each => ({
+			upstream: each.id, address: each.address, tokens: place.holdTokens,
+		})));
+		const refused = await hold.acquire();
+		this.#parts.holds.count(refused.length === 0);
+		if (refused.length > 0 || this.#isOver) {
+			this.#holdTries++;
+			for (const id of refused) {
+				this.#tried.add(id);
+			}
+
+			this.#write('hold-refused', {hold: hold.name, refused});
+			return {type: 'not-run', reason: 'memory not granted', isShed: true};
+		}
+
+		// Awaited here: the hold must not end before the attempt does.
+		return await this.#send(facts, route, demand, place, hold);
+	}
+
+	async #send(facts: CallerFacts, route: Route, demand: Demand, place: Place, hold: Hold | undefined): Promise<AttemptEnding> {
+		const {gateway, clock, dialect, agent, metrics} = this.#parts;
+		const {upstream} = place;
+		const left = demand.deadline - clock.now();
+		if (left <= 0) {
+			return {type: 'not-run', reason: 'no time left', isShed: false};
+		}
+
+		this.#attempts++;
+		this.#tried.add(upstream.id);
+		const job = gateway.begin(demand, place);
+		this.#write('placed', {
+			attempt: job.id,
+			upstream: upstream.id,
+			helpers: job.helpers.length,
+			hold: hold?.name,
+			tokens: job.prompt,
+			predicted: Math.round(place.firstByte),
+			loss: Number(place.loss.toFixed(3)),
+			jobs: gateway.load.size,
+			left: Math.round(left),
+			version: gateway.directory?.configuration.version,
+			confirmedAge: Math.round(gateway.confirmedAge),
+		});
+		const handover = {
+			left: Math.floor(left),
+			upstream: upstream.id,
+			organisation: this.#organisation,
+			urgency: urgencyOf(demand),
+			helpers: helpersOf(place, hold),
+			lastEvent: this.#lastEvent,
+		};
+		const headers = [...dialect.forUpstream(this.#incoming.rawHeaders, handover)];
+		if (this.#body.length > 0 || this.#incoming.headers['content-length'] !== undefined) {
+			headers.push('Content-Length', String(this.#body.length));
+		}
+
+		const attempt = new Attempt({
+			id: facts.id,
+			method: this.#incoming.method ?? 'GET',
+			path: this.#incoming.url ?? '/',
+			headers,
+			body: this.#body,
+			address: upstream.address,
+		}, dialect, agent);
+		this.#attempt = attempt;
+		const watch = new Watch(attempt, this.#canGoOn(route), place.firstByte);
+		try {
+			const ending = await this.#follow(attempt, route, place, job.id, watch);
+			metrics.attempts.inc({service: demand.service, ending: ending.type});
+			this.#write('attempt-ended', {
+				attempt: job.id, upstream: upstream.id, ...ending, ending: ending.type,
+			});
+			return ending;
+		} finally {
+			watch.end();
+			this.#attempt = undefined;
+			gateway.end(job.id);
+		}
+	}
+
+	/** Whether a silent engine could be left for another one. */
+	#canGoOn(route: Route): boolean {
+		return this.#attempts < route.attempts && (route.kind === 'idempotent' || (route.kind === 'streaming' && route.isResumable));
+	}
+
+	async #follow(attempt: Attempt, route: Route, place: Place, job: string, watch: Watch): Promise<AttemptEnding> {
+		const {gateway} = this.#parts;
+		const {id} = place.upstream;
+		const got = await attempt.reply();
+		if (got.type === 'ended') {
+			this.#judge(got.ending, id, got.isUnreachable);
+			return got.ending;
+		}
+
+		if (got.facts.isNotRun || got.facts.isMisdirected) {
+			got.body.resume();
+			gateway.judge(id, got.facts.isMisdirected ? 'unreachable' : 'faulty');
+			return {type: 'not-run', reason: `refused with ${got.status} by ${got.facts.culprit ?? id}`, isShed: !got.facts.isMisdirected};
+		}
+
+		if (this.#outgoing.headersSent && !isStream(got)) {
+			got.body.resume();
+			return {type: 'failed', status: got.status};
+		}
+
+		const ending = isStream(got)
+			? await this.#relayStream(got, job, watch)
+			: await this.#relayBody(got, route, job);
+		this.#judge(ending, id, false);
+		return ending;
+	}
+
+	async #relayStream(reply: Reply, job: string, watch: Watch): Promise<AttemptEnding> {
+		let isFirst = true;
+		const ending = await relayEvents(this.#outgoing, reply, {
+			onEvents: (_count, lastId) => {
+				watch.heard();
+				this.#lastEvent = lastId ?? this.#lastEvent;
+				if (isFirst) {
+					isFirst = false;
+					this.#began(job);
+					if (!this.#outgoing.headersSent) {
+						writeHead(this.#outgoing, reply);
+					}
+				}
+			},
+		});
+		if (ending.type !== 'answered') {
+			return this.#isOver || watch.isDark ? {type: 'cancelled', reason: this.#stop ?? 'silent'} : ending;
+		}
+
+		if (!this.#outgoing.headersSent) {
+			writeHead(this.#outgoing, reply);
+		}
+
+		this.#outgoing.end();
+		return ending;
+	}
+
+	async #relayBody(reply: Reply, route: Route, job: string): Promise<AttemptEnding> {
+		const body = await readBody(reply.body);
+		this.#began(job);
+		switch (body.type) {
+			case 'broken': {
+				return this.#isOver ? {type: 'cancelled', reason: this.#stop ?? ''} : {type: 'unknown', reason: body.reason};
+			}
+
+			case 'long': {
+				writeHead(this.#outgoing, reply);
+				if (await relayLong(this.#outgoing, body) && reply.body.complete) {
+					this.#outgoing.end();
+					return {type: 'answered', status: reply.status};
+				}
+
+				return {type: 'unknown', reason: 'the answer broke off'};
+			}
+
+			case 'whole': {
+				if (reply.status >= 500 && route.kind === 'idempotent') {
+					this.#lastReply = {reply, body};
+					return {type: 'failed', status: reply.status};
+				}
+
+				this.#pass(reply, body.bytes);
+				return {type: 'answered', status: reply.status};
+			}
+
+			default: {
+				const never: never = body;
+				return never;
+			}
+		}
+	}
+
+	/** A status that promises that the request has not run is passed on only if the upstream said so. */
+	#pass(reply: Reply, bytes: Buffer): void {
+		if (promises.has(reply.status)) {
+			this.#refuse('outcomeUnknown');
+			return;
+		}
+
+		writeHead(this.#outgoing, reply, bytes.length);
+		this.#outgoing.end(bytes);
+	}
+
+	#began(job: string): void {
+		this.#firstByte ??= this.#parts.clock.now();
+		this.#parts.gateway.progress(job);
+	}
+
+	#judge(ending: AttemptEnding, upstream: string, isUnreachable: boolean): void {
+		const {gateway} = this.#parts;
+		switch (ending.type) {
+			case 'answered': {
+				gateway.judge(upstream, 'sound');
+				return;
+			}
+
+			case 'not-run': {
+				gateway.judge(upstream, isUnreachable ? 'unreachable' : 'faulty');
+				return;
+			}
+
+			case 'failed': {
+				gateway.judge(upstream, 'faulty');
+				return;
+			}
+
+			case 'unknown': {
+				gateway.judge(upstream, 'faulty');
+				gateway.suspect(this.#fingerprint ?? '', upstream);
+				return;
+			}
+
+			case 'cancelled': {
+				if (!this.#isOver) {
+					gateway.judge(upstream, 'unreachable');
+				}
+
+				return;
+			}
+
+			default: {
+				const never: never = ending;
+				throw new TypeError(`Unhandled ending ${JSON.stringify(never)}`);
+			}
+		}
+	}
+
+	#halt(stop: Stop): void {
+		if (this.#stop !== undefined || this.#outgoing.writableFinished) {
+			return;
+		}
+
+		this.#stop = stop;
+		const isSent = this.#attempt !== undefined;
+		this.#attempt?.cancel(stop);
+		if (stop === 'time over') {
+			this.#mayHaveRun ||= isSent;
+			this.#conclude('deadlinePassed');
+		}
+	}
+
+	/** Ends an exchange that got no whole answer. */
+	#conclude(name: AnswerName): void {
+		const outgoing = this.#outgoing;
+		if (this.#stop === 'caller left' || outgoing.destroyed) {
+			this.#finish('caller left');
+			return;
+		}
+
+		if (outgoing.headersSent) {
+			if (!outgoing.writableEnded) {
+				outgoing.destroy();
+				this.#finish('broken off');
+			}
+
+			return;
+		}
+
+		if (this.#lastReply !== undefined && this.#stop === undefined) {
+			this.#pass(this.#lastReply.reply, this.#lastReply.body.bytes);
+			this.#finish('failed');
+			return;
+		}
+
+		this.#refuse(this.#honest(name), usualRetryAfter + (this.#parts.random() * retrySpread));
+	}
+
+	/** An answer that promises "not run" is given only where that is known. */
+	#honest(name: AnswerName): AnswerName {
+		if (this.#mayHaveRun) {
+			return name === 'deadlinePassed' ? name : 'outcomeUnknown';
+		}
+
+		return name === 'deadlinePassed' ? 'deadlineBeforeStart' : name;
+	}
+
+	#refuse(name: AnswerName, retryAfter?: number): void {
+		if (!this.#outgoing.headersSent && !this.#outgoing.destroyed) {
+			answer(this.#outgoing, name, retryAfter);
+		}
+
+		this.#finish(name);
+	}
+
+	#finish(outcome: string): void {
+		const {metrics, clock} = this.#parts;
+		const now = clock.now();
+		const service = this.#demand?.service ?? 'none';
+		const length = lengthClass(this.#facts?.prompt?.tokens);
+		metrics.requests.inc({
+			service, kind: this.#route?.kind ?? 'none', length, outcome,
+		});
+		if (this.#firstByte !== undefined) {
+			metrics.firstByte.observe({service, length}, this.#firstByte - this.#arrived);
+		}
+
+		metrics.total.observe({service, length}, now - this.#arrived);
+		this.#write('ended', {
+			outcome,
+			route: this.#route?.name,
+			attempts: this.#attempts,
+			firstByte: this.#firstByte === undefined ? undefined : Math.round(this.#firstByte - this.#arrived),
+			took: Math.round(now - this.#arrived),
+			version: this.#parts.gateway.directory?.configuration.version,
+			confirmedAge: Math.round(this.#parts.gateway.confirmedAge),
+		});
+	}
+
+	#write(event: string, fields: Readonly<Record<string, unknown>>): void {
+		try {
+			this.#parts.log.write({event, request: this.#facts?.id, ...fields});
+		} catch (error) {
+			this.#parts.log.write({event: 'log-failed', detail: messageOf(error)}, 'error');
+		}
+	}
+}
+
+/** Statuses that promise that the request has not run. */
+const promises: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+function nameOf(ending: AttemptEnding): AnswerName {
+	switch (ending.type) {
+		case 'not-run': {
+			return ending.isShed ? 'refusedByUpstream' : 'notConnected';
+		}
+
+		case 'failed': {
+			return 'upstreamFailed';
+		}
+
+		case 'unknown':
+		case 'answered':
+		case 'cancelled': {
+			return 'outcomeUnknown';
+		}
+
+		default: {
+			const never: never = ending;
+			return never;
+		}
+	}
+}
+
+function urgencyOf({prompt}: Demand): number | undefined {
+	if (prompt === undefined) {
+		return undefined;
+	}
+
+	if (prompt.tokens <= urgentTokens) {
+		return urgencies.urgent;
+	}
+
+	return prompt.tokens < patientTokens ? urgencies.usual : urgencies.patient;
+}
+
+function helpersOf(place: Place, hold: Hold | undefined): readonly Helper[] {
+	const helpers = place.helpers.map(({address}) => ({address, hold: hold?.name}));
+	return hold === undefined ? helpers : [{address: place.upstream.address, hold: hold.name}, ...helpers];
+}
+
+/** Gives up an engine that has fallen silent, where another one could go on. */
+class Watch {
+	readonly #attempt: Attempt;
+	readonly #isUsed: boolean;
+	#timer: NodeJS.Timeout | undefined;
+	#isDark = false;
+
+	constructor(attempt: Attempt, isUsed: boolean, predicted: number) {
+		this.#attempt = attempt;
+		this.#isUsed = isUsed;
+		this.#wait(darkAfter + (predicted * predictionFactor));
+	}
+
+	/** Whether the engine was given up. */
+	get isDark(): boolean {
+		return this.#isDark;
+	}
+
+	/** Something came from the engine. */
+	heard(): void {
+		this.#wait(darkGap);
+	}
+
+	end(): void {
+		clearTimeout(this.#timer);
+	}
+
+	#wait(time: number): void {
+		clearTimeout(this.#timer);
+		if (this.#isUsed) {
+			this.#timer = setTimeout(() => {
+				this.#isDark = true;
+				this.#attempt.cancel('silent');
+			}, time);
+		}
+	}
+}
--- /dev/null
+++ b/src/gateway/gateway.ts
@@ -0,0 +1,351 @@
+/** What a gateway knows, and its decisions over it. */
+import {Directory} from '../core/gateway/directory.js';
+import {Health, type Verdict} from '../core/gateway/health.js';
+import {Load, type Job} from '../core/gateway/load.js';
+import {place, weigh, type Place} from '../core/gateway/placement.js';
+import {RetryBudget} from '../core/gateway/retries.js';
+import {Suspects} from '../core/gateway/suspects.js';
+import {
+	type Demand, type GatewayConfiguration, type GatewayService, type GatewayUpstream,
+} from '../core/gateway/types.js';
+import {type Clock} from '../entry/clock.js';
+import {type Log} from '../entry/logs.js';
+import {
+	heard, tell, type Host, type Message, type ToldJob,
+} from './peers/messages.js';
+import {Peers} from './peers/peers.js';
+import {type Settings} from './settings.js';
+
+/** Milliseconds within which news of load are gathered into one message to peers: under a pass of an engine. */
+const tellDelay = 3;
+
+/** Milliseconds after which the jobs of a host that fell silent are forgotten: most answers are over by then. */
+const silentJobs = 3000;
+
+/** Part of the revocation bound up to which keys are trusted without word from the store; the rest is for requests under way. */
+const trustShare = 0.85;
+
+/** Milliseconds between looks for jobs that must be over. */
+const expiryInterval = 1000;
+
+/** Milliseconds within which an engine's lost connections and a failed connection to it count as one crash. */
+const crashWindow = 1500;
+
+export class Gateway implements AsyncDisposable {
+	readonly load = new Load();
+	readonly health = new Health();
+	readonly suspects = new Suspects();
+	readonly budget: RetryBudget;
+	readonly peers: Peers;
+	readonly #settings: Settings;
+	readonly #clock: Clock;
+	readonly #log: Log;
+	readonly #started: number;
+	readonly #upstreams = new Map<string, GatewayUpstream>();
+	readonly #byService = new Map<string, GatewayUpstream[]>();
+	readonly #expiry: NodeJS.Timeout;
+	#directory: Directory | undefined;
+	#confirmed = Number.NEGATIVE_INFINITY;
+	#jobs = 0;
+	#news: {began: ToldJob[]; progressed: string[]; ended: string[]} | undefined;
+
+	/**
+	 * @param settings - Settings of this host.
+	 * @param clock - Time.
+	 * @param log - Log.
+	 */
+	constructor(settings: Settings, clock: Clock, log: Log) {
+		this.#settings = settings;
+		this.#clock = clock;
+		this.#log = log;
+		this.#started = clock.wall();
+		this.budget = new RetryBudget(settings.retries);
+		this.peers = new Peers({
+			self: {
+				name: settings.host, failureDomain: settings.failureDomain, address: settings.peer, started: this.#started,
+			},
+			seeds: settings.seeds,
+			log,
+			now: () => clock.now(),
+			events: {
+				joined: (host, send) => {
+					this.#joined(host, send);
+				},
+				message: (from, message) => {
+					this.#heard(from, message);
+				},
+				lost: (host, reason) => {
+					this.#lost(host, reason);
+				},
+			},
+		});
+		this.#expiry = setInterval(() => {
+			this.load.expire(clock.now());
+		}, expiryInterval);
+	}
+
+	/** The configuration in force, if any is known. */
+	get directory(): Directory | undefined {
+		return this.#directory;
+	}
+
+	/** Names this run of the process. */
+	get incarnation(): string {
+		return `${this.#settings.host}.${this.#started.toString(36)}`;
+	}
+
+	/** Upstreams that may be used. */
+	get upstreams(): ReadonlyMap<string, GatewayUpstream> {
+		return this.#upstreams;
+	}
+
+	/** Milliseconds since the configuration in force was known to be the newest. */
+	get confirmedAge(): number {
+		return this.#clock.now() - this.#confirmed;
+	}
+
+	/** Whether a key that the configuration has may have been taken away without word of it. */
+	get isKeyStale(): boolean {
+		return this.#settings.revocation > 0 && this.confirmedAge > this.#settings.revocation * trustShare;
+	}
+
+	/**
+	 * Takes a configuration; an older one than that in force is ignored.
+	 *
+	 * @param configuration - Configuration that was read.
+	 */
+	adopt(configuration: GatewayConfiguration): void {
+		const before = this.#directory?.configuration.version;
+		if (before !== undefined && configuration.version <= before) {
+			return;
+		}
+
+		this.#directory = new Directory(configuration);
+		this.#log.write({
+			event: 'configuration', version: configuration.version, before, routes: configuration.routes.length,
+		});
+	}
+
+	/**
+	 * @param at - Monotonic time as of which the configuration in force was the newest.
+	 */
+	confirm(at: number): void {
+		this.#confirmed = Math.max(this.#confirmed, at);
+	}
+
+	/**
+	 * @param upstream - Upstream as it is registered now.
+	 */
+	register(upstream: GatewayUpstream): void {
+		const before = this.#upstreams.get(upstream.id);
+		this.#upstreams.set(upstream.id, upstream);
+		this.#index();
+		if (before?.started !== undefined && before.started !== upstream.started) {
+			this.#restarted(upstream.id);
+		}
+
+		if (before === undefined || before.isDraining !== upstream.isDraining) {
+			this.#log.write({
+				event: 'upstream', upstream: upstream.id, service: upstream.service, domain: upstream.failureDomain, draining: upstream.isDraining,
+			});
+		}
+	}
+
+	/**
+	 * @param id - Upstream that is registered no more.
+	 */
+	unregister(id: string): void {
+		if (this.#upstreams.delete(id)) {
+			this.#index();
+			this.#log.write({event: 'upstream-gone', upstream: id});
+		}
+	}
+
+	/**
+	 * @param name - Service.
+	 * @returns Its figures.
+	 */
+	service(name: string): GatewayService | undefined {
+		return this.#directory?.service(name);
+	}
+
+	/**
+	 * @param demand - Request.
+	 * @param tried - Upstreams that had it already.
+	 * @returns Where it goes, if anywhere.
+	 */
+	place(demand: Demand, tried: ReadonlySet<string>): Place | undefined {
+		const now = this.#clock.now();
+		return place(demand, this.#byService.get(demand.service) ?? [], this.service(demand.service)?.engine, {
+			load: this.load,
+			health: this.health,
+			failureDomain: this.#settings.failureDomain,
+			unreachable: this.peers.unreachableDomains(now),
+			tried,
+			now,
+		});
+	}
+
+	/**
+	 * @param demand - Request that is sent.
+	 * @param chosen - Where it goes.
+	 * @returns The job, told to peers.
+	 */
+	begin(demand: Demand, chosen: Place): Job {
+		const now = this.#clock.now();
+		const model = this.service(demand.service)?.engine;
+		this.#jobs++;
+		const job: Job = {
+			id: `${this.incarnation}.${this.#jobs}`,
+			host: this.#settings.host,
+			upstream: chosen.upstream.id,
+			helpers: chosen.helpers.map(each => each.id),
+			prompt: demand.prompt?.tokens ?? 0,
+			answer: demand.prompt?.answer ?? 0,
+			isHeld: chosen.holdTokens > 0,
+			read: chosen.reading.total,
+			readPerPass: chosen.reading.perPass,
+			pause: demand.pause,
+			weight: model === undefined || demand.prompt === undefined ? 1 : weigh(model, demand.prompt),
+			began: now,
+			due: demand.due,
+			deadline: demand.deadline,
+		};
+		this.load.begin(job, now);
+		this.#pending().began.push(tell(job, now));
+		return job;
+	}
+
+	/**
+	 * @param id - Job whose first byte has come.
+	 */
+	progress(id: string): void {
+		this.load.progress(id, this.#clock.now());
+		this.#pending().progressed.push(id);
+	}
+
+	/**
+	 * @param id - Job that is over.
+	 */
+	end(id: string): void {
+		this.load.end(id, this.#clock.now());
+		this.#pending().ended.push(id);
+	}
+
+	/**
+	 * @param upstream - Upstream.
+	 * @param verdict - What an attempt says of it.
+	 */
+	judge(upstream: string, verdict: Verdict): void {
+		this.health.record(upstream, verdict, this.#clock.now());
+	}
+
+	/**
+	 * Holds a crash against a request, here and at the peers.
+	 *
+	 * @param fingerprint - Request that ran at an upstream when its connection broke.
+	 * @param upstream - Upstream.
+	 */
+	suspect(fingerprint: string, upstream: string): void {
+		const now = this.#clock.now();
+		const crash = {fingerprint, id: `${upstream}.${Math.floor(this.#clock.wall() / crashWindow)}`};
+		if (this.suspects.record(crash, now)) {
+			this.#log.write({event: 'suspected', ...crash, crashes: this.suspects.crashes(fingerprint, now)}, 'warn');
+			this.peers.broadcast({type: 'crash', ...crash});
+		}
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		clearInterval(this.#expiry);
+		await this.peers[Symbol.asyncDispose]();
+	}
+
+	#index(): void {
+		this.#byService.clear();
+		for (const upstream of this.#upstreams.values()) {
+			const known = this.#byService.get(upstream.service) ?? [];
+			known.push(upstream);
+			this.#byService.set(upstream.service, known);
+		}
+	}
+
+	#restarted(id: string): void {
+		this.load.forgetUpstream(id, this.#clock.now());
+		this.health.forget(id);
+		this.#log.write({event: 'upstream-restarted', upstream: id});
+	}
+
+	/** News that are told to peers together. */
+	#pending(): {began: ToldJob[]; progressed: string[]; ended: string[]} {
+		if (this.#news === undefined) {
+			this.#news = {began: [], progressed: [], ended: []};
+			setTimeout(() => {
+				const news = this.#news!;
+				this.#news = undefined;
+				this.peers.broadcast({type: 'load', ...news});
+			}, tellDelay);
+		}
+
+		return this.#news;
+	}
+
+	#joined(host: Host, send: (message: Message) => void): void {
+		const now = this.#clock.now();
+		this.load.forgetHost(host.name, now);
+		send({
+			type: 'load',
+			began: this.load.jobsOf(this.#settings.host).map(job => tell(job, now)),
+			progressed: [],
+			ended: [],
+		});
+	}
+
+	#heard(from: Host, message: Message): void {
+		const now = this.#clock.now();
+		switch (message.type) {
+			case 'load': {
+				for (const told of message.began) {
+					this.load.begin(heard(told, from.name, now), now);
+				}
+
+				for (const id of message.progressed) {
+					this.load.progress(id, now);
+				}
+
+				for (const id of message.ended) {
+					this.load.end(id, now);
+				}
+
+				return;
+			}
+
+			case 'crash': {
+				this.suspects.record(message, now);
+				return;
+			}
+
+			case 'hello':
+			case 'heartbeat': {
+				return;
+			}
+
+			default: {
+				const never: never = message;
+				throw new TypeError(`Unhandled message ${JSON.stringify(never)}`);
+			}
+		}
+	}
+
+	#lost(host: Host, reason: string): void {
+		if (reason !== 'silent') {
+			this.load.forgetHost(host.name, this.#clock.now());
+			return;
+		}
+
+		setTimeout(() => {
+			if (!this.peers.hosts.some(each => each.name === host.name)) {
+				this.load.forgetHost(host.name, this.#clock.now());
+			}
+		}, silentJobs);
+	}
+}
--- /dev/null
+++ b/src/gateway/metrics.ts
@@ -0,0 +1,111 @@
+/** Counters and histograms, served as text. Series are bounded: no label names an organisation, a caller or a request. */
+import {createServer, type Server} from 'node:http';
+import {once} from 'node:events';
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+import {messageOf, type Address} from '../core/index.js';
+import {type Log} from '../entry/logs.js';
+
+/** Upper bounds in milliseconds: objectives of the services lie between 150 ms and 3 s, deadlines up to 15 s. */
+const latencyBuckets = [25, 50, 100, 150, 200, 300, 500, 750, 1000, 1500, 2500, 4000, 7000, 10_000, 15_000];
+
+/** Tokens from which on a prompt counts as middle and as long in the labels. */
+const middleFrom = 16_000;
+const longFrom = 80_000;
+
+/**
+ * @param tokens - Length of a prompt, undefined for plain services.
+ * @returns The label of its length class.
+ */
+export function lengthClass(tokens: number | undefined): string {
+	if (tokens === undefined) {
+		return 'none';
+	}
+
+	if (tokens >= longFrom) {
+		return 'long';
+	}
+
+	return tokens >= middleFrom ? 'middle' : 'short';
+}
+
+export class GatewayMetrics {
+	readonly #registry = new Registry();
+	readonly requests = this.#counter('requests_total', 'Requests by how they ended', ['service', 'kind', 'length', 'outcome']);
+	readonly attempts = this.#counter('attempts_total', 'Attempts at upstreams by how they ended', ['service', 'ending']);
+	readonly retries = this.#counter('retries_total', 'Attempts after the first, and those the budget did not allow', ['service', 'allowed']);
+	readonly holds = this.#counter('holds_total', 'Memory reserved at engines', ['result']);
+	readonly storeCalls = this.#counter('store_calls_total', 'Calls to the platform store', ['result']);
+	readonly droppedLines = this.#counter('log_lines_dropped_total', 'Log lines dropped as nobody read them', []);
+	readonly firstByte = this.#histogram('first_byte_milliseconds', 'From arrival to the first byte of the answer');
+	readonly total = this.#histogram('request_milliseconds', 'From arrival to the end of the answer');
+	readonly inFlight = this.#gauge('requests_in_flight', 'Requests of callers that are not answered');
+	readonly knownJobs = this.#gauge('upstream_jobs_known', 'Requests at upstreams, own and of peers');
+	readonly peers = this.#gauge('peers_linked', 'Hosts linked');
+	readonly version = this.#gauge('configuration_version', 'Version in force');
+	readonly confirmedAge = this.#gauge('configuration_confirmed_age_milliseconds', 'Time since the store last confirmed the version in force');
+	readonly upstreams = this.#gauge('upstreams_known', 'Upstreams that may be used');
+
+	/** @returns All figures as text. */
+	async text(): Promise<string> {
+		return this.#registry.metrics();
+	}
+
+	#counter(name: string, help: string, labelNames: string[]): Counter {
+		return new Counter({
+			name: `cranberrytide_${name}`, help, labelNames, registers: [this.#registry],
+		});
+	}
+
+	#gauge(name: string, help: string): Gauge {
+		return new Gauge({name: `cranberrytide_${name}`, help, registers: [this.#registry]});
+	}
+
+	#histogram(name: string, help: string): Histogram {
+		return new Histogram({
+			name: `cranberrytide_${name}`, help, labelNames: ['service', 'length'], buckets: latencyBuckets, registers: [this.#registry],
+		});
+	}
+}
+
+/** Serves the metrics of a process. */
+export class MetricsListener implements AsyncDisposable {
+	readonly #server: Server;
+
+	/**
+	 * @param metrics - What is served.
+	 * @param refresh - Called before each reading, to set the gauges.
+	 * @param log - Told of failed readings.
+	 */
+	constructor(metrics: GatewayMetrics, refresh: () => void, log: Log) {
+		this.#server = createServer((incoming, outgoing) => {
+			incoming.resume();
+			refresh();
+			void (async () => {
+				try {
+					const text = await metrics.text();
+					outgoing.writeHead(200, {'content-type': 'text/plain; version=0.0.4'}).end(text);
+				} catch (error) {
+					log.write({event: 'metrics-failed', detail: messageOf(error)}, 'error');
+					outgoing.writeHead(500).end();
+				}
+			})();
+		});
+	}
+
+	/**
+	 * @param address - Where to listen.
+	 */
+	async listen({host, port}: Address): Promise<void> {
+		this.#server.listen(port, host);
+		await once(this.#server, 'listening');
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		const closed = once(this.#server, 'close');
+		this.#server.close();
+		this.#server.closeAllConnections();
+		await closed;
+	}
+}
--- /dev/null
+++ b/src/gateway/peers/messages.ts
@@ -0,0 +1,127 @@
+/** What hosts tell each other: who they are, what they sent to upstreams, and which requests crash engines. */
+import {Encoder} from 'cbor-x';
+import {z} from 'zod';
+import {raise} from '../../core/index.js';
+import {type Job} from '../../core/gateway/load.js';
+import {frame, FrameReader} from '../../protocol/frames.js';
+
+const text = z.string().max(256);
+const amount = z.number();
+const listLimit = 4096;
+const address = z.object({host: text.min(1), port: z.number().int().min(1).max(65_535)});
+
+const host = z.object({
+	name: text.min(1),
+	failureDomain: text,
+	address,
+	/** Wall-clock start: a restarted host has another. */
+	started: amount,
+});
+
+/** A job as told: times are relative to the telling, so that clocks need not agree. */
+const job = z.object({
+	id: text,
+	upstream: text,
+	helpers: z.array(text).max(64),
+	prompt: amount,
+	answer: amount,
+	isHeld: z.boolean(),
+	read: amount,
+	readPerPass: amount,
+	pause: amount.optional(),
+	weight: amount,
+	age: amount,
+	due: amount,
+	deadline: amount,
+	firstByteAge: amount.optional(),
+});
+
+const messageSchema = z.discriminatedUnion('type', [
+	z.object({type: z.literal('hello'), from: host, known: z.array(host).max(listLimit)}),
+	z.object({type: z.literal('heartbeat'), known: z.array(host).max(listLimit).optional()}),
+	z.object({
+		type: z.literal('load'),
+		began: z.array(job).max(listLimit),
+		progressed: z.array(text).max(listLimit),
+		ended: z.array(text).max(listLimit),
+	}),
+	z.object({type: z.literal('crash'), fingerprint: text, id: text}),
+]);
+
+export type Host = Readonly<z.infer<typeof host>>;
+export type ToldJob = Readonly<z.infer<typeof job>>;
+export type Message = z.infer<typeof messageSchema>;
+export type Hello = Extract<Message, {readonly type: 'hello'}>;
+
+/** Bytes that a message may have: the jobs of a busy host and some room. */
+export const longestMessage = 2_000_000;
+
+const codec = new Encoder({useRecords: true, mapsAsObjects: true, tagUint8Array: false});
+
+/**
+ * @param message - Message to send.
+ * @returns Its frame.
+ */
+export function encode(message: Message): Uint8Array {
+	return frame(codec.encode(message));
+}
+
+function decode(body: Uint8Array): Message {
+	let value: unknown;
+	try {
+		value = codec.decode(body);
+	} catch {
+		return raise('badPeerMessage', 'not CBOR');
+	}
+
+	const parsed = messageSchema.safeParse(value);
+	return parsed.success ? parsed.data : raise('badPeerMessage', parsed.error.issues[0]?.message ?? '');
+}
+
+/** @returns A reader of the messages of one connection. */
+export function messageReader(): FrameReader<Message> {
+	return new FrameReader(decode, longestMessage);
+}
+
+/**
+ * @param job - Job of this host.
+ * @param now - Time in milliseconds.
+ * @returns The job as others are told of it.
+ */
+export function tell(job: Job, now: number): ToldJob {
+	const {id, upstream, helpers, prompt, answer, isHeld, read, readPerPass, pause, weight} = job;
+	return {
+		id,
+		upstream,
+		helpers: [...helpers],
+		prompt,
+		answer,
+		isHeld,
+		read,
+		readPerPass,
+		pause,
+		weight,
+		age: now - job.began,
+		due: job.due - now,
+		deadline: job.deadline - now,
+		firstByteAge: job.firstByte === undefined ? undefined : now - job.firstByte,
+	};
+}
+
+/**
+ * @param told - Job as told.
+ * @param from - Host that told.
+ * @param now - Time in milliseconds.
+ * @returns The job on this host's clock.
+ */
+export function heard(told: ToldJob, from: string, now: number): Job {
+	const {age, due, deadline, firstByteAge, ...rest} = told;
+	return {
+		...rest,
+		host: from,
+		began: now - age,
+		due: now + due,
+		deadline: now + deadline,
+		firstByte: firstByteAge === undefined ? undefined : now - firstByteAge,
+	};
+}
--- /dev/null
+++ b/src/gateway/peers/peers.ts
@@ -0,0 +1,315 @@
+/** Links to the other hosts: found through seeds and what they tell, dialled again when they are lost. */
+import {once} from 'node:events';
+import {
+	createConnection, createServer, type Server, type Socket,
+} from 'node:net';
+import {type Address} from '../../core/index.js';
+import {type Log} from '../../entry/logs.js';
+import {Link, type LinkEvents} from './link.js';
+import {encode, type Host, type Message} from './messages.js';
+
+/** Milliseconds between heartbeats, and between looks for hosts to dial. */
+const heartbeatInterval = 500;
+
+/** Milliseconds to wait before a host is dialled again: at first, and at most after it failed several times. */
+const shortestPause = 400;
+const longestPause = 4000;
+
+/** Milliseconds to make a connection. */
+const connectTimeout = 800;
+
+/** Milliseconds that a host which can't be reached is remembered. */
+const memory = 60_000;
+
+/** Milliseconds without a link to any host of a failure domain after which the domain is taken to be cut off. */
+const domainSilence = 1500;
+
+type Acquaintance = {
+	readonly address: Address;
+	host?: Host;
+	/** Monotonic times in milliseconds. */
+	seen: number;
+	nextDial: number;
+	failures: number;
+	isDialling: boolean;
+};
+
+export type PeerEvents = {
+	readonly joined: (host: Host, send: (message: Message) => void) => void;
+	readonly message: (from: Host, message: Message) => void;
+	/** A host is out of reach, or has started anew. */
+	readonly lost: (host: Host, reason: string) => void;
+};
+
+export type PeersOptions = {
+	readonly self: Host;
+	readonly seeds: readonly Address[];
+	readonly log: Log;
+	readonly now: () => number;
+	readonly events: PeerEvents;
+};
+
+function keyOf({host, port}: Address): string {
+	return `${host}:${port}`;
+}
+
+export class Peers implements AsyncDisposable {
+	readonly #options: PeersOptions;
+	readonly #server: Server;
+	readonly #links = new Map<string, Link>();
+	readonly #all = new Set<Link>();
+	readonly #acquaintances = new Map<string, Acquaintance>();
+	/** Last time that a host of each failure domain was linked. */
+	readonly #domains = new Map<string, number>();
+	readonly #linkEvents: LinkEvents;
+	readonly #timer: NodeJS.Timeout;
+	#beats = 0;
+	#most = 1;
+
+	/**
+	 * @param options - Who this host is and who is told.
+	 */
+	constructor(options: PeersOptions) {
+		this.#options = options;
+		this.#linkEvents = {
+			hello: (link, hello) => {
+				this.#greeted(link, hello.from, hello.known);
+			},
+			message: (link, message) => {
+				this.#heard(link, message);
+			},
+			closed: (link, reason) => {
+				this.#closed(link, reason);
+			},
+		};
+		this.#server = createServer(socket => {
+			this.#attach(socket, false);
+		});
+		for (const seed of options.seeds) {
+			this.#meet(seed);
+		}
+
+		this.#timer = setInterval(() => {
+			this.#beat();
+		}, heartbeatInterval);
+	}
+
+	/** Hosts linked now. */
+	get hosts(): readonly Host[] {
+		return [...this.#links.values()].map(link => link.greeting!.from);
+	}
+
+	/** Hosts of the fleet, this one included, as many as were linked at once so far: those cut off still count. */
+	get fleetSize(): number {
+		return this.#most;
+	}
+
+	/**
+	 * @param now - Monotonic time in milliseconds.
+	 * @returns Failure domains whose every host has fallen silent.
+	 */
+	unreachableDomains(now: number): ReadonlySet<string> {
+		const silent = new Set<string>();
+		for (const [domain, at] of this.#domains) {
+			if (now - at > domainSilence && domain !== this.#options.self.failureDomain) {
+				silent.add(domain);
+			}
+		}
+
+		for (const host of this.hosts) {
+			silent.delete(host.failureDomain);
+		}
+
+		return silent;
+	}
+
+	/** Starts to listen and to dial. */
+	async start(): Promise<void> {
+		const {host, port} = this.#options.self.address;
+		this.#server.listen(port, host);
+		await once(this.#server, 'listening');
+		this.#beat();
+	}
+
+	/**
+	 * @param message - Message for every linked host.
+	 */
+	broadcast(message: Message): void {
+		if (this.#links.size === 0) {
+			return;
+		}
+
+		const bytes = encode(message);
+		for (const link of this.#links.values()) {
+			link.write(bytes);
+		}
+	}
+
+	/**
+	 * @param seeds - Peers to begin with, as settings name them now.
+	 */
+	addSeeds(seeds: readonly Address[]): void {
+		for (const seed of seeds) {
+			this.#meet(seed);
+		}
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		clearInterval(this.#timer);
+		const closed = once(this.#server, 'close');
+		this.#server.close();
+		for (const link of this.#all) {
+			link.close('shut down');
+		}
+
+		await closed;
+	}
+
+	#meet(address: Address, host?: Host): void {
+		const key = keyOf(address);
+		if (key === keyOf(this.#options.self.address)) {
+			return;
+		}
+
+		const known = this.#acquaintances.get(key);
+		if (known !== undefined) {
+			known.host ??= host;
+			return;
+		}
+
+		this.#acquaintances.set(key, {
+			address, host, seen: this.#options.now(), nextDial: 0, failures: 0, isDialling: false,
+		});
+	}
+
+	#beat(): void {
+		const now = this.#options.now();
+		this.#beats++;
+		// Whom this host knows is told now and then: a host that two others lost sight of finds back.
+		const known = this.#beats % 8 === 0 ? [...this.hosts] : undefined;
+		this.broadcast({type: 'heartbeat', known});
+		for (const host of this.hosts) {
+			this.#domains.set(host.failureDomain, now);
+		}
+
+		for (const [key, each] of this.#acquaintances) {
+			this.#consider(key, each, now);
+		}
+	}
+
+	#consider(key: string, each: Acquaintance, now: number): void {
+		const isLinked = each.host !== undefined && this.#links.has(each.host.name);
+		if (isLinked) {
+			each.seen = now;
+			return;
+		}
+
+		const isSeed = this.#options.seeds.some(seed => keyOf(seed) === key);
+		if (!isSeed && now - each.seen > memory) {
+			this.#acquaintances.delete(key);
+		} else if (!each.isDialling && now >= each.nextDial) {
+			this.#dial(each);
+		}
+	}
+
+	#dial(each: Acquaintance): void {
+		each.isDialling = true;
+		const socket = createConnection({host: each.address.host, port: each.address.port});
+		const timer = setTimeout(() => {
+			socket.destroy();
+		}, connectTimeout);
+		let isConnected = false;
+		socket.once('connect', () => {
+			isConnected = true;
+			clearTimeout(timer);
+			this.#attach(socket, true);
+		});
+		socket.on('error', () => {
+			// The close that follows counts it; a host that can't be reached is no news until it was linked.
+		});
+		socket.once('close', () => {
+			clearTimeout(timer);
+			each.isDialling = false;
+			each.failures = isConnected ? 0 : each.failures + 1;
+			const pause = Math.min(shortestPause * (2 ** each.failures), longestPause);
+			each.nextDial = this.#options.now() + pause;
+		});
+	}
+
+	#attach(socket: Socket, isDialled: boolean): void {
+		const link = new Link(socket, isDialled, this.#linkEvents);
+		this.#all.add(link);
+		link.send({type: 'hello', from: this.#options.self, known: [...this.hosts]});
+	}
+
+	#greeted(link: Link, from: Host, known: readonly Host[]): void {
+		for (const host of known) {
+			this.#meet(host.address, host);
+		}
+
+		this.#meet(from.address, from);
+		const acquaintance = this.#acquaintances.get(keyOf(from.address));
+		if (acquaintance !== undefined) {
+			acquaintance.host = from;
+		}
+
+		const before = this.#links.get(from.name);
+		if (before !== undefined && before !== link && !this.#replaces(link, before, from)) {
+			link.close('linked already');
+			return;
+		}
+
+		this.#links.set(from.name, link);
+		this.#most = Math.max(this.#most, this.#links.size + 1);
+		this.#domains.set(from.failureDomain, this.#options.now());
+		if (before !== undefined && before.greeting?.from.started !== from.started) {
+			this.#options.events.lost(from, 'started anew');
+		}
+
+		before?.close('replaced');
+		this.#options.log.write({
+			event: 'peer-linked', peer: from.name, domain: from.failureDomain, hosts: this.#most,
+		});
+		this.#options.events.joined(from, message => {
+			link.send(message);
+		});
+	}
+
+	/** Both ends keep the link that the host with the smaller name dialled, unless the other host has started anew. */
+	#replaces(link: Link, before: Link, from: Host): boolean {
+		if (before.greeting?.from.started !== from.started) {
+			return true;
+		}
+
+		const isSmaller = this.#options.self.name < from.name;
+		return link.isDialled === isSmaller && before.isDialled !== isSmaller;
+	}
+
+	#heard(link: Link, message: Message): void {
+		const from = link.greeting?.from;
+		if (from === undefined) {
+			link.close('no hello');
+			return;
+		}
+
+		if (message.type === 'heartbeat') {
+			for (const host of message.known ?? []) {
+				this.#meet(host.address, host);
+			}
+		} else {
+			this.#options.events.message(from, message);
+		}
+	}
+
+	#closed(link: Link, reason: string): void {
+		this.#all.delete(link);
+		const from = link.greeting?.from;
+		if (from === undefined || this.#links.get(from.name) !== link) {
+			return;
+		}
+
+		this.#links.delete(from.name);
+		this.#options.log.write({event: 'peer-lost', peer: from.name, reason}, 'warn');
+		this.#options.events.lost(from, reason);
+	}
+}
--- /dev/null
+++ b/src/gateway/server.ts
@@ -0,0 +1,106 @@
+/** Listens to callers, and tells the balancer whether this host takes them. */
+import {createServer, type Server} from 'node:http';
+import {once} from 'node:events';
+import {messageOf, type Address} from '../core/index.js';
+import {Exchange, type Parts} from './exchange.js';
+
+/** Bytes of headers taken: four times what configurations allow callers so far. */
+const headerBytes = 65_536;
+
+/** Milliseconds that a whole request may take to arrive. */
+const requestTimeout = 30_000;
+
+/** Milliseconds that idle connections are kept beyond what callers are told: they must be the first to close. */
+const idleMargin = 1000;
+
+export class CallerListener implements AsyncDisposable {
+	readonly #server: Server;
+	#running = 0;
+
+	/**
+	 * @param parts - What exchanges share.
+	 */
+	constructor(parts: Parts) {
+		this.#server = createServer({maxHeaderSize: headerBytes, requestTimeout, keepAlive: true}, (incoming, outgoing) => {
+			this.#running++;
+			const exchange = new Exchange(parts, incoming, outgoing);
+			void (async () => {
+				try {
+					await exchange.run();
+				} catch (error) {
+					parts.log.write({event: 'exchange-failed', detail: messageOf(error), stack: error instanceof Error ? error.stack : undefined}, 'error');
+					outgoing.destroy();
+				} finally {
+					this.#running--;
+				}
+			})();
+		});
+		this.#server.on('clientError', (error, socket) => {
+			// A caller that breaks off, or sends what is no HTTP, gets no answer that could be taken for a request's.
+			parts.log.write({event: 'caller-error', detail: error.message}, 'warn');
+			socket.destroy();
+		});
+	}
+
+	/** Requests that are not answered. */
+	get running(): number {
+		return this.#running;
+	}
+
+	/**
+	 * @param idleTimeout - Milliseconds that callers may leave a connection idle.
+	 */
+	keepIdle(idleTimeout: number): void {
+		this.#server.keepAliveTimeout = idleTimeout + idleMargin;
+	}
+
+	/** Closes connections on which nothing runs. */
+	closeIdle(): void {
+		this.#server.closeIdleConnections();
+	}
+
+	/**
+	 * @param address - Where to listen.
+	 */
+	async listen({host, port}: Address): Promise<void> {
+		this.#server.listen({port, host, backlog: 1024});
+		await once(this.#server, 'listening');
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		const closed = once(this.#server, 'close');
+		this.#server.close();
+		this.#server.closeAllConnections();
+		await closed;
+	}
+}
+
+/** Answers the balancer. */
+export class ReadyListener implements AsyncDisposable {
+	readonly #server: Server;
+
+	/**
+	 * @param isReady - Whether this host takes callers now.
+	 */
+	constructor(isReady: () => boolean) {
+		this.#server = createServer((incoming, outgoing) => {
+			incoming.resume();
+			outgoing.writeHead(isReady() ? 200 : 503, {'content-length': 0}).end();
+		});
+	}
+
+	/**
+	 * @param address - Where to listen.
+	 */
+	async listen({host, port}: Address): Promise<void> {
+		this.#server.listen(port, host);
+		await once(this.#server, 'listening');
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		const closed = once(this.#server, 'close');
+		this.#server.close();
+		this.#server.closeAllConnections();
+		await closed;
+	}
+}
--- a/src/protocol/__tests__/peers.test.ts
+++ b/src/protocol/__tests__/peers.test.ts
@@ -3,7 +3,7 @@
 import {Encoder} from 'cbor-x';
 import {describe, expect, it} from 'vitest';
 import {codes} from '../../core/index.js';
-import {encodeFrame, FrameReader, longestMessage} from '../peers.js';
+import {encodeFrame, messageReader, longestMessage} from '../peers.js';
 
 function frameOf(value: unknown): Uint8Array {
 	const body = new Encoder({useRecords: false}).encode(value);
@@ -19,13 +19,13 @@
 	it('arrive as they were, in a fraction of their size', () => {
 		const frame = encodeFrame({type: 'configuration', text});
 		expect(frame.length).toBeLessThan(text.length / 4);
-		expect(new FrameReader().push(frame)).toEqual([{type: 'configuration', text}]);
+		expect(messageReader().push(frame)).toEqual([{type: 'configuration', text}]);
 	});
 
 	it('are refused when they would not fit unpacked, or are not packed', () => {
 		const bomb = deflateRawSync(Buffer.alloc(longestMessage * 4));
 		for (const packed of [bomb, new Uint8Array([1, 2, 3]), text]) {
-			expect(() => new FrameReader().push(frameOf({type: 'configuration', text: packed})))
+			expect(() => messageReader().push(frameOf({type: 'configuration', text: packed})))
 				.toThrow(expect.objectContaining({code: codes.badPeerMessage}));
 		}
 	});
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -4,11 +4,11 @@
 import {Encoder} from 'cbor-x';
 import {z, type RefinementCtx} from 'zod';
 import {messageOf, raise, type PeerMessage} from '../core/index.js';
+import {frame, FrameReader} from './frames.js';
 
 /** The longest message taken: a whole configuration document and some room. */
 export const longestMessage = 1_200_000;
 
-const lengthBytes = 4;
 const listLimit = 4096;
 
 const text = z.string().max(256);
@@ -156,10 +156,7 @@
  */
 export function encodeFrame(message: PeerMessage): Uint8Array {
 	const body = codec.encode(message.type === 'configuration' ? {...message, text: deflated(message.text)} : message);
-	const frame = new Uint8Array(lengthBytes + body.length);
-	new DataView(frame.buffer).setUint32(0, body.length);
-	frame.set(body, lengthBytes);
-	return frame;
+	return frame(body);
 }
 
 function decodeBody(body: Uint8Array): PeerMessage {
@@ -179,58 +176,7 @@
 	return parsed.data;
 }
 
-/** Cuts a byte stream into messages; holds at most one incomplete frame. */
-export class FrameReader {
-	#chunks: Uint8Array[] = [];
-	#held = 0;
-
-	/**
-	 * @param chunk - Next bytes of the stream.
-	 * @returns The messages that are complete now, in order.
-	 * @throws Failure `badPeerMessage` when the stream cannot be read on.
-	 */
-	push(chunk: Uint8Array): readonly PeerMessage[] {
-		this.#chunks.push(chunk);
-		this.#held += chunk.length;
-		const messages: PeerMessage[] = [];
-		for (let body = this.#take(); body !== undefined; body = this.#take()) {
-			messages.push(decodeBody(body));
-		}
-
-		return messages;
-	}
-
-	#take(): Uint8Array | undefined {
-		if (this.#held < lengthBytes) {
-			return undefined;
-		}
-
-		const length = this.#length();
-		if (length > longestMessage) {
-			raise('badPeerMessage', `a message of ${length} bytes`);
-		}
-
-		if (this.#held < lengthBytes + length) {
-			return undefined;
-		}
-
-		const bytes = this.#joined();
-		const rest = bytes.subarray(lengthBytes + length);
-		this.#chunks = rest.length === 0 ? [] : [rest];
-		this.#held = rest.length;
-		return bytes.subarray(lengthBytes, lengthBytes + length);
-	}
-
-	#length(): number {
-		if (this.#chunks[0]!.length < lengthBytes) {
-			this.#chunks = [this.#joined()];
-		}
-
-		const {buffer, byteOffset} = this.#chunks[0]!;
-		return new DataView(buffer, byteOffset, lengthBytes).getUint32(0);
-	}
-
-	#joined(): Uint8Array {
-		return this.#chunks.length === 1 ? this.#chunks[0]! : Buffer.concat(this.#chunks);
-	}
+/** @returns A reader of the messages of one connection. */
+export function messageReader(): FrameReader<PeerMessage> {
+	return new FrameReader(decodeBody, longestMessage);
 }
--- a/xo.config.js
+++ b/xo.config.js
@@ -19,7 +19,7 @@
 /** @type {import('xo').FlatXoConfig} */
 const config = [
 	{
-		ignores: ['dist/**', 'node_modules/**'],
+		ignores: ['dist/**', 'target/**', 'node_modules/**'],
 	},
 	{
 		rules: {
