Log lines that nobody reads are dropped and counted; unit tests of the gateway's decisions

Cause: the log had no bound on what waits for a slow reader. After: 262 kB wait at most, the rest is counted and told of. Also: the client of the product's own configuration service moves to src/configuration-service, so that it cannot be taken for the users' platform; the linter keeps the platform's names in platform/.

--- a/__tests__/gateway/path.test.ts
+++ b/__tests__/gateway/path.test.ts
@@ -54,7 +54,9 @@
 	it('goes over connections that are kept, to both sides', async () => {
 		const agent = new Agent({keepAlive: true, maxSockets: 1});
 		for (let index = 0; index < 5; index++) {
-			const answer = await site.ask({path: '/read/x', id: `kept-${index}`, agent, method: 'GET'});
+			const answer = await site.ask({
+				path: '/read/x', id: `kept-${index}`, agent, method: 'GET',
+			});
 			expect(answer.status).toBe(200);
 		}
 
--- a/__tests__/gateway/site.ts
+++ b/__tests__/gateway/site.ts
@@ -7,12 +7,16 @@
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {z} from 'zod';
 import {type Address} from '../../src/core/index.js';
+import {portOf} from '../../src/entry/ports.js';
 import {Ledger} from '../../stand-ins/gateway/ledger.js';
 import {StoreStandIn} from '../../stand-ins/gateway/store.js';
 import {UpstreamStandIn} from '../../stand-ins/gateway/upstream.js';
 
+const lineSchema = z.record(z.string(), z.unknown());
 const loopback = '127.0.0.1';
 const readyWithin = 10_000;
 
@@ -71,8 +75,12 @@
 			{
 				Name: 'model', HealthPath: '/healthz', MaxConnections: 100, Protocol: 'h1', Tls: false, Engine: engine,
 			},
-			{Name: 'plain', HealthPath: '/healthz', MaxConnections: 50, Protocol: 'h1', Tls: false},
-			{Name: 'nowhere', HealthPath: '/healthz', MaxConnections: 50, Protocol: 'h1', Tls: false},
+			{
+				Name: 'plain', HealthPath: '/healthz', MaxConnections: 50, Protocol: 'h1', Tls: false,
+			},
+			{
+				Name: 'nowhere', HealthPath: '/healthz', MaxConnections: 50, Protocol: 'h1', Tls: false,
+			},
 		],
 		Limits: {
 			MaxHeaderBytes: 16_384, MaxBodyBytes: 100_000, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15_000,
@@ -108,7 +116,7 @@
 	const server = createServer();
 	server.listen(0, loopback);
 	await once(server, 'listening');
-	const {port} = server.address() as {port: number};
+	const port = portOf(server);
 	server.close();
 	await once(server, 'close');
 	return port;
@@ -171,7 +179,7 @@
 		const parts = (this.#rest + text).split('\n');
 		this.#rest = parts.pop() ?? '';
 		for (const part of parts) {
-			this.lines.push(JSON.parse(part) as Record<string, unknown>);
+			this.lines.push(lineSchema.parse(JSON.parse(part)));
 		}
 	}
 }
@@ -185,13 +193,6 @@
 };
 
 export class Site implements AsyncDisposable {
-	readonly store = new StoreStandIn();
-	readonly ledger = new Ledger();
-	readonly hosts: Host[] = [];
-	readonly engines: UpstreamStandIn[] = [];
-	readonly plains: UpstreamStandIn[] = [];
-	readonly #directory = mkdtempSync(path.join(tmpdir(), 'site-'));
-
 	/**
 	 * @param options - What it has.
 	 * @returns A site whose hosts are ready.
@@ -225,6 +226,13 @@
 		return site;
 	}
 
+	readonly store = new StoreStandIn();
+	readonly ledger = new Ledger();
+	readonly hosts: Host[] = [];
+	readonly engines: UpstreamStandIn[] = [];
+	readonly plains: UpstreamStandIn[] = [];
+	readonly #directory = mkdtempSync(path.join(tmpdir(), 'site-'));
+
 	/**
 	 * @param upstream - Upstream as it stands now.
 	 */
@@ -328,7 +336,7 @@
 			signal: asking.signal,
 		}, incoming => {
 			isAnswered = true;
-			const chunks: Buffer[] = [];
+			const chunks: Uint8Array[] = [];
 			const end = () => {
 				resolve({
 					status: incoming.statusCode ?? 0,
@@ -339,9 +347,9 @@
 				});
 			};
 
-			incoming.on('data', (chunk: Buffer) => {
+			incoming.on('data', (chunk: Uint8Array) => {
 				chunks.push(chunk);
-				asking.onData?.(chunk.toString('utf8'));
+				asking.onData?.(Buffer.from(chunk).toString('utf8'));
 			});
 			incoming.on('end', end);
 			incoming.on('error', end);
--- a/__tests__/gateway/stops.test.ts
+++ b/__tests__/gateway/stops.test.ts
@@ -1,4 +1,5 @@
 /** Hosts and upstreams that leave, stores that are away. */
+import {writeFileSync} from 'node:fs';
 import {Agent} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
@@ -28,7 +29,9 @@
 		host!.process.kill('SIGTERM');
 		await sleep(300);
 		expect(await site.isReady(host!)).toBe(false);
-		const late = await site.ask({path: '/once/x', id: 'late-1', body: 'b', agent});
+		const late = await site.ask({
+			path: '/once/x', id: 'late-1', body: 'b', agent,
+		});
 		expect(late).toMatchObject({status: 200, isWhole: true});
 		expect(late.headers.connection).toBe('close');
 		const answer = await running;
@@ -65,10 +68,13 @@
 		await start({settings: {revocation: 2500}});
 		site.store.mode = mode;
 		await sleep(1000);
-		expect((await site.ask({path: '/read/x', id: 'away-1'})).status).toBe(200);
+		const soon = await site.ask({path: '/read/x', id: 'away-1'});
+		expect(soon.status).toBe(200);
 		await sleep(1800);
-		expect((await site.ask({path: '/read/x', id: 'away-2'})).status).toBe(503);
-		expect((await site.ask({path: '/open/x', id: 'away-3'})).status).toBe(200);
+		const late = await site.ask({path: '/read/x', id: 'away-2'});
+		expect(late.status).toBe(503);
+		const open = await site.ask({path: '/open/x', id: 'away-3'});
+		expect(open.status).toBe(200);
 		site.store.mode = 'serving';
 		await expect.poll(async () => {
 			const answer = await site.ask({path: '/read/x', id: 'back-1'});
@@ -124,7 +130,6 @@
 	await start({});
 	const [host] = site.hosts;
 	await host!.kill();
-	const {writeFileSync} = await import('node:fs');
 	writeFileSync(host!.file, '{"host": 5}');
 	host!.start();
 	await expect.poll(() => host!.process.exitCode, {timeout: 5000}).toBe(2);
--- a/__tests__/gateway/upstreams.test.ts
+++ b/__tests__/gateway/upstreams.test.ts
@@ -133,13 +133,19 @@
 it('sends a crashing request to no more than a few engines', async () => {
 	setAll(site.engines, 'lost');
 	for (let index = 0; index < 5; index++) {
-		await site.ask({path: '/ask/x', id: `crash-${index}`, headers: prompt(1000, 3), body: 'the same'});
+		await site.ask({
+			path: '/ask/x', id: `crash-${index}`, headers: prompt(1000, 3), body: 'the same',
+		});
 	}
 
 	setAll(site.engines, 'none');
-	const answer = await site.ask({path: '/ask/x', id: 'crash-9', headers: prompt(1000, 3), body: 'the same'});
+	const answer = await site.ask({
+		path: '/ask/x', id: 'crash-9', headers: prompt(1000, 3), body: 'the same',
+	});
 	expect(answer.status).toBe(503);
 	expect(site.ledger.of('crash-9')).toEqual([]);
-	const other = await site.ask({path: '/ask/x', id: 'crash-10', headers: prompt(1000, 3), body: 'another'});
+	const other = await site.ask({
+		path: '/ask/x', id: 'crash-10', headers: prompt(1000, 3), body: 'another',
+	});
 	expect(other.status).toBe(200);
 });
--- a/bench/fleet/hosts.ts
+++ b/bench/fleet/hosts.ts
@@ -6,7 +6,7 @@
 import got from 'got';
 import {z} from 'zod';
 import {codes, type Address} from '../../src/core/index.js';
-import {type Hosts as HostList} from '../../src/platform/protocol.js';
+import {type Hosts as HostList} from '../../src/configuration-service/protocol.js';
 import {type FaultProxy} from '../../stand-ins/proxy/service.js';
 import {Child} from './child.js';
 import {freePorts, type Ports} from './ports.js';
--- /dev/null
+++ b/src/core/gateway/__tests__/knowledge.test.ts
@@ -0,0 +1,184 @@
+/** What a gateway remembers: jobs, failures, retries, suspects, routes. */
+import {describe, expect, it} from 'vitest';
+import {reading, writingPass} from '../engine.js';
+import {Directory} from '../directory.js';
+import {Health} from '../health.js';
+import {Load, type Job} from '../load.js';
+import {isRepeatable, RetryBudget} from '../retries.js';
+import {Suspects} from '../suspects.js';
+import {type EngineModel, type Route} from '../types.js';
+
+const model: EngineModel = {
+	slots: 11, memory: 232_000, stride: 43, step: 1, perRequest: 0, perThousand: 0, readRate: 200, pairs: 0.1, chunk: 2048, hop: 0, usualPrompt: 12_000, usualAnswer: 1300,
+};
+
+function job(id: string, change: Partial<Job> = {}): Job {
+	return {
+		id, host: 'h1', upstream: 'e1', helpers: [], prompt: 1000, answer: 100, isHeld: false, read: 100, readPerPass: 100, weight: 1, began: 0, due: 300, deadline: 5000, ...change,
+	};
+}
+
+describe('an engine\'s times', () => {
+	it('grow with the square of a prompt and shrink with the engines that share it', () => {
+		const one = reading(model, 100_000);
+		expect(one.total).toBeCloseTo(500 + 500 + 49, 0);
+		expect(reading(model, 100_000, 4).total).toBeCloseTo(one.total / 4, -1);
+		expect(reading(model, 200_000).total / one.total).toBeGreaterThan(2.5);
+	});
+
+	it('of one pass are bounded by what a pass reads', () => {
+		expect(reading(model, 400_000).perPass).toBeLessThan(reading(model, 400_000).total / 2.5);
+		expect(reading(model, 5000).perPass).toBe(reading(model, 5000).total);
+	});
+
+	it('of writing have a base and a part for each request', () => {
+		expect(writingPass({...model, perRequest: 0.01, perThousand: 0.01}, [10_000, 0])).toBeCloseTo(43 * (1 + 0.02 + 0.1), 5);
+	});
+});
+
+describe('the load', () => {
+	it('knows what is read and written, and corrects itself when the first byte comes', () => {
+		const load = new Load();
+		load.begin(job('a'), 0);
+		load.begin(job('b'), 0);
+		expect(load.forecast('e1', model, 50)).toMatchObject({requests: 2, backlog: 150});
+		load.progress('a', 60);
+		expect(load.forecast('e1', model, 60).backlog).toBeLessThanOrEqual(140);
+		expect(load.forecast('e1', model, 60).writers.map(each => each.id)).toEqual(['a']);
+		load.end('b', 70);
+		expect(load.forecast('e1', model, 70)).toMatchObject({backlog: 0, requests: 1});
+		load.end('a', 80);
+		expect(load.size).toBe(0);
+		expect(load.forecast('e1', model, 80).free).toBe(model.memory);
+	});
+
+	it('counts helpers as readers and holds at each engine', () => {
+		const load = new Load();
+		load.begin(job('a', {helpers: ['e2'], isHeld: true, prompt: 100_000}), 0);
+		expect(load.forecast('e2', model, 0)).toMatchObject({requests: 0, backlog: 100});
+		expect(load.forecast('e2', model, 0).free).toBeLessThan(model.memory - 50_000);
+	});
+
+	it('forgets hosts, restarted upstreams and jobs that must be over', () => {
+		const load = new Load();
+		load.begin(job('a'), 0);
+		load.begin(job('b', {host: 'h2'}), 0);
+		load.begin(job('c', {host: 'h2', upstream: 'e2', helpers: ['e1']}), 0);
+		load.forgetHost('h1', 1);
+		expect(load.job('a')).toBeUndefined();
+		load.forgetUpstream('e1', 1);
+		expect([load.job('b'), load.job('c')?.id]).toEqual([undefined, 'c']);
+		load.expire(5400);
+		expect(load.size).toBe(1);
+		load.expire(5600);
+		expect(load.size).toBe(0);
+	});
+});
+
+describe('health', () => {
+	it('falls with failures and comes back with time', () => {
+		const health = new Health();
+		const before = health.risk('e', 0);
+		for (let index = 0; index < 4; index++) {
+			health.record('e', 'faulty', 0);
+		}
+
+		expect(health.risk('e', 0)).toBeGreaterThan(0.4);
+		expect(health.risk('e', 20_000)).toBeLessThan(before * 3);
+		expect(health.isPaused('e', 0)).toBe(false);
+	});
+
+	it('leaves an upstream without connections alone, longer each time, up to two seconds', () => {
+		const health = new Health();
+		health.record('e', 'unreachable', 0);
+		expect([health.isPaused('e', 249), health.isPaused('e', 251)]).toEqual([true, false]);
+		for (let index = 0; index < 9; index++) {
+			health.record('e', 'unreachable', 1000);
+		}
+
+		expect([health.isPaused('e', 2999), health.isPaused('e', 3001)]).toEqual([true, false]);
+		health.record('e', 'sound', 1000);
+		expect(health.isPaused('e', 1001)).toBe(false);
+	});
+});
+
+describe('retries', () => {
+	it('stay within the share that a host may use of the common bounds', () => {
+		const budget = new RetryBudget({ratio: 0.2, window: 10_000, allowance: 100});
+		let made = 0;
+		for (let now = 0; now < 10_000; now += 10) {
+			budget.countRequest('s', now);
+			if (budget.allows('s', 10, now)) {
+				budget.countRetry('s', now);
+				made++;
+			}
+		}
+
+		expect(made).toBeLessThanOrEqual((1000 * 0.2) + 10);
+		expect(made).toBeGreaterThan(100);
+	});
+
+	it('are earned again as the window moves on', () => {
+		const budget = new RetryBudget({ratio: 0, window: 1000, allowance: 10});
+		for (let index = 0; index < 7; index++) {
+			budget.countRetry('s', 0);
+		}
+
+		expect(budget.allows('s', 1, 500)).toBe(false);
+		expect(budget.allows('s', 1, 1001)).toBe(true);
+		expect(budget.allows('t', 1, 500)).toBe(true);
+	});
+
+	it.each([
+		['idempotent', false, [true, true, true, false, false]],
+		['non-idempotent', false, [true, false, false, false, false]],
+		['streaming', false, [true, false, false, false, false]],
+		['streaming', true, [true, false, true, false, false]],
+	] as const)('of a request that is %s, resumable %s', (kind, isResumable, expected) => {
+		const endings = [
+			{type: 'not-run', reason: '', isShed: true}, {type: 'failed', status: 500}, {type: 'unknown', reason: ''}, {type: 'answered', status: 200}, {type: 'cancelled', reason: ''},
+		] as const;
+		expect(endings.map(ending => isRepeatable(kind, isResumable, ending))).toEqual(expected);
+	});
+});
+
+describe('suspects', () => {
+	it('are convicted by three distinct crashes within a minute', () => {
+		const suspects = new Suspects();
+		expect(suspects.record({fingerprint: 'f', id: 'e1.1'}, 0)).toBe(true);
+		expect(suspects.record({fingerprint: 'f', id: 'e1.1'}, 0)).toBe(false);
+		suspects.record({fingerprint: 'f', id: 'e2.1'}, 10);
+		expect(suspects.isConvicted('f', 20)).toBe(false);
+		suspects.record({fingerprint: 'f', id: 'e3.1'}, 20);
+		expect([suspects.isConvicted('f', 30), suspects.isConvicted('g', 30), suspects.isConvicted('f', 61_000)]).toEqual([true, false, false]);
+	});
+});
+
+describe('the directory', () => {
+	const route = (name: string, prefix: string, isPublic = false): Route => ({
+		name, authority: 'Api.example', prefix, kind: 'idempotent', timeout: 1, objective: 1, priority: 0, targets: [], attempts: 1, isPublic, isResumable: false,
+	});
+	const directory = new Directory({
+		version: 1,
+		routes: [route('all', '/'), route('a', '/a/'), route('ab', '/a/b/'), route('open', '/open/', true)],
+		services: [],
+		limits: {
+			headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1,
+		},
+		organisations: [{name: 'acme', keys: ['k']}],
+	});
+
+	it.each([
+		['/a/b/c', 'ab'], ['/a/bc', 'a'], ['/a/b/', 'ab'], ['/a', 'all'], ['/x/y', 'all'], ['/', 'all'],
+	])('leads %s to the longest prefix', (path, name) => {
+		const found = directory.resolve('api.EXAMPLE', path, 'k');
+		expect(found).toMatchObject({type: 'routed', route: {name}, organisation: {name: 'acme'}});
+	});
+
+	it('tells an unknown host name from an unknown key', () => {
+		expect(directory.resolve('other', '/a/', 'k').type).toBe('no-route');
+		expect(directory.resolve('api.example', '/a/', 'x').type).toBe('unknown-key');
+		expect(directory.resolve('api.example', '/a/', undefined).type).toBe('unknown-key');
+		expect(directory.resolve('api.example', '/open/x', undefined)).toMatchObject({type: 'routed', organisation: undefined});
+	});
+});
--- a/src/entry/container.ts
+++ b/src/entry/container.ts
@@ -1,6 +1,6 @@
 /** Wires the daemon's parts together. */
 import {Container} from 'inversify';
-import {Platform} from '../platform/client.js';
+import {Platform} from '../configuration-service/client.js';
 import {AdminServer, type Cost} from './admin/server.js';
 import {Decisions} from './admin/decisions.js';
 import {Directory} from './callers/directory.js';
--- a/src/entry/logs.ts
+++ b/src/entry/logs.ts
@@ -10,8 +10,19 @@
 const levels = {info: 'info', warn: 'warn', error: 'error'} as const;
 export type Level = keyof typeof levels;
 
+/** Bytes that may wait for a reader of standard output; what comes beyond them is dropped and counted. */
+const longestBacklog = 262_144;
+
+/** Lines a second; a host writes three for each request and answers a few hundred requests a second at its best. */
+const mostLines = 2000;
+
+const second = 1000;
+
 /** Lines of one turn of the loop go out in one write. */
 let waiting = '';
+let dropped = 0;
+let windowEnd = 0;
+let windowLines = 0;
 
 function flush(): void {
 	const lines = waiting;
@@ -24,13 +35,38 @@
 // What is left when the process ends by itself is written then.
 process.once('exit', flush);
 
-function reporter(entry: LogObject): void {
-	const line: unknown = entry.args[0];
+function hasRoom(now: number): boolean {
+	if (now >= windowEnd) {
+		windowEnd = now + second;
+		windowLines = 0;
+	}
+
+	windowLines++;
+	return windowLines <= mostLines && process.stdout.writableLength + waiting.length < longestBacklog;
+}
+
+function append(time: Date, level: string, line: object): void {
 	if (waiting === '') {
 		setImmediate(flush);
 	}
 
-	waiting += `${JSON.stringify({time: entry.date.toISOString(), level: entry.type, ...(typeof line === 'object' && line)})}\n`;
+	waiting += `${JSON.stringify({time: time.toISOString(), level, ...line})}\n`;
+}
+
+/** Writes to a pipe never wait for its reader in Node; only the lines that wait have to be bounded. */
+function reporter(entry: LogObject): void {
+	if (!hasRoom(entry.date.getTime())) {
+		dropped++;
+		return;
+	}
+
+	if (dropped > 0) {
+		append(entry.date, 'warn', {event: 'lines-dropped', count: dropped});
+		dropped = 0;
+	}
+
+	const line: unknown = entry.args[0];
+	append(entry.date, entry.type, typeof line === 'object' && line !== null ? line : {});
 }
 
 /** Writes log lines. */
@@ -47,6 +83,11 @@
 		this.#consola = createConsola({level: LogLevels.info, reporters: [{log: reporter}]});
 	}
 
+	/** Lines that were dropped and not yet told of. */
+	get dropped(): number {
+		return dropped;
+	}
+
 	/**
 	 * @param line - Fields of the line.
 	 * @param level - Severity.
--- a/src/entry/tokens.ts
+++ b/src/entry/tokens.ts
@@ -1,6 +1,6 @@
 /** Names under which the daemon's parts are wired. */
 import {type ServiceIdentifier} from 'inversify';
-import {type Platform} from '../platform/client.js';
+import {type Platform} from '../configuration-service/client.js';
 import {type AdminServer} from './admin/server.js';
 import {type Decisions} from './admin/decisions.js';
 import {type Directory} from './callers/directory.js';
--- a/src/entry/watch/configuration.ts
+++ b/src/entry/watch/configuration.ts
@@ -1,6 +1,6 @@
 /** Watches the platform's configuration service. */
 import {codes, type Event, type State} from '../../core/index.js';
-import {type Platform} from '../../platform/client.js';
+import {type Platform} from '../../configuration-service/client.js';
 import {parseConfiguration} from '../../protocol/configuration/index.js';
 import {Loop} from './loop.js';
 
--- /dev/null
+++ b/src/gateway/__tests__/bytes.test.ts
@@ -0,0 +1,68 @@
+/** Bytes on their way: events of streams, headers, messages of peers. */
+import {Buffer} from 'node:buffer';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {isFailure} from '../../core/index.js';
+import {EventSplitter} from '../events.js';
+import {endToEnd} from '../headers.js';
+import {
+	encode, heard, messageReader, tell, type Message,
+} from '../peers/messages.js';
+
+describe('events', () => {
+	const stream = 'id: 1\ndata: a\n\nid: 2\r\ndata: ü\r\n\r\ndata: without id\n\nid: 4\ndata: x\n\nid: 5\ndata: half';
+
+	it('pass unchanged, whole and with the last id, however they are cut', () => {
+		fc.assert(fc.property(fc.array(fc.integer({min: 0, max: Buffer.byteLength(stream)}), {maxLength: 12}), cuts => {
+			const bytes = Buffer.from(stream);
+			const places = [0, ...cuts.toSorted((a, b) => a - b), bytes.length];
+			const splitter = new EventSplitter();
+			const passed: Buffer[] = [];
+			let count = 0;
+			let last: string | undefined;
+			for (let index = 1; index < places.length; index++) {
+				const events = splitter.push(bytes.subarray(places[index - 1], places[index]));
+				passed.push(events.bytes);
+				count += events.count;
+				last = events.lastId ?? last;
+			}
+
+			expect(count).toBe(4);
+			expect(last).toBe('4');
+			expect(Buffer.concat([...passed, splitter.rest]).equals(bytes)).toBe(true);
+			expect(splitter.rest.toString()).toBe('id: 5\ndata: half');
+		}));
+	});
+});
+
+it('leaves out headers of one connection, those that it names and those that are dropped', () => {
+	const raw = ['Host', 'a', 'Connection', 'close, X-Hop', 'X-Hop', '1', 'x-keep', '2', 'X-Keep', '3', 'Transfer-Encoding', 'chunked', 'X-Drop', '4'];
+	expect(endToEnd(raw, new Set(['x-drop']))).toEqual(['Host', 'a', 'x-keep', '2', 'X-Keep', '3']);
+});
+
+describe('messages of peers', () => {
+	const job = {
+		id: 'h.1', host: 'h', upstream: 'e', helpers: ['f'], prompt: 10, answer: 5, isHeld: false, read: 3, readPerPass: 2, weight: 1, began: 100, due: 400, deadline: 900,
+	};
+
+	it('come out as they went in, and jobs on the hearer\'s clock', () => {
+		const message: Message = {
+			type: 'load', began: [tell(job, 150)], progressed: ['h.0'], ended: [],
+		};
+		const [read] = messageReader().push(encode(message));
+		expect(read).toEqual(message);
+		expect(heard(tell(job, 150), 'h', 5150)).toEqual({
+			...job, began: 5100, due: 5400, deadline: 5900, firstByte: undefined, pause: undefined,
+		});
+	});
+
+	it('that cannot be read raise a coded error', () => {
+		fc.assert(fc.property(fc.uint8Array({maxLength: 64}), bytes => {
+			try {
+				messageReader().push(bytes);
+			} catch (error) {
+				expect(isFailure(error) && error.code).toBe(8001);
+			}
+		}));
+	});
+});
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -128,6 +128,7 @@
 	}
 
 	#refresh(): void {
+		this.#metrics.droppedLines.set(this.#log.dropped);
 		this.#metrics.inFlight.set(this.#callers.running);
 		this.#metrics.knownJobs.set(this.#gateway.load.size);
 		this.#metrics.peers.set(this.#gateway.peers.hosts.length);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -140,16 +140,11 @@
 		const before = this.#upstreams.get(upstream.id);
 		this.#upstreams.set(upstream.id, upstream);
 		this.#index();
-		const isRestart = before !== undefined && before.started !== upstream.started;
-		if (isRestart) {
+		if (before === undefined || before.started === upstream.started) {
+			this.#noteState(before, upstream);
+		} else {
 			this.#restarted(upstream.id);
 		}
-
-		if (before === undefined || before.isDraining !== upstream.isDraining) {
-			this.#log.write({
-				event: 'upstream', upstream: upstream.id, service: upstream.service, domain: upstream.failureDomain, draining: upstream.isDraining,
-			});
-		}
 	}
 
 	/**
@@ -270,6 +265,14 @@
 		}
 	}
 
+	#noteState(before: GatewayUpstream | undefined, upstream: GatewayUpstream): void {
+		if (before?.isDraining !== upstream.isDraining) {
+			this.#log.write({
+				event: 'upstream', upstream: upstream.id, service: upstream.service, domain: upstream.failureDomain, draining: upstream.isDraining,
+			});
+		}
+	}
+
 	#restarted(id: string): void {
 		this.load.forgetUpstream(id, this.#clock.now());
 		this.health.forget(id);
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -54,7 +54,7 @@
 	readonly retries: Counter;
 	readonly holds: Counter;
 	readonly storeCalls: Counter;
-	readonly droppedLines: Counter;
+	readonly droppedLines: Gauge;
 	readonly firstByte: Histogram;
 	readonly total: Histogram;
 	readonly inFlight: Gauge;
@@ -72,7 +72,7 @@
 		this.retries = counter(registry, 'retries_total', 'Attempts after the first, and those the budget did not allow', ['service', 'allowed']);
 		this.holds = counter(registry, 'holds_total', 'Memory reserved at several engines', ['result']);
 		this.storeCalls = counter(registry, 'store_calls_total', 'Calls to the platform store', ['result']);
-		this.droppedLines = counter(registry, 'log_lines_dropped_total', 'Log lines dropped as nobody read them', []);
+		this.droppedLines = gauge(registry, 'log_lines_dropped', 'Log lines dropped as nobody read them, not yet told of in the log');
 		this.firstByte = histogram(registry, 'first_byte_milliseconds', 'From arrival to the first byte of the answer');
 		this.total = histogram(registry, 'request_milliseconds', 'From arrival to the end of the answer');
 		this.inFlight = gauge(registry, 'requests_in_flight', 'Requests of callers that are not answered');
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -25,21 +25,17 @@
 	store: place,
 	/** Time from SIGTERM until the process is killed. */
 	grace: milliseconds.default(8000),
-	/** Time after which an organisation's key must have stopped working once it was taken away. */
-	revocation: milliseconds.default(5000),
+	/** Time after which an organisation's key must have stopped working once it was taken away; 0 where that is not asked. */
+	revocation: z.number().nonnegative().default(5000),
 	/** Bounds of the system for a change of configuration and for an upstream that leaves. */
 	configurationDelay: milliseconds.default(2000),
 	drainDelay: milliseconds.default(2000),
-	/** Longest lease of a hold at an engine. */
-	longestHold: milliseconds.default(20_000),
 	/** Retries over all hosts: a share of requests and an allowance within a window. */
 	retries: z.object({
 		ratio: z.number().min(0).default(0.2),
 		window: milliseconds.default(10_000),
 		allowance: z.number().nonnegative().default(100),
 	}).readonly().default({ratio: 0.2, window: 10_000, allowance: 100}),
-	/** Bytes of log lines that may wait for a slow reader; what is over is dropped and counted. */
-	logBuffer: z.number().int().positive().default(262_144),
 }).readonly();
 
 export type Settings = z.infer<typeof settingsSchema>;
--- a/stand-ins/gateway/store.ts
+++ b/stand-ins/gateway/store.ts
@@ -4,8 +4,8 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {type AddressInfo} from 'node:net';
 import {type Address} from '../../src/core/index.js';
+import {portOf} from '../../src/entry/ports.js';
 
 type Item = {
 	readonly Key: string;
@@ -50,7 +50,7 @@
 	}
 
 	get address(): Address {
-		return {host: loopback, port: (this.#server.address() as AddressInfo).port};
+		return {host: loopback, port: portOf(this.#server)};
 	}
 
 	/** Starts to listen on a free port. */
--- a/stand-ins/gateway/upstream.ts
+++ b/stand-ins/gateway/upstream.ts
@@ -4,9 +4,10 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {type AddressInfo} from 'node:net';
 import {text} from 'node:stream/consumers';
+import {z} from 'zod';
 import {type Address} from '../../src/core/index.js';
+import {portOf} from '../../src/entry/ports.js';
 import {type EngineModel} from '../../src/core/gateway/types.js';
 import {Batch, memoryOf, type BatchJob} from './batch.js';
 import {type Ledger} from './ledger.js';
@@ -64,6 +65,10 @@
 	readonly helpers: readonly UpstreamStandIn[];
 };
 
+const orderSchema = z.object({
+	Operation: z.string(), Id: z.string(), Tokens: z.number().optional(), HoldMs: z.number().optional(),
+});
+
 const loopback = '127.0.0.1';
 const notRun = {'x-not-executed': '1'};
 
@@ -79,7 +84,6 @@
 	readonly #tickets = new Map<string, Ticket>();
 	#isBusy = false;
 	#isDraining = false;
-	#running = 0;
 
 	/**
 	 * @param options - Who it is and what it runs.
@@ -97,7 +101,7 @@
 	}
 
 	get address(): Address {
-		return {host: loopback, port: (this.#server.address() as AddressInfo).port};
+		return {host: loopback, port: portOf(this.#server)};
 	}
 
 	/** Reservations held now. */
@@ -215,11 +219,9 @@
 	}
 
 	async #servePlain(id: string, body: string, outgoing: ServerResponse): Promise<void> {
-		this.#running++;
 		await new Promise(resolve => {
 			setTimeout(resolve, this.#options.work ?? 1);
 		});
-		this.#running--;
 		const payload = `answer to ${id}: ${body}`;
 		const head = {'x-request-id': id, 'x-response-signature': this.id};
 		switch (this.fault) {
@@ -391,7 +393,7 @@
 	}
 
 	async #order(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
-		const order = JSON.parse(await text(incoming)) as {Operation: string; Id: string; Tokens?: number; HoldMs?: number};
+		const order = orderSchema.parse(JSON.parse(await text(incoming)));
 		const known = this.#tickets.get(order.Id);
 		clearTimeout(known?.timer);
 		if (order.Operation === 'release') {
--- a/stand-ins/platform/__tests__/platform.test.ts
+++ b/stand-ins/platform/__tests__/platform.test.ts
@@ -1,6 +1,6 @@
 import got from 'got';
 import {describe, expect, it} from 'vitest';
-import {hostsSchema} from '../../../src/platform/protocol.js';
+import {hostsSchema} from '../../../src/configuration-service/protocol.js';
 import {CallBudget} from '../budget.js';
 import {PlatformService, settingsSchema} from '../service.js';
 
--- a/stand-ins/platform/control.ts
+++ b/stand-ins/platform/control.ts
@@ -1,6 +1,6 @@
 /** What tests tell the platform stand-in. */
 import {z} from 'zod';
-import {hostsSchema} from '../../src/platform/protocol.js';
+import {hostsSchema} from '../../src/configuration-service/protocol.js';
 import {millisecondsSchema} from '../common/settings.js';
 
 export const controlSchema = z.discriminatedUnion('type', [
--- a/stand-ins/platform/service.ts
+++ b/stand-ins/platform/service.ts
@@ -2,7 +2,7 @@
 import {performance} from 'node:perf_hooks';
 import {z} from 'zod';
 import {assertNever} from '../../src/core/index.js';
-import {revisionHeader, type Hosts} from '../../src/platform/protocol.js';
+import {revisionHeader, type Hosts} from '../../src/configuration-service/protocol.js';
 import {
 	answerError, answerJson, header, readText, Server, type Answer, type Call,
 } from '../common/server.js';
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,5 +1,5 @@
 // The one-way imports of docs/ARCHITECTURE.md, inner layer first: a layer may import only itself and those before it.
-const layers = ['core', 'protocol', 'upstream', 'platform', 'entry'];
+const layers = ['core', 'protocol', 'upstream', 'configuration-service', 'entry'];
 
 function above(layer) {
 	return layers.slice(layers.indexOf(layer) + 1).map(name => `**/${name}/**`);
@@ -16,6 +16,17 @@
 	'uuid',
 ];
 
+const platformNames = [
+	'x-(not-executed|response-signature|expect-instance|helpers|token-count|prefix-hash|tenant|deadline-ms)',
+	'op.config',
+	'servers.',
+];
+
+const platformNamed = {
+	selector: `Literal[value=/^(${platformNames.join('|')})/i]`,
+	message: 'The platform\'s names stay in platform/.',
+};
+
 /** @type {import('xo').FlatXoConfig} */
 const config = [
 	{
@@ -42,6 +53,16 @@
 			complexity: ['error', 24],
 		},
 	},
+	{
+		// Only the adapter speaks the platform's names.
+		files: ['src/**/*.ts'],
+		rules: {
+			'no-restricted-syntax': [
+				'error',
+				platformNamed,
+			],
+		},
+	},
 	{
 		files: ['src/core/**/*.ts'],
 		ignores: ['**/__tests__/**'],
@@ -55,22 +76,13 @@
 			'no-restricted-globals': ['error', 'setTimeout', 'setInterval', 'setImmediate', 'performance', 'process', 'fetch', 'console', 'crypto'],
 			'no-restricted-syntax': [
 				'error',
+				platformNamed,
 				{selector: 'MemberExpression[object.name="Date"][property.name="now"]', message: 'Time is given to the core.'},
 				{selector: 'NewExpression[callee.name="Date"]', message: 'Time is given to the core.'},
 				{selector: 'MemberExpression[object.name="Math"][property.name="random"]', message: 'The random source is given to the core.'},
 			],
 		},
 	},
-	{
-		// Only the adapter speaks the platform's names.
-		files: ['src/**/*.ts'],
-		rules: {
-			'no-restricted-syntax': [
-				'error',
-				{selector: 'Literal[value=/^(x-(not-executed|response-signature|expect-instance|helpers|token-count|prefix-hash|tenant|deadline-ms)|op.config|servers.)/i]', message: 'The platform\'s names stay in platform/.'},
-			],
-		},
-	},
 	{
 		files: ['src/gateway/**/*.ts'],
 		rules: {
@@ -90,7 +102,7 @@
 			'@typescript-eslint/naming-convention': 'off',
 		},
 	},
-	...['protocol', 'upstream', 'platform'].map(layer => ({
+	...['protocol', 'upstream', 'configuration-service'].map(layer => ({
 		files: [`src/${layer}/**/*.ts`],
 		rules: {
 			'no-restricted-imports': ['error', {
@@ -106,7 +118,7 @@
 		rules: {
 			'no-restricted-imports': ['error', {
 				patterns: [
-					{group: ['**/entry/**', '**/platform/**'], message: 'Operators\' tools know hosts by their protocol only.'},
+					{group: ['**/entry/**', '**/configuration-service/**'], message: 'Operators\' tools know hosts by their protocol only.'},
 				],
 			}],
 		},
