--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -77,6 +77,9 @@
 	#stop: Stop | undefined;
 	#lastEvent: string | undefined;
 	#firstByte: number | undefined;
+	/** When the last events came, and the longest time between two, in milliseconds. */
+	#lastHeard: number | undefined;
+	#longestPause = 0;
 	#timer: NodeJS.Timeout | undefined;
 	#lastReply: {readonly reply: Reply; readonly body: Extract<Body, {type: 'whole'}>} | undefined;
 
@@ -335,7 +338,7 @@
 		this.#write('placed', {
 			attempt: job.id,
 			upstream: upstream.id,
-			helpers: job.helpers.length,
+			helpers: job.helpers,
 			hold: hold?.name,
 			tokens: job.prompt,
 			predicted: Math.round(place.firstByte),
@@ -419,6 +422,7 @@
 		const ending = await relayEvents(this.#outgoing, reply, {
 			onEvents: (_count, lastId) => {
 				watch.heard();
+				this.#notePause();
 				this.#lastEvent = lastId ?? this.#lastEvent;
 				if (isFirst) {
 					isFirst = false;
@@ -492,6 +496,12 @@
 		this.#parts.gateway.progress(job);
 	}
 
+	#notePause(): void {
+		const now = this.#parts.clock.now();
+		this.#longestPause = Math.max(this.#longestPause, now - (this.#lastHeard ?? now));
+		this.#lastHeard = now;
+	}
+
 	#judge(ending: AttemptEnding, upstream: string, isUnreachable: boolean): void {
 		const {gateway} = this.#parts;
 		switch (ending.type) {
@@ -606,6 +616,7 @@
 			route: this.#route?.name,
 			attempts: this.#attempts,
 			firstByte: this.#firstByte === undefined ? undefined : Math.round(this.#firstByte - this.#arrived),
+			longestPause: this.#lastHeard === undefined ? undefined : Math.round(this.#longestPause),
 			took: Math.round(now - this.#arrived),
 			version: this.#parts.gateway.directory?.configuration.version,
 			confirmedAge: Math.round(this.#parts.gateway.confirmedAge),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -23,7 +23,7 @@
 const silentJobs = 3000;
 
 /** Part of the revocation bound up to which keys are trusted without word from the store; the rest is for requests under way. */
-const trustShare = 0.85;
+const trustShare = 0.94;
 
 /** Milliseconds between looks for jobs that must be over. */
 const expiryInterval = 1000;
--- a/stand-ins/gateway/batch.ts
+++ b/stand-ins/gateway/batch.ts
@@ -49,6 +49,7 @@
 	readonly #model: EngineModel;
 	readonly #running: Entry[] = [];
 	readonly #waiting: Entry[] = [];
+	readonly #held = new Map<string, number>();
 	#order = 0;
 	#finished: Advance[] | undefined;
 
@@ -75,6 +76,10 @@
 			sum += job.memory;
 		}
 
+		for (const tokens of this.#held.values()) {
+			sum += tokens;
+		}
+
 		return sum;
 	}
 
@@ -92,6 +97,29 @@
 		this.#waiting.sort((a, b) => a.job.priority - b.job.priority || a.order - b.order);
 	}
 
+	/**
+	 * Sets memory aside for a job that several engines hold.
+	 *
+	 * @param id - Job.
+	 * @param tokens - Memory here.
+	 * @returns Whether there was room.
+	 */
+	hold(id: string, tokens: number): boolean {
+		if (this.used + tokens > this.#model.memory) {
+			return false;
+		}
+
+		this.#held.set(id, tokens);
+		return true;
+	}
+
+	/**
+	 * @param id - Job whose memory is free again.
+	 */
+	unhold(id: string): void {
+		this.#held.delete(id);
+	}
+
 	/**
 	 * @param id - Job whose other parts have been read too.
 	 */
