--- a/src/core/gateway/health.ts
+++ b/src/core/gateway/health.ts
@@ -15,8 +15,10 @@
 export type Verdict
 	/** It answered. */
 	= | 'sound'
-	/** It answered with a failure, refused without need or broke off. */
+	/** It answered with a failure or refused without need. */
 		| 'faulty'
+	/** Its connection broke before the answer was whole. */
+		| 'broken'
 	/** No connection could be made, or it fell silent. */
 		| 'unreachable';
 
--- /dev/null
+++ b/src/core/gateway/reach.ts
@@ -0,0 +1,54 @@
+/** Which failure domains are out of reach, from attempts at their upstreams. */
+
+/** Upstreams of one domain that must fail without a success between before the link is blamed, not them. */
+const failedUpstreams = 2;
+
+/**
+ * Milliseconds for which failures speak against a domain. Where connections are reset at a cut each attempt fails within
+ * 5 ms, and a request has two: without this both went across the cut for half of all prompts of a cut-off domain.
+ */
+const memory = 1000;
+
+/** What is seen of the links to failure domains. */
+export class Reach {
+	/** Times of failures, by domain and upstream. */
+	readonly #failures = new Map<string, Map<string, number>>();
+
+	/**
+	 * @param domain - Failure domain an upstream of which gave a sign of life.
+	 */
+	heard(domain: string): void {
+		this.#failures.delete(domain);
+	}
+
+	/**
+	 * @param domain - Failure domain.
+	 * @param upstream - Upstream whose connection broke, could not be made or fell silent.
+	 * @param now - Time in milliseconds.
+	 */
+	missed(domain: string, upstream: string, now: number): void {
+		const known = this.#failures.get(domain) ?? new Map<string, number>();
+		known.set(upstream, now);
+		this.#failures.set(domain, known);
+	}
+
+	/**
+	 * @param now - Time in milliseconds.
+	 * @returns Domains to leave alone for now.
+	 */
+	cutOff(now: number): ReadonlySet<string> {
+		const cut = new Set<string>();
+		for (const [domain, upstreams] of this.#failures) {
+			let recent = 0;
+			for (const at of upstreams.values()) {
+				recent += now - at < memory ? 1 : 0;
+			}
+
+			if (recent >= failedUpstreams) {
+				cut.add(domain);
+			}
+		}
+
+		return cut;
+	}
+}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -370,7 +370,7 @@
 			address: upstream.address,
 		}, dialect, agent);
 		this.#attempt = attempt;
-		const watch = new Watch(attempt, this.#canGoOn(route), place.firstByte);
+		const watch = new Watch(attempt, this.#canGoOn(route), place.firstByte, () => gateway.longestPass(upstream.id));
 		try {
 			const ending = await this.#follow(attempt, route, place, job.id, watch);
 			metrics.attempts.inc({service: demand.service, ending: ending.type});
@@ -521,7 +521,7 @@
 			}
 
 			case 'unknown': {
-				gateway.judge(upstream, 'faulty');
+				gateway.judge(upstream, 'broken');
 				gateway.suspect(this.#fingerprint ?? '', upstream);
 				return;
 			}
@@ -679,13 +679,21 @@
 class Watch {
 	readonly #attempt: Attempt;
 	readonly #isUsed: boolean;
+	readonly #longestPass: () => number;
 	#timer: NodeJS.Timeout | undefined;
 	#isDark = false;
 
-	constructor(attempt: Attempt, isUsed: boolean, predicted: number) {
+	/**
+	 * @param attempt - What is given up.
+	 * @param isUsed - Whether another engine could go on.
+	 * @param predicted - Milliseconds until the first event, as predicted.
+	 * @param longestPass - Milliseconds that a pass of the engine may take now.
+	 */
+	constructor(attempt: Attempt, isUsed: boolean, predicted: number, longestPass: () => number) {
 		this.#attempt = attempt;
 		this.#isUsed = isUsed;
-		this.#wait(darkAfter + (predicted * predictionFactor));
+		this.#longestPass = longestPass;
+		this.#wait(darkAfter + (predicted * predictionFactor), 0);
 	}
 
 	/** Whether the engine was given up. */
@@ -695,20 +703,30 @@
 
 	/** Something came from the engine. */
 	heard(): void {
-		this.#wait(darkGap);
+		this.#wait(darkGap, 0);
 	}
 
 	end(): void {
 		clearTimeout(this.#timer);
 	}
 
-	#wait(time: number): void {
+	/** A pass that reads a long prompt is as silent as an engine that is gone: it is waited for as long as it is expected. */
+	#wait(time: number, waited: number): void {
 		clearTimeout(this.#timer);
-		if (this.#isUsed) {
-			this.#timer = setTimeout(() => {
-				this.#isDark = true;
-				this.#attempt.cancel('silent');
-			}, time);
+		if (!this.#isUsed) {
+			return;
 		}
+
+		this.#timer = setTimeout(() => {
+			const silent = waited + time;
+			const more = darkAfter + this.#longestPass() - silent;
+			if (more > 0) {
+				this.#wait(more, silent);
+				return;
+			}
+
+			this.#isDark = true;
+			this.#attempt.cancel('silent');
+		}, time);
 	}
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,6 +3,7 @@
 import {Health, type Verdict} from '../core/gateway/health.js';
 import {Load, type Job} from '../core/gateway/load.js';
 import {place, weigh, type Place} from '../core/gateway/placement.js';
+import {Reach} from '../core/gateway/reach.js';
 import {RetryBudget} from '../core/gateway/retries.js';
 import {Suspects} from '../core/gateway/suspects.js';
 import {
@@ -34,6 +35,7 @@
 export class Gateway implements AsyncDisposable {
 	readonly load = new Load();
 	readonly health = new Health();
+	readonly reach = new Reach();
 	readonly suspects = new Suspects();
 	readonly budget: RetryBudget;
 	readonly peers: Peers;
@@ -176,7 +178,7 @@
 			load: this.load,
 			health: this.health,
 			failureDomain: this.#settings.failureDomain,
-			unreachable: this.peers.unreachableDomains(now),
+			unreachable: this.#unreachable(now),
 			tried,
 			now,
 		});
@@ -233,7 +235,37 @@
 	 * @param verdict - What an attempt says of it.
 	 */
 	judge(upstream: string, verdict: Verdict): void {
-		this.health.record(upstream, verdict, this.#clock.now());
+		const now = this.#clock.now();
+		this.health.record(upstream, verdict, now);
+		const domain = this.#upstreams.get(upstream)?.failureDomain;
+		if (domain === undefined || domain === this.#settings.failureDomain) {
+			return;
+		}
+
+		if (verdict === 'unreachable' || verdict === 'broken') {
+			this.reach.missed(domain, upstream, now);
+		} else {
+			this.reach.heard(domain);
+		}
+	}
+
+	/**
+	 * @param upstream - Engine that writes a request.
+	 * @returns Milliseconds that its passes may take now, as far as is known of what it reads and writes.
+	 */
+	longestPass(upstream: string): number {
+		const model = this.service(this.#upstreams.get(upstream)?.service ?? '')?.engine;
+		if (model === undefined) {
+			return 0;
+		}
+
+		const {pass, readers} = this.load.forecast(upstream, model, this.#clock.now());
+		let read = 0;
+		for (const job of readers) {
+			read += job.readPerPass;
+		}
+
+		return pass + read;
 	}
 
 	/**
@@ -256,6 +288,11 @@
 		await this.peers[Symbol.asyncDispose]();
 	}
 
+	/** Failure domains out of reach by word of peers or by one's own attempts; never all that have upstreams. */
+	#unreachable(now: number): ReadonlySet<string> {
+		return new Set([...this.peers.unreachableDomains(now), ...this.reach.cutOff(now)]);
+	}
+
 	#index(): void {
 		this.#byService.clear();
 		for (const upstream of this.#upstreams.values()) {
