Hosts that have lost the store learn from peers; in large failure domains two hosts read it for all

Cause: each host read the store once a second, and one that alone was refused stopped trusting keys after 4.7 s. After: at most 10 in 3 s, and it serves on and learns of a revoked key and a gone upstream from a peer within 2.5 s (tests 'learns from its peers', 'reads the store with two'). A peer's word counts as of the question less the age it tells, so that a late answer can't make stale news look fresh.

--- a/__tests__/gateway/site.ts
+++ b/__tests__/gateway/site.ts
@@ -190,6 +190,8 @@
 	readonly plains?: number;
 	/** Settings of hosts that differ from the usual. */
 	readonly settings?: Readonly<Record<string, unknown>>;
+	/** The host that reads the store at its side address. */
+	readonly apart?: number;
 };
 
 export class Site implements AsyncDisposable {
@@ -219,7 +221,8 @@
 
 		site.store.put('op/config', configuration(1));
 		for (let index = 0; index < (options.hosts ?? 1); index++) {
-			await site.#addHost(`host-${index}`, options.settings ?? {});
+			const address = index === options.apart ? site.store.sideAddress : site.store.address;
+			await site.#addHost(`host-${index}`, {store: textOf(address), ...options.settings});
 		}
 
 		await Promise.all(site.hosts.map(async host => site.ready(host)));
@@ -305,7 +308,6 @@
 			peer: textOf(host.peer),
 			metrics: textOf(host.metrics),
 			seeds: [this.hosts[0] ?? host].map(each => textOf(each.peer)),
-			store: textOf(this.store.address),
 			...settings,
 		}));
 		this.hosts.push(host);
--- a/__tests__/gateway/stops.test.ts
+++ b/__tests__/gateway/stops.test.ts
@@ -125,6 +125,54 @@
 	});
 });
 
+describe('a host that alone has lost the store', () => {
+	it('learns from its peers what changes, keys that are taken away included', async () => {
+		await start({hosts: 3, apart: 1, settings: {revocation: 2500}});
+		const [first, second] = site.hosts;
+		await expect.poll(() => second!.logged('peer-linked').length, {timeout: 5000}).toBeGreaterThanOrEqual(2);
+		await expect.poll(() => first!.logged('peer-linked').length, {timeout: 5000}).toBeGreaterThanOrEqual(2);
+		site.store.sideMode = 'reset';
+		await sleep(3500);
+		const served = await site.ask({path: '/read/x', id: 'lost-1'}, second);
+		expect(served.status).toBe(200);
+		site.store.put('op/config', configuration(9, {Tenants: [{Name: 'acme', ApiKeys: ['other']}]}));
+		site.store.remove('servers/plain-0');
+		await sleep(2500);
+		const revoked = await site.ask({path: '/read/x', id: 'lost-2'}, second);
+		expect(revoked.status).toBe(401);
+		expect(second!.logged('upstream-gone').map(line => line.upstream)).toEqual(['plain-0']);
+	});
+});
+
+describe('a failure domain of many hosts', () => {
+	it('reads the store with two of them, and all learn what changes in time', async () => {
+		await start({hosts: 6});
+		await expect.poll(() => Math.min(...site.hosts.map(host => host.logged('peer-linked').length)), {timeout: 8000}).toBeGreaterThanOrEqual(5);
+		await sleep(1500);
+		const before = site.store.calls;
+		await sleep(3000);
+		expect(site.store.calls - before).toBeLessThanOrEqual(10);
+		site.store.put('op/config', configuration(4, {Tenants: [{Name: 'acme', ApiKeys: ['other']}]}));
+		await sleep(1900);
+		for (const host of site.hosts) {
+			const answer = await site.ask({path: '/read/x', id: `all-${host.name}`}, host);
+			expect(answer.status).toBe(401);
+		}
+	});
+
+	it('goes on reading when the hosts that read are gone', async () => {
+		await start({hosts: 6});
+		await expect.poll(() => Math.min(...site.hosts.map(host => host.logged('peer-linked').length)), {timeout: 8000}).toBeGreaterThanOrEqual(5);
+		const [kept, ...others] = site.hosts;
+		await Promise.all(others.map(async host => host.kill()));
+		await sleep(500);
+		site.store.put('op/config', configuration(4, {Tenants: [{Name: 'acme', ApiKeys: ['other']}]}));
+		await sleep(1900);
+		const answer = await site.ask({path: '/read/x', id: 'alone-1'}, kept);
+		expect(answer.status).toBe(401);
+	});
+});
+
 describe('hosts together', () => {
 	it('know what each other sent, and forget what a killed host sent', async () => {
 		await start({hosts: 3});
--- a/src/core/gateway/__tests__/placement.test.ts
+++ b/src/core/gateway/__tests__/placement.test.ts
@@ -2,7 +2,9 @@
 import {describe, expect, it} from 'vitest';
 import {Health} from '../health.js';
 import {Load, type Job} from '../load.js';
-import {place, weigh, type Place, type Surroundings} from '../placement.js';
+import {
+	place, weigh, type Place, type Surroundings,
+} from '../placement.js';
 import {type Demand, type EngineModel, type GatewayUpstream} from '../types.js';
 
 /** Figures of a site's engines. */
@@ -38,7 +40,9 @@
 
 	/** Something that is written at an engine. */
 	write(upstream: string, tokens: number, pause: number): void {
-		this.#add({upstream, prompt: tokens, pause, firstByte: now - 100});
+		this.#add({
+			upstream, prompt: tokens, pause, firstByte: now - 100,
+		});
 	}
 
 	/** A prompt that an engine still reads. */
--- a/src/entry/logs.ts
+++ b/src/entry/logs.ts
@@ -45,7 +45,7 @@
 	return windowLines <= mostLines && process.stdout.writableLength + waiting.length < longestBacklog;
 }
 
-function append(time: Date, level: string, line: object): void {
+function append(time: Date, level: string, line: Record<string, unknown>): void {
 	if (waiting === '') {
 		setImmediate(flush);
 	}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -15,7 +15,9 @@
 	heard, tell, type Host, type Message, type ToldJob,
 } from './peers/messages.js';
 import {Peers} from './peers/peers.js';
+import {type PeerState} from './peers/state.js';
 import {type Settings} from './settings.js';
+import {Sharing} from './sharing.js';
 
 /** Milliseconds within which news of load are gathered into one message to peers: under a pass of an engine. */
 const tellDelay = 3;
@@ -39,6 +41,7 @@
 	readonly suspects = new Suspects();
 	readonly budget: RetryBudget;
 	readonly peers: Peers;
+	readonly sharing: Sharing;
 	readonly #settings: Settings;
 	readonly #clock: Clock;
 	readonly #log: Log;
@@ -49,6 +52,7 @@
 	#directory: Directory | undefined;
 	#confirmed = Number.NEGATIVE_INFINITY;
 	#jobs = 0;
+	#registry = 0;
 	#news: {began: ToldJob[]; progressed: string[]; ended: string[]} | undefined;
 
 	/**
@@ -81,6 +85,7 @@
 				},
 			},
 		});
+		this.sharing = new Sharing(this, {self: settings.host, failureDomain: settings.failureDomain, now: () => clock.now()});
 		this.#expiry = setInterval(() => {
 			this.load.expire(clock.now());
 		}, expiryInterval);
@@ -101,7 +106,17 @@
 		return this.#upstreams;
 	}
 
-	/** Milliseconds since the configuration in force was known to be the newest. */
+	/** Count of changes to the upstreams. */
+	get registry(): number {
+		return this.#registry;
+	}
+
+	/** Monotonic time as of which the configuration in force and the upstreams were the newest. */
+	get confirmedAt(): number {
+		return this.#confirmed;
+	}
+
+	/** Milliseconds since then. */
 	get confirmedAge(): number {
 		return this.#clock.now() - this.#confirmed;
 	}
@@ -135,6 +150,24 @@
 		this.#confirmed = Math.max(this.#confirmed, at);
 	}
 
+	/**
+	 * Takes what a peer knows, which is newer than what is known here.
+	 *
+	 * @param state - Its configuration and upstreams, where they differ.
+	 * @param confirmed - Monotonic time as of which they were the newest.
+	 */
+	takeState({configuration, upstreams}: PeerState, confirmed: number): void {
+		if (configuration !== undefined) {
+			this.adopt(configuration);
+		}
+
+		if (upstreams !== undefined) {
+			this.#takeUpstreams(upstreams);
+		}
+
+		this.confirm(confirmed);
+	}
+
 	/**
 	 * @param upstream - Upstream as it is registered now.
 	 */
@@ -294,6 +327,7 @@
 	}
 
 	#index(): void {
+		this.#registry++;
 		this.#byService.clear();
 		for (const upstream of this.#upstreams.values()) {
 			const known = this.#byService.get(upstream.service) ?? [];
@@ -302,6 +336,19 @@
 		}
 	}
 
+	#takeUpstreams(upstreams: readonly GatewayUpstream[]): void {
+		const ids = new Set(upstreams.map(upstream => upstream.id));
+		for (const id of this.#upstreams.keys()) {
+			if (!ids.has(id)) {
+				this.unregister(id);
+			}
+		}
+
+		for (const upstream of upstreams) {
+			this.register(upstream);
+		}
+	}
+
 	#noteState(before: GatewayUpstream | undefined, upstream: GatewayUpstream): void {
 		if (before?.isDraining !== upstream.isDraining) {
 			this.#log.write({
@@ -365,6 +412,16 @@
 				return;
 			}
 
+			case 'state-wanted': {
+				this.sharing.answer(from.name, message);
+				return;
+			}
+
+			case 'state': {
+				this.sharing.heard(from.name, message);
+				return;
+			}
+
 			case 'hello':
 			case 'heartbeat': {
 				return;
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -4,6 +4,7 @@
 import {raise} from '../../core/index.js';
 import {type Job} from '../../core/gateway/load.js';
 import {frame, FrameReader} from '../../protocol/frames.js';
+import {stateSchema, stateWantedSchema} from './state.js';
 
 const text = z.string().max(256);
 const amount = z.number();
@@ -46,6 +47,8 @@
 		ended: z.array(text).max(listLimit),
 	}),
 	z.object({type: z.literal('crash'), fingerprint: text, id: text}),
+	stateWantedSchema,
+	stateSchema,
 ]);
 
 export type Host = Readonly<z.infer<typeof host>>;
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -145,6 +145,14 @@
 		}
 	}
 
+	/**
+	 * @param host - Name of a linked host; nothing is sent if it is linked no more.
+	 * @param message - Message for it.
+	 */
+	send(host: string, message: Message): void {
+		this.#links.get(host)?.send(message);
+	}
+
 	/**
 	 * @param seeds - Peers to begin with, as settings name them now.
 	 */
--- /dev/null
+++ b/src/gateway/peers/state.ts
@@ -0,0 +1,84 @@
+/** What a host knows of the platform, as it tells a peer that asks: the configuration in force and the upstreams. */
+import {z} from 'zod';
+import {type GatewayConfiguration, type GatewayUpstream} from '../../core/gateway/types.js';
+
+const name = z.string().max(512);
+const time = z.number().nonnegative();
+
+const engine = z.object({
+	slots: z.number(),
+	memory: z.number(),
+	stride: z.number(),
+	step: z.number(),
+	perRequest: z.number(),
+	perThousand: z.number(),
+	readRate: z.number(),
+	pairs: z.number(),
+	chunk: z.number(),
+	hop: z.number(),
+	usualPrompt: z.number(),
+	usualAnswer: z.number(),
+});
+
+const route = z.object({
+	name,
+	authority: name,
+	prefix: name,
+	kind: z.enum(['idempotent', 'non-idempotent', 'streaming']),
+	timeout: time,
+	objective: time,
+	pause: time.optional(),
+	priority: z.number(),
+	targets: z.array(z.object({service: name, weight: z.number()})).readonly(),
+	attempts: z.number(),
+	isPublic: z.boolean(),
+	isResumable: z.boolean(),
+});
+
+export const configurationSchema = z.object({
+	version: z.number(),
+	routes: z.array(route).readonly(),
+	services: z.array(z.object({
+		name, healthPath: name, connections: z.number(), engine: engine.optional(),
+	})).readonly(),
+	limits: z.object({
+		headerBytes: z.number(), bodyBytes: z.number(), headerTimeout: time, idleTimeout: time,
+	}),
+	organisations: z.array(z.object({name, keys: z.array(name).readonly(), priority: z.number().optional()})).readonly().optional(),
+}) satisfies z.ZodType<GatewayConfiguration>;
+
+export const upstreamSchema = z.object({
+	id: name,
+	service: name,
+	address: z.object({host: name, port: z.number().int()}),
+	failureDomain: name,
+	slots: z.number(),
+	isDraining: z.boolean(),
+	started: z.number().optional(),
+}) satisfies z.ZodType<GatewayUpstream>;
+
+/** Asks a peer for what is newer than what the asker has. */
+export const stateWantedSchema = z.object({
+	type: z.literal('state-wanted'),
+	/** Told again in the answer: the asker knows when it asked. */
+	ask: z.number(),
+	/** Version in force at the asker; 0 for none. */
+	version: z.number(),
+	/** Count of changes to the peer's upstreams as of its last answer; 0 for none. */
+	registry: z.number(),
+});
+
+export const stateSchema = z.object({
+	type: z.literal('state'),
+	ask: z.number(),
+	/** Milliseconds since the peer's configuration and upstreams were known to be the newest, as of this answer. */
+	age: z.number(),
+	registry: z.number(),
+	/** Absent if the asker has it. */
+	configuration: configurationSchema.optional(),
+	/** All upstreams; absent if none has changed. */
+	upstreams: z.array(upstreamSchema).max(4096).optional(),
+});
+
+export type StateWanted = z.infer<typeof stateWantedSchema>;
+export type PeerState = z.infer<typeof stateSchema>;
--- /dev/null
+++ b/src/gateway/sharing.ts
@@ -0,0 +1,161 @@
+/**
+ * Spares the platform's store: in a failure domain of many hosts a few read it and the others ask them. A host that can
+ * reach no reader reads by itself; one that can't reach the store asks whoever it is linked with.
+ */
+import {hashText, rank} from '../core/utils/hashes.js';
+import {type Gateway} from './gateway.js';
+import {type PeerState, type StateWanted} from './peers/state.js';
+
+/** Hosts of a failure domain that read: one may be cut off or stopped at any time. */
+const readers = 2;
+
+/**
+ * Hosts of a domain from which on the others ask: below it there are too few to spare calls. With 70 hosts that each read
+ * once a second, calls are a twentieth of what the day is worth.
+ */
+const smallestSharing = 5;
+
+const rankKey = hashText('readers');
+
+type Ask = {
+	readonly host: string;
+	readonly at: number;
+	readonly done: () => void;
+};
+
+export type SharingOptions = {
+	readonly self: string;
+	readonly failureDomain: string;
+	readonly now: () => number;
+};
+
+export class Sharing {
+	readonly #options: SharingOptions;
+	readonly #gateway: Gateway;
+	readonly #asks = new Map<number, Ask>();
+	/** Count of changes as of the last answer, by peer. */
+	readonly #registries = new Map<string, number>();
+	#count = 0;
+	#turn = 0;
+
+	/**
+	 * @param gateway - What is asked for and told of.
+	 * @param options - Who this host is.
+	 */
+	constructor(gateway: Gateway, options: SharingOptions) {
+		this.#gateway = gateway;
+		this.#options = options;
+	}
+
+	/** Whether this host reads the store itself. */
+	get isReader(): boolean {
+		return this.#readers().includes(this.#options.self);
+	}
+
+	/**
+	 * Asks a reader of this failure domain.
+	 *
+	 * @param timeout - Milliseconds to wait.
+	 * @returns Whether what it told confirms what is known here.
+	 */
+	async askReader(timeout: number): Promise<boolean> {
+		const linked = this.#readers().filter(name => name !== this.#options.self);
+		return this.#askOne(linked, timeout);
+	}
+
+	/**
+	 * Asks any linked host, another one each time.
+	 *
+	 * @param timeout - Milliseconds to wait.
+	 * @returns Whether what it told confirms what is known here.
+	 */
+	async askAnyone(timeout: number): Promise<boolean> {
+		return this.#askOne(this.#gateway.peers.hosts.map(host => host.name), timeout);
+	}
+
+	/**
+	 * @param from - Peer that asks.
+	 * @param wanted - What it has.
+	 */
+	answer(from: string, wanted: StateWanted): void {
+		const gateway = this.#gateway;
+		const configuration = gateway.directory?.configuration;
+		if (configuration === undefined) {
+			return;
+		}
+
+		gateway.peers.send(from, {
+			type: 'state',
+			ask: wanted.ask,
+			age: gateway.confirmedAge,
+			registry: gateway.registry,
+			configuration: configuration.version > wanted.version ? configuration : undefined,
+			upstreams: gateway.registry === wanted.registry ? undefined : [...gateway.upstreams.values()],
+		});
+	}
+
+	/**
+	 * @param from - Peer that answered.
+	 * @param state - What it told.
+	 */
+	heard(from: string, state: PeerState): void {
+		const ask = this.#asks.get(state.ask);
+		if (ask?.host !== from) {
+			return;
+		}
+
+		this.#asks.delete(state.ask);
+		// What the peer knew when it answered, it knew at some time after it was asked, less its age.
+		const confirmed = ask.at - state.age;
+		if (confirmed > this.#options.now() - this.#gateway.confirmedAge) {
+			this.#gateway.takeState(state, confirmed);
+			this.#registries.set(from, state.registry);
+		}
+
+		ask.done();
+	}
+
+	#readers(): readonly string[] {
+		const {self, failureDomain} = this.#options;
+		const names = this.#gateway.peers.hosts.filter(host => host.failureDomain === failureDomain).map(host => host.name);
+		const all = [self, ...names];
+		if (all.length < smallestSharing) {
+			return all;
+		}
+
+		return rank(rankKey, all.map(name => ({name, hash: hashText(name)}))).slice(0, readers).map(each => each.name);
+	}
+
+	async #askOne(names: readonly string[], timeout: number): Promise<boolean> {
+		this.#turn++;
+		const host = names[this.#turn % Math.max(names.length, 1)];
+		if (host === undefined) {
+			return false;
+		}
+
+		const before = this.#gateway.confirmedAt;
+		this.#count++;
+		const id = this.#count;
+		await new Promise<void>(resolve => {
+			const timer = setTimeout(() => {
+				this.#asks.delete(id);
+				resolve();
+			}, timeout);
+			this.#asks.set(id, {
+				host,
+				at: this.#options.now(),
+				done() {
+					clearTimeout(timer);
+					resolve();
+				},
+			});
+			this.#gateway.peers.send(host, {
+				type: 'state-wanted',
+				ask: id,
+				version: this.#gateway.directory?.configuration.version ?? 0,
+				registry: this.#registries.get(host) ?? 0,
+			});
+		});
+		return this.#gateway.confirmedAt > before;
+	}
+}
--- a/stand-ins/gateway/store.ts
+++ b/stand-ins/gateway/store.ts
@@ -33,9 +33,12 @@
 export class StoreStandIn implements AsyncDisposable {
 	/** How calls are treated from now on; those that wait are not touched. */
 	mode: StoreMode = 'serving';
+	/** The same for calls that come to the side address. */
+	sideMode: StoreMode = 'serving';
 	/** Calls received. */
 	calls = 0;
 	readonly #server: Server;
+	readonly #side: Server;
 	readonly #items = new Map<string, Item>();
 	#history: Event[] = [];
 	#oldest = 0;
@@ -45,7 +48,11 @@
 	constructor() {
 		this.#server = createServer((incoming, outgoing) => {
 			this.calls++;
-			this.#treat(incoming, outgoing);
+			this.#treat(this.mode, incoming, outgoing);
+		});
+		this.#side = createServer((incoming, outgoing) => {
+			this.calls++;
+			this.#treat(this.sideMode, incoming, outgoing);
 		});
 	}
 
@@ -53,10 +60,17 @@
 		return {host: loopback, port: portOf(this.#server)};
 	}
 
-	/** Starts to listen on a free port. */
+	/** The same store, for hosts that are treated apart. */
+	get sideAddress(): Address {
+		return {host: loopback, port: portOf(this.#side)};
+	}
+
+	/** Starts to listen on free ports. */
 	async listen(): Promise<void> {
-		this.#server.listen(0, loopback);
-		await once(this.#server, 'listening');
+		for (const server of [this.#server, this.#side]) {
+			server.listen(0, loopback);
+			await once(server, 'listening');
+		}
 	}
 
 	/**
@@ -93,10 +107,12 @@
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
-		const closed = once(this.#server, 'close');
-		this.#server.close();
-		this.#server.closeAllConnections();
-		await closed;
+		for (const server of [this.#server, this.#side]) {
+			const closed = once(server, 'close');
+			server.close();
+			server.closeAllConnections();
+			await closed;
+		}
 	}
 
 	#record(event: Event): void {
@@ -114,8 +130,8 @@
 		this.#waiting.delete(waiting);
 	}
 
-	#treat(incoming: IncomingMessage, outgoing: ServerResponse): void {
-		switch (this.mode) {
+	#treat(mode: StoreMode, incoming: IncomingMessage, outgoing: ServerResponse): void {
+		switch (mode) {
 			case 'serving': {
 				this.#serve(incoming, outgoing);
 				return;
@@ -136,7 +152,7 @@
 			}
 
 			default: {
-				const never: never = this.mode;
+				const never: never = mode;
 				throw new TypeError(String(never));
 			}
 		}
