explain and incidents read the gateway's logs: from a request's id to its cause, and what a window lost

Cause: engineers on call have logs and metrics only, and the command knew the older daemon's lines alone. After: three kinds of failed request are explained in a test on lines of real processes; the prefix that a collector puts before a line is passed over.

--- /dev/null
+++ b/__tests__/gateway/explain.test.ts
@@ -0,0 +1,115 @@
+/** The ways of docs/OPERATIONS.md from the id of a failed request to its cause, on lines that real processes wrote. */
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {
+	afterAll, beforeAll, describe, expect, it,
+} from 'vitest';
+import {command} from '../../src/cli/__tests__/fakes.js';
+import {call, prompt, Site} from './site.js';
+
+let site: Site;
+let directory: string;
+
+beforeAll(async () => {
+	site = await Site.start({engines: 2});
+	directory = mkdtempSync(path.join(tmpdir(), 'logs-'));
+});
+
+afterAll(async () => {
+	await site[Symbol.asyncDispose]();
+	rmSync(directory, {recursive: true});
+});
+
+/** Writes what the host logged so far, each line behind a prefix as collectors put it. */
+function logs(): string {
+	const file = path.join(directory, 'host.log');
+	writeFileSync(file, site.hosts[0]!.lines.map(line => `12.3 host-0 ${JSON.stringify(line)}`).join('\n'));
+	return file;
+}
+
+async function explain(id: string): Promise<string> {
+	await expect.poll(() => site.hosts[0]!.logged('ended', id).length, {timeout: 3000}).toBe(1);
+	const {code, out} = await command(['explain', id, '--logs', logs()]);
+	expect(code).toBe(0);
+	return out;
+}
+
+describe('from the id of a request to its cause', () => {
+	it('refused: every engine refused it for load', async () => {
+		for (const engine of site.engines) {
+			engine.fault = 'shed';
+		}
+
+		const answer = await site.ask({path: '/ask/x', id: 'complaint-1', headers: prompt(1000, 3)});
+		expect(answer.status).toBe(503);
+		const out = await explain('complaint-1');
+		expect(out).toMatch(/Sent to engine-\d as attempt .+ of 1000 tokens/v);
+		expect(out.match(/was provably not run at engine-\d: refused with 503/gv)?.length).toBe(2);
+		expect(out).toMatch(/Ended as "refusedByUpstream" after \d+ ms on route ask: 2 attempts, no byte of an answer/v);
+	});
+
+	it('cut midway: both engines broke the stream off', async () => {
+		for (const engine of site.engines) {
+			engine.fault = 'cut';
+		}
+
+		const answer = await site.ask({path: '/ask/x', id: 'complaint-2', headers: prompt(1000, 30)});
+		expect(answer.isWhole).toBe(false);
+		const out = await explain('complaint-2');
+		expect(out.match(/may have run at engine-\d, no whole answer came/gv)?.length).toBe(2);
+		expect(out).toMatch(/suspected/v);
+		expect(out).toMatch(/Ended as "broken off" after \d+ ms on route ask: 2 attempts, first byte after \d+ ms, longest pause \d+ ms/v);
+	});
+
+	it('outcome unknown: it may run only once and its answer was lost', async () => {
+		for (const plain of site.plains) {
+			plain.fault = 'lost';
+		}
+
+		const answer = await site.ask({path: '/once/x', id: 'complaint-3', body: 'b'});
+		expect(answer.status).toBe(502);
+		const out = await explain('complaint-3');
+		expect(out).toMatch(/Attempt .+ may have run at plain-\d, no whole answer came/v);
+		expect(out).toMatch(/Ended as "outcomeUnknown" after \d+ ms on route once: 1 attempts, no byte/v);
+	});
+
+	it('says so where the log has nothing of it', async () => {
+		const {code, complaints} = await command(['explain', 'complaint-0', '--logs', logs()]);
+		expect(code).toBe(70);
+		expect(complaints).toContain('7006');
+	});
+});
+
+describe('incidents', () => {
+	it('sums up what was lost and what became of requests', async () => {
+		await site.plains[0]!.crash();
+		site.store.remove('servers/plain-0');
+		await expect.poll(() => site.hosts[0]!.logged('upstream-gone').length, {timeout: 4000}).toBe(1);
+		const {code, out} = await command(['incidents', '--logs', logs()]);
+		expect(code).toBe(0);
+		expect(out).toMatch(/Requests: .*refusedByUpstream 1/v);
+		expect(out).toMatch(/upstream-gone plain-0 \(host-0\)/v);
+		expect(out).toMatch(/Attempts without an answer at engine-\d: /v);
+		const json = await command(['incidents', '--logs', logs(), '--json']);
+		expect(JSON.parse(json.out)).toMatchObject({outcomes: {outcomeUnknown: 1}});
+	});
+
+	it('refuses a window without lines and a time that is none', async () => {
+		const empty = await command(['incidents', '--logs', logs(), '--to', '2001-01-01T00:00:00Z']);
+		expect(empty.code).toBe(70);
+		const bad = await command(['incidents', '--logs', logs(), '--to', 'soon']);
+		expect(bad).toMatchObject({code: 70});
+		expect(bad.complaints).toContain('7003');
+	});
+});
+
+it('metrics are text that tells what became of requests', async () => {
+	const answer = await call(site.hosts[0]!.metrics, {path: '/metrics', id: '', method: 'GET'});
+	expect(answer.status).toBe(200);
+	expect(answer.body).toMatch(/^cranberrytide_requests_total\{service="plain",kind="non-idempotent",length="none",outcome="outcomeUnknown"\} 1$/mv);
+	expect(answer.body).toMatch(/^cranberrytide_first_byte_milliseconds_bucket\{le="300",service="model",length="short"\} \d+$/mv);
+	expect(answer.body).toMatch(/^cranberrytide_configuration_version 1$/mv);
+	const names = new Set([...answer.body.matchAll(/^(cranberrytide_\w+)/gmv)].map(match => match[1]));
+	expect(names.size).toBeGreaterThan(12);
+});
--- a/src/cli/decisions.ts
+++ b/src/cli/decisions.ts
@@ -4,6 +4,7 @@
 	assertNever, codes, nameOfCode, texts,
 } from '../core/index.js';
 import {type LoggedDecision} from '../protocol/admin.js';
+import {gatewayInWords, gatewaySchema} from './gateway-lines.js';
 
 /** Fields of each decision that the words need. */
 const knownSchema = z.discriminatedUnion('type', [
@@ -45,7 +46,12 @@
  */
 export function decisionInWords(decision: LoggedDecision): string {
 	const known = knownSchema.safeParse(decision);
-	return known.success ? knownInWords(known.data) : fieldsInWords(decision);
+	if (known.success) {
+		return knownInWords(known.data);
+	}
+
+	const line = gatewaySchema.safeParse(decision);
+	return line.success ? gatewayInWords(line.data) : fieldsInWords(decision);
 }
 
 function knownInWords(decision: Known): string {
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -11,6 +11,7 @@
 import {addDiff} from './commands/diff.js';
 import {addDrain} from './commands/drain.js';
 import {addExplain} from './commands/explain.js';
+import {addIncidents} from './commands/incidents.js';
 import {addSend} from './commands/send.js';
 import {addShow} from './commands/show.js';
 import {addStatus} from './commands/status.js';
@@ -19,7 +20,7 @@
 import {type Terminal} from './terminal.js';
 
 const version = '0.1.0';
-const additions = [addCheck, addDiff, addShow, addStatus, addDrain, addExplain, addSend, addCompletion] as const;
+const additions = [addCheck, addDiff, addShow, addStatus, addDrain, addExplain, addIncidents, addSend, addCompletion] as const;
 
 /**
  * Runs one command to its end. Never throws.
--- a/src/entry/logs.ts
+++ b/src/entry/logs.ts
@@ -65,8 +65,7 @@
 		dropped = 0;
 	}
 
-	const line: unknown = entry.args[0];
-	append(entry.date, entry.type, typeof line === 'object' && line !== null ? line : {});
+	append(entry.date, entry.type, {...entry.args[0]});
 }
 
 /** Writes log lines. */
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -172,7 +172,7 @@
 				this.#outgoing.destroy();
 			}
 		});
-		const properEnd = isFramed(body) ? undefined : probeEnd(body.socket);
+		const properEnd = isFramed(body) ? true : probeEnd(body.socket);
 		return {
 			type: 'reply',
 			status,
@@ -180,7 +180,10 @@
 			facts,
 			body,
 			// Node takes a body without a length for complete also where its connection was reset.
-			isWhole: async () => body.complete && !this.#isBroken && (properEnd === undefined || await properEnd),
+			isWhole: async () => {
+				const isProper = await properEnd;
+				return body.complete && !this.#isBroken && isProper;
+			},
 		};
 	}
 
