--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -382,8 +382,9 @@
 		try {
 			const ending = await this.#follow(attempt, route, place, job.id, watch);
 			metrics.attempts.inc({service: demand.service, ending: ending.type});
+			const {type, ...how} = ending;
 			this.#write('attempt-ended', {
-				attempt: job.id, upstream: upstream.id, ...ending, ending: ending.type,
+				attempt: job.id, upstream: upstream.id, ending: type, ...how,
 			});
 			return ending;
 		} finally {
