Streams go on elsewhere when a long prompt is about to be read at their engine

Ruled out: wrong predictions (the loss was expected and taken, as the long prompt weighs more). A move uses up the stream's second attempt and a share of the retry budget.

--- a/src/core/gateway/__tests__/placement.test.ts
+++ b/src/core/gateway/__tests__/placement.test.ts
@@ -124,6 +124,26 @@
 	});
 });
 
+describe('a stream', () => {
+	it('is better off elsewhere when a long prompt comes to its engine, if its caller bears only short pauses', () => {
+		const scene = new Scene();
+		scene.write('e0', 5000, 250);
+		scene.write('e0', 133_000, 4000);
+		expect(disturbed(scene.load.forecast('e0', model, now))).toEqual([]);
+		scene.read('e0', 900);
+		const found = disturbed(scene.load.forecast('e0', model, now));
+		expect(found.map(each => each.job.pause)).toEqual([250]);
+		expect(found[0]!.loss).toBeGreaterThan(0.5);
+	});
+
+	it('stays for a short reading', () => {
+		const scene = new Scene();
+		scene.write('e0', 5000, 250);
+		scene.read('e0', 60);
+		expect(disturbed(scene.load.forecast('e0', model, now))).toEqual([]);
+	});
+});
+
 describe('any prompt', () => {
 	it('avoids an engine that fails, leaves, was tried or is out of reach', () => {
 		const scene = new Scene();
--- a/src/core/gateway/placement.ts
+++ b/src/core/gateway/placement.ts
@@ -34,6 +34,9 @@
 /** What an upstream in another failure domain costs, as a share of a usual request's worth: the link may be cut. */
 const distanceLoss = 0.01;
 
+/** Chance of a pause from which on a stream is better off elsewhere. */
+const likely = 0.5;
+
 /** What is told to decide. */
 export type Surroundings = {
 	readonly load: Load;
@@ -171,6 +174,29 @@
 	return {reading: read, firstByte, loss};
 }
 
+/**
+ * Streams at an engine that are about to pause for longer than their callers bear, as a long prompt will be read there.
+ *
+ * @param forecast - What the engine does next.
+ * @returns The requests, and what each loses by staying, in requests of usual worth.
+ */
+export function disturbed(forecast: Forecast): ReadonlyArray<{readonly job: Job; readonly loss: number}> {
+	const pass = forecast.pass + backlogPerPass(forecast);
+	const found: Array<{readonly job: Job; readonly loss: number}> = [];
+	for (const job of forecast.writers) {
+		if (job.pause === undefined) {
+			continue;
+		}
+
+		const chance = lateness(pass, job.pause) - lateness(forecast.pass, job.pause);
+		if (chance > likely) {
+			found.push({job, loss: chance * job.weight * lateLoss});
+		}
+	}
+
+	return found;
+}
+
 /** The cheapest engines to read a part, for those who are there already. */
 function ranked(choices: readonly Option[], read: Reading, now: number, model: EngineModel): readonly Option[] {
 	const cost = new Map<Option, number>();
--- a/src/core/gateway/retries.ts
+++ b/src/core/gateway/retries.ts
@@ -1,6 +1,9 @@
 /** Which attempts may be followed by another, within a budget that all hosts share. */
 import {type RouteKind} from './types.js';
 
+/** Why an attempt is given up: an engine that is silent or about to pause is left for another one. */
+export type CancelReason = 'caller left' | 'time over' | 'silent' | 'moved';
+
 /** What is provably true of an attempt that is over. */
 export type AttemptEnding
 	/** The upstream answered; its answer was passed on whole. */
@@ -11,8 +14,8 @@
 		| {readonly type: 'failed'; readonly status: number}
 	/** It was sent and no whole answer came. */
 		| {readonly type: 'unknown'; readonly reason: string}
-	/** Given up by this host: the caller left or the time was over. */
-		| {readonly type: 'cancelled'; readonly reason: string};
+	/** Given up by this host. */
+		| {readonly type: 'cancelled'; readonly reason: CancelReason};
 
 /** Bounds of retries over all hosts. */
 export type RetryBounds = {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -5,7 +5,7 @@
 } from 'node:http';
 import {type Socket} from 'node:net';
 import {type Address} from '../core/index.js';
-import {type AttemptEnding} from '../core/gateway/retries.js';
+import {type AttemptEnding, type CancelReason} from '../core/gateway/retries.js';
 import {type Dialect, type ReplyFacts} from './dialect.js';
 
 /** Milliseconds to make a connection: over two round trips within a region with one packet lost. */
@@ -90,7 +90,7 @@
 	readonly #dialect: Dialect;
 	readonly #outgoing: ClientRequest;
 	#isConnected = false;
-	#cancelled: string | undefined;
+	#cancelled: CancelReason | undefined;
 	#isBroken = false;
 	#timer: NodeJS.Timeout | undefined;
 
@@ -113,6 +113,11 @@
 		});
 	}
 
+	/** Why the attempt was given up, if it was. */
+	get cancelled(): CancelReason | undefined {
+		return this.#cancelled;
+	}
+
 	/** Settles with the head of the answer, or with how the attempt ended without one. */
 	async reply(): Promise<Reply | Ended> {
 		const outgoing = this.#outgoing;
@@ -152,7 +157,7 @@
 	 *
 	 * @param reason - Why, for the log.
 	 */
-	cancel(reason: string): void {
+	cancel(reason: CancelReason): void {
 		this.#cancelled ??= reason;
 		this.#outgoing.destroy();
 	}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -5,7 +5,7 @@
 import {messageOf} from '../core/index.js';
 import {type Resolution} from '../core/gateway/directory.js';
 import {type Place} from '../core/gateway/placement.js';
-import {isRepeatable, type AttemptEnding} from '../core/gateway/retries.js';
+import {isRepeatable, type AttemptEnding, type CancelReason} from '../core/gateway/retries.js';
 import {type Demand, type Route} from '../core/gateway/types.js';
 import {type Clock} from '../entry/clock.js';
 import {type Log} from '../entry/logs.js';
@@ -52,13 +52,16 @@
 /** Milliseconds without an event in mid-stream: callers give a stream up after 2 s. */
 const darkGap = 1200;
 
+/** What moving a stream costs beside: its prompt is read again and its last attempt is used up, in requests of usual worth. */
+const movingLoss = 0.25;
+
 /** Tokens up to which prompts go first at an engine, and from which on they go last. */
 const urgentTokens = 16_000;
 const patientTokens = 80_000;
 const urgencies = {urgent: 2, usual: 4, patient: 5} as const;
 
 /** Why an exchange must not go on. */
-type Stop = 'caller left' | 'time over';
+type Stop = Extract<CancelReason, 'caller left' | 'time over'>;
 
 export class Exchange {
 	readonly #parts: Parts;
@@ -378,6 +381,12 @@
 			address: upstream.address,
 		}, dialect, agent);
 		this.#attempt = attempt;
+		if (this.#canGoOn(route) && route.kind === 'streaming') {
+			gateway.watchStream(job.id, loss => {
+				this.#considerMove(demand, loss);
+			});
+		}
+
 		const watch = new Watch(attempt, this.#canGoOn(route), place.firstByte, () => gateway.longestPass(upstream.id));
 		try {
 			const ending = await this.#follow(attempt, route, place, job.id, watch);
@@ -394,6 +403,23 @@
 		}
 	}
 
+	/** Goes on at another engine if that loses clearly less than waiting for the reading that has come to this one. */
+	#considerMove(demand: Demand, staying: number): void {
+		const {gateway, clock} = this.#parts;
+		const now = clock.now();
+		if (demand.pause === undefined || this.#longestPause > demand.pause || this.#lastHeard === undefined) {
+			return;
+		}
+
+		const rest: Demand = {...demand, due: this.#lastHeard + demand.pause};
+		const place = gateway.place(rest, this.#tried);
+		const isBetter = place !== undefined && place.helpers.length === 0 && place.loss + movingLoss < staying;
+		if (isBetter && gateway.budget.allows(demand.service, gateway.peers.fleetSize, now)) {
+			this.#write('moving', {to: place.upstream.id, loss: Number(place.loss.toFixed(3)), staying: Number(staying.toFixed(3))});
+			this.#attempt?.cancel('moved');
+		}
+	}
+
 	/** Whether a silent engine could be left for another one. */
 	#canGoOn(route: Route): boolean {
 		return this.#attempts < route.attempts && (route.kind === 'idempotent' || (route.kind === 'streaming' && route.isResumable));
@@ -443,7 +469,8 @@
 			},
 		});
 		if (ending.type !== 'answered') {
-			return this.#isOver || watch.isDark ? {type: 'cancelled', reason: this.#stop ?? 'silent'} : ending;
+			const reason = this.#attempt?.cancelled;
+			return reason === undefined ? ending : {type: 'cancelled', reason};
 		}
 
 		if (!this.#outgoing.headersSent) {
@@ -459,7 +486,8 @@
 		this.#began(job);
 		switch (body.type) {
 			case 'broken': {
-				return this.#isOver ? {type: 'cancelled', reason: this.#stop ?? ''} : {type: 'unknown', reason: body.reason};
+				const reason = this.#attempt?.cancelled;
+				return reason === undefined ? {type: 'unknown', reason: body.reason} : {type: 'cancelled', reason};
 			}
 
 			case 'long': {
@@ -536,7 +564,7 @@
 			}
 
 			case 'cancelled': {
-				if (!this.#isOver) {
+				if (ending.reason === 'silent') {
 					gateway.judge(upstream, 'unreachable');
 				}
 
@@ -690,7 +718,6 @@
 	readonly #isUsed: boolean;
 	readonly #longestPass: () => number;
 	#timer: NodeJS.Timeout | undefined;
-	#isDark = false;
 
 	/**
 	 * @param attempt - What is given up.
@@ -705,11 +732,6 @@
 		this.#wait(darkAfter + (predicted * predictionFactor), 0);
 	}
 
-	/** Whether the engine was given up. */
-	get isDark(): boolean {
-		return this.#isDark;
-	}
-
 	/** Something came from the engine. */
 	heard(): void {
 		this.#wait(darkGap, 0);
@@ -734,7 +756,6 @@
 				return;
 			}
 
-			this.#isDark = true;
 			this.#attempt.cancel('silent');
 		}, time);
 	}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,7 +2,9 @@
 import {Directory} from '../core/gateway/directory.js';
 import {Health, type Verdict} from '../core/gateway/health.js';
 import {Load, type Job} from '../core/gateway/load.js';
-import {place, weigh, type Place} from '../core/gateway/placement.js';
+import {
+	disturbed, place, weigh, type Place,
+} from '../core/gateway/placement.js';
 import {Reach} from '../core/gateway/reach.js';
 import {RetryBudget} from '../core/gateway/retries.js';
 import {Suspects} from '../core/gateway/suspects.js';
@@ -31,6 +33,9 @@
 /** Milliseconds between looks for jobs that must be over. */
 const expiryInterval = 1000;
 
+/** Milliseconds of reading in one pass from which on streams of the engine are looked at: under it no pause grows too long. */
+const warnedReading = 100;
+
 /** Milliseconds within which an engine's lost connections and a failed connection to it count as one crash. */
 const crashWindow = 1500;
 
@@ -49,6 +54,8 @@
 	readonly #upstreams = new Map<string, GatewayUpstream>();
 	readonly #byService = new Map<string, GatewayUpstream[]>();
 	readonly #expiry: NodeJS.Timeout;
+	/** Own streams that could go on elsewhere, by job. */
+	readonly #streams = new Map<string, (loss: number) => void>();
 	#directory: Directory | undefined;
 	#confirmed = Number.NEGATIVE_INFINITY;
 	#jobs = 0;
@@ -244,6 +251,7 @@
 		};
 		this.load.begin(job, now);
 		this.#pending().began.push(tell(job, now));
+		this.#warn(job, now);
 		return job;
 	}
 
@@ -259,10 +267,19 @@
 	 * @param id - Job that is over.
 	 */
 	end(id: string): void {
+		this.#streams.delete(id);
 		this.load.end(id, this.#clock.now());
 		this.#pending().ended.push(id);
 	}
 
+	/**
+	 * @param id - Job that is a stream which could go on elsewhere.
+	 * @param warn - Told what the stream loses by staying where it is, in requests of usual worth.
+	 */
+	watchStream(id: string, warn: (loss: number) => void): void {
+		this.#streams.set(id, warn);
+	}
+
 	/**
 	 * @param upstream - Upstream.
 	 * @param verdict - What an attempt says of it.
@@ -363,6 +380,20 @@
 		this.#log.write({event: 'upstream-restarted', upstream: id});
 	}
 
+	/** Warns own streams of the reading of a new job. */
+	#warn(job: Job, now: number): void {
+		if (job.readPerPass < warnedReading || this.#streams.size === 0) {
+			return;
+		}
+
+		for (const upstream of [job.upstream, ...job.helpers]) {
+			const model = this.service(this.#upstreams.get(upstream)?.service ?? '')?.engine;
+			for (const {job: stream, loss} of model === undefined ? [] : disturbed(this.load.forecast(upstream, model, now))) {
+				this.#streams.get(stream.id)?.(loss);
+			}
+		}
+	}
+
 	/** News that are told to peers together. */
 	#pending(): {began: ToldJob[]; progressed: string[]; ended: string[]} {
 		if (this.#news === undefined) {
@@ -393,7 +424,9 @@
 		switch (message.type) {
 			case 'load': {
 				for (const told of message.began) {
-					this.load.begin(heard(told, from.name, now), now);
+					const job = heard(told, from.name, now);
+					this.load.begin(job, now);
+					this.#warn(job, now);
 				}
 
 				for (const id of message.progressed) {
