--- a/__tests__/gateway/site.ts
+++ b/__tests__/gateway/site.ts
@@ -57,6 +57,9 @@
 	{
 		Name: 'deeper', Hostname: 'api.example', Prefix: '/read/deeper/', RouteType: 'safe', TimeoutMs: 1500, TargetLatencyMs: 300, Priority: 2, Service: 'nowhere', MaxAttempts: 2,
 	},
+	{
+		Name: 'single', Hostname: 'api.example', Prefix: '/single/', RouteType: 'unsafe', TimeoutMs: 1500, TargetLatencyMs: 300, Priority: 2, Service: 'plain', MaxAttempts: 1,
+	},
 	{
 		Name: 'open', Hostname: 'api.example', Prefix: '/open/', RouteType: 'safe', TimeoutMs: 1500, TargetLatencyMs: 300, Priority: 2, Service: 'plain', MaxAttempts: 2, Public: true,
 	},
--- a/__tests__/gateway/upstreams.test.ts
+++ b/__tests__/gateway/upstreams.test.ts
@@ -49,6 +49,15 @@
 	});
 });
 
+it('passes over an upstream without a connection, also where one upstream may be sent to', async () => {
+	await site.plains[0]!.crash();
+	for (let index = 0; index < 4; index++) {
+		const answer = await site.ask({path: '/single/x', id: `single-${index}`});
+		expect(answer.status).toBe(200);
+		expect(site.ledger.of(`single-${index}`).length).toBe(1);
+	}
+});
+
 it('takes an answer without a length whose connection ends properly', async () => {
 	setAll(site.plains, 'unframed');
 	const answer = await site.ask({path: '/once/x', id: 'unframed-1', body: 'b'});
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -45,6 +45,9 @@
 /** Refusals of holds after which no other engines are tried. */
 const mostHoldTries = 3;
 
+/** Upstreams without a connection after which no others are tried: each may take as long as a connection is waited for. */
+const mostUnreached = 3;
+
 /** Milliseconds without a first event, beyond the time predicted and its part, after which an engine is taken to be dark. */
 const darkAfter = 900;
 const predictionFactor = 2;
@@ -78,6 +81,7 @@
 	#attempt: Attempt | undefined;
 	#attempts = 0;
 	#holdTries = 0;
+	#unreached = 0;
 	#mayHaveRun = false;
 	#stop: Stop | undefined;
 	#lastEvent: string | undefined;
@@ -296,7 +300,7 @@
 		const asUnknown: AttemptEnding = isGivenUp ? {type: 'unknown', reason: ending.reason} : ending;
 		const {gateway, clock, metrics} = this.#parts;
 		const now = clock.now();
-		if (!isRepeatable(route.kind, route.isResumable, asUnknown) || this.#attempts >= route.attempts || this.#holdTries >= mostHoldTries) {
+		if (!isRepeatable(route.kind, route.isResumable, asUnknown) || this.#attempts >= route.attempts || this.#holdTries >= mostHoldTries || this.#unreached >= mostUnreached) {
 			return false;
 		}
 
@@ -431,6 +435,12 @@
 		const got = await attempt.reply();
 		if (got.type === 'ended') {
 			this.#judge(got.ending, id, got.isUnreachable);
+			if (got.isUnreachable) {
+				// Nothing was sent: an upstream without a connection is not one that the request was sent to.
+				this.#attempts--;
+				this.#unreached++;
+			}
+
 			return got.ending;
 		}
 
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -64,6 +64,7 @@
 	readonly #linkEvents: LinkEvents;
 	readonly #timer: NodeJS.Timeout;
 	#beats = 0;
+	#lastBroadcast = Number.NEGATIVE_INFINITY;
 	#most = 1;
 
 	/**
@@ -139,6 +140,7 @@
 			return;
 		}
 
+		this.#lastBroadcast = this.#options.now();
 		const bytes = encode(message);
 		for (const link of this.#links.values()) {
 			link.write(bytes);
@@ -195,7 +197,11 @@
 		this.#beats++;
 		// Whom this host knows is told now and then: a host that two others lost sight of finds back.
 		const known = this.#beats % 8 === 0 ? [...this.hosts] : undefined;
-		this.broadcast({type: 'heartbeat', known});
+		// News of load say as much as a heartbeat: among 70 hosts they spare most of 140 messages a second and host.
+		if (known !== undefined || now - this.#lastBroadcast >= heartbeatInterval) {
+			this.broadcast({type: 'heartbeat', known});
+		}
+
 		for (const host of this.hosts) {
 			this.#domains.set(host.failureDomain, now);
 		}
