--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -36,6 +36,9 @@
 /** Milliseconds of reading in one pass from which on streams of the engine are looked at: under it no pause grows too long. */
 const warnedReading = 100;
 
+/** Expected loss, in requests of usual worth, from which on engines are considered whose load is not known. */
+const farLoss = 0.6;
+
 /** Milliseconds within which an engine's lost connections and a failed connection to it count as one crash. */
 const crashWindow = 1500;
 
@@ -213,15 +216,19 @@
 	 * @returns Where it goes, if anywhere.
 	 */
 	place(demand: Demand, tried: ReadonlySet<string>): Place | undefined {
-		const now = this.#clock.now();
-		return place(demand, this.#byService.get(demand.service) ?? [], this.service(demand.service)?.engine, {
-			load: this.load,
-			health: this.health,
-			failureDomain: this.#settings.failureDomain,
-			unreachable: this.#unreachable(now),
-			tried,
-			now,
-		});
+		const all = this.#byService.get(demand.service) ?? [];
+		if (!this.peers.isLargeFleet) {
+			return this.#placeAmong(demand, all, tried);
+		}
+
+		// Hosts of a large fleet know the load of their own failure domain only: others are a last resort.
+		const near = this.#placeAmong(demand, all.filter(each => each.failureDomain === this.#settings.failureDomain), tried);
+		if (near !== undefined && near.loss < farLoss) {
+			return near;
+		}
+
+		const far = this.#placeAmong(demand, all, tried);
+		return near !== undefined && far !== undefined && near.loss < far.loss + farLoss ? near : far ?? near;
 	}
 
 	/**
@@ -338,6 +345,18 @@
 		await this.peers[Symbol.asyncDispose]();
 	}
 
+	#placeAmong(demand: Demand, upstreams: readonly GatewayUpstream[], tried: ReadonlySet<string>): Place | undefined {
+		const now = this.#clock.now();
+		return place(demand, upstreams, this.service(demand.service)?.engine, {
+			load: this.load,
+			health: this.health,
+			failureDomain: this.#settings.failureDomain,
+			unreachable: this.#unreachable(now),
+			tried,
+			now,
+		});
+	}
+
 	/** Failure domains out of reach by word of peers or by one's own attempts; never all that have upstreams. */
 	#unreachable(now: number): ReadonlySet<string> {
 		return new Set([...this.peers.unreachableDomains(now), ...this.reach.cutOff(now)]);
@@ -401,7 +420,7 @@
 			setTimeout(() => {
 				const news = this.#news!;
 				this.#news = undefined;
-				this.peers.broadcast({type: 'load', ...news});
+				this.peers.tellLoad({type: 'load', ...news});
 			}, tellDelay);
 		}
 
@@ -456,6 +475,7 @@
 			}
 
 			case 'hello':
+			case 'release':
 			case 'heartbeat': {
 				return;
 			}
--- a/src/gateway/peers/link.ts
+++ b/src/gateway/peers/link.ts
@@ -78,6 +78,11 @@
 		this.write(encode(message));
 	}
 
+	/** Closes once everything has been sent. */
+	finish(): void {
+		this.#socket.end();
+	}
+
 	/**
 	 * @param reason - Why it is closed, for the log.
 	 */
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -40,6 +40,8 @@
 const messageSchema = z.discriminatedUnion('type', [
 	z.object({type: z.literal('hello'), from: host, known: z.array(host).max(listLimit)}),
 	z.object({type: z.literal('heartbeat'), known: z.array(host).max(listLimit).optional()}),
+	/** The sender needs this link no more and closes it; it is not gone. */
+	z.object({type: z.literal('release')}),
 	z.object({
 		type: z.literal('load'),
 		began: z.array(job).max(listLimit),
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -4,6 +4,7 @@
 	createConnection, createServer, type Server, type Socket,
 } from 'node:net';
 import {type Address} from '../../core/index.js';
+import {hashText, rank} from '../../core/utils/hashes.js';
 import {type Log} from '../../entry/logs.js';
 import {Link, type LinkEvents} from './link.js';
 import {encode, type Host, type Message} from './messages.js';
@@ -24,6 +25,19 @@
 /** Milliseconds without a link to any host of a failure domain after which the domain is taken to be cut off. */
 const domainSilence = 1500;
 
+/**
+ * Hosts up to which each is linked with each other one and tells all of them of its load. Beyond it hosts are linked within
+ * their failure domain, and with a few hosts of each other one: 70 hosts that all knew each other sent 4.4 MB a second
+ * between domains, nearly all of it lists of hosts.
+ */
+const smallFleet = 14;
+
+/** Links that a host of a large fleet dials to each other failure domain. */
+const foreignLinks = 2;
+
+/** Hosts named in a heartbeat that tells of some: all are heard of within a minute. */
+const namedHosts = 6;
+
 type Acquaintance = {
 	readonly address: Address;
 	host?: Host;
@@ -58,13 +72,15 @@
 	readonly #server: Server;
 	readonly #links = new Map<string, Link>();
 	readonly #all = new Set<Link>();
+	/** Links that one end needs no more. */
+	readonly #released = new WeakSet<Link>();
 	readonly #acquaintances = new Map<string, Acquaintance>();
 	/** Last time that a host of each failure domain was linked. */
 	readonly #domains = new Map<string, number>();
 	readonly #linkEvents: LinkEvents;
 	readonly #timer: NodeJS.Timeout;
 	#beats = 0;
-	#lastBroadcast = Number.NEGATIVE_INFINITY;
+	#lastLoad = Number.NEGATIVE_INFINITY;
 	#most = 1;
 
 	/**
@@ -100,9 +116,14 @@
 		return [...this.#links.values()].map(link => link.greeting!.from);
 	}
 
-	/** Hosts of the fleet, this one included, as many as were linked at once so far: those cut off still count. */
+	/** Hosts of the fleet, this one included, as far as is known: those cut off still count. */
 	get fleetSize(): number {
-		return this.#most;
+		return Math.max(this.#most, this.#known().length + 1);
+	}
+
+	/** Whether hosts know the load of their own failure domain only. */
+	get isLargeFleet(): boolean {
+		return this.fleetSize > smallFleet;
 	}
 
 	/**
@@ -136,15 +157,17 @@
 	 * @param message - Message for every linked host.
 	 */
 	broadcast(message: Message): void {
-		if (this.#links.size === 0) {
-			return;
-		}
+		this.#writeAll(message, [...this.#links.values()]);
+	}
 
-		this.#lastBroadcast = this.#options.now();
-		const bytes = encode(message);
-		for (const link of this.#links.values()) {
-			link.write(bytes);
-		}
+	/**
+	 * @param message - Message for the hosts that know this one's load: those of its failure domain in a large fleet.
+	 */
+	tellLoad(message: Message): void {
+		const own = this.#options.self.failureDomain;
+		const isLarge = this.isLargeFleet;
+		this.#writeAll(message, [...this.#links.values()].filter(link => !isLarge || link.greeting?.from.failureDomain === own));
+		this.#lastLoad = this.#options.now();
 	}
 
 	/**
@@ -196,9 +219,10 @@
 		const now = this.#options.now();
 		this.#beats++;
 		// Whom this host knows is told now and then: a host that two others lost sight of finds back.
-		const known = this.#beats % 8 === 0 ? [...this.hosts] : undefined;
+		const known = this.#beats % 8 === 0 ? this.#someHosts() : undefined;
 		// News of load say as much as a heartbeat: among 70 hosts they spare most of 140 messages a second and host.
-		if (known !== undefined || now - this.#lastBroadcast >= heartbeatInterval) {
+		const isNews = now - this.#lastLoad < heartbeatInterval && known === undefined && !this.isLargeFleet;
+		if (!isNews) {
 			this.broadcast({type: 'heartbeat', known});
 		}
 
@@ -206,15 +230,72 @@
 			this.#domains.set(host.failureDomain, now);
 		}
 
+		const wanted = this.#wanted();
 		for (const [key, each] of this.#acquaintances) {
-			this.#consider(key, each, now);
+			this.#consider(key, each, wanted, now);
+		}
+	}
+
+	/** Other hosts whose name and place are known. */
+	#known(): readonly Host[] {
+		return [...this.#acquaintances.values()].flatMap(each => each.host ?? []);
+	}
+
+	/** Some known hosts, others each time. */
+	#someHosts(): Host[] {
+		const all = this.hosts;
+		const start = (this.#beats * namedHosts) % Math.max(all.length, 1);
+		return [...all, ...all].slice(start, start + Math.min(namedHosts, all.length));
+	}
+
+	/** Keys of the hosts to be linked with; undefined where that is everyone. */
+	#wanted(): ReadonlySet<string> | undefined {
+		if (!this.isLargeFleet) {
+			return undefined;
+		}
+
+		const {self} = this.#options;
+		const keys = new Set<string>();
+		const foreign = new Map<string, number>();
+		const reachable = [...this.#acquaintances.values()].filter(each => each.failures < 2);
+		for (const {member} of rank(hashText(self.name), reachable.map(member => ({member, hash: hashText(keyOf(member.address))})))) {
+			const domain = member.host?.failureDomain;
+			const linked = foreign.get(domain ?? '') ?? 0;
+			if (domain === undefined || domain === self.failureDomain || linked < foreignLinks) {
+				keys.add(keyOf(member.address));
+				foreign.set(domain ?? '', linked + 1);
+			}
+		}
+
+		return keys;
+	}
+
+	#writeAll(message: Message, links: readonly Link[]): void {
+		if (links.length === 0) {
+			return;
+		}
+
+		const bytes = encode(message);
+		for (const link of links) {
+			link.write(bytes);
 		}
 	}
 
-	#consider(key: string, each: Acquaintance, now: number): void {
-		const isLinked = each.host !== undefined && this.#links.has(each.host.name);
-		if (isLinked) {
+	#consider(key: string, each: Acquaintance, wanted: ReadonlySet<string> | undefined, now: number): void {
+		const isWanted = wanted === undefined || wanted.has(key);
+		const link = each.host === undefined ? undefined : this.#links.get(each.host.name);
+		if (link !== undefined) {
 			each.seen = now;
+			if (!isWanted && link.isDialled) {
+				this.#released.add(link);
+				link.send({type: 'release'});
+				link.finish();
+			}
+
+			return;
+		}
+
+		if (!isWanted) {
 			return;
 		}
 
@@ -253,7 +334,7 @@
 	#attach(socket: Socket, isDialled: boolean): void {
 		const link = new Link(socket, isDialled, this.#linkEvents);
 		this.#all.add(link);
-		link.send({type: 'hello', from: this.#options.self, known: [...this.hosts]});
+		link.send({type: 'hello', from: this.#options.self, known: [...this.#known()]});
 	}
 
 	#greeted(link: Link, from: Host, known: readonly Host[]): void {
@@ -306,7 +387,9 @@
 			return;
 		}
 
-		if (message.type === 'heartbeat') {
+		if (message.type === 'release') {
+			this.#released.add(link);
+		} else if (message.type === 'heartbeat') {
 			for (const host of message.known ?? []) {
 				this.#meet(host.address, host);
 			}
@@ -323,7 +406,12 @@
 		}
 
 		this.#links.delete(from.name);
-		this.#options.log.write({event: 'peer-lost', peer: from.name, reason}, 'warn');
+		if (this.#released.has(link)) {
+			this.#options.log.write({event: 'peer-released', peer: from.name});
+		} else {
+			this.#options.log.write({event: 'peer-lost', peer: from.name, reason}, 'warn');
+		}
+
 		this.#options.events.lost(from, reason);
 	}
 }
