--- a/src/cli/commands/incidents.ts
+++ b/src/cli/commands/incidents.ts
@@ -1,5 +1,6 @@
 /** `cranberrytide incidents`: sums up from logs what was lost and regained in a window, and what became of requests. */
 import {type Command} from 'commander';
+import {z} from 'zod';
 import {codes, raise, type Code} from '../../core/index.js';
 import {gatewaySchema} from '../gateway-lines.js';
 import {readText, standardInput} from '../input.js';
@@ -16,10 +17,25 @@
 
 /** Events that change what a host believes, or that it starts or stops. */
 const notable: ReadonlySet<string> = new Set([
-	'started', 'stopping', 'stopped', 'reloaded', 'reload-failed', 'failed',
-	'store-lost', 'store-regained', 'store-compacted', 'peer-lost',
-	'upstream', 'upstream-gone', 'upstream-restarted', 'configuration', 'configuration-refused', 'registration-refused',
-	'suspected', 'lines-dropped', 'exchange-failed',
+	'started',
+	'stopping',
+	'stopped',
+	'reloaded',
+	'reload-failed',
+	'failed',
+	'store-lost',
+	'store-regained',
+	'store-compacted',
+	'peer-lost',
+	'upstream',
+	'upstream-gone',
+	'upstream-restarted',
+	'configuration',
+	'configuration-refused',
+	'registration-refused',
+	'suspected',
+	'lines-dropped',
+	'exchange-failed',
 ]);
 
 /** Milliseconds within which the same news at several hosts is told as one. */
@@ -91,10 +107,18 @@
 	return codes.done;
 }
 
+const subjectSchema = z.object({
+	upstream: z.string().optional(),
+	peer: z.string().optional(),
+	fingerprint: z.string().optional(),
+	version: z.number().optional(),
+	draining: z.boolean().optional(),
+});
+
 function subjectOf({decision}: LogEntry): string {
-	const {upstream, peer, version, draining, fingerprint} = decision;
-	const subject = upstream ?? peer ?? fingerprint ?? (version === undefined ? '' : `version ${String(version)}`);
-	return `${String(subject)}${draining === true ? ' draining' : ''}`;
+	const {upstream, peer, fingerprint, version, draining} = subjectSchema.safeParse(decision).data ?? {};
+	const subject = upstream ?? peer ?? fingerprint ?? (version === undefined ? '' : `version ${version}`);
+	return `${subject}${draining === true ? ' draining' : ''}`;
 }
 
 /**
--- a/src/entry/logs.ts
+++ b/src/entry/logs.ts
@@ -65,7 +65,8 @@
 		dropped = 0;
 	}
 
-	append(entry.date, entry.type, {...entry.args[0]});
+	const line: unknown = entry.args[0];
+	append(entry.date, entry.type, typeof line === 'object' ? {...line} : {});
 }
 
 /** Writes log lines. */
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -417,8 +417,11 @@
 
 		const rest: Demand = {...demand, due: this.#lastHeard + demand.pause};
 		const place = gateway.place(rest, this.#tried);
-		const isBetter = place !== undefined && place.helpers.length === 0 && place.loss + movingLoss < staying;
-		if (isBetter && gateway.budget.allows(demand.service, gateway.peers.fleetSize, now)) {
+		if (place?.helpers.length !== 0 || place.loss + movingLoss >= staying) {
+			return;
+		}
+
+		if (gateway.budget.allows(demand.service, gateway.peers.fleetSize, now)) {
 			this.#write('moving', {to: place.upstream.id, loss: Number(place.loss.toFixed(3)), staying: Number(staying.toFixed(3))});
 			this.#attempt?.cancel('moved');
 		}
