--- a/src/core/gateway/directory.ts
+++ b/src/core/gateway/directory.ts
@@ -89,3 +89,25 @@
 		return known;
 	}
 }
+
+/**
+ * @param route - Route.
+ * @param part - Uniform from 0 to 1.
+ * @returns One of the services that the route leads to, by their weights; empty if there is none.
+ */
+export function chooseService({targets}: Route, part: number): string {
+	let total = 0;
+	for (const target of targets) {
+		total += target.weight;
+	}
+
+	let place = part * total;
+	for (const target of targets) {
+		place -= target.weight;
+		if (place < 0) {
+			return target.service;
+		}
+	}
+
+	return targets.at(-1)?.service ?? '';
+}
--- a/src/core/gateway/health.ts
+++ b/src/core/gateway/health.ts
@@ -1,4 +1,6 @@
 /** How far upstreams can be trusted, from how attempts ended. */
+import {assertNever} from '../utils/common.js';
+import {type AttemptEnding} from './retries.js';
 
 /** Half of what was seen counts no more after this time, in milliseconds: engines that crash are back within 3 to 5 s. */
 const halfLife = 2500;
@@ -22,6 +24,35 @@
 	/** No connection could be made, or it fell silent. */
 		| 'unreachable';
 
+/**
+ * @param ending - How an attempt ended.
+ * @returns What it says of its upstream, if anything.
+ */
+export function verdictOf(ending: AttemptEnding): Verdict | undefined {
+	switch (ending.type) {
+		case 'answered': {
+			return 'sound';
+		}
+
+		case 'not-run':
+		case 'failed': {
+			return 'faulty';
+		}
+
+		case 'unknown': {
+			return 'broken';
+		}
+
+		case 'cancelled': {
+			return ending.reason === 'silent' ? 'unreachable' : undefined;
+		}
+
+		default: {
+			return assertNever(ending);
+		}
+	}
+}
+
 type Entry = {
 	attempts: number;
 	failures: number;
--- a/src/gateway/answers.ts
+++ b/src/gateway/answers.ts
@@ -1,6 +1,7 @@
 /** What callers are told when the gateway answers itself. */
 import {type ServerResponse} from 'node:http';
 import {codes, texts, type CodeName} from '../core/index.js';
+import {type AttemptEnding} from '../core/gateway/retries.js';
 
 /** HTTP status of each answer of the gateway's own. 503 promises that the request has not run and never will. */
 const statuses = {
@@ -26,6 +27,36 @@
 
 export type AnswerName = keyof typeof statuses;
 
+/** Statuses that promise that the request has not run. */
+export const promises: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/**
+ * @param ending - How the last attempt ended.
+ * @returns What its caller is told, if nothing else is known.
+ */
+export function nameOf(ending: AttemptEnding): AnswerName {
+	switch (ending.type) {
+		case 'not-run': {
+			return ending.isShed ? 'refusedByUpstream' : 'notConnected';
+		}
+
+		case 'failed': {
+			return 'upstreamFailed';
+		}
+
+		case 'unknown':
+		case 'answered':
+		case 'cancelled': {
+			return 'outcomeUnknown';
+		}
+
+		default: {
+			const never: never = ending;
+			return never;
+		}
+	}
+}
+
 /**
  * @param outgoing - Answer to a caller, nothing of which was sent.
  * @param name - What it says.
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,23 +1,28 @@
 /** The life of one request at this host, from its head to the end of its answer. */
 import {Buffer} from 'node:buffer';
-import {createHash} from 'node:crypto';
 import {type Agent, type IncomingMessage, type ServerResponse} from 'node:http';
-import {messageOf} from '../core/index.js';
-import {type Resolution} from '../core/gateway/directory.js';
+import {chooseService} from '../core/gateway/directory.js';
+import {verdictOf} from '../core/gateway/health.js';
 import {type Place} from '../core/gateway/placement.js';
 import {isRepeatable, type AttemptEnding, type CancelReason} from '../core/gateway/retries.js';
 import {type Demand, type Route} from '../core/gateway/types.js';
 import {type Clock} from '../entry/clock.js';
 import {type Log} from '../entry/logs.js';
-import {answer, type AnswerName} from './answers.js';
+import {admit, fingerprintOf, type Routed} from './admission.js';
+import {
+	answer, nameOf, promises, type AnswerName,
+} from './answers.js';
 import {Attempt, type Reply} from './attempt.js';
-import {type CallerFacts, type Dialect, type Helper} from './dialect.js';
+import {type CallerFacts, type Dialect} from './dialect.js';
 import {type Gateway} from './gateway.js';
+import {helpersOf, urgencyOf} from './handover.js';
 import {type Hold, type Holds} from './holds.js';
-import {lengthClass, type GatewayMetrics} from './metrics.js';
+import {type GatewayMetrics} from './metrics.js';
 import {
 	isStream, readBody, relayEvents, relayLong, writeHead, type Body,
 } from './relay.js';
+import {Trace} from './trace.js';
+import {Watch} from './watch.js';
 
 /** What exchanges share. */
 export type Parts = {
@@ -36,33 +41,22 @@
 	readonly random: () => number;
 };
 
-type Routed = Extract<Resolution, {readonly type: 'routed'}>;
-
 /** Seconds after which a refused caller may come again: the mean of a usual answer, spread so that callers don't return together. */
 const usualRetryAfter = 0.4;
 const retrySpread = 0.6;
 
+/** Seconds after which a caller may come again to a host that knows too little: the store is read once a second. */
+const unconfiguredRetryAfter = 1;
+
 /** Refusals of holds after which no other engines are tried. */
 const mostHoldTries = 3;
 
 /** Upstreams without a connection after which no others are tried: each may take as long as a connection is waited for. */
 const mostUnreached = 3;
 
-/** Milliseconds without a first event, beyond the time predicted and its part, after which an engine is taken to be dark. */
-const darkAfter = 900;
-const predictionFactor = 2;
-
-/** Milliseconds without an event in mid-stream: callers give a stream up after 2 s. */
-const darkGap = 1200;
-
 /** What moving a stream costs beside: its prompt is read again and its last attempt is used up, in requests of usual worth. */
 const movingLoss = 0.25;
 
-/** Tokens up to which prompts go first at an engine, and from which on they go last. */
-const urgentTokens = 16_000;
-const patientTokens = 80_000;
-const urgencies = {urgent: 2, usual: 4, patient: 5} as const;
-
 /** Why an exchange must not go on. */
 type Stop = Extract<CancelReason, 'caller left' | 'time over'>;
 
@@ -70,11 +64,9 @@
 	readonly #parts: Parts;
 	readonly #incoming: IncomingMessage;
 	readonly #outgoing: ServerResponse;
-	readonly #arrived: number;
+	readonly #trace: Trace;
 	readonly #tried = new Set<string>();
 	#facts: CallerFacts | undefined;
-	#demand: Demand | undefined;
-	#route: Route | undefined;
 	#organisation: string | undefined;
 	#body = Buffer.alloc(0);
 	#fingerprint: string | undefined;
@@ -85,10 +77,6 @@
 	#mayHaveRun = false;
 	#stop: Stop | undefined;
 	#lastEvent: string | undefined;
-	#firstByte: number | undefined;
-	/** When the last events came, and the longest time between two, in milliseconds. */
-	#lastHeard: number | undefined;
-	#longestPause = 0;
 	#timer: NodeJS.Timeout | undefined;
 	#lastReply: {readonly reply: Reply; readonly body: Extract<Body, {type: 'whole'}>} | undefined;
 
@@ -101,7 +89,7 @@
 		this.#parts = parts;
 		this.#incoming = incoming;
 		this.#outgoing = outgoing;
-		this.#arrived = parts.clock.now();
+		this.#trace = new Trace(parts);
 	}
 
 	/** Serves the request; settles when its answer is over. */
@@ -113,6 +101,7 @@
 			}
 		});
 		this.#facts = this.#parts.dialect.readCaller(this.#incoming.headers);
+		this.#trace.facts = this.#facts;
 		if (this.#parts.isLeaving()) {
 			outgoing.shouldKeepAlive = false;
 		}
@@ -133,10 +122,13 @@
 			return;
 		}
 
-		const routed = this.#admit(this.#facts);
-		if (routed !== undefined) {
-			await this.#serve(this.#facts, routed);
+		const admission = admit(this.#parts.gateway, this.#incoming, this.#facts.key);
+		if (admission.type === 'refused') {
+			this.#refuse(admission.answer, unconfiguredRetryAfter);
+			return;
 		}
+
+		await this.#serve(this.#facts, admission);
 	}
 
 	get #isOver(): boolean {
@@ -167,94 +159,36 @@
 		return !this.#isOver;
 	}
 
-	#admit(facts: CallerFacts): Routed | undefined {
-		const {gateway} = this.#parts;
-		const path = (this.#incoming.url ?? '').split('?')[0]!;
-		const resolution = gateway.directory?.resolve(this.#incoming.headers.host ?? '', path, facts.key);
-		switch (resolution?.type) {
-			case undefined: {
-				this.#refuse('notConfigured', 1);
-				return undefined;
-			}
-
-			case 'no-route': {
-				// A host that has lost the store may not have heard of a new route.
-				this.#refuse(gateway.isKeyStale ? 'notConfigured' : 'unknownRoute', 1);
-				return undefined;
-			}
-
-			case 'unknown-key': {
-				this.#refuse(gateway.isKeyStale ? 'notConfigured' : 'unknownKey', 1);
-				return undefined;
-			}
-
-			case 'routed': {
-				if (resolution.organisation === undefined || !gateway.isKeyStale) {
-					return resolution;
-				}
-
-				if (resolution.route.isPublic) {
-					return {...resolution, organisation: undefined};
-				}
-
-				this.#refuse('notConfigured', 1);
-				return undefined;
-			}
-
-			default: {
-				const never: never = resolution;
-				return never;
-			}
-		}
-	}
-
 	async #serve(facts: CallerFacts, {route, organisation}: Routed): Promise<void> {
 		const {gateway, clock} = this.#parts;
 		const limit = Math.min(facts.patience ?? route.timeout, route.timeout);
 		const now = clock.now();
-		this.#route = route;
+		this.#trace.route = route;
 		this.#organisation = organisation?.name;
 		this.#lastEvent = facts.lastEvent;
-		this.#demand = {
+		const demand: Demand = {
 			id: facts.id,
-			service: this.#chooseService(route),
+			service: chooseService(route, this.#parts.random()),
 			kind: route.kind,
 			priority: organisation?.priority ?? route.priority,
-			arrived: this.#arrived,
-			due: this.#arrived + route.objective,
-			deadline: this.#arrived + limit,
+			arrived: this.#trace.arrived,
+			due: this.#trace.arrived + route.objective,
+			deadline: this.#trace.arrived + limit,
 			pause: route.pause,
 			prompt: facts.prompt,
 		};
+		this.#trace.service = demand.service;
 		this.#timer = setTimeout(() => {
 			this.#halt('time over');
-		}, Math.max(this.#demand.deadline - now, 0));
-		gateway.budget.countRequest(this.#demand.service, now);
+		}, Math.max(demand.deadline - now, 0));
+		gateway.budget.countRequest(demand.service, now);
 		try {
-			await this.#attemptAll(facts, route, this.#demand);
+			await this.#attemptAll(facts, route, demand);
 		} finally {
 			clearTimeout(this.#timer);
 		}
 	}
 
-	#chooseService(route: Route): string {
-		const {targets} = route;
-		let total = 0;
-		for (const target of targets) {
-			total += target.weight;
-		}
-
-		let place = this.#parts.random() * total;
-		for (const target of targets) {
-			place -= target.weight;
-			if (place < 0) {
-				return target.service;
-			}
-		}
-
-		return targets.at(-1)?.service ?? '';
-	}
-
 	async #attemptAll(facts: CallerFacts, route: Route, demand: Demand): Promise<void> {
 		if (this.#isConvicted()) {
 			this.#refuse('convicted');
@@ -286,8 +220,7 @@
 	}
 
 	#isConvicted(): boolean {
-		const hash = createHash('sha1').update(this.#incoming.url ?? '').update('\0').update(this.#organisation ?? '').update('\0').update(this.#body);
-		this.#fingerprint = hash.digest('base64url');
+		this.#fingerprint = fingerprintOf(this.#incoming, this.#organisation, this.#body);
 		return this.#parts.gateway.suspects.isConvicted(this.#fingerprint, this.#parts.clock.now());
 	}
 
@@ -330,7 +263,7 @@
 				this.#tried.add(id);
 			}
 
-			this.#write('hold-refused', {hold: hold.name, refused});
+			this.#trace.write('hold-refused', {hold: hold.name, refused});
 			return {type: 'not-run', reason: 'memory not granted', isShed: true};
 		}
 
@@ -350,7 +283,7 @@
 		this.#attempts++;
 		this.#tried.add(upstream.id);
 		const job = gateway.begin(demand, place);
-		this.#write('placed', {
+		this.#trace.write('placed', {
 			attempt: job.id,
 			upstream: upstream.id,
 			helpers: job.helpers,
@@ -396,7 +329,7 @@
 			const ending = await this.#follow(attempt, route, place, job.id, watch);
 			metrics.attempts.inc({service: demand.service, ending: ending.type});
 			const {type, ...how} = ending;
-			this.#write('attempt-ended', {
+			this.#trace.write('attempt-ended', {
 				attempt: job.id, upstream: upstream.id, ending: type, ...how,
 			});
 			return ending;
@@ -411,18 +344,18 @@
 	#considerMove(demand: Demand, staying: number): void {
 		const {gateway, clock} = this.#parts;
 		const now = clock.now();
-		if (demand.pause === undefined || this.#longestPause > demand.pause || this.#lastHeard === undefined) {
+		if (demand.pause === undefined || this.#trace.longestPause > demand.pause || this.#trace.lastHeard === undefined) {
 			return;
 		}
 
-		const rest: Demand = {...demand, due: this.#lastHeard + demand.pause};
+		const rest: Demand = {...demand, due: this.#trace.lastHeard + demand.pause};
 		const place = gateway.place(rest, this.#tried);
 		if (place?.helpers.length !== 0 || place.loss + movingLoss >= staying) {
 			return;
 		}
 
 		if (gateway.budget.allows(demand.service, gateway.peers.fleetSize, now)) {
-			this.#write('moving', {to: place.upstream.id, loss: Number(place.loss.toFixed(3)), staying: Number(staying.toFixed(3))});
+			this.#trace.write('moving', {to: place.upstream.id, loss: Number(place.loss.toFixed(3)), staying: Number(staying.toFixed(3))});
 			this.#attempt?.cancel('moved');
 		}
 	}
@@ -470,7 +403,7 @@
 		const ending = await relayEvents(this.#outgoing, reply, {
 			onEvents: (_count, lastId) => {
 				watch.heard();
-				this.#notePause();
+				this.#trace.noteEvents();
 				this.#lastEvent = lastId ?? this.#lastEvent;
 				if (isFirst) {
 					isFirst = false;
@@ -542,52 +475,19 @@
 	}
 
 	#began(job: string): void {
-		this.#firstByte ??= this.#parts.clock.now();
+		this.#trace.noteFirstByte();
 		this.#parts.gateway.progress(job);
 	}
 
-	#notePause(): void {
-		const now = this.#parts.clock.now();
-		this.#longestPause = Math.max(this.#longestPause, now - (this.#lastHeard ?? now));
-		this.#lastHeard = now;
-	}
-
 	#judge(ending: AttemptEnding, upstream: string, isUnreachable: boolean): void {
 		const {gateway} = this.#parts;
-		switch (ending.type) {
-			case 'answered': {
-				gateway.judge(upstream, 'sound');
-				return;
-			}
-
-			case 'not-run': {
-				gateway.judge(upstream, isUnreachable ? 'unreachable' : 'faulty');
-				return;
-			}
-
-			case 'failed': {
-				gateway.judge(upstream, 'faulty');
-				return;
-			}
-
-			case 'unknown': {
-				gateway.judge(upstream, 'broken');
-				gateway.suspect(this.#fingerprint ?? '', upstream);
-				return;
-			}
-
-			case 'cancelled': {
-				if (ending.reason === 'silent') {
-					gateway.judge(upstream, 'unreachable');
-				}
-
-				return;
-			}
+		const verdict = isUnreachable ? 'unreachable' : verdictOf(ending);
+		if (verdict !== undefined) {
+			gateway.judge(upstream, verdict);
+		}
 
-			default: {
-				const never: never = ending;
-				throw new TypeError(`Unhandled ending ${JSON.stringify(never)}`);
-			}
+		if (ending.type === 'unknown') {
+			gateway.suspect(this.#fingerprint ?? '', upstream);
 		}
 	}
 
@@ -649,127 +549,6 @@
 	}
 
 	#finish(outcome: string): void {
-		const {metrics, clock} = this.#parts;
-		const now = clock.now();
-		const service = this.#demand?.service ?? 'none';
-		const length = lengthClass(this.#facts?.prompt?.tokens);
-		metrics.requests.inc({
-			service, kind: this.#route?.kind ?? 'none', length, outcome,
-		});
-		if (this.#firstByte !== undefined) {
-			metrics.firstByte.observe({service, length}, this.#firstByte - this.#arrived);
-		}
-
-		metrics.total.observe({service, length}, now - this.#arrived);
-		this.#write('ended', {
-			outcome,
-			route: this.#route?.name,
-			attempts: this.#attempts,
-			firstByte: this.#firstByte === undefined ? undefined : Math.round(this.#firstByte - this.#arrived),
-			longestPause: this.#lastHeard === undefined ? undefined : Math.round(this.#longestPause),
-			took: Math.round(now - this.#arrived),
-			version: this.#parts.gateway.directory?.configuration.version,
-			confirmedAge: Math.round(this.#parts.gateway.confirmedAge),
-		});
-	}
-
-	#write(event: string, fields: Readonly<Record<string, unknown>>): void {
-		try {
-			this.#parts.log.write({event, request: this.#facts?.id, ...fields});
-		} catch (error) {
-			this.#parts.log.write({event: 'log-failed', detail: messageOf(error)}, 'error');
-		}
-	}
-}
-
-/** Statuses that promise that the request has not run. */
-const promises: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-
-function nameOf(ending: AttemptEnding): AnswerName {
-	switch (ending.type) {
-		case 'not-run': {
-			return ending.isShed ? 'refusedByUpstream' : 'notConnected';
-		}
-
-		case 'failed': {
-			return 'upstreamFailed';
-		}
-
-		case 'unknown':
-		case 'answered':
-		case 'cancelled': {
-			return 'outcomeUnknown';
-		}
-
-		default: {
-			const never: never = ending;
-			return never;
-		}
-	}
-}
-
-function urgencyOf({prompt}: Demand): number | undefined {
-	if (prompt === undefined) {
-		return undefined;
-	}
-
-	if (prompt.tokens <= urgentTokens) {
-		return urgencies.urgent;
-	}
-
-	return prompt.tokens < patientTokens ? urgencies.usual : urgencies.patient;
-}
-
-function helpersOf(place: Place, hold: Hold | undefined): readonly Helper[] {
-	const helpers = place.helpers.map(({address}) => ({address, hold: hold?.name}));
-	return hold === undefined ? helpers : [{address: place.upstream.address, hold: hold.name}, ...helpers];
-}
-
-/** Gives up an engine that has fallen silent, where another one could go on. */
-class Watch {
-	readonly #attempt: Attempt;
-	readonly #isUsed: boolean;
-	readonly #longestPass: () => number;
-	#timer: NodeJS.Timeout | undefined;
-
-	/**
-	 * @param attempt - What is given up.
-	 * @param isUsed - Whether another engine could go on.
-	 * @param predicted - Milliseconds until the first event, as predicted.
-	 * @param longestPass - Milliseconds that a pass of the engine may take now.
-	 */
-	constructor(attempt: Attempt, isUsed: boolean, predicted: number, longestPass: () => number) {
-		this.#attempt = attempt;
-		this.#isUsed = isUsed;
-		this.#longestPass = longestPass;
-		this.#wait(darkAfter + (predicted * predictionFactor), 0);
-	}
-
-	/** Something came from the engine. */
-	heard(): void {
-		this.#wait(darkGap, 0);
-	}
-
-	end(): void {
-		clearTimeout(this.#timer);
-	}
-
-	/** A pass that reads a long prompt is as silent as an engine that is gone: it is waited for as long as it is expected. */
-	#wait(time: number, waited: number): void {
-		clearTimeout(this.#timer);
-		if (!this.#isUsed) {
-			return;
-		}
-
-		this.#timer = setTimeout(() => {
-			const silent = waited + time;
-			const more = darkAfter + this.#longestPass() - silent;
-			if (more > 0) {
-				this.#wait(more, silent);
-				return;
-			}
-
-			this.#attempt.cancel('silent');
-		}, time);
+		this.#trace.finish(outcome, this.#attempts);
 	}
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,9 +2,7 @@
 import {Directory} from '../core/gateway/directory.js';
 import {Health, type Verdict} from '../core/gateway/health.js';
 import {Load, type Job} from '../core/gateway/load.js';
-import {
-	disturbed, place, weigh, type Place,
-} from '../core/gateway/placement.js';
+import {place, weigh, type Place} from '../core/gateway/placement.js';
 import {Reach} from '../core/gateway/reach.js';
 import {RetryBudget} from '../core/gateway/retries.js';
 import {Suspects} from '../core/gateway/suspects.js';
@@ -13,29 +11,19 @@
 } from '../core/gateway/types.js';
 import {type Clock} from '../entry/clock.js';
 import {type Log} from '../entry/logs.js';
-import {
-	heard, tell, type Host, type Message, type ToldJob,
-} from './peers/messages.js';
+import {News} from './news.js';
+import {type Host, type Message} from './peers/messages.js';
 import {Peers} from './peers/peers.js';
 import {type PeerState} from './peers/state.js';
 import {type Settings} from './settings.js';
 import {Sharing} from './sharing.js';
 
-/** Milliseconds within which news of load are gathered into one message to peers: under a pass of an engine. */
-const tellDelay = 3;
-
-/** Milliseconds after which the jobs of a host that fell silent are forgotten: most answers are over by then. */
-const silentJobs = 3000;
-
 /** Part of the revocation bound up to which keys are trusted without word from the store; the rest is for requests under way. */
 const trustShare = 0.94;
 
 /** Milliseconds between looks for jobs that must be over. */
 const expiryInterval = 1000;
 
-/** Milliseconds of reading in one pass from which on streams of the engine are looked at: under it no pause grows too long. */
-const warnedReading = 100;
-
 /** Milliseconds within which an engine's lost connections and a failed connection to it count as one crash. */
 const crashWindow = 1500;
 
@@ -54,13 +42,11 @@
 	readonly #upstreams = new Map<string, GatewayUpstream>();
 	readonly #byService = new Map<string, GatewayUpstream[]>();
 	readonly #expiry: NodeJS.Timeout;
-	/** Own streams that could go on elsewhere, by job. */
-	readonly #streams = new Map<string, (loss: number) => void>();
 	#directory: Directory | undefined;
 	#confirmed = Number.NEGATIVE_INFINITY;
 	#jobs = 0;
 	#registry = 0;
-	#news: {began: ToldJob[]; progressed: string[]; ended: string[]} | undefined;
+	readonly #news: News;
 
 	/**
 	 * @param settings - Settings of this host.
@@ -82,16 +68,24 @@
 			now: () => clock.now(),
 			events: {
 				joined: (host, send) => {
-					this.#joined(host, send);
+					this.#news.joined(host, send);
 				},
 				message: (from, message) => {
 					this.#heard(from, message);
 				},
 				lost: (host, reason) => {
-					this.#lost(host, reason);
+					this.#news.lost(host, reason);
 				},
 			},
 		});
+		this.#news = new News({
+			self: settings.host,
+			failureDomain: settings.failureDomain,
+			load: this.load,
+			peers: this.peers,
+			now: () => clock.now(),
+			modelAt: upstream => this.service(this.#upstreams.get(upstream)?.service ?? '')?.engine,
+		});
 		this.sharing = new Sharing(this, {self: settings.host, failureDomain: settings.failureDomain, now: () => clock.now()});
 		this.#expiry = setInterval(() => {
 			this.load.expire(clock.now());
@@ -249,9 +243,7 @@
 			due: demand.due,
 			deadline: demand.deadline,
 		};
-		this.load.begin(job, now);
-		this.#pending().began.push(tell(job, now));
-		this.#warn(job, now);
+		this.#news.begin(job);
 		return job;
 	}
 
@@ -259,17 +251,14 @@
 	 * @param id - Job whose first byte has come.
 	 */
 	progress(id: string): void {
-		this.load.progress(id, this.#clock.now());
-		this.#pending().progressed.push(id);
+		this.#news.progress(id);
 	}
 
 	/**
 	 * @param id - Job that is over.
 	 */
 	end(id: string): void {
-		this.#streams.delete(id);
-		this.load.end(id, this.#clock.now());
-		this.#pending().ended.push(id);
+		this.#news.end(id);
 	}
 
 	/**
@@ -277,7 +266,7 @@
 	 * @param warn - Told what the stream loses by staying where it is, in requests of usual worth.
 	 */
 	watchStream(id: string, warn: (loss: number) => void): void {
-		this.#streams.set(id, warn);
+		this.#news.watchStream(id, warn);
 	}
 
 	/**
@@ -380,62 +369,16 @@
 		this.#log.write({event: 'upstream-restarted', upstream: id});
 	}
 
-	/** Warns own streams of the reading of a new job. */
-	#warn(job: Job, now: number): void {
-		if (job.readPerPass < warnedReading || this.#streams.size === 0) {
-			return;
-		}
-
-		for (const upstream of [job.upstream, ...job.helpers]) {
-			const model = this.service(this.#upstreams.get(upstream)?.service ?? '')?.engine;
-			for (const {job: stream, loss} of model === undefined ? [] : disturbed(this.load.forecast(upstream, model, now))) {
-				this.#streams.get(stream.id)?.(loss);
-			}
-		}
-	}
-
-	/** News that are told to peers together. */
-	#pending(): {began: ToldJob[]; progressed: string[]; ended: string[]} {
-		if (this.#news === undefined) {
-			this.#news = {began: [], progressed: [], ended: []};
-			setTimeout(() => {
-				const news = this.#news!;
-				this.#news = undefined;
-				this.peers.tellLoad(news);
-			}, tellDelay);
-		}
-
-		return this.#news;
-	}
-
-	#joined(host: Host, send: (message: Message) => void): void {
-		const now = this.#clock.now();
-		this.load.forgetHost(host.name, now);
-		send({
-			type: 'load',
-			began: this.load.jobsOf(this.#settings.host).map(job => tell(job, now)),
-			progressed: [],
-			ended: [],
-		});
-	}
-
 	#heard(from: Host, message: Message): void {
 		const now = this.#clock.now();
 		switch (message.type) {
 			case 'load': {
-				this.#heardLoad(message.origin ?? from.name, message, now);
-				if (message.isForDomain === true) {
-					this.peers.tellDomain({...message, origin: from.name, isForDomain: undefined});
-				}
-
+				this.#news.heard(from, message);
 				return;
 			}
 
 			case 'host-lost': {
-				if (!this.peers.hosts.some(each => each.name === message.host)) {
-					this.load.forgetHost(message.host, now);
-				}
-
+				this.#news.hostLost(message.host);
 				return;
 			}
 
@@ -466,41 +409,4 @@
 			}
 		}
 	}
-
-	#heardLoad(host: string, {began, progressed, ended}: Extract<Message, {readonly type: 'load'}>, now: number): void {
-		for (const told of began) {
-			const job = heard(told, host, now);
-			this.load.begin(job, now);
-			this.#warn(job, now);
-		}
-
-		for (const id of progressed) {
-			this.load.progress(id, now);
-		}
-
-		for (const id of ended) {
-			this.load.end(id, now);
-		}
-	}
-
-	#lost(host: Host, reason: string): void {
-		if (reason === 'released') {
-			return;
-		}
-
-		if (reason !== 'silent') {
-			this.load.forgetHost(host.name, this.#clock.now());
-			if (this.peers.isLargeFleet && host.failureDomain !== this.#settings.failureDomain) {
-				this.peers.tellDomain({type: 'host-lost', host: host.name});
-			}
-
-			return;
-		}
-
-		setTimeout(() => {
-			if (!this.peers.hosts.some(each => each.name === host.name)) {
-				this.load.forgetHost(host.name, this.#clock.now());
-			}
-		}, silentJobs);
-	}
 }
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -1,11 +1,11 @@
 /** Counters and histograms, served as text. Series are bounded: no label names an organisation, a caller or a request. */
 import {createServer, type Server} from 'node:http';
-import {once} from 'node:events';
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 import {messageOf, type Address} from '../core/index.js';
 import {type Log} from '../entry/logs.js';
+import {close, open} from './listening.js';
 
 /** Upper bounds in milliseconds: objectives of the services lie between 150 ms and 3 s, deadlines up to 15 s. */
 const latencyBuckets = [25, 50, 100, 150, 200, 300, 500, 750, 1000, 1500, 2500, 4000, 7000, 10_000, 15_000];
@@ -117,15 +117,11 @@
 	/**
 	 * @param address - Where to listen.
 	 */
-	async listen({host, port}: Address): Promise<void> {
-		this.#server.listen(port, host);
-		await once(this.#server, 'listening');
+	async listen(address: Address): Promise<void> {
+		await open(this.#server, address);
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
-		const closed = once(this.#server, 'close');
-		this.#server.close();
-		this.#server.closeAllConnections();
-		await closed;
+		await close(this.#server);
 	}
 }
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -62,6 +62,7 @@
 export type Host = Readonly<z.infer<typeof host>>;
 export type ToldJob = Readonly<z.infer<typeof job>>;
 export type Message = z.infer<typeof messageSchema>;
+export type LoadNews = Extract<Message, {readonly type: 'load'}>;
 export type Hello = Extract<Message, {readonly type: 'hello'}>;
 
 /** Bytes that a message may have: the jobs of a busy host and some room. */
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -7,7 +7,9 @@
 import {hashText, rank} from '../../core/utils/hashes.js';
 import {type Log} from '../../entry/logs.js';
 import {Link, type LinkEvents} from './link.js';
-import {encode, type Host, type Message} from './messages.js';
+import {
+	encode, type Host, type LoadNews, type Message,
+} from './messages.js';
 
 /** Milliseconds between heartbeats, and between looks for hosts to dial. */
 const heartbeatInterval = 500;
@@ -163,7 +165,7 @@
 	/**
 	 * @param news - What this host sent to upstreams and what has ended.
 	 */
-	tellLoad(news: Omit<Extract<Message, {readonly type: 'load'}>, 'type'>): void {
+	tellLoad(news: Omit<LoadNews, 'type'>): void {
 		this.#lastLoad = this.#options.now();
 		if (!this.isLargeFleet) {
 			this.broadcast({type: 'load', ...news});
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -1,8 +1,8 @@
 /** Listens to callers, and tells the balancer whether this host takes them. */
 import {createServer, type Server} from 'node:http';
-import {once} from 'node:events';
 import {messageOf, type Address} from '../core/index.js';
 import {Exchange, type Parts} from './exchange.js';
+import {close, open} from './listening.js';
 
 /** Bytes of headers taken: four times what configurations allow callers so far. */
 const headerBytes = 65_536;
@@ -62,16 +62,12 @@
 	/**
 	 * @param address - Where to listen.
 	 */
-	async listen({host, port}: Address): Promise<void> {
-		this.#server.listen({port, host, backlog: 1024});
-		await once(this.#server, 'listening');
+	async listen(address: Address): Promise<void> {
+		await open(this.#server, address);
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
-		const closed = once(this.#server, 'close');
-		this.#server.close();
-		this.#server.closeAllConnections();
-		await closed;
+		await close(this.#server);
 	}
 }
 
@@ -92,15 +88,11 @@
 	/**
 	 * @param address - Where to listen.
 	 */
-	async listen({host, port}: Address): Promise<void> {
-		this.#server.listen(port, host);
-		await once(this.#server, 'listening');
+	async listen(address: Address): Promise<void> {
+		await open(this.#server, address);
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
-		const closed = once(this.#server, 'close');
-		this.#server.close();
-		this.#server.closeAllConnections();
-		await closed;
+		await close(this.#server);
 	}
 }
