--- a/src/core/gateway/__tests__/knowledge.test.ts
+++ b/src/core/gateway/__tests__/knowledge.test.ts
@@ -3,6 +3,7 @@
 import {reading, writingPass} from '../engine.js';
 import {Directory} from '../directory.js';
 import {Health} from '../health.js';
+import {Lapses} from '../lapses.js';
 import {Load, type Job} from '../load.js';
 import {isRepeatable, RetryBudget} from '../retries.js';
 import {Suspects} from '../suspects.js';
@@ -142,6 +143,19 @@
 	});
 });
 
+describe('lapses', () => {
+	it('are waited for until two seconds after the store came back, whenever the registration went', () => {
+		const lapses = new Lapses();
+		expect(lapses.delay(1000)).toBe(0);
+		lapses.lost();
+		expect(lapses.delay(5000)).toBe(2000);
+		lapses.regained(8000);
+		expect([lapses.delay(8000), lapses.delay(8900), lapses.delay(10_000), lapses.delay(11_000)]).toEqual([2000, 1100, 0, 0]);
+		lapses.regained(12_000);
+		expect(lapses.delay(12_000)).toBe(0);
+	});
+});
+
 describe('suspects', () => {
 	it('are convicted by three distinct crashes within a minute', () => {
 		const suspects = new Suspects();
