--- a/__tests__/gateway/site.ts
+++ b/__tests__/gateway/site.ts
@@ -4,14 +4,13 @@
 import {once} from 'node:events';
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {Agent, request} from 'node:http';
-import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {z} from 'zod';
+import {freePort} from '../../bench/fleet/ports.js';
 import {type Address} from '../../src/core/index.js';
-import {portOf} from '../../src/entry/ports.js';
 import {Ledger} from '../../stand-ins/gateway/ledger.js';
 import {StoreStandIn} from '../../stand-ins/gateway/store.js';
 import {UpstreamStandIn} from '../../stand-ins/gateway/upstream.js';
@@ -115,16 +114,6 @@
 	readonly onData?: (text: string) => void;
 };
 
-async function freePort(): Promise<number> {
-	const server = createServer();
-	server.listen(0, loopback);
-	await once(server, 'listening');
-	const port = portOf(server);
-	server.close();
-	await once(server, 'close');
-	return port;
-}
-
 /** One gateway process. */
 export class Host {
 	readonly name: string;
@@ -300,7 +289,11 @@
 	}
 
 	async #addHost(name: string, settings: Readonly<Record<string, unknown>>): Promise<void> {
-		const ports = await Promise.all(Array.from({length: 4}, async () => freePort()));
+		const ports: number[] = [];
+		while (ports.length < 4) {
+			ports.push(await freePort());
+		}
+
 		const file = path.join(this.#directory, `${name}.json`);
 		const host = new Host(name, ports, file);
 		writeFileSync(file, JSON.stringify({
--- a/__tests__/gateway/stops.test.ts
+++ b/__tests__/gateway/stops.test.ts
@@ -1,10 +1,11 @@
 /** Hosts and upstreams that leave, stores that are away. */
-import {writeFileSync} from 'node:fs';
+import {readFileSync, writeFileSync} from 'node:fs';
 import {Agent} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
+import {z} from 'zod';
 import {
 	configuration, eventsOf, prompt, Site, type SiteOptions,
 } from './site.js';
@@ -202,3 +203,14 @@
 	await expect.poll(() => host!.process.exitCode, {timeout: 5000}).toBe(2);
 	expect(host!.logged('failed')[0]).toMatchObject({code: 6001});
 });
+
+it('ends with a code when its port is taken', async () => {
+	await start({hosts: 2});
+	const [first, second] = site.hosts;
+	await second!.kill();
+	const settings = z.record(z.string(), z.unknown()).parse(JSON.parse(readFileSync(second!.file, 'utf8')));
+	writeFileSync(second!.file, JSON.stringify({...settings, ready: `${first!.ready.host}:${first!.ready.port}`}));
+	second!.start();
+	await expect.poll(() => second!.process.exitCode, {timeout: linkedWithin}).toBe(1);
+	expect(second!.logged('failed')[0]).toMatchObject({code: 6003});
+});
--- a/bench/fleet/ports.ts
+++ b/bench/fleet/ports.ts
@@ -27,7 +27,10 @@
 	return true;
 }
 
-async function freePort(): Promise<number> {
+/**
+ * @returns A port below the range that connections take.
+ */
+export async function freePort(): Promise<number> {
 	let port = randomInt(least, most);
 	while (!await isFree(port)) {
 		port = randomInt(least, most);
--- a/src/entry/callers/statuses.ts
+++ b/src/entry/callers/statuses.ts
@@ -14,6 +14,8 @@
 	[codes.badTicket, 403],
 	[codes.unknownService, 404],
 	[codes.unknownPath, 404],
+	[codes.unknownRoute, 404],
+	[codes.missingId, 400],
 	[codes.sealed, 409],
 	[codes.expiredTicket, 410],
 	[codes.bodyTooLarge, 413],
--- a/src/entry/main.ts
+++ b/src/entry/main.ts
@@ -3,9 +3,10 @@
 import process from 'node:process';
 import 'reflect-metadata';
 import {Command} from 'commander';
-import {messageOf, codes, isFailure} from '../core/index.js';
+import {messageOf, isFailure} from '../core/index.js';
 import {readSettings} from '../protocol/settings.js';
 import {startDaemon} from './daemon.js';
+import {codeOf} from './exit.js';
 import {Log} from './logs.js';
 import {settingsSchema, type Settings} from './settings.js';
 
@@ -23,18 +24,6 @@
 	await daemon.finished;
 }
 
-function isSystemError(error: unknown): error is NodeJS.ErrnoException {
-	return error instanceof Error && 'code' in error;
-}
-
-function codeOf(error: unknown): number {
-	if (isFailure(error)) {
-		return error.code;
-	}
-
-	return isSystemError(error) && error.code === 'EADDRINUSE' ? codes.portInUse : codes.internal;
-}
-
 const command = new Command('cranberrytide-entry')
 	.description('Serves callers at one entry host.')
 	.requiredOption('--settings <file>', 'JSON settings of this host')
