--- a/__tests__/gateway/stops.test.ts
+++ b/__tests__/gateway/stops.test.ts
@@ -194,6 +194,16 @@
 	});
 });
 
+it('takes a peer that has fallen silent for lost, though it is written to', async () => {
+	await start({hosts: 2});
+	const [first, second] = site.hosts;
+	await expect.poll(() => first!.logged('peer-linked').length, {timeout: linkedWithin}).toBeGreaterThanOrEqual(1);
+	second!.process.kill('SIGSTOP');
+	await expect.poll(() => first!.logged('peer-lost').map(line => line.reason), {timeout: linkedWithin}).toEqual(['silent']);
+	second!.process.kill('SIGCONT');
+	await expect.poll(() => first!.logged('peer-linked').length, {timeout: linkedWithin}).toBeGreaterThanOrEqual(2);
+});
+
 it('refuses settings that are not valid, with a code', async () => {
 	await start({});
 	const [host] = site.hosts;
--- a/src/core/gateway/__tests__/knowledge.test.ts
+++ b/src/core/gateway/__tests__/knowledge.test.ts
@@ -5,6 +5,7 @@
 import {Health} from '../health.js';
 import {Lapses} from '../lapses.js';
 import {Load, type Job} from '../load.js';
+import {Reach} from '../reach.js';
 import {isRepeatable, RetryBudget} from '../retries.js';
 import {Suspects} from '../suspects.js';
 import {type EngineModel, type Route} from '../types.js';
@@ -143,6 +144,23 @@
 	});
 });
 
+describe('the reach', () => {
+	it('blames the link where two upstreams of a domain fail, until one answers or a second has gone', () => {
+		const reach = new Reach();
+		reach.missed('b', 'e1', 0);
+		reach.missed('b', 'e1', 10);
+		expect([...reach.cutOff(20)]).toEqual([]);
+		reach.missed('b', 'e2', 30);
+		expect([...reach.cutOff(40)]).toEqual(['b']);
+		expect([...reach.cutOff(1020)]).toEqual([]);
+		reach.missed('b', 'e1', 1025);
+		expect([...reach.cutOff(1029)]).toEqual(['b']);
+		reach.heard('b', 1030);
+		expect([...reach.cutOff(1031)]).toEqual([]);
+		expect([reach.isAlive('b', 1100), reach.isAlive('b', 2100), reach.isAlive('c', 1100)]).toEqual([true, false, false]);
+	});
+});
+
 describe('lapses', () => {
 	it('are waited for until two seconds after the store came back, whenever the registration went', () => {
 		const lapses = new Lapses();
--- a/src/core/gateway/placement.ts
+++ b/src/core/gateway/placement.ts
@@ -37,6 +37,9 @@
 /** Chance of a pause from which on a stream is better off elsewhere. */
 const likely = 0.5;
 
+/** What a millisecond of waiting counts among engines that disturb nobody: enough to prefer the one that is free first. */
+const waitLoss = 0.0001;
+
 /** What is told to decide. */
 export type Surroundings = {
 	readonly load: Load;
@@ -201,7 +204,7 @@
 function ranked(choices: readonly Option[], read: Reading, now: number, model: EngineModel): readonly Option[] {
 	const cost = new Map<Option, number>();
 	for (const option of choices) {
-		const wait = readTime(option, read, model) / 10_000;
+		const wait = readTime(option, read, model) * waitLoss;
 		cost.set(option, disturbance(option, read, now) + option.fixed + wait);
 	}
 
--- a/src/core/gateway/reach.ts
+++ b/src/core/gateway/reach.ts
@@ -13,12 +13,25 @@
 export class Reach {
 	/** Times of failures, by domain and upstream. */
 	readonly #failures = new Map<string, Map<string, number>>();
+	/** Last signs of life, by domain. */
+	readonly #heard = new Map<string, number>();
 
 	/**
 	 * @param domain - Failure domain an upstream of which gave a sign of life.
+	 * @param now - Time in milliseconds.
 	 */
-	heard(domain: string): void {
+	heard(domain: string, now: number): void {
 		this.#failures.delete(domain);
+		this.#heard.set(domain, now);
+	}
+
+	/**
+	 * @param domain - Failure domain whose hosts are silent.
+	 * @param now - Time in milliseconds.
+	 * @returns Whether its upstreams answer all the same: then its hosts are gone, and not the link.
+	 */
+	isAlive(domain: string, now: number): boolean {
+		return now - (this.#heard.get(domain) ?? Number.NEGATIVE_INFINITY) < memory;
 	}
 
 	/**
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -284,7 +284,7 @@
 		if (verdict === 'unreachable' || verdict === 'broken') {
 			this.reach.missed(domain, upstream, now);
 		} else {
-			this.reach.heard(domain);
+			this.reach.heard(domain, now);
 		}
 	}
 
@@ -329,7 +329,8 @@
 
 	/** Failure domains out of reach by word of peers or by one's own attempts; never all that have upstreams. */
 	#unreachable(now: number): ReadonlySet<string> {
-		return new Set([...this.peers.unreachableDomains(now), ...this.reach.cutOff(now)]);
+		const silent = [...this.peers.unreachableDomains(now)].filter(domain => !this.reach.isAlive(domain, now));
+		return new Set([...silent, ...this.reach.cutOff(now)]);
 	}
 
 	#index(): void {
--- a/src/gateway/peers/link.ts
+++ b/src/gateway/peers/link.ts
@@ -8,9 +8,6 @@
 /** Bytes that may wait for a slow peer before its connection is given up. */
 const sendBuffer = 4_000_000;
 
-/** Milliseconds of silence after which a peer is taken to be out of reach: four heartbeats. */
-const silenceTimeout = 2000;
-
 export type LinkEvents = {
 	readonly hello: (link: Link, hello: Hello) => void;
 	readonly message: (link: Link, message: Message) => void;
@@ -37,13 +34,9 @@
 		this.#socket = socket;
 		this.#events = events;
 		socket.setNoDelay(true);
-		socket.setTimeout(silenceTimeout);
 		socket.on('data', chunk => {
 			this.#read(chunk);
 		});
-		socket.on('timeout', () => {
-			this.close('silent');
-		});
 		socket.on('error', error => {
 			this.#reason = error.message;
 		});
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -24,8 +24,17 @@
 /** Milliseconds that a host which can't be reached is remembered. */
 const memory = 60_000;
 
-/** Milliseconds without a link to any host of a failure domain after which the domain is taken to be cut off. */
-const domainSilence = 1500;
+/**
+ * Milliseconds of silence after which a link is given up: four heartbeats. A socket's own timeout does not serve, as what is
+ * written to a silent peer counts as activity too.
+ */
+const silenceTimeout = 2000;
+
+/**
+ * Milliseconds without a word from any host of a failure domain after which the domain is taken to be cut off, where its
+ * last link was not closed: a process that ends closes its connections, a cut says nothing. Two lost heartbeats and some.
+ */
+const domainSilence = 1300;
 
 /**
  * Hosts up to which each is linked with each other one and tells all of them of its load. Beyond it hosts are linked within
@@ -37,6 +46,12 @@
 /** Links that a host of a large fleet dials to each other failure domain. */
 const foreignLinks = 2;
 
+/** One heartbeat in so many tells of other hosts: a host that two others lost sight of is found again within seconds. */
+const beatsPerIntroduction = 8;
+
+/** Failed dials in a row after which another host of the same failure domain is tried in place of one. */
+const mostFailures = 2;
+
 /** Hosts named in a heartbeat that tells of some: all are heard of within a minute. */
 const namedHosts = 6;
 
@@ -77,8 +92,10 @@
 	/** Links that one end needs no more. */
 	readonly #released = new WeakSet<Link>();
 	readonly #acquaintances = new Map<string, Acquaintance>();
-	/** Last time that a host of each failure domain was linked. */
+	/** Last word from a host of each failure domain; absent where the last link was closed by its other end. */
 	readonly #domains = new Map<string, number>();
+	/** Last word over each link. */
+	readonly #heardAt = new Map<Link, number>();
 	readonly #linkEvents: LinkEvents;
 	readonly #timer: NodeJS.Timeout;
 	#beats = 0;
@@ -140,10 +157,6 @@
 			}
 		}
 
-		for (const host of this.hosts) {
-			silent.delete(host.failureDomain);
-		}
-
 		return silent;
 	}
 
@@ -232,16 +245,17 @@
 	#beat(): void {
 		const now = this.#options.now();
 		this.#beats++;
-		// Whom this host knows is told now and then: a host that two others lost sight of finds back.
-		const known = this.#beats % 8 === 0 ? this.#someHosts() : undefined;
+		const known = this.#beats % beatsPerIntroduction === 0 ? this.#someHosts() : undefined;
 		// News of load say as much as a heartbeat: among 70 hosts they spare most of 140 messages a second and host.
 		const isNews = now - this.#lastLoad < heartbeatInterval && known === undefined && !this.isLargeFleet;
 		if (!isNews) {
 			this.broadcast({type: 'heartbeat', known});
 		}
 
-		for (const host of this.hosts) {
-			this.#domains.set(host.failureDomain, now);
+		for (const link of this.#all) {
+			if (now - (this.#heardAt.get(link) ?? now) > silenceTimeout) {
+				link.close('silent');
+			}
 		}
 
 		const wanted = this.#wanted();
@@ -284,7 +298,7 @@
 		const {self} = this.#options;
 		const keys = new Set<string>();
 		const foreign = new Map<string, number>();
-		const reachable = [...this.#acquaintances.values()].filter(each => each.failures < 2);
+		const reachable = [...this.#acquaintances.values()].filter(each => each.failures < mostFailures);
 		for (const {member} of rank(hashText(self.name), reachable.map(member => ({member, hash: hashText(keyOf(member.address))})))) {
 			const domain = member.host?.failureDomain;
 			const linked = foreign.get(domain ?? '') ?? 0;
@@ -361,6 +375,7 @@
 	#attach(socket: Socket, isDialled: boolean): void {
 		const link = new Link(socket, isDialled, this.#linkEvents);
 		this.#all.add(link);
+		this.#heardAt.set(link, this.#options.now());
 		link.send({type: 'hello', from: this.#options.self, known: [...this.#known()]});
 	}
 
@@ -414,6 +429,9 @@
 			return;
 		}
 
+		const now = this.#options.now();
+		this.#heardAt.set(link, now);
+		this.#domains.set(from.failureDomain, now);
 		if (message.type === 'release') {
 			this.#released.add(link);
 		} else if (message.type === 'heartbeat') {
@@ -427,12 +445,17 @@
 
 	#closed(link: Link, reason: string): void {
 		this.#all.delete(link);
+		this.#heardAt.delete(link);
 		const from = link.greeting?.from;
 		if (from === undefined || this.#links.get(from.name) !== link) {
 			return;
 		}
 
 		this.#links.delete(from.name);
+		if (reason !== 'silent' && !this.hosts.some(host => host.failureDomain === from.failureDomain)) {
+			this.#domains.delete(from.failureDomain);
+		}
+
 		if (this.#released.has(link)) {
 			this.#options.log.write({event: 'peer-released', peer: from.name});
 		} else {
