--- a/__tests__/gateway/site.ts
+++ b/__tests__/gateway/site.ts
@@ -9,7 +9,7 @@
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {z} from 'zod';
-import {freePort} from '../../bench/fleet/ports.js';
+import {isFree} from '../../bench/fleet/ports.js';
 import {type Address} from '../../src/core/index.js';
 import {Ledger} from '../../stand-ins/gateway/ledger.js';
 import {StoreStandIn} from '../../stand-ins/gateway/store.js';
@@ -114,6 +114,25 @@
 	readonly onData?: (text: string) => void;
 };
 
+/**
+ * Ports of this worker of the test run, below those that connections take: two workers that draw from one range sometimes
+ * draw the same port while neither of their processes listens yet.
+ */
+const firstPort = 16_000;
+const portsOfWorker = 1500;
+let nextPort = 0;
+
+async function takePort(): Promise<number> {
+	const worker = Number(process.env.VITEST_POOL_ID ?? 0) % 10;
+	for (;;) {
+		const port = firstPort + (worker * portsOfWorker) + (nextPort % portsOfWorker);
+		nextPort++;
+		if (await isFree(port)) {
+			return port;
+		}
+	}
+}
+
 /** One gateway process. */
 export class Host {
 	readonly name: string;
@@ -248,7 +267,7 @@
 			await sleep(30);
 		}
 
-		throw new Error(`${host.name} is not ready`);
+		throw new Error(`${host.name} is not ready: exit ${host.process.exitCode}, ${JSON.stringify(host.lines.slice(-3))}`);
 	}
 
 	/**
@@ -285,13 +304,13 @@
 		}
 
 		await this.store[Symbol.asyncDispose]();
-		rmSync(this.#directory, {recursive: true});
+		rmSync(this.#directory, {recursive: true, force: true});
 	}
 
 	async #addHost(name: string, settings: Readonly<Record<string, unknown>>): Promise<void> {
 		const ports: number[] = [];
 		while (ports.length < 4) {
-			ports.push(await freePort());
+			ports.push(await takePort());
 		}
 
 		const file = path.join(this.#directory, `${name}.json`);
--- a/bench/fleet/ports.ts
+++ b/bench/fleet/ports.ts
@@ -12,7 +12,11 @@
 const least = 10_000;
 const most = 16_000;
 
-async function isFree(port: number): Promise<boolean> {
+/**
+ * @param port - Port on loopback.
+ * @returns Whether nothing listens there.
+ */
+export async function isFree(port: number): Promise<boolean> {
 	const server = createServer();
 	try {
 		server.listen(port, '127.0.0.1');
@@ -27,10 +31,7 @@
 	return true;
 }
 
-/**
- * @returns A port below the range that connections take.
- */
-export async function freePort(): Promise<number> {
+async function freePort(): Promise<number> {
 	let port = randomInt(least, most);
 	while (!await isFree(port)) {
 		port = randomInt(least, most);
