Reading the change once more: what nothing used goes

A parameter that was always 0, a count that its only receiver ignored, and a method that nobody called: idle time-outs of callers were never set from the configuration.

--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -14,8 +14,9 @@
 	readonly lastId?: string;
 };
 
-function lineEnd(text: string, from: number): {readonly end: number; readonly count: number} {
-	let end = from;
+/** Where the last whole event ends, and how many there are. */
+function wholeEvents(text: string): {readonly end: number; readonly count: number} {
+	let end = 0;
 	let count = 0;
 	const blank = /\r?\n\r?\n/gv;
 	for (let match = blank.exec(text); match !== null; match = blank.exec(text)) {
@@ -42,7 +43,7 @@
 		const bytes = this.#held.length === 0 ? chunk : Buffer.concat([this.#held, chunk]);
 		// Latin-1 keeps one character a byte, so that places in the text are places in the bytes.
 		const text = bytes.toString('latin1');
-		const {end, count} = lineEnd(text, 0);
+		const {end, count} = wholeEvents(text);
 		if (end === 0 && bytes.length > longestEvent) {
 			this.#held = Buffer.alloc(0);
 			return {bytes, count: 0};
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -401,7 +401,7 @@
 	async #relayStream(reply: Reply, job: string, watch: Watch): Promise<AttemptEnding> {
 		let isFirst = true;
 		const ending = await relayEvents(this.#outgoing, reply, {
-			onEvents: (_count, lastId) => {
+			onEvents: lastId => {
 				watch.heard();
 				this.#trace.noteEvents();
 				this.#lastEvent = lastId ?? this.#lastEvent;
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -16,7 +16,7 @@
 /** What a stream has brought so far. */
 export type Progress = {
 	/** Called when events were passed on. */
-	readonly onEvents: (count: number, lastId: string | undefined) => void;
+	readonly onEvents: (lastId: string | undefined) => void;
 };
 
 /**
@@ -64,7 +64,7 @@
 		for await (const chunk of reply.body as AsyncIterable<Buffer>) {
 			const events = splitter.push(chunk);
 			if (events.bytes.length > 0) {
-				progress.onEvents(events.count, events.lastId);
+				progress.onEvents(events.lastId);
 				await write(outgoing, events.bytes);
 			}
 		}
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -10,9 +10,6 @@
 /** Milliseconds that a whole request may take to arrive. */
 const requestTimeout = 30_000;
 
-/** Milliseconds that idle connections are kept beyond what callers are told: they must be the first to close. */
-const idleMargin = 1000;
-
 export class CallerListener implements AsyncDisposable {
 	readonly #server: Server;
 	#running = 0;
@@ -47,13 +44,6 @@
 		return this.#running;
 	}
 
-	/**
-	 * @param idleTimeout - Milliseconds that callers may leave a connection idle.
-	 */
-	keepIdle(idleTimeout: number): void {
-		this.#server.keepAliveTimeout = idleTimeout + idleMargin;
-	}
-
 	/** Closes connections on which nothing runs. */
 	closeIdle(): void {
 		this.#server.closeIdleConnections();
