The test of a paused orderer waits until hosts know each other

Cause: it published version 2 as soon as the hosts had started. Until they are linked each holds itself for the orderer: the log of a run shows three seals by three hosts within 650 ms of the start (host 3, host 1, host 2). Ruled out: takeover after a stall (each host stopped for 700 ms six times in turn, the same host ordered throughout). The assertion stays as it was.

--- a/__tests__/membership.test.ts
+++ b/__tests__/membership.test.ts
@@ -88,6 +88,8 @@
 describe('an orderer that is paused and wakes after a takeover', () => {
 	it.each([true, false])('leaves the engine with what the others ordered (numbers checked: %s)', {timeout: 120_000}, async fencing => {
 		await using fleet = await Fleet.start(shape(fencing));
+		// A host that does not know its peers yet is the orderer of every engine: two of them would order version 2.
+		await linked(fleet, fleet.hosts.all.map(host => host.id), 2);
 		await publishVersion(fleet, '2');
 		await until(async () => await versionAt(fleet) === '2');
 		const [paused, ...rest] = orderersOf(fleet, '2');
