A host that stood still answers 'unknown' for keys it had passed on

Ruled out: the keeper ran after its own answer (each sending was answered truly at its time, order of the log), the table of rights. Now the core, when it wakes, ends such requests with 4001 (send the same key again); the daemon tells the core of the first bytes of a passed answer before it writes them, so that the pause is noticed first, and nothing follows an answer's end.

--- a/src/core/__tests__/regressions.test.ts
+++ b/src/core/__tests__/regressions.test.ts
@@ -1,6 +1,7 @@
 /** Faults that fuzz runs found, each as a fixed scenario. */
 import {describe, expect, it} from 'vitest';
 import {ticketLife} from '../features/tickets/types.js';
+import {run} from '../../../bench/fuzz/run.js';
 import {isConvicted, isSuspect} from '../features/suspicion/queries.js';
 import {
 	type Attempt, type Ending, type Event, type Ticket,
@@ -57,3 +58,9 @@
 		expect(effectsOf(play(swept.state, ticketLife, ask).effects, 'peer-send')).toMatchObject([{message: {type: 'sealed', answer: {type: 'used'}}}]);
 	});
 });
+
+describe('a host that stood still while a key was asked for elsewhere', () => {
+	it.each([32_008_901, 32_009_160])('does not pass an old "not run" on (seed %i)', seed => {
+		expect(run({seed}).violations).toEqual([]);
+	});
+});
--- a/src/core/features/tickets/commands/forwards.ts
+++ b/src/core/features/tickets/commands/forwards.ts
@@ -197,6 +197,20 @@
 	return chain(state, ...all.map(forward => (current: State) => press(current, forward, now)));
 }
 
+/**
+ * Answers requests with a key that were passed on before this host stood still. A "not run" that waited here meanwhile may
+ * have become false: with some codes a key may be sent again, to any host, and may have run since.
+ *
+ * @param state - Core state.
+ * @returns The next state and the answers.
+ */
+export function doubtForwards(state: State): Step {
+	const doubtful = [...state.tickets.forwards.values()].filter(({request}) => request.proof.type === 'key');
+	return chain(state, ...doubtful.map(forward => (current: State) => finish(current, forward, {
+		type: 'unknown', code: codes.outcomeUnknown, detail: 'this host stood still while the keeper of the key was asked',
+	})));
+}
+
 /**
  * @param state - Core state.
  * @param request - Request whose caller has left.
--- a/src/core/features/tickets/feature.ts
+++ b/src/core/features/tickets/feature.ts
@@ -13,7 +13,7 @@
 	answerNotRun, answerUnknown, issueTicket, requireTicket,
 } from './commands/answers.js';
 import {
-	abandonForward, endForward, forwardToKeeper, pressForwards, takeSealAnswer,
+	abandonForward, doubtForwards, endForward, forwardToKeeper, pressForwards, takeSealAnswer,
 } from './commands/forwards.js';
 import {
 	expireFollowers, recordEnd, sweep, useRight,
@@ -119,6 +119,10 @@
 				return endForward(state, event.request, event.ending, context);
 			}
 
+			case 'woken': {
+				return doubtForwards(state);
+			}
+
 			case 'peer-message': {
 				return hear(state, event.from, event.message, context);
 			}
--- a/src/core/types/event.ts
+++ b/src/core/types/event.ts
@@ -27,6 +27,7 @@
 		| {readonly type: 'attempt-progressed'; readonly attempt: string; readonly tokens: number; readonly cachedTokens?: number}
 		| {readonly type: 'attempt-ended'; readonly attempt: string; readonly ending: Ending}
 	// From forwarding to a keeper or another domain.
+		| {readonly type: 'forward-progressed'; readonly request: string}
 		| {readonly type: 'forward-ended'; readonly request: string; readonly ending: Ending}
 	// From upstreams.
 		| {readonly type: 'report-received'; readonly report: Report; /** Read by another host. */ readonly isRelayed?: true}
--- a/src/entry/callers/answer.ts
+++ b/src/entry/callers/answer.ts
@@ -103,6 +103,10 @@
 	 * @returns A promise to wait for where the only caller's buffer is full.
 	 */
 	push(piece: Piece): Promise<void> | undefined {
+		if (this.#end !== undefined) {
+			return undefined;
+		}
+
 		this.#keep(piece);
 		const full = [...this.#receivers].filter(receiver => !writePiece(receiver, piece));
 		if (full.length === 0) {
--- a/src/entry/relays/relays.ts
+++ b/src/entry/relays/relays.ts
@@ -235,7 +235,7 @@
 
 	async #forward(effect: EffectOf<'forward'>, exchange: Exchange, signal: AbortSignal): Promise<Ending> {
 		const {payload, request, answer} = exchange;
-		const {clock, state} = this.#surroundings;
+		const {clock, state, dispatch} = this.#surroundings;
 		const {self} = state();
 		return runOnPlain({
 			address: effect.address,
@@ -255,6 +255,8 @@
 			// The other host's answer says what became of it.
 			written: ignore,
 			head(status, headers) {
+				// After a pause the core hears of it first, and may end the answer: this head may be as old as the pause.
+				dispatch({type: 'forward-progressed', request: effect.request});
 				void answer.push({type: 'head', status, headers});
 			},
 			bytes: async chunk => answer.push({type: 'bytes', chunk}),
