--- a/src/gateway/headers.ts
+++ b/src/gateway/headers.ts
@@ -1,16 +1,5 @@
-/** Headers that concern one connection only and are not passed on. */
-
-const perConnection: ReadonlySet<string> = new Set([
-	'connection',
-	'keep-alive',
-	'proxy-authenticate',
-	'proxy-authorization',
-	'proxy-connection',
-	'te',
-	'trailer',
-	'transfer-encoding',
-	'upgrade',
-]);
+/** Which headers of a message are passed on. */
+import {perConnectionHeaders} from '../protocol/per-connection.js';
 
 /**
  * @param raw - Names and values in turn, as they were sent.
@@ -30,7 +19,7 @@
 	const kept: string[] = [];
 	for (let index = 0; index < raw.length; index += 2) {
 		const name = raw[index]!.toLowerCase();
-		if (!perConnection.has(name) && !named.has(name) && !dropped.has(name)) {
+		if (!perConnectionHeaders.has(name) && !named.has(name) && !dropped.has(name)) {
 			kept.push(raw[index]!, raw[index + 1]!);
 		}
 	}
--- a/src/upstream/plain.ts
+++ b/src/upstream/plain.ts
@@ -4,6 +4,7 @@
 import {
 	messageOf, codes, type Address, type Ending,
 } from '../core/index.js';
+import {perConnectionHeaders} from '../protocol/per-connection.js';
 import {clientFor, Sending, urlOf} from './connection.js';
 
 export type PassedHeaders = Readonly<Record<string, string | readonly string[]>>;
@@ -29,18 +30,8 @@
 	readonly bytes: (chunk: Uint8Array) => Promise<void> | undefined;
 };
 
-const hopByHop: ReadonlySet<string> = new Set([
-	'connection',
-	'content-length',
-	'host',
-	'keep-alive',
-	'proxy-authenticate',
-	'proxy-authorization',
-	'te',
-	'trailer',
-	'transfer-encoding',
-	'upgrade',
-]);
+/** The client library sets length and host anew. */
+const notPassed: ReadonlySet<string> = new Set([...perConnectionHeaders, 'content-length', 'host']);
 
 /**
  * @param headers - Headers of a request or response.
@@ -49,7 +40,7 @@
 export function endToEnd(headers: NodeJS.Dict<string | readonly string[]>): PassedHeaders {
 	const passed: Record<string, string | readonly string[]> = {};
 	for (const [name, value] of Object.entries(headers)) {
-		if (value !== undefined && !hopByHop.has(name)) {
+		if (value !== undefined && !notPassed.has(name)) {
 			passed[name] = value;
 		}
 	}
