A reader of standard output that goes away does not end the process

Cause: the error of a write to a closed pipe (EPIPE) had no handler, and Node.js ends a process for that: a log collector that restarts would have ended every host. Lines that nobody can take are counted as dropped. Test: red before (exit code 1), green after.

--- a/__tests__/gateway/logs.test.ts
+++ b/__tests__/gateway/logs.test.ts
@@ -21,6 +21,30 @@
 process.exit(0);
 `;
 
+/** Writes a line a millisecond for a while, and ends by itself. */
+const patient = `
+import {Log} from '${compiled}';
+const log = new Log('h');
+for (let turn = 0; turn < 300; turn++) {
+	log.write({event: 'x', turn});
+	await new Promise(resolve => setTimeout(resolve, 1));
+}
+process.stderr.write(String(log.dropped));
+`;
+
+it('a reader of standard output that goes away does not end the process', async () => {
+	const child = spawn(process.execPath, ['--input-type=module', '--eval', patient], {stdio: ['ignore', 'pipe', 'pipe']});
+	let told = '';
+	child.stderr.on('data', chunk => {
+		told += String(chunk);
+	});
+	await once(child.stdout, 'data');
+	child.stdout.destroy();
+	const [code] = await once(child, 'close');
+	expect(code).toBe(0);
+	expect(Number(told)).toBeGreaterThan(0);
+});
+
 it('a standard output that nobody reads does not block, and what waits is bounded', async () => {
 	const child = spawn(process.execPath, ['--input-type=module', '--eval', program], {stdio: ['ignore', 'pipe', 'pipe']});
 	child.stdout.pause();
--- a/src/entry/logs.ts
+++ b/src/entry/logs.ts
@@ -35,6 +35,11 @@
 // What is left when the process ends by itself is written then.
 process.once('exit', flush);
 
+// A reader that goes away, as a collector that restarts, must not end the process; there is nobody to tell, so it is counted.
+process.stdout.on('error', () => {
+	dropped++;
+});
+
 function hasRoom(now: number): boolean {
 	if (now >= windowEnd) {
 		windowEnd = now + second;
--- a/stand-ins/gateway/store.ts
+++ b/stand-ins/gateway/store.ts
@@ -138,7 +138,8 @@
 			}
 
 			case 'busy': {
-				outgoing.writeHead(503).end();
+				outgoing.writeHead(503);
+				outgoing.end();
 				return;
 			}
 
@@ -173,7 +174,8 @@
 			}
 
 			default: {
-				outgoing.writeHead(404).end();
+				outgoing.writeHead(404);
+				outgoing.end();
 			}
 		}
 	}
@@ -205,7 +207,8 @@
 
 	#answerWatch(prefix: string, after: number, outgoing: ServerResponse): void {
 		if (after < this.#oldest) {
-			outgoing.writeHead(410).end();
+			outgoing.writeHead(410);
+			outgoing.end();
 			return;
 		}
 
@@ -216,5 +219,6 @@
 
 function answerJson(outgoing: ServerResponse, value: unknown): void {
 	const body = JSON.stringify(value);
-	outgoing.writeHead(200, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)}).end(body);
+	outgoing.writeHead(200, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)});
+	outgoing.end(body);
 }
