A host that stops takes no new connection before it ends, and answers who has just connected

Now the host stops listening first and ends 300 ms later; the margin before the kill grows by as much. Test: one caller each 25 ms during a stop, red before (ECONNRESET), green after.

--- a/__tests__/gateway/stops.test.ts
+++ b/__tests__/gateway/stops.test.ts
@@ -1,20 +1,47 @@
 /** Hosts and upstreams that leave, stores that are away. */
+import {once} from 'node:events';
 import {readFileSync, writeFileSync} from 'node:fs';
 import {Agent} from 'node:http';
+import {createConnection} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
 import {z} from 'zod';
+import {messageOf, type Address} from '../../src/core/index.js';
 import {
 	configuration, eventsOf, prompt, Site, type SiteOptions,
-} from './site.js';
+} from '../../bench/gateway/site.js';
 
 let site: Site;
 
 /** Milliseconds within which hosts have met, on a machine that does other things too. */
 const linkedWithin = 30_000;
 
+/** Connects, and sends a request a little later. */
+async function callLate({host, port}: Address): Promise<string> {
+	const socket = createConnection({host, port});
+	let answer = '';
+	socket.on('data', chunk => {
+		answer += String(chunk);
+	});
+	try {
+		await once(socket, 'connect');
+	} catch {
+		return 'refused';
+	}
+
+	await sleep(60);
+	socket.write('GET /open/x HTTP/1.1\r\nHost: api.example\r\nX-Request-Id: late\r\nX-Deadline-Ms: 1000\r\nConnection: close\r\n\r\n');
+	try {
+		await once(socket, 'close');
+	} catch (error) {
+		return messageOf(error);
+	}
+
+	return answer.startsWith('HTTP/1.1 ') ? 'answered' : `closed after ${answer.length} bytes`;
+}
+
 async function start(options: SiteOptions): Promise<void> {
 	site = await Site.start(options);
 }
@@ -62,6 +89,24 @@
 	});
 });
 
+describe('the end of a planned stop', () => {
+	it('cuts nobody who has just connected', async () => {
+		await start({settings: {grace: 6000}});
+		const [host] = site.hosts;
+		const outcomes: Array<Promise<string>> = [];
+		const ended = once(host!.process, 'exit');
+		host!.process.kill('SIGTERM');
+		const coming = setInterval(() => {
+			outcomes.push(callLate(host!.caller));
+		}, 25);
+		await ended;
+		clearInterval(coming);
+		const all = await Promise.all(outcomes);
+		expect(all.filter(outcome => outcome === 'answered').length).toBeGreaterThan(50);
+		expect(all.filter(outcome => outcome !== 'answered' && outcome !== 'refused')).toEqual([]);
+	});
+});
+
 describe('an upstream that leaves', () => {
 	it.each(['draining', 'gone'] as const)('gets nothing new two seconds after it is %s', async how => {
 		await start({plains: 2});
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -25,7 +25,13 @@
 const idleGrace = 800;
 
 /** Milliseconds before the process is killed at which running requests are given up. */
-const killMargin = 400;
+const killMargin = 700;
+
+/**
+ * Milliseconds from the end of listening to the end of the process: who has just connected sends its request and is told that
+ * this host leaves. Without it a caller that came as the process ended was cut.
+ */
+const lastCallers = 300;
 
 /** Milliseconds between looks whether everything has ended. */
 const lookInterval = 50;
@@ -128,7 +134,8 @@
 			await sleep(lookInterval);
 		}
 
-		this.#callers.closeIdle();
+		this.#callers.refuse();
+		await sleep(lastCallers);
 		this.#log.write({event: 'stopped', running: this.#callers.running, took: Math.round(this.#clock.now() - began)});
 	}
 
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -49,6 +49,11 @@
 		this.#server.closeIdleConnections();
 	}
 
+	/** Takes no new connections; those that are open are served on. */
+	refuse(): void {
+		this.#server.close();
+	}
+
 	/**
 	 * @param address - Where to listen.
 	 */
@@ -57,7 +62,11 @@
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
-		await close(this.#server);
+		if (this.#server.listening) {
+			await close(this.#server);
+		} else {
+			this.#server.closeAllConnections();
+		}
 	}
 }
 
