Connections that wait are accepted before listening ends

One turn of the loop before the end accepts who waits. Ruled out: idle connections (it was new), the end of the process (0.3 s later).

--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -1,5 +1,5 @@
 /** Puts a gateway together, and takes it down without cutting an answer. */
-import {setTimeout as sleep} from 'node:timers/promises';
+import {setImmediate as turn, setTimeout as sleep} from 'node:timers/promises';
 import {type Agent} from 'node:http';
 import {Clock} from '../entry/clock.js';
 import {Disposal} from '../entry/disposal.js';
@@ -134,6 +134,8 @@
 			await sleep(lookInterval);
 		}
 
+		// Who has connected by now is accepted first: connections that wait for it are reset when listening ends.
+		await turn();
 		this.#callers.refuse();
 		await sleep(lastCallers);
 		this.#log.write({event: 'stopped', running: this.#callers.running, took: Math.round(this.#clock.now() - began)});
