--- a/__tests__/gateway/explain.test.ts
+++ b/__tests__/gateway/explain.test.ts
@@ -2,6 +2,7 @@
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import parse from 'parse-prometheus-text-format';
 import {
 	afterAll, beforeAll, describe, expect, it,
 } from 'vitest';
@@ -112,4 +113,9 @@
 	expect(answer.body).toMatch(/^cranberrytide_configuration_version 1$/mv);
 	const names = new Set([...answer.body.matchAll(/^(cranberrytide_\w+)/gmv)].map(match => match[1]));
 	expect(names.size).toBeGreaterThan(12);
+	const families = new Map(parse(answer.body).map(family => [family.name, family]));
+	expect(families.get('cranberrytide_requests_total')).toMatchObject({type: 'COUNTER'});
+	expect(families.get('cranberrytide_requests_total')?.metrics.some(({labels}) => labels?.outcome === 'outcomeUnknown')).toBe(true);
+	expect(families.get('cranberrytide_first_byte_milliseconds')).toMatchObject({type: 'HISTOGRAM'});
+	expect(Object.keys(families.get('cranberrytide_first_byte_milliseconds')?.metrics[0]?.buckets ?? {})).toContain('300');
 });
--- /dev/null
+++ b/bench/gateway/parse-prometheus-text-format.d.ts
@@ -0,0 +1,10 @@
+/** The part of the parser's types that tests use; the package has none. */
+declare module 'parse-prometheus-text-format' {
+	export type Family = {
+		readonly name: string;
+		readonly type: string;
+		readonly metrics: ReadonlyArray<{readonly value?: string; readonly labels?: Readonly<Record<string, string>>; readonly buckets?: Readonly<Record<string, string>>}>;
+	};
+
+	export default function parse(text: string): readonly Family[];
+}
