--- a/bench/soak/__tests__/soak.test.ts
+++ b/bench/soak/__tests__/soak.test.ts
@@ -52,6 +52,16 @@
 		expect(broken([visit({...cut, isIdle: true})], () => [ran], [{...killed, type: 'stopping'}], 0)).toEqual([]);
 	});
 
+	it('excuse a cut by a host that has long said it leaves, if nothing ran', () => {
+		const stopping: Excuse = {
+			host: 1, from: 0, to: 5000, type: 'stopping',
+		};
+		const late = visit(cut, {began: 3000, ended: 3010});
+		expect(broken([late], () => [], [stopping], 0)).toEqual([]);
+		expect(broken([late], () => [ran], [stopping], 0)).toHaveLength(1);
+		expect(broken([{...late, began: 2000}], () => [], [stopping], 0)).toHaveLength(1);
+	});
+
 	it('notice a host that goes back to an earlier configuration', () => {
 		expect([goesBack([1, 2, 5]), goesBack([1, 3, 2]), goesBack([2, 2])]).toEqual([false, true, true]);
 	});
