Only relays of a large fleet judge whether a failure domain has fallen silent

Cause, found reading the change: a host that is no relay keeps no links to other domains; one that fell silent while the fleet still met would have stood for its whole domain for ever, and its engines would never be used. Test: red before (the domain stays out of reach), green after. Small fleets, in which all hosts are linked, are as before.

--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -235,8 +235,15 @@
 		}
 	}
 
-	/** Failure domains whose every host that was linked with this one has fallen silent. */
+	/**
+	 * Failure domains whose every host that was linked with this one has fallen silent. In a large fleet only relays are linked with
+	 * other domains for long: another host would take one that fell silent as they met for silent for ever.
+	 */
 	#silentDomains(now: number): readonly string[] {
+		if (this.isLargeFleet && !this.relays.includes(this.#options.self.name)) {
+			return [];
+		}
+
 		return [...this.#domains]
 			.filter(([domain, at]) => now - at > domainSilence && domain !== this.#options.self.failureDomain)
 			.map(([domain]) => domain);
