--- a/bench/fuzz/callers.ts
+++ b/bench/fuzz/callers.ts
@@ -1,26 +1,14 @@
 /** Callers that send operations through any host and follow docs/OUTCOMES.md. */
 import {
-	codes, type Outcome, type Proof, type Request, type Ticket,
+	type Outcome, type Proof, type Request, type Ticket,
 } from '../../src/core/index.js';
+import {openCodes} from './open-codes.js';
 import {organisationId, serviceId} from './configuration.js';
 import {epoch, type Answer, type Host} from './hosts.js';
 import {type World} from './world.js';
 
 const mostSendings = 6;
 const patience = 2500;
-const openKeyCodes: ReadonlySet<number> = new Set([
-	codes.overloaded,
-	codes.deadlineUnreachable,
-	codes.organisationLimit,
-	codes.leaving,
-	codes.noUpstream,
-	codes.notConfigured,
-	codes.refusedByUpstream,
-	codes.notConnected,
-	codes.abandoned,
-	codes.badHeader,
-	codes.deadlineBeforeStart,
-]);
 
 /**
  * @param minted - Milliseconds since 1970.
@@ -224,7 +212,7 @@
 	#afterNotRun({code}: Extract<Outcome, {readonly type: 'not-run'}>, ticket: Ticket | undefined): void {
 		if (ticket !== undefined) {
 			this.#use(ticket);
-		} else if (this.#proof.type === 'key' && openKeyCodes.has(code)) {
+		} else if (this.#proof.type === 'key' && openCodes.has(code)) {
 			this.#again(false);
 		} else if (this.#proof.type === 'idempotent') {
 			this.#again(false);
--- a/bench/fuzz/invariants.ts
+++ b/bench/fuzz/invariants.ts
@@ -1,5 +1,6 @@
 /** The invariants that every scenario and fuzz run is checked by. */
-import {assertNever, codes} from '../../src/core/index.js';
+import {assertNever} from '../../src/core/index.js';
+import {openCodes} from './open-codes.js';
 import {type Crash, type Ledger, type Told} from './ledger.js';
 
 export const checks = ['at-most-once', 'true-not-run', 'own-answer', 'answered-in-time', 'bounded-tables', 'expired-not-run', 'holds-freed', 'live-holds-kept', 'few-crashes'] as const;
@@ -23,21 +24,6 @@
  */
 const crashesPerSender = 3;
 
-/** A key refused with one of these may be sent again and run then; "not run" speaks of the time before it. */
-const openCodes: ReadonlySet<number> = new Set([
-	codes.overloaded,
-	codes.deadlineUnreachable,
-	codes.organisationLimit,
-	codes.leaving,
-	codes.noUpstream,
-	codes.notConfigured,
-	codes.refusedByUpstream,
-	codes.notConnected,
-	codes.abandoned,
-	codes.deadlineBeforeStart,
-	codes.badHeader,
-]);
-
 function countBy<T>(all: readonly T[], keyOf: (value: T) => string): ReadonlyMap<string, number> {
 	const counts = new Map<string, number>();
 	for (const each of all) {
