Reading the change once more: twins become one piece, work that was done twice goes

- Seven exhaustive switches end in assertNever, which the project had.
- Whether a silent engine may be left asks isRepeatable, the rule for all other retries.
- An upstream's risk comes from the same decayed entry that a new verdict is added to.
- A placement hashes its host once, not once for each of the engines.
- News: what a host forgets of lost peers is one method; a relay looks a domain's hosts up once for all jobs (Peers.domainOf, which scanned all hosts for each job, is gone).
- Ports of tests are dealt in one place; two new tests drew their own, one a fixed one.
- Soak and experiments read whole numbers with one function.
No behaviour, bound or assertion changes.

--- a/bench/experiments/main.ts
+++ b/bench/experiments/main.ts
@@ -4,6 +4,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import {Command, InvalidArgumentError} from 'commander';
+import {wholeNumber} from '../options.js';
 import {policySchema, type Policy} from '../../src/core/index.js';
 import {endWithChildren} from '../fleet/child.js';
 import {measureCapacity} from './capacity.js';
@@ -20,15 +21,6 @@
 	readonly policies: readonly Policy[];
 };
 
-function wholeNumber(text: string): number {
-	const value = Number(text);
-	if (!Number.isInteger(value) || value < 1) {
-		throw new InvalidArgumentError('a whole number above 0 is wanted');
-	}
-
-	return value;
-}
-
 function policyList(text: string): readonly Policy[] {
 	const parsed = policySchema.array().min(1).safeParse(text.split(','));
 	if (!parsed.success) {
--- a/bench/fleet/ports.ts
+++ b/bench/fleet/ports.ts
@@ -2,6 +2,7 @@
 import {randomInt} from 'node:crypto';
 import {once} from 'node:events';
 import {createServer} from 'node:net';
+import process from 'node:process';
 
 export type Ports = {
 	readonly caller: number;
@@ -46,3 +47,25 @@
 export async function freePorts(): Promise<Ports> {
 	return {caller: await freePort(), peer: await freePort()};
 }
+
+/**
+ * Ports of this worker of the test run, below those that connections take: two workers that draw from one range sometimes
+ * draw the same port while neither of their processes listens yet.
+ */
+const firstPort = 16_000;
+const portsOfWorker = 1500;
+let nextPort = 0;
+
+/**
+ * @returns A port that was free just now and that nobody else of this process was given.
+ */
+export async function takePort(): Promise<number> {
+	const worker = Number(process.env.VITEST_POOL_ID ?? 0) % 10;
+	for (;;) {
+		const port = firstPort + (worker * portsOfWorker) + (nextPort % portsOfWorker);
+		nextPort++;
+		if (await isFree(port)) {
+			return port;
+		}
+	}
+}
--- a/bench/gateway/simulation.ts
+++ b/bench/gateway/simulation.ts
@@ -1,4 +1,5 @@
 /** Gateways before model engines in virtual time: only the product's own decisions place requests. */
+import {assertNever} from '../../src/core/index.js';
 import {Health} from '../../src/core/gateway/health.js';
 import {Load, type Job} from '../../src/core/gateway/load.js';
 import {place, weigh, type Place} from '../../src/core/gateway/placement.js';
@@ -152,8 +153,7 @@
 			}
 
 			default: {
-				const never: never = policy;
-				return never;
+				return assertNever(policy);
 			}
 		}
 	}
--- a/bench/gateway/site.ts
+++ b/bench/gateway/site.ts
@@ -9,7 +9,7 @@
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {z} from 'zod';
-import {isFree} from '../fleet/ports.js';
+import {takePort} from '../fleet/ports.js';
 import {type Address} from '../../src/core/index.js';
 import {Ledger} from '../../stand-ins/gateway/ledger.js';
 import {StoreStandIn} from '../../stand-ins/gateway/store.js';
@@ -114,25 +114,6 @@
 	readonly onData?: (text: string) => void;
 };
 
-/**
- * Ports of this worker of the test run, below those that connections take: two workers that draw from one range sometimes
- * draw the same port while neither of their processes listens yet.
- */
-const firstPort = 16_000;
-const portsOfWorker = 1500;
-let nextPort = 0;
-
-async function takePort(): Promise<number> {
-	const worker = Number(process.env.VITEST_POOL_ID ?? 0) % 10;
-	for (;;) {
-		const port = firstPort + (worker * portsOfWorker) + (nextPort % portsOfWorker);
-		nextPort++;
-		if (await isFree(port)) {
-			return port;
-		}
-	}
-}
-
 /** One gateway process. */
 export class Host {
 	readonly name: string;
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -1,18 +1,10 @@
 #!/usr/bin/env node
 /** Soaks with one seed after another: `npm run soak -- --seeds 50 --seed 1`. */
 import process from 'node:process';
-import {Command, InvalidArgumentError} from 'commander';
+import {Command} from 'commander';
+import {wholeNumber} from '../options.js';
 import {run} from './run.js';
 
-function positive(text: string): number {
-	const value = Number(text);
-	if (!Number.isInteger(value) || value <= 0) {
-		throw new InvalidArgumentError('A positive whole number is wanted.');
-	}
-
-	return value;
-}
-
 type Options = {
 	readonly seeds: number;
 	readonly seed: number;
@@ -23,11 +15,11 @@
 
 const command = new Command('soak')
 	.description('Real gateway processes under mishaps from outside; exit code 1 if a promise was broken.')
-	.option('--seeds <n>', 'soaks, one after another', positive, 1)
-	.option('--seed <n>', 'seed of the first', positive, 1)
-	.option('--hosts <n>', 'gateway processes', positive, 3)
-	.option('--clients <n>', 'callers', positive, 8)
-	.option('--length <s>', 'seconds in which mishaps begin', positive, 12)
+	.option('--seeds <n>', 'soaks, one after another', wholeNumber, 1)
+	.option('--seed <n>', 'seed of the first', wholeNumber, 1)
+	.option('--hosts <n>', 'gateway processes', wholeNumber, 3)
+	.option('--clients <n>', 'callers', wholeNumber, 8)
+	.option('--length <s>', 'seconds in which mishaps begin', wholeNumber, 12)
 	.action(async ({seeds, seed, hosts, clients, length}: Options) => {
 		for (let index = 0; index < seeds; index++) {
 			const outcome = await run({
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -2,6 +2,7 @@
 import {once} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {assertNever} from '../../src/core/index.js';
+import {type UpstreamStandIn} from '../../stand-ins/gateway/upstream.js';
 import {FaultProxy, settingsSchema} from '../../stand-ins/proxy/service.js';
 import {configuration, Site, type Host} from '../gateway/site.js';
 import {seeded} from '../model/workload.js';
@@ -113,6 +114,10 @@
 		await this.#proxy[Symbol.asyncDispose]();
 	}
 
+	get #upstreams(): readonly UpstreamStandIn[] {
+		return [...this.site.engines, ...this.site.plains];
+	}
+
 	async #strike(mishap: Mishap): Promise<void> {
 		switch (mishap.type) {
 			case 'kill': {
@@ -156,7 +161,7 @@
 			}
 
 			case 'upstream': {
-				const upstream = [...this.site.engines, ...this.site.plains][mishap.upstream]!;
+				const upstream = this.#upstreams[mishap.upstream]!;
 				upstream.fault = mishap.fault;
 				await sleep(mishap.length);
 				upstream.fault = 'none';
@@ -164,7 +169,7 @@
 			}
 
 			case 'leave': {
-				const upstream = [...this.site.engines, ...this.site.plains][mishap.upstream]!;
+				const upstream = this.#upstreams[mishap.upstream]!;
 				this.site.store.remove(`servers/${upstream.id}`);
 				await sleep(mishap.length);
 				this.site.register(upstream);
--- a/src/core/gateway/health.ts
+++ b/src/core/gateway/health.ts
@@ -99,13 +99,8 @@
 	 * @returns Share of attempts that are expected to fail there, 0 to 1.
 	 */
 	risk(upstream: string, now: number): number {
-		const entry = this.#entries.get(upstream);
-		if (entry === undefined) {
-			return priorFailures / priorAttempts;
-		}
-
-		const kept = 0.5 ** ((now - entry.at) / halfLife);
-		return ((entry.failures * kept) + priorFailures) / ((entry.attempts * kept) + priorAttempts);
+		const {attempts, failures} = this.#decayed(upstream, now);
+		return (failures + priorFailures) / (attempts + priorAttempts);
 	}
 
 	/**
--- a/src/core/gateway/placement.ts
+++ b/src/core/gateway/placement.ts
@@ -159,18 +159,19 @@
 const longPause = 400;
 
 function options(upstreams: readonly GatewayUpstream[], model: EngineModel, around: Surroundings, weight: number): readonly Option[] {
+	const host = hashText(around.host);
 	return upstreams.map(upstream => ({
 		upstream,
 		forecast: around.load.forecast(upstream.id, model, around.now),
 		fixed: (around.health.risk(upstream.id, around.now) * weight)
 			+ (upstream.failureDomain === around.failureDomain ? 0 : distanceLoss)
-			+ taste(around.host, upstream.id),
+			+ taste(host, upstream.id),
 	}));
 }
 
 /** What an upstream costs this host more than others: among equals hosts that have not heard of each other's choice differ. */
-function taste(host: string, upstream: string): number {
-	return mix(hashText(host), hashText(upstream)) / hashRange * tasteLoss;
+function taste(host: number, upstream: string): number {
+	return mix(host, hashText(upstream)) / hashRange * tasteLoss;
 }
 
 type Sharing = {
--- a/src/core/gateway/retries.ts
+++ b/src/core/gateway/retries.ts
@@ -1,4 +1,5 @@
 /** Which attempts may be followed by another, within a budget that all hosts share. */
+import {assertNever} from '../utils/common.js';
 import {type RouteKind} from './types.js';
 
 /** Why an attempt is given up: an engine that is silent or about to pause is left for another one. */
@@ -120,8 +121,7 @@
 		}
 
 		default: {
-			const never: never = ending;
-			return never;
+			return assertNever(ending);
 		}
 	}
 }
--- a/src/gateway/__tests__/relays.test.ts
+++ b/src/gateway/__tests__/relays.test.ts
@@ -1,8 +1,7 @@
 /** A large fleet in one process, over real sockets: what one host sends, all hosts know, also when relays end. */
-import {once} from 'node:events';
-import {createServer} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {describe, it} from 'vitest';
+import {takePort} from '../../../bench/fleet/ports.js';
 import {Load, type Job} from '../../core/gateway/load.js';
 import {ignore} from '../../entry/ignore.js';
 import {type Log} from '../../entry/logs.js';
@@ -16,15 +15,6 @@
 	write: ignore,
 };
 
-async function freePort(): Promise<number> {
-	const server = createServer().listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const address = server.address();
-	server.close();
-	await once(server, 'close');
-	return typeof address === 'object' && address !== null ? address.port : 0;
-}
-
 function job(id: string, host: string): Job {
 	const now = performance.now();
 	return {
@@ -82,7 +72,7 @@
 		const hosts: Host[] = [];
 		for (let index = 0; index < domains * perDomain; index++) {
 			hosts.push({
-				name: `host-${index}`, failureDomain: `domain-${index % domains}`, address: {host: '127.0.0.1', port: await freePort()}, started: 1,
+				name: `host-${index}`, failureDomain: `domain-${index % domains}`, address: {host: '127.0.0.1', port: await takePort()}, started: 1,
 			});
 		}
 
--- a/src/gateway/admission.ts
+++ b/src/gateway/admission.ts
@@ -2,6 +2,7 @@
 import {type Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
 import {type IncomingMessage} from 'node:http';
+import {assertNever} from '../core/index.js';
 import {type Resolution} from '../core/gateway/directory.js';
 import {type AnswerName} from './answers.js';
 import {type Gateway} from './gateway.js';
@@ -38,8 +39,7 @@
 		}
 
 		default: {
-			const never: never = resolution;
-			return never;
+			return assertNever(resolution);
 		}
 	}
 }
--- a/src/gateway/answers.ts
+++ b/src/gateway/answers.ts
@@ -1,6 +1,8 @@
 /** What callers are told when the gateway answers itself. */
 import {type ServerResponse} from 'node:http';
-import {codes, texts, type CodeName} from '../core/index.js';
+import {
+	assertNever, codes, texts, type CodeName,
+} from '../core/index.js';
 import {type AttemptEnding} from '../core/gateway/retries.js';
 
 /** HTTP status of each answer of the gateway's own. 503 promises that the request has not run and never will. */
@@ -51,8 +53,7 @@
 		}
 
 		default: {
-			const never: never = ending;
-			return never;
+			return assertNever(ending);
 		}
 	}
 }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,6 +1,7 @@
 /** The life of one request at this host, from its head to the end of its answer. */
 import {Buffer} from 'node:buffer';
 import {type Agent, type IncomingMessage, type ServerResponse} from 'node:http';
+import {assertNever} from '../core/index.js';
 import {chooseService} from '../core/gateway/directory.js';
 import {verdictOf} from '../core/gateway/health.js';
 import {type Place} from '../core/gateway/placement.js';
@@ -362,7 +363,7 @@
 
 	/** Whether a silent engine could be left for another one. */
 	#canGoOn(route: Route): boolean {
-		return this.#attempts < route.attempts && (route.kind === 'idempotent' || (route.kind === 'streaming' && route.isResumable));
+		return this.#attempts < route.attempts && isRepeatable(route.kind, route.isResumable, {type: 'unknown', reason: 'silent'});
 	}
 
 	async #follow(attempt: Attempt, route: Route, place: Place, job: string, watch: Watch): Promise<AttemptEnding> {
@@ -457,8 +458,7 @@
 			}
 
 			default: {
-				const never: never = body;
-				return never;
+				return assertNever(body);
 			}
 		}
 	}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,4 +1,5 @@
 /** What a gateway knows, and its decisions over it. */
+import {assertNever} from '../core/index.js';
 import {Directory} from '../core/gateway/directory.js';
 import {Health, type Verdict} from '../core/gateway/health.js';
 import {Load, type Job} from '../core/gateway/load.js';
@@ -409,8 +410,7 @@
 			}
 
 			default: {
-				const never: never = message;
-				throw new TypeError(`Unhandled message ${JSON.stringify(never)}`);
+				assertNever(message);
 			}
 		}
 	}
--- a/src/gateway/news.ts
+++ b/src/gateway/news.ts
@@ -119,7 +119,8 @@
 		} else if (relay === undefined && host.failureDomain === failureDomain) {
 			send(this.#message({began: load.all.filter(job => job.host !== host.name)}));
 		} else if (relay === undefined) {
-			send(this.#message({began: load.all.filter(job => peers.domainOf(job.host) === failureDomain)}, 'domain'));
+			const own = new Set([self, ...peers.hostsOf(failureDomain)]);
+			send(this.#message({began: load.all.filter(job => own.has(job.host))}, 'domain'));
 		}
 	}
 
@@ -150,8 +151,7 @@
 	 * @param news - Hosts that a peer has lost; those that are linked with this one live.
 	 */
 	heardLost({hosts, audience}: HostsLost): void {
-		const linked = new Set(this.#options.peers.hosts.map(host => host.name));
-		this.#forget(hosts.filter(name => !linked.has(name)), audience);
+		this.#forgetUnlinked(hosts, audience);
 	}
 
 	/**
@@ -172,13 +172,18 @@
 		setTimeout(() => {
 			const isDomain = peers.isLargeFleet && host.failureDomain !== failureDomain;
 			if (!isDomain) {
-				this.heardLost({type: 'hosts-lost', hosts: [host.name], audience: 'fleet'});
+				this.#forgetUnlinked([host.name], 'fleet');
 			} else if (!peers.hosts.some(each => each.failureDomain === host.failureDomain)) {
-				this.heardLost({type: 'hosts-lost', hosts: [...peers.hostsOf(host.failureDomain)], audience: 'domain'});
+				this.#forgetUnlinked(peers.hostsOf(host.failureDomain), 'domain');
 			}
 		}, silentJobs);
 	}
 
+	#forgetUnlinked(hosts: readonly string[], audience: HostsLost['audience']): void {
+		const linked = new Set(this.#options.peers.hosts.map(host => host.name));
+		this.#forget(hosts.filter(name => !linked.has(name)), audience);
+	}
+
 	/** Forgets the jobs of hosts that are gone, and tells those who can't know it. */
 	#forget(hosts: readonly string[], audience: HostsLost['audience']): void {
 		const {load, now, peers} = this.#options;
--- a/src/gateway/peers/__tests__/silence.test.ts
+++ b/src/gateway/peers/__tests__/silence.test.ts
@@ -3,6 +3,7 @@
 import {createConnection, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect, it} from 'vitest';
+import {takePort} from '../../../../bench/fleet/ports.js';
 import {ignore} from '../../../entry/ignore.js';
 import {encode, type Host} from '../messages.js';
 import {Peers} from '../peers.js';
@@ -32,7 +33,7 @@
 ] as const)('are told by the links of %s', {timeout: 20_000}, async (_, rank, expected) => {
 	const own = [0, 1, 2].map(index => hostAt(index, 'a'));
 	const ranked = [...relaysOf('a', own), ...own].filter((host, index, all) => all.indexOf(host) === index);
-	const self = {...ranked[rank]!, address: {host: loopback, port: 15_900 + rank}};
+	const self = {...ranked[rank]!, address: {host: loopback, port: await takePort()}};
 	// None of these listens: the host learns of a large fleet, and links with those that connect.
 	const fleet = Array.from({length: 15}, (_each, index) => hostAt(10 + index, 'c', 2 + index));
 	await using peers = new Peers({
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -124,16 +124,6 @@
 		return relaysOf(self.failureDomain, [self, ...this.hosts]).map(host => host.name);
 	}
 
-	/**
-	 * @param name - Host.
-	 * @returns Its failure domain, if it is known.
-	 */
-	domainOf(name: string): string | undefined {
-		return name === this.#options.self.name
-			? this.#options.self.failureDomain
-			: this.#acquaintances.known.find(host => host.name === name)?.failureDomain;
-	}
-
 	/**
 	 * @param failureDomain - Failure domain.
 	 * @returns Names of its hosts, linked or not, this one excluded.
--- a/stand-ins/gateway/store.ts
+++ b/stand-ins/gateway/store.ts
@@ -4,7 +4,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {type Address} from '../../src/core/index.js';
+import {assertNever, type Address} from '../../src/core/index.js';
 import {portOf} from '../../src/entry/ports.js';
 
 type Item = {
@@ -153,8 +153,7 @@
 			}
 
 			default: {
-				const never: never = mode;
-				throw new TypeError(String(never));
+				assertNever(mode);
 			}
 		}
 	}
