An unfounded promise ends its request once; the exchange becomes three modules

Cause: an answer with 408, 421, 429 or 503 that its upstream does not sign as not run was turned into 502 and then counted a second time as "answered": two lines and two counts for one request, and a repeatable request was not tried elsewhere after 429.

--- a/__tests__/gateway/upstreams.test.ts
+++ b/__tests__/gateway/upstreams.test.ts
@@ -24,7 +24,7 @@
 	}
 }
 
-const faults: readonly Fault[] = ['shed', 'error', 'lost', 'cut', 'unframed-reset', 'unframed-reset-at-once', 'other-id', 'unsigned', 'early'];
+const faults: readonly Fault[] = ['shed', 'error', 'promise', 'lost', 'cut', 'unframed-reset', 'unframed-reset-at-once', 'other-id', 'unsigned', 'early'];
 
 describe.each(faults)('a plain service with fault %s', fault => {
 	it('never answers a wrong or partial success, nor promises "not run" falsely', async () => {
@@ -49,6 +49,17 @@
 	});
 });
 
+it('tells of an unfounded promise once, as an unknown outcome', async () => {
+	setAll(site.plains, 'promise');
+	const answer = await site.ask({path: '/once/x', id: 'promise-once'});
+	expect(answer.status).toBe(502);
+	const host = site.hosts[0]!;
+	await expect.poll(() => host.logged('ended', 'promise-once').length, {timeout: 2000}).toBeGreaterThan(0);
+	await site.ask({path: '/open/x', id: 'promise-after'});
+	await expect.poll(() => host.logged('ended', 'promise-after').length, {timeout: 2000}).toBeGreaterThan(0);
+	expect(host.logged('ended', 'promise-once')).toMatchObject([{outcome: 'outcomeUnknown', attempts: 1}]);
+});
+
 it('passes over an upstream without a connection, also where one upstream may be sent to', async () => {
 	await site.plains[0]!.crash();
 	for (let index = 0; index < 4; index++) {
--- /dev/null
+++ b/src/core/gateway/__tests__/tries.test.ts
@@ -0,0 +1,61 @@
+import {describe, expect, it} from 'vitest';
+import {type AttemptEnding} from '../retries.js';
+import {Tries} from '../tries.js';
+
+const notRun: AttemptEnding = {type: 'not-run', reason: 'refused', isShed: true};
+const unknown: AttemptEnding = {type: 'unknown', reason: 'broken'};
+const givenUp: AttemptEnding = {type: 'cancelled', reason: 'silent'};
+
+describe('a request that may run only once', () => {
+	const once = {kind: 'non-idempotent', isResumable: false, attempts: 3} as const;
+
+	it('goes on after "not run", and never where it may have run', () => {
+		const tries = new Tries(once);
+		tries.noteSent('a');
+		expect(tries.mayFollow(notRun)).toBe(true);
+		expect([unknown, givenUp, {type: 'failed', status: 500} as const].map(ending => tries.mayFollow(ending))).toEqual([false, false, false]);
+		expect(tries.mayLeave).toBe(false);
+	});
+});
+
+describe('a request that may be repeated', () => {
+	const safe = {kind: 'idempotent', isResumable: false, attempts: 2} as const;
+
+	it('is sent to as many upstreams as its route allows', () => {
+		const tries = new Tries(safe);
+		tries.noteSent('a');
+		expect([tries.mayLeave, tries.mayFollow(unknown)]).toEqual([true, true]);
+		tries.noteSent('b');
+		expect([tries.mayLeave, tries.mayFollow(unknown), tries.mayFollow(notRun)]).toEqual([false, false, false]);
+		expect([...tries.tried]).toEqual(['a', 'b']);
+	});
+
+	it('does not count upstreams without a connection as attempts, but gives up after three of them', () => {
+		const tries = new Tries(safe);
+		const goesOn = ['a', 'b', 'c'].map(upstream => {
+			tries.noteSent(upstream);
+			tries.noteUnreached();
+			return tries.mayFollow(notRun);
+		});
+		expect(goesOn).toEqual([true, true, false]);
+		expect(tries.sent).toBe(0);
+	});
+
+	it('looks for memory three times, each time elsewhere', () => {
+		const tries = new Tries(safe);
+		const goesOn = [['a', 'b'], ['c'], ['d']].map(engines => {
+			tries.noteRefusedHold(engines);
+			return tries.mayFollow(notRun);
+		});
+		expect(goesOn).toEqual([true, true, false]);
+		expect([...tries.tried]).toEqual(['a', 'b', 'c', 'd']);
+	});
+});
+
+it('a stream goes on elsewhere only if it can be resumed', () => {
+	for (const isResumable of [true, false]) {
+		const tries = new Tries({kind: 'streaming', isResumable, attempts: 2});
+		tries.noteSent('a');
+		expect([tries.mayLeave, tries.mayFollow(unknown), tries.mayFollow(givenUp)]).toEqual([isResumable, isResumable, isResumable]);
+	}
+});
--- /dev/null
+++ b/src/gateway/dispatch.ts
@@ -0,0 +1,304 @@
+/** Sends one request to upstreams, one after another as long as that may be, and hands their answers to its caller. */
+import {type Buffer} from 'node:buffer';
+import {type IncomingMessage} from 'node:http';
+import {verdictOf} from '../core/gateway/health.js';
+import {type Place} from '../core/gateway/placement.js';
+import {type AttemptEnding} from '../core/gateway/retries.js';
+import {Tries} from '../core/gateway/tries.js';
+import {type Demand, type Route} from '../core/gateway/types.js';
+import {fingerprintOf} from './admission.js';
+import {nameOf} from './answers.js';
+import {Attempt, type Ended} from './attempt.js';
+import {type Delivery, type Stop} from './delivery.js';
+import {helpersOf, urgencyOf} from './handover.js';
+import {type Hold} from './holds.js';
+import {type Parts} from './parts.js';
+import {type Trace} from './trace.js';
+import {Watch} from './watch.js';
+
+/** What moving a stream costs beside: its prompt is read again and its last attempt is used up, in requests of usual worth. */
+const movingLoss = 0.25;
+
+/** An admitted request. */
+export type Order = {
+	readonly incoming: IncomingMessage;
+	readonly body: Buffer;
+	readonly route: Route;
+	readonly organisation: string | undefined;
+	readonly demand: Demand;
+};
+
+export class Dispatch {
+	readonly #parts: Parts;
+	readonly #order: Order;
+	readonly #delivery: Delivery;
+	readonly #trace: Trace;
+	readonly #tries: Tries;
+	readonly #fingerprint: string;
+	#attempt: Attempt | undefined;
+	#stop: Stop | undefined;
+
+	/**
+	 * @param parts - What requests share.
+	 * @param order - The request.
+	 * @param delivery - The answer to its caller.
+	 * @param trace - Told of each decision.
+	 */
+	constructor(parts: Parts, order: Order, delivery: Delivery, trace: Trace) {
+		this.#parts = parts;
+		this.#order = order;
+		this.#delivery = delivery;
+		this.#trace = trace;
+		this.#tries = new Tries(order.route);
+		this.#fingerprint = fingerprintOf(order.incoming, order.organisation, order.body);
+		trace.tries = this.#tries;
+	}
+
+	/** Settles when the caller has its answer or nothing more can be done for it. */
+	async run(): Promise<void> {
+		const {gateway, clock} = this.#parts;
+		if (gateway.suspects.isConvicted(this.#fingerprint, clock.now())) {
+			this.#delivery.refuse('convicted');
+			return;
+		}
+
+		for (;;) {
+			const place = gateway.place(this.#order.demand, this.#tries.tried);
+			if (place === undefined) {
+				this.#delivery.conclude('noUpstream', this.#stop);
+				return;
+			}
+
+			const ending = await this.#attemptAt(place);
+			if (ending.type === 'answered') {
+				this.#trace.finish('answered');
+				return;
+			}
+
+			this.#noteRun(ending);
+			if (!this.#mayFollow(ending)) {
+				this.#delivery.conclude(nameOf(ending), this.#stop);
+				return;
+			}
+		}
+	}
+
+	/**
+	 * Ends the attempt that runs; no other one follows.
+	 *
+	 * @param stop - Why.
+	 */
+	halt(stop: Stop): void {
+		this.#stop = stop;
+		if (this.#attempt !== undefined && stop === 'time over') {
+			this.#delivery.noteMayHaveRun();
+		}
+
+		this.#attempt?.cancel(stop);
+	}
+
+	get #isOver(): boolean {
+		return this.#stop !== undefined || this.#delivery.isClosed;
+	}
+
+	#noteRun(ending: AttemptEnding): void {
+		const isLeft = ending.type === 'cancelled' && !this.#isOver;
+		if (ending.type === 'unknown' || ending.type === 'failed' || isLeft) {
+			this.#delivery.noteMayHaveRun();
+		}
+	}
+
+	#mayFollow(ending: AttemptEnding): boolean {
+		if (this.#isOver || !this.#tries.mayFollow(ending)) {
+			return false;
+		}
+
+		const {gateway, clock, metrics} = this.#parts;
+		const {service} = this.#order.demand;
+		const now = clock.now();
+		const isAllowed = gateway.budget.allows(service, gateway.peers.fleetSize, now);
+		metrics.retries.inc({service, allowed: String(isAllowed)});
+		if (isAllowed && this.#tries.sent > 0) {
+			gateway.budget.countRetry(service, now);
+		}
+
+		return isAllowed;
+	}
+
+	async #attemptAt(place: Place): Promise<AttemptEnding> {
+		if (place.holdTokens === 0) {
+			return this.#send(place, undefined);
+		}
+
+		const {holds} = this.#parts;
+		const engines = [place.upstream, ...place.helpers];
+		await using hold = holds.prepare(engines.map(each => ({
+			upstream: each.id, address: each.address, tokens: place.holdTokens,
+		})));
+		const refused = await hold.acquire();
+		holds.count(refused.length === 0);
+		if (refused.length > 0 || this.#isOver) {
+			this.#tries.noteRefusedHold(refused);
+			this.#trace.write('hold-refused', {hold: hold.name, refused});
+			return {type: 'not-run', reason: 'memory not granted', isShed: true};
+		}
+
+		// Awaited here: the hold must not end before the attempt does.
+		const ending = await this.#send(place, hold);
+		return ending;
+	}
+
+	async #send(place: Place, hold: Hold | undefined): Promise<AttemptEnding> {
+		const {gateway, clock, metrics} = this.#parts;
+		const {demand} = this.#order;
+		const left = demand.deadline - clock.now();
+		if (left <= 0) {
+			return {type: 'not-run', reason: 'no time left', isShed: false};
+		}
+
+		this.#tries.noteSent(place.upstream.id);
+		const job = gateway.begin(demand, place);
+		this.#tracePlace(place, job.id, hold, left);
+		const attempt = this.#prepare(place, hold, left);
+		this.#attempt = attempt;
+		this.#watchStream(job.id);
+		const watch = new Watch(attempt, this.#tries.mayLeave, place.firstByte, () => gateway.longestPass(place.upstream.id));
+		try {
+			const ending = await this.#follow(attempt, place.upstream.id, job.id, watch);
+			metrics.attempts.inc({service: demand.service, ending: ending.type});
+			this.#traceEnding(place, job.id, ending);
+			return ending;
+		} finally {
+			watch.end();
+			this.#attempt = undefined;
+			gateway.end(job.id);
+		}
+	}
+
+	#prepare(place: Place, hold: Hold | undefined, left: number): Attempt {
+		const {dialect, agent} = this.#parts;
+		const {incoming, body, demand, organisation} = this.#order;
+		const headers = [...dialect.forUpstream(incoming.rawHeaders, {
+			left: Math.floor(left),
+			upstream: place.upstream.id,
+			organisation,
+			urgency: urgencyOf(demand),
+			helpers: helpersOf(place, hold),
+			lastEvent: this.#delivery.lastEvent,
+		})];
+		if (body.length > 0 || incoming.headers['content-length'] !== undefined) {
+			headers.push('Content-Length', String(body.length));
+		}
+
+		return new Attempt({
+			id: demand.id,
+			method: incoming.method ?? 'GET',
+			path: incoming.url ?? '/',
+			headers,
+			body,
+			address: place.upstream.address,
+		}, dialect, agent);
+	}
+
+	#tracePlace(place: Place, attempt: string, hold: Hold | undefined, left: number): void {
+		const {gateway} = this.#parts;
+		this.#trace.write('placed', {
+			attempt,
+			upstream: place.upstream.id,
+			helpers: place.helpers.map(each => each.id),
+			hold: hold?.name,
+			tokens: this.#order.demand.prompt?.tokens ?? 0,
+			predicted: Math.round(place.firstByte),
+			loss: Number(place.loss.toFixed(3)),
+			jobs: gateway.load.size,
+			left: Math.round(left),
+			version: gateway.directory?.configuration.version,
+			confirmedAge: Math.round(gateway.confirmedAge),
+		});
+	}
+
+	#traceEnding(place: Place, attempt: string, ending: AttemptEnding): void {
+		const {type, ...how} = ending;
+		this.#trace.write('attempt-ended', {
+			attempt, upstream: place.upstream.id, ending: type, ...how,
+		});
+	}
+
+	#watchStream(job: string): void {
+		if (this.#tries.mayLeave && this.#order.route.kind === 'streaming') {
+			this.#parts.gateway.watchStream(job, loss => {
+				this.#considerMove(loss);
+			});
+		}
+	}
+
+	/** Goes on at another engine if that loses clearly less than waiting for the reading that has come to this one. */
+	#considerMove(staying: number): void {
+		const {gateway, clock} = this.#parts;
+		const {demand} = this.#order;
+		const {lastHeard, longestPause} = this.#trace;
+		if (demand.pause === undefined || longestPause > demand.pause || lastHeard === undefined) {
+			return;
+		}
+
+		const rest: Demand = {...demand, due: lastHeard + demand.pause};
+		const place = gateway.place(rest, this.#tries.tried);
+		if (place?.helpers.length !== 0 || place.loss + movingLoss >= staying) {
+			return;
+		}
+
+		if (gateway.budget.allows(demand.service, gateway.peers.fleetSize, clock.now())) {
+			this.#trace.write('moving', {to: place.upstream.id, loss: Number(place.loss.toFixed(3)), staying: Number(staying.toFixed(3))});
+			this.#attempt?.cancel('moved');
+		}
+	}
+
+	async #follow(attempt: Attempt, upstream: string, job: string, watch: Watch): Promise<AttemptEnding> {
+		const {gateway} = this.#parts;
+		const got = await attempt.reply();
+		if (got.type === 'ended') {
+			return this.#endUnanswered(got, upstream);
+		}
+
+		if (got.facts.isNotRun || got.facts.isMisdirected) {
+			got.body.resume();
+			gateway.judge(upstream, got.facts.isMisdirected ? 'unreachable' : 'faulty');
+			return {type: 'not-run', reason: `refused with ${got.status} by ${got.facts.culprit ?? upstream}`, isShed: !got.facts.isMisdirected};
+		}
+
+		const taken = await this.#delivery.take(got, this.#order.route, {
+			began: () => {
+				this.#trace.noteFirstByte();
+				gateway.progress(job);
+			},
+			heard() {
+				watch.heard();
+			},
+		});
+		const isGivenUp = taken.type === 'unknown' && attempt.cancelled !== undefined;
+		const ending: AttemptEnding = isGivenUp ? {type: 'cancelled', reason: attempt.cancelled} : taken;
+		this.#judge(ending, upstream, false);
+		return ending;
+	}
+
+	#endUnanswered({ending, isUnreachable}: Ended, upstream: string): AttemptEnding {
+		this.#judge(ending, upstream, isUnreachable);
+		if (isUnreachable) {
+			this.#tries.noteUnreached();
+		}
+
+		return ending;
+	}
+
+	#judge(ending: AttemptEnding, upstream: string, isUnreachable: boolean): void {
+		const {gateway} = this.#parts;
+		const verdict = isUnreachable ? 'unreachable' : verdictOf(ending);
+		if (verdict !== undefined) {
+			gateway.judge(upstream, verdict);
+		}
+
+		if (ending.type === 'unknown') {
+			gateway.suspect(this.#fingerprint, upstream);
+		}
+	}
+}
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -1,7 +1,8 @@
 /** Listens to callers, and tells the balancer whether this host takes them. */
 import {createServer, type Server} from 'node:http';
 import {messageOf, type Address} from '../core/index.js';
-import {Exchange, type Parts} from './exchange.js';
+import {Exchange} from './exchange.js';
+import {type Parts} from './parts.js';
 import {close, open} from './listening.js';
 
 /** Bytes of headers taken: four times what configurations allow callers so far. */
--- a/src/gateway/trace.ts
+++ b/src/gateway/trace.ts
@@ -1,9 +1,10 @@
 /** What is told of one request in the log and the metrics. */
 import {messageOf} from '../core/index.js';
+import {type Tries} from '../core/gateway/tries.js';
 import {type Route} from '../core/gateway/types.js';
 import {type CallerFacts} from './dialect.js';
-import {type Parts} from './exchange.js';
 import {lengthClass} from './metrics.js';
+import {type Parts} from './parts.js';
 
 /** Times are in milliseconds. */
 export class Trace {
@@ -12,6 +13,7 @@
 	facts: CallerFacts | undefined;
 	route: Route | undefined;
 	service = 'none';
+	tries: Tries | undefined;
 	readonly #parts: Parts;
 	#firstByte: number | undefined;
 	#lastHeard: number | undefined;
@@ -63,9 +65,8 @@
 	 * The request is over.
 	 *
 	 * @param outcome - How it ended.
-	 * @param attempts - Upstreams that it was sent to.
 	 */
-	finish(outcome: string, attempts: number): void {
+	finish(outcome: string): void {
 		const {metrics, clock, gateway} = this.#parts;
 		const now = clock.now();
 		const labels = {service: this.service, length: lengthClass(this.facts?.prompt?.tokens)};
@@ -80,7 +81,7 @@
 		this.write('ended', {
 			outcome,
 			route: this.route?.name,
-			attempts,
+			attempts: this.tries?.sent ?? 0,
 			firstByte: this.#firstByte === undefined ? undefined : Math.round(this.#firstByte - this.arrived),
 			longestPause: this.#lastHeard === undefined ? undefined : Math.round(this.#longestPause),
 			took: Math.round(now - this.arrived),
--- a/stand-ins/gateway/upstream.ts
+++ b/stand-ins/gateway/upstream.ts
@@ -19,6 +19,8 @@
 		| 'shed'
 	/** Runs, answers with an error. */
 		| 'error'
+	/** Runs, answers with a status that promises that it did not, and doesn't sign the promise. */
+		| 'promise'
 	/** Runs, the answer is lost. */
 		| 'lost'
 	/** Takes requests and says nothing. */
@@ -241,6 +243,12 @@
 				return;
 			}
 
+			case 'promise': {
+				outgoing.writeHead(429, {...head, 'content-length': 0});
+				outgoing.end();
+				return;
+			}
+
 			case 'cut': {
 				outgoing.writeHead(200, {...head, 'content-length': payload.length});
 				outgoing.write(payload.slice(0, 5));
