Each change of what a host believes is a line; gateway and peers become smaller

Lacking so far: placement passed over upstreams and failure domains without a word, so that of a late request the log did not tell whether a domain was taken to be cut off. What is forgotten of an upstream is forgotten when its registration is gone as well: health grew by an entry for each name.

--- a/src/cli/commands/incidents.ts
+++ b/src/cli/commands/incidents.ts
@@ -33,6 +33,10 @@
 	'configuration',
 	'configuration-refused',
 	'registration-refused',
+	'upstream-doubted',
+	'upstream-trusted',
+	'domain-unreachable',
+	'domain-reachable',
 	'suspected',
 	'lines-dropped',
 	'exchange-failed',
@@ -110,14 +114,15 @@
 const subjectSchema = z.object({
 	upstream: z.string().optional(),
 	peer: z.string().optional(),
+	domain: z.string().optional(),
 	fingerprint: z.string().optional(),
 	version: z.number().optional(),
 	draining: z.boolean().optional(),
 });
 
 function subjectOf({decision}: LogEntry): string {
-	const {upstream, peer, fingerprint, version, draining} = subjectSchema.safeParse(decision).data ?? {};
-	const subject = upstream ?? peer ?? fingerprint ?? (version === undefined ? '' : `version ${version}`);
+	const {upstream, peer, fingerprint, domain, version, draining} = subjectSchema.safeParse(decision).data ?? {};
+	const subject = upstream ?? peer ?? fingerprint ?? domain ?? (version === undefined ? '' : `version ${version}`);
 	return `${subject}${draining === true ? ' draining' : ''}`;
 }
 
@@ -142,7 +147,9 @@
 				});
 			} else {
 				known.to = time;
-				known.hosts.push(host);
+				if (!known.hosts.includes(host)) {
+					known.hosts.push(host);
+				}
 			}
 		}
 
--- a/src/core/gateway/suspects.ts
+++ b/src/core/gateway/suspects.ts
@@ -21,6 +21,11 @@
 export class Suspects {
 	readonly #crashes = new Map<string, Map<string, number>>();
 
+	/** Requests remembered. */
+	get size(): number {
+		return this.#crashes.size;
+	}
+
 	/**
 	 * @param crash - Crash seen here or by a peer.
 	 * @param now - Time in milliseconds.
@@ -42,7 +47,8 @@
 
 	/**
 	 * @param fingerprint - Request.
-	 * @returns Whether it is suspected at all.
+	 * @param now - Time in milliseconds.
+	 * @returns Crashes that are held against it.
 	 */
 	crashes(fingerprint: string, now: number): number {
 		let count = 0;
--- /dev/null
+++ b/src/gateway/__tests__/reputation.test.ts
@@ -0,0 +1,92 @@
+/** What a host believes of upstreams and failure domains, and that each change of it is told once. */
+import {expect, it} from 'vitest';
+import {type GatewayUpstream} from '../../core/gateway/types.js';
+import {type Log} from '../../entry/logs.js';
+import {Reputation} from '../reputation.js';
+import {Upstreams} from '../upstreams.js';
+
+type Line = {readonly event: string; readonly domain?: unknown};
+
+function recorder(): {readonly lines: Line[]; readonly log: Pick<Log, 'write'>} {
+	const lines: Line[] = [];
+	return {
+		lines,
+		log: {
+			write(line) {
+				lines.push(line);
+			},
+		},
+	};
+}
+
+function upstream(id: string, failureDomain: string, change: Partial<GatewayUpstream> = {}): GatewayUpstream {
+	return {
+		id, service: 'model', address: {host: 'h', port: 1}, failureDomain, slots: 8, isDraining: false, started: 1, ...change,
+	};
+}
+
+function events(lines: readonly Line[]): unknown[] {
+	return lines.map(line => line.event);
+}
+
+it('tells once that an upstream is left alone, and once that it answers again', () => {
+	const {lines, log} = recorder();
+	const reputation = new Reputation({failureDomain: 'a', log, silentDomains: () => new Set()});
+	const engine = upstream('e1', 'a');
+	for (const [now, verdict] of [[0, 'unreachable'], [10, 'unreachable'], [20, 'faulty']] as const) {
+		reputation.judge('e1', engine, verdict, now);
+	}
+
+	expect([events(lines), reputation.doubted]).toEqual([['upstream-doubted'], 1]);
+	reputation.judge('e1', engine, 'sound', 30);
+	reputation.judge('e1', engine, 'sound', 40);
+	expect([events(lines), reputation.doubted]).toEqual([['upstream-doubted', 'upstream-trusted'], 0]);
+});
+
+it('tells once of each failure domain out of reach, why, and that it is back', () => {
+	const {lines, log} = recorder();
+	let silent: string[] = [];
+	const reputation = new Reputation({failureDomain: 'a', log, silentDomains: () => new Set(silent)});
+	reputation.judge('e1', upstream('e1', 'b'), 'broken', 0);
+	reputation.look(1);
+	expect(lines).toEqual([]);
+	reputation.judge('e2', upstream('e2', 'b'), 'unreachable', 2);
+	silent = ['c'];
+	reputation.look(3);
+	reputation.look(4);
+	const cuts = lines.filter(line => line.event === 'domain-unreachable');
+	expect(cuts).toEqual([
+		{event: 'domain-unreachable', domain: 'c', reason: 'peers are silent'},
+		{event: 'domain-unreachable', domain: 'b', reason: 'attempts fail'},
+	]);
+	expect([...reputation.unreachable]).toEqual(['c', 'b']);
+
+	reputation.judge('e3', upstream('e3', 'c'), 'sound', 5);
+	reputation.judge('e1', upstream('e1', 'b'), 'sound', 5);
+	reputation.look(6);
+	expect(lines.filter(line => line.event === 'domain-reachable').map(line => line.domain)).toEqual(['c', 'b']);
+	expect(reputation.unreachable.size).toBe(0);
+});
+
+it('keeps upstreams by service, and tells of those that are another process or gone', () => {
+	const {log} = recorder();
+	const told: string[] = [];
+	const upstreams = new Upstreams(log, {
+		restarted(id) {
+			told.push(`${id} restarted`);
+		},
+		gone(id) {
+			told.push(`${id} gone`);
+		},
+	});
+	upstreams.register(upstream('e1', 'a'));
+	upstreams.register(upstream('e2', 'a', {service: 'portal'}));
+	upstreams.register(upstream('e1', 'a', {isDraining: true}));
+	expect(upstreams.of('model').map(each => [each.id, each.isDraining])).toEqual([['e1', true]]);
+	upstreams.register(upstream('e1', 'a', {started: 2}));
+	const before = upstreams.changes;
+	upstreams.replace([upstream('e1', 'a', {started: 2}), upstream('e3', 'b')]);
+	expect(upstreams.changes).toBeGreaterThan(before);
+	expect([upstreams.of('portal'), upstreams.all.map(each => each.id), upstreams.size]).toEqual([[], ['e1', 'e3'], 2]);
+	expect(told).toEqual(['e1 restarted', 'e2 gone']);
+});
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,14 +1,12 @@
 /** What a gateway knows, and its decisions over it. */
 import {assertNever} from '../core/index.js';
 import {Directory} from '../core/gateway/directory.js';
-import {Health, type Verdict} from '../core/gateway/health.js';
+import {type Verdict} from '../core/gateway/health.js';
 import {Load, type Job} from '../core/gateway/load.js';
 import {place, weigh, type Place} from '../core/gateway/placement.js';
-import {Reach} from '../core/gateway/reach.js';
 import {RetryBudget} from '../core/gateway/retries.js';
-import {Suspects} from '../core/gateway/suspects.js';
 import {
-	type Demand, type GatewayConfiguration, type GatewayService, type GatewayUpstream,
+	type Demand, type EngineModel, type GatewayConfiguration, type GatewayService,
 } from '../core/gateway/types.js';
 import {type Clock} from '../entry/clock.js';
 import {type Log} from '../entry/logs.js';
@@ -16,8 +14,10 @@
 import {type Host, type Message} from './peers/messages.js';
 import {Peers} from './peers/peers.js';
 import {type PeerState} from './peers/state.js';
+import {Reputation} from './reputation.js';
 import {type Settings} from './settings.js';
 import {Sharing} from './sharing.js';
+import {Upstreams} from './upstreams.js';
 
 /** Part of the revocation bound up to which keys are trusted without word from the store; the rest is for requests under way. */
 const trustShare = 0.94;
@@ -30,9 +30,8 @@
 
 export class Gateway implements AsyncDisposable {
 	readonly load = new Load();
-	readonly health = new Health();
-	readonly reach = new Reach();
-	readonly suspects = new Suspects();
+	readonly upstreams: Upstreams;
+	readonly reputation: Reputation;
 	readonly budget: RetryBudget;
 	readonly peers: Peers;
 	readonly sharing: Sharing;
@@ -40,13 +39,10 @@
 	readonly #clock: Clock;
 	readonly #log: Log;
 	readonly #started: number;
-	readonly #upstreams = new Map<string, GatewayUpstream>();
-	readonly #byService = new Map<string, GatewayUpstream[]>();
 	readonly #expiry: NodeJS.Timeout;
 	#directory: Directory | undefined;
 	#confirmed = Number.NEGATIVE_INFINITY;
 	#jobs = 0;
-	#registry = 0;
 	readonly #news: News;
 
 	/**
@@ -79,13 +75,23 @@
 				},
 			},
 		});
+		this.reputation = new Reputation({failureDomain: settings.failureDomain, log, silentDomains: now => this.peers.unreachableDomains(now)});
+		this.upstreams = new Upstreams(log, {
+			restarted: id => {
+				this.load.forgetUpstream(id, clock.now());
+				this.reputation.forget(id);
+			},
+			gone: id => {
+				this.reputation.forget(id);
+			},
+		});
 		this.#news = new News({
 			self: settings.host,
 			failureDomain: settings.failureDomain,
 			load: this.load,
 			peers: this.peers,
 			now: () => clock.now(),
-			modelAt: upstream => this.service(this.#upstreams.get(upstream)?.service ?? '')?.engine,
+			modelAt: upstream => this.modelAt(upstream),
 		});
 		this.sharing = new Sharing(this, {self: settings.host, failureDomain: settings.failureDomain, now: () => clock.now()});
 		this.#expiry = setInterval(() => {
@@ -103,16 +109,6 @@
 		return `${this.#settings.host}.${this.#started.toString(36)}`;
 	}
 
-	/** Upstreams that may be used. */
-	get upstreams(): ReadonlyMap<string, GatewayUpstream> {
-		return this.#upstreams;
-	}
-
-	/** Count of changes to the upstreams. */
-	get registry(): number {
-		return this.#registry;
-	}
-
 	/** Monotonic time as of which the configuration in force and the upstreams were the newest. */
 	get confirmedAt(): number {
 		return this.#confirmed;
@@ -164,36 +160,12 @@
 		}
 
 		if (upstreams !== undefined) {
-			this.#takeUpstreams(upstreams);
+			this.upstreams.replace(upstreams);
 		}
 
 		this.confirm(confirmed);
 	}
 
-	/**
-	 * @param upstream - Upstream as it is registered now.
-	 */
-	register(upstream: GatewayUpstream): void {
-		const before = this.#upstreams.get(upstream.id);
-		this.#upstreams.set(upstream.id, upstream);
-		this.#index();
-		if (before === undefined || before.started === upstream.started) {
-			this.#noteState(before, upstream);
-		} else {
-			this.#restarted(upstream.id);
-		}
-	}
-
-	/**
-	 * @param id - Upstream that is registered no more.
-	 */
-	unregister(id: string): void {
-		if (this.#upstreams.delete(id)) {
-			this.#index();
-			this.#log.write({event: 'upstream-gone', upstream: id});
-		}
-	}
-
 	/**
 	 * @param name - Service.
 	 * @returns Its figures.
@@ -202,6 +174,14 @@
 		return this.#directory?.service(name);
 	}
 
+	/**
+	 * @param upstream - Upstream.
+	 * @returns How it spends its time, if it is an engine that is known.
+	 */
+	modelAt(upstream: string): EngineModel | undefined {
+		return this.service(this.upstreams.get(upstream)?.service ?? '')?.engine;
+	}
+
 	/**
 	 * @param demand - Request.
 	 * @param tried - Upstreams that had it already.
@@ -209,12 +189,13 @@
 	 */
 	place(demand: Demand, tried: ReadonlySet<string>): Place | undefined {
 		const now = this.#clock.now();
-		return place(demand, this.#byService.get(demand.service) ?? [], this.service(demand.service)?.engine, {
+		this.reputation.look(now);
+		return place(demand, this.upstreams.of(demand.service), this.service(demand.service)?.engine, {
 			load: this.load,
-			health: this.health,
+			health: this.reputation.health,
 			host: this.#settings.host,
 			failureDomain: this.#settings.failureDomain,
-			unreachable: this.#unreachable(now),
+			unreachable: this.reputation.unreachable,
 			tried,
 			now,
 		});
@@ -276,18 +257,7 @@
 	 * @param verdict - What an attempt says of it.
 	 */
 	judge(upstream: string, verdict: Verdict): void {
-		const now = this.#clock.now();
-		this.health.record(upstream, verdict, now);
-		const domain = this.#upstreams.get(upstream)?.failureDomain;
-		if (domain === undefined || domain === this.#settings.failureDomain) {
-			return;
-		}
-
-		if (verdict === 'unreachable' || verdict === 'broken') {
-			this.reach.missed(domain, upstream, now);
-		} else {
-			this.reach.heard(domain, now);
-		}
+		this.reputation.judge(upstream, this.upstreams.get(upstream), verdict, this.#clock.now());
 	}
 
 	/**
@@ -295,7 +265,7 @@
 	 * @returns Milliseconds that its passes may take now, as far as is known of what it reads and writes.
 	 */
 	longestPass(upstream: string): number {
-		const model = this.service(this.#upstreams.get(upstream)?.service ?? '')?.engine;
+		const model = this.modelAt(upstream);
 		if (model === undefined) {
 			return 0;
 		}
@@ -318,8 +288,7 @@
 	suspect(fingerprint: string, upstream: string): void {
 		const now = this.#clock.now();
 		const crash = {fingerprint, id: `${upstream}.${Math.floor(this.#clock.wall() / crashWindow)}`};
-		if (this.suspects.record(crash, now)) {
-			this.#log.write({event: 'suspected', ...crash, crashes: this.suspects.crashes(fingerprint, now)}, 'warn');
+		if (this.reputation.suspect(crash, now)) {
 			this.peers.broadcast({type: 'crash', ...crash});
 		}
 	}
@@ -329,49 +298,6 @@
 		await this.peers[Symbol.asyncDispose]();
 	}
 
-	/** Failure domains out of reach by word of peers or by one's own attempts; never all that have upstreams. */
-	#unreachable(now: number): ReadonlySet<string> {
-		const silent = [...this.peers.unreachableDomains(now)].filter(domain => !this.reach.isAlive(domain, now));
-		return new Set([...silent, ...this.reach.cutOff(now)]);
-	}
-
-	#index(): void {
-		this.#registry++;
-		this.#byService.clear();
-		for (const upstream of this.#upstreams.values()) {
-			const known = this.#byService.get(upstream.service) ?? [];
-			known.push(upstream);
-			this.#byService.set(upstream.service, known);
-		}
-	}
-
-	#takeUpstreams(upstreams: readonly GatewayUpstream[]): void {
-		const ids = new Set(upstreams.map(upstream => upstream.id));
-		for (const id of this.#upstreams.keys()) {
-			if (!ids.has(id)) {
-				this.unregister(id);
-			}
-		}
-
-		for (const upstream of upstreams) {
-			this.register(upstream);
-		}
-	}
-
-	#noteState(before: GatewayUpstream | undefined, upstream: GatewayUpstream): void {
-		if (before?.isDraining !== upstream.isDraining) {
-			this.#log.write({
-				event: 'upstream', upstream: upstream.id, service: upstream.service, domain: upstream.failureDomain, draining: upstream.isDraining,
-			});
-		}
-	}
-
-	#restarted(id: string): void {
-		this.load.forgetUpstream(id, this.#clock.now());
-		this.health.forget(id);
-		this.#log.write({event: 'upstream-restarted', upstream: id});
-	}
-
 	#heard(from: Host, message: Message): void {
 		const now = this.#clock.now();
 		switch (message.type) {
@@ -386,7 +312,7 @@
 			}
 
 			case 'crash': {
-				if (this.suspects.record(message, now) && this.peers.isLargeFleet) {
+				if (this.reputation.suspects.record(message, now) && this.peers.isLargeFleet) {
 					this.peers.broadcast(message);
 				}
 
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -63,6 +63,9 @@
 	readonly version: Gauge;
 	readonly confirmedAge: Gauge;
 	readonly upstreams: Gauge;
+	readonly doubted: Gauge;
+	readonly unreachable: Gauge;
+	readonly suspects: Gauge;
 	readonly #registry = new Registry();
 
 	constructor() {
@@ -81,6 +84,9 @@
 		this.version = gauge(registry, 'configuration_version', 'Version in force');
 		this.confirmedAge = gauge(registry, 'configuration_confirmed_age_milliseconds', 'Time since the store last confirmed the version in force');
 		this.upstreams = gauge(registry, 'upstreams_known', 'Upstreams that may be used');
+		this.doubted = gauge(registry, 'upstreams_doubted', 'Upstreams that were left alone and have not answered since');
+		this.unreachable = gauge(registry, 'domains_unreachable', 'Failure domains out of reach');
+		this.suspects = gauge(registry, 'requests_suspected', 'Requests during which a connection of their upstream broke');
 	}
 
 	/** @returns All figures as text. */
--- a/src/gateway/peers/acquaintances.ts
+++ b/src/gateway/peers/acquaintances.ts
@@ -34,6 +34,7 @@
 export class Acquaintances {
 	readonly #self: Host;
 	readonly #all = new Map<string, Acquaintance>();
+	#knownCount = 0;
 
 	/**
 	 * @param self - This host, which is no acquaintance.
@@ -51,6 +52,11 @@
 		return [...this.#all.values()].flatMap(each => each.host ?? []);
 	}
 
+	/** Number of these. */
+	get knownCount(): number {
+		return this.#knownCount;
+	}
+
 	/** Those of them that have not just failed to answer. */
 	get reachable(): readonly Host[] {
 		return [...this.#all.values()].flatMap(each => each.failures < mostFailures ? each.host ?? [] : []);
@@ -68,6 +74,10 @@
 		}
 
 		const known = this.#all.get(key);
+		if (known?.host === undefined && host !== undefined) {
+			this.#knownCount++;
+		}
+
 		if (known !== undefined) {
 			known.host ??= host;
 			return;
@@ -111,6 +121,11 @@
 	 * @returns Whether it was forgotten.
 	 */
 	forget(each: Acquaintance, now: number): boolean {
-		return now - each.seen > memory && this.#all.delete(keyOf(each.address));
+		if (now - each.seen <= memory || !this.#all.delete(keyOf(each.address))) {
+			return false;
+		}
+
+		this.#knownCount -= each.host === undefined ? 0 : 1;
+		return true;
 	}
 }
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -10,6 +10,7 @@
 import {
 	encode, type Heartbeat, type Host, type Message,
 } from './messages.js';
+import {Silence} from './silence.js';
 import {neighbours, relaysOf, smallFleet} from './topology.js';
 
 /** Milliseconds between heartbeats, and between looks for hosts to dial. */
@@ -24,12 +25,6 @@
  */
 const silenceTimeout = 2000;
 
-/**
- * Milliseconds without a word from any host of a failure domain after which the domain is taken to be cut off, where its
- * last link was not closed: a process that ends closes its connections, a cut says nothing. Two lost heartbeats and some.
- */
-const domainSilence = 1300;
-
 /** One heartbeat in so many tells of other hosts: a host that two others lost sight of is found again within seconds. */
 const beatsPerIntroduction = 8;
 
@@ -51,12 +46,6 @@
 	readonly events: PeerEvents;
 };
 
-/** Failure domains that a relay of this host's domain hears nothing of. */
-type Told = {
-	readonly domains: readonly string[];
-	readonly at: number;
-};
-
 export class Peers implements AsyncDisposable {
 	readonly #options: PeersOptions;
 	readonly #server: Server;
@@ -65,13 +54,11 @@
 	/** Links that one end needs no more. */
 	readonly #released = new WeakSet<Link>();
 	readonly #acquaintances: Acquaintances;
-	/** Last word from a host of each failure domain; absent where the last link was closed by its other end. */
-	readonly #domains = new Map<string, number>();
+	readonly #silence: Silence;
 	/** Last word over each link. */
 	readonly #heardAt = new Map<Link, number>();
 	readonly #linkEvents: LinkEvents;
 	readonly #timer: NodeJS.Timeout;
-	#told: Told | undefined;
 	#beats = 0;
 	#lastLoad = Number.NEGATIVE_INFINITY;
 	#most = 1;
@@ -82,6 +69,7 @@
 	constructor(options: PeersOptions) {
 		this.#options = options;
 		this.#acquaintances = new Acquaintances(options.self);
+		this.#silence = new Silence(options.self.failureDomain);
 		this.#linkEvents = {
 			hello: (link, hello) => {
 				this.#greeted(link, hello.from, hello.known);
@@ -110,7 +98,7 @@
 
 	/** Hosts of the fleet, this one included, as far as is known: those cut off still count. */
 	get fleetSize(): number {
-		return Math.max(this.#most, this.#acquaintances.known.length + 1);
+		return Math.max(this.#most, this.#acquaintances.knownCount + 1);
 	}
 
 	/** Whether hosts are linked through the relays of their failure domains. */
@@ -137,8 +125,7 @@
 	 * @returns Failure domains whose every host has fallen silent, here or at a relay of this domain.
 	 */
 	unreachableDomains(now: number): ReadonlySet<string> {
-		const told = this.#told !== undefined && now - this.#told.at < domainSilence ? this.#told.domains : [];
-		return new Set([...this.#silentDomains(now), ...told]);
+		return new Set([...this.#silentDomains(now), ...this.#silence.reported(now)]);
 	}
 
 	/** Starts to listen and to dial. */
@@ -234,9 +221,7 @@
 			return [];
 		}
 
-		return [...this.#domains]
-			.filter(([domain, at]) => now - at > domainSilence && domain !== this.#options.self.failureDomain)
-			.map(([domain]) => domain);
+		return this.#silence.observed(now);
 	}
 
 	/** The first linked relay of each other failure domain. */
@@ -345,7 +330,7 @@
 
 		this.#links.set(from.name, link);
 		this.#most = Math.max(this.#most, this.#links.size + 1);
-		this.#domains.set(from.failureDomain, now);
+		this.#silence.heard(from.failureDomain, now);
 		if (before !== undefined && before.greeting?.from.started !== from.started) {
 			this.#options.events.lost(from, 'started anew');
 		}
@@ -378,7 +363,7 @@
 
 		const now = this.#options.now();
 		this.#heardAt.set(link, now);
-		this.#domains.set(from.failureDomain, now);
+		this.#silence.heard(from.failureDomain, now);
 		if (message.type === 'release') {
 			this.#released.add(link);
 		} else if (message.type === 'heartbeat') {
@@ -395,7 +380,7 @@
 		}
 
 		if (from.failureDomain === this.#options.self.failureDomain && silent !== undefined && silent.length > 0) {
-			this.#told = {domains: silent, at: now};
+			this.#silence.report(silent, now);
 		}
 	}
 
@@ -409,7 +394,7 @@
 
 		this.#links.delete(from.name);
 		if (reason !== 'silent' && !this.hosts.some(host => host.failureDomain === from.failureDomain)) {
-			this.#domains.delete(from.failureDomain);
+			this.#silence.closed(from.failureDomain);
 		}
 
 		if (this.#released.has(link)) {
--- a/src/gateway/sharing.ts
+++ b/src/gateway/sharing.ts
@@ -82,9 +82,9 @@
 			type: 'state',
 			ask: wanted.ask,
 			age: gateway.confirmedAge,
-			registry: gateway.registry,
+			registry: gateway.upstreams.changes,
 			configuration: configuration.version > wanted.version ? configuration : undefined,
-			upstreams: gateway.registry === wanted.registry ? undefined : [...gateway.upstreams.values()],
+			upstreams: gateway.upstreams.changes === wanted.registry ? undefined : [...gateway.upstreams.all],
 		});
 	}
 
--- /dev/null
+++ b/src/gateway/upstreams.ts
@@ -0,0 +1,111 @@
+/** The upstreams that may be used, as they are registered now. */
+import {type GatewayUpstream} from '../core/gateway/types.js';
+import {type Log} from '../entry/logs.js';
+
+export type UpstreamEvents = {
+	/** It is another process than before. */
+	readonly restarted: (id: string) => void;
+	readonly gone: (id: string) => void;
+};
+
+const none: readonly GatewayUpstream[] = [];
+
+export class Upstreams {
+	readonly #log: Pick<Log, 'write'>;
+	readonly #events: UpstreamEvents;
+	readonly #byId = new Map<string, GatewayUpstream>();
+	readonly #byService = new Map<string, GatewayUpstream[]>();
+	#changes = 0;
+
+	/**
+	 * @param log - Told of what changes.
+	 * @param events - Told of upstreams that are not what they were.
+	 */
+	constructor(log: Pick<Log, 'write'>, events: UpstreamEvents) {
+		this.#log = log;
+		this.#events = events;
+	}
+
+	/** Count of changes so far. */
+	get changes(): number {
+		return this.#changes;
+	}
+
+	get size(): number {
+		return this.#byId.size;
+	}
+
+	get all(): readonly GatewayUpstream[] {
+		return [...this.#byId.values()];
+	}
+
+	/**
+	 * @param id - Upstream.
+	 * @returns The upstream, while it is registered.
+	 */
+	get(id: string): GatewayUpstream | undefined {
+		return this.#byId.get(id);
+	}
+
+	/**
+	 * @param service - Service.
+	 * @returns Its upstreams.
+	 */
+	of(service: string): readonly GatewayUpstream[] {
+		return this.#byService.get(service) ?? none;
+	}
+
+	/**
+	 * @param upstream - Upstream as it is registered now.
+	 */
+	register(upstream: GatewayUpstream): void {
+		const before = this.#byId.get(upstream.id);
+		this.#byId.set(upstream.id, upstream);
+		this.#index();
+		if (before !== undefined && before.started !== upstream.started) {
+			this.#log.write({event: 'upstream-restarted', upstream: upstream.id});
+			this.#events.restarted(upstream.id);
+		} else if (before?.isDraining !== upstream.isDraining) {
+			this.#log.write({
+				event: 'upstream', upstream: upstream.id, service: upstream.service, domain: upstream.failureDomain, draining: upstream.isDraining,
+			});
+		}
+	}
+
+	/**
+	 * @param id - Upstream that is registered no more.
+	 */
+	unregister(id: string): void {
+		if (this.#byId.delete(id)) {
+			this.#index();
+			this.#log.write({event: 'upstream-gone', upstream: id});
+			this.#events.gone(id);
+		}
+	}
+
+	/**
+	 * @param upstreams - All that are registered.
+	 */
+	replace(upstreams: readonly GatewayUpstream[]): void {
+		const ids = new Set(upstreams.map(upstream => upstream.id));
+		for (const id of this.#byId.keys()) {
+			if (!ids.has(id)) {
+				this.unregister(id);
+			}
+		}
+
+		for (const upstream of upstreams) {
+			this.register(upstream);
+		}
+	}
+
+	#index(): void {
+		this.#changes++;
+		this.#byService.clear();
+		for (const upstream of this.#byId.values()) {
+			const known = this.#byService.get(upstream.service) ?? [];
+			known.push(upstream);
+			this.#byService.set(upstream.service, known);
+		}
+	}
+}
