--- a/src/gateway/batch.ts
+++ b/src/gateway/bundle.ts
@@ -7,7 +7,7 @@
 	readonly ended: readonly string[];
 };
 
-export class Batch {
+export class Bundle {
 	readonly #delay: number;
 	readonly #send: (changes: Changes) => void;
 	#began: Job[] = [];
--- a/src/gateway/news.ts
+++ b/src/gateway/news.ts
@@ -6,7 +6,7 @@
 import {harmfulReading, isToYield} from '../core/gateway/moves.js';
 import {disturbed} from '../core/gateway/placement.js';
 import {type EngineModel} from '../core/gateway/types.js';
-import {Batch, type Changes} from './batch.js';
+import {Bundle, type Changes} from './bundle.js';
 import {
 	heard, tell, type Host, type HostsLost, type LoadNews, type Message,
 } from './peers/messages.js';
@@ -41,16 +41,16 @@
 	/** Own jobs without a first byte that could go elsewhere. */
 	readonly #starting = new Map<string, {readonly job: Job; readonly reconsider: () => void}>();
 	/** What this host did. */
-	readonly #own = new Batch(tellDelay, changes => {
+	readonly #own = new Bundle(tellDelay, changes => {
 		this.#tellOwn(changes);
 	});
 
 	/** What this host, as a relay, passes on to its failure domain, and to the others. */
-	readonly #forDomain = new Batch(relayDelay, changes => {
+	readonly #forDomain = new Bundle(relayDelay, changes => {
 		this.#options.peers.tellDomain(this.#message(changes));
 	});
 
-	readonly #forOthers = new Batch(relayDelay, changes => {
+	readonly #forOthers = new Bundle(relayDelay, changes => {
 		this.#options.peers.tellForeign(this.#message(changes, 'domain'));
 	});
 
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -1,24 +1,19 @@
 /** Links to the other hosts: found through seeds and what they tell, dialled again when they are lost. */
 import {once} from 'node:events';
-import {
-	createConnection, createServer, type Server, type Socket,
-} from 'node:net';
+import {createServer, type Server, type Socket} from 'node:net';
 import {type Address} from '../../core/index.js';
 import {type Log} from '../../entry/logs.js';
-import {Acquaintances, keyOf, type Acquaintance} from './acquaintances.js';
+import {Acquaintances} from './acquaintances.js';
+import {Dialling} from './dialling.js';
 import {Link, type LinkEvents} from './link.js';
 import {
 	encode, type Heartbeat, type Host, type Message,
 } from './messages.js';
 import {Silence} from './silence.js';
-import {neighbours, relaysOf, smallFleet} from './topology.js';
+import {relaysOf, smallFleet} from './topology.js';
 
-/** Milliseconds between heartbeats, and between looks for hosts to dial; a host that has just started looks more often. */
+/** Milliseconds between heartbeats, and between looks for hosts to dial. */
 const heartbeatInterval = 500;
-const youngInterval = 50;
-
-/** Milliseconds to make a connection. */
-const connectTimeout = 800;
 
 /**
  * Milliseconds of silence after which a link is given up: four heartbeats. A socket's own timeout does not serve, as what is
@@ -60,7 +55,7 @@
 	readonly #heardAt = new Map<Link, number>();
 	readonly #linkEvents: LinkEvents;
 	readonly #timer: NodeJS.Timeout;
-	#youngTimer: NodeJS.Timeout | undefined;
+	readonly #dialling: Dialling;
 	#beats = 0;
 	#lastLoad = Number.NEGATIVE_INFINITY;
 	#most = 1;
@@ -72,6 +67,22 @@
 		this.#options = options;
 		this.#acquaintances = new Acquaintances(options.self, options.now());
 		this.#silence = new Silence(options.self.failureDomain);
+		this.#dialling = new Dialling({
+			self: options.self,
+			seeds: options.seeds,
+			acquaintances: this.#acquaintances,
+			links: this.#links,
+			isLargeFleet: () => this.isLargeFleet,
+			now: options.now,
+			connected: socket => {
+				this.#attach(socket, true);
+			},
+			release: link => {
+				this.#released.add(link);
+				link.send({type: 'release'});
+				link.finish();
+			},
+		});
 		this.#linkEvents = {
 			hello: (link, hello) => {
 				this.#greeted(link, hello.from, hello.known);
@@ -135,10 +146,7 @@
 		const {host, port} = this.#options.self.address;
 		this.#server.listen(port, host);
 		await once(this.#server, 'listening');
-		this.#beat();
-		this.#youngTimer = setInterval(() => {
-			this.#lookWhileYoung();
-		}, youngInterval);
+		this.#dialling.start();
 	}
 
 	/**
@@ -187,7 +195,7 @@
 
 	async [Symbol.asyncDispose](): Promise<void> {
 		clearInterval(this.#timer);
-		clearInterval(this.#youngTimer);
+		this.#dialling[Symbol.dispose]();
 		const closed = once(this.#server, 'close');
 		this.#server.close();
 		for (const link of this.#all) {
@@ -212,24 +220,7 @@
 			}
 		}
 
-		this.#look(now);
-	}
-
-	#lookWhileYoung(): void {
-		const now = this.#options.now();
-		if (this.#acquaintances.isYoung(now)) {
-			this.#look(now);
-		} else {
-			clearInterval(this.#youngTimer);
-		}
-	}
-
-	/** Dials hosts that are to be linked, and lets others go. */
-	#look(now: number): void {
-		const wanted = this.#wanted();
-		for (const [key, each] of this.#acquaintances.all) {
-			this.#consider(key, each, wanted, now);
-		}
+		this.#dialling.look();
 	}
 
 	/**
@@ -262,15 +253,6 @@
 		return [...all, ...all].slice(start, start + Math.min(namedHosts, all.length));
 	}
 
-	/** Keys of the hosts to be linked with; undefined where that is everyone. */
-	#wanted(): ReadonlySet<string> | undefined {
-		if (!this.isLargeFleet) {
-			return undefined;
-		}
-
-		return new Set(neighbours(this.#options.self, this.#acquaintances.reachable).map(host => keyOf(host.address)));
-	}
-
 	#writeAll(message: Message, links: readonly Link[]): void {
 		if (links.length === 0) {
 			return;
@@ -282,52 +264,6 @@
 		}
 	}
 
-	#consider(key: string, each: Acquaintance, wanted: ReadonlySet<string> | undefined, now: number): void {
-		const isWanted = wanted === undefined || each.host === undefined || wanted.has(key);
-		const link = each.host === undefined ? undefined : this.#links.get(each.host.name);
-		if (link !== undefined) {
-			each.seen = now;
-			if (!isWanted && link.isDialled) {
-				this.#released.add(link);
-				link.send({type: 'release'});
-				link.finish();
-			}
-
-			return;
-		}
-
-		if (!isWanted) {
-			return;
-		}
-
-		const isSeed = this.#options.seeds.some(seed => keyOf(seed) === key);
-		const isForgotten = !isSeed && this.#acquaintances.forget(each, now);
-		if (!isForgotten && !each.isDialling && now >= each.nextDial) {
-			this.#dial(each);
-		}
-	}
-
-	#dial(each: Acquaintance): void {
-		each.isDialling = true;
-		const socket = createConnection({host: each.address.host, port: each.address.port});
-		const timer = setTimeout(() => {
-			socket.destroy();
-		}, connectTimeout);
-		let isConnected = false;
-		socket.once('connect', () => {
-			isConnected = true;
-			clearTimeout(timer);
-			this.#attach(socket, true);
-		});
-		socket.on('error', () => {
-			// The close that follows counts it; a host that can't be reached is no news until it was linked.
-		});
-		socket.once('close', () => {
-			clearTimeout(timer);
-			this.#acquaintances.dialled(each, isConnected, this.#options.now());
-		});
-	}
-
 	#attach(socket: Socket, isDialled: boolean): void {
 		const link = new Link(socket, isDialled, this.#linkEvents);
 		this.#all.add(link);
@@ -340,7 +276,7 @@
 		const met = known.map(host => this.#acquaintances.meet(host.address, host, now));
 		this.#acquaintances.revive(from, now);
 		if (met.includes(true)) {
-			this.#look(now);
+			this.#dialling.look();
 		}
 
 		const before = this.#links.get(from.name);
@@ -405,7 +341,7 @@
 	#takeHeartbeat(from: Host, {known, silent}: Heartbeat, now: number): void {
 		const met = known?.map(host => this.#acquaintances.revive(host, now));
 		if (met?.includes(true) === true) {
-			this.#look(now);
+			this.#dialling.look();
 		}
 
 		if (from.failureDomain === this.#options.self.failureDomain && silent !== undefined && silent.length > 0) {
