--- a/bench/gateway/main.ts
+++ b/bench/gateway/main.ts
@@ -1,7 +1,9 @@
 #!/usr/bin/env node
-/** Compares policies over many seeds: `npm run bench:gateway -- --seeds 20`. */
+/** Compares policies over many seeds: `npm run bench:gateway -- --seeds 20`, or over loads with a plot: `--loads 0.6,1,1.4 --plot FILE`. */
+import {writeFileSync} from 'node:fs';
 import process from 'node:process';
 import {Command, InvalidArgumentError} from 'commander';
+import {drawn} from './plots.js';
 import {isInTime, worthServed} from './results.js';
 import {Simulation, type Policy, type Result} from './simulation.js';
 import {
@@ -10,6 +12,20 @@
 
 const policies: readonly Policy[] = ['product', 'omniscient', 'least-requests', 'fixed-border'];
 
+/** Milliseconds of arrivals, and after them until the last deadline. */
+const length = 32_000;
+const ending = 16_000;
+
+type Choices = {
+	readonly seeds: number;
+	readonly engines: number;
+	readonly hosts: number;
+	readonly news: number;
+	readonly loads: readonly number[];
+	readonly policy?: string;
+	readonly plot?: string;
+};
+
 type Row = {
 	readonly name: string;
 	readonly asked: number;
@@ -44,32 +60,59 @@
 	return value;
 }
 
+function positives(text: string): readonly number[] {
+	return text.split(',').map(each => positive(each));
+}
+
+function play({seeds, engines, hosts, news}: Choices, load: number, policy: Policy): readonly Result[] {
+	const workload: Workload = {
+		kinds: newsroom.map(kind => ({...kind, rate: kind.rate * load})), phases: tides, length, hosts,
+	};
+	const site = {
+		model: replica, hosts, engines, policy, newsDelay: news,
+	};
+	return Array.from({length: seeds}, (_, index) => new Simulation(site).run(arrivals(workload, index + 1), length + ending)).flat();
+}
+
+function print(title: string, results: readonly Result[]): void {
+	const rows = [rowOf('all', results), ...newsroom.map(({name}) => rowOf(name, results.filter(({arrival}) => arrival.kind.name === name)))];
+	process.stdout.write(`${title}\n`);
+	for (const row of rows) {
+		const late = `first late ${row.lateFirst}  pause late ${row.latePause}`;
+		const lost = `refused ${row.refused}  unfinished ${row.unfinished}`;
+		process.stdout.write(`  ${row.name.padEnd(7)} asked ${row.asked}  in time ${(row.inTime / row.asked).toFixed(3)}  ${late}  ${lost}  worth ${row.worth.toFixed(3)}\n`);
+	}
+}
+
+function compare(choices: Choices): void {
+	const chosen = policies.filter(name => choices.policy === undefined || name === choices.policy);
+	const series = chosen.map(name => ({
+		name,
+		points: choices.loads.map((load): readonly [number, number] => {
+			const results = play(choices, load, name);
+			print(choices.loads.length === 1 ? name : `${name}, load ${load}`, results);
+			return [load, worthServed(results)];
+		}),
+	}));
+	if (choices.plot !== undefined) {
+		const title = `${choices.hosts} hosts, ${choices.engines} engines, news ${choices.news} ms old, ${choices.seeds} seeds`;
+		writeFileSync(choices.plot, drawn({
+			title, x: 'load (1: the bursts of a calm day)', y: 'worth served', series,
+		}));
+	}
+}
+
 const command = new Command('bench-gateway')
 	.description('Plays loads on gateways before model engines in virtual time, by policy.')
 	.option('--seeds <n>', 'seeds to play', positive, 10)
 	.option('--engines <n>', 'engines', positive, 23)
 	.option('--hosts <n>', 'hosts', positive, 6)
 	.option('--news <ms>', 'milliseconds that news take between hosts', positive, 6)
-	.option('--load <x>', 'rates are multiplied by this', positive, 1)
+	.option('--loads <x,...>', 'rates are multiplied by each of these in turn', positives, [1])
 	.option('--policy <name>', 'only this policy')
-	.action(({seeds, engines, hosts, load, news, policy}: {seeds: number; engines: number; hosts: number; load: number; news: number; policy?: string}) => {
-		const workload: Workload = {
-			kinds: newsroom.map(kind => ({...kind, rate: kind.rate * load})), phases: tides, length: 32_000, hosts,
-		};
-		for (const each of policies.filter(name => policy === undefined || name === policy)) {
-			const results: Result[] = [];
-			for (let seed = 1; seed <= seeds; seed++) {
-				const site = {
-					model: replica, hosts, engines, policy: each, newsDelay: news,
-				};
-				results.push(...new Simulation(site).run(arrivals(workload, seed), workload.length + 16_000));
-			}
-
-			process.stdout.write(`${each}\n`);
-			for (const row of [rowOf('all', results), ...newsroom.map(kind => rowOf(kind.name, results.filter(({arrival}) => arrival.kind.name === kind.name)))]) {
-				process.stdout.write(`  ${row.name.padEnd(7)} asked ${row.asked}  in time ${(row.inTime / row.asked).toFixed(3)}  first late ${row.lateFirst}  pause late ${row.latePause}  refused ${row.refused}  unfinished ${row.unfinished}  worth ${row.worth.toFixed(3)}\n`);
-			}
-		}
+	.option('--plot <file>', 'write worth by load as an SVG plot')
+	.action((choices: Choices) => {
+		compare(choices);
 	});
 
 await command.parseAsync();
