--- a/bench/soak/recovery.ts
+++ b/bench/soak/recovery.ts
@@ -12,8 +12,8 @@
 const lookInterval = 20;
 
 /** Lines that tell why a host does not serve, and how many of the last ones are told. */
-const beliefs: ReadonlySet<string> = new Set(['configuration', 'store-lost', 'store-regained', 'store-compacted', 'started', 'stopping', 'peer-linked', 'peer-lost', 'ended']);
-const toldBeliefs = 12;
+const beliefs: ReadonlySet<string> = new Set(['configuration', 'store-lost', 'store-regained', 'store-compacted', 'started', 'stopping', 'peer-lost', 'suspected', 'acquitted']);
+const toldBeliefs = 10;
 
 /** Longest time for which this process did not get to look, in milliseconds. */
 export class Lag implements Disposable {
@@ -42,13 +42,10 @@
 	return false;
 }
 
-/** What a host last said of its configuration and of what it depends on. */
+/** What a host last said of its configuration, of what it depends on and of requests. */
 function lastBeliefs(host: Host): string {
-	return host.lines
-		.filter(({event}) => beliefs.has(String(event)))
-		.slice(-toldBeliefs)
-		.map(line => JSON.stringify(line))
-		.join(' ');
+	const last = host.lines.filter(({event}) => beliefs.has(String(event))).slice(-toldBeliefs);
+	return [...last, ...host.logged('ended').slice(-1)].map(line => JSON.stringify(line)).join(' ');
 }
 
 /**
