A request whose time is over is not placed again and again

Each sending ended at once as 'no time left', which counts as not run, so that another one followed: a loop without a wait, in which no timer and no signal is served. Before: 999 placements in the test, then none left; without an end in a process. After: ended as deadlinePassed, none placed.

--- /dev/null
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -0,0 +1,48 @@
+/* eslint-disable @typescript-eslint/no-unsafe-type-assertion -- Only what such a request reaches stands in for the rest. */
+import {Buffer} from 'node:buffer';
+import {createServer, request} from 'node:http';
+import {once} from 'node:events';
+import {type AddressInfo} from 'node:net';
+import {expect, it} from 'vitest';
+import {type Delivery} from '../delivery.js';
+import {Dispatch, type Order} from '../dispatch.js';
+import {type Parts} from '../parts.js';
+import {type Trace} from '../trace.js';
+
+it('a request whose time was over before it was sent ends, though no timer could fire', async () => {
+	const server = createServer();
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const asking = request({port: (server.address() as AddressInfo).port, host: '127.0.0.1'});
+	asking.on('error', () => undefined).end();
+	const [incoming] = await once(server, 'request') as [Order['incoming']];
+	let placed = 0;
+	const concluded: string[] = [];
+	const place = {
+		upstream: {id: 'e0', address: {host: '127.0.0.1', port: 1}}, helpers: [], holdTokens: 0, loss: 0, firstByte: 0,
+	};
+	const gateway = {
+		reputation: {suspects: {isConvicted: () => false}},
+		budget: {allows: () => true, countRetry: () => undefined},
+		peers: {fleetSize: 1},
+		place() {
+			placed++;
+			return placed < 1000 ? place : undefined;
+		},
+	};
+	const parts = {gateway, clock: {now: () => 2000}, metrics: {retries: {inc: () => undefined}}} as unknown as Parts;
+	const delivery = {
+		isClosed: false,
+		noteMayHaveRun: () => undefined,
+		conclude(name: string) {
+			concluded.push(name);
+		},
+	} as unknown as Delivery;
+	const order = {
+		incoming, body: Buffer.alloc(0), route: {attempts: 2, kind: 'idempotent', isResumable: false}, organisation: undefined, demand: {deadline: 1000, service: 's'},
+	} as unknown as Order;
+	await new Dispatch(parts, order, delivery, {write: () => undefined} as unknown as Trace).run();
+	expect([concluded, placed]).toEqual([['deadlinePassed'], 0]);
+	asking.destroy();
+	server.close();
+});
--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -62,6 +62,12 @@
 		}
 
 		for (;;) {
+			// A host that stood still may come here before the timer of the deadline, which could not fire in a loop without a wait.
+			if (this.#order.demand.deadline <= clock.now()) {
+				this.#delivery.conclude('deadlinePassed', this.#stop);
+				return;
+			}
+
 			const place = gateway.place(this.#order.demand, this.#tries.tried);
 			if (place === undefined) {
 				this.#delivery.conclude('noUpstream', this.#stop);
