Reading the change once more: one watch on a job that could move, one question to the budget

News kept two lists of the same jobs, those before their first byte and those that could move as streams, though load knows which have begun; the gateway passed four calls on to it. Whether the retries of all hosts leave room is asked in one place.

--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -4,7 +4,6 @@
 import {verdictOf} from '../core/gateway/health.js';
 import {isWorthMoving} from '../core/gateway/moves.js';
 import {type Place} from '../core/gateway/placement.js';
-import {type Job} from '../core/gateway/load.js';
 import {type AttemptEnding} from '../core/gateway/retries.js';
 import {Tries} from '../core/gateway/tries.js';
 import {type Demand, type Route} from '../core/gateway/types.js';
@@ -107,6 +106,12 @@
 		return this.#stop !== undefined || this.#delivery.isClosed;
 	}
 
+	/** Whether the retries of all hosts leave room for one more. */
+	get #hasBudget(): boolean {
+		const {gateway, clock} = this.#parts;
+		return gateway.budget.allows(this.#order.demand.service, gateway.peers.fleetSize, clock.now());
+	}
+
 	#noteRun(ending: AttemptEnding): void {
 		const isLeft = ending.type === 'cancelled' && !this.#isOver;
 		if (ending.type === 'unknown' || ending.type === 'failed' || isLeft) {
@@ -121,11 +126,10 @@
 
 		const {gateway, clock, metrics} = this.#parts;
 		const {service} = this.#order.demand;
-		const now = clock.now();
-		const isAllowed = gateway.budget.allows(service, gateway.peers.fleetSize, now);
+		const isAllowed = this.#hasBudget;
 		metrics.retries.inc({service, allowed: String(isAllowed)});
 		if (isAllowed && this.#tries.sent > 0) {
-			gateway.budget.countRetry(service, now);
+			gateway.budget.countRetry(service, clock.now());
 		}
 
 		return isAllowed;
@@ -167,7 +171,7 @@
 		this.#tracePlace(place, job.id, hold, left);
 		const attempt = this.#prepare(place, hold, left);
 		this.#attempt = attempt;
-		this.#watchMoves(job, place);
+		this.#watchMoves(job.id, place);
 		const watch = new Watch(attempt, this.#tries.mayLeave, place.firstByte, () => gateway.longestPass(place.upstream.id));
 		try {
 			const ending = await this.#follow(attempt, place.upstream.id, job.id, watch);
@@ -177,7 +181,7 @@
 		} finally {
 			watch.end();
 			this.#attempt = undefined;
-			gateway.end(job.id);
+			gateway.news.end(job.id);
 		}
 	}
 
@@ -230,15 +234,17 @@
 		});
 	}
 
-	#watchMoves(job: Job, place: Place): void {
+	#watchMoves(job: string, place: Place): void {
 		const {gateway} = this.#parts;
 		if (this.#tries.mayLeave && this.#order.route.kind === 'streaming') {
-			gateway.watchStart(job, () => {
-				const second = gateway.reconsider(this.#order.demand, place, job.id, this.#tries.tried);
-				this.#move(second?.staying ?? 0, second?.best);
-			});
-			gateway.watchStream(job.id, loss => {
-				this.#considerMove(loss);
+			gateway.news.watch(job, {
+				met: () => {
+					const second = gateway.reconsider(this.#order.demand, place, job, this.#tries.tried);
+					this.#move(second?.staying ?? 0, second?.best);
+				},
+				disturbed: loss => {
+					this.#considerMove(loss);
+				},
 			});
 		}
 	}
@@ -260,12 +266,11 @@
 	}
 
 	#move(staying: number, place: Place | undefined): void {
-		const {gateway, clock} = this.#parts;
 		if (place === undefined || this.#attempt?.cancelled !== undefined || !isWorthMoving(staying, place.loss)) {
 			return;
 		}
 
-		if (gateway.budget.allows(this.#order.demand.service, gateway.peers.fleetSize, clock.now())) {
+		if (this.#hasBudget) {
 			this.#trace.write('moving', {to: place.upstream.id, loss: Number(place.loss.toFixed(3)), staying: Number(staying.toFixed(3))});
 			this.#attempt?.cancel('moved');
 		}
@@ -287,7 +292,7 @@
 		const taken = await this.#delivery.take(got, this.#order.route, {
 			began: () => {
 				this.#trace.noteFirstByte();
-				gateway.progress(job);
+				gateway.news.progress(job);
 			},
 			heard() {
 				watch.heard();
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -37,6 +37,7 @@
 	readonly budget: RetryBudget;
 	readonly peers: Peers;
 	readonly sharing: Sharing;
+	readonly news: News;
 	readonly #settings: Settings;
 	readonly #clock: Clock;
 	readonly #log: Log;
@@ -45,7 +46,6 @@
 	#directory: Directory | undefined;
 	#confirmed = Number.NEGATIVE_INFINITY;
 	#jobs = 0;
-	readonly #news: News;
 
 	/**
 	 * @param settings - Settings of this host.
@@ -67,13 +67,13 @@
 			now: () => clock.now(),
 			events: {
 				joined: (host, send) => {
-					this.#news.joined(host, send);
+					this.news.joined(host, send);
 				},
 				message: (from, message) => {
 					this.#heard(from, message);
 				},
 				lost: (host, reason) => {
-					this.#news.lost(host, reason);
+					this.news.lost(host, reason);
 				},
 			},
 		});
@@ -87,7 +87,7 @@
 				this.reputation.forget(id);
 			},
 		});
-		this.#news = new News({
+		this.news = new News({
 			self: settings.host,
 			failureDomain: settings.failureDomain,
 			load: this.load,
@@ -229,40 +229,10 @@
 			due: demand.due,
 			deadline: demand.deadline,
 		};
-		this.#news.begin(job);
+		this.news.begin(job);
 		return job;
 	}
 
-	/**
-	 * @param id - Job whose first byte has come.
-	 */
-	progress(id: string): void {
-		this.#news.progress(id);
-	}
-
-	/**
-	 * @param id - Job that is over.
-	 */
-	end(id: string): void {
-		this.#news.end(id);
-	}
-
-	/**
-	 * @param id - Job that is a stream which could go on elsewhere.
-	 * @param warn - Told what the stream loses by staying where it is, in requests of usual worth.
-	 */
-	watchStream(id: string, warn: (loss: number) => void): void {
-		this.#news.watchStream(id, warn);
-	}
-
-	/**
-	 * @param job - Own job that has just been sent and could go elsewhere.
-	 * @param look - Called when another one is found to have been first at an engine of it.
-	 */
-	watchStart(job: Job, look: () => void): void {
-		this.#news.watchStart(job, look);
-	}
-
 	/**
 	 * @param upstream - Upstream.
 	 * @param verdict - What an attempt says of it.
@@ -338,12 +308,12 @@
 		const now = this.#clock.now();
 		switch (message.type) {
 			case 'load': {
-				this.#news.heard(from, message);
+				this.news.heard(from, message);
 				return;
 			}
 
 			case 'hosts-lost': {
-				this.#news.heardLost(message);
+				this.news.heardLost(message);
 				return;
 			}
 
--- a/src/gateway/news.ts
+++ b/src/gateway/news.ts
@@ -34,12 +34,18 @@
 	readonly modelAt: (upstream: string) => EngineModel | undefined;
 };
 
+/** What news may tell of a job that could go on elsewhere. */
+export type Moves = {
+	/** Another one was first at an engine of it. */
+	readonly met: () => void;
+	/** A long prompt will be read at the engine that writes it: what it loses by staying, in requests of usual worth. */
+	readonly disturbed: (loss: number) => void;
+};
+
 export class News {
 	readonly #options: NewsOptions;
-	/** Own streams that could go on elsewhere, by job. */
-	readonly #streams = new Map<string, (loss: number) => void>();
-	/** Own jobs without a first byte that could go elsewhere. */
-	readonly #starting = new Map<string, {readonly job: Job; readonly reconsider: () => void}>();
+	/** Own jobs that could go on elsewhere. */
+	readonly #movable = new Map<string, Moves>();
 	/** What this host did. */
 	readonly #own = new Bundle(tellDelay, changes => {
 		this.#tellOwn(changes);
@@ -79,7 +85,6 @@
 	 */
 	progress(id: string): void {
 		const {load, now} = this.#options;
-		this.#starting.delete(id);
 		load.progress(id, now());
 		this.#own.add({progressed: [id]});
 	}
@@ -89,26 +94,17 @@
 	 */
 	end(id: string): void {
 		const {load, now} = this.#options;
-		this.#streams.delete(id);
-		this.#starting.delete(id);
+		this.#movable.delete(id);
 		load.end(id, now());
 		this.#own.add({ended: [id]});
 	}
 
 	/**
-	 * @param id - Own job that is a stream which could go on elsewhere.
-	 * @param warn - Told what the stream loses by staying where it is, in requests of usual worth.
+	 * @param id - Own job that could go on elsewhere.
+	 * @param moves - Told of news that speak for it.
 	 */
-	watchStream(id: string, warn: (loss: number) => void): void {
-		this.#streams.set(id, warn);
-	}
-
-	/**
-	 * @param job - Own job that has just been sent and could go elsewhere.
-	 * @param reconsider - Called when another one is found to have been first at an engine of it.
-	 */
-	watchStart(job: Job, reconsider: () => void): void {
-		this.#starting.set(job.id, {job, reconsider});
+	watch(id: string, moves: Moves): void {
+		this.#movable.set(id, moves);
 	}
 
 	/**
@@ -214,7 +210,7 @@
 
 	/** Warns own streams of the reading of a new job. */
 	#warn(job: Job): void {
-		if (job.readPerPass < harmfulReading || this.#streams.size === 0) {
+		if (job.readPerPass < harmfulReading || this.#movable.size === 0) {
 			return;
 		}
 
@@ -222,17 +218,18 @@
 		for (const upstream of [job.upstream, ...job.helpers]) {
 			const model = modelAt(upstream);
 			for (const {job: stream, loss} of model === undefined ? [] : disturbed(load.forecast(upstream, model, now()))) {
-				this.#streams.get(stream.id)?.(loss);
+				this.#movable.get(stream.id)?.disturbed(loss);
 			}
 		}
 	}
 
 	/** Lets own jobs look for another place that met this one at an engine. */
 	#yield(other: Job): void {
-		const now = this.#options.now();
-		for (const {job, reconsider} of this.#starting.values()) {
-			if (isToYield(job, other, now)) {
-				reconsider();
+		const {load, now} = this.#options;
+		for (const [id, {met}] of this.#movable) {
+			const own = load.job(id);
+			if (own !== undefined && isToYield(own, other, now())) {
+				met();
 			}
 		}
 	}
