--- a/src/cli/__tests__/documents.test.ts
+++ b/src/cli/__tests__/documents.test.ts
@@ -66,7 +66,7 @@
 	it('shows an example with each command', async () => {
 		const {out} = await command(['--help']);
 		const names = [...out.matchAll(/^ {2}([a-z]+) (?:\[options\]|<)/gmv)].map(match => match[1]!).filter(name => name !== 'help');
-		expect(names).toEqual(['check', 'diff', 'show', 'status', 'drain', 'explain', 'incidents', 'send', 'completion']);
+		expect(names).toEqual(['check', 'diff', 'show', 'status', 'drain', 'explain', 'incidents', 'losses', 'send', 'completion']);
 		for (const name of names) {
 			const help = await command([name, '--help']);
 			expect(help.code).toBe(0);
--- a/src/cli/gateway-lines.ts
+++ b/src/cli/gateway-lines.ts
@@ -14,6 +14,8 @@
 		tokens: z.number(),
 		predicted: z.number(),
 		loss: z.number(),
+		/** In requests of usual worth. */
+		weight: z.number().optional(),
 		jobs: z.number(),
 		left: z.number(),
 		version: z.number().optional(),
@@ -35,6 +37,11 @@
 		attempts: z.number(),
 		firstByte: milliseconds,
 		longestPause: milliseconds,
+		/** Since the last event, or since the request came. */
+		silentFor: milliseconds,
+		/** Within which the first byte, and each next event, was wanted. */
+		objective: milliseconds,
+		pause: milliseconds,
 		took: z.number(),
 		version: z.number().optional(),
 		confirmedAge: z.number().nullish(),
@@ -42,9 +49,9 @@
 ]);
 
 export type GatewayLine = z.infer<typeof gatewaySchema>;
-type Placed = Extract<GatewayLine, {type: 'placed'}>;
-type AttemptEnded = Extract<GatewayLine, {type: 'attempt-ended'}>;
-type Ended = Extract<GatewayLine, {type: 'ended'}>;
+export type Placed = Extract<GatewayLine, {type: 'placed'}>;
+export type AttemptEnded = Extract<GatewayLine, {type: 'attempt-ended'}>;
+export type Ended = Extract<GatewayLine, {type: 'ended'}>;
 
 function placedInWords(line: Placed): string {
 	const {attempt, upstream, helpers, hold, tokens, predicted, loss, jobs, left, version, confirmedAge} = line;
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -12,6 +12,7 @@
 import {addDrain} from './commands/drain.js';
 import {addExplain} from './commands/explain.js';
 import {addIncidents} from './commands/incidents.js';
+import {addLosses} from './commands/losses.js';
 import {addSend} from './commands/send.js';
 import {addShow} from './commands/show.js';
 import {addStatus} from './commands/status.js';
@@ -20,7 +21,7 @@
 import {type Terminal} from './terminal.js';
 
 const version = '0.1.0';
-const additions = [addCheck, addDiff, addShow, addStatus, addDrain, addExplain, addIncidents, addSend, addCompletion] as const;
+const additions = [addCheck, addDiff, addShow, addStatus, addDrain, addExplain, addIncidents, addLosses, addSend, addCompletion] as const;
 
 /**
  * Runs one command to its end. Never throws.
--- a/src/core/gateway/placement.ts
+++ b/src/core/gateway/placement.ts
@@ -8,7 +8,7 @@
 } from './types.js';
 
 /** Share of a request's worth that is lost if it is served late; 1 if it isn't served. */
-const lateLoss = 0.75;
+export const lateLoss = 0.75;
 
 /** Most engines that share a prompt. */
 const mostParts = 16;
--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -2,6 +2,7 @@
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
 import {verdictOf} from '../core/gateway/health.js';
+import {type Job} from '../core/gateway/load.js';
 import {isWorthMoving} from '../core/gateway/moves.js';
 import {type Place} from '../core/gateway/placement.js';
 import {type AttemptEnding} from '../core/gateway/retries.js';
@@ -168,7 +169,7 @@
 
 		this.#tries.noteSent(place.upstream.id);
 		const job = gateway.begin(demand, place);
-		this.#tracePlace(place, job.id, hold, left);
+		this.#tracePlace(place, job, hold, left);
 		const attempt = this.#prepare(place, hold, left);
 		this.#attempt = attempt;
 		this.#watchMoves(job.id, place);
@@ -210,16 +211,17 @@
 		}, dialect, agent);
 	}
 
-	#tracePlace(place: Place, attempt: string, hold: Hold | undefined, left: number): void {
+	#tracePlace(place: Place, job: Job, hold: Hold | undefined, left: number): void {
 		const {gateway} = this.#parts;
 		this.#trace.write('placed', {
-			attempt,
+			attempt: job.id,
 			upstream: place.upstream.id,
 			helpers: place.helpers.map(each => each.id),
 			hold: hold?.name,
 			tokens: this.#order.demand.prompt?.tokens ?? 0,
 			predicted: Math.round(place.firstByte),
 			loss: Number(place.loss.toFixed(3)),
+			weight: Number(job.weight.toFixed(2)),
 			jobs: gateway.load.size,
 			left: Math.round(left),
 			version: gateway.directory?.configuration.version,
--- a/src/gateway/trace.ts
+++ b/src/gateway/trace.ts
@@ -18,6 +18,7 @@
 	#firstByte: number | undefined;
 	#lastHeard: number | undefined;
 	#longestPause = 0;
+	#isFinished = false;
 
 	/**
 	 * @param parts - Log, metrics and clock.
@@ -62,11 +63,16 @@
 	}
 
 	/**
-	 * The request is over.
+	 * The request is over; what comes after its first end, as a caller that leaves a stream that was broken off, is no news.
 	 *
 	 * @param outcome - How it ended.
 	 */
 	finish(outcome: string): void {
+		if (this.#isFinished) {
+			return;
+		}
+
+		this.#isFinished = true;
 		const {metrics, clock, gateway} = this.#parts;
 		const now = clock.now();
 		const labels = {service: this.service, length: lengthClass(this.facts?.prompt?.tokens)};
@@ -84,6 +90,9 @@
 			attempts: this.tries?.sent ?? 0,
 			firstByte: this.#firstByte === undefined ? undefined : Math.round(this.#firstByte - this.arrived),
 			longestPause: this.#lastHeard === undefined ? undefined : Math.round(this.#longestPause),
+			silentFor: Math.round(now - (this.#lastHeard ?? this.arrived)),
+			objective: this.route?.objective,
+			pause: this.route?.pause,
 			took: Math.round(now - this.arrived),
 			version: gateway.directory?.configuration.version,
 			confirmedAge: Math.round(gateway.confirmedAge),
