--- a/__tests__/gateway/upstreams.test.ts
+++ b/__tests__/gateway/upstreams.test.ts
@@ -193,3 +193,15 @@
 	const after = await site.ask({...asked, id: 'popular-4'});
 	expect(after.status).toBe(200);
 });
+
+it('reads a long prompt alone where no engine helps', async () => {
+	for (const engine of site.engines) {
+		engine.isAloof = true;
+	}
+
+	const answer = await site.ask({path: '/ask/x', id: 'aloof', headers: prompt(80_000, 3)});
+	expect([answer.status, eventsOf(answer)]).toEqual([200, [1, 2, 3]]);
+	const sent = site.hosts[0]!.logged('placed', 'aloof');
+	expect(new Set(sent.map(line => line.upstream)).size).toBeLessThanOrEqual(2);
+	expect(sent.length).toBeGreaterThan(2);
+});
--- a/bench/gateway/simulation.ts
+++ b/bench/gateway/simulation.ts
@@ -164,7 +164,7 @@
 			host: `h${host}`,
 			failureDomain: `d${host % 3}`,
 			unreachable: new Set(),
-			tried: new Set(),
+			eligibility: {tried: new Set()},
 			now: this.#timeline.now,
 		};
 	}
@@ -283,7 +283,7 @@
 
 	#reconsider(running: Running): void {
 		const {arrival, demand, job} = running;
-		const around = {...this.#around(running.host), except: job.id, tried: new Set([job.upstream])};
+		const around = {...this.#around(running.host), except: job.id, eligibility: {tried: new Set([job.upstream])}};
 		const second = reconsider(demand, running.place, this.#upstreams, this.#site.model, around);
 		if (second?.best === undefined || !isWorthMoving(second.staying, second.best.loss)) {
 			return;
--- a/src/core/gateway/placement.ts
+++ b/src/core/gateway/placement.ts
@@ -3,6 +3,7 @@
 import {footprint, reading, type Reading} from './engine.js';
 import {type Health} from './health.js';
 import {type Forecast, type Job, type Load} from './load.js';
+import {type Eligibility} from './tries.js';
 import {
 	type Demand, type EngineModel, type GatewayUpstream, type Prompt,
 } from './types.js';
@@ -60,8 +61,7 @@
 	readonly failureDomain: string;
 	/** Failure domains that this host does not reach now. */
 	readonly unreachable: ReadonlySet<string>;
-	/** Upstreams that were tried for this request already. */
-	readonly tried: ReadonlySet<string>;
+	readonly eligibility: Eligibility;
 	/** Job of this request that is looked at as if it had not been sent. */
 	readonly except?: string;
 	readonly now: number;
@@ -233,9 +233,10 @@
 	return choices.toSorted((a, b) => cost.get(a)! - cost.get(b)!);
 }
 
-function sharings(prompt: Prompt, model: EngineModel, choices: readonly Option[], now: number): Sharing[] {
+function sharings(prompt: Prompt, model: EngineModel, choices: readonly Option[], {now, eligibility}: Surroundings): Sharing[] {
 	const needed = footprint(model, prompt.tokens, prompt.answer);
-	const fitting = choices.filter(option => option.forecast.free >= needed);
+	const mayAnswer = (option: Option) => eligibility.among?.has(option.upstream.id) ?? true;
+	const fitting = choices.filter(option => option.forecast.free >= needed && mayAnswer(option));
 	const found: Sharing[] = fitting.map(first => ({first, helpers: [], holdTokens: 0}));
 	if (prompt.tokens < model.chunk * 4) {
 		return found;
@@ -251,8 +252,9 @@
 
 		const holdTokens = Math.ceil(needed / parts) + model.stride;
 		const roomy = order.filter(option => option.forecast.free >= holdTokens && option.forecast.requests < model.slots);
-		if (roomy.length >= parts) {
-			found.push({first: roomy[0]!, helpers: roomy.slice(1, parts), holdTokens});
+		const answering = roomy.find(option => mayAnswer(option));
+		if (roomy.length >= parts && answering !== undefined) {
+			found.push({first: answering, helpers: roomy.filter(option => option !== answering).slice(0, parts - 1), holdTokens});
 		}
 	}
 
@@ -262,7 +264,7 @@
 function placeAtEngine(demand: Demand, prompt: Prompt, model: EngineModel, upstreams: readonly GatewayUpstream[], around: Surroundings): Place | undefined {
 	const choices = options(upstreams, model, around, weigh(model, prompt));
 	let best: Place | undefined;
-	for (const sharing of sharings(prompt, model, choices, around.now)) {
+	for (const sharing of sharings(prompt, model, choices, around)) {
 		const place = assess(sharing, demand, prompt, model, around.now);
 		if (best === undefined || place.loss < best.loss) {
 			best = {
@@ -283,6 +285,10 @@
 function placeAtService(upstreams: readonly GatewayUpstream[], around: Surroundings): Place | undefined {
 	let best: Place | undefined;
 	for (const upstream of upstreams) {
+		if (around.eligibility.among?.has(upstream.id) === false) {
+			continue;
+		}
+
 		const requests = around.load.requests(upstream.id);
 		const busy = (requests + 1) / Math.max(upstream.slots, 1);
 		const distance = upstream.failureDomain === around.failureDomain ? 0 : distanceLoss;
@@ -299,7 +305,7 @@
 
 /** Upstreams to choose from: those that are not left alone; all of them rather than none. */
 function usable(upstreams: readonly GatewayUpstream[], around: Surroundings): readonly GatewayUpstream[] {
-	const open = upstreams.filter(each => !each.isDraining && !around.tried.has(each.id));
+	const open = upstreams.filter(each => !each.isDraining && !around.eligibility.tried.has(each.id));
 	const healthy = open.filter(each => !around.health.isPaused(each.id, around.now) && !around.unreachable.has(each.failureDomain));
 	return healthy.length > 0 ? healthy : open;
 }
--- a/src/core/gateway/tries.ts
+++ b/src/core/gateway/tries.ts
@@ -5,16 +5,35 @@
 /** Refusals of holds after which no other engines are tried. */
 const mostRefusedHolds = 3;
 
-/** Upstreams without a connection after which no others are tried: each may take as long as a connection is waited for. */
-const mostUnreached = 3;
+/** Refusals for an engine that was to help after which no others are tried. */
+const mostMissedHelpers = 4;
+
+/**
+ * Upstreams without a connection after which no others are tried. Two in each of several failure domains fail within
+ * milliseconds where links are reset, while those of the own domain would answer.
+ */
+const mostUnreached = 8;
 
 type Rules = Pick<Route, 'attempts' | 'isResumable' | 'kind'>;
 
+/** Upstreams that a request may go to next. */
+export type Eligibility = {
+	/** Upstreams that it went to, or that refused it memory or help: neither asked again nor asked to help. */
+	readonly tried: ReadonlySet<string>;
+	/** One of these must answer, where the route allows no further upstream. */
+	readonly among?: ReadonlySet<string>;
+};
+
 export class Tries {
 	readonly #rules: Rules;
 	readonly #tried = new Set<string>();
+	/** Upstreams that were sent the request. */
+	readonly #asked = new Set<string>();
+	/** Those of them that would have taken it, had an engine helped them: asked again they are no further upstream. */
+	readonly #willing = new Set<string>();
 	#sent = 0;
 	#refusedHolds = 0;
+	#missedHelpers = 0;
 	#unreached = 0;
 
 	/**
@@ -24,19 +43,19 @@
 		this.#rules = rules;
 	}
 
-	/** Upstreams that the request went to, or that refused it memory. */
-	get tried(): ReadonlySet<string> {
-		return this.#tried;
+	/** Upstreams that the request may go to next. */
+	get eligibility(): Eligibility {
+		return {tried: this.#tried, among: this.#hasFurther ? undefined : this.#willing};
 	}
 
-	/** Upstreams that it was sent to. */
+	/** Times that it was sent. */
 	get sent(): number {
 		return this.#sent;
 	}
 
 	/** Whether an engine that is silent could be left for another one. */
 	get mayLeave(): boolean {
-		return this.#sent < this.#rules.attempts && this.#isRepeatable({type: 'unknown', reason: 'silent'});
+		return this.#hasFurther && this.#isRepeatable({type: 'unknown', reason: 'silent'});
 	}
 
 	/**
@@ -45,12 +64,28 @@
 	noteSent(upstream: string): void {
 		this.#sent++;
 		this.#tried.add(upstream);
+		this.#asked.add(upstream);
+		this.#willing.delete(upstream);
 	}
 
-	/** No connection was made: nothing was sent after all. */
-	noteUnreached(): void {
+	/**
+	 * @param upstream - Upstream to which no connection was made: nothing was sent after all.
+	 */
+	noteUnreached(upstream: string): void {
 		this.#sent--;
 		this.#unreached++;
+		this.#asked.delete(upstream);
+	}
+
+	/**
+	 * @param upstream - Engine that did not run the request.
+	 * @param helper - Engine that was to help it and did not.
+	 */
+	noteMissedHelper(upstream: string, helper: string): void {
+		this.#missedHelpers++;
+		this.#tried.delete(upstream);
+		this.#willing.add(upstream);
+		this.#tried.add(helper);
 	}
 
 	/**
@@ -71,11 +106,16 @@
 		// What this host gave up itself may have run all the same.
 		const known: AttemptEnding = ending.type === 'cancelled' ? {type: 'unknown', reason: ending.reason} : ending;
 		return this.#isRepeatable(known)
-			&& this.#sent < this.#rules.attempts
+			&& (this.#hasFurther || this.#willing.size > 0)
 			&& this.#refusedHolds < mostRefusedHolds
+			&& this.#missedHelpers < mostMissedHelpers
 			&& this.#unreached < mostUnreached;
 	}
 
+	get #hasFurther(): boolean {
+		return this.#asked.size < this.#rules.attempts;
+	}
+
 	#isRepeatable(ending: AttemptEnding): boolean {
 		return isRepeatable(this.#rules.kind, this.#rules.isResumable, ending);
 	}
--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -10,7 +10,7 @@
 import {type Demand, type Route} from '../core/gateway/types.js';
 import {fingerprintOf} from './admission.js';
 import {nameOf} from './answers.js';
-import {Attempt, type Ended} from './attempt.js';
+import {Attempt, type Ended, type Reply} from './attempt.js';
 import {type Delivery, type Stop} from './delivery.js';
 import {helpersOf, urgencyOf} from './handover.js';
 import {type Hold} from './holds.js';
@@ -68,7 +68,7 @@
 				return;
 			}
 
-			const place = gateway.place(this.#order.demand, this.#tries.tried);
+			const place = gateway.place(this.#order.demand, this.#tries.eligibility);
 			if (place === undefined) {
 				this.#delivery.conclude('noUpstream', this.#stop);
 				return;
@@ -241,7 +241,7 @@
 		if (this.#tries.mayLeave && this.#order.route.kind === 'streaming') {
 			gateway.news.watch(job, {
 				met: () => {
-					const second = gateway.reconsider(this.#order.demand, place, job, this.#tries.tried);
+					const second = gateway.reconsider(this.#order.demand, place, job, this.#tries.eligibility);
 					this.#move(second?.staying ?? 0, second?.best);
 				},
 				disturbed: loss => {
@@ -261,7 +261,7 @@
 		}
 
 		const rest: Demand = {...demand, due: lastHeard + demand.pause};
-		const place = gateway.place(rest, this.#tries.tried);
+		const place = gateway.place(rest, this.#tries.eligibility);
 		if (place?.helpers.length === 0) {
 			this.#move(staying, place);
 		}
@@ -286,9 +286,7 @@
 		}
 
 		if (got.facts.isNotRun || got.facts.isMisdirected) {
-			got.body.resume();
-			gateway.judge(upstream, got.facts.isMisdirected ? 'unreachable' : 'faulty');
-			return {type: 'not-run', reason: `refused with ${got.status} by ${got.facts.culprit ?? upstream}`, isShed: !got.facts.isMisdirected};
+			return this.#endNotRun(got, upstream);
 		}
 
 		const taken = await this.#delivery.take(got, this.#order.route, {
@@ -306,10 +304,26 @@
 		return ending;
 	}
 
+	/** Takes the word of an upstream that it did not run the request; an engine that was to help it may be at fault. */
+	#endNotRun({body, status, facts}: Reply, upstream: string): AttemptEnding {
+		const {gateway} = this.#parts;
+		body.resume();
+		const reason = `refused with ${status} by ${facts.culprit ?? upstream}`;
+		const culprit = facts.culprit === undefined ? undefined : gateway.upstreams.at(facts.culprit);
+		if (culprit !== undefined && culprit.id !== upstream) {
+			gateway.judge(culprit.id, 'unreachable');
+			this.#tries.noteMissedHelper(upstream, culprit.id);
+		} else {
+			gateway.judge(upstream, facts.isMisdirected ? 'unreachable' : 'faulty');
+		}
+
+		return {type: 'not-run', reason, isShed: !facts.isMisdirected};
+	}
+
 	#endUnanswered({ending, isUnreachable}: Ended, upstream: string): AttemptEnding {
 		this.#judge(ending, upstream, isUnreachable);
 		if (isUnreachable) {
-			this.#tries.noteUnreached();
+			this.#tries.noteUnreached(upstream);
 		}
 
 		return ending;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,6 +7,7 @@
 	place, reconsider, weigh, type Place, type Second, type Surroundings,
 } from '../core/gateway/placement.js';
 import {RetryBudget} from '../core/gateway/retries.js';
+import {type Eligibility} from '../core/gateway/tries.js';
 import {
 	type Demand, type EngineModel, type GatewayConfiguration, type GatewayService,
 } from '../core/gateway/types.js';
@@ -186,22 +187,22 @@
 
 	/**
 	 * @param demand - Request.
-	 * @param tried - Upstreams that had it already.
+	 * @param eligibility - Upstreams that it may go to.
 	 * @returns Where it goes, if anywhere.
 	 */
-	place(demand: Demand, tried: ReadonlySet<string>): Place | undefined {
-		return place(demand, this.upstreams.of(demand.service), this.service(demand.service)?.engine, this.#around(tried));
+	place(demand: Demand, eligibility: Eligibility): Place | undefined {
+		return place(demand, this.upstreams.of(demand.service), this.service(demand.service)?.engine, this.#around(eligibility));
 	}
 
 	/**
 	 * @param demand - Request that was sent a moment ago.
 	 * @param current - Where it went.
 	 * @param job - Its job.
-	 * @param tried - Upstreams that had it already.
+	 * @param eligibility - Upstreams that it may go to.
 	 * @returns What it loses there and elsewhere; undefined for plain services.
 	 */
-	reconsider(demand: Demand, current: Place, job: string, tried: ReadonlySet<string>): Second | undefined {
-		return reconsider(demand, current, this.upstreams.of(demand.service), this.service(demand.service)?.engine, {...this.#around(tried), except: job});
+	reconsider(demand: Demand, current: Place, job: string, eligibility: Eligibility): Second | undefined {
+		return reconsider(demand, current, this.upstreams.of(demand.service), this.service(demand.service)?.engine, {...this.#around(eligibility), except: job});
 	}
 
 	/**
@@ -290,7 +291,7 @@
 		await this.peers[Symbol.asyncDispose]();
 	}
 
-	#around(tried: ReadonlySet<string>): Surroundings {
+	#around(eligibility: Eligibility): Surroundings {
 		const now = this.#clock.now();
 		this.reputation.look(now);
 		return {
@@ -299,7 +300,7 @@
 			host: this.#settings.host,
 			failureDomain: this.#settings.failureDomain,
 			unreachable: this.reputation.unreachable,
-			tried,
+			eligibility,
 			now,
 		};
 	}
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -14,6 +14,7 @@
 	readonly #log: Pick<Log, 'write'>;
 	readonly #events: UpstreamEvents;
 	readonly #byId = new Map<string, GatewayUpstream>();
+	readonly #byAddress = new Map<string, GatewayUpstream>();
 	readonly #byService = new Map<string, GatewayUpstream[]>();
 	#changes = 0;
 
@@ -47,6 +48,14 @@
 		return this.#byId.get(id);
 	}
 
+	/**
+	 * @param address - Host and port, as text.
+	 * @returns The upstream there.
+	 */
+	at(address: string): GatewayUpstream | undefined {
+		return this.#byAddress.get(address);
+	}
+
 	/**
 	 * @param service - Service.
 	 * @returns Its upstreams.
@@ -102,7 +111,9 @@
 	#index(): void {
 		this.#changes++;
 		this.#byService.clear();
+		this.#byAddress.clear();
 		for (const upstream of this.#byId.values()) {
+			this.#byAddress.set(`${upstream.address.host}:${upstream.address.port}`, upstream);
 			const known = this.#byService.get(upstream.service) ?? [];
 			known.push(upstream);
 			this.#byService.set(upstream.service, known);
--- a/stand-ins/gateway/upstream.ts
+++ b/stand-ins/gateway/upstream.ts
@@ -47,6 +47,8 @@
 
 export class UpstreamStandIn implements AsyncDisposable {
 	fault: Fault = 'none';
+	/** Whether it reads no parts of others' prompts. */
+	isAloof = false;
 	readonly #options: UpstreamOptions;
 	readonly #server: Server;
 	readonly #batch: Batch | undefined;
@@ -206,8 +208,8 @@
 		const model = this.#options.model!;
 		const [prompt = 0, answer = 0] = String(incoming.headers['x-token-count'] ?? '').split(',').map(Number);
 		const helpers = this.#helpers(incoming);
-		if (helpers === undefined) {
-			outgoing.writeHead(503, {...notRun, 'x-request-id': id});
+		if (typeof helpers === 'string') {
+			outgoing.writeHead(503, {...notRun, 'x-request-id': id, 'at-server': helpers});
 			outgoing.end();
 			return;
 		}
@@ -240,15 +242,15 @@
 		this.#turn();
 	}
 
-	/** The engines named as helpers, this one left out; undefined if one is gone or lacks its reservation. */
-	#helpers(incoming: IncomingMessage): readonly UpstreamStandIn[] | undefined {
+	/** The engines named as helpers, this one left out, or the address of one that is gone or lacks its reservation. */
+	#helpers(incoming: IncomingMessage): readonly UpstreamStandIn[] | string {
 		const helpers: UpstreamStandIn[] = [];
 		const names = String(incoming.headers['x-helpers'] ?? '').split(',').filter(Boolean);
 		for (const name of names) {
 			const [address = '', ticket] = name.split('/');
 			const helper = neighbours.get(address);
-			if (helper === undefined || (ticket !== undefined && !helper.tickets.includes(ticket))) {
-				return undefined;
+			if (helper === undefined || helper.isAloof || (ticket !== undefined && !helper.tickets.includes(ticket))) {
+				return address;
 			}
 
 			if (helper !== this) {
