--- /dev/null
+++ b/src/gateway/__tests__/attempt.test.ts
@@ -0,0 +1,47 @@
+import {Buffer} from 'node:buffer';
+import {Agent} from 'node:http';
+import {Socket} from 'node:net';
+import {setImmediate as turn} from 'node:timers/promises';
+import {
+	afterEach, beforeEach, expect, it, vi,
+} from 'vitest';
+import {Attempt, type Ended, type Reply} from '../attempt.js';
+import {type Dialect} from '../dialect.js';
+
+const dialect: Dialect = {
+	readCaller: () => undefined,
+	forUpstream: () => [],
+	readReply: () => ({isSigned: true, isNotRun: false, isMisdirected: false}),
+};
+
+/** Connections to an upstream from which nothing comes. */
+class DarkAgent extends Agent {
+	override createConnection(): Socket {
+		const socket = new Socket();
+		Object.defineProperty(socket, 'connecting', {value: true});
+		return socket;
+	}
+}
+
+beforeEach(() => {
+	vi.useFakeTimers({toFake: ['setTimeout', 'clearTimeout']});
+});
+
+afterEach(() => {
+	vi.useRealTimers();
+});
+
+it('gives a connection up soon enough for another upstream to answer a short prompt in time', async () => {
+	const attempt = new Attempt({
+		id: 'r', method: 'GET', path: '/', headers: [], body: Buffer.alloc(0), address: {host: '127.0.0.1', port: 1},
+	}, dialect, new DarkAgent());
+	const replies: Array<Reply | Ended> = [];
+	void (async () => {
+		replies.push(await attempt.reply());
+	})();
+
+	await turn();
+	await vi.advanceTimersByTimeAsync(150);
+	await turn();
+	expect(replies).toEqual([{type: 'ended', ending: {type: 'not-run', reason: 'no connection in time', isShed: false}, isUnreachable: true}]);
+});
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -8,8 +8,11 @@
 import {type AttemptEnding, type CancelReason} from '../core/gateway/retries.js';
 import {type Dialect, type ReplyFacts} from './dialect.js';
 
-/** Milliseconds to make a connection: over two round trips within a region with one packet lost. */
-const connectTimeout = 700;
+/**
+ * Milliseconds to make a connection: several round trips between regions. A lost opening packet is sent again only after a
+ * second; callers of short prompts are served in time by another upstream by then.
+ */
+const connectTimeout = 120;
 
 /** The head of an answer whose body has yet to be read. */
 export type Reply = {
@@ -129,7 +132,12 @@
 				}
 
 				this.#timer = setTimeout(() => {
-					outgoing.destroy(new Error('no connection in time'));
+					// A host that stood still learns of a connection made meanwhile before this.
+					setImmediate(() => {
+						if (socket.connecting) {
+							outgoing.destroy(new Error('no connection in time'));
+						}
+					});
 				}, connectTimeout);
 				socket.once('connect', () => {
 					this.#isConnected = true;
