--- a/src/core/gateway/__tests__/knowledge.test.ts
+++ b/src/core/gateway/__tests__/knowledge.test.ts
@@ -7,8 +7,9 @@
 import {Load, type Job} from '../load.js';
 import {Reach} from '../reach.js';
 import {isRepeatable, RetryBudget} from '../retries.js';
-import {Suspects} from '../suspects.js';
+import {Suspects, type Crash} from '../suspects.js';
 import {type EngineModel, type Route} from '../types.js';
+import {seeded} from '../../../../bench/model/workload.js';
 
 const model: EngineModel = {
 	slots: 11, memory: 232_000, stride: 43, step: 1, perRequest: 0, perThousand: 0, readRate: 200, pairs: 0.1, chunk: 2048, hop: 0, usualPrompt: 12_000, usualAnswer: 1300,
@@ -192,26 +193,82 @@
 });
 
 describe('suspects', () => {
+	const crash = (id: string, change: Partial<Crash> = {}): Crash => ({
+		fingerprint: 'f', id, upstream: id.split('.')[0]!, started: 1, ...change,
+	});
+
 	it('are acquitted by an answer: three lost answers of what many ask for are no crashes of one request', () => {
 		const suspects = new Suspects();
 		for (const id of ['e1.1', 'e2.1']) {
-			suspects.record({fingerprint: 'f', id}, 0);
+			suspects.record(crash(id), 0);
 		}
 
-		expect([suspects.acquit('f'), suspects.acquit('f'), suspects.crashes('f', 10)]).toEqual([true, false, 0]);
-		suspects.record({fingerprint: 'f', id: 'e3.1'}, 20);
+		expect([suspects.acquit('f').map(({id}) => id), suspects.acquit('f'), suspects.crashes('f', 10)]).toEqual([['e1.1', 'e2.1'], [], 0]);
+		suspects.record(crash('e3.1'), 20);
 		expect(suspects.isConvicted('f', 30)).toBe(false);
 	});
 
 	it('are convicted by three distinct crashes within a minute', () => {
 		const suspects = new Suspects();
-		expect(suspects.record({fingerprint: 'f', id: 'e1.1'}, 0)).toBe(true);
-		expect(suspects.record({fingerprint: 'f', id: 'e1.1'}, 0)).toBe(false);
-		suspects.record({fingerprint: 'f', id: 'e2.1'}, 10);
+		expect(suspects.record(crash('e1.1'), 0)).toBe(true);
+		expect(suspects.record(crash('e1.1'), 0)).toBe(false);
+		suspects.record(crash('e2.1'), 10);
 		expect(suspects.isConvicted('f', 20)).toBe(false);
-		suspects.record({fingerprint: 'f', id: 'e3.1'}, 20);
+		suspects.record(crash('e3.1'), 20);
 		expect([suspects.isConvicted('f', 30), suspects.isConvicted('g', 30), suspects.isConvicted('f', 61_000)]).toEqual([true, false, false]);
 	});
+
+	it('are not convicted of what was cleared before they heard of it', () => {
+		const suspects = new Suspects();
+		expect(suspects.clear([crash('e1.1')], 0)).toBe(true);
+		expect([suspects.clear([crash('e1.1')], 1), suspects.record(crash('e1.1'), 2), suspects.crashes('f', 3)]).toEqual([false, false, 0]);
+	});
+
+	it('are cleared of crashes whose upstream runs on, and of no others', () => {
+		const suspects = new Suspects();
+		for (const id of ['e1.1', 'e2.1', 'e3.1']) {
+			suspects.record(crash(id), 0);
+		}
+
+		expect(suspects.review('f', ({upstream}) => upstream === 'e2').map(({id}) => id)).toEqual(['e2.1']);
+		expect([suspects.crashes('f', 10), suspects.isConvicted('f', 10)]).toEqual([2, false]);
+	});
+
+	it.each([1, 2, 3, 4, 5])('are told of in a fleet until all have heard, and no longer (order %i)', seed => {
+		const random = seeded(seed);
+		const hosts = Array.from({length: 6}, () => new Suspects());
+		const news: Array<{readonly to: number; readonly isCleared: boolean}> = [];
+		const tell = (from: number, isCleared: boolean) => {
+			for (const to of hosts.keys()) {
+				if (to !== from) {
+					news.push({to, isCleared});
+				}
+			}
+		};
+
+		hosts[0]!.record(crash('e1.1'), 0);
+		tell(0, false);
+		let heard = 0;
+		let isAnswered = false;
+		while (news.length > 0 && heard < 1000) {
+			const [next] = news.splice(random.integer(0, news.length - 1), 1);
+			const {to, isCleared} = next!;
+			heard++;
+			const host = hosts[to]!;
+			if (isCleared ? host.clear([crash('e1.1')], 0) : host.record(crash('e1.1'), 0)) {
+				tell(to, isCleared);
+			}
+
+			if (!isAnswered && to === 3) {
+				isAnswered = true;
+				host.acquit('f');
+				tell(3, true);
+			}
+		}
+
+		expect(heard).toBeLessThanOrEqual(2 * hosts.length * (hosts.length - 1));
+		expect(hosts.map(host => host.crashes('f', 0))).toEqual(hosts.map(() => 0));
+	});
 });
 
 describe('the directory', () => {
--- a/src/core/gateway/suspects.ts
+++ b/src/core/gateway/suspects.ts
@@ -1,4 +1,7 @@
-/** Requests that crash the engines which run them, recognised when they come again. */
+/**
+ * Requests that crash the engines which run them, recognised when they come again. A crash is told once and cleared once, by its
+ * id, so that hosts which pass on what is news to them end, in whatever order news of the two arrive.
+ */
 
 /** Distinct crashes after which a request is refused: two may be chance where engines fail in groups. */
 const convictingCrashes = 3;
@@ -15,15 +18,24 @@
 	readonly fingerprint: string;
 	/** Equal for all who tell of the same crash. */
 	readonly id: string;
+	readonly upstream: string;
+	/** Start of the upstream's process, where it tells. */
+	readonly started?: number;
+};
+
+type Entry = {
+	readonly crash: Crash;
+	readonly at: number;
+	isCleared: boolean;
 };
 
 /** Crashes by request, own and told by peers. */
 export class Suspects {
-	readonly #crashes = new Map<string, Map<string, number>>();
+	readonly #records = new Map<string, Map<string, Entry>>();
 
 	/** Requests remembered. */
 	get size(): number {
-		return this.#crashes.size;
+		return this.#records.size;
 	}
 
 	/**
@@ -31,18 +43,14 @@
 	 * @param now - Time in milliseconds.
 	 * @returns Whether it was new.
 	 */
-	record({fingerprint, id}: Crash, now: number): boolean {
-		const known = this.#crashes.get(fingerprint) ?? new Map<string, number>();
-		const isNew = !known.has(id);
-		known.set(id, now);
-		this.#crashes.delete(fingerprint);
-		this.#crashes.set(fingerprint, known);
-		if (this.#crashes.size > mostSuspects) {
-			const [oldest] = this.#crashes.keys();
-			this.#crashes.delete(oldest!);
+	record(crash: Crash, now: number): boolean {
+		const known = this.#known(crash.fingerprint, now);
+		if (known.has(crash.id)) {
+			return false;
 		}
 
-		return isNew;
+		known.set(crash.id, {crash, at: now, isCleared: false});
+		return true;
 	}
 
 	/**
@@ -50,10 +58,44 @@
 	 * the same, so that three lost answers within a minute would refuse all of them.
 	 *
 	 * @param fingerprint - Request.
-	 * @returns Whether it was suspected.
+	 * @returns Crashes that were held against it until now.
+	 */
+	acquit(fingerprint: string): readonly Crash[] {
+		return this.review(fingerprint, () => true);
+	}
+
+	/**
+	 * @param crashes - Crashes that a peer has cleared; those not heard of yet need not be held against the request later.
+	 * @param now - Time in milliseconds.
+	 * @returns Whether any of them was not cleared here.
+	 */
+	clear(crashes: readonly Crash[], now: number): boolean {
+		let isNews = false;
+		for (const crash of crashes) {
+			this.record(crash, now);
+			const record = this.#records.get(crash.fingerprint)!.get(crash.id)!;
+			isNews ||= !record.isCleared;
+			record.isCleared = true;
+		}
+
+		return isNews;
+	}
+
+	/**
+	 * @param fingerprint - Request.
+	 * @param survived - Whether an upstream that is said to have crashed at a time runs on as it did.
+	 * @returns Crashes that were none after all.
 	 */
-	acquit(fingerprint: string): boolean {
-		return this.#crashes.delete(fingerprint);
+	review(fingerprint: string, survived: (crash: Crash, at: number) => boolean): readonly Crash[] {
+		const cleared: Crash[] = [];
+		for (const record of this.#records.get(fingerprint)?.values() ?? []) {
+			if (!record.isCleared && survived(record.crash, record.at)) {
+				record.isCleared = true;
+				cleared.push(record.crash);
+			}
+		}
+
+		return cleared;
 	}
 
 	/**
@@ -63,8 +105,8 @@
 	 */
 	crashes(fingerprint: string, now: number): number {
 		let count = 0;
-		for (const at of this.#crashes.get(fingerprint)?.values() ?? []) {
-			count += now - at < memory ? 1 : 0;
+		for (const {at, isCleared} of this.#records.get(fingerprint)?.values() ?? []) {
+			count += !isCleared && now - at < memory ? 1 : 0;
 		}
 
 		return count;
@@ -78,4 +120,23 @@
 	isConvicted(fingerprint: string, now: number): boolean {
 		return this.crashes(fingerprint, now) >= convictingCrashes;
 	}
+
+	/** What is remembered of a request, the most lately suspected last; what is too old to count is dropped. */
+	#known(fingerprint: string, now: number): Map<string, Entry> {
+		const known = this.#records.get(fingerprint) ?? new Map<string, Entry>();
+		for (const [id, {at}] of known) {
+			if (now - at >= memory) {
+				known.delete(id);
+			}
+		}
+
+		this.#records.delete(fingerprint);
+		this.#records.set(fingerprint, known);
+		if (this.#records.size > mostSuspects) {
+			const [oldest] = this.#records.keys();
+			this.#records.delete(oldest!);
+		}
+
+		return known;
+	}
 }
--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -22,7 +22,7 @@
 		upstream: {id: 'e0', address: {host: '127.0.0.1', port: 1}}, helpers: [], holdTokens: 0, loss: 0, firstByte: 0,
 	};
 	const gateway = {
-		reputation: {suspects: {isConvicted: () => false}},
+		isConvicted: () => false,
 		budget: {allows: () => true, countRetry: () => undefined},
 		peers: {fleetSize: 1},
 		place() {
--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -56,7 +56,7 @@
 	/** Settles when the caller has its answer or nothing more can be done for it. */
 	async run(): Promise<void> {
 		const {gateway, clock} = this.#parts;
-		if (gateway.reputation.suspects.isConvicted(this.#fingerprint, clock.now())) {
+		if (gateway.isConvicted(this.#fingerprint)) {
 			this.#delivery.refuse('convicted');
 			return;
 		}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,6 +6,7 @@
 import {
 	place, reconsider, weigh, type Place, type Second, type Surroundings,
 } from '../core/gateway/placement.js';
+import {type Crash} from '../core/gateway/suspects.js';
 import {RetryBudget} from '../core/gateway/retries.js';
 import {type Eligibility} from '../core/gateway/tries.js';
 import {
@@ -31,6 +32,12 @@
 /** Milliseconds within which an engine's lost connections and a failed connection to it count as one crash. */
 const crashWindow = 1500;
 
+/**
+ * Milliseconds after a crash by which the platform has told of it: an upstream's registration lapses after three heartbeats, and
+ * one that started anew has another start.
+ */
+const crashSettle = 5000;
+
 export class Gateway implements AsyncDisposable {
 	readonly load = new Load();
 	readonly upstreams: Upstreams;
@@ -271,9 +278,11 @@
 	 */
 	suspect(fingerprint: string, upstream: string): void {
 		const now = this.#clock.now();
-		const crash = {fingerprint, id: `${upstream}.${Math.floor(this.#clock.wall() / crashWindow)}`};
+		const crash = {
+			fingerprint, id: `${upstream}.${Math.floor(this.#clock.wall() / crashWindow)}`, upstream, started: this.upstreams.get(upstream)?.started,
+		};
 		if (this.reputation.suspect(crash, now)) {
-			this.peers.broadcast({type: 'crash', ...crash});
+			this.peers.broadcast({type: 'crash', crash});
 		}
 	}
 
@@ -283,9 +292,22 @@
 	 * @param fingerprint - Request that was answered whole.
 	 */
 	acquit(fingerprint: string): void {
-		if (this.reputation.acquit(fingerprint)) {
-			this.peers.broadcast({type: 'acquittal', fingerprint});
+		this.#tellCleared(this.reputation.acquit(fingerprint));
+	}
+
+	/**
+	 * @param fingerprint - Request.
+	 * @returns Whether it crashes the engines that run it, as far as is known; then it must not run again.
+	 */
+	isConvicted(fingerprint: string): boolean {
+		const now = this.#clock.now();
+		const {suspects} = this.reputation;
+		if (!suspects.isConvicted(fingerprint, now)) {
+			return false;
 		}
+
+		this.#tellCleared(this.reputation.review(fingerprint, (crash, at) => this.#survived(crash, at)));
+		return suspects.isConvicted(fingerprint, now);
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
@@ -307,6 +329,17 @@
 		};
 	}
 
+	/** An upstream that is registered under the same start long after it is said to have crashed has not: its links broke. */
+	#survived({upstream, started}: Crash, at: number): boolean {
+		return started !== undefined && this.#confirmed > at + crashSettle && this.upstreams.get(upstream)?.started === started;
+	}
+
+	#tellCleared(crashes: readonly Crash[]): void {
+		if (crashes.length > 0) {
+			this.peers.broadcast({type: 'acquittal', crashes: [...crashes]});
+		}
+	}
+
 	#heard(from: Host, message: Message): void {
 		const now = this.#clock.now();
 		switch (message.type) {
@@ -321,7 +354,7 @@
 			}
 
 			case 'crash': {
-				if (this.reputation.suspects.record(message, now) && this.peers.isLargeFleet) {
+				if (this.reputation.suspects.record(message.crash, now) && this.peers.isLargeFleet) {
 					this.peers.broadcast(message);
 				}
 
@@ -329,7 +362,7 @@
 			}
 
 			case 'acquittal': {
-				if (this.reputation.acquit(message.fingerprint) && this.peers.isLargeFleet) {
+				if (this.reputation.clear(message.crashes, now) && this.peers.isLargeFleet) {
 					this.peers.broadcast(message);
 				}
 
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -41,6 +41,11 @@
 	firstByteAge: amount.optional(),
 });
 
+/** An upstream that broke down while a request ran there. */
+const crash = z.object({
+	fingerprint: text, id: text, upstream: text, started: amount.optional(),
+});
+
 /**
  * Whom a relay passes a message on to: the hosts of its failure domain alone, or the relays of the others as well. Absent
  * where it is meant for the receiver.
@@ -67,9 +72,9 @@
 	}),
 	/** Hosts that are gone: what they sent has ended. */
 	z.object({type: z.literal('hosts-lost'), hosts: z.array(text).max(listLimit), audience}),
-	z.object({type: z.literal('crash'), fingerprint: text, id: text}),
-	/** A suspected request was answered: it crashes no engines. */
-	z.object({type: z.literal('acquittal'), fingerprint: text}),
+	z.object({type: z.literal('crash'), crash}),
+	/** Crashes that were none: the request was answered, or the upstream runs on. */
+	z.object({type: z.literal('acquittal'), crashes: z.array(crash).max(listLimit)}),
 	stateWantedSchema,
 	stateSchema,
 ]);
--- a/src/gateway/reputation.ts
+++ b/src/gateway/reputation.ts
@@ -109,15 +109,41 @@
 
 	/**
 	 * @param fingerprint - Request that was answered whole.
-	 * @returns Whether it was suspected until now.
+	 * @returns Crashes that were held against it until now.
 	 */
-	acquit(fingerprint: string): boolean {
-		const wasSuspected = this.suspects.acquit(fingerprint);
-		if (wasSuspected) {
-			this.#options.log.write({event: 'acquitted', fingerprint});
+	acquit(fingerprint: string): readonly Crash[] {
+		return this.#noteCleared(this.suspects.acquit(fingerprint), 'answered');
+	}
+
+	/**
+	 * @param fingerprint - Request.
+	 * @param survived - Whether an upstream runs on as it did when it is said to have crashed.
+	 * @returns Crashes that were none.
+	 */
+	review(fingerprint: string, survived: (crash: Crash, at: number) => boolean): readonly Crash[] {
+		return this.#noteCleared(this.suspects.review(fingerprint, survived), 'the upstream runs on');
+	}
+
+	/**
+	 * @param crashes - Crashes that a peer has cleared.
+	 * @param now - Time in milliseconds.
+	 * @returns Whether that is news.
+	 */
+	clear(crashes: readonly Crash[], now: number): boolean {
+		const isNews = this.suspects.clear(crashes, now);
+		if (isNews) {
+			this.#noteCleared(crashes, 'cleared by a peer');
+		}
+
+		return isNews;
+	}
+
+	#noteCleared(crashes: readonly Crash[], reason: string): readonly Crash[] {
+		for (const fingerprint of new Set(crashes.map(crash => crash.fingerprint))) {
+			this.#options.log.write({event: 'acquitted', fingerprint, reason});
 		}
 
-		return wasSuspected;
+		return crashes;
 	}
 
 	#noteDoubt(upstream: string, verdict: Verdict, now: number): void {
--- a/stand-ins/gateway/upstream.ts
+++ b/stand-ins/gateway/upstream.ts
@@ -56,6 +56,8 @@
 	readonly #tickets = new Tickets();
 	#isBusy = false;
 	#isDraining = false;
+	/** Unix milliseconds of its start. */
+	#born = Date.now();
 
 	/**
 	 * @param options - Who it is and what it runs.
@@ -98,11 +100,13 @@
 			State: this.#isDraining ? 'draining' : 'ready',
 			ColdRemainingMs: 0,
 			Sequence: 1,
+			born: this.#born,
 		};
 	}
 
 	/** Starts to listen on a free port. */
 	async listen(): Promise<void> {
+		this.#born = Date.now();
 		this.#server.listen(0, loopback);
 		await once(this.#server, 'listening');
 		neighbours.set(`${this.address.host}:${this.address.port}`, this);
