--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -68,7 +68,11 @@
 		this.budget = new RetryBudget(settings.retries);
 		this.peers = new Peers({
 			self: {
-				name: settings.host, failureDomain: settings.failureDomain, address: settings.peer, started: this.#started,
+				name: settings.host,
+				failureDomain: settings.failureDomain,
+				address: settings.peer,
+				started: this.#started,
+				capacity: settings.processor.cores * settings.processor.share,
 			},
 			seeds: settings.seeds,
 			log,
--- a/src/gateway/peers/__tests__/topology.test.ts
+++ b/src/gateway/peers/__tests__/topology.test.ts
@@ -52,6 +52,14 @@
 		}
 	});
 
+	it('lead through the hosts with the most processor time, and through others only when these are gone', () => {
+		const hosts = fleet(1, 20).map((host, index) => ({...host, capacity: [4, 11].includes(index) ? 1.35 : 0.324}));
+		const names = (among: readonly Host[]) => relaysOf('domain-0', among).map(host => host.name);
+		expect(names(hosts).toSorted()).toEqual(['host-11', 'host-4']);
+		const [first, second] = names(hosts.filter(host => host.name !== 'host-4'));
+		expect([first, second]).toEqual(['host-11', names(hosts.filter(host => host.capacity < 1))[0]]);
+	});
+
 	it('move only where a relay comes or goes', () => {
 		const hosts = fleet(4, 18);
 		const before = linksOf(hosts);
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -17,6 +17,8 @@
 	address,
 	/** Wall-clock start: a restarted host has another. */
 	started: amount,
+	/** Cores that it may use. */
+	capacity: amount.optional(),
 });
 
 /** A job as told: times are relative to the telling, so that clocks need not agree. */
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -58,6 +58,8 @@
 	readonly #dialling: Dialling;
 	#beats = 0;
 	#lastLoad = Number.NEGATIVE_INFINITY;
+	/** Those of the hosts linked now; undefined until asked for. */
+	#relays: readonly string[] | undefined;
 	#most = 1;
 
 	/**
@@ -122,7 +124,8 @@
 	/** Names of the relays of this host's failure domain, as far as they are linked, the first choice first; it may be one. */
 	get relays(): readonly string[] {
 		const {self} = this.#options;
-		return relaysOf(self.failureDomain, [self, ...this.hosts]).map(host => host.name);
+		this.#relays ??= relaysOf(self.failureDomain, [self, ...this.hosts]).map(host => host.name);
+		return this.#relays;
 	}
 
 	/**
@@ -286,6 +289,7 @@
 		}
 
 		this.#links.set(from.name, link);
+		this.#relays = undefined;
 		this.#most = Math.max(this.#most, this.#links.size + 1);
 		this.#silence.heard(from.failureDomain, now);
 		if (before !== undefined && before.greeting?.from.started !== from.started) {
@@ -358,6 +362,7 @@
 		}
 
 		this.#links.delete(from.name);
+		this.#relays = undefined;
 		if (reason !== 'silent' && !this.hosts.some(host => host.failureDomain === from.failureDomain)) {
 			this.#silence.closed(from.failureDomain);
 		}
--- a/src/gateway/peers/topology.ts
+++ b/src/gateway/peers/topology.ts
@@ -1,5 +1,5 @@
 /** Who is linked with whom. In a large fleet two hosts of each failure domain relay, and the others are linked with these. */
-import {firstChoices, hashText} from '../../core/utils/hashes.js';
+import {hashText, mix} from '../../core/utils/hashes.js';
 import {type Host} from './messages.js';
 
 /**
@@ -13,16 +13,26 @@
 
 const relayKey = hashText('relays');
 
-type Placed = Pick<Host, 'name' | 'failureDomain'>;
+/** Capacity of a host that does not tell its own. */
+const usualCapacity = 1;
+
+type Placed = Pick<Host, 'capacity' | 'failureDomain' | 'name'>;
 
 /**
+ * The hosts with the most processor time relay: a relay handles the news of all hosts, which on the weakest takes all of its time
+ * while callers press, until what it has yet to send fills its memory.
+ *
  * @param failureDomain - Failure domain.
  * @param hosts - Hosts that may relay, of any failure domain.
  * @returns Its relays, the first choice first; alike wherever the same hosts are known.
  */
 export function relaysOf<T extends Placed>(failureDomain: string, hosts: readonly T[]): readonly T[] {
-	const members = hosts.filter(host => host.failureDomain === failureDomain).map(host => ({host, hash: hashText(host.name)}));
-	return firstChoices(relayKey, members, relaysPerDomain).map(each => each.host);
+	return hosts
+		.filter(host => host.failureDomain === failureDomain)
+		.map(host => ({host, capacity: host.capacity ?? usualCapacity, weight: mix(relayKey, hashText(host.name))}))
+		.toSorted((a, b) => b.capacity - a.capacity || b.weight - a.weight)
+		.slice(0, relaysPerDomain)
+		.map(each => each.host);
 }
 
 /**
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -19,6 +19,8 @@
 	peer: place,
 	/** Where metrics are read as text; none if absent. */
 	metrics: place.optional(),
+	/** Processor time of this host: cores, and the share of each that it may use. Hosts with more relay for the others. */
+	processor: z.object({cores: z.number().positive(), share: z.number().positive()}).readonly().default({cores: 1, share: 1}),
 	/** Peers to begin with. */
 	seeds: z.array(place).readonly().default([]),
 	/** The platform's store. */
