--- a/src/gateway/__tests__/reputation.test.ts
+++ b/src/gateway/__tests__/reputation.test.ts
@@ -85,6 +85,8 @@
 	expect(upstreams.of('model').map(each => [each.id, each.isDraining])).toEqual([['e1', true]]);
 	upstreams.register(upstream('e1', 'a', {started: 2}));
 	const before = upstreams.changes;
+	upstreams.register(upstream('e1', 'a', {started: 2}));
+	expect(upstreams.changes).toBe(before);
 	upstreams.replace([upstream('e1', 'a', {started: 2}), upstream('e3', 'b')]);
 	expect(upstreams.changes).toBeGreaterThan(before);
 	expect([upstreams.of('portal'), upstreams.all.map(each => each.id), upstreams.size]).toEqual([[], ['e1', 'e3'], 2]);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -79,6 +79,7 @@
 			now: () => clock.now(),
 			events: {
 				joined: (host, send) => {
+					this.sharing.joined(host.name);
 					this.news.joined(host, send);
 				},
 				message: (from, message) => {
@@ -168,11 +169,7 @@
 	 * @param state - Its configuration and upstreams, where they differ.
 	 * @param confirmed - Monotonic time as of which they were the newest.
 	 */
-	takeState({configuration, upstreams}: PeerState, confirmed: number): void {
-		if (configuration !== undefined) {
-			this.adopt(configuration);
-		}
-
+	takeState({upstreams}: PeerState, confirmed: number): void {
 		if (upstreams !== undefined) {
 			this.upstreams.replace(upstreams);
 		}
@@ -378,6 +375,11 @@
 				return;
 			}
 
+			case 'configuration': {
+				this.adopt(message.configuration);
+				return;
+			}
+
 			case 'state': {
 				this.sharing.heard(from.name, message);
 				return;
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -4,7 +4,7 @@
 import {raise} from '../../core/index.js';
 import {type Job} from '../../core/gateway/load.js';
 import {frame, FrameReader} from '../../protocol/frames.js';
-import {stateSchema, stateWantedSchema} from './state.js';
+import {configurationMessageSchema, stateSchema, stateWantedSchema} from './state.js';
 
 const text = z.string().max(256);
 const amount = z.number();
@@ -78,6 +78,7 @@
 	/** Crashes that were none: the request was answered, or the upstream runs on. */
 	z.object({type: z.literal('acquittal'), crashes: z.array(crash).max(listLimit)}),
 	stateWantedSchema,
+	configurationMessageSchema,
 	stateSchema,
 ]);
 
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -187,6 +187,14 @@
 		this.#links.get(host)?.send(message);
 	}
 
+	/**
+	 * @param host - Name of a linked host; nothing is sent if it is linked no more.
+	 * @param frame - Message for it, encoded once for several.
+	 */
+	sendFrame(host: string, frame: Uint8Array): void {
+		this.#links.get(host)?.write(frame);
+	}
+
 	/**
 	 * @param seeds - Peers to begin with, as settings name them now.
 	 */
--- a/src/gateway/peers/state.ts
+++ b/src/gateway/peers/state.ts
@@ -1,4 +1,4 @@
-/** What a host knows of the platform, as it tells a peer that asks: the configuration in force and the upstreams. */
+/** What a host knows of the platform, as it tells a peer that asks: the configuration in force, then the upstreams. */
 import {z} from 'zod';
 import {type GatewayConfiguration, type GatewayUpstream} from '../../core/gateway/types.js';
 
@@ -68,14 +68,15 @@
 	registry: z.number(),
 });
 
+/** The configuration in force, told before the state to an asker that has an older one. */
+export const configurationMessageSchema = z.object({type: z.literal('configuration'), configuration: configurationSchema});
+
 export const stateSchema = z.object({
 	type: z.literal('state'),
 	ask: z.number(),
 	/** Milliseconds since the peer's configuration and upstreams were known to be the newest, as of this answer. */
 	age: z.number(),
 	registry: z.number(),
-	/** Absent if the asker has it. */
-	configuration: configurationSchema.optional(),
 	/** All upstreams; absent if none has changed. */
 	upstreams: z.array(upstreamSchema).max(4096).optional(),
 });
--- a/src/gateway/sharing.ts
+++ b/src/gateway/sharing.ts
@@ -2,7 +2,9 @@
  * Spares the platform's store: in a failure domain of many hosts its relays read it and the others ask them. A host that can
  * reach no reader reads by itself; one that can't reach the store asks whoever it is linked with.
  */
+import {type GatewayConfiguration} from '../core/gateway/types.js';
 import {type Gateway} from './gateway.js';
+import {encode} from './peers/messages.js';
 import {type PeerState, type StateWanted} from './peers/state.js';
 
 /**
@@ -29,6 +31,10 @@
 	readonly #asks = new Map<number, Ask>();
 	/** Count of changes as of the last answer, by peer. */
 	readonly #registries = new Map<string, number>();
+	/** Version that each linked host was told of. */
+	readonly #told = new Map<string, number>();
+	/** The configuration in force as it is told: it is encoded once for all hosts that ask. */
+	#frame: {readonly version: number; readonly bytes: Uint8Array} | undefined;
 	#count = 0;
 	#turn = 0;
 
@@ -67,6 +73,13 @@
 		return this.#askOne(this.#gateway.peers.hosts.map(host => host.name), timeout);
 	}
 
+	/**
+	 * @param host - Host that is linked anew: what it was told may not have arrived.
+	 */
+	joined(host: string): void {
+		this.#told.delete(host);
+	}
+
 	/**
 	 * @param from - Peer that asks.
 	 * @param wanted - What it has.
@@ -78,12 +91,15 @@
 			return;
 		}
 
+		if (configuration.version > wanted.version) {
+			this.#tell(from, configuration);
+		}
+
 		gateway.peers.send(from, {
 			type: 'state',
 			ask: wanted.ask,
 			age: gateway.confirmedAge,
 			registry: gateway.upstreams.changes,
-			configuration: configuration.version > wanted.version ? configuration : undefined,
 			upstreams: gateway.upstreams.changes === wanted.registry ? undefined : [...gateway.upstreams.all],
 		});
 	}
@@ -109,6 +125,19 @@
 		ask.done();
 	}
 
+	/** Tells a peer of the configuration, unless it is on its way to it over the same link: a large one takes long to arrive. */
+	#tell(host: string, configuration: GatewayConfiguration): void {
+		const {version} = configuration;
+		if (this.#frame?.version !== version) {
+			this.#frame = {version, bytes: encode({type: 'configuration', configuration})};
+		}
+
+		if (this.#told.get(host) !== version) {
+			this.#told.set(host, version);
+			this.#gateway.peers.sendFrame(host, this.#frame.bytes);
+		}
+	}
+
 	#readers(): readonly string[] {
 		const {peers} = this.#gateway;
 		const {self, failureDomain} = this.#options;
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -1,4 +1,5 @@
 /** The upstreams that may be used, as they are registered now. */
+import {isDeepStrictEqual} from 'node:util';
 import {type GatewayUpstream} from '../core/gateway/types.js';
 import {type Log} from '../entry/logs.js';
 
@@ -69,6 +70,11 @@
 	 */
 	register(upstream: GatewayUpstream): void {
 		const before = this.#byId.get(upstream.id);
+		// A heartbeat that says nothing new is no change: peers that ask would be told of all upstreams each time.
+		if (isDeepStrictEqual(before, upstream)) {
+			return;
+		}
+
 		this.#byId.set(upstream.id, upstream);
 		this.#index();
 		if (before !== undefined && before.started !== upstream.started) {
