--- a/bench/gateway/__tests__/simulation.test.ts
+++ b/bench/gateway/__tests__/simulation.test.ts
@@ -40,10 +40,17 @@
 		}, 'product')).toBeGreaterThan(0.985);
 	});
 
-	// In the order of arrival 0.44 were served: whoever waited was late, and so was everybody after.
+	// In the order of arrival 0.44 were served: whoever waited was late, and so was everybody after. 0.53 were in order of lateness.
 	it('are served in time in part where engines cannot bear all', {timeout: 60_000}, () => {
 		expect(play({
 			hosts: 7, engines: 10, load: 1, newsDelay: 6,
-		}, 'product', 3)).toBeGreaterThan(0.49);
+		}, 'product', 3)).toBeGreaterThan(0.58);
+	});
+
+	// 0.72 were while long prompts were sent wherever they disturbed least, however many that were.
+	it('are served better where long prompts that disturb too many come again later', {timeout: 60_000}, () => {
+		expect(play({
+			hosts: 7, engines: 13, load: 1, newsDelay: 6,
+		}, 'product', 3)).toBeGreaterThan(0.82);
 	});
 });
--- a/bench/gateway/simulation.ts
+++ b/bench/gateway/simulation.ts
@@ -6,10 +6,12 @@
 import {
 	place, reconsider, weigh, type Place, type Surroundings,
 } from '../../src/core/gateway/placement.js';
+import {isHarmful, returnTime} from '../../src/core/gateway/refusal.js';
 import {type Demand, type EngineModel, type GatewayUpstream} from '../../src/core/gateway/types.js';
 import {usualUrgency} from '../../src/core/gateway/urgency.js';
 import {Batch, memoryOf} from '../../stand-ins/gateway/batch.js';
 import {Timeline} from '../model/timeline.js';
+import {seeded} from '../model/workload.js';
 import {type Arrival} from './workload.js';
 
 /** Who chooses an engine. */
@@ -51,6 +53,9 @@
 const objectivePatience = 4;
 const pausePatience = 8;
 
+/** Milliseconds after which a caller comes back that found no engine. */
+const usualReturn = 700;
+
 /** Prompts from this length on are long for the fixed border, and the share of engines they have. */
 const borderTokens = 20_000;
 const borderShare = 0.5;
@@ -80,6 +85,7 @@
 	readonly #busy: boolean[];
 	readonly #running = new Map<string, Running>();
 	readonly #results: Result[] = [];
+	readonly #random = seeded(1);
 
 	/**
 	 * @param site - Engines, hosts and policy.
@@ -102,7 +108,7 @@
 	run(arrivals: readonly Arrival[], end: number): readonly Result[] {
 		for (const arrival of arrivals) {
 			this.#timeline.add(arrival.at + callerDelay, () => {
-				this.#arrive(arrival);
+				this.#arrive(arrival, false);
 			});
 		}
 
@@ -114,7 +120,7 @@
 		return this.#results;
 	}
 
-	#arrive(arrival: Arrival): void {
+	#arrive(arrival: Arrival, isBack: boolean): void {
 		const {now} = this.#timeline;
 		const {kind} = arrival;
 		const {stride} = this.#site.model;
@@ -130,14 +136,34 @@
 			prompt: {tokens: arrival.prompt, answer: kind.events.most * stride, expected: arrival.expected * stride},
 		};
 		const chosen = this.#choose(demand, arrival);
-		if (chosen === undefined || !this.#reserve(arrival.id, chosen)) {
+		if (chosen === undefined || this.#isHarmful(demand, chosen) || !this.#reserve(arrival.id, chosen)) {
+			this.#refuse(arrival, chosen, isBack);
+			return;
+		}
+
+		this.#send(arrival, demand, chosen, false);
+	}
+
+	#isHarmful(demand: Demand, chosen: Place): boolean {
+		const {policy, model} = this.#site;
+		return (policy === 'product' || policy === 'omniscient') && isHarmful(chosen, weigh(model, demand.prompt!));
+	}
+
+	/** Callers come back once, after the time that they are told, a third of their time at most. */
+	#refuse(arrival: Arrival, chosen: Place | undefined, isBack: boolean): void {
+		const {now} = this.#timeline;
+		if (isBack) {
 			this.#results.push({
 				arrival, longestPause: 0, isDone: false, isRefused: true, helpers: 0,
 			});
 			return;
 		}
 
-		this.#send(arrival, demand, chosen, false);
+		const told = chosen === undefined ? usualReturn : returnTime(chosen, this.#site.model, this.#random.integer(0, 100) / 100);
+		const left = arrival.at + arrival.kind.deadline - now;
+		this.#timeline.add(now + Math.min(told, left / 3), () => {
+			this.#arrive(arrival, true);
+		});
 	}
 
 	#choose(demand: Demand, arrival: Arrival): Place | undefined {
--- a/src/cli/__tests__/losses.test.ts
+++ b/src/cli/__tests__/losses.test.ts
@@ -61,6 +61,10 @@
 
 it('what was not served is lost whole, a caller that changed its mind is none of ours', () => {
 	expect(causes(placed(0, 'a'), ended(900, 'a', {outcome: 'refusedByUpstream'}))).toEqual([['a', 'refused', 2]]);
+	const turnedAway = line(0, 'not-placed', {
+		request: 'a', upstream: 'e1', tokens: 90_000, predicted: 3000, loss: 40, weight: 8, returnAfter: 2000,
+	});
+	expect(causes(turnedAway, ended(1, 'a', {outcome: 'overloaded', attempts: 0}))).toEqual([['a', 'refused', 8]]);
 	expect(causes(placed(0, 'a'), ended(900, 'a', {outcome: 'caller left', silentFor: 2000}))).toEqual([['a', 'given up by the caller', 2]]);
 	expect(causes(placed(0, 'a'), ended(900, 'a', {outcome: 'caller left', silentFor: 30}), placed(0, 'b'), ended(900, 'b'))).toEqual([]);
 });
--- a/src/cli/gateway-lines.ts
+++ b/src/cli/gateway-lines.ts
@@ -29,6 +29,15 @@
 		reason: z.string().optional(),
 		status: z.number().optional(),
 	}),
+	z.object({
+		type: z.literal('not-placed'),
+		upstream: z.string(),
+		tokens: z.number(),
+		predicted: z.number(),
+		loss: z.number(),
+		weight: z.number(),
+		returnAfter: z.number(),
+	}),
 	z.object({type: z.literal('hold-refused'), hold: z.string(), refused: z.array(z.string())}),
 	z.object({
 		type: z.literal('ended'),
@@ -50,6 +59,7 @@
 
 export type GatewayLine = z.infer<typeof gatewaySchema>;
 export type Placed = Extract<GatewayLine, {type: 'placed'}>;
+export type NotPlaced = Extract<GatewayLine, {type: 'not-placed'}>;
 export type AttemptEnded = Extract<GatewayLine, {type: 'attempt-ended'}>;
 export type Ended = Extract<GatewayLine, {type: 'ended'}>;
 
@@ -111,6 +121,10 @@
 			return attemptInWords(line);
 		}
 
+		case 'not-placed': {
+			return `Refused: at ${line.upstream}, the best place, it would cost callers ${line.loss} and is worth ${line.weight}; it may come again after ${line.returnAfter} ms`;
+		}
+
 		case 'hold-refused': {
 			return `Memory ${line.hold} was not granted by ${line.refused.join(', ')}`;
 		}
--- a/src/cli/losses/causes.ts
+++ b/src/cli/losses/causes.ts
@@ -2,7 +2,7 @@
 import {assertNever} from '../../core/index.js';
 import {lateLoss} from '../../core/gateway/placement.js';
 import {
-	gatewaySchema, type AttemptEnded, type Ended, type GatewayLine, type Placed,
+	gatewaySchema, type AttemptEnded, type Ended, type GatewayLine, type NotPlaced, type Placed,
 } from '../gateway-lines.js';
 import {type LogEntry} from '../log-lines.js';
 
@@ -59,6 +59,7 @@
 type Story = {
 	readonly placed: Array<At<Placed>>;
 	readonly endings: AttemptEnded[];
+	refused?: At<NotPlaced>;
 	ended?: At<Ended>;
 };
 
@@ -100,6 +101,11 @@
 			return;
 		}
 
+		case 'not-placed': {
+			story.refused = {at, host, line};
+			return;
+		}
+
 		case 'hold-refused': {
 			return;
 		}
@@ -206,7 +212,7 @@
 	const losses: Loss[] = [];
 	let asked = 0;
 	for (const [request, story] of stories) {
-		const [first] = story.placed;
+		const first = story.placed[0] ?? story.refused;
 		if (first === undefined || story.ended === undefined) {
 			continue;
 		}
--- a/src/core/gateway/placement.ts
+++ b/src/core/gateway/placement.ts
@@ -140,12 +140,16 @@
 	return forecast.placeWait + (forecast.pass * 1.5) + forecast.backlog + read.total;
 }
 
-function pauseLoss(option: Option, demand: Demand, weight: number): number {
-	if (demand.pause === undefined) {
-		return 0;
-	}
+/** Chance that the stream pauses for longer than its caller bears. */
+function pauseChance({forecast}: Option, {pause}: Demand): number {
+	return pause === undefined ? 0 : lateness(forecast.pass + backlogPerPass(forecast), pause);
+}
 
-	return lateness(option.forecast.pass + backlogPerPass(option.forecast), demand.pause) * weight * lateLoss;
+/** What the request itself loses, with its first byte after so many milliseconds: late is late, by its first byte or by a pause. */
+function ownLoss(first: Option, firstByte: number, demand: Demand, weight: number, now: number): number {
+	const inTime = (1 - lateness(firstByte + overhead, demand.due - now)) * (1 - pauseChance(first, demand));
+	const unserved = lateness(firstByte + overhead, demand.deadline - now);
+	return weight * (((1 - inTime) * lateLoss) + (unserved * (1 - lateLoss)));
 }
 
 /** What it costs others later that one more is written here. */
@@ -188,15 +192,14 @@
 	const weight = weigh(model, prompt);
 	const parts = helpers.length + 1;
 	const read = reading(model, prompt.tokens, parts);
-	let loss = first.fixed + crowding(first, model, demand) + pauseLoss(first, demand, weight) + (partLoss * helpers.length);
+	let loss = first.fixed + crowding(first, model, demand) + (partLoss * helpers.length);
 	let firstByte = 0;
 	for (const option of [first, ...helpers]) {
 		loss += disturbance(option, read, now) + (option === first ? 0 : option.fixed);
 		firstByte = Math.max(firstByte, readTime(option, read));
 	}
 
-	loss += lateness(firstByte + overhead, demand.due - now) * weight * lateLoss;
-	loss += lateness(firstByte + overhead, demand.deadline - now) * weight * (1 - lateLoss);
+	loss += ownLoss(first, firstByte, demand, weight, now);
 	const isLate = now + firstByte + overhead > demand.due;
 	const urgency = urgencyOf(prompt, demand.isBegun === true ? 'begun' : (isLate ? 'late' : 'in time'));
 	return {
--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -46,3 +46,37 @@
 	asking.destroy();
 	server.close();
 });
+
+it('a request that would cost others more than it is worth is refused at once, with the time to come back', async () => {
+	const refused: Array<readonly [string, number | undefined]> = [];
+	const lines: string[] = [];
+	const place = {
+		upstream: {id: 'e0', address: {host: '127.0.0.1', port: 1}}, helpers: [], holdTokens: 0, loss: 60, firstByte: 900, reading: {total: 400, perPass: 400},
+	};
+	const gateway = {
+		isConvicted: () => false,
+		service: () => ({engine: {usualPrompt: 1000, usualAnswer: 500, step: 1}}),
+		place: () => place,
+	};
+	const parts = {gateway, clock: {now: () => 0}, random: () => 0.5} as unknown as Parts;
+	const delivery = {
+		refuse(name: string, after?: number) {
+			refused.push([name, after]);
+		},
+	} as unknown as Delivery;
+	const trace = {
+		write(event: string) {
+			lines.push(event);
+		},
+	} as unknown as Trace;
+	const incoming = {url: '/', headers: {}} as unknown as Order['incoming'];
+	const order = {
+		incoming,
+		body: Buffer.alloc(0),
+		route: {attempts: 2, kind: 'streaming', isResumable: true},
+		organisation: undefined,
+		demand: {deadline: 1000, service: 's', prompt: {tokens: 50_000, answer: 100}},
+	} as unknown as Order;
+	await new Dispatch(parts, order, delivery, trace).run();
+	expect([refused, lines]).toEqual([[['overloaded', 1]], ['not-placed']]);
+});
--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -4,7 +4,8 @@
 import {verdictOf} from '../core/gateway/health.js';
 import {type Job} from '../core/gateway/load.js';
 import {isWorthMoving} from '../core/gateway/moves.js';
-import {type Place} from '../core/gateway/placement.js';
+import {weigh, type Place} from '../core/gateway/placement.js';
+import {isHarmful, returnTime} from '../core/gateway/refusal.js';
 import {type AttemptEnding} from '../core/gateway/retries.js';
 import {Tries} from '../core/gateway/tries.js';
 import {type Demand, type Route} from '../core/gateway/types.js';
@@ -74,6 +75,10 @@
 				return;
 			}
 
+			if (this.#isRefused(place)) {
+				return;
+			}
+
 			const ending = await this.#attemptAt(place);
 			if (ending.type === 'answered') {
 				gateway.acquit(this.#fingerprint);
@@ -89,6 +94,33 @@
 		}
 	}
 
+	/** Refuses a request that has not been sent if serving it costs others more than it is worth. */
+	#isRefused(place: Place): boolean {
+		const {gateway, random} = this.#parts;
+		const {demand} = this.#order;
+		const model = gateway.service(demand.service)?.engine;
+		if (model === undefined || demand.prompt === undefined || this.#tries.sent > 0) {
+			return false;
+		}
+
+		const weight = weigh(model, demand.prompt);
+		if (!isHarmful(place, weight)) {
+			return false;
+		}
+
+		const after = returnTime(place, model, random());
+		this.#trace.write('not-placed', {
+			upstream: place.upstream.id,
+			tokens: demand.prompt.tokens,
+			predicted: Math.round(place.firstByte),
+			loss: Number(place.loss.toFixed(3)),
+			weight: Number(weight.toFixed(2)),
+			returnAfter: Math.round(after),
+		});
+		this.#delivery.refuse('overloaded', after / 1000);
+		return true;
+	}
+
 	/**
 	 * Ends the attempt that runs; no other one follows.
 	 *
