--- a/bench/gateway/main.ts
+++ b/bench/gateway/main.ts
@@ -3,6 +3,9 @@
 import {writeFileSync} from 'node:fs';
 import process from 'node:process';
 import {Command, InvalidArgumentError} from 'commander';
+import {
+	isMechanism, mechanisms, policyWithout, usualPolicy, type Mechanism,
+} from '../../src/core/gateway/policy.js';
 import {drawn} from './plots.js';
 import {isInTime, worthServed} from './results.js';
 import {Simulation, type Policy, type Result} from './simulation.js';
@@ -24,6 +27,7 @@
 	readonly loads: readonly number[];
 	readonly policy?: string;
 	readonly plot?: string;
+	readonly without: readonly Mechanism[];
 };
 
 type Row = {
@@ -64,12 +68,21 @@
 	return text.split(',').map(each => positive(each));
 }
 
-function play({seeds, engines, hosts, news}: Choices, load: number, policy: Policy): readonly Result[] {
+function mechanismNames(text: string): readonly Mechanism[] {
+	const names = text.split(',');
+	if (names.every(name => isMechanism(name))) {
+		return names;
+	}
+
+	throw new InvalidArgumentError(`Mechanisms are ${mechanisms.join(', ')}.`);
+}
+
+function play({seeds, engines, hosts, news, without}: Choices, load: number, policy: Policy): readonly Result[] {
 	const workload: Workload = {
 		kinds: newsroom.map(kind => ({...kind, rate: kind.rate * load})), phases: tides, length, hosts,
 	};
 	const site = {
-		model: replica, hosts, engines, policy, newsDelay: news,
+		model: replica, hosts, engines, policy, newsDelay: news, decisions: policyWithout(usualPolicy, without),
 	};
 	return Array.from({length: seeds}, (_, index) => new Simulation(site).run(arrivals(workload, index + 1), length + ending)).flat();
 }
@@ -110,6 +123,7 @@
 	.option('--news <ms>', 'milliseconds that news take between hosts', positive, 6)
 	.option('--loads <x,...>', 'rates are multiplied by each of these in turn', positives, [1])
 	.option('--policy <name>', 'only this policy')
+	.option('--without <mechanism,...>', `the product's decisions without: ${mechanisms.join(', ')}`, mechanismNames, [])
 	.option('--plot <file>', 'write worth by load as an SVG plot')
 	.action((choices: Choices) => {
 		compare(choices);
--- a/bench/gateway/simulation.ts
+++ b/bench/gateway/simulation.ts
@@ -3,9 +3,11 @@
 import {Health} from '../../src/core/gateway/health.js';
 import {Load, type Job} from '../../src/core/gateway/load.js';
 import {isToYield, isWorthMoving} from '../../src/core/gateway/moves.js';
+import {weigh} from '../../src/core/gateway/losses.js';
 import {
-	place, reconsider, weigh, type Place, type Surroundings,
+	place, reconsider, type Place, type Surroundings,
 } from '../../src/core/gateway/placement.js';
+import {usualPolicy, type Policy as Decisions} from '../../src/core/gateway/policy.js';
 import {isHarmful, returnTime} from '../../src/core/gateway/refusal.js';
 import {type Demand, type EngineModel, type GatewayUpstream} from '../../src/core/gateway/types.js';
 import {usualUrgency} from '../../src/core/gateway/urgency.js';
@@ -31,6 +33,8 @@
 	readonly policy: Policy;
 	/** Milliseconds that news take from one host to another. */
 	readonly newsDelay: number;
+	/** What the product's decisions follow; the usual if absent. */
+	readonly decisions?: Decisions;
 };
 
 /** What became of a request. Times in milliseconds from its arrival. */
@@ -77,6 +81,7 @@
 
 export class Simulation {
 	readonly #site: Site;
+	readonly #decisions: Decisions;
 	readonly #timeline = new Timeline();
 	readonly #loads: readonly Load[];
 	readonly #health = new Health();
@@ -92,6 +97,7 @@
 	 */
 	constructor(site: Site) {
 		this.#site = site;
+		this.#decisions = site.decisions ?? usualPolicy;
 		this.#loads = Array.from({length: site.policy === 'omniscient' ? 1 : site.hosts}, () => new Load());
 		this.#upstreams = Array.from({length: site.engines}, (_, index) => ({
 			id: `e${index}`, service: 's', address: {host: '10.0.0.1', port: index + 1}, failureDomain: `d${index % 3}`, slots: site.model.slots, isDraining: false,
@@ -146,7 +152,7 @@
 
 	#isHarmful(demand: Demand, chosen: Place): boolean {
 		const {policy, model} = this.#site;
-		return (policy === 'product' || policy === 'omniscient') && isHarmful(chosen, weigh(model, demand.prompt!));
+		return (policy === 'product' || policy === 'omniscient') && isHarmful(chosen, weigh(model, demand.prompt!), this.#decisions);
 	}
 
 	/** Callers come back once, after the time that they are told, a third of their time at most. */
@@ -192,6 +198,7 @@
 
 	#around(host: number): Surroundings {
 		return {
+			policy: this.#decisions,
 			load: this.#loadOf(host),
 			health: this.#health,
 			host: `h${host}`,
@@ -322,7 +329,7 @@
 		const {now} = this.#timeline;
 		for (const running of this.#running.values()) {
 			const isMovable = running.host === host && !running.isMoved && running.firstEvent === undefined;
-			if (isMovable && isToYield(running.job, other, now)) {
+			if (isMovable && this.#decisions.yields && isToYield(running.job, other, now)) {
 				this.#reconsider(running);
 			}
 		}
--- a/src/cli/losses/causes.ts
+++ b/src/cli/losses/causes.ts
@@ -1,6 +1,6 @@
 /** Puts each request that callers did not get in full and in time to one cause, from log lines alone. */
 import {assertNever} from '../../core/index.js';
-import {lateLoss} from '../../core/gateway/placement.js';
+import {lateLoss} from '../../core/gateway/losses.js';
 import {
 	gatewaySchema, type AttemptEnded, type Ended, type GatewayLine, type NotPlaced, type Placed,
 } from '../gateway-lines.js';
--- a/src/core/gateway/__tests__/moves.test.ts
+++ b/src/core/gateway/__tests__/moves.test.ts
@@ -4,6 +4,7 @@
 import {Load, type Job} from '../load.js';
 import {isToYield, isWorthMoving} from '../moves.js';
 import {place, reconsider, type Surroundings} from '../placement.js';
+import {usualPolicy} from '../policy.js';
 import {type Demand, type EngineModel, type GatewayUpstream} from '../types.js';
 
 const now = 1_000_000;
@@ -54,7 +55,7 @@
 
 	function surroundings(load: Load, tried: readonly string[]): Surroundings {
 		return {
-			load, health: new Health(), host: 'h', failureDomain: 'a', unreachable: new Set(), eligibility: {tried: new Set(tried)}, now,
+			policy: usualPolicy, load, health: new Health(), host: 'h', failureDomain: 'a', unreachable: new Set(), eligibility: {tried: new Set(tried)}, now,
 		};
 	}
 
--- a/src/core/gateway/__tests__/placement.test.ts
+++ b/src/core/gateway/__tests__/placement.test.ts
@@ -2,9 +2,9 @@
 import {describe, expect, it} from 'vitest';
 import {Health} from '../health.js';
 import {Load, type Job} from '../load.js';
-import {
-	disturbed, place, weigh, type Place, type Surroundings,
-} from '../placement.js';
+import {disturbed, weigh} from '../losses.js';
+import {place, type Place, type Surroundings} from '../placement.js';
+import {usualPolicy} from '../policy.js';
 import {type Demand, type EngineModel, type GatewayUpstream} from '../types.js';
 
 /** Figures of a site's engines. */
@@ -34,7 +34,7 @@
 
 	place(wanted: Demand, among: readonly GatewayUpstream[], change: Partial<Surroundings> = {}): Place | undefined {
 		return place(wanted, among, model, {
-			load: this.load, health: this.health, host: 'h', failureDomain: 'a', unreachable: new Set(), eligibility: {tried: new Set()}, now, ...change,
+			policy: usualPolicy, load: this.load, health: this.health, host: 'h', failureDomain: 'a', unreachable: new Set(), eligibility: {tried: new Set()}, now, ...change,
 		});
 	}
 
--- a/src/core/gateway/__tests__/refusal.test.ts
+++ b/src/core/gateway/__tests__/refusal.test.ts
@@ -1,5 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import {reading} from '../engine.js';
+import {usualPolicy} from '../policy.js';
 import {isHarmful, returnTime} from '../refusal.js';
 import {type EngineModel} from '../types.js';
 
@@ -8,8 +9,8 @@
 };
 
 it('a request is refused only where serving it costs more than it is worth', () => {
-	expect(isHarmful({loss: 0.8}, 1)).toBe(false);
-	expect(isHarmful({loss: 138}, 32)).toBe(true);
+	expect(isHarmful({loss: 0.8}, 1, usualPolicy)).toBe(false);
+	expect(isHarmful({loss: 138}, 32, usualPolicy)).toBe(true);
 });
 
 describe('a refused caller', () => {
--- a/src/core/gateway/load.ts
+++ b/src/core/gateway/load.ts
@@ -52,6 +52,16 @@
 	readonly free: number;
 };
 
+/** For whom a forecast is made. */
+export type View = {
+	/** Rank in the queue of the request that might come. */
+	readonly urgency?: number;
+	/** Job that is left out, as if it had not been sent. */
+	readonly except?: string;
+	/** Whether callers' estimates of their answers count. */
+	readonly usesEstimates?: boolean;
+};
+
 /** What an engine has, beside the jobs themselves. */
 type Shelf = {
 	readonly jobs: Map<string, Job>;
@@ -214,11 +224,10 @@
 	 * @param upstream - Engine.
 	 * @param model - Its figures.
 	 * @param now - Time.
-	 * @param urgency - Rank in its queue of the request that might come.
-	 * @param except - Job that is left out, as if it had not been sent.
+	 * @param view - Whose view it is.
 	 * @returns What it is expected to do next.
 	 */
-	forecast(upstream: string, model: EngineModel, now: number, urgency = usualUrgency, except?: string): Forecast {
+	forecast(upstream: string, model: EngineModel, now: number, {urgency = usualUrgency, except, usesEstimates = true}: View = {}): Forecast {
 		const shelf = this.#shelves.get(upstream);
 		if (shelf === undefined) {
 			return {
@@ -240,7 +249,7 @@
 
 			if (job.upstream === upstream) {
 				occupants.push({
-					expected: job.expected, writtenFor: job.firstByte === undefined ? undefined : now - job.firstByte, urgency: job.urgency ?? usualUrgency,
+					expected: usesEstimates ? job.expected : undefined, writtenFor: job.firstByte === undefined ? undefined : now - job.firstByte, urgency: job.urgency ?? usualUrgency,
 				});
 			}
 
--- a/src/core/gateway/placement.ts
+++ b/src/core/gateway/placement.ts
@@ -2,57 +2,26 @@
 import {hashText, mix} from '../utils/hashes.js';
 import {footprint, reading, type Reading} from './engine.js';
 import {type Health} from './health.js';
-import {type Forecast, type Job, type Load} from './load.js';
+import {type Load} from './load.js';
+import {
+	crowding, disturbance, overhead, ownLoss, readTime, weigh, type Option,
+} from './losses.js';
+import {type Policy} from './policy.js';
 import {type Eligibility} from './tries.js';
-import {urgencyOf} from './urgency.js';
 import {
 	type Demand, type EngineModel, type GatewayUpstream, type Prompt,
 } from './types.js';
+import {urgencyOf, type Standing} from './urgency.js';
 
-/** Share of a request's worth that is lost if it is served late; 1 if it isn't served. */
-export const lateLoss = 0.75;
-
-/** Most engines that share a prompt. */
-const mostParts = 16;
-
-/** Milliseconds of prediction error, and its part that grows with the time predicted. */
-const spread = 15;
-const relativeSpread = 0.08;
-
-/** Milliseconds of network and of this host that a caller sees beside the engine. */
-const overhead = 12;
-
-/** Lost by whoever finds an idle engine no more, as a share of a usual request's worth. */
-const openingLoss = 0.08;
-
-/** What crowding an engine costs when it is full, as a share of a usual request's worth; it grows with the fourth power. */
-const crowdingLoss = 0.15;
-
-/** What each engine more that shares a prompt costs: it may fail, and others may have chosen it too. */
-const partLoss = 0.03;
-
-/** What an upstream in another failure domain costs, as a share of a usual request's worth: the link may be cut. */
-const distanceLoss = 0.01;
-
-/**
- * Most that an upstream costs one host more than another, as a share of a usual request's worth. Hosts that have not heard of
- * each other's latest choices would all take the same idle engine. Played with 70 hosts, 78 engines and 113 requests a second,
- * worth served with news 8, 25 and 45 ms old: 0.987, 0.947 and 0.890 without, 0.997, 0.986 and 0.975 with it; with 6 hosts and
- * news 6 ms old 0.983 and 0.987. With 0.2 the load of one and a half times what 23 engines bear is served worse than without.
- */
-const tasteLoss = 0.1;
+/** Chunks of an engine from which on a prompt is worth sharing. */
+const sharedChunks = 4;
 
 /** Hashes are below this. */
 const hashRange = 2 ** 32;
 
-/** Chance of a pause from which on a stream is better off elsewhere. */
-const likely = 0.5;
-
-/** What a millisecond of waiting counts among engines that disturb nobody: enough to prefer the one that is free first. */
-const waitLoss = 0.0001;
-
 /** What is told to decide. */
 export type Surroundings = {
+	readonly policy: Policy;
 	readonly load: Load;
 	readonly health: Health;
 	readonly host: string;
@@ -80,105 +49,23 @@
 	readonly loss: number;
 };
 
-/**
- * @param model - Engine.
- * @param prompt - Size of a request.
- * @returns What it is worth: a long document is waited for by more people than a question.
- */
-export function weigh(model: EngineModel, prompt: Prompt): number {
-	return 1 + (prompt.tokens / Math.max(model.usualPrompt, 1));
-}
-
-/** Chance that what is expected after `time` comes later than `limit`; both in milliseconds from now. */
-function lateness(time: number, limit: number): number {
-	const error = spread + (relativeSpread * Math.max(time, 0));
-	return 1 / (1 + Math.exp((limit - time) / error));
-}
-
-type Option = {
-	readonly upstream: GatewayUpstream;
-	readonly forecast: Forecast;
-	/** Loss that does not depend on how much is read there. */
-	readonly fixed: number;
-};
-
-/** What those who are written or read at an engine lose if it reads so much more. */
-function disturbance({forecast}: Option, read: Reading, now: number): number {
-	let loss = 0;
-	for (const job of forecast.writers) {
-		if (job.pause !== undefined) {
-			const before = forecast.pass + backlogPerPass(forecast);
-			const more = lateness(before + read.perPass, job.pause) - lateness(before, job.pause);
-			loss += more * job.weight * lateLoss;
-		}
-	}
-
-	for (const job of forecast.readers) {
-		loss += delayLoss(job, read.total, forecast.backlog, now);
-	}
-
-	return loss;
-}
-
-function backlogPerPass(forecast: Forecast): number {
-	let most = 0;
-	for (const job of forecast.readers) {
-		most = Math.max(most, job.readPerPass);
-	}
-
-	return Math.min(most, forecast.backlog);
-}
-
-function delayLoss(job: Job, delay: number, expected: number, now: number): number {
-	const limit = job.due - now - overhead;
-	return (lateness(expected + delay, limit) - lateness(expected, limit)) * job.weight * lateLoss;
-}
-
-/** Milliseconds until a new prompt has been read at an engine. */
-function readTime({forecast}: Option, read: Reading): number {
-	// It joins at the end of the running pass and its first token comes at the end of its own.
-	return forecast.placeWait + (forecast.pass * 1.5) + forecast.backlog + read.total;
-}
-
-/** Chance that the stream pauses for longer than its caller bears. */
-function pauseChance({forecast}: Option, {pause}: Demand): number {
-	return pause === undefined ? 0 : lateness(forecast.pass + backlogPerPass(forecast), pause);
-}
-
-/** What the request itself loses, with its first byte after so many milliseconds: late is late, by its first byte or by a pause. */
-function ownLoss(first: Option, firstByte: number, demand: Demand, weight: number, now: number): number {
-	const inTime = (1 - lateness(firstByte + overhead, demand.due - now)) * (1 - pauseChance(first, demand));
-	const unserved = lateness(firstByte + overhead, demand.deadline - now);
-	return weight * (((1 - inTime) * lateLoss) + (unserved * (1 - lateLoss)));
-}
-
-/** What it costs others later that one more is written here. */
-function crowding(option: Option, model: EngineModel, demand: Demand): number {
-	const {requests, writers} = option.forecast;
-	const isTight = demand.pause !== undefined && demand.pause < longPause;
-	const opens = isTight && !writers.some(job => job.pause !== undefined && job.pause < longPause);
-	return (opens ? openingLoss : 0) + (crowdingLoss * ((requests / model.slots) ** 4));
-}
-
-/** Pauses from this length on leave room for the reading of long prompts, in milliseconds. */
-const longPause = 400;
-
 function options(upstreams: readonly GatewayUpstream[], model: EngineModel, around: Surroundings, prompt: Prompt): readonly Option[] {
+	const {health, load, now, except, policy, failureDomain} = around;
 	const host = hashText(around.host);
 	const weight = weigh(model, prompt);
 	const urgency = urgencyOf(prompt, 'in time');
 	return upstreams.map(upstream => ({
 		upstream,
-		forecast: around.load.forecast(upstream.id, model, around.now, urgency, around.except),
-		fixed: (around.health.risk(upstream.id, around.now) * weight)
-			+ (upstream.failureDomain === around.failureDomain ? 0 : distanceLoss)
-			+ taste(host, upstream.id),
+		forecast: load.forecast(upstream.id, model, now, {urgency, except, usesEstimates: policy.usesEstimates}),
+		fixed: (health.risk(upstream.id, now) * weight)
+			+ (upstream.failureDomain === failureDomain ? 0 : policy.distanceLoss)
+			+ (taste(host, upstream.id) * policy.tasteLoss),
 	}));
 }
 
-/** What an upstream costs this host more than others: among equals hosts that have not heard of each other's choice differ. */
+/** How little a host likes an upstream, 0 to 1: among equals hosts that have not heard of each other's choice differ. */
 function taste(host: number, upstream: string): number {
-	return mix(host, hashText(upstream)) / hashRange * tasteLoss;
+	return mix(host, hashText(upstream)) / hashRange;
 }
 
 type Sharing = {
@@ -187,71 +74,58 @@
 	readonly holdTokens: number;
 };
 
-function assess(sharing: Sharing, demand: Demand, prompt: Prompt, model: EngineModel, now: number): Omit<Place, 'upstream' | 'helpers' | 'holdTokens'> {
-	const {first, helpers} = sharing;
-	const weight = weigh(model, prompt);
-	const parts = helpers.length + 1;
-	const read = reading(model, prompt.tokens, parts);
-	let loss = first.fixed + crowding(first, model, demand) + (partLoss * helpers.length);
+function assess({first, helpers, holdTokens}: Sharing, demand: Demand, prompt: Prompt, model: EngineModel, around: Surroundings): Place {
+	const {policy, now} = around;
+	const read = reading(model, prompt.tokens, helpers.length + 1);
+	let loss = first.fixed + crowding(first, model, demand, policy) + (policy.partLoss * helpers.length);
 	let firstByte = 0;
 	for (const option of [first, ...helpers]) {
 		loss += disturbance(option, read, now) + (option === first ? 0 : option.fixed);
 		firstByte = Math.max(firstByte, readTime(option, read));
 	}
 
-	loss += ownLoss(first, firstByte, demand, weight, now);
-	const isLate = now + firstByte + overhead > demand.due;
-	const urgency = urgencyOf(prompt, demand.isBegun === true ? 'begun' : (isLate ? 'late' : 'in time'));
+	loss += ownLoss(first, firstByte, demand, weigh(model, prompt), now);
 	return {
-		reading: read, firstByte, loss, urgency,
+		upstream: first.upstream,
+		helpers: helpers.map(option => option.upstream),
+		holdTokens,
+		reading: read,
+		firstByte,
+		urgency: urgencyOf(prompt, standingOf(demand, firstByte, around)),
+		loss,
 	};
 }
 
-/**
- * Streams at an engine that are about to pause for longer than their callers bear, as a long prompt will be read there.
- *
- * @param forecast - What the engine does next.
- * @returns The requests, and what each loses by staying, in requests of usual worth.
- */
-export function disturbed(forecast: Forecast): ReadonlyArray<{readonly job: Job; readonly loss: number}> {
-	const pass = forecast.pass + backlogPerPass(forecast);
-	const found: Array<{readonly job: Job; readonly loss: number}> = [];
-	for (const job of forecast.writers) {
-		if (job.pause === undefined) {
-			continue;
-		}
-
-		const chance = lateness(pass, job.pause) - lateness(forecast.pass, job.pause);
-		if (chance > likely) {
-			found.push({job, loss: chance * job.weight * lateLoss});
-		}
+function standingOf(demand: Demand, firstByte: number, {policy, now}: Surroundings): Standing {
+	if (demand.isBegun === true) {
+		return 'begun';
 	}
 
-	return found;
+	return policy.ranksLateness && now + firstByte + overhead > demand.due ? 'late' : 'in time';
 }
 
 /** The cheapest engines to read a part, for those who are there already. */
-function ranked(choices: readonly Option[], read: Reading, now: number): readonly Option[] {
+function ranked(choices: readonly Option[], read: Reading, {now, policy}: Surroundings): readonly Option[] {
 	const cost = new Map<Option, number>();
 	for (const option of choices) {
-		const wait = readTime(option, read) * waitLoss;
-		cost.set(option, disturbance(option, read, now) + option.fixed + wait);
+		cost.set(option, disturbance(option, read, now) + option.fixed + (readTime(option, read) * policy.waitLoss));
 	}
 
 	return choices.toSorted((a, b) => cost.get(a)! - cost.get(b)!);
 }
 
-function sharings(prompt: Prompt, model: EngineModel, choices: readonly Option[], {now, eligibility}: Surroundings): Sharing[] {
+function sharings(prompt: Prompt, model: EngineModel, choices: readonly Option[], around: Surroundings): Sharing[] {
+	const {eligibility, policy} = around;
 	const needed = footprint(model, prompt.tokens, prompt.answer);
 	const mayAnswer = (option: Option) => eligibility.among?.has(option.upstream.id) ?? true;
 	const fitting = choices.filter(option => option.forecast.free >= needed && mayAnswer(option));
 	const found: Sharing[] = fitting.map(first => ({first, helpers: [], holdTokens: 0}));
-	if (prompt.tokens < model.chunk * 4) {
+	if (prompt.tokens < model.chunk * sharedChunks) {
 		return found;
 	}
 
-	for (let parts = 2; parts <= Math.min(mostParts, choices.length); parts++) {
-		const order = ranked(choices, reading(model, prompt.tokens, parts), now);
+	for (let parts = 2; parts <= Math.min(policy.mostParts, choices.length); parts++) {
+		const order = ranked(choices, reading(model, prompt.tokens, parts), around);
 		const first = order.find(option => fitting.includes(option));
 		if (first !== undefined) {
 			found.push({first, helpers: order.filter(option => option !== first).slice(0, parts - 1), holdTokens: 0});
@@ -273,14 +147,9 @@
 	const choices = options(upstreams, model, around, prompt);
 	let best: Place | undefined;
 	for (const sharing of sharings(prompt, model, choices, around)) {
-		const place = assess(sharing, demand, prompt, model, around.now);
+		const place = assess(sharing, demand, prompt, model, around);
 		if (best === undefined || place.loss < best.loss) {
-			best = {
-				...place,
-				upstream: sharing.first.upstream,
-				helpers: sharing.helpers.map(option => option.upstream),
-				holdTokens: sharing.holdTokens,
-			};
+			best = place;
 		}
 	}
 
@@ -290,17 +159,16 @@
 const nothingRead: Reading = {total: 0, perPass: 0};
 
 /** Fewest requests for its size; the first in order of equals, so that hosts do not agree by chance. */
-function placeAtService(upstreams: readonly GatewayUpstream[], around: Surroundings): Place | undefined {
+function placeAtService(upstreams: readonly GatewayUpstream[], {eligibility, load, health, failureDomain, policy, now}: Surroundings): Place | undefined {
 	let best: Place | undefined;
 	for (const upstream of upstreams) {
-		if (around.eligibility.among?.has(upstream.id) === false) {
+		if (eligibility.among?.has(upstream.id) === false) {
 			continue;
 		}
 
-		const requests = around.load.requests(upstream.id);
-		const busy = (requests + 1) / Math.max(upstream.slots, 1);
-		const distance = upstream.failureDomain === around.failureDomain ? 0 : distanceLoss;
-		const loss = around.health.risk(upstream.id, around.now) + (busy * crowdingLoss) + (busy > 1 ? 1 : 0) + distance;
+		const busy = (load.requests(upstream.id) + 1) / Math.max(upstream.slots, 1);
+		const distance = upstream.failureDomain === failureDomain ? 0 : policy.distanceLoss;
+		const loss = health.risk(upstream.id, now) + (busy * policy.crowdingLoss) + (busy > 1 ? 1 : 0) + distance;
 		if (best === undefined || loss < best.loss) {
 			best = {
 				upstream, helpers: [], holdTokens: 0, reading: nothingRead, firstByte: 0, loss,
@@ -312,9 +180,9 @@
 }
 
 /** Upstreams to choose from: those that are not left alone; all of them rather than none. */
-function usable(upstreams: readonly GatewayUpstream[], around: Surroundings): readonly GatewayUpstream[] {
-	const open = upstreams.filter(each => !each.isDraining && !around.eligibility.tried.has(each.id));
-	const healthy = open.filter(each => !around.health.isPaused(each.id, around.now) && !around.unreachable.has(each.failureDomain));
+function usable(upstreams: readonly GatewayUpstream[], {eligibility, health, unreachable, now}: Surroundings): readonly GatewayUpstream[] {
+	const open = upstreams.filter(each => !each.isDraining && !eligibility.tried.has(each.id));
+	const healthy = open.filter(each => !health.isPaused(each.id, now) && !unreachable.has(each.failureDomain));
 	return healthy.length > 0 ? healthy : open;
 }
 
@@ -355,6 +223,6 @@
 	}
 
 	const [first, ...helpers] = options([current.upstream, ...current.helpers], model, around, prompt);
-	const {loss} = assess({first: first!, helpers, holdTokens: current.holdTokens}, demand, prompt, model, around.now);
+	const {loss} = assess({first: first!, helpers, holdTokens: current.holdTokens}, demand, prompt, model, around);
 	return {staying: loss, best: place(demand, upstreams, model, around)};
 }
--- /dev/null
+++ b/src/core/gateway/policy.ts
@@ -0,0 +1,87 @@
+/** What decides where requests go and which are refused, as one value: an experiment plays it without one mechanism or another. */
+
+/** Losses are shares of a usual request's worth unless said otherwise. */
+export type Policy = {
+	/** Most engines that share a prompt. */
+	readonly mostParts: number;
+	/** Lost by whoever finds an idle engine no more. */
+	readonly openingLoss: number;
+	/** What crowding an engine costs when it is full; it grows with the fourth power. */
+	readonly crowdingLoss: number;
+	/** What each engine more that shares a prompt costs: it may fail, and others may have chosen it too. */
+	readonly partLoss: number;
+	/** What an upstream in another failure domain costs: the link may be cut. */
+	readonly distanceLoss: number;
+	/**
+	 * Most that an upstream costs one host more than another: hosts that have not heard of each other's latest choices would all
+	 * take the same idle engine. More than this wins less from it than it loses by worse choices under load.
+	 */
+	readonly tasteLoss: number;
+	/** What a millisecond of waiting counts among engines that disturb nobody: enough to prefer the one that is free first. */
+	readonly waitLoss: number;
+	/** Whether the callers' estimates of their answers' lengths tell when places come free. */
+	readonly usesEstimates: boolean;
+	/** Whether requests that will be late let others pass at an engine. */
+	readonly ranksLateness: boolean;
+	/** Whether requests that cost others more than they are worth are refused. */
+	readonly refusesHarm: boolean;
+	/** Whether the later of two requests that met at an engine goes elsewhere. */
+	readonly yields: boolean;
+};
+
+/** What hosts follow. */
+export const usualPolicy: Policy = {
+	mostParts: 16,
+	openingLoss: 0.08,
+	crowdingLoss: 0.15,
+	partLoss: 0.03,
+	distanceLoss: 0.01,
+	tasteLoss: 0.1,
+	waitLoss: 0.0001,
+	usesEstimates: true,
+	ranksLateness: true,
+	refusesHarm: true,
+	yields: true,
+};
+
+/** How the policy is without one mechanism. */
+const lacking = {
+	sharing: {mostParts: 1},
+	opening: {openingLoss: 0},
+	crowding: {crowdingLoss: 0},
+	parts: {partLoss: 0},
+	distance: {distanceLoss: 0},
+	taste: {tasteLoss: 0},
+	waiting: {waitLoss: 0},
+	estimates: {usesEstimates: false},
+	lateness: {ranksLateness: false},
+	refusal: {refusesHarm: false},
+	yielding: {yields: false},
+} as const satisfies Record<string, Partial<Policy>>;
+
+export type Mechanism = keyof typeof lacking;
+
+/** Mechanisms that a policy can be played without. */
+export const mechanisms: readonly string[] = Object.keys(lacking);
+
+/**
+ * @param name - Text.
+ * @returns Whether it names a mechanism.
+ */
+export function isMechanism(name: string): name is Mechanism {
+	return Object.hasOwn(lacking, name);
+}
+
+/**
+ * @param policy - Policy.
+ * @param without - Mechanisms that it is to lack.
+ * @returns The policy without them.
+ */
+export function policyWithout(policy: Policy, without: readonly Mechanism[]): Policy {
+	let lesser = policy;
+	for (const name of without) {
+		lesser = {...lesser, ...lacking[name]};
+	}
+
+	return lesser;
+}
--- a/src/core/gateway/refusal.ts
+++ b/src/core/gateway/refusal.ts
@@ -1,5 +1,6 @@
 /** Which requests are refused at once, and when their callers may come again. Answers bursts of long prompts on busy engines. */
 import {type Place} from './placement.js';
+import {type Policy} from './policy.js';
 import {type EngineModel} from './types.js';
 
 /** Callers that were refused together come back over this part of the time around it. */
@@ -14,10 +15,11 @@
  *
  * @param place - The best place for a request.
  * @param weight - What the request is worth, in requests of usual worth.
+ * @param policy - Whether such requests are refused at all.
  * @returns Whether serving it now costs callers more than it is worth.
  */
-export function isHarmful({loss}: Pick<Place, 'loss'>, weight: number): boolean {
-	return loss > weight;
+export function isHarmful({loss}: Pick<Place, 'loss'>, weight: number, {refusesHarm}: Pick<Policy, 'refusesHarm'>): boolean {
+	return refusesHarm && loss > weight;
 }
 
 /**
--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -22,7 +22,7 @@
 		upstream: {id: 'e0', address: {host: '127.0.0.1', port: 1}}, helpers: [], holdTokens: 0, loss: 0, firstByte: 0,
 	};
 	const gateway = {
-		isConvicted: () => false,
+		convictions: {isConvicted: () => false},
 		budget: {allows: () => true, countRetry: () => undefined},
 		peers: {fleetSize: 1},
 		place() {
@@ -54,7 +54,7 @@
 		upstream: {id: 'e0', address: {host: '127.0.0.1', port: 1}}, helpers: [], holdTokens: 0, loss: 60, firstByte: 900, reading: {total: 400, perPass: 400},
 	};
 	const gateway = {
-		isConvicted: () => false,
+		convictions: {isConvicted: () => false},
 		service: () => ({engine: {usualPrompt: 1000, usualAnswer: 500, step: 1}}),
 		place: () => place,
 	};
--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -1,22 +1,24 @@
 /** Sends one request to upstreams, one after another as long as that may be, and hands their answers to its caller. */
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
-import {verdictOf} from '../core/gateway/health.js';
 import {type Job} from '../core/gateway/load.js';
 import {isWorthMoving} from '../core/gateway/moves.js';
-import {weigh, type Place} from '../core/gateway/placement.js';
+import {weigh} from '../core/gateway/losses.js';
+import {type Place} from '../core/gateway/placement.js';
+import {usualPolicy} from '../core/gateway/policy.js';
 import {isHarmful, returnTime} from '../core/gateway/refusal.js';
 import {type AttemptEnding} from '../core/gateway/retries.js';
 import {Tries} from '../core/gateway/tries.js';
 import {type Demand, type Route} from '../core/gateway/types.js';
 import {fingerprintOf} from './admission.js';
 import {nameOf} from './answers.js';
-import {Attempt, type Ended, type Reply} from './attempt.js';
+import {Attempt} from './attempt.js';
 import {type Delivery, type Stop} from './delivery.js';
 import {helpersOf} from './handover.js';
 import {type Hold} from './holds.js';
 import {type Parts} from './parts.js';
 import {type Trace} from './trace.js';
+import {Verdicts} from './verdicts.js';
 import {Watch} from './watch.js';
 
 /** An admitted request. */
@@ -35,6 +37,7 @@
 	readonly #trace: Trace;
 	readonly #tries: Tries;
 	readonly #fingerprint: string;
+	readonly #verdicts: Verdicts;
 	#attempt: Attempt | undefined;
 	#stop: Stop | undefined;
 
@@ -51,13 +54,14 @@
 		this.#trace = trace;
 		this.#tries = new Tries(order.route);
 		this.#fingerprint = fingerprintOf(order.incoming, order.organisation, order.body);
+		this.#verdicts = new Verdicts(parts.gateway, this.#tries, this.#fingerprint);
 		trace.tries = this.#tries;
 	}
 
 	/** Settles when the caller has its answer or nothing more can be done for it. */
 	async run(): Promise<void> {
 		const {gateway, clock} = this.#parts;
-		if (gateway.isConvicted(this.#fingerprint)) {
+		if (gateway.convictions.isConvicted(this.#fingerprint)) {
 			this.#delivery.refuse('convicted');
 			return;
 		}
@@ -81,7 +85,7 @@
 
 			const ending = await this.#attemptAt(place);
 			if (ending.type === 'answered') {
-				gateway.acquit(this.#fingerprint);
+				gateway.convictions.acquit(this.#fingerprint);
 				this.#trace.finish('answered');
 				return;
 			}
@@ -94,33 +98,6 @@
 		}
 	}
 
-	/** Refuses a request that has not been sent if serving it costs others more than it is worth. */
-	#isRefused(place: Place): boolean {
-		const {gateway, random} = this.#parts;
-		const {demand} = this.#order;
-		const model = gateway.service(demand.service)?.engine;
-		if (model === undefined || demand.prompt === undefined || this.#tries.sent > 0) {
-			return false;
-		}
-
-		const weight = weigh(model, demand.prompt);
-		if (!isHarmful(place, weight)) {
-			return false;
-		}
-
-		const after = returnTime(place, model, random());
-		this.#trace.write('not-placed', {
-			upstream: place.upstream.id,
-			tokens: demand.prompt.tokens,
-			predicted: Math.round(place.firstByte),
-			loss: Number(place.loss.toFixed(3)),
-			weight: Number(weight.toFixed(2)),
-			returnAfter: Math.round(after),
-		});
-		this.#delivery.refuse('overloaded', after / 1000);
-		return true;
-	}
-
 	/**
 	 * Ends the attempt that runs; no other one follows.
 	 *
@@ -152,6 +129,33 @@
 		return gateway.budget.allows(this.#order.demand.service, gateway.peers.fleetSize, clock.now());
 	}
 
+	/** Refuses a request that has not been sent if serving it costs others more than it is worth. */
+	#isRefused(place: Place): boolean {
+		const {gateway, random} = this.#parts;
+		const {demand} = this.#order;
+		const model = gateway.service(demand.service)?.engine;
+		if (model === undefined || demand.prompt === undefined || this.#tries.sent > 0) {
+			return false;
+		}
+
+		const weight = weigh(model, demand.prompt);
+		if (!isHarmful(place, weight, usualPolicy)) {
+			return false;
+		}
+
+		const after = returnTime(place, model, random());
+		this.#trace.write('not-placed', {
+			upstream: place.upstream.id,
+			tokens: demand.prompt.tokens,
+			predicted: Math.round(place.firstByte),
+			loss: Number(place.loss.toFixed(3)),
+			weight: Number(weight.toFixed(2)),
+			returnAfter: Math.round(after),
+		});
+		this.#delivery.refuse('overloaded', after / 1000);
+		return true;
+	}
+
 	#noteRun(ending: AttemptEnding): void {
 		const isLeft = ending.type === 'cancelled' && !this.#isOver;
 		if (ending.type === 'unknown' || ending.type === 'failed' || isLeft) {
@@ -319,11 +323,12 @@
 		const {gateway} = this.#parts;
 		const got = await attempt.reply();
 		if (got.type === 'ended') {
-			return this.#endUnanswered(got, upstream);
+			return this.#verdicts.unanswered(got, upstream);
 		}
 
 		if (got.facts.isNotRun || got.facts.isMisdirected) {
-			return this.#endNotRun(got, upstream);
+			got.body.resume();
+			return this.#verdicts.notRun(got, upstream);
 		}
 
 		const taken = await this.#delivery.take(got, this.#order.route, {
@@ -337,44 +342,7 @@
 		});
 		const isGivenUp = taken.type === 'unknown' && attempt.cancelled !== undefined;
 		const ending: AttemptEnding = isGivenUp ? {type: 'cancelled', reason: attempt.cancelled} : taken;
-		this.#judge(ending, upstream, false);
+		this.#verdicts.judge(ending, upstream);
 		return ending;
 	}
-
-	/** Takes the word of an upstream that it did not run the request; an engine that was to help it may be at fault. */
-	#endNotRun({body, status, facts}: Reply, upstream: string): AttemptEnding {
-		const {gateway} = this.#parts;
-		body.resume();
-		const reason = `refused with ${status} by ${facts.culprit ?? upstream}`;
-		const culprit = facts.culprit === undefined ? undefined : gateway.upstreams.at(facts.culprit);
-		if (culprit !== undefined && culprit.id !== upstream) {
-			gateway.judge(culprit.id, 'unreachable');
-			this.#tries.noteMissedHelper(upstream, culprit.id);
-		} else {
-			gateway.judge(upstream, facts.isMisdirected ? 'unreachable' : 'faulty');
-		}
-
-		return {type: 'not-run', reason, isShed: !facts.isMisdirected};
-	}
-
-	#endUnanswered({ending, isUnreachable}: Ended, upstream: string): AttemptEnding {
-		this.#judge(ending, upstream, isUnreachable);
-		if (isUnreachable) {
-			this.#tries.noteUnreached(upstream);
-		}
-
-		return ending;
-	}
-
-	#judge(ending: AttemptEnding, upstream: string, isUnreachable: boolean): void {
-		const {gateway} = this.#parts;
-		const verdict = isUnreachable ? 'unreachable' : verdictOf(ending);
-		if (verdict !== undefined) {
-			gateway.judge(upstream, verdict);
-		}
-
-		if (ending.type === 'unknown') {
-			gateway.suspect(this.#fingerprint, upstream);
-		}
-	}
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,10 +3,11 @@
 import {Directory} from '../core/gateway/directory.js';
 import {type Verdict} from '../core/gateway/health.js';
 import {Load, type Job} from '../core/gateway/load.js';
+import {weigh} from '../core/gateway/losses.js';
 import {
-	place, reconsider, weigh, type Place, type Second, type Surroundings,
+	place, reconsider, type Place, type Second, type Surroundings,
 } from '../core/gateway/placement.js';
-import {type Crash} from '../core/gateway/suspects.js';
+import {usualPolicy} from '../core/gateway/policy.js';
 import {RetryBudget} from '../core/gateway/retries.js';
 import {type Eligibility} from '../core/gateway/tries.js';
 import {
@@ -14,6 +15,7 @@
 } from '../core/gateway/types.js';
 import {type Clock} from '../entry/clock.js';
 import {type Log} from '../entry/logs.js';
+import {Convictions} from './convictions.js';
 import {News} from './news.js';
 import {type Host, type Message} from './peers/messages.js';
 import {Peers} from './peers/peers.js';
@@ -29,15 +31,6 @@
 /** Milliseconds between looks for jobs that must be over. */
 const expiryInterval = 1000;
 
-/** Milliseconds within which an engine's lost connections and a failed connection to it count as one crash. */
-const crashWindow = 1500;
-
-/**
- * Milliseconds after a crash by which the platform has told of it: an upstream's registration lapses after three heartbeats, and
- * one that started anew has another start.
- */
-const crashSettle = 5000;
-
 export class Gateway implements AsyncDisposable {
 	readonly load = new Load();
 	readonly upstreams: Upstreams;
@@ -46,6 +39,7 @@
 	readonly peers: Peers;
 	readonly sharing: Sharing;
 	readonly news: News;
+	readonly convictions: Convictions;
 	readonly #settings: Settings;
 	readonly #clock: Clock;
 	readonly #log: Log;
@@ -100,6 +94,9 @@
 				this.reputation.forget(id);
 			},
 		});
+		this.convictions = new Convictions({
+			reputation: this.reputation, upstreams: this.upstreams, peers: this.peers, clock, confirmedAt: () => this.#confirmed,
+		});
 		this.news = new News({
 			self: settings.host,
 			failureDomain: settings.failureDomain,
@@ -271,46 +268,6 @@
 		return pass + read;
 	}
 
-	/**
-	 * Holds a crash against a request, here and at the peers.
-	 *
-	 * @param fingerprint - Request that ran at an upstream when its connection broke.
-	 * @param upstream - Upstream.
-	 */
-	suspect(fingerprint: string, upstream: string): void {
-		const now = this.#clock.now();
-		const crash = {
-			fingerprint, id: `${upstream}.${Math.floor(this.#clock.wall() / crashWindow)}`, upstream, started: this.upstreams.get(upstream)?.started,
-		};
-		if (this.reputation.suspect(crash, now)) {
-			this.peers.broadcast({type: 'crash', crash});
-		}
-	}
-
-	/**
-	 * Holds no crash against a request any more, here and at the peers.
-	 *
-	 * @param fingerprint - Request that was answered whole.
-	 */
-	acquit(fingerprint: string): void {
-		this.#tellCleared(this.reputation.acquit(fingerprint));
-	}
-
-	/**
-	 * @param fingerprint - Request.
-	 * @returns Whether it crashes the engines that run it, as far as is known; then it must not run again.
-	 */
-	isConvicted(fingerprint: string): boolean {
-		const now = this.#clock.now();
-		const {suspects} = this.reputation;
-		if (!suspects.isConvicted(fingerprint, now)) {
-			return false;
-		}
-
-		this.#tellCleared(this.reputation.review(fingerprint, (crash, at) => this.#survived(crash, at)));
-		return suspects.isConvicted(fingerprint, now);
-	}
-
 	async [Symbol.asyncDispose](): Promise<void> {
 		clearInterval(this.#expiry);
 		await this.peers[Symbol.asyncDispose]();
@@ -320,6 +277,7 @@
 		const now = this.#clock.now();
 		this.reputation.look(now);
 		return {
+			policy: usualPolicy,
 			load: this.load,
 			health: this.reputation.health,
 			host: this.#settings.host,
@@ -330,19 +288,7 @@
 		};
 	}
 
-	/** An upstream that is registered under the same start long after it is said to have crashed has not: its links broke. */
-	#survived({upstream, started}: Crash, at: number): boolean {
-		return started !== undefined && this.#confirmed > at + crashSettle && this.upstreams.get(upstream)?.started === started;
-	}
-
-	#tellCleared(crashes: readonly Crash[]): void {
-		if (crashes.length > 0) {
-			this.peers.broadcast({type: 'acquittal', crashes: [...crashes]});
-		}
-	}
-
 	#heard(from: Host, message: Message): void {
-		const now = this.#clock.now();
 		switch (message.type) {
 			case 'load': {
 				this.news.heard(from, message);
@@ -354,19 +300,9 @@
 				return;
 			}
 
-			case 'crash': {
-				if (this.reputation.suspects.record(message.crash, now) && this.peers.isLargeFleet) {
-					this.peers.broadcast(message);
-				}
-
-				return;
-			}
-
+			case 'crash':
 			case 'acquittal': {
-				if (this.reputation.clear(message.crashes, now) && this.peers.isLargeFleet) {
-					this.peers.broadcast(message);
-				}
-
+				this.convictions.heard(message);
 				return;
 			}
 
--- a/src/gateway/news.ts
+++ b/src/gateway/news.ts
@@ -4,7 +4,7 @@
  */
 import {type Job, type Load} from '../core/gateway/load.js';
 import {harmfulReading, isToYield} from '../core/gateway/moves.js';
-import {disturbed} from '../core/gateway/placement.js';
+import {disturbed} from '../core/gateway/losses.js';
 import {type EngineModel} from '../core/gateway/types.js';
 import {Bundle, type Changes} from './bundle.js';
 import {
