--- a/bench/gateway/__tests__/simulation.test.ts
+++ b/bench/gateway/__tests__/simulation.test.ts
@@ -1,7 +1,7 @@
 /** Loads played in virtual time: what callers get from the product's decisions. */
 import {describe, expect, it} from 'vitest';
 import {worthServed} from '../results.js';
-import {Simulation, type Policy} from '../simulation.js';
+import {Simulation, type Chooser} from '../simulation.js';
 import {
 	arrivals, newsroom, replica, tides,
 } from '../workload.js';
@@ -15,12 +15,12 @@
 
 const length = 32_000;
 
-function play({hosts, engines, load, newsDelay}: Fleet, policy: Policy, seed = 1): number {
+function play({hosts, engines, load, newsDelay}: Fleet, chooser: Chooser, seed = 1): number {
 	const workload = {
 		kinds: newsroom.map(kind => ({...kind, rate: kind.rate * load})), phases: tides, length, hosts,
 	};
 	const site = {
-		model: replica, hosts, engines, policy, newsDelay,
+		model: replica, hosts, engines, chooser, newsDelay,
 	};
 	return worthServed(new Simulation(site).run(arrivals(workload, seed), length + 16_000));
 }
--- a/bench/gateway/main.ts
+++ b/bench/gateway/main.ts
@@ -8,12 +8,12 @@
 } from '../../src/core/gateway/policy.js';
 import {drawn} from './plots.js';
 import {isInTime, worthServed} from './results.js';
-import {Simulation, type Policy, type Result} from './simulation.js';
+import {Simulation, type Chooser, type Result} from './simulation.js';
 import {
 	arrivals, newsroom, replica, tides, type Workload,
 } from './workload.js';
 
-const policies: readonly Policy[] = ['product', 'omniscient', 'least-requests', 'fixed-border'];
+const choosers: readonly Chooser[] = ['product', 'omniscient', 'least-requests', 'fixed-border'];
 
 /** Milliseconds of arrivals, and after them until the last deadline. */
 const length = 32_000;
@@ -77,12 +77,12 @@
 	throw new InvalidArgumentError(`Mechanisms are ${mechanisms.join(', ')}.`);
 }
 
-function play({seeds, engines, hosts, news, without}: Choices, load: number, policy: Policy): readonly Result[] {
+function play({seeds, engines, hosts, news, without}: Choices, load: number, chooser: Chooser): readonly Result[] {
 	const workload: Workload = {
 		kinds: newsroom.map(kind => ({...kind, rate: kind.rate * load})), phases: tides, length, hosts,
 	};
 	const site = {
-		model: replica, hosts, engines, policy, newsDelay: news, decisions: policyWithout(usualPolicy, without),
+		model: replica, hosts, engines, chooser, newsDelay: news, policy: policyWithout(usualPolicy, without),
 	};
 	return Array.from({length: seeds}, (_, index) => new Simulation(site).run(arrivals(workload, index + 1), length + ending)).flat();
 }
@@ -98,7 +98,7 @@
 }
 
 function compare(choices: Choices): void {
-	const chosen = policies.filter(name => choices.policy === undefined || name === choices.policy);
+	const chosen = choosers.filter(name => choices.policy === undefined || name === choices.policy);
 	const series = chosen.map(name => ({
 		name,
 		points: choices.loads.map((load): readonly [number, number] => {
--- a/bench/gateway/simulation.ts
+++ b/bench/gateway/simulation.ts
@@ -7,7 +7,7 @@
 import {
 	place, reconsider, type Place, type Surroundings,
 } from '../../src/core/gateway/placement.js';
-import {usualPolicy, type Policy as Decisions} from '../../src/core/gateway/policy.js';
+import {usualPolicy, type Policy} from '../../src/core/gateway/policy.js';
 import {isHarmful, returnTime} from '../../src/core/gateway/refusal.js';
 import {type Demand, type EngineModel, type GatewayUpstream} from '../../src/core/gateway/types.js';
 import {usualUrgency} from '../../src/core/gateway/urgency.js';
@@ -17,7 +17,7 @@
 import {type Arrival} from './workload.js';
 
 /** Who chooses an engine. */
-export type Policy
+export type Chooser
 	= | 'product'
 	/** The product's decisions with news of all hosts at once. */
 		| 'omniscient'
@@ -30,11 +30,11 @@
 	readonly model: EngineModel;
 	readonly hosts: number;
 	readonly engines: number;
-	readonly policy: Policy;
+	readonly chooser: Chooser;
 	/** Milliseconds that news take from one host to another. */
 	readonly newsDelay: number;
 	/** What the product's decisions follow; the usual if absent. */
-	readonly decisions?: Decisions;
+	readonly policy?: Policy;
 };
 
 /** What became of a request. Times in milliseconds from its arrival. */
@@ -81,7 +81,7 @@
 
 export class Simulation {
 	readonly #site: Site;
-	readonly #decisions: Decisions;
+	readonly #policy: Policy;
 	readonly #timeline = new Timeline();
 	readonly #loads: readonly Load[];
 	readonly #health = new Health();
@@ -93,12 +93,12 @@
 	readonly #random = seeded(1);
 
 	/**
-	 * @param site - Engines, hosts and policy.
+	 * @param site - Engines, hosts and who chooses.
 	 */
 	constructor(site: Site) {
 		this.#site = site;
-		this.#decisions = site.decisions ?? usualPolicy;
-		this.#loads = Array.from({length: site.policy === 'omniscient' ? 1 : site.hosts}, () => new Load());
+		this.#policy = site.policy ?? usualPolicy;
+		this.#loads = Array.from({length: site.chooser === 'omniscient' ? 1 : site.hosts}, () => new Load());
 		this.#upstreams = Array.from({length: site.engines}, (_, index) => ({
 			id: `e${index}`, service: 's', address: {host: '10.0.0.1', port: index + 1}, failureDomain: `d${index % 3}`, slots: site.model.slots, isDraining: false,
 		}));
@@ -151,8 +151,8 @@
 	}
 
 	#isHarmful(demand: Demand, chosen: Place): boolean {
-		const {policy, model} = this.#site;
-		return (policy === 'product' || policy === 'omniscient') && isHarmful(chosen, weigh(model, demand.prompt!), this.#decisions);
+		const {chooser, model} = this.#site;
+		return (chooser === 'product' || chooser === 'omniscient') && isHarmful(chosen, weigh(model, demand.prompt!), this.#policy);
 	}
 
 	/** Callers come back once, after the time that they are told, a third of their time at most. */
@@ -173,8 +173,8 @@
 	}
 
 	#choose(demand: Demand, arrival: Arrival): Place | undefined {
-		const {policy, model} = this.#site;
-		switch (policy) {
+		const {chooser, model} = this.#site;
+		switch (chooser) {
 			case 'product':
 			case 'omniscient': {
 				return place(demand, this.#upstreams, model, this.#around(arrival.host));
@@ -191,14 +191,14 @@
 			}
 
 			default: {
-				return assertNever(policy);
+				return assertNever(chooser);
 			}
 		}
 	}
 
 	#around(host: number): Surroundings {
 		return {
-			policy: this.#decisions,
+			policy: this.#policy,
 			load: this.#loadOf(host),
 			health: this.#health,
 			host: `h${host}`,
@@ -308,7 +308,7 @@
 		const {now} = this.#timeline;
 		const own = this.#loadOf(host);
 		news(own, now);
-		if (this.#site.policy !== 'product') {
+		if (this.#site.chooser !== 'product') {
 			return;
 		}
 
@@ -329,7 +329,7 @@
 		const {now} = this.#timeline;
 		for (const running of this.#running.values()) {
 			const isMovable = running.host === host && !running.isMoved && running.firstEvent === undefined;
-			if (isMovable && this.#decisions.yields && isToYield(running.job, other, now)) {
+			if (isMovable && this.#policy.yields && isToYield(running.job, other, now)) {
 				this.#reconsider(running);
 			}
 		}
