--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -23,8 +23,8 @@
 	};
 	const gateway = {
 		convictions: {isConvicted: () => false},
-		budget: {allows: () => true, countRetry: () => undefined},
-		peers: {fleetSize: 1},
+		mayRetry: () => true,
+		budget: {countRetry: () => undefined},
 		place() {
 			placed++;
 			return placed < 1000 ? place : undefined;
--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -2,7 +2,6 @@
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
 import {type Job} from '../core/gateway/load.js';
-import {isWorthMoving} from '../core/gateway/moves.js';
 import {weigh} from '../core/gateway/losses.js';
 import {type Place} from '../core/gateway/placement.js';
 import {usualPolicy} from '../core/gateway/policy.js';
@@ -16,6 +15,7 @@
 import {type Delivery, type Stop} from './delivery.js';
 import {helpersOf} from './handover.js';
 import {type Hold} from './holds.js';
+import {Mover} from './mover.js';
 import {type Parts} from './parts.js';
 import {type Trace} from './trace.js';
 import {Verdicts} from './verdicts.js';
@@ -38,6 +38,7 @@
 	readonly #tries: Tries;
 	readonly #fingerprint: string;
 	readonly #verdicts: Verdicts;
+	readonly #mover: Mover;
 	#attempt: Attempt | undefined;
 	#stop: Stop | undefined;
 
@@ -55,6 +56,7 @@
 		this.#tries = new Tries(order.route);
 		this.#fingerprint = fingerprintOf(order.incoming, order.organisation, order.body);
 		this.#verdicts = new Verdicts(parts.gateway, this.#tries, this.#fingerprint);
+		this.#mover = new Mover(parts.gateway, this.#tries, trace);
 		trace.tries = this.#tries;
 	}
 
@@ -123,12 +125,6 @@
 		return this.#stop !== undefined || this.#delivery.isClosed;
 	}
 
-	/** Whether the retries of all hosts leave room for one more. */
-	get #hasBudget(): boolean {
-		const {gateway, clock} = this.#parts;
-		return gateway.budget.allows(this.#order.demand.service, gateway.peers.fleetSize, clock.now());
-	}
-
 	/** Refuses a request that has not been sent if serving it costs others more than it is worth. */
 	#isRefused(place: Place): boolean {
 		const {gateway, random} = this.#parts;
@@ -170,7 +166,7 @@
 
 		const {gateway, clock, metrics} = this.#parts;
 		const {service} = this.#order.demand;
-		const isAllowed = this.#hasBudget;
+		const isAllowed = gateway.mayRetry(service);
 		metrics.retries.inc({service, allowed: String(isAllowed)});
 		if (isAllowed && this.#tries.sent > 0) {
 			gateway.budget.countRetry(service, clock.now());
@@ -215,7 +211,12 @@
 		this.#tracePlace(place, job, hold, left);
 		const attempt = this.#prepare(place, hold, left);
 		this.#attempt = attempt;
-		this.#watchMoves(job.id, place);
+		if (this.#tries.mayLeave && this.#order.route.kind === 'streaming') {
+			this.#mover.watch({
+				job: job.id, place, attempt, demand: () => this.#demand,
+			});
+		}
+
 		const watch = new Watch(attempt, this.#tries.mayLeave, place.firstByte, () => gateway.longestPass(place.upstream.id));
 		try {
 			const ending = await this.#follow(attempt, place.upstream.id, job.id, watch);
@@ -279,46 +280,6 @@
 		});
 	}
 
-	#watchMoves(job: string, place: Place): void {
-		const {gateway} = this.#parts;
-		if (this.#tries.mayLeave && this.#order.route.kind === 'streaming') {
-			gateway.news.watch(job, {
-				met: () => {
-					const second = gateway.reconsider(this.#order.demand, place, job, this.#tries.eligibility);
-					this.#move(second?.staying ?? 0, second?.best);
-				},
-				disturbed: loss => {
-					this.#considerMove(loss);
-				},
-			});
-		}
-	}
-
-	/** Goes on at another engine if that loses clearly less than waiting for the reading that has come to this one. */
-	#considerMove(staying: number): void {
-		const {gateway} = this.#parts;
-		const demand = this.#demand;
-		if (demand.pause === undefined || this.#trace.longestPause > demand.pause || demand.isBegun !== true) {
-			return;
-		}
-
-		const place = gateway.place(demand, this.#tries.eligibility);
-		if (place?.helpers.length === 0) {
-			this.#move(staying, place);
-		}
-	}
-
-	#move(staying: number, place: Place | undefined): void {
-		if (place === undefined || this.#attempt?.cancelled !== undefined || !isWorthMoving(staying, place.loss)) {
-			return;
-		}
-
-		if (this.#hasBudget) {
-			this.#trace.write('moving', {to: place.upstream.id, loss: Number(place.loss.toFixed(3)), staying: Number(staying.toFixed(3))});
-			this.#attempt?.cancel('moved');
-		}
-	}
-
 	async #follow(attempt: Attempt, upstream: string, job: string, watch: Watch): Promise<AttemptEnding> {
 		const {gateway} = this.#parts;
 		const got = await attempt.reply();
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -190,6 +190,14 @@
 		return this.service(this.upstreams.get(upstream)?.service ?? '')?.engine;
 	}
 
+	/**
+	 * @param service - Service.
+	 * @returns Whether the retries of all hosts leave room for one more.
+	 */
+	mayRetry(service: string): boolean {
+		return this.budget.allows(service, this.peers.fleetSize, this.#clock.now());
+	}
+
 	/**
 	 * @param demand - Request.
 	 * @param eligibility - Upstreams that it may go to.
