--- a/src/core/gateway/load.ts
+++ b/src/core/gateway/load.ts
@@ -16,8 +16,6 @@
 	readonly helpers: readonly string[];
 	readonly prompt: number;
 	readonly answer: number;
-	/** Tokens of the answer by the caller's estimate. */
-	readonly expected?: number;
 	/** Whether the prompt's memory lies in holds at the upstream and the helpers alike. */
 	readonly isHeld: boolean;
 	/** Time that each engine reads, and the longest part of it within one pass. */
@@ -58,8 +56,6 @@
 	readonly urgency?: number;
 	/** Job that is left out, as if it had not been sent. */
 	readonly except?: string;
-	/** Whether callers' estimates of their answers count. */
-	readonly usesEstimates?: boolean;
 };
 
 /** What an engine has, beside the jobs themselves. */
@@ -227,7 +223,7 @@
 	 * @param view - Whose view it is.
 	 * @returns What it is expected to do next.
 	 */
-	forecast(upstream: string, model: EngineModel, now: number, {urgency = usualUrgency, except, usesEstimates = true}: View = {}): Forecast {
+	forecast(upstream: string, model: EngineModel, now: number, {urgency = usualUrgency, except}: View = {}): Forecast {
 		const shelf = this.#shelves.get(upstream);
 		if (shelf === undefined) {
 			return {
@@ -248,9 +244,7 @@
 			}
 
 			if (job.upstream === upstream) {
-				occupants.push({
-					expected: usesEstimates ? job.expected : undefined, writtenFor: job.firstByte === undefined ? undefined : now - job.firstByte, urgency: job.urgency ?? usualUrgency,
-				});
+				occupants.push({writtenFor: job.firstByte === undefined ? undefined : now - job.firstByte, urgency: job.urgency ?? usualUrgency});
 			}
 
 			free -= memoryAt(job, upstream, model);
--- a/src/core/gateway/losses.ts
+++ b/src/core/gateway/losses.ts
@@ -114,16 +114,14 @@
 
 /**
  * @param option - Engine that would write one more.
- * @param model - How it spends its time.
  * @param demand - Request.
  * @param policy - What counts.
- * @returns What that costs others later.
+ * @returns What it costs others later that long prompts find one engine less that writes nothing which bears no pause.
  */
-export function crowding({forecast}: Option, model: EngineModel, {pause}: Demand, policy: Policy): number {
-	const {requests, writers} = forecast;
+export function opening({forecast}: Option, {pause}: Demand, {openingLoss}: Policy): number {
 	const isTight = pause !== undefined && pause < longPause;
-	const opens = isTight && !writers.some(job => job.pause !== undefined && job.pause < longPause);
-	return (opens ? policy.openingLoss : 0) + (policy.crowdingLoss * ((requests / model.slots) ** 4));
+	const isOpen = forecast.writers.some(job => job.pause !== undefined && job.pause < longPause);
+	return isTight && !isOpen ? openingLoss : 0;
 }
 
 /**
--- a/src/core/gateway/placement.ts
+++ b/src/core/gateway/placement.ts
@@ -4,18 +4,21 @@
 import {type Health} from './health.js';
 import {type Load} from './load.js';
 import {
-	crowding, disturbance, overhead, ownLoss, readTime, weigh, type Option,
+	disturbance, opening, ownLoss, readTime, weigh, type Option,
 } from './losses.js';
 import {type Policy} from './policy.js';
 import {type Eligibility} from './tries.js';
 import {
 	type Demand, type EngineModel, type GatewayUpstream, type Prompt,
 } from './types.js';
-import {urgencyOf, type Standing} from './urgency.js';
+import {urgencyOf} from './urgency.js';
 
 /** Chunks of an engine from which on a prompt is worth sharing. */
 const sharedChunks = 4;
 
+/** What a plain service's upstream costs when all its places are taken, as a share of a request's worth: the least busy is chosen. */
+const busyLoss = 0.15;
+
 /** Hashes are below this. */
 const hashRange = 2 ** 32;
 
@@ -53,10 +56,10 @@
 	const {health, load, now, except, policy, failureDomain} = around;
 	const host = hashText(around.host);
 	const weight = weigh(model, prompt);
-	const urgency = urgencyOf(prompt, 'in time');
+	const urgency = urgencyOf(prompt, false);
 	return upstreams.map(upstream => ({
 		upstream,
-		forecast: load.forecast(upstream.id, model, now, {urgency, except, usesEstimates: policy.usesEstimates}),
+		forecast: load.forecast(upstream.id, model, now, {urgency, except}),
 		fixed: (health.risk(upstream.id, now) * weight)
 			+ (upstream.failureDomain === failureDomain ? 0 : policy.distanceLoss)
 			+ (taste(host, upstream.id) * policy.tasteLoss),
@@ -77,7 +80,7 @@
 function assess({first, helpers, holdTokens}: Sharing, demand: Demand, prompt: Prompt, model: EngineModel, around: Surroundings): Place {
 	const {policy, now} = around;
 	const read = reading(model, prompt.tokens, helpers.length + 1);
-	let loss = first.fixed + crowding(first, model, demand, policy) + (policy.partLoss * helpers.length);
+	let loss = first.fixed + opening(first, demand, policy);
 	let firstByte = 0;
 	for (const option of [first, ...helpers]) {
 		loss += disturbance(option, read, now) + (option === first ? 0 : option.fixed);
@@ -91,19 +94,11 @@
 		holdTokens,
 		reading: read,
 		firstByte,
-		urgency: urgencyOf(prompt, standingOf(demand, firstByte, around)),
+		urgency: urgencyOf(prompt, demand.isBegun === true),
 		loss,
 	};
 }
 
-function standingOf(demand: Demand, firstByte: number, {policy, now}: Surroundings): Standing {
-	if (demand.isBegun === true) {
-		return 'begun';
-	}
-
-	return policy.ranksLateness && now + firstByte + overhead > demand.due ? 'late' : 'in time';
-}
-
 /** The cheapest engines to read a part, for those who are there already. */
 function ranked(choices: readonly Option[], read: Reading, {now, policy}: Surroundings): readonly Option[] {
 	const cost = new Map<Option, number>();
@@ -168,7 +163,7 @@
 
 		const busy = (load.requests(upstream.id) + 1) / Math.max(upstream.slots, 1);
 		const distance = upstream.failureDomain === failureDomain ? 0 : policy.distanceLoss;
-		const loss = health.risk(upstream.id, now) + (busy * policy.crowdingLoss) + (busy > 1 ? 1 : 0) + distance;
+		const loss = health.risk(upstream.id, now) + (busy * busyLoss) + (busy > 1 ? 1 : 0) + distance;
 		if (best === undefined || loss < best.loss) {
 			best = {
 				upstream, helpers: [], holdTokens: 0, reading: nothingRead, firstByte: 0, loss,
--- a/src/core/gateway/policy.ts
+++ b/src/core/gateway/policy.ts
@@ -6,10 +6,6 @@
 	readonly mostParts: number;
 	/** Lost by whoever finds an idle engine no more. */
 	readonly openingLoss: number;
-	/** What crowding an engine costs when it is full; it grows with the fourth power. */
-	readonly crowdingLoss: number;
-	/** What each engine more that shares a prompt costs: it may fail, and others may have chosen it too. */
-	readonly partLoss: number;
 	/** What an upstream in another failure domain costs: the link may be cut. */
 	readonly distanceLoss: number;
 	/**
@@ -19,10 +15,6 @@
 	readonly tasteLoss: number;
 	/** What a millisecond of waiting counts among engines that disturb nobody: enough to prefer the one that is free first. */
 	readonly waitLoss: number;
-	/** Whether the callers' estimates of their answers' lengths tell when places come free. */
-	readonly usesEstimates: boolean;
-	/** Whether requests that will be late let others pass at an engine. */
-	readonly ranksLateness: boolean;
 	/** Whether requests that cost others more than they are worth are refused. */
 	readonly refusesHarm: boolean;
 	/** Whether the later of two requests that met at an engine goes elsewhere. */
@@ -33,13 +25,9 @@
 export const usualPolicy: Policy = {
 	mostParts: 16,
 	openingLoss: 0.08,
-	crowdingLoss: 0.15,
-	partLoss: 0.03,
 	distanceLoss: 0.01,
 	tasteLoss: 0.1,
 	waitLoss: 0.0001,
-	usesEstimates: true,
-	ranksLateness: true,
 	refusesHarm: true,
 	yields: true,
 };
@@ -48,13 +36,9 @@
 const lacking = {
 	sharing: {mostParts: 1},
 	opening: {openingLoss: 0},
-	crowding: {crowdingLoss: 0},
-	parts: {partLoss: 0},
 	distance: {distanceLoss: 0},
 	taste: {tasteLoss: 0},
 	waiting: {waitLoss: 0},
-	estimates: {usesEstimates: false},
-	lateness: {ranksLateness: false},
 	refusal: {refusesHarm: false},
 	yielding: {yields: false},
 } as const satisfies Record<string, Partial<Policy>>;
--- a/src/core/gateway/queue.ts
+++ b/src/core/gateway/queue.ts
@@ -4,24 +4,20 @@
  */
 import {type EngineModel} from './types.js';
 
-/** Share of its expected length for which an answer that has reached it goes on: estimates are often too short. */
+/** Share of the usual length for which an answer that has reached it goes on. */
 const overtime = 0.3;
 
 /** A request at an engine that holds a place or waits for one. Times in milliseconds. */
 export type Occupant = {
 	/** Since its first event; undefined while its prompt is read. */
 	readonly writtenFor?: number;
-	/** Tokens of its answer, as far as its caller could tell. */
-	readonly expected?: number;
 	/** Rank in the engine's queue, 0 first. */
 	readonly urgency: number;
 };
 
-/** Milliseconds until the answer of an occupant is expected to be whole. */
-function timeLeft({writtenFor = 0, expected}: Pick<Occupant, 'expected' | 'writtenFor'>, model: EngineModel, step: number): number {
-	const length = expected ?? model.usualAnswer;
-	const written = writtenFor / step;
-	return Math.max(length - written, length * overtime) * step;
+/** Milliseconds until an answer is expected to be whole that has been written for so long. */
+function timeLeft(writtenFor: number, usual: number): number {
+	return Math.max(usual - writtenFor, usual * overtime);
 }
 
 /**
@@ -36,10 +32,10 @@
 		return 0;
 	}
 
-	const step = Math.max(pass / model.stride, model.step);
-	const written = occupants.filter(({writtenFor}) => writtenFor !== undefined);
-	const ends = written.map(each => timeLeft(each, model, step)).toSorted((a, b) => a - b);
-	const usual = model.usualAnswer * step;
+	const usual = model.usualAnswer * Math.max(pass / model.stride, model.step);
+	const ends = occupants
+		.flatMap(({writtenFor}) => writtenFor === undefined ? [] : timeLeft(writtenFor, usual))
+		.toSorted((a, b) => a - b);
 	if (ends.length === 0) {
 		return usual;
 	}
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -109,8 +109,6 @@
 	readonly tokens: number;
 	/** Most tokens of the answer. */
 	readonly answer: number;
-	/** Tokens of the answer by the caller's own estimate, if it gives one: right at the median, often far off. */
-	readonly expected?: number;
 };
 
 /** What a request asks of an upstream, as far as decisions need it. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -234,7 +234,6 @@
 			helpers: chosen.helpers.map(each => each.id),
 			prompt: demand.prompt?.tokens ?? 0,
 			answer: demand.prompt?.answer ?? 0,
-			expected: demand.prompt?.expected,
 			isHeld: chosen.holdTokens > 0,
 			read: chosen.reading.total,
 			readPerPass: chosen.reading.perPass,
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -30,7 +30,6 @@
 	helpers: z.array(text).max(64),
 	prompt: amount,
 	answer: amount,
-	expected: amount.optional(),
 	isHeld: z.boolean(),
 	read: amount,
 	readPerPass: amount,
@@ -127,7 +126,7 @@
  * @returns The job as others are told of it.
  */
 export function tell(job: Job, self: string, now: number): ToldJob {
-	const {id, upstream, helpers, prompt, answer, expected, isHeld, read, readPerPass, pause, urgency, weight} = job;
+	const {id, upstream, helpers, prompt, answer, isHeld, read, readPerPass, pause, urgency, weight} = job;
 	return {
 		id,
 		host: job.host === self ? undefined : job.host,
@@ -135,7 +134,6 @@
 		helpers: [...helpers],
 		prompt,
 		answer,
-		expected,
 		isHeld,
 		read,
 		readPerPass,
