--- a/src/cli/losses/causes.ts
+++ b/src/cli/losses/causes.ts
@@ -65,7 +65,8 @@
 
 /** What ran where, to tell what a stream met. */
 type Context = {
-	readonly longest: ReadonlyMap<string, ReadonlyArray<At<Placed>>>;
+	/** What was sent to each engine, to answer or to help. */
+	readonly byEngine: ReadonlyMap<string, ReadonlyArray<At<Placed>>>;
 	/** Times at which a failure domain was found out of reach. */
 	readonly cuts: readonly number[];
 };
@@ -117,17 +118,17 @@
 }
 
 function contextOf(entries: readonly LogEntry[], stories: Iterable<Story>): Context {
-	const longest = new Map<string, Array<At<Placed>>>();
-	for (const {placed} of stories) {
-		for (const each of placed) {
-			for (const engine of [each.line.upstream, ...each.line.helpers]) {
-				longest.set(engine, [...longest.get(engine) ?? [], each]);
-			}
+	const byEngine = new Map<string, Array<At<Placed>>>();
+	for (const each of [...stories].flatMap(({placed}) => placed)) {
+		for (const engine of [each.line.upstream, ...each.line.helpers]) {
+			const sent = byEngine.get(engine) ?? [];
+			sent.push(each);
+			byEngine.set(engine, sent);
 		}
 	}
 
 	const cuts = entries.filter(({decision}) => decision.type === 'domain-unreachable').map(({time}) => time);
-	return {longest, cuts};
+	return {byEngine, cuts};
 }
 
 /** Why another attempt was made. */
@@ -144,7 +145,7 @@
 	return first.ending === 'not-run' && first.reason?.startsWith('refused') !== true ? 'no connection' : 'new attempt';
 }
 
-function causeOfPause(story: Story, ended: At<Ended>, {longest, cuts}: Context): Cause {
+function causeOfPause(story: Story, ended: At<Ended>, {byEngine, cuts}: Context): Cause {
 	const again = causeOfFirst(story);
 	if (again !== undefined) {
 		return again;
@@ -156,7 +157,7 @@
 		return 'pause while a domain was out of reach';
 	}
 
-	const isBeside = longest.get(upstream)?.some(({at, line}) => at > first!.at && at < ended.at && line.tokens > tokens * longBeside);
+	const isBeside = byEngine.get(upstream)?.some(({at, line}) => at > first!.at && at < ended.at && line.tokens > tokens * longBeside);
 	return isBeside === true ? 'pause beside a long prompt' : 'pause';
 }
 
--- a/src/core/gateway/losses.ts
+++ b/src/core/gateway/losses.ts
@@ -116,7 +116,7 @@
  * @param option - Engine that would write one more.
  * @param demand - Request.
  * @param policy - What counts.
- * @returns What it costs others later that long prompts find one engine less that writes nothing which bears no pause.
+ * @returns What it costs others later: long prompts find one engine fewer at which no stream needs short pauses.
  */
 export function opening({forecast}: Option, {pause}: Demand, {openingLoss}: Policy): number {
 	const isTight = pause !== undefined && pause < longPause;
