--- a/src/cli/commands/explain.ts
+++ b/src/cli/commands/explain.ts
@@ -19,7 +19,7 @@
 
 /** Events around a request that may be its cause, and the time before and after it that they are looked for in, in milliseconds. */
 const causes: ReadonlySet<string> = new Set([
-	'started', 'stopping', 'store-lost', 'store-regained', 'peer-lost', 'upstream', 'upstream-gone', 'upstream-restarted', 'configuration', 'suspected',
+	'started', 'stopping', 'store-lost', 'store-regained', 'peer-lost', 'upstream', 'upstream-gone', 'upstream-lapsing', 'clock-gap', 'upstream-restarted', 'configuration', 'suspected',
 ]);
 const surroundings = 2000;
 
--- a/src/cli/commands/incidents.ts
+++ b/src/cli/commands/incidents.ts
@@ -29,6 +29,8 @@
 	'peer-lost',
 	'upstream',
 	'upstream-gone',
+	'upstream-lapsing',
+	'clock-gap',
 	'upstream-restarted',
 	'configuration',
 	'configuration-refused',
--- a/src/gateway/__tests__/reputation.test.ts
+++ b/src/gateway/__tests__/reputation.test.ts
@@ -79,15 +79,16 @@
 			told.push(`${id} gone`);
 		},
 	});
-	upstreams.register(upstream('e1', 'a'));
-	upstreams.register(upstream('e2', 'a', {service: 'portal'}));
-	upstreams.register(upstream('e1', 'a', {isDraining: true}));
+	const source = {type: 'store', revision: 1} as const;
+	upstreams.register(upstream('e1', 'a'), source);
+	upstreams.register(upstream('e2', 'a', {service: 'portal'}), source);
+	upstreams.register(upstream('e1', 'a', {isDraining: true}), source);
 	expect(upstreams.of('model').map(each => [each.id, each.isDraining])).toEqual([['e1', true]]);
-	upstreams.register(upstream('e1', 'a', {started: 2}));
+	upstreams.register(upstream('e1', 'a', {started: 2}), source);
 	const before = upstreams.changes;
-	upstreams.register(upstream('e1', 'a', {started: 2}));
+	upstreams.register(upstream('e1', 'a', {started: 2}), source);
 	expect(upstreams.changes).toBe(before);
-	upstreams.replace([upstream('e1', 'a', {started: 2}), upstream('e3', 'b')]);
+	upstreams.replace([upstream('e1', 'a', {started: 2}), upstream('e3', 'b')], source);
 	expect(upstreams.changes).toBeGreaterThan(before);
 	expect([upstreams.of('portal'), upstreams.all.map(each => each.id), upstreams.size]).toEqual([[], ['e1', 'e3'], 2]);
 	expect(told).toEqual(['e1 restarted', 'e2 gone']);
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -11,6 +11,7 @@
 import {GatewayMetrics, MetricsListener} from './metrics.js';
 import {CallerListener, ReadyListener} from './server.js';
 import {type Settings} from './settings.js';
+import {SuspensionWatch} from './suspension.js';
 
 /** Milliseconds for which the balancer may still send callers here after it was told not to: two questions, one a second. */
 const balancerLag = 2600;
@@ -70,6 +71,10 @@
 		this.#disposal.defer(() => {
 			agent.destroy();
 		});
+		const suspensions = new SuspensionWatch(this.#clock, log);
+		this.#disposal.defer(() => {
+			suspensions[Symbol.dispose]();
+		});
 		this.#gateway = this.#disposal.use(new Gateway(settings, this.#clock, log));
 		this.#callers = this.#disposal.use(new CallerListener({
 			gateway: this.#gateway,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -163,12 +163,13 @@
 	/**
 	 * Takes what a peer knows, which is newer than what is known here.
 	 *
-	 * @param state - Its configuration and upstreams, where they differ.
+	 * @param peer - Peer.
+	 * @param state - Its upstreams, where they differ.
 	 * @param confirmed - Monotonic time as of which they were the newest.
 	 */
-	takeState({upstreams}: PeerState, confirmed: number): void {
+	takeState(peer: string, {upstreams}: PeerState, confirmed: number): void {
 		if (upstreams !== undefined) {
-			this.upstreams.replace(upstreams);
+			this.upstreams.replace(upstreams, {type: 'peer', peer, age: this.#clock.now() - confirmed});
 		}
 
 		this.confirm(confirmed);
--- a/src/gateway/sharing.ts
+++ b/src/gateway/sharing.ts
@@ -118,7 +118,7 @@
 		// What the peer knew when it answered, it knew at some time after it was asked, less its age.
 		const confirmed = ask.at - state.age;
 		if (confirmed > this.#options.now() - this.#gateway.confirmedAge) {
-			this.#gateway.takeState(state, confirmed);
+			this.#gateway.takeState(from, state, confirmed);
 			this.#registries.set(from, state.registry);
 		}
 
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -9,8 +9,19 @@
 	readonly gone: (id: string) => void;
 };
 
+/** Where a registration, or its end, was learnt: from the store as of a revision, or from a peer that had confirmed it before. */
+export type Source
+	= | {readonly type: 'peer'; readonly peer: string; readonly age: number}
+		| {readonly type: 'store'; readonly revision: number};
+
 const none: readonly GatewayUpstream[] = [];
 
+function describe(source: Source): Readonly<Record<string, unknown>> {
+	return source.type === 'store'
+		? {source: 'store', revision: source.revision}
+		: {source: source.peer, age: Math.round(source.age)};
+}
+
 export class Upstreams {
 	readonly #log: Pick<Log, 'write'>;
 	readonly #events: UpstreamEvents;
@@ -67,8 +78,9 @@
 
 	/**
 	 * @param upstream - Upstream as it is registered now.
+	 * @param source - Who told.
 	 */
-	register(upstream: GatewayUpstream): void {
+	register(upstream: GatewayUpstream, source: Source): void {
 		const before = this.#byId.get(upstream.id);
 		// A heartbeat that says nothing new is no change: peers that ask would be told of all upstreams each time.
 		if (isDeepStrictEqual(before, upstream)) {
@@ -78,39 +90,41 @@
 		this.#byId.set(upstream.id, upstream);
 		this.#index();
 		if (before !== undefined && before.started !== upstream.started) {
-			this.#log.write({event: 'upstream-restarted', upstream: upstream.id});
+			this.#log.write({event: 'upstream-restarted', upstream: upstream.id, ...describe(source)});
 			this.#events.restarted(upstream.id);
 		} else if (before?.isDraining !== upstream.isDraining) {
 			this.#log.write({
-				event: 'upstream', upstream: upstream.id, service: upstream.service, domain: upstream.failureDomain, draining: upstream.isDraining,
+				event: 'upstream', upstream: upstream.id, service: upstream.service, domain: upstream.failureDomain, draining: upstream.isDraining, ...describe(source),
 			});
 		}
 	}
 
 	/**
 	 * @param id - Upstream that is registered no more.
+	 * @param source - Who told.
 	 */
-	unregister(id: string): void {
+	unregister(id: string, source: Source): void {
 		if (this.#byId.delete(id)) {
 			this.#index();
-			this.#log.write({event: 'upstream-gone', upstream: id});
+			this.#log.write({event: 'upstream-gone', upstream: id, ...describe(source)});
 			this.#events.gone(id);
 		}
 	}
 
 	/**
 	 * @param upstreams - All that are registered.
+	 * @param source - Who told.
 	 */
-	replace(upstreams: readonly GatewayUpstream[]): void {
+	replace(upstreams: readonly GatewayUpstream[], source: Source): void {
 		const ids = new Set(upstreams.map(upstream => upstream.id));
 		for (const id of this.#byId.keys()) {
 			if (!ids.has(id)) {
-				this.unregister(id);
+				this.unregister(id, source);
 			}
 		}
 
 		for (const upstream of upstreams) {
-			this.register(upstream);
+			this.register(upstream, source);
 		}
 	}
 
