What hosts tell each other of upstreams is the platform's registry as of a revision of the store, and only moves forward

Callers saw a request at an upstream that had left: hosts took older knowledge for newer. What a peer told replaced all that was known if it had been confirmed a moment later, also where it was read before; 'unchanged' was said by a count that belongs to one run of a process and to one peer, while the list had since been replaced by another peer's; and a host that read the store itself went on from its own old revision, replaying what peers had told it better.

Now a state carries the revision up to which each change is known and that of the last change. A state whose configuration has not come confirms nothing. A host that knows no registry answers nobody.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -20,6 +20,7 @@
 import {type Host, type Message} from './peers/messages.js';
 import {Peers} from './peers/peers.js';
 import {type PeerState} from './peers/state.js';
+import {Registrations} from './registrations.js';
 import {Reputation} from './reputation.js';
 import {type Settings} from './settings.js';
 import {Sharing} from './sharing.js';
@@ -34,6 +35,7 @@
 export class Gateway implements AsyncDisposable {
 	readonly load = new Load();
 	readonly upstreams: Upstreams;
+	readonly registrations: Registrations;
 	readonly reputation: Reputation;
 	readonly budget: RetryBudget;
 	readonly peers: Peers;
@@ -94,6 +96,7 @@
 				this.reputation.forget(id);
 			},
 		});
+		this.registrations = new Registrations({upstreams: this.upstreams, log, now: () => clock.now()});
 		this.convictions = new Convictions({
 			reputation: this.reputation, upstreams: this.upstreams, peers: this.peers, clock, confirmedAt: () => this.#confirmed,
 		});
@@ -161,17 +164,19 @@
 	}
 
 	/**
-	 * Takes what a peer knows, which is newer than what is known here.
+	 * Takes what a peer knows.
 	 *
 	 * @param peer - Peer.
 	 * @param state - Its upstreams, where they differ.
-	 * @param confirmed - Monotonic time as of which they were the newest.
+	 * @param confirmed - Monotonic time as of which they and its configuration were the newest.
 	 */
-	takeState(peer: string, {upstreams}: PeerState, confirmed: number): void {
-		if (upstreams !== undefined) {
-			this.upstreams.replace(upstreams, {type: 'peer', peer, age: this.#clock.now() - confirmed});
+	takeState(peer: string, state: PeerState, confirmed: number): void {
+		// The configuration that belongs to a state is told before it; what it confirms is not known here without it.
+		if (state.version > (this.#directory?.configuration.version ?? 0)) {
+			return;
 		}
 
+		this.registrations.take(peer, state);
 		this.confirm(confirmed);
 	}
 
@@ -278,6 +283,7 @@
 
 	async [Symbol.asyncDispose](): Promise<void> {
 		clearInterval(this.#expiry);
+		this.registrations[Symbol.dispose]();
 		await this.peers[Symbol.asyncDispose]();
 	}
 
--- a/src/gateway/peers/state.ts
+++ b/src/gateway/peers/state.ts
@@ -64,8 +64,8 @@
 	ask: z.number(),
 	/** Version in force at the asker; 0 for none. */
 	version: z.number(),
-	/** Count of changes to the peer's upstreams as of its last answer; 0 for none. */
-	registry: z.number(),
+	/** Revision of the store up to which the asker knows each change of upstreams; 0 for none. */
+	revision: z.number(),
 });
 
 /** The configuration in force, told before the state to an asker that has an older one. */
@@ -76,8 +76,12 @@
 	ask: z.number(),
 	/** Milliseconds since the peer's configuration and upstreams were known to be the newest, as of this answer. */
 	age: z.number(),
-	registry: z.number(),
-	/** All upstreams; absent if none has changed. */
+	/** Version in force at the peer. */
+	version: z.number(),
+	/** Revision of the store up to which the peer knows each change of upstreams, and that of the last one. */
+	revision: z.number(),
+	changed: z.number(),
+	/** All that were registered as of the revision; absent where the asker has the same. */
 	upstreams: z.array(upstreamSchema).max(4096).optional(),
 });
 
--- a/src/gateway/sharing.ts
+++ b/src/gateway/sharing.ts
@@ -29,8 +29,6 @@
 	readonly #options: SharingOptions;
 	readonly #gateway: Gateway;
 	readonly #asks = new Map<number, Ask>();
-	/** Count of changes as of the last answer, by peer. */
-	readonly #registries = new Map<string, number>();
 	/** Version that each linked host was told of. */
 	readonly #told = new Map<string, number>();
 	/** The configuration in force as it is told: it is encoded once for all hosts that ask. */
@@ -87,7 +85,7 @@
 	answer(from: string, wanted: StateWanted): void {
 		const gateway = this.#gateway;
 		const configuration = gateway.directory?.configuration;
-		if (configuration === undefined) {
+		if (configuration === undefined || gateway.registrations.revision === 0) {
 			return;
 		}
 
@@ -95,12 +93,15 @@
 			this.#tell(from, configuration);
 		}
 
+		const {upstreams, revision, changed} = gateway.registrations.snapshot;
 		gateway.peers.send(from, {
 			type: 'state',
 			ask: wanted.ask,
 			age: gateway.confirmedAge,
-			registry: gateway.upstreams.changes,
-			upstreams: gateway.upstreams.changes === wanted.registry ? undefined : [...gateway.upstreams.all],
+			version: configuration.version,
+			revision,
+			changed,
+			upstreams: gateway.registrations.isCurrent(wanted.revision) ? undefined : [...upstreams],
 		});
 	}
 
@@ -117,11 +118,7 @@
 		this.#asks.delete(state.ask);
 		// What the peer knew when it answered, it knew at some time after it was asked, less its age.
 		const confirmed = ask.at - state.age;
-		if (confirmed > this.#options.now() - this.#gateway.confirmedAge) {
-			this.#gateway.takeState(from, state, confirmed);
-			this.#registries.set(from, state.registry);
-		}
-
+		this.#gateway.takeState(from, state, confirmed);
 		ask.done();
 	}
 
@@ -172,7 +169,7 @@
 				type: 'state-wanted',
 				ask: id,
 				version: this.#gateway.directory?.configuration.version ?? 0,
-				registry: this.#registries.get(host) ?? 0,
+				revision: this.#gateway.registrations.revision,
 			});
 		});
 		return this.#gateway.confirmedAt > before;
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -1,5 +1,4 @@
 /** The upstreams that may be used, as they are registered now. */
-import {isDeepStrictEqual} from 'node:util';
 import {type GatewayUpstream} from '../core/gateway/types.js';
 import {type Log} from '../entry/logs.js';
 
@@ -9,17 +8,15 @@
 	readonly gone: (id: string) => void;
 };
 
-/** Where a registration, or its end, was learnt: from the store as of a revision, or from a peer that had confirmed it before. */
+/** Who told of a registration or its end, as of a revision of the store. */
 export type Source
-	= | {readonly type: 'peer'; readonly peer: string; readonly age: number}
+	= | {readonly type: 'peer'; readonly peer: string; readonly revision: number}
 		| {readonly type: 'store'; readonly revision: number};
 
 const none: readonly GatewayUpstream[] = [];
 
 function describe(source: Source): Readonly<Record<string, unknown>> {
-	return source.type === 'store'
-		? {source: 'store', revision: source.revision}
-		: {source: source.peer, age: Math.round(source.age)};
+	return {source: source.type === 'store' ? 'store' : source.peer, revision: source.revision};
 }
 
 export class Upstreams {
@@ -28,7 +25,6 @@
 	readonly #byId = new Map<string, GatewayUpstream>();
 	readonly #byAddress = new Map<string, GatewayUpstream>();
 	readonly #byService = new Map<string, GatewayUpstream[]>();
-	#changes = 0;
 
 	/**
 	 * @param log - Told of what changes.
@@ -39,11 +35,6 @@
 		this.#events = events;
 	}
 
-	/** Count of changes so far. */
-	get changes(): number {
-		return this.#changes;
-	}
-
 	get size(): number {
 		return this.#byId.size;
 	}
@@ -82,11 +73,6 @@
 	 */
 	register(upstream: GatewayUpstream, source: Source): void {
 		const before = this.#byId.get(upstream.id);
-		// A heartbeat that says nothing new is no change: peers that ask would be told of all upstreams each time.
-		if (isDeepStrictEqual(before, upstream)) {
-			return;
-		}
-
 		this.#byId.set(upstream.id, upstream);
 		this.#index();
 		if (before !== undefined && before.started !== upstream.started) {
@@ -111,25 +97,7 @@
 		}
 	}
 
-	/**
-	 * @param upstreams - All that are registered.
-	 * @param source - Who told.
-	 */
-	replace(upstreams: readonly GatewayUpstream[], source: Source): void {
-		const ids = new Set(upstreams.map(upstream => upstream.id));
-		for (const id of this.#byId.keys()) {
-			if (!ids.has(id)) {
-				this.unregister(id, source);
-			}
-		}
-
-		for (const upstream of upstreams) {
-			this.register(upstream, source);
-		}
-	}
-
 	#index(): void {
-		this.#changes++;
 		this.#byService.clear();
 		this.#byAddress.clear();
 		for (const upstream of this.#byId.values()) {
