A host that was cut off from the store keeps removed upstreams for itself: it no longer tells its peers of them

Callers saw a request at an upstream 3.8 s after it had left. A host that regains the store keeps for 2 s what is registered no more, as registrations lapse while the store is away, and told that to the hosts that ask it, with a fresh time. Hosts that had never lost the store, and had dropped the upstream, took it back as ready; being idle, it drew their requests.

What is told is the registry as of its revision. What a host makes of an absence is its own decision, by the outages that it saw.

--- /dev/null
+++ b/src/gateway/__tests__/registrations.test.ts
@@ -0,0 +1,80 @@
+/** Upstreams that may be used, kept in step with the platform's registry. */
+import {
+	afterEach, beforeEach, expect, it, vi,
+} from 'vitest';
+import {type GatewayUpstream} from '../../core/gateway/types.js';
+import {ignore} from '../../entry/ignore.js';
+import {Registrations} from '../registrations.js';
+import {Upstreams} from '../upstreams.js';
+
+beforeEach(() => {
+	vi.useFakeTimers({now: 0});
+});
+
+afterEach(() => {
+	vi.useRealTimers();
+});
+
+function scene() {
+	const log = {write: ignore};
+	const upstreams = new Upstreams(log, {restarted: ignore, gone: ignore});
+	const registrations = new Registrations({upstreams, log, now: () => performance.now()});
+	return {registrations, known: () => upstreams.all.map(upstream => upstream.id)};
+}
+
+function upstream(id: string): GatewayUpstream {
+	return {
+		id, service: 'model', address: {host: '127.0.0.1', port: 1}, failureDomain: 'a', slots: 1, isDraining: false,
+	};
+}
+
+const removed = {type: 'removed', id: 'e1', revision: 6} as const;
+
+it('a host that was cut off from the store does not tell its peers of an upstream that has been removed', () => {
+	const reader = scene();
+	const asker = scene();
+	reader.registrations.list([upstream('e1'), upstream('e2')], 5);
+	asker.registrations.list([upstream('e2')], 6);
+	reader.registrations.lost();
+	reader.registrations.follow([removed], 7);
+	reader.registrations.regained();
+	asker.registrations.take('reader', reader.registrations.snapshot);
+	expect(reader.known()).toEqual(['e1', 'e2']);
+	expect(asker.known()).toEqual(['e2']);
+});
+
+it('an upstream that a peer no longer knows is dropped at once where the store was never lost', () => {
+	const {registrations, known} = scene();
+	registrations.list([upstream('e1'), upstream('e2')], 5);
+	registrations.take('peer', {upstreams: [upstream('e2')], revision: 6, changed: 6});
+	expect(known()).toEqual(['e2']);
+});
+
+it('an upstream whose registration lapsed with the store is used for two seconds after its return', () => {
+	const {registrations, known} = scene();
+	registrations.list([upstream('e1')], 5);
+	registrations.lost();
+	registrations.follow([removed], 6);
+	registrations.regained();
+	vi.advanceTimersByTime(1900);
+	expect(known()).toEqual(['e1']);
+	vi.advanceTimersByTime(200);
+	expect(known()).toEqual([]);
+});
+
+it('an upstream that registers again while it is kept stays', () => {
+	const {registrations, known} = scene();
+	registrations.list([upstream('e1')], 5);
+	registrations.lost();
+	registrations.follow([removed], 6);
+	registrations.take('peer', {upstreams: [upstream('e1')], revision: 7, changed: 7});
+	vi.advanceTimersByTime(5000);
+	expect(known()).toEqual(['e1']);
+});
+
+it('a peer that says that nothing has changed moves the revision on', () => {
+	const {registrations, known} = scene();
+	registrations.list([upstream('e1')], 5);
+	registrations.take('peer', {revision: 9, changed: 4});
+	expect([registrations.revision, known()]).toEqual([9, ['e1']]);
+});
--- a/src/gateway/registrations.ts
+++ b/src/gateway/registrations.ts
@@ -33,12 +33,9 @@
 		return this.#registry.revision;
 	}
 
-	/** What is told to peers. */
+	/** What is told to peers. An upstream that is kept as it may only have lapsed is no part of it: each host judges that by itself. */
 	get snapshot(): RegistrySnapshot {
-		const {upstreams} = this.#options;
-		const lapsing = [...this.#lapsing.keys()].map(id => upstreams.get(id)).filter(upstream => upstream !== undefined);
-		const {snapshot} = this.#registry;
-		return {...snapshot, upstreams: [...snapshot.upstreams, ...lapsing]};
+		return this.#registry.snapshot;
 	}
 
 	/**
