The age of what is known counts the time for which a host was suspended

Callers of other hosts could be sent to upstreams that had left: a host that was suspended went on counting ages with a monotonic clock that had stood still, and told askers that what it knew was fresh. Its own keys were trusted for longer than the bound, too.

An age is now taken on both clocks and the larger one counts: the time of day goes on while a host is suspended, and where it is set back the monotonic clock says more.

--- a/src/gateway/__tests__/sharing.test.ts
+++ b/src/gateway/__tests__/sharing.test.ts
@@ -1,5 +1,6 @@
 /* eslint-disable @typescript-eslint/no-unsafe-type-assertion -- Only what an answer to a peer reaches stands in for the rest. */
 import {expect, it} from 'vitest';
+import {Clock} from '../../entry/clock.js';
 import {type Gateway} from '../gateway.js';
 import {messageReader, type Message} from '../peers/messages.js';
 import {Sharing} from '../sharing.js';
@@ -27,7 +28,7 @@
 			},
 		},
 	} as unknown as Gateway;
-	return {told, configuration, sharing: new Sharing(gateway, {self: 'h0', failureDomain: 'a', now: () => 0})};
+	return {told, configuration, sharing: new Sharing(gateway, {self: 'h0', failureDomain: 'a', clock: new Clock()})};
 }
 
 const wanted = {
--- a/src/gateway/convictions.ts
+++ b/src/gateway/convictions.ts
@@ -20,8 +20,8 @@
 	readonly upstreams: Upstreams;
 	readonly peers: Peers;
 	readonly clock: Clock;
-	/** Monotonic time as of which the upstreams were the newest. */
-	readonly confirmedAt: () => number;
+	/** Milliseconds since the upstreams were the newest for certain. */
+	readonly confirmedAge: () => number;
 };
 
 export class Convictions {
@@ -91,8 +91,8 @@
 
 	/** An upstream that is registered under the same start long after it is said to have crashed has not: its links broke. */
 	#survived({upstream, started}: Crash, at: number): boolean {
-		const {upstreams, confirmedAt} = this.#options;
-		return started !== undefined && confirmedAt() > at + crashSettle && upstreams.get(upstream)?.started === started;
+		const {upstreams, clock, confirmedAge} = this.#options;
+		return started !== undefined && clock.now() - confirmedAge() > at + crashSettle && upstreams.get(upstream)?.started === started;
 	}
 
 	#tellCleared(crashes: readonly Crash[]): void {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -13,7 +13,7 @@
 import {
 	type Demand, type EngineModel, type GatewayConfiguration, type GatewayService,
 } from '../core/gateway/types.js';
-import {type Clock} from '../entry/clock.js';
+import {type Clock, type Moment} from '../entry/clock.js';
 import {type Log} from '../entry/logs.js';
 import {Convictions} from './convictions.js';
 import {News} from './news.js';
@@ -48,7 +48,7 @@
 	readonly #started: number;
 	readonly #expiry: NodeJS.Timeout;
 	#directory: Directory | undefined;
-	#confirmed = Number.NEGATIVE_INFINITY;
+	#confirmed: Moment | undefined;
 	#jobs = 0;
 
 	/**
@@ -98,7 +98,7 @@
 		});
 		this.registrations = new Registrations({upstreams: this.upstreams, log, now: () => clock.now()});
 		this.convictions = new Convictions({
-			reputation: this.reputation, upstreams: this.upstreams, peers: this.peers, clock, confirmedAt: () => this.#confirmed,
+			reputation: this.reputation, upstreams: this.upstreams, peers: this.peers, clock, confirmedAge: () => this.confirmedAge,
 		});
 		this.news = new News({
 			self: settings.host,
@@ -108,7 +108,7 @@
 			now: () => clock.now(),
 			modelAt: upstream => this.modelAt(upstream),
 		});
-		this.sharing = new Sharing(this, {self: settings.host, failureDomain: settings.failureDomain, now: () => clock.now()});
+		this.sharing = new Sharing(this, {self: settings.host, failureDomain: settings.failureDomain, clock});
 		this.#expiry = setInterval(() => {
 			this.load.expire(clock.now());
 		}, expiryInterval);
@@ -124,14 +124,9 @@
 		return `${this.#settings.host}.${this.#started.toString(36)}`;
 	}
 
-	/** Monotonic time as of which the configuration in force and the upstreams were the newest. */
-	get confirmedAt(): number {
-		return this.#confirmed;
-	}
-
-	/** Milliseconds since then. */
+	/** Milliseconds since the configuration in force and the upstreams were the newest for certain. */
 	get confirmedAge(): number {
-		return this.#clock.now() - this.#confirmed;
+		return this.#confirmed === undefined ? Number.POSITIVE_INFINITY : this.#clock.since(this.#confirmed);
 	}
 
 	/** Whether a key that the configuration has may have been taken away without word of it. */
@@ -157,10 +152,12 @@
 	}
 
 	/**
-	 * @param at - Monotonic time as of which the configuration in force was the newest.
+	 * @param age - Milliseconds since the configuration in force and the upstreams were the newest for certain.
 	 */
-	confirm(at: number): void {
-		this.#confirmed = Math.max(this.#confirmed, at);
+	confirm(age: number): void {
+		if (age < this.confirmedAge) {
+			this.#confirmed = this.#clock.moment(age);
+		}
 	}
 
 	/**
@@ -168,16 +165,16 @@
 	 *
 	 * @param peer - Peer.
 	 * @param state - Its upstreams, where they differ.
-	 * @param confirmed - Monotonic time as of which they and its configuration were the newest.
+	 * @param age - Milliseconds since they and its configuration were the newest for certain.
 	 */
-	takeState(peer: string, state: PeerState, confirmed: number): void {
+	takeState(peer: string, state: PeerState, age: number): void {
 		// The configuration that belongs to a state is told before it; what it confirms is not known here without it.
 		if (state.version > (this.#directory?.configuration.version ?? 0)) {
 			return;
 		}
 
 		this.registrations.take(peer, state);
-		this.confirm(confirmed);
+		this.confirm(age);
 	}
 
 	/**
--- a/src/gateway/sharing.ts
+++ b/src/gateway/sharing.ts
@@ -3,6 +3,7 @@
  * reach no reader reads by itself; one that can't reach the store asks whoever it is linked with.
  */
 import {type GatewayConfiguration} from '../core/gateway/types.js';
+import {type Clock, type Moment} from '../entry/clock.js';
 import {type Gateway} from './gateway.js';
 import {encode} from './peers/messages.js';
 import {type PeerState, type StateWanted} from './peers/state.js';
@@ -15,14 +16,14 @@
 
 type Ask = {
 	readonly host: string;
-	readonly at: number;
+	readonly at: Moment;
 	readonly done: () => void;
 };
 
 export type SharingOptions = {
 	readonly self: string;
 	readonly failureDomain: string;
-	readonly now: () => number;
+	readonly clock: Clock;
 };
 
 export class Sharing {
@@ -54,21 +55,19 @@
 	 * Asks a reader of this failure domain.
 	 *
 	 * @param timeout - Milliseconds to wait.
-	 * @returns Whether what it told confirms what is known here.
 	 */
-	async askReader(timeout: number): Promise<boolean> {
+	async askReader(timeout: number): Promise<void> {
 		const linked = this.#readers().filter(name => name !== this.#options.self);
-		return this.#askOne(linked, timeout);
+		await this.#askOne(linked, timeout);
 	}
 
 	/**
 	 * Asks any linked host, another one each time.
 	 *
 	 * @param timeout - Milliseconds to wait.
-	 * @returns Whether what it told confirms what is known here.
 	 */
-	async askAnyone(timeout: number): Promise<boolean> {
-		return this.#askOne(this.#gateway.peers.hosts.map(host => host.name), timeout);
+	async askAnyone(timeout: number): Promise<void> {
+		await this.#askOne(this.#gateway.peers.hosts.map(host => host.name), timeout);
 	}
 
 	/**
@@ -116,9 +115,8 @@
 		}
 
 		this.#asks.delete(state.ask);
-		// What the peer knew when it answered, it knew at some time after it was asked, less its age.
-		const confirmed = ask.at - state.age;
-		this.#gateway.takeState(from, state, confirmed);
+		// The peer answered at some time after it was asked.
+		this.#gateway.takeState(from, state, state.age + this.#options.clock.since(ask.at));
 		ask.done();
 	}
 
@@ -142,14 +140,13 @@
 		return !peers.isLargeFleet && names.length < smallestSharing ? names : peers.relays;
 	}
 
-	async #askOne(names: readonly string[], timeout: number): Promise<boolean> {
+	async #askOne(names: readonly string[], timeout: number): Promise<void> {
 		this.#turn++;
 		const host = names[this.#turn % Math.max(names.length, 1)];
 		if (host === undefined) {
-			return false;
+			return;
 		}
 
-		const before = this.#gateway.confirmedAt;
 		this.#count++;
 		const id = this.#count;
 		await new Promise<void>(resolve => {
@@ -159,7 +156,7 @@
 			}, timeout);
 			this.#asks.set(id, {
 				host,
-				at: this.#options.now(),
+				at: this.#options.clock.moment(),
 				done() {
 					clearTimeout(timer);
 					resolve();
@@ -172,6 +169,5 @@
 				revision: this.#gateway.registrations.revision,
 			});
 		});
-		return this.#gateway.confirmedAt > before;
 	}
 }
