--- a/src/gateway/sharing.ts
+++ b/src/gateway/sharing.ts
@@ -14,6 +14,9 @@
  */
 const smallestSharing = 5;
 
+/** How a host learns what the store holds: by reading for itself, for others that ask it too, or by asking those. */
+export type Reading = 'by asking' | 'for itself' | 'for others';
+
 type Ask = {
 	readonly host: string;
 	readonly at: Moment;
@@ -46,9 +49,13 @@
 		this.#options = options;
 	}
 
-	/** Whether this host reads the store itself. */
-	get isReader(): boolean {
-		return this.#readers().includes(this.#options.self);
+	/** How this host learns what the store holds, by the hosts that are linked now. */
+	get reading(): Reading {
+		if (!this.#isShared) {
+			return 'for itself';
+		}
+
+		return this.#gateway.peers.relays.includes(this.#options.self) ? 'for others' : 'by asking';
 	}
 
 	/**
@@ -57,8 +64,8 @@
 	 * @param timeout - Milliseconds to wait.
 	 */
 	async askReader(timeout: number): Promise<void> {
-		const linked = this.#readers().filter(name => name !== this.#options.self);
-		await this.#askOne(linked, timeout);
+		const readers = this.#gateway.peers.relays.filter(name => name !== this.#options.self);
+		await this.#askOne(readers, timeout);
 	}
 
 	/**
@@ -133,11 +140,11 @@
 		}
 	}
 
-	#readers(): readonly string[] {
+	/** Whether the relays of this host's failure domain read for the others. */
+	get #isShared(): boolean {
 		const {peers} = this.#gateway;
-		const {self, failureDomain} = this.#options;
-		const names = [self, ...peers.hosts.filter(host => host.failureDomain === failureDomain).map(host => host.name)];
-		return !peers.isLargeFleet && names.length < smallestSharing ? names : peers.relays;
+		const others = peers.hosts.filter(host => host.failureDomain === this.#options.failureDomain);
+		return peers.isLargeFleet || others.length + 1 >= smallestSharing;
 	}
 
 	async #askOne(names: readonly string[], timeout: number): Promise<void> {
