A hold whose engine leaves two renewals unanswered ends its attempt, and the memory at the other engines goes back

Engines' memory stayed set aside for over 4 s after the first engine of a prompt was gone without a word: the attempt, and the hold with it, was given up only 0.9 s and twice the predicted time after its sending, while the other engines' memory was renewed.

--- a/src/core/gateway/retries.ts
+++ b/src/core/gateway/retries.ts
@@ -2,8 +2,8 @@
 import {assertNever} from '../utils/common.js';
 import {type RouteKind} from './types.js';
 
-/** Why an attempt is given up: an engine that is silent or about to pause is left for another one. */
-export type CancelReason = 'caller left' | 'time over' | 'silent' | 'moved';
+/** Why an attempt is given up: an engine that is silent or about to pause, or memory that is about to go, is left for another one. */
+export type CancelReason = 'caller left' | 'memory lost' | 'moved' | 'silent' | 'time over';
 
 /** What is provably true of an attempt that is over. */
 export type AttemptEnding
--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -217,6 +217,9 @@
 			});
 		}
 
+		hold?.watch(() => {
+			attempt.cancel('memory lost');
+		});
 		const watch = new Watch(attempt, this.#tries.mayLeave, place.firstByte, () => gateway.longestPass(place.upstream.id));
 		try {
 			const ending = await this.#follow(attempt, place.upstream.id, job.id, watch);
--- a/src/gateway/holds.ts
+++ b/src/gateway/holds.ts
@@ -11,6 +11,9 @@
 const lease = 3600;
 const renewalInterval = 1100;
 
+/** Renewals in a row that an engine leaves unanswered, after which its memory counts as lost. */
+const missedRenewals = 2;
+
 /** Tries to release a hold, the pause between them in milliseconds; after that its lease ends it. */
 const releaseTries = 3;
 const releasePause = 300;
@@ -22,14 +25,19 @@
 	readonly tokens: number;
 };
 
+type Grant = 'granted' | 'refused' | 'unanswered';
+
 export class Hold implements AsyncDisposable {
 	readonly name: string;
 	readonly #parts: readonly HoldPart[];
 	readonly #orders: Orders;
-	readonly #log: Log;
+	readonly #log: Pick<Log, 'write'>;
+	/** Renewals in a row that each engine has left unanswered. */
+	readonly #missed = new Map<string, number>();
 	#timer: NodeJS.Timeout | undefined;
+	#onLost: (() => void) | undefined;
 
-	constructor(name: string, parts: readonly HoldPart[], orders: Orders, log: Log) {
+	constructor(name: string, parts: readonly HoldPart[], orders: Orders, log: Pick<Log, 'write'>) {
 		this.name = name;
 		this.#parts = parts;
 		this.#orders = orders;
@@ -44,39 +52,54 @@
 	async acquire(): Promise<readonly string[]> {
 		const refused: string[] = [];
 		await Promise.all(this.#parts.map(async part => {
-			if (!await this.#reserve(part)) {
+			if (await this.#reserve(part) !== 'granted') {
 				refused.push(part.upstream);
 			}
 		}));
 		if (refused.length === 0) {
 			this.#timer = setInterval(() => {
-				void this.#renew();
+				// Engines are not waited for in turn: a silent one must not delay the renewal at the others.
+				for (const part of this.#parts) {
+					void this.#renew(part);
+				}
 			}, renewalInterval);
 		}
 
 		return refused;
 	}
 
+	/**
+	 * @param onLost - Called when an engine no longer answers: its memory goes with its lease, and what uses the hold is cut off.
+	 */
+	watch(onLost: () => void): void {
+		this.#onLost = onLost;
+	}
+
 	async [Symbol.asyncDispose](): Promise<void> {
 		clearInterval(this.#timer);
+		this.#onLost = undefined;
 		await Promise.all(this.#parts.map(async part => this.#release(part)));
 	}
 
-	async #renew(): Promise<void> {
-		for (const part of this.#parts) {
-			// Answers of several engines are not waited for in turn: a silent one must not delay the others' renewal.
-			void this.#reserve(part);
+	async #renew(part: HoldPart): Promise<void> {
+		const {upstream} = part;
+		const grant = await this.#reserve(part);
+		const missed = grant === 'unanswered' ? (this.#missed.get(upstream) ?? 0) + 1 : 0;
+		this.#missed.set(upstream, missed);
+		if (missed === missedRenewals) {
+			this.#onLost?.();
 		}
 	}
 
-	async #reserve(part: HoldPart): Promise<boolean> {
+	async #reserve(part: HoldPart): Promise<Grant> {
 		try {
-			return await this.#orders.reserve(part.address, this.name, part.tokens, lease);
+			const isGranted = await this.#orders.reserve(part.address, this.name, part.tokens, lease);
+			return isGranted ? 'granted' : 'refused';
 		} catch (error) {
 			this.#log.write({
 				event: 'reserve-failed', hold: this.name, upstream: part.upstream, detail: messageOf(error),
 			}, 'warn');
-			return false;
+			return 'unanswered';
 		}
 	}
 
@@ -100,7 +123,7 @@
 /** Makes holds with names that no other host uses. */
 export class Holds {
 	readonly #orders: Orders;
-	readonly #log: Log;
+	readonly #log: Pick<Log, 'write'>;
 	readonly #metrics: GatewayMetrics;
 	readonly #prefix: string;
 	#count = 0;
