Fuzz: a refusal of an open key counts as of its decision, and the third crash of a race is no host's second thought

The refusal leaves the key open: it speaks of the time before it was decided (OUTCOMES.md), and no host on the way can know better, but for one that stood still. The check compared with the time of arrival.

Both limits are in design/truth.md, but the sum left the third of the race out. Only a crash is passed over whose attempt had been sent before that host's second crash.

--- a/bench/fuzz/callers.ts
+++ b/bench/fuzz/callers.ts
@@ -150,7 +150,7 @@
 			this.#world.arrive(host, request, {operation: this.#id, right}, answer => {
 				isAnswered = true;
 				ledger.told.push({
-					operation: this.#id, right, outcome: answer.effect.outcome, payload: answer.payload, at: this.#world.now,
+					operation: this.#id, right, outcome: answer.effect.outcome, payload: answer.payload, decidedAt: answer.decidedAt, at: this.#world.now,
 				});
 				this.#hear(answer, right);
 			});
--- a/bench/fuzz/hosts.ts
+++ b/bench/fuzz/hosts.ts
@@ -16,6 +16,8 @@
 	readonly effect: Extract<Effect, {readonly type: 'answer'}>;
 	/** Operation whose result it carries. */
 	readonly payload?: string;
+	/** When it was decided, at whichever host. */
+	readonly decidedAt: number;
 };
 
 export type Exchange = {
--- a/bench/fuzz/ledger.ts
+++ b/bench/fuzz/ledger.ts
@@ -25,6 +25,8 @@
 	readonly outcome: Outcome;
 	/** Operation whose result the answer carried, if it was done. */
 	readonly payload?: string;
+	/** When the host that decided the outcome did so; others pass it on. */
+	readonly decidedAt: number;
 	readonly at: number;
 };
 
@@ -45,6 +47,8 @@
 	readonly operation: string;
 	/** Run of the host that had sent it. */
 	readonly sender: string;
+	/** When that host sent it. */
+	readonly sentAt: number;
 	readonly at: number;
 };
 
--- a/bench/fuzz/relays.ts
+++ b/bench/fuzz/relays.ts
@@ -10,6 +10,7 @@
 	readonly exchange: Exchange;
 	/** Run of the host that sent it. */
 	readonly sender: string;
+	readonly sentAt: number;
 	readonly over: (ending: Ending, payload?: string) => void;
 };
 
@@ -32,6 +33,7 @@
 	const {attempt, request} = effect;
 	const upstream = world.upstreams.get(effect.upstream)!;
 	const exchange = host.exchanges.get(request)!;
+	const sentAt = world.now;
 	const over = (ending: Ending, payload?: string): void => {
 		exchange.payload = payload ?? exchange.payload;
 		world.dispatch(host, {type: 'attempt-ended', attempt, ending});
@@ -56,13 +58,15 @@
 		} else if (!upstream.cancelled.has(attempt)) {
 			const {incarnation} = host.member;
 			execute(world, upstream, {
-				attempt, exchange, sender: `${incarnation.host}/${incarnation.started}`, over,
+				attempt, exchange, sender: `${incarnation.host}/${incarnation.started}`, sentAt, over,
 			});
 		}
 	});
 }
 
-function execute(world: World, upstream: FakeUpstream, {attempt, exchange, sender, over}: Arrival): void {
+function execute(world: World, upstream: FakeUpstream, {
+	attempt, exchange, sender, sentAt, over,
+}: Arrival): void {
 	const {operation, right} = exchange;
 	world.ledger.executions.push({
 		operation, right, upstream: upstream.id, at: world.now, expires: expiryOf(exchange),
@@ -74,7 +78,7 @@
 	});
 	if (world.ledger.operations.get(operation)?.kills === true) {
 		world.agenda.after(world.dice.integer(1, 20), () => {
-			world.crash(upstream, {operation, sender});
+			world.crash(upstream, {operation, sender, sentAt});
 		});
 		return;
 	}
--- a/bench/fuzz/world.ts
+++ b/bench/fuzz/world.ts
@@ -156,7 +156,7 @@
 		this.dispatch(host, {type: 'request-arrived', request});
 	}
 
-	crash(upstream: FakeUpstream, cause?: Pick<Crash, 'operation' | 'sender'>): void {
+	crash(upstream: FakeUpstream, cause?: Pick<Crash, 'operation' | 'sender' | 'sentAt'>): void {
 		if (!upstream.isUp) {
 			return;
 		}
@@ -280,7 +280,7 @@
 			return;
 		}
 
-		const own = {effect, payload: exchange.payload};
+		const own = {effect, payload: exchange.payload, decidedAt: this.now};
 		exchange.answer = effect.outcome.type === 'done' ? exchange.passed ?? own : own;
 		exchange.visit.answeredAt = this.now;
 		for (const receive of exchange.receivers.splice(0)) {
--- a/src/core/__tests__/regressions.test.ts
+++ b/src/core/__tests__/regressions.test.ts
@@ -72,3 +72,17 @@
 		expect(world.ledger.crashes.filter(crash => crash.operation === 'o405')).toHaveLength(5);
 	});
 });
+
+describe('a key that is refused while another sending of it begins to run', () => {
+	it('is told what was true when that was decided (seed 146302089)', () => {
+		expect(run({seed: 146_302_089}).violations).toEqual([]);
+	});
+});
+
+describe('a request sent twice at once that crashes upstreams while another host stands still', () => {
+	it('crashes a third one of the first host, and two of the other (seed 146302079)', () => {
+		const {world, violations} = run({seed: 146_302_079});
+		expect(violations).toEqual([]);
+		expect(world.ledger.crashes.filter(crash => crash.operation === 'o552').map(crash => crash.sender.slice(0, 2))).toEqual(['b2', 'b2', 'b2', 'b1', 'b1']);
+	});
+});
