--- a/bench/fleet/ports.ts
+++ b/bench/fleet/ports.ts
@@ -2,7 +2,7 @@
 import {randomInt} from 'node:crypto';
 import {once} from 'node:events';
 import {
-	mkdirSync, readFileSync, rmSync, writeFileSync,
+	linkSync, mkdirSync, readFileSync, rmSync, writeFileSync,
 } from 'node:fs';
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
