A host that alone has lost the store drops at once what its peers say is removed

What callers saw: a host that alone had lost the store went on sending requests for two seconds to upstreams that its peers had dropped. Cause: removals told by a peer were judged by this host's own outage, as if they could have lapsed with the store; the peer, which reads it undisturbed, knows that they have not. Hosts now tell beside the registry which upstreams they keep for themselves. What a peer that knows of the removal does not keep is dropped at once, also where it was learnt from the store before; what the peer keeps is judged by the own outage as before.

--- a/src/core/gateway/registry.ts
+++ b/src/core/gateway/registry.ts
@@ -20,7 +20,8 @@
 	readonly removed: readonly string[];
 };
 
-const noDifference: RegistryDifference = {written: [], removed: []};
+/** What changes nothing. */
+export const noDifference: RegistryDifference = {written: [], removed: []};
 
 function isSame(a: GatewayUpstream | undefined, b: GatewayUpstream): boolean {
 	return a?.service === b.service
@@ -46,6 +47,11 @@
 		return this.#revision;
 	}
 
+	/** Revision of the last change. */
+	get changed(): number {
+		return this.#changed;
+	}
+
 	get snapshot(): RegistrySnapshot {
 		return {upstreams: [...this.#upstreams.values()], revision: this.#revision, changed: this.#changed};
 	}
--- a/src/gateway/__tests__/registrations.test.ts
+++ b/src/gateway/__tests__/registrations.test.ts
@@ -38,7 +38,7 @@
 	reader.registrations.lost();
 	reader.registrations.follow([removed], 7);
 	reader.registrations.regained();
-	asker.registrations.take('reader', reader.registrations.snapshot);
+	asker.registrations.take('reader', reader.registrations.newsFor(0));
 	expect(reader.known()).toEqual(['e1', 'e2']);
 	expect(asker.known()).toEqual(['e2']);
 });
@@ -78,3 +78,43 @@
 	registrations.take('peer', {revision: 9, changed: 4});
 	expect([registrations.revision, known()]).toEqual([9, ['e1']]);
 });
+
+it('a host that alone has lost the store drops at once what a peer says is removed', () => {
+	const {registrations, known} = scene();
+	registrations.list([upstream('e1'), upstream('e2')], 5);
+	registrations.lost();
+	registrations.take('peer', {upstreams: [upstream('e2')], revision: 6, changed: 6});
+	expect(known()).toEqual(['e2']);
+});
+
+it('an upstream that lapsed with the store stays while a peer keeps it too', () => {
+	const {registrations, known} = scene();
+	registrations.list([upstream('e1'), upstream('e2')], 5);
+	registrations.lost();
+	registrations.take('peer', {
+		upstreams: [upstream('e2')], revision: 6, changed: 6, kept: ['e1'],
+	});
+	expect(known()).toEqual(['e1', 'e2']);
+	registrations.take('peer', {revision: 7, changed: 6});
+	expect(known()).toEqual(['e2']);
+});
+
+it('a peer that knows less than a removal says nothing of what is kept', () => {
+	const {registrations, known} = scene();
+	registrations.list([upstream('e1')], 5);
+	registrations.lost();
+	registrations.follow([removed], 6);
+	registrations.take('peer', {revision: 5, changed: 5});
+	expect(known()).toEqual(['e1']);
+});
+
+it('what a host keeps itself is told with the rest', () => {
+	const {registrations} = scene();
+	registrations.list([upstream('e1')], 5);
+	registrations.lost();
+	registrations.follow([removed], 6);
+	expect(registrations.newsFor(0)).toEqual({
+		upstreams: [], revision: 6, changed: 6, kept: ['e1'],
+	});
+	expect(registrations.newsFor(6)).toEqual({revision: 6, changed: 6, kept: ['e1']});
+});
--- a/src/gateway/__tests__/sharing.test.ts
+++ b/src/gateway/__tests__/sharing.test.ts
@@ -18,7 +18,7 @@
 	const gateway = {
 		directory: {configuration},
 		confirmedAge: 10,
-		registrations: {revision: 3, snapshot: {upstreams: [], revision: 3, changed: 3}, isCurrent: () => true},
+		registrations: {revision: 3, newsFor: () => ({revision: 3, changed: 3})},
 		peers: {
 			sendFrame(_: string, frame: Uint8Array) {
 				told.push(...messageReader().push(frame));
--- a/src/gateway/peers/state.ts
+++ b/src/gateway/peers/state.ts
@@ -83,6 +83,8 @@
 	changed: z.number(),
 	/** All that were registered as of the revision; absent where the asker has the same. */
 	upstreams: z.array(upstreamSchema).max(4096).optional(),
+	/** Upstreams that are registered no more and that the peer keeps, as they may only have lapsed. */
+	kept: z.array(name).max(4096).optional(),
 });
 
 export type StateWanted = z.infer<typeof stateWantedSchema>;
--- a/src/gateway/registrations.ts
+++ b/src/gateway/registrations.ts
@@ -1,7 +1,7 @@
 /** Keeps the upstreams that may be used in step with the platform's registry, read from its store or told by peers. */
 import {Lapses} from '../core/gateway/lapses.js';
 import {
-	Registry, type RegistryChange, type RegistryDifference, type RegistrySnapshot,
+	noDifference, Registry, type RegistryChange, type RegistryDifference,
 } from '../core/gateway/registry.js';
 import {type GatewayUpstream} from '../core/gateway/types.js';
 import {type Log} from '../entry/logs.js';
@@ -14,12 +14,31 @@
 	readonly now: () => number;
 };
 
+/** What hosts tell each other of the registry. */
+export type RegistryNews = {
+	/** Revision of the store up to which the teller knows each change, and that of the last one. */
+	readonly revision: number;
+	readonly changed: number;
+	/** All that were registered as of the revision; absent where the receiver has the same. */
+	readonly upstreams?: readonly GatewayUpstream[];
+	/** Upstreams that are registered no more and that the teller keeps, as they may only have lapsed; none if absent. */
+	readonly kept?: readonly string[];
+};
+
+/** An upstream that is registered no more and may only have lapsed. */
+type Lapsing = {
+	readonly source: Source;
+	readonly timer: NodeJS.Timeout;
+};
+
+const none: readonly string[] = [];
+
 export class Registrations implements Disposable {
 	readonly #options: RegistrationsOptions;
 	readonly #registry = new Registry();
 	readonly #lapses = new Lapses();
-	/** Upstreams that are registered no more and may only have lapsed, until they are dropped. */
-	readonly #lapsing = new Map<string, NodeJS.Timeout>();
+	/** What is kept until its registration is back or can be back no more. */
+	readonly #lapsing = new Map<string, Lapsing>();
 
 	/**
 	 * @param options - Upstreams to keep.
@@ -33,17 +52,15 @@
 		return this.#registry.revision;
 	}
 
-	/** What is told to peers. An upstream that is kept as it may only have lapsed is no part of it: each host judges that by itself. */
-	get snapshot(): RegistrySnapshot {
-		return this.#registry.snapshot;
-	}
-
 	/**
 	 * @param revision - Revision that a peer's registry has.
-	 * @returns Whether it need not be told of upstreams.
+	 * @returns What it is told.
 	 */
-	isCurrent(revision: number): boolean {
-		return this.#registry.isCurrent(revision);
+	newsFor(revision: number): RegistryNews {
+		const kept = this.#lapsing.size === 0 ? undefined : [...this.#lapsing.keys()];
+		return this.#registry.isCurrent(revision)
+			? {revision: this.#registry.revision, changed: this.#registry.changed, kept}
+			: {...this.#registry.snapshot, kept};
 	}
 
 	/**
@@ -60,7 +77,7 @@
 			if (change.type === 'written') {
 				this.#use(change.upstream, source);
 			} else {
-				this.#drop(change.id, source);
+				this.#dropOrKeep(change.id, source);
 			}
 		}
 
@@ -72,19 +89,28 @@
 	 * @param revision - Revision as of which it was read.
 	 */
 	list(upstreams: readonly GatewayUpstream[], revision: number): void {
-		this.#change(this.#registry.reset({upstreams, revision, changed: revision}), {type: 'store', revision});
+		const source = {type: 'store', revision} as const;
+		const {written, removed} = this.#registry.reset({upstreams, revision, changed: revision});
+		for (const id of removed) {
+			this.#dropOrKeep(id, source);
+		}
+
+		this.#useAll(written, source);
 	}
 
 	/**
 	 * @param peer - Peer that told.
-	 * @param snapshot - What it has; without upstreams where they are the same as here.
+	 * @param news - What it knows.
 	 */
-	take(peer: string, {upstreams, revision, changed}: Omit<RegistrySnapshot, 'upstreams'> & Partial<RegistrySnapshot>): void {
-		if (upstreams === undefined) {
-			this.#registry.advance(revision);
-		} else {
-			this.#change(this.#registry.merge({upstreams, revision, changed}), {type: 'peer', peer, revision});
+	take(peer: string, news: RegistryNews): void {
+		const source = {type: 'peer', peer, revision: news.revision} as const;
+		const {written, removed} = this.#learn(news);
+		for (const id of removed) {
+			this.#dropOrKeep(id, source);
 		}
+
+		this.#useAll(written, source);
+		this.#dropUnkept(news.kept ?? none, source);
 	}
 
 	/** The store does not answer. */
@@ -98,17 +124,22 @@
 	}
 
 	[Symbol.dispose](): void {
-		for (const timer of this.#lapsing.values()) {
+		for (const {timer} of this.#lapsing.values()) {
 			clearTimeout(timer);
 		}
 	}
 
-	#change({written, removed}: RegistryDifference, source: Source): void {
-		for (const id of removed) {
-			this.#drop(id, source);
+	#learn({upstreams, revision, changed}: RegistryNews): RegistryDifference {
+		if (upstreams === undefined) {
+			this.#registry.advance(revision);
+			return noDifference;
 		}
 
-		for (const upstream of written) {
+		return this.#registry.merge({upstreams, revision, changed});
+	}
+
+	#useAll(upstreams: readonly GatewayUpstream[], source: Source): void {
+		for (const upstream of upstreams) {
 			this.#use(upstream, source);
 		}
 	}
@@ -118,26 +149,39 @@
 		this.#options.upstreams.register(upstream, source);
 	}
 
-	#drop(id: string, source: Source): void {
-		const {upstreams, log, now} = this.#options;
+	#dropOrKeep(id: string, source: Source): void {
+		const {log, now} = this.#options;
 		const delay = this.#lapses.delay(now());
 		if (delay === 0) {
-			this.#settle(id);
-			upstreams.unregister(id, source);
+			this.#drop(id, source);
 		} else if (!this.#lapsing.has(id)) {
 			log.write({
 				event: 'upstream-lapsing', upstream: id, revision: source.revision, wait: Math.round(delay),
 			});
-			this.#lapsing.set(id, setTimeout(() => {
-				this.#lapsing.delete(id);
-				upstreams.unregister(id, source);
-			}, delay));
+			const timer = setTimeout(() => {
+				this.#drop(id, source);
+			}, delay);
+			this.#lapsing.set(id, {source, timer});
 		}
 	}
 
+	/** A peer as recent as a removal that does not keep the upstream knows that its registration has not just lapsed. */
+	#dropUnkept(kept: readonly string[], source: Source): void {
+		for (const [id, lapsing] of this.#lapsing) {
+			if (source.revision >= lapsing.source.revision && !kept.includes(id)) {
+				this.#drop(id, source);
+			}
+		}
+	}
+
+	#drop(id: string, source: Source): void {
+		this.#settle(id);
+		this.#options.upstreams.unregister(id, source);
+	}
+
 	/** Its registration is there, or its absence is settled: nothing is left to wait for. */
 	#settle(id: string): void {
-		clearTimeout(this.#lapsing.get(id));
+		clearTimeout(this.#lapsing.get(id)?.timer);
 		this.#lapsing.delete(id);
 	}
 }
--- a/src/gateway/sharing.ts
+++ b/src/gateway/sharing.ts
@@ -99,15 +99,15 @@
 			this.#tell(from, configuration);
 		}
 
-		const {upstreams, revision, changed} = gateway.registrations.snapshot;
+		const {upstreams, kept, ...revisions} = gateway.registrations.newsFor(wanted.revision);
 		gateway.peers.send(from, {
 			type: 'state',
 			ask: wanted.ask,
 			age: gateway.confirmedAge,
 			version: configuration.version,
-			revision,
-			changed,
-			upstreams: gateway.registrations.isCurrent(wanted.revision) ? undefined : [...upstreams],
+			...revisions,
+			upstreams: upstreams === undefined ? undefined : [...upstreams],
+			kept: kept === undefined ? undefined : [...kept],
 		});
 	}
 
