Hosts tell each other of upstreams that are not there

Cause: each host learnt of each crashed engine by a request of its own, and a crashed engine looks idle. Besides, an engine that had been replaced counted as a failed link: two of them put a whole failure domain out of reach. Now a host tells how it found an upstream absent: refused, replaced or silent. What may be due to a link holds within the failure domain of the host that tells, or for all where the upstream is in that domain; a replaced process holds for all. A peer's word leaves an upstream alone no longer than one attempt of one's own would; silence only raises the risk. Tests of domains, of pauses, and of replaced upstreams failed before.

--- /dev/null
+++ b/src/core/gateway/__tests__/absences.test.ts
@@ -0,0 +1,112 @@
+/** Engines that crash before many hosts: what the callers of a failure domain get. */
+import {describe, expect, it} from 'vitest';
+import {seeded} from '../../../../bench/model/workload.js';
+import {absenceOf, holdsAt, verdictFrom} from '../absences.js';
+import {Health} from '../health.js';
+import {Load} from '../load.js';
+import {place, type Surroundings} from '../placement.js';
+import {usualPolicy} from '../policy.js';
+import {type Demand, type EngineModel, type GatewayUpstream} from '../types.js';
+
+const model: EngineModel = {
+	slots: 7, memory: 200_000, stride: 16, step: 1, perRequest: 0.02, perThousand: 0.002, readRate: 200, pairs: 0.1, chunk: 2048, hop: 0.3, usualPrompt: 5000, usualAnswer: 500,
+};
+
+const hosts = 200;
+const requests = 800;
+
+/** Milliseconds between two requests of the domain, and until one is answered: a crashed engine looks idle beside the others. */
+const gap = 5;
+const answerTime = 800;
+
+const engines: readonly GatewayUpstream[] = Array.from({length: 40}, (_, index) => ({
+	id: `e${index}`, service: 'm', address: {host: '127.0.0.1', port: 1000 + index}, failureDomain: 'a', slots: 7, isDraining: false,
+}));
+const crashed: ReadonlySet<string> = new Set(['e3', 'e11', 'e19', 'e27', 'e35']);
+
+type Asking = {readonly demand: Demand; readonly host: number; readonly now: number};
+
+/** A failure domain whose hosts place requests while some engines refuse connections. */
+class Domain {
+	readonly #isTold: boolean;
+	readonly #healths = Array.from({length: hosts}, () => new Health());
+	readonly #load = new Load();
+
+	constructor(isTold: boolean) {
+		this.#isTold = isTold;
+	}
+
+	/** Attempts in vain of one request before it reaches an engine. */
+	serve({demand, host, now}: Asking): number {
+		this.#load.expire(now);
+		const tried = new Set<string>();
+		for (;;) {
+			const {upstream, reading, urgency} = place(demand, engines, model, this.#around(host, tried, now))!;
+			const chosen = upstream.id;
+			if (!crashed.has(chosen)) {
+				this.#load.begin({
+					id: demand.id, host: `h${host}`, upstream: chosen, helpers: [], prompt: 5000, answer: 300, isHeld: false, read: reading.total, readPerPass: reading.perPass,
+					pause: 250, urgency, weight: 2, began: now, due: demand.due, deadline: now + answerTime - 500,
+				}, now);
+				return tried.size;
+			}
+
+			tried.add(chosen);
+			this.#healths[host]!.record(chosen, 'unreachable', now);
+			this.#tell(chosen, host, now);
+		}
+	}
+
+	#around(host: number, tried: ReadonlySet<string>, now: number): Surroundings {
+		return {
+			policy: usualPolicy, load: this.#load, health: this.#healths[host]!, host: `h${host}`, failureDomain: 'a', unreachable: new Set(), eligibility: {tried}, now,
+		};
+	}
+
+	#tell(upstream: string, host: number, now: number): void {
+		const absence = absenceOf(upstream, 'refused', 'a', 'a');
+		for (const [index, health] of this.#healths.entries()) {
+			if (this.#isTold && index !== host && holdsAt(absence, 'a', 'a') && !health.isPaused(upstream, now)) {
+				health.record(upstream, verdictFrom(absence.reason), now);
+			}
+		}
+	}
+}
+
+function play(isTold: boolean): readonly number[] {
+	const random = seeded(7);
+	const domain = new Domain(isTold);
+	return Array.from({length: requests}, (_, index) => {
+		const now = 10_000 + (index * gap);
+		return domain.serve({
+			host: random.integer(0, hosts - 1),
+			now,
+			demand: {
+				id: `r${index}`, service: 'm', kind: 'streaming', priority: 1, arrived: now, prompt: {tokens: 5000, answer: 300}, pause: 250, due: now + 400, deadline: now + 10_000,
+			},
+		});
+	});
+}
+
+function total(counts: readonly number[]): number {
+	return counts.reduce((sum, count) => sum + count, 0);
+}
+
+it('a crashed engine costs the callers of 200 hosts an attempt or two, not one for each host', () => {
+	expect(total(play(true))).toBeLessThanOrEqual(2 * crashed.size);
+	expect(total(play(false))).toBeGreaterThan(10 * crashed.size);
+});
+
+describe('an upstream that a host finds absent', () => {
+	it.each([
+		['refused', 'a', 'a', true],
+		['refused', 'b', 'a', false],
+		['silent', 'b', 'a', false],
+		['silent', undefined, 'a', false],
+		['replaced', 'b', 'a', true],
+	] as const)('%s in domain %s and found so from %s: holds elsewhere: %s', (reason, upstream, host, isForAll) => {
+		const absence = absenceOf('e1', reason, upstream, host);
+		expect(absence.isForAll).toBe(isForAll);
+		expect([holdsAt(absence, host, host), holdsAt(absence, host, 'c')]).toEqual([true, isForAll]);
+	});
+});
--- a/src/core/gateway/health.ts
+++ b/src/core/gateway/health.ts
@@ -9,7 +9,10 @@
 const priorAttempts = 4;
 const priorFailures = 0.04;
 
-/** Milliseconds that an upstream is left alone after a connection to it failed; doubled each time, up to the most. */
+/**
+ * Milliseconds that an upstream is left alone after a connection to it failed; doubled each time, up to the most. One that was replaced
+ * is left alone for the most: its registration is about to change.
+ */
 const shortestPause = 250;
 const longestPause = 2000;
 
@@ -21,6 +24,8 @@
 		| 'faulty'
 	/** Its connection broke before the answer was whole. */
 		| 'broken'
+	/** Another process answers at its address. */
+		| 'replaced'
 	/** No connection could be made, or it fell silent. */
 		| 'unreachable';
 
@@ -75,12 +80,27 @@
 		const entry = this.#decayed(upstream, now);
 		entry.attempts++;
 		entry.failures += verdict === 'sound' ? 0 : 1;
-		if (verdict === 'unreachable') {
-			entry.pausedUntil = now + Math.min(shortestPause * (2 ** entry.misses), longestPause);
-			entry.misses++;
-		} else if (verdict === 'sound') {
-			entry.misses = 0;
-			entry.pausedUntil = 0;
+		switch (verdict) {
+			case 'unreachable': {
+				entry.pausedUntil = now + Math.min(shortestPause * (2 ** entry.misses), longestPause);
+				entry.misses++;
+
+				break;
+			}
+
+			case 'replaced': {
+				entry.pausedUntil = now + longestPause;
+
+				break;
+			}
+
+			case 'sound': {
+				entry.misses = 0;
+				entry.pausedUntil = 0;
+
+				break;
+			}
+		// No default
 		}
 
 		this.#entries.set(upstream, entry);
--- a/src/gateway/__tests__/reputation.test.ts
+++ b/src/gateway/__tests__/reputation.test.ts
@@ -90,3 +90,35 @@
 	expect([upstreams.of('portal'), upstreams.all.map(each => each.id), upstreams.size]).toEqual([[], ['e1', 'e3'], 2]);
 	expect(told).toEqual(['e1 restarted', 'e2 gone']);
 });
+
+it('upstreams that were replaced by other processes do not put their failure domain out of reach', () => {
+	const {lines, log} = recorder();
+	const reputation = new Reputation({failureDomain: 'a', log, silentDomains: () => new Set()});
+	for (const id of ['e1', 'e2', 'e3']) {
+		reputation.judge(id, upstream(id, 'b'), 'replaced', 0);
+	}
+
+	reputation.look(1);
+	expect([...reputation.unreachable]).toEqual([]);
+	expect(events(lines)).toEqual(['upstream-doubted', 'upstream-doubted', 'upstream-doubted']);
+	expect([reputation.health.isPaused('e1', 1900), reputation.health.isPaused('e1', 2100)]).toEqual([true, false]);
+});
+
+it('what several peers say of an upstream that is left alone does not leave it alone for longer', () => {
+	const {log} = recorder();
+	const reputation = new Reputation({failureDomain: 'a', log, silentDomains: () => new Set()});
+	for (let now = 0; now < 200; now += 10) {
+		reputation.hear({upstream: 'e1', reason: 'refused', isForAll: true}, now);
+	}
+
+	expect([reputation.health.isPaused('e1', 240), reputation.health.isPaused('e1', 260)]).toEqual([true, false]);
+});
+
+it('silence at a peer makes an upstream doubtful and does not exclude it', () => {
+	const {log} = recorder();
+	const reputation = new Reputation({failureDomain: 'a', log, silentDomains: () => new Set()});
+	const before = reputation.health.risk('e1', 0);
+	reputation.hear({upstream: 'e1', reason: 'silent', isForAll: true}, 0);
+	expect(reputation.health.isPaused('e1', 1)).toBe(false);
+	expect(reputation.health.risk('e1', 1)).toBeGreaterThan(before + 0.1);
+});
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -34,15 +34,18 @@
 	readonly address: Address;
 };
 
-/** An attempt that ended before any answer, and whether it says something of the upstream. */
+/** An attempt that ended before any answer, and what it says of the upstream. */
 export type Ended = {
 	readonly type: 'ended';
 	readonly ending: AttemptEnding;
-	readonly isUnreachable: boolean;
+	/** Why no connection was made, where it was wanted to the end. */
+	readonly absence?: 'refused' | 'silent';
 };
 
-function ended(ending: AttemptEnding, isUnreachable = false): Ended {
-	return {type: 'ended', ending, isUnreachable};
+const refusedConnection = 'ECONNREFUSED';
+
+function ended(ending: AttemptEnding, absence?: Ended['absence']): Ended {
+	return {type: 'ended', ending, absence};
 }
 
 /** Why an answer's head can't be the one of this request, if so. */
@@ -147,14 +150,14 @@
 			outgoing.on('response', body => {
 				resolve(this.#read(body));
 			});
-			outgoing.on('error', error => {
+			outgoing.on('error', (error: NodeJS.ErrnoException) => {
 				clearTimeout(this.#timer);
 				this.#isBroken = true;
-				resolve(this.#failed(error.message));
+				resolve(this.#failed(error.message, error.code === refusedConnection ? 'refused' : 'silent'));
 			});
 			outgoing.on('close', () => {
 				clearTimeout(this.#timer);
-				resolve(this.#failed('closed'));
+				resolve(this.#failed('closed', 'silent'));
 			});
 			outgoing.end(this.#sending.body);
 		});
@@ -200,9 +203,9 @@
 		};
 	}
 
-	#failed(reason: string): Ended {
+	#failed(reason: string, absence: Ended['absence']): Ended {
 		if (!this.#isConnected) {
-			return ended({type: 'not-run', reason, isShed: false}, this.#cancelled === undefined);
+			return ended({type: 'not-run', reason, isShed: false}, this.#cancelled === undefined ? absence : undefined);
 		}
 
 		if (this.#cancelled !== undefined) {
--- a/src/gateway/bundle.ts
+++ b/src/gateway/bundle.ts
@@ -1,10 +1,13 @@
 /** Gathers news of load that are told together. */
+import {type Absence} from '../core/gateway/absences.js';
 import {type Job} from '../core/gateway/load.js';
 
 export type Changes = {
 	readonly began: readonly Job[];
 	readonly progressed: readonly string[];
 	readonly ended: readonly string[];
+	/** Upstreams that were found not to be there. */
+	readonly absences: readonly Absence[];
 };
 
 export class Bundle {
@@ -13,6 +16,7 @@
 	#began: Job[] = [];
 	#progressed: string[] = [];
 	#ended: string[] = [];
+	#absences: Absence[] = [];
 	#timer: NodeJS.Timeout | undefined;
 
 	/**
@@ -27,10 +31,11 @@
 	/**
 	 * @param changes - What has happened.
 	 */
-	add({began = [], progressed = [], ended = []}: Partial<Changes>): void {
+	add({began = [], progressed = [], ended = [], absences = []}: Partial<Changes>): void {
 		this.#began.push(...began);
 		this.#progressed.push(...progressed);
 		this.#ended.push(...ended);
+		this.#absences.push(...absences);
 		this.#timer ??= setTimeout(() => {
 			this.flush();
 		}, this.#delay);
@@ -44,10 +49,13 @@
 
 		clearTimeout(this.#timer);
 		this.#timer = undefined;
-		const changes = {began: this.#began, progressed: this.#progressed, ended: this.#ended};
+		const changes = {
+			began: this.#began, progressed: this.#progressed, ended: this.#ended, absences: this.#absences,
+		};
 		this.#began = [];
 		this.#progressed = [];
 		this.#ended = [];
+		this.#absences = [];
 		this.#send(changes);
 	}
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,5 +1,6 @@
 /** What a gateway knows, and its decisions over it. */
 import {assertNever} from '../core/index.js';
+import {absenceOf, type AbsenceReason} from '../core/gateway/absences.js';
 import {Directory} from '../core/gateway/directory.js';
 import {type Verdict} from '../core/gateway/health.js';
 import {Load, type Job} from '../core/gateway/load.js';
@@ -107,6 +108,9 @@
 			peers: this.peers,
 			now: () => clock.now(),
 			modelAt: upstream => this.modelAt(upstream),
+			absent: absence => {
+				this.reputation.hear(absence, clock.now());
+			},
 		});
 		this.sharing = new Sharing(this, {self: settings.host, failureDomain: settings.failureDomain, clock});
 		this.#expiry = setInterval(() => {
@@ -259,6 +263,16 @@
 		this.reputation.judge(upstream, this.upstreams.get(upstream), verdict, this.#clock.now());
 	}
 
+	/**
+	 * Tells peers of an upstream that is not there.
+	 *
+	 * @param upstream - Upstream.
+	 * @param reason - How an attempt found it so.
+	 */
+	tellAbsence(upstream: string, reason: AbsenceReason): void {
+		this.news.tellAbsence(absenceOf(upstream, reason, this.upstreams.get(upstream)?.failureDomain, this.#settings.failureDomain));
+	}
+
 	/**
 	 * @param upstream - Engine that writes a request.
 	 * @returns Milliseconds that its passes may take now, as far as is known of what it reads and writes.
--- a/src/gateway/news.ts
+++ b/src/gateway/news.ts
@@ -4,6 +4,7 @@
  * own when they decide, when they may have to move a request, and otherwise now and then. Answers hundreds of hosts that each serve
  * one or two requests a second: most of what happens elsewhere matters to them only when the next one comes.
  */
+import {holdsAt, type Absence} from '../core/gateway/absences.js';
 import {type Job, type Load} from '../core/gateway/load.js';
 import {harmfulReading, isToYield, mayMove} from '../core/gateway/moves.js';
 import {disturbed} from '../core/gateway/losses.js';
@@ -39,6 +40,8 @@
 	readonly now: () => number;
 	/** How an engine spends its time, if it is known. */
 	readonly modelAt: (upstream: string) => EngineModel | undefined;
+	/** A peer has found an upstream not to be there. */
+	readonly absent: (absence: Absence) => void;
 };
 
 /** What news may tell of a job that could go on elsewhere. */
@@ -110,6 +113,13 @@
 		this.#own.add({ended: [id]});
 	}
 
+	/**
+	 * @param absence - Upstream that this host has found not to be there.
+	 */
+	tellAbsence(absence: Absence): void {
+		this.#own.add({absences: [absence]});
+	}
+
 	/**
 	 * @param id - Own job that could go on elsewhere.
 	 * @param moves - Told of news that speak for it.
@@ -190,7 +200,14 @@
 			load.end(id, now());
 		}
 
-		this.#passOn({began, progressed: news.progressed, ended: news.ended}, news.audience);
+		const absences = (news.absences ?? []).filter(absence => holdsAt(absence, from.failureDomain, this.#options.failureDomain));
+		for (const absence of absences) {
+			this.#options.absent(absence);
+		}
+
+		this.#passOn({
+			began, progressed: news.progressed, ended: news.ended, absences,
+		}, news.audience);
 	}
 
 	/**
@@ -316,7 +333,7 @@
 
 		this.#forDomain.add(changes);
 		if (audience === 'fleet') {
-			this.#forOthers.add(changes);
+			this.#forOthers.add({...changes, absences: changes.absences.filter(absence => absence.isForAll)});
 		}
 
 		this.#hurry(changes.began);
@@ -336,13 +353,14 @@
 		}
 	}
 
-	#message({began = [], progressed = [], ended = []}: Partial<Changes>, audience?: LoadNews['audience']): LoadNews {
+	#message({began = [], progressed = [], ended = [], absences = []}: Partial<Changes>, audience?: LoadNews['audience']): LoadNews {
 		const {self, now} = this.#options;
 		return {
 			type: 'load',
 			began: began.map(job => tell(job, self, now())),
 			progressed: [...progressed],
 			ended: [...ended],
+			absences: absences.length === 0 ? undefined : [...absences],
 			audience,
 		};
 	}
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -42,6 +42,9 @@
 	firstByteAge: amount.optional(),
 });
 
+/** An upstream that was found not to be there. */
+const absence = z.object({upstream: text, reason: z.enum(['refused', 'replaced', 'silent']), isForAll: z.boolean()});
+
 /** An upstream that broke down while a request ran there. */
 const crash = z.object({
 	fingerprint: text, id: text, upstream: text, started: amount.optional(),
@@ -69,6 +72,7 @@
 		began: z.array(job).max(listLimit),
 		progressed: z.array(text).max(listLimit),
 		ended: z.array(text).max(listLimit),
+		absences: z.array(absence).max(listLimit).optional(),
 		audience,
 	}),
 	/** Asks a relay to send at once the news of load that it has. */
--- a/src/gateway/reputation.ts
+++ b/src/gateway/reputation.ts
@@ -1,4 +1,5 @@
 /** What this host believes of upstreams, failure domains and requests, from how attempts ended; each change is a line. */
+import {verdictFrom, type Absence} from '../core/gateway/absences.js';
 import {Health, type Verdict} from '../core/gateway/health.js';
 import {Reach} from '../core/gateway/reach.js';
 import {Suspects, type Crash} from '../core/gateway/suspects.js';
@@ -83,6 +84,22 @@
 		}
 	}
 
+	/**
+	 * Takes the word of a peer; it adds nothing where the upstream is left alone already.
+	 *
+	 * @param absence - What the peer found.
+	 * @param now - Time in milliseconds.
+	 */
+	hear({upstream, reason}: Absence, now: number): void {
+		if (this.health.isPaused(upstream, now)) {
+			return;
+		}
+
+		const verdict = verdictFrom(reason);
+		this.health.record(upstream, verdict, now);
+		this.#noteDoubt(upstream, verdict, now);
+	}
+
 	/**
 	 * @param id - Upstream that is another process now, or is gone.
 	 */
--- a/src/gateway/verdicts.ts
+++ b/src/gateway/verdicts.ts
@@ -26,12 +26,13 @@
 	 * @param upstream - Upstream that it went to.
 	 * @returns What is true of it.
 	 */
-	unanswered({ending, isUnreachable}: Ended, upstream: string): AttemptEnding {
-		if (isUnreachable) {
+	unanswered({ending, absence}: Ended, upstream: string): AttemptEnding {
+		if (absence === undefined) {
+			this.judge(ending, upstream);
+		} else {
 			this.#gateway.judge(upstream, 'unreachable');
+			this.#gateway.tellAbsence(upstream, absence);
 			this.#tries.noteUnreached(upstream);
-		} else {
-			this.judge(ending, upstream);
 		}
 
 		return ending;
@@ -49,8 +50,11 @@
 		if (culprit !== undefined && culprit.id !== upstream) {
 			this.#gateway.judge(culprit.id, 'unreachable');
 			this.#tries.noteMissedHelper(upstream, culprit.id);
+		} else if (facts.isMisdirected) {
+			this.#gateway.judge(upstream, 'replaced');
+			this.#gateway.tellAbsence(upstream, 'replaced');
 		} else {
-			this.#gateway.judge(upstream, facts.isMisdirected ? 'unreachable' : 'faulty');
+			this.#gateway.judge(upstream, 'faulty');
 		}
 
 		return {type: 'not-run', reason: `refused with ${status} by ${facts.culprit ?? upstream}`, isShed: !facts.isMisdirected};
@@ -66,6 +70,10 @@
 			this.#gateway.judge(upstream, verdict);
 		}
 
+		if (verdict === 'unreachable') {
+			this.#gateway.tellAbsence(upstream, 'silent');
+		}
+
 		if (ending.type === 'unknown') {
 			this.#gateway.convictions.suspect(this.#fingerprint, upstream);
 		}
