A request that has reached no upstream needs no part of the retry budget

What callers saw: a long prompt refused 59 ms after it came, as its first engine refused the connection, though nothing had been sent and nine of ten engines were sound. Cause: going on was asked of the budget of retries also where no upstream had got the request; such a sending was never counted, yet it was denied once the host's part was used up. A line tells now when a retry is denied.

--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -82,3 +82,56 @@
 	await new Dispatch(parts, order, delivery, trace).run();
 	expect([refused, lines]).toEqual([[['overloaded', 1]], ['not-placed']]);
 });
+
+it('a request that has reached no upstream goes on to another one though the budget of retries is used up', async () => {
+	const server = createServer();
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	server.close();
+	await once(server, 'close');
+	const concluded: string[] = [];
+	const places = [{
+		upstream: {id: 'e0', address: {host: '127.0.0.1', port}}, helpers: [], holdTokens: 0, loss: 0, firstByte: 0, reading: {total: 0, perPass: 0},
+	}];
+	let placed = 0;
+	const gateway = {
+		convictions: {isConvicted: () => false},
+		news: {refresh: async () => undefined, end: () => undefined},
+		mayRetry: () => false,
+		place() {
+			placed++;
+			return places.shift();
+		},
+		service: () => undefined,
+		begin: () => ({id: 'j0', weight: 1}),
+		load: {size: 1},
+		judge: () => undefined,
+		tellAbsence: () => undefined,
+		longestPass: () => 0,
+	};
+	const parts = {
+		gateway,
+		clock: {now: () => 0},
+		dialect: {forUpstream: () => []},
+		metrics: {attempts: {inc: () => undefined}, retries: {inc: () => undefined}},
+	} as unknown as Parts;
+	const delivery = {
+		isClosed: false,
+		noteMayHaveRun: () => undefined,
+		conclude(name: string) {
+			concluded.push(name);
+		},
+	} as unknown as Delivery;
+	const order = {
+		incoming: {
+			url: '/', headers: {}, rawHeaders: [], method: 'GET',
+		},
+		body: Buffer.alloc(0),
+		route: {attempts: 2, kind: 'idempotent', isResumable: false},
+		organisation: undefined,
+		demand: {id: 'r0', deadline: 5000, service: 's'},
+	} as unknown as Order;
+	await new Dispatch(parts, order, delivery, {write: () => undefined} as unknown as Trace).run();
+	expect([concluded, placed]).toEqual([['noUpstream'], 2]);
+});
--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -165,12 +165,19 @@
 			return false;
 		}
 
+		return this.#tries.sent === 0 || this.#isRetryAllowed();
+	}
+
+	/** Retries of all hosts together are bounded; a request that has reached no upstream yet is none. */
+	#isRetryAllowed(): boolean {
 		const {gateway, clock, metrics} = this.#parts;
 		const {service} = this.#order.demand;
 		const isAllowed = gateway.mayRetry(service);
 		metrics.retries.inc({service, allowed: String(isAllowed)});
-		if (isAllowed && this.#tries.sent > 0) {
+		if (isAllowed) {
 			gateway.budget.countRetry(service, clock.now());
+		} else {
+			this.#trace.write('retry-denied', {service, hosts: gateway.peers.fleetSize});
 		}
 
 		return isAllowed;
