The hosts of a failure domain share one part of the retry budget in a large fleet

Cause: the allowance of the fleet was divided among hosts. At 195 hosts the part of one is 1.6 retries in ten seconds and a seventh of its own few requests, while faults meet a few hosts and the parts of the others go unused. Now the hosts of a domain count what they hear that the others send, and share the domain's part; it is never more than the sum of theirs before, and a domain or host that is cut off keeps to the part of those that it hears of. A placing that follows others that reached no upstream counts neither as a request nor as a retry.

--- a/bench/gateway/simulation.ts
+++ b/bench/gateway/simulation.ts
@@ -255,6 +255,7 @@
 			readPerPass: reading.perPass,
 			pause: demand.pause,
 			urgency: chosen.urgency,
+			placing: isMoved ? 'retry' : 'first',
 			weight: weigh(model, {tokens: arrival.prompt, answer: 0}),
 			began: now,
 			due: demand.due,
--- a/src/core/gateway/__tests__/absences.test.ts
+++ b/src/core/gateway/__tests__/absences.test.ts
@@ -46,7 +46,7 @@
 			if (!crashed.has(chosen)) {
 				this.#load.begin({
 					id: demand.id, host: `h${host}`, upstream: chosen, helpers: [], prompt: 5000, answer: 300, isHeld: false, read: reading.total, readPerPass: reading.perPass,
-					pause: 250, urgency, weight: 2, began: now, due: demand.due, deadline: now + answerTime - 500,
+					pause: 250, urgency, placing: 'first', weight: 2, began: now, due: demand.due, deadline: now + answerTime - 500,
 				}, now);
 				return tried.size;
 			}
--- a/src/core/gateway/__tests__/knowledge.test.ts
+++ b/src/core/gateway/__tests__/knowledge.test.ts
@@ -17,7 +17,7 @@
 
 function job(id: string, change: Partial<Job> = {}): Job {
 	return {
-		id, host: 'h1', upstream: 'e1', helpers: [], prompt: 1000, answer: 100, isHeld: false, read: 100, readPerPass: 100, weight: 1, began: 0, due: 300, deadline: 5000, ...change,
+		id, host: 'h1', upstream: 'e1', helpers: [], prompt: 1000, answer: 100, isHeld: false, read: 100, readPerPass: 100, placing: 'first', weight: 1, began: 0, due: 300, deadline: 5000, ...change,
 	};
 }
 
@@ -128,7 +128,7 @@
 		let made = 0;
 		for (let now = 0; now < 10_000; now += 10) {
 			budget.countRequest('s', now);
-			if (budget.allows('s', 10, now)) {
+			if (budget.allows('s', {hosts: 10, counted: 1}, now)) {
 				budget.countRetry('s', now);
 				made++;
 			}
@@ -144,9 +144,9 @@
 			budget.countRetry('s', 0);
 		}
 
-		expect(budget.allows('s', 1, 500)).toBe(false);
-		expect(budget.allows('s', 1, 1001)).toBe(true);
-		expect(budget.allows('t', 1, 500)).toBe(true);
+		expect(budget.allows('s', {hosts: 1, counted: 1}, 500)).toBe(false);
+		expect(budget.allows('s', {hosts: 1, counted: 1}, 1001)).toBe(true);
+		expect(budget.allows('t', {hosts: 1, counted: 1}, 500)).toBe(true);
 	});
 
 	it.each([
--- a/src/core/gateway/__tests__/moves.test.ts
+++ b/src/core/gateway/__tests__/moves.test.ts
@@ -15,7 +15,7 @@
 
 function job(id: string, change: Partial<Job> = {}): Job {
 	return {
-		id, host: 'other', upstream: 'e0', helpers: [], prompt: 100_000, answer: 1300, isHeld: false, read: 1200, readPerPass: 1200, weight: 9, began: now, due: now + 2500, deadline: now + 15_000, ...change,
+		id, host: 'other', upstream: 'e0', helpers: [], prompt: 100_000, answer: 1300, isHeld: false, read: 1200, readPerPass: 1200, placing: 'first', weight: 9, began: now, due: now + 2500, deadline: now + 15_000, ...change,
 	};
 }
 
--- a/src/core/gateway/__tests__/placement.test.ts
+++ b/src/core/gateway/__tests__/placement.test.ts
@@ -53,7 +53,7 @@
 	#add(change: Partial<Job>): void {
 		this.#jobs++;
 		this.load.begin({
-			id: `j${this.#jobs}`, host: 'other', upstream: 'e0', helpers: [], prompt: 5000, answer: 1300, isHeld: false, read: 25, readPerPass: 25, weight: 1, began: now - 200, due: now + 100, deadline: now + 9000, ...change,
+			id: `j${this.#jobs}`, host: 'other', upstream: 'e0', helpers: [], prompt: 5000, answer: 1300, isHeld: false, read: 25, readPerPass: 25, placing: 'first', weight: 1, began: now - 200, due: now + 100, deadline: now + 9000, ...change,
 		}, now);
 	}
 }
--- a/src/core/gateway/load.ts
+++ b/src/core/gateway/load.ts
@@ -4,6 +4,9 @@
 import {placeWait, type Occupant} from './queue.js';
 import {type EngineModel} from './types.js';
 
+/** Which placing of its request a sending is: the first, one after others that reached no upstream, or one more after an upstream got it. */
+export type Placing = 'first' | 'retry' | 'unreached before';
+
 /** One sending of a request. Times are on this host's monotonic clock, in milliseconds. */
 export type Job = {
 	/** Unique over all hosts. */
@@ -25,6 +28,7 @@
 	/** Rank in the queue of the upstream, 0 first. */
 	readonly urgency?: number;
 	readonly weight: number;
+	readonly placing: Placing;
 	readonly began: number;
 	/** When its first byte is due. */
 	readonly due: number;
@@ -99,6 +103,14 @@
 		return this.#jobs.get(id);
 	}
 
+	/**
+	 * @param id - Job.
+	 * @returns Whether it runs or was over a moment ago.
+	 */
+	isKnown(id: string): boolean {
+		return this.#jobs.has(id) || this.#ended.has(id);
+	}
+
 	/**
 	 * @param host - Host.
 	 * @returns The jobs that it sent.
@@ -137,7 +149,7 @@
 	 * @param now - Time.
 	 */
 	begin(job: Job, now: number): void {
-		if (this.#jobs.has(job.id) || this.#ended.has(job.id)) {
+		if (this.isKnown(job.id)) {
 			return;
 		}
 
--- a/src/core/gateway/retries.ts
+++ b/src/core/gateway/retries.ts
@@ -1,5 +1,6 @@
 /** Which attempts may be followed by another, within a budget that all hosts share. */
 import {assertNever} from '../utils/common.js';
+import {type Placing} from './load.js';
 import {type RouteKind} from './types.js';
 
 /** Why an attempt is given up: an engine that is silent or about to pause, or memory that is about to go, is left for another one. */
@@ -46,7 +47,19 @@
 	times.splice(0, count);
 }
 
-/** Retries that this host may still make, by service. */
+/** Hosts among which the allowance is shared out. */
+export type Sharers = {
+	/** Hosts of the fleet, this one included. */
+	readonly hosts: number;
+	/** Those of them whose sendings are counted here, this one included. */
+	readonly counted: number;
+};
+
+/**
+ * Retries that this host may still make, by service. In a large fleet the hosts of a failure domain count each other's sendings and share
+ * one part. Answers faults that meet a few of hundreds of hosts: the part of one host is a retry or two, while those of its neighbours go
+ * unused. A failure domain or a host that is cut off keeps to the part of those that it hears of.
+ */
 export class RetryBudget {
 	readonly #bounds: RetryBounds;
 	readonly #tallies = new Map<string, Tally>();
@@ -74,16 +87,43 @@
 		this.#tally(service, now).retries.push(now);
 	}
 
+	/**
+	 * @param service - Service that another host of this failure domain has sent a request to.
+	 * @param placing - Which placing of it that was.
+	 * @param now - Time in milliseconds.
+	 */
+	hear(service: string, placing: Placing, now: number): void {
+		switch (placing) {
+			case 'first': {
+				this.countRequest(service, now);
+				return;
+			}
+
+			case 'retry': {
+				this.countRetry(service, now);
+				return;
+			}
+
+			case 'unreached before': {
+				return;
+			}
+
+			default: {
+				assertNever(placing);
+			}
+		}
+	}
+
 	/**
 	 * @param service - Service.
-	 * @param hosts - Hosts that share the allowance, this one included.
+	 * @param sharers - Hosts that share the allowance.
 	 * @param now - Time in milliseconds.
 	 * @returns Whether this host may send one more request again.
 	 */
-	allows(service: string, hosts: number, now: number): boolean {
+	allows(service: string, {hosts, counted}: Sharers, now: number): boolean {
 		const {requests, retries} = this.#tally(service, now);
 		const earned = requests.length * this.#bounds.ratio;
-		return retries.length + 1 <= ((this.#bounds.allowance / hosts) + earned) * usedShare;
+		return retries.length + 1 <= ((this.#bounds.allowance * counted / hosts) + earned) * usedShare;
 	}
 
 	#tally(service: string, now: number): Tally {
--- a/src/core/gateway/tries.ts
+++ b/src/core/gateway/tries.ts
@@ -1,4 +1,5 @@
 /** The attempts of one request: where it went, and whether it may go on elsewhere. */
+import {type Placing} from './load.js';
 import {isRepeatable, type AttemptEnding} from './retries.js';
 import {type Route} from './types.js';
 
@@ -53,6 +54,15 @@
 		return this.#sent;
 	}
 
+	/** Which placing of the request comes next. */
+	get placing(): Placing {
+		if (this.#sent > 0) {
+			return 'retry';
+		}
+
+		return this.#unreached > 0 ? 'unreached before' : 'first';
+	}
+
 	/** Whether an engine that is silent could be left for another one. */
 	get mayLeave(): boolean {
 		return this.#hasFurther && this.#isRepeatable({type: 'unknown', reason: 'silent'});
--- a/src/gateway/__tests__/bytes.test.ts
+++ b/src/gateway/__tests__/bytes.test.ts
@@ -42,7 +42,7 @@
 
 describe('messages of peers', () => {
 	const job = {
-		id: 'h.1', host: 'h', upstream: 'e', helpers: ['f'], prompt: 10, answer: 5, isHeld: false, read: 3, readPerPass: 2, weight: 1, began: 100, due: 400, deadline: 900,
+		id: 'h.1', host: 'h', upstream: 'e', helpers: ['f'], prompt: 10, answer: 5, isHeld: false, read: 3, readPerPass: 2, placing: 'first' as const, weight: 1, began: 100, due: 400, deadline: 900,
 	};
 
 	it('come out as they went in, and jobs on the hearer\'s clock', () => {
--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -25,7 +25,7 @@
 		convictions: {isConvicted: () => false},
 		news: {refresh: async () => undefined},
 		mayRetry: () => true,
-		budget: {countRetry: () => undefined},
+		retries: {countRetry: () => undefined},
 		place() {
 			placed++;
 			return placed < 1000 ? place : undefined;
--- a/src/gateway/__tests__/relays.test.ts
+++ b/src/gateway/__tests__/relays.test.ts
@@ -19,7 +19,7 @@
 function job(id: string, host: string, readPerPass = 5): Job {
 	const now = performance.now();
 	return {
-		id, host, upstream: 'e1', helpers: [], prompt: 100, answer: 10, isHeld: false, read: 5, readPerPass, weight: 1,
+		id, host, upstream: 'e1', helpers: [], prompt: 100, answer: 10, isHeld: false, read: 5, readPerPass, placing: 'first', weight: 1,
 		began: now, due: now + 1000, deadline: now + 60_000,
 	};
 }
@@ -31,6 +31,8 @@
 	readonly news: News;
 	/** Upstreams that peers say are not there. */
 	readonly absent: string[] = [];
+	/** Jobs of other hosts of the same failure domain. */
+	readonly neighbours: string[] = [];
 	/** Messages of load that came. */
 	loads = 0;
 
@@ -47,7 +49,7 @@
 					this.news.joined(other, send);
 				},
 				message: (from, message) => {
-					this.#take(from, message);
+					this.hear(from, message);
 				},
 				lost: (other, reason) => {
 					this.news.lost(other, reason);
@@ -58,6 +60,9 @@
 			self: host.name, failureDomain: host.failureDomain, load: this.load, peers: this.peers, now, modelAt: () => undefined, absent: absence => {
 				this.absent.push(absence.upstream);
 			},
+			sent: sent => {
+				this.neighbours.push(sent.id);
+			},
 		});
 	}
 
@@ -69,7 +74,7 @@
 		await this.peers[Symbol.asyncDispose]();
 	}
 
-	#take(from: Host, message: Message): void {
+	hear(from: Host, message: Message): void {
 		switch (message.type) {
 			case 'load': {
 				this.loads++;
@@ -255,4 +260,21 @@
 			expect(absent).toEqual([...abroad, 'refused at home', 'replaced abroad']);
 		}
 	});
+
+	it('counts what the other hosts of a domain send once, and nothing of other domains', {timeout: 60_000}, async () => {
+		await using members = await Members.start(3, 6);
+		const [relay] = members.relays('domain-0');
+		const [plain] = members.plain('domain-0');
+		relay!.begin('near');
+		members.plain('domain-1')[0]!.begin('far');
+		plain!.begin('own');
+		await members.know('near', true);
+		await members.know('far', true);
+		await members.know('own', true);
+		relay!.news.joined(plain!.host, message => {
+			plain!.hear(relay!.host, message);
+		});
+		expect(plain!.neighbours).toEqual(['near']);
+		expect([relay!.peers.domainHosts, plain!.peers.domainHosts]).toEqual([6, 6]);
+	});
 });
--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -175,7 +175,7 @@
 		const isAllowed = gateway.mayRetry(service);
 		metrics.retries.inc({service, allowed: String(isAllowed)});
 		if (isAllowed) {
-			gateway.budget.countRetry(service, clock.now());
+			gateway.retries.countRetry(service, clock.now());
 		} else {
 			this.#trace.write('retry-denied', {service, hosts: gateway.peers.fleetSize});
 		}
@@ -214,8 +214,9 @@
 			return {type: 'not-run', reason: 'no time left', isShed: false};
 		}
 
+		const {placing} = this.#tries;
 		this.#tries.noteSent(place.upstream.id);
-		const job = gateway.begin(demand, place);
+		const job = gateway.begin(demand, place, placing);
 		this.#tracePlace(place, job, hold, left);
 		const attempt = this.#prepare(place, hold, left);
 		this.#attempt = attempt;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -124,7 +124,7 @@
 		this.#trace.route = route;
 		this.#trace.service = demand.service;
 		this.#delivery.resumeAfter(facts.lastEvent);
-		gateway.budget.countRequest(demand.service, now);
+		gateway.retries.countRequest(demand.service, now);
 		const order = {
 			incoming: this.#incoming, body, route, organisation: organisation?.name, demand,
 		};
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,7 +3,7 @@
 import {absenceOf, type AbsenceReason} from '../core/gateway/absences.js';
 import {Directory} from '../core/gateway/directory.js';
 import {type Verdict} from '../core/gateway/health.js';
-import {Load, type Job} from '../core/gateway/load.js';
+import {Load, type Job, type Placing} from '../core/gateway/load.js';
 import {weigh} from '../core/gateway/losses.js';
 import {
 	place, reconsider, type Place, type Second, type Surroundings,
@@ -38,7 +38,7 @@
 	readonly upstreams: Upstreams;
 	readonly registrations: Registrations;
 	readonly reputation: Reputation;
-	readonly budget: RetryBudget;
+	readonly retries: RetryBudget;
 	readonly peers: Peers;
 	readonly sharing: Sharing;
 	readonly news: News;
@@ -62,7 +62,7 @@
 		this.#clock = clock;
 		this.#log = log;
 		this.#started = clock.wall();
-		this.budget = new RetryBudget(settings.retries);
+		this.retries = new RetryBudget(settings.retries);
 		this.peers = new Peers({
 			self: {
 				name: settings.host,
@@ -111,6 +111,12 @@
 			absent: absence => {
 				this.reputation.hear(absence, clock.now());
 			},
+			sent: job => {
+				const service = this.upstreams.get(job.upstream)?.service;
+				if (service !== undefined && this.peers.isLargeFleet) {
+					this.retries.hear(service, job.placing, clock.now());
+				}
+			},
 		});
 		this.sharing = new Sharing(this, {self: settings.host, failureDomain: settings.failureDomain, clock});
 		this.#expiry = setInterval(() => {
@@ -202,7 +208,8 @@
 	 * @returns Whether the retries of all hosts leave room for one more.
 	 */
 	mayRetry(service: string): boolean {
-		return this.budget.allows(service, this.peers.fleetSize, this.#clock.now());
+		const {fleetSize: hosts, isLargeFleet, domainHosts} = this.peers;
+		return this.retries.allows(service, {hosts, counted: isLargeFleet ? domainHosts : 1}, this.#clock.now());
 	}
 
 	/**
@@ -228,9 +235,10 @@
 	/**
 	 * @param demand - Request that is sent.
 	 * @param chosen - Where it goes.
+	 * @param placing - Which placing of it this is.
 	 * @returns The job, told to peers.
 	 */
-	begin(demand: Demand, chosen: Place): Job {
+	begin(demand: Demand, chosen: Place, placing: Placing): Job {
 		const now = this.#clock.now();
 		const model = this.service(demand.service)?.engine;
 		this.#jobs++;
@@ -247,6 +255,7 @@
 			pause: demand.pause,
 			urgency: chosen.urgency,
 			weight: model === undefined || demand.prompt === undefined ? 1 : weigh(model, demand.prompt),
+			placing,
 			began: now,
 			due: demand.due,
 			deadline: demand.deadline,
--- a/src/gateway/news.ts
+++ b/src/gateway/news.ts
@@ -42,6 +42,8 @@
 	readonly modelAt: (upstream: string) => EngineModel | undefined;
 	/** A peer has found an upstream not to be there. */
 	readonly absent: (absence: Absence) => void;
+	/** Another host of this failure domain has sent a request. */
+	readonly sent: (job: Job) => void;
 };
 
 /** What news may tell of a job that could go on elsewhere. */
@@ -186,6 +188,7 @@
 	heard(from: Host, news: LoadNews): void {
 		const {load, now, self} = this.#options;
 		const began = news.began.map(told => heard(told, from.name, now())).filter(job => job.host !== self);
+		this.#noteSent(began);
 		for (const job of began) {
 			load.begin(job, now());
 			this.#warn(job);
@@ -264,6 +267,21 @@
 		}
 	}
 
+	/** Notes what other hosts of this failure domain have sent, once for each job though news may come over two ways. */
+	#noteSent(began: readonly Job[]): void {
+		if (began.length === 0) {
+			return;
+		}
+
+		const {load, peers, failureDomain, sent} = this.#options;
+		const neighbours = new Set(peers.hostsOf(failureDomain));
+		for (const job of began) {
+			if (neighbours.has(job.host) && !load.isKnown(job.id)) {
+				sent(job);
+			}
+		}
+	}
+
 	/** Warns own streams of the reading of a new job. */
 	#warn(job: Job): void {
 		if (job.readPerPass < harmfulReading || this.#movable.size === 0) {
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -36,6 +36,7 @@
 	pause: amount.optional(),
 	urgency: amount.optional(),
 	weight: amount,
+	placing: z.enum(['first', 'retry', 'unreached before']),
 	age: amount,
 	due: amount,
 	deadline: amount,
@@ -136,7 +137,7 @@
  * @returns The job as others are told of it.
  */
 export function tell(job: Job, self: string, now: number): ToldJob {
-	const {id, upstream, helpers, prompt, answer, isHeld, read, readPerPass, pause, urgency, weight} = job;
+	const {id, upstream, helpers, prompt, answer, isHeld, read, readPerPass, pause, urgency, weight, placing} = job;
 	return {
 		id,
 		host: job.host === self ? undefined : job.host,
@@ -150,6 +151,7 @@
 		pause,
 		urgency,
 		weight,
+		placing,
 		age: now - job.began,
 		due: job.due - now,
 		deadline: job.deadline - now,
@@ -164,7 +166,7 @@
  * @returns The job on this host's clock.
  */
 export function heard(told: ToldJob, from: string, now: number): Job {
-	const {id, upstream, helpers, prompt, answer, isHeld, read, readPerPass, pause, urgency, weight, firstByteAge} = told;
+	const {id, upstream, helpers, prompt, answer, isHeld, read, readPerPass, pause, urgency, weight, placing, firstByteAge} = told;
 	// Named one by one: a copy by rest costs a host of a large fleet more than all else that it does with a job.
 	return {
 		id,
@@ -179,6 +181,7 @@
 		pause,
 		urgency,
 		weight,
+		placing,
 		began: now - told.age,
 		due: now + told.due,
 		deadline: now + told.deadline,
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -136,6 +136,17 @@
 		return this.#acquaintances.known.filter(host => host.failureDomain === failureDomain).map(host => host.name);
 	}
 
+	/**
+	 * Hosts of this failure domain, this one included, whose news come here: all that are known through a relay, and those that are linked
+	 * with a relay. A host that has lost its links knows of itself alone.
+	 */
+	get domainHosts(): number {
+		const {name, failureDomain} = this.#options.self;
+		return this.relays[0] === name
+			? this.hosts.filter(host => host.failureDomain === failureDomain).length + 1
+			: this.hostsOf(failureDomain).length + 1;
+	}
+
 	/**
 	 * @param now - Monotonic time in milliseconds.
 	 * @returns Failure domains whose every host has fallen silent, here or at a relay of this domain.
