--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -25,6 +25,8 @@
 	readonly #byId = new Map<string, GatewayUpstream>();
 	readonly #byAddress = new Map<string, GatewayUpstream>();
 	readonly #byService = new Map<string, GatewayUpstream[]>();
+	/** Whether registrations have changed since the tables by address and service were made. */
+	#isIndexed = true;
 
 	/**
 	 * @param log - Told of what changes.
@@ -56,6 +58,7 @@
 	 * @returns The upstream there.
 	 */
 	at(address: string): GatewayUpstream | undefined {
+		this.#index();
 		return this.#byAddress.get(address);
 	}
 
@@ -64,6 +67,7 @@
 	 * @returns Its upstreams.
 	 */
 	of(service: string): readonly GatewayUpstream[] {
+		this.#index();
 		return this.#byService.get(service) ?? none;
 	}
 
@@ -74,7 +78,7 @@
 	register(upstream: GatewayUpstream, source: Source): void {
 		const before = this.#byId.get(upstream.id);
 		this.#byId.set(upstream.id, upstream);
-		this.#index();
+		this.#isIndexed = false;
 		if (before !== undefined && before.started !== upstream.started) {
 			this.#log.write({event: 'upstream-restarted', upstream: upstream.id, ...describe(source)});
 			this.#events.restarted(upstream.id);
@@ -91,13 +95,19 @@
 	 */
 	unregister(id: string, source: Source): void {
 		if (this.#byId.delete(id)) {
-			this.#index();
+			this.#isIndexed = false;
 			this.#log.write({event: 'upstream-gone', upstream: id, ...describe(source)});
 			this.#events.gone(id);
 		}
 	}
 
+	/** Makes the tables anew once for all changes since they were last used: hundreds of upstreams are registered at once. */
 	#index(): void {
+		if (this.#isIndexed) {
+			return;
+		}
+
+		this.#isIndexed = true;
 		this.#byService.clear();
 		this.#byAddress.clear();
 		for (const upstream of this.#byId.values()) {
