The command line tells of retries that were denied

A refused request whose retry was denied looked as if its upstream alone had refused it: explain now says that this host's part of the retries is used up, and losses reads the line. The new test of the whole path failed before (the line was unknown).

--- a/__tests__/gateway/explain.test.ts
+++ b/__tests__/gateway/explain.test.ts
@@ -120,3 +120,19 @@
 	expect(families.get('cranberrytide_first_byte_milliseconds')).toMatchObject({type: 'HISTOGRAM'});
 	expect(Object.keys(families.get('cranberrytide_first_byte_milliseconds')?.metrics[0]?.buckets ?? {})).toContain('300');
 });
+
+it('a request that is not sent once more says that the retries are used up', async () => {
+	await using poor = await Site.start({engines: 2, settings: {retries: {ratio: 0, window: 1000, allowance: 0}}});
+	for (const engine of poor.engines) {
+		engine.fault = 'shed';
+	}
+
+	const answer = await poor.ask({path: '/ask/x', id: 'denied-1', headers: prompt(1000, 3)});
+	expect(answer.status).toBe(503);
+	await expect.poll(() => poor.hosts[0]!.logged('ended', 'denied-1').length, {timeout: 3000}).toBe(1);
+	const file = path.join(directory, 'denied.log');
+	writeFileSync(file, poor.hosts[0]!.lines.map(line => JSON.stringify(line)).join('\n'));
+	const {code, out} = await command(['explain', 'denied-1', '--logs', file]);
+	expect(code).toBe(0);
+	expect(out).toMatch(/Not sent once more: this host's part of the retries for model is used up \(hosts that share them: 1\)/v);
+});
--- a/src/cli/gateway-lines.ts
+++ b/src/cli/gateway-lines.ts
@@ -38,6 +38,7 @@
 		weight: z.number(),
 		returnAfter: z.number(),
 	}),
+	z.object({type: z.literal('retry-denied'), service: z.string(), hosts: z.number()}),
 	z.object({type: z.literal('hold-refused'), hold: z.string(), refused: z.array(z.string())}),
 	z.object({
 		type: z.literal('ended'),
@@ -125,6 +126,10 @@
 			return `Refused: at ${line.upstream}, the best place, it would cost callers ${line.loss} and is worth ${line.weight}; it may come again after ${line.returnAfter} ms`;
 		}
 
+		case 'retry-denied': {
+			return `Not sent once more: this host's part of the retries for ${line.service} is used up (hosts that share them: ${line.hosts})`;
+		}
+
 		case 'hold-refused': {
 			return `Memory ${line.hold} was not granted by ${line.refused.join(', ')}`;
 		}
--- a/src/cli/losses/causes.ts
+++ b/src/cli/losses/causes.ts
@@ -107,7 +107,8 @@
 			return;
 		}
 
-		case 'hold-refused': {
+		case 'hold-refused':
+		case 'retry-denied': {
 			return;
 		}
 
