--- a/src/core/gateway/health.ts
+++ b/src/core/gateway/health.ts
@@ -81,26 +81,31 @@
 		entry.attempts++;
 		entry.failures += verdict === 'sound' ? 0 : 1;
 		switch (verdict) {
+			case 'sound': {
+				entry.misses = 0;
+				entry.pausedUntil = 0;
+				break;
+			}
+
 			case 'unreachable': {
 				entry.pausedUntil = now + Math.min(shortestPause * (2 ** entry.misses), longestPause);
 				entry.misses++;
-
 				break;
 			}
 
 			case 'replaced': {
 				entry.pausedUntil = now + longestPause;
-
 				break;
 			}
 
-			case 'sound': {
-				entry.misses = 0;
-				entry.pausedUntil = 0;
-
+			case 'broken':
+			case 'faulty': {
 				break;
 			}
-		// No default
+
+			default: {
+				assertNever(verdict);
+			}
 		}
 
 		this.#entries.set(upstream, entry);
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -167,7 +167,7 @@
  */
 export function heard(told: ToldJob, from: string, now: number): Job {
 	const {id, upstream, helpers, prompt, answer, isHeld, read, readPerPass, pause, urgency, weight, placing, firstByteAge} = told;
-	// Named one by one: a copy by rest costs a host of a large fleet more than all else that it does with a job.
+	// Named one by one: a copy by rest is many times slower, and each job of the fleet comes here.
 	return {
 		id,
 		host: told.host ?? from,
--- a/src/gateway/registrations.ts
+++ b/src/gateway/registrations.ts
@@ -104,13 +104,18 @@
 	 */
 	take(peer: string, news: RegistryNews): void {
 		const source = {type: 'peer', peer, revision: news.revision} as const;
+		const kept = news.kept ?? none;
 		const {written, removed} = this.#learn(news);
 		for (const id of removed) {
-			this.#dropOrKeep(id, source);
+			if (kept.includes(id)) {
+				this.#dropOrKeep(id, source);
+			} else {
+				this.#drop(id, source);
+			}
 		}
 
 		this.#useAll(written, source);
-		this.#dropUnkept(news.kept ?? none, source);
+		this.#dropUnkept(kept, source);
 	}
 
 	/** The store does not answer. */
