--- a/src/gateway/__tests__/relays.test.ts
+++ b/src/gateway/__tests__/relays.test.ts
@@ -1,6 +1,8 @@
 /** A large fleet in one process, over real sockets: what one host sends, all hosts know, also when relays end. */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {describe, expect, it} from 'vitest';
+import {
+	describe, expect, it, vi,
+} from 'vitest';
 import {takePort} from '../../../bench/fleet/ports.js';
 import {absenceOf} from '../../core/gateway/absences.js';
 import {Load, type Job} from '../../core/gateway/load.js';
@@ -35,6 +37,8 @@
 	readonly neighbours: string[] = [];
 	/** Messages of load that came. */
 	loads = 0;
+	/** Called when a relay has answered a question. */
+	#answered: (() => void) | undefined;
 
 	constructor(host: Host, seeds: readonly Host[]) {
 		this.host = host;
@@ -74,33 +78,42 @@
 		await this.peers[Symbol.asyncDispose]();
 	}
 
+	/** What holds when a relay next answers a question. */
+	async answer(holds: () => boolean): Promise<boolean> {
+		return new Promise(resolve => {
+			this.#answered = () => {
+				resolve(holds());
+			};
+		});
+	}
+
 	hear(from: Host, message: Message): void {
 		switch (message.type) {
 			case 'load': {
 				this.loads++;
 				this.news.heard(from, message);
-
 				break;
 			}
 
 			case 'hosts-lost': {
 				this.news.heardLost(message);
-
 				break;
 			}
 
 			case 'load-wanted': {
 				this.news.wanted(from, message);
-
 				break;
 			}
 
 			case 'load-told': {
+				this.#answered?.();
 				this.news.told(from, message);
+				break;
+			}
 
+			default: {
 				break;
 			}
-		// No default
 		}
 	}
 }
@@ -228,22 +241,25 @@
 		const [plain] = members.plain('domain-0');
 		for (let index = 0; index < 20; index++) {
 			relay!.begin(`known-${index}`);
+			const answered = plain!.answer(() => plain!.load.job(`known-${index}`) !== undefined);
 			await plain!.news.refresh();
-			expect(plain!.load.job(`known-${index}`)).toBeDefined();
+			expect(await answered).toBe(true);
 		}
 	});
 
 	it('tells a host at once of a long prompt at the engine of its own request', {timeout: 60_000}, async () => {
 		await using members = await Members.start(3, 6);
 		const [relay] = members.relays('domain-0');
-		const [plain, other] = members.plain('domain-0');
+		const [plain] = members.plain('domain-0');
 		plain!.begin('own');
 		await members.know('own', true);
-		// News that wait for the other host would come later.
+		const flushed = vi.spyOn(relay!.peers, 'flush');
 		relay!.begin('short');
+		await members.know('short', true);
+		expect(flushed).not.toHaveBeenCalled();
 		relay!.begin('long', 500);
-		await members.until(() => plain!.load.job('long') !== undefined);
-		expect(other!.load.job('long')).toBeUndefined();
+		await members.until(() => flushed.mock.calls.length > 0);
+		expect(flushed.mock.calls).toEqual([[plain!.host.name]]);
 		await members.know('long', true);
 	});
 
