--- a/bench/gateway/site.ts
+++ b/bench/gateway/site.ts
@@ -76,7 +76,7 @@
 
 	/** Writes the current registration of an upstream to the store. */
 	register(upstream: UpstreamStandIn): void {
-		this.store.put(`servers/${upstream.id}`, {...upstream.registration, Address: formatAddress(this.#upstreamAddresses.get(upstream.id) ?? upstream.address)});
+		this.store.put(`servers/${upstream.id}`, {...upstream.createRegistration(), Address: formatAddress(this.#upstreamAddresses.get(upstream.id) ?? upstream.address)});
 	}
 
 	/** Waits until a host is ready; throws if it takes too long. */
--- a/bench/propagation/member.ts
+++ b/bench/propagation/member.ts
@@ -43,6 +43,7 @@
 	isAlive = true;
 	readonly #clock = new VirtualClock();
 	readonly #network: Network;
+	readonly #random: () => number;
 	#gateway: Gateway | undefined;
 	#follower: Follower | undefined;
 
@@ -50,10 +51,12 @@
 	 * @param host - Name and address, as its peers know it.
 	 * @param network - Delivers its messages.
 	 * @param store - Store that it reads.
+	 * @param random - Uniform from 0 to 1.
 	 */
-	constructor(host: Host, network: Network, store: SimulatedStore) {
+	constructor(host: Host, network: Network, store: SimulatedStore, random: () => number) {
 		this.host = host;
 		this.#network = network;
+		this.#random = random;
 		this.storeClient = new StoreClient(store, async () => this.waitUntilRunning());
 	}
 
@@ -70,6 +73,11 @@
 		return this.#gateway?.upstreams.all ?? [];
 	}
 
+	/** Highest era of the store that this host knows. */
+	get era(): number {
+		return this.#gateway?.registrations.era ?? 0;
+	}
+
 	/** Resolves when the host is not frozen. */
 	async waitUntilRunning(): Promise<void> {
 		while (this.isFrozen) {
@@ -106,6 +114,7 @@
 			log: log as Log,
 			stalenessBound: stalenessBoundMs,
 			revocation: revocationMs,
+			random: this.#random,
 		});
 		follower.start();
 		this.#gateway = gateway;
@@ -138,6 +147,18 @@
 		this.#gateway?.sharing.handlePeerJoined(host);
 	}
 
+	/**
+	 * Sends what a handshake tells of this host's state.
+	 *
+	 * @param host - Host that is linked with this one.
+	 */
+	sendSummary(host: string): void {
+		const registrations = this.#gateway?.registrations;
+		if (registrations !== undefined) {
+			this.#network.send(this.name, host, {type: 'heartbeat', state: {era: registrations.era, eraAge: registrations.eraAge, version: 1}});
+		}
+	}
+
 	/**
 	 * @param from - Host that sent it.
 	 * @param message - Message.
@@ -152,6 +173,8 @@
 			gateway.sharing.handleRequest(from, message);
 		} else if (message.type === 'state') {
 			gateway.sharing.handleState(from, message);
+		} else if (message.type === 'heartbeat' && message.state !== undefined) {
+			gateway.sharing.handleSummary(from, message.state);
 		}
 	}
 
@@ -159,6 +182,10 @@
 	#createPeers(): unknown {
 		const network = this.#network;
 		const {host, name} = this;
+		const sendSummary = (peer: string) => {
+			this.sendSummary(peer);
+		};
+
 		return {
 			isLargeFleet: true,
 			get hosts() {
@@ -175,6 +202,11 @@
 					network.send(name, to, message);
 				}
 			},
+			announceState() {
+				for (const peer of network.getVisibleHosts(name)) {
+					sendSummary(peer.name);
+				}
+			},
 			async [Symbol.asyncDispose]() {
 				// No connections are open.
 			},
--- a/bench/propagation/simulation.ts
+++ b/bench/propagation/simulation.ts
@@ -1,6 +1,7 @@
 /**
  * Simulates in virtual time how hosts of a failure domain follow upstreams that come and go, while some hosts are frozen, killed,
- * slow, or rejected by the store. Undisturbed hosts must have the right view of every upstream within the bound.
+ * slow, or rejected by the store, and while the store returns from a backup. Undisturbed hosts must have the right view of every upstream
+ * within the bound, and no host may forget that an upstream has left.
  */
 import {assertNever, type Random} from '../../src/core/index.js';
 import {type Host, type Message} from '../../src/gateway/peers/messages.js';
@@ -18,6 +19,9 @@
 const maxSlowDelayMs = 500;
 const replacementIntervalMs = 400;
 const faultIntervalMs = 2500;
+const restoreIntervalMs = 8000;
+const maxOutageMs = 2000;
+const maxBackupAgeMs = 6000;
 
 const hostCount = 10;
 const upstreamCount = 12;
@@ -36,10 +40,19 @@
 /** Faults of a host: `suspended` is frozen with a monotonic clock that stops meanwhile. */
 export type Fault = 'frozen' | 'killed' | 'slow' | 'suspended' | 'turned-away';
 
+/** An upstream that a host knew to have left and takes for ready again. */
+export type Reversion = {
+	readonly at: number;
+	readonly host: string;
+	readonly upstream: string;
+};
+
 export type SimulationOptions = {
 	readonly seed: number;
 	/** Faults that may occur. */
 	readonly faults: readonly Fault[];
+	/** Whether the store returns from a backup now and then. */
+	readonly isStoreRestored?: boolean;
 	/** Simulated time in milliseconds. */
 	readonly duration: number;
 	/** Advances virtual time by some milliseconds. */
@@ -52,6 +65,9 @@
 	readonly violations: StaleView[] = [];
 	/** Longest time in milliseconds for which an undisturbed host had a wrong view. */
 	longestStaleTime = 0;
+	readonly reversions: Reversion[] = [];
+	/** Longest time in milliseconds from a return of the store until every undisturbed host knew its era. */
+	longestEraDelay = 0;
 	readonly #options: SimulationOptions;
 	readonly #store = new SimulatedStore();
 	readonly #random: Random;
@@ -60,6 +76,10 @@
 	readonly #linkedAt = new Map<string, number>();
 	/** When the last message between two hosts arrives, since links keep the order of messages. */
 	readonly #lastArrivals = new Map<string, number>();
+	/** How each run of a host has last seen upstreams that have left since. */
+	readonly #seenStates = new Map<string, Map<string, 'leaving' | 'ready'>>();
+	/** End of the latest outage of the store. */
+	#storeReturnedAt = Number.NEGATIVE_INFINITY;
 	#upstreamCount = 0;
 
 	/**
@@ -76,7 +96,7 @@
 		};
 		this.members = Array.from({length: hostCount}, (_, index) => new Member({
 			name: `h${index}`, failureDomain: 'a', address: {host: '127.0.0.1', port: 1}, started: 1, capacity: index < 2 ? 2 : 1,
-		}, network, this.#store));
+		}, network, this.#store, () => this.#random.integer(0, 999) / 1000));
 	}
 
 	/** Runs the simulation to its end. */
@@ -93,6 +113,7 @@
 		const end = performance.now() + this.#options.duration;
 		let replaceAt = performance.now();
 		let faultAt = performance.now();
+		let restoreAt = this.#options.isStoreRestored === true ? performance.now() + this.#random.integer(0, restoreIntervalMs) : Number.POSITIVE_INFINITY;
 		while (performance.now() < end) {
 			const now = performance.now();
 			if (now >= replaceAt) {
@@ -105,6 +126,11 @@
 				faultAt = now + this.#random.integer(faultIntervalMs / 2, 2 * faultIntervalMs);
 			}
 
+			if (now >= restoreAt) {
+				this.#restoreStore();
+				restoreAt = now + this.#random.integer(restoreIntervalMs / 4, 2 * restoreIntervalMs);
+			}
+
 			await this.#options.advance(stepMs);
 			this.#checkMembers();
 		}
@@ -124,7 +150,7 @@
 	/** Adds an upstream in place of the oldest one, which drains first or is removed at once. */
 	#replaceUpstream(): void {
 		const [id] = this.#store.ready.keys();
-		if (id === undefined) {
+		if (id === undefined || this.#store.absence !== undefined) {
 			return;
 		}
 
@@ -136,10 +162,33 @@
 
 		this.#store.drain(id);
 		setTimeout(() => {
-			this.#store.remove(id);
+			this.#removeUpstream(id);
 		}, this.#random.integer(stalenessBoundMs, 3 * stalenessBoundMs));
 	}
 
+	/** Removes an upstream, once the store is back if it is away. */
+	#removeUpstream(id: string): void {
+		if (this.#store.absence === undefined) {
+			this.#store.remove(id);
+			return;
+		}
+
+		setTimeout(() => {
+			this.#removeUpstream(id);
+		}, stepMs);
+	}
+
+	/** Takes the store away for a moment, after which it returns from a backup. */
+	#restoreStore(): void {
+		const outage = this.#random.integer(50, maxOutageMs);
+		this.#store.absence = this.#random.integer(0, 1) === 0 ? 'rejecting' : 'silent';
+		this.#storeReturnedAt = performance.now() + outage;
+		setTimeout(() => {
+			this.#store.absence = undefined;
+			this.#store.restore(this.#random.integer(0, maxBackupAgeMs), this.#random);
+		}, outage);
+	}
+
 	/** Injects a fault into one or two hosts, more often into those that others read through. */
 	#injectFault(): void {
 		const {faults} = this.#options;
@@ -214,6 +263,8 @@
 			for (const other of this.members) {
 				other.handleJoined(member.name);
 				member.handleJoined(other.name);
+				other.sendSummary(member.name);
+				member.sendSummary(other.name);
 			}
 		}, relinkDelayMs);
 	}
@@ -261,10 +312,40 @@
 
 	#checkMembers(): void {
 		const now = performance.now();
+		const isStoreStable = now - this.#storeReturnedAt > settleTimeMs;
 		for (const member of this.members) {
-			if (member.isAlive && !member.isFrozen && now - member.disturbedUntil > settleTimeMs) {
+			this.#checkReversions(member, now, isStoreStable);
+			const isUndisturbed = member.isAlive && !member.isFrozen && now - member.disturbedUntil > settleTimeMs;
+			if (isUndisturbed && isStoreStable) {
 				this.#checkMember(member, now);
 			}
+
+			if (isUndisturbed && now > this.#storeReturnedAt && member.era < this.#store.era) {
+				this.longestEraDelay = Math.max(this.longestEraDelay, now - this.#storeReturnedAt);
+			}
+		}
+	}
+
+	/** Upstreams don't return in a simulation: once a host has seen one leaving, it never takes it for ready. */
+	#checkReversions(member: Member, now: number, isStoreStable: boolean): void {
+		if (!member.isAlive) {
+			this.#seenStates.delete(member.name);
+			return;
+		}
+
+		const seen = this.#seenStates.get(member.name) ?? new Map<string, 'leaving' | 'ready'>();
+		this.#seenStates.set(member.name, seen);
+		const known = new Map(member.upstreams.map(upstream => [upstream.id, upstream]));
+		for (const id of this.#store.left.keys()) {
+			const upstream = known.get(id);
+			const isReady = upstream?.isDraining === false;
+			if (isReady && seen.get(id) === 'leaving') {
+				this.reversions.push({at: now, host: member.name, upstream: id});
+			} else if (isReady) {
+				seen.set(id, 'ready');
+			} else if (upstream !== undefined || (seen.has(id) && isStoreStable)) {
+				seen.set(id, 'leaving');
+			}
 		}
 	}
 
--- a/bench/soak/plan.ts
+++ b/bench/soak/plan.ts
@@ -14,6 +14,8 @@
 		| {readonly type: 'reload'; readonly host: number}
 		| {readonly type: 'store'; readonly mode: 'busy' | 'silent' | 'reset'; readonly length: number}
 		| {readonly type: 'compact'}
+	/** The store goes away after `length` and returns `outage` later from a backup made at the start; lost writes are made again. */
+		| {readonly type: 'restore'; readonly length: number; readonly outage: number}
 	/** The store gets a new configuration version. */
 		| {readonly type: 'publish'}
 	/** An upstream fails requests in the given way. */
@@ -42,6 +44,12 @@
 const gapWithinSeriesMs = {least: 50, most: 400};
 const gapBetweenSeriesMs = {least: 300, most: 1500};
 
+/** Milliseconds between two returns of the store from a backup. */
+const gapBetweenRestores = {least: 2000, most: 8000};
+
+/** Separates the draws of these returns from those of the other faults. */
+const restoreSeedOffset = 1_000_003;
+
 /** Limit for consecutive faults of one type. */
 const maxSeriesLength = 3;
 
@@ -71,6 +79,10 @@
 			return {type, mode: pick(random, ['busy', 'silent', 'reset']), length};
 		}
 
+		case 'restore': {
+			return {type, length, outage: random.integer(50, 1500)};
+		}
+
 		case 'compact':
 		case 'publish': {
 			return {type};
@@ -94,6 +106,16 @@
 	}
 }
 
+function planRestores(seed: number, options: PlanOptions): readonly PlannedFault[] {
+	const random = createRandom(seed + restoreSeedOffset);
+	const planned: PlannedFault[] = [];
+	for (let at = random.integer(0, gapBetweenRestores.most); at < options.length; at += random.integer(gapBetweenRestores.least, gapBetweenRestores.most)) {
+		planned.push({at, fault: drawFault(random, 'restore', options)});
+	}
+
+	return planned;
+}
+
 /**
  * @param seed - Seed; the same seed gives the same plan.
  * @param options - Size of the testbed, and for how long faults begin.
@@ -114,5 +136,5 @@
 		at += random.integer(gapBetweenSeriesMs.least, gapBetweenSeriesMs.most);
 	}
 
-	return planned;
+	return [...planned, ...planRestores(seed, options)].toSorted((a, b) => a.at - b.at);
 }
--- a/bench/soak/testbed.ts
+++ b/bench/soak/testbed.ts
@@ -17,6 +17,9 @@
 /** Milliseconds between SIGTERM and the end of a process; longer than any request may take. */
 const stopGraceMs = 9000;
 
+/** Time after the store's return from a backup within which everything is written to it again. */
+const rewriteTimeMs = 2000;
+
 /** Delay of a slowed link. */
 const linkDelayMs = 80;
 
@@ -49,6 +52,7 @@
 	readonly #links: readonly string[];
 	readonly #activeFaults: Array<Promise<void>> = [];
 	readonly #isDown: boolean[];
+	readonly #unregistered = new Set<UpstreamStandIn>();
 	#version = 1;
 
 	private constructor(site: Site, proxy: FaultProxy, links: readonly string[]) {
@@ -134,6 +138,11 @@
 				return;
 			}
 
+			case 'restore': {
+				await this.#restoreStore(fault.length, fault.outage);
+				return;
+			}
+
 			case 'publish': {
 				this.#publish(this.#version + 1);
 				return;
@@ -149,8 +158,10 @@
 
 			case 'leave': {
 				const upstream = this.#upstreams[fault.upstream]!;
+				this.#unregistered.add(upstream);
 				this.site.store.remove(`servers/${upstream.id}`);
 				await sleep(fault.length);
+				this.#unregistered.delete(upstream);
 				this.site.register(upstream);
 				return;
 			}
@@ -169,6 +180,32 @@
 		}
 	}
 
+	async #restoreStore(backupAge: number, outage: number): Promise<void> {
+		const {store} = this.site;
+		const backup = store.backUp();
+		await sleep(backupAge);
+		const {mode} = store;
+		store.mode = 'reset';
+		await sleep(outage);
+		store.restore(backup);
+		store.mode = mode === 'reset' ? 'serving' : mode;
+		await Promise.all([this.#rewriteConfiguration(), ...this.#upstreams.map(async upstream => this.#rewriteRegistration(upstream))]);
+	}
+
+	async #rewriteConfiguration(): Promise<void> {
+		await sleep(Math.random() * rewriteTimeMs);
+		this.#publish(this.#version);
+	}
+
+	async #rewriteRegistration(upstream: UpstreamStandIn): Promise<void> {
+		await sleep(Math.random() * rewriteTimeMs);
+		if (this.#unregistered.has(upstream)) {
+			this.site.store.remove(`servers/${upstream.id}`);
+		} else {
+			this.site.register(upstream);
+		}
+	}
+
 	#publish(version: number): void {
 		this.#version = version;
 		this.site.store.put('op/config', createConfiguration(version));
--- a/src/core/gateway/registry.ts
+++ b/src/core/gateway/registry.ts
@@ -1,16 +1,20 @@
-/** Replica of the platform's registry of upstreams, as of one revision of its store. */
+/** Replica of the platform's registry of upstreams, as of one position in the history of its store. */
+import {isAfter, noPosition, type StorePosition} from './position.js';
+import {isOutdatedRegistration} from './registration-order.js';
+import {Removals} from './removals.js';
 import {type GatewayUpstream} from './types.js';
 
-/** Write or removal of an upstream at a revision of the store. */
+/** Write or removal of an upstream at a position of the store. */
 export type RegistryChange
-	= | {readonly type: 'removed'; readonly id: string; readonly revision: number}
-		| {readonly type: 'written'; readonly upstream: GatewayUpstream; readonly revision: number};
+	= | StorePosition & {readonly type: 'removed'; readonly id: string}
+		| StorePosition & {readonly type: 'written'; readonly upstream: GatewayUpstream};
 
-/** All registered upstreams as of a revision. */
-export type RegistrySnapshot = {
+/** All registered upstreams as of a position. */
+export type RegistrySnapshot = StorePosition & {
 	readonly upstreams: readonly GatewayUpstream[];
-	readonly revision: number;
-	/** Revision of the last change, or a later one up to `revision`. */
+	/** Registrations that a backup of the store brought back after their removal; absent means none. */
+	readonly withheld?: readonly GatewayUpstream[];
+	/** Revision of the last change, or a later one up to `revision`, in the same era. */
 	readonly changed: number;
 };
 
@@ -33,17 +37,20 @@
 }
 
 /**
- * Replica that only moves forward: changes and snapshots of peers that are not newer than its revision are ignored, whichever host sent
- * them and whenever they were confirmed.
+ * Replica that only moves forward: changes and snapshots of peers that are not newer than its position are ignored, whichever host sent
+ * them and whenever they were confirmed. When the store returns from a backup, the replica keeps what it knows to be newer: an upstream
+ * that drains stays draining, and one that was removed is withheld, until they register again.
  */
 export class Registry {
 	readonly #upstreams = new Map<string, GatewayUpstream>();
-	#revision = 0;
+	readonly #withheld = new Map<string, GatewayUpstream>();
+	readonly #removals = new Removals();
+	#position = noPosition;
 	#changed = 0;
 
-	/** Revision up to which every change is known; 0 initially. */
-	get revision(): number {
-		return this.#revision;
+	/** Position up to which every change is known. */
+	get position(): StorePosition {
+		return this.#position;
 	}
 
 	/** Revision of the last change. */
@@ -52,35 +59,52 @@
 	}
 
 	get snapshot(): RegistrySnapshot {
-		return {upstreams: [...this.#upstreams.values()], revision: this.#revision, changed: this.#changed};
+		return {
+			...this.#position,
+			changed: this.#changed,
+			upstreams: [...this.#upstreams.values()],
+			...(this.hasWithheld && {withheld: [...this.#withheld.values()]}),
+		};
+	}
+
+	/** Whether registrations are withheld. */
+	get hasWithheld(): boolean {
+		return this.#withheld.size > 0;
 	}
 
 	/**
-	 * @param revision - Revision of another host's registry.
+	 * @param position - Position of another host's registry.
 	 * @returns Whether that registry includes the last change known here.
 	 */
-	isCurrent(revision: number): boolean {
-		return revision >= this.#changed;
+	isCurrent({era, revision}: StorePosition): boolean {
+		return !isAfter({era: this.#position.era, revision: this.#changed}, {era, revision});
 	}
 
 	/**
-	 * @param change - Next change in the history of the store.
-	 * @returns Whether it changed anything.
+	 * @param change - Next change in the history of the store. Ignored if it belongs to another era than the replica.
+	 * @returns Whether it changed the usable upstreams.
 	 */
 	apply(change: RegistryChange): boolean {
-		if (change.revision <= this.#revision || !this.#write(change)) {
+		if (change.era !== this.#position.era || change.revision <= this.#position.revision) {
 			return false;
 		}
 
-		this.#changed = change.revision;
-		return true;
+		const wasWithheld = this.#withheld.delete(change.type === 'removed' ? change.id : change.upstream.id);
+		const hasChanged = change.type === 'removed' ? this.#remove(change.id) : this.#write({...change.upstream, era: change.era === 0 ? undefined : change.era});
+		if (hasChanged || wasWithheld) {
+			this.#changed = change.revision;
+		}
+
+		return hasChanged;
 	}
 
 	/**
-	 * @param revision - Revision up to which every change was applied.
+	 * @param position - Position up to which every change was applied. Ignored if it belongs to another era than the replica.
 	 */
-	advance(revision: number): void {
-		this.#revision = Math.max(this.#revision, revision);
+	advance({era, revision}: StorePosition): void {
+		if (era === this.#position.era) {
+			this.#position = {era, revision: Math.max(this.#position.revision, revision)};
+		}
 	}
 
 	/**
@@ -88,41 +112,89 @@
 	 * @returns What it changed here.
 	 */
 	merge(snapshot: RegistrySnapshot): RegistryDifference {
-		return snapshot.revision > this.#revision ? this.reset(snapshot) : noDifference;
+		return isAfter(snapshot, this.#position) ? this.#replace(snapshot) : noDifference;
 	}
 
 	/**
-	 * @param snapshot - Content of the store. Replaces the replica even if its revision is older.
+	 * @param snapshot - Content of the store. Ignored if it is older; but a store that reports no era may have gone back to a lower
+	 * revision unnoticed, and its content replaces the replica.
 	 * @returns What it changed here.
 	 */
-	reset({upstreams, revision, changed}: RegistrySnapshot): RegistryDifference {
-		const ids = new Set(upstreams.map(upstream => upstream.id));
-		const written = upstreams.filter(upstream => !isEqual(this.#upstreams.get(upstream.id), upstream));
-		const removed = [...this.#upstreams.keys()].filter(id => !ids.has(id));
-		for (const upstream of written) {
-			this.#upstreams.set(upstream.id, upstream);
+	reset(snapshot: RegistrySnapshot): RegistryDifference {
+		const isWithoutEras = snapshot.era === 0 && this.#position.era === 0;
+		return isWithoutEras || !isAfter(this.#position, snapshot) ? this.#replace(snapshot) : noDifference;
+	}
+
+	/**
+	 * Makes withheld upstreams usable: the registration of one that has ended would have expired by now.
+	 *
+	 * @returns The upstreams.
+	 */
+	releaseWithheld(): readonly GatewayUpstream[] {
+		const released = [...this.#withheld.values()];
+		this.#withheld.clear();
+		for (const upstream of released) {
+			this.#write(upstream);
 		}
 
-		for (const id of removed) {
-			this.#upstreams.delete(id);
+		return released;
+	}
+
+	#replace(snapshot: RegistrySnapshot): RegistryDifference {
+		const listed = this.#reconcile(snapshot);
+		const written = [...listed.values()].filter(upstream => !isEqual(this.#upstreams.get(upstream.id), upstream));
+		const removed = [...this.#upstreams.values()].filter(({id}) => !listed.has(id));
+		for (const upstream of removed) {
+			this.#upstreams.delete(upstream.id);
+			this.#removals.add(upstream, this.#withheld.has(upstream.id) ? snapshot.era - 1 : snapshot.era);
+		}
+
+		for (const upstream of listed.values()) {
+			this.#write(upstream);
 		}
 
-		this.#revision = revision;
-		this.#changed = changed;
-		return {written, removed};
+		this.#position = {era: snapshot.era, revision: snapshot.revision};
+		this.#changed = snapshot.changed;
+		return {written, removed: removed.map(({id}) => id)};
 	}
 
-	#write(change: RegistryChange): boolean {
-		if (change.type === 'removed') {
-			return this.#upstreams.delete(change.id);
+	/** Returns the usable upstreams of a snapshot, each as known here if that is newer, and withholds the others. */
+	#reconcile({era, upstreams, withheld = []}: RegistrySnapshot): ReadonlyMap<string, GatewayUpstream> {
+		const isNewEra = era !== this.#position.era;
+		const listed = new Map<string, GatewayUpstream>();
+		this.#withheld.clear();
+		for (const upstream of withheld) {
+			this.#withheld.set(upstream.id, upstream);
+		}
+
+		for (const upstream of upstreams) {
+			const known = this.#upstreams.get(upstream.id);
+			if (known !== undefined) {
+				listed.set(upstream.id, isOutdatedRegistration(upstream, known, {era, isNewEra}) ? known : upstream);
+			} else if (this.#removals.isUndone(upstream, era)) {
+				this.#withheld.set(upstream.id, upstream);
+			} else {
+				listed.set(upstream.id, upstream);
+			}
 		}
 
-		const {upstream} = change;
-		if (isEqual(this.#upstreams.get(upstream.id), upstream)) {
+		return listed;
+	}
+
+	#remove(id: string): boolean {
+		const upstream = this.#upstreams.get(id);
+		if (upstream === undefined) {
 			return false;
 		}
 
+		this.#removals.add(upstream, this.#position.era);
+		return this.#upstreams.delete(id);
+	}
+
+	#write(upstream: GatewayUpstream): boolean {
+		const hasChanged = !isEqual(this.#upstreams.get(upstream.id), upstream);
 		this.#upstreams.set(upstream.id, upstream);
-		return true;
+		this.#removals.delete(upstream.id);
+		return hasChanged;
 	}
 }
--- a/src/core/gateway/store-outages.ts
+++ b/src/core/gateway/store-outages.ts
@@ -11,6 +11,7 @@
 export class StoreOutages {
 	#isLost = false;
 	#regainedAt = Number.NEGATIVE_INFINITY;
+	#restoredAt = Number.NEGATIVE_INFINITY;
 
 	/** Records that the store does not respond. */
 	markLost(): void {
@@ -29,6 +30,32 @@
 		}
 	}
 
+	/**
+	 * Records that the store has returned from a backup, which may lack registrations of live upstreams.
+	 *
+	 * @param now - Time in milliseconds.
+	 */
+	markRestored(now: number): void {
+		this.#restoredAt = now;
+		this.#regainedAt = now;
+	}
+
+	/**
+	 * @param at - Time in milliseconds.
+	 * @returns Whether the store was still missing, at that time, what is written to it again after its return from a backup.
+	 */
+	isBeingRewritten(at: number): boolean {
+		return at < this.#restoredAt + reregistrationGraceMs;
+	}
+
+	/**
+	 * @param now - Time in milliseconds.
+	 * @returns Milliseconds for which to keep an upstream that is missing from the backup to which the store has returned; 0 to drop it.
+	 */
+	restoredRemovalDelay(now: number): number {
+		return Math.max(this.#restoredAt + reregistrationGraceMs - now, 0);
+	}
+
 	/**
 	 * @param now - Time in milliseconds.
 	 * @returns Milliseconds for which to keep an upstream whose registration is now missing; 0 to drop it at once.
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -103,6 +103,10 @@
 	readonly isDraining: boolean;
 	/** Start of its process in milliseconds since 1970, if the upstream reports it. */
 	readonly started?: number;
+	/** Number of this registration among those that its process has written, if the upstream reports it. */
+	readonly sequence?: number;
+	/** Era of the store in which the registration was written; absent if it may be from a backup. */
+	readonly era?: number;
 };
 
 /** Size of a model request. */
--- a/src/gateway/__tests__/registrations.test.ts
+++ b/src/gateway/__tests__/registrations.test.ts
@@ -15,6 +15,11 @@
 	vi.useRealTimers();
 });
 
+/** A position in the history of a store that reports no eras. */
+function at(revision: number) {
+	return {era: 0, revision};
+}
+
 function setUp() {
 	const log = {write: ignore};
 	const upstreams = new Upstreams(log, {restarted: ignore, removed: ignore});
@@ -28,33 +33,33 @@
 	};
 }
 
-const removed = {type: 'removed', id: 'e1', revision: 6} as const;
+const removed = {type: 'removed', id: 'e1', ...at(6)} as const;
 
 it('a host that was cut off from the store does not send peers an upstream that has been removed', () => {
 	const reader = setUp();
 	const asker = setUp();
-	reader.registrations.replaceAll([upstream('e1'), upstream('e2')], 5);
-	asker.registrations.replaceAll([upstream('e2')], 6);
+	reader.registrations.replaceAll([upstream('e1'), upstream('e2')], at(5));
+	asker.registrations.replaceAll([upstream('e2')], at(6));
 	reader.registrations.recordStoreLost();
-	reader.registrations.applyChanges([removed], 7);
+	reader.registrations.applyChanges([removed], at(7));
 	reader.registrations.recordStoreRegained();
-	asker.registrations.applyUpdate('reader', reader.registrations.createUpdate(0));
+	asker.registrations.applyUpdate('reader', reader.registrations.createUpdate(at(0)));
 	expect(reader.known()).toEqual(['e1', 'e2']);
 	expect(asker.known()).toEqual(['e2']);
 });
 
 it('an upstream that a peer no longer knows is removed at once if the store was never lost', () => {
 	const {registrations, known} = setUp();
-	registrations.replaceAll([upstream('e1'), upstream('e2')], 5);
-	registrations.applyUpdate('peer', {upstreams: [upstream('e2')], revision: 6, changed: 6});
+	registrations.replaceAll([upstream('e1'), upstream('e2')], at(5));
+	registrations.applyUpdate('peer', {upstreams: [upstream('e2')], ...at(6), changed: 6});
 	expect(known()).toEqual(['e2']);
 });
 
 it('an upstream whose registration expired during an outage of the store is used for two seconds after the store returns', () => {
 	const {registrations, known} = setUp();
-	registrations.replaceAll([upstream('e1')], 5);
+	registrations.replaceAll([upstream('e1')], at(5));
 	registrations.recordStoreLost();
-	registrations.applyChanges([removed], 6);
+	registrations.applyChanges([removed], at(6));
 	registrations.recordStoreRegained();
 	vi.advanceTimersByTime(1900);
 	expect(known()).toEqual(['e1']);
@@ -64,57 +69,57 @@
 
 it('an upstream that registers again during the grace period stays', () => {
 	const {registrations, known} = setUp();
-	registrations.replaceAll([upstream('e1')], 5);
+	registrations.replaceAll([upstream('e1')], at(5));
 	registrations.recordStoreLost();
-	registrations.applyChanges([removed], 6);
-	registrations.applyUpdate('peer', {upstreams: [upstream('e1')], revision: 7, changed: 7});
+	registrations.applyChanges([removed], at(6));
+	registrations.applyUpdate('peer', {upstreams: [upstream('e1')], ...at(7), changed: 7});
 	vi.advanceTimersByTime(5000);
 	expect(known()).toEqual(['e1']);
 });
 
 it('an update without changes advances the revision', () => {
 	const {registrations, known} = setUp();
-	registrations.replaceAll([upstream('e1')], 5);
-	registrations.applyUpdate('peer', {revision: 9, changed: 4});
-	expect([registrations.revision, known()]).toEqual([9, ['e1']]);
+	registrations.replaceAll([upstream('e1')], at(5));
+	registrations.applyUpdate('peer', {...at(9), changed: 4});
+	expect([registrations.position, known()]).toEqual([at(9), ['e1']]);
 });
 
 it('a host that alone has lost the store removes at once what a peer reports removed', () => {
 	const {registrations, known} = setUp();
-	registrations.replaceAll([upstream('e1'), upstream('e2')], 5);
+	registrations.replaceAll([upstream('e1'), upstream('e2')], at(5));
 	registrations.recordStoreLost();
-	registrations.applyUpdate('peer', {upstreams: [upstream('e2')], revision: 6, changed: 6});
+	registrations.applyUpdate('peer', {upstreams: [upstream('e2')], ...at(6), changed: 6});
 	expect(known()).toEqual(['e2']);
 });
 
 it('an upstream whose registration expired during an outage stays while a peer keeps it too', () => {
 	const {registrations, known} = setUp();
-	registrations.replaceAll([upstream('e1'), upstream('e2')], 5);
+	registrations.replaceAll([upstream('e1'), upstream('e2')], at(5));
 	registrations.recordStoreLost();
 	registrations.applyUpdate('peer', {
-		upstreams: [upstream('e2')], revision: 6, changed: 6, kept: ['e1'],
+		upstreams: [upstream('e2')], ...at(6), changed: 6, kept: ['e1'],
 	});
 	expect(known()).toEqual(['e1', 'e2']);
-	registrations.applyUpdate('peer', {revision: 7, changed: 6});
+	registrations.applyUpdate('peer', {...at(7), changed: 6});
 	expect(known()).toEqual(['e2']);
 });
 
 it('an update older than a removal does not end the grace period', () => {
 	const {registrations, known} = setUp();
-	registrations.replaceAll([upstream('e1')], 5);
+	registrations.replaceAll([upstream('e1')], at(5));
 	registrations.recordStoreLost();
-	registrations.applyChanges([removed], 6);
-	registrations.applyUpdate('peer', {revision: 5, changed: 5});
+	registrations.applyChanges([removed], at(6));
+	registrations.applyUpdate('peer', {...at(5), changed: 5});
 	expect(known()).toEqual(['e1']);
 });
 
 it('updates name the upstreams that the host keeps itself', () => {
 	const {registrations} = setUp();
-	registrations.replaceAll([upstream('e1')], 5);
+	registrations.replaceAll([upstream('e1')], at(5));
 	registrations.recordStoreLost();
-	registrations.applyChanges([removed], 6);
-	expect(registrations.createUpdate(0)).toEqual({
-		upstreams: [], revision: 6, changed: 6, kept: ['e1'],
+	registrations.applyChanges([removed], at(6));
+	expect(registrations.createUpdate(at(0))).toEqual({
+		upstreams: [], ...at(6), changed: 6, kept: ['e1'],
 	});
-	expect(registrations.createUpdate(6)).toEqual({revision: 6, changed: 6, kept: ['e1']});
+	expect(registrations.createUpdate(at(6))).toEqual({...at(6), changed: 6, kept: ['e1']});
 });
--- a/src/gateway/__tests__/reputation.test.ts
+++ b/src/gateway/__tests__/reputation.test.ts
@@ -79,7 +79,7 @@
 			notified.push(`${id} gone`);
 		},
 	});
-	const source = {type: 'store', revision: 1} as const;
+	const source = {type: 'store', era: 0, revision: 1} as const;
 	upstreams.register(upstream('e1', 'a'), source);
 	upstreams.register(upstream('e2', 'a', {service: 'portal'}), source);
 	upstreams.register(upstream('e1', 'a', {isDraining: true}), source);
--- a/src/gateway/__tests__/state-sync.test.ts
+++ b/src/gateway/__tests__/state-sync.test.ts
@@ -18,7 +18,7 @@
 	const gateway = {
 		directory: {configuration},
 		confirmedAge: 10,
-		registrations: {revision: 3, createUpdate: () => ({revision: 3, changed: 3})},
+		registrations: {position: {era: 1, revision: 3}, createUpdate: () => ({era: 1, revision: 3, changed: 3})},
 		peers: {
 			sendFrame(_: string, frame: Uint8Array) {
 				sent.push(...createMessageReader().push(frame));
--- a/src/gateway/calls.ts
+++ b/src/gateway/calls.ts
@@ -1,6 +1,6 @@
 /** JSON calls over HTTP to the store and to the control endpoints of engines. */
 import {Buffer} from 'node:buffer';
-import {request, type Agent} from 'node:http';
+import {request, type Agent, type IncomingHttpHeaders} from 'node:http';
 import {messageOf, raise, type Address} from '../core/index.js';
 
 export type Call = {
@@ -15,6 +15,7 @@
 
 export type CallResponse = {
 	readonly status: number;
+	readonly headers: IncomingHttpHeaders;
 	readonly text: string;
 };
 
@@ -60,7 +61,7 @@
 			response.on('error', fail);
 			response.on('end', () => {
 				clearTimeout(timer);
-				resolve({status: response.statusCode ?? 0, text: Buffer.concat(chunks).toString('utf8')});
+				resolve({status: response.statusCode ?? 0, headers: response.headers, text: Buffer.concat(chunks).toString('utf8')});
 			});
 		});
 		outgoing.end(payload);
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -157,6 +157,7 @@
 		this.#metrics.peers.set(this.#gateway.peers.hosts.length);
 		this.#metrics.version.set(this.#gateway.directory?.configuration.version ?? 0);
 		this.#metrics.confirmedAge.set(this.#gateway.confirmedAge);
+		this.#metrics.storeEra.set(this.#gateway.registrations.era);
 		this.#metrics.upstreams.set(this.#gateway.upstreams.size);
 		this.#metrics.unhealthy.set(this.#gateway.reputation.unhealthyCount);
 		this.#metrics.unreachable.set(this.#gateway.reputation.unreachableDomains.size);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -50,6 +50,8 @@
 	readonly #expiryTimer: NodeJS.Timeout;
 	#directory: Directory | undefined;
 	#confirmedAt: Timestamp | undefined;
+	/** When the keys of the configuration in force were last known to be current. */
+	#keysConfirmedAt: Timestamp | undefined;
 	#jobCount = 0;
 
 	/**
@@ -85,7 +87,11 @@
 				lost: (host, reason) => {
 					this.loadUpdates.handlePeerLost(host, reason);
 				},
+				summary: (from, summary) => {
+					this.sharing.handleSummary(from.name, summary);
+				},
 			},
+			summarizeState: () => ({era: this.registrations.era, eraAge: this.registrations.eraAge, version: this.#directory?.configuration.version}),
 		});
 		this.reputation = new Reputation({failureDomain: settings.failureDomain, log, silentDomains: now => this.peers.unreachableDomains(now)});
 		this.upstreams = new Upstreams(log, {
@@ -98,6 +104,9 @@
 			},
 		});
 		this.registrations = new Registrations({upstreams: this.upstreams, log, now: () => clock.now()});
+		this.registrations.onRestored(() => {
+			this.peers.announceState();
+		});
 		this.convictions = new Convictions({
 			reputation: this.reputation, upstreams: this.upstreams, peers: this.peers, clock, confirmedAge: () => this.confirmedAge,
 		});
@@ -141,7 +150,8 @@
 
 	/** Whether a key of the configuration may have been revoked without this host knowing. */
 	get isKeyStale(): boolean {
-		return this.#settings.revocation > 0 && this.confirmedAge > this.#settings.revocation * keyTrustShare;
+		const age = this.#keysConfirmedAt === undefined ? Number.POSITIVE_INFINITY : this.#clock.getElapsedTime(this.#keysConfirmedAt);
+		return this.#settings.revocation > 0 && age > this.#settings.revocation * keyTrustShare;
 	}
 
 	/**
@@ -165,9 +175,17 @@
 	 * @param age - Milliseconds since the configuration in force and the upstreams were known to be current.
 	 */
 	confirm(age: number): void {
-		if (age < this.confirmedAge) {
-			this.#confirmedAt = this.#clock.createTimestamp(age);
+		if (age >= this.confirmedAge) {
+			return;
 		}
+
+		this.#confirmedAt = this.#clock.createTimestamp(age);
+		// A store that has just returned from a backup may lack the configuration that revoked a key.
+		if (!this.registrations.isStoreBeingRewritten(this.#clock.now() - age)) {
+			this.#keysConfirmedAt = this.#confirmedAt;
+		}
+
+		void this.sharing.requestNewest();
 	}
 
 	/**
@@ -183,8 +201,9 @@
 			return;
 		}
 
-		this.registrations.applyUpdate(peer, state);
-		this.confirm(age);
+		if (this.registrations.applyUpdate(peer, {...state, era: state.era ?? 0})) {
+			this.confirm(age);
+		}
 	}
 
 	/**
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -62,6 +62,7 @@
 	readonly peers: Gauge;
 	readonly version: Gauge;
 	readonly confirmedAge: Gauge;
+	readonly storeEra: Gauge;
 	readonly upstreams: Gauge;
 	readonly unhealthy: Gauge;
 	readonly unreachable: Gauge;
@@ -83,6 +84,7 @@
 		this.peers = createGauge(registry, 'peers_linked', 'Hosts linked');
 		this.version = createGauge(registry, 'configuration_version', 'Version in force');
 		this.confirmedAge = createGauge(registry, 'configuration_confirmed_age_milliseconds', 'Time since the store last confirmed the version in force');
+		this.storeEra = createGauge(registry, 'store_era', 'Era of the platform store: rises each time it returns from a backup');
 		this.upstreams = createGauge(registry, 'upstreams_known', 'Upstreams that may be used');
 		this.unhealthy = createGauge(registry, 'upstreams_doubted', 'Upstreams that were left alone and have not answered since');
 		this.unreachable = createGauge(registry, 'domains_unreachable', 'Failure domains out of reach');
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -4,7 +4,9 @@
 import {raise} from '../../core/index.js';
 import {type Job} from '../../core/gateway/load.js';
 import {createFrame, FrameReader} from '../../protocol/frames.js';
-import {configurationMessageSchema, stateSchema, stateRequestSchema} from './state.js';
+import {
+	configurationMessageSchema, stateSchema, stateRequestSchema, stateSummarySchema,
+} from './state.js';
 
 const shortText = z.string().max(256);
 const amount = z.number();
@@ -58,13 +60,17 @@
 const audienceSchema = z.enum(['domain', 'fleet']).optional();
 
 const messageSchema = z.discriminatedUnion('type', [
-	z.object({type: z.literal('hello'), from: hostSchema, known: z.array(hostSchema).max(maxListLength)}),
+	z.object({
+		type: z.literal('hello'), from: hostSchema, known: z.array(hostSchema).max(maxListLength), state: stateSummarySchema.optional(),
+	}),
 	z.object({
 		type: z.literal('heartbeat'),
 		/** A sample of the hosts that the sender is linked with. */
 		known: z.array(hostSchema).max(maxListLength).optional(),
 		/** Failure domains from which the sender, a relay, receives nothing. */
 		silent: z.array(shortText).max(maxListLength).optional(),
+		/** Sent for a while after the store has returned from a backup. */
+		state: stateSummarySchema.optional(),
 	}),
 	/** The sender no longer needs this link and closes it; the sender itself goes on. */
 	z.object({type: z.literal('release')}),
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -7,8 +7,9 @@
 import {Dialer} from './dialer.js';
 import {Link, type LinkEvents} from './link.js';
 import {
-	encode, type Heartbeat, type Host, type Message,
+	encode, type Heartbeat, type Hello, type Host, type Message,
 } from './messages.js';
+import {type StateSummary} from './state.js';
 import {SilenceDetector} from './silence-detector.js';
 import {selectRelays, maxFullMeshHosts} from './topology.js';
 
@@ -24,6 +25,9 @@
 /** One heartbeat in this many names other hosts, so that hosts that lost track of each other are linked again within seconds. */
 const heartbeatsPerHostSample = 8;
 
+/** How long heartbeats tell how current this host's state is, after `announceState`. */
+const announcementMs = 10_000;
+
 /** Hosts named in such a heartbeat: within a minute, all are named. */
 const hostSampleSize = 6;
 
@@ -33,6 +37,8 @@
 	readonly message: (from: Host, message: Message) => void;
 	/** A link was closed, or the host has restarted. */
 	readonly lost: (host: Host, reason: string) => void;
+	/** A host has told how current its state is. */
+	readonly summary?: (from: Host, summary: StateSummary) => void;
 };
 
 export type PeersOptions = {
@@ -41,6 +47,8 @@
 	readonly log: Pick<Log, 'write'>;
 	readonly now: () => number;
 	readonly events: PeerEvents;
+	/** Tells how current this host's state is; absent if peers needn't know. */
+	readonly summarizeState?: () => StateSummary;
 };
 
 export class Peers implements AsyncDisposable {
@@ -59,6 +67,7 @@
 	readonly #dialer: Dialer;
 	#heartbeatCount = 0;
 	#lastLoadBroadcastAt = Number.NEGATIVE_INFINITY;
+	#announcementEnd = Number.NEGATIVE_INFINITY;
 	/** Relays among the linked hosts; undefined after the links have changed. */
 	#relays: readonly string[] | undefined;
 	/** Highest number of hosts linked at once, this one included. */
@@ -86,7 +95,7 @@
 		});
 		this.#linkEvents = {
 			hello: (link, hello) => {
-				this.#handleHello(link, hello.from, hello.known);
+				this.#handleHello(link, hello);
 			},
 			message: (link, message) => {
 				this.#handleMessage(link, message);
@@ -166,6 +175,12 @@
 		this.#writeAll(message, [...this.#links.values()]);
 	}
 
+	/** Tells all linked hosts now, and with each heartbeat for a while, how current this host's state is. */
+	announceState(): void {
+		this.#announcementEnd = this.#options.now() + announcementMs;
+		this.broadcast({type: 'heartbeat', state: this.#options.summarizeState?.()});
+	}
+
 	/** Records that a load update was just sent to every linked host: it replaces the next heartbeat. */
 	recordLoadBroadcast(): void {
 		this.#lastLoadBroadcastAt = this.#options.now();
@@ -237,9 +252,12 @@
 		const now = this.#options.now();
 		this.#heartbeatCount++;
 		const knownHosts = this.#heartbeatCount % heartbeatsPerHostSample === 0 ? this.#nextHostSample() : undefined;
-		const isCoveredByLoad = now - this.#lastLoadBroadcastAt < heartbeatIntervalMs && knownHosts === undefined && !this.isLargeFleet;
+		const state = now < this.#announcementEnd ? this.#options.summarizeState?.() : undefined;
+		const isCoveredByLoad = now - this.#lastLoadBroadcastAt < heartbeatIntervalMs && knownHosts === undefined && state === undefined && !this.isLargeFleet;
 		if (!isCoveredByLoad) {
-			this.broadcast({type: 'heartbeat', known: knownHosts, silent: this.isLargeFleet ? [...this.#findSilentDomains(now)] : undefined});
+			this.broadcast({
+				type: 'heartbeat', known: knownHosts, silent: this.isLargeFleet ? [...this.#findSilentDomains(now)] : undefined, state,
+			});
 		}
 
 		for (const link of this.#openLinks) {
@@ -300,10 +318,12 @@
 		const link = new Link(socket, isDialled, this.#linkEvents);
 		this.#openLinks.add(link);
 		this.#lastMessageAt.set(link, this.#options.now());
-		link.send({type: 'hello', from: this.#options.self, known: [...this.#knownPeers.hosts]});
+		link.send({
+			type: 'hello', from: this.#options.self, known: [...this.#knownPeers.hosts], state: this.#options.summarizeState?.(),
+		});
 	}
 
-	#handleHello(link: Link, from: Host, known: readonly Host[]): void {
+	#handleHello(link: Link, {from, known, state}: Hello): void {
 		const now = this.#options.now();
 		const areNew = known.map(host => this.#knownPeers.add(host.address, host, now));
 		this.#knownPeers.markAlive(from, now);
@@ -333,6 +353,13 @@
 		this.#options.events.joined(from, message => {
 			link.send(message);
 		});
+		this.#handleSummary(from, state);
+	}
+
+	#handleSummary(from: Host, summary: StateSummary | undefined): void {
+		if (summary !== undefined) {
+			this.#options.events.summary?.(from, summary);
+		}
 	}
 
 	/** Announces a new host to the other linked ones: hosts that start together discover each other through their seeds. */
@@ -371,7 +398,8 @@
 	}
 
 	/** The hosts that a peer is linked with are alive; a domain that is silent for a relay is out of reach from here as well. */
-	#handleHeartbeat(from: Host, {known, silent}: Heartbeat, now: number): void {
+	#handleHeartbeat(from: Host, {known, silent, state}: Heartbeat, now: number): void {
+		this.#handleSummary(from, state);
 		const areNew = known?.map(host => this.#knownPeers.markAlive(host, now));
 		if (areNew?.includes(true) === true) {
 			this.#dialer.updateLinks();
--- a/src/gateway/peers/state.ts
+++ b/src/gateway/peers/state.ts
@@ -47,6 +47,9 @@
 	organisations: z.array(z.object({name: nameSchema, keys: z.array(nameSchema).readonly(), priority: z.number().optional()})).readonly().optional(),
 }) satisfies z.ZodType<GatewayConfiguration>;
 
+/** Era of the store; absent from a host that doesn't know of eras. */
+const eraSchema = z.number().int().nonnegative().optional();
+
 export const upstreamSchema = z.object({
 	id: nameSchema,
 	service: nameSchema,
@@ -55,8 +58,19 @@
 	slots: z.number(),
 	isDraining: z.boolean(),
 	started: z.number().optional(),
+	sequence: z.number().optional(),
+	era: eraSchema,
 }) satisfies z.ZodType<GatewayUpstream>;
 
+/** What a host knows of the store's newest content, by which peers notice that they are behind. */
+export const stateSummarySchema = z.object({
+	era: eraSchema,
+	/** Milliseconds since the sender learned of the era. */
+	eraAge: timeSchema.optional(),
+	/** Version of the configuration in force; 0 for none. */
+	version: z.number().optional(),
+});
+
 /** Requests what is newer than the requester's state. */
 export const stateRequestSchema = z.object({
 	type: z.literal('state-wanted'),
@@ -66,6 +80,7 @@
 	version: z.number(),
 	/** Revision of the store up to which the requester knows every change of upstreams; 0 for none. */
 	revision: z.number(),
+	era: eraSchema,
 });
 
 /** The configuration in force, sent before the state to a requester that has an older one. */
@@ -80,13 +95,18 @@
 	version: z.number(),
 	/** Revision of the store up to which the peer knows every change of upstreams. */
 	revision: z.number(),
-	/** Revision of the last change of upstreams. */
+	era: eraSchema,
+	eraAge: timeSchema.optional(),
+	/** Revision of the last change of upstreams, in the same era. */
 	changed: z.number(),
 	/** All upstreams registered as of the revision; absent if the requester has the same. */
 	upstreams: z.array(upstreamSchema).max(4096).optional(),
+	/** Registrations that a backup of the store brought back after their removal; sent with `upstreams`. */
+	withheld: z.array(upstreamSchema).max(4096).optional(),
 	/** Upstreams whose registration is gone and that the peer keeps in use, as it may merely have expired during an outage of the store. */
 	kept: z.array(nameSchema).max(4096).optional(),
 });
 
+export type StateSummary = Readonly<z.infer<typeof stateSummarySchema>>;
 export type StateRequest = z.infer<typeof stateRequestSchema>;
 export type PeerState = z.infer<typeof stateSchema>;
--- a/src/gateway/registrations.ts
+++ b/src/gateway/registrations.ts
@@ -1,4 +1,5 @@
 /** Keeps the usable upstreams in sync with the platform's registry, as read from its store or received from peers. */
+import {isAfter, type StorePosition} from '../core/gateway/position.js';
 import {StoreOutages} from '../core/gateway/store-outages.js';
 import {
 	noDifference, Registry, type RegistryChange, type RegistryDifference,
@@ -14,14 +15,16 @@
 	readonly now: () => number;
 };
 
-/** State of the registry that hosts send each other. */
-export type RegistryUpdate = {
-	/** Revision of the store up to which the sender knows every change. */
-	readonly revision: number;
-	/** Revision of the last change. */
+/** State of the registry that hosts send each other, with the position of the store up to which the sender knows every change. */
+export type RegistryUpdate = StorePosition & {
+	/** Milliseconds since the sender learned of the era; absent if unknown. */
+	readonly eraAge?: number;
+	/** Revision of the last change, in the same era. */
 	readonly changed: number;
-	/** All upstreams registered as of the revision; absent if the receiver has the same. */
+	/** All upstreams registered as of the position; absent if the receiver has the same. */
 	readonly upstreams?: readonly GatewayUpstream[];
+	/** Registrations that a backup of the store brought back after their removal; sent with `upstreams`. */
+	readonly withheld?: readonly GatewayUpstream[];
 	/** Upstreams whose registration is gone and that the sender keeps in use, as it may merely have expired; absent means none. */
 	readonly kept?: readonly string[];
 };
@@ -29,9 +32,17 @@
 /** An upstream whose registration is gone, perhaps only because it could not be renewed during an outage of the store. */
 type ExpiringRegistration = {
 	readonly source: RegistrationSource;
+	/** Whether it is missing from a backup, so that a peer that lacks it may never have known it. */
+	readonly isFromEarlierEra: boolean;
 	readonly timer: NodeJS.Timeout;
 };
 
+/**
+ * How long a registration is withheld that a backup of the store brought back after its removal. The platform removes one that isn't
+ * renewed sooner.
+ */
+const withholdingMs = 8000;
+
 const noIds: readonly string[] = [];
 
 export class Registrations implements Disposable {
@@ -40,36 +51,106 @@
 	readonly #expiryGrace = new StoreOutages();
 	/** Upstreams kept in use until they register again or the grace period ends, by id. */
 	readonly #expiring = new Map<string, ExpiringRegistration>();
+	readonly #restoredListeners: Array<() => void> = [];
+	/** Since when registrations are withheld; undefined if none are. */
+	#withheldSince: number | undefined;
+	#era = 0;
+	/** When the era began, as far as is known here. */
+	#eraSince = 0;
 
 	constructor(options: RegistrationsOptions) {
 		this.#options = options;
 	}
 
-	/** Revision of the store up to which every change is known; 0 if none is. */
-	get revision(): number {
-		return this.#registry.revision;
+	/** Position of the store up to which every change is known; its revision is 0 if none is. */
+	get position(): StorePosition {
+		return this.#registry.position;
+	}
+
+	/** Highest era of the store that is known, which the registry may not have reached yet. */
+	get era(): number {
+		return this.#era;
+	}
+
+	/** Milliseconds since the highest era was first known, here or at the peer that told of it; undefined if the store reports none. */
+	get eraAge(): number | undefined {
+		return this.#era === 0 ? undefined : this.#options.now() - this.#eraSince;
+	}
+
+	/** Whether the registry is as of an earlier era of the store, so that its content must be read again. */
+	get isFromEarlierEra(): boolean {
+		return this.#registry.position.era < this.#era;
+	}
+
+	/**
+	 * Records an era of the store. A higher one than before means that the store has returned from a backup, and may lack what it
+	 * acknowledged last.
+	 *
+	 * @param era - Era in an answer of the store or in a message of a peer.
+	 * @param source - Where it was found, for the log.
+	 * @param age - Milliseconds for which the source has known it.
+	 */
+	recordEra(era: number, source: string, age = 0): void {
+		if (era <= this.#era) {
+			return;
+		}
+
+		const {log, now} = this.#options;
+		const previous = this.#era;
+		this.#era = era;
+		this.#eraSince = now() - age;
+		if (this.#registry.position.revision === 0) {
+			return;
+		}
+
+		log.write({
+			event: 'store-restored', era, before: previous, revision: this.#registry.position.revision, source,
+		}, 'warn');
+		this.#expiryGrace.markRestored(this.#eraSince);
+		this.#withheldSince = undefined;
+		for (const listener of this.#restoredListeners) {
+			listener();
+		}
+	}
+
+	/**
+	 * @param listener - Called whenever the store has returned from a backup.
+	 */
+	onRestored(listener: () => void): void {
+		this.#restoredListeners.push(listener);
+	}
+
+	/**
+	 * @param at - Monotonic time in milliseconds.
+	 * @returns Whether the store was still missing, at that time, what is written to it again after its return from a backup.
+	 */
+	isStoreBeingRewritten(at: number): boolean {
+		return this.#expiryGrace.isBeingRewritten(at);
 	}
 
 	/**
-	 * @param revision - Revision of a peer's registry.
+	 * @param position - Position of a peer's registry.
 	 * @returns Update for the peer.
 	 */
-	createUpdate(revision: number): RegistryUpdate {
+	createUpdate(position: StorePosition): RegistryUpdate {
 		const kept = this.#expiring.size === 0 ? undefined : [...this.#expiring.keys()];
-		return this.#registry.isCurrent(revision)
-			? {revision: this.#registry.revision, changed: this.#registry.changed, kept}
-			: {...this.#registry.snapshot, kept};
+		return this.#registry.isCurrent(position)
+			? {
+				...this.#registry.position, eraAge: this.eraAge, changed: this.#registry.changed, kept,
+			}
+			: {...this.#registry.snapshot, eraAge: this.eraAge, kept};
 	}
 
 	/**
-	 * Applies the next changes of the store.
+	 * Applies the next changes of the store: of each upstream the last one, so that none is used for a moment that is already over.
 	 *
 	 * @param changes - Changes in the order of their revisions.
-	 * @param revision - Revision of the store after them.
+	 * @param position - Position of the store after them.
 	 */
-	applyChanges(changes: readonly RegistryChange[], revision: number): void {
-		for (const change of changes) {
-			const source = {type: 'store', revision: change.revision} as const;
+	applyChanges(changes: readonly RegistryChange[], position: StorePosition): void {
+		const lastChanges = new Map(changes.map(change => [change.type === 'removed' ? change.id : change.upstream.id, change]));
+		for (const change of lastChanges.values()) {
+			const source = {type: 'store', era: change.era, revision: change.revision} as const;
 			if (!this.#registry.apply(change)) {
 				continue;
 			}
@@ -77,27 +158,31 @@
 			if (change.type === 'written') {
 				this.#register(change.upstream, source);
 			} else {
-				this.#unregisterOrKeep(change.id, source);
+				this.#unregisterOrKeep(change.id, source, false);
 			}
 		}
 
-		this.#registry.advance(revision);
+		this.#registry.advance(position);
+		this.#releaseOverdue({type: 'store', ...position});
 	}
 
 	/**
 	 * Replaces the registry by a listing of the store.
 	 *
 	 * @param upstreams - All upstreams in the store.
-	 * @param revision - Revision of the store that was listed.
+	 * @param position - Position of the store that was listed.
 	 */
-	replaceAll(upstreams: readonly GatewayUpstream[], revision: number): void {
-		const source = {type: 'store', revision} as const;
-		const {written, removed} = this.#registry.reset({upstreams, revision, changed: revision});
+	replaceAll(upstreams: readonly GatewayUpstream[], position: StorePosition): void {
+		this.recordEra(position.era, 'store');
+		const source = {type: 'store', ...position} as const;
+		const {isFromEarlierEra} = this;
+		const {written, removed} = this.#registry.reset({...position, upstreams, changed: position.revision});
 		for (const id of removed) {
-			this.#unregisterOrKeep(id, source);
+			this.#unregisterOrKeep(id, source, isFromEarlierEra);
 		}
 
 		this.#registerAll(written, source);
+		this.#releaseOverdue(source);
 	}
 
 	/**
@@ -105,14 +190,23 @@
 	 *
 	 * @param peer - Peer.
 	 * @param update - Update.
+	 * @returns Whether it tells the present content of the store. One of an earlier era doesn't, and is ignored.
 	 */
-	applyUpdate(peer: string, update: RegistryUpdate): void {
-		const source = {type: 'peer', peer, revision: update.revision} as const;
+	applyUpdate(peer: string, update: RegistryUpdate): boolean {
+		this.recordEra(update.era, peer, update.eraAge);
+		const {isFromEarlierEra} = this;
+		if (update.era < this.#era || (isFromEarlierEra && update.upstreams === undefined)) {
+			return false;
+		}
+
+		const source = {
+			type: 'peer', peer, era: update.era, revision: update.revision,
+		} as const;
 		const kept = update.kept ?? noIds;
 		const {written, removed} = this.#mergeUpdate(update);
 		for (const id of removed) {
-			if (kept.includes(id)) {
-				this.#unregisterOrKeep(id, source);
+			if (isFromEarlierEra || kept.includes(id)) {
+				this.#unregisterOrKeep(id, source, isFromEarlierEra);
 			} else {
 				this.#unregister(id, source);
 			}
@@ -120,6 +214,8 @@
 
 		this.#registerAll(written, source);
 		this.#unregisterUnkept(kept, source);
+		this.#releaseOverdue(source);
+		return true;
 	}
 
 	/** Records that the store doesn't answer. */
@@ -138,13 +234,27 @@
 		}
 	}
 
-	#mergeUpdate({upstreams, revision, changed}: RegistryUpdate): RegistryDifference {
+	#mergeUpdate(update: RegistryUpdate): RegistryDifference {
+		const {upstreams} = update;
 		if (upstreams === undefined) {
-			this.#registry.advance(revision);
+			this.#registry.advance(update);
 			return noDifference;
 		}
 
-		return this.#registry.merge({upstreams, revision, changed});
+		return this.#registry.merge({...update, upstreams});
+	}
+
+	/** Makes withheld upstreams usable whose registrations are still there after a while. */
+	#releaseOverdue(source: RegistrationSource): void {
+		if (!this.#registry.hasWithheld) {
+			this.#withheldSince = undefined;
+			return;
+		}
+
+		this.#withheldSince ??= this.#options.now();
+		if (this.#options.now() - this.#withheldSince > withholdingMs) {
+			this.#registerAll(this.#registry.releaseWithheld(), source);
+		}
 	}
 
 	#registerAll(upstreams: readonly GatewayUpstream[], source: RegistrationSource): void {
@@ -158,26 +268,26 @@
 		this.#options.upstreams.register(upstream, source);
 	}
 
-	#unregisterOrKeep(id: string, source: RegistrationSource): void {
+	#unregisterOrKeep(id: string, source: RegistrationSource, isFromEarlierEra: boolean): void {
 		const {log, now} = this.#options;
-		const delay = this.#expiryGrace.removalDelay(now());
+		const delay = isFromEarlierEra ? this.#expiryGrace.restoredRemovalDelay(now()) : this.#expiryGrace.removalDelay(now());
 		if (delay === 0) {
 			this.#unregister(id, source);
 		} else if (!this.#expiring.has(id)) {
 			log.write({
-				event: 'upstream-lapsing', upstream: id, revision: source.revision, wait: Math.round(delay),
+				event: 'upstream-lapsing', upstream: id, era: source.era, revision: source.revision, wait: Math.round(delay),
 			});
 			const timer = setTimeout(() => {
 				this.#unregister(id, source);
 			}, delay);
-			this.#expiring.set(id, {source, timer});
+			this.#expiring.set(id, {source, isFromEarlierEra, timer});
 		}
 	}
 
 	/** Unregisters kept upstreams that a peer which knows of their removal doesn't keep: their registrations did not merely expire. */
 	#unregisterUnkept(kept: readonly string[], source: RegistrationSource): void {
 		for (const [id, expiring] of this.#expiring) {
-			if (source.revision >= expiring.source.revision && !kept.includes(id)) {
+			if (!expiring.isFromEarlierEra && !isAfter(expiring.source, source) && !kept.includes(id)) {
 				this.#unregister(id, source);
 			}
 		}
--- a/src/gateway/state-sync.ts
+++ b/src/gateway/state-sync.ts
@@ -6,7 +6,7 @@
 import {type Clock, type Timestamp} from '../entry/clock.js';
 import {type Gateway} from './gateway.js';
 import {encode} from './peers/messages.js';
-import {type PeerState, type StateRequest} from './peers/state.js';
+import {type PeerState, type StateRequest, type StateSummary} from './peers/state.js';
 
 /**
  * Smallest failure domain whose hosts share reads; with fewer hosts there are too few calls to save. With 70 hosts that each read once a
@@ -14,6 +14,9 @@
  */
 const minSharingHosts = 5;
 
+/** How long to wait for a newer configuration that a peer has announced. */
+const newestTimeoutMs = 1000;
+
 /** How a host gets the state of the store: reads it for itself, reads it for others as well, or asks a host that reads it. */
 export type StoreAccess = 'by asking' | 'for itself' | 'for others';
 
@@ -39,6 +42,9 @@
 	#configurationFrame: {readonly version: number; readonly bytes: Uint8Array} | undefined;
 	#lastId = 0;
 	#nextPeer = 0;
+	/** Peer that last announced a newer configuration than the one in force here. */
+	#newest: {readonly host: string; readonly version: number} | undefined;
+	#isRequestingNewest = false;
 
 	/**
 	 * @param gateway - Gateway whose state is sent and updated.
@@ -86,6 +92,40 @@
 		this.#sentVersions.delete(host);
 	}
 
+	/**
+	 * Records a peer's summary of its state. A newer configuration is requested from the peer, as the store may have returned from a
+	 * backup that lacks it.
+	 *
+	 * @param from - Peer.
+	 * @param summary - Its summary.
+	 */
+	handleSummary(from: string, {era = 0, eraAge, version = 0}: StateSummary): void {
+		this.#gateway.registrations.recordEra(era, from, eraAge);
+		if (version > (this.#newest?.version ?? 0)) {
+			this.#newest = {host: from, version};
+		}
+
+		void this.requestNewest();
+	}
+
+	/** Requests a newer configuration from the peer that announced it. Until the store has been read once, it is expected to have it. */
+	async requestNewest(): Promise<void> {
+		const {registrations, directory} = this.#gateway;
+		const newest = this.#newest;
+		if (newest === undefined || this.#isRequestingNewest || registrations.position.revision === 0) {
+			return;
+		}
+
+		if (newest.version <= (directory?.configuration.version ?? 0)) {
+			this.#newest = undefined;
+			return;
+		}
+
+		this.#isRequestingNewest = true;
+		await this.#requestFromOne([newest.host], newestTimeoutMs);
+		this.#isRequestingNewest = false;
+	}
+
 	/**
 	 * Answers a request for the state, unless this host has none yet.
 	 *
@@ -95,7 +135,7 @@
 	handleRequest(from: string, request: StateRequest): void {
 		const gateway = this.#gateway;
 		const configuration = gateway.directory?.configuration;
-		if (configuration === undefined || gateway.registrations.revision === 0) {
+		if (configuration === undefined || gateway.registrations.position.revision === 0) {
 			return;
 		}
 
@@ -103,14 +143,17 @@
 			this.#sendConfiguration(from, configuration);
 		}
 
-		const {upstreams, kept, ...revisions} = gateway.registrations.createUpdate(request.revision);
+		// A host that doesn't know of eras can't be told that it is behind: it ignores whatever has a lower revision.
+		const {era = gateway.registrations.position.era, revision} = request;
+		const {upstreams, withheld, kept, ...position} = gateway.registrations.createUpdate({era, revision});
 		gateway.peers.send(from, {
 			type: 'state',
 			ask: request.ask,
 			age: gateway.confirmedAge,
 			version: configuration.version,
-			...revisions,
+			...position,
 			upstreams: upstreams === undefined ? undefined : [...upstreams],
+			withheld: withheld === undefined ? undefined : [...withheld],
 			kept: kept === undefined ? undefined : [...kept],
 		});
 	}
@@ -177,7 +220,7 @@
 				type: 'state-wanted',
 				ask: id,
 				version: this.#gateway.directory?.configuration.version ?? 0,
-				revision: this.#gateway.registrations.revision,
+				...this.#gateway.registrations.position,
 			});
 		});
 	}
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -1,4 +1,5 @@
 /** The usable upstreams, as registered at present. */
+import {type StorePosition} from '../core/gateway/position.js';
 import {type GatewayUpstream} from '../core/gateway/types.js';
 import {type Log} from '../entry/logs.js';
 
@@ -8,15 +9,15 @@
 	readonly removed: (id: string) => void;
 };
 
-/** Origin of a registration or removal, with its revision of the store. */
+/** Origin of a registration or removal, with its position in the history of the store. */
 export type RegistrationSource
-	= | {readonly type: 'peer'; readonly peer: string; readonly revision: number}
-		| {readonly type: 'store'; readonly revision: number};
+	= | StorePosition & {readonly type: 'peer'; readonly peer: string}
+		| StorePosition & {readonly type: 'store'};
 
 const noUpstreams: readonly GatewayUpstream[] = [];
 
 function describeSource(source: RegistrationSource): Readonly<Record<string, unknown>> {
-	return {source: source.type === 'store' ? 'store' : source.peer, revision: source.revision};
+	return {source: source.type === 'store' ? 'store' : source.peer, era: source.era, revision: source.revision};
 }
 
 export class Upstreams {
--- a/stand-ins/gateway/store.ts
+++ b/stand-ins/gateway/store.ts
@@ -1,4 +1,4 @@
-/** Stand-in for the read side of the users' metadata store: paged ranges, watches and outages. */
+/** Stand-in for the read side of the users' metadata store: paged ranges, watches, outages and returns from a backup. */
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {
@@ -20,6 +20,13 @@
 /** How the store answers calls. */
 export type StoreMode = 'serving' | 'busy' | 'silent' | 'reset';
 
+/** Content of the store at one moment, from which it can be restored. */
+export type StoreBackup = {
+	readonly items: ReadonlyMap<string, Item>;
+	readonly history: readonly Event[];
+	readonly revision: number;
+};
+
 type PendingWatch = {
 	readonly prefix: string;
 	readonly after: number;
@@ -37,9 +44,13 @@
 	secondaryMode: StoreMode = 'serving';
 	/** Number of calls received. */
 	calls = 0;
+	/** Rises with each return from a backup; sent with every answer, as it is. Nothing is sent if undefined. */
+	era: number | string | undefined = 1;
+	/** Called before each page of a range is sent. */
+	onRange: (() => void) | undefined;
 	readonly #server: Server;
 	readonly #secondaryServer: Server;
-	readonly #items = new Map<string, Item>();
+	#items = new Map<string, Item>();
 	#history: Event[] = [];
 	#compactedRevision = 0;
 	#revision = 100;
@@ -99,10 +110,22 @@
 	compact(): void {
 		this.#history = [];
 		this.#compactedRevision = this.#revision;
-		for (const watch of this.#pendingWatches) {
-			this.#removeWatch(watch);
-			watch.outgoing.destroy();
-		}
+		this.#disconnectWatches();
+	}
+
+	/** Returns a backup of the present content. */
+	backUp(): StoreBackup {
+		return {items: new Map(this.#items), history: [...this.#history], revision: this.#revision};
+	}
+
+	/** Returns to a backup in a new era: what was written since is lost, its revisions are assigned again, and pending watches are disconnected. */
+	restore({items, history, revision}: StoreBackup): void {
+		this.#items = new Map(items);
+		this.#history = [...history];
+		this.#revision = revision;
+		this.#compactedRevision = Math.min(this.#compactedRevision, revision);
+		this.era = typeof this.era === 'number' ? this.era + 1 : this.era;
+		this.#disconnectWatches();
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
@@ -114,6 +137,13 @@
 		}
 	}
 
+	#disconnectWatches(): void {
+		for (const watch of this.#pendingWatches) {
+			this.#removeWatch(watch);
+			watch.outgoing.destroy();
+		}
+	}
+
 	#recordEvent(event: Event): void {
 		this.#history.push(event);
 		for (const watch of this.#pendingWatches) {
@@ -130,6 +160,10 @@
 	}
 
 	#handleCall(mode: StoreMode, incoming: IncomingMessage, outgoing: ServerResponse): void {
+		if (this.era !== undefined) {
+			outgoing.setHeader('Store-Era', this.era);
+		}
+
 		switch (mode) {
 			case 'serving': {
 				this.#serve(incoming, outgoing);
@@ -179,6 +213,7 @@
 	}
 
 	#sendRange(prefix: string, after: string, outgoing: ServerResponse): void {
+		this.onRange?.();
 		const keys = [...this.#items.keys()].filter(key => key.startsWith(prefix) && key > after).toSorted();
 		const page = keys.slice(0, maxPageItems);
 		sendJson(outgoing, {Items: page.map(key => this.#items.get(key)), MorePages: keys.length > page.length, AsOf: this.#revision});
@@ -186,7 +221,7 @@
 
 	#watch(prefix: string, after: number, timeout: number, outgoing: ServerResponse): void {
 		const hasEvents = this.#history.some(event => event.Revision > after && event.Key.startsWith(prefix));
-		if (hasEvents || after < this.#compactedRevision) {
+		if (hasEvents || !this.#hasHistoryAfter(after)) {
 			this.#sendEvents(prefix, after, outgoing);
 			return;
 		}
@@ -203,8 +238,12 @@
 		this.#pendingWatches.add(watch);
 	}
 
+	#hasHistoryAfter(revision: number): boolean {
+		return revision >= this.#compactedRevision && revision <= this.#revision;
+	}
+
 	#sendEvents(prefix: string, after: number, outgoing: ServerResponse): void {
-		if (after < this.#compactedRevision) {
+		if (!this.#hasHistoryAfter(after)) {
 			outgoing.writeHead(410);
 			outgoing.end();
 			return;
--- a/stand-ins/gateway/upstream.ts
+++ b/stand-ins/gateway/upstream.ts
@@ -58,6 +58,7 @@
 	readonly #tickets = new Tickets();
 	#isIterating = false;
 	#isDraining = false;
+	#registrationCount = 0;
 	/** Unix time in milliseconds. */
 	#startTime = Date.now();
 
@@ -87,8 +88,9 @@
 		return this.#tickets.names;
 	}
 
-	/** Its registration record in the store. */
-	get registration(): Readonly<Record<string, unknown>> {
+	/** Returns its next registration record for the store. */
+	createRegistration(): Readonly<Record<string, unknown>> {
+		this.#registrationCount++;
 		const {service, failureDomain, slots} = this.#options;
 		return {
 			Service: service,
@@ -98,7 +100,7 @@
 			Slots: slots,
 			State: this.#isDraining ? 'draining' : 'ready',
 			ColdRemainingMs: 0,
-			Sequence: 1,
+			Sequence: this.#registrationCount,
 			born: this.#startTime,
 		};
 	}
