A host that requests load updates gets them without cutting the batch of its domain

Cause: a relay ended the batch of its whole domain at each request of one host before a placement, and at each job that may reroute another host's request.

Change: the requester, or the host whose request may be rerouted, gets the pending changes by itself, and once more with the next batch; jobs that are known already are ignored. The check of the test on long prompts counts the messages themselves in place of flushes, as a flush is no longer what sends them.

--- a/src/gateway/__tests__/relays.test.ts
+++ b/src/gateway/__tests__/relays.test.ts
@@ -234,6 +234,22 @@
 		expect(idle!.loads - before).toBeLessThan(2 + (elapsed / 40));
 	});
 
+	it('batches them also while the other hosts of the domain place requests', {timeout: 60_000}, async () => {
+		await using fleet = await TestFleet.start(3, 6);
+		const [busy, idle, ...others] = fleet.nonRelays('domain-0');
+		const before = idle!.loads;
+		const began = performance.now();
+		for (let index = 0; index < 150; index++) {
+			busy!.begin(`busy-${index}`);
+			await others[index % others.length]!.loadUpdates.refresh();
+			await sleep(3);
+		}
+
+		await fleet.untilKnown('busy-149', true);
+		const elapsed = performance.now() - began;
+		expect(idle!.loads - before).toBeLessThan(2 + (elapsed / 40));
+	});
+
 	it('sends a host all updates of its relay before a placement', {timeout: 60_000}, async () => {
 		await using fleet = await TestFleet.start(3, 6);
 		const [relay] = fleet.relays('domain-0');
@@ -252,13 +268,13 @@
 		const [plain] = fleet.nonRelays('domain-0');
 		plain!.begin('own');
 		await fleet.untilKnown('own', true);
-		const flushed = vi.spyOn(relay!.peers, 'flush');
+		const sent = vi.spyOn(relay!.peers, 'send');
 		relay!.begin('short');
 		await fleet.untilKnown('short', true);
-		expect(flushed).not.toHaveBeenCalled();
+		expect(sent).not.toHaveBeenCalled();
 		relay!.begin('long', 500);
-		await fleet.until(() => flushed.mock.calls.length > 0);
-		expect(flushed.mock.calls).toEqual([[plain!.host.name]]);
+		await fleet.until(() => sent.mock.calls.length > 0);
+		expect(sent.mock.calls.map(([host, message]) => [host, message.type])).toEqual([[plain!.host.name, 'load']]);
 		await fleet.untilKnown('long', true);
 	});
 
--- a/src/gateway/load-batch.ts
+++ b/src/gateway/load-batch.ts
@@ -28,6 +28,15 @@
 		this.#send = send;
 	}
 
+	/** Changes that wait to be sent; undefined if there are none. */
+	get pending(): LoadChanges | undefined {
+		return this.#timer === undefined
+			? undefined
+			: {
+				began: this.#began, progressed: this.#progressed, ended: this.#ended, absences: this.#absences,
+			};
+	}
+
 	add({began = [], progressed = [], ended = [], absences = []}: Partial<LoadChanges>): void {
 		this.#began.push(...began);
 		this.#progressed.push(...progressed);
@@ -40,15 +49,13 @@
 
 	/** Sends the batch at once, unless it is empty. */
 	flush(): void {
-		if (this.#timer === undefined) {
+		const changes = this.pending;
+		if (changes === undefined) {
 			return;
 		}
 
 		clearTimeout(this.#timer);
 		this.#timer = undefined;
-		const changes = {
-			began: this.#began, progressed: this.#progressed, ended: this.#ended, absences: this.#absences,
-		};
 		this.#began = [];
 		this.#progressed = [];
 		this.#ended = [];
--- a/src/gateway/load-updates.ts
+++ b/src/gateway/load-updates.ts
@@ -1,8 +1,8 @@
 /**
  * Exchanges load updates between hosts, so that each knows the jobs at all upstreams. In a small fleet every host broadcasts its own. In a
  * large one it sends them to the relay of its failure domain. The relay forwards them to the relays of the other domains with a short
- * delay, and to the hosts of its own domain when they request them before a placement, when a running request may have to be rerouted,
- * and otherwise in batches: with hundreds of hosts that each serve one or two requests a second, a host needs most updates only when
+ * delay, and to the hosts of its own domain in batches. A host gets the pending changes earlier, and again with its next batch, when it
+ * requests them before a placement or may have to reroute a running request; the batches of the other hosts stay whole: with hundreds of hosts that each serve one or two requests a second, a host needs most updates only when
  * its next request arrives.
  */
 import {appliesIn, type Absence} from '../core/gateway/absences.js';
@@ -162,14 +162,15 @@
 	}
 
 	/**
-	 * Sends a host all pending updates, then the response.
+	 * Sends a host all pending updates, then the response. They stay in the batch of the whole domain: hundreds of hosts each request
+	 * them now and then, and a batch cut by every request costs each host a message for one or two jobs.
 	 *
 	 * @param from - Requester.
 	 * @param request - Request.
 	 */
 	handleRequest(from: Host, {ask}: LoadRequest): void {
 		this.#ownChanges.flush();
-		this.#domainChanges.flush();
+		this.#sendPending(from.name);
 		this.#options.peers.send(from.name, {type: 'load-told', ask});
 	}
 
@@ -363,15 +364,21 @@
 
 	/** Sends pending updates at once to the hosts that may have to reroute a request because of new jobs. */
 	#flushAffectedHosts(began: readonly Job[]): void {
-		const {load, peers, now} = this.#options;
+		const {load, now} = this.#options;
 		const affectedHosts = new Set(began.flatMap(job => load.findJobsOfOtherHosts(job).filter(each => canCauseReroute(each, job, now())).map(each => each.host)));
-		if (affectedHosts.size === 0) {
-			return;
+		for (const host of affectedHosts) {
+			this.#sendPending(host);
 		}
+	}
 
-		this.#domainChanges.flush();
-		for (const host of affectedHosts) {
+	/** Sends a host the changes that its domain gets with the next batch, after those that already wait to be sent to it. */
+	#sendPending(host: string): void {
+		const {peers} = this.#options;
+		const {pending} = this.#domainChanges;
+		if (pending === undefined) {
 			peers.flush(host);
+		} else {
+			peers.send(host, this.#createUpdate(pending));
 		}
 	}
 
