Membership test waits for the log line of the order that it reads

Cause: the test read the hosts' lines once, right after the engine had loaded the version; a line may arrive later, and no host was found. The check that one host alone ordered the version is made again at the end, when all lines have arrived.

--- a/__tests__/membership.test.ts
+++ b/__tests__/membership.test.ts
@@ -93,6 +93,8 @@
 		await waitForLinks(fleet, fleet.hosts.all.map(host => host.id), 2);
 		await publishVersion(fleet, '2');
 		await waitUntil(async () => await fetchVersion(fleet) === '2');
+		// The log line of the order may arrive after the engine's answer.
+		await waitUntil(() => findControllers(fleet, '2').length > 0);
 		const [paused, ...rest] = findControllers(fleet, '2');
 		expect(rest).toEqual([]);
 		fleet.hosts.get(paused!).child.pause();
@@ -106,6 +108,7 @@
 			await sleep(100);
 		}
 
+		expect(findControllers(fleet, '2')).toEqual([paused]);
 		expect(await fetchHostState(fleet, paused!)).toMatchObject({phase: 'serving'});
 	});
 });
