Load updates round times to milliseconds and costs to five bytes

Cause: every host receives the jobs of all others; at 300 hosts a relay sends each job to a hundred hosts of its domain, and three times and three costs of nine bytes each were 54 of its 140 bytes.

Hosts of the former build read both, as the fields are the same numbers.

--- a/src/gateway/__tests__/bytes.test.ts
+++ b/src/gateway/__tests__/bytes.test.ts
@@ -56,6 +56,14 @@
 		});
 	});
 
+	it('spend no bytes on fractions of milliseconds, and five on a cost', () => {
+		const sizeOf = (change: Partial<typeof job>) => encode({
+			type: 'load', began: [toWireJob({...job, ...change}, 'h', 150)], progressed: [], ended: [],
+		}).length;
+		expect(sizeOf({began: 100.123_45, due: 400.123_45, deadline: 900.123_45})).toBe(sizeOf({}));
+		expect(sizeOf({read: 24.381_7})).toBe(sizeOf({}) - 1 + 5);
+	});
+
 	it('name the host of a job that a relay passes on', () => {
 		const told = toWireJob(job, 'relay', 150);
 		expect(told.host).toBe('h');
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -1,5 +1,5 @@
 /** Messages between hosts: handshake, heartbeats, load updates, crash reports and state. */
-import {Encoder} from 'cbor-x';
+import {Encoder, FLOAT32_OPTIONS} from 'cbor-x';
 import {z} from 'zod';
 import {raise} from '../../core/index.js';
 import {type Job} from '../../core/gateway/load.js';
@@ -109,7 +109,10 @@
 /** Leaves room for the jobs of a busy host. */
 export const maxMessageBytes = 2_000_000;
 
-const codec = new Encoder({useRecords: true, mapsAsObjects: true, tagUint8Array: false});
+/** Numbers with up to seven significant digits take five bytes. */
+const codec = new Encoder({
+	useRecords: true, mapsAsObjects: true, tagUint8Array: false, useFloat32: FLOAT32_OPTIONS.DECIMAL_FIT,
+});
 
 /**
  * @param message - Message.
@@ -136,7 +139,13 @@
 	return new FrameReader(decode, maxMessageBytes);
 }
 
+function roundTo(digits: number, value: number): number {
+	return Number(value.toFixed(digits));
+}
+
 /**
+ * Rounds times to milliseconds and costs to what placement can tell apart: every host receives the jobs of all others.
+ *
  * @param job - Job.
  * @param sender - Host that sends the message.
  * @param now - Time in milliseconds.
@@ -152,16 +161,16 @@
 		prompt,
 		answer,
 		isHeld,
-		read,
-		readPerPass,
+		read: roundTo(2, read),
+		readPerPass: roundTo(2, readPerPass),
 		pause,
 		urgency,
-		weight,
+		weight: roundTo(3, weight),
 		placing,
-		age: now - job.began,
-		due: job.due - now,
-		deadline: job.deadline - now,
-		firstByteAge: job.firstByte === undefined ? undefined : now - job.firstByte,
+		age: Math.round(now - job.began),
+		due: Math.round(job.due - now),
+		deadline: Math.round(job.deadline - now),
+		firstByteAge: job.firstByte === undefined ? undefined : Math.round(now - job.firstByte),
 	};
 }
 
