Hosts that join a large fleet are announced together

Cause: a host sent each join to all of its links at once, so a start of the whole fleet cost its seeds a message for each pair of hosts.

--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -28,6 +28,9 @@
 /** How long heartbeats tell how current this host's state is, after `announceState`. */
 const announcementMs = 10_000;
 
+/** How long hosts that join a large fleet are collected before they are announced. */
+const announcementDelayMs = 100;
+
 /** Hosts named in such a heartbeat: within a minute, all are named. */
 const hostSampleSize = 6;
 
@@ -68,6 +71,9 @@
 	#heartbeatCount = 0;
 	#lastLoadBroadcastAt = Number.NEGATIVE_INFINITY;
 	#announcementEnd = Number.NEGATIVE_INFINITY;
+	/** Hosts that have joined and have not been announced to the others yet. */
+	#joined: Host[] = [];
+	#announcementTimer: NodeJS.Timeout | undefined;
 	/** Relays among the linked hosts; undefined after the links have changed. */
 	#relays: readonly string[] | undefined;
 	/** Highest number of hosts linked at once, this one included. */
@@ -238,6 +244,7 @@
 
 	async [Symbol.asyncDispose](): Promise<void> {
 		clearInterval(this.#heartbeatTimer);
+		clearTimeout(this.#announcementTimer);
 		this.#dialer[Symbol.dispose]();
 		const closed = once(this.#server, 'close');
 		this.#server.close();
@@ -362,10 +369,29 @@
 		}
 	}
 
-	/** Announces a new host to the other linked ones: hosts that start together discover each other through their seeds. */
+	/**
+	 * Announces a new host to the other linked ones: hosts that start together discover each other through their seeds. In a large fleet,
+	 * hosts that join within a short time are announced together, as hundreds do when all lose power.
+	 */
 	#announce(host: Host): void {
-		const others = [...this.#links.values()].filter(link => link.hello?.from.name !== host.name);
-		this.#writeAll({type: 'heartbeat', known: [host]}, others);
+		this.#joined.push(host);
+		if (!this.isLargeFleet) {
+			this.#sendAnnouncement();
+			return;
+		}
+
+		this.#announcementTimer ??= setTimeout(() => {
+			this.#sendAnnouncement();
+		}, announcementDelayMs);
+	}
+
+	#sendAnnouncement(): void {
+		clearTimeout(this.#announcementTimer);
+		this.#announcementTimer = undefined;
+		const joined = this.#joined;
+		this.#joined = [];
+		const isOnlyNewcomer = (link: Link) => joined.length === 1 && link.hello?.from.name === joined[0]!.name;
+		this.#writeAll({type: 'heartbeat', known: joined}, [...this.#links.values()].filter(link => !isOnlyNewcomer(link)));
 	}
 
 	/** Both ends keep the link that was dialled by the host with the smaller name, unless the other host has restarted. */
