--- a/src/gateway/__tests__/bytes.test.ts
+++ b/src/gateway/__tests__/bytes.test.ts
@@ -61,7 +61,7 @@
 			type: 'load', began: [toWireJob({...job, ...change}, 'h', 150)], progressed: [], ended: [],
 		}).length;
 		expect(sizeOf({began: 100.123_45, due: 400.123_45, deadline: 900.123_45})).toBe(sizeOf({}));
-		expect(sizeOf({read: 24.381_7})).toBe(sizeOf({}) - 1 + 5);
+		expect(sizeOf({read: 24.3817})).toBe(sizeOf({}) - 1 + 5);
 	});
 
 	it('name the host of a job that a relay passes on', () => {
