States of hosts that know no eras are used until the store returns from a backup

Cause: a host that knows eras ignored every state of a peer that reports none. Cut off from the store among hosts of the former build, it confirmed nothing and refused keys.

Found by playing __tests__/gateway with processes of both builds by turns (a trial): stops.test.ts 'receives changes from its peers, including revoked keys' got 503 in place of 200 in one of the two orders; all other tests but the one that needs eras at every host passed.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -201,7 +201,7 @@
 			return;
 		}
 
-		if (this.registrations.applyUpdate(peer, {...state, era: state.era ?? 0})) {
+		if (this.registrations.applyUpdate(peer, {...state, era: state.era ?? this.registrations.assumedEra})) {
 			this.confirm(age);
 		}
 	}
--- a/src/gateway/registrations.ts
+++ b/src/gateway/registrations.ts
@@ -55,6 +55,8 @@
 	/** Since when registrations are withheld; undefined if none are. */
 	#withheldSince: number | undefined;
 	#era = 0;
+	/** Whether the store has returned from a backup since this process started. */
+	#hasReturned = false;
 	/** When the era began, as far as is known here. */
 	#eraSince = 0;
 
@@ -72,6 +74,13 @@
 		return this.#era;
 	}
 
+	/**
+	 * Era to assume for a peer that reports none: the present one, until the store returns from a backup, which such a peer doesn't notice.
+	 */
+	get assumedEra(): number {
+		return this.#hasReturned ? 0 : this.#era;
+	}
+
 	/** Milliseconds since the highest era was first known, here or at the peer that told of it; undefined if the store reports none. */
 	get eraAge(): number | undefined {
 		return this.#era === 0 ? undefined : this.#options.now() - this.#eraSince;
@@ -103,6 +112,7 @@
 			return;
 		}
 
+		this.#hasReturned = true;
 		log.write({
 			event: 'store-restored', era, before: previous, revision: this.#registry.position.revision, source,
 		}, 'warn');
