Failed streams that may be resumed go to another engine

Cause: an engine's own error on a stream went to the caller at once, though the route allowed a second engine and let streams resume; only idempotent routes were tried again.

The last error is forwarded if all allowed engines fail.

Two tests of real processes fail before and pass after: 30 streams beside an engine that fails, and the error of the last engine where all fail.

--- a/__tests__/gateway/upstreams.test.ts
+++ b/__tests__/gateway/upstreams.test.ts
@@ -117,6 +117,21 @@
 		}
 	});
 
+	it('is answered by another engine if the first one answers with an error', async () => {
+		site.engines[0]!.fault = 'error';
+		const ids = Array.from({length: 30}, (_, index) => `error-${index}`);
+		const answers = await Promise.all(ids.map(async id => site.ask({path: '/ask/x', id, headers: createPromptHeaders(1000, 3)})));
+		expect(ids.some(id => site.ledger.findRuns(id).some(run => run.upstream === site.engines[0]!.id))).toBe(true);
+		expect(answers.map(answer => `${answer.status} ${parseEventIds(answer).join(' ')}`)).toEqual(ids.map(() => '200 1 2 3'));
+	});
+
+	it('has the error of the last engine if all allowed ones answer with an error', async () => {
+		setFault(site.engines, 'error');
+		const answer = await site.ask({path: '/ask/x', id: 'error-all', headers: createPromptHeaders(1000, 3)});
+		const runs = site.ledger.findRuns('error-all');
+		expect([answer.status, answer.headers['x-response-signature'], runs.length]).toEqual([500, runs[1]?.upstream, 2]);
+	});
+
 	it('never looks complete when every engine breaks it off', async () => {
 		setFault(site.engines, 'cut');
 		const answer = await site.ask({path: '/ask/x', id: 'cut-1', headers: createPromptHeaders(1000, 20)});
--- a/src/core/gateway/attempts.ts
+++ b/src/core/gateway/attempts.ts
@@ -130,6 +130,6 @@
 	}
 
 	#isRepeatable(ending: AttemptEnding): boolean {
-		return isRepeatable(this.#rules.kind, this.#rules.isResumable, ending);
+		return isRepeatable(this.#rules, ending);
 	}
 }
--- a/src/core/gateway/retries.ts
+++ b/src/core/gateway/retries.ts
@@ -1,7 +1,7 @@
 /** Decides which attempts may be retried, within a budget that all hosts share. */
 import {assertNever} from '../utils/common.js';
 import {type PlacementKind} from './load.js';
-import {type RouteKind} from './types.js';
+import {type Route} from './types.js';
 
 /**
  * Why a host cancels an attempt: the caller has left, its time is over, the memory of its hold is lost, it is rerouted (`moved`), or the
@@ -141,23 +141,27 @@
 }
 
 /**
- * @param kind - Kind of the route.
- * @param isResumable - Whether another engine may resume a stream.
+ * @param rules - Kind of the route, and whether another engine may resume its streams.
+ * @returns Whether a request may run again after it has run, as its caller can't notice.
+ */
+export function isIdempotent({kind, isResumable}: Pick<Route, 'isResumable' | 'kind'>): boolean {
+	return kind === 'idempotent' || (kind === 'streaming' && isResumable);
+}
+
+/**
+ * @param rules - Kind of the route, and whether another engine may resume its streams.
  * @param ending - How the attempt ended.
  * @returns Whether another attempt is safe.
  */
-export function isRepeatable(kind: RouteKind, isResumable: boolean, ending: AttemptEnding): boolean {
+export function isRepeatable(rules: Pick<Route, 'isResumable' | 'kind'>, ending: AttemptEnding): boolean {
 	switch (ending.type) {
 		case 'not-run': {
 			return true;
 		}
 
-		case 'failed': {
-			return kind === 'idempotent';
-		}
-
+		case 'failed':
 		case 'unknown': {
-			return kind === 'idempotent' || (kind === 'streaming' && isResumable);
+			return isIdempotent(rules);
 		}
 
 		case 'answered':
--- a/stand-ins/gateway/upstream.ts
+++ b/stand-ins/gateway/upstream.ts
@@ -210,6 +210,12 @@
 	}
 
 	async #serveStream(id: string, incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+		if (this.fault === 'error') {
+			outgoing.writeHead(500, {'x-request-id': id, 'x-response-signature': this.id, 'content-length': 0});
+			outgoing.end();
+			return;
+		}
+
 		const model = this.#options.model!;
 		const [prompt = 0, answer = 0] = String(incoming.headers['x-token-count'] ?? '').split(',').map(Number);
 		const helpers = this.#resolveHelpers(incoming);
