Registrations are ordered by their numbers only after the store has returned from a backup

Cause: an upstream that restarts under its id after its clock was set back has an earlier start than the registration that peers know; hosts that ask relays would have kept the former one. Before any return of the store a newer listing is right, as it was before eras, and so is what was written in the present era.

--- a/src/core/gateway/registration-order.ts
+++ b/src/core/gateway/registration-order.ts
@@ -40,7 +40,8 @@
  * until it restarts.
  */
 export function isOutdatedRegistration(listed: GatewayUpstream, known: GatewayUpstream, {era, isNewEra}: Listing): boolean {
-	if (listed.era === era && known.era !== era) {
+	// What was written in this era and is listed at a later position is what the store has.
+	if (listed.era === era) {
 		return false;
 	}
 
--- a/src/core/gateway/registry.ts
+++ b/src/core/gateway/registry.ts
@@ -47,6 +47,8 @@
 	readonly #removals = new Removals();
 	#position = noPosition;
 	#changed = 0;
+	/** Whether the store has returned from a backup, so that a listing may have outdated registrations. */
+	#hasReturned = false;
 
 	/** Position up to which every change is known. */
 	get position(): StorePosition {
@@ -161,6 +163,7 @@
 	/** Returns the usable upstreams of a snapshot, each as known here if that is newer, and withholds the others. */
 	#reconcile({era, upstreams, withheld = []}: RegistrySnapshot): ReadonlyMap<string, GatewayUpstream> {
 		const isNewEra = era !== this.#position.era;
+		this.#hasReturned ||= isNewEra && this.#position.revision > 0;
 		const listed = new Map<string, GatewayUpstream>();
 		this.#withheld.clear();
 		for (const upstream of withheld) {
@@ -170,7 +173,8 @@
 		for (const upstream of upstreams) {
 			const known = this.#upstreams.get(upstream.id);
 			if (known !== undefined) {
-				listed.set(upstream.id, isOutdatedRegistration(upstream, known, {era, isNewEra}) ? known : upstream);
+				const isOutdated = this.#hasReturned && isOutdatedRegistration(upstream, known, {era, isNewEra});
+				listed.set(upstream.id, isOutdated ? known : upstream);
 			} else if (this.#removals.isUndone(upstream, era)) {
 				this.#withheld.set(upstream.id, upstream);
 			} else {
