Names of announced state and configuration; a newer configuration is requested once an announcement

Cause: a peer that announced a version and could not send it would have been asked each time the state was confirmed. Found by reading; the tests of src/gateway and of the restored store pass.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -185,7 +185,7 @@
 			this.#keysConfirmedAt = this.#confirmedAt;
 		}
 
-		void this.sharing.requestNewest();
+		void this.sharing.requestNewerConfiguration();
 	}
 
 	/**
--- a/src/gateway/load-updates.ts
+++ b/src/gateway/load-updates.ts
@@ -2,8 +2,8 @@
  * Exchanges load updates between hosts, so that each knows the jobs at all upstreams. In a small fleet every host broadcasts its own. In a
  * large one it sends them to the relay of its failure domain. The relay forwards them to the relays of the other domains with a short
  * delay, and to the hosts of its own domain in batches. A host gets the pending changes earlier, and again with its next batch, when it
- * requests them before a placement or may have to reroute a running request; the batches of the other hosts stay whole: with hundreds of hosts that each serve one or two requests a second, a host needs most updates only when
- * its next request arrives.
+ * requests them before a placement or may have to reroute a running request; the batches of the other hosts stay whole: with hundreds of
+ * hosts that each serve one or two requests a second, a host needs most updates only when its next request arrives.
  */
 import {appliesIn, type Absence} from '../core/gateway/absences.js';
 import {type Job, type Load} from '../core/gateway/load.js';
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -26,7 +26,7 @@
 const heartbeatsPerHostSample = 8;
 
 /** How long heartbeats tell how current this host's state is, after `announceState`. */
-const announcementMs = 10_000;
+const stateAnnouncementMs = 10_000;
 
 /** How long hosts that join a large fleet are collected before they are announced. */
 const announcementDelayMs = 100;
@@ -70,9 +70,9 @@
 	readonly #dialer: Dialer;
 	#heartbeatCount = 0;
 	#lastLoadBroadcastAt = Number.NEGATIVE_INFINITY;
-	#announcementEnd = Number.NEGATIVE_INFINITY;
+	#stateAnnouncementEnd = Number.NEGATIVE_INFINITY;
 	/** Hosts that have joined and have not been announced to the others yet. */
-	#joined: Host[] = [];
+	#unannounced: Host[] = [];
 	#announcementTimer: NodeJS.Timeout | undefined;
 	/** Relays among the linked hosts; undefined after the links have changed. */
 	#relays: readonly string[] | undefined;
@@ -183,7 +183,7 @@
 
 	/** Tells all linked hosts now, and with each heartbeat for a while, how current this host's state is. */
 	announceState(): void {
-		this.#announcementEnd = this.#options.now() + announcementMs;
+		this.#stateAnnouncementEnd = this.#options.now() + stateAnnouncementMs;
 		this.broadcast({type: 'heartbeat', state: this.#options.summarizeState?.()});
 	}
 
@@ -259,7 +259,7 @@
 		const now = this.#options.now();
 		this.#heartbeatCount++;
 		const knownHosts = this.#heartbeatCount % heartbeatsPerHostSample === 0 ? this.#nextHostSample() : undefined;
-		const state = now < this.#announcementEnd ? this.#options.summarizeState?.() : undefined;
+		const state = now < this.#stateAnnouncementEnd ? this.#options.summarizeState?.() : undefined;
 		const isCoveredByLoad = now - this.#lastLoadBroadcastAt < heartbeatIntervalMs && knownHosts === undefined && state === undefined && !this.isLargeFleet;
 		if (!isCoveredByLoad) {
 			this.broadcast({
@@ -374,7 +374,7 @@
 	 * hosts that join within a short time are announced together, as hundreds do when all lose power.
 	 */
 	#announce(host: Host): void {
-		this.#joined.push(host);
+		this.#unannounced.push(host);
 		if (!this.isLargeFleet) {
 			this.#sendAnnouncement();
 			return;
@@ -388,8 +388,8 @@
 	#sendAnnouncement(): void {
 		clearTimeout(this.#announcementTimer);
 		this.#announcementTimer = undefined;
-		const joined = this.#joined;
-		this.#joined = [];
+		const joined = this.#unannounced;
+		this.#unannounced = [];
 		const isOnlyNewcomer = (link: Link) => joined.length === 1 && link.hello?.from.name === joined[0]!.name;
 		this.#writeAll({type: 'heartbeat', known: joined}, [...this.#links.values()].filter(link => !isOnlyNewcomer(link)));
 	}
--- a/src/gateway/state-sync.ts
+++ b/src/gateway/state-sync.ts
@@ -15,7 +15,7 @@
 const minSharingHosts = 5;
 
 /** How long to wait for a newer configuration that a peer has announced. */
-const newestTimeoutMs = 1000;
+const configurationTimeoutMs = 1000;
 
 /** How a host gets the state of the store: reads it for itself, reads it for others as well, or asks a host that reads it. */
 export type StoreAccess = 'by asking' | 'for itself' | 'for others';
@@ -43,8 +43,8 @@
 	#lastId = 0;
 	#nextPeer = 0;
 	/** Peer that last announced a newer configuration than the one in force here. */
-	#newest: {readonly host: string; readonly version: number} | undefined;
-	#isRequestingNewest = false;
+	#announced: {readonly host: string; readonly version: number} | undefined;
+	#isRequestingConfiguration = false;
 
 	/**
 	 * @param gateway - Gateway whose state is sent and updated.
@@ -101,29 +101,30 @@
 	 */
 	handleSummary(from: string, {era = 0, eraAge, version = 0}: StateSummary): void {
 		this.#gateway.registrations.recordEra(era, from, eraAge);
-		if (version > (this.#newest?.version ?? 0)) {
-			this.#newest = {host: from, version};
+		if (version > (this.#announced?.version ?? 0)) {
+			this.#announced = {host: from, version};
 		}
 
-		void this.requestNewest();
+		void this.requestNewerConfiguration();
 	}
 
-	/** Requests a newer configuration from the peer that announced it. Until the store has been read once, it is expected to have it. */
-	async requestNewest(): Promise<void> {
+	/** Requests a newer configuration once from the peer that announced it. Until the store has been read once, it is expected to have it. */
+	async requestNewerConfiguration(): Promise<void> {
 		const {registrations, directory} = this.#gateway;
-		const newest = this.#newest;
-		if (newest === undefined || this.#isRequestingNewest || registrations.position.revision === 0) {
+		const announced = this.#announced;
+		if (announced === undefined || this.#isRequestingConfiguration || registrations.position.revision === 0) {
 			return;
 		}
 
-		if (newest.version <= (directory?.configuration.version ?? 0)) {
-			this.#newest = undefined;
+		if (announced.version <= (directory?.configuration.version ?? 0)) {
+			this.#announced = undefined;
 			return;
 		}
 
-		this.#isRequestingNewest = true;
-		await this.#requestFromOne([newest.host], newestTimeoutMs);
-		this.#isRequestingNewest = false;
+		this.#announced = undefined;
+		this.#isRequestingConfiguration = true;
+		await this.#requestFromOne([announced.host], configurationTimeoutMs);
+		this.#isRequestingConfiguration = false;
 	}
 
 	/**
