--- a/bench/propagation/member.ts
+++ b/bench/propagation/member.ts
@@ -9,7 +9,8 @@
 import {createMessageReader, type Host, type Message} from '../../src/gateway/peers/messages.js';
 import {selectRelays} from '../../src/gateway/peers/topology.js';
 import {settingsSchema} from '../../src/gateway/settings.js';
-import {StoreClient, type SimulatedStore} from './store.js';
+import {StoreClient} from './store-client.js';
+import {type SimulatedStore} from './store.js';
 
 /** The bounds of a large fleet. */
 export const stalenessBoundMs = 3000;
@@ -182,10 +183,6 @@
 	#createPeers(): unknown {
 		const network = this.#network;
 		const {host, name} = this;
-		const sendSummary = (peer: string) => {
-			this.sendSummary(peer);
-		};
-
 		return {
 			isLargeFleet: true,
 			get hosts() {
@@ -202,9 +199,9 @@
 					network.send(name, to, message);
 				}
 			},
-			announceState() {
+			announceState: () => {
 				for (const peer of network.getVisibleHosts(name)) {
-					sendSummary(peer.name);
+					this.sendSummary(peer.name);
 				}
 			},
 			async [Symbol.asyncDispose]() {
--- a/bench/propagation/store.ts
+++ b/bench/propagation/store.ts
@@ -2,12 +2,13 @@
  * The platform's store in virtual time: upstreams register, write heartbeats and leave; hosts read them unless it rejects their calls. It
  * may return from a backup, and upstreams then write their registrations again.
  */
+import {registrationPrefix} from '../../platform/registration.js';
 import {raise, type Random} from '../../src/core/index.js';
 import {
 	responseTimeoutMs, type Change, type Page, type WatchResult,
 } from '../../platform/store.js';
 
-const answerTimeMs = 4;
+export const answerTimeMs = 4;
 const historyTimeMs = 20_000;
 const heartbeatIntervalMs = 1200;
 
@@ -17,10 +18,7 @@
 /** A restored registration that is not renewed is removed after this time. */
 const expiryMs = 3 * heartbeatIntervalMs;
 
-const keyPrefix = 'servers/';
-
 type Registration = {
-	readonly key: string;
 	isDraining: boolean;
 	/** Number of writes so far. */
 	sequence: number;
@@ -34,7 +32,8 @@
 	readonly previous?: Change;
 };
 
-async function wait(time: number): Promise<void> {
+/** Resolves after some milliseconds of virtual time. */
+export async function wait(time: number): Promise<void> {
 	await new Promise(resolve => {
 		setTimeout(resolve, time);
 	});
@@ -43,6 +42,8 @@
 export class SimulatedStore {
 	/** How calls fail while the store is away; undefined while it serves. */
 	absence: 'rejecting' | 'silent' | undefined;
+	/** Rises with each return from a backup. */
+	era = 1;
 	/** When the store acknowledged that an upstream drains or is removed, by id. */
 	readonly left = new Map<string, number>();
 	/** When the store acknowledged that an upstream is ready, by id. */
@@ -51,22 +52,16 @@
 	readonly #registrations = new Map<string, Registration>();
 	#history: HistoryEntry[] = [];
 	#revision = 100;
-	#era = 1;
-	/** Rises with each return from a backup. */
-	get era(): number {
-		return this.#era;
-	}
 
 	/**
 	 * @param id - Upstream that registers and writes heartbeats from now on.
 	 */
 	register(id: string): void {
-		const key = keyPrefix + id;
 		const timer = setInterval(() => {
 			this.#write(id);
 		}, heartbeatIntervalMs);
 		this.#registrations.set(id, {
-			key, isDraining: false, sequence: 0, timer,
+			isDraining: false, sequence: 0, timer,
 		});
 		this.#write(id);
 		this.ready.set(id, performance.now());
@@ -96,7 +91,7 @@
 
 		clearInterval(registration.timer);
 		this.#registrations.delete(id);
-		this.#delete(registration.key);
+		this.#delete(registrationPrefix + id);
 		this.ready.delete(id);
 		if (!this.left.has(id)) {
 			this.left.set(id, performance.now());
@@ -117,7 +112,7 @@
 			this.#undo(this.#history.pop()!);
 		}
 
-		this.#era++;
+		this.era++;
 		const rewrites = new Map([...this.#registrations.keys()].map(id => [id, random.integer(1, rewriteTimeMs)]));
 		for (const [id, delay] of rewrites) {
 			setTimeout(() => {
@@ -126,7 +121,7 @@
 		}
 
 		for (const key of this.#items.keys()) {
-			const id = key.slice(keyPrefix.length);
+			const id = key.slice(registrationPrefix.length);
 			if (!this.#registrations.has(id)) {
 				const delay = random.integer(0, 1) === 0 ? expiryMs : random.integer(1, rewriteTimeMs);
 				rewrites.set(id, delay);
@@ -153,7 +148,7 @@
 		await wait(answerTimeMs / 2);
 		await this.#checkServing(0);
 		const page = {
-			items: [...this.#items.values()].filter(item => item.key.startsWith(prefix)), hasMore: false, revision: this.#revision, era: this.#era,
+			items: [...this.#items.values()].filter(item => item.key.startsWith(prefix)), hasMore: false, revision: this.#revision, era: this.era,
 		};
 		await wait(answerTimeMs / 2);
 		return page;
@@ -170,17 +165,17 @@
 		const oldest = performance.now() - historyTimeMs;
 		const compactedRevision = this.#history.findLast(({at}) => at < oldest)?.change.revision ?? 0;
 		if (after < compactedRevision || after > this.#revision) {
-			return {type: 'compacted', era: this.#era};
+			return {type: 'compacted', era: this.era};
 		}
 
-		const era = this.#era;
+		const {era} = this;
 		const end = performance.now() + maxWait;
-		while (this.#revision <= after && this.#era === era && performance.now() < end) {
+		while (this.#revision <= after && this.era === era && performance.now() < end) {
 			await wait(10);
 			await this.#checkServing(maxWait);
 		}
 
-		if (this.#era !== era) {
+		if (this.era !== era) {
 			return raise('storeUnavailable', 'connection reset');
 		}
 
@@ -206,14 +201,15 @@
 		}
 
 		registration.sequence++;
+		const key = registrationPrefix + id;
 		const value = JSON.stringify({
 			Service: 'model', Address: '127.0.0.1:9000', Zone: 'a', Slots: 8, State: registration.isDraining ? 'draining' : 'ready', born: 1, Sequence: registration.sequence,
 		});
 		const change: Change = {
-			type: 'written', key: registration.key, value, revision: this.#incrementRevision(),
+			type: 'written', key, value, revision: this.#incrementRevision(),
 		};
-		const previous = this.#items.get(registration.key);
-		this.#items.set(registration.key, change);
+		const previous = this.#items.get(key);
+		this.#items.set(key, change);
 		this.#record(change, previous);
 	}
 
@@ -258,65 +254,3 @@
 		this.#history = this.#history.filter(({at}) => at > oldest);
 	}
 }
-
-async function rejectOnAbort(signal: AbortSignal): Promise<never> {
-	return new Promise((_, reject) => {
-		signal.addEventListener('abort', () => {
-			reject(new Error('call abandoned'));
-		}, {once: true});
-	});
-}
-
-/** A host's client of the store: its calls may be rejected, and their results wait while the host is frozen. */
-export class StoreClient implements AsyncDisposable {
-	/** Whether calls fail. */
-	isRejected = false;
-	/** Highest era in an answer of the store. */
-	era = 0;
-	readonly #store: SimulatedStore;
-	readonly #waitUntilRunning: () => Promise<void>;
-	#pending = new AbortController();
-
-	/**
-	 * @param store - Store that it calls.
-	 * @param waitUntilRunning - Resolves when the host is not frozen.
-	 */
-	constructor(store: SimulatedStore, waitUntilRunning: () => Promise<void>) {
-		this.#store = store;
-		this.#waitUntilRunning = waitUntilRunning;
-	}
-
-	async range(prefix: string): Promise<Page> {
-		return this.#call(async () => this.#store.range(prefix));
-	}
-
-	async watch(_: string, after: number, maxWait: number): Promise<WatchResult> {
-		return this.#call(async () => this.#store.watch(after, maxWait));
-	}
-
-	/** Fails the calls that are pending. */
-	abandonCalls(): void {
-		this.#pending.abort();
-		this.#pending = new AbortController();
-	}
-
-	async [Symbol.asyncDispose](): Promise<void> {
-		// Calls that are pending when the simulation ends are never answered.
-	}
-
-	async #call<T>(callStore: () => Promise<T>): Promise<T> {
-		await this.#waitUntilRunning();
-		if (this.isRejected) {
-			await wait(answerTimeMs);
-			return raise('storeUnavailable', 'call rejected');
-		}
-
-		const isAnswered = this.#store.absence !== 'silent';
-		try {
-			return await Promise.race([callStore(), rejectOnAbort(this.#pending.signal)]);
-		} finally {
-			await this.#waitUntilRunning();
-			this.era = isAnswered ? Math.max(this.era, this.#store.era) : this.era;
-		}
-	}
-}
--- a/src/core/gateway/__tests__/registry-model.test.ts
+++ b/src/core/gateway/__tests__/registry-model.test.ts
@@ -7,6 +7,7 @@
 import {isAfter, type StorePosition} from '../position.js';
 import {Registry, type RegistryChange, type RegistrySnapshot} from '../registry.js';
 import {type GatewayUpstream} from '../types.js';
+import {createUpstream} from './fixtures.js';
 
 const hostCount = 3;
 const ids = ['a', 'b', 'c'];
@@ -35,7 +36,7 @@
 		const process = this.processes.get(id);
 		if (process !== undefined) {
 			process.sequence++;
-			this.#changes.push({type: 'written', upstream: createUpstream(id, process), ...this.#nextPosition});
+			this.#changes.push({type: 'written', upstream: createUpstream(id, {...process}), ...this.#nextPosition});
 		}
 	}
 
@@ -96,12 +97,6 @@
 	}
 }
 
-function createUpstream(id: string, {started, sequence, isDraining}: Process): GatewayUpstream {
-	return {
-		id, service: 'model', address: {host: '127.0.0.1', port: 1}, failureDomain: 'a', slots: 1, isDraining, started, sequence,
-	};
-}
-
 function list(registry: Registry, platform: Platform): void {
 	const {position} = platform;
 	registry.reset({...position, changed: position.revision, upstreams: platform.list()});
--- a/src/core/gateway/__tests__/registry.test.ts
+++ b/src/core/gateway/__tests__/registry.test.ts
@@ -2,17 +2,7 @@
 import {describe, expect, it} from 'vitest';
 import {Registry} from '../registry.js';
 import {type GatewayUpstream} from '../types.js';
-
-/** A position in the history of a store that reports no eras. */
-function at(revision: number) {
-	return {era: 0, revision};
-}
-
-function upstream(id: string, change: Partial<GatewayUpstream> = {}): GatewayUpstream {
-	return {
-		id, service: 'model', address: {host: '127.0.0.1', port: 1}, failureDomain: 'a', slots: 1, isDraining: false, started: 1, ...change,
-	};
-}
+import {at, createUpstream as upstream} from './fixtures.js';
 
 function written(id: string, revision: number, change: Partial<GatewayUpstream> = {}) {
 	return {type: 'written', upstream: upstream(id, change), ...at(revision)} as const;
--- a/src/core/gateway/attempts.ts
+++ b/src/core/gateway/attempts.ts
@@ -1,6 +1,6 @@
 /** Tracks the attempts of one request: which upstreams it was sent to, and whether another attempt may follow. */
 import {type PlacementKind} from './load.js';
-import {isRepeatable, type AttemptEnding} from './retries.js';
+import {isIdempotent, isRepeatable, type AttemptEnding} from './retries.js';
 import {type Route} from './types.js';
 
 /** Refused holds after which the request is given up. */
@@ -66,7 +66,7 @@
 
 	/** Whether the request may move from an unresponsive engine to another one. */
 	get canFailOver(): boolean {
-		return this.#hasUpstreamsLeft && this.#isRepeatable({type: 'unknown', reason: 'silent'});
+		return this.#hasUpstreamsLeft && isIdempotent(this.#rules);
 	}
 
 	/**
@@ -118,7 +118,7 @@
 	canRetryAfter(ending: AttemptEnding): boolean {
 		// An attempt that this host cancelled may have run anyway.
 		const known: AttemptEnding = ending.type === 'cancelled' ? {type: 'unknown', reason: ending.reason} : ending;
-		return this.#isRepeatable(known)
+		return isRepeatable(this.#rules, known)
 			&& (this.#hasUpstreamsLeft || this.#askableAgain.size > 0)
 			&& this.#refusedHolds < maxRefusedHolds
 			&& this.#missingHelpers < maxMissingHelpers
@@ -128,8 +128,4 @@
 	get #hasUpstreamsLeft(): boolean {
 		return this.#contacted.size < this.#rules.attempts;
 	}
-
-	#isRepeatable(ending: AttemptEnding): boolean {
-		return isRepeatable(this.#rules, ending);
-	}
 }
--- a/src/core/gateway/registration-order.ts
+++ b/src/core/gateway/registration-order.ts
@@ -1,4 +1,4 @@
-/** Tells which of two registrations of one upstream was written later, whatever the store's revisions. */
+/** Determines which of two registrations of one upstream was written later, whatever the store's revisions. */
 import {type GatewayUpstream} from './types.js';
 
 /**
--- a/src/core/gateway/removals.ts
+++ b/src/core/gateway/removals.ts
@@ -34,8 +34,8 @@
 	/**
 	 * @param upstream - Registration in a listing of the store.
 	 * @param era - Era of the listing.
-	 * @returns Whether the listing undoes the removal of the upstream, which has not restarted since. The number of a registration tells
-	 * nothing here, as not every host knows the last one before the removal.
+	 * @returns Whether the listing undoes the removal of the upstream, which has not restarted since. The number of a registration is no
+	 * evidence here, as not every host knows the last one before the removal.
 	 */
 	isUndone(upstream: GatewayUpstream, era: number): boolean {
 		const removal = this.#byId.get(upstream.id);
--- a/src/core/gateway/store-outages.ts
+++ b/src/core/gateway/store-outages.ts
@@ -30,6 +30,11 @@
 		}
 	}
 
+	/** Whether the store has ever returned from a backup. */
+	get hasBeenRestored(): boolean {
+		return this.#restoredAt !== Number.NEGATIVE_INFINITY;
+	}
+
 	/**
 	 * Records that the store has returned from a backup, which may lack registrations of live upstreams.
 	 *
@@ -45,7 +50,7 @@
 	 * @returns Whether the store was still missing, at that time, what is written to it again after its return from a backup.
 	 */
 	isBeingRewritten(at: number): boolean {
-		return at < this.#restoredAt + reregistrationGraceMs;
+		return this.restoredRemovalDelay(at) > 0;
 	}
 
 	/**
--- a/src/gateway/__tests__/registrations.test.ts
+++ b/src/gateway/__tests__/registrations.test.ts
@@ -2,7 +2,7 @@
 import {
 	afterEach, beforeEach, expect, it, vi,
 } from 'vitest';
-import {type GatewayUpstream} from '../../core/gateway/types.js';
+import {at, createUpstream as upstream} from '../../core/gateway/__tests__/fixtures.js';
 import {ignore} from '../../entry/ignore.js';
 import {Registrations} from '../registrations.js';
 import {Upstreams} from '../upstreams.js';
@@ -15,11 +15,6 @@
 	vi.useRealTimers();
 });
 
-/** A position in the history of a store that reports no eras. */
-function at(revision: number) {
-	return {era: 0, revision};
-}
-
 function setUp() {
 	const log = {write: ignore};
 	const upstreams = new Upstreams(log, {restarted: ignore, removed: ignore});
@@ -27,12 +22,6 @@
 	return {registrations, known: () => upstreams.all.map(upstream => upstream.id)};
 }
 
-function upstream(id: string): GatewayUpstream {
-	return {
-		id, service: 'model', address: {host: '127.0.0.1', port: 1}, failureDomain: 'a', slots: 1, isDraining: false,
-	};
-}
-
 const removed = {type: 'removed', id: 'e1', ...at(6)} as const;
 
 it('a host that was cut off from the store does not send peers an upstream that has been removed', () => {
--- a/src/gateway/__tests__/restored-store.test.ts
+++ b/src/gateway/__tests__/restored-store.test.ts
@@ -2,6 +2,7 @@
 import {
 	afterEach, beforeEach, describe, expect, it, vi,
 } from 'vitest';
+import {createUpstream} from '../../core/gateway/__tests__/fixtures.js';
 import {type GatewayUpstream} from '../../core/gateway/types.js';
 import {ignore} from '../../entry/ignore.js';
 import {type Log} from '../../entry/logs.js';
@@ -30,9 +31,7 @@
 }
 
 function upstream(id: string, change: Partial<GatewayUpstream> = {}): GatewayUpstream {
-	return {
-		id, service: 'model', address: {host: '127.0.0.1', port: 1}, failureDomain: 'a', slots: 1, isDraining: false, started: 1, sequence: 1, ...change,
-	};
+	return createUpstream(id, {sequence: 1, ...change});
 }
 
 const before = {era: 1, revision: 500};
--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -9,6 +9,7 @@
 import {type AttemptEnding} from '../core/gateway/retries.js';
 import {Attempts} from '../core/gateway/attempts.js';
 import {type Demand, type Route} from '../core/gateway/types.js';
+import {roundTo} from '../core/utils/numbers.js';
 import {computeFingerprint} from './admission.js';
 import {selectAnswer} from './answers.js';
 import {Attempt} from './attempt.js';
@@ -145,8 +146,8 @@
 			upstream: placement.upstream.id,
 			tokens: demand.prompt.tokens,
 			predicted: Math.round(placement.firstByte),
-			loss: Number(placement.loss.toFixed(3)),
-			weight: Number(weight.toFixed(2)),
+			loss: roundTo(placement.loss, 3),
+			weight: roundTo(weight, 2),
 			returnAfter: Math.round(returnAfter),
 		});
 		this.#callerResponse.refuse('overloaded', returnAfter / 1000);
@@ -277,8 +278,8 @@
 			hold: hold?.name,
 			tokens: this.#request.demand.prompt?.tokens ?? 0,
 			predicted: Math.round(placement.firstByte),
-			loss: Number(placement.loss.toFixed(3)),
-			weight: Number(job.weight.toFixed(2)),
+			loss: roundTo(placement.loss, 3),
+			weight: roundTo(job.weight, 2),
 			jobs: gateway.load.size,
 			left: Math.round(remaining),
 			version: gateway.directory?.configuration.version,
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -2,6 +2,7 @@
 import {Encoder, FLOAT32_OPTIONS} from 'cbor-x';
 import {z} from 'zod';
 import {raise} from '../../core/index.js';
+import {roundTo} from '../../core/utils/numbers.js';
 import {type Job} from '../../core/gateway/load.js';
 import {createFrame, FrameReader} from '../../protocol/frames.js';
 import {
@@ -17,7 +18,7 @@
 	name: shortText.min(1),
 	failureDomain: shortText,
 	address: addressSchema,
-	/** Wall-clock start time, which tells a restarted host from its former process. */
+	/** Wall-clock start time, which distinguishes a restarted host from its former process. */
 	started: amount,
 	/** Processor cores that the host may use. */
 	capacity: amount.optional(),
@@ -139,12 +140,8 @@
 	return new FrameReader(decode, maxMessageBytes);
 }
 
-function roundTo(digits: number, value: number): number {
-	return Number(value.toFixed(digits));
-}
-
 /**
- * Rounds times to milliseconds and costs to what placement can tell apart: every host receives the jobs of all others.
+ * Rounds times to milliseconds and costs to what placement distinguishes: every host receives the jobs of all others.
  *
  * @param job - Job.
  * @param sender - Host that sends the message.
@@ -161,11 +158,11 @@
 		prompt,
 		answer,
 		isHeld,
-		read: roundTo(2, read),
-		readPerPass: roundTo(2, readPerPass),
+		read: roundTo(read, 2),
+		readPerPass: roundTo(readPerPass, 2),
 		pause,
 		urgency,
-		weight: roundTo(3, weight),
+		weight: roundTo(weight, 3),
 		placing,
 		age: Math.round(now - job.began),
 		due: Math.round(job.due - now),
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -3,6 +3,7 @@
 import {createServer, type Server, type Socket} from 'node:net';
 import {type Address} from '../../core/index.js';
 import {type Log} from '../../entry/logs.js';
+import {Announcer} from './announcer.js';
 import {KnownPeers} from './known-peers.js';
 import {Dialer} from './dialer.js';
 import {Link, type LinkEvents} from './link.js';
@@ -25,12 +26,9 @@
 /** One heartbeat in this many names other hosts, so that hosts that lost track of each other are linked again within seconds. */
 const heartbeatsPerHostSample = 8;
 
-/** How long heartbeats tell how current this host's state is, after `announceState`. */
+/** How long heartbeats include a summary of this host's state after `announceState`. */
 const stateAnnouncementMs = 10_000;
 
-/** How long hosts that join a large fleet are collected before they are announced. */
-const announcementDelayMs = 100;
-
 /** Hosts named in such a heartbeat: within a minute, all are named. */
 const hostSampleSize = 6;
 
@@ -40,7 +38,7 @@
 	readonly message: (from: Host, message: Message) => void;
 	/** A link was closed, or the host has restarted. */
 	readonly lost: (host: Host, reason: string) => void;
-	/** A host has told how current its state is. */
+	/** A host has sent a summary of its state. */
 	readonly summary?: (from: Host, summary: StateSummary) => void;
 };
 
@@ -50,7 +48,7 @@
 	readonly log: Pick<Log, 'write'>;
 	readonly now: () => number;
 	readonly events: PeerEvents;
-	/** Tells how current this host's state is; absent if peers needn't know. */
+	/** Summarizes this host's state; absent if peers needn't know it. */
 	readonly summarizeState?: () => StateSummary;
 };
 
@@ -68,12 +66,16 @@
 	readonly #linkEvents: LinkEvents;
 	readonly #heartbeatTimer: NodeJS.Timeout;
 	readonly #dialer: Dialer;
+	readonly #announcer = new Announcer({
+		isBatching: () => this.isLargeFleet,
+		send: joined => {
+			this.#announce(joined);
+		},
+	});
+
 	#heartbeatCount = 0;
 	#lastLoadBroadcastAt = Number.NEGATIVE_INFINITY;
 	#stateAnnouncementEnd = Number.NEGATIVE_INFINITY;
-	/** Hosts that have joined and have not been announced to the others yet. */
-	#unannounced: Host[] = [];
-	#announcementTimer: NodeJS.Timeout | undefined;
 	/** Relays among the linked hosts; undefined after the links have changed. */
 	#relays: readonly string[] | undefined;
 	/** Highest number of hosts linked at once, this one included. */
@@ -181,7 +183,7 @@
 		this.#writeAll(message, [...this.#links.values()]);
 	}
 
-	/** Tells all linked hosts now, and with each heartbeat for a while, how current this host's state is. */
+	/** Sends a summary of this host's state to all linked hosts now, and with each heartbeat for a while. */
 	announceState(): void {
 		this.#stateAnnouncementEnd = this.#options.now() + stateAnnouncementMs;
 		this.broadcast({type: 'heartbeat', state: this.#options.summarizeState?.()});
@@ -244,7 +246,7 @@
 
 	async [Symbol.asyncDispose](): Promise<void> {
 		clearInterval(this.#heartbeatTimer);
-		clearTimeout(this.#announcementTimer);
+		this.#announcer[Symbol.dispose]();
 		this.#dialer[Symbol.dispose]();
 		const closed = once(this.#server, 'close');
 		this.#server.close();
@@ -356,7 +358,7 @@
 		this.#options.log.write({
 			event: 'peer-linked', peer: from.name, domain: from.failureDomain, hosts: this.#maxLinkedHosts,
 		});
-		this.#announce(from);
+		this.#announcer.add(from);
 		this.#options.events.joined(from, message => {
 			link.send(message);
 		});
@@ -369,29 +371,10 @@
 		}
 	}
 
-	/**
-	 * Announces a new host to the other linked ones: hosts that start together discover each other through their seeds. In a large fleet,
-	 * hosts that join within a short time are announced together, as hundreds do when all lose power.
-	 */
-	#announce(host: Host): void {
-		this.#unannounced.push(host);
-		if (!this.isLargeFleet) {
-			this.#sendAnnouncement();
-			return;
-		}
-
-		this.#announcementTimer ??= setTimeout(() => {
-			this.#sendAnnouncement();
-		}, announcementDelayMs);
-	}
-
-	#sendAnnouncement(): void {
-		clearTimeout(this.#announcementTimer);
-		this.#announcementTimer = undefined;
-		const joined = this.#unannounced;
-		this.#unannounced = [];
+	/** Announces new hosts to the linked ones: hosts that start together discover each other through their seeds. */
+	#announce(joined: readonly Host[]): void {
 		const isOnlyNewcomer = (link: Link) => joined.length === 1 && link.hello?.from.name === joined[0]!.name;
-		this.#writeAll({type: 'heartbeat', known: joined}, [...this.#links.values()].filter(link => !isOnlyNewcomer(link)));
+		this.#writeAll({type: 'heartbeat', known: [...joined]}, [...this.#links.values()].filter(link => !isOnlyNewcomer(link)));
 	}
 
 	/** Both ends keep the link that was dialled by the host with the smaller name, unless the other host has restarted. */
--- a/src/gateway/registrations.ts
+++ b/src/gateway/registrations.ts
@@ -55,8 +55,6 @@
 	/** Since when registrations are withheld; undefined if none are. */
 	#withheldSince: number | undefined;
 	#era = 0;
-	/** Whether the store has returned from a backup since this process started. */
-	#hasReturned = false;
 	/** When the era began, as far as is known here. */
 	#eraSince = 0;
 
@@ -78,10 +76,10 @@
 	 * Era to assume for a peer that reports none: the present one, until the store returns from a backup, which such a peer doesn't notice.
 	 */
 	get assumedEra(): number {
-		return this.#hasReturned ? 0 : this.#era;
+		return this.#expiryGrace.hasBeenRestored ? 0 : this.#era;
 	}
 
-	/** Milliseconds since the highest era was first known, here or at the peer that told of it; undefined if the store reports none. */
+	/** Milliseconds since the highest era was first known, here or at the peer that reported it; undefined if the store reports none. */
 	get eraAge(): number | undefined {
 		return this.#era === 0 ? undefined : this.#options.now() - this.#eraSince;
 	}
@@ -112,7 +110,6 @@
 			return;
 		}
 
-		this.#hasReturned = true;
 		log.write({
 			event: 'store-restored', era, before: previous, revision: this.#registry.position.revision, source,
 		}, 'warn');
@@ -200,7 +197,7 @@
 	 *
 	 * @param peer - Peer.
 	 * @param update - Update.
-	 * @returns Whether it tells the present content of the store. One of an earlier era doesn't, and is ignored.
+	 * @returns Whether it is as of the present era of the store. One of an earlier era is ignored.
 	 */
 	applyUpdate(peer: string, update: RegistryUpdate): boolean {
 		this.recordEra(update.era, peer, update.eraAge);
--- a/src/gateway/reputation.ts
+++ b/src/gateway/reputation.ts
@@ -4,6 +4,7 @@
 import {Reachability} from '../core/gateway/reachability.js';
 import {Suspects, type Crash} from '../core/gateway/suspects.js';
 import {type GatewayUpstream} from '../core/gateway/types.js';
+import {roundTo} from '../core/utils/numbers.js';
 import {type Log} from '../entry/logs.js';
 
 export type ReputationOptions = {
@@ -173,7 +174,7 @@
 			}
 		} else if (this.health.isBackedOff(upstream, now) && !this.#unhealthy.has(upstream)) {
 			this.#unhealthy.add(upstream);
-			this.#options.log.write({event: 'upstream-doubted', upstream, risk: Number(this.health.failureProbability(upstream, now).toFixed(2))}, 'warn');
+			this.#options.log.write({event: 'upstream-doubted', upstream, risk: roundTo(this.health.failureProbability(upstream, now), 2)}, 'warn');
 		}
 	}
 }
--- a/src/gateway/rerouter.ts
+++ b/src/gateway/rerouter.ts
@@ -1,6 +1,7 @@
 /** Reroutes a running stream to another engine when staying would cost its caller clearly more. */
 import {isWorthRerouting} from '../core/gateway/rerouting.js';
 import {type Placement} from '../core/gateway/placement.js';
+import {roundTo} from '../core/utils/numbers.js';
 import {type Attempts} from '../core/gateway/attempts.js';
 import {type Demand} from '../core/gateway/types.js';
 import {type Attempt} from './attempt.js';
@@ -73,7 +74,7 @@
 		}
 
 		if (this.#gateway.canRetry(demand().service)) {
-			this.#trace.write('moving', {to: placement.upstream.id, loss: Number(placement.loss.toFixed(3)), staying: Number(staying.toFixed(3))});
+			this.#trace.write('moving', {to: placement.upstream.id, loss: roundTo(placement.loss, 3), staying: roundTo(staying, 3)});
 			attempt.cancel('moved');
 		}
 	}
--- a/src/gateway/state-sync.ts
+++ b/src/gateway/state-sync.ts
@@ -116,12 +116,11 @@
 			return;
 		}
 
+		this.#announced = undefined;
 		if (announced.version <= (directory?.configuration.version ?? 0)) {
-			this.#announced = undefined;
 			return;
 		}
 
-		this.#announced = undefined;
 		this.#isRequestingConfiguration = true;
 		await this.#requestFromOne([announced.host], configurationTimeoutMs);
 		this.#isRequestingConfiguration = false;
