Upstreams' reported rate limits are logged and counted

Observability for the incident of the rate limit: the logs had the placements at each engine, but not what an engine states in its answers, so that a host which never reads a limit could not be told from one that is never told. No decision uses the report yet.

--- a/src/gateway/__tests__/attempt.test.ts
+++ b/src/gateway/__tests__/attempt.test.ts
@@ -11,7 +11,9 @@
 const headerFormat: HeaderFormat = {
 	parseRequest: () => undefined,
 	formatUpstreamHeaders: () => [],
-	parseResponse: () => ({isSigned: true, isNotRun: false, isMisdirected: false}),
+	parseResponse: () => ({
+		isSigned: true, isNotRun: false, isMisdirected: false, report: {},
+	}),
 };
 
 /** Creates connections that are never established. */
--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -301,6 +301,10 @@
 			return this.#verdicts.recordUnanswered(reply, upstream);
 		}
 
+		if (!reply.metadata.isMisdirected) {
+			gateway.selfReports.record(upstream, reply.metadata.report);
+		}
+
 		if (reply.metadata.isNotRun || reply.metadata.isMisdirected) {
 			reply.body.resume();
 			return this.#verdicts.recordNotRun(reply, upstream);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -23,6 +23,7 @@
 import {type PeerState} from './peers/state.js';
 import {Registrations} from './registrations.js';
 import {Reputation} from './reputation.js';
+import {SelfReports} from './self-reports.js';
 import {type Settings} from './settings.js';
 import {StateSync} from './state-sync.js';
 import {Upstreams} from './upstreams.js';
@@ -38,6 +39,7 @@
 	readonly upstreams: Upstreams;
 	readonly registrations: Registrations;
 	readonly reputation: Reputation;
+	readonly selfReports: SelfReports;
 	readonly retries: RetryBudget;
 	readonly peers: Peers;
 	readonly sharing: StateSync;
@@ -94,13 +96,16 @@
 			summarizeState: () => ({era: this.registrations.era, eraAge: this.registrations.eraAge, version: this.#directory?.configuration.version}),
 		});
 		this.reputation = new Reputation({failureDomain: settings.failureDomain, log, silentDomains: now => this.peers.unreachableDomains(now)});
+		this.selfReports = new SelfReports(log);
 		this.upstreams = new Upstreams(log, {
 			restarted: id => {
 				this.load.forgetUpstream(id, clock.now());
 				this.reputation.forgetUpstream(id);
+				this.selfReports.forgetUpstream(id);
 			},
 			removed: id => {
 				this.reputation.forgetUpstream(id);
+				this.selfReports.forgetUpstream(id);
 			},
 		});
 		this.registrations = new Registrations({upstreams: this.upstreams, log, now: () => clock.now()});
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -65,6 +65,7 @@
 	readonly storeEra: Gauge;
 	readonly upstreams: Gauge;
 	readonly unhealthy: Gauge;
+	readonly limited: Gauge;
 	readonly unreachable: Gauge;
 	readonly suspects: Gauge;
 	readonly #registry = new Registry();
@@ -87,6 +88,7 @@
 		this.storeEra = createGauge(registry, 'store_era', 'Era of the platform store: rises each time it returns from a backup');
 		this.upstreams = createGauge(registry, 'upstreams_known', 'Upstreams that may be used');
 		this.unhealthy = createGauge(registry, 'upstreams_doubted', 'Upstreams that were left alone and have not answered since');
+		this.limited = createGauge(registry, 'upstreams_limited', 'Upstreams that limit the rate of requests from all hosts');
 		this.unreachable = createGauge(registry, 'domains_unreachable', 'Failure domains out of reach');
 		this.suspects = createGauge(registry, 'requests_suspected', 'Requests during which a connection of their upstream broke');
 	}
--- a/src/gateway/platform-adapter.ts
+++ b/src/gateway/platform-adapter.ts
@@ -34,6 +34,12 @@
 	readonly lastEventId?: string;
 };
 
+/** What an upstream reports about itself in the head of a response. */
+export type SelfReport = {
+	/** Requests per second that it accepts from all hosts together; undefined if it reports no limit. */
+	readonly rateLimit?: number;
+};
+
 /** Metadata in the head of an upstream's response. */
 export type ResponseMetadata = {
 	/** Id of the request that is answered. */
@@ -46,6 +52,7 @@
 	readonly isMisdirected: boolean;
 	/** Address of the helper engine at fault, if the response names one. */
 	readonly faultyEngine?: string;
+	readonly report: SelfReport;
 };
 
 /** Reads and writes the headers of callers and upstreams. */
