Test, red: upstreams that state a rate limit get no more than that from all hosts

Three hosts in front of upstreams that state a limit of one request a second in their responses: with all engines limited two of them get 33 and 66 requests within 4 s, allowed are 11; with a single limited one, it gets 33. The stand-ins state the limit as an engine does, in all their responses.

--- a/stand-ins/gateway/upstream.ts
+++ b/stand-ins/gateway/upstream.ts
@@ -51,11 +51,14 @@
 	fault: Fault = 'none';
 	/** Whether it refuses to prefill parts of prompts for other engines. */
 	isRefusingHelp = false;
+	/** Requests per second that it states in its responses to accept from all hosts together; undefined for no limit. */
+	rateLimit: number | undefined;
 	readonly #options: UpstreamOptions;
 	readonly #server: Server;
 	readonly #batch: Batch | undefined;
 	readonly #streams = new Map<string, Stream>();
 	readonly #tickets = new Tickets();
+	readonly #arrivals: number[] = [];
 	#isIterating = false;
 	#isDraining = false;
 	#registrationCount = 0;
@@ -79,6 +82,11 @@
 		return this.#options.model !== undefined;
 	}
 
+	/** Times at which requests for it arrived, run or not; monotonic milliseconds. */
+	get arrivals(): readonly number[] {
+		return this.#arrivals;
+	}
+
 	get address(): Address {
 		return {host: loopback, port: getPort(this.#server)};
 	}
@@ -155,6 +163,7 @@
 	}
 
 	async #handleRequest(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+		this.#reportState(outgoing);
 		if (incoming.url === '/v1/order') {
 			await this.#handleOrder(incoming, outgoing);
 			return;
@@ -168,6 +177,7 @@
 			return;
 		}
 
+		this.#arrivals.push(performance.now());
 		if (this.fault === 'early') {
 			outgoing.writeHead(503, {...notExecutedHeaders, 'x-request-id': id, 'content-length': 0});
 			outgoing.end();
@@ -200,10 +210,20 @@
 		await (this.#batch === undefined ? this.#servePlain(id, body, outgoing) : this.#serveStream(id, incoming, outgoing));
 	}
 
+	/** Sets the headers in which it reports its state; repeated as the response begins, since the state may have changed. */
+	#reportState(outgoing: ServerResponse): void {
+		if (this.rateLimit === undefined) {
+			outgoing.removeHeader('server-limit');
+		} else {
+			outgoing.setHeader('server-limit', String(this.rateLimit));
+		}
+	}
+
 	async #servePlain(id: string, body: string, outgoing: ServerResponse): Promise<void> {
 		await new Promise(resolve => {
 			setTimeout(resolve, this.#options.answerDelay ?? 1);
 		});
+		this.#reportState(outgoing);
 		await sendPlainAnswer(outgoing, {
 			fault: this.fault, id, signature: this.id, payload: `answer to ${id}: ${body}`,
 		});
@@ -308,6 +328,7 @@
 	#writeEvent(stream: Stream, isFinished: boolean): void {
 		const {outgoing, job} = stream;
 		if (!outgoing.headersSent) {
+			this.#reportState(outgoing);
 			outgoing.writeHead(200, {'content-type': 'text/event-stream', 'x-request-id': job.id, 'x-response-signature': this.id});
 		}
 
