Rate limits that upstreams state in their responses hold for all hosts together

What callers saw: nothing; engines in need that had limited themselves to one request a second got 17 within 4 s, 11 are allowed.

Cause: a host knew of an upstream only what the store and its own failures told; what the upstream stated in its responses was read by no decision.

The change: each response is read for a limit. Limits and their ends go to all peers with the load updates, ordered by when the request was sent and its response arrived, as responses overtake each other. Every host counts its own requests and those that its peers report against the limit, leaves an upstream out of placement while the limit allows no further request, uses only its visible part of the limit while hosts are cut off, and in a large fleet spreads the use of the next allowed request over 500 ms. If no upstream is left, the request is refused at once with a Retry-After of at least the time until the next one is allowed; a stream that has begun waits.

--- a/src/core/gateway/__tests__/absences.test.ts
+++ b/src/core/gateway/__tests__/absences.test.ts
@@ -61,7 +61,7 @@
 
 	#createOptions(host: number, tried: ReadonlySet<string>, now: number): PlacementOptions {
 		return {
-			policy: defaultPolicy, load: this.#load, health: this.#healths[host]!, host: `h${host}`, failureDomain: 'a', unreachable: new Set(), eligibility: {excluded: tried}, now,
+			policy: defaultPolicy, load: this.#load, health: this.#healths[host]!, host: `h${host}`, failureDomain: 'a', unreachable: new Set(), unavailable: new Set(), eligibility: {excluded: tried}, now,
 		};
 	}
 
--- a/src/core/gateway/__tests__/placement.test.ts
+++ b/src/core/gateway/__tests__/placement.test.ts
@@ -35,7 +35,7 @@
 
 	place(request: Demand, candidates: readonly GatewayUpstream[], change: Partial<PlacementOptions> = {}): Placement | undefined {
 		return place(request, candidates, model, {
-			policy: defaultPolicy, load: this.load, health: this.health, host: 'h', failureDomain: 'a', unreachable: new Set(), eligibility: {excluded: new Set()}, now, ...change,
+			policy: defaultPolicy, load: this.load, health: this.health, host: 'h', failureDomain: 'a', unreachable: new Set(), unavailable: new Set(), eligibility: {excluded: new Set()}, now, ...change,
 		});
 	}
 
--- a/src/core/gateway/__tests__/rerouting.test.ts
+++ b/src/core/gateway/__tests__/rerouting.test.ts
@@ -55,7 +55,7 @@
 
 	function createOptions(load: Load, tried: readonly string[]): PlacementOptions {
 		return {
-			policy: defaultPolicy, load, health: new Health(), host: 'h', failureDomain: 'a', unreachable: new Set(), eligibility: {excluded: new Set(tried)}, now,
+			policy: defaultPolicy, load, health: new Health(), host: 'h', failureDomain: 'a', unreachable: new Set(), unavailable: new Set(), eligibility: {excluded: new Set(tried)}, now,
 		};
 	}
 
--- /dev/null
+++ b/src/core/gateway/rate-limits.ts
@@ -0,0 +1,170 @@
+/**
+ * Keeps to the rate limits that upstreams report in their responses. A limit applies to all hosts together: each host counts the requests
+ * that it sends and those that its peers report, and sends one only when the limit allows the next.
+ */
+
+/** Requests per second that are sent to an upstream with a lower limit, so that it is noticed when the limit is lifted. */
+const minRate = 0.1;
+
+/** An upstream that got no requests for this long may get as many at once as its limit allows in the same time, in milliseconds. */
+const burstTimeMs = 1000;
+
+/** Usual bound on the time from a response at one host until all others know what it reported, in milliseconds. */
+const maxMessageDelayMs = 100;
+
+const msPerSecond = 1000;
+
+/** Rate limit that an upstream reported in a response, or that it reported none. Times are monotonic, in milliseconds. */
+export type RateLimitReport = {
+	readonly upstream: string;
+	/** Start of the process that reported it, as in its registration. */
+	readonly started?: number;
+	/** Requests per second from all hosts together; undefined for no limit. */
+	readonly rate?: number;
+	/** When the request was sent. */
+	readonly sent: number;
+	/** When its response arrived. */
+	readonly received: number;
+};
+
+/**
+ * Effect of a report: `changed` replaces the limit, `same` repeats it, and `outdated` may be older than what is known, so that it doesn't
+ * raise a limit.
+ */
+export type RateLimitChange = 'changed' | 'outdated' | 'same';
+
+/** How the hosts share a limit. */
+export type RateShare = {
+	/** Share of the fleet whose requests are known here, above 0 and at most 1. */
+	readonly visible: number;
+	/** Milliseconds over which the hosts spread their use of the next allowed request. */
+	readonly spread: number;
+};
+
+type Entry = {
+	report: RateLimitReport;
+	/** When the next request is due if they are sent at the limit. */
+	nextAt: number;
+	/** Milliseconds that this host leaves the next allowed request to others. */
+	delay: number;
+};
+
+function rateOf({rate}: RateLimitReport): number {
+	return rate === undefined ? Number.POSITIVE_INFINITY : Math.max(rate, minRate);
+}
+
+/**
+ * Compares reports of one upstream. Responses overtake each other, so one report is later than another only if its request was sent after
+ * the other's response had arrived. Reports of peers look later than they are by the time that their message took.
+ */
+function isLater(a: RateLimitReport, b: RateLimitReport): boolean {
+	return a.sent >= b.received + maxMessageDelayMs;
+}
+
+/** Rate limits of upstreams. */
+export class RateLimits {
+	readonly #random: () => number;
+	readonly #entries = new Map<string, Entry>();
+
+	/**
+	 * @param random - Uniform from 0 to 1.
+	 */
+	constructor(random: () => number) {
+		this.#random = random;
+	}
+
+	/** The latest report of each upstream that has reported a limit since its start. */
+	get reports(): readonly RateLimitReport[] {
+		return [...this.#entries.values()].map(({report}) => report);
+	}
+
+	/** Number of upstreams with a limit. */
+	get count(): number {
+		return this.reports.filter(({rate}) => rate !== undefined).length;
+	}
+
+	/**
+	 * @param upstream - Upstream.
+	 * @returns Its latest report, if it has reported a limit since its start.
+	 */
+	get(upstream: string): RateLimitReport | undefined {
+		return this.#entries.get(upstream)?.report;
+	}
+
+	/**
+	 * Records a report. Of two reports whose order is unknown, the one with the lower limit holds.
+	 *
+	 * @param report - Report in a response, to this host or to a peer.
+	 * @param now - Time.
+	 * @returns Effect of the report.
+	 */
+	record(report: RateLimitReport, now: number): RateLimitChange {
+		const entry = this.#entries.get(report.upstream);
+		if (entry === undefined) {
+			return report.rate === undefined ? 'same' : this.#limit(report, now);
+		}
+
+		const known = entry.report;
+		if (report.rate === known.rate) {
+			entry.report = {...known, sent: Math.max(known.sent, report.sent), received: Math.max(known.received, report.received)};
+			return 'same';
+		}
+
+		const isStricter = rateOf(report) < rateOf(known) && !isLater(known, report);
+		if (!isStricter && !isLater(report, known)) {
+			return 'outdated';
+		}
+
+		entry.report = report;
+		entry.nextAt = Math.min(entry.nextAt, now + (msPerSecond / rateOf(report)));
+		return 'changed';
+	}
+
+	/**
+	 * @param upstream - Upstream that a request is sent to.
+	 * @param at - When it is sent.
+	 * @param share - How the hosts share the limit.
+	 */
+	countRequest(upstream: string, at: number, {visible, spread}: RateShare): void {
+		const entry = this.#entries.get(upstream);
+		if (entry?.report.rate !== undefined) {
+			entry.nextAt = Math.max(entry.nextAt, at) + (msPerSecond / rateOf(entry.report) / visible);
+			entry.delay = this.#random() * spread;
+		}
+	}
+
+	/**
+	 * @param upstream - Upstream.
+	 * @param now - Time.
+	 * @returns Milliseconds until its limit allows another request; 0 if it does now.
+	 */
+	computeWait(upstream: string, now: number): number {
+		const entry = this.#entries.get(upstream);
+		if (entry?.report.rate === undefined) {
+			return 0;
+		}
+
+		const burstTime = Math.max(burstTimeMs - (msPerSecond / rateOf(entry.report)), 0);
+		return Math.max(entry.nextAt + entry.delay - burstTime - now, 0);
+	}
+
+	/**
+	 * @param now - Time.
+	 * @returns Upstreams whose limits allow no request now.
+	 */
+	findExhausted(now: number): ReadonlySet<string> {
+		return new Set([...this.#entries.keys()].filter(upstream => this.computeWait(upstream, now) > 0));
+	}
+
+	/**
+	 * @param upstream - Upstream that was restarted or removed.
+	 */
+	forget(upstream: string): void {
+		this.#entries.delete(upstream);
+	}
+
+	#limit(report: RateLimitReport, now: number): RateLimitChange {
+		this.#entries.set(report.upstream, {report, nextAt: now, delay: 0});
+		return 'changed';
+	}
+}
--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -99,6 +99,7 @@
 		convictions: {isConvicted: () => false},
 		loadUpdates: {refresh: async () => undefined, end: () => undefined},
 		canRetry: () => false,
+		computeWait: () => undefined,
 		place() {
 			placed++;
 			return placements.shift();
--- a/src/gateway/__tests__/relays.test.ts
+++ b/src/gateway/__tests__/relays.test.ts
@@ -63,6 +63,9 @@
 			self: host.name, failureDomain: host.failureDomain, load: this.load, peers: this.peers, now, modelAt: () => undefined, onAbsence: absence => {
 				this.reportedAbsences.push(absence.upstream);
 			},
+			began: ignore,
+			rateLimits: () => [],
+			onRateLimit: ignore,
 			sent: sent => {
 				this.domainJobs.push(sent.id);
 			},
--- /dev/null
+++ b/src/gateway/__tests__/self-reports.test.ts
@@ -0,0 +1,95 @@
+import {describe, expect, it} from 'vitest';
+import {type RateLimitReport} from '../../core/gateway/rate-limits.js';
+import {fromWireRateLimit, toWireRateLimit} from '../peers/messages.js';
+import {SelfReports} from '../self-reports.js';
+
+const process = {id: 'e1', started: 7};
+const messageDelayMs = 5;
+
+/** Hosts that exchange their reports with a delay. */
+class Fleet {
+	readonly hosts: readonly SelfReports[];
+	now = 0;
+	messages = 0;
+	started: number | undefined = process.started;
+	readonly #inFlight: Array<{readonly at: number; readonly deliver: () => void}> = [];
+
+	constructor(size: number) {
+		this.hosts = Array.from({length: size}, (_, index) => new SelfReports({
+			log: {write: () => undefined},
+			now: () => this.now,
+			random: () => 0,
+			startOf: () => this.started,
+			share: () => ({visible: 1, spread: 0}),
+			publish: report => {
+				this.#send(index, report);
+			},
+		}));
+	}
+
+	run(milliseconds: number): void {
+		const end = this.now + milliseconds;
+		for (; this.now < end; this.now++) {
+			while (this.#inFlight[0] !== undefined && this.#inFlight[0].at <= this.now) {
+				this.#inFlight.shift()!.deliver();
+			}
+		}
+	}
+
+	#send(from: number, report: RateLimitReport): void {
+		const wireReport = toWireRateLimit(report, this.now);
+		for (const [index, host] of this.hosts.entries()) {
+			if (index !== from) {
+				this.messages++;
+				this.#inFlight.push({
+					at: this.now + messageDelayMs, deliver: () => {
+						host.applyPeerReport(`h${from}`, fromWireRateLimit(wireReport, this.now));
+					},
+				});
+			}
+		}
+	}
+}
+
+describe('a rate limit', () => {
+	it('reaches hosts that got no response of the upstream', () => {
+		const fleet = new Fleet(3);
+		fleet.hosts[0]!.record(process, {rateLimit: 2}, 0);
+		fleet.run(10);
+		expect(fleet.hosts.map(host => host.limitedCount)).toEqual([1, 1, 1]);
+	});
+
+	it('is lifted at all hosts once one response states none, even if the responses came closely together', () => {
+		const fleet = new Fleet(3);
+		fleet.run(1000);
+		fleet.hosts[0]!.record(process, {rateLimit: 2}, fleet.now - 50);
+		fleet.run(20);
+		fleet.hosts[1]!.record(process, {rateLimit: 2}, fleet.now - 50);
+		fleet.run(10);
+		for (let response = 0; response < 30; response++) {
+			fleet.hosts[2]!.record(process, {}, fleet.now - 5);
+			fleet.run(50);
+		}
+
+		expect(fleet.hosts.map(host => host.limitedCount)).toEqual([0, 0, 0]);
+		expect(fleet.messages).toBeLessThanOrEqual(8);
+	});
+
+	it('is shared once, not with each response', () => {
+		const fleet = new Fleet(2);
+		for (let response = 0; response < 50; response++) {
+			fleet.hosts[0]!.record(process, {rateLimit: 2}, fleet.now);
+			fleet.run(10);
+		}
+
+		expect(fleet.messages).toBe(1);
+	});
+
+	it('doesn\'t apply to the process that takes the place of the one that reported it', () => {
+		const fleet = new Fleet(2);
+		fleet.started = 8;
+		fleet.hosts[0]!.record(process, {rateLimit: 2}, 0);
+		fleet.run(10);
+		expect(fleet.hosts.map(host => host.limitedCount)).toEqual([0, 0]);
+	});
+});
--- a/src/gateway/caller-response.ts
+++ b/src/gateway/caller-response.ts
@@ -46,6 +46,11 @@
 		this.#random = random;
 	}
 
+	/** Whether the caller has received part of an answer. */
+	get hasBegun(): boolean {
+		return this.#outgoing.headersSent;
+	}
+
 	/** Whether the connection to the caller is closed. */
 	get isClosed(): boolean {
 		return this.#outgoing.destroyed;
@@ -94,8 +99,9 @@
 	 *
 	 * @param name - Answer to send if nothing more specific is known.
 	 * @param stopReason - Why the gateway stopped working on the request, if it did.
+	 * @param wait - Milliseconds for which the caller would be refused again.
 	 */
-	conclude(name: AnswerName, stopReason: StopReason | undefined): void {
+	conclude(name: AnswerName, stopReason: StopReason | undefined, wait = 0): void {
 		const outgoing = this.#outgoing;
 		if (stopReason === 'caller left' || outgoing.destroyed) {
 			this.#trace.finish('caller left');
@@ -117,7 +123,7 @@
 			return;
 		}
 
-		this.refuse(this.#toProvenAnswer(name), baseRetryAfterSeconds + (this.#random() * retryAfterSpreadSeconds));
+		this.refuse(this.#toProvenAnswer(name), Math.max(baseRetryAfterSeconds, wait / 1000) + (this.#random() * retryAfterSpreadSeconds));
 	}
 
 	/**
--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -1,6 +1,7 @@
 /** Sends a request to one upstream after another, as far as retries are allowed, and forwards their responses to the caller. */
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {type Job} from '../core/gateway/load.js';
 import {computeWeight} from '../core/gateway/losses.js';
 import {type Placement} from '../core/gateway/placement.js';
@@ -8,7 +9,7 @@
 import {isHarmful, estimateRetryDelay} from '../core/gateway/refusal.js';
 import {type AttemptEnding} from '../core/gateway/retries.js';
 import {Attempts} from '../core/gateway/attempts.js';
-import {type Demand, type Route} from '../core/gateway/types.js';
+import {type Demand, type GatewayUpstream, type Route} from '../core/gateway/types.js';
 import {roundTo} from '../core/utils/numbers.js';
 import {computeFingerprint} from './admission.js';
 import {selectAnswer} from './answers.js';
@@ -22,6 +23,9 @@
 import {AttemptVerdicts} from './attempt-verdicts.js';
 import {StallDetector} from './stall-detector.js';
 
+/** Longest time, in milliseconds, until a waiting request notices that its caller has left. */
+const maxSleepMs = 100;
+
 /** An admitted request. */
 export type AdmittedRequest = {
 	readonly incoming: IncomingMessage;
@@ -79,7 +83,10 @@
 
 			const placement = gateway.place(this.#currentDemand, this.#attempts.eligibility);
 			if (placement === undefined) {
-				this.#callerResponse.conclude('noUpstream', this.#stopReason);
+				if (await this.#waitOrConclude()) {
+					continue;
+				}
+
 				return;
 			}
 
@@ -127,6 +134,22 @@
 		return this.#stopReason !== undefined || this.#callerResponse.isClosed;
 	}
 
+	/**
+	 * Handles a request that no upstream accepts now. One whose caller has part of its answer waits, any other ends at once.
+	 *
+	 * @returns Whether to try again.
+	 */
+	async #waitOrConclude(): Promise<boolean> {
+		const wait = this.#services.gateway.computeWait(this.#request.demand.service, this.#attempts.eligibility) ?? 0;
+		if (wait > 0 && this.#callerResponse.hasBegun) {
+			await sleep(Math.min(wait, maxSleepMs));
+			return true;
+		}
+
+		this.#callerResponse.conclude(wait > 0 ? 'overloaded' : 'noUpstream', this.#stopReason, wait);
+		return false;
+	}
+
 	/** Refuses a request that has not been sent yet if serving it would cost other requests more than its weight. */
 	#refuseIfHarmful(placement: Placement): boolean {
 		const {gateway, random} = this.#services;
@@ -233,7 +256,7 @@
 		});
 		const stallDetector = new StallDetector(attempt, this.#attempts.canFailOver, placement.firstByte, () => gateway.forecastIterationTime(placement.upstream.id));
 		try {
-			const ending = await this.#finishAttempt(attempt, placement.upstream.id, job.id, stallDetector);
+			const ending = await this.#finishAttempt(attempt, placement.upstream, job.id, stallDetector);
 			metrics.attempts.inc({service: demand.service, ending: ending.type});
 			this.#logEnding(placement, job.id, ending);
 			return ending;
@@ -294,15 +317,16 @@
 		});
 	}
 
-	async #finishAttempt(attempt: Attempt, upstream: string, job: string, stallDetector: StallDetector): Promise<AttemptEnding> {
-		const {gateway} = this.#services;
+	async #finishAttempt(attempt: Attempt, {id: upstream, started}: GatewayUpstream, job: string, stallDetector: StallDetector): Promise<AttemptEnding> {
+		const {gateway, clock} = this.#services;
+		const sent = clock.now();
 		const reply = await attempt.reply();
 		if (reply.type === 'ended') {
 			return this.#verdicts.recordUnanswered(reply, upstream);
 		}
 
 		if (!reply.metadata.isMisdirected) {
-			gateway.selfReports.record(upstream, reply.metadata.report);
+			gateway.selfReports.record({id: upstream, started}, reply.metadata.report, sent);
 		}
 
 		if (reply.metadata.isNotRun || reply.metadata.isMisdirected) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -31,6 +31,12 @@
 /** Share of the revocation bound for which keys are accepted without confirmation from the store; the rest is for requests in progress. */
 const keyTrustShare = 0.94;
 
+/**
+ * Time over which the hosts of a large fleet spread their use of a limited upstream's next allowed request: with hundreds of requests a
+ * second, several would be sent to it before the first one is known everywhere.
+ */
+const largeFleetSpreadMs = 500;
+
 /** How often to remove jobs that must be over. */
 const expiryIntervalMs = 1000;
 
@@ -96,7 +102,16 @@
 			summarizeState: () => ({era: this.registrations.era, eraAge: this.registrations.eraAge, version: this.#directory?.configuration.version}),
 		});
 		this.reputation = new Reputation({failureDomain: settings.failureDomain, log, silentDomains: now => this.peers.unreachableDomains(now)});
-		this.selfReports = new SelfReports(log);
+		this.selfReports = new SelfReports({
+			log,
+			now: () => clock.now(),
+			random: Math.random,
+			startOf: upstream => this.upstreams.get(upstream)?.started,
+			share: () => ({visible: this.peers.computeVisibleShare(clock.now()), spread: this.peers.isLargeFleet ? largeFleetSpreadMs : 0}),
+			publish: report => {
+				this.loadUpdates.publishRateLimit(report);
+			},
+		});
 		this.upstreams = new Upstreams(log, {
 			restarted: id => {
 				this.load.forgetUpstream(id, clock.now());
@@ -125,6 +140,13 @@
 			onAbsence: absence => {
 				this.reputation.recordAbsence(absence, clock.now());
 			},
+			began: job => {
+				this.selfReports.countRequest(job.upstream, job.began);
+			},
+			rateLimits: () => this.selfReports.rateLimits,
+			onRateLimit: (peer, report) => {
+				this.selfReports.applyPeerReport(peer, report);
+			},
 			sent: job => {
 				const service = this.upstreams.get(job.upstream)?.service;
 				if (service !== undefined && this.peers.isLargeFleet) {
@@ -245,6 +267,18 @@
 		return place(demand, this.upstreams.listByService(demand.service), this.service(demand.service)?.engine, this.#buildPlacementOptions(eligibility));
 	}
 
+	/**
+	 * @param service - Service.
+	 * @param eligibility - Upstreams that the request may go to.
+	 * @returns Milliseconds until one of these accepts requests again; undefined if all that are left are leaving.
+	 */
+	computeWait(service: string, {excluded, permitted}: Eligibility): number | undefined {
+		const waits = this.upstreams.listByService(service)
+			.filter(each => !each.isDraining && !excluded.has(each.id) && permitted?.has(each.id) !== false)
+			.map(each => this.selfReports.computeWait(each.id));
+		return waits.length === 0 ? undefined : Math.min(...waits);
+	}
+
 	/**
 	 * @param demand - Demand of a request that was sent a moment ago.
 	 * @param current - Its current placement.
@@ -345,6 +379,7 @@
 			host: this.#settings.host,
 			failureDomain: this.#settings.failureDomain,
 			unreachable: this.reputation.unreachableDomains,
+			unavailable: this.selfReports.findUnavailable(),
 			eligibility,
 			now,
 		};
--- a/src/gateway/load-batch.ts
+++ b/src/gateway/load-batch.ts
@@ -1,6 +1,7 @@
 /** Collects changes of load that are sent in one message. */
 import {type Absence} from '../core/gateway/absences.js';
 import {type Job} from '../core/gateway/load.js';
+import {type RateLimitReport} from '../core/gateway/rate-limits.js';
 
 export type LoadChanges = {
 	readonly began: readonly Job[];
@@ -8,6 +9,7 @@
 	readonly ended: readonly string[];
 	/** Upstreams found unreachable or replaced. */
 	readonly absences: readonly Absence[];
+	readonly rateLimits: readonly RateLimitReport[];
 };
 
 export class LoadBatch {
@@ -17,6 +19,7 @@
 	#progressed: string[] = [];
 	#ended: string[] = [];
 	#absences: Absence[] = [];
+	#rateLimits: RateLimitReport[] = [];
 	#timer: NodeJS.Timeout | undefined;
 
 	/**
@@ -33,15 +36,16 @@
 		return this.#timer === undefined
 			? undefined
 			: {
-				began: this.#began, progressed: this.#progressed, ended: this.#ended, absences: this.#absences,
+				began: this.#began, progressed: this.#progressed, ended: this.#ended, absences: this.#absences, rateLimits: this.#rateLimits,
 			};
 	}
 
-	add({began = [], progressed = [], ended = [], absences = []}: Partial<LoadChanges>): void {
+	add({began = [], progressed = [], ended = [], absences = [], rateLimits = []}: Partial<LoadChanges>): void {
 		this.#began.push(...began);
 		this.#progressed.push(...progressed);
 		this.#ended.push(...ended);
 		this.#absences.push(...absences);
+		this.#rateLimits.push(...rateLimits);
 		this.#timer ??= setTimeout(() => {
 			this.flush();
 		}, this.#delay);
@@ -60,6 +64,7 @@
 		this.#progressed = [];
 		this.#ended = [];
 		this.#absences = [];
+		this.#rateLimits = [];
 		this.#send(changes);
 	}
 }
--- a/src/gateway/load-updates.ts
+++ b/src/gateway/load-updates.ts
@@ -7,13 +7,14 @@
  */
 import {appliesIn, type Absence} from '../core/gateway/absences.js';
 import {type Job, type Load} from '../core/gateway/load.js';
+import {type RateLimitReport} from '../core/gateway/rate-limits.js';
 import {disruptivePrefillMs, hasToYield, canCauseReroute} from '../core/gateway/rerouting.js';
 import {findDisruptedStreams} from '../core/gateway/losses.js';
 import {type EngineModel} from '../core/gateway/types.js';
 import {LoadBatch, type LoadChanges} from './load-batch.js';
 import {LoadRequester} from './load-requester.js';
 import {
-	fromWireJob, toWireJob, type Host, type HostsLost, type LoadUpdate, type LoadResponse, type LoadRequest, type Message,
+	fromWireJob, fromWireRateLimit, toWireJob, toWireRateLimit, type Host, type HostsLost, type LoadUpdate, type LoadResponse, type LoadRequest, type Message,
 } from './peers/messages.js';
 import {type Peers} from './peers/peers.js';
 
@@ -43,6 +44,12 @@
 	readonly modelAt: (upstream: string) => EngineModel | undefined;
 	/** Called when a peer reports an upstream unreachable or replaced. */
 	readonly onAbsence: (absence: Absence) => void;
+	/** Called for each new job, of this host or another one. */
+	readonly began: (job: Job) => void;
+	/** Returns the known rate limits of upstreams. */
+	readonly rateLimits: () => readonly RateLimitReport[];
+	/** Called when a peer reports the rate limit of an upstream. */
+	readonly onRateLimit: (peer: string, report: RateLimitReport) => void;
 	/** Called for each new job of another host of this failure domain. */
 	readonly sent: (job: Job) => void;
 };
@@ -88,8 +95,9 @@
 	 * @param job - Job that this host has just started.
 	 */
 	begin(job: Job): void {
-		const {load, now} = this.#options;
+		const {load, now, began} = this.#options;
 		load.begin(job, now());
+		began(job);
 		this.#ownChanges.add({began: [job]});
 		this.#notifyDisrupted(job);
 	}
@@ -120,6 +128,13 @@
 		this.#ownChanges.add({absences: [absence]});
 	}
 
+	/**
+	 * @param report - Rate limit that an upstream reported.
+	 */
+	publishRateLimit(report: RateLimitReport): void {
+		this.#ownChanges.add({rateLimits: [report]});
+	}
+
 	/**
 	 * @param id - Own job that could be rerouted.
 	 * @param listener - Notified until the job ends.
@@ -135,10 +150,10 @@
 	 * @param send - Sends a message over the new link.
 	 */
 	handlePeerJoined(host: Host, send: (message: Message) => void): void {
-		const {load, now, self, peers, failureDomain} = this.#options;
+		const {load, now, self, peers, failureDomain, rateLimits} = this.#options;
 		if (!peers.isLargeFleet) {
 			load.forgetHost(host.name, now());
-			send(this.#createUpdate({began: load.findJobsOfHost(self)}));
+			send(this.#createUpdate({began: load.findJobsOfHost(self), rateLimits: rateLimits()}));
 			return;
 		}
 
@@ -146,10 +161,10 @@
 		if (relay === host.name) {
 			this.#sendOwnJobs(relay);
 		} else if (relay === undefined && host.failureDomain === failureDomain) {
-			send(this.#createUpdate({began: load.all.filter(job => job.host !== host.name)}));
+			send(this.#createUpdate({began: load.all.filter(job => job.host !== host.name), rateLimits: rateLimits()}));
 		} else if (relay === undefined) {
 			const own = new Set([self, ...peers.listDomainHosts(failureDomain)]);
-			send(this.#createUpdate({began: load.all.filter(job => own.has(job.host))}, 'domain'));
+			send(this.#createUpdate({began: load.all.filter(job => own.has(job.host)), rateLimits: rateLimits()}, 'domain'));
 		}
 	}
 
@@ -193,6 +208,7 @@
 		const began = update.began.map(wireJob => fromWireJob(wireJob, from.name, now())).filter(job => job.host !== self);
 		this.#reportDomainJobs(began);
 		for (const job of began) {
+			this.#reportNewJob(job);
 			load.begin(job, now());
 			this.#notifyDisrupted(job);
 			this.#notifyPreceded(job);
@@ -211,8 +227,13 @@
 			this.#options.onAbsence(absence);
 		}
 
+		const rateLimits = (update.rateLimits ?? []).map(report => fromWireRateLimit(report, now()));
+		for (const report of rateLimits) {
+			this.#options.onRateLimit(from.name, report);
+		}
+
 		this.#forward({
-			began, progressed: update.progressed, ended: update.ended, absences,
+			began, progressed: update.progressed, ended: update.ended, absences, rateLimits,
 		}, update.audience);
 	}
 
@@ -272,6 +293,13 @@
 		}
 	}
 
+	/** Reports a job of another host, once although updates may arrive over two paths. */
+	#reportNewJob(job: Job): void {
+		if (!this.#options.load.isKnown(job.id)) {
+			this.#options.began(job);
+		}
+	}
+
 	/** Reports new jobs of other hosts of this failure domain, once per job although updates may arrive over two paths. */
 	#reportDomainJobs(began: readonly Job[]): void {
 		if (began.length === 0) {
@@ -342,10 +370,10 @@
 
 	/** Sends a new relay all jobs of this host: the previous one may not have forwarded all of them. */
 	#sendOwnJobs(relay: string | undefined): void {
-		const {load, peers, self} = this.#options;
+		const {load, peers, self, rateLimits} = this.#options;
 		this.#informedRelay = relay;
 		if (relay !== undefined) {
-			peers.send(relay, this.#createUpdate({began: load.findJobsOfHost(self)}, 'fleet'));
+			peers.send(relay, this.#createUpdate({began: load.findJobsOfHost(self), rateLimits: rateLimits()}, 'fleet'));
 		}
 	}
 
@@ -382,7 +410,7 @@
 		}
 	}
 
-	#createUpdate({began = [], progressed = [], ended = [], absences = []}: Partial<LoadChanges>, audience?: LoadUpdate['audience']): LoadUpdate {
+	#createUpdate({began = [], progressed = [], ended = [], absences = [], rateLimits = []}: Partial<LoadChanges>, audience?: LoadUpdate['audience']): LoadUpdate {
 		const {self, now} = this.#options;
 		return {
 			type: 'load',
@@ -390,6 +418,7 @@
 			progressed: [...progressed],
 			ended: [...ended],
 			absences: absences.length === 0 ? undefined : [...absences],
+			rateLimits: rateLimits.length === 0 ? undefined : rateLimits.map(report => toWireRateLimit(report, now())),
 			audience,
 		};
 	}
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -4,6 +4,7 @@
 import {raise} from '../../core/index.js';
 import {roundTo} from '../../core/utils/numbers.js';
 import {type Job} from '../../core/gateway/load.js';
+import {type RateLimitReport} from '../../core/gateway/rate-limits.js';
 import {createFrame, FrameReader} from '../../protocol/frames.js';
 import {
 	configurationMessageSchema, stateSchema, stateRequestSchema, stateSummarySchema,
@@ -49,6 +50,11 @@
 /** An upstream that could not be reached, or that another process has replaced. */
 const absenceSchema = z.object({upstream: shortText, reason: z.enum(['refused', 'replaced', 'silent']), isForAll: z.boolean()});
 
+/** A rate limit that an upstream reported, or that it reported none. Times are relative to the time of sending. */
+const rateLimitSchema = z.object({
+	upstream: shortText, started: amount.optional(), rate: amount.nonnegative().optional(), sentAge: amount, receivedAge: amount,
+});
+
 /** A crash of an upstream while it ran a request. */
 const crashSchema = z.object({
 	fingerprint: shortText, id: shortText, upstream: shortText, started: amount.optional(),
@@ -81,6 +87,7 @@
 		progressed: z.array(shortText).max(maxListLength),
 		ended: z.array(shortText).max(maxListLength),
 		absences: z.array(absenceSchema).max(maxListLength).optional(),
+		rateLimits: z.array(rateLimitSchema).max(maxListLength).optional(),
 		audience: audienceSchema,
 	}),
 	/** Requests the load updates that a relay holds back for batching. */
@@ -98,6 +105,7 @@
 ]);
 
 export type Host = Readonly<z.infer<typeof hostSchema>>;
+export type WireRateLimit = Readonly<z.infer<typeof rateLimitSchema>>;
 export type WireJob = Readonly<z.infer<typeof jobSchema>>;
 export type Message = z.infer<typeof messageSchema>;
 export type LoadUpdate = Extract<Message, {readonly type: 'load'}>;
@@ -200,3 +208,25 @@
 		firstByte: firstByteAge === undefined ? undefined : now - firstByteAge,
 	};
 }
+
+/**
+ * @param report - Report of an upstream's rate limit.
+ * @param now - Time in milliseconds.
+ * @returns The report as sent to peers.
+ */
+export function toWireRateLimit({upstream, started, rate, sent, received}: RateLimitReport, now: number): WireRateLimit {
+	return {
+		upstream, started, rate, sentAge: Math.round(now - sent), receivedAge: Math.round(now - received),
+	};
+}
+
+/**
+ * @param wireReport - Report as received.
+ * @param now - Time in milliseconds.
+ * @returns The report, with times on this host's clock.
+ */
+export function fromWireRateLimit({upstream, started, rate, sentAge, receivedAge}: WireRateLimit, now: number): RateLimitReport {
+	return {
+		upstream, started, rate, sent: now - sentAge, received: now - receivedAge,
+	};
+}
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -163,6 +163,21 @@
 			: this.listDomainHosts(failureDomain).length + 1;
 	}
 
+	/**
+	 * @param now - Monotonic time in milliseconds.
+	 * @returns Share of the fleet whose load updates arrive here, this host included; above 0 and at most 1.
+	 */
+	computeVisibleShare(now: number): number {
+		const linked = this.#links.size + 1;
+		if (!this.isLargeFleet || this.#links.size === 0) {
+			return linked / this.fleetSize;
+		}
+
+		const unreachable = this.unreachableDomains(now);
+		const visible = this.#knownPeers.hosts.filter(host => !unreachable.has(host.failureDomain)).length + 1;
+		return Math.max(visible, linked) / this.fleetSize;
+	}
+
 	/**
 	 * @param now - Monotonic time in milliseconds.
 	 * @returns Failure domains whose hosts are all silent, as observed here or by a relay of this domain.
