--- a/src/core/gateway/__tests__/rate-limits.test.ts
+++ b/src/core/gateway/__tests__/rate-limits.test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
+import {createRandom} from '../../../../bench/model/workload.js';
 import {RateLimits, type RateLimitReport, type RateShare} from '../rate-limits.js';
 
 const alone: RateShare = {visible: 1, spread: 0};
@@ -114,3 +115,60 @@
 		expect([limits.record(report(undefined, 0), 0), limits.reports]).toEqual(['same', []]);
 	});
 });
+
+/** Hosts that learn of each other's requests with a delay; each request arrives at a random host and is sent if the limit allows it. */
+function playFleet({hosts, requestsPerSecond, rate, spread, domains}: {readonly hosts: number; readonly requestsPerSecond: number; readonly rate: number; readonly spread: number; readonly domains: number}): readonly number[] {
+	const messageDelayMs = 25;
+	const random = createRandom(7);
+	const all = Array.from({length: hosts}, () => new RateLimits(() => random.integer(0, 999) / 1000));
+	const share = {visible: 1 / domains, spread};
+	const messages: Array<{readonly at: number; readonly from: number}> = [];
+	const sent: number[] = [];
+	for (const limits of all) {
+		limits.record(report(rate, 0), 0);
+	}
+
+	for (let now = 0; now < 30_000; now++) {
+		while (messages[0] !== undefined && messages[0].at + messageDelayMs <= now) {
+			const {at, from} = messages.shift()!;
+			for (const [index, limits] of all.entries()) {
+				if (index !== from && index % domains === from % domains) {
+					limits.countRequest('e1', at, share);
+				}
+			}
+		}
+
+		if (random.integer(1, 1000) <= requestsPerSecond) {
+			const from = random.integer(0, hosts - 1);
+			if (all[from]!.computeWait('e1', now) === 0) {
+				all[from]!.countRequest('e1', now, share);
+				messages.push({at: now, from});
+				sent.push(now);
+			}
+		}
+	}
+
+	return sent;
+}
+
+describe('a fleet', () => {
+	it.each([
+		{
+			hosts: 6, requestsPerSecond: 40, rate: 1, spread: 0, domains: 1,
+		},
+		{
+			hosts: 300, requestsPerSecond: 400, rate: 1, spread: 500, domains: 1,
+		},
+		{
+			hosts: 300, requestsPerSecond: 400, rate: 8, spread: 500, domains: 1,
+		},
+		{
+			hosts: 300, requestsPerSecond: 400, rate: 2, spread: 500, domains: 3,
+		},
+	])('of $hosts hosts in $domains parts sends at most one and a half times $rate a second and five requests in any four seconds', options => {
+		const sent = playFleet(options);
+		const most = Math.max(...sent.map(first => sent.filter(at => at >= first && at < first + 4000).length));
+		expect(most).toBeLessThanOrEqual((6 * options.rate) + 5);
+		expect(sent.length).toBeGreaterThan(30 * options.rate * 0.6);
+	});
+});
