Reports of engines in responses to orders are read, and orders name their engine

The same cause elsewhere: engines state a rate limit in all their answers, also in those to reservations, which nobody read. An engine that only helps with long prompts answers nothing else.

An order did not say which engine it was for, so its answer could come from another engine that had taken the address, and its reservation go there. Orders now carry the expected instance as requests do; 421 counts as refused, and for a release as nothing to release.

--- a/src/gateway/__tests__/holds.test.ts
+++ b/src/gateway/__tests__/holds.test.ts
@@ -4,6 +4,7 @@
 } from 'vitest';
 import {ignore} from '../../entry/ignore.js';
 import {Hold} from '../holds.js';
+import {type EngineProcess} from '../platform-adapter.js';
 
 beforeEach(() => {
 	vi.useFakeTimers();
@@ -29,11 +30,11 @@
 	};
 
 	const engineControl = {
-		async reserve({host}: {readonly host: string}) {
+		async reserve({address: {host}}: EngineProcess) {
 			await answer(host);
 			return true;
 		},
-		async release({host}: {readonly host: string}) {
+		async release({address: {host}}: EngineProcess) {
 			await answer(host);
 			released.push(host);
 		},
--- a/src/gateway/calls.ts
+++ b/src/gateway/calls.ts
@@ -8,6 +8,7 @@
 	readonly method: 'GET' | 'POST';
 	readonly path: string;
 	readonly body?: unknown;
+	readonly headers?: Readonly<Record<string, string>>;
 	/** Milliseconds for the whole call. */
 	readonly timeout: number;
 	readonly agent: Agent;
@@ -28,7 +29,7 @@
  * @throws Error if no complete response arrives in time.
  */
 export async function callJson(call: Call): Promise<CallResponse> {
-	const {address, method, path, body, timeout, agent} = call;
+	const {address, method, path, body, timeout, agent, headers} = call;
 	const payload = body === undefined ? undefined : Buffer.from(JSON.stringify(body));
 	return new Promise((resolve, reject) => {
 		const outgoing = request({
@@ -37,7 +38,7 @@
 			method,
 			path,
 			agent,
-			headers: payload === undefined ? {} : {'content-type': 'application/json', 'content-length': payload.length},
+			headers: payload === undefined ? headers : {'content-type': 'application/json', 'content-length': payload.length, ...headers},
 		});
 		const timer = setTimeout(() => {
 			outgoing.destroy(new Error(`no response within ${timeout} ms`));
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -1,11 +1,10 @@
 /** Assembles a gateway process, and shuts it down gracefully without cutting off responses. */
 import {setImmediate as turn, setTimeout as sleep} from 'node:timers/promises';
-import {type Agent} from 'node:http';
 import {Clock} from '../entry/clock.js';
 import {DisposalStack} from '../entry/disposal-stack.js';
 import {type Log} from '../entry/logs.js';
 import {UpstreamAgent} from './agent.js';
-import {type HeaderFormat, type EngineControl} from './platform-adapter.js';
+import {type EngineControl, type EngineControlOptions, type HeaderFormat} from './platform-adapter.js';
 import {Gateway} from './gateway.js';
 import {Holds} from './holds.js';
 import {GatewayMetrics, MetricsListener} from './metrics.js';
@@ -43,7 +42,7 @@
 /** Connects a gateway to the platform that it runs on. */
 export type PlatformAdapter = {
 	readonly headerFormat: HeaderFormat;
-	readonly createEngineControl: (agent: Agent) => EngineControl;
+	readonly createEngineControl: (options: EngineControlOptions) => EngineControl;
 	/** Starts to follow the platform's configuration and registrations; disposed of with the daemon. */
 	readonly startFollower: (gateway: Gateway, clock: Clock, metrics: GatewayMetrics) => AsyncDisposable;
 };
@@ -76,11 +75,18 @@
 			suspensions[Symbol.dispose]();
 		});
 		this.#gateway = this.#disposal.use(new Gateway(settings, this.#clock, log));
+		const engineControl = adapter.createEngineControl({
+			agent,
+			clock: this.#clock,
+			onReport: ({upstream, started}, report, sent) => {
+				this.#gateway.selfReports.record({id: upstream, started}, report, sent);
+			},
+		});
 		this.#callers = this.#disposal.use(new CallerListener({
 			gateway: this.#gateway,
 			headerFormat: adapter.headerFormat,
 			agent,
-			holds: new Holds(adapter.createEngineControl(agent), log, this.#metrics, this.#gateway.incarnation),
+			holds: new Holds(engineControl, log, this.#metrics, this.#gateway.incarnation),
 			metrics: this.#metrics,
 			log,
 			clock: this.#clock,
--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -216,7 +216,7 @@
 		const {holds} = this.#services;
 		const engines = [placement.upstream, ...placement.helpers];
 		await using hold = holds.prepare(engines.map(each => ({
-			upstream: each.id, address: each.address, tokens: placement.holdTokens,
+			upstream: each.id, started: each.started, address: each.address, tokens: placement.holdTokens,
 		})));
 		const refused = await hold.acquire();
 		holds.count(refused.length === 0);
--- a/src/gateway/holds.ts
+++ b/src/gateway/holds.ts
@@ -1,7 +1,7 @@
 /** Reserves KV memory at several engines for one prompt, all or nothing. Holds are renewed while in use and released at the end. */
-import {messageOf, type Address} from '../core/index.js';
+import {messageOf} from '../core/index.js';
 import {type Log} from '../entry/logs.js';
-import {type EngineControl} from './platform-adapter.js';
+import {type EngineControl, type EngineProcess} from './platform-adapter.js';
 import {type GatewayMetrics} from './metrics.js';
 
 /**
@@ -19,9 +19,7 @@
 const releaseRetryDelayMs = 300;
 
 /** Memory reserved at one engine. */
-export type HoldPart = {
-	readonly upstream: string;
-	readonly address: Address;
+export type HoldPart = EngineProcess & {
 	readonly tokens: number;
 };
 
@@ -93,7 +91,7 @@
 
 	async #reserve(part: HoldPart): Promise<Grant> {
 		try {
-			const isGranted = await this.#engineControl.reserve(part.address, this.name, part.tokens, leaseMs);
+			const isGranted = await this.#engineControl.reserve(part, this.name, part.tokens, leaseMs);
 			return isGranted ? 'granted' : 'refused';
 		} catch (error) {
 			this.#log.write({
@@ -106,7 +104,7 @@
 	async #release(part: HoldPart): Promise<void> {
 		for (let attempt = 0; attempt < maxReleaseAttempts; attempt++) {
 			try {
-				await this.#engineControl.release(part.address, this.name);
+				await this.#engineControl.release(part, this.name);
 				return;
 			} catch (error) {
 				this.#log.write({
--- a/src/gateway/platform-adapter.ts
+++ b/src/gateway/platform-adapter.ts
@@ -1,7 +1,8 @@
 /** Interfaces that adapt the gateway to a platform: the headers of its callers and upstreams, and the control of its engines. */
-import {type IncomingHttpHeaders} from 'node:http';
+import {type Agent, type IncomingHttpHeaders} from 'node:http';
 import {type Address} from '../core/index.js';
 import {type Prompt} from '../core/gateway/types.js';
+import {type Clock} from '../entry/clock.js';
 
 /** Metadata of a caller's request. */
 export type RequestMetadata = {
@@ -64,15 +65,33 @@
 	readonly parseResponse: (status: number, headers: IncomingHttpHeaders) => ResponseMetadata;
 };
 
-/** Reserves and releases KV memory at engines. */
+/** Process of an engine that an order is sent to. */
+export type EngineProcess = {
+	readonly upstream: string;
+	/** Start of the process, as in its registration. */
+	readonly started?: number;
+	readonly address: Address;
+};
+
+/** Receives what an engine reports about itself in its response to an order that was sent at the given time. */
+export type ReportListener = (engine: EngineProcess, report: SelfReport, sent: number) => void;
+
+export type EngineControlOptions = {
+	/** Connection pool of the upstreams. */
+	readonly agent: Agent;
+	readonly clock: Pick<Clock, 'now'>;
+	readonly onReport: ReportListener;
+};
+
+/** Reserves and releases KV memory at engines. An engine that has taken the address of another one does neither. */
 export type EngineControl = {
 	/**
-	 * @param address - Address of the engine.
+	 * @param engine - Engine.
 	 * @param hold - Name of the hold; renewed if the engine already has it.
 	 * @param tokens - Memory to reserve.
 	 * @param lease - Milliseconds until the engine frees the memory unless the hold is renewed.
 	 * @returns Whether the engine has reserved the memory.
 	 */
-	readonly reserve: (address: Address, hold: string, tokens: number, lease: number) => Promise<boolean>;
-	readonly release: (address: Address, hold: string) => Promise<void>;
+	readonly reserve: (engine: EngineProcess, hold: string, tokens: number, lease: number) => Promise<boolean>;
+	readonly release: (engine: EngineProcess, hold: string) => Promise<void>;
 };
--- a/stand-ins/gateway/upstream.ts
+++ b/stand-ins/gateway/upstream.ts
@@ -164,12 +164,6 @@
 
 	async #handleRequest(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
 		this.#reportState(outgoing);
-		if (incoming.url === '/v1/order') {
-			await this.#handleOrder(incoming, outgoing);
-			return;
-		}
-
-		const id = String(incoming.headers['x-request-id'] ?? '');
 		if (incoming.headers['x-expect-instance'] !== this.id) {
 			incoming.resume();
 			outgoing.writeHead(421, {'x-instance-id': this.id});
@@ -177,6 +171,13 @@
 			return;
 		}
 
+		if (incoming.url === '/v1/order') {
+			await this.#handleOrder(incoming, outgoing);
+			return;
+		}
+
+		const id = String(incoming.headers['x-request-id'] ?? '');
+
 		this.#arrivals.push(performance.now());
 		if (this.fault === 'early') {
 			outgoing.writeHead(503, {...notExecutedHeaders, 'x-request-id': id, 'content-length': 0});
