Reports of leaving upstreams are logged

Observability for the incident of the leaving upstream: the logs did not show that an upstream states in its answers that it leaves. No decision uses the report yet.

--- a/src/gateway/__tests__/attempt.test.ts
+++ b/src/gateway/__tests__/attempt.test.ts
@@ -12,7 +12,7 @@
 	parseRequest: () => undefined,
 	formatUpstreamHeaders: () => [],
 	parseResponse: () => ({
-		isSigned: true, isNotRun: false, isMisdirected: false, report: {},
+		isSigned: true, isNotRun: false, isMisdirected: false, report: {isLeaving: false},
 	}),
 };
 
--- a/src/gateway/__tests__/self-reports.test.ts
+++ b/src/gateway/__tests__/self-reports.test.ts
@@ -54,7 +54,7 @@
 describe('a rate limit', () => {
 	it('reaches hosts that got no response of the upstream', () => {
 		const fleet = new Fleet(3);
-		fleet.hosts[0]!.record(process, {rateLimit: 2}, 0);
+		fleet.hosts[0]!.record(process, {rateLimit: 2, isLeaving: false}, 0);
 		fleet.run(10);
 		expect(fleet.hosts.map(host => host.limitedCount)).toEqual([1, 1, 1]);
 	});
@@ -62,12 +62,12 @@
 	it('is lifted at all hosts once one response states none, even if the responses came closely together', () => {
 		const fleet = new Fleet(3);
 		fleet.run(1000);
-		fleet.hosts[0]!.record(process, {rateLimit: 2}, fleet.now - 50);
+		fleet.hosts[0]!.record(process, {rateLimit: 2, isLeaving: false}, fleet.now - 50);
 		fleet.run(20);
-		fleet.hosts[1]!.record(process, {rateLimit: 2}, fleet.now - 50);
+		fleet.hosts[1]!.record(process, {rateLimit: 2, isLeaving: false}, fleet.now - 50);
 		fleet.run(10);
 		for (let response = 0; response < 30; response++) {
-			fleet.hosts[2]!.record(process, {}, fleet.now - 5);
+			fleet.hosts[2]!.record(process, {isLeaving: false}, fleet.now - 5);
 			fleet.run(50);
 		}
 
@@ -78,7 +78,7 @@
 	it('is shared once, not with each response', () => {
 		const fleet = new Fleet(2);
 		for (let response = 0; response < 50; response++) {
-			fleet.hosts[0]!.record(process, {rateLimit: 2}, fleet.now);
+			fleet.hosts[0]!.record(process, {rateLimit: 2, isLeaving: false}, fleet.now);
 			fleet.run(10);
 		}
 
@@ -88,7 +88,7 @@
 	it('doesn\'t apply to the process that takes the place of the one that reported it', () => {
 		const fleet = new Fleet(2);
 		fleet.started = 8;
-		fleet.hosts[0]!.record(process, {rateLimit: 2}, 0);
+		fleet.hosts[0]!.record(process, {rateLimit: 2, isLeaving: false}, 0);
 		fleet.run(10);
 		expect(fleet.hosts.map(host => host.limitedCount)).toEqual([0, 0]);
 	});
--- a/src/gateway/platform-adapter.ts
+++ b/src/gateway/platform-adapter.ts
@@ -39,6 +39,8 @@
 export type SelfReport = {
 	/** Requests per second that it accepts from all hosts together; undefined if it reports no limit. */
 	readonly rateLimit?: number;
+	/** Whether it is about to stop, and accepts no new requests. */
+	readonly isLeaving: boolean;
 };
 
 /** Metadata in the head of an upstream's response. */
--- a/src/gateway/self-reports.ts
+++ b/src/gateway/self-reports.ts
@@ -31,6 +31,8 @@
 export class SelfReports {
 	readonly #options: SelfReportsOptions;
 	readonly #rateLimits: RateLimits;
+	/** Upstreams that reported that they leave. */
+	readonly #leaving = new Set<string>();
 	/** When the end of a limit is due to be confirmed, by upstream. */
 	readonly #confirmations = new Map<string, number>();
 
@@ -56,7 +58,12 @@
 	 * @param report - Its report.
 	 * @param sent - When the request was sent.
 	 */
-	record({id: upstream, started}: UpstreamProcess, {rateLimit}: SelfReport, sent: number): void {
+	record({id: upstream, started}: UpstreamProcess, {rateLimit, isLeaving}: SelfReport, sent: number): void {
+		if (isLeaving && !this.#leaving.has(upstream)) {
+			this.#leaving.add(upstream);
+			this.#options.log.write({event: 'upstream-leaving', upstream, source: ownSource});
+		}
+
 		const report = {
 			upstream, started, rate: rateLimit, sent, received: this.#options.now(),
 		};
@@ -104,6 +111,7 @@
 	 */
 	forgetUpstream(upstream: string): void {
 		this.#rateLimits.forget(upstream);
+		this.#leaving.delete(upstream);
 		this.#confirmations.delete(upstream);
 	}
 
