--- a/stand-ins/gateway/upstream.ts
+++ b/stand-ins/gateway/upstream.ts
@@ -53,6 +53,8 @@
 	isRefusingHelp = false;
 	/** Requests per second that it states in its responses to accept from all hosts together; undefined for no limit. */
 	rateLimit: number | undefined;
+	/** Whether it states in its responses that it leaves; its registration is another matter. */
+	isStatingLeave = false;
 	readonly #options: UpstreamOptions;
 	readonly #server: Server;
 	readonly #batch: Batch | undefined;
@@ -121,6 +123,13 @@
 		upstreamsByAddress.set(`${this.address.host}:${this.address.port}`, this);
 	}
 
+	/** Takes the place of its former process under the same id and address, as if it had just started. */
+	restart(): void {
+		this.#startTime++;
+		this.isStatingLeave = false;
+		this.rateLimit = undefined;
+	}
+
 	/** Marks its registration as draining; it keeps serving. */
 	drain(): void {
 		this.#isDraining = true;
@@ -218,6 +227,11 @@
 		} else {
 			outgoing.setHeader('server-limit', String(this.rateLimit));
 		}
+
+		if (this.isStatingLeave) {
+			outgoing.setHeader('server-leaving', '1');
+			outgoing.setHeader('connection', 'close');
+		}
 	}
 
 	async #servePlain(id: string, body: string, outgoing: ServerResponse): Promise<void> {
