Upstreams that state in a response that they leave get no new work

What callers saw: nothing yet; requests reached an upstream 3.4 and 4.6 s after its answers had said that it leaves (2 s are allowed), close to the moment at which it exits and cuts them.

Cause: the state of an upstream came from the store alone. While the store was away, nobody learned that an upstream leaves, although each of its responses said so.

It belongs to the process that stated it, by the start in its registration, ends only with that process, and is kept while the registration is away, so that neither the store, a peer's older state nor the return of a lapsed registration takes it back. With all upstreams of a service leaving, requests are refused at once. Reports of all kinds share one channel.

--- a/src/gateway/__tests__/relays.test.ts
+++ b/src/gateway/__tests__/relays.test.ts
@@ -64,8 +64,8 @@
 				this.reportedAbsences.push(absence.upstream);
 			},
 			began: ignore,
-			rateLimits: () => [],
-			onRateLimit: ignore,
+			reports: () => [],
+			onReport: ignore,
 			sent: sent => {
 				this.domainJobs.push(sent.id);
 			},
--- a/src/gateway/__tests__/self-reports.test.ts
+++ b/src/gateway/__tests__/self-reports.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, it} from 'vitest';
-import {type RateLimitReport} from '../../core/gateway/rate-limits.js';
-import {fromWireRateLimit, toWireRateLimit} from '../peers/messages.js';
+import {type UpstreamReport} from '../../core/gateway/upstream-reports.js';
+import {fromWireReport, toWireReport} from '../peers/messages.js';
 import {SelfReports} from '../self-reports.js';
 
 const process = {id: 'e1', started: 7};
@@ -36,14 +36,14 @@
 		}
 	}
 
-	#send(from: number, report: RateLimitReport): void {
-		const wireReport = toWireRateLimit(report, this.now);
+	#send(from: number, report: UpstreamReport): void {
+		const wireReport = toWireReport(report, this.now);
 		for (const [index, host] of this.hosts.entries()) {
 			if (index !== from) {
 				this.messages++;
 				this.#inFlight.push({
 					at: this.now + messageDelayMs, deliver: () => {
-						host.applyPeerReport(`h${from}`, fromWireRateLimit(wireReport, this.now));
+						host.applyPeerReport(`h${from}`, fromWireReport(wireReport, this.now));
 					},
 				});
 			}
@@ -93,3 +93,37 @@
 		expect(fleet.hosts.map(host => host.limitedCount)).toEqual([0, 0]);
 	});
 });
+
+describe('a departure', () => {
+	it('reaches hosts that got no response of the upstream, once', () => {
+		const fleet = new Fleet(3);
+		for (let response = 0; response < 5; response++) {
+			fleet.hosts[0]!.record(process, {isLeaving: true}, fleet.now);
+			fleet.run(10);
+		}
+
+		expect(fleet.hosts.map(host => [...host.findUnavailable()])).toEqual([['e1'], ['e1'], ['e1']]);
+		expect(fleet.messages).toBe(2);
+	});
+
+	it('is not taken back by a response without one, nor by the loss and return of the registration', () => {
+		const fleet = new Fleet(1);
+		const [host] = fleet.hosts;
+		host!.record(process, {isLeaving: true}, 0);
+		host!.record(process, {isLeaving: false}, 500);
+		fleet.started = undefined;
+		expect(host!.findUnavailable().size).toBe(0);
+		fleet.started = process.started;
+		expect([...host!.findUnavailable()]).toEqual(['e1']);
+	});
+
+	it('ends with the process, and a late report of the former one doesn\'t concern the next', () => {
+		const fleet = new Fleet(2);
+		fleet.hosts[0]!.record(process, {isLeaving: true}, 0);
+		fleet.run(10);
+		fleet.started = process.started + 1;
+		fleet.hosts[0]!.record(process, {isLeaving: true}, 20);
+		fleet.run(10);
+		expect(fleet.hosts.map(host => host.findUnavailable().size)).toEqual([0, 0]);
+	});
+});
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -109,7 +109,7 @@
 			startOf: upstream => this.upstreams.get(upstream)?.started,
 			share: () => ({visible: this.peers.computeVisibleShare(clock.now()), spread: this.peers.isLargeFleet ? largeFleetSpreadMs : 0}),
 			publish: report => {
-				this.loadUpdates.publishRateLimit(report);
+				this.loadUpdates.publishReport(report);
 			},
 		});
 		this.upstreams = new Upstreams(log, {
@@ -143,8 +143,8 @@
 			began: job => {
 				this.selfReports.countRequest(job.upstream, job.began);
 			},
-			rateLimits: () => this.selfReports.rateLimits,
-			onRateLimit: (peer, report) => {
+			reports: () => this.selfReports.all,
+			onReport: (peer, report) => {
 				this.selfReports.applyPeerReport(peer, report);
 			},
 			sent: job => {
@@ -274,7 +274,7 @@
 	 */
 	computeWait(service: string, {excluded, permitted}: Eligibility): number | undefined {
 		const waits = this.upstreams.listByService(service)
-			.filter(each => !each.isDraining && !excluded.has(each.id) && permitted?.has(each.id) !== false)
+			.filter(each => !each.isDraining && !this.selfReports.isLeaving(each) && !excluded.has(each.id) && permitted?.has(each.id) !== false)
 			.map(each => this.selfReports.computeWait(each.id));
 		return waits.length === 0 ? undefined : Math.min(...waits);
 	}
--- a/src/gateway/load-batch.ts
+++ b/src/gateway/load-batch.ts
@@ -1,7 +1,7 @@
 /** Collects changes of load that are sent in one message. */
 import {type Absence} from '../core/gateway/absences.js';
 import {type Job} from '../core/gateway/load.js';
-import {type RateLimitReport} from '../core/gateway/rate-limits.js';
+import {type UpstreamReport} from '../core/gateway/upstream-reports.js';
 
 export type LoadChanges = {
 	readonly began: readonly Job[];
@@ -9,7 +9,8 @@
 	readonly ended: readonly string[];
 	/** Upstreams found unreachable or replaced. */
 	readonly absences: readonly Absence[];
-	readonly rateLimits: readonly RateLimitReport[];
+	/** What upstreams reported about themselves. */
+	readonly reports: readonly UpstreamReport[];
 };
 
 export class LoadBatch {
@@ -19,7 +20,7 @@
 	#progressed: string[] = [];
 	#ended: string[] = [];
 	#absences: Absence[] = [];
-	#rateLimits: RateLimitReport[] = [];
+	#reports: UpstreamReport[] = [];
 	#timer: NodeJS.Timeout | undefined;
 
 	/**
@@ -36,16 +37,16 @@
 		return this.#timer === undefined
 			? undefined
 			: {
-				began: this.#began, progressed: this.#progressed, ended: this.#ended, absences: this.#absences, rateLimits: this.#rateLimits,
+				began: this.#began, progressed: this.#progressed, ended: this.#ended, absences: this.#absences, reports: this.#reports,
 			};
 	}
 
-	add({began = [], progressed = [], ended = [], absences = [], rateLimits = []}: Partial<LoadChanges>): void {
+	add({began = [], progressed = [], ended = [], absences = [], reports = []}: Partial<LoadChanges>): void {
 		this.#began.push(...began);
 		this.#progressed.push(...progressed);
 		this.#ended.push(...ended);
 		this.#absences.push(...absences);
-		this.#rateLimits.push(...rateLimits);
+		this.#reports.push(...reports);
 		this.#timer ??= setTimeout(() => {
 			this.flush();
 		}, this.#delay);
@@ -64,7 +65,7 @@
 		this.#progressed = [];
 		this.#ended = [];
 		this.#absences = [];
-		this.#rateLimits = [];
+		this.#reports = [];
 		this.#send(changes);
 	}
 }
--- a/src/gateway/load-updates.ts
+++ b/src/gateway/load-updates.ts
@@ -7,14 +7,14 @@
  */
 import {appliesIn, type Absence} from '../core/gateway/absences.js';
 import {type Job, type Load} from '../core/gateway/load.js';
-import {type RateLimitReport} from '../core/gateway/rate-limits.js';
 import {disruptivePrefillMs, hasToYield, canCauseReroute} from '../core/gateway/rerouting.js';
 import {findDisruptedStreams} from '../core/gateway/losses.js';
 import {type EngineModel} from '../core/gateway/types.js';
+import {type UpstreamReport} from '../core/gateway/upstream-reports.js';
 import {LoadBatch, type LoadChanges} from './load-batch.js';
 import {LoadRequester} from './load-requester.js';
 import {
-	fromWireJob, fromWireRateLimit, toWireJob, toWireRateLimit, type Host, type HostsLost, type LoadUpdate, type LoadResponse, type LoadRequest, type Message,
+	fromWireJob, fromWireReport, toWireJob, toWireReport, type Host, type HostsLost, type LoadUpdate, type LoadResponse, type LoadRequest, type Message,
 } from './peers/messages.js';
 import {type Peers} from './peers/peers.js';
 
@@ -46,10 +46,10 @@
 	readonly onAbsence: (absence: Absence) => void;
 	/** Called for each new job, of this host or another one. */
 	readonly began: (job: Job) => void;
-	/** Returns the known rate limits of upstreams. */
-	readonly rateLimits: () => readonly RateLimitReport[];
-	/** Called when a peer reports the rate limit of an upstream. */
-	readonly onRateLimit: (peer: string, report: RateLimitReport) => void;
+	/** Returns what upstreams have reported about themselves. */
+	readonly reports: () => readonly UpstreamReport[];
+	/** Called with what an upstream has reported to a peer or to another host. */
+	readonly onReport: (peer: string, report: UpstreamReport) => void;
 	/** Called for each new job of another host of this failure domain. */
 	readonly sent: (job: Job) => void;
 };
@@ -129,10 +129,10 @@
 	}
 
 	/**
-	 * @param report - Rate limit that an upstream reported.
+	 * @param report - What an upstream reported about itself to this host.
 	 */
-	publishRateLimit(report: RateLimitReport): void {
-		this.#ownChanges.add({rateLimits: [report]});
+	publishReport(report: UpstreamReport): void {
+		this.#ownChanges.add({reports: [report]});
 	}
 
 	/**
@@ -150,10 +150,10 @@
 	 * @param send - Sends a message over the new link.
 	 */
 	handlePeerJoined(host: Host, send: (message: Message) => void): void {
-		const {load, now, self, peers, failureDomain, rateLimits} = this.#options;
+		const {load, now, self, peers, failureDomain, reports} = this.#options;
 		if (!peers.isLargeFleet) {
 			load.forgetHost(host.name, now());
-			send(this.#createUpdate({began: load.findJobsOfHost(self), rateLimits: rateLimits()}));
+			send(this.#createUpdate({began: load.findJobsOfHost(self), reports: reports()}));
 			return;
 		}
 
@@ -161,10 +161,10 @@
 		if (relay === host.name) {
 			this.#sendOwnJobs(relay);
 		} else if (relay === undefined && host.failureDomain === failureDomain) {
-			send(this.#createUpdate({began: load.all.filter(job => job.host !== host.name), rateLimits: rateLimits()}));
+			send(this.#createUpdate({began: load.all.filter(job => job.host !== host.name), reports: reports()}));
 		} else if (relay === undefined) {
 			const own = new Set([self, ...peers.listDomainHosts(failureDomain)]);
-			send(this.#createUpdate({began: load.all.filter(job => own.has(job.host)), rateLimits: rateLimits()}, 'domain'));
+			send(this.#createUpdate({began: load.all.filter(job => own.has(job.host)), reports: reports()}, 'domain'));
 		}
 	}
 
@@ -227,13 +227,13 @@
 			this.#options.onAbsence(absence);
 		}
 
-		const rateLimits = (update.rateLimits ?? []).map(report => fromWireRateLimit(report, now()));
-		for (const report of rateLimits) {
-			this.#options.onRateLimit(from.name, report);
+		const reports = (update.reports ?? []).map(report => fromWireReport(report, now()));
+		for (const report of reports) {
+			this.#options.onReport(from.name, report);
 		}
 
 		this.#forward({
-			began, progressed: update.progressed, ended: update.ended, absences, rateLimits,
+			began, progressed: update.progressed, ended: update.ended, absences, reports,
 		}, update.audience);
 	}
 
@@ -370,10 +370,10 @@
 
 	/** Sends a new relay all jobs of this host: the previous one may not have forwarded all of them. */
 	#sendOwnJobs(relay: string | undefined): void {
-		const {load, peers, self, rateLimits} = this.#options;
+		const {load, peers, self, reports} = this.#options;
 		this.#informedRelay = relay;
 		if (relay !== undefined) {
-			peers.send(relay, this.#createUpdate({began: load.findJobsOfHost(self), rateLimits: rateLimits()}, 'fleet'));
+			peers.send(relay, this.#createUpdate({began: load.findJobsOfHost(self), reports: reports()}, 'fleet'));
 		}
 	}
 
@@ -410,7 +410,7 @@
 		}
 	}
 
-	#createUpdate({began = [], progressed = [], ended = [], absences = [], rateLimits = []}: Partial<LoadChanges>, audience?: LoadUpdate['audience']): LoadUpdate {
+	#createUpdate({began = [], progressed = [], ended = [], absences = [], reports = []}: Partial<LoadChanges>, audience?: LoadUpdate['audience']): LoadUpdate {
 		const {self, now} = this.#options;
 		return {
 			type: 'load',
@@ -418,7 +418,7 @@
 			progressed: [...progressed],
 			ended: [...ended],
 			absences: absences.length === 0 ? undefined : [...absences],
-			rateLimits: rateLimits.length === 0 ? undefined : rateLimits.map(report => toWireRateLimit(report, now())),
+			reports: reports.length === 0 ? undefined : reports.map(report => toWireReport(report, now())),
 			audience,
 		};
 	}
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -1,10 +1,10 @@
 /** Messages between hosts: handshake, heartbeats, load updates, crash reports and state. */
 import {Encoder, FLOAT32_OPTIONS} from 'cbor-x';
 import {z} from 'zod';
-import {raise} from '../../core/index.js';
+import {assertNever, raise} from '../../core/index.js';
 import {roundTo} from '../../core/utils/numbers.js';
 import {type Job} from '../../core/gateway/load.js';
-import {type RateLimitReport} from '../../core/gateway/rate-limits.js';
+import {type UpstreamReport} from '../../core/gateway/upstream-reports.js';
 import {createFrame, FrameReader} from '../../protocol/frames.js';
 import {
 	configurationMessageSchema, stateSchema, stateRequestSchema, stateSummarySchema,
@@ -50,10 +50,14 @@
 /** An upstream that could not be reached, or that another process has replaced. */
 const absenceSchema = z.object({upstream: shortText, reason: z.enum(['refused', 'replaced', 'silent']), isForAll: z.boolean()});
 
-/** A rate limit that an upstream reported, or that it reported none. Times are relative to the time of sending. */
-const rateLimitSchema = z.object({
-	upstream: shortText, started: amount.optional(), rate: amount.nonnegative().optional(), sentAge: amount, receivedAge: amount,
-});
+/** What an upstream reported about itself. Times are relative to the time of sending. */
+const reportSchema = z.discriminatedUnion('type', [
+	/** A rate limit; `rate` is absent if the upstream has none. */
+	z.object({
+		type: z.literal('rate-limit'), upstream: shortText, started: amount.optional(), rate: amount.nonnegative().optional(), sentAge: amount, receivedAge: amount,
+	}),
+	z.object({type: z.literal('departure'), upstream: shortText, started: amount.optional()}),
+]);
 
 /** A crash of an upstream while it ran a request. */
 const crashSchema = z.object({
@@ -87,7 +91,7 @@
 		progressed: z.array(shortText).max(maxListLength),
 		ended: z.array(shortText).max(maxListLength),
 		absences: z.array(absenceSchema).max(maxListLength).optional(),
-		rateLimits: z.array(rateLimitSchema).max(maxListLength).optional(),
+		reports: z.array(reportSchema).max(maxListLength).optional(),
 		audience: audienceSchema,
 	}),
 	/** Requests the load updates that a relay holds back for batching. */
@@ -105,7 +109,7 @@
 ]);
 
 export type Host = Readonly<z.infer<typeof hostSchema>>;
-export type WireRateLimit = Readonly<z.infer<typeof rateLimitSchema>>;
+export type WireReport = Readonly<z.infer<typeof reportSchema>>;
 export type WireJob = Readonly<z.infer<typeof jobSchema>>;
 export type Message = z.infer<typeof messageSchema>;
 export type LoadUpdate = Extract<Message, {readonly type: 'load'}>;
@@ -210,14 +214,25 @@
 }
 
 /**
- * @param report - Report of an upstream's rate limit.
+ * @param report - What an upstream reported about itself.
  * @param now - Time in milliseconds.
  * @returns The report as sent to peers.
  */
-export function toWireRateLimit({upstream, started, rate, sent, received}: RateLimitReport, now: number): WireRateLimit {
-	return {
-		upstream, started, rate, sentAge: Math.round(now - sent), receivedAge: Math.round(now - received),
-	};
+export function toWireReport(report: UpstreamReport, now: number): WireReport {
+	switch (report.type) {
+		case 'rate-limit': {
+			const {sent, received, ...limit} = report;
+			return {...limit, sentAge: Math.round(now - sent), receivedAge: Math.round(now - received)};
+		}
+
+		case 'departure': {
+			return report;
+		}
+
+		default: {
+			return assertNever(report);
+		}
+	}
 }
 
 /**
@@ -225,8 +240,19 @@
  * @param now - Time in milliseconds.
  * @returns The report, with times on this host's clock.
  */
-export function fromWireRateLimit({upstream, started, rate, sentAge, receivedAge}: WireRateLimit, now: number): RateLimitReport {
-	return {
-		upstream, started, rate, sent: now - sentAge, received: now - receivedAge,
-	};
+export function fromWireReport(wireReport: WireReport, now: number): UpstreamReport {
+	switch (wireReport.type) {
+		case 'rate-limit': {
+			const {sentAge, receivedAge, ...limit} = wireReport;
+			return {...limit, sent: now - sentAge, received: now - receivedAge};
+		}
+
+		case 'departure': {
+			return wireReport;
+		}
+
+		default: {
+			return assertNever(wireReport);
+		}
+	}
 }
--- a/src/gateway/self-reports.ts
+++ b/src/gateway/self-reports.ts
@@ -1,6 +1,9 @@
 /** Keeps what upstreams report about themselves in their responses to this host and its peers, shares changes with peers, and logs them. */
+import {assertNever} from '../core/index.js';
+import {Departures, type Departure} from '../core/gateway/departures.js';
 import {RateLimits, type RateLimitReport, type RateShare} from '../core/gateway/rate-limits.js';
 import {type GatewayUpstream} from '../core/gateway/types.js';
+import {type UpstreamReport} from '../core/gateway/upstream-reports.js';
 import {type Log} from '../entry/logs.js';
 import {type SelfReport} from './platform-adapter.js';
 
@@ -14,7 +17,7 @@
 	/** How the hosts share the limit of an upstream at present. */
 	readonly share: () => RateShare;
 	/** Sends a report to all peers. */
-	readonly publish: (report: RateLimitReport) => void;
+	readonly publish: (report: UpstreamReport) => void;
 };
 
 /** Process of an upstream that a request was sent to. */
@@ -31,8 +34,7 @@
 export class SelfReports {
 	readonly #options: SelfReportsOptions;
 	readonly #rateLimits: RateLimits;
-	/** Upstreams that reported that they leave. */
-	readonly #leaving = new Set<string>();
+	readonly #departures = new Departures();
 	/** When the end of a limit is due to be confirmed, by upstream. */
 	readonly #confirmations = new Map<string, number>();
 
@@ -47,8 +49,11 @@
 	}
 
 	/** All that is known, for a host that has just been linked. */
-	get rateLimits(): readonly RateLimitReport[] {
-		return this.#rateLimits.reports;
+	get all(): readonly UpstreamReport[] {
+		return [
+			...this.#rateLimits.reports.map(report => ({type: 'rate-limit', ...report} as const)),
+			...this.#departures.all.map(departure => ({type: 'departure', ...departure} as const)),
+		];
 	}
 
 	/**
@@ -59,9 +64,8 @@
 	 * @param sent - When the request was sent.
 	 */
 	record({id: upstream, started}: UpstreamProcess, {rateLimit, isLeaving}: SelfReport, sent: number): void {
-		if (isLeaving && !this.#leaving.has(upstream)) {
-			this.#leaving.add(upstream);
-			this.#options.log.write({event: 'upstream-leaving', upstream, source: ownSource});
+		if (isLeaving && this.#applyDeparture({upstream, started}, ownSource)) {
+			this.#options.publish({type: 'departure', upstream, started});
 		}
 
 		const report = {
@@ -71,7 +75,7 @@
 			this.#publishChange(report);
 		} else if (rateLimit === undefined && sent >= (this.#confirmations.get(upstream) ?? Number.POSITIVE_INFINITY)) {
 			this.#confirmations.delete(upstream);
-			this.#options.publish(report);
+			this.#options.publish({type: 'rate-limit', ...report});
 		}
 	}
 
@@ -79,8 +83,24 @@
 	 * @param peer - Peer.
 	 * @param report - What an upstream reported to the peer or to another host.
 	 */
-	applyPeerReport(peer: string, report: RateLimitReport): void {
-		this.#applyRateLimit(report, peer);
+	applyPeerReport(peer: string, report: UpstreamReport): void {
+		switch (report.type) {
+			case 'rate-limit': {
+				const {type, ...limit} = report;
+				this.#applyRateLimit(limit, peer);
+				return;
+			}
+
+			case 'departure': {
+				const {type, ...departure} = report;
+				this.#applyDeparture(departure, peer);
+				return;
+			}
+
+			default: {
+				assertNever(report);
+			}
+		}
 	}
 
 	/**
@@ -93,9 +113,19 @@
 		}
 	}
 
+	/**
+	 * @param process - Process of an upstream.
+	 * @returns Whether it has reported that it leaves.
+	 */
+	isLeaving({id: upstream, started}: UpstreamProcess): boolean {
+		return this.#departures.isLeaving({upstream, started});
+	}
+
 	/** Returns the upstreams that accept no request at present. */
 	findUnavailable(): ReadonlySet<string> {
-		return this.#rateLimits.findExhausted(this.#options.now());
+		const {now, startOf} = this.#options;
+		const leaving = this.#departures.all.filter(({upstream, started}) => startOf(upstream) === started);
+		return new Set([...leaving.map(({upstream}) => upstream), ...this.#rateLimits.findExhausted(now())]);
 	}
 
 	/**
@@ -111,12 +141,21 @@
 	 */
 	forgetUpstream(upstream: string): void {
 		this.#rateLimits.forget(upstream);
-		this.#leaving.delete(upstream);
 		this.#confirmations.delete(upstream);
 	}
 
+	/** Records and logs a departure; returns whether it is new. */
+	#applyDeparture(departure: Departure, source: string): boolean {
+		const isNew = this.#departures.record(departure);
+		if (isNew) {
+			this.#options.log.write({event: 'upstream-leaving', upstream: departure.upstream, source});
+		}
+
+		return isNew;
+	}
+
 	#publishChange(report: RateLimitReport): void {
-		this.#options.publish(report);
+		this.#options.publish({type: 'rate-limit', ...report});
 		if (report.rate === undefined) {
 			this.#confirmations.set(report.upstream, report.sent + confirmationDelayMs);
 		} else {
