Reported rate limits belong to a process, and outlast the loss of its registration

Cause: a limit was forgotten with the registration of its upstream. A registration that lapses while the store is away comes back with the same process, which went on stating its limit; until its next response each host would have sent it requests freely. A report that arrived before the registration was dropped as well.

The change: a report names the process, applies while that process is the registered one, and yields only to a later process of the same upstream; departures did so already. self-reports.test.ts has a case for each.

--- a/src/core/gateway/__tests__/rate-limits.test.ts
+++ b/src/core/gateway/__tests__/rate-limits.test.ts
@@ -86,15 +86,15 @@
 		limits.record(report(1, 100, 200), 200);
 		expect(limits.record(report(undefined, 150, 300), 300)).toBe('outdated');
 		expect(limits.record(report(undefined, 350, 410), 410)).toBe('changed');
-		expect([limits.count, limits.computeWait('e1', 410)]).toEqual([0, 0]);
+		expect([limits.get('e1')?.rate, limits.computeWait('e1', 410)]).toEqual([undefined, 0]);
 	});
 
 	it('don\'t restore a limit that was lifted by a later response', () => {
 		const limits = new RateLimits(() => 0);
 		limits.record(report(1, 100, 200), 200);
 		limits.record(report(undefined, 350, 410), 410);
-		expect([limits.record(report(1, 100, 220), 500), limits.count]).toEqual(['outdated', 0]);
-		expect([limits.record(report(1, 300, 380), 500), limits.count]).toEqual(['changed', 1]);
+		expect([limits.record(report(1, 100, 220), 500), limits.get('e1')?.rate]).toEqual(['outdated', undefined]);
+		expect([limits.record(report(1, 300, 380), 500), limits.get('e1')?.rate]).toEqual(['changed', 1]);
 	});
 
 	it('of several hosts end with the same limit in any order', () => {
--- a/src/core/gateway/departures.ts
+++ b/src/core/gateway/departures.ts
@@ -1,27 +1,22 @@
 /** Upstreams that stated in a response that they leave. A departure is final: it ends only with the process of the upstream. */
+import {type UpstreamProcess} from './types.js';
 
 /** Departures kept, including those of upstreams that aren't registered any more: a registration that has lapsed may come back. */
 const maxDepartures = 512;
 
-export type Departure = {
-	readonly upstream: string;
-	/** Start of the leaving process, as in its registration. */
-	readonly started?: number;
-};
-
 export class Departures {
 	/** Start of the leaving process by upstream, the oldest departure first. */
 	readonly #starts = new Map<string, number | undefined>();
 
-	get all(): readonly Departure[] {
+	get all(): readonly UpstreamProcess[] {
 		return [...this.#starts].map(([upstream, started]) => ({upstream, started}));
 	}
 
 	/**
-	 * @param departure - Departure, reported to this host or to a peer.
-	 * @returns Whether it is new. The departure of an earlier process of the upstream is not.
+	 * @param process - Process that leaves, as reported to this host or to a peer.
+	 * @returns Whether its departure is new. That of an earlier process of the upstream is not.
 	 */
-	record({upstream, started}: Departure): boolean {
+	record({upstream, started}: UpstreamProcess): boolean {
 		const known = this.#starts.get(upstream);
 		if (this.#starts.has(upstream) && (known === started || (known ?? 0) > (started ?? 0))) {
 			return false;
@@ -41,7 +36,7 @@
 	 * @param process - Process of an upstream.
 	 * @returns Whether it leaves.
 	 */
-	isLeaving({upstream, started}: Departure): boolean {
+	isLeaving({upstream, started}: UpstreamProcess): boolean {
 		return this.#starts.has(upstream) && this.#starts.get(upstream) === started;
 	}
 }
--- a/src/core/gateway/rate-limits.ts
+++ b/src/core/gateway/rate-limits.ts
@@ -3,6 +3,11 @@
  * that it sends and those that its peers report, and sends one only when the limit allows the next.
  */
 
+import {type UpstreamProcess} from './types.js';
+
+/** Limits kept, including those of upstreams that aren't registered any more: a registration that has lapsed may come back. */
+const maxEntries = 512;
+
 /** Requests per second that are sent to an upstream with a lower limit, so that it is noticed when the limit is lifted. */
 const minRate = 0.1;
 
@@ -15,10 +20,7 @@
 const msPerSecond = 1000;
 
 /** Rate limit that an upstream reported in a response, or that it reported none. Times are monotonic, in milliseconds. */
-export type RateLimitReport = {
-	readonly upstream: string;
-	/** Start of the process that reported it, as in its registration. */
-	readonly started?: number;
+export type RateLimitReport = UpstreamProcess & {
 	/** Requests per second from all hosts together; undefined for no limit. */
 	readonly rate?: number;
 	/** When the request was sent. */
@@ -73,19 +75,14 @@
 		this.#random = random;
 	}
 
-	/** The latest report of each upstream that has reported a limit since its start. */
+	/** The latest report of each process that has reported a limit. */
 	get reports(): readonly RateLimitReport[] {
 		return [...this.#entries.values()].map(({report}) => report);
 	}
 
-	/** Number of upstreams with a limit. */
-	get count(): number {
-		return this.reports.filter(({rate}) => rate !== undefined).length;
-	}
-
 	/**
 	 * @param upstream - Upstream.
-	 * @returns Its latest report, if it has reported a limit since its start.
+	 * @returns Latest report of the process that reported a limit last, if any did.
 	 */
 	get(upstream: string): RateLimitReport | undefined {
 		return this.#entries.get(upstream)?.report;
@@ -100,8 +97,8 @@
 	 */
 	record(report: RateLimitReport, now: number): RateLimitChange {
 		const entry = this.#entries.get(report.upstream);
-		if (entry === undefined) {
-			return report.rate === undefined ? 'same' : this.#limit(report, now);
+		if (entry === undefined || entry.report.started !== report.started) {
+			return this.#recordFirst(report, now);
 		}
 
 		const known = entry.report;
@@ -150,21 +147,26 @@
 
 	/**
 	 * @param now - Time.
-	 * @returns Upstreams whose limits allow no request now.
+	 * @returns Processes whose limits allow no request now.
 	 */
-	findExhausted(now: number): ReadonlySet<string> {
-		return new Set([...this.#entries.keys()].filter(upstream => this.computeWait(upstream, now) > 0));
+	findExhausted(now: number): readonly UpstreamProcess[] {
+		return this.reports.filter(({upstream}) => this.computeWait(upstream, now) > 0);
 	}
 
-	/**
-	 * @param upstream - Upstream that was restarted or removed.
-	 */
-	forget(upstream: string): void {
-		this.#entries.delete(upstream);
-	}
+	/** Records the first report of a process; ignored if a later process of the same upstream has reported a limit. */
+	#recordFirst(report: RateLimitReport, now: number): RateLimitChange {
+		const previous = this.#entries.get(report.upstream)?.report;
+		if (report.rate === undefined || (previous?.started ?? 0) > (report.started ?? 0)) {
+			return 'same';
+		}
 
-	#limit(report: RateLimitReport, now: number): RateLimitChange {
+		this.#entries.delete(report.upstream);
 		this.#entries.set(report.upstream, {report, nextAt: now, delay: 0});
+		if (this.#entries.size > maxEntries) {
+			const [oldest] = this.#entries.keys();
+			this.#entries.delete(oldest!);
+		}
+
 		return 'changed';
 	}
 }
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -109,6 +109,13 @@
 	readonly era?: number;
 };
 
+/** Process of an upstream: upstreams may start again under the same id. */
+export type UpstreamProcess = {
+	readonly upstream: string;
+	/** Its start, as in its registration. */
+	readonly started?: number;
+};
+
 /** Size of a model request. */
 export type Prompt = {
 	readonly tokens: number;
--- a/src/core/gateway/upstream-reports.ts
+++ b/src/core/gateway/upstream-reports.ts
@@ -1,7 +1,7 @@
 /** What upstreams report about themselves in their responses and hosts tell each other. */
-import {type Departure} from './departures.js';
 import {type RateLimitReport} from './rate-limits.js';
+import {type UpstreamProcess} from './types.js';
 
 export type UpstreamReport
 	= | RateLimitReport & {readonly type: 'rate-limit'}
-		| Departure & {readonly type: 'departure'};
+		| UpstreamProcess & {readonly type: 'departure'};
--- a/src/gateway/__tests__/self-reports.test.ts
+++ b/src/gateway/__tests__/self-reports.test.ts
@@ -3,7 +3,7 @@
 import {fromWireReport, toWireReport} from '../peers/messages.js';
 import {SelfReports} from '../self-reports.js';
 
-const process = {id: 'e1', started: 7};
+const process = {upstream: 'e1', started: 7};
 const messageDelayMs = 5;
 
 /** Hosts that exchange their reports with a delay. */
@@ -19,7 +19,7 @@
 			log: {write: () => undefined},
 			now: () => this.now,
 			random: () => 0,
-			startOf: () => this.started,
+			isRegistered: ({started}) => this.started === started,
 			share: () => ({visible: 1, spread: 0}),
 			publish: report => {
 				this.#send(index, report);
@@ -59,6 +59,15 @@
 		expect(fleet.hosts.map(host => host.limitedCount)).toEqual([1, 1, 1]);
 	});
 
+	it('is known to a host that hears of it before it has the registration', () => {
+		const fleet = new Fleet(2);
+		fleet.started = undefined;
+		fleet.hosts[0]!.record(process, {rateLimit: 2, isLeaving: false}, 0);
+		fleet.run(10);
+		fleet.started = process.started;
+		expect(fleet.hosts.map(host => host.limitedCount)).toEqual([1, 1]);
+	});
+
 	it('is lifted at all hosts once one response states none, even if the responses came closely together', () => {
 		const fleet = new Fleet(3);
 		fleet.run(1000);
@@ -85,12 +94,26 @@
 		expect(fleet.messages).toBe(1);
 	});
 
+	it('holds again when the registration of its upstream comes back after it was lost', () => {
+		const fleet = new Fleet(1);
+		fleet.hosts[0]!.record(process, {rateLimit: 1, isLeaving: false}, 0);
+		fleet.hosts[0]!.countRequest('e1', 0);
+		fleet.started = undefined;
+		expect(fleet.hosts[0]!.findUnavailable().size).toBe(0);
+		fleet.started = process.started;
+		expect([fleet.hosts[0]!.limitedCount, fleet.hosts[0]!.findUnavailable().size]).toEqual([1, 1]);
+	});
+
 	it('doesn\'t apply to the process that takes the place of the one that reported it', () => {
 		const fleet = new Fleet(2);
 		fleet.started = 8;
 		fleet.hosts[0]!.record(process, {rateLimit: 2, isLeaving: false}, 0);
 		fleet.run(10);
 		expect(fleet.hosts.map(host => host.limitedCount)).toEqual([0, 0]);
+		fleet.hosts[0]!.record({...process, started: 8}, {rateLimit: 3, isLeaving: false}, fleet.now);
+		fleet.hosts[0]!.record(process, {rateLimit: 2, isLeaving: false}, fleet.now);
+		fleet.run(10);
+		expect(fleet.hosts.map(host => host.limitedCount)).toEqual([1, 1]);
 	});
 });
 
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -78,8 +78,8 @@
 		const engineControl = adapter.createEngineControl({
 			agent,
 			clock: this.#clock,
-			onReport: ({upstream, started}, report, sent) => {
-				this.#gateway.selfReports.record({id: upstream, started}, report, sent);
+			onReport: (engine, report, sent) => {
+				this.#gateway.selfReports.record(engine, report, sent);
 			},
 		});
 		this.#callers = this.#disposal.use(new CallerListener({
--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -326,7 +326,7 @@
 		}
 
 		if (!reply.metadata.isMisdirected) {
-			gateway.selfReports.record({id: upstream, started}, reply.metadata.report, sent);
+			gateway.selfReports.record({upstream, started}, reply.metadata.report, sent);
 		}
 
 		if (reply.metadata.isNotRun || reply.metadata.isMisdirected) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -106,7 +106,7 @@
 			log,
 			now: () => clock.now(),
 			random: Math.random,
-			startOf: upstream => this.upstreams.get(upstream)?.started,
+			isRegistered: ({upstream, started}) => this.upstreams.has(upstream) && this.upstreams.get(upstream)?.started === started,
 			share: () => ({visible: this.peers.computeVisibleShare(clock.now()), spread: this.peers.isLargeFleet ? largeFleetSpreadMs : 0}),
 			publish: report => {
 				this.loadUpdates.publishReport(report);
@@ -116,11 +116,9 @@
 			restarted: id => {
 				this.load.forgetUpstream(id, clock.now());
 				this.reputation.forgetUpstream(id);
-				this.selfReports.forgetUpstream(id);
 			},
 			removed: id => {
 				this.reputation.forgetUpstream(id);
-				this.selfReports.forgetUpstream(id);
 			},
 		});
 		this.registrations = new Registrations({upstreams: this.upstreams, log, now: () => clock.now()});
--- a/src/gateway/platform-adapter.ts
+++ b/src/gateway/platform-adapter.ts
@@ -1,7 +1,7 @@
 /** Interfaces that adapt the gateway to a platform: the headers of its callers and upstreams, and the control of its engines. */
 import {type Agent, type IncomingHttpHeaders} from 'node:http';
 import {type Address} from '../core/index.js';
-import {type Prompt} from '../core/gateway/types.js';
+import {type Prompt, type UpstreamProcess} from '../core/gateway/types.js';
 import {type Clock} from '../entry/clock.js';
 
 /** Metadata of a caller's request. */
@@ -68,10 +68,7 @@
 };
 
 /** Process of an engine that an order is sent to. */
-export type EngineProcess = {
-	readonly upstream: string;
-	/** Start of the process, as in its registration. */
-	readonly started?: number;
+export type EngineProcess = UpstreamProcess & {
 	readonly address: Address;
 };
 
--- a/src/gateway/self-reports.ts
+++ b/src/gateway/self-reports.ts
@@ -1,8 +1,8 @@
 /** Keeps what upstreams report about themselves in their responses to this host and its peers, shares changes with peers, and logs them. */
 import {assertNever} from '../core/index.js';
-import {Departures, type Departure} from '../core/gateway/departures.js';
+import {Departures} from '../core/gateway/departures.js';
 import {RateLimits, type RateLimitReport, type RateShare} from '../core/gateway/rate-limits.js';
-import {type GatewayUpstream} from '../core/gateway/types.js';
+import {type GatewayUpstream, type UpstreamProcess} from '../core/gateway/types.js';
 import {type UpstreamReport} from '../core/gateway/upstream-reports.js';
 import {type Log} from '../entry/logs.js';
 import {type SelfReport} from './platform-adapter.js';
@@ -12,17 +12,14 @@
 	/** Monotonic time in milliseconds. */
 	readonly now: () => number;
 	readonly random: () => number;
-	/** Returns when the process of an upstream started; undefined if it isn't registered or doesn't say. */
-	readonly startOf: (upstream: string) => number | undefined;
+	/** Returns whether a process is the one that is registered under its id. */
+	readonly isRegistered: (process: UpstreamProcess) => boolean;
 	/** How the hosts share the limit of an upstream at present. */
 	readonly share: () => RateShare;
 	/** Sends a report to all peers. */
 	readonly publish: (report: UpstreamReport) => void;
 };
 
-/** Process of an upstream that a request was sent to. */
-export type UpstreamProcess = Pick<GatewayUpstream, 'id' | 'started'>;
-
 const ownSource = 'response';
 
 /**
@@ -45,7 +42,7 @@
 
 	/** Number of upstreams that limit the rate of requests. */
 	get limitedCount(): number {
-		return this.#rateLimits.count;
+		return this.#rateLimits.reports.filter(report => report.rate !== undefined && this.#options.isRegistered(report)).length;
 	}
 
 	/** All that is known, for a host that has just been linked. */
@@ -59,11 +56,11 @@
 	/**
 	 * Records what an upstream reported in a response to this host.
 	 *
-	 * @param process - Process that the request was sent to. Nothing is recorded if the upstream has restarted since.
+	 * @param process - Process that the request was sent to; the report concerns no other one.
 	 * @param report - Its report.
 	 * @param sent - When the request was sent.
 	 */
-	record({id: upstream, started}: UpstreamProcess, {rateLimit, isLeaving}: SelfReport, sent: number): void {
+	record({upstream, started}: UpstreamProcess, {rateLimit, isLeaving}: SelfReport, sent: number): void {
 		if (isLeaving && this.#applyDeparture({upstream, started}, ownSource)) {
 			this.#options.publish({type: 'departure', upstream, started});
 		}
@@ -114,18 +111,18 @@
 	}
 
 	/**
-	 * @param process - Process of an upstream.
+	 * @param upstream - Registered upstream.
 	 * @returns Whether it has reported that it leaves.
 	 */
-	isLeaving({id: upstream, started}: UpstreamProcess): boolean {
+	isLeaving({id: upstream, started}: Pick<GatewayUpstream, 'id' | 'started'>): boolean {
 		return this.#departures.isLeaving({upstream, started});
 	}
 
 	/** Returns the upstreams that accept no request at present. */
 	findUnavailable(): ReadonlySet<string> {
-		const {now, startOf} = this.#options;
-		const leaving = this.#departures.all.filter(({upstream, started}) => startOf(upstream) === started);
-		return new Set([...leaving.map(({upstream}) => upstream), ...this.#rateLimits.findExhausted(now())]);
+		const now = this.#options.now();
+		const processes = [...this.#departures.all, ...this.#rateLimits.findExhausted(now)];
+		return new Set(processes.filter(each => this.#options.isRegistered(each)).map(each => each.upstream));
 	}
 
 	/**
@@ -133,19 +130,12 @@
 	 * @returns Milliseconds until it accepts another request.
 	 */
 	computeWait(upstream: string): number {
-		return this.#rateLimits.computeWait(upstream, this.#options.now());
-	}
-
-	/**
-	 * @param upstream - Upstream that was restarted or removed.
-	 */
-	forgetUpstream(upstream: string): void {
-		this.#rateLimits.forget(upstream);
-		this.#confirmations.delete(upstream);
+		const limit = this.#rateLimits.get(upstream);
+		return limit !== undefined && this.#options.isRegistered(limit) ? this.#rateLimits.computeWait(upstream, this.#options.now()) : 0;
 	}
 
 	/** Records and logs a departure; returns whether it is new. */
-	#applyDeparture(departure: Departure, source: string): boolean {
+	#applyDeparture(departure: UpstreamProcess, source: string): boolean {
 		const isNew = this.#departures.record(departure);
 		if (isNew) {
 			this.#options.log.write({event: 'upstream-leaving', upstream: departure.upstream, source});
@@ -164,11 +154,7 @@
 	}
 
 	#applyRateLimit(report: RateLimitReport, source: string): ReturnType<RateLimits['record']> {
-		const {log, now, startOf} = this.#options;
-		if (startOf(report.upstream) !== report.started) {
-			return 'same';
-		}
-
+		const {log, now} = this.#options;
 		const before = this.#rateLimits.get(report.upstream)?.rate;
 		const change = this.#rateLimits.record(report, now());
 		if (change === 'changed') {
--- a/stand-ins/gateway/upstream.ts
+++ b/stand-ins/gateway/upstream.ts
@@ -55,6 +55,8 @@
 	rateLimit: number | undefined;
 	/** Whether it states in its responses that it leaves; its registration is another matter. */
 	isStatingLeave = false;
+	/** Seconds for which it wants no more requests from a host that it refuses; undefined if it doesn't say. */
+	retryAfter: number | undefined;
 	readonly #options: UpstreamOptions;
 	readonly #server: Server;
 	readonly #batch: Batch | undefined;
@@ -228,6 +230,12 @@
 			outgoing.setHeader('server-limit', String(this.rateLimit));
 		}
 
+		if (this.retryAfter === undefined || this.fault !== 'shed') {
+			outgoing.removeHeader('retry-after');
+		} else {
+			outgoing.setHeader('retry-after', String(this.retryAfter));
+		}
+
 		if (this.isStatingLeave) {
 			outgoing.setHeader('server-leaving', '1');
 			outgoing.setHeader('connection', 'close');
