An upstream that refuses a request with a Retry-After gets no more for that time

With all upstreams of a service refusing for 2.5 s, one host went on sending: 73 streams and 68 plain requests reached an upstream from half a second after its refusal on (two are allowed).

If no upstream is left, callers are refused at once, with a Retry-After of at least the time until one accepts requests again, also after the refusal itself.

--- a/src/cli/commands/incidents.ts
+++ b/src/cli/commands/incidents.ts
@@ -35,6 +35,7 @@
 	'configuration',
 	'configuration-refused',
 	'registration-refused',
+	'upstream-paused',
 	'upstream-leaving',
 	'upstream-limit',
 	'upstream-doubted',
--- a/src/gateway/__tests__/self-reports.test.ts
+++ b/src/gateway/__tests__/self-reports.test.ts
@@ -150,3 +150,29 @@
 		expect(fleet.hosts.map(host => host.findUnavailable().size)).toEqual([0, 0]);
 	});
 });
+
+describe('a pause', () => {
+	const refusal = (pause: number) => ({isLeaving: false, pause});
+
+	it('concerns only the host whose request was refused, until it is over', () => {
+		const fleet = new Fleet(2);
+		fleet.hosts[0]!.record(process, refusal(500), 0);
+		fleet.run(499);
+		expect(fleet.hosts.map(host => host.findUnavailable().size)).toEqual([1, 0]);
+		expect(fleet.hosts[0]!.computeWait({id: 'e1', started: process.started})).toBe(1);
+		fleet.run(1);
+		expect(fleet.hosts.map(host => host.findUnavailable().size)).toEqual([0, 0]);
+	});
+
+	it('is not shortened by a later one, nor by an answer, and ends with the process', () => {
+		const fleet = new Fleet(1);
+		const [host] = fleet.hosts;
+		host!.record(process, refusal(500), 0);
+		host!.record(process, refusal(100), 0);
+		host!.record(process, {isLeaving: false}, 0);
+		fleet.run(400);
+		expect(host!.findUnavailable().size).toBe(1);
+		fleet.started = process.started + 1;
+		expect([host!.findUnavailable().size, host!.computeWait({id: 'e1', started: fleet.started})]).toEqual([0, 0]);
+	});
+});
--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -8,7 +8,7 @@
 import {defaultPolicy} from '../core/gateway/policy.js';
 import {isHarmful, estimateRetryDelay} from '../core/gateway/refusal.js';
 import {type AttemptEnding} from '../core/gateway/retries.js';
-import {Attempts} from '../core/gateway/attempts.js';
+import {Attempts, type Eligibility} from '../core/gateway/attempts.js';
 import {type Demand, type GatewayUpstream, type Route} from '../core/gateway/types.js';
 import {roundTo} from '../core/utils/numbers.js';
 import {computeFingerprint} from './admission.js';
@@ -26,6 +26,8 @@
 /** Longest time, in milliseconds, until a waiting request notices that its caller has left. */
 const maxSleepMs = 100;
 
+const anyUpstream: Eligibility = {excluded: new Set()};
+
 /** An admitted request. */
 export type AdmittedRequest = {
 	readonly incoming: IncomingMessage;
@@ -103,7 +105,7 @@
 
 			this.#notePossibleRun(ending);
 			if (!this.#canAttemptAgain(ending)) {
-				this.#callerResponse.conclude(selectAnswer(ending), this.#stopReason);
+				this.#callerResponse.conclude(selectAnswer(ending), this.#stopReason, this.#computeServiceWait());
 				return;
 			}
 		}
@@ -134,6 +136,11 @@
 		return this.#stopReason !== undefined || this.#callerResponse.isClosed;
 	}
 
+	/** Returns the milliseconds until some upstream of the service accepts requests of this host. */
+	#computeServiceWait(): number {
+		return this.#services.gateway.computeWait(this.#request.demand.service, anyUpstream) ?? 0;
+	}
+
 	/**
 	 * Handles a request that no upstream accepts now. One whose caller has part of its answer waits, any other ends at once.
 	 *
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -273,7 +273,7 @@
 	computeWait(service: string, {excluded, permitted}: Eligibility): number | undefined {
 		const waits = this.upstreams.listByService(service)
 			.filter(each => !each.isDraining && !this.selfReports.isLeaving(each) && !excluded.has(each.id) && permitted?.has(each.id) !== false)
-			.map(each => this.selfReports.computeWait(each.id));
+			.map(each => this.selfReports.computeWait(each));
 		return waits.length === 0 ? undefined : Math.min(...waits);
 	}
 
--- a/src/gateway/platform-adapter.ts
+++ b/src/gateway/platform-adapter.ts
@@ -41,6 +41,8 @@
 	readonly rateLimit?: number;
 	/** Whether it is about to stop, and accepts no new requests. */
 	readonly isLeaving: boolean;
+	/** Milliseconds for which it wants no more requests of this host; undefined unless it refused the request and says so. */
+	readonly pause?: number;
 };
 
 /** Metadata in the head of an upstream's response. */
--- a/src/gateway/self-reports.ts
+++ b/src/gateway/self-reports.ts
@@ -1,6 +1,7 @@
 /** Keeps what upstreams report about themselves in their responses to this host and its peers, shares changes with peers, and logs them. */
 import {assertNever} from '../core/index.js';
 import {Departures} from '../core/gateway/departures.js';
+import {Pauses} from '../core/gateway/pauses.js';
 import {RateLimits, type RateLimitReport, type RateShare} from '../core/gateway/rate-limits.js';
 import {type GatewayUpstream, type UpstreamProcess} from '../core/gateway/types.js';
 import {type UpstreamReport} from '../core/gateway/upstream-reports.js';
@@ -20,6 +21,8 @@
 	readonly publish: (report: UpstreamReport) => void;
 };
 
+type RegisteredUpstream = Pick<GatewayUpstream, 'id' | 'started'>;
+
 const ownSource = 'response';
 
 /**
@@ -32,6 +35,7 @@
 	readonly #options: SelfReportsOptions;
 	readonly #rateLimits: RateLimits;
 	readonly #departures = new Departures();
+	readonly #pauses = new Pauses();
 	/** When the end of a limit is due to be confirmed, by upstream. */
 	readonly #confirmations = new Map<string, number>();
 
@@ -60,7 +64,11 @@
 	 * @param report - Its report.
 	 * @param sent - When the request was sent.
 	 */
-	record({upstream, started}: UpstreamProcess, {rateLimit, isLeaving}: SelfReport, sent: number): void {
+	record({upstream, started}: UpstreamProcess, {rateLimit, isLeaving, pause}: SelfReport, sent: number): void {
+		if (pause !== undefined) {
+			this.#applyPause({upstream, started}, pause);
+		}
+
 		if (isLeaving && this.#applyDeparture({upstream, started}, ownSource)) {
 			this.#options.publish({type: 'departure', upstream, started});
 		}
@@ -114,24 +122,32 @@
 	 * @param upstream - Registered upstream.
 	 * @returns Whether it has reported that it leaves.
 	 */
-	isLeaving({id: upstream, started}: Pick<GatewayUpstream, 'id' | 'started'>): boolean {
+	isLeaving({id: upstream, started}: RegisteredUpstream): boolean {
 		return this.#departures.isLeaving({upstream, started});
 	}
 
 	/** Returns the upstreams that accept no request at present. */
 	findUnavailable(): ReadonlySet<string> {
 		const now = this.#options.now();
-		const processes = [...this.#departures.all, ...this.#rateLimits.findExhausted(now)];
+		const processes = [...this.#departures.all, ...this.#pauses.findActive(now), ...this.#rateLimits.findExhausted(now)];
 		return new Set(processes.filter(each => this.#options.isRegistered(each)).map(each => each.upstream));
 	}
 
 	/**
-	 * @param upstream - Upstream.
+	 * @param upstream - Registered upstream.
 	 * @returns Milliseconds until it accepts another request.
 	 */
-	computeWait(upstream: string): number {
+	computeWait({id: upstream, started}: RegisteredUpstream): number {
+		const now = this.#options.now();
 		const limit = this.#rateLimits.get(upstream);
-		return limit !== undefined && this.#options.isRegistered(limit) ? this.#rateLimits.computeWait(upstream, this.#options.now()) : 0;
+		const limitWait = limit?.started === started ? this.#rateLimits.computeWait(upstream, now) : 0;
+		return Math.max(limitWait, this.#pauses.computeWait({upstream, started}, now));
+	}
+
+	#applyPause(process: UpstreamProcess, pause: number): void {
+		const {log, now} = this.#options;
+		this.#pauses.record(process, now() + pause, now());
+		log.write({event: 'upstream-paused', upstream: process.upstream, wait: Math.round(pause)});
 	}
 
 	/** Records and logs a departure; returns whether it is new. */
