Soak: upstreams state limits, departures and pauses, and hosts must keep to them

One upstream or all of a service at once state a rate limit, that they leave, or for how long they want no requests, beside the other faults and drawn apart from them, so that earlier seeds keep their plans. The checks join what reached an upstream with what the host that sent it had passed on before.

The unit tests show that each check can fail.

--- a/__tests__/gateway/rate-limits.test.ts
+++ b/__tests__/gateway/rate-limits.test.ts
@@ -43,7 +43,7 @@
 
 /** Returns the most requests that an upstream got within a window after it had settled. */
 function countMostArrivals({arrivals}: UpstreamStandIn, from: number): number {
-	const settled = arrivals.filter(at => at >= from);
+	const settled = arrivals.map(({at}) => at).filter(at => at >= from);
 	return Math.max(0, ...settled.map(first => settled.filter(at => at >= first && at < first + windowMs).length));
 }
 
@@ -60,7 +60,7 @@
 	const refused = answers.filter(answer => answer.status === 503);
 	expect(refused.every(answer => Number(answer.headers['retry-after']) > 0)).toBe(true);
 	expect(answers.filter(answer => answer.status === 200).length + refused.length).toBe(answers.length);
-	expect(upstreams.every(upstream => upstream.arrivals.filter(at => at >= settledAt).length >= 3)).toBe(true);
+	expect(upstreams.every(upstream => upstream.arrivals.filter(({at}) => at >= settledAt).length >= 3)).toBe(true);
 }, 60_000);
 
 it('sends other upstreams what a limited one leaves out', async () => {
--- a/__tests__/gateway/refusing-upstreams.test.ts
+++ b/__tests__/gateway/refusing-upstreams.test.ts
@@ -47,7 +47,7 @@
 	}
 
 	const answers = await sendLoad(kind, 1500);
-	const unwanted = upstreams.map(({arrivals}) => arrivals.filter(at => at > arrivals[0]! + noticeTimeMs && at < arrivals[0]! + (statedSeconds * 1000)).length);
+	const unwanted = upstreams.map(({arrivals}) => arrivals.filter(({at}) => at > arrivals[0]!.at + noticeTimeMs && at < arrivals[0]!.at + (statedSeconds * 1000)).length);
 	expect(unwanted.filter(count => count > maxRequests)).toEqual([]);
 	expect(answers.every(answer => answer.status === 503 && answer.took < 500)).toBe(true);
 	expect(Number(answers[0]!.headers['retry-after'])).toBeGreaterThan(1);
@@ -61,6 +61,6 @@
 	refusing!.fault = 'shed';
 	refusing!.retryAfter = statedSeconds;
 	const answers = await sendLoad('read', 1500);
-	expect(refusing!.arrivals.filter(at => at > refusing!.arrivals[0]! + noticeTimeMs).length).toBeLessThanOrEqual(maxRequests);
+	expect(refusing!.arrivals.filter(({at}) => at > refusing!.arrivals[0]!.at + noticeTimeMs).length).toBeLessThanOrEqual(maxRequests);
 	expect(answers.filter(answer => answer.status !== 200)).toEqual([]);
 }, 60_000);
--- a/bench/soak/__tests__/soak.test.ts
+++ b/bench/soak/__tests__/soak.test.ts
@@ -6,6 +6,8 @@
 	findBrokenGuarantees, hasReversion, type Outage, type RequestResult, type RequestRecord,
 } from '../guarantees.js';
 import {runSoak} from '../run.js';
+import {findIgnoredStatements} from '../statements.js';
+import {type Statement} from '../../../stand-ins/gateway/upstream.js';
 
 function buildAnswer(change: Partial<Answer> = {}): Answer {
 	return {
@@ -67,15 +69,53 @@
 	});
 });
 
+describe('statements of upstreams', () => {
+	const answered: RequestResult = {type: 'answered', answer: buildAnswer(), received: 'a'};
+	const killed: Outage = {
+		host: 1, from: 1500, to: 1510, type: 'killed',
+	};
+
+	/** Requests through host 1 that reach the upstream one millisecond after they began and are answered after two. */
+	function play(times: readonly number[], statement: Partial<Statement>, outages: readonly Outage[] = []): readonly string[] {
+		const requests = times.map((began, index) => buildRequest(answered, {id: `r${index}`, began, ended: began + 2}));
+		const arrivals = requests.map(({id, began}) => ({
+			request: id, at: began + 1, process: 1, statement: {at: began + 1, isLeaving: false, ...statement},
+		}));
+		return findIgnoredStatements([{id: 'u', arrivals}], requests, outages, 0);
+	}
+
+	function repeat(count: number, interval: number): readonly number[] {
+		return Array.from({length: count}, (_, index) => index * interval);
+	}
+
+	it('that it leaves are ignored by a request that began later than the drain delay', () => {
+		expect(play([0, 2000], {isLeaving: true})).toEqual([]);
+		expect(play([0, 2010], {isLeaving: true})).toHaveLength(1);
+		expect(play([0, 2010], {isLeaving: true}, [killed])).toEqual([]);
+	});
+
+	it('for how long it wants no requests are ignored by more than two of them', () => {
+		expect(play([0, 400, 600, 700], {retryAfter: 1})).toEqual([]);
+		expect(play([0, 400, 600, 700, 800], {retryAfter: 1})).toHaveLength(1);
+	});
+
+	it('of a rate limit are ignored by more than its bound in any four seconds, once it has settled', () => {
+		expect(play(repeat(60, 50), {rateLimit: 1})).toEqual([]);
+		expect(play(repeat(30, 500), {rateLimit: 1})).toEqual([]);
+		expect(play(repeat(60, 250), {rateLimit: 1})).toHaveLength(1);
+		expect(play(repeat(60, 250), {rateLimit: 4})).toEqual([]);
+	});
+});
+
 describe('planFaults', () => {
 	const options = {
-		hosts: 3, upstreams: 5, links: 5, length: 60_000,
+		hosts: 3, upstreams: 5, engines: 3, links: 5, length: 60_000,
 	};
 
 	it('returns the same plan for the same seed, and draws every type of fault', () => {
 		const all = Array.from({length: 10}, (_, seed) => planFaults(seed + 1, options));
 		expect(planFaults(1, options)).toEqual(all[0]);
-		expect(new Set(all.flat().map(({fault}) => fault.type)).size).toBe(11);
+		expect(new Set(all.flat().map(({fault}) => fault.type)).size).toBe(14);
 	});
 });
 
--- a/bench/soak/plan.ts
+++ b/bench/soak/plan.ts
@@ -22,6 +22,12 @@
 		| {readonly type: 'upstream'; readonly upstream: number; readonly fault: 'shed' | 'error' | 'lost' | 'dark' | 'cut' | 'extra' | 'unframed-reset'; readonly length: number}
 	/** An upstream's registration is removed, and added again after `length`. */
 		| {readonly type: 'leave'; readonly upstream: number; readonly length: number}
+	/** Upstreams state a rate limit, in requests per second. */
+		| {readonly type: 'limit'; readonly upstreams: readonly number[]; readonly rate: number; readonly length: number}
+	/** Upstreams state that they leave, and start again under their ids after `length`. */
+		| {readonly type: 'depart'; readonly upstreams: readonly number[]; readonly length: number}
+	/** Upstreams refuse requests, stating for how many seconds they want none. */
+		| {readonly type: 'refuse'; readonly upstreams: readonly number[]; readonly retryAfter: number; readonly length: number}
 	/** A fault of the link to the store or to a plain service. */
 		| {readonly type: 'link'; readonly link: number; readonly how: 'delay' | 'cut' | 'refuse' | 'black-hole'; readonly length: number};
 
@@ -33,7 +39,9 @@
 
 export type PlanOptions = {
 	readonly hosts: number;
+	/** Engines first, then plain services. */
 	readonly upstreams: number;
+	readonly engines: number;
 	readonly links: number;
 	/** Milliseconds in which faults begin. */
 	readonly length: number;
@@ -50,6 +58,15 @@
 /** Separates the draws of these returns from those of the other faults. */
 const restoreSeedOffset = 1_000_003;
 
+/** The same for what upstreams state about themselves, and milliseconds between two such statements. */
+const statementSeedOffset = 2_000_003;
+const gapBetweenStatements = {least: 500, most: 4000};
+
+/** A rate limit is kept to a while after it was stated first, so that it must last longer. */
+const limitLengthMs = {least: 5000, most: 9000};
+
+const statementTypes = ['limit', 'depart', 'refuse'] as const;
+
 /** Limit for consecutive faults of one type. */
 const maxSeriesLength = 3;
 
@@ -57,6 +74,17 @@
 	return all[random.integer(0, all.length - 1)]!;
 }
 
+/** Draws one upstream, or all of one service. */
+function drawUpstreams(random: Random, {upstreams, engines}: PlanOptions): readonly number[] {
+	const one = random.integer(0, upstreams - 1);
+	if (random.integer(0, 1) === 0) {
+		return [one];
+	}
+
+	const isEngine = one < engines;
+	return Array.from({length: upstreams}, (_, index) => index).filter(index => (index < engines) === isEngine);
+}
+
 function drawFault(random: Random, type: Fault['type'], options: PlanOptions): Fault {
 	const host = random.integer(0, options.hosts - 1);
 	const upstream = random.integer(0, options.upstreams - 1);
@@ -98,6 +126,22 @@
 			return {type, upstream, length};
 		}
 
+		case 'limit': {
+			return {
+				type, upstreams: drawUpstreams(random, options), rate: random.integer(1, 8) / 2, length: random.integer(limitLengthMs.least, limitLengthMs.most),
+			};
+		}
+
+		case 'depart': {
+			return {type, upstreams: drawUpstreams(random, options), length};
+		}
+
+		case 'refuse': {
+			return {
+				type, upstreams: drawUpstreams(random, options), retryAfter: random.integer(2, 12) / 4, length: random.integer(50, 1000),
+			};
+		}
+
 		case 'link': {
 			return {
 				type, link: random.integer(0, options.links - 1), how: pick(random, ['delay', 'cut', 'refuse', 'black-hole']), length,
@@ -106,6 +150,16 @@
 	}
 }
 
+function planStatements(seed: number, options: PlanOptions): readonly PlannedFault[] {
+	const random = createRandom(seed + statementSeedOffset);
+	const planned: PlannedFault[] = [];
+	for (let at = random.integer(0, gapBetweenStatements.most); at < options.length; at += random.integer(gapBetweenStatements.least, gapBetweenStatements.most)) {
+		planned.push({at, fault: drawFault(random, pick(random, statementTypes), options)});
+	}
+
+	return planned;
+}
+
 function planRestores(seed: number, options: PlanOptions): readonly PlannedFault[] {
 	const random = createRandom(seed + restoreSeedOffset);
 	const planned: PlannedFault[] = [];
@@ -136,5 +190,5 @@
 		at += random.integer(gapBetweenSeriesMs.least, gapBetweenSeriesMs.most);
 	}
 
-	return [...planned, ...planRestores(seed, options)].toSorted((a, b) => a.at - b.at);
+	return [...planned, ...planRestores(seed, options), ...planStatements(seed, options)].toSorted((a, b) => a.at - b.at);
 }
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -5,6 +5,7 @@
 import {engineCount, Testbed, plainCount} from './testbed.js';
 import {planFaults} from './plan.js';
 import {findBrokenGuarantees, hasReversion} from './guarantees.js';
+import {findIgnoredStatements} from './statements.js';
 import {EventLoopLag, findUnrecovered} from './recovery.js';
 
 export type SoakOptions = {
@@ -34,7 +35,7 @@
 	await using testbed = await Testbed.start(options.hosts);
 	const {site} = testbed;
 	const planned = planFaults(options.seed, {
-		hosts: options.hosts, upstreams: engineCount + plainCount, links: testbed.links, length: options.length,
+		hosts: options.hosts, upstreams: engineCount + plainCount, engines: engineCount, links: testbed.links, length: options.length,
 	});
 	const clients = Array.from({length: options.clients}, (_, index) => new Client(`c${index}`, site, createRandom((options.seed * 1000) + index)));
 	const ending = new AbortController();
@@ -56,6 +57,6 @@
 		served: requests.filter(({result}) => result.type === 'answered' && result.answer.status === 200 && result.answer.isWhole).length,
 		faults: planned.length,
 		history: testbed.history,
-		broken: [...findBrokenGuarantees(requests, id => site.ledger.findRuns(id), testbed.outages, lag.most), ...unrecovered, ...reversions],
+		broken: [...findBrokenGuarantees(requests, id => site.ledger.findRuns(id), testbed.outages, lag.most), ...findIgnoredStatements([...site.engines, ...site.plains], requests, testbed.outages, lag.most), ...unrecovered, ...reversions],
 	};
 }
--- a/bench/soak/testbed.ts
+++ b/bench/soak/testbed.ts
@@ -97,6 +97,7 @@
 		await this.#proxy[Symbol.asyncDispose]();
 	}
 
+	/** Engines first, then plain services. */
 	get #upstreams(): readonly UpstreamStandIn[] {
 		return [...this.site.engines, ...this.site.plains];
 	}
@@ -166,6 +167,35 @@
 				return;
 			}
 
+			case 'limit': {
+				await this.#state(fault.upstreams, fault.length, upstream => {
+					upstream.rateLimit = fault.rate;
+				}, upstream => {
+					upstream.rateLimit = undefined;
+				});
+				return;
+			}
+
+			case 'depart': {
+				await this.#state(fault.upstreams, fault.length, upstream => {
+					upstream.isStatingLeave = true;
+				}, upstream => {
+					this.#restartUpstream(upstream);
+				});
+				return;
+			}
+
+			case 'refuse': {
+				await this.#state(fault.upstreams, fault.length, upstream => {
+					upstream.fault = 'shed';
+					upstream.retryAfter = fault.retryAfter;
+				}, upstream => {
+					upstream.fault = 'none';
+					upstream.retryAfter = undefined;
+				});
+				return;
+			}
+
 			case 'link': {
 				const where = {link: this.#links[fault.link]};
 				this.#proxy.apply(fault.how === 'delay' ? {type: 'delay', where, delay: linkDelayMs} : {type: fault.how, where});
@@ -180,6 +210,25 @@
 		}
 	}
 
+	/** Lets upstreams state something about themselves for a while. */
+	async #state(upstreams: readonly number[], length: number, begin: (upstream: UpstreamStandIn) => void, end: (upstream: UpstreamStandIn) => void): Promise<void> {
+		for (const index of upstreams) {
+			begin(this.#upstreams[index]!);
+		}
+
+		await sleep(length);
+		for (const index of upstreams) {
+			end(this.#upstreams[index]!);
+		}
+	}
+
+	#restartUpstream(upstream: UpstreamStandIn): void {
+		upstream.restart();
+		if (!this.#unregistered.has(upstream)) {
+			this.site.register(upstream);
+		}
+	}
+
 	async #restoreStore(backupAge: number, outage: number): Promise<void> {
 		const {store} = this.site;
 		const backup = store.backUp();
--- a/stand-ins/gateway/upstream.ts
+++ b/stand-ins/gateway/upstream.ts
@@ -25,6 +25,27 @@
 	readonly answerDelay?: number;
 };
 
+/** What an upstream states about itself in a response. */
+export type Statement = {
+	/** When the response ended or was broken off; monotonic milliseconds. */
+	readonly at: number;
+	readonly rateLimit?: number;
+	readonly isLeaving: boolean;
+	/** Seconds. */
+	readonly retryAfter?: number;
+};
+
+/** A request that arrived at an upstream. */
+export type Arrival = {
+	readonly request: string;
+	/** Monotonic milliseconds. */
+	readonly at: number;
+	/** Start of the process that it arrived at. */
+	readonly process: number;
+	/** Undefined until a response has ended. */
+	statement?: Statement;
+};
+
 type Stream = {
 	readonly job: BatchJob;
 	readonly outgoing: ServerResponse;
@@ -62,7 +83,7 @@
 	readonly #batch: Batch | undefined;
 	readonly #streams = new Map<string, Stream>();
 	readonly #tickets = new Tickets();
-	readonly #arrivals: number[] = [];
+	readonly #arrivals: Arrival[] = [];
 	#isIterating = false;
 	#isDraining = false;
 	#registrationCount = 0;
@@ -86,8 +107,8 @@
 		return this.#options.model !== undefined;
 	}
 
-	/** Times at which requests for it arrived, run or not; monotonic milliseconds. */
-	get arrivals(): readonly number[] {
+	/** Requests that arrived, run or not. */
+	get arrivals(): readonly Arrival[] {
 		return this.#arrivals;
 	}
 
@@ -189,7 +210,7 @@
 
 		const id = String(incoming.headers['x-request-id'] ?? '');
 
-		this.#arrivals.push(performance.now());
+		this.#recordArrival(id, outgoing);
 		if (this.fault === 'early') {
 			outgoing.writeHead(503, {...notExecutedHeaders, 'x-request-id': id, 'content-length': 0});
 			outgoing.end();
@@ -222,6 +243,23 @@
 		await (this.#batch === undefined ? this.#servePlain(id, body, outgoing) : this.#serveStream(id, incoming, outgoing));
 	}
 
+	#recordArrival(request: string, outgoing: ServerResponse): void {
+		const arrival: Arrival = {request, at: performance.now(), process: this.#startTime};
+		this.#arrivals.push(arrival);
+		outgoing.once('close', () => {
+			if (outgoing.headersSent) {
+				const rateLimit = outgoing.getHeader('server-limit');
+				const retryAfter = outgoing.getHeader('retry-after');
+				arrival.statement = {
+					at: performance.now(),
+					rateLimit: rateLimit === undefined ? undefined : Number(rateLimit),
+					isLeaving: outgoing.hasHeader('server-leaving'),
+					retryAfter: retryAfter === undefined ? undefined : Number(retryAfter),
+				};
+			}
+		});
+	}
+
 	/** Sets the headers in which it reports its state; repeated as the response begins, since the state may have changed. */
 	#reportState(outgoing: ServerResponse): void {
 		if (this.rateLimit === undefined) {
