A rate limit is shared again every two seconds, until all hosts agree on it

Found by playing random histories: a report that came too close to the one before it was taken for outdated by some hosts and by others not, and as only changes were shared, a host without responses of its own kept an old limit for good, or another host missed one.

The change: the host that gets the next response shares the limit again if nobody has for two seconds, and at once if a peer's report contradicts it; the end of a limit for ten seconds. It replaces nothing else: reports are still ordered by when their request was sent and their response arrived.

--- a/src/core/gateway/rate-limits.ts
+++ b/src/core/gateway/rate-limits.ts
@@ -17,6 +17,15 @@
 /** Usual bound on the time from a response at one host until all others know what it reported, in milliseconds. */
 const maxMessageDelayMs = 100;
 
+/**
+ * Interval in which a limit is reported to peers again, by the host that gets the next response. Peers ignore a report that is not
+ * certainly later than what they know, and a later one settles it.
+ */
+const shareIntervalMs = 2000;
+
+/** For how long the end of a limit is reported again. */
+const endSharingMs = 10_000;
+
 const msPerSecond = 1000;
 
 /** Rate limit that an upstream reported in a response, or that it reported none. Times are monotonic, in milliseconds. */
@@ -47,6 +56,9 @@
 	report: RateLimitReport;
 	/** When the next request is due if they are sent at the limit. */
 	nextAt: number;
+	changedAt: number;
+	/** When the report was last shared with peers, by this host or another one; undefined if it has to be. */
+	sharedAt: number | undefined;
 	/** Milliseconds that this host leaves the next allowed request to others. */
 	delay: number;
 };
@@ -113,10 +125,36 @@
 		}
 
 		entry.report = report;
+		entry.changedAt = now;
 		entry.nextAt = Math.min(entry.nextAt, now + (msPerSecond / rateOf(report)));
 		return 'changed';
 	}
 
+	/**
+	 * @param upstream - Upstream.
+	 * @param now - Time.
+	 * @returns Whether its limit is to be shared with peers again.
+	 */
+	isShareDue(upstream: string, now: number): boolean {
+		const entry = this.#entries.get(upstream);
+		if (entry === undefined || (entry.report.rate === undefined && now - entry.changedAt > endSharingMs)) {
+			return false;
+		}
+
+		return entry.sharedAt === undefined || now - entry.sharedAt >= shareIntervalMs;
+	}
+
+	/**
+	 * @param upstream - Upstream.
+	 * @param at - When its limit was shared with peers; undefined if it has to be.
+	 */
+	markShared(upstream: string, at: number | undefined): void {
+		const entry = this.#entries.get(upstream);
+		if (entry !== undefined) {
+			entry.sharedAt = at;
+		}
+	}
+
 	/**
 	 * @param upstream - Upstream that a request is sent to.
 	 * @param at - When it is sent.
@@ -161,7 +199,9 @@
 		}
 
 		this.#entries.delete(report.upstream);
-		this.#entries.set(report.upstream, {report, nextAt: now, delay: 0});
+		this.#entries.set(report.upstream, {
+			report, nextAt: now, changedAt: now, sharedAt: undefined, delay: 0,
+		});
 		if (this.#entries.size > maxEntries) {
 			const [oldest] = this.#entries.keys();
 			this.#entries.delete(oldest!);
--- a/src/gateway/self-reports.ts
+++ b/src/gateway/self-reports.ts
@@ -25,20 +25,11 @@
 
 const ownSource = 'response';
 
-/**
- * Time after which the end of a limit is reported to peers a second time: by then it is certainly later than any report of the limit, even
- * at a host where that one seemed to be the later one.
- */
-const confirmationDelayMs = 1000;
-
 export class SelfReports {
 	readonly #options: SelfReportsOptions;
 	readonly #rateLimits: RateLimits;
 	readonly #departures = new Departures();
 	readonly #pauses = new Pauses();
-	/** When the end of a limit is due to be confirmed, by upstream. */
-	readonly #confirmations = new Map<string, number>();
-
 	constructor(options: SelfReportsOptions) {
 		this.#options = options;
 		this.#rateLimits = new RateLimits(options.random);
@@ -76,10 +67,9 @@
 		const report = {
 			upstream, started, rate: rateLimit, sent, received: this.#options.now(),
 		};
-		if (this.#applyRateLimit(report, ownSource) === 'changed') {
-			this.#publishChange(report);
-		} else if (rateLimit === undefined && sent >= (this.#confirmations.get(upstream) ?? Number.POSITIVE_INFINITY)) {
-			this.#confirmations.delete(upstream);
+		const change = this.#applyRateLimit(report, ownSource);
+		if (change === 'changed' || (change === 'same' && this.#rateLimits.isShareDue(upstream, report.received))) {
+			this.#rateLimits.markShared(upstream, report.received);
 			this.#options.publish({type: 'rate-limit', ...report});
 		}
 	}
@@ -92,7 +82,7 @@
 		switch (report.type) {
 			case 'rate-limit': {
 				const {type, ...limit} = report;
-				this.#applyRateLimit(limit, peer);
+				this.#applyPeerRateLimit(peer, limit);
 				return;
 			}
 
@@ -160,13 +150,10 @@
 		return isNew;
 	}
 
-	#publishChange(report: RateLimitReport): void {
-		this.#options.publish({type: 'rate-limit', ...report});
-		if (report.rate === undefined) {
-			this.#confirmations.set(report.upstream, report.sent + confirmationDelayMs);
-		} else {
-			this.#confirmations.delete(report.upstream);
-		}
+	/** If the report is not certainly later than what is known here, the next response to this host tells peers which one holds. */
+	#applyPeerRateLimit(peer: string, report: RateLimitReport): void {
+		const isOutdated = this.#applyRateLimit(report, peer) === 'outdated';
+		this.#rateLimits.markShared(report.upstream, isOutdated ? undefined : this.#options.now());
 	}
 
 	#applyRateLimit(report: RateLimitReport, source: string): ReturnType<RateLimits['record']> {
