The visible share of a fleet counts only hosts whose updates arrive without delay

A link that went silent counted as visible until it was closed after 2 s; in that time each host used the whole rate limit of an upstream. Now a gap of two heartbeats is enough, a relay counts the domains that it is linked with, and a host without its relay counts what it is linked with. Small fleets spread their use of the next allowed request over 100 ms, as updates between domains are late when packets are lost.

Evidence: relays.test.ts, 18 hosts over real sockets, whole and alone; the tests of rate limits pass as before.

--- a/src/gateway/__tests__/relays.test.ts
+++ b/src/gateway/__tests__/relays.test.ts
@@ -193,6 +193,18 @@
 		}
 	});
 
+	it('is visible to each host as a whole, and a host without links is alone', {timeout: 60_000}, async () => {
+		await using fleet = await TestFleet.start(3, 6);
+		const shares = () => fleet.all.map(member => member.peers.computeVisibleShare(performance.now()));
+		await fleet.until(() => shares().every(share => share === 1));
+		const [last] = fleet.nonRelays('domain-0');
+		for (const member of fleet.all.filter(each => each !== last)) {
+			await fleet.stop(member);
+		}
+
+		await fleet.until(() => shares().every(share => share === 1 / 18));
+	});
+
 	it('continues when the relays of a domain stop, and removes their jobs', {timeout: 60_000}, async () => {
 		await using fleet = await TestFleet.start(3, 6);
 		const [first, second] = fleet.relays('domain-0');
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -32,10 +32,11 @@
 const keyTrustShare = 0.94;
 
 /**
- * Time over which the hosts of a large fleet spread their use of a limited upstream's next allowed request: with hundreds of requests a
- * second, several would be sent to it before the first one is known everywhere.
+ * Time over which hosts spread their use of a limited upstream's next allowed request, in a large and in a small fleet: several would send one
+ * before the first is known everywhere. In a large fleet hundreds of requests arrive each second; in a small one, updates are rarely late.
  */
 const largeFleetSpreadMs = 500;
+const smallFleetSpreadMs = 100;
 
 /** How often to remove jobs that must be over. */
 const expiryIntervalMs = 1000;
@@ -107,7 +108,7 @@
 			now: () => clock.now(),
 			random: Math.random,
 			isRegistered: ({upstream, started}) => this.upstreams.has(upstream) && this.upstreams.get(upstream)?.started === started,
-			share: () => ({visible: this.peers.computeVisibleShare(clock.now()), spread: this.peers.isLargeFleet ? largeFleetSpreadMs : 0}),
+			share: () => ({visible: this.peers.computeVisibleShare(clock.now()), spread: this.peers.isLargeFleet ? largeFleetSpreadMs : smallFleetSpreadMs}),
 			publish: report => {
 				this.loadUpdates.publishReport(report);
 			},
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -23,6 +23,9 @@
  */
 const silenceTimeoutMs = 2000;
 
+/** Longest gap between messages over a link whose load updates arrive without delay: two heartbeats. */
+const maxPromptGapMs = 1000;
+
 /** One heartbeat in this many names other hosts, so that hosts that lost track of each other are linked again within seconds. */
 const heartbeatsPerHostSample = 8;
 
@@ -165,17 +168,11 @@
 
 	/**
 	 * @param now - Monotonic time in milliseconds.
-	 * @returns Share of the fleet whose load updates arrive here, this host included; above 0 and at most 1.
+	 * @returns Share of the fleet whose load updates arrive here without delay, this host included; above 0 and at most 1.
 	 */
 	computeVisibleShare(now: number): number {
-		const linked = this.#links.size + 1;
-		if (!this.isLargeFleet || this.#links.size === 0) {
-			return linked / this.fleetSize;
-		}
-
-		const unreachable = this.unreachableDomains(now);
-		const visible = this.#knownPeers.hosts.filter(host => !unreachable.has(host.failureDomain)).length + 1;
-		return Math.max(visible, linked) / this.fleetSize;
+		const prompt = [...this.#links.values()].filter(link => now - (this.#lastMessageAt.get(link) ?? now) < maxPromptGapMs);
+		return (this.#countVisibleHosts(prompt, now) + 1) / this.fleetSize;
 	}
 
 	/**
@@ -305,6 +302,25 @@
 		return this.#silenceDetector.getObserved(now);
 	}
 
+	/** Returns the number of other hosts whose load updates arrive over the given links, directly or through a relay. */
+	#countVisibleHosts(links: readonly Link[], now: number): number {
+		const {name, failureDomain} = this.#options.self;
+		const linked = links.map(link => link.hello!.from);
+		const [relay] = this.relays;
+		if (!this.isLargeFleet) {
+			return linked.length;
+		}
+
+		if (relay === name) {
+			const domains = new Set(linked.map(host => host.failureDomain));
+			const own = linked.filter(host => host.failureDomain === failureDomain).length;
+			return own + this.#knownPeers.hosts.filter(host => host.failureDomain !== failureDomain && domains.has(host.failureDomain)).length;
+		}
+
+		const unreachable = this.unreachableDomains(now);
+		return linked.some(host => host.name === relay) ? this.#knownPeers.hosts.filter(host => !unreachable.has(host.failureDomain)).length : linked.length;
+	}
+
 	/** Links to the first relay of each other failure domain. */
 	#linksToOtherDomains(): readonly Link[] {
 		const {hosts} = this;
