--- a/bench/soak/testbed.ts
+++ b/bench/soak/testbed.ts
@@ -54,6 +54,9 @@
 	readonly #isDown: boolean[];
 	readonly #unregistered = new Set<UpstreamStandIn>();
 	#version = 1;
+	#storeFault: Extract<Fault, {readonly type: 'store'}>['mode'] | undefined;
+	/** Restores during which the store is away. */
+	#runningRestores = 0;
 
 	private constructor(site: Site, proxy: FaultProxy, links: readonly string[]) {
 		this.site = site;
@@ -128,9 +131,11 @@
 			}
 
 			case 'store': {
-				this.site.store.mode = fault.mode;
+				this.#storeFault = fault.mode;
+				this.#updateStoreMode();
 				await sleep(fault.length);
-				this.site.store.mode = 'serving';
+				this.#storeFault = undefined;
+				this.#updateStoreMode();
 				return;
 			}
 
@@ -233,14 +238,19 @@
 		const {store} = this.site;
 		const backup = store.backUp();
 		await sleep(backupAge);
-		const {mode} = store;
-		store.mode = 'reset';
+		this.#runningRestores++;
+		this.#updateStoreMode();
 		await sleep(outage);
 		store.restore(backup);
-		store.mode = mode === 'reset' ? 'serving' : mode;
+		this.#runningRestores--;
+		this.#updateStoreMode();
 		await Promise.all([this.#rewriteConfiguration(), ...this.#upstreams.map(async upstream => this.#rewriteRegistration(upstream))]);
 	}
 
+	#updateStoreMode(): void {
+		this.site.store.mode = this.#runningRestores > 0 ? 'reset' : this.#storeFault ?? 'serving';
+	}
+
 	async #rewriteConfiguration(): Promise<void> {
 		await sleep(Math.random() * rewriteTimeMs);
 		this.#publish(this.#version);
