--- a/src/core/gateway/rate-limits.ts
+++ b/src/core/gateway/rate-limits.ts
@@ -2,7 +2,6 @@
  * Keeps to the rate limits that upstreams report in their responses. A limit applies to all hosts together: each host counts the requests
  * that it sends and those that its peers report, and sends one only when the limit allows the next.
  */
-
 import {type UpstreamProcess} from './types.js';
 
 /** Limits kept, including those of upstreams that aren't registered any more: a registration that has lapsed may come back. */
--- a/src/gateway/__tests__/relays.test.ts
+++ b/src/gateway/__tests__/relays.test.ts
@@ -63,7 +63,7 @@
 			self: host.name, failureDomain: host.failureDomain, load: this.load, peers: this.peers, now, modelAt: () => undefined, onAbsence: absence => {
 				this.reportedAbsences.push(absence.upstream);
 			},
-			began: ignore,
+			onNewJob: ignore,
 			reports: () => [],
 			onReport: ignore,
 			sent: sent => {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -32,8 +32,8 @@
 const keyTrustShare = 0.94;
 
 /**
- * Time over which hosts spread their use of a limited upstream's next allowed request, in a large and in a small fleet: several would send one
- * before the first is known everywhere. In a large fleet hundreds of requests arrive each second; in a small one, updates are rarely late.
+ * Time over which hosts spread their use of a limited upstream's next allowed request, in a large and in a small fleet. Without it, several
+ * would send one before the first is known everywhere: hundreds of requests arrive each second, or updates are late.
  */
 const largeFleetSpreadMs = 500;
 const smallFleetSpreadMs = 100;
@@ -139,7 +139,7 @@
 			onAbsence: absence => {
 				this.reputation.recordAbsence(absence, clock.now());
 			},
-			began: job => {
+			onNewJob: job => {
 				this.selfReports.countRequest(job.upstream, job.began);
 			},
 			reports: () => this.selfReports.all,
--- a/src/gateway/load-updates.ts
+++ b/src/gateway/load-updates.ts
@@ -45,7 +45,7 @@
 	/** Called when a peer reports an upstream unreachable or replaced. */
 	readonly onAbsence: (absence: Absence) => void;
 	/** Called for each new job, of this host or another one. */
-	readonly began: (job: Job) => void;
+	readonly onNewJob: (job: Job) => void;
 	/** Returns what upstreams have reported about themselves. */
 	readonly reports: () => readonly UpstreamReport[];
 	/** Called with what an upstream has reported to a peer or to another host. */
@@ -95,9 +95,9 @@
 	 * @param job - Job that this host has just started.
 	 */
 	begin(job: Job): void {
-		const {load, now, began} = this.#options;
+		const {load, now, onNewJob} = this.#options;
 		load.begin(job, now());
-		began(job);
+		onNewJob(job);
 		this.#ownChanges.add({began: [job]});
 		this.#notifyDisrupted(job);
 	}
@@ -296,7 +296,7 @@
 	/** Reports a job of another host, once although updates may arrive over two paths. */
 	#reportNewJob(job: Job): void {
 		if (!this.#options.load.isKnown(job.id)) {
-			this.#options.began(job);
+			this.#options.onNewJob(job);
 		}
 	}
 
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -24,7 +24,7 @@
 const silenceTimeoutMs = 2000;
 
 /** Longest gap between messages over a link whose load updates arrive without delay: two heartbeats. */
-const maxPromptGapMs = 1000;
+const maxActiveGapMs = 1000;
 
 /** One heartbeat in this many names other hosts, so that hosts that lost track of each other are linked again within seconds. */
 const heartbeatsPerHostSample = 8;
@@ -171,8 +171,8 @@
 	 * @returns Share of the fleet whose load updates arrive here without delay, this host included; above 0 and at most 1.
 	 */
 	computeVisibleShare(now: number): number {
-		const prompt = [...this.#links.values()].filter(link => now - (this.#lastMessageAt.get(link) ?? now) < maxPromptGapMs);
-		return (this.#countVisibleHosts(prompt, now) + 1) / this.fleetSize;
+		const activeLinks = [...this.#links.values()].filter(link => now - (this.#lastMessageAt.get(link) ?? now) < maxActiveGapMs);
+		return (this.#countVisibleHosts(activeLinks, now) + 1) / this.fleetSize;
 	}
 
 	/**
