--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -136,3 +136,43 @@
 	await new Dispatch(services, admitted, callerResponse, {write: () => undefined} as unknown as RequestTrace).run();
 	expect([concluded, placed]).toEqual([['noUpstream'], 2]);
 });
+
+/** Runs a request that no upstream accepts for some milliseconds, and returns how it was concluded and how often it was placed. */
+async function runWithoutUpstream({waits, hasBegun}: {readonly waits: ReadonlyArray<number | undefined>; readonly hasBegun: boolean}): Promise<readonly unknown[]> {
+	const concluded: Array<readonly [string, number | undefined]> = [];
+	let placed = 0;
+	const gateway = {
+		convictions: {isConvicted: () => false},
+		loadUpdates: {refresh: async () => undefined},
+		place() {
+			placed++;
+			return undefined;
+		},
+		computeWait: () => waits[placed - 1],
+	};
+	const services = {gateway, clock: {now: () => 0}} as unknown as GatewayServices;
+	const callerResponse = {
+		isClosed: false,
+		hasBegun,
+		conclude(name: string, _: unknown, wait?: number) {
+			concluded.push([name, wait]);
+		},
+	} as unknown as CallerResponse;
+	const admitted = {
+		incoming: {url: '/', headers: {}},
+		body: Buffer.alloc(0),
+		route: {attempts: 2, kind: 'streaming', isResumable: true},
+		organisation: undefined,
+		demand: {deadline: 1000, service: 's'},
+	} as unknown as AdmittedRequest;
+	await new Dispatch(services, admitted, callerResponse, {write: () => undefined} as unknown as RequestTrace).run();
+	return [...concluded, placed];
+}
+
+it('refuses a request at once that no upstream accepts now, with the time until one does', async () => {
+	expect(await runWithoutUpstream({waits: [700], hasBegun: false})).toEqual([['overloaded', 700], 1]);
+});
+
+it('waits for an upstream if the caller has part of its stream, and ends it once none is left', async () => {
+	expect(await runWithoutUpstream({waits: [20, 10, undefined], hasBegun: true})).toEqual([['noUpstream', 0], 3]);
+});
