A key sealed by a process that has ended since is sealed, not run, by the next claimant

Cause: the host that sealed the key was killed and started again. Another host claimed the key; a third one named the sealing process as its keeper and so counted as promised, and the keeper's host promised as well, but by its next process, which knew nothing of the key. With all promises the claimant ran it.

The change: a claimant notes the processes that others name as the keeper and those that promise, and runs the key only if each of the former is among the latter; otherwise it seals the key, which is true, as no other host can have run it without its promise. Answers to claims name the answering process; without the name the known one is taken.

--- a/src/core/__tests__/keys.test.ts
+++ b/src/core/__tests__/keys.test.ts
@@ -1,5 +1,7 @@
 import {describe, expect, it} from 'vitest';
-import {codes, type Event, type State} from '../index.js';
+import {
+	codes, type Event, type Member, type State,
+} from '../index.js';
 import {parseMintTime} from '../features/keys/queries.js';
 import {createKey} from '../../../bench/fuzz/callers.js';
 import {
@@ -12,15 +14,15 @@
 	return {type: 'request-arrived', request: createRequest(id, {type: 'key', key: createKey(contextAt(minted).wall, 1)}, {deadline: 60_000})};
 }
 
-/** Returns the state of a host that completed the handshake with its only peer at the start. */
-function createJoinedState(): State {
-	const listed = applyEvents(createServingState(createMember('a1')), 0, {type: 'hosts-listed', members: [peer], leaving: []}, {type: 'tick'});
-	const joined: Event = {
-		type: 'peer-message', from: 'a2', message: {
-			type: 'key-joined', member: peer, members: [], ended: [],
+/** Returns the state of a host that completed the handshake with its peers at the start. */
+function createJoinedState(peers: readonly Member[] = [peer]): State {
+	const listed = applyEvents(createServingState(createMember('a1')), 0, {type: 'hosts-listed', members: peers, leaving: []}, {type: 'tick'});
+	const joined = peers.map((member): Event => ({
+		type: 'peer-message', from: member.incarnation.host, message: {
+			type: 'key-joined', member, members: [], ended: [],
 		},
-	};
-	return applyEvents(applyEvents(listed.state, 10, joined).state, 10_000, {type: 'tick'}).state;
+	}));
+	return applyEvents(applyEvents(listed.state, 10, ...joined).state, 10_000, {type: 'tick'}).state;
 }
 
 describe('an idempotency key without a ticket', () => {
@@ -43,6 +45,28 @@
 		expect(effectsOf(applyEvents(timedOut.state, 21_010, answer).effects, 'send')).toHaveLength(0);
 	});
 
+	it('is sealed, not run, if the host that others name as its keeper has started again since', () => {
+		const claimant = createMember('a1').incarnation;
+		const id = `k/paper/${createKey(contextAt(20_000).wall, 1)}`;
+		const formerKeeper = createMember('a3', 3);
+		const named: Event = {
+			type: 'peer-message', from: 'a2', message: {
+				type: 'key-answer', id, claimant, answer: {type: 'kept', by: formerKeeper},
+			},
+		};
+		const promisedBy = (started: number): Event => ({
+			type: 'peer-message', from: 'a3', message: {
+				type: 'key-answer', id, claimant, answerer: {host: 'a3', started}, answer: {type: 'unsure'},
+			},
+		});
+		const asked = applyEvents(createJoinedState([peer, formerKeeper]), 20_000, createArrival('r1', 20_000));
+		const claimed = applyEvents(asked.state, 20_010, named);
+		expect(effectsOf(applyEvents(claimed.state, 20_020, promisedBy(3)).effects, 'send')).toHaveLength(1);
+		const restarted = applyEvents(claimed.state, 20_020, promisedBy(4));
+		expect(effectsOf(restarted.effects, 'send')).toHaveLength(0);
+		expect(effectsOf(restarted.effects, 'answer')[0]?.outcome).toMatchObject({type: 'not-run', code: codes.sealed});
+	});
+
 	it('is unknown at a host that was paused and has not repeated its handshake', () => {
 		const woken = applyEvents(createJoinedState(), 20_000, {type: 'woken', pause: 9000}, createArrival('r1', 20_000));
 		expect(effectsOf(woken.effects, 'answer')[0]?.outcome).toMatchObject({type: 'unknown', code: codes.outcomeUnknown});
--- a/src/core/__tests__/regressions.test.ts
+++ b/src/core/__tests__/regressions.test.ts
@@ -126,3 +126,9 @@
 		expect(simulation.ledger.crashes.filter(crash => crash.operation === 'o552').map(crash => crash.sender.slice(0, 2))).toEqual(['b2', 'b2', 'b2', 'b1', 'b1']);
 	});
 });
+
+describe('a key that a host has sealed before it was restarted', () => {
+	it('does not run at another host that its next process promises it to (seed 640500254)', () => {
+		expect(run({seed: 640_500_254}).violations).toEqual([]);
+	});
+});
--- a/src/core/features/keys/commands/claims.ts
+++ b/src/core/features/keys/commands/claims.ts
@@ -83,6 +83,14 @@
 		answerUnknown(current, request, 'outcomeUnknown', 'no host is sure that the key never ran'));
 }
 
+/**
+ * Returns whether each host that was named as the key's keeper has itself promised it to this host. One that has ended or started again
+ * since can't: it may have told a caller that the key will never run.
+ */
+function havePromised({keepers, promised}: Claiming): boolean {
+	return keepers.every(keeper => promised.some(each => isSameIncarnation(each, keeper)));
+}
+
 /**
  * Ends a claim. This host runs the key if every host has promised. If promises are missing, it seals the key, which needs no
  * promise. If a host refused to promise, or none confirmed that the key has never run, the outcome is unknown.
@@ -93,7 +101,7 @@
 	}
 
 	const expires = claim.minted + keyLifetimeMs;
-	const canRun = progress.pending.length === 0 && isServing(state);
+	const canRun = progress.pending.length === 0 && havePromised(progress) && isServing(state);
 	const kept = putClaim(state, right, {...claim, progress: {type: 'kept'}});
 	return forEachWaiting(canRun ? kept : sealRight(kept, right, expires), progress.waiting, (current, request) =>
 		useRight(current, {right, request, expires}));
@@ -115,6 +123,8 @@
 		type: 'claiming',
 		waiting: [request],
 		pending,
+		promised: [],
+		keepers: [],
 		isNotRunConfirmed: canConfirmNotRun(state, minted),
 		refused: false,
 		retryAt: now + retryIntervalMs,
@@ -161,7 +171,9 @@
 	}
 
 	const {progress} = claim;
-	return advanceClaim(state, right, claim, {...progress, pending: progress.pending.filter(each => each !== from)});
+	return advanceClaim(state, right, claim, {
+		...progress, keepers: [...progress.keepers, keeper.incarnation], pending: progress.pending.filter(each => each !== from),
+	});
 }
 
 /**
@@ -181,7 +193,13 @@
 		case 'yielded':
 		case 'unsure': {
 			const isNotRunConfirmed = progress.isNotRunConfirmed || answer.type === 'yielded';
-			return advanceClaim(state, right, claim, {...progress, isNotRunConfirmed, pending: progress.pending.filter(each => each !== from)});
+			const answerer = message.answerer ?? state.keys.knownPeers.get(from)?.member.incarnation;
+			return advanceClaim(state, right, claim, {
+				...progress,
+				isNotRunConfirmed,
+				promised: answerer === undefined ? progress.promised : [...progress.promised, answerer],
+				pending: progress.pending.filter(each => each !== from),
+			});
 		}
 
 		case 'kept': {
--- a/src/core/features/keys/commands/promises.ts
+++ b/src/core/features/keys/commands/promises.ts
@@ -19,7 +19,7 @@
 	return {
 		state,
 		effects: sendToHost(state, claimant.incarnation.host, {
-			type: 'key-answer', id: right, claimant: claimant.incarnation, answer,
+			type: 'key-answer', id: right, claimant: claimant.incarnation, answerer: state.self.incarnation, answer,
 		}),
 	};
 }
--- a/src/core/features/keys/types.ts
+++ b/src/core/features/keys/types.ts
@@ -1,7 +1,7 @@
 /** State of bare idempotency keys. Hosts agree on who runs a key by unanimous claims; see docs/design/idempotency-keys.md. */
 import {Map as Table} from 'immutable';
 import {type Member} from '../../types/peer.js';
-import {type Request} from '../../types/request.js';
+import {type Incarnation, type Request} from '../../types/request.js';
 
 /** Time after minting in which a key may run. */
 export const keyLifetimeMs = 600_000;
@@ -37,6 +37,9 @@
 		readonly waiting: readonly Request[];
 		/** Hosts that have not promised yet. */
 		readonly pending: readonly string[];
+		/** Processes that have promised, and those that other hosts name as the key's keeper. */
+		readonly promised: readonly Incarnation[];
+		readonly keepers: readonly Incarnation[];
 		/** Whether a host, this one included, confirmed that the key has never run. */
 		readonly isNotRunConfirmed: boolean;
 		/** Whether a host refused to promise; it may run the key without asking this host. */
--- a/src/core/types/peer.ts
+++ b/src/core/types/peer.ts
@@ -111,7 +111,8 @@
 		| {readonly type: 'key-joined'; readonly member: Member; readonly members: readonly Member[]; readonly ended: readonly Incarnation[]}
 	/** Requests a promise that the key will never run at the receiver. */
 		| {readonly type: 'key-claim'; readonly id: string; readonly minted: number; readonly claimant: Member}
-		| {readonly type: 'key-answer'; readonly id: string; readonly claimant: Incarnation; readonly answer: KeyAnswer};
+	/** Absent from a host of an earlier build: `answerer`, the sender. */
+		| {readonly type: 'key-answer'; readonly id: string; readonly claimant: Incarnation; readonly answerer?: Incarnation; readonly answer: KeyAnswer};
 
 export type KeyAnswer
 	/** Promised never to run here, and known never to have run anywhere. */
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -78,6 +78,7 @@
 		type: z.literal('key-answer'),
 		id: shortText,
 		claimant: incarnation,
+		answerer: incarnation.optional(),
 		answer: z.discriminatedUnion('type', [
 			z.object({type: z.literal('yielded')}),
 			z.object({type: z.literal('unsure')}),
