A request that waits for the claim of another one is answered at its own deadline

What a caller saw (fuzz): no answer until 550 ms after its deadline.

Cause: requests with the same key share one claim, which times out a second after it began, or at the deadline of the request that began it. A later one with less time waited for that moment.

The change: each tick answers the waiting requests whose time is over with "outcome unknown"; the claim goes on for the others.

--- a/src/core/__tests__/keys.test.ts
+++ b/src/core/__tests__/keys.test.ts
@@ -45,6 +45,18 @@
 		expect(effectsOf(applyEvents(timedOut.state, 21_010, answer).effects, 'send')).toHaveLength(0);
 	});
 
+	it('is answered in time to a request that waits for the claim of an earlier one with more time', () => {
+		const asked = applyEvents(createJoinedState(), 20_000, createArrival('r1', 20_000));
+		const key = createKey(contextAt(20_000).wall, 1);
+		const hurried: Event = {type: 'request-arrived', request: createRequest('r2', {type: 'key', key}, {deadline: 20_300})};
+		const waiting = applyEvents(asked.state, 20_100, hurried);
+		expect(effectsOf(waiting.effects, 'answer')).toHaveLength(0);
+		const overdue = applyEvents(waiting.state, 20_300, {type: 'tick'});
+		expect(effectsOf(overdue.effects, 'answer')).toMatchObject([{request: 'r2', outcome: {type: 'unknown', code: codes.outcomeUnknown}}]);
+		const settled = applyEvents(overdue.state, 21_000, {type: 'tick'});
+		expect(effectsOf(settled.effects, 'answer').map(each => each.request)).toEqual(['r1']);
+	});
+
 	it('is sealed, not run, if the host that others name as its keeper has started again since', () => {
 		const claimant = createMember('a1').incarnation;
 		const id = `k/paper/${createKey(contextAt(20_000).wall, 1)}`;
--- a/src/core/__tests__/regressions.test.ts
+++ b/src/core/__tests__/regressions.test.ts
@@ -132,3 +132,9 @@
 		expect(run({seed: 640_500_254}).violations).toEqual([]);
 	});
 });
+
+describe('a request with little time that presents a key which an earlier request is claiming', () => {
+	it('is answered at its own deadline (seed 820112)', () => {
+		expect(run({seed: 820_112}).violations).toEqual([]);
+	});
+});
--- a/src/core/features/keys/commands/claims.ts
+++ b/src/core/features/keys/commands/claims.ts
@@ -217,6 +217,23 @@
 	}
 }
 
+/** Answers the waiting requests whose deadline has passed; others that wait for the same claim may have more time. */
+function answerOverdue(state: State, right: string, {now}: StepContext): StepResult {
+	const claim = state.keys.claims.get(right);
+	if (claim?.progress.type !== 'claiming') {
+		return withoutEffects(state);
+	}
+
+	const {progress} = claim;
+	const overdue = progress.waiting.filter(request => request.deadline <= now);
+	if (overdue.length === 0) {
+		return withoutEffects(state);
+	}
+
+	const next = putClaim(state, right, {...claim, progress: {...progress, waiting: progress.waiting.filter(request => request.deadline > now)}});
+	return forEachWaiting(next, overdue, (current, request) => answerUnknown(current, request, 'outcomeUnknown', 'its time was over before all hosts had promised'));
+}
+
 function retryClaim(state: State, right: string, {now}: StepContext): StepResult {
 	const claim = state.keys.claims.get(right);
 	if (claim?.progress.type !== 'claiming') {
@@ -239,10 +256,13 @@
 }
 
 /**
- * Sends the claims again to hosts that have not answered, and settles claims that timed out.
+ * Sends the claims again to hosts that have not answered, settles claims that timed out, and answers requests that can wait no longer.
  *
  * @returns The next state and the effects.
  */
 export function retryClaims(state: State, context: StepContext): StepResult {
-	return chain(state, ...state.keys.claiming.map(right => (current: State) => retryClaim(current, right, context)));
+	return chain(state, ...state.keys.claiming.flatMap(right => [
+		(current: State) => retryClaim(current, right, context),
+		(current: State) => answerOverdue(current, right, context),
+	]));
 }
