A pause or limit stated by an upstream that has just started again holds once it is registered

Cause: an upstream may start again under its id, and its registration is read up to a second or two later. What it stated in between was booked to its former process and forgotten with it.

The change: a refusal also holds for a later process if it arrived after that one had started, by its registration and the clock, with 2 s for differences of clocks. A limit no longer belongs to a process: the first response after a restart settles it. A departure still does, as it could not be taken back.

--- a/__tests__/gateway/refusing-upstreams.test.ts
+++ b/__tests__/gateway/refusing-upstreams.test.ts
@@ -64,3 +64,21 @@
 	expect(refusing!.arrivals.filter(({at}) => at > refusing!.arrivals[0]!.at + noticeTimeMs).length).toBeLessThanOrEqual(maxRequests);
 	expect(answers.filter(answer => answer.status !== 200)).toEqual([]);
 }, 60_000);
+
+it('keeps to the time that an upstream states which has started again, also once its registration says so', async () => {
+	for (const plain of site.plains) {
+		plain.restart();
+		plain.fault = 'shed';
+		plain.retryAfter = statedSeconds;
+	}
+
+	await sendLoad('read', 300);
+	for (const plain of site.plains) {
+		plain.fault = 'none';
+		site.register(plain);
+	}
+
+	await sendLoad('read', 1500);
+	const unwanted = site.plains.map(({arrivals}) => arrivals.filter(({at}) => at > arrivals[0]!.at + noticeTimeMs && at < arrivals[0]!.at + (statedSeconds * 1000)).length);
+	expect(unwanted.filter(count => count > maxRequests)).toEqual([]);
+}, 60_000);
--- a/src/core/gateway/pauses.ts
+++ b/src/core/gateway/pauses.ts
@@ -1,46 +1,58 @@
 /** Upstreams that refused a request of this host and stated for how long they want no more from it. Peers are not concerned. */
 import {type UpstreamProcess} from './types.js';
 
-type Pause = UpstreamProcess & {
-	/** Monotonic time in milliseconds. */
+/** Difference between the clocks of a host and an upstream up to which a refusal may be that of a process which started at that time. */
+const maxClockDifferenceMs = 2000;
+
+/** A refusal of a request. */
+export type Refusal = UpstreamProcess & {
+	/** When it arrived, in Unix milliseconds. */
+	readonly receivedWall: number;
+	/** When the pause ends; monotonic. */
 	readonly until: number;
 };
 
+/**
+ * Returns whether a refusal is that of the registered process. The process that refused may have started later than the one that was
+ * registered as the request was sent.
+ */
+function isFrom(refusal: Refusal, registered: UpstreamProcess): boolean {
+	return refusal.started === registered.started
+		|| (registered.started !== undefined && refusal.receivedWall >= registered.started - maxClockDifferenceMs);
+}
+
 export class Pauses {
-	readonly #pauses = new Map<string, Pause>();
+	readonly #refusals = new Map<string, Refusal>();
 
 	/**
-	 * @param process - Process that refused a request.
-	 * @param until - When its pause ends. A longer pause of the same process that was stated before still holds.
+	 * @param refusal - Refusal by the process that was registered as the request was sent, or a later one. A longer pause that was stated
+	 * before still holds.
 	 * @param now - Time.
 	 */
-	record({upstream, started}: UpstreamProcess, until: number, now: number): void {
-		for (const [id, pause] of this.#pauses) {
-			if (pause.until <= now) {
-				this.#pauses.delete(id);
+	record(refusal: Refusal, now: number): void {
+		for (const [upstream, {until}] of this.#refusals) {
+			if (until <= now) {
+				this.#refusals.delete(upstream);
 			}
 		}
 
-		const known = this.#pauses.get(upstream);
-		const knownUntil = known?.started === started ? known?.until ?? 0 : 0;
-		this.#pauses.set(upstream, {upstream, started, until: Math.max(until, knownUntil)});
+		const known = this.#refusals.get(refusal.upstream);
+		const knownUntil = known?.started === refusal.started ? known?.until ?? 0 : 0;
+		this.#refusals.set(refusal.upstream, {...refusal, until: Math.max(refusal.until, knownUntil)});
 	}
 
 	/**
-	 * @param process - Process of an upstream.
+	 * @param registered - Registered process of an upstream.
 	 * @param now - Time.
 	 * @returns Milliseconds until it accepts requests of this host again; 0 if it does now.
 	 */
-	computeWait({upstream, started}: UpstreamProcess, now: number): number {
-		const pause = this.#pauses.get(upstream);
-		return pause?.started === started ? Math.max((pause?.until ?? 0) - now, 0) : 0;
+	computeWait(registered: UpstreamProcess, now: number): number {
+		const refusal = this.#refusals.get(registered.upstream);
+		return refusal !== undefined && isFrom(refusal, registered) ? Math.max(refusal.until - now, 0) : 0;
 	}
 
-	/**
-	 * @param now - Time.
-	 * @returns Processes that accept no request of this host now.
-	 */
-	findActive(now: number): readonly UpstreamProcess[] {
-		return [...this.#pauses.values()].filter(({until}) => until > now);
+	/** Upstreams whose pause may last. */
+	get upstreams(): readonly string[] {
+		return [...this.#refusals.keys()];
 	}
 }
--- a/src/core/gateway/rate-limits.ts
+++ b/src/core/gateway/rate-limits.ts
@@ -2,7 +2,6 @@
  * Keeps to the rate limits that upstreams report in their responses. A limit applies to all hosts together: each host counts the requests
  * that it sends and those that its peers report, and sends one only when the limit allows the next.
  */
-import {type UpstreamProcess} from './types.js';
 
 /** Limits kept, including those of upstreams that aren't registered any more: a registration that has lapsed may come back. */
 const maxEntries = 512;
@@ -27,8 +26,12 @@
 
 const msPerSecond = 1000;
 
-/** Rate limit that an upstream reported in a response, or that it reported none. Times are monotonic, in milliseconds. */
-export type RateLimitReport = UpstreamProcess & {
+/**
+ * Rate limit that an upstream reported in a response, or that it reported none. Times are monotonic, in milliseconds. A limit outlasts a
+ * restart of its upstream until the next response: which process has responded is known only later.
+ */
+export type RateLimitReport = {
+	readonly upstream: string;
 	/** Requests per second from all hosts together; undefined for no limit. */
 	readonly rate?: number;
 	/** When the request was sent. */
@@ -86,14 +89,14 @@
 		this.#random = random;
 	}
 
-	/** The latest report of each process that has reported a limit. */
+	/** The latest report of each upstream that has reported a limit. */
 	get reports(): readonly RateLimitReport[] {
 		return [...this.#entries.values()].map(({report}) => report);
 	}
 
 	/**
 	 * @param upstream - Upstream.
-	 * @returns Latest report of the process that reported a limit last, if any did.
+	 * @returns Its latest report, if it has ever reported a limit.
 	 */
 	get(upstream: string): RateLimitReport | undefined {
 		return this.#entries.get(upstream)?.report;
@@ -108,7 +111,7 @@
 	 */
 	record(report: RateLimitReport, now: number): RateLimitChange {
 		const entry = this.#entries.get(report.upstream);
-		if (entry === undefined || entry.report.started !== report.started) {
+		if (entry === undefined) {
 			return this.#recordFirst(report, now);
 		}
 
@@ -184,20 +187,17 @@
 
 	/**
 	 * @param now - Time.
-	 * @returns Processes whose limits allow no request now.
+	 * @returns Upstreams whose limits allow no request now.
 	 */
-	findExhausted(now: number): readonly UpstreamProcess[] {
-		return this.reports.filter(({upstream}) => this.computeWait(upstream, now) > 0);
+	findExhausted(now: number): readonly string[] {
+		return [...this.#entries.keys()].filter(upstream => this.computeWait(upstream, now) > 0);
 	}
 
-	/** Records the first report of a process; ignored if a later process of the same upstream has reported a limit. */
 	#recordFirst(report: RateLimitReport, now: number): RateLimitChange {
-		const previous = this.#entries.get(report.upstream)?.report;
-		if (report.rate === undefined || (previous?.started ?? 0) > (report.started ?? 0)) {
+		if (report.rate === undefined) {
 			return 'same';
 		}
 
-		this.#entries.delete(report.upstream);
 		this.#entries.set(report.upstream, {
 			report, nextAt: now, changedAt: now, sharedAt: undefined, delay: 0,
 		});
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -107,7 +107,11 @@
 			log,
 			now: () => clock.now(),
 			random: Math.random,
-			isRegistered: ({upstream, started}) => this.upstreams.has(upstream) && this.upstreams.get(upstream)?.started === started,
+			wall: () => clock.wall(),
+			findProcess: id => {
+				const upstream = this.upstreams.get(id);
+				return upstream === undefined ? undefined : {upstream: id, started: upstream.started};
+			},
 			share: () => ({visible: this.peers.computeVisibleShare(clock.now()), spread: this.peers.isLargeFleet ? largeFleetSpreadMs : smallFleetSpreadMs}),
 			publish: report => {
 				this.loadUpdates.publishReport(report);
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -54,7 +54,7 @@
 const reportSchema = z.discriminatedUnion('type', [
 	/** A rate limit; `rate` is absent if the upstream has none. */
 	z.object({
-		type: z.literal('rate-limit'), upstream: shortText, started: amount.optional(), rate: amount.nonnegative().optional(), sentAge: amount, receivedAge: amount,
+		type: z.literal('rate-limit'), upstream: shortText, rate: amount.nonnegative().optional(), sentAge: amount, receivedAge: amount,
 	}),
 	z.object({type: z.literal('departure'), upstream: shortText, started: amount.optional()}),
 ]);
--- a/src/gateway/self-reports.ts
+++ b/src/gateway/self-reports.ts
@@ -13,8 +13,10 @@
 	/** Monotonic time in milliseconds. */
 	readonly now: () => number;
 	readonly random: () => number;
-	/** Returns whether a process is the one that is registered under its id. */
-	readonly isRegistered: (process: UpstreamProcess) => boolean;
+	/** Unix time in milliseconds. */
+	readonly wall: () => number;
+	/** Returns the registered process of an upstream, if there is one. */
+	readonly findProcess: (upstream: string) => UpstreamProcess | undefined;
 	/** How the hosts share the limit of an upstream at present. */
 	readonly share: () => RateShare;
 	/** Sends a report to all peers. */
@@ -37,7 +39,7 @@
 
 	/** Number of upstreams that limit the rate of requests. */
 	get limitedCount(): number {
-		return this.#rateLimits.reports.filter(report => report.rate !== undefined && this.#options.isRegistered(report)).length;
+		return this.#rateLimits.reports.filter(({rate, upstream}) => rate !== undefined && this.#options.findProcess(upstream) !== undefined).length;
 	}
 
 	/** All that is known, for a host that has just been linked. */
@@ -51,7 +53,7 @@
 	/**
 	 * Records what an upstream reported in a response to this host.
 	 *
-	 * @param process - Process that the request was sent to; the report concerns no other one.
+	 * @param process - Process that was registered as the request was sent.
 	 * @param report - Its report.
 	 * @param sent - When the request was sent.
 	 */
@@ -65,7 +67,7 @@
 		}
 
 		const report = {
-			upstream, started, rate: rateLimit, sent, received: this.#options.now(),
+			upstream, rate: rateLimit, sent, received: this.#options.now(),
 		};
 		const change = this.#applyRateLimit(report, ownSource);
 		if (change === 'changed' || (change === 'same' && this.#rateLimits.isShareDue(upstream, report.received))) {
@@ -118,9 +120,13 @@
 
 	/** Returns the upstreams that accept no request at present. */
 	findUnavailable(): ReadonlySet<string> {
-		const now = this.#options.now();
-		const processes = [...this.#departures.all, ...this.#pauses.findActive(now), ...this.#rateLimits.findExhausted(now)];
-		return new Set(processes.filter(each => this.#options.isRegistered(each)).map(each => each.upstream));
+		const {now, findProcess} = this.#options;
+		const leaving = this.#departures.all.map(({upstream}) => upstream);
+		const candidates = [...leaving, ...this.#pauses.upstreams, ...this.#rateLimits.findExhausted(now())];
+		return new Set(candidates.filter(upstream => {
+			const process = findProcess(upstream);
+			return process !== undefined && (this.#departures.isLeaving(process) || this.#computeWait(process) > 0);
+		}));
 	}
 
 	/**
@@ -128,15 +134,17 @@
 	 * @returns Milliseconds until it accepts another request.
 	 */
 	computeWait({id: upstream, started}: RegisteredUpstream): number {
+		return this.#computeWait({upstream, started});
+	}
+
+	#computeWait(process: UpstreamProcess): number {
 		const now = this.#options.now();
-		const limit = this.#rateLimits.get(upstream);
-		const limitWait = limit?.started === started ? this.#rateLimits.computeWait(upstream, now) : 0;
-		return Math.max(limitWait, this.#pauses.computeWait({upstream, started}, now));
+		return Math.max(this.#rateLimits.computeWait(process.upstream, now), this.#pauses.computeWait(process, now));
 	}
 
 	#applyPause(process: UpstreamProcess, pause: number): void {
-		const {log, now} = this.#options;
-		this.#pauses.record(process, now() + pause, now());
+		const {log, now, wall} = this.#options;
+		this.#pauses.record({...process, receivedWall: wall(), until: now() + pause}, now());
 		log.write({event: 'upstream-paused', upstream: process.upstream, wait: Math.round(pause)});
 	}
 
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -54,14 +54,6 @@
 		return this.#byId.get(id);
 	}
 
-	/**
-	 * @param id - Upstream.
-	 * @returns Whether it is registered.
-	 */
-	has(id: string): boolean {
-		return this.#byId.has(id);
-	}
-
 	/**
 	 * @param address - Host and port, as text.
 	 * @returns The upstream at the address, if there is one.
