Stand-in states a Retry-After in refusals only; the soak names the requests that came unwanted

Only a 503 states a pause, so that the host was right to go on. The check and its bound are the same.

--- a/bench/soak/statements.ts
+++ b/bench/soak/statements.ts
@@ -56,7 +56,7 @@
 		const to = statement.at + ((statement.retryAfter ?? 0) * 1000);
 		const unwanted = sent.filter(each => each.record.host === host && each.arrival.process === arrival.process && each.arrival.at > from && each.arrival.at < to);
 		return unwanted.length > maxPausedArrivals && !isExcused(host, statement.at, to, outages)
-			? [`${unwanted.length} requests reached ${upstream} from host ${host} in the ${statement.retryAfter} s for which it wanted none`]
+			? [`${unwanted.map(each => `${each.record.id} after ${Math.round(each.arrival.at - statement.at)} ms`).join(', ')} reached ${upstream} from host ${host}, which wanted none for ${statement.retryAfter} s after ${arrival.request}`]
 			: [];
 	});
 }
--- a/stand-ins/gateway/upstream.ts
+++ b/stand-ins/gateway/upstream.ts
@@ -225,6 +225,10 @@
 		}
 
 		if (this.fault === 'shed') {
+			if (this.retryAfter !== undefined) {
+				outgoing.setHeader('retry-after', String(this.retryAfter));
+			}
+
 			outgoing.writeHead(503, {...notExecutedHeaders, 'x-request-id': id});
 			outgoing.end();
 			return;
@@ -268,12 +272,6 @@
 			outgoing.setHeader('server-limit', String(this.rateLimit));
 		}
 
-		if (this.retryAfter === undefined || this.fault !== 'shed') {
-			outgoing.removeHeader('retry-after');
-		} else {
-			outgoing.setHeader('retry-after', String(this.retryAfter));
-		}
-
 		if (this.isStatingLeave) {
 			outgoing.setHeader('server-leaving', '1');
 			outgoing.setHeader('connection', 'close');
