One filter decides which upstreams accept a request, and names why others don't

Placement and the wait for the next accepted request each had a filter of their own, and every placement walked all known departures. Obstacles are a discriminated union now, found per upstream. No decision changes; the tests of departures, limits and pauses check the same through it.

--- a/bench/gateway/simulation.ts
+++ b/bench/gateway/simulation.ts
@@ -205,7 +205,7 @@
 			host: `h${host}`,
 			failureDomain: `d${host % 3}`,
 			unreachable: new Set(),
-			unavailable: new Set(),
+			findObstacle: () => undefined,
 			eligibility: {excluded: new Set()},
 			now: this.#timeline.now,
 		};
--- a/src/core/gateway/__tests__/absences.test.ts
+++ b/src/core/gateway/__tests__/absences.test.ts
@@ -7,6 +7,7 @@
 import {place, type PlacementOptions} from '../placement.js';
 import {defaultPolicy} from '../policy.js';
 import {type Demand, type EngineModel, type GatewayUpstream} from '../types.js';
+import {findDeparture} from './fixtures.js';
 
 const model: EngineModel = {
 	slots: 7, memory: 200_000, stride: 16, step: 1, perRequest: 0.02, perThousand: 0.002, readRate: 200, pairs: 0.1, chunk: 2048, hop: 0.3, usualPrompt: 5000, usualAnswer: 500,
@@ -61,7 +62,7 @@
 
 	#createOptions(host: number, tried: ReadonlySet<string>, now: number): PlacementOptions {
 		return {
-			policy: defaultPolicy, load: this.#load, health: this.#healths[host]!, host: `h${host}`, failureDomain: 'a', unreachable: new Set(), unavailable: new Set(), eligibility: {excluded: tried}, now,
+			policy: defaultPolicy, load: this.#load, health: this.#healths[host]!, host: `h${host}`, failureDomain: 'a', unreachable: new Set(), findObstacle: findDeparture, eligibility: {excluded: tried}, now,
 		};
 	}
 
--- a/src/core/gateway/__tests__/fixtures.ts
+++ b/src/core/gateway/__tests__/fixtures.ts
@@ -1,4 +1,5 @@
 /** Upstreams and positions of the store for tests. */
+import {type Obstacle} from '../eligibility.js';
 import {type StorePosition} from '../position.js';
 import {type GatewayUpstream} from '../types.js';
 
@@ -20,3 +21,11 @@
 export function at(revision: number): StorePosition {
 	return {era: 0, revision};
 }
+
+/**
+ * @param upstream - Upstream.
+ * @returns An obstacle if it is draining.
+ */
+export function findDeparture({isDraining}: GatewayUpstream): Obstacle | undefined {
+	return isDraining ? {type: 'departure'} : undefined;
+}
--- a/src/core/gateway/__tests__/placement.test.ts
+++ b/src/core/gateway/__tests__/placement.test.ts
@@ -6,6 +6,7 @@
 import {place, type Placement, type PlacementOptions} from '../placement.js';
 import {defaultPolicy} from '../policy.js';
 import {type Demand, type EngineModel, type GatewayUpstream} from '../types.js';
+import {findDeparture} from './fixtures.js';
 
 /** Performance model of the engines of a real site. */
 const model: EngineModel = {
@@ -35,7 +36,7 @@
 
 	place(request: Demand, candidates: readonly GatewayUpstream[], change: Partial<PlacementOptions> = {}): Placement | undefined {
 		return place(request, candidates, model, {
-			policy: defaultPolicy, load: this.load, health: this.health, host: 'h', failureDomain: 'a', unreachable: new Set(), unavailable: new Set(), eligibility: {excluded: new Set()}, now, ...change,
+			policy: defaultPolicy, load: this.load, health: this.health, host: 'h', failureDomain: 'a', unreachable: new Set(), findObstacle: findDeparture, eligibility: {excluded: new Set()}, now, ...change,
 		});
 	}
 
--- a/src/core/gateway/__tests__/rerouting.test.ts
+++ b/src/core/gateway/__tests__/rerouting.test.ts
@@ -6,6 +6,7 @@
 import {place, reevaluate, type PlacementOptions} from '../placement.js';
 import {defaultPolicy} from '../policy.js';
 import {type Demand, type EngineModel, type GatewayUpstream} from '../types.js';
+import {findDeparture} from './fixtures.js';
 
 const now = 1_000_000;
 
@@ -55,7 +56,7 @@
 
 	function createOptions(load: Load, tried: readonly string[]): PlacementOptions {
 		return {
-			policy: defaultPolicy, load, health: new Health(), host: 'h', failureDomain: 'a', unreachable: new Set(), unavailable: new Set(), eligibility: {excluded: new Set(tried)}, now,
+			policy: defaultPolicy, load, health: new Health(), host: 'h', failureDomain: 'a', unreachable: new Set(), findObstacle: findDeparture, eligibility: {excluded: new Set(tried)}, now,
 		};
 	}
 
--- a/src/core/gateway/pauses.ts
+++ b/src/core/gateway/pauses.ts
@@ -50,9 +50,4 @@
 		const refusal = this.#refusals.get(registered.upstream);
 		return refusal !== undefined && isFrom(refusal, registered) ? Math.max(refusal.until - now, 0) : 0;
 	}
-
-	/** Upstreams whose pause may last. */
-	get upstreams(): readonly string[] {
-		return [...this.#refusals.keys()];
-	}
 }
--- a/src/core/gateway/placement.ts
+++ b/src/core/gateway/placement.ts
@@ -8,6 +8,7 @@
 } from './losses.js';
 import {type Policy} from './policy.js';
 import {type Eligibility} from './attempts.js';
+import {findAccepting, type ObstacleFinder} from './eligibility.js';
 import {
 	type Demand, type EngineModel, type GatewayUpstream, type Prompt,
 } from './types.js';
@@ -32,8 +33,8 @@
 	/** Failure domains that this host cannot reach now. */
 	readonly unreachable: ReadonlySet<string>;
 	readonly eligibility: Eligibility;
-	/** Upstreams that accept no request now. */
-	readonly unavailable: ReadonlySet<string>;
+	/** Finds what keeps an upstream from accepting a request. */
+	readonly findObstacle: ObstacleFinder;
 	/** Job of this request to leave out of forecasts, as if it had not been sent. */
 	readonly excludedJob?: string;
 	/** Monotonic time in milliseconds. */
@@ -181,8 +182,8 @@
 }
 
 /** Returns the upstreams that are neither backed off nor unreachable, or else all that are eligible: a doubtful one is better than none. */
-function findUsable(upstreams: readonly GatewayUpstream[], {eligibility, health, unreachable, unavailable, now}: PlacementOptions): readonly GatewayUpstream[] {
-	const eligible = upstreams.filter(each => !each.isDraining && !eligibility.excluded.has(each.id) && !unavailable.has(each.id));
+function findUsable(upstreams: readonly GatewayUpstream[], {eligibility, health, unreachable, findObstacle, now}: PlacementOptions): readonly GatewayUpstream[] {
+	const eligible = findAccepting(upstreams, eligibility, findObstacle);
 	const healthy = eligible.filter(each => !health.isBackedOff(each.id, now) && !unreachable.has(each.failureDomain));
 	return healthy.length > 0 ? healthy : eligible;
 }
--- a/src/core/gateway/rate-limits.ts
+++ b/src/core/gateway/rate-limits.ts
@@ -185,14 +185,6 @@
 		return Math.max(entry.nextAt + entry.delay - burstTime - now, 0);
 	}
 
-	/**
-	 * @param now - Time.
-	 * @returns Upstreams whose limits allow no request now.
-	 */
-	findExhausted(now: number): readonly string[] {
-		return [...this.#entries.keys()].filter(upstream => this.computeWait(upstream, now) > 0);
-	}
-
 	#recordFirst(report: RateLimitReport, now: number): RateLimitChange {
 		if (report.rate === undefined) {
 			return 'same';
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -60,6 +60,14 @@
 	readonly usualAnswer: number;
 };
 
+/** How the engines of a service start: they are cold for a while, and take few requests meanwhile. */
+export type ColdStart = {
+	/** Milliseconds for which an engine is cold after its start. */
+	readonly duration: number;
+	/** Requests per second from all hosts together that a cold engine takes; undefined for no limit. */
+	readonly rate?: number;
+};
+
 export type GatewayService = {
 	readonly name: string;
 	readonly healthPath: string;
@@ -67,6 +75,8 @@
 	readonly connections: number;
 	/** Set for services of model engines, undefined for plain services. */
 	readonly engine?: EngineModel;
+	/** Absent if its upstreams take all requests as soon as they have started. */
+	readonly coldStart?: ColdStart;
 };
 
 export type GatewayOrganisation = {
@@ -107,6 +117,8 @@
 	readonly sequence?: number;
 	/** Era of the store in which the registration was written; absent if it may be from a backup. */
 	readonly era?: number;
+	/** Milliseconds for which the upstream was still cold as it wrote the registration; absent if it was not. */
+	readonly coldRemaining?: number;
 };
 
 /** Process of an upstream: upstreams may start again under the same id. */
--- a/src/gateway/__tests__/self-reports.test.ts
+++ b/src/gateway/__tests__/self-reports.test.ts
@@ -28,6 +28,12 @@
 		}));
 	}
 
+	/** Returns the registered upstreams that accept no request of a host. */
+	findUnavailable(host: SelfReports): readonly string[] {
+		const {upstream: id} = process;
+		return this.started !== undefined && host.findObstacle({id, started: this.started}) !== undefined ? [id] : [];
+	}
+
 	run(milliseconds: number): void {
 		const end = this.now + milliseconds;
 		for (; this.now < end; this.now++) {
@@ -100,9 +106,9 @@
 		fleet.hosts[0]!.record(process, {rateLimit: 1, isLeaving: false}, 0);
 		fleet.hosts[0]!.countRequest('e1', 0);
 		fleet.started = undefined;
-		expect(fleet.hosts[0]!.findUnavailable().size).toBe(0);
+		expect(fleet.findUnavailable(fleet.hosts[0]!).length).toBe(0);
 		fleet.started = process.started;
-		expect([fleet.hosts[0]!.limitedCount, fleet.hosts[0]!.findUnavailable().size]).toEqual([1, 1]);
+		expect([fleet.hosts[0]!.limitedCount, fleet.findUnavailable(fleet.hosts[0]!).length]).toEqual([1, 1]);
 	});
 
 	it('ends with the first response of the process that takes the place of the one that reported it', () => {
@@ -125,7 +131,7 @@
 			fleet.run(10);
 		}
 
-		expect(fleet.hosts.map(host => [...host.findUnavailable()])).toEqual([['e1'], ['e1'], ['e1']]);
+		expect(fleet.hosts.map(host => fleet.findUnavailable(host))).toEqual([['e1'], ['e1'], ['e1']]);
 		expect(fleet.messages).toBe(2);
 	});
 
@@ -135,9 +141,9 @@
 		host!.record(process, {isLeaving: true}, 0);
 		host!.record(process, {isLeaving: false}, 500);
 		fleet.started = undefined;
-		expect(host!.findUnavailable().size).toBe(0);
+		expect(fleet.findUnavailable(host!).length).toBe(0);
 		fleet.started = process.started;
-		expect([...host!.findUnavailable()]).toEqual(['e1']);
+		expect(fleet.findUnavailable(host!)).toEqual(['e1']);
 	});
 
 	it('ends with the process, and a late report of the former one doesn\'t concern the next', () => {
@@ -147,7 +153,7 @@
 		fleet.started = process.started + 1;
 		fleet.hosts[0]!.record(process, {isLeaving: true}, 20);
 		fleet.run(10);
-		expect(fleet.hosts.map(host => host.findUnavailable().size)).toEqual([0, 0]);
+		expect(fleet.hosts.map(host => fleet.findUnavailable(host).length)).toEqual([0, 0]);
 	});
 });
 
@@ -158,10 +164,10 @@
 		const fleet = new Fleet(2);
 		fleet.hosts[0]!.record(process, refusal(500), 0);
 		fleet.run(499);
-		expect(fleet.hosts.map(host => host.findUnavailable().size)).toEqual([1, 0]);
-		expect(fleet.hosts[0]!.computeWait({id: 'e1', started: process.started})).toBe(1);
+		expect(fleet.hosts.map(host => fleet.findUnavailable(host).length)).toEqual([1, 0]);
+		expect(fleet.hosts[0]!.findObstacle({id: 'e1', started: process.started})).toEqual({type: 'pause', wait: 1});
 		fleet.run(1);
-		expect(fleet.hosts.map(host => host.findUnavailable().size)).toEqual([0, 0]);
+		expect(fleet.hosts.map(host => fleet.findUnavailable(host).length)).toEqual([0, 0]);
 	});
 
 	it('holds for a process that had started before the refusal and is registered after it, and for no later one', () => {
@@ -170,9 +176,9 @@
 		fleet.run(5000);
 		host!.record(process, refusal(5000), 5000);
 		fleet.started = 4900;
-		expect(host!.findUnavailable().size).toBe(1);
+		expect(fleet.findUnavailable(host!).length).toBe(1);
 		fleet.started = 9000;
-		expect(host!.findUnavailable().size).toBe(0);
+		expect(fleet.findUnavailable(host!).length).toBe(0);
 	});
 
 	it('is not shortened by a later one, nor by an answer', () => {
@@ -182,6 +188,6 @@
 		host!.record(process, refusal(100), 0);
 		host!.record(process, {isLeaving: false}, 0);
 		fleet.run(400);
-		expect(host!.findUnavailable().size).toBe(1);
+		expect(fleet.findUnavailable(host!).length).toBe(1);
 	});
 });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -11,6 +11,9 @@
 import {defaultPolicy} from '../core/gateway/policy.js';
 import {RetryBudget} from '../core/gateway/retries.js';
 import {type Eligibility} from '../core/gateway/attempts.js';
+import {
+	computeShortestWait, countObstacles, type Obstacle, type ObstacleFinder,
+} from '../core/gateway/eligibility.js';
 import {
 	type Demand, type EngineModel, type GatewayConfiguration, type GatewayService,
 } from '../core/gateway/types.js';
@@ -57,6 +60,8 @@
 	readonly #log: Log;
 	readonly #startedAt: number;
 	readonly #expiryTimer: NodeJS.Timeout;
+	/** Finds what keeps an upstream from accepting a request of this host at present. */
+	readonly #findObstacle: ObstacleFinder;
 	#directory: Directory | undefined;
 	#confirmedAt: Timestamp | undefined;
 	/** When the keys of the configuration in force were last known to be current. */
@@ -158,6 +163,7 @@
 			},
 		});
 		this.sharing = new StateSync(this, {self: settings.host, failureDomain: settings.failureDomain, clock});
+		this.#findObstacle = upstream => upstream.isDraining ? {type: 'departure'} : this.selfReports.findObstacle(upstream);
 		this.#expiryTimer = setInterval(() => {
 			this.load.removeExpired(clock.now());
 		}, expiryIntervalMs);
@@ -275,11 +281,16 @@
 	 * @param eligibility - Upstreams that the request may go to.
 	 * @returns Milliseconds until one of these accepts requests again; undefined if all that are left are leaving.
 	 */
-	computeWait(service: string, {excluded, permitted}: Eligibility): number | undefined {
-		const waits = this.upstreams.listByService(service)
-			.filter(each => !each.isDraining && !this.selfReports.isLeaving(each) && !excluded.has(each.id) && permitted?.has(each.id) !== false)
-			.map(each => this.selfReports.computeWait(each));
-		return waits.length === 0 ? undefined : Math.min(...waits);
+	computeWait(service: string, eligibility: Eligibility): number | undefined {
+		return computeShortestWait(this.upstreams.listByService(service), eligibility, this.#findObstacle);
+	}
+
+	/**
+	 * @param service - Service.
+	 * @returns Number of its upstreams by what keeps them from accepting a request at present, for the log.
+	 */
+	countObstacles(service: string): Readonly<Partial<Record<Obstacle['type'], number>>> {
+		return countObstacles(this.upstreams.listByService(service), this.#findObstacle);
 	}
 
 	/**
@@ -382,7 +393,7 @@
 			host: this.#settings.host,
 			failureDomain: this.#settings.failureDomain,
 			unreachable: this.reputation.unreachableDomains,
-			unavailable: this.selfReports.findUnavailable(),
+			findObstacle: this.#findObstacle,
 			eligibility,
 			now,
 		};
--- a/src/gateway/self-reports.ts
+++ b/src/gateway/self-reports.ts
@@ -1,6 +1,7 @@
 /** Keeps what upstreams report about themselves in their responses to this host and its peers, shares changes with peers, and logs them. */
 import {assertNever} from '../core/index.js';
 import {Departures} from '../core/gateway/departures.js';
+import {type Obstacle} from '../core/gateway/eligibility.js';
 import {Pauses} from '../core/gateway/pauses.js';
 import {RateLimits, type RateLimitReport, type RateShare} from '../core/gateway/rate-limits.js';
 import {type GatewayUpstream, type UpstreamProcess} from '../core/gateway/types.js';
@@ -112,34 +113,22 @@
 
 	/**
 	 * @param upstream - Registered upstream.
-	 * @returns Whether it has reported that it leaves.
+	 * @returns What it has reported that keeps it from accepting a request at present; of several, the one that lasts longest.
 	 */
-	isLeaving({id: upstream, started}: RegisteredUpstream): boolean {
-		return this.#departures.isLeaving({upstream, started});
-	}
-
-	/** Returns the upstreams that accept no request at present. */
-	findUnavailable(): ReadonlySet<string> {
-		const {now, findProcess} = this.#options;
-		const leaving = this.#departures.all.map(({upstream}) => upstream);
-		const candidates = [...leaving, ...this.#pauses.upstreams, ...this.#rateLimits.findExhausted(now())];
-		return new Set(candidates.filter(upstream => {
-			const process = findProcess(upstream);
-			return process !== undefined && (this.#departures.isLeaving(process) || this.#computeWait(process) > 0);
-		}));
-	}
-
-	/**
-	 * @param upstream - Registered upstream.
-	 * @returns Milliseconds until it accepts another request.
-	 */
-	computeWait({id: upstream, started}: RegisteredUpstream): number {
-		return this.#computeWait({upstream, started});
-	}
+	findObstacle({id: upstream, started}: RegisteredUpstream): Obstacle | undefined {
+		const process = {upstream, started};
+		if (this.#departures.isLeaving(process)) {
+			return {type: 'departure'};
+		}
 
-	#computeWait(process: UpstreamProcess): number {
 		const now = this.#options.now();
-		return Math.max(this.#rateLimits.computeWait(process.upstream, now), this.#pauses.computeWait(process, now));
+		const limitWait = this.#rateLimits.computeWait(upstream, now);
+		const pauseWait = this.#pauses.computeWait(process, now);
+		if (Math.max(limitWait, pauseWait) === 0) {
+			return undefined;
+		}
+
+		return limitWait >= pauseWait ? {type: 'rate-limit', wait: limitWait} : {type: 'pause', wait: pauseWait};
 	}
 
 	#applyPause(process: UpstreamProcess, pause: number): void {
