--- a/src/gateway/peers/state.ts
+++ b/src/gateway/peers/state.ts
@@ -20,6 +20,8 @@
 	usualAnswer: z.number(),
 });
 
+const coldStartSchema = z.object({duration: timeSchema, rate: z.number().positive().optional()});
+
 const routeSchema = z.object({
 	name: nameSchema,
 	authority: nameSchema,
@@ -39,7 +41,7 @@
 	version: z.number(),
 	routes: z.array(routeSchema).readonly(),
 	services: z.array(z.object({
-		name: nameSchema, healthPath: nameSchema, connections: z.number(), engine: engineSchema.optional(),
+		name: nameSchema, healthPath: nameSchema, connections: z.number(), engine: engineSchema.optional(), coldStart: coldStartSchema.optional(),
 	})).readonly(),
 	limits: z.object({
 		headerBytes: z.number(), bodyBytes: z.number(), headerTimeout: timeSchema, idleTimeout: timeSchema,
@@ -60,6 +62,7 @@
 	started: z.number().optional(),
 	sequence: z.number().optional(),
 	era: eraSchema,
+	coldRemaining: timeSchema.optional(),
 }) satisfies z.ZodType<GatewayUpstream>;
 
 /** What a host knows of the store's newest content, by which peers notice that they are behind. */
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -32,6 +32,15 @@
 	/** Time within which a change of the configuration must take effect, and within which a leaving upstream must no longer be used. */
 	configurationDelay: milliseconds.default(2000),
 	drainDelay: milliseconds.default(2000),
+	/** Time within which an evacuated failure domain must get no more requests. */
+	evacuationDelay: milliseconds.default(5000),
+	/** Most requests that a cold upstream may get in one second from all hosts together: a multiple of its rate, plus an allowance. */
+	coldStarts: z.object({
+		overage: z.number().min(1).default(1.5),
+		allowance: z.number().nonnegative().default(5),
+	}).readonly().default({overage: 1.5, allowance: 5}),
+	/** Memory that this process may use, in megabytes. */
+	memory: z.number().positive().optional(),
 	/** Retry budget of all hosts together: a share of the requests within a window, plus an allowance per window. */
 	retries: z.object({
 		ratio: z.number().min(0).default(0.2),
