--- a/src/core/gateway/__tests__/rate-limits.test.ts
+++ b/src/core/gateway/__tests__/rate-limits.test.ts
@@ -1,7 +1,8 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {createRandom} from '../../../../bench/model/workload.js';
-import {RateLimits, type RateLimitReport, type RateShare} from '../rate-limits.js';
+import {RateLimits, type RateLimitReport} from '../rate-limits.js';
+import {type RateShare} from '../rate-schedule.js';
 
 const alone: RateShare = {visible: 1, spread: 0};
 
--- a/src/core/gateway/rate-limits.ts
+++ b/src/core/gateway/rate-limits.ts
@@ -2,6 +2,7 @@
  * Keeps to the rate limits that upstreams report in their responses. A limit applies to all hosts together: each host counts the requests
  * that it sends and those that its peers report, and sends one only when the limit allows the next.
  */
+import {RateSchedule, type RateShare} from './rate-schedule.js';
 
 /** Limits kept, including those of upstreams that aren't registered any more: a registration that has lapsed may come back. */
 const maxEntries = 512;
@@ -46,23 +47,12 @@
  */
 export type RateLimitChange = 'changed' | 'outdated' | 'same';
 
-/** How the hosts share a limit. */
-export type RateShare = {
-	/** Share of the fleet whose requests are known here, above 0 and at most 1. */
-	readonly visible: number;
-	/** Milliseconds over which the hosts spread their use of the next allowed request. */
-	readonly spread: number;
-};
-
 type Entry = {
 	report: RateLimitReport;
-	/** When the next request is due if they are sent at the limit. */
-	nextAt: number;
+	readonly schedule: RateSchedule;
 	changedAt: number;
 	/** When the report was last shared with peers, by this host or another one; undefined if it has to be. */
 	sharedAt: number | undefined;
-	/** Milliseconds that this host leaves the next allowed request to others. */
-	delay: number;
 };
 
 function rateOf({rate}: RateLimitReport): number {
@@ -128,7 +118,7 @@
 
 		entry.report = report;
 		entry.changedAt = now;
-		entry.nextAt = Math.min(entry.nextAt, now + (msPerSecond / rateOf(report)));
+		entry.schedule.advanceTo(now + (msPerSecond / rateOf(report)));
 		return 'changed';
 	}
 
@@ -165,8 +155,7 @@
 	countRequest(upstream: string, at: number, {visible, spread}: RateShare): void {
 		const entry = this.#entries.get(upstream);
 		if (entry?.report.rate !== undefined) {
-			entry.nextAt = Math.max(entry.nextAt, at) + (msPerSecond / rateOf(entry.report) / visible);
-			entry.delay = this.#random() * spread;
+			entry.schedule.count(at, msPerSecond / rateOf(entry.report) / visible, this.#random() * spread);
 		}
 	}
 
@@ -182,7 +171,7 @@
 		}
 
 		const burstTime = Math.max(burstTimeMs - (msPerSecond / rateOf(entry.report)), 0);
-		return Math.max(entry.nextAt + entry.delay - burstTime - now, 0);
+		return entry.schedule.computeWait(now, burstTime);
 	}
 
 	#recordFirst(report: RateLimitReport, now: number): RateLimitChange {
@@ -191,7 +180,7 @@
 		}
 
 		this.#entries.set(report.upstream, {
-			report, nextAt: now, changedAt: now, sharedAt: undefined, delay: 0,
+			report, schedule: new RateSchedule(now), changedAt: now, sharedAt: undefined,
 		});
 		if (this.#entries.size > maxEntries) {
 			const [oldest] = this.#entries.keys();
--- a/src/core/gateway/upstream-reports.ts
+++ b/src/core/gateway/upstream-reports.ts
@@ -2,6 +2,16 @@
 import {type RateLimitReport} from './rate-limits.js';
 import {type UpstreamProcess} from './types.js';
 
-export type UpstreamReport
+/** Upstream that is cold. */
+export type ColdReport = UpstreamProcess & {
+	readonly type: 'cold';
+	/** End of its cold time; monotonic, in milliseconds. */
+	readonly until: number;
+};
+
+/** What an upstream states about itself in a response. */
+export type UpstreamStatement
 	= | RateLimitReport & {readonly type: 'rate-limit'}
 		| UpstreamProcess & {readonly type: 'departure'};
+
+export type UpstreamReport = ColdReport | UpstreamStatement;
--- a/src/gateway/__tests__/self-reports-model.test.ts
+++ b/src/gateway/__tests__/self-reports-model.test.ts
@@ -1,7 +1,7 @@
 /** Random histories of responses and messages: hosts agree with an upstream, and with each other, soon after it has settled. */
 import fc from 'fast-check';
 import {expect, it} from 'vitest';
-import {type UpstreamReport} from '../../core/gateway/upstream-reports.js';
+import {type UpstreamStatement} from '../../core/gateway/upstream-reports.js';
 import {fromWireReport, toWireReport} from '../peers/messages.js';
 import {SelfReports} from '../self-reports.js';
 
@@ -79,7 +79,7 @@
 		this.now = end;
 	}
 
-	#publish(from: number, report: UpstreamReport): void {
+	#publish(from: number, report: UpstreamStatement): void {
 		const wireReport = toWireReport(report, this.now);
 		for (let to = 0; to < hostCount; to++) {
 			if (to === from) {
--- a/src/gateway/__tests__/self-reports.test.ts
+++ b/src/gateway/__tests__/self-reports.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {type UpstreamReport} from '../../core/gateway/upstream-reports.js';
+import {type UpstreamStatement} from '../../core/gateway/upstream-reports.js';
 import {fromWireReport, toWireReport} from '../peers/messages.js';
 import {SelfReports} from '../self-reports.js';
 
@@ -43,7 +43,7 @@
 		}
 	}
 
-	#send(from: number, report: UpstreamReport): void {
+	#send(from: number, report: UpstreamStatement): void {
 		const wireReport = toWireReport(report, this.now);
 		for (const [index, host] of this.hosts.entries()) {
 			if (index !== from) {
--- a/src/gateway/self-reports.ts
+++ b/src/gateway/self-reports.ts
@@ -3,9 +3,10 @@
 import {Departures} from '../core/gateway/departures.js';
 import {type Obstacle} from '../core/gateway/eligibility.js';
 import {Pauses} from '../core/gateway/pauses.js';
-import {RateLimits, type RateLimitReport, type RateShare} from '../core/gateway/rate-limits.js';
+import {RateLimits, type RateLimitReport} from '../core/gateway/rate-limits.js';
+import {type RateShare} from '../core/gateway/rate-schedule.js';
 import {type GatewayUpstream, type UpstreamProcess} from '../core/gateway/types.js';
-import {type UpstreamReport} from '../core/gateway/upstream-reports.js';
+import {type UpstreamStatement} from '../core/gateway/upstream-reports.js';
 import {type Log} from '../entry/logs.js';
 import {type SelfReport} from './platform-adapter.js';
 
@@ -21,7 +22,7 @@
 	/** How the hosts share the limit of an upstream at present. */
 	readonly share: () => RateShare;
 	/** Sends a report to all peers. */
-	readonly publish: (report: UpstreamReport) => void;
+	readonly publish: (report: UpstreamStatement) => void;
 };
 
 type RegisteredUpstream = Pick<GatewayUpstream, 'id' | 'started'>;
@@ -44,7 +45,7 @@
 	}
 
 	/** All that is known, for a host that has just been linked. */
-	get all(): readonly UpstreamReport[] {
+	get all(): readonly UpstreamStatement[] {
 		return [
 			...this.#rateLimits.reports.map(report => ({type: 'rate-limit', ...report} as const)),
 			...this.#departures.all.map(departure => ({type: 'departure', ...departure} as const)),
@@ -81,7 +82,7 @@
 	 * @param peer - Peer.
 	 * @param report - What an upstream reported to the peer or to another host.
 	 */
-	applyPeerReport(peer: string, report: UpstreamReport): void {
+	applyPeerReport(peer: string, report: UpstreamStatement): void {
 		switch (report.type) {
 			case 'rate-limit': {
 				const {type, ...limit} = report;
