Cold engines get no more requests from all hosts than they take

Change: ColdRemainingMs of a registration is read; starts that a host observes are assumed cold; hosts that read the store report cold engines to their peers in an optional field of load updates, which earlier hosts ignore.

--- a/src/core/gateway/eligibility.ts
+++ b/src/core/gateway/eligibility.ts
@@ -42,6 +42,19 @@
 	}
 }
 
+/**
+ * @param a - An obstacle of an upstream, if there is one.
+ * @param b - Another one.
+ * @returns The one that lasts longer; one without a known end lasts longest.
+ */
+export function selectLonger(a: Obstacle | undefined, b: Obstacle | undefined): Obstacle | undefined {
+	if (a === undefined || b === undefined) {
+		return a ?? b;
+	}
+
+	return (waitOf(a) ?? Number.POSITIVE_INFINITY) >= (waitOf(b) ?? Number.POSITIVE_INFINITY) ? a : b;
+}
+
 /**
  * @param upstreams - Upstreams of a service.
  * @param eligibility - Upstreams that the request may still be sent to.
--- a/src/core/gateway/registry.ts
+++ b/src/core/gateway/registry.ts
@@ -26,6 +26,12 @@
 
 export const noDifference: RegistryDifference = {written: [], removed: []};
 
+/** An upstream may become cold again while it runs, for the same time as before. */
+function isEquallyCold(a: GatewayUpstream, b: GatewayUpstream): boolean {
+	const isWarm = b.coldRemaining === undefined && b.isColdTimeUnknown !== true;
+	return isWarm || (a.coldRemaining === b.coldRemaining && a.isColdTimeUnknown === b.isColdTimeUnknown && a.sequence === b.sequence);
+}
+
 function isEqual(a: GatewayUpstream | undefined, b: GatewayUpstream): boolean {
 	return a?.service === b.service
 		&& a.address.host === b.address.host
@@ -33,7 +39,8 @@
 		&& a.failureDomain === b.failureDomain
 		&& a.slots === b.slots
 		&& a.isDraining === b.isDraining
-		&& a.started === b.started;
+		&& a.started === b.started
+		&& isEquallyCold(a, b);
 }
 
 /**
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -119,6 +119,8 @@
 	readonly era?: number;
 	/** Milliseconds for which the upstream was still cold as it wrote the registration; absent if it was not. */
 	readonly coldRemaining?: number;
+	/** Set if the upstream stated a time for which it is cold that can't be right. */
+	readonly isColdTimeUnknown?: boolean;
 };
 
 /** Process of an upstream: upstreams may start again under the same id. */
--- /dev/null
+++ b/src/gateway/cold-starts.ts
@@ -0,0 +1,267 @@
+/** Keeps which upstreams are cold, from registrations, peers and starts that this host observes, shares it with peers, and logs it. */
+import {ColdStarts, type ColdBound, type ColdShare} from '../core/gateway/cold-starts.js';
+import {type Obstacle} from '../core/gateway/eligibility.js';
+import {type Job} from '../core/gateway/load.js';
+import {Settling} from '../core/gateway/settling.js';
+import {type ColdStart, type GatewayUpstream} from '../core/gateway/types.js';
+import {type ColdReport} from '../core/gateway/upstream-reports.js';
+import {type Log} from '../entry/logs.js';
+import {type RegistrationSource} from './upstreams.js';
+
+/** Time over which hosts spread their use of the next allowed request, in a large and in a small fleet. */
+const largeFleetSpreadMs = 200;
+const smallFleetSpreadMs = 100;
+
+/** For how long the view of the fleet is used: computing it takes time that grows with the fleet. */
+const viewLifetimeMs = 50;
+
+/** Registrations this soon after the first one are those that existed before this host started. */
+const firstListingMs = 500;
+
+/** Difference between the clocks of a host and an upstream up to which an upstream may have started later than it states. */
+const maxClockDifferenceMs = 2000;
+
+/** Extensions of a cold time that are not shared with peers. */
+const minSharedGainMs = 250;
+
+/** Requests older than this don't matter to the present second. */
+const maxRequestAgeMs = 1000;
+
+/** How long a request is told to wait while this host knows none of its peers. */
+const unknownFleetWaitMs = 1000;
+
+const ownAssumption = 'assumed';
+
+/** What this host knows of the other hosts. */
+export type FleetView = {
+	/** Share of the fleet whose requests are known here, above 0 and at most 1. */
+	readonly visible: number;
+	readonly isLarge: boolean;
+	/** Number of failure domains with hosts. */
+	readonly domains: number;
+	/** Whether this host has met a peer, or has none to meet. */
+	readonly isKnown: boolean;
+};
+
+export type ColdUpstreamsOptions = {
+	/** Name of this host. */
+	readonly self: string;
+	readonly bound: ColdBound;
+	readonly log: Pick<Log, 'write'>;
+	/** Monotonic time in milliseconds. */
+	readonly now: () => number;
+	/** Unix time in milliseconds. */
+	readonly wall: () => number;
+	/** Uniform from 0 to 1. */
+	readonly random: () => number;
+	readonly findUpstream: (id: string) => GatewayUpstream | undefined;
+	/** Returns how the upstreams of a service start, if that is configured. */
+	readonly findColdStart: (service: string) => ColdStart | undefined;
+	readonly viewFleet: () => FleetView;
+	/** Whether a host is of the failure domain of this one. */
+	readonly isOfDomain: (host: string) => boolean;
+	/** Sends a report to all peers. */
+	readonly publish: (report: ColdReport) => void;
+};
+
+function isSameWrite(a: GatewayUpstream | undefined, b: GatewayUpstream): boolean {
+	return a !== undefined && a.started === b.started && a.coldRemaining === b.coldRemaining && a.isColdTimeUnknown === b.isColdTimeUnknown
+		&& a.sequence !== undefined && a.sequence === b.sequence;
+}
+
+export class ColdUpstreams {
+	readonly #options: ColdUpstreamsOptions;
+	readonly #coldStarts: ColdStarts;
+	readonly #settling: Settling;
+	#firstRegistrationAt: number | undefined;
+	#view: {readonly at: number; readonly share: ColdShare} | undefined;
+
+	constructor(options: ColdUpstreamsOptions) {
+		this.#options = options;
+		this.#coldStarts = new ColdStarts(options.bound, options.random);
+		this.#settling = new Settling(options.now(), options.wall());
+	}
+
+	/** Number of registered upstreams that are cold. */
+	get count(): number {
+		return this.#coldStarts.list(this.#options.now()).filter(({upstream}) => this.#findLimit(upstream) !== undefined).length;
+	}
+
+	/** The cold upstreams, for a host that has just been linked. */
+	get all(): readonly ColdReport[] {
+		return this.#coldStarts.list(this.#options.now())
+			.map(({upstream, until}) => ({
+				type: 'cold', upstream, started: this.#options.findUpstream(upstream)?.started, until,
+			}));
+	}
+
+	/**
+	 * @param upstream - Its registration.
+	 * @param previous - The former one, if there was one.
+	 * @param source - Where it was read.
+	 */
+	recordRegistration(upstream: GatewayUpstream, previous: GatewayUpstream | undefined, source: RegistrationSource): void {
+		const now = this.#options.now();
+		this.#firstRegistrationAt ??= now;
+		const isFirstListing = now - this.#firstRegistrationAt < firstListingMs;
+		if (!isSameWrite(previous, upstream)) {
+			const stated = upstream.isColdTimeUnknown === true ? this.#durationOf(upstream) : upstream.coldRemaining ?? 0;
+			const origin = source.type === 'store' ? 'store' : source.peer;
+			this.#record(upstream, now + stated, origin, source.type === 'store');
+		}
+
+		if (previous === undefined && isFirstListing) {
+			this.#record(upstream, now + this.#assumeRemaining(upstream), ownAssumption, false);
+		} else if (previous === undefined || previous.started !== upstream.started) {
+			this.assumeCold(upstream);
+		}
+	}
+
+	/**
+	 * Assumes that an upstream has just become cold: it has started, or the evacuation of its failure domain has ended.
+	 *
+	 * @param upstream - Its registration.
+	 */
+	assumeCold(upstream: GatewayUpstream): void {
+		this.#record(upstream, this.#options.now() + this.#durationOf(upstream), ownAssumption, false);
+	}
+
+	/**
+	 * @param peer - Peer.
+	 * @param report - What it or another host knows of a cold upstream.
+	 */
+	applyPeerReport(peer: string, {upstream: id, started, until}: ColdReport): void {
+		const upstream = this.#options.findUpstream(id);
+		if (upstream !== undefined && (upstream.started ?? 0) <= (started ?? 0)) {
+			this.#record(upstream, until, peer, false);
+		}
+	}
+
+	/**
+	 * @param upstream - Upstream that is gone.
+	 */
+	forget(upstream: string): void {
+		this.#coldStarts.forget(upstream);
+	}
+
+	/**
+	 * Counts the requests of a job: one at the upstream that answers, and one for the part of each helper, whether it is reserved or not.
+	 * The reservations of this host's own jobs are counted as they are made.
+	 *
+	 * @param job - Job that this host or a peer has begun.
+	 */
+	countJob({host, upstream, helpers, isHeld, began}: Job): void {
+		if (this.#coldStarts.isEmpty || this.#options.now() - began > maxRequestAgeMs) {
+			return;
+		}
+
+		const isOwn = host === this.#options.self;
+		const isOfDomain = isOwn || this.#options.isOfDomain(host);
+		this.#count(upstream, began, isOfDomain);
+		if (isHeld && isOwn) {
+			return;
+		}
+
+		for (const engine of isHeld ? [upstream, ...helpers] : helpers) {
+			this.#count(engine, began, isOfDomain);
+		}
+	}
+
+	/**
+	 * @param upstreams - Upstreams that this host is about to send a reservation.
+	 */
+	countReservation(upstreams: readonly string[]): void {
+		if (!this.#coldStarts.isEmpty) {
+			for (const upstream of upstreams) {
+				this.#count(upstream, this.#options.now(), true);
+			}
+		}
+	}
+
+	/**
+	 * @param upstream - Registered upstream.
+	 * @returns That it is cold and gets no request of this host at present, with the wait until the next; undefined if it may get one.
+	 */
+	findObstacle({id}: GatewayUpstream): Obstacle | undefined {
+		const rate = this.#coldStarts.isEmpty ? undefined : this.#findLimit(id);
+		if (rate === undefined) {
+			return undefined;
+		}
+
+		const now = this.#options.now();
+		const wait = this.#coldStarts.computeWait(id, rate, now, this.#viewShare(now));
+		return wait > 0 ? {type: 'cold-start', wait} : undefined;
+	}
+
+	/** Notices suspensions of this host and upstreams that have become warm; to be called several times a second. */
+	update(): void {
+		const {now, wall, log} = this.#options;
+		this.#settling.observe(now(), wall());
+		for (const upstream of this.#coldStarts.removeEnded(now())) {
+			if (this.#findLimit(upstream) !== undefined) {
+				log.write({event: 'upstream-warm', upstream});
+			}
+		}
+	}
+
+	#count(upstream: string, at: number, isOfDomain: boolean): void {
+		const rate = this.#findLimit(upstream);
+		if (rate !== undefined && this.#coldStarts.getEnd(upstream) !== undefined) {
+			this.#coldStarts.count({upstream, at, isOfDomain}, rate, this.#viewShare(this.#options.now()));
+		}
+	}
+
+	#record({id, service, started}: GatewayUpstream, until: number, source: string, isShared: boolean): void {
+		const {log, now, wall, findColdStart, publish} = this.#options;
+		const at = now();
+		const wasCold = (this.#coldStarts.getEnd(id) ?? 0) > at;
+		const gain = this.#coldStarts.record(id, until, at);
+		if (gain === 0) {
+			return;
+		}
+
+		if (!wasCold && findColdStart(service)?.rate !== undefined) {
+			log.write({
+				event: 'upstream-cold', upstream: id, until: Math.round(wall() + until - at), remaining: Math.round(until - at), source,
+			});
+		}
+
+		if (isShared && gain >= minSharedGainMs) {
+			publish({
+				type: 'cold', upstream: id, started, until,
+			});
+		}
+	}
+
+	#durationOf({service}: GatewayUpstream): number {
+		return this.#options.findColdStart(service)?.duration ?? 0;
+	}
+
+	/** Milliseconds for which an upstream that started before this host may still be cold, from the start that it states. */
+	#assumeRemaining(upstream: GatewayUpstream): number {
+		const duration = this.#durationOf(upstream);
+		const age = upstream.started === undefined ? Number.POSITIVE_INFINITY : this.#options.wall() - upstream.started;
+		return Math.min(Math.max(duration + maxClockDifferenceMs - age, 0), duration);
+	}
+
+	/** Returns the requests per second that an upstream takes while cold; undefined for no limit. */
+	#findLimit(id: string): number | undefined {
+		const service = this.#options.findUpstream(id)?.service;
+		return service === undefined ? undefined : this.#options.findColdStart(service)?.rate;
+	}
+
+	#viewShare(now: number): ColdShare {
+		this.#settling.observe(now, this.#options.wall());
+		const settling = this.#settling.computeRemaining(now);
+		if (this.#view !== undefined && now - this.#view.at < viewLifetimeMs) {
+			return {...this.#view.share, settling: Math.max(this.#view.share.settling, settling)};
+		}
+
+		const {visible, isLarge, domains, isKnown} = this.#options.viewFleet();
+		const share = {
+			visible, spread: isLarge ? largeFleetSpreadMs : smallFleetSpreadMs, domains, settling: isKnown ? settling : Math.max(settling, unknownFleetWaitMs),
+		};
+		this.#view = {at: now, share};
+		return share;
+	}
+}
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -167,6 +167,7 @@
 		this.#metrics.upstreams.set(this.#gateway.upstreams.size);
 		this.#metrics.unhealthy.set(this.#gateway.reputation.unhealthyCount);
 		this.#metrics.limited.set(this.#gateway.selfReports.limitedCount);
+		this.#metrics.cold.set(this.#gateway.coldStarts.count);
 		this.#metrics.unreachable.set(this.#gateway.reputation.unreachableDomains.size);
 		this.#metrics.suspects.set(this.#gateway.reputation.suspects.size);
 	}
--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -220,11 +220,12 @@
 			return this.#send(placement, undefined);
 		}
 
-		const {holds} = this.#services;
+		const {gateway, holds} = this.#services;
 		const engines = [placement.upstream, ...placement.helpers];
 		await using hold = holds.prepare(engines.map(each => ({
 			upstream: each.id, started: each.started, address: each.address, tokens: placement.holdTokens,
 		})));
+		gateway.coldStarts.countReservation(engines.map(each => each.id));
 		const refused = await hold.acquire();
 		holds.count(refused.length === 0);
 		if (refused.length > 0 || this.#isOver) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -12,13 +12,14 @@
 import {RetryBudget} from '../core/gateway/retries.js';
 import {type Eligibility} from '../core/gateway/attempts.js';
 import {
-	computeShortestWait, countObstacles, type Obstacle, type ObstacleFinder,
+	computeShortestWait, countObstacles, selectLonger, type Obstacle, type ObstacleFinder,
 } from '../core/gateway/eligibility.js';
 import {
 	type Demand, type EngineModel, type GatewayConfiguration, type GatewayService,
 } from '../core/gateway/types.js';
 import {type Clock, type Timestamp} from '../entry/clock.js';
 import {type Log} from '../entry/logs.js';
+import {ColdUpstreams} from './cold-starts.js';
 import {Convictions} from './convictions.js';
 import {LoadUpdates} from './load-updates.js';
 import {type Host, type Message} from './peers/messages.js';
@@ -44,12 +45,16 @@
 /** How often to remove jobs that must be over. */
 const expiryIntervalMs = 1000;
 
+/** How often to look for suspensions of this host and for upstreams that have become warm. */
+const coldUpdateIntervalMs = 200;
+
 export class Gateway implements AsyncDisposable {
 	readonly load = new Load();
 	readonly upstreams: Upstreams;
 	readonly registrations: Registrations;
 	readonly reputation: Reputation;
 	readonly selfReports: SelfReports;
+	readonly coldStarts: ColdUpstreams;
 	readonly retries: RetryBudget;
 	readonly peers: Peers;
 	readonly sharing: StateSync;
@@ -60,6 +65,7 @@
 	readonly #log: Log;
 	readonly #startedAt: number;
 	readonly #expiryTimer: NodeJS.Timeout;
+	readonly #coldTimer: NodeJS.Timeout;
 	/** Finds what keeps an upstream from accepting a request of this host at present. */
 	readonly #findObstacle: ObstacleFinder;
 	#directory: Directory | undefined;
@@ -122,6 +128,23 @@
 				this.loadUpdates.publishReport(report);
 			},
 		});
+		this.coldStarts = new ColdUpstreams({
+			self: settings.host,
+			bound: settings.coldStarts,
+			log,
+			now: () => clock.now(),
+			wall: () => clock.wall(),
+			random: Math.random,
+			findUpstream: id => this.upstreams.get(id),
+			findColdStart: service => this.service(service)?.coldStart,
+			viewFleet: () => ({
+				visible: this.peers.computeVisibleShare(clock.now()), isLarge: this.peers.isLargeFleet, domains: this.peers.domainCount, isKnown: this.peers.isFleetKnown,
+			}),
+			isOfDomain: host => this.peers.listDomainHosts(settings.failureDomain).includes(host),
+			publish: report => {
+				this.loadUpdates.publishReport(report);
+			},
+		});
 		this.upstreams = new Upstreams(log, {
 			restarted: id => {
 				this.load.forgetUpstream(id, clock.now());
@@ -129,6 +152,10 @@
 			},
 			removed: id => {
 				this.reputation.forgetUpstream(id);
+				this.coldStarts.forget(id);
+			},
+			registered: (upstream, previous, source) => {
+				this.coldStarts.recordRegistration(upstream, previous, source);
 			},
 		});
 		this.registrations = new Registrations({upstreams: this.upstreams, log, now: () => clock.now()});
@@ -150,10 +177,15 @@
 			},
 			onNewJob: job => {
 				this.selfReports.countRequest(job.upstream, job.began);
+				this.coldStarts.countJob(job);
 			},
-			reports: () => this.selfReports.all,
+			reports: () => [...this.selfReports.all, ...this.coldStarts.all],
 			onReport: (peer, report) => {
-				this.selfReports.applyPeerReport(peer, report);
+				if (report.type === 'cold') {
+					this.coldStarts.applyPeerReport(peer, report);
+				} else {
+					this.selfReports.applyPeerReport(peer, report);
+				}
 			},
 			sent: job => {
 				const service = this.upstreams.get(job.upstream)?.service;
@@ -163,10 +195,13 @@
 			},
 		});
 		this.sharing = new StateSync(this, {self: settings.host, failureDomain: settings.failureDomain, clock});
-		this.#findObstacle = upstream => upstream.isDraining ? {type: 'departure'} : this.selfReports.findObstacle(upstream);
+		this.#findObstacle = upstream => upstream.isDraining ? {type: 'departure'} : selectLonger(this.selfReports.findObstacle(upstream), this.coldStarts.findObstacle(upstream));
 		this.#expiryTimer = setInterval(() => {
 			this.load.removeExpired(clock.now());
 		}, expiryIntervalMs);
+		this.#coldTimer = setInterval(() => {
+			this.coldStarts.update();
+		}, coldUpdateIntervalMs);
 	}
 
 	/** Lookup over the configuration in force, if there is one. */
@@ -379,6 +414,7 @@
 
 	async [Symbol.asyncDispose](): Promise<void> {
 		clearInterval(this.#expiryTimer);
+		clearInterval(this.#coldTimer);
 		this.registrations[Symbol.dispose]();
 		await this.peers[Symbol.asyncDispose]();
 	}
--- a/src/gateway/load-updates.ts
+++ b/src/gateway/load-updates.ts
@@ -14,7 +14,7 @@
 import {LoadBatch, type LoadChanges} from './load-batch.js';
 import {LoadRequester} from './load-requester.js';
 import {
-	fromWireJob, fromWireReport, toWireJob, toWireReport, type Host, type HostsLost, type LoadUpdate, type LoadResponse, type LoadRequest, type Message,
+	fromWireCold, fromWireJob, fromWireReport, toWireCold, toWireJob, toWireReport, type Host, type HostsLost, type LoadUpdate, type LoadResponse, type LoadRequest, type Message,
 } from './peers/messages.js';
 import {type Peers} from './peers/peers.js';
 
@@ -227,7 +227,10 @@
 			this.#options.onAbsence(absence);
 		}
 
-		const reports = (update.reports ?? []).map(report => fromWireReport(report, now()));
+		const reports = [
+			...(update.reports ?? []).map(report => fromWireReport(report, now())),
+			...(update.cold ?? []).map(report => fromWireCold(report, now())),
+		];
 		for (const report of reports) {
 			this.#options.onReport(from.name, report);
 		}
@@ -412,13 +415,16 @@
 
 	#createUpdate({began = [], progressed = [], ended = [], absences = [], reports = []}: Partial<LoadChanges>, audience?: LoadUpdate['audience']): LoadUpdate {
 		const {self, now} = this.#options;
+		const statements = reports.filter(report => report.type !== 'cold');
+		const cold = reports.filter(report => report.type === 'cold');
 		return {
 			type: 'load',
 			began: began.map(job => toWireJob(job, self, now())),
 			progressed: [...progressed],
 			ended: [...ended],
 			absences: absences.length === 0 ? undefined : [...absences],
-			reports: reports.length === 0 ? undefined : reports.map(report => toWireReport(report, now())),
+			reports: statements.length === 0 ? undefined : statements.map(report => toWireReport(report, now())),
+			cold: cold.length === 0 ? undefined : cold.map(report => toWireCold(report, now())),
 			audience,
 		};
 	}
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -66,6 +66,7 @@
 	readonly upstreams: Gauge;
 	readonly unhealthy: Gauge;
 	readonly limited: Gauge;
+	readonly cold: Gauge;
 	readonly unreachable: Gauge;
 	readonly suspects: Gauge;
 	readonly #registry = new Registry();
@@ -89,6 +90,7 @@
 		this.upstreams = createGauge(registry, 'upstreams_known', 'Upstreams that may be used');
 		this.unhealthy = createGauge(registry, 'upstreams_doubted', 'Upstreams that were left alone and have not answered since');
 		this.limited = createGauge(registry, 'upstreams_limited', 'Upstreams that limit the rate of requests from all hosts');
+		this.cold = createGauge(registry, 'upstreams_cold', 'Upstreams that are cold and take few requests');
 		this.unreachable = createGauge(registry, 'domains_unreachable', 'Failure domains out of reach');
 		this.suspects = createGauge(registry, 'requests_suspected', 'Requests during which a connection of their upstream broke');
 	}
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -4,7 +4,7 @@
 import {assertNever, raise} from '../../core/index.js';
 import {roundTo} from '../../core/utils/numbers.js';
 import {type Job} from '../../core/gateway/load.js';
-import {type UpstreamReport} from '../../core/gateway/upstream-reports.js';
+import {type ColdReport, type UpstreamStatement} from '../../core/gateway/upstream-reports.js';
 import {createFrame, FrameReader} from '../../protocol/frames.js';
 import {
 	configurationMessageSchema, stateSchema, stateRequestSchema, stateSummarySchema,
@@ -59,6 +59,15 @@
 	z.object({type: z.literal('departure'), upstream: shortText, started: amount.optional()}),
 ]);
 
+/** Longest remaining time that a host reports of a cold upstream, in milliseconds. */
+const maxColdTimeMs = 3_600_000;
+
+/**
+ * An upstream that is cold. Not a member of the reports above: a host that doesn't know a type of report refuses the whole message, but it
+ * ignores a field that it doesn't know.
+ */
+const coldSchema = z.object({upstream: shortText, started: amount.optional(), remaining: amount});
+
 /** A crash of an upstream while it ran a request. */
 const crashSchema = z.object({
 	fingerprint: shortText, id: shortText, upstream: shortText, started: amount.optional(),
@@ -92,6 +101,7 @@
 		ended: z.array(shortText).max(maxListLength),
 		absences: z.array(absenceSchema).max(maxListLength).optional(),
 		reports: z.array(reportSchema).max(maxListLength).optional(),
+		cold: z.array(coldSchema).max(maxListLength).optional(),
 		audience: audienceSchema,
 	}),
 	/** Requests the load updates that a relay holds back for batching. */
@@ -110,6 +120,7 @@
 
 export type Host = Readonly<z.infer<typeof hostSchema>>;
 export type WireReport = Readonly<z.infer<typeof reportSchema>>;
+export type WireCold = Readonly<z.infer<typeof coldSchema>>;
 export type WireJob = Readonly<z.infer<typeof jobSchema>>;
 export type Message = z.infer<typeof messageSchema>;
 export type LoadUpdate = Extract<Message, {readonly type: 'load'}>;
@@ -218,7 +229,7 @@
  * @param now - Time in milliseconds.
  * @returns The report as sent to peers.
  */
-export function toWireReport(report: UpstreamReport, now: number): WireReport {
+export function toWireReport(report: UpstreamStatement, now: number): WireReport {
 	switch (report.type) {
 		case 'rate-limit': {
 			const {sent, received, ...limit} = report;
@@ -240,7 +251,7 @@
  * @param now - Time in milliseconds.
  * @returns The report, with times on this host's clock.
  */
-export function fromWireReport(wireReport: WireReport, now: number): UpstreamReport {
+export function fromWireReport(wireReport: WireReport, now: number): UpstreamStatement {
 	switch (wireReport.type) {
 		case 'rate-limit': {
 			const {sentAge, receivedAge, ...limit} = wireReport;
@@ -256,3 +267,23 @@
 		}
 	}
 }
+
+/**
+ * @param report - Cold upstream.
+ * @param now - Time in milliseconds.
+ * @returns The report as sent to peers.
+ */
+export function toWireCold({upstream, started, until}: ColdReport, now: number): WireCold {
+	return {upstream, started, remaining: Math.min(Math.max(Math.round(until - now), 0), maxColdTimeMs)};
+}
+
+/**
+ * @param wireCold - Report of a cold upstream as received.
+ * @param now - Time in milliseconds.
+ * @returns The report, with times on this host's clock. A time that can't be right is replaced by the nearest that can.
+ */
+export function fromWireCold({upstream, started, remaining}: WireCold, now: number): ColdReport {
+	return {
+		type: 'cold', upstream, started, until: now + Math.min(Math.max(remaining, 0), maxColdTimeMs),
+	};
+}
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -155,6 +155,17 @@
 		return this.#knownPeers.hosts.filter(host => host.failureDomain === failureDomain).map(host => host.name);
 	}
 
+	/** Number of failure domains of the known hosts, linked or not, and this one. */
+	get domainCount(): number {
+		return new Set([this.#options.self, ...this.#knownPeers.hosts].map(host => host.failureDomain)).size;
+	}
+
+	/** Whether this host has met another one of the fleet, or has no other address to dial. */
+	get isFleetKnown(): boolean {
+		const {address} = this.#options.self;
+		return this.fleetSize > 1 || this.#options.seeds.every(seed => seed.host === address.host && seed.port === address.port);
+	}
+
 	/**
 	 * Number of hosts of this failure domain, this one included, whose load updates arrive here. These are the linked hosts if this one is
 	 * the relay, and all known hosts otherwise. A host that has lost all links is its own relay and counts itself only.
--- a/src/gateway/peers/state.ts
+++ b/src/gateway/peers/state.ts
@@ -63,6 +63,7 @@
 	sequence: z.number().optional(),
 	era: eraSchema,
 	coldRemaining: timeSchema.optional(),
+	isColdTimeUnknown: z.boolean().optional(),
 }) satisfies z.ZodType<GatewayUpstream>;
 
 /** What a host knows of the store's newest content, by which peers notice that they are behind. */
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -7,6 +7,8 @@
 	/** Another process has registered under the id. */
 	readonly restarted: (id: string) => void;
 	readonly removed: (id: string) => void;
+	/** A registration was read, after `restarted` if that applies. */
+	readonly registered?: (upstream: GatewayUpstream, previous: GatewayUpstream | undefined, source: RegistrationSource) => void;
 };
 
 /** Origin of a registration or removal, with its position in the history of the store. */
@@ -88,6 +90,8 @@
 				event: 'upstream', upstream: upstream.id, service: upstream.service, domain: upstream.failureDomain, draining: upstream.isDraining, ...describeSource(source),
 			});
 		}
+
+		this.#events.registered?.(upstream, previous, source);
 	}
 
 	/**
--- a/stand-ins/gateway/upstream.ts
+++ b/stand-ins/gateway/upstream.ts
@@ -42,6 +42,8 @@
 	readonly at: number;
 	/** Start of the process that it arrived at. */
 	readonly process: number;
+	/** Whether the upstream was cold. */
+	readonly isCold?: boolean;
 	/** Undefined until a response has ended. */
 	statement?: Statement;
 };
@@ -87,6 +89,8 @@
 	#isIterating = false;
 	#isDraining = false;
 	#registrationCount = 0;
+	/** When it stops being cold; monotonic milliseconds. */
+	#coldUntil = 0;
 	/** Unix time in milliseconds. */
 	#startTime = Date.now();
 
@@ -121,6 +125,15 @@
 		return this.#tickets.names;
 	}
 
+	/**
+	 * Makes it cold, as after a start. It counts the requests that arrive meanwhile; register it to tell the hosts.
+	 *
+	 * @param duration - Milliseconds for which it is cold.
+	 */
+	chill(duration: number): void {
+		this.#coldUntil = performance.now() + duration;
+	}
+
 	/** Returns its next registration record for the store. */
 	createRegistration(): Readonly<Record<string, unknown>> {
 		this.#registrationCount++;
@@ -132,7 +145,7 @@
 			Version: 'v1',
 			Slots: slots,
 			State: this.#isDraining ? 'draining' : 'ready',
-			ColdRemainingMs: 0,
+			ColdRemainingMs: Math.max(Math.round(this.#coldUntil - performance.now()), 0),
 			Sequence: this.#registrationCount,
 			born: this.#startTime,
 		};
@@ -248,7 +261,9 @@
 	}
 
 	#recordArrival(request: string, outgoing: ServerResponse): void {
-		const arrival: Arrival = {request, at: performance.now(), process: this.#startTime};
+		const arrival: Arrival = {
+			request, at: performance.now(), process: this.#startTime, isCold: performance.now() < this.#coldUntil,
+		};
 		this.#arrivals.push(arrival);
 		outgoing.once('close', () => {
 			if (outgoing.headersSent) {
