--- a/bench/soak/plan.ts
+++ b/bench/soak/plan.ts
@@ -28,6 +28,8 @@
 		| {readonly type: 'depart'; readonly upstreams: readonly number[]; readonly length: number}
 	/** Upstreams refuse requests, stating for how many seconds they want none. */
 		| {readonly type: 'refuse'; readonly upstreams: readonly number[]; readonly retryAfter: number; readonly length: number}
+	/** An engine becomes cold for `length`, and registers so. */
+		| {readonly type: 'cold'; readonly upstream: number; readonly length: number}
 	/** A fault of the link to the store or to a plain service. */
 		| {readonly type: 'link'; readonly link: number; readonly how: 'delay' | 'cut' | 'refuse' | 'black-hole'; readonly length: number};
 
@@ -65,6 +67,11 @@
 /** A rate limit is kept to a while after it was stated first, so that it must last longer. */
 const limitLengthMs = {least: 5000, most: 9000};
 
+/** The same for engines that become cold, and milliseconds between two of them. */
+const coldSeedOffset = 3_000_003;
+const gapBetweenColdEngines = {least: 1000, most: 6000};
+const coldLengthMs = {least: 1000, most: 5000};
+
 const statementTypes = ['limit', 'depart', 'refuse'] as const;
 
 /** Limit for consecutive faults of one type. */
@@ -142,6 +149,10 @@
 			};
 		}
 
+		case 'cold': {
+			return {type, upstream: random.integer(0, options.engines - 1), length: random.integer(coldLengthMs.least, coldLengthMs.most)};
+		}
+
 		case 'link': {
 			return {
 				type, link: random.integer(0, options.links - 1), how: pick(random, ['delay', 'cut', 'refuse', 'black-hole']), length,
@@ -160,6 +171,16 @@
 	return planned;
 }
 
+function planColdEngines(seed: number, options: PlanOptions): readonly PlannedFault[] {
+	const random = createRandom(seed + coldSeedOffset);
+	const planned: PlannedFault[] = [];
+	for (let at = random.integer(0, gapBetweenColdEngines.most); at < options.length; at += random.integer(gapBetweenColdEngines.least, gapBetweenColdEngines.most)) {
+		planned.push({at, fault: drawFault(random, 'cold', options)});
+	}
+
+	return planned;
+}
+
 function planRestores(seed: number, options: PlanOptions): readonly PlannedFault[] {
 	const random = createRandom(seed + restoreSeedOffset);
 	const planned: PlannedFault[] = [];
@@ -190,5 +211,5 @@
 		at += random.integer(gapBetweenSeriesMs.least, gapBetweenSeriesMs.most);
 	}
 
-	return [...planned, ...planRestores(seed, options), ...planStatements(seed, options)].toSorted((a, b) => a.at - b.at);
+	return [...planned, ...planRestores(seed, options), ...planStatements(seed, options), ...planColdEngines(seed, options)].toSorted((a, b) => a.at - b.at);
 }
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -4,6 +4,7 @@
 import {Client} from './clients.js';
 import {engineCount, Testbed, plainCount} from './testbed.js';
 import {planFaults} from './plan.js';
+import {findColdOverruns} from './cold-engines.js';
 import {findBrokenGuarantees, hasReversion} from './guarantees.js';
 import {findIgnoredStatements} from './statements.js';
 import {EventLoopLag, findUnrecovered} from './recovery.js';
@@ -57,6 +58,6 @@
 		served: requests.filter(({result}) => result.type === 'answered' && result.answer.status === 200 && result.answer.isWhole).length,
 		faults: planned.length,
 		history: testbed.history,
-		broken: [...findBrokenGuarantees(requests, id => site.ledger.findRuns(id), testbed.outages, lag.most), ...findIgnoredStatements([...site.engines, ...site.plains], requests, testbed.outages, lag.most), ...unrecovered, ...reversions],
+		broken: [...findBrokenGuarantees(requests, id => site.ledger.findRuns(id), testbed.outages, lag.most), ...findIgnoredStatements([...site.engines, ...site.plains], requests, testbed.outages, lag.most), ...findColdOverruns(site.engines, requests, site.hosts, lag.most), ...unrecovered, ...reversions],
 	};
 }
--- a/bench/soak/testbed.ts
+++ b/bench/soak/testbed.ts
@@ -4,9 +4,10 @@
 import {assertNever} from '../../src/core/index.js';
 import {type UpstreamStandIn} from '../../stand-ins/gateway/upstream.js';
 import {FaultProxy, settingsSchema} from '../../stand-ins/proxy/service.js';
-import {createConfiguration} from '../gateway/configuration.js';
+import {createConfiguration, engineConfiguration} from '../gateway/configuration.js';
 import {type Host} from '../gateway/host.js';
 import {Site} from '../gateway/site.js';
+import {coldStartConfiguration} from './cold-engines.js';
 import {type Fault} from './plan.js';
 import {type Outage} from './guarantees.js';
 
@@ -26,6 +27,18 @@
 /** Configuration version published after all faults; higher than any that a fault publishes. */
 const finalVersion = 1000;
 
+function createSoakConfiguration(version: number): unknown {
+	return createConfiguration(version, {
+		Services: [
+			{
+				Name: 'model', HealthPath: '/healthz', MaxConnections: 100, Engine: engineConfiguration, ...coldStartConfiguration,
+			},
+			{Name: 'plain', HealthPath: '/healthz', MaxConnections: 50},
+			{Name: 'nowhere', HealthPath: '/healthz', MaxConnections: 50},
+		],
+	});
+}
+
 export class Testbed implements AsyncDisposable {
 	/**
 	 * @param hosts - Number of gateway processes.
@@ -40,7 +53,9 @@
 				return proxy.openLink({name, target, listen: {host: '127.0.0.1', port: 0}});
 			},
 		});
-		return new Testbed(site, proxy, links);
+		const testbed = new Testbed(site, proxy, links);
+		testbed.#publish(2);
+		return testbed;
 	}
 
 	readonly site: Site;
@@ -201,6 +216,15 @@
 				return;
 			}
 
+			case 'cold': {
+				const upstream = this.#upstreams[fault.upstream]!;
+				upstream.chill(fault.length);
+				this.#registerUnlessRemoved(upstream);
+				await sleep(fault.length);
+				this.#registerUnlessRemoved(upstream);
+				return;
+			}
+
 			case 'link': {
 				const where = {link: this.#links[fault.link]};
 				this.#proxy.apply(fault.how === 'delay' ? {type: 'delay', where, delay: linkDelayMs} : {type: fault.how, where});
@@ -229,6 +253,10 @@
 
 	#restartUpstream(upstream: UpstreamStandIn): void {
 		upstream.restart();
+		this.#registerUnlessRemoved(upstream);
+	}
+
+	#registerUnlessRemoved(upstream: UpstreamStandIn): void {
 		if (!this.#unregistered.has(upstream)) {
 			this.site.register(upstream);
 		}
@@ -267,7 +295,7 @@
 
 	#publish(version: number): void {
 		this.#version = version;
-		this.site.store.put('op/config', createConfiguration(version));
+		this.site.store.put('op/config', createSoakConfiguration(version));
 	}
 
 	/** Runs a fault that takes a process down and records the outage; does nothing if the process is already down. */
--- a/src/cli/commands/incidents.ts
+++ b/src/cli/commands/incidents.ts
@@ -38,6 +38,8 @@
 	'upstream-paused',
 	'upstream-leaving',
 	'upstream-limit',
+	'upstream-cold',
+	'upstream-warm',
 	'upstream-doubted',
 	'upstream-trusted',
 	'domain-unreachable',
