Read responses of slow callers on within a budget of memory

Cause: with a caller that reads nothing for 5 s, the host stops reading the stream; its stall detector then cancels the attempt as silent, or the engine cuts the stream off.

Change: responses queue what their callers have not read and are read on as the decision allows; the setting `memory` enables it. Bodies that are collected count too, and are passed on as they arrive while memory is short. A stopped response suspends the stall detector. Complete answers are delivered after the deadline while their callers read; others end. Metrics and log lines state bytes held and responses stopped and ended. The stand-in engine can pad events and cut off unread streams.

--- a/bench/gateway/caller-requests.ts
+++ b/bench/gateway/caller-requests.ts
@@ -24,6 +24,8 @@
 	readonly body?: string;
 	readonly agent?: Agent;
 	readonly signal?: AbortSignal;
+	/** Milliseconds for which nothing is read after the head of the answer. */
+	readonly readingDelay?: number;
 	/** Called with each chunk of the body. */
 	readonly onData?: (text: string) => void;
 };
@@ -76,6 +78,12 @@
 			});
 			incoming.on('end', end);
 			incoming.on('error', end);
+			if (callerRequest.readingDelay !== undefined) {
+				incoming.pause();
+				setTimeout(() => {
+					incoming.resume();
+				}, callerRequest.readingDelay);
+			}
 		});
 		outgoing.on('error', error => {
 			if (!isAnswered) {
--- a/bench/gateway/configuration.ts
+++ b/bench/gateway/configuration.ts
@@ -24,7 +24,8 @@
 
 type Route = Readonly<Record<string, unknown>>;
 
-const routes: readonly Route[] = [
+/** Routes of the configuration. */
+export const routes: readonly Route[] = [
 	{
 		Name: 'ask', Hostname: 'api.example', Prefix: '/ask/', RouteType: 'streaming', TimeoutMs: 8000, TargetLatencyMs: 300, Priority: 1, Service: 'model', MaxAttempts: 2, SessionAffinity: true, StreamResume: true, GapTargetMs: 250,
 	},
--- /dev/null
+++ b/src/gateway/__tests__/response-buffers.test.ts
@@ -0,0 +1,196 @@
+/* eslint-disable @typescript-eslint/no-unsafe-type-assertion -- The mocks contain only the members that these tests use. */
+import {Buffer} from 'node:buffer';
+import {EventEmitter} from 'node:events';
+import {type ServerResponse} from 'node:http';
+import {Readable} from 'node:stream';
+import {describe, expect, it} from 'vitest';
+import {type Reply} from '../attempt.js';
+import {GatewayMetrics} from '../metrics.js';
+import {ResponseBuffer} from '../response-buffer.js';
+import {ResponseBuffers} from '../response-buffers.js';
+import {forwardEvents, readBody} from '../response-forwarding.js';
+import {type RequestTrace} from '../trace.js';
+
+/** A caller that takes bytes only when told to. */
+// eslint-disable-next-line unicorn/prefer-event-target -- Responses of Node.js are event emitters.
+class Caller extends EventEmitter {
+	headersSent = false;
+	destroyed = false;
+	writableEnded = false;
+	received = '';
+	#pending: (() => void) | undefined;
+
+	write(bytes: Buffer, callback?: () => void): boolean {
+		this.received += bytes.toString();
+		this.#pending = callback;
+		return false;
+	}
+
+	/** Takes what has been written to its socket. */
+	take(): void {
+		const pending = this.#pending;
+		this.#pending = undefined;
+		pending?.();
+	}
+
+	end(): void {
+		this.writableEnded = true;
+		this.destroy();
+	}
+
+	destroy(): void {
+		this.destroyed = true;
+		this.emit('close');
+	}
+}
+
+class Fixture {
+	now = 0;
+	readonly lines: Array<Readonly<Record<string, unknown>>> = [];
+	readonly metrics = new GatewayMetrics();
+	readonly buffers: ResponseBuffers;
+
+	constructor(budget: number | undefined) {
+		this.buffers = new ResponseBuffers({budget, clock: {now: () => this.now}, metrics: this.metrics});
+	}
+
+	open(): {readonly caller: Caller; readonly buffer: ResponseBuffer} {
+		const caller = new Caller();
+		const trace = {
+			write: (event: string, fields: Readonly<Record<string, unknown>>) => {
+				this.lines.push({event, ...fields});
+			},
+		} as unknown as RequestTrace;
+		return {caller, buffer: new ResponseBuffer(caller as unknown as ServerResponse, this.buffers, trace)};
+	}
+}
+
+function createReply(chunks: Iterable<Buffer>, status = 200): Reply {
+	return {
+		type: 'reply', status, rawHeaders: [], body: Readable.from(chunks), isComplete: async () => true,
+	} as unknown as Reply;
+}
+
+const noObserver = {
+	onEvents: () => undefined, stopped: () => undefined, resumed: () => undefined,
+};
+
+describe('a stream whose caller doesn\'t read', () => {
+	// Guards against an unread upstream while there is memory.
+	it('is read to its end within the budget, and sent unchanged once the caller reads', async () => {
+		const fixture = new Fixture(1_000_000);
+		const {caller, buffer} = fixture.open();
+		const events = Array.from({length: 50}, (_, index) => `id: ${index}\ndata: ${'x'.repeat(5000)}\n\n`);
+		const ending = await forwardEvents(buffer, createReply(events.map(event => Buffer.from(event))), noObserver);
+		expect(ending).toEqual({type: 'answered', status: 200});
+		expect(fixture.buffers.held).toBeGreaterThan(events.join('').length);
+		buffer.finish();
+		while (!caller.destroyed) {
+			caller.take();
+		}
+
+		expect(caller.received).toBe(events.join(''));
+		expect(fixture.buffers.held).toBe(0);
+		expect(fixture.lines).toEqual([]);
+	});
+
+	it('stops being read at the limit, tells whoever watches the upstream, and goes on once the caller reads', async () => {
+		const fixture = new Fixture(100_000);
+		const {caller, buffer} = fixture.open();
+		const notices: string[] = [];
+		const event = `data: ${'x'.repeat(20_000)}\n\n`;
+		const forwarded = forwardEvents(buffer, createReply(Array.from({length: 10}, () => Buffer.from(event))), {
+			onEvents: () => undefined,
+			stopped() {
+				notices.push('stopped');
+			},
+			resumed() {
+				notices.push('resumed');
+			},
+		});
+		await expect.poll(() => notices).toEqual(['stopped']);
+		expect(fixture.buffers.held).toBeLessThanOrEqual(100_000);
+		expect(fixture.buffers.stoppedCount).toBe(1);
+		expect(fixture.lines).toMatchObject([{
+			event: 'response-stopped', bytes: fixture.buffers.held, held: fixture.buffers.held, budget: 100_000,
+		}]);
+		const timer = setInterval(() => {
+			caller.take();
+		}, 1);
+		await expect(forwarded).resolves.toMatchObject({type: 'answered'});
+		clearInterval(timer);
+		expect(notices.at(-1)).toBe('resumed');
+		expect(fixture.lines.length).toBe(1);
+	});
+
+	it('frees its bytes and stops waiting when its caller leaves', async () => {
+		const fixture = new Fixture(10_000);
+		const {caller, buffer} = fixture.open();
+		const written = buffer.write([Buffer.alloc(9000)]);
+		caller.destroy();
+		await written;
+		expect([fixture.buffers.held, fixture.buffers.stoppedCount]).toEqual([0, 0]);
+	});
+
+	it('is cut off for lack of space only as the largest and slowest', async () => {
+		const fixture = new Fixture(100_000);
+		const [large, small] = [fixture.open(), fixture.open()];
+		for (const {caller} of [large, small]) {
+			caller.headersSent = true;
+		}
+
+		const written = large.buffer.write([Buffer.alloc(90_000)]);
+		fixture.now = 1000;
+		await small.buffer.write([Buffer.alloc(20_000)]);
+		await written;
+		expect([large.caller.destroyed, small.caller.destroyed]).toEqual([true, false]);
+		expect(fixture.lines.find(({event}) => event === 'response-ended')).toMatchObject({reason: 'space', bytes: 90_256, stalledFor: 1000});
+		expect(await fixture.metrics.text()).toContain('cranberrytide_responses_ended_total{reason="space"} 1');
+	});
+
+	it('ends at the deadline if nothing of its complete answer is read, and not while it is read', async () => {
+		const fixture = new Fixture(1_000_000);
+		const {caller, buffer} = fixture.open();
+		buffer.finish([Buffer.alloc(1000)]);
+		fixture.now = 5000;
+		await buffer.delivered(() => 0);
+		expect(caller.destroyed).toBe(false);
+		expect(fixture.lines).toMatchObject([{event: 'response-ended', reason: 'stalled', bytes: 1256}]);
+	});
+});
+
+describe('a body that has not begun', () => {
+	it('is passed on as it arrives while memory is short, so that its caller takes it', async () => {
+		const fixture = new Fixture(100_000);
+		const slow = fixture.open();
+		void slow.buffer.write([Buffer.alloc(79_000)]);
+		fixture.now = 1000;
+		const {buffer} = fixture.open();
+		const body = await readBody(createReply([Buffer.alloc(10_000), Buffer.alloc(10_000)]), buffer, 0);
+		expect(body.type).toBe('long');
+	});
+
+	it('ends as one that could not be delivered, and closes the upstream\'s response', async () => {
+		const fixture = new Fixture(100_000);
+		const {caller, buffer} = fixture.open();
+		const reply = createReply(Array.from({length: 20}, () => Buffer.alloc(10_000)), 500);
+		await expect(readBody(reply, buffer, 0)).resolves.toMatchObject({type: 'broken', reason: 'no space to hold the answer'});
+		expect([caller.destroyed, buffer.hasEnded, reply.body.destroyed, fixture.buffers.held]).toEqual([false, true, true, 0]);
+	});
+});
+
+it('waits for the caller as before if no memory is set', async () => {
+	const fixture = new Fixture(undefined);
+	const {caller, buffer} = fixture.open();
+	let isDone = false;
+	const written = buffer.write([Buffer.from('abc')]).finally(() => {
+		isDone = true;
+	});
+	await new Promise(resolve => {
+		setTimeout(resolve, 10);
+	});
+	expect([isDone, fixture.buffers.held]).toEqual([false, 0]);
+	caller.emit('drain');
+	await written;
+	expect(caller.received).toBe('abc');
+});
--- a/src/gateway/caller-response.ts
+++ b/src/gateway/caller-response.ts
@@ -8,13 +8,15 @@
 import {
 	isStream, readBody, forwardEvents, forwardLongBody, writeHead, type ResponseBody,
 } from './response-forwarding.js';
+import {ResponseBuffer, type ReadingObserver} from './response-buffer.js';
+import {type ResponseBuffers} from './response-buffers.js';
 import {type RequestTrace} from './trace.js';
 
 /** Why the gateway stops working on a request. */
 export type StopReason = Extract<CancelReason, 'caller left' | 'time over'>;
 
 /** Callbacks for the progress of an upstream's response. */
-export type ReplyListener = {
+export type ReplyListener = ReadingObserver & {
 	/** Called at the first event of a stream, or when the body has been read. */
 	readonly began: () => void;
 	/** Called when events of a stream arrive. */
@@ -31,6 +33,7 @@
 	readonly #outgoing: ServerResponse;
 	readonly #trace: RequestTrace;
 	readonly #random: () => number;
+	readonly #buffer: ResponseBuffer;
 	#mayHaveRun = false;
 	#lastEventId: string | undefined;
 	#lastReply: {readonly reply: Reply; readonly body: WholeBody} | undefined;
@@ -39,11 +42,13 @@
 	 * @param outgoing - Response to the caller.
 	 * @param trace - Records the events and the outcome.
 	 * @param random - Uniform from 0 to 1.
+	 * @param buffers - Unsent bytes of all responses of this host.
 	 */
-	constructor(outgoing: ServerResponse, trace: RequestTrace, random: () => number) {
+	constructor(outgoing: ServerResponse, trace: RequestTrace, random: () => number, buffers: ResponseBuffers) {
 		this.#outgoing = outgoing;
 		this.#trace = trace;
 		this.#random = random;
+		this.#buffer = new ResponseBuffer(outgoing, buffers, trace);
 	}
 
 	/** Whether the caller has received part of an answer. */
@@ -51,9 +56,9 @@
 		return this.#outgoing.headersSent;
 	}
 
-	/** Whether the connection to the caller is closed. */
+	/** Whether the connection to the caller is closed, or the answer was given up because memory is short. */
 	get isClosed(): boolean {
-		return this.#outgoing.destroyed;
+		return this.#outgoing.destroyed || this.#buffer.hasEnded;
 	}
 
 	/** Id of the last event of the stream that the caller has received. */
@@ -104,7 +109,7 @@
 	conclude(name: AnswerName, stopReason: StopReason | undefined, wait = 0): void {
 		const outgoing = this.#outgoing;
 		if (stopReason === 'caller left' || outgoing.destroyed) {
-			this.#trace.finish('caller left');
+			this.#trace.finish(this.#buffer.hasEnded ? 'broken off' : 'caller left');
 			return;
 		}
 
@@ -140,9 +145,20 @@
 		this.#trace.finish(name);
 	}
 
+	/**
+	 * Waits until the caller has received a complete answer, or no longer reads it and its time is over.
+	 *
+	 * @param timeLeft - Returns the milliseconds until the deadline of the request.
+	 */
+	async delivered(timeLeft: () => number): Promise<void> {
+		await this.#buffer.delivered(timeLeft);
+	}
+
 	async #forwardStream(reply: Reply, listener: ReplyListener): Promise<AttemptEnding> {
 		let isFirst = true;
-		const ending = await forwardEvents(this.#outgoing, reply, {
+		const ending = await forwardEvents(this.#buffer, reply, {
+			stopped: listener.stopped,
+			resumed: listener.resumed,
 			onEvents: lastId => {
 				listener.receivedEvents();
 				this.#trace.noteEvents();
@@ -156,14 +172,14 @@
 		});
 		if (ending.type === 'answered') {
 			this.#ensureHead(reply);
-			this.#outgoing.end();
+			this.#buffer.finish();
 		}
 
 		return ending;
 	}
 
 	async #forwardBody(reply: Reply, route: Route, listener: ReplyListener): Promise<AttemptEnding> {
-		const body = await readBody(reply);
+		const body = await readBody(reply, this.#buffer, this.#lastReply?.body.length ?? 0);
 		listener.began();
 		switch (body.type) {
 			case 'broken': {
@@ -172,8 +188,8 @@
 
 			case 'long': {
 				writeHead(this.#outgoing, reply);
-				if (await forwardLongBody(this.#outgoing, body) && await reply.isComplete()) {
-					this.#outgoing.end();
+				if (await forwardLongBody(this.#buffer, body) && await reply.isComplete()) {
+					this.#buffer.finish();
 					return {type: 'answered', status: reply.status};
 				}
 
@@ -213,9 +229,9 @@
 		}
 	}
 
-	#sendWhole(reply: Reply, {bytes}: WholeBody): void {
-		writeHead(this.#outgoing, reply, bytes.length);
-		this.#outgoing.end(bytes);
+	#sendWhole(reply: Reply, {chunks, length}: WholeBody): void {
+		writeHead(this.#outgoing, reply, length);
+		this.#buffer.finish(chunks);
 	}
 
 	/** Returns an answer that claims only what is known: that the request has not run only if no attempt may have run it. */
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -1,5 +1,6 @@
 /** Assembles a gateway process, and shuts it down gracefully without cutting off responses. */
 import {setImmediate as turn, setTimeout as sleep} from 'node:timers/promises';
+import {computeResponseBudget} from '../core/gateway/response-buffers.js';
 import {Clock} from '../entry/clock.js';
 import {DisposalStack} from '../entry/disposal-stack.js';
 import {type Log} from '../entry/logs.js';
@@ -8,6 +9,7 @@
 import {Gateway} from './gateway.js';
 import {Holds} from './holds.js';
 import {GatewayMetrics, MetricsListener} from './metrics.js';
+import {ResponseBuffers} from './response-buffers.js';
 import {CallerListener, ReadyListener} from './server.js';
 import {type Settings} from './settings.js';
 import {SuspensionDetector} from './suspension.js';
@@ -55,6 +57,7 @@
 	readonly #gateway: Gateway;
 	readonly #callers: CallerListener;
 	readonly #metrics = new GatewayMetrics();
+	readonly #responseBuffers: ResponseBuffers;
 	/** When the stop was requested, on the monotonic clock. */
 	#stopRequestedAt: number | undefined;
 
@@ -82,12 +85,16 @@
 				this.#gateway.selfReports.record(engine, report, sent);
 			},
 		});
+		const budget = settings.memory === undefined ? undefined : computeResponseBudget(settings.memory);
+		this.#metrics.responseBudget.set(budget ?? 0);
+		this.#responseBuffers = new ResponseBuffers({budget, clock: this.#clock, metrics: this.#metrics});
 		this.#callers = this.#disposal.use(new CallerListener({
 			gateway: this.#gateway,
 			headerFormat: adapter.headerFormat,
 			agent,
 			holds: new Holds(engineControl, log, this.#metrics, this.#gateway.incarnation),
 			metrics: this.#metrics,
+			responseBuffers: this.#responseBuffers,
 			log,
 			clock: this.#clock,
 			isStopping: () => this.#stopRequestedAt !== undefined,
@@ -168,6 +175,8 @@
 		this.#metrics.unhealthy.set(this.#gateway.reputation.unhealthyCount);
 		this.#metrics.limited.set(this.#gateway.selfReports.limitedCount);
 		this.#metrics.unreachable.set(this.#gateway.reputation.unreachableDomains.size);
+		this.#metrics.responseBytes.set(this.#responseBuffers.held);
+		this.#metrics.responsesUnread.set(this.#responseBuffers.stoppedCount);
 		this.#metrics.suspects.set(this.#gateway.reputation.suspects.size);
 	}
 }
--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -349,6 +349,12 @@
 			receivedEvents() {
 				stallDetector.noteEvents();
 			},
+			stopped() {
+				stallDetector.stop();
+			},
+			resumed() {
+				stallDetector.noteEvents();
+			},
 		});
 		const isCancelled = forwarded.type === 'unknown' && attempt.cancelled !== undefined;
 		const ending: AttemptEnding = isCancelled ? {type: 'cancelled', reason: attempt.cancelled} : forwarded;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -32,7 +32,7 @@
 		this.#incoming = incoming;
 		this.#outgoing = outgoing;
 		this.#trace = new RequestTrace(services);
-		this.#callerResponse = new CallerResponse(outgoing, this.#trace, services.random);
+		this.#callerResponse = new CallerResponse(outgoing, this.#trace, services.random, services.responseBuffers);
 	}
 
 	/** Serves the request; resolves when the response has ended. */
@@ -137,6 +137,8 @@
 		} finally {
 			clearTimeout(timer);
 		}
+
+		await this.#callerResponse.delivered(() => demand.deadline - clock.now());
 	}
 
 	#cancel(reason: StopReason): void {
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -68,6 +68,11 @@
 	readonly limited: Gauge;
 	readonly unreachable: Gauge;
 	readonly suspects: Gauge;
+	readonly responseBytes: Gauge;
+	readonly responseBudget: Gauge;
+	readonly responsesUnread: Gauge;
+	readonly responsesStopped: Counter;
+	readonly responsesEnded: Counter;
 	readonly #registry = new Registry();
 
 	constructor() {
@@ -91,6 +96,11 @@
 		this.limited = createGauge(registry, 'upstreams_limited', 'Upstreams that limit the rate of requests from all hosts');
 		this.unreachable = createGauge(registry, 'domains_unreachable', 'Failure domains out of reach');
 		this.suspects = createGauge(registry, 'requests_suspected', 'Requests during which a connection of their upstream broke');
+		this.responseBytes = createGauge(registry, 'response_bytes_held', 'Bytes of responses that callers have not read');
+		this.responseBudget = createGauge(registry, 'response_bytes_budget', 'Bytes of responses that may be held for callers; 0 without a limit');
+		this.responsesUnread = createGauge(registry, 'responses_unread', 'Responses that are not read from their upstreams at present, as memory is short');
+		this.responsesStopped = createCounter(registry, 'responses_stopped_total', 'Responses that stopped being read from their upstreams, as memory was short', []);
+		this.responsesEnded = createCounter(registry, 'responses_ended_total', 'Responses that were cut off as memory was short or their caller did not read', ['reason']);
 	}
 
 	/** @returns All metrics in Prometheus text format. */
--- /dev/null
+++ b/src/gateway/response-buffer.ts
@@ -0,0 +1,272 @@
+/** The part of one response that its caller hasn't received yet. */
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {type ServerResponse} from 'node:http';
+import {setImmediate as turn} from 'node:timers/promises';
+import {type ResponseBuffers} from './response-buffers.js';
+import {type RequestTrace} from './trace.js';
+
+/** Most bytes that are handed to a socket at once; a caller's progress is noticed per piece. */
+const maxPieceBytes = 65_536;
+
+/** Memory that a buffer in a queue takes beside its bytes. */
+const overheadBytes = 256;
+
+/** A complete answer is kept after the deadline of its request while its caller has read some of it within this time. */
+const lateStallTimeoutMs = 5000;
+
+/** Notified when a response stops being read, and when it is read again. */
+export type ReadingObserver = {
+	readonly stopped: () => void;
+	readonly resumed: () => void;
+};
+
+type QueuedBuffer = {
+	readonly bytes: Buffer;
+	/** Bytes to count as free once it is sent. */
+	readonly held: number;
+};
+
+export type WriteOptions = {
+	/** Bytes that were read and can't be sent yet. */
+	readonly unbegun?: number;
+	readonly observer?: ReadingObserver;
+};
+
+export class ResponseBuffer {
+	readonly #trace: RequestTrace;
+	readonly #outgoing: ServerResponse;
+	readonly #shared: ResponseBuffers;
+	readonly #queue: QueuedBuffer[] = [];
+	#endHandler: (() => void) | undefined;
+	#isWriting = false;
+	#isFinishing = false;
+	#hasEnded = false;
+	#hasStopped = false;
+	#unbegunBytes = 0;
+
+	/**
+	 * @param outgoing - Response to the caller.
+	 * @param shared - Bytes of all responses.
+	 * @param trace - Log of the request.
+	 */
+	constructor(outgoing: ServerResponse, shared: ResponseBuffers, trace: RequestTrace) {
+		this.#outgoing = outgoing;
+		this.#shared = shared;
+		this.#trace = trace;
+		if (shared.isEnabled) {
+			outgoing.once('close', () => {
+				this.#free();
+			});
+		}
+	}
+
+	/** Whether the response was ended because it held too much. */
+	get hasEnded(): boolean {
+		return this.#hasEnded;
+	}
+
+	/** Whether a body that is being collected should be passed on as it arrives, because memory is short. */
+	get isShortOfSpace(): boolean {
+		return this.#shared.isEnabled && !this.#shared.mayRead(this);
+	}
+
+	/**
+	 * @param event - Name of a log line about this response.
+	 * @param fields - Its fields.
+	 */
+	log(event: string, fields: Readonly<Record<string, unknown>>): void {
+		this.#trace.write(event, fields);
+	}
+
+	/**
+	 * @param endHandler - Called if the response is ended because it holds too much.
+	 */
+	setEndHandler(endHandler: () => void): void {
+		this.#endHandler = endHandler;
+	}
+
+	/**
+	 * @param bytes - Bytes that were read and can't be sent yet; replaces the previous number.
+	 */
+	countUnbegun(bytes: number): void {
+		if (this.#shared.isEnabled && !this.#isGone) {
+			const change = bytes - this.#unbegunBytes;
+			this.#unbegunBytes = bytes;
+			this.#count(change);
+		}
+	}
+
+	/**
+	 * Sends bytes to the caller.
+	 *
+	 * @param chunks - Bytes to send.
+	 * @param options - Bytes that remain unsent, and whom to notify if the response has to wait.
+	 * @returns Resolves when more may be read from the upstream.
+	 */
+	async write(chunks: readonly Buffer[], {unbegun = 0, observer}: WriteOptions = {}): Promise<void> {
+		if (!this.#shared.isEnabled) {
+			await this.#writeThrough(chunks);
+			return;
+		}
+
+		this.#enqueue(chunks, unbegun);
+		if (this.#shared.mayRead(this)) {
+			return;
+		}
+
+		// A caller that reads has taken the bytes by the end of this turn.
+		await turn();
+		while (!this.#isGone && !this.#shared.mayRead(this)) {
+			const isFirst = !this.#hasStopped;
+			this.#hasStopped = true;
+			observer?.stopped();
+			await this.#shared.waitForSpace(this, isFirst);
+			observer?.resumed();
+		}
+	}
+
+	/**
+	 * Sends the last bytes, and ends the response once all are sent.
+	 *
+	 * @param chunks - Last bytes.
+	 */
+	finish(chunks: readonly Buffer[] = []): void {
+		if (!this.#shared.isEnabled) {
+			this.#outgoing.end(chunks.length === 0 ? undefined : Buffer.concat(chunks));
+			return;
+		}
+
+		this.#isFinishing = true;
+		this.#enqueue(chunks, 0);
+		this.#writeNext();
+	}
+
+	/**
+	 * Waits for the caller to receive a finished response. A caller that doesn't read is given up at the deadline.
+	 *
+	 * @param timeLeft - Returns the milliseconds until the deadline.
+	 */
+	async delivered(timeLeft: () => number): Promise<void> {
+		while (this.#isFinishing && !this.#isGone) {
+			await this.#waitForClose(Math.max(timeLeft(), lateStallTimeoutMs - this.#shared.stalledFor(this), 1));
+			if (!this.#isGone && timeLeft() <= 0 && this.#shared.stalledFor(this) >= lateStallTimeoutMs) {
+				this.#shared.end(this, 'stalled');
+			}
+		}
+	}
+
+	/** Gives the response up: cuts it off if it has begun. */
+	end(): void {
+		this.#hasEnded = true;
+		this.#free();
+		this.#endHandler?.();
+		if (this.#outgoing.headersSent) {
+			this.#outgoing.destroy();
+		}
+	}
+
+	get #isGone(): boolean {
+		return this.#hasEnded || this.#outgoing.destroyed;
+	}
+
+	async #writeThrough(chunks: readonly Buffer[]): Promise<void> {
+		const outgoing = this.#outgoing;
+		const bytes = Buffer.concat(chunks);
+		if (bytes.length > 0 && !outgoing.write(bytes) && !outgoing.destroyed) {
+			await Promise.race([once(outgoing, 'drain'), once(outgoing, 'close')]);
+		}
+	}
+
+	/** Resolves when the response is closed, at the latest after a time in milliseconds. */
+	async #waitForClose(time: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			const end = () => {
+				clearTimeout(timer);
+				this.#outgoing.off('close', end);
+				resolve();
+			};
+
+			const timer = setTimeout(end, time);
+			this.#outgoing.once('close', end);
+		});
+	}
+
+	#count(change: number): void {
+		if (change > 0) {
+			this.#shared.add(this, change);
+		} else if (change < 0) {
+			this.#shared.remove(this, -change);
+		}
+	}
+
+	/** Queues bytes, which were counted as unbegun so far if they were counted at all. */
+	#enqueue(chunks: readonly Buffer[], unbegun: number): void {
+		if (this.#isGone) {
+			return;
+		}
+
+		let change = unbegun - this.#unbegunBytes;
+		this.#unbegunBytes = unbegun;
+		for (const bytes of chunks) {
+			if (bytes.length > 0) {
+				const held = bytes.length + overheadBytes;
+				this.#queue.push({bytes, held});
+				change += held;
+			}
+		}
+
+		this.#count(change);
+		this.#writeNext();
+	}
+
+	/** Hands the next piece to the socket once the previous one is sent. */
+	#writeNext(): void {
+		if (this.#isWriting || this.#isGone) {
+			return;
+		}
+
+		const piece = this.#takePiece();
+		if (piece === undefined) {
+			if (this.#isFinishing && !this.#outgoing.writableEnded) {
+				this.#outgoing.end();
+			}
+
+			return;
+		}
+
+		this.#isWriting = true;
+		this.#outgoing.write(piece.bytes, () => {
+			this.#isWriting = false;
+			if (!this.#isGone) {
+				this.#shared.remove(this, piece.held);
+				this.#writeNext();
+			}
+		});
+	}
+
+	/** Takes up to one piece from the queue: several small buffers, or a part of a large one, which is held until all of it is sent. */
+	#takePiece(): QueuedBuffer | undefined {
+		const [first] = this.#queue;
+		if (first !== undefined && first.bytes.length > maxPieceBytes) {
+			this.#queue[0] = {bytes: first.bytes.subarray(maxPieceBytes), held: first.held};
+			return {bytes: first.bytes.subarray(0, maxPieceBytes), held: 0};
+		}
+
+		let length = 0;
+		let count = 0;
+		while (count < this.#queue.length && length + this.#queue[count]!.bytes.length <= maxPieceBytes) {
+			length += this.#queue[count]!.bytes.length;
+			count++;
+		}
+
+		const taken = this.#queue.splice(0, count);
+		return taken.length < 2 ? taken[0] : {bytes: Buffer.concat(taken.map(({bytes}) => bytes), length), held: length + (count * overheadBytes)};
+	}
+
+	#free(): void {
+		this.#queue.length = 0;
+		this.#unbegunBytes = 0;
+		this.#shared.delete(this);
+	}
+}
--- a/src/gateway/response-forwarding.ts
+++ b/src/gateway/response-forwarding.ts
@@ -1,12 +1,12 @@
 /** Forwards responses of upstreams to callers: a stream event by event, any other body as a whole. */
-import {Buffer} from 'node:buffer';
-import {once} from 'node:events';
+import {type Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
 import {messageOf} from '../core/index.js';
 import {type AttemptEnding} from '../core/gateway/retries.js';
 import {type Reply} from './attempt.js';
 import {EventSplitter} from './events.js';
 import {filterEndToEndHeaders} from './headers.js';
+import {type ReadingObserver, type ResponseBuffer} from './response-buffer.js';
 
 /** A body up to this size is buffered until it is complete; a longer one is forwarded as it arrives. */
 const maxBufferedBytes = 1_000_000;
@@ -14,7 +14,7 @@
 const contentLengthOnly: ReadonlySet<string> = new Set(['content-length']);
 
 /** Notified of the progress of a stream. */
-export type StreamObserver = {
+export type StreamObserver = ReadingObserver & {
 	/** Called just before complete events are forwarded, with the id of the last one that has an id. */
 	readonly onEvents: (lastId: string | undefined) => void;
 };
@@ -42,85 +42,107 @@
 	outgoing.writeHead(reply.status, headers);
 }
 
-async function write(outgoing: ServerResponse, bytes: Buffer): Promise<void> {
-	if (bytes.length > 0 && !outgoing.write(bytes) && !outgoing.destroyed) {
-		await Promise.race([once(outgoing, 'drain'), once(outgoing, 'close')]);
-	}
-}
-
+const noSpaceReason = 'no space to hold the answer';
 const brokenOffReason = 'the answer broke off';
 
 /**
  * Forwards complete events as they arrive. Leaves the response to the caller open: another attempt may continue it.
  *
- * @param outgoing - Response to the caller, whose head has been sent.
+ * @param buffer - Bytes for the caller.
  * @param reply - Response of the upstream.
- * @param progress - Notified of events.
+ * @param progress - Notified of events; sends the head before the first ones.
  * @returns How the attempt ended.
  */
-export async function forwardEvents(outgoing: ServerResponse, reply: Reply, progress: StreamObserver): Promise<AttemptEnding> {
+export async function forwardEvents(buffer: ResponseBuffer, reply: Reply, progress: StreamObserver): Promise<AttemptEnding> {
 	const splitter = new EventSplitter();
 	try {
 		for await (const chunk of reply.body as AsyncIterable<Buffer>) {
 			const events = splitter.push(chunk);
 			if (events.bytes.length > 0) {
 				progress.onEvents(events.lastId);
-				await write(outgoing, events.bytes);
+				await buffer.write([events.bytes], {unbegun: splitter.rest.length, observer: progress});
+			} else {
+				buffer.countUnbegun(splitter.rest.length);
+			}
+
+			if (buffer.hasEnded) {
+				return {type: 'unknown', reason: noSpaceReason};
 			}
 		}
 	} catch (error) {
-		return {type: 'unknown', reason: messageOf(error)};
+		buffer.countUnbegun(0);
+		return {type: 'unknown', reason: buffer.hasEnded ? noSpaceReason : messageOf(error)};
 	}
 
 	if (!await reply.isComplete()) {
+		buffer.countUnbegun(0);
 		return {type: 'unknown', reason: brokenOffReason};
 	}
 
-	await write(outgoing, splitter.rest);
+	await buffer.write([splitter.rest]);
 	return {type: 'answered', status: reply.status};
 }
 
 /** A complete body, the buffered beginning of a long one and an iterator over the rest, or the reason why it ended early. */
 export type ResponseBody
-	= | {readonly type: 'whole'; readonly bytes: Buffer}
+	= | {readonly type: 'whole'; readonly chunks: readonly Buffer[]; readonly length: number}
 		| {readonly type: 'long'; readonly begin: readonly Buffer[]; readonly rest: AsyncIterator<Buffer>}
 		| {readonly type: 'broken'; readonly reason: string};
 
 /**
- * Reads a body, up to the maximum that is buffered.
+ * Reads a body, up to the maximum that is buffered. While memory is short, it is read only as far as the head shows that it can be passed on.
  *
  * @param reply - Response of an upstream.
+ * @param buffer - Counts the bytes that are held, and those of a body that was kept before.
+ * @param keptBytes - Bytes of a body that was kept before.
  * @returns Body.
  */
-export async function readBody(reply: Reply): Promise<ResponseBody> {
+export async function readBody(reply: Reply, buffer: ResponseBuffer, keptBytes: number): Promise<ResponseBody> {
 	const chunks: Buffer[] = [];
 	let length = 0;
+	buffer.setEndHandler(() => {
+		reply.body.destroy();
+	});
 	const iterator = (reply.body as AsyncIterable<Buffer>)[Symbol.asyncIterator]();
 	try {
 		for (let next = await iterator.next(); !next.done; next = await iterator.next()) {
 			chunks.push(next.value);
 			length += next.value.length;
-			if (length > maxBufferedBytes) {
+			buffer.countUnbegun(keptBytes + length);
+			if (buffer.hasEnded) {
+				return {type: 'broken', reason: noSpaceReason};
+			}
+
+			if (length > maxBufferedBytes || (buffer.isShortOfSpace && reply.status < 300)) {
 				return {type: 'long', begin: chunks, rest: iterator};
 			}
 		}
 	} catch (error) {
-		return {type: 'broken', reason: messageOf(error)};
+		buffer.countUnbegun(keptBytes);
+		return {type: 'broken', reason: buffer.hasEnded ? noSpaceReason : messageOf(error)};
 	}
 
-	return await reply.isComplete() ? {type: 'whole', bytes: Buffer.concat(chunks)} : {type: 'broken', reason: brokenOffReason};
+	if (!await reply.isComplete()) {
+		buffer.countUnbegun(keptBytes);
+		return {type: 'broken', reason: brokenOffReason};
+	}
+
+	return {type: 'whole', chunks, length};
 }
 
 /**
- * @param outgoing - Response to the caller, whose head has been sent.
+ * @param buffer - Bytes for the caller, to whom the head has been sent.
  * @param body - Body that is too long to buffer.
  * @returns Whether all of it was forwarded.
  */
-export async function forwardLongBody(outgoing: ServerResponse, body: Extract<ResponseBody, {type: 'long'}>): Promise<boolean> {
+export async function forwardLongBody(buffer: ResponseBuffer, body: Extract<ResponseBody, {type: 'long'}>): Promise<boolean> {
 	try {
-		await write(outgoing, Buffer.concat(body.begin));
+		await buffer.write(body.begin);
 		for (let next = await body.rest.next(); !next.done; next = await body.rest.next()) {
-			await write(outgoing, next.value);
+			await buffer.write([next.value]);
+			if (buffer.hasEnded) {
+				return false;
+			}
 		}
 
 		return true;
--- a/src/gateway/services.ts
+++ b/src/gateway/services.ts
@@ -6,6 +6,7 @@
 import {type Gateway} from './gateway.js';
 import {type Holds} from './holds.js';
 import {type GatewayMetrics} from './metrics.js';
+import {type ResponseBuffers} from './response-buffers.js';
 
 export type GatewayServices = {
 	readonly gateway: Gateway;
@@ -13,6 +14,7 @@
 	readonly agent: Agent;
 	readonly holds: Holds;
 	readonly metrics: GatewayMetrics;
+	readonly responseBuffers: ResponseBuffers;
 	readonly log: Log;
 	readonly clock: Clock;
 	/** Whether this host is about to stop: connections of callers are closed after their response. */
--- a/stand-ins/gateway/upstream.ts
+++ b/stand-ins/gateway/upstream.ts
@@ -12,6 +12,7 @@
 import {sendPlainAnswer, type Fault} from './faults.js';
 import {type Ledger} from './ledger.js';
 import {Tickets} from './tickets.js';
+import {UnreadWatch} from './unread-watch.js';
 
 export type UpstreamOptions = {
 	readonly id: string;
@@ -56,6 +57,8 @@
 	/** Engines that have not prefilled their part yet. */
 	pendingParts: number;
 	readonly helpers: readonly UpstreamStandIn[];
+	/** Cuts it off if it remains unread. */
+	watch?: UnreadWatch;
 };
 
 const orderSchema = z.object({
@@ -76,6 +79,12 @@
 	rateLimit: number | undefined;
 	/** Whether it states in its responses that it leaves; its registration is another matter. */
 	isStatingLeave = false;
+	/** Bytes by which each event of a stream is longer. */
+	eventPadding = 0;
+	/** Milliseconds after which it cuts off a stream of which nothing is read; undefined if it doesn't. */
+	unreadTimeout: number | undefined;
+	/** Streams that it cut off as nothing was read of them. */
+	unreadStreams = 0;
 	/** Seconds for which it wants no more requests from a host that it refuses; undefined if it doesn't say. */
 	retryAfter: number | undefined;
 	readonly #options: UpstreamOptions;
@@ -389,9 +398,14 @@
 		if (!outgoing.headersSent) {
 			this.#reportState(outgoing);
 			outgoing.writeHead(200, {'content-type': 'text/event-stream', 'x-request-id': job.id, 'x-response-signature': this.id});
+			if (this.unreadTimeout !== undefined) {
+				stream.watch = new UnreadWatch(outgoing, this.unreadTimeout, () => {
+					this.unreadStreams++;
+				});
+			}
 		}
 
-		const event = `id: ${stream.next}\ndata: piece ${stream.next}\n\n`;
+		const event = `id: ${stream.next}\ndata: piece ${stream.next}${'.'.repeat(this.eventPadding)}\n\n`;
 		if (this.fault === 'cut' && stream.next > stream.first + 2) {
 			outgoing.write(event.slice(0, 9));
 			setTimeout(() => {
@@ -402,10 +416,11 @@
 		}
 
 		stream.next++;
-		outgoing.write(event);
+		const writer = stream.watch ?? outgoing;
+		writer.write(event);
 		if (isFinished) {
 			this.#streams.delete(job.id);
-			outgoing.end();
+			writer.end();
 		}
 	}
 
