Soak: some long answers are read late

Cause: no soak had callers that read slowly. Change: one in twelve streams has long events and is read up to 3 s late, drawn from a seed of its own; hosts have so little memory that such answers exceed the budget, and engines cut off streams that remain unread for 2 s.

--- a/bench/soak/clients.ts
+++ b/bench/soak/clients.ts
@@ -24,6 +24,11 @@
 
 const maxEvents = 40;
 
+/** Requests of which one is read late; its events are long, so that its answer exceeds what sockets hold. */
+const requestsPerLateRead = 12;
+const readingDelayMs = {least: 200, most: 3000};
+const lateReadPadding = {least: 1000, most: 200_000};
+
 type PlannedRequest = Pick<RequestRecord, 'id' | 'kind' | 'expected'> & {readonly asking: CallerRequest};
 
 export class Client {
@@ -31,14 +36,22 @@
 	readonly #name: string;
 	readonly #site: Site;
 	readonly #random: Random;
+	readonly #readingRandom: Random;
 	#host: number;
 	#agent = new Agent({keepAlive: true, maxSockets: 1});
 	#sent = 0;
 
-	constructor(name: string, site: Site, random: Random) {
+	/**
+	 * @param name - Name of the client, unique in the soak.
+	 * @param site - Hosts to send requests to.
+	 * @param random - Draws requests and pauses.
+	 * @param readingRandom - Draws which answers are read late; separate, so that it changes no other draw.
+	 */
+	constructor(name: string, site: Site, random: Random, readingRandom: Random) {
 		this.#name = name;
 		this.#site = site;
 		this.#random = random;
+		this.#readingRandom = readingRandom;
 		this.#host = random.integer(0, site.hosts.length - 1);
 	}
 
@@ -84,7 +97,7 @@
 			const events = this.#random.integer(1, maxEvents);
 			const headers = createPromptHeaders(this.#random.integer(sizes.least, sizes.most), events);
 			return {
-				id, kind, expected: events, asking: {path: '/ask/x', id, headers},
+				id, kind, expected: events, asking: this.#drawReading({path: '/ask/x', id, headers}),
 			};
 		}
 
@@ -96,6 +109,17 @@
 		};
 	}
 
+	/** Lets some answers be long and read late. */
+	#drawReading(asking: CallerRequest): CallerRequest {
+		const random = this.#readingRandom;
+		if (random.integer(1, requestsPerLateRead) > 1) {
+			return asking;
+		}
+
+		const padding = random.integer(lateReadPadding.least, lateReadPadding.most);
+		return {...asking, headers: {...asking.headers, 'X-Event-Padding': String(padding)}, readingDelay: random.integer(readingDelayMs.least, readingDelayMs.most)};
+	}
+
 	async #sendNext(): Promise<RequestRecord> {
 		const {asking, ...planned} = this.#planRequest();
 		const host = this.#host;
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -8,6 +8,9 @@
 import {findIgnoredStatements} from './statements.js';
 import {EventLoopLag, findUnrecovered} from './recovery.js';
 
+/** Separates the draws of answers that are read late from those of the requests. */
+const readingSeedOffset = 3_000_017;
+
 export type SoakOptions = {
 	readonly seed: number;
 	readonly hosts: number;
@@ -37,7 +40,10 @@
 	const planned = planFaults(options.seed, {
 		hosts: options.hosts, upstreams: engineCount + plainCount, engines: engineCount, links: testbed.links, length: options.length,
 	});
-	const clients = Array.from({length: options.clients}, (_, index) => new Client(`c${index}`, site, createRandom((options.seed * 1000) + index)));
+	const clients = Array.from({length: options.clients}, (_, index) => {
+		const seed = (options.seed * 1000) + index;
+		return new Client(`c${index}`, site, createRandom(seed), createRandom(seed + readingSeedOffset));
+	});
 	const ending = new AbortController();
 	const running = clients.map(async client => client.run(ending.signal));
 	const began = performance.now();
--- a/bench/soak/testbed.ts
+++ b/bench/soak/testbed.ts
@@ -20,6 +20,12 @@
 /** Time after the store's return from a backup within which everything is written to it again. */
 const rewriteTimeMs = 2000;
 
+/** Memory of each host: so little that answers which are read late exceed the budget for them. */
+const hostMemoryMegabytes = 64;
+
+/** Time after which engines cut off a stream of which nothing is read. */
+const unreadTimeoutMs = 2000;
+
 /** Delay of a slowed link. */
 const linkDelayMs = 80;
 
@@ -35,11 +41,15 @@
 		const proxy = await FaultProxy.start(settingsSchema.parse({}));
 		const links: string[] = [];
 		const site = await Site.start({
-			hosts, engines: engineCount, plains: plainCount, settings: {grace: stopGraceMs}, async link(name, target) {
+			hosts, engines: engineCount, plains: plainCount, settings: {grace: stopGraceMs, memory: hostMemoryMegabytes}, async link(name, target) {
 				links.push(name);
 				return proxy.openLink({name, target, listen: {host: '127.0.0.1', port: 0}});
 			},
 		});
+		for (const engine of site.engines) {
+			engine.unreadTimeout = unreadTimeoutMs;
+		}
+
 		return new Testbed(site, proxy, links);
 	}
 
--- a/stand-ins/gateway/upstream.ts
+++ b/stand-ins/gateway/upstream.ts
@@ -57,6 +57,7 @@
 	/** Engines that have not prefilled their part yet. */
 	pendingParts: number;
 	readonly helpers: readonly UpstreamStandIn[];
+	readonly padding: string;
 	/** Cuts it off if it remains unread. */
 	watch?: UnreadWatch;
 };
@@ -79,7 +80,7 @@
 	rateLimit: number | undefined;
 	/** Whether it states in its responses that it leaves; its registration is another matter. */
 	isStatingLeave = false;
-	/** Bytes by which each event of a stream is longer. */
+	/** Bytes by which each event of a stream is longer, unless a request states another number in `X-Event-Padding`. */
 	eventPadding = 0;
 	/** Milliseconds after which it cuts off a stream of which nothing is read; undefined if it doesn't. */
 	unreadTimeout: number | undefined;
@@ -327,7 +328,7 @@
 			id, prompt, engineCount: helpers.length + 1, events, priority: Number(incoming.headers['x-request-priority'] ?? 5), memory,
 		};
 		this.#streams.set(id, {
-			job, outgoing, first, next: first + 1, pendingParts: helpers.length + 1, helpers,
+			job, outgoing, first, next: first + 1, pendingParts: helpers.length + 1, helpers, padding: '.'.repeat(Number(incoming.headers['x-event-padding'] ?? this.eventPadding)),
 		});
 		outgoing.once('close', () => {
 			this.#streams.delete(id);
@@ -405,9 +406,9 @@
 			}
 		}
 
-		const event = `id: ${stream.next}\ndata: piece ${stream.next}${'.'.repeat(this.eventPadding)}\n\n`;
+		const event = `id: ${stream.next}\ndata: piece ${stream.next}${stream.padding}\n\n`;
 		if (this.fault === 'cut' && stream.next > stream.first + 2) {
-			outgoing.write(event.slice(0, 9));
+			(stream.watch ?? outgoing).write(event.slice(0, 9));
 			setTimeout(() => {
 				outgoing.destroy();
 			}, 5);
