Test that a slow caller that leaves frees its bytes and its engine

Cause: no test covered a caller that leaves while its answer is held. Change: a caller reads nothing of a long stream and closes its connection.

--- a/__tests__/gateway/slow-callers.test.ts
+++ b/__tests__/gateway/slow-callers.test.ts
@@ -54,6 +54,21 @@
 	expect(site.hosts[0]!.findLogLines('placed', 'pausing-1').length).toBe(1);
 }, 60_000);
 
+// Guards against an engine that works on, and bytes that stay, for a caller that read nothing and left.
+it('cancels the request and frees its bytes when a caller leaves that has read nothing', async () => {
+	site = await Site.start({engines: 1, plains: 0, settings: {memory: 512}});
+	site.engines[0]!.eventPadding = 20_000;
+	const leaving = new AbortController();
+	const pending = site.ask({
+		path: '/ask/x', id: 'leaving-1', headers: createPromptHeaders(1000, 8000), body: 'prompt', readingDelay: 60_000, signal: leaving.signal,
+	});
+	await expect.poll(async () => readMetric('response_bytes_held'), {timeout: 5000}).toBeGreaterThan(1_000_000);
+	leaving.abort();
+	await pending;
+	await expect.poll(async () => readMetric('response_bytes_held'), {timeout: 2000}).toBe(0);
+	await expect.poll(() => site.hosts[0]!.findLogLines('attempt-ended', 'leaving-1')).toMatchObject([{ending: 'cancelled', reason: 'caller left'}]);
+}, 60_000);
+
 // Guards against memory that grows with the number of slow callers, and against fast callers that wait for them.
 it('bounds the bytes that it holds for many slow callers, and serves fast ones meanwhile', async () => {
 	site = await Site.start({engines: 3, plains: 1, settings: {memory: 64}});
