Registry replica includes the evacuated failure domains

Cause: an operator's order to evacuate a failure domain had no place in the state that hosts keep and share.

Change: the registry keeps the set of evacuated domains under its own position (era and revision).

The set is bounded, and each begin and end is logged once with its source.

--- a/src/core/gateway/__tests__/registry-model.test.ts
+++ b/src/core/gateway/__tests__/registry-model.test.ts
@@ -80,7 +80,7 @@
 		for (const change of this.#changes) {
 			if (change.type === 'written') {
 				listed.set(change.upstream.id, change.upstream);
-			} else {
+			} else if (change.type === 'removed') {
 				listed.delete(change.id);
 			}
 		}
--- a/src/core/gateway/__tests__/registry.test.ts
+++ b/src/core/gateway/__tests__/registry.test.ts
@@ -20,7 +20,9 @@
 		expect(registry.apply(written('e1', 7))).toBe(false);
 		expect(registry.apply(written('e1', 8, {isDraining: true}))).toBe(true);
 		registry.advance(at(9));
-		expect(registry.snapshot).toEqual({upstreams: [upstream('e1', {isDraining: true})], ...at(9), changed: 8});
+		expect(registry.snapshot).toEqual({
+			upstreams: [upstream('e1', {isDraining: true})], evacuated: [], ...at(9), changed: 8,
+		});
 		expect(registry.apply({type: 'removed', id: 'e1', ...at(10)})).toBe(true);
 		expect(registry.apply({type: 'removed', id: 'e1', ...at(11)})).toBe(false);
 		expect(ids(registry)).toEqual([]);
--- a/src/core/gateway/registry.ts
+++ b/src/core/gateway/registry.ts
@@ -1,12 +1,15 @@
 /** Replica of the platform's registry of upstreams, as of one position in the history of its store. */
+import {Evacuations} from './evacuations.js';
 import {isAfter, noPosition, type StorePosition} from './position.js';
 import {isOutdatedRegistration} from './registration-order.js';
 import {Removals} from './removals.js';
 import {type GatewayUpstream} from './types.js';
 
-/** Write or removal of an upstream at a position of the store. */
+/** Write or removal of an upstream, or of the order to evacuate a failure domain, at a position of the store. */
 export type RegistryChange
-	= | StorePosition & {readonly type: 'removed'; readonly id: string}
+	= | StorePosition & {readonly type: 'evacuated'; readonly domain: string}
+		| StorePosition & {readonly type: 'evacuation-ended'; readonly domain: string}
+		| StorePosition & {readonly type: 'removed'; readonly id: string}
 		| StorePosition & {readonly type: 'written'; readonly upstream: GatewayUpstream};
 
 /** All registered upstreams as of a position. */
@@ -14,6 +17,8 @@
 	readonly upstreams: readonly GatewayUpstream[];
 	/** Registrations that a backup of the store brought back after their removal; absent means none. */
 	readonly withheld?: readonly GatewayUpstream[];
+	/** Evacuated failure domains; absent from a host that doesn't know of evacuations, which leaves those known here in effect. */
+	readonly evacuated?: readonly string[];
 	/** Revision of the last change, or a later one up to `revision`, in the same era. */
 	readonly changed: number;
 };
@@ -45,6 +50,7 @@
 	readonly #upstreams = new Map<string, GatewayUpstream>();
 	readonly #withheld = new Map<string, GatewayUpstream>();
 	readonly #removals = new Removals();
+	readonly #evacuations = new Evacuations();
 	#position = noPosition;
 	#changed = 0;
 	/** Whether the store has returned from a backup, so that a listing may have outdated registrations. */
@@ -65,6 +71,7 @@
 			...this.#position,
 			changed: this.#changed,
 			upstreams: [...this.#upstreams.values()],
+			evacuated: this.#evacuations.ordered,
 			...(this.hasWithheld && {withheld: [...this.#withheld.values()]}),
 		};
 	}
@@ -74,6 +81,24 @@
 		return this.#withheld.size > 0;
 	}
 
+	/** Evacuated failure domains. */
+	get evacuated(): readonly string[] {
+		return this.#evacuations.all;
+	}
+
+	/** Whether evacuations are in effect whose orders were lost when the store returned from a backup. */
+	get hasRetainedEvacuations(): boolean {
+		return this.#evacuations.hasRetained;
+	}
+
+	/**
+	 * @param domain - Failure domain.
+	 * @returns Whether it is evacuated.
+	 */
+	isEvacuated(domain: string): boolean {
+		return this.#evacuations.has(domain);
+	}
+
 	/**
 	 * @param position - Position of another host's registry.
 	 * @returns Whether that registry includes the last change known here.
@@ -91,6 +116,11 @@
 			return false;
 		}
 
+		if (change.type === 'evacuated' || change.type === 'evacuation-ended') {
+			this.#applyEvacuation(change.domain, change.type === 'evacuated', change.revision);
+			return false;
+		}
+
 		const wasWithheld = this.#withheld.delete(change.type === 'removed' ? change.id : change.upstream.id);
 		const hasChanged = change.type === 'removed' ? this.#remove(change.id) : this.#write({...change.upstream, era: change.era === 0 ? undefined : change.era});
 		if (hasChanged || wasWithheld) {
@@ -142,6 +172,18 @@
 		return released;
 	}
 
+	/** Ends the evacuations whose orders were not written again after the store's return from a backup. */
+	endRetainedEvacuations(): void {
+		this.#evacuations.endRetained();
+	}
+
+	#applyEvacuation(domain: string, isOrdered: boolean, revision: number): void {
+		const hasChanged = isOrdered ? this.#evacuations.order(domain) : this.#evacuations.revoke(domain);
+		if (hasChanged) {
+			this.#changed = revision;
+		}
+	}
+
 	#replace(snapshot: RegistrySnapshot): RegistryDifference {
 		const listed = this.#reconcile(snapshot);
 		const written = [...listed.values()].filter(upstream => !isEqual(this.#upstreams.get(upstream.id), upstream));
@@ -155,6 +197,10 @@
 			this.#write(upstream);
 		}
 
+		if (snapshot.evacuated !== undefined) {
+			this.#evacuations.replace(snapshot.evacuated, snapshot.era !== this.#position.era);
+		}
+
 		this.#position = {era: snapshot.era, revision: snapshot.revision};
 		this.#changed = snapshot.changed;
 		return {written, removed: removed.map(({id}) => id)};
--- a/src/gateway/__tests__/registrations.test.ts
+++ b/src/gateway/__tests__/registrations.test.ts
@@ -108,7 +108,7 @@
 	registrations.recordStoreLost();
 	registrations.applyChanges([removed], at(6));
 	expect(registrations.createUpdate(at(0))).toEqual({
-		upstreams: [], ...at(6), changed: 6, kept: ['e1'],
+		upstreams: [], evacuated: [], ...at(6), changed: 6, kept: ['e1'],
 	});
 	expect(registrations.createUpdate(at(6))).toEqual({...at(6), changed: 6, kept: ['e1']});
 });
--- a/src/gateway/peers/state.ts
+++ b/src/gateway/peers/state.ts
@@ -1,5 +1,6 @@
 /** Messages by which a host gets the platform's state from a peer: the configuration in force, then the upstreams. */
 import {z} from 'zod';
+import {maxEvacuatedDomains} from '../../core/gateway/evacuations.js';
 import {type GatewayConfiguration, type GatewayUpstream} from '../../core/gateway/types.js';
 
 const nameSchema = z.string().max(512);
@@ -106,6 +107,8 @@
 	upstreams: z.array(upstreamSchema).max(4096).optional(),
 	/** Registrations that a backup of the store brought back after their removal; sent with `upstreams`. */
 	withheld: z.array(upstreamSchema).max(4096).optional(),
+	/** Evacuated failure domains as of the revision; sent with `upstreams`, absent from a host that doesn't know of evacuations. */
+	evacuated: z.array(nameSchema).max(maxEvacuatedDomains).optional(),
 	/** Upstreams whose registration is gone and that the peer keeps in use, as it may merely have expired during an outage of the store. */
 	kept: z.array(nameSchema).max(4096).optional(),
 });
--- a/src/gateway/registrations.ts
+++ b/src/gateway/registrations.ts
@@ -1,4 +1,5 @@
 /** Keeps the usable upstreams in sync with the platform's registry, as read from its store or received from peers. */
+import {assertNever} from '../core/index.js';
 import {isAfter, type StorePosition} from '../core/gateway/position.js';
 import {StoreOutages} from '../core/gateway/store-outages.js';
 import {
@@ -6,6 +7,7 @@
 } from '../core/gateway/registry.js';
 import {type GatewayUpstream} from '../core/gateway/types.js';
 import {type Log} from '../entry/logs.js';
+import {EvacuationReporter} from './evacuation-reporter.js';
 import {type RegistrationSource, type Upstreams} from './upstreams.js';
 
 export type RegistrationsOptions = {
@@ -25,6 +27,8 @@
 	readonly upstreams?: readonly GatewayUpstream[];
 	/** Registrations that a backup of the store brought back after their removal; sent with `upstreams`. */
 	readonly withheld?: readonly GatewayUpstream[];
+	/** Evacuated failure domains; sent with `upstreams`, absent from a host that doesn't know of evacuations. */
+	readonly evacuated?: readonly string[];
 	/** Upstreams whose registration is gone and that the sender keeps in use, as it may merely have expired; absent means none. */
 	readonly kept?: readonly string[];
 };
@@ -45,12 +49,35 @@
 
 const noIds: readonly string[] = [];
 
+/** Returns what a change is about, to find the last change of each. */
+function getSubject(change: RegistryChange): string {
+	switch (change.type) {
+		case 'evacuated':
+		case 'evacuation-ended': {
+			return `evacuation ${change.domain}`;
+		}
+
+		case 'removed': {
+			return `upstream ${change.id}`;
+		}
+
+		case 'written': {
+			return `upstream ${change.upstream.id}`;
+		}
+
+		default: {
+			return assertNever(change);
+		}
+	}
+}
+
 export class Registrations implements Disposable {
 	readonly #options: RegistrationsOptions;
 	readonly #registry = new Registry();
 	readonly #expiryGrace = new StoreOutages();
 	/** Upstreams kept in use until they register again or the grace period ends, by id. */
 	readonly #expiring = new Map<string, ExpiringRegistration>();
+	readonly #evacuations: EvacuationReporter;
 	readonly #restoredListeners: Array<() => void> = [];
 	/** Since when registrations are withheld; undefined if none are. */
 	#withheldSince: number | undefined;
@@ -60,6 +87,20 @@
 
 	constructor(options: RegistrationsOptions) {
 		this.#options = options;
+		this.#evacuations = new EvacuationReporter({registry: this.#registry, upstreams: options.upstreams, log: options.log});
+	}
+
+	/** Failure domains that the operator has evacuated. */
+	get evacuatedDomains(): readonly string[] {
+		return this.#registry.evacuated;
+	}
+
+	/**
+	 * @param domain - Failure domain.
+	 * @returns Whether the operator has evacuated it.
+	 */
+	isEvacuated(domain: string): boolean {
+		return this.#registry.isEvacuated(domain);
 	}
 
 	/** Position of the store up to which every change is known; its revision is 0 if none is. */
@@ -149,13 +190,14 @@
 	}
 
 	/**
-	 * Applies the next changes of the store: of each upstream the last one, so that none is used for a moment that is already over.
+	 * Applies the next changes of the store: of each upstream and failure domain the last one, so that none is used for a moment that is
+	 * already over.
 	 *
 	 * @param changes - Changes in the order of their revisions.
 	 * @param position - Position of the store after them.
 	 */
 	applyChanges(changes: readonly RegistryChange[], position: StorePosition): void {
-		const lastChanges = new Map(changes.map(change => [change.type === 'removed' ? change.id : change.upstream.id, change]));
+		const lastChanges = new Map(changes.map(change => [getSubject(change), change]));
 		for (const change of lastChanges.values()) {
 			const source = {type: 'store', era: change.era, revision: change.revision} as const;
 			if (!this.#registry.apply(change)) {
@@ -164,13 +206,15 @@
 
 			if (change.type === 'written') {
 				this.#register(change.upstream, source);
-			} else {
+			} else if (change.type === 'removed') {
 				this.#unregisterOrKeep(change.id, source, false);
 			}
 		}
 
 		this.#registry.advance(position);
 		this.#releaseOverdue({type: 'store', ...position});
+		this.#updateEvacuations({type: 'store', ...position});
+		this.#evacuations.reportExcess(changes.flatMap(change => change.type === 'evacuated' ? [change.domain] : []));
 	}
 
 	/**
@@ -178,18 +222,23 @@
 	 *
 	 * @param upstreams - All upstreams in the store.
 	 * @param position - Position of the store that was listed.
+	 * @param evacuated - Evacuated failure domains in the store.
 	 */
-	replaceAll(upstreams: readonly GatewayUpstream[], position: StorePosition): void {
+	replaceAll(upstreams: readonly GatewayUpstream[], position: StorePosition, evacuated: readonly string[] = []): void {
 		this.recordEra(position.era, 'store');
 		const source = {type: 'store', ...position} as const;
 		const {isFromEarlierEra} = this;
-		const {written, removed} = this.#registry.reset({...position, upstreams, changed: position.revision});
+		const {written, removed} = this.#registry.reset({
+			...position, upstreams, evacuated, changed: position.revision,
+		});
 		for (const id of removed) {
 			this.#unregisterOrKeep(id, source, isFromEarlierEra);
 		}
 
 		this.#registerAll(written, source);
 		this.#releaseOverdue(source);
+		this.#updateEvacuations(source);
+		this.#evacuations.reportExcess(evacuated);
 	}
 
 	/**
@@ -222,6 +271,7 @@
 		this.#registerAll(written, source);
 		this.#unregisterUnkept(kept, source);
 		this.#releaseOverdue(source);
+		this.#updateEvacuations(source);
 		return true;
 	}
 
@@ -236,11 +286,16 @@
 	}
 
 	[Symbol.dispose](): void {
+		this.#evacuations[Symbol.dispose]();
 		for (const {timer} of this.#expiring.values()) {
 			clearTimeout(timer);
 		}
 	}
 
+	#updateEvacuations(source: RegistrationSource): void {
+		this.#evacuations.update(source, this.#expiryGrace.restoredRemovalDelay(this.#options.now()));
+	}
+
 	#mergeUpdate(update: RegistryUpdate): RegistryDifference {
 		const {upstreams} = update;
 		if (upstreams === undefined) {
--- a/src/gateway/state-sync.ts
+++ b/src/gateway/state-sync.ts
@@ -145,7 +145,7 @@
 
 		// A host that doesn't know of eras can't be told that it is behind: it ignores whatever has a lower revision.
 		const {era = gateway.registrations.position.era, revision} = request;
-		const {upstreams, withheld, kept, ...position} = gateway.registrations.createUpdate({era, revision});
+		const {upstreams, withheld, evacuated, kept, ...position} = gateway.registrations.createUpdate({era, revision});
 		gateway.peers.send(from, {
 			type: 'state',
 			ask: request.ask,
@@ -154,6 +154,7 @@
 			...position,
 			upstreams: upstreams === undefined ? undefined : [...upstreams],
 			withheld: withheld === undefined ? undefined : [...withheld],
+			evacuated: evacuated === undefined ? undefined : [...evacuated],
 			kept: kept === undefined ? undefined : [...kept],
 		});
 	}
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -16,7 +16,11 @@
 
 const noUpstreams: readonly GatewayUpstream[] = [];
 
-function describeSource(source: RegistrationSource): Readonly<Record<string, unknown>> {
+/**
+ * @param source - Origin of a change.
+ * @returns Its fields in log lines.
+ */
+export function describeSource(source: RegistrationSource): Readonly<Record<string, unknown>> {
 	return {source: source.type === 'store' ? 'store' : source.peer, era: source.era, revision: source.revision};
 }
 
