Upstreams of an evacuated failure domain get no new work

Cause: hosts did not read op/evacuate/DOMAIN.

A request whose memory was granted while the order arrived releases it and is placed again (`hold-unused`). A request that no upstream accepts ends at once, and `not-accepted` names the obstacles. Metrics count evacuated domains and the requests that still run there.

--- a/bench/gateway/site.ts
+++ b/bench/gateway/site.ts
@@ -19,6 +19,8 @@
 	readonly hosts?: number;
 	readonly engines?: number;
 	readonly plains?: number;
+	/** Failure domains over which hosts, engines and plain services are spread in turn. */
+	readonly failureDomains?: readonly string[];
 	/** Host settings that replace the defaults. */
 	readonly settings?: Readonly<Record<string, unknown>>;
 	/** Index of the host that uses the secondary address of the store. */
@@ -31,16 +33,18 @@
 	/** Starts a site and waits until all its hosts are ready. */
 	static async start(options: SiteOptions = {}): Promise<Site> {
 		const site = new Site(options.link ?? (async (_, target) => target));
+		const domains = options.failureDomains ?? ['a'];
+		const domainOf = (index: number) => domains[index % domains.length]!;
 		await site.store.listen();
 		for (let index = 0; index < (options.engines ?? 2); index++) {
 			site.engines.push(new UpstreamStandIn({
-				id: `engine-${index}`, service: 'model', failureDomain: 'a', slots: 8, ledger: site.ledger, model: engineModel,
+				id: `engine-${index}`, service: 'model', failureDomain: domainOf(index), slots: 8, ledger: site.ledger, model: engineModel,
 			}));
 		}
 
 		for (let index = 0; index < (options.plains ?? 2); index++) {
 			site.plains.push(new UpstreamStandIn({
-				id: `plain-${index}`, service: 'plain', failureDomain: 'a', slots: 6, ledger: site.ledger, answerDelay: 20,
+				id: `plain-${index}`, service: 'plain', failureDomain: domainOf(index), slots: 6, ledger: site.ledger, answerDelay: 20,
 			}));
 		}
 
@@ -53,7 +57,7 @@
 		site.store.put('op/config', createConfiguration(1));
 		for (let index = 0; index < (options.hosts ?? 1); index++) {
 			const address = index === options.secondaryStoreHost ? site.store.secondaryAddress : await site.#link(`store-host-${index}`, site.store.address);
-			await site.#addHost(`host-${index}`, {store: formatAddress(address), ...options.settings});
+			await site.#addHost(`host-${index}`, {failureDomain: domainOf(index), store: formatAddress(address), ...options.settings});
 		}
 
 		await Promise.all(site.hosts.map(async host => site.waitUntilReady(host)));
@@ -133,7 +137,6 @@
 		const host = new Host(name, ports, file);
 		writeFileSync(file, JSON.stringify({
 			host: name,
-			failureDomain: 'a',
 			caller: formatAddress(host.caller),
 			ready: formatAddress(host.ready),
 			peer: formatAddress(host.peer),
--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -100,6 +100,7 @@
 		loadUpdates: {refresh: async () => undefined, end: () => undefined},
 		canRetry: () => false,
 		computeWait: () => undefined,
+		countObstacles: () => ({}),
 		place() {
 			placed++;
 			return placements.shift();
@@ -149,6 +150,7 @@
 			return undefined;
 		},
 		computeWait: () => waits[placed - 1],
+		countObstacles: () => ({'rate-limit': 1}),
 	};
 	const services = {gateway, clock: {now: () => 0}} as unknown as GatewayServices;
 	const callerResponse = {
@@ -176,3 +178,55 @@
 it('waits for an upstream if the caller has part of its stream, and ends it once none is left', async () => {
 	expect(await runWithoutUpstream({waits: [20, 10, undefined], hasBegun: true})).toEqual([['noUpstream', 0], 3]);
 });
+
+it('sends nothing to an engine whose failure domain is evacuated while it reserves memory, and places the request again', async () => {
+	const lines: string[] = [];
+	const concluded: string[] = [];
+	const released: string[] = [];
+	const evacuated: string[] = [];
+	const placements = [{
+		upstream: {id: 'e0', address: {host: '127.0.0.1', port: 1}}, helpers: [{id: 'e1', address: {host: '127.0.0.1', port: 1}}], holdTokens: 500, loss: 0, firstByte: 0,
+	}];
+	const gateway = {
+		convictions: {isConvicted: () => false},
+		loadUpdates: {refresh: async () => undefined},
+		service: () => undefined,
+		canRetry: () => false,
+		computeWait: () => undefined,
+		countObstacles: () => ({evacuation: 2}),
+		findEvacuated: () => evacuated,
+		place: () => placements.shift(),
+	};
+	const hold = {
+		name: 'h0',
+		async acquire() {
+			evacuated.push('e1');
+			return [];
+		},
+		async [Symbol.asyncDispose]() {
+			released.push('h0');
+		},
+	};
+	const holds = {prepare: () => hold, count: () => undefined};
+	const services = {gateway, holds, clock: {now: () => 0}} as unknown as GatewayServices;
+	const callerResponse = {
+		isClosed: false,
+		conclude(name: string) {
+			concluded.push(name);
+		},
+	} as unknown as CallerResponse;
+	const trace = {
+		write(event: string) {
+			lines.push(event);
+		},
+	} as unknown as RequestTrace;
+	const admitted = {
+		incoming: {url: '/', headers: {}},
+		body: Buffer.alloc(0),
+		route: {attempts: 2, kind: 'streaming', isResumable: true},
+		organisation: undefined,
+		demand: {deadline: 1000, service: 's'},
+	} as unknown as AdmittedRequest;
+	await new Dispatch(services, admitted, callerResponse, trace).run();
+	expect([lines, released, concluded]).toEqual([['hold-unused', 'not-accepted'], ['h0'], ['noUpstream']]);
+});
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -168,6 +168,8 @@
 		this.#metrics.unhealthy.set(this.#gateway.reputation.unhealthyCount);
 		this.#metrics.limited.set(this.#gateway.selfReports.limitedCount);
 		this.#metrics.unreachable.set(this.#gateway.reputation.unreachableDomains.size);
+		this.#metrics.evacuated.set(this.#gateway.registrations.evacuatedDomains.length);
+		this.#metrics.evacuatedJobs.set(this.#gateway.evacuatedJobCount);
 		this.#metrics.suspects.set(this.#gateway.reputation.suspects.size);
 	}
 }
--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -153,6 +153,7 @@
 			return true;
 		}
 
+		this.#logObstacles(wait);
 		this.#callerResponse.conclude(wait > 0 ? 'overloaded' : 'noUpstream', this.#stopReason, wait);
 		return false;
 	}
@@ -220,7 +221,7 @@
 			return this.#send(placement, undefined);
 		}
 
-		const {holds} = this.#services;
+		const {gateway, holds} = this.#services;
 		const engines = [placement.upstream, ...placement.helpers];
 		await using hold = holds.prepare(engines.map(each => ({
 			upstream: each.id, started: each.started, address: each.address, tokens: placement.holdTokens,
@@ -233,6 +234,13 @@
 			return {type: 'not-run', reason: 'memory not granted', isShed: true};
 		}
 
+		// The order may have arrived while the engines reserved the memory.
+		const evacuated = gateway.findEvacuated(placement);
+		if (evacuated.length > 0) {
+			this.#trace.write('hold-unused', {hold: hold.name, evacuated});
+			return {type: 'not-run', reason: 'evacuated', isShed: true};
+		}
+
 		// Awaited before returning, because the hold must not be released before the attempt ends.
 		const ending = await this.#send(placement, hold);
 		return ending;
@@ -317,6 +325,15 @@
 		});
 	}
 
+	/** Logs what keeps the upstreams of the service from accepting the request, if that is known. */
+	#logObstacles(wait: number): void {
+		const {service} = this.#request.demand;
+		const obstacles = this.#services.gateway.countObstacles(service);
+		if (Object.keys(obstacles).length > 0) {
+			this.#trace.write('not-accepted', {service, obstacles, wait: Math.round(wait)});
+		}
+	}
+
 	#logEnding(placement: Placement, attempt: string, ending: AttemptEnding): void {
 		const {type, ...details} = ending;
 		this.#trace.write('attempt-ended', {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -163,7 +163,14 @@
 			},
 		});
 		this.sharing = new StateSync(this, {self: settings.host, failureDomain: settings.failureDomain, clock});
-		this.#findObstacle = upstream => upstream.isDraining ? {type: 'departure'} : this.selfReports.findObstacle(upstream);
+		this.#findObstacle = upstream => {
+			if (this.registrations.isEvacuated(upstream.failureDomain)) {
+				return {type: 'evacuation'};
+			}
+
+			return upstream.isDraining ? {type: 'departure'} : this.selfReports.findObstacle(upstream);
+		};
+
 		this.#expiryTimer = setInterval(() => {
 			this.load.removeExpired(clock.now());
 		}, expiryIntervalMs);
@@ -276,6 +283,28 @@
 		return place(demand, this.upstreams.listByService(demand.service), this.service(demand.service)?.engine, this.#buildPlacementOptions(eligibility));
 	}
 
+	/**
+	 * @param placement - Placement of a request that has not been sent yet.
+	 * @returns Ids of its upstream and helpers whose failure domains have been evacuated since.
+	 */
+	findEvacuated({upstream, helpers}: Placement): readonly string[] {
+		return [upstream, ...helpers].filter(each => this.registrations.isEvacuated(each.failureDomain)).map(({id}) => id);
+	}
+
+	/** Number of known requests, of any host, that still run at upstreams of evacuated failure domains. */
+	get evacuatedJobCount(): number {
+		if (this.registrations.evacuatedDomains.length === 0) {
+			return 0;
+		}
+
+		let count = 0;
+		for (const {id, failureDomain} of this.upstreams.all) {
+			count += this.registrations.isEvacuated(failureDomain) ? this.load.countRequests(id) : 0;
+		}
+
+		return count;
+	}
+
 	/**
 	 * @param service - Service.
 	 * @param eligibility - Upstreams that the request may go to.
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -67,6 +67,8 @@
 	readonly unhealthy: Gauge;
 	readonly limited: Gauge;
 	readonly unreachable: Gauge;
+	readonly evacuated: Gauge;
+	readonly evacuatedJobs: Gauge;
 	readonly suspects: Gauge;
 	readonly #registry = new Registry();
 
@@ -90,6 +92,8 @@
 		this.unhealthy = createGauge(registry, 'upstreams_doubted', 'Upstreams that were left alone and have not answered since');
 		this.limited = createGauge(registry, 'upstreams_limited', 'Upstreams that limit the rate of requests from all hosts');
 		this.unreachable = createGauge(registry, 'domains_unreachable', 'Failure domains out of reach');
+		this.evacuated = createGauge(registry, 'domains_evacuated', 'Failure domains that the operator has evacuated');
+		this.evacuatedJobs = createGauge(registry, 'evacuated_jobs', 'Requests that still run in evacuated failure domains, own and of peers');
 		this.suspects = createGauge(registry, 'requests_suspected', 'Requests during which a connection of their upstream broke');
 	}
 
--- a/stand-ins/gateway/upstream.ts
+++ b/stand-ins/gateway/upstream.ts
@@ -107,6 +107,10 @@
 		return this.#options.model !== undefined;
 	}
 
+	get failureDomain(): string {
+		return this.#options.failureDomain;
+	}
+
 	/** Requests that arrived, run or not. */
 	get arrivals(): readonly Arrival[] {
 		return this.#arrivals;
