explain and incidents name evacuations

Cause: an operator could not see from logs that a refusal or a change of upstreams was due to an evacuation.

--- a/src/cli/__tests__/incidents.test.ts
+++ b/src/cli/__tests__/incidents.test.ts
@@ -25,3 +25,18 @@
 	const descriptions = summarise(parseLog(lines.join('\n'))).happenings.map(each => `${each.event} ${each.subject} ${each.hosts.join(',')}`);
 	expect(descriptions).toEqual(['upstream-doubted e1 host-1', 'upstream-doubted e2 host-2', 'domain-unreachable b host-2', 'upstream-trusted e1 host-1']);
 });
+
+it('lists evacuations by failure domain, with all hosts that learned of them', () => {
+	const position = {source: 'store', era: 1, revision: 105};
+	const lines = [
+		line(0, 'host-1', {
+			event: 'domain-evacuated', domain: 'b', upstreams: 4, ...position,
+		}),
+		line(900, 'host-2', {
+			event: 'domain-evacuated', domain: 'b', upstreams: 4, ...position, source: 'host-1',
+		}),
+		line(9000, 'host-1', {event: 'domain-evacuation-ended', domain: 'b', ...position}),
+	];
+	const descriptions = summarise(parseLog(lines.join('\n'))).happenings.map(each => `${each.event} ${each.subject} ${each.hosts.join(',')}`);
+	expect(descriptions).toEqual(['domain-evacuated b host-1,host-2', 'domain-evacuation-ended b host-1']);
+});
--- a/src/cli/commands/explain.ts
+++ b/src/cli/commands/explain.ts
@@ -19,7 +19,23 @@
 
 /** Events that may have caused what happened to a request. */
 const relatedEvents: ReadonlySet<string> = new Set([
-	'started', 'stopping', 'store-lost', 'store-regained', 'peer-lost', 'upstream', 'upstream-gone', 'upstream-lapsing', 'clock-gap', 'upstream-restarted', 'upstream-paused', 'upstream-leaving', 'upstream-limit', 'configuration', 'suspected',
+	'started',
+	'stopping',
+	'store-lost',
+	'store-regained',
+	'peer-lost',
+	'upstream',
+	'upstream-gone',
+	'upstream-lapsing',
+	'clock-gap',
+	'upstream-restarted',
+	'upstream-paused',
+	'upstream-leaving',
+	'upstream-limit',
+	'configuration',
+	'suspected',
+	'domain-evacuated',
+	'domain-evacuation-ended',
 ]);
 
 /** Time before and after a request in which related events are searched. */
--- a/src/cli/gateway-lines.ts
+++ b/src/cli/gateway-lines.ts
@@ -38,8 +38,23 @@
 		weight: z.number(),
 		returnAfter: z.number(),
 	}),
+	z.object({
+		type: z.literal('not-accepted'),
+		service: z.string(),
+		/** Number of upstreams by what keeps them from accepting the request. */
+		obstacles: z.record(z.string(), z.number()),
+		/** Milliseconds until one accepts it; 0 if that is unknown. */
+		wait: z.number(),
+	}),
 	z.object({type: z.literal('retry-denied'), service: z.string(), hosts: z.number()}),
 	z.object({type: z.literal('hold-refused'), hold: z.string(), refused: z.array(z.string())}),
+	z.object({type: z.literal('hold-unused'), hold: z.string(), evacuated: z.array(z.string())}),
+	z.object({
+		type: z.literal('domain-evacuated'), domain: z.string(), upstreams: z.number(), source: z.string(), era: z.number(), revision: z.number(),
+	}),
+	z.object({
+		type: z.literal('domain-evacuation-ended'), domain: z.string(), source: z.string(), era: z.number(), revision: z.number(),
+	}),
 	z.object({
 		type: z.literal('ended'),
 		outcome: z.string(),
@@ -126,6 +141,11 @@
 			return `Refused: at ${line.upstream}, the best upstream, its expected loss of ${line.loss} is too high for its weight of ${line.weight}; the caller may retry after ${line.returnAfter} ms`;
 		}
 
+		case 'not-accepted': {
+			const obstacles = Object.entries(line.obstacles).map(([obstacle, count]) => `${obstacle} ${count}`).join(', ');
+			return `Refused: no upstream of ${line.service} accepts the request (${obstacles})${line.wait > 0 ? `; the next one does in ${line.wait} ms` : ''}`;
+		}
+
 		case 'retry-denied': {
 			return `Not sent once more: this host's part of the retries for ${line.service} is used up (hosts that share them: ${line.hosts})`;
 		}
@@ -134,6 +154,18 @@
 			return `Hold ${line.hold} was refused by ${line.refused.join(', ')}`;
 		}
 
+		case 'hold-unused': {
+			return `Hold ${line.hold} was released unused: the failure domains of ${line.evacuated.join(', ')} were evacuated meanwhile`;
+		}
+
+		case 'domain-evacuated': {
+			return `Failure domain ${line.domain} is evacuated: its ${line.upstreams} upstreams get no new requests (${line.source}, era ${line.era}, revision ${line.revision})`;
+		}
+
+		case 'domain-evacuation-ended': {
+			return `The evacuation of failure domain ${line.domain} has ended (${line.source}, era ${line.era}, revision ${line.revision})`;
+		}
+
 		case 'ended': {
 			return describeEnd(line);
 		}
--- a/src/cli/losses/causes.ts
+++ b/src/cli/losses/causes.ts
@@ -107,7 +107,11 @@
 			return;
 		}
 
+		case 'not-accepted':
 		case 'hold-refused':
+		case 'hold-unused':
+		case 'domain-evacuated':
+		case 'domain-evacuation-ended':
 		case 'retry-denied': {
 			return;
 		}
