Soak evacuates failure domains and checks that hosts keep to the orders

Cause: the soak had one failure domain and no orders to evacuate.

Change: hosts and upstreams of the testbed are spread over two domains; a fault `evacuate` with its own seed offset orders the evacuation of one and revokes it 6 to 10 s later. No request may reach an upstream there later than 5,000 ms after the order, counted anew from the end of each time in which the host could not read the store.

--- a/bench/soak/__tests__/soak.test.ts
+++ b/bench/soak/__tests__/soak.test.ts
@@ -6,6 +6,7 @@
 	findBrokenGuarantees, hasReversion, type Outage, type RequestResult, type RequestRecord,
 } from '../guarantees.js';
 import {runSoak} from '../run.js';
+import {findLateAtEvacuated, type StoreGap} from '../evacuations.js';
 import {findIgnoredStatements} from '../statements.js';
 import {type Statement} from '../../../stand-ins/gateway/upstream.js';
 
@@ -107,15 +108,38 @@
 	});
 });
 
+describe('orders to evacuate a failure domain', () => {
+	/** Requests through host 1 that reach an upstream of domain b, evacuated from 1,000 to 20,000 ms. */
+	function play(times: readonly number[], gaps: readonly StoreGap[] = [], failureDomain = 'b'): readonly string[] {
+		const requests = times.map((began, index) => buildRequest({type: 'never'}, {id: `r${index}`, began}));
+		const arrivals = requests.map(({id, began}) => ({request: id, at: began, process: 1}));
+		return findLateAtEvacuated([{id: 'u', failureDomain, arrivals}], requests, {evacuations: [{domain: 'b', from: 1000, to: 20_000}], gaps}, 0);
+	}
+
+	it('are ignored by a request that arrives there between the bound and the revocation', () => {
+		expect(play([500, 5900, 20_100])).toEqual([]);
+		expect(play([6100, 19_000])).toHaveLength(2);
+		expect(play([6100], [], 'a')).toEqual([]);
+	});
+
+	it('may be learned later by a host that could not read the store, until the bound after it could', () => {
+		expect(play([8900], [{from: 3000, to: 4000}])).toEqual([]);
+		expect(play([9100], [{from: 3000, to: 4000}])).toHaveLength(1);
+		expect(play([8900], [{host: 1, from: 3000, to: 4000}])).toEqual([]);
+		expect(play([8900], [{host: 2, from: 3000, to: 4000}])).toHaveLength(1);
+		expect(play([8900], [{from: 7000, to: 8000}])).toHaveLength(1);
+	});
+});
+
 describe('planFaults', () => {
 	const options = {
-		hosts: 3, upstreams: 5, engines: 3, links: 5, length: 60_000,
+		hosts: 3, upstreams: 5, engines: 3, links: 5, domains: 2, length: 60_000,
 	};
 
 	it('returns the same plan for the same seed, and draws every type of fault', () => {
 		const all = Array.from({length: 10}, (_, seed) => planFaults(seed + 1, options));
 		expect(planFaults(1, options)).toEqual(all[0]);
-		expect(new Set(all.flat().map(({fault}) => fault.type)).size).toBe(14);
+		expect(new Set(all.flat().map(({fault}) => fault.type)).size).toBe(15);
 	});
 });
 
--- a/bench/soak/plan.ts
+++ b/bench/soak/plan.ts
@@ -28,6 +28,8 @@
 		| {readonly type: 'depart'; readonly upstreams: readonly number[]; readonly length: number}
 	/** Upstreams refuse requests, stating for how many seconds they want none. */
 		| {readonly type: 'refuse'; readonly upstreams: readonly number[]; readonly retryAfter: number; readonly length: number}
+	/** The operator orders the evacuation of a failure domain, and revokes it after `length`. */
+		| {readonly type: 'evacuate'; readonly domain: number; readonly length: number}
 	/** A fault of the link to the store or to a plain service. */
 		| {readonly type: 'link'; readonly link: number; readonly how: 'delay' | 'cut' | 'refuse' | 'black-hole'; readonly length: number};
 
@@ -43,6 +45,8 @@
 	readonly upstreams: number;
 	readonly engines: number;
 	readonly links: number;
+	/** Number of failure domains. */
+	readonly domains: number;
 	/** Milliseconds in which faults begin. */
 	readonly length: number;
 };
@@ -65,6 +69,13 @@
 /** A rate limit is kept to a while after it was stated first, so that it must last longer. */
 const limitLengthMs = {least: 5000, most: 9000};
 
+/** The same for evacuations, and milliseconds between the beginnings of two of them. */
+const evacuationSeedOffset = 3_000_003;
+const gapBetweenEvacuations = {least: 2000, most: 9000};
+
+/** An evacuation is checked from 5,000 ms after the order, so that it must last longer. */
+const evacuationLengthMs = {least: 6000, most: 10_000};
+
 const statementTypes = ['limit', 'depart', 'refuse'] as const;
 
 /** Limit for consecutive faults of one type. */
@@ -142,6 +153,10 @@
 			};
 		}
 
+		case 'evacuate': {
+			return {type, domain: random.integer(0, options.domains - 1), length: random.integer(evacuationLengthMs.least, evacuationLengthMs.most)};
+		}
+
 		case 'link': {
 			return {
 				type, link: random.integer(0, options.links - 1), how: pick(random, ['delay', 'cut', 'refuse', 'black-hole']), length,
@@ -170,6 +185,18 @@
 	return planned;
 }
 
+function planEvacuations(seed: number, options: PlanOptions): readonly PlannedFault[] {
+	const random = createRandom(seed + evacuationSeedOffset);
+	const planned: PlannedFault[] = [];
+	// The first draws of consecutive seeds hardly differ.
+	random.integer(0, 1);
+	for (let at = random.integer(0, gapBetweenEvacuations.most); at < options.length; at += random.integer(gapBetweenEvacuations.least, gapBetweenEvacuations.most)) {
+		planned.push({at, fault: drawFault(random, 'evacuate', options)});
+	}
+
+	return planned;
+}
+
 /**
  * @param seed - Seed; the same seed gives the same plan.
  * @param options - Size of the testbed, and for how long faults begin.
@@ -190,5 +217,5 @@
 		at += random.integer(gapBetweenSeriesMs.least, gapBetweenSeriesMs.most);
 	}
 
-	return [...planned, ...planRestores(seed, options), ...planStatements(seed, options)].toSorted((a, b) => a.at - b.at);
+	return [...planned, ...planRestores(seed, options), ...planStatements(seed, options), ...planEvacuations(seed, options)].toSorted((a, b) => a.at - b.at);
 }
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -2,7 +2,10 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createRandom} from '../model/workload.js';
 import {Client} from './clients.js';
-import {engineCount, Testbed, plainCount} from './testbed.js';
+import {findLateAtEvacuated} from './evacuations.js';
+import {
+	engineCount, failureDomains, Testbed, plainCount,
+} from './testbed.js';
 import {planFaults} from './plan.js';
 import {findBrokenGuarantees, hasReversion} from './guarantees.js';
 import {findIgnoredStatements} from './statements.js';
@@ -35,7 +38,7 @@
 	await using testbed = await Testbed.start(options.hosts);
 	const {site} = testbed;
 	const planned = planFaults(options.seed, {
-		hosts: options.hosts, upstreams: engineCount + plainCount, engines: engineCount, links: testbed.links, length: options.length,
+		hosts: options.hosts, upstreams: engineCount + plainCount, engines: engineCount, links: testbed.links, domains: failureDomains.length, length: options.length,
 	});
 	const clients = Array.from({length: options.clients}, (_, index) => new Client(`c${index}`, site, createRandom((options.seed * 1000) + index)));
 	const ending = new AbortController();
@@ -50,13 +53,21 @@
 	ending.abort();
 	await Promise.all(running);
 	const unrecovered = await findUnrecovered(testbed);
+	const upstreams = [...site.engines, ...site.plains];
 	const requests = clients.flatMap(client => client.records);
+	const evacuationHistory = {evacuations: testbed.evacuations.history, gaps: [...testbed.storeGaps, ...testbed.outages]};
 	const reversions = testbed.appliedVersions().filter(versions => hasReversion(versions)).map(versions => `a host reverted to an earlier configuration: ${versions.join(', ')}`);
 	return {
 		requests: requests.length,
 		served: requests.filter(({result}) => result.type === 'answered' && result.answer.status === 200 && result.answer.isWhole).length,
 		faults: planned.length,
 		history: testbed.history,
-		broken: [...findBrokenGuarantees(requests, id => site.ledger.findRuns(id), testbed.outages, lag.most), ...findIgnoredStatements([...site.engines, ...site.plains], requests, testbed.outages, lag.most), ...unrecovered, ...reversions],
+		broken: [
+			...findBrokenGuarantees(requests, id => site.ledger.findRuns(id), testbed.outages, lag.most),
+			...findIgnoredStatements(upstreams, requests, testbed.outages, lag.most),
+			...findLateAtEvacuated(upstreams, requests, evacuationHistory, lag.most),
+			...unrecovered,
+			...reversions,
+		],
 	};
 }
--- a/bench/soak/testbed.ts
+++ b/bench/soak/testbed.ts
@@ -7,6 +7,7 @@
 import {createConfiguration} from '../gateway/configuration.js';
 import {type Host} from '../gateway/host.js';
 import {Site} from '../gateway/site.js';
+import {EvacuationOrders, type StoreGap} from './evacuations.js';
 import {type Fault} from './plan.js';
 import {type Outage} from './guarantees.js';
 
@@ -14,6 +15,9 @@
 export const engineCount = 3;
 export const plainCount = 2;
 
+/** Failure domains over which hosts and upstreams are spread. */
+export const failureDomains = ['a', 'b'] as const;
+
 /** Milliseconds between SIGTERM and the end of a process; longer than any request may take. */
 const stopGraceMs = 9000;
 
@@ -35,7 +39,7 @@
 		const proxy = await FaultProxy.start(settingsSchema.parse({}));
 		const links: string[] = [];
 		const site = await Site.start({
-			hosts, engines: engineCount, plains: plainCount, settings: {grace: stopGraceMs}, async link(name, target) {
+			hosts, engines: engineCount, plains: plainCount, failureDomains, settings: {grace: stopGraceMs}, async link(name, target) {
 				links.push(name);
 				return proxy.openLink({name, target, listen: {host: '127.0.0.1', port: 0}});
 			},
@@ -46,6 +50,9 @@
 	readonly site: Site;
 	readonly outages: Outage[] = [];
 	readonly history: string[] = [];
+	/** When hosts could not read the store, apart from their own outages. */
+	readonly storeGaps: StoreGap[] = [];
+	readonly evacuations: EvacuationOrders;
 	/** Number of log lines that each host had written when each of its runs began. */
 	readonly #runStarts: number[][];
 	readonly #proxy: FaultProxy;
@@ -60,6 +67,7 @@
 
 	private constructor(site: Site, proxy: FaultProxy, links: readonly string[]) {
 		this.site = site;
+		this.evacuations = new EvacuationOrders(site.store);
 		this.#proxy = proxy;
 		this.#links = links;
 		this.#runStarts = site.hosts.map(() => [0]);
@@ -133,7 +141,7 @@
 			case 'store': {
 				this.#storeFault = fault.mode;
 				this.#updateStoreMode();
-				await sleep(fault.length);
+				await this.#recordStoreGap(undefined, fault.length);
 				this.#storeFault = undefined;
 				this.#updateStoreMode();
 				return;
@@ -201,10 +209,18 @@
 				return;
 			}
 
+			case 'evacuate': {
+				const domain = failureDomains[fault.domain]!;
+				this.evacuations.begin(domain);
+				await sleep(fault.length);
+				this.evacuations.end(domain);
+				return;
+			}
+
 			case 'link': {
 				const where = {link: this.#links[fault.link]};
 				this.#proxy.apply(fault.how === 'delay' ? {type: 'delay', where, delay: linkDelayMs} : {type: fault.how, where});
-				await sleep(fault.length);
+				await this.#recordStoreGap(this.site.hosts.findIndex(host => this.#links[fault.link] === `store-${host.name}`), fault.length);
 				this.#proxy.apply({type: 'heal'});
 				return;
 			}
@@ -240,11 +256,23 @@
 		await sleep(backupAge);
 		this.#runningRestores++;
 		this.#updateStoreMode();
-		await sleep(outage);
+		await this.#recordStoreGap(undefined, outage);
 		store.restore(backup);
+		this.evacuations.recordLoss();
 		this.#runningRestores--;
 		this.#updateStoreMode();
-		await Promise.all([this.#rewriteConfiguration(), ...this.#upstreams.map(async upstream => this.#rewriteRegistration(upstream))]);
+		await Promise.all([
+			this.#rewriteConfiguration(),
+			...failureDomains.map(async domain => this.#rewriteEvacuation(domain)),
+			...this.#upstreams.map(async upstream => this.#rewriteRegistration(upstream)),
+		]);
+	}
+
+	/** Waits while a host, or all of them, can't read the store. */
+	async #recordStoreGap(host: number | undefined, length: number): Promise<void> {
+		const from = performance.now();
+		await sleep(length);
+		this.storeGaps.push({host, from, to: performance.now()});
 	}
 
 	#updateStoreMode(): void {
@@ -256,6 +284,11 @@
 		this.#publish(this.#version);
 	}
 
+	async #rewriteEvacuation(domain: string): Promise<void> {
+		await sleep(Math.random() * rewriteTimeMs);
+		this.evacuations.write(domain);
+	}
+
 	async #rewriteRegistration(upstream: UpstreamStandIn): Promise<void> {
 		await sleep(Math.random() * rewriteTimeMs);
 		if (this.#unregistered.has(upstream)) {
