Test that hosts which ask relays learn of an evacuation

Cause: the tests of real processes had three hosts in each domain, all of which read the store themselves.

Change: five hosts in one domain, of which two are relays, and an order for the other domain.

--- a/__tests__/gateway/evacuation.test.ts
+++ b/__tests__/gateway/evacuation.test.ts
@@ -1,7 +1,7 @@
 /** Six hosts in two failure domains follow the operator's orders to evacuate a domain, also while the store is away. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	afterEach, beforeEach, expect, it,
+	afterEach, expect, it,
 } from 'vitest';
 import {createPromptHeaders, type Answer} from '../../bench/gateway/caller-requests.js';
 import {Site} from '../../bench/gateway/site.js';
@@ -21,12 +21,16 @@
 let site: Site;
 let sentCount = 0;
 
-beforeEach(async () => {
+/**
+ * @param failureDomains - Domains over which the hosts and upstreams are spread.
+ * @param upstreams - Number of engines, and of plain services.
+ */
+async function startSite(failureDomains: readonly string[], upstreams: number): Promise<void> {
 	site = await Site.start({
-		hosts: 6, engines: 4, plains: 4, failureDomains: ['a', 'b'], secondaryStoreHost: cutHost, settings: {revocation: 0, evacuationDelay: evacuationDelayMs},
+		hosts: 6, engines: upstreams, plains: upstreams, failureDomains, secondaryStoreHost: cutHost, settings: {revocation: 0, evacuationDelay: evacuationDelayMs},
 	});
 	await expect.poll(() => site.hosts.every(host => host.findLogLines('peer-linked').length >= 5), {timeout: 20_000}).toBe(true);
-}, 60_000);
+}
 
 afterEach(async () => {
 	await site[Symbol.asyncDispose]();
@@ -67,6 +71,7 @@
 }
 
 it('sends no work to an evacuated domain while the order stands, whether or not hosts reach the store, and uses it after the revocation', async () => {
+	await startSite(['a', 'b'], 4);
 	site.store.secondaryMode = 'reset';
 	const before = performance.now();
 	expect(findRefused(await sendLoad(1000))).toEqual([]);
@@ -94,6 +99,7 @@
 }, 90_000);
 
 it('refuses callers at once while both domains are evacuated, and says why in the log', async () => {
+	await startSite(['a', 'b'], 4);
 	site.store.put('op/evacuate/a', 'now');
 	site.store.put('op/evacuate/b', {});
 	site.store.put('op/evacuate/', {});
@@ -112,3 +118,19 @@
 	await sleep(noticeMs);
 	expect(findRefused(await sendLoad(1000))).toEqual([]);
 }, 90_000);
+
+it('reaches hosts that ask relays of their domain for the state of the store, with the revision of the order', async () => {
+	await startSite(['a', 'a', 'a', 'a', 'a', 'b'], 6);
+	// Ends the watches that hosts began before they knew their relays.
+	site.register(site.engines[0]!);
+	await sleep(noticeMs / 2);
+	site.store.put('op/evacuate/b', {});
+	await sleep(noticeMs);
+	const lines = site.hosts.map(host => host.findLogLines('domain-evacuated'));
+	expect(lines.map(each => each.map(line => line.domain))).toEqual(lines.map(() => ['b']));
+	expect(lines.flat().filter(line => line.source !== 'store').length).toBeGreaterThan(1);
+	expect(new Set(lines.flat().map(line => line.revision)).size).toBe(1);
+	const ordered = performance.now();
+	expect(findRefused(await sendLoad(1000))).toEqual([]);
+	expect(findArrivals('b', ordered)).toEqual([]);
+}, 90_000);
