--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -178,6 +178,8 @@
 		this.#metrics.unreachable.set(this.#gateway.reputation.unreachableDomains.size);
 		this.#metrics.responseBytes.set(this.#responseBuffers.held);
 		this.#metrics.responsesUnread.set(this.#responseBuffers.stoppedCount);
+		this.#metrics.evacuated.set(this.#gateway.registrations.evacuatedDomains.length);
+		this.#metrics.evacuatedJobs.set(this.#gateway.evacuatedJobCount);
 		this.#metrics.suspects.set(this.#gateway.reputation.suspects.size);
 	}
 }
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -68,6 +68,8 @@
 	readonly limited: Gauge;
 	readonly cold: Gauge;
 	readonly unreachable: Gauge;
+	readonly evacuated: Gauge;
+	readonly evacuatedJobs: Gauge;
 	readonly suspects: Gauge;
 	readonly responseBytes: Gauge;
 	readonly responseBudget: Gauge;
@@ -97,6 +99,8 @@
 		this.limited = createGauge(registry, 'upstreams_limited', 'Upstreams that limit the rate of requests from all hosts');
 		this.cold = createGauge(registry, 'upstreams_cold', 'Upstreams that are cold and take few requests');
 		this.unreachable = createGauge(registry, 'domains_unreachable', 'Failure domains out of reach');
+		this.evacuated = createGauge(registry, 'domains_evacuated', 'Failure domains that the operator has evacuated');
+		this.evacuatedJobs = createGauge(registry, 'evacuated_jobs', 'Requests that still run in evacuated failure domains, own and of peers');
 		this.suspects = createGauge(registry, 'requests_suspected', 'Requests during which a connection of their upstream broke');
 		this.responseBytes = createGauge(registry, 'response_bytes_held', 'Bytes of responses that callers have not read');
 		this.responseBudget = createGauge(registry, 'response_bytes_budget', 'Bytes of responses that may be held for callers; 0 without a limit');
