--- a/__tests__/gateway/evacuation.test.ts
+++ b/__tests__/gateway/evacuation.test.ts
@@ -3,7 +3,7 @@
 import {
 	afterEach, expect, it,
 } from 'vitest';
-import {createPromptHeaders, type Answer} from '../../bench/gateway/caller-requests.js';
+import {createPromptHeaders, sendRequest, type Answer} from '../../bench/gateway/caller-requests.js';
 import {Site} from '../../bench/gateway/site.js';
 import {type Host} from '../../bench/gateway/host.js';
 
@@ -114,6 +114,9 @@
 	expect(first!.findLogLines('evacuation-value')).toMatchObject([{domain: 'a', value: '"now"'}]);
 	expect(first!.findLogLines('evacuation-refused')).toMatchObject([{key: 'op/evacuate/'}]);
 	expect(first!.findLogLines('domain-evacuated').map(line => [line.domain, line.upstreams])).toEqual([['a', 4], ['b', 4], ['nowhere', 0]]);
+	const metrics = await sendRequest(first!.metrics, {path: '/metrics', id: '', method: 'GET'});
+	expect(metrics.body).toMatch(/^cranberrytide_domains_evacuated 3$/mv);
+	expect(metrics.body).toMatch(/^cranberrytide_evacuated_jobs 0$/mv);
 	site.store.remove('op/evacuate/a');
 	await sleep(noticeMs);
 	expect(findRefused(await sendLoad(1000))).toEqual([]);
