A request that no upstream accepts now is logged with the causes

Cause: the log didn't say whether a rate limit, a pause or cold engines kept all upstreams of a service from accepting a request. Change: line not-accepted with the number of upstreams by cause and the wait; explain describes it. The fake gateway of the dispatch test counts obstacles.

--- a/src/cli/gateway-lines.ts
+++ b/src/cli/gateway-lines.ts
@@ -38,6 +38,9 @@
 		weight: z.number(),
 		returnAfter: z.number(),
 	}),
+	z.object({
+		type: z.literal('not-accepted'), service: z.string(), obstacles: z.record(z.string(), z.number()), wait: z.number(),
+	}),
 	z.object({type: z.literal('retry-denied'), service: z.string(), hosts: z.number()}),
 	z.object({type: z.literal('hold-refused'), hold: z.string(), refused: z.array(z.string())}),
 	z.object({
@@ -126,6 +129,11 @@
 			return `Refused: at ${line.upstream}, the best upstream, its expected loss of ${line.loss} is too high for its weight of ${line.weight}; the caller may retry after ${line.returnAfter} ms`;
 		}
 
+		case 'not-accepted': {
+			const counts = Object.entries(line.obstacles).map(([obstacle, count]) => `${obstacle} at ${count}`);
+			return `Refused: no upstream of ${line.service} accepts it now (${counts.join(', ')}); the next one does after ${line.wait} ms`;
+		}
+
 		case 'retry-denied': {
 			return `Not sent once more: this host's part of the retries for ${line.service} is used up (hosts that share them: ${line.hosts})`;
 		}
--- a/src/cli/losses/causes.ts
+++ b/src/cli/losses/causes.ts
@@ -108,6 +108,7 @@
 		}
 
 		case 'hold-refused':
+		case 'not-accepted':
 		case 'retry-denied': {
 			return;
 		}
--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -149,6 +149,7 @@
 			return undefined;
 		},
 		computeWait: () => waits[placed - 1],
+		countObstacles: () => ({pause: 1}),
 	};
 	const services = {gateway, clock: {now: () => 0}} as unknown as GatewayServices;
 	const callerResponse = {
--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -153,6 +153,11 @@
 			return true;
 		}
 
+		if (wait > 0 && !this.#isOver) {
+			const {service} = this.#request.demand;
+			this.#trace.write('not-accepted', {service, obstacles: this.#services.gateway.countObstacles(service), wait: Math.round(wait)});
+		}
+
 		this.#callerResponse.conclude(wait > 0 ? 'overloaded' : 'noUpstream', this.#stopReason, wait);
 		return false;
 	}
