--- a/src/core/gateway/__tests__/registry.test.ts
+++ b/src/core/gateway/__tests__/registry.test.ts
@@ -68,4 +68,15 @@
 		expect(registry.apply(written('e3', 4))).toBe(true);
 		expect(ids(registry)).toEqual(['e2', 'e3']);
 	});
+
+	it('takes a registration of a cold upstream for a change, once for each write, and not the one that states the end', () => {
+		const registry = new Registry();
+		registry.apply(written('e1', 5, {sequence: 1}));
+		expect([
+			registry.apply(written('e1', 6, {sequence: 2, coldRemaining: 3000})),
+			registry.apply(written('e1', 7, {sequence: 2, coldRemaining: 3000})),
+			registry.apply(written('e1', 8, {sequence: 3, coldRemaining: 3000})),
+			registry.apply(written('e1', 9, {sequence: 4})),
+		]).toEqual([true, false, true, false]);
+	});
 });
