Engines that are slower than configured are learned and avoided

Cause: the speed of engines wasn't learned, so that an engine four times slower than its configuration states got its full share.

Change: hosts compare the times between events, and the prefills of long prompts, with the configured ones, and report clear differences to peers in an optional field of load updates. Forecasts, losses, stall detection and retry delays use the pace. Without evidence it is 1.

--- a/bench/gateway/simulation.ts
+++ b/bench/gateway/simulation.ts
@@ -2,6 +2,8 @@
 import {assertNever} from '../../src/core/index.js';
 import {Health} from '../../src/core/gateway/health.js';
 import {Load, type Job} from '../../src/core/gateway/load.js';
+import {PaceSampler} from '../../src/core/gateway/pace-sampler.js';
+import {Paces, type PaceSample} from '../../src/core/gateway/paces.js';
 import {hasToYield, isWorthRerouting} from '../../src/core/gateway/rerouting.js';
 import {computeWeight} from '../../src/core/gateway/losses.js';
 import {
@@ -27,6 +29,16 @@
 	/** A fixed share of the engines serves only long prompts, the others only short ones; fewest requests decide among them. */
 		| 'fixed-border';
 
+/** Engines that are slower for a while. Times are in milliseconds. */
+export type SlowEngines = {
+	/** Number of engines, the first ones of the fleet. */
+	readonly count: number;
+	/** How many times longer their iterations take. */
+	readonly factor: number;
+	readonly from: number;
+	readonly until: number;
+};
+
 export type SimulationOptions = {
 	readonly model: EngineModel;
 	readonly hosts: number;
@@ -36,6 +48,9 @@
 	readonly updateDelay: number;
 	/** Policy of the `product` and `omniscient` decisions; by default the product's own. */
 	readonly policy?: Policy;
+	readonly slowEngines?: SlowEngines;
+	/** Whether hosts learn the paces of engines; by default they do. */
+	readonly arePacesLearned?: boolean;
 };
 
 /** Outcome of a request. Times are in milliseconds since its arrival. */
@@ -75,6 +90,7 @@
 	readonly place: Placement;
 	/** Whether it was rerouted to these engines; a request is rerouted at most once. */
 	readonly isRerouted: boolean;
+	readonly paceSampler: PaceSampler;
 	/** Engines that have not prefilled their part yet. */
 	pendingParts: number;
 	/** Time of the last event, in milliseconds since the arrival. */
@@ -87,6 +103,7 @@
 	readonly #options: SimulationOptions;
 	readonly #policy: Policy;
 	readonly #timeline = new Timeline();
+	readonly #paces: readonly Paces[];
 	readonly #loads: readonly Load[];
 	readonly #health = new Health();
 	readonly #upstreams: readonly GatewayUpstream[];
@@ -99,7 +116,8 @@
 	constructor(options: SimulationOptions) {
 		this.#options = options;
 		this.#policy = options.policy ?? defaultPolicy;
-		this.#loads = Array.from({length: options.strategy === 'omniscient' ? 1 : options.hosts}, () => new Load());
+		this.#paces = Array.from({length: options.strategy === 'omniscient' ? 1 : options.hosts}, () => new Paces());
+		this.#loads = this.#paces.map(paces => new Load((upstream, now) => paces.get(upstream, now)));
 		this.#upstreams = Array.from({length: options.engines}, (_, index) => ({
 			id: `e${index}`, service: 's', address: {host: '10.0.0.1', port: index + 1}, failureDomain: `d${index % 3}`, slots: options.model.slots, isDraining: false,
 		}));
@@ -265,6 +283,9 @@
 		};
 		const engines = [upstream, ...helpers].map(each => this.#getEngineIndex(each));
 		this.#running.set(arrival.id, {
+			paceSampler: new PaceSampler({
+				load: this.#getLoad(arrival.host), model, prompt: demand.prompt!, placement: chosen, job: job.id, sent: now,
+			}),
 			arrival, job, host: arrival.host, engines, demand, place: chosen, isRerouted, pendingParts: engines.length, lastEvent: 0, longestPause: 0,
 		});
 		this.#publishUpdate(arrival.host, (load, at) => {
@@ -364,13 +385,39 @@
 		}
 
 		this.#isIterating[engine] = true;
-		this.#timeline.schedule(this.#timeline.now + time, () => {
+		this.#timeline.schedule(this.#timeline.now + (time * this.#getSlowness(engine)), () => {
 			this.#isIterating[engine] = false;
 			this.#finishIteration(engine);
 			this.#startIteration(engine);
 		});
 	}
 
+	#getSlowness(engine: number): number {
+		const {count, factor, from, until} = this.#options.slowEngines ?? {
+			count: 0, factor: 1, from: 0, until: 0,
+		};
+		const {now} = this.#timeline;
+		return engine < count && now >= from && now < until ? factor : 1;
+	}
+
+	/** Records a sample at its host, and what the host reports at the others after the delay. */
+	#recordPace(host: number, sample: PaceSample | undefined): void {
+		const own = this.#paces[host % this.#paces.length]!;
+		if (sample === undefined || this.#options.arePacesLearned === false) {
+			return;
+		}
+
+		own.recordSample(sample);
+		const report = own.takeReport(sample.upstream, sample.phase, sample.at);
+		for (const paces of report === undefined ? [] : this.#paces) {
+			if (paces !== own) {
+				this.#timeline.schedule(this.#timeline.now + this.#options.updateDelay, () => {
+					paces.recordReport({...report!, host: `h${host}`});
+				});
+			}
+		}
+	}
+
 	#finishIteration(engine: number): void {
 		for (const {job, isPrefilled, hasEvent, isFinished} of this.#batches[engine]!.finishIteration()) {
 			const running = this.#running.get(job.id);
@@ -398,6 +445,7 @@
 	}
 
 	#handleEvent(running: RunningRequest, isFinished: boolean): void {
+		this.#recordPace(running.host, running.paceSampler.noteEvents(this.#timeline.now));
 		const at = this.#timeline.now + engineDelayMs + callerDelayMs - running.arrival.at;
 		if (running.firstEvent === undefined) {
 			running.firstEvent = at;
--- /dev/null
+++ b/src/core/gateway/__tests__/paces.test.ts
@@ -0,0 +1,205 @@
+/** What is learned about the speed of engines, and how it ends. */
+import {describe, expect, it} from 'vitest';
+import {Load, type Job} from '../load.js';
+import {
+	configuredPace, isPace, Paces, type PaceReport,
+} from '../paces.js';
+import {PaceSampler} from '../pace-sampler.js';
+import {type Placement} from '../placement.js';
+import {type EngineModel} from '../types.js';
+import {createUpstream} from './fixtures.js';
+
+const now = 1_000_000;
+const model: EngineModel = {
+	slots: 8, memory: 382_500, stride: 43, step: 1, perRequest: 0, perThousand: 0, readRate: 200, pairs: 0, chunk: 2048, hop: 0, usualPrompt: 12_316, usualAnswer: 1303,
+};
+
+const jobTimes = {
+	weight: 1, placing: 'first', began: now, due: now + 300, deadline: now + 9000,
+} as const;
+
+function record(paces: Paces, factors: readonly number[], upstream = 'e0'): void {
+	for (const [index, factor] of factors.entries()) {
+		paces.recordSample({
+			upstream, phase: 'decode', configured: 43, measured: 43 * factor, at: now + index,
+		});
+	}
+}
+
+function createReport(change: Partial<PaceReport> = {}): PaceReport {
+	return {
+		host: 'h1', upstream: 'e0', phase: 'decode', pace: 0.25, confidence: 6, at: now, ...change,
+	};
+}
+
+describe('a pace', () => {
+	it('is the configured one, the same object, while nothing or nothing clear is known', () => {
+		const paces = new Paces();
+		expect(paces.get('e0', now)).toBe(configuredPace);
+		record(paces, [1.3, 1.4, 0.8, 1.3]);
+		expect(paces.get('e0', now)).toBe(configuredPace);
+		expect(paces.takeReport('e0', 'decode', now)).toBeUndefined();
+	});
+
+	it('is learned from several samples, for prefills too as long as these told nothing', () => {
+		const paces = new Paces();
+		record(paces, [4, 4, 4]);
+		expect(paces.get('e0', now + 10).decode).toBeCloseTo(0.25);
+		expect(paces.get('e0', now + 10).prefill).toBeCloseTo(0.25);
+		for (const at of [now, now + 1]) {
+			paces.recordSample({
+				upstream: 'e0', phase: 'prefill', configured: 400, measured: 400, at,
+			});
+		}
+
+		expect(paces.get('e0', now + 10).decode).toBeCloseTo(0.25);
+		expect(paces.get('e0', now + 10).prefill).toBe(1);
+	});
+
+	it('does not follow a single slow event', () => {
+		const paces = new Paces();
+		record(paces, [30]);
+		expect(paces.get('e0', now)).toBe(configuredPace);
+		record(paces, [1, 1, 30, 1]);
+		expect(paces.get('e0', now)).toBe(configuredPace);
+	});
+
+	it('decays to 1 within seconds without news', () => {
+		const paces = new Paces();
+		record(paces, [4, 4, 4]);
+		const decayed = [0, 1900, 2700, 6000].map(age => paces.get('e0', now + age).decode);
+		expect(decayed[1]).toBeCloseTo(0.25);
+		expect(decayed[2]).toBeGreaterThan(0.3);
+		expect(decayed[3]).toBe(1);
+	});
+
+	it('is forgotten with the process of the engine', () => {
+		const paces = new Paces();
+		record(paces, [4, 4, 4]);
+		paces.forget('e0');
+		expect(paces.get('e0', now)).toBe(configuredPace);
+	});
+
+	it('ignores samples that cannot be right', () => {
+		const paces = new Paces();
+		for (const measured of [0, -5, Number.NaN, Number.POSITIVE_INFINITY]) {
+			record(paces, [measured, measured, measured]);
+		}
+
+		expect(paces.get('e0', now)).toBe(configuredPace);
+		expect([0, -1, Number.NaN, Number.POSITIVE_INFINITY, 0.25].map(pace => isPace(pace))).toEqual([false, false, false, false, true]);
+	});
+
+	it('stays bounded, in value and in number', () => {
+		const paces = new Paces();
+		paces.recordReport(createReport({pace: 1e-9}));
+		expect(paces.get('e0', now).decode).toBeGreaterThan(0.05);
+		for (let index = 0; index < 5000; index++) {
+			record(paces, [4, 4, 4], `x${index}`);
+		}
+
+		expect(paces.findUneven(now).size).toBeLessThan(2100);
+	});
+});
+
+describe('reports', () => {
+	it('are taken once a second, and teach a peer that has no sample', () => {
+		const [paces, peer] = [new Paces(), new Paces()];
+		record(paces, [4, 4, 4]);
+		const report = paces.takeReport('e0', 'decode', now + 10)!;
+		expect(paces.takeReport('e0', 'decode', now + 900)).toBeUndefined();
+		expect(paces.takeReport('e0', 'decode', now + 1100)).toBeDefined();
+		peer.recordReport({...report, host: 'h0'});
+		expect(peer.get('e0', now + 20).decode).toBeCloseTo(0.25);
+	});
+
+	it('of peers are not passed on, so that a pace ends with the evidence for it', () => {
+		const paces = new Paces();
+		paces.recordReport(createReport());
+		expect(paces.takeReport('e0', 'decode', now)).toBeUndefined();
+	});
+
+	it('that own samples contradict are answered', () => {
+		const paces = new Paces();
+		paces.recordReport(createReport());
+		record(paces, [1, 1, 1]);
+		expect(paces.takeReport('e0', 'decode', now + 10)?.pace).toBeCloseTo(1);
+	});
+
+	it('of one host count once, although they may arrive over two paths', () => {
+		const paces = new Paces();
+		record(paces, [1, 1, 1]);
+		for (let index = 0; index < 5; index++) {
+			paces.recordReport(createReport({confidence: 2}));
+		}
+
+		expect(paces.get('e0', now + 5)).toBe(configuredPace);
+	});
+});
+
+describe('a sampler', () => {
+	const upstream = createUpstream('e0', {slots: 8});
+	const placement: Placement = {
+		upstream, helpers: [], holdTokens: 0, prefill: {total: 25, perIteration: 25}, firstByte: 25, loss: 0,
+	};
+
+	function createLoad(): Load {
+		const load = new Load();
+		load.begin(createJob('own'), now);
+		return load;
+	}
+
+	function createJob(id: string, change: Partial<Job> = {}): Job {
+		return {
+			id, host: 'h', upstream: 'e0', helpers: [], prompt: 5000, answer: 100, isHeld: false, read: 25, readPerPass: 25, ...jobTimes, ...change,
+		};
+	}
+
+	function createSampler(load: Load): PaceSampler {
+		return new PaceSampler({
+			load, model, prompt: {tokens: 5000, answer: 100}, placement, job: 'own', sent: now,
+		});
+	}
+
+	it('compares the time between events with an iteration', () => {
+		const load = createLoad();
+		const sampler = createSampler(load);
+		expect(sampler.noteEvents(now + 100)).toBeUndefined();
+		load.recordFirstByte('own', now + 100);
+		expect(sampler.noteEvents(now + 272)).toMatchObject({phase: 'decode', configured: 43, measured: 172});
+	});
+
+	it('does not take the prefill of another prompt for slowness', () => {
+		const load = createLoad();
+		const sampler = createSampler(load);
+		sampler.noteEvents(now + 100);
+		load.recordFirstByte('own', now + 100);
+		load.begin(createJob('other', {read: 400, readPerPass: 400}), now + 110);
+		expect(sampler.noteEvents(now + 443)).toBeUndefined();
+	});
+
+	it('does not take a caller that reads slowly for a slow engine', () => {
+		const load = createLoad();
+		const sampler = createSampler(load);
+		sampler.noteEvents(now + 100);
+		load.recordFirstByte('own', now + 100);
+		sampler.noteDelay();
+		expect(sampler.noteEvents(now + 900)).toBeUndefined();
+		expect(sampler.noteEvents(now + 943)).toMatchObject({configured: 43, measured: 43});
+	});
+});
+
+it('predicts longer times at a slow engine, and leaves others as they are', () => {
+	const paces = new Paces();
+	record(paces, [4, 4, 4]);
+	const load = new Load((upstream, at) => paces.get(upstream, at));
+	for (const upstream of ['e0', 'e1']) {
+		load.begin({
+			id: upstream, host: 'h', upstream, helpers: [], prompt: 5000, answer: 100, isHeld: false, read: 25, readPerPass: 25, ...jobTimes,
+		}, now + 10);
+	}
+
+	const slow = load.forecast('e0', model, now + 10);
+	expect([Math.round(slow.backlog), Math.round(slow.slowdown)]).toEqual([100, 129]);
+	expect(load.forecast('e1', model, now + 10)).toMatchObject({backlog: 25, slowdown: 0});
+});
--- a/src/core/gateway/load.ts
+++ b/src/core/gateway/load.ts
@@ -1,6 +1,7 @@
 /** Tracks the jobs at each upstream, from this host and from the load updates of its peers, and forecasts engine load from them. */
 import {footprint, estimateDecodeIteration} from './engine.js';
 import {defaultUrgency} from './urgency.js';
+import {configuredPace, type Pace, type PaceFinder} from './paces.js';
 import {estimateSlotWait, type Occupant} from './queue.js';
 import {type EngineModel} from './types.js';
 
@@ -22,7 +23,7 @@
 	readonly answer: number;
 	/** Whether the memory of the request is split evenly into holds at the upstream and the helpers. */
 	readonly isHeld: boolean;
-	/** Prefill time at each of the engines. */
+	/** Prefill time at each of the engines, at the speed that its configuration states. */
 	readonly read: number;
 	/** Longest part of the prefill within one engine iteration. */
 	readonly readPerPass: number;
@@ -57,6 +58,12 @@
 	readonly slotWait: number;
 	/** KV memory in tokens that no job needs. */
 	readonly freeMemory: number;
+	/** Context lengths in tokens of the jobs that the engine decodes. */
+	readonly contexts: readonly number[];
+	/** Pace by which the times above are predicted. */
+	readonly pace: Pace;
+	/** Milliseconds by which an iteration that decodes one new request exceeds the configured time; 0 unless the engine is slow. */
+	readonly slowdown: number;
 };
 
 export type ForecastOptions = {
@@ -87,6 +94,14 @@
 	/** End times of jobs, the oldest first. */
 	readonly #ended = new Map<string, number>();
 	readonly #engines = new Map<string, EngineState>();
+	readonly #findPace: PaceFinder;
+
+	/**
+	 * @param findPace - Finds the pace of an engine.
+	 */
+	constructor(findPace: PaceFinder = () => configuredPace) {
+		this.#findPace = findPace;
+	}
 
 	/** Number of known jobs. */
 	get size(): number {
@@ -161,7 +176,7 @@
 			const state = this.#engineState(engine);
 			state.jobs.set(job.id, job);
 			if (job.firstByte === undefined) {
-				state.prefillUntil = Math.max(state.prefillUntil, now) + job.read;
+				state.prefillUntil = Math.max(state.prefillUntil, now) + (job.read / this.#findPace(engine, now).prefill);
 			}
 		}
 	}
@@ -181,7 +196,7 @@
 		for (const engine of enginesOf(job)) {
 			const state = this.#engineState(engine);
 			state.jobs.set(id, next);
-			shortenPrefillBacklog(state, now);
+			shortenPrefillBacklog(state, now, this.#findPace(engine, now));
 		}
 	}
 
@@ -250,9 +265,11 @@
 	 */
 	forecast(upstream: string, model: EngineModel, now: number, {urgency = defaultUrgency, excludedJob}: ForecastOptions = {}): Forecast {
 		const state = this.#engines.get(upstream);
+		const pace = this.#findPace(upstream, now);
+		const slowdown = pace.decode < 1 ? estimateDecodeIteration(model, [0]) * ((1 / pace.decode) - 1) : 0;
 		if (state === undefined) {
 			return {
-				requests: 0, decoding: [], prefilling: [], backlog: 0, iteration: 0, slotWait: 0, freeMemory: model.memory,
+				requests: 0, decoding: [], prefilling: [], backlog: 0, iteration: 0, slotWait: 0, freeMemory: model.memory, contexts: [], pace, slowdown,
 			};
 		}
 
@@ -264,7 +281,7 @@
 		let {prefillUntil} = state;
 		for (const job of state.jobs.values()) {
 			if (job.id === excludedJob) {
-				prefillUntil -= job.firstByte === undefined ? job.read : 0;
+				prefillUntil -= job.firstByte === undefined ? job.read / pace.prefill : 0;
 				continue;
 			}
 
@@ -285,7 +302,7 @@
 		}
 
 		const minBacklog = prefilling.length === 0 ? 0 : prefillOverrunMs;
-		const iteration = contexts.length === 0 ? 0 : estimateDecodeIteration(model, contexts);
+		const iteration = contexts.length === 0 ? 0 : estimateDecodeIteration(model, contexts) / pace.decode;
 		return {
 			requests: occupants.length,
 			decoding,
@@ -294,6 +311,9 @@
 			iteration,
 			slotWait: estimateSlotWait(model, occupants, iteration, urgency),
 			freeMemory,
+			contexts,
+			pace,
+			slowdown,
 		};
 	}
 
@@ -310,7 +330,7 @@
 			if (state.jobs.size === 0) {
 				this.#engines.delete(engine);
 			} else if (job.firstByte === undefined) {
-				shortenPrefillBacklog(state, now);
+				shortenPrefillBacklog(state, now, this.#findPace(engine, now));
 			}
 		}
 	}
@@ -327,10 +347,10 @@
 }
 
 /** Limits the prefill backlog to what the remaining jobs need, after a prefill has ended or was removed. */
-function shortenPrefillBacklog(state: EngineState, now: number): void {
+function shortenPrefillBacklog(state: EngineState, now: number, {prefill: pace}: Pace): void {
 	let remaining = 0;
 	for (const job of state.jobs.values()) {
-		remaining += job.firstByte === undefined ? job.read : 0;
+		remaining += job.firstByte === undefined ? job.read / pace : 0;
 	}
 
 	state.prefillUntil = Math.min(state.prefillUntil, now + remaining);
--- a/src/core/gateway/losses.ts
+++ b/src/core/gateway/losses.ts
@@ -52,7 +52,7 @@
 		longest = Math.max(longest, job.readPerPass);
 	}
 
-	return forecast.iteration + Math.min(longest, forecast.backlog);
+	return forecast.iteration + Math.min(longest / forecast.pace.prefill, forecast.backlog);
 }
 
 /**
@@ -66,13 +66,13 @@
 	let loss = 0;
 	for (const job of forecast.decoding) {
 		if (job.pause !== undefined) {
-			const added = estimateLateProbability(current + prefill.perIteration, job.pause) - estimateLateProbability(current, job.pause);
+			const added = estimateLateProbability(current + (prefill.perIteration / forecast.pace.prefill), job.pause) - estimateLateProbability(current, job.pause);
 			loss += added * job.weight * lateLoss;
 		}
 	}
 
 	for (const job of forecast.prefilling) {
-		loss += estimateDelayLoss(job, prefill.total, forecast.backlog, now);
+		loss += estimateDelayLoss(job, prefill.total / forecast.pace.prefill, forecast.backlog, now);
 	}
 
 	return loss;
@@ -85,17 +85,17 @@
 
 /**
  * @param candidate - Engine.
- * @param prefill - Prefill of a new prompt.
+ * @param prefill - Prefill of a new prompt, at the configured speed.
  * @returns Milliseconds until the prefill is done.
  */
 export function estimatePrefillEnd({forecast}: Candidate, prefill: PrefillTime): number {
 	// The prompt joins after the running iteration, half of which remains on average; its first token comes at the end of its own.
-	return forecast.slotWait + (forecast.iteration * 1.5) + forecast.backlog + prefill.total;
+	return forecast.slotWait + (forecast.iteration * 1.5) + forecast.backlog + (prefill.total / forecast.pace.prefill) + forecast.slowdown;
 }
 
 /** Returns the probability that a stream pauses for longer than its latency target allows. */
 function estimatePauseProbability({forecast}: Candidate, {pause}: Demand): number {
-	return pause === undefined ? 0 : estimateLateProbability(estimatePrefillIteration(forecast), pause);
+	return pause === undefined ? 0 : estimateLateProbability(Math.max(estimatePrefillIteration(forecast), forecast.slowdown), pause);
 }
 
 /**
--- /dev/null
+++ b/src/core/gateway/pace-sampler.ts
@@ -0,0 +1,117 @@
+/** Measures the pace of an engine during one attempt, from the arrival times of its events. */
+import {estimateDecodeIteration, estimatePrefill} from './engine.js';
+import {type Forecast, type Load} from './load.js';
+import {configuredPace, type PaceSample} from './paces.js';
+import {type Placement} from './placement.js';
+import {type EngineModel, type Prompt} from './types.js';
+
+/** Shortest prefill in milliseconds, and least share of the predicted time to the first event, that tell the pace of prefills. */
+const minPrefillMs = 100;
+const minPrefillShare = 0.75;
+
+/** Largest ratio of the bounds of an iteration for which a time between them tells something. */
+const maxUncertainty = 1.3;
+
+/** Shortest time between two events in milliseconds: closer ones were delivered together. */
+const minGapMs = 1;
+
+export type PaceSamplerOptions = {
+	readonly load: Load;
+	readonly model: EngineModel;
+	readonly prompt: Prompt;
+	readonly placement: Placement;
+	/** Id of the request's job. */
+	readonly job: string;
+	/** When the request was sent; monotonic, in milliseconds. */
+	readonly sent: number;
+};
+
+/** Bounds of the configured time of an engine iteration in milliseconds. */
+type IterationBounds = {
+	readonly shortest: number;
+	readonly longest: number;
+};
+
+export class PaceSampler {
+	readonly #options: PaceSamplerOptions;
+	#last: {readonly at: number; readonly times: IterationBounds} | undefined;
+	#isDelayed = false;
+
+	/**
+	 * @param options - Attempt that is measured.
+	 */
+	constructor(options: PaceSamplerOptions) {
+		this.#options = options;
+	}
+
+	/**
+	 * @param now - Arrival of events.
+	 * @returns What they tell of the engine's pace, if anything.
+	 */
+	noteEvents(now: number): PaceSample | undefined {
+		const {load, model, placement} = this.#options;
+		const upstream = placement.upstream.id;
+		const forecast = load.forecast(upstream, model, now);
+		const previous = this.#last;
+		const wasDelayed = this.#isDelayed;
+		this.#isDelayed = false;
+		const times = this.#estimateIteration(forecast);
+		this.#last = {at: now, times};
+		if (previous === undefined) {
+			return this.#measurePrefill(forecast, now);
+		}
+
+		const shortest = Math.min(times.shortest, previous.times.shortest);
+		const longest = Math.max(times.longest, previous.times.longest);
+		const measured = now - previous.at;
+		const configured = Math.min(Math.max(measured, shortest), longest);
+		const tellsNothing = configured === measured && longest > shortest * maxUncertainty;
+		return wasDelayed || measured < minGapMs || tellsNothing
+			? undefined
+			: {
+				upstream, phase: 'decode', configured, measured, at: now,
+			};
+	}
+
+	/** Notes that the stream waits for its caller: its next events may have arrived before they are read. */
+	noteDelay(): void {
+		this.#isDelayed = true;
+	}
+
+	/** Bounds the engine's iterations: the load of prompts that several engines share, and how far prefills are, is known only roughly. */
+	#estimateIteration({contexts, decoding, prefilling}: Forecast): IterationBounds {
+		const {model, job, prompt, placement} = this.#options;
+		const own = prefilling.some(each => each.id === job) ? [prompt.tokens] : [];
+		const certain = decoding.filter(each => each.helpers.length === 0).map(each => each.prompt);
+		let prefill = 0;
+		for (const each of prefilling) {
+			prefill += each.id === job ? 0 : each.readPerPass;
+		}
+
+		return {
+			shortest: estimateDecodeIteration(model, placement.helpers.length === 0 ? [...certain, ...own] : certain),
+			longest: estimateDecodeIteration(model, [...contexts, ...own]) + prefill,
+		};
+	}
+
+	/** The queue and the backlog are subtracted as they were forecast, and the iteration that generates the first event. */
+	#measurePrefill({decoding, prefilling}: Forecast, now: number): PaceSample | undefined {
+		const {model, placement, prompt, sent, job} = this.#options;
+		if ([...decoding, ...prefilling].some(each => each.id !== job && (each.firstByte ?? each.began) >= sent)) {
+			return undefined;
+		}
+
+		const {firstByte, helpers, pace = configuredPace, upstream} = placement;
+		const configured = estimatePrefill(model, prompt.tokens).total;
+		const predicted = configured / pace.prefill;
+		if (helpers.length > 0 || configured < minPrefillMs || predicted < firstByte * minPrefillShare) {
+			return undefined;
+		}
+
+		const firstIteration = estimateDecodeIteration(model, [prompt.tokens]) / pace.decode;
+		const measured = Math.max(now - sent - (firstByte - predicted) - firstIteration, configured / 4);
+		return {
+			upstream: upstream.id, phase: 'prefill', configured, measured, at: now,
+		};
+	}
+}
--- a/src/core/gateway/placement.ts
+++ b/src/core/gateway/placement.ts
@@ -6,6 +6,7 @@
 import {
 	estimateDisruptionLoss, estimateOpeningLoss, estimateOwnLoss, estimatePrefillEnd, computeWeight, type Candidate,
 } from './losses.js';
+import {type Pace} from './paces.js';
 import {type Policy} from './policy.js';
 import {type Eligibility} from './attempts.js';
 import {findAccepting, type ObstacleFinder} from './eligibility.js';
@@ -49,7 +50,10 @@
 	readonly helpers: readonly GatewayUpstream[];
 	/** Tokens to reserve at each of these engines; 0 if one engine holds the whole prompt. */
 	readonly holdTokens: number;
+	/** Prefill time at each of the engines, at the speed that its configuration states. */
 	readonly prefill: PrefillTime;
+	/** Pace of the engine that answers; undefined for plain services. */
+	readonly pace?: Pace;
 	/** Predicted milliseconds until the first byte. */
 	readonly firstByte: number;
 	/** Rank in the queue of the engine, 0 is first; undefined for plain services. */
@@ -100,6 +104,7 @@
 		helpers: helpers.map(candidate => candidate.upstream),
 		holdTokens,
 		prefill,
+		pace: first.forecast.pace,
 		firstByte,
 		urgency: urgencyOf(prompt, demand.hasBegun === true),
 		loss,
--- a/src/core/gateway/refusal.ts
+++ b/src/core/gateway/refusal.ts
@@ -1,4 +1,5 @@
 /** Decides which requests are refused at once, and when their callers may retry. Limits the damage of bursts of long prompts on busy engines. */
+import {configuredPace} from './paces.js';
 import {type Placement} from './placement.js';
 import {type Policy} from './policy.js';
 import {type EngineModel} from './types.js';
@@ -28,7 +29,7 @@
  * @param random - Uniform from 0 to 1, to spread retries.
  * @returns Estimated milliseconds until the current jobs there have ended.
  */
-export function estimateRetryDelay({firstByte, prefill}: Pick<Placement, 'firstByte' | 'prefill'>, model: EngineModel, random: number): number {
-	const busy = firstByte - prefill.total + (model.usualAnswer * model.step);
+export function estimateRetryDelay({firstByte, prefill, pace = configuredPace}: Pick<Placement, 'firstByte' | 'pace' | 'prefill'>, model: EngineModel, random: number): number {
+	const busy = firstByte - (prefill.total / pace.prefill) + (model.usualAnswer * model.step / pace.decode);
 	return Math.max(busy, minRetryDelayMs) * (1 + ((random - 0.5) * retryJitter));
 }
--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -106,6 +106,7 @@
 		},
 		service: () => undefined,
 		beginJob: () => ({id: 'j0', weight: 1}),
+		createPaceSampler: () => undefined,
 		load: {size: 1},
 		recordVerdict: () => undefined,
 		publishAbsence: () => undefined,
--- a/src/gateway/__tests__/relays.test.ts
+++ b/src/gateway/__tests__/relays.test.ts
@@ -66,6 +66,7 @@
 			onNewJob: ignore,
 			reports: () => [],
 			onReport: ignore,
+			onPace: ignore,
 			sent: sent => {
 				this.domainJobs.push(sent.id);
 			},
--- a/src/gateway/caller-response.ts
+++ b/src/gateway/caller-response.ts
@@ -19,6 +19,8 @@
 	readonly began: () => void;
 	/** Called when events of a stream arrive. */
 	readonly receivedEvents: () => void;
+	/** Called when a stream waits for its caller to read. */
+	readonly waitedForCaller: () => void;
 };
 
 type WholeBody = Extract<ResponseBody, {readonly type: 'whole'}>;
@@ -153,6 +155,9 @@
 					this.#ensureHead(reply);
 				}
 			},
+			onWait() {
+				listener.waitedForCaller();
+			},
 		});
 		if (ending.type === 'answered') {
 			this.#ensureHead(reply);
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -167,6 +167,8 @@
 		this.#metrics.upstreams.set(this.#gateway.upstreams.size);
 		this.#metrics.unhealthy.set(this.#gateway.reputation.unhealthyCount);
 		this.#metrics.limited.set(this.#gateway.selfReports.limitedCount);
+		this.#metrics.uneven.set(this.#gateway.paces.unevenCount);
+		this.#metrics.badPaces.set(this.#gateway.paces.ignoredCount);
 		this.#metrics.unreachable.set(this.#gateway.reputation.unreachableDomains.size);
 		this.#metrics.suspects.set(this.#gateway.reputation.suspects.size);
 	}
--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -8,6 +8,7 @@
 import {defaultPolicy} from '../core/gateway/policy.js';
 import {isHarmful, estimateRetryDelay} from '../core/gateway/refusal.js';
 import {type AttemptEnding} from '../core/gateway/retries.js';
+import {type PaceSampler} from '../core/gateway/pace-sampler.js';
 import {Attempts, type Eligibility} from '../core/gateway/attempts.js';
 import {type Demand, type GatewayUpstream, type Route} from '../core/gateway/types.js';
 import {roundTo} from '../core/utils/numbers.js';
@@ -37,6 +38,12 @@
 	readonly demand: Demand;
 };
 
+/** Notified of the events of an attempt. */
+type EventObservers = {
+	readonly stallDetector: StallDetector;
+	readonly paceSampler: PaceSampler | undefined;
+};
+
 export class Dispatch {
 	readonly #services: GatewayServices;
 	readonly #request: AdmittedRequest;
@@ -263,7 +270,7 @@
 		});
 		const stallDetector = new StallDetector(attempt, this.#attempts.canFailOver, placement.firstByte, () => gateway.forecastIterationTime(placement.upstream.id));
 		try {
-			const ending = await this.#finishAttempt(attempt, placement.upstream, job.id, stallDetector);
+			const ending = await this.#finishAttempt(attempt, placement.upstream, job.id, {stallDetector, paceSampler: gateway.createPaceSampler(demand, placement, job.id)});
 			metrics.attempts.inc({service: demand.service, ending: ending.type});
 			this.#logEnding(placement, job.id, ending);
 			return ending;
@@ -324,7 +331,7 @@
 		});
 	}
 
-	async #finishAttempt(attempt: Attempt, {id: upstream, started}: GatewayUpstream, job: string, stallDetector: StallDetector): Promise<AttemptEnding> {
+	async #finishAttempt(attempt: Attempt, {id: upstream, started}: GatewayUpstream, job: string, {stallDetector, paceSampler}: EventObservers): Promise<AttemptEnding> {
 		const {gateway, clock} = this.#services;
 		const sent = clock.now();
 		const reply = await attempt.reply();
@@ -348,6 +355,10 @@
 			},
 			receivedEvents() {
 				stallDetector.noteEvents();
+				gateway.paces.recordSample(paceSampler?.noteEvents(clock.now()));
+			},
+			waitedForCaller() {
+				paceSampler?.noteDelay();
 			},
 		});
 		const isCancelled = forwarded.type === 'unknown' && attempt.cancelled !== undefined;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,6 +4,7 @@
 import {Directory} from '../core/gateway/directory.js';
 import {type Verdict} from '../core/gateway/health.js';
 import {Load, type Job, type PlacementKind} from '../core/gateway/load.js';
+import {PaceSampler} from '../core/gateway/pace-sampler.js';
 import {computeWeight} from '../core/gateway/losses.js';
 import {
 	place, reevaluate, type Placement, type Reevaluation, type PlacementOptions,
@@ -15,12 +16,13 @@
 	computeShortestWait, countObstacles, type Obstacle, type ObstacleFinder,
 } from '../core/gateway/eligibility.js';
 import {
-	type Demand, type EngineModel, type GatewayConfiguration, type GatewayService,
+	type Demand, type EngineModel, type GatewayConfiguration, type GatewayService, type UpstreamProcess,
 } from '../core/gateway/types.js';
 import {type Clock, type Timestamp} from '../entry/clock.js';
 import {type Log} from '../entry/logs.js';
 import {Convictions} from './convictions.js';
 import {LoadUpdates} from './load-updates.js';
+import {EnginePaces} from './engine-paces.js';
 import {type Host, type Message} from './peers/messages.js';
 import {Peers} from './peers/peers.js';
 import {type PeerState} from './peers/state.js';
@@ -45,7 +47,8 @@
 const expiryIntervalMs = 1000;
 
 export class Gateway implements AsyncDisposable {
-	readonly load = new Load();
+	readonly paces: EnginePaces;
+	readonly load: Load;
 	readonly upstreams: Upstreams;
 	readonly registrations: Registrations;
 	readonly reputation: Reputation;
@@ -79,6 +82,16 @@
 		this.#log = log;
 		this.#startedAt = clock.wall();
 		this.retries = new RetryBudget(settings.retries);
+		this.paces = new EnginePaces({
+			host: settings.host,
+			log,
+			now: () => clock.now(),
+			findProcess: id => this.#findProcess(id),
+			publish: report => {
+				this.loadUpdates.publishPace(report);
+			},
+		});
+		this.load = new Load((upstream, now) => this.paces.get(upstream, now));
 		this.peers = new Peers({
 			self: {
 				name: settings.host,
@@ -113,10 +126,7 @@
 			now: () => clock.now(),
 			random: Math.random,
 			wall: () => clock.wall(),
-			findProcess: id => {
-				const upstream = this.upstreams.get(id);
-				return upstream === undefined ? undefined : {upstream: id, started: upstream.started};
-			},
+			findProcess: id => this.#findProcess(id),
 			share: () => ({visible: this.peers.computeVisibleShare(clock.now()), spread: this.peers.isLargeFleet ? largeFleetSpreadMs : smallFleetSpreadMs}),
 			publish: report => {
 				this.loadUpdates.publishReport(report);
@@ -125,9 +135,11 @@
 		this.upstreams = new Upstreams(log, {
 			restarted: id => {
 				this.load.forgetUpstream(id, clock.now());
+				this.paces.forget(id);
 				this.reputation.forgetUpstream(id);
 			},
 			removed: id => {
+				this.paces.forget(id);
 				this.reputation.forgetUpstream(id);
 			},
 		});
@@ -155,6 +167,9 @@
 			onReport: (peer, report) => {
 				this.selfReports.applyPeerReport(peer, report);
 			},
+			onPace: (peer, pace) => {
+				this.paces.applyPeerReport(peer, pace);
+			},
 			sent: job => {
 				const service = this.upstreams.get(job.upstream)?.service;
 				if (service !== undefined && this.peers.isLargeFleet) {
@@ -368,21 +383,42 @@
 			return 0;
 		}
 
-		const {iteration: iterationTime, prefilling} = this.load.forecast(upstream, model, this.#clock.now());
+		const {iteration: iterationTime, prefilling, pace} = this.load.forecast(upstream, model, this.#clock.now());
 		let prefill = 0;
 		for (const job of prefilling) {
-			prefill += job.readPerPass;
+			prefill += job.readPerPass / pace.prefill;
 		}
 
 		return iterationTime + prefill;
 	}
 
+	/**
+	 * @param demand - Demand of a request that is being sent.
+	 * @param placement - Its placement.
+	 * @param job - Id of its job.
+	 * @returns Measures the pace of its engine; undefined for plain services.
+	 */
+	createPaceSampler({prompt, service}: Demand, placement: Placement, job: string): PaceSampler | undefined {
+		const model = this.service(service)?.engine;
+		return model === undefined || prompt === undefined
+			? undefined
+			: new PaceSampler({
+				load: this.load, model, prompt, placement, job, sent: this.#clock.now(),
+			});
+	}
+
 	async [Symbol.asyncDispose](): Promise<void> {
 		clearInterval(this.#expiryTimer);
 		this.registrations[Symbol.dispose]();
 		await this.peers[Symbol.asyncDispose]();
 	}
 
+	/** Returns the registered process of an upstream, if there is one. */
+	#findProcess(id: string): UpstreamProcess | undefined {
+		const upstream = this.upstreams.get(id);
+		return upstream === undefined ? undefined : {upstream: id, started: upstream.started};
+	}
+
 	#buildPlacementOptions(eligibility: Eligibility): PlacementOptions {
 		const now = this.#clock.now();
 		this.reputation.updateReachability(now);
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -67,6 +67,8 @@
 	readonly unhealthy: Gauge;
 	readonly limited: Gauge;
 	readonly unreachable: Gauge;
+	readonly uneven: Gauge;
+	readonly badPaces: Gauge;
 	readonly suspects: Gauge;
 	readonly #registry = new Registry();
 
@@ -89,6 +91,8 @@
 		this.upstreams = createGauge(registry, 'upstreams_known', 'Upstreams that may be used');
 		this.unhealthy = createGauge(registry, 'upstreams_doubted', 'Upstreams that were left alone and have not answered since');
 		this.limited = createGauge(registry, 'upstreams_limited', 'Upstreams that limit the rate of requests from all hosts');
+		this.uneven = createGauge(registry, 'engines_uneven', 'Engines whose pace differs clearly from the configured one');
+		this.badPaces = createGauge(registry, 'pace_reports_ignored', 'Reports of engine paces that could not be right, since the start');
 		this.unreachable = createGauge(registry, 'domains_unreachable', 'Failure domains out of reach');
 		this.suspects = createGauge(registry, 'requests_suspected', 'Requests during which a connection of their upstream broke');
 	}
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -4,6 +4,7 @@
 import {assertNever, raise} from '../../core/index.js';
 import {roundTo} from '../../core/utils/numbers.js';
 import {type Job} from '../../core/gateway/load.js';
+import {type PaceReport} from '../../core/gateway/paces.js';
 import {type UpstreamReport} from '../../core/gateway/upstream-reports.js';
 import {createFrame, FrameReader} from '../../protocol/frames.js';
 import {
@@ -59,6 +60,17 @@
 	z.object({type: z.literal('departure'), upstream: shortText, started: amount.optional()}),
 ]);
 
+/** Pace of an engine, learned from its responses. Bad values are reported by the receiver, which goes on with the rest of the message. */
+const paceSchema = z.object({
+	host: shortText,
+	upstream: shortText,
+	started: amount.optional(),
+	phase: z.enum(['decode', 'prefill']),
+	pace: z.unknown(),
+	confidence: amount,
+	age: amount,
+});
+
 /** A crash of an upstream while it ran a request. */
 const crashSchema = z.object({
 	fingerprint: shortText, id: shortText, upstream: shortText, started: amount.optional(),
@@ -92,6 +104,7 @@
 		ended: z.array(shortText).max(maxListLength),
 		absences: z.array(absenceSchema).max(maxListLength).optional(),
 		reports: z.array(reportSchema).max(maxListLength).optional(),
+		paces: z.array(paceSchema).max(maxListLength).optional(),
 		audience: audienceSchema,
 	}),
 	/** Requests the load updates that a relay holds back for batching. */
@@ -110,6 +123,7 @@
 
 export type Host = Readonly<z.infer<typeof hostSchema>>;
 export type WireReport = Readonly<z.infer<typeof reportSchema>>;
+export type WirePace = Readonly<z.infer<typeof paceSchema>>;
 export type WireJob = Readonly<z.infer<typeof jobSchema>>;
 export type Message = z.infer<typeof messageSchema>;
 export type LoadUpdate = Extract<Message, {readonly type: 'load'}>;
@@ -256,3 +270,23 @@
 		}
 	}
 }
+
+/**
+ * @param report - Pace of an engine.
+ * @param now - Time in milliseconds.
+ * @returns The report as sent to peers.
+ */
+export function toWirePace({at, pace, confidence, ...report}: PaceReport, now: number): WirePace {
+	return {
+		...report, pace: roundTo(pace, 3), confidence: roundTo(confidence, 1), age: Math.max(Math.round(now - at), 0),
+	};
+}
+
+/**
+ * @param wirePace - Report as received.
+ * @param now - Time in milliseconds.
+ * @returns The report, with times on this host's clock; its pace is not a number if the received one wasn't.
+ */
+export function fromWirePace({age, pace, ...report}: WirePace, now: number): PaceReport {
+	return {...report, pace: typeof pace === 'number' ? pace : Number.NaN, at: now - Math.max(age, 0)};
+}
--- a/src/gateway/response-forwarding.ts
+++ b/src/gateway/response-forwarding.ts
@@ -17,6 +17,8 @@
 export type StreamObserver = {
 	/** Called just before complete events are forwarded, with the id of the last one that has an id. */
 	readonly onEvents: (lastId: string | undefined) => void;
+	/** Called when the caller has not read the previous events in time: the next ones may have arrived before they are read. */
+	readonly onWait: () => void;
 };
 
 /**
@@ -44,10 +46,14 @@
 
 async function write(outgoing: ServerResponse, bytes: Buffer): Promise<void> {
 	if (bytes.length > 0 && !outgoing.write(bytes) && !outgoing.destroyed) {
-		await Promise.race([once(outgoing, 'drain'), once(outgoing, 'close')]);
+		await waitForDrain(outgoing);
 	}
 }
 
+async function waitForDrain(outgoing: ServerResponse): Promise<void> {
+	await Promise.race([once(outgoing, 'drain'), once(outgoing, 'close')]);
+}
+
 const brokenOffReason = 'the answer broke off';
 
 /**
@@ -65,7 +71,10 @@
 			const events = splitter.push(chunk);
 			if (events.bytes.length > 0) {
 				progress.onEvents(events.lastId);
-				await write(outgoing, events.bytes);
+				if (!outgoing.write(events.bytes) && !outgoing.destroyed) {
+					progress.onWait();
+					await waitForDrain(outgoing);
+				}
 			}
 		}
 	} catch (error) {
