--- a/src/core/gateway/__tests__/paces.test.ts
+++ b/src/core/gateway/__tests__/paces.test.ts
@@ -64,6 +64,14 @@
 		expect(paces.get('e0', now)).toBe(configuredPace);
 	});
 
+	it('does not follow the long and short times between events after a stall of this host', () => {
+		const paces = new Paces();
+		record(paces, [3, 0.2]);
+		expect(paces.get('e0', now)).toBe(configuredPace);
+		record(paces, [1, 3, 0.2]);
+		expect(paces.get('e0', now)).toBe(configuredPace);
+	});
+
 	it('decays to 1 within seconds without news', () => {
 		const paces = new Paces();
 		record(paces, [4, 4, 4]);
--- a/src/core/gateway/pace-sampler.ts
+++ b/src/core/gateway/pace-sampler.ts
@@ -12,6 +12,9 @@
 /** Largest ratio of the bounds of an iteration for which a time between them tells something. */
 const maxUncertainty = 1.3;
 
+/** Delay of timers and of reading on a busy host in milliseconds: smaller differences are not attributed to the engine. */
+const timingErrorMs = 15;
+
 /** Shortest time between two events in milliseconds: closer ones were delivered together. */
 const minGapMs = 1;
 
@@ -64,8 +67,9 @@
 		const shortest = Math.min(times.shortest, previous.times.shortest);
 		const longest = Math.max(times.longest, previous.times.longest);
 		const measured = now - previous.at;
-		const configured = Math.min(Math.max(measured, shortest), longest);
-		const tellsNothing = configured === measured && longest > shortest * maxUncertainty;
+		const isAsConfigured = measured >= shortest - timingErrorMs && measured <= longest + timingErrorMs;
+		const configured = isAsConfigured ? measured : Math.min(Math.max(measured, shortest), longest);
+		const tellsNothing = isAsConfigured && longest > shortest * maxUncertainty;
 		return wasDelayed || measured < minGapMs || tellsNothing
 			? undefined
 			: {
--- a/src/core/gateway/paces.ts
+++ b/src/core/gateway/paces.ts
@@ -67,6 +67,9 @@
 const strongWeight = 2;
 const maxReportWeight = 6;
 
+/** Share of the evidence that has to agree: after a stall of this host, a long time between events is followed by short ones. */
+const agreeingShare = 0.51;
+
 /** Configured duration, in milliseconds, from which a sample counts as much as several short ones. */
 const strongSampleMs = 300;
 
@@ -105,7 +108,7 @@
 	readonly at: number;
 };
 
-/** Returns the weighted median of the evidence; undefined if it is too weak. */
+/** Returns what most of the evidence agrees on; undefined if it is too weak. */
 function estimate(evidence: readonly Evidence[], now: number): Estimate | undefined {
 	const weighted = evidence.map(({logarithm, weight, at}) => ({logarithm, weight: weight * fade(now - at)})).toSorted((a, b) => a.logarithm - b.logarithm);
 	let total = 0;
@@ -125,15 +128,23 @@
 		return undefined;
 	}
 
-	let sum = 0;
-	for (const {logarithm, weight} of weighted) {
-		sum += weight;
-		if (sum >= total / 2) {
-			return {logarithm: logarithm * fade(now - latest), weight: total, at: latest};
+	const logarithm = findAgreed(weighted, total) * fade(now - latest);
+	return {logarithm, weight: total, at: latest};
+}
+
+/** Returns the least deviation from 1 that the agreeing share of the evidence exceeds in the same direction; 0 if there is none. */
+function findAgreed(sorted: ReadonlyArray<Pick<Evidence, 'logarithm' | 'weight'>>, total: number): number {
+	let below = 0;
+	for (const {logarithm, weight} of sorted) {
+		const agreeing = logarithm < 0 ? below + weight : total - below;
+		if (logarithm !== 0 && agreeing >= total * agreeingShare) {
+			return logarithm;
 		}
+
+		below += weight;
 	}
 
-	return undefined;
+	return 0;
 }
 
 function toPace(logarithm: number): number {
--- a/stand-ins/gateway/upstream.ts
+++ b/stand-ins/gateway/upstream.ts
@@ -76,6 +76,8 @@
 	rateLimit: number | undefined;
 	/** Whether it states in its responses that it leaves; its registration is another matter. */
 	isStatingLeave = false;
+	/** How many times longer its iterations take than its configuration states. */
+	slowness = 1;
 	/** Seconds for which it wants no more requests from a host that it refuses; undefined if it doesn't say. */
 	retryAfter: number | undefined;
 	readonly #options: UpstreamOptions;
@@ -149,6 +151,7 @@
 	/** Takes the place of its former process under the same id and address, as if it had just started. */
 	restart(): void {
 		this.#startTime++;
+		this.slowness = 1;
 		this.isStatingLeave = false;
 		this.rateLimit = undefined;
 	}
@@ -366,7 +369,7 @@
 			this.#isIterating = false;
 			this.#finishIteration();
 			this.#startIteration();
-		}, time);
+		}, time * this.slowness);
 	}
 
 	#finishIteration(): void {
