--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -175,6 +175,8 @@
 		this.#metrics.unhealthy.set(this.#gateway.reputation.unhealthyCount);
 		this.#metrics.limited.set(this.#gateway.selfReports.limitedCount);
 		this.#metrics.cold.set(this.#gateway.coldStarts.count);
+		this.#metrics.uneven.set(this.#gateway.paces.unevenCount);
+		this.#metrics.badPaces.set(this.#gateway.paces.ignoredCount);
 		this.#metrics.unreachable.set(this.#gateway.reputation.unreachableDomains.size);
 		this.#metrics.responseBytes.set(this.#responseBuffers.held);
 		this.#metrics.responsesUnread.set(this.#responseBuffers.stoppedCount);
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -70,6 +70,8 @@
 	readonly unreachable: Gauge;
 	readonly evacuated: Gauge;
 	readonly evacuatedJobs: Gauge;
+	readonly uneven: Gauge;
+	readonly badPaces: Gauge;
 	readonly suspects: Gauge;
 	readonly responseBytes: Gauge;
 	readonly responseBudget: Gauge;
@@ -98,6 +100,8 @@
 		this.unhealthy = createGauge(registry, 'upstreams_doubted', 'Upstreams that were left alone and have not answered since');
 		this.limited = createGauge(registry, 'upstreams_limited', 'Upstreams that limit the rate of requests from all hosts');
 		this.cold = createGauge(registry, 'upstreams_cold', 'Upstreams that are cold and take few requests');
+		this.uneven = createGauge(registry, 'engines_uneven', 'Engines whose pace differs clearly from the configured one');
+		this.badPaces = createGauge(registry, 'pace_reports_ignored', 'Reports of engine paces that could not be right, since the start');
 		this.unreachable = createGauge(registry, 'domains_unreachable', 'Failure domains out of reach');
 		this.evacuated = createGauge(registry, 'domains_evacuated', 'Failure domains that the operator has evacuated');
 		this.evacuatedJobs = createGauge(registry, 'evacuated_jobs', 'Requests that still run in evacuated failure domains, own and of peers');
--- a/src/gateway/response-buffer.ts
+++ b/src/gateway/response-buffer.ts
@@ -112,7 +112,7 @@
 	 */
 	async write(chunks: readonly Buffer[], {unbegun = 0, observer}: WriteOptions = {}): Promise<void> {
 		if (!this.#shared.isEnabled) {
-			await this.#writeThrough(chunks);
+			await this.#writeThrough(chunks, observer);
 			return;
 		}
 
@@ -176,11 +176,13 @@
 		return this.#hasEnded || this.#outgoing.destroyed;
 	}
 
-	async #writeThrough(chunks: readonly Buffer[]): Promise<void> {
+	async #writeThrough(chunks: readonly Buffer[], observer: ReadingObserver | undefined): Promise<void> {
 		const outgoing = this.#outgoing;
 		const bytes = Buffer.concat(chunks);
 		if (bytes.length > 0 && !outgoing.write(bytes) && !outgoing.destroyed) {
+			observer?.stopped();
 			await Promise.race([once(outgoing, 'drain'), once(outgoing, 'close')]);
+			observer?.resumed();
 		}
 	}
 
--- a/stand-ins/gateway/upstream.ts
+++ b/stand-ins/gateway/upstream.ts
@@ -88,6 +88,8 @@
 	unreadTimeout: number | undefined;
 	/** Streams that it cut off as nothing was read of them. */
 	unreadStreams = 0;
+	/** How many times longer its iterations take than its configuration states. */
+	slowness = 1;
 	/** Seconds for which it wants no more requests from a host that it refuses; undefined if it doesn't say. */
 	retryAfter: number | undefined;
 	readonly #options: UpstreamOptions;
@@ -176,6 +178,7 @@
 	/** Takes the place of its former process under the same id and address, as if it had just started. */
 	restart(): void {
 		this.#startTime++;
+		this.slowness = 1;
 		this.isStatingLeave = false;
 		this.rateLimit = undefined;
 	}
@@ -395,7 +398,7 @@
 			this.#isIterating = false;
 			this.#finishIteration();
 			this.#startIteration();
-		}, time);
+		}, time * this.slowness);
 	}
 
 	#finishIteration(): void {
