--- a/src/core/gateway/__tests__/attempts.test.ts
+++ b/src/core/gateway/__tests__/attempts.test.ts
@@ -61,6 +61,15 @@
 		expect(results).toEqual([true, true, true, false]);
 	});
 
+	it('may ask engines again that lacked memory, but not without end', () => {
+		const attempts = new Attempts(rules);
+		const results = Array.from({length: 24}, () => {
+			attempts.recordMemoryShortage();
+			return attempts.canRetryAfter(notRun);
+		});
+		expect([results.filter(Boolean).length, attempts.eligibility.excluded.size]).toEqual([23, 0]);
+	});
+
 	it('is given up after three refused holds, and excludes the engines that refused', () => {
 		const attempts = new Attempts(rules);
 		const results = [['a', 'b'], ['c'], ['d']].map(engines => {
--- a/src/core/gateway/attempts.ts
+++ b/src/core/gateway/attempts.ts
@@ -6,6 +6,12 @@
 /** Refused holds after which the request is given up. */
 const maxRefusedHolds = 3;
 
+/**
+ * Reservations that engines refused for lack of memory after which a request that may wait for memory is given up. Engines refuse until the
+ * lease of a dead host ends, which nobody reports: with 200 ms between the attempts, this allows for one lease.
+ */
+const maxMemoryShortages = 24;
+
 /** Attempts without a required helper after which the request is given up. */
 const maxMissingHelpers = 4;
 
@@ -35,6 +41,7 @@
 	readonly #askableAgain = new Set<string>();
 	#sent = 0;
 	#refusedHolds = 0;
+	#memoryShortages = 0;
 	#missingHelpers = 0;
 	#unreached = 0;
 
@@ -111,6 +118,11 @@
 		}
 	}
 
+	/** Counts a reservation that an engine refused as it had less free memory than forecast; it may be asked again. */
+	recordMemoryShortage(): void {
+		this.#memoryShortages++;
+	}
+
 	/**
 	 * @param ending - How the last attempt ended.
 	 * @returns Whether the request may be retried, apart from the retry budget.
@@ -121,6 +133,7 @@
 		return isRepeatable(this.#rules, known)
 			&& (this.#hasUpstreamsLeft || this.#askableAgain.size > 0)
 			&& this.#refusedHolds < maxRefusedHolds
+			&& this.#memoryShortages < maxMemoryShortages
 			&& this.#missingHelpers < maxMissingHelpers
 			&& this.#unreached < maxUnreachedUpstreams;
 	}
--- a/src/core/gateway/engine.ts
+++ b/src/core/gateway/engine.ts
@@ -52,3 +52,13 @@
 export function footprint(model: EngineModel, prompt: number, answer: number): number {
 	return prompt + Math.min(answer, model.usualAnswer * 2) + model.stride;
 }
+
+/**
+ * @param model - Engine.
+ * @param memory - KV memory in tokens that a request needs in all.
+ * @param parts - Number of engines that hold equal parts of it.
+ * @returns Tokens to reserve at each of them; one engine needs no reservation.
+ */
+export function computePartMemory(model: EngineModel, memory: number, parts: number): number {
+	return parts === 1 ? memory : Math.ceil(memory / parts) + model.stride;
+}
--- a/src/core/gateway/load.ts
+++ b/src/core/gateway/load.ts
@@ -1,5 +1,5 @@
 /** Tracks the jobs at each upstream, from this host and from the load updates of its peers, and forecasts engine load from them. */
-import {footprint, estimateDecodeIteration} from './engine.js';
+import {computePartMemory, footprint, estimateDecodeIteration} from './engine.js';
 import {defaultUrgency} from './urgency.js';
 import {estimateSlotWait, type Occupant} from './queue.js';
 import {type EngineModel} from './types.js';
@@ -87,6 +87,7 @@
 	/** End times of jobs, the oldest first. */
 	readonly #ended = new Map<string, number>();
 	readonly #engines = new Map<string, EngineState>();
+	#removals = 0;
 
 	/** Number of known jobs. */
 	get size(): number {
@@ -145,6 +146,19 @@
 		return count;
 	}
 
+	/**
+	 * @param upstream - Upstream.
+	 * @returns Jobs that it answers or helps with.
+	 */
+	findJobsAt(upstream: string): readonly Job[] {
+		return [...this.#engines.get(upstream)?.jobs.values() ?? []];
+	}
+
+	/** Number of jobs that have ended or were removed since the start, which shows whether resources have become free. */
+	get removals(): number {
+		return this.#removals;
+	}
+
 	/**
 	 * Adds a job. Ignores a job that is known or ended recently, since load updates may arrive twice or out of order.
 	 *
@@ -303,6 +317,7 @@
 			return;
 		}
 
+		this.#removals++;
 		this.#jobs.delete(id);
 		for (const engine of enginesOf(job)) {
 			const state = this.#engineState(engine);
@@ -336,10 +351,16 @@
 	state.prefillUntil = Math.min(state.prefillUntil, now + remaining);
 }
 
-function memoryAt(job: Job, upstream: string, model: EngineModel): number {
+/**
+ * @param job - Job.
+ * @param upstream - Engine that answers it or helps with it.
+ * @param model - Performance model of the engine.
+ * @returns KV memory in tokens that the job takes there.
+ */
+export function memoryAt(job: Job, upstream: string, model: EngineModel): number {
 	const whole = footprint(model, job.prompt, job.answer);
 	if (job.isHeld) {
-		return whole / (job.helpers.length + 1);
+		return computePartMemory(model, whole, job.helpers.length + 1);
 	}
 
 	return job.upstream === upstream ? whole : 0;
--- a/src/core/gateway/placement.ts
+++ b/src/core/gateway/placement.ts
@@ -1,8 +1,10 @@
 /** Chooses the upstream of a request, and for long prompts the engines that help to prefill it, so that the expected loss is least. */
 import {hashText, mixHashes} from '../utils/hashes.js';
-import {footprint, estimatePrefill, type PrefillTime} from './engine.js';
+import {
+	computePartMemory, footprint, estimatePrefill, type PrefillTime,
+} from './engine.js';
 import {type Health} from './health.js';
-import {type Load} from './load.js';
+import {type Forecast, type Load} from './load.js';
 import {
 	estimateDisruptionLoss, estimateOpeningLoss, estimateOwnLoss, estimatePrefillEnd, computeWeight, type Candidate,
 } from './losses.js';
@@ -35,6 +37,8 @@
 	readonly eligibility: Eligibility;
 	/** Finds what keeps an upstream from accepting a request. */
 	readonly findObstacle: ObstacleFinder;
+	/** Returns the part of an engine's free memory that this request may take, in tokens; absent if it may take all of it. */
+	readonly limitMemory?: (upstream: string, free: number) => number;
 	/** Job of this request to leave out of forecasts, as if it had not been sent. */
 	readonly excludedJob?: string;
 	/** Monotonic time in milliseconds. */
@@ -65,13 +69,17 @@
 	const urgency = urgencyOf(prompt, false);
 	return upstreams.map(upstream => ({
 		upstream,
-		forecast: load.forecast(upstream.id, model, now, {urgency, excludedJob}),
+		forecast: limitForecast(load.forecast(upstream.id, model, now, {urgency, excludedJob}), upstream.id, options),
 		fixedLoss: (health.failureProbability(upstream.id, now) * weight)
 			+ (upstream.failureDomain === failureDomain ? 0 : policy.distanceLoss)
 			+ (hashSpread(host, upstream.id) * policy.spreadingLoss),
 	}));
 }
 
+function limitForecast(forecast: Forecast, upstream: string, {limitMemory}: PlacementOptions): Forecast {
+	return limitMemory === undefined ? forecast : {...forecast, freeMemory: limitMemory(upstream, forecast.freeMemory)};
+}
+
 /** Offset of an upstream for a host, 0 to 1: hosts that do not know of each other's latest choices rank equal upstreams differently. */
 function hashSpread(host: number, upstream: string): number {
 	return mixHashes(host, hashText(upstream)) / hashRange;
@@ -116,7 +124,18 @@
 	return candidates.toSorted((a, b) => cost.get(a)! - cost.get(b)!);
 }
 
-function findSplits(prompt: Prompt, model: EngineModel, candidates: readonly Candidate[], options: PlacementOptions): PromptSplit[] {
+/**
+ * Finds the possible splits of a prompt. One that is larger than an engine prefers engines that have room for another usual request besides:
+ * other hosts may have sent one there that is not known yet, and the reservation would be refused.
+ */
+function findSplits(prompt: Prompt, model: EngineModel, candidates: readonly Candidate[], options: PlacementOptions): readonly PromptSplit[] {
+	const isOversized = footprint(model, prompt.tokens, prompt.answer) > model.memory;
+	const margin = isOversized ? footprint(model, model.usualPrompt, model.usualAnswer) : 0;
+	const splits = findSplitsWithMargin(prompt, model, candidates, options, margin);
+	return splits.length > 0 || margin === 0 ? splits : findSplitsWithMargin(prompt, model, candidates, options, 0);
+}
+
+function findSplitsWithMargin(prompt: Prompt, model: EngineModel, candidates: readonly Candidate[], options: PlacementOptions, margin: number): readonly PromptSplit[] {
 	const {eligibility, policy} = options;
 	const neededMemory = footprint(model, prompt.tokens, prompt.answer);
 	const canAnswer = (candidate: Candidate) => eligibility.permitted?.has(candidate.upstream.id) ?? true;
@@ -134,8 +153,8 @@
 			continue;
 		}
 
-		const holdTokens = Math.ceil(neededMemory / parts) + model.stride;
-		const available = ranked.filter(candidate => candidate.forecast.freeMemory >= holdTokens && candidate.forecast.requests < model.slots);
+		const holdTokens = computePartMemory(model, neededMemory, parts);
+		const available = ranked.filter(candidate => candidate.forecast.freeMemory >= holdTokens + margin && candidate.forecast.requests < model.slots);
 		const answering = available.find(candidate => canAnswer(candidate));
 		if (available.length >= parts && answering !== undefined) {
 			splits.push({first: answering, helpers: available.filter(candidate => candidate !== answering).slice(0, parts - 1), holdTokens});
@@ -181,8 +200,12 @@
 	return best;
 }
 
-/** Returns the upstreams that are neither backed off nor unreachable, or else all that are eligible: a doubtful one is better than none. */
-function findUsable(upstreams: readonly GatewayUpstream[], {eligibility, health, unreachable, findObstacle, now}: PlacementOptions): readonly GatewayUpstream[] {
+/**
+ * @param upstreams - Upstreams of a service.
+ * @param options - State of this host.
+ * @returns Those that are neither backed off nor unreachable, or else all that are eligible: a doubtful one is better than none.
+ */
+export function findUsable(upstreams: readonly GatewayUpstream[], {eligibility, health, unreachable, findObstacle, now}: PlacementOptions): readonly GatewayUpstream[] {
 	const eligible = findAccepting(upstreams, eligibility, findObstacle);
 	const healthy = eligible.filter(each => !health.isBackedOff(each.id, now) && !unreachable.has(each.failureDomain));
 	return healthy.length > 0 ? healthy : eligible;
@@ -202,6 +225,33 @@
 		: placeAtService(usable, options);
 }
 
+/**
+ * Replaces an engine that refused its part of a prompt by the one with the most free memory, so that the other engines keep their parts.
+ *
+ * @param placement - Placement with reservations at several engines.
+ * @param refusing - Id of the engine that refused.
+ * @param demand - Request.
+ * @param model - Performance model of the engines.
+ * @param upstreams - Upstreams of the service.
+ * @param options - State of this host that the placement depends on.
+ * @returns The changed placement, or undefined if no other engine has the memory.
+ */
+export function substitute(placement: Placement, refusing: string, demand: Demand, model: EngineModel, upstreams: readonly GatewayUpstream[], options: PlacementOptions): Placement | undefined {
+	const {upstream, helpers, holdTokens} = placement;
+	const mayReplace = (id: string) => upstream.id !== refusing || options.eligibility.permitted === undefined || options.eligibility.permitted.has(id);
+	const taken = new Set([upstream.id, ...helpers.map(each => each.id)]);
+	const free = findUsable(upstreams, options).filter(each => !taken.has(each.id) && mayReplace(each.id));
+	const [best] = createCandidates(free, model, options, demand.prompt!)
+		.filter(({forecast}) => forecast.freeMemory >= holdTokens && forecast.requests < model.slots)
+		.toSorted((a, b) => b.forecast.freeMemory - a.forecast.freeMemory);
+	if (best === undefined) {
+		return undefined;
+	}
+
+	const replace = (each: GatewayUpstream) => each.id === refusing ? best.upstream : each;
+	return {...placement, upstream: replace(upstream), helpers: helpers.map(each => replace(each))};
+}
+
 /** Comparison of the current placement of a request with the best alternative. */
 export type Reevaluation = {
 	/** Expected loss at the current placement, in requests of usual weight. */
--- a/src/core/gateway/queue.ts
+++ b/src/core/gateway/queue.ts
@@ -15,8 +15,12 @@
 	readonly urgency: number;
 };
 
-/** Returns the expected milliseconds until an answer is complete. */
-function estimateRemainingTime(decodeTime: number, usualDuration: number): number {
+/**
+ * @param decodeTime - Milliseconds since the first event of an answer.
+ * @param usualDuration - Milliseconds that a usual answer takes.
+ * @returns Expected milliseconds until the answer is complete.
+ */
+export function estimateRemainingTime(decodeTime: number, usualDuration: number): number {
 	return Math.max(usualDuration - decodeTime, usualDuration * overtimeShare);
 }
 
--- a/src/gateway/holds.ts
+++ b/src/gateway/holds.ts
@@ -30,6 +30,9 @@
 	readonly #parts: readonly HoldPart[];
 	readonly #engineControl: EngineControl;
 	readonly #log: Pick<Log, 'write'>;
+	/** Parts that an engine has granted, or may have granted as it didn't answer. */
+	readonly #asked: HoldPart[] = [];
+	readonly #unanswered: string[] = [];
 	/** Consecutive unanswered renewals, by upstream. */
 	readonly #missedRenewals = new Map<string, number>();
 	#timer: NodeJS.Timeout | undefined;
@@ -42,28 +45,45 @@
 		this.#log = log;
 	}
 
+	/** Engines that did not answer when they were asked for their part. */
+	get unanswered(): readonly string[] {
+		return this.#unanswered;
+	}
+
+	/** Number of parts that were granted, or may have been. */
+	get askedParts(): number {
+		return this.#asked.length;
+	}
+
 	/**
-	 * Reserves all parts and starts renewing them if all were granted.
+	 * Reserves all parts one after another, in the order of the engines' ids, and renews them until the hold is released. Stops at the first
+	 * part that isn't granted: of two hosts that compete for the same engines, one gets them all and the other mostly holds none.
 	 *
-	 * @returns The engines that did not grant their part; empty if the hold is complete.
+	 * @returns The engine that did not grant its part; empty if the hold is complete.
 	 */
 	async acquire(): Promise<readonly string[]> {
-		const refused: string[] = [];
-		await Promise.all(this.#parts.map(async part => {
-			if (await this.#reserve(part) !== 'granted') {
-				refused.push(part.upstream);
+		this.#timer = setInterval(() => {
+			// Renews in parallel: an unresponsive engine must not delay the renewal at the others.
+			for (const part of this.#asked) {
+				void this.#renew(part);
+			}
+		}, renewalIntervalMs);
+		for (const part of this.#parts.toSorted((a, b) => a.upstream < b.upstream ? -1 : 1)) {
+			const grant = await this.#reserve(part);
+			if (grant === 'unanswered') {
+				this.#unanswered.push(part.upstream);
+			}
+
+			if (grant !== 'refused') {
+				this.#asked.push(part);
+			}
+
+			if (grant !== 'granted') {
+				return [part.upstream];
 			}
-		}));
-		if (refused.length === 0) {
-			this.#timer = setInterval(() => {
-				// Renews in parallel: an unresponsive engine must not delay the renewal at the others.
-				for (const part of this.#parts) {
-					void this.#renew(part);
-				}
-			}, renewalIntervalMs);
 		}
 
-		return refused;
+		return [];
 	}
 
 	/**
@@ -76,7 +96,7 @@
 	async [Symbol.asyncDispose](): Promise<void> {
 		clearInterval(this.#timer);
 		this.#lossHandler = undefined;
-		await Promise.all(this.#parts.map(async part => this.#release(part)));
+		await Promise.all(this.#asked.map(async part => this.#release(part)));
 	}
 
 	async #renew(part: HoldPart): Promise<void> {
@@ -152,8 +172,10 @@
 	 * Counts the result of acquiring a hold.
 	 *
 	 * @param isGranted - Whether all engines granted the memory.
+	 * @param askedParts - Number of parts that were granted.
 	 */
-	count(isGranted: boolean): void {
-		this.#metrics.holds.inc({result: isGranted ? 'granted' : 'refused'});
+	count(isGranted: boolean, askedParts: number): void {
+		const refusal = askedParts === 0 ? 'refused' : 'unused';
+		this.#metrics.holds.inc({result: isGranted ? 'granted' : refusal});
 	}
 }
