--- a/src/gateway/__tests__/holds.test.ts
+++ b/src/gateway/__tests__/holds.test.ts
@@ -83,3 +83,24 @@
 	expect(released).toEqual(['e1', 'e2']);
 	expect(lossHandler).not.toHaveBeenCalled();
 });
+
+it('asks one engine after another, and keeps what was granted while another engine replaces the one that refused', async () => {
+	const asked: string[] = [];
+	const released: string[] = [];
+	const engineControl = {
+		async reserve({upstream}: EngineProcess) {
+			asked.push(upstream);
+			return upstream !== 'e1';
+		},
+		async release({upstream}: EngineProcess) {
+			released.push(upstream);
+		},
+	};
+	const createPart = (upstream: string) => ({upstream, address: {host: upstream, port: 1}, tokens: 1000});
+	const hold = new Hold('h', ['e2', 'e0', 'e1'].map(id => createPart(id)), engineControl, {write: ignore});
+	expect([await hold.acquire(), asked, hold.unanswered]).toEqual([['e1'], ['e0', 'e1'], []]);
+	hold.replace('e1', createPart('e3'));
+	expect([await hold.acquire(), asked]).toEqual([[], ['e0', 'e1', 'e2', 'e3']]);
+	await hold[Symbol.asyncDispose]();
+	expect(released).toEqual(['e0', 'e2', 'e3']);
+});
--- a/src/gateway/__tests__/memory-queue.test.ts
+++ b/src/gateway/__tests__/memory-queue.test.ts
@@ -4,6 +4,7 @@
 import {type MemoryClaim} from '../../core/gateway/memory-admission.js';
 import {type Demand} from '../../core/gateway/types.js';
 import {MemoryQueue} from '../memory-queue.js';
+import {fromWireClaim, toWireClaim} from '../peers/messages.js';
 import {
 	fleetModel, MemoryFleet, type Kind, type Outcome,
 } from './memory-fleet.js';
@@ -177,3 +178,12 @@
 
 	expect(queue.claims).toHaveLength(64);
 });
+
+it('sends claims with times relative to the clock of each host', () => {
+	const claim: MemoryClaim = {
+		id: 'h1/x', tokens: 380_000, priority: 1, arrived: 900, latestStart: 4000, engines, partTokens: 130_000, expected: 1500, expires: 2000,
+	};
+	expect(fromWireClaim(toWireClaim(claim, 1000), 51_000)).toEqual({
+		...claim, arrived: 50_900, latestStart: 54_000, expected: 51_500, expires: 52_000,
+	});
+});
