Space the attempts of waiting requests by 100 ms

Cause: far beyond the engines' capacity waiting requests tried again before they knew what the one before had taken: reservations take up to 30 ms and load updates 60 ms, the spacing was 40 ms.

--- a/src/gateway/memory-queue.ts
+++ b/src/gateway/memory-queue.ts
@@ -27,10 +27,10 @@
 
 /**
  * Time between the attempts of waiting requests, by their order: all learn of free memory at the same time, and the next one should know what
- * the one before has taken. The longest such delay, so that requests behind many others also use memory that those can't.
+ * the one before has taken: its reservations take up to 30 ms, and load updates 60 ms. The longest such delay, so that requests behind many others also use memory that those can't.
  */
-const turnSpacingMs = 40;
-const maxTurnDelayMs = 200;
+const turnSpacingMs = 100;
+const maxTurnDelayMs = 800;
 
 /**
  * Time after a refused reservation for which the engine's free memory counts as none: by then the load updates that explain it have arrived.
