--- a/src/cli/losses/causes.ts
+++ b/src/cli/losses/causes.ts
@@ -112,6 +112,10 @@
 		case 'hold-unused':
 		case 'domain-evacuated':
 		case 'domain-evacuation-ended':
+		case 'hold-replaced':
+		case 'memory-wait':
+		case 'memory-granted':
+		case 'memory-refused':
 		case 'retry-denied': {
 			return;
 		}
--- a/src/core/gateway/load.ts
+++ b/src/core/gateway/load.ts
@@ -1,5 +1,5 @@
 /** Tracks the jobs at each upstream, from this host and from the load updates of its peers, and forecasts engine load from them. */
-import {footprint, estimateDecodeIteration} from './engine.js';
+import {computePartMemory, footprint, estimateDecodeIteration} from './engine.js';
 import {defaultUrgency} from './urgency.js';
 import {configuredPace, type Pace, type PaceFinder} from './paces.js';
 import {estimateSlotWait, type Occupant} from './queue.js';
@@ -95,6 +95,7 @@
 	readonly #ended = new Map<string, number>();
 	readonly #engines = new Map<string, EngineState>();
 	readonly #findPace: PaceFinder;
+	#removals = 0;
 
 	/**
 	 * @param findPace - Finds the pace of an engine.
@@ -160,6 +161,19 @@
 		return count;
 	}
 
+	/**
+	 * @param upstream - Upstream.
+	 * @returns Jobs that it answers or helps with.
+	 */
+	findJobsAt(upstream: string): readonly Job[] {
+		return [...this.#engines.get(upstream)?.jobs.values() ?? []];
+	}
+
+	/** Number of jobs that have ended or were removed since the start, which shows whether resources have become free. */
+	get removals(): number {
+		return this.#removals;
+	}
+
 	/**
 	 * Adds a job. Ignores a job that is known or ended recently, since load updates may arrive twice or out of order.
 	 *
@@ -323,6 +337,7 @@
 			return;
 		}
 
+		this.#removals++;
 		this.#jobs.delete(id);
 		for (const engine of enginesOf(job)) {
 			const state = this.#engineState(engine);
@@ -356,10 +371,16 @@
 	state.prefillUntil = Math.min(state.prefillUntil, now + remaining);
 }
 
-function memoryAt(job: Job, upstream: string, model: EngineModel): number {
+/**
+ * @param job - Job.
+ * @param upstream - Engine that answers it or helps with it.
+ * @param model - Performance model of the engine.
+ * @returns KV memory in tokens that the job takes there.
+ */
+export function memoryAt(job: Job, upstream: string, model: EngineModel): number {
 	const whole = footprint(model, job.prompt, job.answer);
 	if (job.isHeld) {
-		return whole / (job.helpers.length + 1);
+		return computePartMemory(model, whole, job.helpers.length + 1);
 	}
 
 	return job.upstream === upstream ? whole : 0;
--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -101,6 +101,7 @@
 		canRetry: () => false,
 		computeWait: () => undefined,
 		countObstacles: () => ({}),
+		considerMemory: () => undefined,
 		place() {
 			placed++;
 			return placements.shift();
@@ -152,6 +153,7 @@
 		},
 		computeWait: () => waits[placed - 1],
 		countObstacles: () => ({'rate-limit': 1}),
+		considerMemory: () => undefined,
 	};
 	const services = {gateway, clock: {now: () => 0}} as unknown as GatewayServices;
 	const callerResponse = {
--- a/src/gateway/__tests__/relays.test.ts
+++ b/src/gateway/__tests__/relays.test.ts
@@ -65,6 +65,7 @@
 			},
 			onNewJob: ignore,
 			reports: () => [],
+			onClaim: ignore,
 			onReport: ignore,
 			onPace: ignore,
 			sent: sent => {
--- a/src/gateway/load-batch.ts
+++ b/src/gateway/load-batch.ts
@@ -1,6 +1,7 @@
 /** Collects changes of load that are sent in one message. */
 import {type Absence} from '../core/gateway/absences.js';
 import {type Job} from '../core/gateway/load.js';
+import {type MemoryClaim} from '../core/gateway/memory-admission.js';
 import {type PaceReport} from '../core/gateway/paces.js';
 import {type UpstreamReport} from '../core/gateway/upstream-reports.js';
 
@@ -14,6 +15,8 @@
 	readonly reports: readonly UpstreamReport[];
 	/** Paces of engines that hosts have learned. */
 	readonly paces: readonly PaceReport[];
+	/** Memory that hosts keep for waiting requests. */
+	readonly claims: readonly MemoryClaim[];
 };
 
 export class LoadBatch {
@@ -25,6 +28,7 @@
 	#absences: Absence[] = [];
 	#reports: UpstreamReport[] = [];
 	#paces: PaceReport[] = [];
+	#claims: MemoryClaim[] = [];
 	#timer: NodeJS.Timeout | undefined;
 
 	/**
@@ -41,17 +45,18 @@
 		return this.#timer === undefined
 			? undefined
 			: {
-				began: this.#began, progressed: this.#progressed, ended: this.#ended, absences: this.#absences, reports: this.#reports, paces: this.#paces,
+				began: this.#began, progressed: this.#progressed, ended: this.#ended, absences: this.#absences, reports: this.#reports, paces: this.#paces, claims: this.#claims,
 			};
 	}
 
-	add({began = [], progressed = [], ended = [], absences = [], reports = [], paces = []}: Partial<LoadChanges>): void {
+	add({began = [], progressed = [], ended = [], absences = [], reports = [], paces = [], claims = []}: Partial<LoadChanges>): void {
 		this.#began.push(...began);
 		this.#progressed.push(...progressed);
 		this.#ended.push(...ended);
 		this.#absences.push(...absences);
 		this.#reports.push(...reports);
 		this.#paces.push(...paces);
+		this.#claims.push(...claims);
 		this.#timer ??= setTimeout(() => {
 			this.flush();
 		}, this.#delay);
@@ -72,6 +77,7 @@
 		this.#absences = [];
 		this.#reports = [];
 		this.#paces = [];
+		this.#claims = [];
 		this.#send(changes);
 	}
 }
--- a/src/gateway/load-updates.ts
+++ b/src/gateway/load-updates.ts
@@ -9,13 +9,14 @@
 import {type Job, type Load} from '../core/gateway/load.js';
 import {disruptivePrefillMs, hasToYield, canCauseReroute} from '../core/gateway/rerouting.js';
 import {findDisruptedStreams} from '../core/gateway/losses.js';
+import {type MemoryClaim} from '../core/gateway/memory-admission.js';
 import {isPace, type PaceReport} from '../core/gateway/paces.js';
 import {type EngineModel} from '../core/gateway/types.js';
 import {type UpstreamReport} from '../core/gateway/upstream-reports.js';
 import {LoadBatch, type LoadChanges} from './load-batch.js';
 import {LoadRequester} from './load-requester.js';
 import {
-	fromWireCold, fromWireJob, fromWirePace, fromWireReport, toWireCold, toWireJob, toWirePace, toWireReport, type Host, type HostsLost, type LoadUpdate, type LoadResponse, type LoadRequest, type Message,
+	fromWireClaim, fromWireCold, fromWireJob, fromWirePace, fromWireReport, toWireClaim, toWireCold, toWireJob, toWirePace, toWireReport, type Host, type HostsLost, type LoadUpdate, type LoadResponse, type LoadRequest, type Message,
 } from './peers/messages.js';
 import {type Peers} from './peers/peers.js';
 
@@ -53,6 +54,8 @@
 	readonly onReport: (peer: string, report: UpstreamReport) => void;
 	/** Called with the pace of an engine that a peer or another host has learned. */
 	readonly onPace: (peer: string, pace: PaceReport) => void;
+	/** Called when another host keeps memory for a waiting request, or no longer does. */
+	readonly onClaim: (claim: MemoryClaim) => void;
 	/** Called for each new job of another host of this failure domain. */
 	readonly sent: (job: Job) => void;
 };
@@ -145,6 +148,13 @@
 		this.#ownChanges.add({paces: [pace]});
 	}
 
+	/**
+	 * @param claim - Memory that this host keeps for a waiting request.
+	 */
+	publishClaim(claim: MemoryClaim): void {
+		this.#ownChanges.add({claims: [claim]});
+	}
+
 	/**
 	 * @param id - Own job that could be rerouted.
 	 * @param listener - Notified until the job ends.
@@ -250,8 +260,13 @@
 			this.#options.onPace(from.name, pace);
 		}
 
+		const claims = (update.claims ?? []).map(claim => fromWireClaim(claim, now()));
+		for (const claim of claims) {
+			this.#options.onClaim(claim);
+		}
+
 		this.#forward({
-			began, progressed: update.progressed, ended: update.ended, absences, reports, paces: paces.filter(({pace}) => isPace(pace)),
+			began, progressed: update.progressed, ended: update.ended, absences, reports, paces: paces.filter(({pace}) => isPace(pace)), claims,
 		}, update.audience);
 	}
 
@@ -428,7 +443,7 @@
 		}
 	}
 
-	#createUpdate({began = [], progressed = [], ended = [], absences = [], reports = [], paces = []}: Partial<LoadChanges>, audience?: LoadUpdate['audience']): LoadUpdate {
+	#createUpdate({began = [], progressed = [], ended = [], absences = [], reports = [], paces = [], claims = []}: Partial<LoadChanges>, audience?: LoadUpdate['audience']): LoadUpdate {
 		const {self, now} = this.#options;
 		const statements = reports.filter(report => report.type !== 'cold');
 		const cold = reports.filter(report => report.type === 'cold');
@@ -441,6 +456,7 @@
 			reports: statements.length === 0 ? undefined : statements.map(report => toWireReport(report, now())),
 			cold: cold.length === 0 ? undefined : cold.map(report => toWireCold(report, now())),
 			paces: paces.length === 0 ? undefined : paces.map(pace => toWirePace(pace, now())),
+			claims: claims.length === 0 ? undefined : claims.map(claim => toWireClaim(claim, now())),
 			audience,
 		};
 	}
