--- a/src/core/gateway/pace-sampler.ts
+++ b/src/core/gateway/pace-sampler.ts
@@ -5,11 +5,11 @@
 import {type Placement} from './placement.js';
 import {type EngineModel, type Prompt} from './types.js';
 
-/** Shortest prefill in milliseconds, and least share of the predicted time to the first event, that tell the pace of prefills. */
+/** Shortest prefill in milliseconds, and least share of the predicted time to the first event, from which the pace of prefills is derived. */
 const minPrefillMs = 100;
 const minPrefillShare = 0.75;
 
-/** Largest ratio of the bounds of an iteration for which a time between them tells something. */
+/** Largest ratio of the bounds of an iteration for which a time between them is used. */
 const maxUncertainty = 1.3;
 
 /** Delay of timers and of reading on a busy host in milliseconds: smaller differences are not attributed to the engine. */
@@ -49,7 +49,7 @@
 
 	/**
 	 * @param now - Arrival of events.
-	 * @returns What they tell of the engine's pace, if anything.
+	 * @returns The engine's pace as it follows from them, if it does.
 	 */
 	noteEvents(now: number): PaceSample | undefined {
 		const {load, model, placement} = this.#options;
--- a/src/core/gateway/paces.ts
+++ b/src/core/gateway/paces.ts
@@ -190,7 +190,7 @@
 		}
 
 		const decode = computePace(known.decode, now);
-		// An engine is mostly slow in both phases, and few prompts are long enough to tell the pace of prefills.
+		// An engine is mostly slow in both phases, and few prompts are long enough to derive the pace of prefills from.
 		const prefill = known.prefill.length === 0 ? decode : computePace(known.prefill, now);
 		return decode === 1 && prefill === 1 ? configuredPace : {decode, prefill};
 	}
--- a/src/gateway/__tests__/response-buffers.test.ts
+++ b/src/gateway/__tests__/response-buffers.test.ts
@@ -11,7 +11,7 @@
 import {forwardEvents, readBody} from '../response-forwarding.js';
 import {type RequestTrace} from '../trace.js';
 
-/** A caller that takes bytes only when told to. */
+/** A caller that takes bytes only on request. */
 // eslint-disable-next-line unicorn/prefer-event-target -- Responses of Node.js are event emitters.
 class Caller extends EventEmitter {
 	headersSent = false;
--- a/src/gateway/cold-starts.ts
+++ b/src/gateway/cold-starts.ts
@@ -27,7 +27,7 @@
 /** Requests older than this don't matter to the present second. */
 const maxRequestAgeMs = 1000;
 
-/** How long a request is told to wait while this host knows none of its peers. */
+/** Wait for a cold upstream that is reported while this host knows none of its peers. */
 const unknownFleetWaitMs = 1000;
 
 const ownAssumption = 'assumed';
--- a/src/gateway/engine-paces.ts
+++ b/src/gateway/engine-paces.ts
@@ -59,7 +59,7 @@
 	}
 
 	/**
-	 * @param sample - What a response to this host tells of the pace of its engine, if anything.
+	 * @param sample - Sample of the engine's pace from a response to this host, if there is one.
 	 */
 	recordSample(sample: PaceSample | undefined): void {
 		if (sample === undefined) {
