Hosts of another fleet are no peers: identity in the handshake, or shared keys

Cause: a host accepted every host that completed a handshake.

Change: the handshake carries hashes of registrations and of the store's address, from which each end decides; with fleet.keys, both ends authenticate by challenge and HMAC before any other message. A foreign host is told so (8005), logged, counted and dialled again after an exponential delay, and counts as no peer.

--- a/bench/gateway/site.ts
+++ b/bench/gateway/site.ts
@@ -21,6 +21,8 @@
 	readonly plains?: number;
 	/** Host settings that replace the defaults. */
 	readonly settings?: Readonly<Record<string, unknown>>;
+	/** Peer addresses that every host gets as seeds after the first host of the site. */
+	readonly extraSeeds?: readonly Address[];
 	/** Index of the host that uses the secondary address of the store. */
 	readonly secondaryStoreHost?: number;
 	/** Wraps a target address, for example in a proxy link, and returns the address to connect to. */
@@ -53,7 +55,7 @@
 		site.store.put('op/config', createConfiguration(1));
 		for (let index = 0; index < (options.hosts ?? 1); index++) {
 			const address = index === options.secondaryStoreHost ? site.store.secondaryAddress : await site.#link(`store-host-${index}`, site.store.address);
-			await site.#addHost(`host-${index}`, {store: formatAddress(address), ...options.settings});
+			await site.#addHost(`host-${index}`, options.extraSeeds ?? [], {store: formatAddress(address), ...options.settings});
 		}
 
 		await Promise.all(site.hosts.map(async host => site.waitUntilReady(host)));
@@ -123,7 +125,7 @@
 		rmSync(this.#directory, {recursive: true, force: true});
 	}
 
-	async #addHost(name: string, settings: Readonly<Record<string, unknown>>): Promise<void> {
+	async #addHost(name: string, extraSeeds: readonly Address[], settings: Readonly<Record<string, unknown>>): Promise<void> {
 		const ports: number[] = [];
 		while (ports.length < 4) {
 			ports.push(await claimWorkerPort());
@@ -138,7 +140,7 @@
 			ready: formatAddress(host.ready),
 			peer: formatAddress(host.peer),
 			metrics: formatAddress(host.metrics),
-			seeds: [this.hosts[0] ?? host].map(each => formatAddress(each.peer)),
+			seeds: [(this.hosts[0] ?? host).peer, ...extraSeeds].map(seed => formatAddress(seed)),
 			...settings,
 		}));
 		this.hosts.push(host);
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -68,6 +68,7 @@
 	orderRefused: 8002,
 	storeUnavailable: 8003,
 	storeUnreadable: 8004,
+	foreignHost: 8005,
 	internal: 9001,
 } as const;
 
@@ -139,6 +140,7 @@
 	orderRefused: 'The engine refused an order.',
 	storeUnavailable: 'The platform\'s store does not serve this host now.',
 	storeUnreadable: 'The platform\'s store sent something that cannot be read.',
+	foreignHost: 'The host belongs to another fleet.',
 	internal: 'An internal error.',
 } satisfies Readonly<Record<CodeName, string>>;
 
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -121,10 +121,14 @@
 	}
 
 	/**
-	 * @param settings - Changed settings; only changes of seeds take effect while the process runs.
+	 * @param settings - Changed settings; only changes of seeds and fleet keys take effect while the process runs.
 	 */
 	reload(settings: Settings): void {
 		this.#gateway.peers.addSeeds(settings.seeds);
+		if (settings.fleet !== undefined) {
+			this.#gateway.peers.updateKeys(settings.fleet.keys);
+		}
+
 		this.#log.write({event: 'reloaded', seeds: settings.seeds.length});
 	}
 
@@ -161,6 +165,10 @@
 		this.#metrics.inFlight.set(this.#callers.running);
 		this.#metrics.knownJobs.set(this.#gateway.load.size);
 		this.#metrics.peers.set(this.#gateway.peers.hosts.length);
+		for (const [reason, count] of this.#gateway.peers.refusals) {
+			this.#metrics.refusedPeers.set({reason}, count);
+		}
+
 		this.#metrics.version.set(this.#gateway.directory?.configuration.version ?? 0);
 		this.#metrics.confirmedAge.set(this.#gateway.confirmedAge);
 		this.#metrics.storeEra.set(this.#gateway.registrations.era);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -21,6 +21,7 @@
 import {type Log} from '../entry/logs.js';
 import {Convictions} from './convictions.js';
 import {LoadUpdates} from './load-updates.js';
+import {FleetView} from './peers/fleet-view.js';
 import {type Host, type Message} from './peers/messages.js';
 import {Peers} from './peers/peers.js';
 import {type PeerState} from './peers/state.js';
@@ -88,6 +89,9 @@
 				capacity: settings.processor.cores * settings.processor.share,
 			},
 			seeds: settings.seeds,
+			identification: settings.fleet === undefined
+				? {type: 'knowledge', view: new FleetView(settings.store, () => this.upstreams.all)}
+				: {type: 'keys', keys: settings.fleet.keys},
 			log,
 			now: () => clock.now(),
 			events: {
@@ -443,6 +447,9 @@
 			}
 
 			case 'hello':
+			case 'challenge':
+			case 'proof':
+			case 'foreign':
 			case 'release':
 			case 'heartbeat': {
 				return;
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -38,8 +38,10 @@
 	});
 }
 
-function createGauge(registry: Registry, name: string, help: string): Gauge {
-	return new Gauge({name: prefix + name, help, registers: [registry]});
+function createGauge(registry: Registry, name: string, help: string, labelNames: string[] = []): Gauge {
+	return new Gauge({
+		name: prefix + name, help, labelNames, registers: [registry],
+	});
 }
 
 function createHistogram(registry: Registry, name: string, help: string): Histogram {
@@ -60,6 +62,7 @@
 	readonly inFlight: Gauge;
 	readonly knownJobs: Gauge;
 	readonly peers: Gauge;
+	readonly refusedPeers: Gauge;
 	readonly version: Gauge;
 	readonly confirmedAge: Gauge;
 	readonly storeEra: Gauge;
@@ -83,6 +86,7 @@
 		this.inFlight = createGauge(registry, 'requests_in_flight', 'Requests of callers that are not answered');
 		this.knownJobs = createGauge(registry, 'upstream_jobs_known', 'Requests at upstreams, own and of peers');
 		this.peers = createGauge(registry, 'peers_linked', 'Hosts linked');
+		this.refusedPeers = createGauge(registry, 'peer_connections_refused', 'Connections refused since the start, by reason', ['reason']);
 		this.version = createGauge(registry, 'configuration_version', 'Version in force');
 		this.confirmedAge = createGauge(registry, 'configuration_confirmed_age_milliseconds', 'Time since the store last confirmed the version in force');
 		this.storeEra = createGauge(registry, 'store_era', 'Era of the platform store: rises each time it returns from a backup');
--- a/src/gateway/peers/dialer.ts
+++ b/src/gateway/peers/dialer.ts
@@ -20,7 +20,7 @@
 	readonly isLargeFleet: () => boolean;
 	readonly now: () => number;
 	/** Takes over the socket of a new connection. */
-	readonly connected: (socket: Socket) => void;
+	readonly connected: (socket: Socket, address: Address) => void;
 	/** Closes a link that this host dialled and no longer needs. */
 	readonly release: (link: Link) => void;
 };
@@ -99,7 +99,7 @@
 		socket.once('connect', () => {
 			isConnected = true;
 			clearTimeout(timer);
-			this.#options.connected(socket);
+			this.#options.connected(socket, peer.address);
 		});
 		socket.on('error', () => {
 			// The `close` event that follows records the failure; an unreachable peer isn't reported before it was linked once.
--- a/src/gateway/peers/known-peers.ts
+++ b/src/gateway/peers/known-peers.ts
@@ -14,6 +14,10 @@
 const startupWindowMs = 5000;
 const startupRedialDelayMs = 100;
 
+/** Bounds of the exponential delay before an address is dialled again at which a host of another fleet has answered. */
+const minForeignDelayMs = 1000;
+const maxForeignDelayMs = 60_000;
+
 /** How long a peer that can't be reached is kept. */
 const retentionMs = 60_000;
 
@@ -29,6 +33,8 @@
 	nextDialAt: number;
 	failures: number;
 	isDialling: boolean;
+	/** Consecutive dials answered by a host of another fleet. */
+	foreignAnswers: number;
 };
 
 /**
@@ -96,6 +102,10 @@
 		}
 
 		const existing = this.#byAddress.get(key);
+		if (existing !== undefined && existing.foreignAnswers > 0) {
+			return false;
+		}
+
 		if (existing?.host === undefined && host !== undefined) {
 			this.#hostCount++;
 		}
@@ -106,7 +116,7 @@
 		}
 
 		this.#byAddress.set(key, {
-			address, host, lastSeen: now, nextDialAt: 0, failures: 0, isDialling: false,
+			address, host, lastSeen: now, nextDialAt: 0, failures: 0, isDialling: false, foreignAnswers: 0,
 		});
 		return true;
 	}
@@ -119,6 +129,11 @@
 	 * @returns Whether the host is new.
 	 */
 	markAlive(host: Host, now: number): boolean {
+		const known = this.#byAddress.get(addressKey(host.address));
+		if (known !== undefined) {
+			known.foreignAnswers = 0;
+		}
+
 		const isNew = this.add(host.address, host, now);
 		const peer = this.#byAddress.get(addressKey(host.address));
 		if (peer !== undefined) {
@@ -130,6 +145,22 @@
 		return isNew;
 	}
 
+	/**
+	 * Records that a host of another fleet has answered at an address: whoever was known there is gone.
+	 *
+	 * @param address - Address that was dialled.
+	 */
+	markForeign(address: Address): void {
+		const peer = this.#byAddress.get(addressKey(address));
+		if (peer === undefined) {
+			return;
+		}
+
+		this.#hostCount -= peer.host === undefined ? 0 : 1;
+		peer.host = undefined;
+		peer.foreignAnswers++;
+	}
+
 	/**
 	 * Schedules the next dial after a connection, or an attempt to connect, has ended.
 	 *
@@ -140,7 +171,7 @@
 	recordDial(peer: KnownPeer, isConnected: boolean, now: number): void {
 		peer.isDialling = false;
 		peer.failures = isConnected ? 0 : peer.failures + 1;
-		peer.nextDialAt = now + (this.isStartingUp(now) ? startupRedialDelayMs : Math.min(minRedialDelayMs * (2 ** peer.failures), maxRedialDelayMs));
+		peer.nextDialAt = now + this.#computeRedialDelay(peer, now);
 	}
 
 	/**
@@ -158,4 +189,12 @@
 		this.#hostCount -= peer.host === undefined ? 0 : 1;
 		return true;
 	}
+
+	#computeRedialDelay({foreignAnswers, failures}: KnownPeer, now: number): number {
+		if (foreignAnswers > 0) {
+			return Math.min(minForeignDelayMs * (2 ** (foreignAnswers - 1)), maxForeignDelayMs);
+		}
+
+		return this.isStartingUp(now) ? startupRedialDelayMs : Math.min(minRedialDelayMs * (2 ** failures), maxRedialDelayMs);
+	}
 }
--- a/src/gateway/peers/link.ts
+++ b/src/gateway/peers/link.ts
@@ -1,29 +1,51 @@
 /** One TCP connection to another host, which reads and writes framed messages and bounds the send buffer. */
 import {Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
-import {messageOf} from '../../core/index.js';
+import {codes, messageOf, type Address} from '../../core/index.js';
+import {maxHandshakeMessageBytes, type Authentication} from './authentication.js';
+import {type RefusalReason} from './foreign-hosts.js';
 import {
-	encode, createMessageReader, type Hello, type Message,
+	encode, createMessageReader, maxHelloBytes, maxMessageBytes, type Hello, type Message,
 } from './messages.js';
 
 /** Unsent data above which the connection to a slow peer is closed. */
 const maxSendBufferBytes = 4_000_000;
 
 export type LinkEvents = {
+	/** The peer has proved that it knows a key of the fleet. */
+	readonly authenticated?: (link: Link) => void;
+	/** The handshake has failed; `detail` states why. */
+	readonly failed?: (link: Link, reason: RefusalReason, detail: string) => void;
 	readonly hello: (link: Link, hello: Hello) => void;
 	readonly message: (link: Link, message: Message) => void;
 	readonly closed: (link: Link, reason: string) => void;
 };
 
+export type Handshake = {
+	/** Address that this host dialled; absent if the peer opened the connection. */
+	readonly dialledAddress?: Address;
+	/** Authentication that precedes all other messages, if one is needed. */
+	readonly authentication?: Authentication;
+};
+
 export class Link {
 	/** Whether this host opened the connection. */
 	readonly isDialled: boolean;
+	/** Address that this host dialled; undefined if the peer opened the connection. */
+	readonly dialledAddress: Address | undefined;
+	/** IP address of the peer. */
+	readonly remoteAddress: string;
 	readonly #socket: Socket;
-	readonly #reader = createMessageReader();
+	readonly #reader = createMessageReader(maxHelloBytes);
 	readonly #events: LinkEvents;
 	/** Frames to be sent with one system call. */
 	#pendingFrames: Uint8Array[] = [];
 	#flushTimer: NodeJS.Timeout | undefined;
+	/** Authentication in progress. */
+	#authentication: Authentication | undefined;
+	#isAccepted = false;
+	/** Whether nothing more is read, as the peer belongs to another fleet. */
+	#isRefused = false;
 	#hello: Hello | undefined;
 	#closeReason = 'closed by the peer';
 
@@ -31,9 +53,13 @@
 	 * @param socket - Connected socket, owned by the link from now on.
 	 * @param isDialled - Whether this host opened the connection.
 	 * @param events - Listeners.
+	 * @param handshake - What the handshake needs.
 	 */
-	constructor(socket: Socket, isDialled: boolean, events: LinkEvents) {
+	constructor(socket: Socket, isDialled: boolean, events: LinkEvents, {dialledAddress, authentication}: Handshake = {}) {
 		this.isDialled = isDialled;
+		this.dialledAddress = dialledAddress;
+		this.remoteAddress = socket.remoteAddress ?? 'unknown';
+		this.#authentication = authentication;
 		this.#socket = socket;
 		this.#events = events;
 		socket.setNoDelay(true);
@@ -50,6 +76,10 @@
 			clearTimeout(this.#flushTimer);
 			events.closed(this, this.#closeReason);
 		});
+		if (authentication !== undefined) {
+			this.#reader.setLimit(maxHandshakeMessageBytes);
+			this.send(authentication.challenge);
+		}
 	}
 
 	/** The peer's handshake, once received. */
@@ -97,6 +127,22 @@
 		this.write(encode(message));
 	}
 
+	/** Lets the peer send messages of any length, as it belongs to the same fleet. */
+	accept(): void {
+		this.#isAccepted = true;
+		this.#reader.setLimit(maxMessageBytes);
+	}
+
+	/** Tells the peer that it belongs to another fleet, closes the connection and reads nothing more. */
+	refuseForeign(): void {
+		if (!this.#isRefused) {
+			this.#isRefused = true;
+			this.#closeReason = 'another fleet';
+			this.send({type: 'foreign', code: codes.foreignHost});
+			this.closeAfterFlush();
+		}
+	}
+
 	/** Sends all pending frames, then closes the connection. */
 	closeAfterFlush(): void {
 		this.flush();
@@ -116,12 +162,29 @@
 	}
 
 	#readMessages(chunk: Uint8Array): void {
+		if (this.#isRefused) {
+			return;
+		}
+
 		try {
-			for (const message of this.#reader.push(chunk)) {
+			for (const message of this.#reader.read(chunk)) {
 				this.#handleMessage(message);
+				if (this.#isRefused || this.#socket.destroyed) {
+					return;
+				}
 			}
 		} catch (error) {
-			this.close(messageOf(error));
+			this.#handleInvalid(messageOf(error));
+		}
+	}
+
+	#handleInvalid(detail: string): void {
+		if (!this.#isAccepted) {
+			this.#events.failed?.(this, this.#authentication === undefined ? 'invalid' : 'foreign', detail);
+		}
+
+		if (!this.#isRefused) {
+			this.close(detail);
 		}
 	}
 
@@ -130,12 +193,50 @@
 			return;
 		}
 
-		if (message.type !== 'hello') {
-			this.#events.message(this, message);
+		if (this.#authentication !== undefined) {
+			this.#authenticate(this.#authentication, message);
 			return;
 		}
 
-		this.#hello = message;
-		this.#events.hello(this, message);
+		switch (message.type) {
+			case 'hello': {
+				this.#hello = message;
+				this.#events.hello(this, message);
+				return;
+			}
+
+			case 'challenge':
+			case 'proof': {
+				this.#events.failed?.(this, 'foreign', 'requires a key');
+				return;
+			}
+
+			case 'foreign': {
+				this.#events.failed?.(this, 'foreign', 'refused by the peer');
+				return;
+			}
+
+			default: {
+				this.#events.message(this, message);
+			}
+		}
+	}
+
+	#authenticate(authentication: Authentication, message: Message): void {
+		const step = authentication.handle(message);
+		if (step.type === 'failed') {
+			this.#events.failed?.(this, 'foreign', step.reason);
+			return;
+		}
+
+		if (step.reply !== undefined) {
+			this.send(step.reply);
+		}
+
+		if (step.type === 'done') {
+			this.#authentication = undefined;
+			this.#reader.setLimit(maxHelloBytes);
+			this.#events.authenticated?.(this);
+		}
 	}
 }
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -3,6 +3,7 @@
 import {z} from 'zod';
 import {assertNever, raise} from '../../core/index.js';
 import {roundTo} from '../../core/utils/numbers.js';
+import {maxSampledUpstreams, maxStores} from '../../core/gateway/fleet-identity.js';
 import {type Job} from '../../core/gateway/load.js';
 import {type UpstreamReport} from '../../core/gateway/upstream-reports.js';
 import {createFrame, FrameReader} from '../../protocol/frames.js';
@@ -25,6 +26,13 @@
 	capacity: amount.optional(),
 });
 
+/** What the sender knows of its fleet, as 32-bit hashes. */
+const hashSchema = z.number().int().min(0).max(0xFF_FF_FF_FF);
+const fleetSchema = z.object({stores: z.array(hashSchema).max(maxStores).readonly(), upstreams: z.array(hashSchema).max(maxSampledUpstreams).readonly()});
+
+/** A challenge, or the proof that its receiver knows a key. */
+const secretSchema = z.custom<Uint8Array>(value => value instanceof Uint8Array && value.length === 16, 'must have 16 bytes');
+
 /** A job on the wire. Its times are relative to the time of sending, so that clocks needn't agree. */
 const jobSchema = z.object({
 	id: shortText,
@@ -73,7 +81,15 @@
 const messageSchema = z.discriminatedUnion('type', [
 	z.object({
 		type: z.literal('hello'), from: hostSchema, known: z.array(hostSchema).max(maxListLength), state: stateSummarySchema.optional(),
+		/** Absent from hosts that don't send it, and where hosts are authenticated by keys. */
+		fleet: fleetSchema.optional(),
 	}),
+	/** First message of both hosts if keys are set. */
+	z.object({type: z.literal('challenge'), nonce: secretSchema}),
+	/** One proof for each key of the sender. */
+	z.object({type: z.literal('proof'), proofs: z.array(secretSchema).min(1).max(2)}),
+	/** The sender takes the receiver for a host of another fleet and closes the connection. */
+	z.object({type: z.literal('foreign'), code: amount}),
 	z.object({
 		type: z.literal('heartbeat'),
 		/** A sample of the hosts that the sender is linked with. */
@@ -119,6 +135,9 @@
 export type Heartbeat = Extract<Message, {readonly type: 'heartbeat'}>;
 export type Hello = Extract<Message, {readonly type: 'hello'}>;
 
+/** Largest handshake: it names the known hosts of a fleet of some hundred. */
+export const maxHelloBytes = 65_536;
+
 /** Leaves room for the jobs of a busy host. */
 export const maxMessageBytes = 2_000_000;
 
@@ -147,9 +166,12 @@
 	return parsed.success ? parsed.data : raise('badPeerMessage', parsed.error.issues[0]?.message ?? '');
 }
 
-/** @returns A reader of the messages of one connection; it throws `badPeerMessage` on invalid ones. */
-export function createMessageReader(): FrameReader<Message> {
-	return new FrameReader(decode, maxMessageBytes);
+/**
+ * @param maxBytes - Maximum length of a message in bytes.
+ * @returns A reader of the messages of one connection; it throws `badPeerMessage` on invalid ones.
+ */
+export function createMessageReader(maxBytes = maxMessageBytes): FrameReader<Message> {
+	return new FrameReader(decode, maxBytes);
 }
 
 /**
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -6,6 +6,8 @@
 import {Announcer} from './announcer.js';
 import {KnownPeers} from './known-peers.js';
 import {Dialer} from './dialer.js';
+import {type RefusalReason} from './foreign-hosts.js';
+import {Gatekeeper, type Identification} from './gatekeeper.js';
 import {Link, type LinkEvents} from './link.js';
 import {
 	encode, type Heartbeat, type Hello, type Host, type Message,
@@ -48,6 +50,8 @@
 export type PeersOptions = {
 	readonly self: Host;
 	readonly seeds: readonly Address[];
+	/** How hosts of the same fleet are recognised; every host is accepted if it is absent. */
+	readonly identification?: Identification;
 	readonly log: Pick<Log, 'write'>;
 	readonly now: () => number;
 	readonly events: PeerEvents;
@@ -63,6 +67,7 @@
 	/** Links that one end no longer needs. */
 	readonly #releasedLinks = new WeakSet<Link>();
 	readonly #knownPeers: KnownPeers;
+	readonly #gatekeeper: Gatekeeper;
 	readonly #silenceDetector: SilenceDetector;
 	/** Time of the last message over each link. */
 	readonly #lastMessageAt = new Map<Link, number>();
@@ -87,6 +92,9 @@
 	constructor(options: PeersOptions) {
 		this.#options = options;
 		this.#knownPeers = new KnownPeers(options.self, options.now());
+		this.#gatekeeper = new Gatekeeper({
+			identification: options.identification ?? {type: 'none'}, log: options.log, now: options.now, knownPeers: this.#knownPeers,
+		});
 		this.#silenceDetector = new SilenceDetector(options.self.failureDomain);
 		this.#dialer = new Dialer({
 			self: options.self,
@@ -95,8 +103,8 @@
 			links: this.#links,
 			isLargeFleet: () => this.isLargeFleet,
 			now: options.now,
-			connected: socket => {
-				this.#openLink(socket, true);
+			connected: (socket, address) => {
+				this.#openLink(socket, address);
 			},
 			release: link => {
 				this.#releasedLinks.add(link);
@@ -105,6 +113,12 @@
 			},
 		});
 		this.#linkEvents = {
+			authenticated: link => {
+				this.#sendHello(link);
+			},
+			failed: (link, reason, detail) => {
+				this.#gatekeeper.refuse(link, reason, detail);
+			},
 			hello: (link, hello) => {
 				this.#handleHello(link, hello);
 			},
@@ -116,7 +130,11 @@
 			},
 		};
 		this.#server = createServer(socket => {
-			this.#openLink(socket, false);
+			if (this.#gatekeeper.mayAccept(socket.remoteAddress ?? 'unknown')) {
+				this.#openLink(socket, undefined);
+			} else {
+				socket.destroy();
+			}
 		});
 		this.addSeeds(options.seeds);
 
@@ -125,6 +143,11 @@
 		}, heartbeatIntervalMs);
 	}
 
+	/** Connections refused since the start of this host, by reason. */
+	get refusals(): ReadonlyMap<RefusalReason, number> {
+		return this.#gatekeeper.refusals;
+	}
+
 	/** Hosts that are linked at present. */
 	get hosts(): readonly Host[] {
 		return [...this.#links.values()].map(link => link.hello!.from);
@@ -256,6 +279,13 @@
 		}
 	}
 
+	/**
+	 * @param keys - Fleet keys of the current settings, for new links.
+	 */
+	updateKeys(keys: readonly string[]): void {
+		this.#gatekeeper.updateKeys(keys);
+	}
+
 	async [Symbol.asyncDispose](): Promise<void> {
 		clearInterval(this.#heartbeatTimer);
 		this.#announcer[Symbol.dispose]();
@@ -354,16 +384,29 @@
 		}
 	}
 
-	#openLink(socket: Socket, isDialled: boolean): void {
-		const link = new Link(socket, isDialled, this.#linkEvents);
+	#openLink(socket: Socket, dialledAddress: Address | undefined): void {
+		const authentication = this.#gatekeeper.createAuthentication(dialledAddress !== undefined);
+		const link = new Link(socket, dialledAddress !== undefined, this.#linkEvents, {dialledAddress, authentication});
 		this.#openLinks.add(link);
+		this.#gatekeeper.addPending(link);
 		this.#lastMessageAt.set(link, this.#options.now());
+		if (authentication === undefined) {
+			this.#sendHello(link);
+		}
+	}
+
+	#sendHello(link: Link): void {
 		link.send({
-			type: 'hello', from: this.#options.self, known: [...this.#knownPeers.hosts], state: this.#options.summarizeState?.(),
+			type: 'hello', from: this.#options.self, known: [...this.#knownPeers.hosts], state: this.#options.summarizeState?.(), fleet: this.#gatekeeper.identity,
 		});
 	}
 
-	#handleHello(link: Link, {from, known, state}: Hello): void {
+	#handleHello(link: Link, hello: Hello): void {
+		if (!this.#gatekeeper.admit(link, hello)) {
+			return;
+		}
+
+		const {from, known, state} = hello;
 		const now = this.#options.now();
 		const areNew = known.map(host => this.#knownPeers.add(host.address, host, now));
 		this.#knownPeers.markAlive(from, now);
@@ -452,6 +495,7 @@
 
 	#handleClose(link: Link, reason: string): void {
 		this.#openLinks.delete(link);
+		this.#gatekeeper.forget(link);
 		this.#lastMessageAt.delete(link);
 		const from = link.hello?.from;
 		if (from === undefined || this.#links.get(from.name) !== link) {
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -5,6 +5,9 @@
 	const at = text.lastIndexOf(':');
 	return {host: text.slice(0, at), port: Number(text.slice(at + 1))};
 });
+/** Shortest key of a fleet in characters, without spaces at its ends. */
+const minKeyLength = 16;
+const fleetKeySchema = z.string().trim().min(minKeyLength);
 const milliseconds = z.number().positive();
 
 export const settingsSchema = z.object({
@@ -39,6 +42,10 @@
 		overage: z.number().min(1).default(1.5),
 		allowance: z.number().nonnegative().default(5),
 	}).readonly().default({overage: 1.5, allowance: 5}),
+	/** Keys by which hosts recognise those of their fleet; while they are rotated, the old one and the new one. */
+	fleet: z.object({
+		keys: z.array(fleetKeySchema).min(1).max(2).readonly(),
+	}).readonly().optional(),
 	/** Memory that this process may use, in megabytes. */
 	memory: z.number().positive().optional(),
 	/** Retry budget of all hosts together: a share of the requests within a window, plus an allowance per window. */
--- a/src/protocol/frames.ts
+++ b/src/protocol/frames.ts
@@ -20,7 +20,7 @@
 /** Splits a byte stream into messages. Between calls it buffers at most one incomplete frame. */
 export class FrameReader<T> {
 	readonly #decode: (body: Uint8Array) => T;
-	readonly #maxBodyBytes: number;
+	#maxBodyBytes: number;
 	#chunks: Uint8Array[] = [];
 	#bufferedBytes = 0;
 
@@ -33,6 +33,13 @@
 		this.#maxBodyBytes = maxBodyBytes;
 	}
 
+	/**
+	 * @param maxBodyBytes - Maximum length in bytes of the bodies that are read next.
+	 */
+	setLimit(maxBodyBytes: number): void {
+		this.#maxBodyBytes = maxBodyBytes;
+	}
+
 	/**
 	 * Adds the next bytes of the stream.
 	 *
@@ -41,14 +48,22 @@
 	 * @throws Failure `badPeerMessage` for a body that is too long, and whatever `decode` throws. The stream cannot be read further.
 	 */
 	push(chunk: Uint8Array): readonly T[] {
+		return [...this.read(chunk)];
+	}
+
+	/**
+	 * Like {@link push}, but decodes each message only after the previous one was handled, which may have changed the maximum length.
+	 *
+	 * @param chunk - Next bytes of the stream.
+	 * @yields The messages that this chunk completes, in order.
+	 * @throws As `push` does.
+	 */
+	* read(chunk: Uint8Array): Generator<T, void> {
 		this.#chunks.push(chunk);
 		this.#bufferedBytes += chunk.length;
-		const messages: T[] = [];
 		for (let body = this.#readBody(); body !== undefined; body = this.#readBody()) {
-			messages.push(this.#decode(body));
+			yield this.#decode(body);
 		}
-
-		return messages;
 	}
 
 	#readBody(): Uint8Array | undefined {
