--- a/__tests__/gateway/foreign-fleets.test.ts
+++ b/__tests__/gateway/foreign-fleets.test.ts
@@ -43,6 +43,8 @@
 		expect(foreign.length).toBeLessThanOrEqual(first.hosts.length + 1);
 		expect([foreign[0]!.code, typeof foreign[0]!.own, typeof foreign[0]!.peer]).toEqual([foreignHostCode, 'string', 'string']);
 		expect(host.findLogLines('store-restored')).toEqual([]);
+		const metrics = await fetch(`http://${host.metrics.host}:${host.metrics.port}/metrics`);
+		expect(await metrics.text()).toMatch(/cranberrytide_peer_connections_refused\{reason="foreign"\} [1-9]/v);
 	}
 
 	// An upstream that leaves the first fleet is still used in the second one.
@@ -73,3 +75,14 @@
 	await expect.poll(() => site.hosts.every(host => host.findLogLines('peer-linked').length >= 2), {timeout: 20_000}).toBe(true);
 	expect(site.hosts.flatMap(host => host.findLogLines('peer-foreign'))).toEqual([]);
 });
+
+it('links a host that restarts while its address of the store does not answer', {timeout: 60_000}, async () => {
+	await using site = await Site.start({hosts: 3, secondaryStoreHost: 1});
+	const [first, second] = [site.hosts[0]!, site.hosts[1]!];
+	await expect.poll(() => site.hosts.every(host => host.findLogLines('peer-linked').length >= 2), {timeout: 20_000}).toBe(true);
+	site.store.secondaryMode = 'reset';
+	await second.kill();
+	second.start();
+	await site.waitUntilReady(second);
+	expect(first.findLogLines('peer-linked').length).toBeGreaterThanOrEqual(3);
+});
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -90,7 +90,7 @@
 			},
 			seeds: settings.seeds,
 			identification: settings.fleet === undefined
-				? {type: 'knowledge', view: new FleetView(settings.store, () => this.upstreams.all)}
+				? {type: 'knowledge', view: new FleetView(settings.store, () => this.upstreams)}
 				: {type: 'keys', keys: settings.fleet.keys},
 			log,
 			now: () => clock.now(),
--- a/src/gateway/peers/__tests__/known-peers.test.ts
+++ b/src/gateway/peers/__tests__/known-peers.test.ts
@@ -27,3 +27,26 @@
 
 	expect(count()).toEqual([0, 0]);
 });
+
+it('dials an address with a foreign host after a delay that doubles up to a minute, also during startup', () => {
+	const peers = new KnownPeers(host(1), 0);
+	peers.add({host: 'h', port: 2}, host(2), 0);
+	const peer = [...peers.entries][0]![1];
+	const delays = [1, 2, 3, 4, 5, 6, 7, 8].map(() => {
+		peers.markForeign(peer.address);
+		peers.recordDial(peer, true, 100);
+		return peer.nextDialAt - 100;
+	});
+	expect(delays).toEqual([1000, 2000, 4000, 8000, 16_000, 32_000, 60_000, 60_000]);
+});
+
+it('counts no host at an address where a foreign one answered, until a host of the fleet is linked there', () => {
+	const peers = new KnownPeers(host(1), 0);
+	peers.add({host: 'h', port: 2}, host(2), 0);
+	peers.markForeign({host: 'h', port: 2});
+	peers.markForeign({host: 'h', port: 9});
+	peers.add({host: 'h', port: 2}, host(2), 0);
+	expect([peers.hostCount, peers.hosts, peers.reachableHosts]).toEqual([0, [], []]);
+	peers.markAlive(host(2), 0);
+	expect([peers.hostCount, peers.hosts.length]).toEqual([1, 1]);
+});
--- a/src/gateway/peers/fleet-view.ts
+++ b/src/gateway/peers/fleet-view.ts
@@ -7,18 +7,28 @@
 import {type Address} from '../../core/index.js';
 import {addressKey} from './known-peers.js';
 
+/** Registrations that are known at present. */
+export type RegisteredUpstreams = {
+	readonly all: readonly GatewayUpstream[];
+	/** Number of changes so far, by which hashes are kept until the next one. */
+	readonly changeCount: number;
+};
+
 export class FleetView {
-	readonly #listUpstreams: () => readonly GatewayUpstream[];
+	readonly #findUpstreams: () => RegisteredUpstreams;
 	/** Hashes of the addresses at which this host and its accepted peers reach the store. */
 	readonly #stores: Set<number>;
+	#hashes: ReadonlySet<number> = new Set();
+	/** Value of `changeCount` for which the hashes were computed. */
+	#hashedChange: number | undefined;
 
 	/**
 	 * @param store - Address of the store in the settings of this host.
-	 * @param listUpstreams - Returns the registrations that are known at present.
+	 * @param findUpstreams - Returns the registrations that are known at present.
 	 */
-	constructor(store: Address, listUpstreams: () => readonly GatewayUpstream[]) {
+	constructor(store: Address, findUpstreams: () => RegisteredUpstreams) {
 		this.#stores = new Set([hashText(addressKey(store))]);
-		this.#listUpstreams = listUpstreams;
+		this.#findUpstreams = findUpstreams;
 	}
 
 	/** Identity to send in a handshake. */
@@ -27,7 +37,13 @@
 	}
 
 	get #knowledge(): FleetKnowledge {
-		return {stores: this.#stores, upstreams: new Set(this.#listUpstreams().map(({id, address}) => hashRegistration(id, address)))};
+		const upstreams = this.#findUpstreams();
+		if (upstreams.changeCount !== this.#hashedChange) {
+			this.#hashes = new Set(upstreams.all.map(({id, address}) => hashRegistration(id, address)));
+			this.#hashedChange = upstreams.changeCount;
+		}
+
+		return {stores: this.#stores, upstreams: this.#hashes};
 	}
 
 	/**
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -28,6 +28,7 @@
 	readonly #byService = new Map<string, GatewayUpstream[]>();
 	/** Whether the indexes by address and service reflect all registrations. */
 	#isIndexed = true;
+	#changeCount = 0;
 
 	/**
 	 * @param log - Log of all changes.
@@ -38,6 +39,11 @@
 		this.#events = events;
 	}
 
+	/** Number of changes so far. */
+	get changeCount(): number {
+		return this.#changeCount;
+	}
+
 	get size(): number {
 		return this.#byId.size;
 	}
@@ -80,6 +86,7 @@
 		const previous = this.#byId.get(upstream.id);
 		this.#byId.set(upstream.id, upstream);
 		this.#isIndexed = false;
+		this.#changeCount++;
 		if (previous !== undefined && previous.started !== upstream.started) {
 			this.#log.write({event: 'upstream-restarted', upstream: upstream.id, ...describeSource(source)});
 			this.#events.restarted(upstream.id);
@@ -97,6 +104,7 @@
 	unregister(id: string, source: RegistrationSource): void {
 		if (this.#byId.delete(id)) {
 			this.#isIndexed = false;
+			this.#changeCount++;
 			this.#log.write({event: 'upstream-gone', upstream: id, ...describeSource(source)});
 			this.#events.removed(id);
 		}
