--- a/__tests__/gateway/foreign-fleets.test.ts
+++ b/__tests__/gateway/foreign-fleets.test.ts
@@ -2,6 +2,7 @@
  * Two fleets whose upstreams have the same ids, with a host of one as a seed of the other. Guards against their becoming one fleet, in
  * which the configuration, registrations, departures and loads of one apply to the other's upstreams.
  */
+import {readFileSync, writeFileSync} from 'node:fs';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect, it} from 'vitest';
 import {createConfiguration} from '../../bench/gateway/configuration.js';
@@ -86,3 +87,33 @@
 	await site.waitUntilReady(second);
 	expect(first.findLogLines('peer-linked').length).toBeGreaterThanOrEqual(3);
 });
+
+/** Writes the keys to the settings of a host, and waits until it has read them. */
+async function changeKeys(host: Host, keys: readonly string[]): Promise<void> {
+	const reloads = host.findLogLines('reloaded').length;
+	const settings = readFileSync(host.settingsFile, 'utf8').replace(/"keys":\[[^\]]*\]/v, `"keys":${JSON.stringify(keys)}`);
+	writeFileSync(host.settingsFile, settings);
+	host.process.kill('SIGHUP');
+	await expect.poll(() => host.findLogLines('reloaded').length, {timeout: 10_000}).toBeGreaterThan(reloads);
+}
+
+it('links hosts at every step of a rotation of their key by reloads', {timeout: 60_000}, async () => {
+	const [oldKey, newKey] = ['the old key of this fleet', 'the new key of this fleet'];
+	await using site = await Site.start({hosts: 2, settings: {fleet: {keys: [oldKey]}}});
+	const [first, second] = [site.hosts[0]!, site.hosts[1]!];
+	await expect.poll(() => first.findLogLines('peer-linked').length, {timeout: 10_000}).toBe(1);
+	for (const keys of [[oldKey, newKey], [newKey]]) {
+		for (const host of site.hosts) {
+			await changeKeys(host, keys);
+			await second.kill();
+			const links = first.findLogLines('peer-linked').length;
+			second.start();
+			await expect.poll(() => first.findLogLines('peer-linked').length, {timeout: 10_000}).toBeGreaterThan(links);
+			await site.waitUntilReady(second);
+		}
+	}
+
+	const answers = await askAll(site, 'rotated');
+	expect(answers.every(each => JSON.stringify(each) === '[200,1]')).toBe(true);
+	expect(site.hosts.flatMap(host => host.findLogLines('peer-foreign'))).toEqual([]);
+});
