--- a/__tests__/gateway/evacuation.test.ts
+++ b/__tests__/gateway/evacuation.test.ts
@@ -122,11 +122,18 @@
 	expect(findRefused(await sendLoad(1000))).toEqual([]);
 }, 90_000);
 
-it('reaches hosts that ask relays of their domain for the state of the store, with the revision of the order', async () => {
-	await startSite(['a', 'a', 'a', 'a', 'a', 'b'], 6);
-	// Ends the watches that hosts began before they knew their relays.
+/** Returns the hosts that don't read a change of the store themselves. */
+async function findAskingHosts(): Promise<readonly Host[]> {
+	const counts = site.hosts.map(host => host.findLogLines('store-read').length);
 	site.register(site.engines[0]!);
 	await sleep(noticeMs / 2);
+	return site.hosts.filter((host, index) => host.findLogLines('store-read').length === counts[index]);
+}
+
+it('reaches hosts that ask relays of their domain for the state of the store, with the revision of the order', async () => {
+	await startSite(['a', 'a', 'a', 'a', 'a', 'b'], 6);
+	// Hosts read the store themselves until they know their relays, and on a busy machine.
+	await expect.poll(async () => (await findAskingHosts()).length, {timeout: 40_000}).toBeGreaterThan(1);
 	site.store.put('op/evacuate/b', {});
 	await sleep(noticeMs);
 	const lines = site.hosts.map(host => host.findLogLines('domain-evacuated'));
--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -192,7 +192,10 @@
 	}];
 	const gateway = {
 		convictions: {isConvicted: () => false},
-		loadUpdates: {refresh: async () => undefined},
+		loadUpdates: {refresh: async () => undefined, end: () => undefined},
+		beginJob: () => ({id: 'j0'}),
+		coldStarts: {countReservation: () => undefined},
+		considerMemory: () => undefined,
 		service: () => undefined,
 		canRetry: () => false,
 		computeWait: () => undefined,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -26,6 +26,7 @@
 import {LoadUpdates} from './load-updates.js';
 import {EnginePaces} from './engine-paces.js';
 import {MemoryQueue} from './memory-queue.js';
+import {FleetView} from './peers/fleet-view.js';
 import {type Host, type Message} from './peers/messages.js';
 import {Peers} from './peers/peers.js';
 import {type PeerState} from './peers/state.js';
@@ -110,6 +111,9 @@
 				capacity: settings.processor.cores * settings.processor.share,
 			},
 			seeds: settings.seeds,
+			identification: settings.fleet === undefined
+				? {type: 'knowledge', view: new FleetView(settings.store, () => this.upstreams)}
+				: {type: 'keys', keys: settings.fleet.keys},
 			log,
 			now: () => clock.now(),
 			events: {
@@ -609,6 +613,9 @@
 			}
 
 			case 'hello':
+			case 'challenge':
+			case 'proof':
+			case 'foreign':
 			case 'release':
 			case 'heartbeat': {
 				return;
