Fair shares of organisations while upstreams are full

Cause: requests were ordered by prompt length only; an organisation that sent ten times its usual took the others' capacity. Change: hosts count the use of each organisation from a short tag in load updates (optional field of a job). While a service is full, requests of an organisation that clearly exceeds its usual use are refused with a Retry-After.

--- a/src/core/gateway/load.ts
+++ b/src/core/gateway/load.ts
@@ -34,6 +34,10 @@
 	/** How much the request counts, relative to a usual one. */
 	readonly weight: number;
 	readonly placing: PlacementKind;
+	/** Tag of the organisation that the request counts toward; only set on the first job of a request. */
+	readonly organisation?: string;
+	/** Whether the request is delayed because the upstreams of its service are full. */
+	readonly isDelayed?: boolean;
 	readonly began: number;
 	/** When the first byte is due. */
 	readonly due: number;
--- /dev/null
+++ b/src/core/gateway/shares.ts
@@ -0,0 +1,264 @@
+/**
+ * Decides which requests give way while the upstreams of a service are full: those of an organisation that uses far more than its usual
+ * share. Without it, an organisation that sends ten times its usual takes the capacity of all others in proportion.
+ */
+
+/** Time constants, in milliseconds, over which present and usual use are averaged. */
+const presentWindowMs = 2000;
+const usualWindowMs = 120_000;
+
+/** Multiple of its usual use up to which an organisation is not held back. */
+const toleratedFactor = 2;
+
+/** Random variation of its use, in standard deviations, up to which an organisation is not held back. */
+const toleratedDeviations = 3;
+
+/** Number of requests of the usual size by which an organisation may exceed this at once: a few large ones are no trend. */
+const toleratedRequests = 2;
+
+/** Observation time, in milliseconds, before which no usual use is known. */
+const minHistoryMs = 6000;
+
+/** For how long, in milliseconds, upstreams count as full after a request that was delayed. */
+const pressureMs = 5000;
+
+/**
+ * For how long, in milliseconds, an organisation that exceeded what is tolerated is held to its usual use. If it were held to what is
+ * tolerated, upstreams that have little capacity to spare would stay full.
+ */
+const restrictionMs = 10_000;
+
+/** Organisations that have sent nothing for this long, in milliseconds, are forgotten. */
+const retentionMs = 600_000;
+
+/** Least decayed weight that counts as use. */
+const minUse = 1e-6;
+
+/** Largest number of organisations that are kept for one service. Beyond it, the one that has been silent for longest is forgotten. */
+const maxOrganisations = 8192;
+
+/**
+ * Time, in milliseconds, for which an organisation that appears later than others is assumed to have used the mean of all. Otherwise its
+ * first requests would make any use its usual one.
+ */
+const assumedHistoryMs = 30_000;
+
+/** Longest part of a silence, in milliseconds, that lowers usual use: an organisation that returns is served as before. */
+const maxCountedSilenceMs = 2000;
+
+/** Shortest retry delay in milliseconds, and the width of its random spread relative to it: callers must not return together. */
+const minReturnDelayMs = 1000;
+const returnSpread = 0.6;
+
+/** Sums of the weights of requests. The contribution of each one decays over a window. */
+type Sums = {
+	present: number;
+	usual: number;
+	/** Sum of the squared weights over the usual window, for the random variation. */
+	squares: number;
+	at: number;
+};
+
+type OrganisationUse = Sums & {
+	/** Milliseconds of use that the last two sums cover; decays like them. */
+	covered: number;
+	/** Weights over the usual window with all silences. */
+	overall: number;
+	/** Milliseconds for which the mean use is assumed in addition. */
+	readonly assumed: number;
+	/** Until when it is held to its usual use. */
+	restrictedUntil: number;
+};
+
+/** Use of a service by one organisation that gives way, in requests of usual weight per second. */
+export type Excess = {
+	readonly use: number;
+	/** Use up to which it is not held back. */
+	readonly share: number;
+	/** Milliseconds until it is back at its share if it sends nothing. */
+	readonly wait: number;
+};
+
+function decay(sums: Sums, elapsed: number, usualElapsed: number): void {
+	const usualDecay = Math.exp(-usualElapsed / usualWindowMs);
+	sums.present *= Math.exp(-elapsed / presentWindowMs);
+	sums.usual *= usualDecay;
+	sums.squares *= usualDecay;
+	sums.at += elapsed;
+}
+
+function updateTotal(total: Sums, now: number): void {
+	const elapsed = Math.max(now - total.at, 0);
+	decay(total, elapsed, elapsed);
+}
+
+function updateUse(use: OrganisationUse, now: number): void {
+	const elapsed = Math.max(now - use.at, 0);
+	const counted = Math.min(elapsed, maxCountedSilenceMs);
+	decay(use, elapsed, counted);
+	use.covered = (use.covered * Math.exp(-counted / usualWindowMs)) + counted;
+	use.overall *= Math.exp(-elapsed / usualWindowMs);
+}
+
+function add(sums: Sums, weight: number): void {
+	sums.present += weight;
+	sums.usual += weight;
+	sums.squares += weight ** 2;
+}
+
+/** Returns the part of a window, in milliseconds, that a history of some length covers: sums of a short history are too small otherwise. */
+function computeCoveredTime(windowMs: number, history: number): number {
+	return windowMs * -Math.expm1(-history / windowMs);
+}
+
+/** Use of an organisation, in weight per millisecond. */
+type Levels = {
+	readonly present: number;
+	/** Use that is always allowed: its usual one, or the mean of all organisations if that is more. */
+	readonly usual: number;
+	readonly tolerated: number;
+};
+
+/** Returns the use of an organisation; undefined if it is the only one. */
+function computeLevels(use: OrganisationUse, total: Sums, organisations: number, history: number): Levels | undefined {
+	const presentTime = computeCoveredTime(presentWindowMs, history);
+	const usualTime = computeCoveredTime(usualWindowMs, history);
+	const others = {present: (total.present - use.present) / presentTime, usual: (total.usual - use.overall) / usualTime};
+	// Rounding errors of the sums must not be taken for the use of others.
+	if (others.usual * usualTime < minUse) {
+		return undefined;
+	}
+
+	const mean = total.usual / organisations / usualTime;
+	const knownTime = Math.max(use.covered + use.assumed, presentWindowMs);
+	const usual = (use.usual + (mean * use.assumed)) / knownTime;
+	const requestWeight = total.squares / total.usual;
+	const squares = Math.max(use.squares / knownTime, usual * requestWeight);
+	const variation = ((Math.sqrt(squares * presentTime / 2) * toleratedDeviations) + (requestWeight * toleratedRequests)) / presentTime;
+	// If all use more than usual, for example as a network partition ends, nobody is held back for as much.
+	const growth = Math.max(others.present / others.usual, 1);
+	return {
+		present: use.present / presentTime,
+		usual: Math.max(usual, mean) * growth,
+		tolerated: Math.max(usual * toleratedFactor, usual + mean + variation) * growth,
+	};
+}
+
+/**
+ * @param excess - Excess of the organisation of a refused request.
+ * @param random - Uniform from 0 to 1, to spread retries.
+ * @returns Milliseconds after which its caller may retry.
+ */
+export function computeReturnDelay({wait}: Excess, random: number): number {
+	return Math.max(wait, minReturnDelayMs) * (1 + (random * returnSpread));
+}
+
+/** Use of one service by organisations, as far as this host knows of it. Times are monotonic, in milliseconds. */
+export class Shares {
+	/** By tag of the organisation; the one that has been silent for longest is first. */
+	readonly #organisations = new Map<string, OrganisationUse>();
+	#total: Sums | undefined;
+	#historyStart = 0;
+	#pressedUntil = Number.NEGATIVE_INFINITY;
+
+	/** Number of organisations that are kept. */
+	get size(): number {
+		return this.#organisations.size;
+	}
+
+	/**
+	 * @param organisation - Tag of the organisation of a request that is sent.
+	 * @param weight - Weight of the request, relative to a usual one.
+	 * @param now - Time.
+	 */
+	count(organisation: string, weight: number, now: number): void {
+		if (!Number.isFinite(weight) || weight <= 0) {
+			return;
+		}
+
+		if (this.#total === undefined) {
+			this.#total = {
+				present: 0, usual: 0, squares: 0, at: now,
+			};
+			this.#historyStart = now;
+		}
+
+		const use = this.#organisations.get(organisation) ?? this.#createUse(now);
+		this.#organisations.delete(organisation);
+		this.#organisations.set(organisation, use);
+		updateUse(use, now);
+		updateTotal(this.#total, now);
+		add(use, weight);
+		use.overall += weight;
+		add(this.#total, weight);
+		this.#forget(now);
+		this.#restrict(use, now);
+	}
+
+	/**
+	 * Records that a request of any organisation is delayed because upstreams are full.
+	 *
+	 * @param now - Time.
+	 */
+	recordPressure(now: number): void {
+		this.#pressedUntil = Math.max(this.#pressedUntil, now + pressureMs);
+	}
+
+	/**
+	 * @param now - Time.
+	 * @returns Whether upstreams were full a short time ago.
+	 */
+	isPressed(now: number): boolean {
+		return now < this.#pressedUntil;
+	}
+
+	/**
+	 * @param organisation - Tag of the organisation of a request that has not been sent.
+	 * @param now - Time.
+	 * @returns By how much the organisation exceeds its share; undefined if the request is served like any other.
+	 */
+	findExcess(organisation: string, now: number): Excess | undefined {
+		const use = this.#organisations.get(organisation);
+		const levels = use === undefined ? undefined : this.#restrict(use, now);
+		if (use === undefined || levels === undefined || now >= use.restrictedUntil || levels.present <= levels.usual) {
+			return undefined;
+		}
+
+		const {present, usual} = levels;
+		return {use: present * 1000, share: usual * 1000, wait: Math.log(present / usual) * presentWindowMs};
+	}
+
+	/** Restricts an organisation that exceeds what is tolerated while upstreams are full; returns its use, if it can be judged. */
+	#restrict(use: OrganisationUse, now: number): Levels | undefined {
+		if (!this.isPressed(now) || this.#total === undefined || now - this.#historyStart < minHistoryMs) {
+			return undefined;
+		}
+
+		updateUse(use, now);
+		updateTotal(this.#total, now);
+		const levels = computeLevels(use, this.#total, this.#organisations.size, now - this.#historyStart);
+		if (levels !== undefined && levels.present > levels.tolerated) {
+			use.restrictedUntil = now + restrictionMs;
+		}
+
+		return levels;
+	}
+
+	/** Organisations that appear with the first requests of a service have as much history as it has. */
+	#createUse(now: number): OrganisationUse {
+		const history = now - this.#historyStart;
+		return {
+			present: 0, usual: 0, squares: 0, at: now, covered: 0, overall: 0, restrictedUntil: Number.NEGATIVE_INFINITY, assumed: history < minHistoryMs ? 0 : assumedHistoryMs,
+		};
+	}
+
+	#forget(now: number): void {
+		for (const [organisation, {at}] of this.#organisations) {
+			if (at + retentionMs > now && this.#organisations.size <= maxOrganisations) {
+				return;
+			}
+
+			this.#organisations.delete(organisation);
+		}
+	}
+}
--- a/src/gateway/__tests__/relays.test.ts
+++ b/src/gateway/__tests__/relays.test.ts
@@ -64,6 +64,7 @@
 				this.reportedAbsences.push(absence.upstream);
 			},
 			onNewJob: ignore,
+			onInvalidTag: ignore,
 			reports: () => [],
 			onClaim: ignore,
 			onReport: ignore,
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -167,6 +167,8 @@
 		this.#metrics.droppedLines.set(this.#log.dropped);
 		this.#metrics.inFlight.set(this.#callers.running);
 		this.#metrics.memoryWaiting.set(this.#gateway.memoryQueue.size);
+		this.#metrics.servicesPressed.set(this.#gateway.shares.pressedCount);
+		this.#metrics.sharesKept.set(this.#gateway.shares.size);
 		this.#metrics.knownJobs.set(this.#gateway.load.size);
 		this.#metrics.peers.set(this.#gateway.peers.hosts.length);
 		this.#metrics.version.set(this.#gateway.directory?.configuration.version ?? 0);
--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -11,6 +11,7 @@
 import {type AttemptEnding} from '../core/gateway/retries.js';
 import {type PaceSampler} from '../core/gateway/pace-sampler.js';
 import {Attempts, type Eligibility} from '../core/gateway/attempts.js';
+import {computeReturnDelay} from '../core/gateway/shares.js';
 import {type Demand, type GatewayUpstream, type Route} from '../core/gateway/types.js';
 import {roundTo} from '../core/utils/numbers.js';
 import {computeFingerprint} from './admission.js';
@@ -46,6 +47,8 @@
 	readonly body: Buffer;
 	readonly route: Route;
 	readonly organisation: string | undefined;
+	/** Tag that its use counts toward; absent if the configuration has no organisations. */
+	readonly tag?: string;
 	readonly demand: Demand;
 };
 
@@ -67,6 +70,12 @@
 	readonly #memoryWait: MemoryWait;
 	/** Whether an engine has just refused memory that was forecast to be free: the request waits for its turn before it tries again. */
 	#isMemoryShort = false;
+	/** Tag that the use of the request counts toward, until it is counted with its first job. */
+	#uncountedTag: string | undefined;
+	/** Whether the share of its organisation was checked: a request that waits afterwards keeps its turn. */
+	#isShareChecked = false;
+	/** Whether no upstream could take the request as it arrived. */
+	#hasWaited = false;
 	#currentAttempt: Attempt | undefined;
 	#stopReason: StopReason | undefined;
 
@@ -82,6 +91,7 @@
 		this.#callerResponse = callerResponse;
 		this.#trace = trace;
 		this.#attempts = new Attempts(request.route);
+		this.#uncountedTag = request.tag;
 		this.#fingerprint = computeFingerprint(request.incoming, request.organisation, request.body);
 		this.#verdicts = new AttemptVerdicts(services.gateway, this.#attempts, this.#fingerprint);
 		this.#rerouter = new Rerouter(services.gateway, this.#attempts, trace);
@@ -129,6 +139,10 @@
 
 			const placement = this.#isMemoryShort ? undefined : gateway.place(this.#currentDemand, this.#attempts.eligibility);
 			this.#isMemoryShort = false;
+			if (this.#refuseIfExcessive(placement)) {
+				return;
+			}
+
 			if (placement === undefined) {
 				if (await this.#waitForMemory() ?? await this.#waitOrConclude()) {
 					continue;
@@ -221,6 +235,30 @@
 		return false;
 	}
 
+	/** Refuses a request that has not been sent yet if upstreams are full and its organisation uses far more than its usual share. */
+	#refuseIfExcessive(placement: Placement | undefined): boolean {
+		const {gateway, metrics, random} = this.#services;
+		const {demand, tag, organisation, route} = this.#request;
+		if (tag === undefined || this.#isShareChecked) {
+			return false;
+		}
+
+		this.#isShareChecked = true;
+		this.#hasWaited = placement === undefined;
+		const excess = gateway.shares.findExcess(tag, demand, placement);
+		if (excess === undefined) {
+			return false;
+		}
+
+		const returnAfter = computeReturnDelay(excess, random());
+		metrics.shareRefusals.inc({service: demand.service});
+		this.#trace.write('share-exceeded', {
+			organisation, route: route.name, use: roundTo(excess.use, 2), share: roundTo(excess.share, 2), returnAfter: Math.round(returnAfter),
+		});
+		this.#callerResponse.refuse('overloaded', returnAfter / 1000);
+		return true;
+	}
+
 	/** Refuses a request that has not been sent yet if serving it would cost other requests more than its weight. */
 	#refuseIfHarmful(placement: Placement): boolean {
 		const {gateway, random} = this.#services;
@@ -324,8 +362,10 @@
 		}
 	}
 
-	#beginJob(placement: Placement): Job {
-		return this.#services.gateway.beginJob(this.#request.demand, placement, this.#attempts.placementKind);
+	#beginJob(placement: Placement, placing = this.#attempts.placementKind): Job {
+		const organisation = this.#uncountedTag;
+		this.#uncountedTag = undefined;
+		return this.#services.gateway.beginJob(this.#request.demand, placement, placing, organisation === undefined ? undefined : {organisation, hasWaited: this.#hasWaited});
 	}
 
 	/** Asks another engine for the part that one refused. */
@@ -376,7 +416,7 @@
 		const hold = held?.hold;
 		this.#memoryWait.grant();
 		this.#attempts.recordSent(placement.upstream.id);
-		const job = held?.job ?? gateway.beginJob(demand, placement, placementKind);
+		const job = held?.job ?? this.#beginJob(placement, placementKind);
 		this.#logPlacement(placement, job, hold, remaining);
 		const attempt = this.#createAttempt(placement, hold, remaining);
 		this.#currentAttempt = attempt;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -126,7 +126,7 @@
 		this.#callerResponse.resumeAfter(metadata.lastEventId);
 		gateway.retries.countRequest(demand.service, now);
 		const request = {
-			incoming: this.#incoming, body, route, organisation: organisation?.name, demand,
+			incoming: this.#incoming, body, route, organisation: organisation?.name, tag: gateway.shares.findTag(gateway.directory?.configuration, route, organisation?.name), demand,
 		};
 		this.#dispatch = new Dispatch(this.#services, request, this.#callerResponse, this.#trace);
 		const timer = setTimeout(() => {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -26,6 +26,7 @@
 import {LoadUpdates} from './load-updates.js';
 import {EnginePaces} from './engine-paces.js';
 import {MemoryQueue} from './memory-queue.js';
+import {OrganisationShares, type CountedShare} from './organisation-shares.js';
 import {type Host, type Message} from './peers/messages.js';
 import {Peers} from './peers/peers.js';
 import {type PeerState} from './peers/state.js';
@@ -66,6 +67,7 @@
 	readonly loadUpdates: LoadUpdates;
 	readonly convictions: Convictions;
 	readonly memoryQueue: MemoryQueue;
+	readonly shares: OrganisationShares;
 	readonly #settings: Settings;
 	readonly #clock: Clock;
 	readonly #log: Log;
@@ -202,6 +204,10 @@
 			onNewJob: job => {
 				this.selfReports.countRequest(job.upstream, job.began);
 				this.coldStarts.countJob(job);
+				this.shares.countJob(job);
+			},
+			onInvalidTag: peer => {
+				this.shares.reportInvalidTag(peer);
 			},
 			reports: () => [...this.selfReports.all, ...this.coldStarts.all],
 			onReport: (peer, report) => {
@@ -224,6 +230,12 @@
 				}
 			},
 		});
+		this.shares = new OrganisationShares({
+			log,
+			now: () => clock.now(),
+			findUpstream: id => this.upstreams.get(id),
+			countRequests: upstream => this.load.countRequests(upstream),
+		});
 		this.memoryQueue = new MemoryQueue({
 			self: this.incarnation,
 			load: this.load,
@@ -452,9 +464,10 @@
 	 * @param demand - Demand of the request.
 	 * @param placement - Placement of the request.
 	 * @param placing - Whether the request is sent for the first time, after failed connections only, or as a retry.
+	 * @param share - Share that its use counts toward, if it has not been counted before.
 	 * @returns The job.
 	 */
-	beginJob(demand: Demand, placement: Placement, placing: PlacementKind): Job {
+	beginJob(demand: Demand, placement: Placement, placing: PlacementKind, share?: CountedShare): Job {
 		const now = this.#clock.now();
 		const model = this.service(demand.service)?.engine;
 		this.#jobCount++;
@@ -472,6 +485,8 @@
 			urgency: placement.urgency,
 			weight: model === undefined || demand.prompt === undefined ? 1 : computeWeight(model, demand.prompt),
 			placing,
+			organisation: share?.organisation,
+			isDelayed: share !== undefined && (share.hasWaited || this.shares.isDelayed(demand, placement)) ? true : undefined,
 			began: now,
 			due: demand.due,
 			deadline: demand.deadline,
--- a/src/gateway/load-updates.ts
+++ b/src/gateway/load-updates.ts
@@ -16,7 +16,8 @@
 import {LoadBatch, type LoadChanges} from './load-batch.js';
 import {LoadRequester} from './load-requester.js';
 import {
-	fromWireClaim, fromWireCold, fromWireJob, fromWirePace, fromWireReport, toWireClaim, toWireCold, toWireJob, toWirePace, toWireReport, type Host, type HostsLost, type LoadUpdate, type LoadResponse, type LoadRequest, type Message,
+	fromWireClaim, fromWireCold, fromWireJob, fromWirePace, fromWireReport, isTag, toWireClaim, toWireCold, toWireJob, toWirePace, toWireReport,
+	type Host, type HostsLost, type LoadUpdate, type LoadResponse, type LoadRequest, type Message,
 } from './peers/messages.js';
 import {type Peers} from './peers/peers.js';
 
@@ -48,6 +49,8 @@
 	readonly onAbsence: (absence: Absence) => void;
 	/** Called for each new job, of this host or another one. */
 	readonly onNewJob: (job: Job) => void;
+	/** Called when a peer sends jobs with invalid tags of organisations. */
+	readonly onInvalidTag: (peer: string) => void;
 	/** Returns what upstreams have reported about themselves. */
 	readonly reports: () => readonly UpstreamReport[];
 	/** Called with what an upstream has reported to a peer or to another host. */
@@ -226,6 +229,10 @@
 	handleUpdate(from: Host, update: LoadUpdate): void {
 		const {load, now, self} = this.#options;
 		const began = update.began.map(wireJob => fromWireJob(wireJob, from.name, now())).filter(job => job.host !== self);
+		if (update.began.some(({organisation}) => organisation !== undefined && !isTag(organisation))) {
+			this.#options.onInvalidTag(from.name);
+		}
+
 		this.#reportDomainJobs(began);
 		for (const job of began) {
 			this.#reportNewJob(job);
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -55,6 +55,9 @@
 	readonly holds: Counter;
 	readonly memoryWaits: Counter;
 	readonly memoryWaiting: Gauge;
+	readonly shareRefusals: Counter;
+	readonly servicesPressed: Gauge;
+	readonly sharesKept: Gauge;
 	readonly storeCalls: Counter;
 	readonly droppedLines: Gauge;
 	readonly firstByte: Histogram;
@@ -90,6 +93,9 @@
 		this.holds = createCounter(registry, 'holds_total', 'Memory reserved at several engines', ['result']);
 		this.memoryWaits = createCounter(registry, 'memory_waits_total', 'Requests that waited for memory, by how the wait ended', ['result']);
 		this.memoryWaiting = createGauge(registry, 'memory_waiting', 'Requests that wait for memory');
+		this.shareRefusals = createCounter(registry, 'share_refusals_total', 'Requests refused as their organisation used far more than its usual share', ['service']);
+		this.servicesPressed = createGauge(registry, 'services_full', 'Services whose upstreams were full within the last seconds');
+		this.sharesKept = createGauge(registry, 'organisation_shares', 'Organisations whose use of a service is kept');
 		this.storeCalls = createCounter(registry, 'store_calls_total', 'Calls to the platform store', ['result']);
 		this.droppedLines = createGauge(registry, 'log_lines_dropped', 'Log lines dropped as nobody read them, not yet told of in the log');
 		this.firstByte = createHistogram(registry, 'first_byte_milliseconds', 'From arrival to the first byte of the answer');
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -15,6 +15,9 @@
 const shortText = z.string().max(256);
 const amount = z.number();
 const maxListLength = 4096;
+
+/** Longest tag of an organisation, in characters. */
+const maxTagLength = 16;
 const addressSchema = z.object({host: shortText.min(1), port: z.number().int().min(1).max(65_535)});
 
 const hostSchema = z.object({
@@ -47,6 +50,9 @@
 	due: amount,
 	deadline: amount,
 	firstByteAge: amount.optional(),
+	/** Tag of an organisation. An invalid one is ignored by the receiver, which goes on with the rest of the message. */
+	organisation: z.unknown().optional(),
+	isDelayed: z.boolean().optional(),
 });
 
 /** An upstream that could not be reached, or that another process has replaced. */
@@ -221,9 +227,19 @@
 		due: Math.round(job.due - now),
 		deadline: Math.round(job.deadline - now),
 		firstByteAge: job.firstByte === undefined ? undefined : Math.round(now - job.firstByte),
+		organisation: job.organisation,
+		isDelayed: job.isDelayed === true ? true : undefined,
 	};
 }
 
+/**
+ * @param tag - Tag of an organisation as received.
+ * @returns Whether it is valid.
+ */
+export function isTag(tag: unknown): tag is string {
+	return typeof tag === 'string' && tag.length > 0 && tag.length <= maxTagLength;
+}
+
 /**
  * @param wireJob - Job as received.
  * @param sender - Host that sent the message.
@@ -251,6 +267,8 @@
 		due: now + wireJob.due,
 		deadline: now + wireJob.deadline,
 		firstByte: firstByteAge === undefined ? undefined : now - firstByteAge,
+		organisation: isTag(wireJob.organisation) ? wireJob.organisation : undefined,
+		isDelayed: wireJob.isDelayed,
 	};
 }
 
