--- a/src/gateway/organisation-shares.ts
+++ b/src/gateway/organisation-shares.ts
@@ -19,7 +19,7 @@
 const invalidTagLogIntervalMs = 60_000;
 
 export type OrganisationSharesOptions = {
-	readonly log: Log;
+	readonly log: Pick<Log, 'write'>;
 	readonly now: () => number;
 	readonly findUpstream: (id: string) => GatewayUpstream | undefined;
 	/** Number of known requests that an upstream answers. */
