--- a/src/gateway/__tests__/organisation-shares.test.ts
+++ b/src/gateway/__tests__/organisation-shares.test.ts
@@ -49,7 +49,8 @@
 });
 
 it('accepts fields of a job that it does not know, as older hosts do', () => {
-	const [message] = sendOver([{...toWireJob(job, 'a', 0), later: 1}]);
+	const later = {...toWireJob(job, 'a', 0), later: 1};
+	const [message] = sendOver([later]);
 	expect(message).toMatchObject({type: 'load', began: [{id: 'a.1'}]});
 });
 
