--- a/src/core/gateway/__tests__/evacuations.test.ts
+++ b/src/core/gateway/__tests__/evacuations.test.ts
@@ -1,12 +1,12 @@
 /** Plays an evacuation under load: callers keep being served by the other failure domains, and by none of the evacuated ones. */
 import {describe, expect, it} from 'vitest';
 import {computeShortestWait, countObstacles} from '../eligibility.js';
-import {Evacuations, maxEvacuatedDomains} from '../evacuations.js';
+import {Evacuations, maxEvacuatedDomains} from '../registry/evacuations.js';
 import {Health} from '../health.js';
 import {Load} from '../load.js';
 import {place} from '../placement.js';
 import {defaultPolicy} from '../policy.js';
-import {Registry} from '../registry.js';
+import {Registry} from '../registry/registry.js';
 import {type Demand, type EngineModel, type GatewayUpstream} from '../types.js';
 import {createUpstream} from './fixtures.js';
 
--- a/src/core/gateway/__tests__/fixtures.ts
+++ b/src/core/gateway/__tests__/fixtures.ts
@@ -1,6 +1,6 @@
 /** Upstreams and positions of the store for tests. */
 import {type Obstacle} from '../eligibility.js';
-import {type StorePosition} from '../position.js';
+import {type StorePosition} from '../registry/position.js';
 import {type GatewayUpstream} from '../types.js';
 
 /**
--- a/src/core/gateway/__tests__/gateway-state.test.ts
+++ b/src/core/gateway/__tests__/gateway-state.test.ts
@@ -1,9 +1,9 @@
 /** State that a gateway decides by: jobs, health, retry budget, reachability, suspicions and routes. */
 import {describe, expect, it} from 'vitest';
 import {estimatePrefill, estimateDecodeIteration} from '../engine.js';
-import {Directory} from '../directory.js';
+import {Directory} from '../registry/directory.js';
 import {Health} from '../health.js';
-import {StoreOutages} from '../store-outages.js';
+import {StoreOutages} from '../registry/store-outages.js';
 import {Load, type Job} from '../load.js';
 import {Reachability} from '../reachability.js';
 import {isRepeatable, RetryBudget} from '../retries.js';
--- a/src/core/gateway/__tests__/registry-model.test.ts
+++ b/src/core/gateway/__tests__/registry-model.test.ts
@@ -4,8 +4,8 @@
  */
 import fc from 'fast-check';
 import {expect, it} from 'vitest';
-import {isAfter, type StorePosition} from '../position.js';
-import {Registry, type RegistryChange, type RegistrySnapshot} from '../registry.js';
+import {isAfter, type StorePosition} from '../registry/position.js';
+import {Registry, type RegistryChange, type RegistrySnapshot} from '../registry/registry.js';
 import {type GatewayUpstream} from '../types.js';
 import {createUpstream} from './fixtures.js';
 
--- a/src/core/gateway/__tests__/registry.test.ts
+++ b/src/core/gateway/__tests__/registry.test.ts
@@ -1,6 +1,6 @@
 /** The replica of the platform's registry only moves forward, whatever the source of a change. */
 import {describe, expect, it} from 'vitest';
-import {Registry} from '../registry.js';
+import {Registry} from '../registry/registry.js';
 import {type GatewayUpstream} from '../types.js';
 import {at, createUpstream as upstream} from './fixtures.js';
 
--- a/src/core/gateway/directory.ts
+++ b/src/core/gateway/registry/directory.ts
@@ -1,7 +1,7 @@
 /** Finds the route and the organisation of a request in the active configuration. */
 import {
 	type GatewayConfiguration, type GatewayOrganisation, type GatewayService, type Route,
-} from './types.js';
+} from '../types.js';
 
 export type Resolution
 	= | {readonly type: 'no-route'}
--- a/src/core/gateway/registration-order.ts
+++ b/src/core/gateway/registry/registration-order.ts
@@ -1,5 +1,5 @@
 /** Determines which of two registrations of one upstream was written later, whatever the store's revisions. */
-import {type GatewayUpstream} from './types.js';
+import {type GatewayUpstream} from '../types.js';
 
 /**
  * Orders registrations by the start of the process, then by the number of its writes.
--- a/src/gateway/__tests__/evacuations.test.ts
+++ b/src/gateway/__tests__/evacuations.test.ts
@@ -3,7 +3,7 @@
 	afterEach, beforeEach, expect, it, vi,
 } from 'vitest';
 import {createUpstream} from '../../core/gateway/__tests__/fixtures.js';
-import {maxEvacuatedDomains} from '../../core/gateway/evacuations.js';
+import {maxEvacuatedDomains} from '../../core/gateway/registry/evacuations.js';
 import {ignore} from '../../entry/ignore.js';
 import {type Log} from '../../entry/logs.js';
 import {stateSchema} from '../peers/state.js';
--- a/src/gateway/admission.ts
+++ b/src/gateway/admission.ts
@@ -3,7 +3,7 @@
 import {createHash} from 'node:crypto';
 import {type IncomingMessage} from 'node:http';
 import {assertNever} from '../core/index.js';
-import {type Resolution} from '../core/gateway/directory.js';
+import {type Resolution} from '../core/gateway/registry/directory.js';
 import {type AnswerName} from './answers.js';
 import {type Gateway} from './gateway.js';
 
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,7 +1,7 @@
 /** Handles one request of a caller from its head to the end of the response. */
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {chooseService} from '../core/gateway/directory.js';
+import {chooseService} from '../core/gateway/registry/directory.js';
 import {type Demand} from '../core/gateway/types.js';
 import {admit, type RoutedResolution} from './admission.js';
 import {CallerResponse, baseRetryAfterSeconds, type StopReason} from './caller-response.js';
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,7 +1,7 @@
 /** State of a gateway (configuration, upstreams, load, peers) and the decisions based on it. */
 import {assertNever} from '../core/index.js';
 import {createAbsence, type AbsenceReason} from '../core/gateway/absences.js';
-import {Directory} from '../core/gateway/directory.js';
+import {Directory} from '../core/gateway/registry/directory.js';
 import {type Verdict} from '../core/gateway/health.js';
 import {type MemoryDecision} from '../core/gateway/memory-admission.js';
 import {Load, type Job, type PlacementKind} from '../core/gateway/load.js';
--- a/src/gateway/peers/state.ts
+++ b/src/gateway/peers/state.ts
@@ -1,6 +1,6 @@
 /** Messages by which a host gets the platform's state from a peer: the configuration in force, then the upstreams. */
 import {z} from 'zod';
-import {maxEvacuatedDomains} from '../../core/gateway/evacuations.js';
+import {maxEvacuatedDomains} from '../../core/gateway/registry/evacuations.js';
 import {type GatewayConfiguration, type GatewayUpstream} from '../../core/gateway/types.js';
 
 const nameSchema = z.string().max(512);
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -1,5 +1,5 @@
 /** The usable upstreams, as registered at present. */
-import {type StorePosition} from '../core/gateway/position.js';
+import {type StorePosition} from '../core/gateway/registry/position.js';
 import {type GatewayUpstream} from '../core/gateway/types.js';
 import {type Log} from '../entry/logs.js';
 
