--- a/src/core/gateway/__tests__/attempts.test.ts
+++ b/src/core/gateway/__tests__/attempts.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {type AttemptEnding} from '../retries.js';
+import {type AttemptEnding} from '../limits/retries.js';
 import {Attempts} from '../attempts.js';
 
 const notRun: AttemptEnding = {type: 'not-run', reason: 'refused', isShed: true};
--- a/src/core/gateway/__tests__/cold-starts.test.ts
+++ b/src/core/gateway/__tests__/cold-starts.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import {createRandom} from '../../../../bench/model/workload.js';
-import {ColdStarts, warmUpMs, type ColdShare} from '../cold-starts.js';
+import {ColdStarts, warmUpMs, type ColdShare} from '../limits/cold-starts.js';
 
 const bound = {overage: 1.5, allowance: 5};
 const domains = 3;
--- a/src/core/gateway/__tests__/gateway-state.test.ts
+++ b/src/core/gateway/__tests__/gateway-state.test.ts
@@ -6,7 +6,7 @@
 import {StoreOutages} from '../registry/store-outages.js';
 import {Load, type Job} from '../load.js';
 import {Reachability} from '../reachability.js';
-import {isRepeatable, RetryBudget} from '../retries.js';
+import {isRepeatable, RetryBudget} from '../limits/retries.js';
 import {Suspects, type Crash} from '../suspects.js';
 import {type EngineModel, type Route} from '../types.js';
 import {createRandom} from '../../../../bench/model/workload.js';
--- a/src/core/gateway/__tests__/rate-limits.test.ts
+++ b/src/core/gateway/__tests__/rate-limits.test.ts
@@ -1,8 +1,8 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {createRandom} from '../../../../bench/model/workload.js';
-import {RateLimits, type RateLimitReport} from '../rate-limits.js';
-import {type RateShare} from '../rate-schedule.js';
+import {RateLimits, type RateLimitReport} from '../limits/rate-limits.js';
+import {type RateShare} from '../limits/rate-schedule.js';
 
 const alone: RateShare = {visible: 1, spread: 0};
 
--- a/src/core/gateway/__tests__/retries.test.ts
+++ b/src/core/gateway/__tests__/retries.test.ts
@@ -1,6 +1,6 @@
 /** The retry budget that the hosts of a large fleet share. */
 import {expect, it} from 'vitest';
-import {RetryBudget, type RetryLimits} from '../retries.js';
+import {RetryBudget, type RetryLimits} from '../limits/retries.js';
 
 const bounds: RetryLimits = {ratio: 0.2, window: 10_000, allowance: 460};
 const domains = 5;
--- a/src/core/gateway/__tests__/settling.test.ts
+++ b/src/core/gateway/__tests__/settling.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {Settling} from '../settling.js';
+import {Settling} from '../limits/settling.js';
 
 function runUntil(settling: Settling, from: number, to: number, offset = 0): void {
 	for (let now = from; now <= to; now += 200) {
--- a/src/core/gateway/__tests__/shares.test.ts
+++ b/src/core/gateway/__tests__/shares.test.ts
@@ -6,7 +6,7 @@
 	describe, expect, it,
 } from 'vitest';
 import {createRandom} from '../../../../bench/model/workload.js';
-import {Shares} from '../shares.js';
+import {Shares} from '../limits/shares.js';
 
 const hostCount = 71;
 const organisationCount = 24;
--- a/src/core/gateway/attempts.ts
+++ b/src/core/gateway/attempts.ts
@@ -1,6 +1,6 @@
 /** Tracks the attempts of one request: which upstreams it was sent to, and whether another attempt may follow. */
 import {type PlacementKind} from './load.js';
-import {isIdempotent, isRepeatable, type AttemptEnding} from './retries.js';
+import {isIdempotent, isRepeatable, type AttemptEnding} from './limits/retries.js';
 import {type Route} from './types.js';
 
 /** Refused holds after which the request is given up. */
--- a/src/core/gateway/departures.ts
+++ b/src/core/gateway/limits/departures.ts
@@ -1,5 +1,5 @@
 /** Upstreams that stated in a response that they leave. A departure is final: it ends only with the process of the upstream. */
-import {type UpstreamProcess} from './types.js';
+import {type UpstreamProcess} from '../types.js';
 
 /** Departures kept, including those of upstreams that aren't registered any more: a registration that has lapsed may come back. */
 const maxDepartures = 512;
--- a/src/core/gateway/pauses.ts
+++ b/src/core/gateway/limits/pauses.ts
@@ -1,5 +1,5 @@
 /** Upstreams that refused a request of this host and stated for how long they want no more from it. Peers are not concerned. */
-import {type UpstreamProcess} from './types.js';
+import {type UpstreamProcess} from '../types.js';
 
 /** Difference between the clocks of a host and an upstream up to which a refusal may be that of a process which started at that time. */
 const maxClockDifferenceMs = 2000;
--- a/src/core/gateway/retries.ts
+++ b/src/core/gateway/limits/retries.ts
@@ -1,7 +1,7 @@
 /** Decides which attempts may be retried, within a budget that all hosts share. */
-import {assertNever} from '../utils/common.js';
-import {type PlacementKind} from './load.js';
-import {type Route} from './types.js';
+import {assertNever} from '../../utils/common.js';
+import {type PlacementKind} from '../load.js';
+import {type Route} from '../types.js';
 
 /**
  * Why a host cancels an attempt: the caller has left, its time is over, the memory of its hold is lost, it is rerouted (`moved`), or the
--- a/src/gateway/__tests__/cold-starts.test.ts
+++ b/src/gateway/__tests__/cold-starts.test.ts
@@ -1,7 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {type Job} from '../../core/gateway/load.js';
 import {type GatewayUpstream} from '../../core/gateway/types.js';
-import {type ColdReport} from '../../core/gateway/upstream-reports.js';
+import {type ColdReport} from '../../core/gateway/limits/upstream-reports.js';
 import {ColdUpstreams, type FleetView} from '../cold-starts.js';
 import {
 	createMessageReader, encode, fromWireCold, toWireCold,
--- a/src/gateway/__tests__/self-reports-model.test.ts
+++ b/src/gateway/__tests__/self-reports-model.test.ts
@@ -1,7 +1,7 @@
 /** Random histories of responses and messages: hosts agree with an upstream, and with each other, soon after it has settled. */
 import fc from 'fast-check';
 import {expect, it} from 'vitest';
-import {type UpstreamStatement} from '../../core/gateway/upstream-reports.js';
+import {type UpstreamStatement} from '../../core/gateway/limits/upstream-reports.js';
 import {fromWireReport, toWireReport} from '../peers/messages.js';
 import {SelfReports} from '../self-reports.js';
 
--- a/src/gateway/__tests__/self-reports.test.ts
+++ b/src/gateway/__tests__/self-reports.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {type UpstreamStatement} from '../../core/gateway/upstream-reports.js';
+import {type UpstreamStatement} from '../../core/gateway/limits/upstream-reports.js';
 import {fromWireReport, toWireReport} from '../peers/messages.js';
 import {SelfReports} from '../self-reports.js';
 
--- a/src/gateway/answers.ts
+++ b/src/gateway/answers.ts
@@ -3,7 +3,7 @@
 import {
 	assertNever, codes, texts, type CodeName,
 } from '../core/index.js';
-import {type AttemptEnding} from '../core/gateway/retries.js';
+import {type AttemptEnding} from '../core/gateway/limits/retries.js';
 
 /** HTTP status of each answer. 503 guarantees that the request has not run and never will. */
 const statuses = {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -5,7 +5,7 @@
 } from 'node:http';
 import {type Socket} from 'node:net';
 import {type Address} from '../core/index.js';
-import {type AttemptEnding, type CancelReason} from '../core/gateway/retries.js';
+import {type AttemptEnding, type CancelReason} from '../core/gateway/limits/retries.js';
 import {type HeaderFormat, type ResponseMetadata} from './platform-adapter.js';
 
 /**
--- a/src/gateway/caller-response.ts
+++ b/src/gateway/caller-response.ts
@@ -1,7 +1,7 @@
 /** The response to one caller: forwards the upstreams' responses, or sends one of the gateway's own answers. */
 import {type ServerResponse} from 'node:http';
 import {assertNever} from '../core/index.js';
-import {isIdempotent, type AttemptEnding, type CancelReason} from '../core/gateway/retries.js';
+import {isIdempotent, type AttemptEnding, type CancelReason} from '../core/gateway/limits/retries.js';
 import {type Route} from '../core/gateway/types.js';
 import {sendAnswer, notRunStatuses, type AnswerName} from './answers.js';
 import {type Reply} from './attempt.js';
--- a/src/gateway/cold-starts.ts
+++ b/src/gateway/cold-starts.ts
@@ -1,10 +1,10 @@
 /** Keeps which upstreams are cold, from registrations, peers and starts that this host observes, shares it with peers, and logs it. */
-import {ColdStarts, type ColdBound, type ColdShare} from '../core/gateway/cold-starts.js';
+import {ColdStarts, type ColdBound, type ColdShare} from '../core/gateway/limits/cold-starts.js';
 import {type Obstacle} from '../core/gateway/eligibility.js';
 import {type Job} from '../core/gateway/load.js';
-import {Settling} from '../core/gateway/settling.js';
+import {Settling} from '../core/gateway/limits/settling.js';
 import {type ColdStart, type GatewayUpstream} from '../core/gateway/types.js';
-import {type ColdReport} from '../core/gateway/upstream-reports.js';
+import {type ColdReport} from '../core/gateway/limits/upstream-reports.js';
 import {type Log} from '../entry/logs.js';
 import {type RegistrationSource} from './upstreams.js';
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -11,7 +11,7 @@
 	findUsable, place, reevaluate, substitute, type Placement, type Reevaluation, type PlacementOptions,
 } from '../core/gateway/placement.js';
 import {defaultPolicy} from '../core/gateway/policy.js';
-import {RetryBudget} from '../core/gateway/retries.js';
+import {RetryBudget} from '../core/gateway/limits/retries.js';
 import {type Eligibility} from '../core/gateway/attempts.js';
 import {
 	computeShortestWait, countObstacles, selectLonger, type Obstacle, type ObstacleFinder,
--- a/src/gateway/load-batch.ts
+++ b/src/gateway/load-batch.ts
@@ -3,7 +3,7 @@
 import {type Job} from '../core/gateway/load.js';
 import {type MemoryClaim} from '../core/gateway/memory-admission.js';
 import {type PaceReport} from '../core/gateway/paces.js';
-import {type UpstreamReport} from '../core/gateway/upstream-reports.js';
+import {type UpstreamReport} from '../core/gateway/limits/upstream-reports.js';
 
 export type LoadChanges = {
 	readonly began: readonly Job[];
--- a/src/gateway/load-updates.ts
+++ b/src/gateway/load-updates.ts
@@ -12,7 +12,7 @@
 import {type MemoryClaim} from '../core/gateway/memory-admission.js';
 import {isPace, type PaceReport} from '../core/gateway/paces.js';
 import {type EngineModel} from '../core/gateway/types.js';
-import {type UpstreamReport} from '../core/gateway/upstream-reports.js';
+import {type UpstreamReport} from '../core/gateway/limits/upstream-reports.js';
 import {LoadBatch, type LoadChanges} from './load-batch.js';
 import {LoadRequester} from './load-requester.js';
 import {
--- a/src/gateway/organisation-shares.ts
+++ b/src/gateway/organisation-shares.ts
@@ -3,7 +3,7 @@
 import {overheadMs} from '../core/gateway/losses.js';
 import {type Job} from '../core/gateway/load.js';
 import {type Placement} from '../core/gateway/placement.js';
-import {Shares, type Excess} from '../core/gateway/shares.js';
+import {Shares, type Excess} from '../core/gateway/limits/shares.js';
 import {
 	type Demand, type GatewayConfiguration, type GatewayUpstream, type Route,
 } from '../core/gateway/types.js';
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -7,7 +7,7 @@
 import {type Job} from '../../core/gateway/load.js';
 import {type MemoryClaim} from '../../core/gateway/memory-admission.js';
 import {type PaceReport} from '../../core/gateway/paces.js';
-import {type ColdReport, type UpstreamStatement} from '../../core/gateway/upstream-reports.js';
+import {type ColdReport, type UpstreamStatement} from '../../core/gateway/limits/upstream-reports.js';
 import {createFrame, FrameReader} from '../../protocol/frames.js';
 import {
 	configurationMessageSchema, stateSchema, stateRequestSchema, stateSummarySchema,
