--- a/bench/gateway/__tests__/plain-upstreams.test.ts
+++ b/bench/gateway/__tests__/plain-upstreams.test.ts
@@ -1,6 +1,6 @@
 /** Requests to plain upstreams that are distributed unevenly over the failure domains, in virtual time. */
 import {describe, expect, it} from 'vitest';
-import {Health} from '../../../src/core/gateway/health.js';
+import {Health} from '../../../src/core/gateway/health/health.js';
 import {Load, type Job} from '../../../src/core/gateway/load.js';
 import {place} from '../../../src/core/gateway/placement.js';
 import {defaultPolicy} from '../../../src/core/gateway/policy.js';
--- a/bench/gateway/simulation.ts
+++ b/bench/gateway/simulation.ts
@@ -1,6 +1,6 @@
 /** Simulates gateway hosts and model engines in virtual time, using the decision code of `src/core/gateway` itself. */
 import {assertNever} from '../../src/core/index.js';
-import {Health} from '../../src/core/gateway/health.js';
+import {Health} from '../../src/core/gateway/health/health.js';
 import {Load, type Job} from '../../src/core/gateway/load.js';
 import {PaceSampler} from '../../src/core/gateway/pace-sampler.js';
 import {Paces, type PaceSample} from '../../src/core/gateway/paces.js';
--- a/src/core/gateway/__tests__/absences.test.ts
+++ b/src/core/gateway/__tests__/absences.test.ts
@@ -1,8 +1,8 @@
 /** Engines that crash while many hosts use them: attempts that the callers of a failure domain lose. */
 import {describe, expect, it} from 'vitest';
 import {createRandom} from '../../../../bench/model/workload.js';
-import {createAbsence, appliesIn, absenceToVerdict} from '../absences.js';
-import {Health} from '../health.js';
+import {createAbsence, appliesIn, absenceToVerdict} from '../health/absences.js';
+import {Health} from '../health/health.js';
 import {Load} from '../load.js';
 import {place, type PlacementOptions} from '../placement.js';
 import {defaultPolicy} from '../policy.js';
--- a/src/core/gateway/__tests__/evacuations.test.ts
+++ b/src/core/gateway/__tests__/evacuations.test.ts
@@ -2,7 +2,7 @@
 import {describe, expect, it} from 'vitest';
 import {computeShortestWait, countObstacles} from '../eligibility.js';
 import {Evacuations, maxEvacuatedDomains} from '../registry/evacuations.js';
-import {Health} from '../health.js';
+import {Health} from '../health/health.js';
 import {Load} from '../load.js';
 import {place} from '../placement.js';
 import {defaultPolicy} from '../policy.js';
--- a/src/core/gateway/__tests__/gateway-state.test.ts
+++ b/src/core/gateway/__tests__/gateway-state.test.ts
@@ -2,12 +2,12 @@
 import {describe, expect, it} from 'vitest';
 import {estimatePrefill, estimateDecodeIteration} from '../engine.js';
 import {Directory} from '../registry/directory.js';
-import {Health} from '../health.js';
+import {Health} from '../health/health.js';
 import {StoreOutages} from '../registry/store-outages.js';
 import {Load, type Job} from '../load.js';
-import {Reachability} from '../reachability.js';
+import {Reachability} from '../health/reachability.js';
 import {isRepeatable, RetryBudget} from '../limits/retries.js';
-import {Suspects, type Crash} from '../suspects.js';
+import {Suspects, type Crash} from '../health/suspects.js';
 import {type EngineModel, type Route} from '../types.js';
 import {createRandom} from '../../../../bench/model/workload.js';
 
--- a/src/core/gateway/__tests__/placement.test.ts
+++ b/src/core/gateway/__tests__/placement.test.ts
@@ -1,6 +1,6 @@
 /** Placement of requests at a small service, under simulated load and without a network. */
 import {describe, expect, it} from 'vitest';
-import {Health} from '../health.js';
+import {Health} from '../health/health.js';
 import {Load, type Job} from '../load.js';
 import {findDisruptedStreams, computeWeight} from '../losses.js';
 import {place, type Placement, type PlacementOptions} from '../placement.js';
--- a/src/core/gateway/__tests__/rerouting.test.ts
+++ b/src/core/gateway/__tests__/rerouting.test.ts
@@ -1,6 +1,6 @@
 /** Requests of hosts that chose the same engine before they received load updates of each other. */
 import {describe, expect, it} from 'vitest';
-import {Health} from '../health.js';
+import {Health} from '../health/health.js';
 import {Load, type Job} from '../load.js';
 import {hasToYield, isWorthRerouting} from '../rerouting.js';
 import {place, reevaluate, type PlacementOptions} from '../placement.js';
--- a/src/core/gateway/absences.ts
+++ b/src/core/gateway/health/absences.ts
@@ -2,7 +2,7 @@
  * Absences: reports between hosts about upstreams that are not there. A crashed engine looks idle, so without these reports each of hundreds
  * of hosts would lose a request to find each crashed engine.
  */
-import {assertNever} from '../utils/common.js';
+import {assertNever} from '../../utils/common.js';
 import {type Verdict} from './health.js';
 
 /** How a host found an upstream absent. */
--- a/src/core/gateway/health.ts
+++ b/src/core/gateway/health/health.ts
@@ -1,6 +1,6 @@
 /** Tracks the health of upstreams from how attempts ended: failure probability and backoff. */
-import {assertNever} from '../utils/common.js';
-import {type AttemptEnding} from './limits/retries.js';
+import {assertNever} from '../../utils/common.js';
+import {type AttemptEnding} from '../limits/retries.js';
 
 /** Half-life of recorded attempts, in milliseconds: engines that crash are back within 3 to 5 s. */
 const halfLifeMs = 2500;
--- a/src/core/gateway/placement.ts
+++ b/src/core/gateway/placement.ts
@@ -3,7 +3,7 @@
 import {
 	computePartMemory, footprint, estimatePrefill, type PrefillTime,
 } from './engine.js';
-import {type Health} from './health.js';
+import {type Health} from './health/health.js';
 import {type Forecast, type Load} from './load.js';
 import {
 	estimateDisruptionLoss, estimateOpeningLoss, estimateOwnLoss, estimatePrefillEnd, computeWeight, type Candidate,
--- a/src/gateway/__tests__/memory-fleet.ts
+++ b/src/gateway/__tests__/memory-fleet.ts
@@ -2,7 +2,7 @@
 import {Timeline} from '../../../bench/model/timeline.js';
 import {createRandom} from '../../../bench/model/workload.js';
 import {estimatePrefill, footprint} from '../../core/gateway/engine.js';
-import {Health} from '../../core/gateway/health.js';
+import {Health} from '../../core/gateway/health/health.js';
 import {Load, type Job} from '../../core/gateway/load.js';
 import {computeWeight} from '../../core/gateway/losses.js';
 import {type MemoryClaim} from '../../core/gateway/memory-admission.js';
--- a/src/gateway/__tests__/relays.test.ts
+++ b/src/gateway/__tests__/relays.test.ts
@@ -4,7 +4,7 @@
 	describe, expect, it, vi,
 } from 'vitest';
 import {claimWorkerPort} from '../../../bench/fleet/ports.js';
-import {createAbsence} from '../../core/gateway/absences.js';
+import {createAbsence} from '../../core/gateway/health/absences.js';
 import {Load, type Job} from '../../core/gateway/load.js';
 import {ignore} from '../../entry/ignore.js';
 import {type Log} from '../../entry/logs.js';
--- a/src/gateway/attempt-verdicts.ts
+++ b/src/gateway/attempt-verdicts.ts
@@ -1,5 +1,5 @@
 /** Records the results of ended attempts: health of upstreams, suspected requests, and upstreams that a retry may use. */
-import {endingToVerdict} from '../core/gateway/health.js';
+import {endingToVerdict} from '../core/gateway/health/health.js';
 import {type AttemptEnding} from '../core/gateway/limits/retries.js';
 import {type Attempts} from '../core/gateway/attempts.js';
 import {type EndedAttempt, type Reply} from './attempt.js';
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,8 +1,8 @@
 /** State of a gateway (configuration, upstreams, load, peers) and the decisions based on it. */
 import {assertNever} from '../core/index.js';
-import {createAbsence, type AbsenceReason} from '../core/gateway/absences.js';
+import {createAbsence, type AbsenceReason} from '../core/gateway/health/absences.js';
 import {Directory} from '../core/gateway/registry/directory.js';
-import {type Verdict} from '../core/gateway/health.js';
+import {type Verdict} from '../core/gateway/health/health.js';
 import {type MemoryDecision} from '../core/gateway/memory-admission.js';
 import {Load, type Job, type PlacementKind} from '../core/gateway/load.js';
 import {PaceSampler} from '../core/gateway/pace-sampler.js';
--- a/src/gateway/load-batch.ts
+++ b/src/gateway/load-batch.ts
@@ -1,5 +1,5 @@
 /** Collects changes of load that are sent in one message. */
-import {type Absence} from '../core/gateway/absences.js';
+import {type Absence} from '../core/gateway/health/absences.js';
 import {type Job} from '../core/gateway/load.js';
 import {type MemoryClaim} from '../core/gateway/memory-admission.js';
 import {type PaceReport} from '../core/gateway/paces.js';
--- a/src/gateway/load-updates.ts
+++ b/src/gateway/load-updates.ts
@@ -5,7 +5,7 @@
  * requests them before a placement or may have to reroute a running request; the batches of the other hosts stay whole: with hundreds of
  * hosts that each serve one or two requests a second, a host needs most updates only when its next request arrives.
  */
-import {appliesIn, type Absence} from '../core/gateway/absences.js';
+import {appliesIn, type Absence} from '../core/gateway/health/absences.js';
 import {type Job, type Load} from '../core/gateway/load.js';
 import {disruptivePrefillMs, hasToYield, canCauseReroute} from '../core/gateway/rerouting.js';
 import {findDisruptedStreams} from '../core/gateway/losses.js';
--- a/src/gateway/reputation.ts
+++ b/src/gateway/reputation.ts
@@ -1,8 +1,8 @@
 /** Tracks the health of upstreams, the reachability of failure domains and suspected requests from attempts and peers; logs each change. */
-import {absenceToVerdict, type Absence} from '../core/gateway/absences.js';
-import {Health, type Verdict} from '../core/gateway/health.js';
-import {Reachability} from '../core/gateway/reachability.js';
-import {Suspects, type Crash} from '../core/gateway/suspects.js';
+import {absenceToVerdict, type Absence} from '../core/gateway/health/absences.js';
+import {Health, type Verdict} from '../core/gateway/health/health.js';
+import {Reachability} from '../core/gateway/health/reachability.js';
+import {Suspects, type Crash} from '../core/gateway/health/suspects.js';
 import {type GatewayUpstream} from '../core/gateway/types.js';
 import {roundTo} from '../core/utils/numbers.js';
 import {type Log} from '../entry/logs.js';
