--- a/bench/gateway/__tests__/plain-upstreams.test.ts
+++ b/bench/gateway/__tests__/plain-upstreams.test.ts
@@ -1,7 +1,7 @@
 /** Requests to plain upstreams that are distributed unevenly over the failure domains, in virtual time. */
 import {describe, expect, it} from 'vitest';
 import {Health} from '../../../src/core/gateway/health/health.js';
-import {Load, type Job} from '../../../src/core/gateway/load.js';
+import {Load, type Job} from '../../../src/core/gateway/engines/load.js';
 import {place} from '../../../src/core/gateway/placement.js';
 import {defaultPolicy} from '../../../src/core/gateway/policy.js';
 import {type Demand, type GatewayUpstream} from '../../../src/core/gateway/types.js';
--- a/src/cli/losses/causes.ts
+++ b/src/cli/losses/causes.ts
@@ -1,6 +1,6 @@
 /** Attributes each request that was not served in full and in time to one cause, from log lines alone. */
 import {assertNever} from '../../core/index.js';
-import {lateLoss} from '../../core/gateway/losses.js';
+import {lateLoss} from '../../core/gateway/engines/losses.js';
 import {
 	gatewayLineSchema, type AttemptEndedLine, type EndedLine, type GatewayLine, type NotPlacedLine, type PlacedLine,
 } from '../gateway-lines.js';
--- a/src/core/gateway/__tests__/absences.test.ts
+++ b/src/core/gateway/__tests__/absences.test.ts
@@ -3,7 +3,7 @@
 import {createRandom} from '../../../../bench/model/workload.js';
 import {createAbsence, appliesIn, absenceToVerdict} from '../health/absences.js';
 import {Health} from '../health/health.js';
-import {Load} from '../load.js';
+import {Load} from '../engines/load.js';
 import {place, type PlacementOptions} from '../placement.js';
 import {defaultPolicy} from '../policy.js';
 import {type Demand, type EngineModel, type GatewayUpstream} from '../types.js';
--- a/src/core/gateway/__tests__/evacuations.test.ts
+++ b/src/core/gateway/__tests__/evacuations.test.ts
@@ -3,7 +3,7 @@
 import {computeShortestWait, countObstacles} from '../eligibility.js';
 import {Evacuations, maxEvacuatedDomains} from '../registry/evacuations.js';
 import {Health} from '../health/health.js';
-import {Load} from '../load.js';
+import {Load} from '../engines/load.js';
 import {place} from '../placement.js';
 import {defaultPolicy} from '../policy.js';
 import {Registry} from '../registry/registry.js';
--- a/src/core/gateway/__tests__/gateway-state.test.ts
+++ b/src/core/gateway/__tests__/gateway-state.test.ts
@@ -1,10 +1,10 @@
 /** State that a gateway decides by: jobs, health, retry budget, reachability, suspicions and routes. */
 import {describe, expect, it} from 'vitest';
-import {estimatePrefill, estimateDecodeIteration} from '../engine.js';
+import {estimatePrefill, estimateDecodeIteration} from '../engines/engine.js';
 import {Directory} from '../registry/directory.js';
 import {Health} from '../health/health.js';
 import {StoreOutages} from '../registry/store-outages.js';
-import {Load, type Job} from '../load.js';
+import {Load, type Job} from '../engines/load.js';
 import {Reachability} from '../health/reachability.js';
 import {isRepeatable, RetryBudget} from '../limits/retries.js';
 import {Suspects, type Crash} from '../health/suspects.js';
--- a/src/core/gateway/__tests__/paces.test.ts
+++ b/src/core/gateway/__tests__/paces.test.ts
@@ -1,10 +1,10 @@
 /** What is learned about the speed of engines, and how it ends. */
 import {describe, expect, it} from 'vitest';
-import {Load, type Job} from '../load.js';
+import {Load, type Job} from '../engines/load.js';
 import {
 	configuredPace, isPace, Paces, type PaceReport,
-} from '../paces.js';
-import {PaceSampler} from '../pace-sampler.js';
+} from '../engines/paces.js';
+import {PaceSampler} from '../engines/pace-sampler.js';
 import {type Placement} from '../placement.js';
 import {type EngineModel} from '../types.js';
 import {createUpstream} from './fixtures.js';
--- a/src/core/gateway/__tests__/placement.test.ts
+++ b/src/core/gateway/__tests__/placement.test.ts
@@ -1,8 +1,8 @@
 /** Placement of requests at a small service, under simulated load and without a network. */
 import {describe, expect, it} from 'vitest';
 import {Health} from '../health/health.js';
-import {Load, type Job} from '../load.js';
-import {findDisruptedStreams, computeWeight} from '../losses.js';
+import {Load, type Job} from '../engines/load.js';
+import {findDisruptedStreams, computeWeight} from '../engines/losses.js';
 import {place, type Placement, type PlacementOptions} from '../placement.js';
 import {defaultPolicy} from '../policy.js';
 import {type Demand, type EngineModel, type GatewayUpstream} from '../types.js';
--- a/src/core/gateway/__tests__/queue.test.ts
+++ b/src/core/gateway/__tests__/queue.test.ts
@@ -1,7 +1,7 @@
 import {describe, expect, it} from 'vitest';
-import {estimateSlotWait, type Occupant} from '../queue.js';
+import {estimateSlotWait, type Occupant} from '../engines/queue.js';
 import {type EngineModel} from '../types.js';
-import {urgencyOf} from '../urgency.js';
+import {urgencyOf} from '../engines/urgency.js';
 
 /** An engine with two slots, whose answers usually take a second. */
 const model: EngineModel = {
--- a/src/core/gateway/__tests__/refusal.test.ts
+++ b/src/core/gateway/__tests__/refusal.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {estimatePrefill} from '../engine.js';
+import {estimatePrefill} from '../engines/engine.js';
 import {defaultPolicy} from '../policy.js';
 import {isHarmful, estimateRetryDelay} from '../refusal.js';
 import {type EngineModel} from '../types.js';
--- a/src/core/gateway/__tests__/rerouting.test.ts
+++ b/src/core/gateway/__tests__/rerouting.test.ts
@@ -1,7 +1,7 @@
 /** Requests of hosts that chose the same engine before they received load updates of each other. */
 import {describe, expect, it} from 'vitest';
 import {Health} from '../health/health.js';
-import {Load, type Job} from '../load.js';
+import {Load, type Job} from '../engines/load.js';
 import {hasToYield, isWorthRerouting} from '../rerouting.js';
 import {place, reevaluate, type PlacementOptions} from '../placement.js';
 import {defaultPolicy} from '../policy.js';
--- a/src/core/gateway/attempts.ts
+++ b/src/core/gateway/attempts.ts
@@ -1,5 +1,5 @@
 /** Tracks the attempts of one request: which upstreams it was sent to, and whether another attempt may follow. */
-import {type PlacementKind} from './load.js';
+import {type PlacementKind} from './engines/load.js';
 import {isIdempotent, isRepeatable, type AttemptEnding} from './limits/retries.js';
 import {type Route} from './types.js';
 
--- a/src/core/gateway/engine.ts
+++ b/src/core/gateway/engines/engine.ts
@@ -1,5 +1,5 @@
 /** Estimates times, in milliseconds, and memory of a model engine from the performance model of its service. */
-import {type EngineModel} from './types.js';
+import {type EngineModel} from '../types.js';
 
 const thousand = 1000;
 const million = 1_000_000;
--- a/src/core/gateway/memory-admission.ts
+++ b/src/core/gateway/engines/memory-admission.ts
@@ -5,7 +5,7 @@
  */
 import {computePartMemory, estimatePrefill} from './engine.js';
 import {estimateFreeMemory, type EngineMemory} from './memory-forecast.js';
-import {type EngineModel} from './types.js';
+import {type EngineModel} from '../types.js';
 
 /** A request that waits for memory. Times are monotonic, in milliseconds. */
 export type MemoryDemand = {
--- a/src/core/gateway/queue.ts
+++ b/src/core/gateway/engines/queue.ts
@@ -2,7 +2,7 @@
  * Estimates when an engine whose slots are all taken has one for another request. Bursts of short prompts fill the batches of all engines
  * before they use up their time; a request that is sent to the engine with the first free slot hardly waits.
  */
-import {type EngineModel} from './types.js';
+import {type EngineModel} from '../types.js';
 
 /** Remaining time of an answer that has exceeded the usual duration, as a share of that duration. */
 const overtimeShare = 0.3;
--- a/src/core/gateway/urgency.ts
+++ b/src/core/gateway/engines/urgency.ts
@@ -1,5 +1,5 @@
 /** Ranks of requests in the queue of an engine whose slots are all taken. */
-import {type Prompt} from './types.js';
+import {type Prompt} from '../types.js';
 
 /** Longest prompt, in tokens, that is ranked as urgent. */
 const maxUrgentTokens = 16_000;
--- a/src/core/gateway/limits/retries.ts
+++ b/src/core/gateway/limits/retries.ts
@@ -1,6 +1,6 @@
 /** Decides which attempts may be retried, within a budget that all hosts share. */
 import {assertNever} from '../../utils/common.js';
-import {type PlacementKind} from '../load.js';
+import {type PlacementKind} from '../engines/load.js';
 import {type Route} from '../types.js';
 
 /**
--- a/src/core/gateway/placement.ts
+++ b/src/core/gateway/placement.ts
@@ -2,20 +2,20 @@
 import {hashText, mixHashes} from '../utils/hashes.js';
 import {
 	computePartMemory, footprint, estimatePrefill, type PrefillTime,
-} from './engine.js';
+} from './engines/engine.js';
 import {type Health} from './health/health.js';
-import {type Forecast, type Load} from './load.js';
+import {type Forecast, type Load} from './engines/load.js';
 import {
 	estimateDisruptionLoss, estimateOpeningLoss, estimateOwnLoss, estimatePrefillEnd, computeWeight, type Candidate,
-} from './losses.js';
-import {type Pace} from './paces.js';
+} from './engines/losses.js';
+import {type Pace} from './engines/paces.js';
 import {type Policy} from './policy.js';
 import {type Eligibility} from './attempts.js';
 import {findAccepting, type ObstacleFinder} from './eligibility.js';
 import {
 	type Demand, type EngineModel, type GatewayUpstream, type Prompt,
 } from './types.js';
-import {urgencyOf} from './urgency.js';
+import {urgencyOf} from './engines/urgency.js';
 
 /** Shortest prompt, in prefill chunks, for which several engines are considered. */
 const minSharedChunks = 4;
--- a/src/core/gateway/refusal.ts
+++ b/src/core/gateway/refusal.ts
@@ -1,5 +1,5 @@
 /** Decides which requests are refused at once, and when their callers may retry. Limits the damage of bursts of long prompts on busy engines. */
-import {configuredPace} from './paces.js';
+import {configuredPace} from './engines/paces.js';
 import {type Placement} from './placement.js';
 import {type Policy} from './policy.js';
 import {type EngineModel} from './types.js';
--- a/src/gateway/__tests__/cold-starts.test.ts
+++ b/src/gateway/__tests__/cold-starts.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {type Job} from '../../core/gateway/load.js';
+import {type Job} from '../../core/gateway/engines/load.js';
 import {type GatewayUpstream} from '../../core/gateway/types.js';
 import {type ColdReport} from '../../core/gateway/limits/upstream-reports.js';
 import {ColdUpstreams, type FleetView} from '../cold-starts.js';
--- a/src/gateway/__tests__/memory-fleet.ts
+++ b/src/gateway/__tests__/memory-fleet.ts
@@ -1,11 +1,11 @@
 /** Plays requests of a fleet that compete for KV memory, in virtual time, with the placement, the forecast and the queue of the hosts. */
 import {Timeline} from '../../../bench/model/timeline.js';
 import {createRandom} from '../../../bench/model/workload.js';
-import {estimatePrefill, footprint} from '../../core/gateway/engine.js';
+import {estimatePrefill, footprint} from '../../core/gateway/engines/engine.js';
 import {Health} from '../../core/gateway/health/health.js';
-import {Load, type Job} from '../../core/gateway/load.js';
-import {computeWeight} from '../../core/gateway/losses.js';
-import {type MemoryClaim} from '../../core/gateway/memory-admission.js';
+import {Load, type Job} from '../../core/gateway/engines/load.js';
+import {computeWeight} from '../../core/gateway/engines/losses.js';
+import {type MemoryClaim} from '../../core/gateway/engines/memory-admission.js';
 import {
 	place, substitute, type Placement, type PlacementOptions,
 } from '../../core/gateway/placement.js';
--- a/src/gateway/__tests__/memory-queue.test.ts
+++ b/src/gateway/__tests__/memory-queue.test.ts
@@ -1,7 +1,7 @@
 /** Requests that compete for the KV memory of engines: what their callers get, and which memory is kept for whom. */
 import {describe, expect, it} from 'vitest';
-import {Load, type Job} from '../../core/gateway/load.js';
-import {type MemoryClaim} from '../../core/gateway/memory-admission.js';
+import {Load, type Job} from '../../core/gateway/engines/load.js';
+import {type MemoryClaim} from '../../core/gateway/engines/memory-admission.js';
 import {type Demand} from '../../core/gateway/types.js';
 import {MemoryQueue} from '../memory-queue.js';
 import {fromWireClaim, toWireClaim} from '../peers/messages.js';
--- a/src/gateway/__tests__/organisation-shares.test.ts
+++ b/src/gateway/__tests__/organisation-shares.test.ts
@@ -1,7 +1,7 @@
 /** Tags of organisations in jobs: hosts of other builds and invalid tags must not cost any other part of a message. */
 import {expect, it} from 'vitest';
 import {createUpstream} from '../../core/gateway/__tests__/fixtures.js';
-import {type Job} from '../../core/gateway/load.js';
+import {type Job} from '../../core/gateway/engines/load.js';
 import {type GatewayConfiguration, type Route} from '../../core/gateway/types.js';
 import {type LogLine} from '../../entry/logs.js';
 import {OrganisationShares} from '../organisation-shares.js';
--- a/src/gateway/__tests__/relays.test.ts
+++ b/src/gateway/__tests__/relays.test.ts
@@ -5,7 +5,7 @@
 } from 'vitest';
 import {claimWorkerPort} from '../../../bench/fleet/ports.js';
 import {createAbsence} from '../../core/gateway/health/absences.js';
-import {Load, type Job} from '../../core/gateway/load.js';
+import {Load, type Job} from '../../core/gateway/engines/load.js';
 import {ignore} from '../../entry/ignore.js';
 import {type Log} from '../../entry/logs.js';
 import {LoadUpdates} from '../load-updates.js';
--- a/src/gateway/cold-starts.ts
+++ b/src/gateway/cold-starts.ts
@@ -1,7 +1,7 @@
 /** Keeps which upstreams are cold, from registrations, peers and starts that this host observes, shares it with peers, and logs it. */
 import {ColdStarts, type ColdBound, type ColdShare} from '../core/gateway/limits/cold-starts.js';
 import {type Obstacle} from '../core/gateway/eligibility.js';
-import {type Job} from '../core/gateway/load.js';
+import {type Job} from '../core/gateway/engines/load.js';
 import {Settling} from '../core/gateway/limits/settling.js';
 import {type ColdStart, type GatewayUpstream} from '../core/gateway/types.js';
 import {type ColdReport} from '../core/gateway/limits/upstream-reports.js';
--- a/src/gateway/engine-paces.ts
+++ b/src/gateway/engine-paces.ts
@@ -1,7 +1,7 @@
 /** Keeps the paces of engines, shares them with peers, and logs their changes. */
 import {
 	configuredPace, isPace, Paces, type Pace, type PaceReport, type PaceSample,
-} from '../core/gateway/paces.js';
+} from '../core/gateway/engines/paces.js';
 import {type UpstreamProcess} from '../core/gateway/types.js';
 import {roundTo} from '../core/utils/numbers.js';
 import {type Log} from '../entry/logs.js';
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,10 +3,10 @@
 import {createAbsence, type AbsenceReason} from '../core/gateway/health/absences.js';
 import {Directory} from '../core/gateway/registry/directory.js';
 import {type Verdict} from '../core/gateway/health/health.js';
-import {type MemoryDecision} from '../core/gateway/memory-admission.js';
-import {Load, type Job, type PlacementKind} from '../core/gateway/load.js';
-import {PaceSampler} from '../core/gateway/pace-sampler.js';
-import {computeWeight} from '../core/gateway/losses.js';
+import {type MemoryDecision} from '../core/gateway/engines/memory-admission.js';
+import {Load, type Job, type PlacementKind} from '../core/gateway/engines/load.js';
+import {PaceSampler} from '../core/gateway/engines/pace-sampler.js';
+import {computeWeight} from '../core/gateway/engines/losses.js';
 import {
 	findUsable, place, reevaluate, substitute, type Placement, type Reevaluation, type PlacementOptions,
 } from '../core/gateway/placement.js';
--- a/src/gateway/load-updates.ts
+++ b/src/gateway/load-updates.ts
@@ -6,11 +6,11 @@
  * hosts that each serve one or two requests a second, a host needs most updates only when its next request arrives.
  */
 import {appliesIn, type Absence} from '../core/gateway/health/absences.js';
-import {type Job, type Load} from '../core/gateway/load.js';
+import {type Job, type Load} from '../core/gateway/engines/load.js';
 import {disruptivePrefillMs, hasToYield, canCauseReroute} from '../core/gateway/rerouting.js';
-import {findDisruptedStreams} from '../core/gateway/losses.js';
-import {type MemoryClaim} from '../core/gateway/memory-admission.js';
-import {isPace, type PaceReport} from '../core/gateway/paces.js';
+import {findDisruptedStreams} from '../core/gateway/engines/losses.js';
+import {type MemoryClaim} from '../core/gateway/engines/memory-admission.js';
+import {isPace, type PaceReport} from '../core/gateway/engines/paces.js';
 import {type EngineModel} from '../core/gateway/types.js';
 import {type UpstreamReport} from '../core/gateway/limits/upstream-reports.js';
 import {LoadBatch, type LoadChanges} from './load-batch.js';
--- a/src/gateway/organisation-shares.ts
+++ b/src/gateway/organisation-shares.ts
@@ -1,7 +1,7 @@
 /** Use of each service by organisations: counted from the jobs of all hosts, and the requests that give way. */
 import {createHash} from 'node:crypto';
-import {overheadMs} from '../core/gateway/losses.js';
-import {type Job} from '../core/gateway/load.js';
+import {overheadMs} from '../core/gateway/engines/losses.js';
+import {type Job} from '../core/gateway/engines/load.js';
 import {type Placement} from '../core/gateway/placement.js';
 import {Shares, type Excess} from '../core/gateway/limits/shares.js';
 import {
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -4,9 +4,9 @@
 import {assertNever, raise} from '../../core/index.js';
 import {roundTo} from '../../core/utils/numbers.js';
 import {maxSampledUpstreams, maxStores} from '../../core/gateway/fleet-identity.js';
-import {type Job} from '../../core/gateway/load.js';
-import {type MemoryClaim} from '../../core/gateway/memory-admission.js';
-import {type PaceReport} from '../../core/gateway/paces.js';
+import {type Job} from '../../core/gateway/engines/load.js';
+import {type MemoryClaim} from '../../core/gateway/engines/memory-admission.js';
+import {type PaceReport} from '../../core/gateway/engines/paces.js';
 import {type ColdReport, type UpstreamStatement} from '../../core/gateway/limits/upstream-reports.js';
 import {createFrame, FrameReader} from '../../protocol/frames.js';
 import {
--- a/stand-ins/gateway/batch.ts
+++ b/stand-ins/gateway/batch.ts
@@ -2,7 +2,7 @@
  * Model of an engine's batch, computed from the figures that its service publishes: iterations of several steps, in which answers
  * are decoded and prompts prefilled in chunks. It has no clock: the stand-in drives it in real time, the simulation in virtual time.
  */
-import {footprint} from '../../src/core/gateway/engine.js';
+import {footprint} from '../../src/core/gateway/engines/engine.js';
 import {type EngineModel} from '../../src/core/gateway/types.js';
 
 export type BatchJob = {
