--- a/bench/gateway/__tests__/plain-upstreams.test.ts
+++ b/bench/gateway/__tests__/plain-upstreams.test.ts
@@ -2,8 +2,8 @@
 import {describe, expect, it} from 'vitest';
 import {Health} from '../../../src/core/gateway/health/health.js';
 import {Load, type Job} from '../../../src/core/gateway/engines/load.js';
-import {place} from '../../../src/core/gateway/placement.js';
-import {defaultPolicy} from '../../../src/core/gateway/policy.js';
+import {place} from '../../../src/core/gateway/placement/placement.js';
+import {defaultPolicy} from '../../../src/core/gateway/placement/policy.js';
 import {type Demand, type GatewayUpstream} from '../../../src/core/gateway/types.js';
 import {Timeline} from '../../model/timeline.js';
 import {createRandom} from '../../model/workload.js';
--- a/bench/gateway/__tests__/simulation.test.ts
+++ b/bench/gateway/__tests__/simulation.test.ts
@@ -1,6 +1,6 @@
 /** Served share of workloads in virtual time under the product's decisions. */
 import {describe, expect, it} from 'vitest';
-import {policyWithout, defaultPolicy, type Policy} from '../../../src/core/gateway/policy.js';
+import {policyWithout, defaultPolicy, type Policy} from '../../../src/core/gateway/placement/policy.js';
 import {computeServedShare} from '../results.js';
 import {Simulation, type PlacementStrategy} from '../simulation.js';
 import {
--- a/bench/gateway/main.ts
+++ b/bench/gateway/main.ts
@@ -8,7 +8,7 @@
 import {Command, InvalidArgumentError} from 'commander';
 import {
 	isMechanism, mechanisms, policyWithout, defaultPolicy, type Mechanism,
-} from '../../src/core/gateway/policy.js';
+} from '../../src/core/gateway/placement/policy.js';
 import {renderPlot} from './plots.js';
 import {isInTime, computeServedShare} from './results.js';
 import {Simulation, type PlacementStrategy, type Result} from './simulation.js';
--- a/bench/gateway/simulation.ts
+++ b/bench/gateway/simulation.ts
@@ -4,13 +4,13 @@
 import {Load, type Job} from '../../src/core/gateway/engines/load.js';
 import {PaceSampler} from '../../src/core/gateway/engines/pace-sampler.js';
 import {Paces, type PaceSample} from '../../src/core/gateway/engines/paces.js';
-import {hasToYield, isWorthRerouting} from '../../src/core/gateway/rerouting.js';
+import {hasToYield, isWorthRerouting} from '../../src/core/gateway/placement/rerouting.js';
 import {computeWeight} from '../../src/core/gateway/engines/losses.js';
 import {
 	place, reevaluate, type Placement, type PlacementOptions,
-} from '../../src/core/gateway/placement.js';
-import {defaultPolicy, type Policy} from '../../src/core/gateway/policy.js';
-import {isHarmful, estimateRetryDelay} from '../../src/core/gateway/refusal.js';
+} from '../../src/core/gateway/placement/placement.js';
+import {defaultPolicy, type Policy} from '../../src/core/gateway/placement/policy.js';
+import {isHarmful, estimateRetryDelay} from '../../src/core/gateway/placement/refusal.js';
 import {type Demand, type EngineModel, type GatewayUpstream} from '../../src/core/gateway/types.js';
 import {defaultUrgency} from '../../src/core/gateway/engines/urgency.js';
 import {Batch, computeMemory} from '../../stand-ins/gateway/batch.js';
--- a/src/core/gateway/__tests__/absences.test.ts
+++ b/src/core/gateway/__tests__/absences.test.ts
@@ -4,8 +4,8 @@
 import {createAbsence, appliesIn, absenceToVerdict} from '../health/absences.js';
 import {Health} from '../health/health.js';
 import {Load} from '../engines/load.js';
-import {place, type PlacementOptions} from '../placement.js';
-import {defaultPolicy} from '../policy.js';
+import {place, type PlacementOptions} from '../placement/placement.js';
+import {defaultPolicy} from '../placement/policy.js';
 import {type Demand, type EngineModel, type GatewayUpstream} from '../types.js';
 import {findDeparture} from './fixtures.js';
 
--- a/src/core/gateway/__tests__/attempts.test.ts
+++ b/src/core/gateway/__tests__/attempts.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import {type AttemptEnding} from '../limits/retries.js';
-import {Attempts} from '../attempts.js';
+import {Attempts} from '../placement/attempts.js';
 
 const notRun: AttemptEnding = {type: 'not-run', reason: 'refused', isShed: true};
 const unknown: AttemptEnding = {type: 'unknown', reason: 'broken'};
--- a/src/core/gateway/__tests__/evacuations.test.ts
+++ b/src/core/gateway/__tests__/evacuations.test.ts
@@ -1,11 +1,11 @@
 /** Plays an evacuation under load: callers keep being served by the other failure domains, and by none of the evacuated ones. */
 import {describe, expect, it} from 'vitest';
-import {computeShortestWait, countObstacles} from '../eligibility.js';
+import {computeShortestWait, countObstacles} from '../placement/eligibility.js';
 import {Evacuations, maxEvacuatedDomains} from '../registry/evacuations.js';
 import {Health} from '../health/health.js';
 import {Load} from '../engines/load.js';
-import {place} from '../placement.js';
-import {defaultPolicy} from '../policy.js';
+import {place} from '../placement/placement.js';
+import {defaultPolicy} from '../placement/policy.js';
 import {Registry} from '../registry/registry.js';
 import {type Demand, type EngineModel, type GatewayUpstream} from '../types.js';
 import {createUpstream} from './fixtures.js';
--- a/src/core/gateway/__tests__/fixtures.ts
+++ b/src/core/gateway/__tests__/fixtures.ts
@@ -1,5 +1,5 @@
 /** Upstreams and positions of the store for tests. */
-import {type Obstacle} from '../eligibility.js';
+import {type Obstacle} from '../placement/eligibility.js';
 import {type StorePosition} from '../registry/position.js';
 import {type GatewayUpstream} from '../types.js';
 
--- a/src/core/gateway/__tests__/paces.test.ts
+++ b/src/core/gateway/__tests__/paces.test.ts
@@ -5,7 +5,7 @@
 	configuredPace, isPace, Paces, type PaceReport,
 } from '../engines/paces.js';
 import {PaceSampler} from '../engines/pace-sampler.js';
-import {type Placement} from '../placement.js';
+import {type Placement} from '../placement/placement.js';
 import {type EngineModel} from '../types.js';
 import {createUpstream} from './fixtures.js';
 
--- a/src/core/gateway/__tests__/placement.test.ts
+++ b/src/core/gateway/__tests__/placement.test.ts
@@ -3,8 +3,8 @@
 import {Health} from '../health/health.js';
 import {Load, type Job} from '../engines/load.js';
 import {findDisruptedStreams, computeWeight} from '../engines/losses.js';
-import {place, type Placement, type PlacementOptions} from '../placement.js';
-import {defaultPolicy} from '../policy.js';
+import {place, type Placement, type PlacementOptions} from '../placement/placement.js';
+import {defaultPolicy} from '../placement/policy.js';
 import {type Demand, type EngineModel, type GatewayUpstream} from '../types.js';
 import {findDeparture} from './fixtures.js';
 
--- a/src/core/gateway/__tests__/refusal.test.ts
+++ b/src/core/gateway/__tests__/refusal.test.ts
@@ -1,7 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {estimatePrefill} from '../engines/engine.js';
-import {defaultPolicy} from '../policy.js';
-import {isHarmful, estimateRetryDelay} from '../refusal.js';
+import {defaultPolicy} from '../placement/policy.js';
+import {isHarmful, estimateRetryDelay} from '../placement/refusal.js';
 import {type EngineModel} from '../types.js';
 
 const model: EngineModel = {
--- a/src/core/gateway/__tests__/rerouting.test.ts
+++ b/src/core/gateway/__tests__/rerouting.test.ts
@@ -2,9 +2,9 @@
 import {describe, expect, it} from 'vitest';
 import {Health} from '../health/health.js';
 import {Load, type Job} from '../engines/load.js';
-import {hasToYield, isWorthRerouting} from '../rerouting.js';
-import {place, reevaluate, type PlacementOptions} from '../placement.js';
-import {defaultPolicy} from '../policy.js';
+import {hasToYield, isWorthRerouting} from '../placement/rerouting.js';
+import {place, reevaluate, type PlacementOptions} from '../placement/placement.js';
+import {defaultPolicy} from '../placement/policy.js';
 import {type Demand, type EngineModel, type GatewayUpstream} from '../types.js';
 import {findDeparture} from './fixtures.js';
 
--- a/src/core/gateway/engines/losses.ts
+++ b/src/core/gateway/engines/losses.ts
@@ -1,7 +1,7 @@
 /** Estimates the expected loss of callers for a choice of engines, in requests of usual weight. */
 import {type PrefillTime} from './engine.js';
 import {type Forecast, type Job} from './load.js';
-import {type Policy} from '../policy.js';
+import {type Policy} from '../placement/policy.js';
 import {
 	type Demand, type EngineModel, type GatewayUpstream, type Prompt,
 } from '../types.js';
--- a/src/core/gateway/attempts.ts
+++ b/src/core/gateway/placement/attempts.ts
@@ -1,7 +1,7 @@
 /** Tracks the attempts of one request: which upstreams it was sent to, and whether another attempt may follow. */
-import {type PlacementKind} from './engines/load.js';
-import {isIdempotent, isRepeatable, type AttemptEnding} from './limits/retries.js';
-import {type Route} from './types.js';
+import {type PlacementKind} from '../engines/load.js';
+import {isIdempotent, isRepeatable, type AttemptEnding} from '../limits/retries.js';
+import {type Route} from '../types.js';
 
 /** Refused holds after which the request is given up. */
 const maxRefusedHolds = 3;
--- a/src/core/gateway/placement.ts
+++ b/src/core/gateway/placement/placement.ts
@@ -1,21 +1,21 @@
 /** Chooses the upstream of a request, and for long prompts the engines that help to prefill it, so that the expected loss is least. */
-import {hashText, mixHashes} from '../utils/hashes.js';
+import {hashText, mixHashes} from '../../utils/hashes.js';
 import {
 	computePartMemory, footprint, estimatePrefill, type PrefillTime,
-} from './engines/engine.js';
-import {type Health} from './health/health.js';
-import {type Forecast, type Load} from './engines/load.js';
+} from '../engines/engine.js';
+import {type Health} from '../health/health.js';
+import {type Forecast, type Load} from '../engines/load.js';
 import {
 	estimateDisruptionLoss, estimateOpeningLoss, estimateOwnLoss, estimatePrefillEnd, computeWeight, type Candidate,
-} from './engines/losses.js';
-import {type Pace} from './engines/paces.js';
+} from '../engines/losses.js';
+import {type Pace} from '../engines/paces.js';
 import {type Policy} from './policy.js';
 import {type Eligibility} from './attempts.js';
 import {findAccepting, type ObstacleFinder} from './eligibility.js';
 import {
 	type Demand, type EngineModel, type GatewayUpstream, type Prompt,
-} from './types.js';
-import {urgencyOf} from './engines/urgency.js';
+} from '../types.js';
+import {urgencyOf} from '../engines/urgency.js';
 
 /** Shortest prompt, in prefill chunks, for which several engines are considered. */
 const minSharedChunks = 4;
--- a/src/core/gateway/rerouting.ts
+++ b/src/core/gateway/placement/rerouting.ts
@@ -1,5 +1,5 @@
 /** Decides when a request that was sent is rerouted to another engine. */
-import {type Job} from './engines/load.js';
+import {type Job} from '../engines/load.js';
 
 /** Cost of rerouting, in requests of usual weight: the prompt is prefilled again and the last attempt is used up. */
 const reroutingLoss = 0.25;
--- a/src/gateway/__tests__/memory-fleet.ts
+++ b/src/gateway/__tests__/memory-fleet.ts
@@ -8,8 +8,8 @@
 import {type MemoryClaim} from '../../core/gateway/engines/memory-admission.js';
 import {
 	place, substitute, type Placement, type PlacementOptions,
-} from '../../core/gateway/placement.js';
-import {defaultPolicy} from '../../core/gateway/policy.js';
+} from '../../core/gateway/placement/placement.js';
+import {defaultPolicy} from '../../core/gateway/placement/policy.js';
 import {type Demand, type EngineModel, type GatewayUpstream} from '../../core/gateway/types.js';
 import {MemoryQueue} from '../memory-queue.js';
 
--- a/src/gateway/cold-starts.ts
+++ b/src/gateway/cold-starts.ts
@@ -1,6 +1,6 @@
 /** Keeps which upstreams are cold, from registrations, peers and starts that this host observes, shares it with peers, and logs it. */
 import {ColdStarts, type ColdBound, type ColdShare} from '../core/gateway/limits/cold-starts.js';
-import {type Obstacle} from '../core/gateway/eligibility.js';
+import {type Obstacle} from '../core/gateway/placement/eligibility.js';
 import {type Job} from '../core/gateway/engines/load.js';
 import {Settling} from '../core/gateway/limits/settling.js';
 import {type ColdStart, type GatewayUpstream} from '../core/gateway/types.js';
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -9,13 +9,13 @@
 import {computeWeight} from '../core/gateway/engines/losses.js';
 import {
 	findUsable, place, reevaluate, substitute, type Placement, type Reevaluation, type PlacementOptions,
-} from '../core/gateway/placement.js';
-import {defaultPolicy} from '../core/gateway/policy.js';
+} from '../core/gateway/placement/placement.js';
+import {defaultPolicy} from '../core/gateway/placement/policy.js';
 import {RetryBudget} from '../core/gateway/limits/retries.js';
-import {type Eligibility} from '../core/gateway/attempts.js';
+import {type Eligibility} from '../core/gateway/placement/attempts.js';
 import {
 	computeShortestWait, countObstacles, selectLonger, type Obstacle, type ObstacleFinder,
-} from '../core/gateway/eligibility.js';
+} from '../core/gateway/placement/eligibility.js';
 import {
 	type Demand, type EngineModel, type GatewayConfiguration, type GatewayService, type UpstreamProcess,
 } from '../core/gateway/types.js';
--- a/src/gateway/load-updates.ts
+++ b/src/gateway/load-updates.ts
@@ -7,7 +7,7 @@
  */
 import {appliesIn, type Absence} from '../core/gateway/health/absences.js';
 import {type Job, type Load} from '../core/gateway/engines/load.js';
-import {disruptivePrefillMs, hasToYield, canCauseReroute} from '../core/gateway/rerouting.js';
+import {disruptivePrefillMs, hasToYield, canCauseReroute} from '../core/gateway/placement/rerouting.js';
 import {findDisruptedStreams} from '../core/gateway/engines/losses.js';
 import {type MemoryClaim} from '../core/gateway/engines/memory-admission.js';
 import {isPace, type PaceReport} from '../core/gateway/engines/paces.js';
--- a/src/gateway/memory-queue.ts
+++ b/src/gateway/memory-queue.ts
@@ -9,7 +9,7 @@
 	compareTurns, decideWait, limitMemory, subtractClaims, type MemoryClaim, type MemoryDecision, type MemoryDemand, type MemoryPlan,
 } from '../core/gateway/engines/memory-admission.js';
 import {forecastMemory} from '../core/gateway/engines/memory-forecast.js';
-import {defaultPolicy} from '../core/gateway/policy.js';
+import {defaultPolicy} from '../core/gateway/placement/policy.js';
 import {type Demand, type EngineModel, type Prompt} from '../core/gateway/types.js';
 
 /** Requests that may wait at one host. Their bodies stay in memory, and those of the longest prompts have megabytes. */
--- a/src/gateway/memory-wait.ts
+++ b/src/gateway/memory-wait.ts
@@ -1,6 +1,6 @@
 /** The wait of one request for KV memory: when it tries again, and what the log and the metrics say of it. */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {type Eligibility} from '../core/gateway/attempts.js';
+import {type Eligibility} from '../core/gateway/placement/attempts.js';
 import {type Demand} from '../core/gateway/types.js';
 import {type GatewayServices} from './services.js';
 import {type RequestTrace} from './trace.js';
--- a/src/gateway/organisation-shares.ts
+++ b/src/gateway/organisation-shares.ts
@@ -2,7 +2,7 @@
 import {createHash} from 'node:crypto';
 import {overheadMs} from '../core/gateway/engines/losses.js';
 import {type Job} from '../core/gateway/engines/load.js';
-import {type Placement} from '../core/gateway/placement.js';
+import {type Placement} from '../core/gateway/placement/placement.js';
 import {Shares, type Excess} from '../core/gateway/limits/shares.js';
 import {
 	type Demand, type GatewayConfiguration, type GatewayUpstream, type Route,
--- a/src/gateway/rerouter.ts
+++ b/src/gateway/rerouter.ts
@@ -1,8 +1,8 @@
 /** Reroutes a running stream to another engine when staying would cost its caller clearly more. */
-import {isWorthRerouting} from '../core/gateway/rerouting.js';
-import {type Placement} from '../core/gateway/placement.js';
+import {isWorthRerouting} from '../core/gateway/placement/rerouting.js';
+import {type Placement} from '../core/gateway/placement/placement.js';
 import {roundTo} from '../core/utils/numbers.js';
-import {type Attempts} from '../core/gateway/attempts.js';
+import {type Attempts} from '../core/gateway/placement/attempts.js';
 import {type Demand} from '../core/gateway/types.js';
 import {type Attempt} from './attempt.js';
 import {type Gateway} from './gateway.js';
--- a/src/gateway/self-reports.ts
+++ b/src/gateway/self-reports.ts
@@ -1,7 +1,7 @@
 /** Keeps what upstreams report about themselves in their responses to this host and its peers, shares changes with peers, and logs them. */
 import {assertNever} from '../core/index.js';
 import {Departures} from '../core/gateway/limits/departures.js';
-import {type Obstacle} from '../core/gateway/eligibility.js';
+import {type Obstacle} from '../core/gateway/placement/eligibility.js';
 import {Pauses} from '../core/gateway/limits/pauses.js';
 import {RateLimits, type RateLimitReport} from '../core/gateway/limits/rate-limits.js';
 import {type RateShare} from '../core/gateway/limits/rate-schedule.js';
