--- a/src/gateway/__tests__/bytes.test.ts
+++ b/src/gateway/__tests__/bytes.test.ts
@@ -3,8 +3,8 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {isFailure} from '../../core/index.js';
-import {EventSplitter} from '../events.js';
-import {filterEndToEndHeaders} from '../headers.js';
+import {EventSplitter} from '../callers/events.js';
+import {filterEndToEndHeaders} from '../callers/headers.js';
 import {
 	encode, fromWireJob, createMessageReader, toWireJob, type Message,
 } from '../peers/messages.js';
--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -4,7 +4,7 @@
 import {once} from 'node:events';
 import {type AddressInfo} from 'node:net';
 import {expect, it} from 'vitest';
-import {type CallerResponse} from '../caller-response.js';
+import {type CallerResponse} from '../callers/caller-response.js';
 import {Dispatch, type AdmittedRequest} from '../dispatch.js';
 import {type GatewayServices} from '../services.js';
 import {type RequestTrace} from '../trace.js';
--- a/src/gateway/__tests__/response-buffers.test.ts
+++ b/src/gateway/__tests__/response-buffers.test.ts
@@ -6,9 +6,9 @@
 import {describe, expect, it} from 'vitest';
 import {type Reply} from '../attempt.js';
 import {GatewayMetrics} from '../metrics.js';
-import {ResponseBuffer} from '../response-buffer.js';
-import {ResponseBuffers} from '../response-buffers.js';
-import {forwardEvents, readBody} from '../response-forwarding.js';
+import {ResponseBuffer} from '../callers/response-buffer.js';
+import {ResponseBuffers} from '../callers/response-buffers.js';
+import {forwardEvents, readBody} from '../callers/response-forwarding.js';
 import {type RequestTrace} from '../trace.js';
 
 /** A caller that takes bytes only on request. */
--- a/src/gateway/admission.ts
+++ b/src/gateway/callers/admission.ts
@@ -2,10 +2,10 @@
 import {type Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
 import {type IncomingMessage} from 'node:http';
-import {assertNever} from '../core/index.js';
-import {type Resolution} from '../core/gateway/registry/directory.js';
+import {assertNever} from '../../core/index.js';
+import {type Resolution} from '../../core/gateway/registry/directory.js';
 import {type AnswerName} from './answers.js';
-import {type Gateway} from './gateway.js';
+import {type Gateway} from '../gateway.js';
 
 export type RoutedResolution = Extract<Resolution, {readonly type: 'routed'}>;
 
--- a/src/gateway/answers.ts
+++ b/src/gateway/callers/answers.ts
@@ -2,8 +2,8 @@
 import {type ServerResponse} from 'node:http';
 import {
 	assertNever, codes, texts, type CodeName,
-} from '../core/index.js';
-import {type AttemptEnding} from '../core/gateway/limits/retries.js';
+} from '../../core/index.js';
+import {type AttemptEnding} from '../../core/gateway/limits/retries.js';
 
 /** HTTP status of each answer. 503 guarantees that the request has not run and never will. */
 const statuses = {
--- a/src/gateway/caller-response.ts
+++ b/src/gateway/callers/caller-response.ts
@@ -1,16 +1,16 @@
 /** The response to one caller: forwards the upstreams' responses, or sends one of the gateway's own answers. */
 import {type ServerResponse} from 'node:http';
-import {assertNever} from '../core/index.js';
-import {isIdempotent, type AttemptEnding, type CancelReason} from '../core/gateway/limits/retries.js';
-import {type Route} from '../core/gateway/types.js';
+import {assertNever} from '../../core/index.js';
+import {isIdempotent, type AttemptEnding, type CancelReason} from '../../core/gateway/limits/retries.js';
+import {type Route} from '../../core/gateway/types.js';
 import {sendAnswer, notRunStatuses, type AnswerName} from './answers.js';
-import {type Reply} from './attempt.js';
+import {type Reply} from '../attempt.js';
 import {
 	isStream, readBody, forwardEvents, forwardLongBody, writeHead, type ResponseBody,
 } from './response-forwarding.js';
 import {ResponseBuffer, type ReadingObserver} from './response-buffer.js';
 import {type ResponseBuffers} from './response-buffers.js';
-import {type RequestTrace} from './trace.js';
+import {type RequestTrace} from '../trace.js';
 
 /** Why the gateway stops working on a request. */
 export type StopReason = Extract<CancelReason, 'caller left' | 'time over'>;
--- a/src/gateway/headers.ts
+++ b/src/gateway/callers/headers.ts
@@ -1,5 +1,5 @@
 /** Selects the headers of a message that are forwarded. */
-import {hopByHopHeaders} from '../protocol/hop-by-hop-headers.js';
+import {hopByHopHeaders} from '../../protocol/hop-by-hop-headers.js';
 
 /**
  * @param raw - Alternating names and values, as received.
--- a/src/gateway/listening.ts
+++ b/src/gateway/callers/listening.ts
@@ -1,7 +1,7 @@
 /** Opens and closes HTTP servers. */
 import {once} from 'node:events';
 import {type Server} from 'node:http';
-import {type Address} from '../core/index.js';
+import {type Address} from '../../core/index.js';
 
 /** Pending connections: a balancer sends here those of a whole failure domain when its other hosts have failed. */
 const backlog = 1024;
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -9,8 +9,8 @@
 import {Gateway} from './gateway.js';
 import {Holds} from './holds.js';
 import {GatewayMetrics, MetricsListener} from './metrics.js';
-import {ResponseBuffers} from './response-buffers.js';
-import {CallerListener, ReadyListener} from './server.js';
+import {ResponseBuffers} from './callers/response-buffers.js';
+import {CallerListener, ReadyListener} from './callers/server.js';
 import {type Settings} from './settings.js';
 import {SuspensionDetector} from './suspension.js';
 
--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -14,10 +14,10 @@
 import {computeReturnDelay} from '../core/gateway/limits/shares.js';
 import {type Demand, type GatewayUpstream, type Route} from '../core/gateway/types.js';
 import {roundTo} from '../core/utils/numbers.js';
-import {computeFingerprint} from './admission.js';
-import {selectAnswer} from './answers.js';
+import {computeFingerprint} from './callers/admission.js';
+import {selectAnswer} from './callers/answers.js';
 import {Attempt} from './attempt.js';
-import {type CallerResponse, type StopReason} from './caller-response.js';
+import {type CallerResponse, type StopReason} from './callers/caller-response.js';
 import {listHelpers} from './helpers.js';
 import {MemoryWait} from './memory-wait.js';
 import {type Hold, type HoldPart} from './holds.js';
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -5,7 +5,7 @@
 } from 'prom-client';
 import {messageOf, type Address} from '../core/index.js';
 import {type Log} from '../entry/logs.js';
-import {closeServer, openServer} from './listening.js';
+import {closeServer, openServer} from './callers/listening.js';
 
 /** Upper bounds that cover the services' objectives between 150 ms and 3 s, and deadlines up to 15 s. */
 const latencyBucketsMs = [25, 50, 100, 150, 200, 300, 500, 750, 1000, 1500, 2500, 4000, 7000, 10_000, 15_000];
--- a/src/gateway/services.ts
+++ b/src/gateway/services.ts
@@ -6,7 +6,7 @@
 import {type Gateway} from './gateway.js';
 import {type Holds} from './holds.js';
 import {type GatewayMetrics} from './metrics.js';
-import {type ResponseBuffers} from './response-buffers.js';
+import {type ResponseBuffers} from './callers/response-buffers.js';
 
 export type GatewayServices = {
 	readonly gateway: Gateway;
