--- a/src/gateway/__tests__/attempt.test.ts
+++ b/src/gateway/__tests__/attempt.test.ts
@@ -5,7 +5,7 @@
 import {
 	afterEach, beforeEach, expect, it, vi,
 } from 'vitest';
-import {Attempt, type EndedAttempt, type Reply} from '../attempt.js';
+import {Attempt, type EndedAttempt, type Reply} from '../upstreams/attempt.js';
 import {type HeaderFormat} from '../platform-adapter.js';
 
 const headerFormat: HeaderFormat = {
--- a/src/gateway/__tests__/cold-starts.test.ts
+++ b/src/gateway/__tests__/cold-starts.test.ts
@@ -2,7 +2,7 @@
 import {type Job} from '../../core/gateway/engines/load.js';
 import {type GatewayUpstream} from '../../core/gateway/types.js';
 import {type ColdReport} from '../../core/gateway/limits/upstream-reports.js';
-import {ColdUpstreams, type FleetView} from '../cold-starts.js';
+import {ColdUpstreams, type FleetView} from '../upstreams/cold-starts.js';
 import {
 	createMessageReader, encode, fromWireCold, toWireCold,
 } from '../peers/messages.js';
--- a/src/gateway/__tests__/engine-paces.test.ts
+++ b/src/gateway/__tests__/engine-paces.test.ts
@@ -1,7 +1,7 @@
 /** Paces of engines shared between hosts whose messages are bad, lost or about a former process. */
 import {beforeEach, expect, it} from 'vitest';
 import {configuredPace, type PaceReport} from '../../core/gateway/engines/paces.js';
-import {EnginePaces} from '../engine-paces.js';
+import {EnginePaces} from '../upstreams/engine-paces.js';
 import {
 	createMessageReader, encode, fromWirePace, toWirePace, type LoadUpdate,
 } from '../peers/messages.js';
--- a/src/gateway/__tests__/evacuations.test.ts
+++ b/src/gateway/__tests__/evacuations.test.ts
@@ -7,8 +7,8 @@
 import {ignore} from '../../entry/ignore.js';
 import {type Log} from '../../entry/logs.js';
 import {stateSchema} from '../peers/state.js';
-import {Registrations} from '../registrations.js';
-import {Upstreams} from '../upstreams.js';
+import {Registrations} from '../upstreams/registrations.js';
+import {Upstreams} from '../upstreams/upstreams.js';
 
 beforeEach(() => {
 	vi.useFakeTimers({now: 0});
--- a/src/gateway/__tests__/registrations.test.ts
+++ b/src/gateway/__tests__/registrations.test.ts
@@ -4,8 +4,8 @@
 } from 'vitest';
 import {at, createUpstream as upstream} from '../../core/gateway/__tests__/fixtures.js';
 import {ignore} from '../../entry/ignore.js';
-import {Registrations} from '../registrations.js';
-import {Upstreams} from '../upstreams.js';
+import {Registrations} from '../upstreams/registrations.js';
+import {Upstreams} from '../upstreams/upstreams.js';
 
 beforeEach(() => {
 	vi.useFakeTimers({now: 0});
--- a/src/gateway/__tests__/reputation.test.ts
+++ b/src/gateway/__tests__/reputation.test.ts
@@ -2,8 +2,8 @@
 import {expect, it} from 'vitest';
 import {type GatewayUpstream} from '../../core/gateway/types.js';
 import {type Log} from '../../entry/logs.js';
-import {Reputation} from '../reputation.js';
-import {Upstreams} from '../upstreams.js';
+import {Reputation} from '../upstreams/reputation.js';
+import {Upstreams} from '../upstreams/upstreams.js';
 
 type Line = {readonly event: string; readonly domain?: unknown};
 
--- a/src/gateway/__tests__/response-buffers.test.ts
+++ b/src/gateway/__tests__/response-buffers.test.ts
@@ -4,7 +4,7 @@
 import {type ServerResponse} from 'node:http';
 import {Readable} from 'node:stream';
 import {describe, expect, it} from 'vitest';
-import {type Reply} from '../attempt.js';
+import {type Reply} from '../upstreams/attempt.js';
 import {GatewayMetrics} from '../metrics.js';
 import {ResponseBuffer} from '../callers/response-buffer.js';
 import {ResponseBuffers} from '../callers/response-buffers.js';
--- a/src/gateway/__tests__/self-reports.test.ts
+++ b/src/gateway/__tests__/self-reports.test.ts
@@ -1,7 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {type UpstreamStatement} from '../../core/gateway/limits/upstream-reports.js';
 import {fromWireReport, toWireReport} from '../peers/messages.js';
-import {SelfReports} from '../self-reports.js';
+import {SelfReports} from '../upstreams/self-reports.js';
 
 const process = {upstream: 'e1', started: 7};
 const messageDelayMs = 5;
--- a/src/gateway/callers/caller-response.ts
+++ b/src/gateway/callers/caller-response.ts
@@ -4,7 +4,7 @@
 import {isIdempotent, type AttemptEnding, type CancelReason} from '../../core/gateway/limits/retries.js';
 import {type Route} from '../../core/gateway/types.js';
 import {sendAnswer, notRunStatuses, type AnswerName} from './answers.js';
-import {type Reply} from '../attempt.js';
+import {type Reply} from '../upstreams/attempt.js';
 import {
 	isStream, readBody, forwardEvents, forwardLongBody, writeHead, type ResponseBody,
 } from './response-forwarding.js';
--- a/src/gateway/callers/response-forwarding.ts
+++ b/src/gateway/callers/response-forwarding.ts
@@ -3,7 +3,7 @@
 import {type ServerResponse} from 'node:http';
 import {messageOf} from '../../core/index.js';
 import {type AttemptEnding} from '../../core/gateway/limits/retries.js';
-import {type Reply} from '../attempt.js';
+import {type Reply} from '../upstreams/attempt.js';
 import {EventSplitter} from './events.js';
 import {filterEndToEndHeaders} from './headers.js';
 import {type ReadingObserver, type ResponseBuffer} from './response-buffer.js';
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -4,7 +4,7 @@
 import {Clock} from '../entry/clock.js';
 import {DisposalStack} from '../entry/disposal-stack.js';
 import {type Log} from '../entry/logs.js';
-import {UpstreamAgent} from './agent.js';
+import {UpstreamAgent} from './upstreams/agent.js';
 import {type EngineControl, type EngineControlOptions, type HeaderFormat} from './platform-adapter.js';
 import {Gateway} from './gateway.js';
 import {Holds} from './holds.js';
--- a/src/gateway/dispatch.ts
+++ b/src/gateway/dispatch.ts
@@ -16,7 +16,7 @@
 import {roundTo} from '../core/utils/numbers.js';
 import {computeFingerprint} from './callers/admission.js';
 import {selectAnswer} from './callers/answers.js';
-import {Attempt} from './attempt.js';
+import {Attempt} from './upstreams/attempt.js';
 import {type CallerResponse, type StopReason} from './callers/caller-response.js';
 import {listHelpers} from './helpers.js';
 import {MemoryWait} from './memory-wait.js';
@@ -24,8 +24,8 @@
 import {Rerouter} from './rerouter.js';
 import {type GatewayServices} from './services.js';
 import {type RequestTrace} from './trace.js';
-import {AttemptVerdicts} from './attempt-verdicts.js';
-import {StallDetector} from './stall-detector.js';
+import {AttemptVerdicts} from './upstreams/attempt-verdicts.js';
+import {StallDetector} from './upstreams/stall-detector.js';
 
 /** Longest time, in milliseconds, until a waiting request notices that its caller has left. */
 const maxSleepMs = 100;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -21,22 +21,22 @@
 } from '../core/gateway/types.js';
 import {type Clock, type Timestamp} from '../entry/clock.js';
 import {type Log} from '../entry/logs.js';
-import {ColdUpstreams} from './cold-starts.js';
-import {Convictions} from './convictions.js';
+import {ColdUpstreams} from './upstreams/cold-starts.js';
+import {Convictions} from './upstreams/convictions.js';
 import {LoadUpdates} from './load-updates.js';
-import {EnginePaces} from './engine-paces.js';
+import {EnginePaces} from './upstreams/engine-paces.js';
 import {MemoryQueue} from './memory-queue.js';
 import {FleetView} from './peers/fleet-view.js';
 import {OrganisationShares, type CountedShare} from './organisation-shares.js';
 import {type Host, type Message} from './peers/messages.js';
 import {Peers} from './peers/peers.js';
 import {type PeerState} from './peers/state.js';
-import {Registrations} from './registrations.js';
-import {Reputation} from './reputation.js';
-import {SelfReports} from './self-reports.js';
+import {Registrations} from './upstreams/registrations.js';
+import {Reputation} from './upstreams/reputation.js';
+import {SelfReports} from './upstreams/self-reports.js';
 import {type Settings} from './settings.js';
 import {StateSync} from './state-sync.js';
-import {Upstreams} from './upstreams.js';
+import {Upstreams} from './upstreams/upstreams.js';
 
 /** Share of the revocation bound for which keys are accepted without confirmation from the store; the rest is for requests in progress. */
 const keyTrustShare = 0.94;
--- a/src/gateway/rerouter.ts
+++ b/src/gateway/rerouter.ts
@@ -4,7 +4,7 @@
 import {roundTo} from '../core/utils/numbers.js';
 import {type Attempts} from '../core/gateway/placement/attempts.js';
 import {type Demand} from '../core/gateway/types.js';
-import {type Attempt} from './attempt.js';
+import {type Attempt} from './upstreams/attempt.js';
 import {type Gateway} from './gateway.js';
 import {type RequestTrace} from './trace.js';
 
--- a/src/gateway/attempt-verdicts.ts
+++ b/src/gateway/upstreams/attempt-verdicts.ts
@@ -1,9 +1,9 @@
 /** Records the results of ended attempts: health of upstreams, suspected requests, and upstreams that a retry may use. */
-import {endingToVerdict} from '../core/gateway/health/health.js';
-import {type AttemptEnding} from '../core/gateway/limits/retries.js';
-import {type Attempts} from '../core/gateway/placement/attempts.js';
+import {endingToVerdict} from '../../core/gateway/health/health.js';
+import {type AttemptEnding} from '../../core/gateway/limits/retries.js';
+import {type Attempts} from '../../core/gateway/placement/attempts.js';
 import {type EndedAttempt, type Reply} from './attempt.js';
-import {type Gateway} from './gateway.js';
+import {type Gateway} from '../gateway.js';
 
 export class AttemptVerdicts {
 	readonly #gateway: Gateway;
--- a/src/gateway/attempt.ts
+++ b/src/gateway/upstreams/attempt.ts
@@ -4,9 +4,9 @@
 	request, type Agent, type ClientRequest, type IncomingMessage,
 } from 'node:http';
 import {type Socket} from 'node:net';
-import {type Address} from '../core/index.js';
-import {type AttemptEnding, type CancelReason} from '../core/gateway/limits/retries.js';
-import {type HeaderFormat, type ResponseMetadata} from './platform-adapter.js';
+import {type Address} from '../../core/index.js';
+import {type AttemptEnding, type CancelReason} from '../../core/gateway/limits/retries.js';
+import {type HeaderFormat, type ResponseMetadata} from '../platform-adapter.js';
 
 /**
  * Covers several round trips between regions. A lost SYN packet is retransmitted only after a second; failing earlier leaves time for
--- a/src/gateway/cold-starts.ts
+++ b/src/gateway/upstreams/cold-starts.ts
@@ -1,11 +1,11 @@
 /** Keeps which upstreams are cold, from registrations, peers and starts that this host observes, shares it with peers, and logs it. */
-import {ColdStarts, type ColdBound, type ColdShare} from '../core/gateway/limits/cold-starts.js';
-import {type Obstacle} from '../core/gateway/placement/eligibility.js';
-import {type Job} from '../core/gateway/engines/load.js';
-import {Settling} from '../core/gateway/limits/settling.js';
-import {type ColdStart, type GatewayUpstream} from '../core/gateway/types.js';
-import {type ColdReport} from '../core/gateway/limits/upstream-reports.js';
-import {type Log} from '../entry/logs.js';
+import {ColdStarts, type ColdBound, type ColdShare} from '../../core/gateway/limits/cold-starts.js';
+import {type Obstacle} from '../../core/gateway/placement/eligibility.js';
+import {type Job} from '../../core/gateway/engines/load.js';
+import {Settling} from '../../core/gateway/limits/settling.js';
+import {type ColdStart, type GatewayUpstream} from '../../core/gateway/types.js';
+import {type ColdReport} from '../../core/gateway/limits/upstream-reports.js';
+import {type Log} from '../../entry/logs.js';
 import {type RegistrationSource} from './upstreams.js';
 
 /** Time over which hosts spread their use of the next allowed request, in a large and in a small fleet. */
--- a/src/gateway/convictions.ts
+++ b/src/gateway/upstreams/convictions.ts
@@ -2,10 +2,10 @@
  * Detects requests that crash upstreams, together with the other hosts. A crash makes the request that ran there suspected; after several
  * crashes the request is convicted and no longer run; it is acquitted when it is answered or the crash turns out not to have happened.
  */
-import {type Crash} from '../core/gateway/health/suspects.js';
-import {type Clock} from '../entry/clock.js';
-import {type Message} from './peers/messages.js';
-import {type Peers} from './peers/peers.js';
+import {type Crash} from '../../core/gateway/health/suspects.js';
+import {type Clock} from '../../entry/clock.js';
+import {type Message} from '../peers/messages.js';
+import {type Peers} from '../peers/peers.js';
 import {type Reputation} from './reputation.js';
 import {type Upstreams} from './upstreams.js';
 
--- a/src/gateway/engine-paces.ts
+++ b/src/gateway/upstreams/engine-paces.ts
@@ -1,10 +1,10 @@
 /** Keeps the paces of engines, shares them with peers, and logs their changes. */
 import {
 	configuredPace, isPace, Paces, type Pace, type PaceReport, type PaceSample,
-} from '../core/gateway/engines/paces.js';
-import {type UpstreamProcess} from '../core/gateway/types.js';
-import {roundTo} from '../core/utils/numbers.js';
-import {type Log} from '../entry/logs.js';
+} from '../../core/gateway/engines/paces.js';
+import {type UpstreamProcess} from '../../core/gateway/types.js';
+import {roundTo} from '../../core/utils/numbers.js';
+import {type Log} from '../../entry/logs.js';
 
 /** Shortest time between two log lines on bad reports, and between two on the same engine, in milliseconds. */
 const lineIntervalMs = 1000;
--- a/src/gateway/evacuation-reporter.ts
+++ b/src/gateway/upstreams/evacuation-reporter.ts
@@ -1,7 +1,7 @@
 /** Logs which failure domains are evacuated, and ends evacuations whose orders were lost when the store returned from a backup. */
-import {maxEvacuatedDomains} from '../core/gateway/registry/evacuations.js';
-import {type Registry} from '../core/gateway/registry/registry.js';
-import {type Log} from '../entry/logs.js';
+import {maxEvacuatedDomains} from '../../core/gateway/registry/evacuations.js';
+import {type Registry} from '../../core/gateway/registry/registry.js';
+import {type Log} from '../../entry/logs.js';
 import {describeSource, type RegistrationSource, type Upstreams} from './upstreams.js';
 
 export type EvacuationReporterOptions = {
--- a/src/gateway/registrations.ts
+++ b/src/gateway/upstreams/registrations.ts
@@ -1,12 +1,12 @@
 /** Keeps the usable upstreams in sync with the platform's registry, as read from its store or received from peers. */
-import {assertNever} from '../core/index.js';
-import {isAfter, type StorePosition} from '../core/gateway/registry/position.js';
-import {StoreOutages} from '../core/gateway/registry/store-outages.js';
+import {assertNever} from '../../core/index.js';
+import {isAfter, type StorePosition} from '../../core/gateway/registry/position.js';
+import {StoreOutages} from '../../core/gateway/registry/store-outages.js';
 import {
 	noDifference, Registry, type RegistryChange, type RegistryDifference,
-} from '../core/gateway/registry/registry.js';
-import {type GatewayUpstream} from '../core/gateway/types.js';
-import {type Log} from '../entry/logs.js';
+} from '../../core/gateway/registry/registry.js';
+import {type GatewayUpstream} from '../../core/gateway/types.js';
+import {type Log} from '../../entry/logs.js';
 import {EvacuationReporter} from './evacuation-reporter.js';
 import {type RegistrationSource, type Upstreams} from './upstreams.js';
 
--- a/src/gateway/reputation.ts
+++ b/src/gateway/upstreams/reputation.ts
@@ -1,11 +1,11 @@
 /** Tracks the health of upstreams, the reachability of failure domains and suspected requests from attempts and peers; logs each change. */
-import {absenceToVerdict, type Absence} from '../core/gateway/health/absences.js';
-import {Health, type Verdict} from '../core/gateway/health/health.js';
-import {Reachability} from '../core/gateway/health/reachability.js';
-import {Suspects, type Crash} from '../core/gateway/health/suspects.js';
-import {type GatewayUpstream} from '../core/gateway/types.js';
-import {roundTo} from '../core/utils/numbers.js';
-import {type Log} from '../entry/logs.js';
+import {absenceToVerdict, type Absence} from '../../core/gateway/health/absences.js';
+import {Health, type Verdict} from '../../core/gateway/health/health.js';
+import {Reachability} from '../../core/gateway/health/reachability.js';
+import {Suspects, type Crash} from '../../core/gateway/health/suspects.js';
+import {type GatewayUpstream} from '../../core/gateway/types.js';
+import {roundTo} from '../../core/utils/numbers.js';
+import {type Log} from '../../entry/logs.js';
 
 export type ReputationOptions = {
 	readonly failureDomain: string;
--- a/src/gateway/self-reports.ts
+++ b/src/gateway/upstreams/self-reports.ts
@@ -1,14 +1,14 @@
 /** Keeps what upstreams report about themselves in their responses to this host and its peers, shares changes with peers, and logs them. */
-import {assertNever} from '../core/index.js';
-import {Departures} from '../core/gateway/limits/departures.js';
-import {type Obstacle} from '../core/gateway/placement/eligibility.js';
-import {Pauses} from '../core/gateway/limits/pauses.js';
-import {RateLimits, type RateLimitReport} from '../core/gateway/limits/rate-limits.js';
-import {type RateShare} from '../core/gateway/limits/rate-schedule.js';
-import {type GatewayUpstream, type UpstreamProcess} from '../core/gateway/types.js';
-import {type UpstreamStatement} from '../core/gateway/limits/upstream-reports.js';
-import {type Log} from '../entry/logs.js';
-import {type SelfReport} from './platform-adapter.js';
+import {assertNever} from '../../core/index.js';
+import {Departures} from '../../core/gateway/limits/departures.js';
+import {type Obstacle} from '../../core/gateway/placement/eligibility.js';
+import {Pauses} from '../../core/gateway/limits/pauses.js';
+import {RateLimits, type RateLimitReport} from '../../core/gateway/limits/rate-limits.js';
+import {type RateShare} from '../../core/gateway/limits/rate-schedule.js';
+import {type GatewayUpstream, type UpstreamProcess} from '../../core/gateway/types.js';
+import {type UpstreamStatement} from '../../core/gateway/limits/upstream-reports.js';
+import {type Log} from '../../entry/logs.js';
+import {type SelfReport} from '../platform-adapter.js';
 
 export type SelfReportsOptions = {
 	readonly log: Pick<Log, 'write'>;
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams/upstreams.ts
@@ -1,7 +1,7 @@
 /** The usable upstreams, as registered at present. */
-import {type StorePosition} from '../core/gateway/registry/position.js';
-import {type GatewayUpstream} from '../core/gateway/types.js';
-import {type Log} from '../entry/logs.js';
+import {type StorePosition} from '../../core/gateway/registry/position.js';
+import {type GatewayUpstream} from '../../core/gateway/types.js';
+import {type Log} from '../../entry/logs.js';
 
 export type UpstreamEvents = {
 	/** Another process has registered under the id. */
