--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -5,9 +5,9 @@
 import {type AddressInfo} from 'node:net';
 import {expect, it} from 'vitest';
 import {type CallerResponse} from '../callers/caller-response.js';
-import {Dispatch, type AdmittedRequest} from '../dispatch.js';
+import {Dispatch, type AdmittedRequest} from '../requests/dispatch.js';
 import {type GatewayServices} from '../services.js';
-import {type RequestTrace} from '../trace.js';
+import {type RequestTrace} from '../requests/trace.js';
 
 it('ends a request whose deadline passed before it was sent, even if no timer could fire', async () => {
 	const server = createServer();
--- a/src/gateway/__tests__/holds.test.ts
+++ b/src/gateway/__tests__/holds.test.ts
@@ -3,7 +3,7 @@
 	afterEach, beforeEach, expect, it, vi,
 } from 'vitest';
 import {ignore} from '../../entry/ignore.js';
-import {Hold} from '../holds.js';
+import {Hold} from '../requests/holds.js';
 import {type EngineProcess} from '../platform-adapter.js';
 
 beforeEach(() => {
--- a/src/gateway/__tests__/memory-fleet.ts
+++ b/src/gateway/__tests__/memory-fleet.ts
@@ -11,7 +11,7 @@
 } from '../../core/gateway/placement/placement.js';
 import {defaultPolicy} from '../../core/gateway/placement/policy.js';
 import {type Demand, type EngineModel, type GatewayUpstream} from '../../core/gateway/types.js';
-import {MemoryQueue} from '../memory-queue.js';
+import {MemoryQueue} from '../requests/memory-queue.js';
 
 export const fleetModel: EngineModel = {
 	slots: 8, memory: 197_200, stride: 43, step: 1.02, perRequest: 0.003_29, perThousand: 0.004_31, readRate: 206, pairs: 0.138, chunk: 2048, hop: 0.075, usualPrompt: 14_000, usualAnswer: 1303,
--- a/src/gateway/__tests__/memory-queue.test.ts
+++ b/src/gateway/__tests__/memory-queue.test.ts
@@ -3,7 +3,7 @@
 import {Load, type Job} from '../../core/gateway/engines/load.js';
 import {type MemoryClaim} from '../../core/gateway/engines/memory-admission.js';
 import {type Demand} from '../../core/gateway/types.js';
-import {MemoryQueue} from '../memory-queue.js';
+import {MemoryQueue} from '../requests/memory-queue.js';
 import {fromWireClaim, toWireClaim} from '../peers/messages.js';
 import {
 	fleetModel, MemoryFleet, type Kind, type Outcome,
--- a/src/gateway/__tests__/response-buffers.test.ts
+++ b/src/gateway/__tests__/response-buffers.test.ts
@@ -9,7 +9,7 @@
 import {ResponseBuffer} from '../callers/response-buffer.js';
 import {ResponseBuffers} from '../callers/response-buffers.js';
 import {forwardEvents, readBody} from '../callers/response-forwarding.js';
-import {type RequestTrace} from '../trace.js';
+import {type RequestTrace} from '../requests/trace.js';
 
 /** A caller that takes bytes only on request. */
 // eslint-disable-next-line unicorn/prefer-event-target -- Responses of Node.js are event emitters.
--- a/src/gateway/callers/caller-response.ts
+++ b/src/gateway/callers/caller-response.ts
@@ -10,7 +10,7 @@
 } from './response-forwarding.js';
 import {ResponseBuffer, type ReadingObserver} from './response-buffer.js';
 import {type ResponseBuffers} from './response-buffers.js';
-import {type RequestTrace} from '../trace.js';
+import {type RequestTrace} from '../requests/trace.js';
 
 /** Why the gateway stops working on a request. */
 export type StopReason = Extract<CancelReason, 'caller left' | 'time over'>;
--- a/src/gateway/callers/exchange.ts
+++ b/src/gateway/callers/exchange.ts
@@ -6,9 +6,9 @@
 import {admit, type RoutedResolution} from './admission.js';
 import {CallerResponse, baseRetryAfterSeconds, type StopReason} from './caller-response.js';
 import {type RequestMetadata} from '../platform-adapter.js';
-import {Dispatch} from '../dispatch.js';
+import {Dispatch} from '../requests/dispatch.js';
 import {type GatewayServices} from '../services.js';
-import {RequestTrace} from '../trace.js';
+import {RequestTrace} from '../requests/trace.js';
 
 /** Retry-After of callers refused because the configuration may be missing or stale: the store is read once per second. */
 const unconfiguredRetryAfterSeconds = 1;
--- a/src/gateway/callers/response-buffer.ts
+++ b/src/gateway/callers/response-buffer.ts
@@ -4,7 +4,7 @@
 import {type ServerResponse} from 'node:http';
 import {setImmediate as turn} from 'node:timers/promises';
 import {type ResponseBuffers} from './response-buffers.js';
-import {type RequestTrace} from '../trace.js';
+import {type RequestTrace} from '../requests/trace.js';
 
 /** Most bytes that are handed to a socket at once; a caller's progress is noticed per piece. */
 const maxPieceBytes = 65_536;
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -7,7 +7,7 @@
 import {UpstreamAgent} from './upstreams/agent.js';
 import {type EngineControl, type EngineControlOptions, type HeaderFormat} from './platform-adapter.js';
 import {Gateway} from './gateway.js';
-import {Holds} from './holds.js';
+import {Holds} from './requests/holds.js';
 import {GatewayMetrics, MetricsListener} from './metrics.js';
 import {ResponseBuffers} from './callers/response-buffers.js';
 import {CallerListener, ReadyListener} from './callers/server.js';
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -25,7 +25,7 @@
 import {Convictions} from './upstreams/convictions.js';
 import {LoadUpdates} from './load-updates.js';
 import {EnginePaces} from './upstreams/engine-paces.js';
-import {MemoryQueue} from './memory-queue.js';
+import {MemoryQueue} from './requests/memory-queue.js';
 import {FleetView} from './peers/fleet-view.js';
 import {OrganisationShares, type CountedShare} from './organisation-shares.js';
 import {type Host, type Message} from './peers/messages.js';
--- a/src/gateway/helpers.ts
+++ b/src/gateway/requests/helpers.ts
@@ -1,6 +1,6 @@
 /** Lists the engines that help with the prefill of a prompt, as they are sent to the upstream. */
-import {type Placement} from '../core/gateway/placement/placement.js';
-import {type Helper} from './platform-adapter.js';
+import {type Placement} from '../../core/gateway/placement/placement.js';
+import {type Helper} from '../platform-adapter.js';
 import {type Hold} from './holds.js';
 
 /**
--- a/src/gateway/holds.ts
+++ b/src/gateway/requests/holds.ts
@@ -1,8 +1,8 @@
 /** Reserves KV memory at several engines for one prompt, all or nothing. Holds are renewed while in use and released at the end. */
-import {messageOf} from '../core/index.js';
-import {type Log} from '../entry/logs.js';
-import {type EngineControl, type EngineProcess} from './platform-adapter.js';
-import {type GatewayMetrics} from './metrics.js';
+import {messageOf} from '../../core/index.js';
+import {type Log} from '../../entry/logs.js';
+import {type EngineControl, type EngineProcess} from '../platform-adapter.js';
+import {type GatewayMetrics} from '../metrics.js';
 
 /**
  * If this host dies, engines free the memory after one lease at the latest. The lease outlasts the longest engine iteration, which is
--- a/src/gateway/memory-queue.ts
+++ b/src/gateway/requests/memory-queue.ts
@@ -2,15 +2,15 @@
  * Requests of this host that wait for KV memory, and the memory that hosts keep for their first one. Hosts announce it with their load
  * updates; a claim that is not renewed lapses, so that a host that dies or is cut off keeps no memory from others.
  */
-import {estimatePrefill, footprint} from '../core/gateway/engines/engine.js';
-import {type Load} from '../core/gateway/engines/load.js';
-import {overheadMs} from '../core/gateway/engines/losses.js';
+import {estimatePrefill, footprint} from '../../core/gateway/engines/engine.js';
+import {type Load} from '../../core/gateway/engines/load.js';
+import {overheadMs} from '../../core/gateway/engines/losses.js';
 import {
 	compareTurns, decideWait, limitMemory, subtractClaims, type MemoryClaim, type MemoryDecision, type MemoryDemand, type MemoryPlan,
-} from '../core/gateway/engines/memory-admission.js';
-import {forecastMemory} from '../core/gateway/engines/memory-forecast.js';
-import {defaultPolicy} from '../core/gateway/placement/policy.js';
-import {type Demand, type EngineModel, type Prompt} from '../core/gateway/types.js';
+} from '../../core/gateway/engines/memory-admission.js';
+import {forecastMemory} from '../../core/gateway/engines/memory-forecast.js';
+import {defaultPolicy} from '../../core/gateway/placement/policy.js';
+import {type Demand, type EngineModel, type Prompt} from '../../core/gateway/types.js';
 
 /** Requests that may wait at one host. Their bodies stay in memory, and those of the longest prompts have megabytes. */
 const maxWaiting = 16;
--- a/src/gateway/memory-wait.ts
+++ b/src/gateway/requests/memory-wait.ts
@@ -1,8 +1,8 @@
 /** The wait of one request for KV memory: when it tries again, and what the log and the metrics say of it. */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {type Eligibility} from '../core/gateway/placement/attempts.js';
-import {type Demand} from '../core/gateway/types.js';
-import {type GatewayServices} from './services.js';
+import {type Eligibility} from '../../core/gateway/placement/attempts.js';
+import {type Demand} from '../../core/gateway/types.js';
+import {type GatewayServices} from '../services.js';
 import {type RequestTrace} from './trace.js';
 
 /** Interval in which a waiting request notices that memory became free, that its caller has left or that this host stops. */
--- a/src/gateway/rerouter.ts
+++ b/src/gateway/requests/rerouter.ts
@@ -1,11 +1,11 @@
 /** Reroutes a running stream to another engine when staying would cost its caller clearly more. */
-import {isWorthRerouting} from '../core/gateway/placement/rerouting.js';
-import {type Placement} from '../core/gateway/placement/placement.js';
-import {roundTo} from '../core/utils/numbers.js';
-import {type Attempts} from '../core/gateway/placement/attempts.js';
-import {type Demand} from '../core/gateway/types.js';
-import {type Attempt} from './upstreams/attempt.js';
-import {type Gateway} from './gateway.js';
+import {isWorthRerouting} from '../../core/gateway/placement/rerouting.js';
+import {type Placement} from '../../core/gateway/placement/placement.js';
+import {roundTo} from '../../core/utils/numbers.js';
+import {type Attempts} from '../../core/gateway/placement/attempts.js';
+import {type Demand} from '../../core/gateway/types.js';
+import {type Attempt} from '../upstreams/attempt.js';
+import {type Gateway} from '../gateway.js';
 import {type RequestTrace} from './trace.js';
 
 /** A stream that is running at an engine. */
--- a/src/gateway/trace.ts
+++ b/src/gateway/requests/trace.ts
@@ -1,10 +1,10 @@
 /** Records the course of one request in the log and the metrics. */
-import {messageOf} from '../core/index.js';
-import {type Attempts} from '../core/gateway/placement/attempts.js';
-import {type Route} from '../core/gateway/types.js';
-import {type RequestMetadata} from './platform-adapter.js';
-import {classifyLength} from './metrics.js';
-import {type GatewayServices} from './services.js';
+import {messageOf} from '../../core/index.js';
+import {type Attempts} from '../../core/gateway/placement/attempts.js';
+import {type Route} from '../../core/gateway/types.js';
+import {type RequestMetadata} from '../platform-adapter.js';
+import {classifyLength} from '../metrics.js';
+import {type GatewayServices} from '../services.js';
 
 /** Times are in milliseconds. */
 export class RequestTrace {
--- a/src/gateway/services.ts
+++ b/src/gateway/services.ts
@@ -4,7 +4,7 @@
 import {type Log} from '../entry/logs.js';
 import {type HeaderFormat} from './platform-adapter.js';
 import {type Gateway} from './gateway.js';
-import {type Holds} from './holds.js';
+import {type Holds} from './requests/holds.js';
 import {type GatewayMetrics} from './metrics.js';
 import {type ResponseBuffers} from './callers/response-buffers.js';
 
