--- a/src/gateway/__tests__/load-requester.test.ts
+++ b/src/gateway/__tests__/load-requester.test.ts
@@ -2,7 +2,7 @@
 import {
 	afterEach, beforeEach, expect, it, vi,
 } from 'vitest';
-import {LoadRequester} from '../load-requester.js';
+import {LoadRequester} from '../sharing/load-requester.js';
 
 beforeEach(() => {
 	vi.useFakeTimers();
--- a/src/gateway/__tests__/relays.test.ts
+++ b/src/gateway/__tests__/relays.test.ts
@@ -8,7 +8,7 @@
 import {Load, type Job} from '../../core/gateway/engines/load.js';
 import {ignore} from '../../entry/ignore.js';
 import {type Log} from '../../entry/logs.js';
-import {LoadUpdates} from '../load-updates.js';
+import {LoadUpdates} from '../sharing/load-updates.js';
 import {type Host, type Message} from '../peers/messages.js';
 import {Peers} from '../peers/peers.js';
 import {selectRelays} from '../peers/topology.js';
--- a/src/gateway/__tests__/state-sync.test.ts
+++ b/src/gateway/__tests__/state-sync.test.ts
@@ -3,7 +3,7 @@
 import {Clock} from '../../entry/clock.js';
 import {type Gateway} from '../gateway.js';
 import {createMessageReader, type Message} from '../peers/messages.js';
-import {StateSync} from '../state-sync.js';
+import {StateSync} from '../sharing/state-sync.js';
 
 function setUp() {
 	const sent: Message[] = [];
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -23,7 +23,7 @@
 import {type Log} from '../entry/logs.js';
 import {ColdUpstreams} from './upstreams/cold-starts.js';
 import {Convictions} from './upstreams/convictions.js';
-import {LoadUpdates} from './load-updates.js';
+import {LoadUpdates} from './sharing/load-updates.js';
 import {EnginePaces} from './upstreams/engine-paces.js';
 import {MemoryQueue} from './requests/memory-queue.js';
 import {FleetView} from './peers/fleet-view.js';
@@ -35,7 +35,7 @@
 import {Reputation} from './upstreams/reputation.js';
 import {SelfReports} from './upstreams/self-reports.js';
 import {type Settings} from './settings.js';
-import {StateSync} from './state-sync.js';
+import {StateSync} from './sharing/state-sync.js';
 import {Upstreams} from './upstreams/upstreams.js';
 
 /** Share of the revocation bound for which keys are accepted without confirmation from the store; the rest is for requests in progress. */
--- a/src/gateway/load-batch.ts
+++ b/src/gateway/sharing/load-batch.ts
@@ -1,9 +1,9 @@
 /** Collects changes of load that are sent in one message. */
-import {type Absence} from '../core/gateway/health/absences.js';
-import {type Job} from '../core/gateway/engines/load.js';
-import {type MemoryClaim} from '../core/gateway/engines/memory-admission.js';
-import {type PaceReport} from '../core/gateway/engines/paces.js';
-import {type UpstreamReport} from '../core/gateway/limits/upstream-reports.js';
+import {type Absence} from '../../core/gateway/health/absences.js';
+import {type Job} from '../../core/gateway/engines/load.js';
+import {type MemoryClaim} from '../../core/gateway/engines/memory-admission.js';
+import {type PaceReport} from '../../core/gateway/engines/paces.js';
+import {type UpstreamReport} from '../../core/gateway/limits/upstream-reports.js';
 
 export type LoadChanges = {
 	readonly began: readonly Job[];
--- a/src/gateway/load-requester.ts
+++ b/src/gateway/sharing/load-requester.ts
@@ -1,5 +1,5 @@
 /** Requests pending load updates from the relay just before a placement, so that none need to arrive between placements. */
-import {type LoadResponse} from './peers/messages.js';
+import {type LoadResponse} from '../peers/messages.js';
 
 /** How long a placement waits for the relay: several times the round trip within a failure domain. */
 const responseTimeoutMs = 10;
--- a/src/gateway/load-updates.ts
+++ b/src/gateway/sharing/load-updates.ts
@@ -5,21 +5,21 @@
  * requests them before a placement or may have to reroute a running request; the batches of the other hosts stay whole: with hundreds of
  * hosts that each serve one or two requests a second, a host needs most updates only when its next request arrives.
  */
-import {appliesIn, type Absence} from '../core/gateway/health/absences.js';
-import {type Job, type Load} from '../core/gateway/engines/load.js';
-import {disruptivePrefillMs, hasToYield, canCauseReroute} from '../core/gateway/placement/rerouting.js';
-import {findDisruptedStreams} from '../core/gateway/engines/losses.js';
-import {type MemoryClaim} from '../core/gateway/engines/memory-admission.js';
-import {isPace, type PaceReport} from '../core/gateway/engines/paces.js';
-import {type EngineModel} from '../core/gateway/types.js';
-import {type UpstreamReport} from '../core/gateway/limits/upstream-reports.js';
+import {appliesIn, type Absence} from '../../core/gateway/health/absences.js';
+import {type Job, type Load} from '../../core/gateway/engines/load.js';
+import {disruptivePrefillMs, hasToYield, canCauseReroute} from '../../core/gateway/placement/rerouting.js';
+import {findDisruptedStreams} from '../../core/gateway/engines/losses.js';
+import {type MemoryClaim} from '../../core/gateway/engines/memory-admission.js';
+import {isPace, type PaceReport} from '../../core/gateway/engines/paces.js';
+import {type EngineModel} from '../../core/gateway/types.js';
+import {type UpstreamReport} from '../../core/gateway/limits/upstream-reports.js';
 import {LoadBatch, type LoadChanges} from './load-batch.js';
 import {LoadRequester} from './load-requester.js';
 import {
 	fromWireClaim, fromWireCold, fromWireJob, fromWirePace, fromWireReport, isTag, toWireClaim, toWireCold, toWireJob, toWirePace, toWireReport,
 	type Host, type HostsLost, type LoadUpdate, type LoadResponse, type LoadRequest, type Message,
-} from './peers/messages.js';
-import {type Peers} from './peers/peers.js';
+} from '../peers/messages.js';
+import {type Peers} from '../peers/peers.js';
 
 /** Collects changes into one message; shorter than an engine iteration. */
 const updateDelayMs = 3;
--- a/src/gateway/state-sync.ts
+++ b/src/gateway/sharing/state-sync.ts
@@ -2,11 +2,11 @@
  * Reduces reads of the platform's store: in a failure domain with many hosts, only the relays read it, and the other hosts request the
  * state from them. A host that can't reach a relay reads the store itself; one that can't reach the store asks any linked host.
  */
-import {type GatewayConfiguration} from '../core/gateway/types.js';
-import {type Clock, type Timestamp} from '../entry/clock.js';
-import {type Gateway} from './gateway.js';
-import {encode} from './peers/messages.js';
-import {type PeerState, type StateRequest, type StateSummary} from './peers/state.js';
+import {type GatewayConfiguration} from '../../core/gateway/types.js';
+import {type Clock, type Timestamp} from '../../entry/clock.js';
+import {type Gateway} from '../gateway.js';
+import {encode} from '../peers/messages.js';
+import {type PeerState, type StateRequest, type StateSummary} from '../peers/state.js';
 
 /**
  * Smallest failure domain whose hosts share reads; with fewer hosts there are too few calls to save. With 70 hosts that each read once a
