--- a/src/core/gateway/engines/load.ts
+++ b/src/core/gateway/engines/load.ts
@@ -1,9 +1,9 @@
 /** Tracks the jobs at each upstream, from this host and from the load updates of its peers, and forecasts engine load from them. */
+import {type EngineModel} from '../types.js';
 import {computePartMemory, footprint, estimateDecodeIteration} from './engine.js';
 import {defaultUrgency} from './urgency.js';
 import {configuredPace, type Pace, type PaceFinder} from './paces.js';
 import {estimateSlotWait, type Occupant} from './queue.js';
-import {type EngineModel} from '../types.js';
 
 /** Kind of placement: the request's first, a retry after an upstream received it, or one after attempts that reached no upstream. */
 export type PlacementKind = 'first' | 'retry' | 'unreached before';
--- a/src/core/gateway/engines/losses.ts
+++ b/src/core/gateway/engines/losses.ts
@@ -1,10 +1,10 @@
 /** Estimates the expected loss of callers for a choice of engines, in requests of usual weight. */
-import {type PrefillTime} from './engine.js';
-import {type Forecast, type Job} from './load.js';
 import {type Policy} from '../placement/policy.js';
 import {
 	type Demand, type EngineModel, type GatewayUpstream, type Prompt,
 } from '../types.js';
+import {type PrefillTime} from './engine.js';
+import {type Forecast, type Job} from './load.js';
 
 /** Share of a request's weight that is lost if it is served late. A request that is not served loses all of it. */
 export const lateLoss = 0.75;
--- a/src/core/gateway/engines/memory-admission.ts
+++ b/src/core/gateway/engines/memory-admission.ts
@@ -3,9 +3,9 @@
  * which memory is kept for a large one. Without it, prompts of several engines are refused while short ones take each part that becomes
  * free: an engine rarely has a third of its memory free at a time when two others do.
  */
+import {type EngineModel} from '../types.js';
 import {computePartMemory, estimatePrefill} from './engine.js';
 import {estimateFreeMemory, type EngineMemory} from './memory-forecast.js';
-import {type EngineModel} from '../types.js';
 
 /** A request that waits for memory. Times are monotonic, in milliseconds. */
 export type MemoryDemand = {
--- a/src/core/gateway/engines/memory-forecast.ts
+++ b/src/core/gateway/engines/memory-forecast.ts
@@ -1,7 +1,7 @@
 /** Forecasts when the jobs at an engine free their KV memory, for requests that wait for it. */
+import {type EngineModel} from '../types.js';
 import {memoryAt, type Load} from './load.js';
 import {estimateRemainingTime} from './queue.js';
-import {type EngineModel} from '../types.js';
 
 /** Memory that a job is expected to free. */
 export type MemoryRelease = {
--- a/src/core/gateway/engines/pace-sampler.ts
+++ b/src/core/gateway/engines/pace-sampler.ts
@@ -1,9 +1,9 @@
 /** Measures the pace of an engine during one attempt, from the arrival times of its events. */
+import {type Placement} from '../placement/placement.js';
+import {type EngineModel, type Prompt} from '../types.js';
 import {estimateDecodeIteration, estimatePrefill} from './engine.js';
 import {type Forecast, type Load} from './load.js';
 import {configuredPace, type PaceSample} from './paces.js';
-import {type Placement} from '../placement/placement.js';
-import {type EngineModel, type Prompt} from '../types.js';
 
 /** Shortest prefill in milliseconds, and least share of the predicted time to the first event, from which the pace of prefills is derived. */
 const minPrefillMs = 100;
--- a/src/core/gateway/limits/upstream-reports.ts
+++ b/src/core/gateway/limits/upstream-reports.ts
@@ -1,6 +1,6 @@
 /** What upstreams report about themselves in their responses and hosts tell each other. */
-import {type RateLimitReport} from './rate-limits.js';
 import {type UpstreamProcess} from '../types.js';
+import {type RateLimitReport} from './rate-limits.js';
 
 /** Upstream that is cold. */
 export type ColdReport = UpstreamProcess & {
--- a/src/core/gateway/placement/eligibility.ts
+++ b/src/core/gateway/placement/eligibility.ts
@@ -1,7 +1,7 @@
 /** Which upstreams a request may be sent to at present, and why the others accept none. */
 import {assertNever} from '../../utils/common.js';
-import {type Eligibility} from './attempts.js';
 import {type GatewayUpstream} from '../types.js';
+import {type Eligibility} from './attempts.js';
 
 /** Why an upstream accepts no new request of this host at present. Waits are in milliseconds until it accepts the next one. */
 export type Obstacle
--- a/src/core/gateway/placement/placement.ts
+++ b/src/core/gateway/placement/placement.ts
@@ -9,13 +9,13 @@
 	estimateDisruptionLoss, estimateOpeningLoss, estimateOwnLoss, estimatePrefillEnd, computeWeight, type Candidate,
 } from '../engines/losses.js';
 import {type Pace} from '../engines/paces.js';
-import {type Policy} from './policy.js';
-import {type Eligibility} from './attempts.js';
-import {findAccepting, type ObstacleFinder} from './eligibility.js';
 import {
 	type Demand, type EngineModel, type GatewayUpstream, type Prompt,
 } from '../types.js';
 import {urgencyOf} from '../engines/urgency.js';
+import {type Policy} from './policy.js';
+import {type Eligibility} from './attempts.js';
+import {findAccepting, type ObstacleFinder} from './eligibility.js';
 
 /** Shortest prompt, in prefill chunks, for which several engines are considered. */
 const minSharedChunks = 4;
--- a/src/core/gateway/placement/refusal.ts
+++ b/src/core/gateway/placement/refusal.ts
@@ -1,8 +1,8 @@
 /** Decides which requests are refused at once, and when their callers may retry. Limits the damage of bursts of long prompts on busy engines. */
 import {configuredPace} from '../engines/paces.js';
+import {type EngineModel} from '../types.js';
 import {type Placement} from './placement.js';
 import {type Policy} from './policy.js';
-import {type EngineModel} from '../types.js';
 
 /** Width of the random spread of retry delays, relative to the delay, so that callers refused together do not retry together. */
 const retryJitter = 0.6;
--- a/src/core/gateway/registry/registry.ts
+++ b/src/core/gateway/registry/registry.ts
@@ -1,9 +1,9 @@
 /** Replica of the platform's registry of upstreams, as of one position in the history of its store. */
+import {type GatewayUpstream} from '../types.js';
 import {Evacuations} from './evacuations.js';
 import {isAfter, noPosition, type StorePosition} from './position.js';
 import {isOutdatedRegistration} from './registration-order.js';
 import {Removals} from './removals.js';
-import {type GatewayUpstream} from '../types.js';
 
 /** Write or removal of an upstream, or of the order to evacuate a failure domain, at a position of the store. */
 export type RegistryChange
--- a/src/core/gateway/registry/removals.ts
+++ b/src/core/gateway/registry/removals.ts
@@ -1,6 +1,6 @@
 /** Remembers which upstreams have been removed, so that a store that returns from a backup doesn't bring them back. */
-import {isLaterStart} from './registration-order.js';
 import {type GatewayUpstream} from '../types.js';
+import {isLaterStart} from './registration-order.js';
 
 /** Longest list of removals; the oldest are forgotten first. */
 const maxRemovals = 2048;
--- a/src/gateway/callers/admission.ts
+++ b/src/gateway/callers/admission.ts
@@ -4,8 +4,8 @@
 import {type IncomingMessage} from 'node:http';
 import {assertNever} from '../../core/index.js';
 import {type Resolution} from '../../core/gateway/registry/directory.js';
-import {type AnswerName} from './answers.js';
 import {type Gateway} from '../gateway.js';
+import {type AnswerName} from './answers.js';
 
 export type RoutedResolution = Extract<Resolution, {readonly type: 'routed'}>;
 
--- a/src/gateway/callers/caller-response.ts
+++ b/src/gateway/callers/caller-response.ts
@@ -3,14 +3,14 @@
 import {assertNever} from '../../core/index.js';
 import {isIdempotent, type AttemptEnding, type CancelReason} from '../../core/gateway/limits/retries.js';
 import {type Route} from '../../core/gateway/types.js';
-import {sendAnswer, notRunStatuses, type AnswerName} from './answers.js';
 import {type Reply} from '../upstreams/attempt.js';
+import {type RequestTrace} from '../requests/trace.js';
+import {sendAnswer, notRunStatuses, type AnswerName} from './answers.js';
 import {
 	isStream, readBody, forwardEvents, forwardLongBody, writeHead, type ResponseBody,
 } from './response-forwarding.js';
 import {ResponseBuffer, type ReadingObserver} from './response-buffer.js';
 import {type ResponseBuffers} from './response-buffers.js';
-import {type RequestTrace} from '../requests/trace.js';
 
 /** Why the gateway stops working on a request. */
 export type StopReason = Extract<CancelReason, 'caller left' | 'time over'>;
--- a/src/gateway/callers/exchange.ts
+++ b/src/gateway/callers/exchange.ts
@@ -3,12 +3,12 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {chooseService} from '../../core/gateway/registry/directory.js';
 import {type Demand} from '../../core/gateway/types.js';
-import {admit, type RoutedResolution} from './admission.js';
-import {CallerResponse, baseRetryAfterSeconds, type StopReason} from './caller-response.js';
 import {type RequestMetadata} from '../platform-adapter.js';
 import {Dispatch} from '../requests/dispatch.js';
 import {type GatewayServices} from '../services.js';
 import {RequestTrace} from '../requests/trace.js';
+import {CallerResponse, baseRetryAfterSeconds, type StopReason} from './caller-response.js';
+import {admit, type RoutedResolution} from './admission.js';
 
 /** Retry-After of callers refused because the configuration may be missing or stale: the store is read once per second. */
 const unconfiguredRetryAfterSeconds = 1;
--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -1,8 +1,8 @@
 /** HTTP servers for callers, and for the balancer's readiness checks. */
 import {createServer, type Server} from 'node:http';
 import {messageOf, type Address} from '../../core/index.js';
-import {Exchange} from './exchange.js';
 import {type GatewayServices} from '../services.js';
+import {Exchange} from './exchange.js';
 import {closeServer, openServer} from './listening.js';
 
 /** Four times the limit that configurations set for callers. */
--- a/src/gateway/requests/dispatch.ts
+++ b/src/gateway/requests/dispatch.ts
@@ -18,14 +18,14 @@
 import {selectAnswer} from '../callers/answers.js';
 import {Attempt} from '../upstreams/attempt.js';
 import {type CallerResponse, type StopReason} from '../callers/caller-response.js';
+import {type GatewayServices} from '../services.js';
+import {AttemptVerdicts} from '../upstreams/attempt-verdicts.js';
+import {StallDetector} from '../upstreams/stall-detector.js';
 import {listHelpers} from './helpers.js';
 import {MemoryWait} from './memory-wait.js';
 import {type Hold, type HoldPart} from './holds.js';
 import {Rerouter} from './rerouter.js';
-import {type GatewayServices} from '../services.js';
 import {type RequestTrace} from './trace.js';
-import {AttemptVerdicts} from '../upstreams/attempt-verdicts.js';
-import {StallDetector} from '../upstreams/stall-detector.js';
 
 /** Longest time, in milliseconds, until a waiting request notices that its caller has left. */
 const maxSleepMs = 100;
--- a/src/gateway/sharing/load-updates.ts
+++ b/src/gateway/sharing/load-updates.ts
@@ -13,13 +13,13 @@
 import {isPace, type PaceReport} from '../../core/gateway/engines/paces.js';
 import {type EngineModel} from '../../core/gateway/types.js';
 import {type UpstreamReport} from '../../core/gateway/limits/upstream-reports.js';
-import {LoadBatch, type LoadChanges} from './load-batch.js';
-import {LoadRequester} from './load-requester.js';
 import {
 	fromWireClaim, fromWireCold, fromWireJob, fromWirePace, fromWireReport, isTag, toWireClaim, toWireCold, toWireJob, toWirePace, toWireReport,
 	type Host, type HostsLost, type LoadUpdate, type LoadResponse, type LoadRequest, type Message,
 } from '../peers/messages.js';
 import {type Peers} from '../peers/peers.js';
+import {LoadBatch, type LoadChanges} from './load-batch.js';
+import {LoadRequester} from './load-requester.js';
 
 /** Collects changes into one message; shorter than an engine iteration. */
 const updateDelayMs = 3;
--- a/src/gateway/upstreams/attempt-verdicts.ts
+++ b/src/gateway/upstreams/attempt-verdicts.ts
@@ -2,8 +2,8 @@
 import {endingToVerdict} from '../../core/gateway/health/health.js';
 import {type AttemptEnding} from '../../core/gateway/limits/retries.js';
 import {type Attempts} from '../../core/gateway/placement/attempts.js';
-import {type EndedAttempt, type Reply} from './attempt.js';
 import {type Gateway} from '../gateway.js';
+import {type EndedAttempt, type Reply} from './attempt.js';
 
 export class AttemptVerdicts {
 	readonly #gateway: Gateway;
