--- a/bench/fleet/ports.ts
+++ b/bench/fleet/ports.ts
@@ -2,7 +2,7 @@
 import {randomInt} from 'node:crypto';
 import {once} from 'node:events';
 import {
-	linkSync, mkdirSync, readFileSync, rmSync, writeFileSync,
+	mkdirSync, readFileSync, rmdirSync, writeFileSync,
 } from 'node:fs';
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
@@ -21,7 +21,10 @@
 const minPort = 10_000;
 const maxPort = 16_000;
 
-/** Holds a file for each claimed port with the id of its process, since test runs on one machine use the same ranges. */
+/**
+ * Holds a file for each claimed port with the id of its process, since test runs on one machine use the same ranges, and a directory while a
+ * claim is being made. A process that is killed meanwhile makes its port unusable.
+ */
 const claimDirectory = path.join(tmpdir(), 'cranberrytide-ports');
 
 function isRunning(pid: number): boolean {
@@ -52,23 +55,23 @@
 export function claimPort(port: number, pid = process.pid): boolean {
 	mkdirSync(claimDirectory, {recursive: true});
 	const file = path.join(claimDirectory, String(port));
-	const owner = findOwner(file);
-	if (owner !== undefined) {
-		return owner === pid;
-	}
-
-	// The claim is linked into place with its content, as an empty file would look like a port without an owner.
-	const draft = `${file}.${process.pid}`;
-	writeFileSync(draft, String(pid));
-	rmSync(file, {force: true});
+	const lock = `${file}.lock`;
 	try {
-		linkSync(draft, file);
-		return true;
+		// Two processes that find the claim of an ended one would otherwise both replace it.
+		mkdirSync(lock);
 	} catch {
-		// Another process claimed the port at the same time.
 		return false;
+	}
+
+	try {
+		const owner = findOwner(file);
+		if (owner === undefined) {
+			writeFileSync(file, String(pid));
+		}
+
+		return owner === undefined || owner === pid;
 	} finally {
-		rmSync(draft);
+		rmdirSync(lock);
 	}
 }
 
