--- a/__tests__/gateway/rerouting.test.ts
+++ b/__tests__/gateway/rerouting.test.ts
@@ -5,7 +5,8 @@
 import {Site} from '../../bench/gateway/site.js';
 import {ignore} from '../../src/entry/ignore.js';
 import {Link} from '../../src/gateway/peers/link.js';
-import {type Message, type WireJob} from '../../src/gateway/peers/messages.js';
+import {type WireJob} from '../../src/gateway/peers/load-messages.js';
+import {type Message} from '../../src/gateway/peers/messages.js';
 
 /** A request yields only within 100 ms after it was sent; on a busy machine the peer's load update may arrive later. */
 const maxAttempts = 6;
--- a/src/gateway/__tests__/bytes.test.ts
+++ b/src/gateway/__tests__/bytes.test.ts
@@ -5,9 +5,8 @@
 import {isFailure} from '../../core/index.js';
 import {EventSplitter} from '../callers/events.js';
 import {filterEndToEndHeaders} from '../callers/headers.js';
-import {
-	encode, fromWireJob, createMessageReader, toWireJob, type Message,
-} from '../peers/messages.js';
+import {fromWireJob, toWireJob} from '../peers/load-messages.js';
+import {encode, createMessageReader, type Message} from '../peers/messages.js';
 
 describe('events', () => {
 	const stream = 'id: 1\ndata: a\n\nid: 2\r\ndata: ü\r\n\r\ndata: without id\n\nid: 4\ndata: x\n\nid: 5\ndata: half';
--- a/src/gateway/__tests__/cold-starts.test.ts
+++ b/src/gateway/__tests__/cold-starts.test.ts
@@ -3,9 +3,8 @@
 import {type GatewayUpstream} from '../../core/gateway/types.js';
 import {type ColdReport} from '../../core/gateway/limits/upstream-reports.js';
 import {ColdUpstreams, type FleetView} from '../upstreams/cold-starts.js';
-import {
-	createMessageReader, encode, fromWireCold, toWireCold,
-} from '../peers/messages.js';
+import {fromWireCold, toWireCold} from '../peers/load-messages.js';
+import {createMessageReader, encode} from '../peers/messages.js';
 
 const store = {type: 'store', era: 1, revision: 5} as const;
 const peer = {
--- a/src/gateway/__tests__/engine-paces.test.ts
+++ b/src/gateway/__tests__/engine-paces.test.ts
@@ -2,9 +2,8 @@
 import {beforeEach, expect, it} from 'vitest';
 import {configuredPace, type PaceReport} from '../../core/gateway/engines/paces.js';
 import {EnginePaces} from '../upstreams/engine-paces.js';
-import {
-	createMessageReader, encode, fromWirePace, toWirePace, type LoadUpdate,
-} from '../peers/messages.js';
+import {fromWirePace, toWirePace} from '../peers/load-messages.js';
+import {createMessageReader, encode, type LoadUpdate} from '../peers/messages.js';
 
 const emptyUpdate: LoadUpdate = {
 	type: 'load', began: [], progressed: [], ended: [],
--- a/src/gateway/__tests__/memory-queue.test.ts
+++ b/src/gateway/__tests__/memory-queue.test.ts
@@ -4,7 +4,7 @@
 import {type MemoryClaim} from '../../core/gateway/engines/memory-admission.js';
 import {type Demand} from '../../core/gateway/types.js';
 import {MemoryQueue} from '../requests/memory-queue.js';
-import {fromWireClaim, toWireClaim} from '../peers/messages.js';
+import {fromWireClaim, toWireClaim} from '../peers/load-messages.js';
 import {
 	fleetModel, MemoryFleet, type Kind, type Outcome,
 } from './memory-fleet.js';
--- a/src/gateway/__tests__/organisation-shares.test.ts
+++ b/src/gateway/__tests__/organisation-shares.test.ts
@@ -5,8 +5,9 @@
 import {type GatewayConfiguration, type Route} from '../../core/gateway/types.js';
 import {type LogLine} from '../../entry/logs.js';
 import {OrganisationShares} from '../organisation-shares.js';
+import {fromWireJob, toWireJob} from '../peers/load-messages.js';
 import {
-	createMessageReader, encode, fromWireJob, toWireJob, type LoadUpdate, type Message,
+	createMessageReader, encode, type LoadUpdate, type Message,
 } from '../peers/messages.js';
 
 const job: Job = {
--- a/src/gateway/__tests__/self-reports.test.ts
+++ b/src/gateway/__tests__/self-reports.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import {type UpstreamStatement} from '../../core/gateway/limits/upstream-reports.js';
-import {fromWireReport, toWireReport} from '../peers/messages.js';
+import {fromWireReport, toWireReport} from '../peers/load-messages.js';
 import {SelfReports} from '../upstreams/self-reports.js';
 
 const process = {upstream: 'e1', started: 7};
--- a/src/gateway/sharing/load-updates.ts
+++ b/src/gateway/sharing/load-updates.ts
@@ -15,6 +15,8 @@
 import {type UpstreamReport} from '../../core/gateway/limits/upstream-reports.js';
 import {
 	fromWireClaim, fromWireCold, fromWireJob, fromWirePace, fromWireReport, isTag, toWireClaim, toWireCold, toWireJob, toWirePace, toWireReport,
+} from '../peers/load-messages.js';
+import {
 	type Host, type HostsLost, type LoadUpdate, type LoadResponse, type LoadRequest, type Message,
 } from '../peers/messages.js';
 import {type Peers} from '../peers/peers.js';
