--- a/src/gateway/sharing/state-sync.ts
+++ b/src/gateway/sharing/state-sync.ts
@@ -2,11 +2,13 @@
  * Reduces reads of the platform's store: in a failure domain with many hosts, only the relays read it, and the other hosts request the
  * state from them. A host that can't reach a relay reads the store itself; one that can't reach the store asks any linked host.
  */
+import {type Directory} from '../../core/gateway/registry/directory.js';
 import {type GatewayConfiguration} from '../../core/gateway/types.js';
 import {type Clock, type Timestamp} from '../../entry/clock.js';
-import {type Gateway} from '../gateway.js';
 import {encode} from '../peers/messages.js';
+import {type Peers} from '../peers/peers.js';
 import {type PeerState, type StateRequest, type StateSummary} from '../peers/state.js';
+import {type Registrations} from '../upstreams/registrations.js';
 
 /**
  * Smallest failure domain whose hosts share reads; with fewer hosts there are too few calls to save. With 70 hosts that each read once a
@@ -26,6 +28,18 @@
 	readonly done: () => void;
 };
 
+/** The state of this host that is sent to peers, and updated by theirs. */
+export type StateHolder = {
+	readonly peers: Peers;
+	readonly registrations: Registrations;
+	/** Lookup over the configuration in force, if there is one. */
+	readonly directory: Directory | undefined;
+	/** Milliseconds since the state was last known to be current. */
+	readonly confirmedAge: number;
+	/** Applies the state of a peer, which was known to be current `age` milliseconds ago. */
+	readonly applyPeerState: (peer: string, state: PeerState, age: number) => void;
+};
+
 export type StateSyncOptions = {
 	readonly self: string;
 	readonly failureDomain: string;
@@ -34,7 +48,7 @@
 
 export class StateSync {
 	readonly #options: StateSyncOptions;
-	readonly #gateway: Gateway;
+	readonly #gateway: StateHolder;
 	readonly #pending = new Map<number, PendingRequest>();
 	/** Version of the configuration last sent to each linked host. */
 	readonly #sentVersions = new Map<string, number>();
@@ -50,7 +64,7 @@
 	 * @param gateway - Gateway whose state is sent and updated.
 	 * @param options - This host.
 	 */
-	constructor(gateway: Gateway, options: StateSyncOptions) {
+	constructor(gateway: StateHolder, options: StateSyncOptions) {
 		this.#gateway = gateway;
 		this.#options = options;
 	}
