--- a/src/core/gateway/limits/cold-starts.ts
+++ b/src/core/gateway/limits/cold-starts.ts
@@ -4,6 +4,7 @@
  * the requests of all hosts, and one for the failure domain of this host at little more than the domain's part. The second one holds while
  * a partition has not been noticed yet. Times are monotonic, in milliseconds.
  */
+import {dropOldest} from '../../utils/bounded.js';
 import {RateSchedule, type RateShare} from './rate-schedule.js';
 
 /** Cold upstreams kept; more than any fleet has. */
@@ -128,10 +129,7 @@
 		this.#entries.set(upstream, {
 			until, fleet: new RateSchedule(now + (this.#random() * firstUseSpreadMs)), domain: new RateSchedule(now), visible: 1,
 		});
-		if (this.#entries.size > maxEntries) {
-			const [oldest] = this.#entries.keys();
-			this.#entries.delete(oldest!);
-		}
+		dropOldest(this.#entries, maxEntries);
 
 		return until - now;
 	}
--- a/src/core/gateway/limits/departures.ts
+++ b/src/core/gateway/limits/departures.ts
@@ -1,4 +1,5 @@
 /** Upstreams that stated in a response that they leave. A departure is final: it ends only with the process of the upstream. */
+import {dropOldest} from '../../utils/bounded.js';
 import {type UpstreamProcess} from '../types.js';
 
 /** Departures kept, including those of upstreams that aren't registered any more: a registration that has lapsed may come back. */
@@ -24,10 +25,7 @@
 
 		this.#starts.delete(upstream);
 		this.#starts.set(upstream, started);
-		if (this.#starts.size > maxDepartures) {
-			const [oldest] = this.#starts.keys();
-			this.#starts.delete(oldest!);
-		}
+		dropOldest(this.#starts, maxDepartures);
 
 		return true;
 	}
--- a/src/core/gateway/limits/rate-limits.ts
+++ b/src/core/gateway/limits/rate-limits.ts
@@ -2,6 +2,7 @@
  * Keeps to the rate limits that upstreams report in their responses. A limit applies to all hosts together: each host counts the requests
  * that it sends and those that its peers report, and sends one only when the limit allows the next.
  */
+import {dropOldest} from '../../utils/bounded.js';
 import {RateSchedule, type RateShare} from './rate-schedule.js';
 
 /** Limits kept, including those of upstreams that aren't registered any more: a registration that has lapsed may come back. */
@@ -182,10 +183,7 @@
 		this.#entries.set(report.upstream, {
 			report, schedule: new RateSchedule(now), changedAt: now, sharedAt: undefined,
 		});
-		if (this.#entries.size > maxEntries) {
-			const [oldest] = this.#entries.keys();
-			this.#entries.delete(oldest!);
-		}
+		dropOldest(this.#entries, maxEntries);
 
 		return 'changed';
 	}
--- a/src/core/utils/bounded.ts
+++ b/src/core/utils/bounded.ts
@@ -22,3 +22,16 @@
 		.slice(0, Math.ceil(table.size * evictedShare));
 	return table.deleteAll(oldest.map(([key]) => key));
 }
+
+/**
+ * Removes the entry that was added first if a map has grown too large.
+ *
+ * @param map - Map to which one entry was added.
+ * @param maxSize - Largest number of entries.
+ */
+export function dropOldest(map: Map<string, unknown>, maxSize: number): void {
+	if (map.size > maxSize) {
+		const [oldest] = map.keys();
+		map.delete(oldest!);
+	}
+}
