--- a/bench/soak/__tests__/soak.test.ts
+++ b/bench/soak/__tests__/soak.test.ts
@@ -18,7 +18,7 @@
 
 function buildRequest(result: RequestResult, change: Partial<RequestRecord> = {}): RequestRecord {
 	return {
-		id: 'v', kind: 'once', host: 1, began: 1000, ended: 1100, limit: 1500, expected: 'a', result, ...change,
+		id: 'v', kind: 'once', host: 1, began: 1000, ended: 1100, limit: 1500, readingDelay: 0, expected: 'a', result, ...change,
 	};
 }
 
@@ -48,6 +48,12 @@
 		expect(findBrokenGuarantees([request], () => Array.from({length: runs}, () => ran), [], 0)).toHaveLength(1);
 	});
 
+	it('excuse the time for which a caller reads nothing of its answer, and no more', () => {
+		expect(findBrokenGuarantees([buildRequest(whole, {ended: 4000, readingDelay: 400})], () => [ran], [], 0)).toEqual([]);
+		expect(findBrokenGuarantees([buildRequest(whole, {ended: 4200, readingDelay: 400})], () => [ran], [], 0)).toHaveLength(1);
+		expect(findBrokenGuarantees([buildRequest({type: 'never'}, {ended: 4000, readingDelay: 400})], () => [ran], [], 0)).toContain('v got no answer from host 1');
+	});
+
 	it('excuse a lost connection only during a matching outage of the same host', () => {
 		expect(findBrokenGuarantees([buildRequest(cut)], () => [ran], [killed], 0)).toEqual([]);
 		expect(findBrokenGuarantees([buildRequest(cut)], () => [ran], [{...killed, host: 2}], 0)).toHaveLength(1);
--- a/bench/soak/clients.ts
+++ b/bench/soak/clients.ts
@@ -126,7 +126,7 @@
 		const began = performance.now();
 		const result = await this.#send(asking, planned.kind);
 		return {
-			...planned, host, began, ended: performance.now(), limit: timeLimitsMs[planned.kind], result,
+			...planned, host, began, ended: performance.now(), limit: timeLimitsMs[planned.kind], readingDelay: asking.readingDelay ?? 0, result,
 		};
 	}
 
--- a/bench/soak/guarantees.ts
+++ b/bench/soak/guarantees.ts
@@ -13,6 +13,8 @@
 	readonly ended: number;
 	/** Time limit of its route, in milliseconds. */
 	readonly limit: number;
+	/** Milliseconds for which the caller reads nothing after the head of the answer. */
+	readonly readingDelay: number;
 	/** Content of a complete answer: a body, or the number of events. */
 	readonly expected: string | number;
 	readonly result: RequestResult;
@@ -50,7 +52,8 @@
 
 function checkTime(request: RequestRecord, outages: readonly Outage[], lag: number): readonly string[] {
 	const isExcused = outages.some(outage => outage.type === 'paused' && overlaps(request, outage));
-	const took = request.ended - request.began;
+	const ownDelay = request.result.type === 'answered' ? request.readingDelay : 0;
+	const took = request.ended - request.began - ownDelay;
 	return took > request.limit + answerSlackMs + lag && !isExcused ? [`${request.id} took ${Math.round(took)} ms of ${request.limit}`] : [];
 }
 
