--- a/src/gateway/requests/dispatch.ts
+++ b/src/gateway/requests/dispatch.ts
@@ -13,7 +13,7 @@
 import {Attempts, type Eligibility} from '../../core/gateway/placement/attempts.js';
 import {computeReturnDelay} from '../../core/gateway/limits/shares.js';
 import {type Demand, type GatewayUpstream, type Route} from '../../core/gateway/types.js';
-import {roundTo} from '../../core/utils/numbers.js';
+import {roundDownTo, roundTo, roundUpTo} from '../../core/utils/numbers.js';
 import {computeFingerprint} from '../callers/admission.js';
 import {selectAnswer} from '../callers/answers.js';
 import {Attempt} from '../upstreams/attempt.js';
@@ -252,8 +252,9 @@
 
 		const returnAfter = computeReturnDelay(excess, random());
 		metrics.shareRefusals.inc({service: demand.service});
+		// Rounded apart: a use that exceeds its share by little must not look equal to it.
 		this.#trace.write('share-exceeded', {
-			organisation, route: route.name, use: roundTo(excess.use, 2), share: roundTo(excess.share, 2), returnAfter: Math.round(returnAfter),
+			organisation, route: route.name, use: roundUpTo(excess.use, 2), share: roundDownTo(excess.share, 2), returnAfter: Math.round(returnAfter),
 		});
 		this.#callerResponse.refuse('overloaded', returnAfter / 1000);
 		return true;
