Placements of requests in a module of their own

gateway.ts had 644 lines: it wires the parts, routes messages and placed requests. Placements and their jobs are in src/gateway/requests/placements.ts now; gateway.ts has 463 lines. No behaviour changes. Lint, types and the tests of src/gateway pass.

--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -26,9 +26,11 @@
 		loadUpdates: {refresh: async () => undefined},
 		canRetry: () => true,
 		retries: {countRetry: () => undefined},
-		place() {
-			placed++;
-			return placed < 1000 ? placement : undefined;
+		placements: {
+			place() {
+				placed++;
+				return placed < 1000 ? placement : undefined;
+			},
 		},
 	};
 	const services = {gateway, clock: {now: () => 2000}, metrics: {retries: {inc: () => undefined}}} as unknown as GatewayServices;
@@ -58,7 +60,9 @@
 		convictions: {isConvicted: () => false},
 		loadUpdates: {refresh: async () => undefined},
 		service: () => ({engine: {usualPrompt: 1000, usualAnswer: 500, step: 1}}),
-		place: () => placement,
+		placements: {
+			place: () => placement,
+		},
 	};
 	const services = {gateway, clock: {now: () => 0}, random: () => 0.5} as unknown as GatewayServices;
 	const callerResponse = {
@@ -99,20 +103,22 @@
 		convictions: {isConvicted: () => false},
 		loadUpdates: {refresh: async () => undefined, end: () => undefined},
 		canRetry: () => false,
-		computeWait: () => undefined,
-		countObstacles: () => ({}),
-		considerMemory: () => undefined,
-		place() {
-			placed++;
-			return placements.shift();
-		},
 		service: () => undefined,
-		beginJob: () => ({id: 'j0', weight: 1}),
-		createPaceSampler: () => undefined,
 		load: {size: 1},
 		recordVerdict: () => undefined,
 		publishAbsence: () => undefined,
-		forecastIterationTime: () => 0,
+		placements: {
+			computeWait: () => undefined,
+			countObstacles: () => ({}),
+			considerMemory: () => undefined,
+			place() {
+				placed++;
+				return placements.shift();
+			},
+			beginJob: () => ({id: 'j0', weight: 1}),
+			createPaceSampler: () => undefined,
+			forecastIterationTime: () => 0,
+		},
 	};
 	const services = {
 		gateway,
@@ -147,13 +153,15 @@
 	const gateway = {
 		convictions: {isConvicted: () => false},
 		loadUpdates: {refresh: async () => undefined},
-		place() {
-			placed++;
-			return undefined;
+		placements: {
+			place() {
+				placed++;
+				return undefined;
+			},
+			computeWait: () => waits[placed - 1],
+			countObstacles: () => ({'rate-limit': 1}),
+			considerMemory: () => undefined,
 		},
-		computeWait: () => waits[placed - 1],
-		countObstacles: () => ({'rate-limit': 1}),
-		considerMemory: () => undefined,
 	};
 	const services = {gateway, clock: {now: () => 0}} as unknown as GatewayServices;
 	const callerResponse = {
@@ -193,15 +201,17 @@
 	const gateway = {
 		convictions: {isConvicted: () => false},
 		loadUpdates: {refresh: async () => undefined, end: () => undefined},
-		beginJob: () => ({id: 'j0'}),
 		coldStarts: {countReservation: () => undefined},
-		considerMemory: () => undefined,
 		service: () => undefined,
 		canRetry: () => false,
-		computeWait: () => undefined,
-		countObstacles: () => ({evacuation: 2}),
-		findEvacuated: () => evacuated,
-		place: () => placements.shift(),
+		placements: {
+			beginJob: () => ({id: 'j0'}),
+			considerMemory: () => undefined,
+			computeWait: () => undefined,
+			countObstacles: () => ({evacuation: 2}),
+			findEvacuated: () => evacuated,
+			place: () => placements.shift(),
+		},
 	};
 	const hold = {
 		name: 'h0',
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -192,7 +192,7 @@
 		this.#metrics.responseBytes.set(this.#responseBuffers.held);
 		this.#metrics.responsesUnread.set(this.#responseBuffers.stoppedCount);
 		this.#metrics.evacuated.set(this.#gateway.registrations.evacuatedDomains.length);
-		this.#metrics.evacuatedJobs.set(this.#gateway.evacuatedJobCount);
+		this.#metrics.evacuatedJobs.set(this.#gateway.placements.evacuatedJobCount);
 		this.#metrics.suspects.set(this.#gateway.reputation.suspects.size);
 	}
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,21 +3,11 @@
 import {createAbsence, type AbsenceReason} from '../core/gateway/health/absences.js';
 import {Directory} from '../core/gateway/registry/directory.js';
 import {type Verdict} from '../core/gateway/health/health.js';
-import {type MemoryDecision} from '../core/gateway/engines/memory-admission.js';
-import {Load, type Job, type PlacementKind} from '../core/gateway/engines/load.js';
-import {PaceSampler} from '../core/gateway/engines/pace-sampler.js';
-import {computeWeight} from '../core/gateway/engines/losses.js';
-import {
-	findUsable, place, reevaluate, substitute, type Placement, type Reevaluation, type PlacementOptions,
-} from '../core/gateway/placement/placement.js';
-import {defaultPolicy} from '../core/gateway/placement/policy.js';
+import {Load} from '../core/gateway/engines/load.js';
 import {RetryBudget} from '../core/gateway/limits/retries.js';
-import {type Eligibility} from '../core/gateway/placement/attempts.js';
-import {
-	computeShortestWait, countObstacles, selectLonger, type Obstacle, type ObstacleFinder,
-} from '../core/gateway/placement/eligibility.js';
+import {selectLonger, type Obstacle} from '../core/gateway/placement/eligibility.js';
 import {
-	type Demand, type EngineModel, type GatewayConfiguration, type GatewayService, type UpstreamProcess,
+	type EngineModel, type GatewayConfiguration, type GatewayService, type GatewayUpstream, type UpstreamProcess,
 } from '../core/gateway/types.js';
 import {type Clock, type Timestamp} from '../entry/clock.js';
 import {type Log} from '../entry/logs.js';
@@ -26,8 +16,9 @@
 import {LoadUpdates} from './sharing/load-updates.js';
 import {EnginePaces} from './upstreams/engine-paces.js';
 import {MemoryQueue} from './requests/memory-queue.js';
+import {Placements} from './requests/placements.js';
 import {FleetView} from './peers/fleet-view.js';
-import {OrganisationShares, type CountedShare} from './organisation-shares.js';
+import {OrganisationShares} from './organisation-shares.js';
 import {type Host, type Message} from './peers/messages.js';
 import {Peers} from './peers/peers.js';
 import {type PeerState} from './peers/state.js';
@@ -69,19 +60,17 @@
 	readonly convictions: Convictions;
 	readonly memoryQueue: MemoryQueue;
 	readonly shares: OrganisationShares;
+	readonly placements: Placements;
 	readonly #settings: Settings;
 	readonly #clock: Clock;
 	readonly #log: Log;
 	readonly #startedAt: number;
 	readonly #expiryTimer: NodeJS.Timeout;
 	readonly #coldTimer: NodeJS.Timeout;
-	/** Finds what keeps an upstream from accepting a request of this host at present. */
-	readonly #findObstacle: ObstacleFinder;
 	#directory: Directory | undefined;
 	#confirmedAt: Timestamp | undefined;
 	/** When the keys of the configuration in force were last known to be current. */
 	#keysConfirmedAt: Timestamp | undefined;
-	#jobCount = 0;
 
 	/**
 	 * @param settings - Settings of this host.
@@ -249,13 +238,23 @@
 			},
 		});
 		this.sharing = new StateSync(this, {self: settings.host, failureDomain: settings.failureDomain, clock});
-		this.#findObstacle = upstream => {
-			if (this.registrations.isEvacuated(upstream.failureDomain)) {
-				return {type: 'evacuation'};
-			}
-
-			return upstream.isDraining ? {type: 'departure'} : selectLonger(this.selfReports.findObstacle(upstream), this.coldStarts.findObstacle(upstream));
-		};
+		this.placements = new Placements({
+			host: settings.host,
+			failureDomain: settings.failureDomain,
+			incarnation: this.incarnation,
+			now: () => clock.now(),
+			upstreams: this.upstreams,
+			registrations: this.registrations,
+			reputation: this.reputation,
+			load: this.load,
+			memoryQueue: this.memoryQueue,
+			shares: this.shares,
+			findService: name => this.service(name),
+			findObstacle: upstream => this.#findObstacle(upstream),
+			begin: job => {
+				this.loadUpdates.begin(job);
+			},
+		});
 
 		this.#expiryTimer = setInterval(() => {
 			this.load.removeExpired(clock.now());
@@ -363,142 +362,6 @@
 		return this.retries.allowsRetry(service, {hosts, counted: isLargeFleet ? domainHostCount : 1}, this.#clock.now());
 	}
 
-	/**
-	 * @param demand - Demand of the request.
-	 * @param eligibility - Upstreams that the request may go to.
-	 * @returns Placement of the request, if there is one.
-	 */
-	place(demand: Demand, eligibility: Eligibility): Placement | undefined {
-		return place(demand, this.upstreams.listByService(demand.service), this.service(demand.service)?.engine, this.#buildPlacementOptions(eligibility, demand));
-	}
-
-	/**
-	 * @param placement - Placement with reservations at several engines.
-	 * @param refusing - Id of the engine that refused its reservation.
-	 * @param demand - Request.
-	 * @param eligibility - Upstreams that the request may go to.
-	 * @returns The placement with another engine instead, if one has the memory.
-	 */
-	substitute(placement: Placement, refusing: string, demand: Demand, eligibility: Eligibility): Placement | undefined {
-		const model = this.service(demand.service)?.engine;
-		return model === undefined
-			? undefined
-			: substitute(placement, refusing, demand, model, this.upstreams.listByService(demand.service), this.#buildPlacementOptions(eligibility, demand));
-	}
-
-	/**
-	 * @param demand - Request.
-	 * @returns Whether it may wait for memory: it, or another one that runs or waits, needs more than one engine has.
-	 */
-	mayWaitForMemory({service, prompt}: Demand): boolean {
-		const model = this.service(service)?.engine;
-		return model !== undefined && prompt !== undefined && this.memoryQueue.isContended(model, prompt);
-	}
-
-	/**
-	 * @param demand - Request without a placement.
-	 * @param eligibility - Upstreams that the request may go to.
-	 * @returns Whether it waits for memory; undefined if it lacks something else.
-	 */
-	considerMemory(demand: Demand, eligibility: Eligibility): MemoryDecision | undefined {
-		const {service, prompt} = demand;
-		const model = this.service(service)?.engine;
-		if (model === undefined || prompt === undefined || !this.mayWaitForMemory(demand)) {
-			return undefined;
-		}
-
-		const usable = findUsable(this.upstreams.listByService(service), this.#buildPlacementOptions(eligibility, demand));
-		const canAnswer = usable.some(each => eligibility.permitted?.has(each.id) ?? true);
-		return canAnswer ? this.memoryQueue.consider(demand, prompt, model, usable.map(each => each.id)) : undefined;
-	}
-
-	/**
-	 * @param placement - Placement of a request that has not been sent yet.
-	 * @returns Ids of its upstream and helpers whose failure domains have been evacuated since.
-	 */
-	findEvacuated({upstream, helpers}: Placement): readonly string[] {
-		return [upstream, ...helpers].filter(each => this.registrations.isEvacuated(each.failureDomain)).map(({id}) => id);
-	}
-
-	/** Number of known requests, of any host, that still run at upstreams of evacuated failure domains. */
-	get evacuatedJobCount(): number {
-		if (this.registrations.evacuatedDomains.length === 0) {
-			return 0;
-		}
-
-		let count = 0;
-		for (const {id, failureDomain} of this.upstreams.all) {
-			count += this.registrations.isEvacuated(failureDomain) ? this.load.countRequests(id) : 0;
-		}
-
-		return count;
-	}
-
-	/**
-	 * @param service - Service.
-	 * @param eligibility - Upstreams that the request may go to.
-	 * @returns Milliseconds until one of these accepts requests again; undefined if all that are left are leaving.
-	 */
-	computeWait(service: string, eligibility: Eligibility): number | undefined {
-		return computeShortestWait(this.upstreams.listByService(service), eligibility, this.#findObstacle);
-	}
-
-	/**
-	 * @param service - Service.
-	 * @returns Number of its upstreams by what keeps them from accepting a request at present, for the log.
-	 */
-	countObstacles(service: string): Readonly<Partial<Record<Obstacle['type'], number>>> {
-		return countObstacles(this.upstreams.listByService(service), this.#findObstacle);
-	}
-
-	/**
-	 * @param demand - Demand of a request that was sent a moment ago.
-	 * @param current - Its current placement.
-	 * @param job - Id of its job.
-	 * @param eligibility - Upstreams that the request may go to.
-	 * @returns Its expected loss where it is and at the best other placement; undefined for plain services.
-	 */
-	reevaluate(demand: Demand, current: Placement, job: string, eligibility: Eligibility): Reevaluation | undefined {
-		return reevaluate(demand, current, this.upstreams.listByService(demand.service), this.service(demand.service)?.engine, {...this.#buildPlacementOptions(eligibility, demand), excludedJob: job});
-	}
-
-	/**
-	 * Creates the job of a request that is being sent and publishes it to peers.
-	 *
-	 * @param demand - Demand of the request.
-	 * @param placement - Placement of the request.
-	 * @param placing - Whether the request is sent for the first time, after failed connections only, or as a retry.
-	 * @param share - Share that its use counts toward, if it has not been counted before.
-	 * @returns The job.
-	 */
-	beginJob(demand: Demand, placement: Placement, placing: PlacementKind, share?: CountedShare): Job {
-		const now = this.#clock.now();
-		const model = this.service(demand.service)?.engine;
-		this.#jobCount++;
-		const job: Job = {
-			id: `${this.incarnation}.${this.#jobCount}`,
-			host: this.#settings.host,
-			upstream: placement.upstream.id,
-			helpers: placement.helpers.map(each => each.id),
-			prompt: demand.prompt?.tokens ?? 0,
-			answer: demand.prompt?.answer ?? 0,
-			isHeld: placement.holdTokens > 0,
-			read: placement.prefill.total,
-			readPerPass: placement.prefill.perIteration,
-			pause: demand.pause,
-			urgency: placement.urgency,
-			weight: model === undefined || demand.prompt === undefined ? 1 : computeWeight(model, demand.prompt),
-			placing,
-			organisation: share?.organisation,
-			isDelayed: share !== undefined && (share.hasWaited || this.shares.isDelayed(demand, placement)) ? true : undefined,
-			began: now,
-			due: demand.due,
-			deadline: demand.deadline,
-		};
-		this.loadUpdates.begin(job);
-		return job;
-	}
-
 	/**
 	 * Records the verdict of an attempt on the health of an upstream.
 	 *
@@ -519,40 +382,6 @@
 		this.loadUpdates.publishAbsence(createAbsence(upstream, reason, this.upstreams.get(upstream)?.failureDomain, this.#settings.failureDomain));
 	}
 
-	/**
-	 * @param upstream - Id of an engine.
-	 * @returns Milliseconds that an engine iteration may take now, forecast from the known prefill and decode load; 0 for plain services.
-	 */
-	forecastIterationTime(upstream: string): number {
-		const model = this.modelAt(upstream);
-		if (model === undefined) {
-			return 0;
-		}
-
-		const {iteration: iterationTime, prefilling, pace} = this.load.forecast(upstream, model, this.#clock.now());
-		let prefill = 0;
-		for (const job of prefilling) {
-			prefill += job.readPerPass / pace.prefill;
-		}
-
-		return iterationTime + prefill;
-	}
-
-	/**
-	 * @param demand - Demand of a request that is being sent.
-	 * @param placement - Its placement.
-	 * @param job - Id of its job.
-	 * @returns Measures the pace of its engine; undefined for plain services.
-	 */
-	createPaceSampler({prompt, service}: Demand, placement: Placement, job: string): PaceSampler | undefined {
-		const model = this.service(service)?.engine;
-		return model === undefined || prompt === undefined
-			? undefined
-			: new PaceSampler({
-				load: this.load, model, prompt, placement, job, sent: this.#clock.now(),
-			});
-	}
-
 	async [Symbol.asyncDispose](): Promise<void> {
 		clearInterval(this.#expiryTimer);
 		clearInterval(this.#coldTimer);
@@ -560,30 +389,20 @@
 		await this.peers[Symbol.asyncDispose]();
 	}
 
+	#findObstacle(upstream: GatewayUpstream): Obstacle | undefined {
+		if (this.registrations.isEvacuated(upstream.failureDomain)) {
+			return {type: 'evacuation'};
+		}
+
+		return upstream.isDraining ? {type: 'departure'} : selectLonger(this.selfReports.findObstacle(upstream), this.coldStarts.findObstacle(upstream));
+	}
+
 	/** Returns the registered process of an upstream, if there is one. */
 	#findProcess(id: string): UpstreamProcess | undefined {
 		const upstream = this.upstreams.get(id);
 		return upstream === undefined ? undefined : {upstream: id, started: upstream.started};
 	}
 
-	#buildPlacementOptions(eligibility: Eligibility, demand: Demand): PlacementOptions {
-		const now = this.#clock.now();
-		const model = this.service(demand.service)?.engine;
-		this.reputation.updateReachability(now);
-		return {
-			policy: defaultPolicy,
-			load: this.load,
-			health: this.reputation.health,
-			host: this.#settings.host,
-			failureDomain: this.#settings.failureDomain,
-			unreachable: this.reputation.unreachableDomains,
-			findObstacle: this.#findObstacle,
-			eligibility,
-			limitMemory: model === undefined ? undefined : this.memoryQueue.createLimit(demand, model),
-			now,
-		};
-	}
-
 	#handleMessage(from: Host, message: Message): void {
 		switch (message.type) {
 			case 'load': {
--- a/src/gateway/requests/dispatch.ts
+++ b/src/gateway/requests/dispatch.ts
@@ -137,7 +137,7 @@
 				return;
 			}
 
-			const placement = this.#isMemoryShort ? undefined : gateway.place(this.#currentDemand, this.#attempts.eligibility);
+			const placement = this.#isMemoryShort ? undefined : gateway.placements.place(this.#currentDemand, this.#attempts.eligibility);
 			this.#isMemoryShort = false;
 			if (this.#refuseIfExcessive(placement)) {
 				return;
@@ -183,7 +183,7 @@
 
 	/** Returns the milliseconds until some upstream of the service accepts requests of this host. */
 	#computeServiceWait(): number {
-		return this.#services.gateway.computeWait(this.#request.demand.service, anyUpstream) ?? 0;
+		return this.#services.gateway.placements.computeWait(this.#request.demand.service, anyUpstream) ?? 0;
 	}
 
 	/**
@@ -224,7 +224,7 @@
 	 * @returns Whether to try again.
 	 */
 	async #waitOrConclude(): Promise<boolean> {
-		const wait = this.#services.gateway.computeWait(this.#request.demand.service, this.#attempts.eligibility) ?? 0;
+		const wait = this.#services.gateway.placements.computeWait(this.#request.demand.service, this.#attempts.eligibility) ?? 0;
 		if (wait > 0 && this.#callerResponse.hasBegun) {
 			await sleep(Math.min(wait, maxSleepMs));
 			return true;
@@ -349,7 +349,7 @@
 			}
 
 			// The order may have arrived while the engines reserved the memory.
-			const evacuated = gateway.findEvacuated(placement);
+			const evacuated = gateway.placements.findEvacuated(placement);
 			if (evacuated.length > 0) {
 				this.#trace.write('hold-unused', {hold: hold.name, evacuated});
 				return {type: 'not-run', reason: 'evacuated', isShed: true};
@@ -366,19 +366,19 @@
 	#beginJob(placement: Placement, placing = this.#attempts.placementKind): Job {
 		const organisation = this.#uncountedTag;
 		this.#uncountedTag = undefined;
-		return this.#services.gateway.beginJob(this.#request.demand, placement, placing, organisation === undefined ? undefined : {organisation, hasWaited: this.#hasWaited});
+		return this.#services.gateway.placements.beginJob(this.#request.demand, placement, placing, organisation === undefined ? undefined : {organisation, hasWaited: this.#hasWaited});
 	}
 
 	/** Asks another engine for the part that one refused. */
 	#substitute(hold: Hold, placement: Placement, refusing: string): Placement | undefined {
 		const {gateway} = this.#services;
 		const {demand} = this.#request;
-		if (hold.unanswered.length > 0 || !gateway.mayWaitForMemory(demand)) {
+		if (hold.unanswered.length > 0 || !gateway.placements.mayWaitForMemory(demand)) {
 			return undefined;
 		}
 
 		gateway.memoryQueue.noteRefusal(refusing);
-		const changed = gateway.substitute(placement, refusing, demand, this.#attempts.eligibility);
+		const changed = gateway.placements.substitute(placement, refusing, demand, this.#attempts.eligibility);
 		if (changed !== undefined) {
 			const known = new Set([placement.upstream.id, ...placement.helpers.map(each => each.id)]);
 			const added = [changed.upstream, ...changed.helpers].find(each => !known.has(each.id))!;
@@ -393,7 +393,7 @@
 	#recordRefusedHold(hold: Hold, refused: readonly string[]): void {
 		const {gateway} = this.#services;
 		this.#trace.write('hold-refused', {hold: hold.name, refused});
-		if (hold.unanswered.length > 0 || !gateway.mayWaitForMemory(this.#request.demand)) {
+		if (hold.unanswered.length > 0 || !gateway.placements.mayWaitForMemory(this.#request.demand)) {
 			this.#attempts.recordRefusedHold(refused);
 			return;
 		}
@@ -430,9 +430,9 @@
 		hold?.setLossHandler(() => {
 			attempt.cancel('memory lost');
 		});
-		const stallDetector = new StallDetector(attempt, this.#attempts.canFailOver, placement.firstByte, () => gateway.forecastIterationTime(placement.upstream.id));
+		const stallDetector = new StallDetector(attempt, this.#attempts.canFailOver, placement.firstByte, () => gateway.placements.forecastIterationTime(placement.upstream.id));
 		try {
-			const ending = await this.#finishAttempt(attempt, placement.upstream, job.id, {stallDetector, paceSampler: gateway.createPaceSampler(demand, placement, job.id)});
+			const ending = await this.#finishAttempt(attempt, placement.upstream, job.id, {stallDetector, paceSampler: gateway.placements.createPaceSampler(demand, placement, job.id)});
 			metrics.attempts.inc({service: demand.service, ending: ending.type});
 			this.#logEnding(placement, job.id, ending);
 			return ending;
@@ -491,7 +491,7 @@
 	/** Logs what keeps the upstreams of the service from accepting the request, if that is known. */
 	#logObstacles(wait: number): void {
 		const {service} = this.#request.demand;
-		const obstacles = this.#services.gateway.countObstacles(service);
+		const obstacles = this.#services.gateway.placements.countObstacles(service);
 		if (Object.keys(obstacles).length > 0) {
 			this.#trace.write('not-accepted', {service, obstacles, wait: Math.round(wait)});
 		}
--- a/src/gateway/requests/memory-wait.ts
+++ b/src/gateway/requests/memory-wait.ts
@@ -45,7 +45,7 @@
 	 */
 	async wait(demand: Demand, eligibility: Eligibility, isOver: () => boolean): Promise<MemoryWaitResult | undefined> {
 		const {gateway, metrics, clock, isStopping} = this.#services;
-		const decision = gateway.considerMemory(demand, eligibility);
+		const decision = gateway.placements.considerMemory(demand, eligibility);
 		if (decision === undefined) {
 			return undefined;
 		}
--- a/src/gateway/requests/rerouter.ts
+++ b/src/gateway/requests/rerouter.ts
@@ -41,7 +41,7 @@
 	watch(stream: RunningStream): void {
 		this.#gateway.loadUpdates.watch(stream.job, {
 			preceded: () => {
-				const assessment = this.#gateway.reevaluate(stream.demand(), stream.place, stream.job, this.#attempts.eligibility);
+				const assessment = this.#gateway.placements.reevaluate(stream.demand(), stream.place, stream.job, this.#attempts.eligibility);
 				this.#rerouteIfWorthwhile(stream, assessment?.staying ?? 0, assessment?.best);
 			},
 			disrupted: loss => {
@@ -62,7 +62,7 @@
 			return;
 		}
 
-		const placement = this.#gateway.place(demand, this.#attempts.eligibility);
+		const placement = this.#gateway.placements.place(demand, this.#attempts.eligibility);
 		if (placement?.helpers.length === 0) {
 			this.#rerouteIfWorthwhile(stream, staying, placement);
 		}
