Soak: seeds and addresses of another fleet

The soak never played a seed that belongs to another fleet, nor a peer address that passes to a host of another fleet while links are open. It draws both now, with seeds of their own, beside a fleet of one host whose upstreams have the same ids and whose configuration is newer than all others.

--- a/bench/soak/plan.ts
+++ b/bench/soak/plan.ts
@@ -32,6 +32,10 @@
 		| {readonly type: 'cold'; readonly upstream: number; readonly length: number}
 	/** The operator orders the evacuation of a failure domain, and revokes it after `length`. */
 		| {readonly type: 'evacuate'; readonly domain: number; readonly length: number}
+	/** A host gets a seed that is a host of another fleet, with a SIGHUP. */
+		| {readonly type: 'foreign-seed'; readonly host: number}
+	/** SIGKILL, then a host of another fleet at the same peer address for `length`, then a restart. */
+		| {readonly type: 'foreign-address'; readonly host: number; readonly length: number}
 	/** A fault of the link to the store or to a plain service. */
 		| {readonly type: 'link'; readonly link: number; readonly how: 'delay' | 'cut' | 'refuse' | 'black-hole'; readonly length: number};
 
@@ -83,6 +87,12 @@
 /** An evacuation is checked from 5,000 ms after the order, so that it must last longer. */
 const evacuationLengthMs = {least: 6000, most: 10_000};
 
+/** The same for hosts of another fleet, and milliseconds between two of these faults. */
+const foreignSeedOffset = 5_000_003;
+const gapBetweenForeignHosts = {least: 3000, most: 12_000};
+
+const foreignTypes = ['foreign-seed', 'foreign-address'] as const;
+
 const statementTypes = ['limit', 'depart', 'refuse'] as const;
 
 /** Limit for consecutive faults of one type. */
@@ -117,10 +127,15 @@
 		}
 
 		case 'stop':
+		case 'foreign-seed':
 		case 'reload': {
 			return {type, host};
 		}
 
+		case 'foreign-address': {
+			return {type, host, length};
+		}
+
 		case 'store': {
 			return {type, mode: pick(random, ['busy', 'silent', 'reset']), length};
 		}
@@ -218,6 +233,17 @@
 	return planned;
 }
 
+function planForeignHosts(seed: number, options: PlanOptions): readonly PlannedFault[] {
+	const random = createRandom(seed + foreignSeedOffset);
+	const planned: PlannedFault[] = [];
+	random.integer(0, 1);
+	for (let at = random.integer(0, gapBetweenForeignHosts.most); at < options.length; at += random.integer(gapBetweenForeignHosts.least, gapBetweenForeignHosts.most)) {
+		planned.push({at, fault: drawFault(random, pick(random, foreignTypes), options)});
+	}
+
+	return planned;
+}
+
 /**
  * @param seed - Seed; the same seed gives the same plan.
  * @param options - Size of the testbed, and for how long faults begin.
@@ -238,5 +264,6 @@
 		at += random.integer(gapBetweenSeriesMs.least, gapBetweenSeriesMs.most);
 	}
 
-	return [...planned, ...planRestores(seed, options), ...planStatements(seed, options), ...planColdEngines(seed, options), ...planEvacuations(seed, options)].toSorted((a, b) => a.at - b.at);
+	const others = [planRestores, planStatements, planColdEngines, planEvacuations, planForeignHosts].flatMap(plan => plan(seed, options));
+	return [...planned, ...others].toSorted((a, b) => a.at - b.at);
 }
--- a/bench/soak/testbed.ts
+++ b/bench/soak/testbed.ts
@@ -9,6 +9,7 @@
 import {Site} from '../gateway/site.js';
 import {coldStartConfiguration} from './cold-engines.js';
 import {EvacuationOrders, type StoreGap} from './evacuations.js';
+import {ForeignFleet} from './foreign-fleet.js';
 import {type Fault} from './plan.js';
 import {type Outage} from './guarantees.js';
 
@@ -67,7 +68,7 @@
 			engine.unreadTimeout = unreadTimeoutMs;
 		}
 
-		const testbed = new Testbed(site, proxy, links);
+		const testbed = new Testbed(site, proxy, links, await ForeignFleet.start(failureDomains));
 		testbed.#publish(2);
 		return testbed;
 	}
@@ -81,6 +82,7 @@
 	/** Number of log lines that each host had written when each of its runs began. */
 	readonly #runStarts: number[][];
 	readonly #proxy: FaultProxy;
+	readonly #foreignFleet: ForeignFleet;
 	readonly #links: readonly string[];
 	readonly #activeFaults: Array<Promise<void>> = [];
 	readonly #isDown: boolean[];
@@ -90,10 +92,11 @@
 	/** Restores during which the store is away. */
 	#runningRestores = 0;
 
-	private constructor(site: Site, proxy: FaultProxy, links: readonly string[]) {
+	private constructor(site: Site, proxy: FaultProxy, links: readonly string[], foreignFleet: ForeignFleet) {
 		this.site = site;
 		this.evacuations = new EvacuationOrders(site.store);
 		this.#proxy = proxy;
+		this.#foreignFleet = foreignFleet;
 		this.#links = links;
 		this.#runStarts = site.hosts.map(() => [0]);
 		this.#isDown = site.hosts.map(() => false);
@@ -130,6 +133,7 @@
 
 	async [Symbol.asyncDispose](): Promise<void> {
 		await this.site[Symbol.asyncDispose]();
+		await this.#foreignFleet[Symbol.asyncDispose]();
 		await this.#proxy[Symbol.asyncDispose]();
 	}
 
@@ -156,10 +160,18 @@
 			}
 
 			case 'reload': {
-				if (!this.#isDown[fault.host]!) {
-					this.site.hosts[fault.host]!.process.kill('SIGHUP');
-				}
+				this.#reload(fault.host);
+				return;
+			}
 
+			case 'foreign-seed': {
+				this.#foreignFleet.addTo(this.site.hosts[fault.host]!);
+				this.#reload(fault.host);
+				return;
+			}
+
+			case 'foreign-address': {
+				await this.#passAddress(fault.host, fault.length);
 				return;
 			}
 
@@ -365,6 +377,20 @@
 		});
 	}
 
+	async #passAddress(host: number, length: number): Promise<void> {
+		await this.#recordOutage(host, 'killed', async process => {
+			await process.kill();
+			await this.#foreignFleet.occupy(process.peer, length);
+			await this.#restart(host, process);
+		});
+	}
+
+	#reload(host: number): void {
+		if (!this.#isDown[host]!) {
+			this.site.hosts[host]!.process.kill('SIGHUP');
+		}
+	}
+
 	async #pause(host: number, length: number): Promise<void> {
 		await this.#recordOutage(host, 'paused', async ({process}) => {
 			process.kill('SIGSTOP');
