--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -5,7 +5,8 @@
 import {type AddressInfo} from 'node:net';
 import {expect, it} from 'vitest';
 import {type CallerResponse} from '../callers/caller-response.js';
-import {Dispatch, type AdmittedRequest} from '../requests/dispatch.js';
+import {Dispatch} from '../requests/dispatch.js';
+import {type AdmittedRequest} from '../requests/request-state.js';
 import {type GatewayServices} from '../services.js';
 import {type RequestTrace} from '../requests/trace.js';
 
--- /dev/null
+++ b/src/gateway/requests/sender.ts
@@ -0,0 +1,191 @@
+/** Sends a request to its placement, forwards the response to the caller and records how the attempt ended. */
+import {type Job} from '../../core/gateway/engines/load.js';
+import {type PaceSampler} from '../../core/gateway/engines/pace-sampler.js';
+import {type AttemptEnding} from '../../core/gateway/limits/retries.js';
+import {type Placement} from '../../core/gateway/placement/placement.js';
+import {type GatewayUpstream} from '../../core/gateway/types.js';
+import {roundTo} from '../../core/utils/numbers.js';
+import {type StopReason} from '../callers/caller-response.js';
+import {Attempt} from '../upstreams/attempt.js';
+import {AttemptVerdicts} from '../upstreams/attempt-verdicts.js';
+import {StallDetector} from '../upstreams/stall-detector.js';
+import {type RequestState} from './request-state.js';
+import {listHelpers} from './helpers.js';
+import {type Hold} from './holds.js';
+import {type MemoryWait} from './memory-wait.js';
+import {type Reservation} from './reserved-attempt.js';
+import {Rerouter} from './rerouter.js';
+
+/** Notified of the events of an attempt. */
+type EventObservers = {
+	readonly stallDetector: StallDetector;
+	readonly paceSampler: PaceSampler | undefined;
+};
+
+export class Sender {
+	readonly #state: RequestState;
+	readonly #memoryWait: MemoryWait;
+	readonly #verdicts: AttemptVerdicts;
+	readonly #rerouter: Rerouter;
+	#currentAttempt: Attempt | undefined;
+
+	/**
+	 * @param state - Request.
+	 * @param fingerprint - Fingerprint of the request, by which one that crashes engines is recognised.
+	 * @param memoryWait - Wait of the request for memory, which ends as it is sent.
+	 */
+	constructor(state: RequestState, fingerprint: string, memoryWait: MemoryWait) {
+		const {services: {gateway}, attempts, trace} = state;
+		this.#state = state;
+		this.#memoryWait = memoryWait;
+		this.#verdicts = new AttemptVerdicts(gateway, attempts, fingerprint);
+		this.#rerouter = new Rerouter(gateway, attempts, trace);
+	}
+
+	/**
+	 * Cancels the current attempt, if there is one.
+	 *
+	 * @param reason - Why it is cancelled.
+	 */
+	cancel(reason: StopReason): void {
+		if (this.#currentAttempt !== undefined && reason === 'time over') {
+			this.#state.callerResponse.noteMayHaveRun();
+		}
+
+		this.#currentAttempt?.cancel(reason);
+	}
+
+	/**
+	 * @param placement - Where to send the request.
+	 * @param reservation - Its reserved memory and its job; without it, a job is published for the attempt.
+	 * @returns How the attempt ended.
+	 */
+	async send(placement: Placement, reservation?: Reservation): Promise<AttemptEnding> {
+		const {services: {gateway, clock, metrics}, request: {demand, route}, attempts} = this.#state;
+		const remaining = demand.deadline - clock.now();
+		if (remaining <= 0) {
+			return {type: 'not-run', reason: 'no time left', isShed: false};
+		}
+
+		const {placementKind} = attempts;
+		const hold = reservation?.hold;
+		this.#memoryWait.grant();
+		attempts.recordSent(placement.upstream.id);
+		const job = reservation?.job ?? this.#state.beginJob(placement, placementKind);
+		this.#logPlacement(placement, job, hold, remaining);
+		const attempt = this.#createAttempt(placement, hold, remaining);
+		this.#currentAttempt = attempt;
+		if (attempts.canFailOver && route.kind === 'streaming') {
+			this.#rerouter.watch({
+				job: job.id, place: placement, attempt, demand: () => this.#state.demand,
+			});
+		}
+
+		hold?.setLossHandler(() => {
+			attempt.cancel('memory lost');
+		});
+		const stallDetector = new StallDetector(attempt, attempts.canFailOver, placement.firstByte, () => gateway.placements.forecastIterationTime(placement.upstream.id));
+		try {
+			const ending = await this.#finishAttempt(attempt, placement.upstream, job.id, {stallDetector, paceSampler: gateway.placements.createPaceSampler(demand, placement, job.id)});
+			metrics.attempts.inc({service: demand.service, ending: ending.type});
+			this.#logEnding(placement, job.id, ending);
+			return ending;
+		} finally {
+			stallDetector.stop();
+			this.#currentAttempt = undefined;
+			if (reservation === undefined) {
+				gateway.loadUpdates.end(job.id);
+			}
+		}
+	}
+
+	#createAttempt(placement: Placement, hold: Hold | undefined, remaining: number): Attempt {
+		const {services: {headerFormat, agent}, request: {incoming, body, demand, organisation}, callerResponse} = this.#state;
+		const headers = [...headerFormat.formatUpstreamHeaders(incoming.rawHeaders, {
+			left: Math.floor(remaining),
+			upstream: placement.upstream.id,
+			organisation,
+			urgency: placement.urgency,
+			helpers: listHelpers(placement, hold),
+			lastEventId: callerResponse.lastEventId,
+		})];
+		if (body.length > 0 || incoming.headers['content-length'] !== undefined) {
+			headers.push('Content-Length', String(body.length));
+		}
+
+		return new Attempt({
+			id: demand.id,
+			method: incoming.method ?? 'GET',
+			path: incoming.url ?? '/',
+			headers,
+			body,
+			address: placement.upstream.address,
+		}, headerFormat, agent);
+	}
+
+	#logPlacement(placement: Placement, job: Job, hold: Hold | undefined, remaining: number): void {
+		const {services: {gateway}, request: {demand}, trace} = this.#state;
+		trace.write('placed', {
+			attempt: job.id,
+			upstream: placement.upstream.id,
+			helpers: placement.helpers.map(each => each.id),
+			hold: hold?.name,
+			tokens: demand.prompt?.tokens ?? 0,
+			predicted: Math.round(placement.firstByte),
+			loss: roundTo(placement.loss, 3),
+			weight: roundTo(job.weight, 2),
+			jobs: gateway.load.size,
+			left: Math.round(remaining),
+			version: gateway.directory?.configuration.version,
+			confirmedAge: Math.round(gateway.confirmedAge),
+		});
+	}
+
+	#logEnding(placement: Placement, attempt: string, ending: AttemptEnding): void {
+		const {type, ...details} = ending;
+		this.#state.trace.write('attempt-ended', {
+			attempt, upstream: placement.upstream.id, ending: type, ...details,
+		});
+	}
+
+	async #finishAttempt(attempt: Attempt, {id: upstream, started}: GatewayUpstream, job: string, {stallDetector, paceSampler}: EventObservers): Promise<AttemptEnding> {
+		const {services: {gateway, clock}, request: {route}, callerResponse, trace} = this.#state;
+		const sent = clock.now();
+		const reply = await attempt.reply();
+		if (reply.type === 'ended') {
+			return this.#verdicts.recordUnanswered(reply, upstream);
+		}
+
+		if (!reply.metadata.isMisdirected) {
+			gateway.selfReports.record({upstream, started}, reply.metadata.report, sent);
+		}
+
+		if (reply.metadata.isNotRun || reply.metadata.isMisdirected) {
+			reply.body.resume();
+			return this.#verdicts.recordNotRun(reply, upstream);
+		}
+
+		const forwarded = await callerResponse.forward(reply, route, {
+			began() {
+				trace.noteFirstByte();
+				gateway.loadUpdates.progress(job);
+			},
+			receivedEvents() {
+				stallDetector.noteEvents();
+				gateway.paces.recordSample(paceSampler?.noteEvents(clock.now()));
+			},
+			stopped() {
+				// The next events may have arrived before they are read.
+				paceSampler?.noteDelay();
+				stallDetector.stop();
+			},
+			resumed() {
+				stallDetector.noteEvents();
+			},
+		});
+		const isCancelled = forwarded.type === 'unknown' && attempt.cancelled !== undefined;
+		const ending: AttemptEnding = isCancelled ? {type: 'cancelled', reason: attempt.cancelled} : forwarded;
+		this.#verdicts.recordEnding(ending, upstream);
+		return ending;
+	}
+}
