Shares of organisations in a folder by subject

src/gateway/organisation-shares.ts was a module at the root of src/gateway; it is in src/gateway/organisations now. No behaviour changes. Lint and types pass.

--- a/src/gateway/__tests__/organisation-shares.test.ts
+++ b/src/gateway/__tests__/organisation-shares.test.ts
@@ -4,7 +4,7 @@
 import {type Job} from '../../core/gateway/engines/load.js';
 import {type GatewayConfiguration, type Route} from '../../core/gateway/types.js';
 import {type LogLine} from '../../entry/logs.js';
-import {OrganisationShares} from '../organisation-shares.js';
+import {OrganisationShares} from '../organisations/organisation-shares.js';
 import {fromWireJob, toWireJob} from '../peers/load-messages.js';
 import {
 	createMessageReader, encode, type LoadUpdate, type Message,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -18,7 +18,7 @@
 import {MemoryQueue} from './requests/memory-queue.js';
 import {Placements} from './requests/placements.js';
 import {FleetView} from './peers/fleet-view.js';
-import {OrganisationShares} from './organisation-shares.js';
+import {OrganisationShares} from './organisations/organisation-shares.js';
 import {type Host, type Message} from './peers/messages.js';
 import {Peers} from './peers/peers.js';
 import {type PeerState} from './peers/state.js';
--- a/src/gateway/organisation-shares.ts
+++ b/src/gateway/organisations/organisation-shares.ts
@@ -1,13 +1,13 @@
 /** Use of each service by organisations: counted from the jobs of all hosts, and the requests that give way. */
 import {createHash} from 'node:crypto';
-import {overheadMs} from '../core/gateway/engines/losses.js';
-import {type Job} from '../core/gateway/engines/load.js';
-import {type Placement} from '../core/gateway/placement/placement.js';
-import {Shares, type Excess} from '../core/gateway/limits/shares.js';
+import {overheadMs} from '../../core/gateway/engines/losses.js';
+import {type Job} from '../../core/gateway/engines/load.js';
+import {type Placement} from '../../core/gateway/placement/placement.js';
+import {Shares, type Excess} from '../../core/gateway/limits/shares.js';
 import {
 	type Demand, type GatewayConfiguration, type GatewayUpstream, type Route,
-} from '../core/gateway/types.js';
-import {type Log} from '../entry/logs.js';
+} from '../../core/gateway/types.js';
+import {type Log} from '../../entry/logs.js';
 
 /** Length of a tag in characters of six bits each: of 32,000 organisations, few pairs have the same one. */
 const tagLength = 6;
--- a/src/gateway/requests/placements.ts
+++ b/src/gateway/requests/placements.ts
@@ -12,7 +12,7 @@
 	computeShortestWait, countObstacles, type Obstacle, type ObstacleFinder,
 } from '../../core/gateway/placement/eligibility.js';
 import {type Demand, type EngineModel, type GatewayService} from '../../core/gateway/types.js';
-import {type OrganisationShares, type CountedShare} from '../organisation-shares.js';
+import {type OrganisationShares, type CountedShare} from '../organisations/organisation-shares.js';
 import {type Registrations} from '../upstreams/registrations.js';
 import {type Reputation} from '../upstreams/reputation.js';
 import {type Upstreams} from '../upstreams/upstreams.js';
