--- a/src/core/gateway/__tests__/response-buffers.test.ts
+++ b/src/core/gateway/__tests__/response-buffers.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {computeResponseBudget, ResponseBuffers} from '../response-buffers.js';
+import {computeResponseBudget, ResponseBuffers} from '../limits/response-buffers.js';
 
 const budgetBytes = 16_000_000;
 const chunkBytes = 16_384;
--- a/src/gateway/callers/response-buffers.ts
+++ b/src/gateway/callers/response-buffers.ts
@@ -1,5 +1,5 @@
 /** Holds the responses of slow callers within the memory of this host, so that upstreams are read meanwhile. */
-import {ResponseBuffers as Decision} from '../../core/gateway/response-buffers.js';
+import {ResponseBuffers as Decision} from '../../core/gateway/limits/response-buffers.js';
 import {type Clock} from '../../entry/clock.js';
 import {type GatewayMetrics} from '../metrics.js';
 import {type ResponseBuffer} from './response-buffer.js';
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -1,6 +1,6 @@
 /** Assembles a gateway process, and shuts it down gracefully without cutting off responses. */
 import {setImmediate as turn, setTimeout as sleep} from 'node:timers/promises';
-import {computeResponseBudget} from '../core/gateway/response-buffers.js';
+import {computeResponseBudget} from '../core/gateway/limits/response-buffers.js';
 import {Clock} from '../entry/clock.js';
 import {DisposalStack} from '../entry/disposal-stack.js';
 import {type Log} from '../entry/logs.js';
