--- a/src/core/gateway/__tests__/fleet-identity.test.ts
+++ b/src/core/gateway/__tests__/fleet-identity.test.ts
@@ -3,7 +3,7 @@
 import {describe, expect, it} from 'vitest';
 import {
 	createIdentity, hashRegistration, judgeIdentity, type FleetKnowledge, type Kinship,
-} from '../fleet-identity.js';
+} from '../registry/fleet-identity.js';
 
 /** Knowledge of a host that reaches the store at a port and knows the registrations `from` to `to` of a fleet. */
 function know(store: number, fleet: string, to: number, from = 0): FleetKnowledge {
--- a/src/core/gateway/fleet-identity.ts
+++ b/src/core/gateway/registry/fleet-identity.ts
@@ -2,7 +2,7 @@
  * Decides whether two hosts without a shared key belong to the same fleet, from what each knows of the platform: addresses of the store
  * and registrations.
  */
-import {hashText, mixHashes} from '../utils/hashes.js';
+import {hashText, mixHashes} from '../../utils/hashes.js';
 
 /** Hashes of registrations that a handshake carries: equal registries have equal samples. */
 export const maxSampledUpstreams = 8;
--- a/src/gateway/peers/fleet-view.ts
+++ b/src/gateway/peers/fleet-view.ts
@@ -1,7 +1,7 @@
 /** What this host knows of its fleet, by which it recognises peers when no key is set. */
 import {
 	createIdentity, hashRegistration, judgeIdentity, maxStores, type FleetIdentity, type FleetKnowledge, type Kinship,
-} from '../../core/gateway/fleet-identity.js';
+} from '../../core/gateway/registry/fleet-identity.js';
 import {type GatewayUpstream} from '../../core/gateway/types.js';
 import {hashText} from '../../core/utils/hashes.js';
 import {type Address} from '../../core/index.js';
--- a/src/gateway/peers/gatekeeper.ts
+++ b/src/gateway/peers/gatekeeper.ts
@@ -1,7 +1,7 @@
 /** Decides which connections may become links: those to hosts of the same fleet. */
 import {randomBytes} from 'node:crypto';
 import {type Log} from '../../entry/logs.js';
-import {type FleetIdentity} from '../../core/gateway/fleet-identity.js';
+import {type FleetIdentity} from '../../core/gateway/registry/fleet-identity.js';
 import {addressKey, type KnownPeers} from './known-peers.js';
 import {Authentication} from './authentication.js';
 import {describeIdentity, type FleetView} from './fleet-view.js';
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -2,7 +2,7 @@
 import {Encoder, FLOAT32_OPTIONS} from 'cbor-x';
 import {z} from 'zod';
 import {raise} from '../../core/index.js';
-import {maxSampledUpstreams, maxStores} from '../../core/gateway/fleet-identity.js';
+import {maxSampledUpstreams, maxStores} from '../../core/gateway/registry/fleet-identity.js';
 import {createFrame, FrameReader} from '../../protocol/frames.js';
 import {
 	amount, audienceSchema, maxListLength, shortText,
