Weights that can't be right no longer disable shares of organisations

Cause: a job of a peer with a weight such as 1e200 made the sum of squares of its service infinite; it never decayed, so that no organisation was restricted any more. Change: weights above 1e6 are ignored, like those that aren't positive numbers. The added case of the test fails without the change and passes with it.

--- a/src/core/gateway/__tests__/shares.test.ts
+++ b/src/core/gateway/__tests__/shares.test.ts
@@ -256,9 +256,9 @@
 		expect(shares.size).toBe(1);
 	});
 
-	it('is not changed by weights that are no positive numbers', () => {
+	it('is not changed by weights that are no positive numbers or too large to be right', () => {
 		const shares = new Shares();
-		for (const weight of [Number.NaN, Number.POSITIVE_INFINITY, 0, -1]) {
+		for (const weight of [Number.NaN, Number.POSITIVE_INFINITY, 0, -1, 1e200]) {
 			shares.count('o', weight, 0);
 		}
 
--- a/src/core/gateway/limits/shares.ts
+++ b/src/core/gateway/limits/shares.ts
@@ -34,6 +34,9 @@
 /** Least decayed weight that counts as use. */
 const minUse = 1e-6;
 
+/** Largest weight of a request that is counted: far above any prompt. The square of a larger one could make the sums infinite for good. */
+const maxWeight = 1e6;
+
 /** Largest number of organisations that are kept for one service. Beyond it, the one that has been silent for longest is forgotten. */
 const maxOrganisations = 8192;
 
@@ -172,7 +175,7 @@
 	 * @param now - Time.
 	 */
 	count(organisation: string, weight: number, now: number): void {
-		if (!Number.isFinite(weight) || weight <= 0) {
+		if (!(weight > 0 && weight <= maxWeight)) {
 			return;
 		}
 
