--- a/src/core/gateway/limits/shares.ts
+++ b/src/core/gateway/limits/shares.ts
@@ -2,19 +2,9 @@
  * Decides which requests give way while the upstreams of a service are full: those of an organisation that uses far more than its usual
  * share. Without it, an organisation that sends ten times its usual takes the capacity of all others in proportion.
  */
-
-/** Time constants, in milliseconds, over which present and usual use are averaged. */
-const presentWindowMs = 2000;
-const usualWindowMs = 120_000;
-
-/** Multiple of its usual use up to which an organisation is not held back. */
-const toleratedFactor = 2;
-
-/** Random variation of its use, in standard deviations, up to which an organisation is not held back. */
-const toleratedDeviations = 3;
-
-/** Number of requests of the usual size by which an organisation may exceed this at once: a few large ones are no trend. */
-const toleratedRequests = 2;
+import {
+	add, computeLevels, presentWindowMs, updateTotal, updateUse, type Levels, type OrganisationUse, type Sums,
+} from './organisation-use.js';
 
 /** Observation time, in milliseconds, before which no usual use is known. */
 const minHistoryMs = 6000;
@@ -31,9 +21,6 @@
 /** Organisations that have sent nothing for this long, in milliseconds, are forgotten. */
 const retentionMs = 600_000;
 
-/** Least decayed weight that counts as use. */
-const minUse = 1e-6;
-
 /** Largest weight of a request that is counted: far above any prompt. The square of a larger one could make the sums infinite for good. */
 const maxWeight = 1e6;
 
@@ -46,33 +33,10 @@
  */
 const assumedHistoryMs = 30_000;
 
-/** Longest part of a silence, in milliseconds, that lowers usual use: an organisation that returns is served as before. */
-const maxCountedSilenceMs = 2000;
-
 /** Shortest retry delay in milliseconds, and the width of its random spread relative to it: callers must not return together. */
 const minReturnDelayMs = 1000;
 const returnSpread = 0.6;
 
-/** Sums of the weights of requests. The contribution of each one decays over a window. */
-type Sums = {
-	present: number;
-	usual: number;
-	/** Sum of the squared weights over the usual window, for the random variation. */
-	squares: number;
-	at: number;
-};
-
-type OrganisationUse = Sums & {
-	/** Milliseconds of use that the last two sums cover; decays like them. */
-	covered: number;
-	/** Weights over the usual window with all silences. */
-	overall: number;
-	/** Milliseconds for which the mean use is assumed in addition. */
-	readonly assumed: number;
-	/** Until when it is held to its usual use. */
-	restrictedUntil: number;
-};
-
 /** Use of a service by one organisation that gives way, in requests of usual weight per second. */
 export type Excess = {
 	readonly use: number;
@@ -82,71 +46,6 @@
 	readonly wait: number;
 };
 
-function decay(sums: Sums, elapsed: number, usualElapsed: number): void {
-	const usualDecay = Math.exp(-usualElapsed / usualWindowMs);
-	sums.present *= Math.exp(-elapsed / presentWindowMs);
-	sums.usual *= usualDecay;
-	sums.squares *= usualDecay;
-	sums.at += elapsed;
-}
-
-function updateTotal(total: Sums, now: number): void {
-	const elapsed = Math.max(now - total.at, 0);
-	decay(total, elapsed, elapsed);
-}
-
-function updateUse(use: OrganisationUse, now: number): void {
-	const elapsed = Math.max(now - use.at, 0);
-	const counted = Math.min(elapsed, maxCountedSilenceMs);
-	decay(use, elapsed, counted);
-	use.covered = (use.covered * Math.exp(-counted / usualWindowMs)) + counted;
-	use.overall *= Math.exp(-elapsed / usualWindowMs);
-}
-
-function add(sums: Sums, weight: number): void {
-	sums.present += weight;
-	sums.usual += weight;
-	sums.squares += weight ** 2;
-}
-
-/** Returns the part of a window, in milliseconds, that a history of some length covers: sums of a short history are too small otherwise. */
-function computeCoveredTime(windowMs: number, history: number): number {
-	return windowMs * -Math.expm1(-history / windowMs);
-}
-
-/** Use of an organisation, in weight per millisecond. */
-type Levels = {
-	readonly present: number;
-	/** Use that is always allowed: its usual one, or the mean of all organisations if that is more. */
-	readonly usual: number;
-	readonly tolerated: number;
-};
-
-/** Returns the use of an organisation; undefined if it is the only one. */
-function computeLevels(use: OrganisationUse, total: Sums, organisations: number, history: number): Levels | undefined {
-	const presentTime = computeCoveredTime(presentWindowMs, history);
-	const usualTime = computeCoveredTime(usualWindowMs, history);
-	const others = {present: (total.present - use.present) / presentTime, usual: (total.usual - use.overall) / usualTime};
-	// Rounding errors of the sums must not be taken for the use of others.
-	if (others.usual * usualTime < minUse) {
-		return undefined;
-	}
-
-	const mean = total.usual / organisations / usualTime;
-	const knownTime = Math.max(use.covered + use.assumed, presentWindowMs);
-	const usual = (use.usual + (mean * use.assumed)) / knownTime;
-	const requestWeight = total.squares / total.usual;
-	const squares = Math.max(use.squares / knownTime, usual * requestWeight);
-	const variation = ((Math.sqrt(squares * presentTime / 2) * toleratedDeviations) + (requestWeight * toleratedRequests)) / presentTime;
-	// If all use more than usual, for example as a network partition ends, nobody is held back for as much.
-	const growth = Math.max(others.present / others.usual, 1);
-	return {
-		present: use.present / presentTime,
-		usual: Math.max(usual, mean) * growth,
-		tolerated: Math.max(usual * toleratedFactor, usual + mean + variation) * growth,
-	};
-}
-
 /**
  * @param excess - Excess of the organisation of a refused request.
  * @param random - Uniform from 0 to 1, to spread retries.
