--- a/src/core/gateway/limits/cold-starts.ts
+++ b/src/core/gateway/limits/cold-starts.ts
@@ -10,6 +10,9 @@
 /** Cold upstreams kept; more than any fleet has. */
 const maxEntries = 2048;
 
+/** Longest cold time that is believed, in milliseconds: engines need minutes at most. */
+export const maxColdTimeMs = 3_600_000;
+
 const msPerSecond = 1000;
 
 /**
--- a/src/gateway/peers/load-messages.ts
+++ b/src/gateway/peers/load-messages.ts
@@ -5,6 +5,7 @@
 import {type Job} from '../../core/gateway/engines/load.js';
 import {type MemoryClaim} from '../../core/gateway/engines/memory-admission.js';
 import {type PaceReport} from '../../core/gateway/engines/paces.js';
+import {maxColdTimeMs} from '../../core/gateway/limits/cold-starts.js';
 import {type ColdReport, type UpstreamStatement} from '../../core/gateway/limits/upstream-reports.js';
 import {
 	amount, audienceSchema, maxListLength, shortText,
@@ -50,9 +51,6 @@
 	z.object({type: z.literal('departure'), upstream: shortText, started: amount.optional()}),
 ]);
 
-/** Longest remaining time that a host reports of a cold upstream, in milliseconds. */
-const maxColdTimeMs = 3_600_000;
-
 /**
  * An upstream that is cold. Not a member of the reports above: a host that doesn't know a type of report refuses the whole message, but it
  * ignores a field that it doesn't know.
