--- a/src/gateway/upstreams/registrations.ts
+++ b/src/gateway/upstreams/registrations.ts
@@ -1,6 +1,6 @@
 /** Keeps the usable upstreams in sync with the platform's registry, as read from its store or received from peers. */
-import {assertNever} from '../../core/index.js';
-import {isAfter, type StorePosition} from '../../core/gateway/registry/position.js';
+import {findLastChanges} from '../../core/gateway/registry/registry-changes.js';
+import {type StorePosition} from '../../core/gateway/registry/position.js';
 import {StoreOutages} from '../../core/gateway/registry/store-outages.js';
 import {
 	noDifference, Registry, type RegistryChange, type RegistryDifference,
@@ -8,6 +8,9 @@
 import {type GatewayUpstream} from '../../core/gateway/types.js';
 import {type Log} from '../../entry/logs.js';
 import {EvacuationReporter} from './evacuation-reporter.js';
+import {ExpiringRegistrations} from './expiring-registrations.js';
+import {type RegistryUpdate} from './registry-update.js';
+import {StoreEras} from './store-eras.js';
 import {type RegistrationSource, type Upstreams} from './upstreams.js';
 
 export type RegistrationsOptions = {
@@ -19,30 +22,6 @@
 	readonly onEvacuationEnded?: (domain: string) => void;
 };
 
-/** State of the registry that hosts send each other, with the position of the store up to which the sender knows every change. */
-export type RegistryUpdate = StorePosition & {
-	/** Milliseconds since the sender learned of the era; absent if unknown. */
-	readonly eraAge?: number;
-	/** Revision of the last change, in the same era. */
-	readonly changed: number;
-	/** All upstreams registered as of the position; absent if the receiver has the same. */
-	readonly upstreams?: readonly GatewayUpstream[];
-	/** Registrations that a backup of the store brought back after their removal; sent with `upstreams`. */
-	readonly withheld?: readonly GatewayUpstream[];
-	/** Evacuated failure domains; sent with `upstreams`, absent from a host that doesn't know of evacuations. */
-	readonly evacuated?: readonly string[];
-	/** Upstreams whose registration is gone and that the sender keeps in use, as it may merely have expired; absent means none. */
-	readonly kept?: readonly string[];
-};
-
-/** An upstream whose registration is gone, perhaps only because it could not be renewed during an outage of the store. */
-type ExpiringRegistration = {
-	readonly source: RegistrationSource;
-	/** Whether it is missing from a backup, so that a peer that lacks it may never have known it. */
-	readonly isFromEarlierEra: boolean;
-	readonly timer: NodeJS.Timeout;
-};
-
 /**
  * How long a registration is withheld that a backup of the store brought back after its removal. The platform removes one that isn't
  * renewed sooner.
@@ -51,44 +30,23 @@
 
 const noIds: readonly string[] = [];
 
-/** Returns what a change is about, to find the last change of each. */
-function getSubject(change: RegistryChange): string {
-	switch (change.type) {
-		case 'evacuated':
-		case 'evacuation-ended': {
-			return `evacuation ${change.domain}`;
-		}
-
-		case 'removed': {
-			return `upstream ${change.id}`;
-		}
-
-		case 'written': {
-			return `upstream ${change.upstream.id}`;
-		}
-
-		default: {
-			return assertNever(change);
-		}
-	}
-}
-
 export class Registrations implements Disposable {
 	readonly #options: RegistrationsOptions;
 	readonly #registry = new Registry();
 	readonly #expiryGrace = new StoreOutages();
-	/** Upstreams kept in use until they register again or the grace period ends, by id. */
-	readonly #expiring = new Map<string, ExpiringRegistration>();
+	readonly #expiring: ExpiringRegistrations;
+	readonly #eras: StoreEras;
 	readonly #evacuations: EvacuationReporter;
 	readonly #restoredListeners: Array<() => void> = [];
 	/** Since when registrations are withheld; undefined if none are. */
 	#withheldSince: number | undefined;
-	#era = 0;
-	/** When the era began, as far as is known here. */
-	#eraSince = 0;
 
 	constructor(options: RegistrationsOptions) {
 		this.#options = options;
+		this.#eras = new StoreEras(options.now);
+		this.#expiring = new ExpiringRegistrations(options.log, (id, source) => {
+			this.#unregister(id, source);
+		});
 		this.#evacuations = new EvacuationReporter({
 			registry: this.#registry, upstreams: options.upstreams, log: options.log, onEnded: options.onEvacuationEnded,
 		});
@@ -114,24 +72,24 @@
 
 	/** Highest era of the store that is known, which the registry may not have reached yet. */
 	get era(): number {
-		return this.#era;
+		return this.#eras.era;
 	}
 
 	/**
 	 * Era to assume for a peer that reports none: the present one, until the store returns from a backup, which such a peer doesn't notice.
 	 */
 	get assumedEra(): number {
-		return this.#expiryGrace.hasBeenRestored ? 0 : this.#era;
+		return this.#expiryGrace.hasBeenRestored ? 0 : this.#eras.era;
 	}
 
 	/** Milliseconds since the highest era was first known, here or at the peer that reported it; undefined if the store reports none. */
 	get eraAge(): number | undefined {
-		return this.#era === 0 ? undefined : this.#options.now() - this.#eraSince;
+		return this.#eras.age;
 	}
 
 	/** Whether the registry is as of an earlier era of the store, so that its content must be read again. */
 	get isFromEarlierEra(): boolean {
-		return this.#registry.position.era < this.#era;
+		return this.#registry.position.era < this.#eras.era;
 	}
 
 	/**
@@ -143,22 +101,15 @@
 	 * @param age - Milliseconds for which the source has known it.
 	 */
 	recordEra(era: number, source: string, age = 0): void {
-		if (era <= this.#era) {
+		const previous = this.#eras.era;
+		if (!this.#eras.record(era, age) || this.#registry.position.revision === 0) {
 			return;
 		}
 
-		const {log, now} = this.#options;
-		const previous = this.#era;
-		this.#era = era;
-		this.#eraSince = now() - age;
-		if (this.#registry.position.revision === 0) {
-			return;
-		}
-
-		log.write({
+		this.#options.log.write({
 			event: 'store-restored', era, before: previous, revision: this.#registry.position.revision, source,
 		}, 'warn');
-		this.#expiryGrace.markRestored(this.#eraSince);
+		this.#expiryGrace.markRestored(this.#eras.since);
 		this.#withheldSince = undefined;
 		for (const listener of this.#restoredListeners) {
 			listener();
@@ -185,7 +136,8 @@
 	 * @returns Update for the peer.
 	 */
 	createUpdate(position: StorePosition): RegistryUpdate {
-		const kept = this.#expiring.size === 0 ? undefined : [...this.#expiring.keys()];
+		const {ids} = this.#expiring;
+		const kept = ids.length === 0 ? undefined : ids;
 		return this.#registry.isCurrent(position)
 			? {
 				...this.#registry.position, eraAge: this.eraAge, changed: this.#registry.changed, kept,
@@ -201,8 +153,7 @@
 	 * @param position - Position of the store after them.
 	 */
 	applyChanges(changes: readonly RegistryChange[], position: StorePosition): void {
-		const lastChanges = new Map(changes.map(change => [getSubject(change), change]));
-		for (const change of lastChanges.values()) {
+		for (const change of findLastChanges(changes)) {
 			const source = {type: 'store', era: change.era, revision: change.revision} as const;
 			if (!this.#registry.apply(change)) {
 				continue;
@@ -255,7 +206,7 @@
 	applyUpdate(peer: string, update: RegistryUpdate): boolean {
 		this.recordEra(update.era, peer, update.eraAge);
 		const {isFromEarlierEra} = this;
-		if (update.era < this.#era || (isFromEarlierEra && update.upstreams === undefined)) {
+		if (update.era < this.#eras.era || (isFromEarlierEra && update.upstreams === undefined)) {
 			return false;
 		}
 
@@ -291,9 +242,7 @@
 
 	[Symbol.dispose](): void {
 		this.#evacuations[Symbol.dispose]();
-		for (const {timer} of this.#expiring.values()) {
-			clearTimeout(timer);
-		}
+		this.#expiring[Symbol.dispose]();
 	}
 
 	#updateEvacuations(source: RegistrationSource): void {
@@ -330,43 +279,29 @@
 	}
 
 	#register(upstream: GatewayUpstream, source: RegistrationSource): void {
-		this.#cancelExpiry(upstream.id);
+		this.#expiring.cancel(upstream.id);
 		this.#options.upstreams.register(upstream, source);
 	}
 
 	#unregisterOrKeep(id: string, source: RegistrationSource, isFromEarlierEra: boolean): void {
-		const {log, now} = this.#options;
-		const delay = isFromEarlierEra ? this.#expiryGrace.restoredRemovalDelay(now()) : this.#expiryGrace.removalDelay(now());
+		const now = this.#options.now();
+		const delay = isFromEarlierEra ? this.#expiryGrace.restoredRemovalDelay(now) : this.#expiryGrace.removalDelay(now);
 		if (delay === 0) {
 			this.#unregister(id, source);
-		} else if (!this.#expiring.has(id)) {
-			log.write({
-				event: 'upstream-lapsing', upstream: id, era: source.era, revision: source.revision, wait: Math.round(delay),
-			});
-			const timer = setTimeout(() => {
-				this.#unregister(id, source);
-			}, delay);
-			this.#expiring.set(id, {source, isFromEarlierEra, timer});
+		} else {
+			this.#expiring.keep({id, source, isFromEarlierEra}, delay);
 		}
 	}
 
 	/** Unregisters kept upstreams that a peer which knows of their removal doesn't keep: their registrations did not merely expire. */
 	#unregisterUnkept(kept: readonly string[], source: RegistrationSource): void {
-		for (const [id, expiring] of this.#expiring) {
-			if (!expiring.isFromEarlierEra && !isAfter(expiring.source, source) && !kept.includes(id)) {
-				this.#unregister(id, source);
-			}
+		for (const id of this.#expiring.findUnkept(kept, source)) {
+			this.#unregister(id, source);
 		}
 	}
 
 	#unregister(id: string, source: RegistrationSource): void {
-		this.#cancelExpiry(id);
+		this.#expiring.cancel(id);
 		this.#options.upstreams.unregister(id, source);
 	}
-
-	/** Ends the grace period of an upstream, if one is running. */
-	#cancelExpiry(id: string): void {
-		clearTimeout(this.#expiring.get(id)?.timer);
-		this.#expiring.delete(id);
-	}
 }
