Jobs and engine forecasts in modules of their own

load.ts had 399 lines: it described jobs, tracked them and forecast engines. Jobs and what they take are in job.ts, the forecast from them in forecast.ts; load.ts (249 lines) tracks jobs and re-exports the types that its callers use with it. No behaviour changes.

--- a/src/core/gateway/engines/load.ts
+++ b/src/core/gateway/engines/load.ts
@@ -1,81 +1,11 @@
 /** Tracks the jobs at each upstream, from this host and from the load updates of its peers, and forecasts engine load from them. */
 import {type EngineModel} from '../types.js';
-import {computePartMemory, footprint, estimateDecodeIteration} from './engine.js';
-import {defaultUrgency} from './urgency.js';
+import {forecastEngine, type Forecast, type ForecastOptions} from './forecast.js';
+import {listEngines, type Job} from './job.js';
 import {configuredPace, type Pace, type PaceFinder} from './paces.js';
-import {estimateSlotWait, type Occupant} from './queue.js';
-
-/** Kind of placement: the request's first, a retry after an upstream received it, or one after attempts that reached no upstream. */
-export type PlacementKind = 'first' | 'retry' | 'unreached before';
-
-/** One attempt of a request at an upstream. Times are on this host's monotonic clock, in milliseconds. */
-export type Job = {
-	/** Unique over all hosts. */
-	readonly id: string;
-	/** Host that sent the request. */
-	readonly host: string;
-	/** Upstream that answers. */
-	readonly upstream: string;
-	/** Other engines that prefill a part of the prompt. */
-	readonly helpers: readonly string[];
-	/** Length of the prompt and maximum length of the answer, in tokens. */
-	readonly prompt: number;
-	readonly answer: number;
-	/** Whether the memory of the request is split evenly into holds at the upstream and the helpers. */
-	readonly isHeld: boolean;
-	/** Prefill time at each of the engines, at the speed that its configuration states. */
-	readonly read: number;
-	/** Longest part of the prefill within one engine iteration. */
-	readonly readPerPass: number;
-	/** Longest pause between events that meets the latency target, if there is one for pauses. */
-	readonly pause?: number;
-	/** Rank in the queue of the upstream; 0 is first. */
-	readonly urgency?: number;
-	/** How much the request counts, relative to a usual one. */
-	readonly weight: number;
-	readonly placing: PlacementKind;
-	/** Tag of the organisation that the request counts toward; only set on the first job of a request. */
-	readonly organisation?: string;
-	/** Whether the request is delayed because the upstreams of its service are full. */
-	readonly isDelayed?: boolean;
-	readonly began: number;
-	/** When the first byte is due. */
-	readonly due: number;
-	/** When the request times out. */
-	readonly deadline: number;
-	readonly firstByte?: number;
-};
-
-/** Expected state of an engine. */
-export type Forecast = {
-	/** Jobs that the engine answers, waiting ones included; jobs that it only helps to prefill are excluded. */
-	readonly requests: number;
-	/** Jobs that the engine is decoding. */
-	readonly decoding: readonly Job[];
-	/** Jobs whose prompt, or a part of it, the engine prefills. */
-	readonly prefilling: readonly Job[];
-	/** Milliseconds of prefill ahead of a new prompt. */
-	readonly backlog: number;
-	/** Milliseconds of an engine iteration without prefill; 0 if nothing is decoding. */
-	readonly iteration: number;
-	/** Milliseconds until a slot in the batch is free. */
-	readonly slotWait: number;
-	/** KV memory in tokens that no job needs. */
-	readonly freeMemory: number;
-	/** Context lengths in tokens of the jobs that the engine decodes. */
-	readonly contexts: readonly number[];
-	/** Pace by which the times above are predicted. */
-	readonly pace: Pace;
-	/** Milliseconds by which an iteration that decodes one new request exceeds the configured time; 0 unless the engine is slow. */
-	readonly slowdown: number;
-};
 
-export type ForecastOptions = {
-	/** Rank in the queue of the request that the forecast is made for. */
-	readonly urgency?: number;
-	/** Job to leave out, as if it had not been sent. */
-	readonly excludedJob?: string;
-};
+export {memoryAt, type Job, type PlacementKind} from './job.js';
+export {type Forecast} from './forecast.js';
 
 type EngineState = {
 	readonly jobs: Map<string, Job>;
@@ -83,9 +13,6 @@
 	prefillUntil: number;
 };
 
-/** Remaining time, in milliseconds, that is assumed for a prefill that takes longer than predicted. */
-const prefillOverrunMs = 20;
-
 /** Tolerance for clock differences and message delays between hosts, in milliseconds. */
 const expiryMarginMs = 500;
 
@@ -147,7 +74,7 @@
 	 * @returns Jobs of other hosts at the same engines, helpers included.
 	 */
 	findJobsOfOtherHosts(job: Job): readonly Job[] {
-		return enginesOf(job)
+		return listEngines(job)
 			.flatMap(engine => [...this.#engines.get(engine)?.jobs.values() ?? []])
 			.filter(each => each.host !== job.host);
 	}
@@ -190,7 +117,7 @@
 		}
 
 		this.#jobs.set(job.id, job);
-		for (const engine of enginesOf(job)) {
+		for (const engine of listEngines(job)) {
 			const state = this.#engineState(engine);
 			state.jobs.set(job.id, job);
 			if (job.firstByte === undefined) {
@@ -211,7 +138,7 @@
 
 		const next: Job = {...job, firstByte: now};
 		this.#jobs.set(id, next);
-		for (const engine of enginesOf(job)) {
+		for (const engine of listEngines(job)) {
 			const state = this.#engineState(engine);
 			state.jobs.set(id, next);
 			shortenPrefillBacklog(state, now, this.#findPace(engine, now));
@@ -281,58 +208,8 @@
 	 * @param options - Request that the forecast is made for.
 	 * @returns The expected state of the engine.
 	 */
-	forecast(upstream: string, model: EngineModel, now: number, {urgency = defaultUrgency, excludedJob}: ForecastOptions = {}): Forecast {
-		const state = this.#engines.get(upstream);
-		const pace = this.#findPace(upstream, now);
-		const slowdown = pace.decode < 1 ? estimateDecodeIteration(model, [0]) * ((1 / pace.decode) - 1) : 0;
-		if (state === undefined) {
-			return {
-				requests: 0, decoding: [], prefilling: [], backlog: 0, iteration: 0, slotWait: 0, freeMemory: model.memory, contexts: [], pace, slowdown,
-			};
-		}
-
-		const decoding: Job[] = [];
-		const prefilling: Job[] = [];
-		const contexts: number[] = [];
-		const occupants: Occupant[] = [];
-		let freeMemory = model.memory;
-		let {prefillUntil} = state;
-		for (const job of state.jobs.values()) {
-			if (job.id === excludedJob) {
-				prefillUntil -= job.firstByte === undefined ? job.read / pace.prefill : 0;
-				continue;
-			}
-
-			if (job.upstream === upstream) {
-				occupants.push({decodeTime: job.firstByte === undefined ? undefined : now - job.firstByte, urgency: job.urgency ?? defaultUrgency});
-			}
-
-			freeMemory -= memoryAt(job, upstream, model);
-			if (job.firstByte === undefined) {
-				prefilling.push(job);
-				continue;
-			}
-
-			contexts.push(contextAt(job, upstream));
-			if (job.upstream === upstream) {
-				decoding.push(job);
-			}
-		}
-
-		const minBacklog = prefilling.length === 0 ? 0 : prefillOverrunMs;
-		const iteration = contexts.length === 0 ? 0 : estimateDecodeIteration(model, contexts) / pace.decode;
-		return {
-			requests: occupants.length,
-			decoding,
-			prefilling,
-			backlog: Math.max(prefillUntil - now, minBacklog),
-			iteration,
-			slotWait: estimateSlotWait(model, occupants, iteration, urgency),
-			freeMemory,
-			contexts,
-			pace,
-			slowdown,
-		};
+	forecast(upstream: string, model: EngineModel, now: number, options: ForecastOptions = {}): Forecast {
+		return forecastEngine(this.#engines.get(upstream), {upstream, model, pace: this.#findPace(upstream, now)}, now, options);
 	}
 
 	#remove(id: string, now: number): void {
@@ -343,7 +220,7 @@
 
 		this.#removals++;
 		this.#jobs.delete(id);
-		for (const engine of enginesOf(job)) {
+		for (const engine of listEngines(job)) {
 			const state = this.#engineState(engine);
 			state.jobs.delete(id);
 			if (state.jobs.size === 0) {
@@ -361,10 +238,6 @@
 	}
 }
 
-function enginesOf(job: Job): readonly string[] {
-	return [job.upstream, ...job.helpers];
-}
-
 /** Limits the prefill backlog to what the remaining jobs need, after a prefill has ended or was removed. */
 function shortenPrefillBacklog(state: EngineState, now: number, {prefill: pace}: Pace): void {
 	let remaining = 0;
@@ -374,26 +247,3 @@
 
 	state.prefillUntil = Math.min(state.prefillUntil, now + remaining);
 }
-
-/**
- * @param job - Job.
- * @param upstream - Engine that answers it or helps with it.
- * @param model - Performance model of the engine.
- * @returns KV memory in tokens that the job takes there.
- */
-export function memoryAt(job: Job, upstream: string, model: EngineModel): number {
-	const whole = footprint(model, job.prompt, job.answer);
-	if (job.isHeld) {
-		return computePartMemory(model, whole, job.helpers.length + 1);
-	}
-
-	return job.upstream === upstream ? whole : 0;
-}
-
-function contextAt(job: Job, upstream: string): number {
-	if (job.isHeld) {
-		return job.prompt / (job.helpers.length + 1);
-	}
-
-	return job.upstream === upstream ? job.prompt : 0;
-}
