A single slow event is no pace, also after evidence whose weight is lost

The least weight of evidence counted every piece kept, whatever its age. One slow event that came seconds after nine others was then enough, as only it had weight: the pace of the engine fell to 1/16. The least weight now counts pieces with the weight that they have when the latest arrives. The new test failed before, at 5.5 s and at 60 s; the tests of paces, in virtual time too, pass.

--- a/src/core/gateway/__tests__/paces.test.ts
+++ b/src/core/gateway/__tests__/paces.test.ts
@@ -18,10 +18,10 @@
 	weight: 1, placing: 'first', began: now, due: now + 300, deadline: now + 9000,
 } as const;
 
-function record(paces: Paces, factors: readonly number[], upstream = 'e0'): void {
+function record(paces: Paces, factors: readonly number[], upstream = 'e0', from = now): void {
 	for (const [index, factor] of factors.entries()) {
 		paces.recordSample({
-			upstream, phase: 'decode', configured: 43, measured: 43 * factor, at: now + index,
+			upstream, phase: 'decode', configured: 43, measured: 43 * factor, at: from + index,
 		});
 	}
 }
@@ -64,6 +64,14 @@
 		expect(paces.get('e0', now)).toBe(configuredPace);
 	});
 
+	// Guards against evidence whose weight is lost counting toward the least weight.
+	it.each([5500, 60_000])('does not follow a single slow event that comes %i ms after others', age => {
+		const paces = new Paces();
+		record(paces, [1, 1, 1, 1, 1, 1, 1, 1]);
+		record(paces, [30], 'e0', now + age);
+		expect(paces.get('e0', now + age)).toBe(configuredPace);
+	});
+
 	it('does not follow the long and short times between events after a stall of this host', () => {
 		const paces = new Paces();
 		record(paces, [3, 0.2]);
--- a/src/core/gateway/engines/paces.ts
+++ b/src/core/gateway/engines/paces.ts
@@ -116,14 +116,17 @@
 		total += weight;
 	}
 
-	// Fresh evidence has to suffice; it may then fade, which moves the pace toward 1 instead of ending it at once.
-	let initial = 0;
 	let latest = Number.NEGATIVE_INFINITY;
-	for (const {weight, at} of evidence) {
-		initial += weight;
+	for (const {at} of evidence) {
 		latest = Math.max(latest, at);
 	}
 
+	// The evidence has to suffice when the latest arrives; it may then fade, which moves the pace toward 1 instead of ending it at once.
+	let initial = 0;
+	for (const {weight, at} of evidence) {
+		initial += weight * fade(latest - at);
+	}
+
 	if (total === 0 || initial < minWeight) {
 		return undefined;
 	}
