Old evidence on prefills no longer hides the pace of the decode phase

Without evidence on prefills the pace of the decode phase holds for both. Evidence is kept until newer replaces it, and one old piece sufficed for the prefills of a slow engine to count as fast as configured. Evidence that is too weak is now the same as none. The new test failed before; the tests of paces, in virtual time too, pass.

--- a/src/core/gateway/__tests__/paces.test.ts
+++ b/src/core/gateway/__tests__/paces.test.ts
@@ -56,6 +56,19 @@
 		expect(paces.get('e0', now + 10).prefill).toBe(1);
 	});
 
+	// Guards against prefills being taken for as fast as configured because of measurements whose weight is lost.
+	it('is that of the decode phase for prefills again once the evidence on them is old', () => {
+		const paces = new Paces();
+		for (const at of [now - 7000, now - 6900]) {
+			paces.recordSample({
+				upstream: 'e0', phase: 'prefill', configured: 400, measured: 400, at,
+			});
+		}
+
+		record(paces, [4, 4, 4]);
+		expect(paces.get('e0', now + 10).prefill).toBeCloseTo(0.25);
+	});
+
 	it('does not follow a single slow event', () => {
 		const paces = new Paces();
 		record(paces, [30]);
--- a/src/core/gateway/engines/paces.ts
+++ b/src/core/gateway/engines/paces.ts
@@ -154,8 +154,10 @@
 	return Math.abs(logarithm) < Math.log(clearFactor) ? 1 : Math.exp(logarithm);
 }
 
-function computePace(evidence: readonly Evidence[], now: number): number {
-	return evidence.length === 0 ? 1 : toPace(estimate(evidence, now)?.logarithm ?? 0);
+/** Returns the pace that the evidence shows; undefined if it is too weak. */
+function computePace(evidence: readonly Evidence[], now: number): number | undefined {
+	const known = evidence.length === 0 ? undefined : estimate(evidence, now);
+	return known === undefined ? undefined : toPace(known.logarithm);
 }
 
 /** Paces of engines, from this host's samples and its peers' reports. Times are monotonic, in milliseconds. */
@@ -192,9 +194,9 @@
 			return configuredPace;
 		}
 
-		const decode = computePace(known.decode, now);
+		const decode = computePace(known.decode, now) ?? 1;
 		// An engine is mostly slow in both phases, and few prompts are long enough to derive the pace of prefills from.
-		const prefill = known.prefill.length === 0 ? decode : computePace(known.prefill, now);
+		const prefill = computePace(known.prefill, now) ?? decode;
 		return decode === 1 && prefill === 1 ? configuredPace : {decode, prefill};
 	}
 
@@ -235,7 +237,7 @@
 		}
 
 		const own = estimate(known[phase].filter(each => each.host === undefined), now);
-		if (own === undefined || (toPace(own.logarithm) === 1 && computePace(known[phase].filter(each => each.host !== undefined), now) === 1)) {
+		if (own === undefined || (toPace(own.logarithm) === 1 && (computePace(known[phase].filter(each => each.host !== undefined), now) ?? 1) === 1)) {
 			return undefined;
 		}
 
