--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -6,15 +6,16 @@
 import {Announcer} from './announcer.js';
 import {KnownPeers} from './known-peers.js';
 import {Dialer} from './dialer.js';
+import {FleetReach} from './fleet-reach.js';
 import {type RefusalReason} from './foreign-hosts.js';
 import {Gatekeeper, type Identification} from './gatekeeper.js';
 import {Link, type LinkEvents} from './link.js';
 import {
-	encode, type Heartbeat, type Hello, type Host, type Message,
+	type Heartbeat, type Hello, type Host, type Message,
 } from './messages.js';
+import {Sender} from './sender.js';
 import {type StateSummary} from './state.js';
 import {SilenceDetector} from './silence-detector.js';
-import {selectRelays, maxFullMeshHosts} from './topology.js';
 
 /** Each heartbeat also updates the links. */
 const heartbeatIntervalMs = 500;
@@ -25,9 +26,6 @@
  */
 const silenceTimeoutMs = 2000;
 
-/** Longest gap between messages over a link whose load updates arrive without delay: two heartbeats. */
-const maxActiveGapMs = 1000;
-
 /** One heartbeat in this many names other hosts, so that hosts that lost track of each other are linked again within seconds. */
 const heartbeatsPerHostSample = 8;
 
@@ -71,6 +69,8 @@
 	readonly #silenceDetector: SilenceDetector;
 	/** Time of the last message over each link. */
 	readonly #lastMessageAt = new Map<Link, number>();
+	readonly #reach: FleetReach;
+	readonly #sender: Sender;
 	readonly #linkEvents: LinkEvents;
 	readonly #heartbeatTimer: NodeJS.Timeout;
 	readonly #dialer: Dialer;
@@ -84,10 +84,6 @@
 	#heartbeatCount = 0;
 	#lastLoadBroadcastAt = Number.NEGATIVE_INFINITY;
 	#stateAnnouncementEnd = Number.NEGATIVE_INFINITY;
-	/** Relays among the linked hosts; undefined after the links have changed. */
-	#relays: readonly string[] | undefined;
-	/** Highest number of hosts linked at once, this one included. */
-	#maxLinkedHosts = 1;
 
 	constructor(options: PeersOptions) {
 		this.#options = options;
@@ -96,6 +92,10 @@
 			identification: options.identification ?? {type: 'none'}, log: options.log, now: options.now, knownPeers: this.#knownPeers,
 		});
 		this.#silenceDetector = new SilenceDetector(options.self.failureDomain);
+		this.#reach = new FleetReach({
+			self: options.self, seeds: options.seeds, links: this.#links, lastMessageAt: this.#lastMessageAt, knownPeers: this.#knownPeers, silenceDetector: this.#silenceDetector,
+		});
+		this.#sender = new Sender(options.self.failureDomain, this.#links, this.#reach);
 		this.#dialer = new Dialer({
 			self: options.self,
 			seeds: options.seeds,
@@ -150,54 +150,45 @@
 
 	/** Hosts that are linked at present. */
 	get hosts(): readonly Host[] {
-		return [...this.#links.values()].map(link => link.hello!.from);
+		return this.#reach.hosts;
 	}
 
 	/** Number of hosts of the fleet known here, this one included; hosts that are cut off still count. */
 	get fleetSize(): number {
-		return Math.max(this.#maxLinkedHosts, this.#knownPeers.hostCount + 1);
+		return this.#reach.fleetSize;
 	}
 
 	/** Whether hosts are linked through the relays of their failure domains. */
 	get isLargeFleet(): boolean {
-		return this.fleetSize > maxFullMeshHosts;
+		return this.#reach.isLargeFleet;
 	}
 
 	/** Names of the relays of this host's failure domain in order of preference, among this host and the linked ones. */
 	get relays(): readonly string[] {
-		const {self} = this.#options;
-		this.#relays ??= selectRelays(self.failureDomain, [self, ...this.hosts]).map(host => host.name);
-		return this.#relays;
-	}
-
-	/**
-	 * @param failureDomain - Failure domain.
-	 * @returns Names of the known hosts of the domain, linked or not, without this one.
-	 */
-	listDomainHosts(failureDomain: string): readonly string[] {
-		return this.#knownPeers.hosts.filter(host => host.failureDomain === failureDomain).map(host => host.name);
+		return this.#reach.relays;
 	}
 
 	/** Number of failure domains of the known hosts, linked or not, and this one. */
 	get domainCount(): number {
-		return new Set([this.#options.self, ...this.#knownPeers.hosts].map(host => host.failureDomain)).size;
+		return this.#reach.domainCount;
 	}
 
 	/** Whether this host has met another one of the fleet, or has no other address to dial. */
 	get isFleetKnown(): boolean {
-		const {address} = this.#options.self;
-		return this.fleetSize > 1 || this.#options.seeds.every(seed => seed.host === address.host && seed.port === address.port);
+		return this.#reach.isFleetKnown;
+	}
+
+	/** Number of hosts of this failure domain, this one included, whose load updates arrive here. */
+	get domainHostCount(): number {
+		return this.#reach.domainHostCount;
 	}
 
 	/**
-	 * Number of hosts of this failure domain, this one included, whose load updates arrive here. These are the linked hosts if this one is
-	 * the relay, and all known hosts otherwise. A host that has lost all links is its own relay and counts itself only.
+	 * @param failureDomain - Failure domain.
+	 * @returns Names of the known hosts of the domain, linked or not, without this one.
 	 */
-	get domainHostCount(): number {
-		const {name, failureDomain} = this.#options.self;
-		return this.relays[0] === name
-			? this.hosts.filter(host => host.failureDomain === failureDomain).length + 1
-			: this.listDomainHosts(failureDomain).length + 1;
+	listDomainHosts(failureDomain: string): readonly string[] {
+		return this.#reach.listDomainHosts(failureDomain);
 	}
 
 	/**
@@ -205,8 +196,7 @@
 	 * @returns Share of the fleet whose load updates arrive here without delay, this host included; above 0 and at most 1.
 	 */
 	computeVisibleShare(now: number): number {
-		const activeLinks = [...this.#links.values()].filter(link => now - (this.#lastMessageAt.get(link) ?? now) < maxActiveGapMs);
-		return (this.#countVisibleHosts(activeLinks, now) + 1) / this.fleetSize;
+		return this.#reach.computeVisibleShare(now);
 	}
 
 	/**
@@ -214,7 +204,7 @@
 	 * @returns Failure domains whose hosts are all silent, as observed here or by a relay of this domain.
 	 */
 	unreachableDomains(now: number): ReadonlySet<string> {
-		return new Set([...this.#findSilentDomains(now), ...this.#silenceDetector.getReported(now)]);
+		return this.#reach.unreachableDomains(now);
 	}
 
 	/** Listens for connections and starts to dial peers. */
@@ -226,7 +216,7 @@
 	}
 
 	broadcast(message: Message): void {
-		this.#writeAll(message, [...this.#links.values()]);
+		this.#sender.broadcast(message);
 	}
 
 	/** Sends a summary of this host's state to all linked hosts now, and with each heartbeat for a while. */
@@ -244,7 +234,7 @@
 	 * @param message - Message for the first relay of each other failure domain.
 	 */
 	sendToOtherDomains(message: Message): void {
-		this.#writeAll(message, this.#linksToOtherDomains());
+		this.#sender.sendToOtherDomains(message);
 	}
 
 	/**
@@ -252,8 +242,7 @@
 	 * @param delay - Milliseconds that the message may wait to be sent together with others.
 	 */
 	sendToDomain(message: Message, delay = 0): void {
-		const {failureDomain} = this.#options.self;
-		this.#writeAll(message, [...this.#links.values()].filter(link => link.hello?.from.failureDomain === failureDomain), delay);
+		this.#sender.sendToDomain(message, delay);
 	}
 
 	/**
@@ -262,7 +251,7 @@
 	 * @param host - Name of the host.
 	 */
 	flush(host: string): void {
-		this.#links.get(host)?.flush();
+		this.#sender.flush(host);
 	}
 
 	/**
@@ -270,7 +259,7 @@
 	 * @param message - Message.
 	 */
 	send(host: string, message: Message): void {
-		this.#links.get(host)?.send(message);
+		this.#sender.send(host, message);
 	}
 
 	/**
@@ -278,7 +267,7 @@
 	 * @param frame - Message, encoded once for several hosts.
 	 */
 	sendFrame(host: string, frame: Uint8Array): void {
-		this.#links.get(host)?.write(frame);
+		this.#sender.sendFrame(host, frame);
 	}
 
 	/**
@@ -318,7 +307,7 @@
 		const isCoveredByLoad = now - this.#lastLoadBroadcastAt < heartbeatIntervalMs && knownHosts === undefined && state === undefined && !this.isLargeFleet;
 		if (!isCoveredByLoad) {
 			this.broadcast({
-				type: 'heartbeat', known: knownHosts, silent: this.isLargeFleet ? [...this.#findSilentDomains(now)] : undefined, state,
+				type: 'heartbeat', known: knownHosts, silent: this.isLargeFleet ? [...this.#reach.findSilentDomains(now)] : undefined, state,
 			});
 		}
 
@@ -331,48 +320,6 @@
 		this.#dialer.updateLinks();
 	}
 
-	/**
-	 * Finds failure domains whose linked hosts are all silent. In a large fleet, only relays keep links to other domains: any other host
-	 * would count a domain as silent forever once a short-lived link to it timed out.
-	 */
-	#findSilentDomains(now: number): readonly string[] {
-		if (this.isLargeFleet && !this.relays.includes(this.#options.self.name)) {
-			return [];
-		}
-
-		return this.#silenceDetector.getObserved(now);
-	}
-
-	/** Returns the number of other hosts whose load updates arrive over the given links, directly or through a relay. */
-	#countVisibleHosts(links: readonly Link[], now: number): number {
-		const {name, failureDomain} = this.#options.self;
-		const linked = links.map(link => link.hello!.from);
-		const [relay] = this.relays;
-		if (!this.isLargeFleet) {
-			return linked.length;
-		}
-
-		if (relay === name) {
-			const domains = new Set(linked.map(host => host.failureDomain));
-			const own = linked.filter(host => host.failureDomain === failureDomain).length;
-			return own + this.#knownPeers.hosts.filter(host => host.failureDomain !== failureDomain && domains.has(host.failureDomain)).length;
-		}
-
-		const unreachable = this.unreachableDomains(now);
-		return linked.some(host => host.name === relay) ? this.#knownPeers.hosts.filter(host => !unreachable.has(host.failureDomain)).length : linked.length;
-	}
-
-	/** Links to the first relay of each other failure domain. */
-	#linksToOtherDomains(): readonly Link[] {
-		const {hosts} = this;
-		const domains = new Set(hosts.map(host => host.failureDomain));
-		domains.delete(this.#options.self.failureDomain);
-		return [...domains].flatMap(domain => {
-			const [first] = selectRelays(domain, hosts);
-			return first === undefined ? [] : this.#links.get(first.name) ?? [];
-		});
-	}
-
 	/** A sample of the linked hosts, which rotates with each call. */
 	#nextHostSample(): Host[] {
 		const all = this.hosts;
@@ -380,21 +327,6 @@
 		return [...all, ...all].slice(start, start + Math.min(hostSampleSize, all.length));
 	}
 
-	#writeAll(message: Message, links: readonly Link[], delay = 0): void {
-		if (links.length === 0) {
-			return;
-		}
-
-		const bytes = encode(message);
-		for (const link of links) {
-			if (delay > 0) {
-				link.writeBatched(bytes, delay);
-			} else {
-				link.write(bytes);
-			}
-		}
-	}
-
 	#openLink(socket: Socket, dialledAddress: Address | undefined): void {
 		const authentication = this.#gatekeeper.createAuthentication(dialledAddress !== undefined);
 		const link = new Link(socket, dialledAddress !== undefined, this.#linkEvents, {dialledAddress, authentication});
@@ -432,8 +364,7 @@
 		}
 
 		this.#links.set(from.name, link);
-		this.#relays = undefined;
-		this.#maxLinkedHosts = Math.max(this.#maxLinkedHosts, this.#links.size + 1);
+		this.#reach.noteLinksChanged();
 		this.#silenceDetector.recordMessage(from.failureDomain, now);
 		if (previous !== undefined && previous.hello?.from.started !== from.started) {
 			this.#options.events.lost(from, 'started anew');
@@ -441,7 +372,7 @@
 
 		previous?.close('replaced');
 		this.#options.log.write({
-			event: 'peer-linked', peer: from.name, domain: from.failureDomain, hosts: this.#maxLinkedHosts,
+			event: 'peer-linked', peer: from.name, domain: from.failureDomain, hosts: this.#reach.maxLinkedHosts,
 		});
 		this.#announcer.add(from);
 		this.#options.events.joined(from, message => {
@@ -459,7 +390,7 @@
 	/** Announces new hosts to the linked ones: hosts that start together discover each other through their seeds. */
 	#announce(joined: readonly Host[]): void {
 		const isOnlyNewcomer = (link: Link) => joined.length === 1 && link.hello?.from.name === joined[0]!.name;
-		this.#writeAll({type: 'heartbeat', known: [...joined]}, [...this.#links.values()].filter(link => !isOnlyNewcomer(link)));
+		this.#sender.sendToLinks({type: 'heartbeat', known: [...joined]}, link => !isOnlyNewcomer(link));
 	}
 
 	/** Both ends keep the link that was dialled by the host with the smaller name, unless the other host has restarted. */
@@ -514,7 +445,7 @@
 		}
 
 		this.#links.delete(from.name);
-		this.#relays = undefined;
+		this.#reach.noteLinksChanged();
 		if (reason !== 'silent' && !this.hosts.some(host => host.failureDomain === from.failureDomain)) {
 			this.#silenceDetector.recordLastClose(from.failureDomain);
 		}
