Placement preferences: engines that a class of prompts prefers

Reserved capacity and groups of engines both need placement to prefer a set of engines. Nothing sets a preference yet, and without one placement is unchanged.

--- a/src/core/gateway/__tests__/placement.test.ts
+++ b/src/core/gateway/__tests__/placement.test.ts
@@ -5,6 +5,7 @@
 import {findDisruptedStreams, computeWeight} from '../engines/losses.js';
 import {place, type Placement, type PlacementOptions} from '../placement/placement.js';
 import {defaultPolicy} from '../placement/policy.js';
+import {type Preference} from '../placement/preference.js';
 import {type Demand, type EngineModel, type GatewayUpstream} from '../types.js';
 import {findDeparture} from './fixtures.js';
 
@@ -175,3 +176,35 @@
 it('weighs a document more than a question', () => {
 	expect(computeWeight(model, {tokens: 133_000, answer: 0}) / computeWeight(model, {tokens: 5000, answer: 0})).toBeGreaterThan(5);
 });
+
+describe('a preference', () => {
+	const preference: Preference = {reason: 'reserved capacity', prefers: upstream => upstream !== 'e0'};
+
+	it('keeps a prompt away from other engines, also from idle ones', () => {
+		const fixture = new Fixture();
+		fixture.addPrefill('e1', 300);
+		expect(fixture.place(demand(45_000), upstreams(2), {preference})).toMatchObject({upstream: {id: 'e1'}, helpers: [], preference: {reason: 'reserved capacity', isMet: true}});
+	});
+
+	// Guards against a prompt that is late at a preferred engine, or makes others late there, while another engine is idle.
+	it.each(['late', 'disruptive'] as const)('does not hold where the prompt would be %s', effect => {
+		const fixture = new Fixture();
+		if (effect === 'late') {
+			fixture.addPrefill('e1', 4000);
+		} else {
+			for (let index = 0; index < 6; index++) {
+				fixture.addDecoding('e1', 5000, 250);
+			}
+		}
+
+		expect(fixture.place(demand(45_000), upstreams(2), {preference})).toMatchObject({upstream: {id: 'e0'}, preference: {isMet: false}});
+	});
+
+	it('changes nothing if no engine that accepts the prompt is preferred, or all are', () => {
+		const fixture = new Fixture();
+		const expected = fixture.place(demand(5000), upstreams(3));
+		for (const isPreferred of [false, true]) {
+			expect(fixture.place(demand(5000), upstreams(3), {preference: {reason: 'group', prefers: () => isPreferred}})).toEqual(expected);
+		}
+	});
+});
--- a/src/core/gateway/placement/placement.ts
+++ b/src/core/gateway/placement/placement.ts
@@ -16,6 +16,9 @@
 import {type Policy} from './policy.js';
 import {type Eligibility} from './attempts.js';
 import {findAccepting, type ObstacleFinder} from './eligibility.js';
+import {
+	findPreferred, isServedInTime, type Preference, type PreferenceResult,
+} from './preference.js';
 
 /** Shortest prompt, in prefill chunks, for which several engines are considered. */
 const minSharedChunks = 4;
@@ -51,6 +54,8 @@
 	readonly eligibility: Eligibility;
 	/** Finds what keeps an upstream from accepting a request. */
 	readonly findObstacle: ObstacleFinder;
+	/** Engines that this request prefers, if there are such. Not applied at plain services. */
+	readonly preference?: Preference;
 	/** Returns the part of an engine's free memory that this request may take, in tokens; absent if it may take all of it. */
 	readonly limitMemory?: (upstream: string, free: number) => number;
 	/** Job of this request to leave out of forecasts, as if it had not been sent. */
@@ -77,6 +82,8 @@
 	readonly urgency?: number;
 	/** Expected loss, in requests of usual weight. */
 	readonly loss: number;
+	/** How the preference of the request was applied; absent if it made no difference. */
+	readonly preference?: PreferenceResult;
 };
 
 function createCandidates(upstreams: readonly GatewayUpstream[], model: EngineModel, options: PlacementOptions, prompt: Prompt): readonly Candidate[] {
@@ -195,6 +202,24 @@
 	return best;
 }
 
+/** Places a request at the engines that it prefers, or at any if these can't serve it in time. */
+function placeByPreference(demand: Demand, prompt: Prompt, model: EngineModel, upstreams: readonly GatewayUpstream[], options: PlacementOptions): Placement | undefined {
+	const {preference} = options;
+	const preferred = preference === undefined ? undefined : findPreferred(upstreams, preference);
+	if (preference === undefined || preferred === undefined) {
+		return placeAtEngine(demand, prompt, model, upstreams, options);
+	}
+
+	const {reason} = preference;
+	const placement = placeAtEngine(demand, prompt, model, preferred, options);
+	if (placement !== undefined && isServedInTime(placement.loss, prompt, model)) {
+		return {...placement, preference: {reason, isMet: true}};
+	}
+
+	const best = placeAtEngine(demand, prompt, model, upstreams, options);
+	return best === undefined ? undefined : {...best, preference: {reason, isMet: false}};
+}
+
 const noPrefill: PrefillTime = {total: 0, perIteration: 0};
 
 /**
@@ -252,7 +277,7 @@
 export function place(demand: Demand, upstreams: readonly GatewayUpstream[], model: EngineModel | undefined, options: PlacementOptions): Placement | undefined {
 	const usable = findUsable(upstreams, options);
 	return model !== undefined && demand.prompt !== undefined
-		? placeAtEngine(demand, demand.prompt, model, usable, options)
+		? placeByPreference(demand, demand.prompt, model, usable, options)
 		: placeAtService(demand, usable, options);
 }
 
