Priority of an organisation moves its requests in engines' queues and in refusals

Cause: the priority of an organisation ordered only requests that wait for memory. Change: the difference to the priority of the route, at most two ranks, moves the rank in an engine's queue (an answer that has begun is never moved back), and scales the excess that is tolerated while a service is full: 1.5 and 1.25 times for a better priority, 0.75 and 0.5 for a worse one. Random variation isn't scaled.

--- a/src/core/gateway/__tests__/queue.test.ts
+++ b/src/core/gateway/__tests__/queue.test.ts
@@ -2,6 +2,7 @@
 import {estimateSlotWait, type Occupant} from '../engines/queue.js';
 import {type EngineModel} from '../types.js';
 import {urgencyOf} from '../engines/urgency.js';
+import {compareWithRoute} from '../limits/priority.js';
 
 /** An engine with two slots, whose answers usually take a second. */
 const model: EngineModel = {
@@ -49,3 +50,22 @@
 	expect(ranks).toEqual(ranks.toSorted((a, b) => a - b));
 	expect(new Set(ranks).size).toBe(ranks.length);
 });
+
+describe('priority of an organisation', () => {
+	const prompts = [1000, 40_000, 200_000].map(tokens => ({tokens, answer: 100}));
+
+	it('changes no rank without one, or with the same as the route', () => {
+		const unchanged = prompts.map(prompt => urgencyOf(prompt, false));
+		expect(unchanged).toEqual([2, 4, 5]);
+		for (const own of [undefined, 3]) {
+			expect(prompts.map(prompt => urgencyOf(prompt, false, compareWithRoute(own, 3)))).toEqual(unchanged);
+		}
+	});
+
+	it('moves by the difference, by at most two ranks, and no begun answer back', () => {
+		const ranksOf = (own: number) => [...prompts.map(prompt => urgencyOf(prompt, false, compareWithRoute(own, 3))), urgencyOf(prompts[0]!, true, compareWithRoute(own, 3))];
+		expect([0, 1, 2, 4, 5, 9].map(own => ranksOf(own))).toEqual([
+			[0, 2, 3, 0], [0, 2, 3, 0], [1, 3, 4, 0], [3, 5, 6, 1], [4, 6, 7, 1], [4, 6, 7, 1],
+		]);
+	});
+});
--- a/src/core/gateway/__tests__/shares.test.ts
+++ b/src/core/gateway/__tests__/shares.test.ts
@@ -34,6 +34,8 @@
 	readonly restart?: {readonly host: number; readonly at: number};
 	readonly untaggedHosts?: number;
 	readonly isEnabled?: boolean;
+	/** Ranks by which the priority of an organisation moves its requests; without it, no organisation has one. */
+	readonly shiftOf?: (organisation: number) => number;
 	/** Weight of a request, from a uniform number from 0 to 1. */
 	readonly weigh?: (point: number) => number;
 };
@@ -104,7 +106,7 @@
 }
 
 /** Plays requests one by one. Those that find no free slot in their part of the fleet in time are lost; a part learns of each after the delay. */
-function play({seed = 4, factor = () => 1, parts = 1, capacity = 1.2, restart, untaggedHosts = 0, isEnabled = true, weigh = () => 1}: Scenario): Outcome {
+function play({seed = 4, factor = () => 1, parts = 1, capacity = 1.2, restart, untaggedHosts = 0, isEnabled = true, shiftOf, weigh = () => 1}: Scenario): Outcome {
 	const source = createRandom(seed);
 	const random = () => source.integer(0, 999_999) / 1_000_000;
 	const hosts = Array.from({length: hostCount}, () => new Shares());
@@ -133,7 +135,7 @@
 			hosts[host]!.recordPressure(now);
 		}
 
-		if (isEnabled && hosts[host]!.findExcess(`o${organisation}`, now) !== undefined) {
+		if (isEnabled && hosts[host]!.findExcess(`o${organisation}`, now, shiftOf?.(organisation)) !== undefined) {
 			refused[organisation]!++;
 			return;
 		}
@@ -232,6 +234,37 @@
 	}, 60_000);
 });
 
+describe('priority', () => {
+	const countServed = ({served, refused}: Outcome) => [sumOf(served), served[0], refused[1], sumOf(refused)];
+
+	it.each([undefined, 0])('changes no decision if no organisation differs from its route (%s)', shift => {
+		const scenario: Scenario = {factor: tenfold(1), shiftOf: shift === undefined ? undefined : () => shift};
+		const unlike: Scenario = {...scenario, weigh: point => [1, 10, 39][Number(point > 0.85) + Number(point > 0.96)]!};
+		// Counts of the build without priorities (edd31b0).
+		expect(seeds.map(seed => countServed(play({...scenario, seed})))).toEqual([[610, 86, 554, 554], [656, 93, 499, 499], [622, 74, 503, 503]]);
+		expect(seeds.map(seed => countServed(play({...unlike, seed})))).toEqual([[602, 82, 526, 526], [666, 93, 483, 483], [618, 71, 455, 455]]);
+	}, 60_000);
+
+	it('holds an organisation with a worse one sooner, yet serves it its usual use, and one with a better one later', () => {
+		const playAll = (factor: number, shift: number) => seeds.map(seed => play({
+			seed, capacity: 0.95, factor: (each, now) => each === 0 && isExcessTime(now) ? factor : 1, shiftOf: each => each === 0 ? shift : 0,
+		}));
+		const usual = playAll(1, 2);
+		expect(sumOf(usual.map(({refused}) => sumOf(refused)))).toBe(0);
+		const outcomes = [-2, -1, 0, 1, 2].map(shift => playAll(2.3, shift));
+		const refused = outcomes.map(each => sumOf(each.map(outcome => sumOf(outcome.refused))));
+		expect(refused).toEqual(refused.toSorted((a, b) => a - b));
+		expect(refused[1]).toBeLessThan(refused[2]!);
+		expect(refused[2]).toBeLessThan(refused[3]!);
+		expect(sumOf(outcomes[4]!.map(({served}) => served[0]!))).toBeGreaterThanOrEqual(sumOf(usual.map(({served}) => served[0]!)));
+	}, 60_000);
+
+	it.each([-2, 2])('lets an excess take less than allowed from the others (%i)', shift => {
+		expect(computeLoss({factor: tenfold(0), shiftOf: each => each === 0 ? shift : 0}, 0)).toBeLessThan(maxLoss);
+		expect(computeLoss({factor: tenfold(0), shiftOf: each => each === 0 ? 0 : shift}, 0)).toBeLessThan(maxLoss);
+	}, 60_000);
+});
+
 describe('nobody is refused for its use', () => {
 	it.each<[string, Scenario]>([
 		['all send three times their usual', {factor: (_, now) => isExcessTime(now) ? 3 : 1}],
--- a/src/core/gateway/limits/organisation-use.ts
+++ b/src/core/gateway/limits/organisation-use.ts
@@ -7,6 +7,13 @@
 /** Multiple of its usual use up to which an organisation is not held back. */
 const toleratedFactor = 2;
 
+/**
+ * Multiple of the use beyond the usual one that an organisation may have before it is held back, by the ranks that its priority moves it,
+ * from -2 to 2: one with a worse priority gives way first. Random variation isn't scaled, so that usual use is served with any priority. With 2 instead of 1.5, an excess of the largest
+ * organisation cost the others 3.1% of their requests.
+ */
+const toleranceScales = [1.5, 1.25, 1, 0.75, 0.5] as const;
+
 /** Random variation of its use, in standard deviations, up to which an organisation is not held back. */
 const toleratedDeviations = 3;
 
@@ -37,8 +44,8 @@
 	overall: number;
 	/** Milliseconds for which the mean use is assumed in addition. */
 	readonly assumed: number;
-	/** Until when it is held to its usual use. */
-	restrictedUntil: number;
+	/** Until when it is held to its usual use, by the ranks that its priority moves it, from -2 to 2; absent if it never was. */
+	restrictedUntil?: number[];
 };
 
 function decay(sums: Sums, elapsed: number, usualElapsed: number): void {
@@ -90,7 +97,8 @@
 	readonly present: number;
 	/** Use that is always allowed: its usual one, or the mean of all organisations if that is more. */
 	readonly usual: number;
-	readonly tolerated: number;
+	/** Use up to which it isn't held back, by the ranks that its priority moves it, from -2 to 2: the last one is the least. */
+	readonly tolerated: readonly number[];
 };
 
 /**
@@ -120,6 +128,6 @@
 	return {
 		present: use.present / presentTime,
 		usual: Math.max(usual, mean) * growth,
-		tolerated: Math.max(usual * toleratedFactor, usual + mean + variation) * growth,
+		tolerated: toleranceScales.map(scale => Math.max(usual * (1 + ((toleratedFactor - 1) * scale)), usual + (mean * scale) + variation) * growth),
 	};
 }
--- a/src/core/gateway/limits/shares.ts
+++ b/src/core/gateway/limits/shares.ts
@@ -5,6 +5,7 @@
 import {
 	add, computeLevels, presentWindowMs, updateTotal, updateUse, type Levels, type OrganisationUse, type Sums,
 } from './organisation-use.js';
+import {maxPriorityShift} from './priority.js';
 
 /** Observation time, in milliseconds, before which no usual use is known. */
 const minHistoryMs = 6000;
@@ -117,12 +118,14 @@
 	/**
 	 * @param organisation - Tag of the organisation of a request that has not been sent.
 	 * @param now - Time.
+	 * @param shift - Whole ranks by which its priority moves the request, from -2 to 2: the more, the sooner it gives way.
 	 * @returns By how much the organisation exceeds its share; undefined if the request is served like any other.
 	 */
-	findExcess(organisation: string, now: number): Excess | undefined {
+	findExcess(organisation: string, now: number, shift = 0): Excess | undefined {
 		const use = this.#organisations.get(organisation);
 		const levels = use === undefined ? undefined : this.#restrict(use, now);
-		if (use === undefined || levels === undefined || now >= use.restrictedUntil || levels.present <= levels.usual) {
+		const restrictedUntil = use?.restrictedUntil?.[shift + maxPriorityShift];
+		if (levels === undefined || restrictedUntil === undefined || now >= restrictedUntil || levels.present <= levels.usual) {
 			return undefined;
 		}
 
@@ -139,8 +142,9 @@
 		updateUse(use, now);
 		updateTotal(this.#total, now);
 		const levels = computeLevels(use, this.#total, this.#organisations.size, now - this.#historyStart);
-		if (levels !== undefined && levels.present > levels.tolerated) {
-			use.restrictedUntil = now + restrictionMs;
+		if (levels !== undefined && levels.present > levels.tolerated.at(-1)!) {
+			const {present, tolerated} = levels;
+			use.restrictedUntil = tolerated.map((most, index) => present > most ? now + restrictionMs : use.restrictedUntil?.[index] ?? Number.NEGATIVE_INFINITY);
 		}
 
 		return levels;
@@ -150,7 +154,7 @@
 	#createUse(now: number): OrganisationUse {
 		const history = now - this.#historyStart;
 		return {
-			present: 0, usual: 0, squares: 0, at: now, covered: 0, overall: 0, restrictedUntil: Number.NEGATIVE_INFINITY, assumed: history < minHistoryMs ? 0 : assumedHistoryMs,
+			present: 0, usual: 0, squares: 0, at: now, covered: 0, overall: 0, assumed: history < minHistoryMs ? 0 : assumedHistoryMs,
 		};
 	}
 
--- a/src/core/gateway/placement/placement.ts
+++ b/src/core/gateway/placement/placement.ts
@@ -79,11 +79,12 @@
 	readonly loss: number;
 };
 
-function createCandidates(upstreams: readonly GatewayUpstream[], model: EngineModel, options: PlacementOptions, prompt: Prompt): readonly Candidate[] {
+function createCandidates(upstreams: readonly GatewayUpstream[], model: EngineModel, options: PlacementOptions, demand: Demand): readonly Candidate[] {
 	const {health, load, now, excludedJob, policy, failureDomain} = options;
 	const host = hashText(options.host);
+	const prompt = demand.prompt!;
 	const weight = computeWeight(model, prompt);
-	const urgency = urgencyOf(prompt, false);
+	const urgency = urgencyOf(prompt, false, demand.organisationPriority);
 	return upstreams.map(upstream => ({
 		upstream,
 		forecast: limitForecast(load.forecast(upstream.id, model, now, {urgency, excludedJob}), upstream.id, options),
@@ -127,7 +128,7 @@
 		prefill,
 		pace: first.forecast.pace,
 		firstByte,
-		urgency: urgencyOf(prompt, demand.hasBegun === true),
+		urgency: urgencyOf(prompt, demand.hasBegun === true, demand.organisationPriority),
 		loss,
 	};
 }
@@ -183,7 +184,7 @@
 }
 
 function placeAtEngine(demand: Demand, prompt: Prompt, model: EngineModel, upstreams: readonly GatewayUpstream[], options: PlacementOptions): Placement | undefined {
-	const candidates = createCandidates(upstreams, model, options, prompt);
+	const candidates = createCandidates(upstreams, model, options, demand);
 	let best: Placement | undefined;
 	for (const split of findSplits(prompt, model, candidates, options)) {
 		const placement = evaluateSplit(split, demand, prompt, model, options);
@@ -272,7 +273,7 @@
 	const mayReplace = (id: string) => upstream.id !== refusing || options.eligibility.permitted === undefined || options.eligibility.permitted.has(id);
 	const taken = new Set([upstream.id, ...helpers.map(each => each.id)]);
 	const free = findUsable(upstreams, options).filter(each => !taken.has(each.id) && mayReplace(each.id));
-	const [best] = createCandidates(free, model, options, demand.prompt!)
+	const [best] = createCandidates(free, model, options, demand)
 		.filter(({forecast}) => forecast.freeMemory >= holdTokens && forecast.requests < model.slots)
 		.toSorted((a, b) => b.forecast.freeMemory - a.forecast.freeMemory);
 	if (best === undefined) {
@@ -306,7 +307,7 @@
 		return undefined;
 	}
 
-	const [first, ...helpers] = createCandidates([current.upstream, ...current.helpers], model, options, prompt);
+	const [first, ...helpers] = createCandidates([current.upstream, ...current.helpers], model, options, demand);
 	const {loss} = evaluateSplit({first: first!, helpers, holdTokens: current.holdTokens}, demand, prompt, model, options);
 	return {staying: loss, best: place(demand, upstreams, model, options)};
 }
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -82,7 +82,7 @@
 export type GatewayOrganisation = {
 	readonly name: string;
 	readonly keys: readonly string[];
-	/** Overrides the priority of the route. */
+	/** Replaces the priority of the route; while a service is full, the difference moves requests in the queues of engines. */
 	readonly priority?: number;
 };
 
@@ -143,6 +143,8 @@
 	readonly service: string;
 	readonly kind: RouteKind;
 	readonly priority: number;
+	/** Priority of the organisation less that of the route: negative is served earlier while the service is full. Absent if they don't differ. */
+	readonly organisationPriority?: number;
 	/** Time of arrival; monotonic. */
 	readonly arrived: number;
 	/** When the next event is due (the first one unless the answer has begun); monotonic. */
--- a/src/gateway/callers/exchange.ts
+++ b/src/gateway/callers/exchange.ts
@@ -1,6 +1,7 @@
 /** Handles one request of a caller from its head to the end of the response. */
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {compareWithRoute} from '../../core/gateway/limits/priority.js';
 import {chooseService} from '../../core/gateway/registry/directory.js';
 import {type Demand} from '../../core/gateway/types.js';
 import {type RequestMetadata} from '../platform-adapter.js';
@@ -115,6 +116,7 @@
 			service: chooseService(route, this.#services.random()),
 			kind: route.kind,
 			priority: organisation?.priority ?? route.priority,
+			organisationPriority: compareWithRoute(organisation?.priority, route.priority),
 			arrived,
 			due: arrived + route.objective,
 			deadline: arrived + timeout,
--- a/src/gateway/organisations/organisation-shares.ts
+++ b/src/gateway/organisations/organisation-shares.ts
@@ -3,6 +3,7 @@
 import {overheadMs} from '../../core/gateway/engines/losses.js';
 import {type Job} from '../../core/gateway/engines/load.js';
 import {type Placement} from '../../core/gateway/placement/placement.js';
+import {toPriorityShift} from '../../core/gateway/limits/priority.js';
 import {Shares, type Excess} from '../../core/gateway/limits/shares.js';
 import {
 	type Demand, type GatewayConfiguration, type GatewayUpstream, type Route,
@@ -125,7 +126,7 @@
 			shares.recordPressure(now);
 		}
 
-		return shares.findExcess(tag, now);
+		return shares.findExcess(tag, now, toPriorityShift(demand.organisationPriority));
 	}
 
 	/** Number of services whose upstreams were full a short time ago. */
