--- a/bench/gateway/main.ts
+++ b/bench/gateway/main.ts
@@ -5,7 +5,7 @@
  */
 import {writeFileSync} from 'node:fs';
 import process from 'node:process';
-import {Command, InvalidArgumentError} from 'commander';
+import {Command, InvalidArgumentError, Option} from 'commander';
 import {
 	isMechanism, mechanisms, policyWithout, defaultPolicy, type Mechanism,
 } from '../../src/core/gateway/placement/policy.js';
@@ -13,16 +13,28 @@
 import {isInTime, computeServedShare} from './results.js';
 import {Simulation, type PlacementStrategy, type Result} from './simulation.js';
 import {
-	generateArrivals, newsroomKinds, replicaModel, burstPhases, type Workload,
+	burstPhases, deskKinds, deskModel, deskPhases, generateArrivals, newsroomKinds, replicaModel, type Workload,
 } from './workload.js';
 
 const strategies: readonly PlacementStrategy[] = ['product', 'omniscient', 'least-requests', 'fixed-border'];
 
-/** Requests arrive during the first period; the second lasts at least until the last deadline. */
-const arrivalPeriodMs = 32_000;
+/** The second period of a simulation, without arrivals, lasts at least until the last deadline. */
 const drainPeriodMs = 16_000;
 
+const sites = {
+	newsroom: {
+		model: replicaModel, kinds: newsroomKinds, phases: burstPhases, arrivalPeriod: 32_000,
+	},
+	desk: {
+		model: deskModel, kinds: deskKinds, phases: deskPhases, arrivalPeriod: 92_000,
+	},
+} as const;
+
+/** Time from the start of a burst, in milliseconds, in which the engines still serve the prompts of the burst before. */
+const returnPeriodMs = 3000;
+
 type BenchOptions = {
+	readonly site: keyof typeof sites;
 	readonly seeds: number;
 	readonly engines: number;
 	readonly hosts: number;
@@ -80,23 +92,35 @@
 	throw new InvalidArgumentError(`Must be a list of these mechanisms: ${mechanisms.join(', ')}.`);
 }
 
-function simulate({seeds, engines, hosts, news, without}: BenchOptions, load: number, strategy: PlacementStrategy): readonly Result[] {
+function simulate({site, seeds, engines, hosts, news, without}: BenchOptions, load: number, strategy: PlacementStrategy): readonly Result[] {
+	const {model, kinds, phases, arrivalPeriod} = sites[site];
 	const workload: Workload = {
-		kinds: newsroomKinds.map(kind => ({...kind, rate: kind.rate * load})), phases: burstPhases, length: arrivalPeriodMs, hosts,
+		kinds: kinds.map(kind => ({...kind, rate: kind.rate * load})), phases, length: arrivalPeriod, hosts,
 	};
 	const simulationOptions = {
-		model: replicaModel, hosts, engines, strategy, updateDelay: news, policy: policyWithout(defaultPolicy, without),
+		model, hosts, engines, strategy, updateDelay: news, policy: policyWithout(defaultPolicy, without),
 	};
-	return Array.from({length: seeds}, (_, index) => new Simulation(simulationOptions).run(generateArrivals(workload, index + 1), arrivalPeriodMs + drainPeriodMs)).flat();
+	return Array.from({length: seeds}, (_, index) => new Simulation(simulationOptions).run(generateArrivals(workload, index + 1), arrivalPeriod + drainPeriodMs)).flat();
+}
+
+/** Returns whether a request arrived as the demand for its kind had just risen. */
+function isReturning({arrival: {at, kind}}: Result, {phases, kinds}: Pick<Workload, 'kinds' | 'phases'>): boolean {
+	const current = phases.findLastIndex(phase => phase.at <= at);
+	const [before, phase] = [phases[current - 1], phases[current]];
+	const index = kinds.findIndex(({name}) => name === kind.name);
+	return before !== undefined && phase !== undefined && phase.factors[index]! > before.factors[index]! && at - phase.at < returnPeriodMs;
 }
 
-function printResults(title: string, results: readonly Result[]): void {
-	const rows = [summarize('all', results), ...newsroomKinds.map(({name}) => summarize(name, results.filter(({arrival}) => arrival.kind.name === name)))];
+function printResults(title: string, results: readonly Result[], site: BenchOptions['site']): void {
+	const rows = [summarize('all', results), ...sites[site].kinds.flatMap(({name}) => {
+		const ofKind = results.filter(({arrival}) => arrival.kind.name === name);
+		return [summarize(name, ofKind), summarize(`${name}, return`, ofKind.filter(result => isReturning(result, sites[site])))];
+	})];
 	process.stdout.write(`${title}\n`);
 	for (const row of rows) {
 		const late = `first late ${row.lateFirst}  pause late ${row.latePause}`;
 		const lost = `refused ${row.refused}  unfinished ${row.unfinished}`;
-		process.stdout.write(`  ${row.name.padEnd(7)} asked ${row.asked}  in time ${(row.inTime / row.asked).toFixed(3)}  ${late}  ${lost}  worth ${row.servedShare.toFixed(3)}\n`);
+		process.stdout.write(`  ${row.name.padEnd(16)} asked ${row.asked}  in time ${(row.inTime / row.asked).toFixed(3)}  ${late}  ${lost}  worth ${row.servedShare.toFixed(3)}\n`);
 	}
 }
 
@@ -106,7 +130,7 @@
 		name,
 		points: options.loads.map((load): readonly [number, number] => {
 			const results = simulate(options, load, name);
-			printResults(options.loads.length === 1 ? name : `${name}, load ${load}`, results);
+			printResults(options.loads.length === 1 ? name : `${name}, load ${load}`, results, options.site);
 			return [load, computeServedShare(results)];
 		}),
 	}));
@@ -120,6 +144,7 @@
 
 const command = new Command('bench-gateway')
 	.description('Simulates gateways and model engines in virtual time and compares placement policies.')
+	.addOption(new Option('--site <name>', 'models, requests and bursts').choices(Object.keys(sites)).default('newsroom'))
 	.option('--seeds <n>', 'number of seeds', parsePositive, 10)
 	.option('--engines <n>', 'engines', parsePositive, 23)
 	.option('--hosts <n>', 'hosts', parsePositive, 6)
--- a/bench/gateway/workload.ts
+++ b/bench/gateway/workload.ts
@@ -73,6 +73,22 @@
 	},
 ];
 
+/** An engine of the enrolment desk. */
+export const deskModel: EngineModel = {...replicaModel, slots: 8, memory: 382_500};
+
+/** Requests of the enrolment desk, whose long prompts may need two engines. */
+export const deskKinds: readonly RequestKind[] = [
+	{
+		...newsroomKinds[0]!, rate: 47, objective: 309, pause: 200,
+	},
+	{
+		...newsroomKinds[1]!, rate: 4.3, objective: 1514, pause: 500,
+	},
+	{
+		...newsroomKinds[2]!, rate: 1.3, prompt: {mean: 300_000, spread: 0.3, most: 600_000}, objective: 4024, pause: 800, weight: 30,
+	},
+];
+
 /** Alternating bursts of long and short prompts, ten seconds each. */
 export const burstPhases: readonly Phase[] = [
 	{at: 0, factors: [1, 1, 1]},
@@ -81,6 +97,13 @@
 	{at: 22_000, factors: [0.39, 1.3, 2.8]},
 ];
 
+/** Five bursts of long prompts and four of short ones between them, ten seconds each. */
+export const deskPhases: readonly Phase[] = [
+	{at: 0, factors: [1, 1, 1]},
+	...[2300, 22_000, 42_000, 62_000, 82_000].map(at => ({at, factors: [0.39, 1.3, 2.8]})),
+	...[12_000, 32_000, 52_000, 72_000].map(at => ({at, factors: [2.4, 0.5, 0.05]})),
+].toSorted((a, b) => a.at - b.at);
+
 const uniformSteps = 1_000_000;
 
 function uniform(random: Random): number {
