--- a/src/core/gateway/limits/organisation-use.ts
+++ b/src/core/gateway/limits/organisation-use.ts
@@ -9,8 +9,7 @@
 
 /**
  * Multiple of the use beyond the usual one that an organisation may have before it is held back, by the ranks that its priority moves it,
- * from -2 to 2: one with a worse priority gives way first. Random variation isn't scaled, so that usual use is served with any priority. With 2 instead of 1.5, an excess of the largest
- * organisation cost the others 3.1% of their requests.
+ * from -2 to 2: one with a worse priority gives way first. Random variation isn't scaled, so that usual use is served with any priority.
  */
 const toleranceScales = [1.5, 1.25, 1, 0.75, 0.5] as const;
 
