Health checks tell of cold engines while the registrations aren't confirmed

Cause: an engine may become cold at any moment, and while the store is unavailable no host learned of it before its next registration.

Change: while neither the store nor a relay has confirmed a host's view for 2 s, one host of each failure domain checks each engine of a service with a limit for cold engines, at most once a second and 30 checks a second from a host. Linked hosts are ranked by rendezvous hashing, in a large fleet the relays only, since other hosts of it see too few to agree. The cold time that a response states is recorded with the source 'health' and shared. Checks count toward the schedules of a cold engine, at peers by an optional field of the reports.

In a test with three processes whose store is away, all learn that an engine is cold and it gets no more than its bound.

--- a/__tests__/gateway/cold-engines.test.ts
+++ b/__tests__/gateway/cold-engines.test.ts
@@ -82,3 +82,23 @@
 	expect(answers.filter(answer => answer.status !== 200)).toEqual([]);
 	expect(countMost(site.engines[0]!)).toBeLessThanOrEqual(allowed);
 }, 60_000);
+
+it('learn from health checks that an engine is cold while the store is away, and stop checking when it is back', async () => {
+	await startSite(3, 1);
+	const [engine] = site.engines;
+	const countChecks = () => engine!.arrivals.filter(({request}) => request === 'health').length;
+	expect(countChecks()).toBe(0);
+	site.store.mode = 'reset';
+	await expect.poll(countChecks, {timeout: 10_000}).toBeGreaterThan(1);
+	engine!.chill(coldTimeMs);
+	await expect.poll(() => site.hosts.every(host => host.findLogLines('upstream-cold').length > 0), {timeout: 5000}).toBe(true);
+	expect(new Set(site.hosts.flatMap(host => host.findLogLines('upstream-cold')).map(({source}) => source))).toContain('health');
+	await sendLoad(48, 20);
+	expect(countMost(engine!)).toBeLessThanOrEqual(allowed);
+	site.store.mode = 'serving';
+	await expect.poll(() => site.hosts.flatMap(host => host.findLogLines('cold-checks-ended')).length, {timeout: 10_000}).toBe(1);
+	expect(site.hosts.flatMap(host => host.findLogLines('cold-checks'))).toHaveLength(1);
+	const count = countChecks();
+	await sleep(windowMs * 2);
+	expect(countChecks()).toBe(count);
+}, 60_000);
--- a/src/cli/commands/explain.ts
+++ b/src/cli/commands/explain.ts
@@ -34,6 +34,8 @@
 	'upstream-limit',
 	'upstream-cold',
 	'upstream-warm',
+	'cold-checks',
+	'cold-checks-ended',
 	'configuration',
 	'suspected',
 	'domain-evacuated',
--- a/src/gateway/__tests__/cold-starts.test.ts
+++ b/src/gateway/__tests__/cold-starts.test.ts
@@ -165,6 +165,19 @@
 		expect(obstacle).toEqual({type: 'cold-start', wait: 800});
 	});
 
+	it('has health checks counted once, those of this host and those that peers report', () => {
+		const host = new Harness();
+		host.cold.recordHealth(createEngine(), 3000, host.now);
+		expect([host.lines[0]?.source, host.published]).toEqual(['health', [expect.objectContaining({check: {host: 'h1', at: host.now}})]]);
+		const report = {...host.published[0]!, check: {host: 'h2', at: host.now}};
+		host.cold.applyPeerReport('h2', report);
+		host.cold.applyPeerReport('relay', {...report, check: {host: 'h2', at: host.now - 20}});
+		host.cold.applyPeerReport('relay', host.published[0]!);
+		const obstacle = host.cold.findObstacle(createEngine());
+		// Two requests at 1.1 times the rate, less what may be ahead of the schedule.
+		expect(obstacle?.type === 'cold-start' ? Math.round(obstacle.wait) : 0).toBe(305);
+	});
+
 	it('has no limit if none is configured', () => {
 		const host = new Harness();
 		host.rate = undefined;
@@ -184,12 +197,16 @@
 describe('reports of cold engines', () => {
 	it('are a field of load updates that earlier hosts ignore, beside the types of reports that they know', () => {
 		const cold = [toWireCold({
-			type: 'cold', upstream: 'e1', started: 7, until: 2500,
+			type: 'cold', upstream: 'e1', started: 7, until: 2500, check: {host: 'h1', at: 900},
 		}, 1000)];
 		const [message] = createMessageReader().push(encode({
 			type: 'load', began: [], progressed: [], ended: [], cold,
 		}));
-		expect(message).toMatchObject({cold: [{upstream: 'e1', started: 7, remaining: 1500}]});
+		expect(message).toMatchObject({
+			cold: [{
+				upstream: 'e1', started: 7, remaining: 1500, check: {host: 'h1', age: 100},
+			}],
+		});
 		expect(message).not.toHaveProperty('reports');
 	});
 
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -1,12 +1,16 @@
 /** Assembles a gateway process, and shuts it down gracefully without cutting off responses. */
+import {type Agent} from 'node:http';
 import {setImmediate as turn, setTimeout as sleep} from 'node:timers/promises';
 import {computeResponseBudget} from '../core/gateway/response-buffers.js';
 import {Clock} from '../entry/clock.js';
 import {DisposalStack} from '../entry/disposal-stack.js';
 import {type Log} from '../entry/logs.js';
 import {UpstreamAgent} from './upstreams/agent.js';
-import {type EngineControl, type EngineControlOptions, type HeaderFormat} from './platform-adapter.js';
+import {
+	type EngineControl, type EngineControlOptions, type HeaderFormat, type HealthClient,
+} from './platform-adapter.js';
 import {Gateway} from './gateway.js';
+import {HealthChecks} from './upstreams/health-checks.js';
 import {Holds} from './requests/holds.js';
 import {GatewayMetrics, MetricsListener} from './metrics.js';
 import {ResponseBuffers} from './callers/response-buffers.js';
@@ -38,6 +42,9 @@
 /** How often to check whether all requests have ended. */
 const checkIntervalMs = 50;
 
+/** How often to look for health checks that are due. */
+const healthCheckIntervalMs = 200;
+
 /** This host counts as ready until its configuration and upstreams have gone unconfirmed by the store for this long. */
 const maxReadyAgeMs = 20_000;
 
@@ -45,6 +52,7 @@
 export type PlatformAdapter = {
 	readonly headerFormat: HeaderFormat;
 	readonly createEngineControl: (options: EngineControlOptions) => EngineControl;
+	readonly createHealthClient: (agent: Agent) => HealthClient;
 	/** Starts to follow the platform's configuration and registrations; disposed of with the daemon. */
 	readonly startFollower: (gateway: Gateway, clock: Clock, metrics: GatewayMetrics) => AsyncDisposable;
 };
@@ -78,6 +86,7 @@
 			suspensions[Symbol.dispose]();
 		});
 		this.#gateway = this.#disposal.use(new Gateway(settings, this.#clock, log));
+		this.#startHealthChecks(adapter.createHealthClient(agent));
 		const engineControl = adapter.createEngineControl({
 			agent,
 			clock: this.#clock,
@@ -167,6 +176,40 @@
 		await this.#disposal[Symbol.asyncDispose]();
 	}
 
+	#startHealthChecks(client: HealthClient): void {
+		const gateway = this.#gateway;
+		const {upstreams, coldStarts, selfReports, reputation} = gateway;
+		const checks = new HealthChecks({
+			self: this.#settings.host,
+			failureDomain: this.#settings.failureDomain,
+			client,
+			coldStarts,
+			log: this.#log,
+			now: () => this.#clock.now(),
+			confirmedAge: () => gateway.confirmedAge,
+			listHosts: () => gateway.checkingHosts,
+			listUpstreams: () => upstreams.all,
+			findService: name => gateway.service(name),
+			findObstacle: upstream => gateway.findObstacle(upstream),
+			findUnreachableDomains: () => {
+				reputation.updateReachability(this.#clock.now());
+				return reputation.unreachableDomains;
+			},
+			onSent: ({id}) => {
+				selfReports.countRequest(id, this.#clock.now());
+			},
+			onResult: result => {
+				this.#metrics.coldChecks.inc({result});
+			},
+		});
+		const timer = setInterval(() => {
+			checks.update();
+		}, healthCheckIntervalMs);
+		this.#disposal.defer(() => {
+			clearInterval(timer);
+		});
+	}
+
 	#updateGauges(): void {
 		this.#metrics.droppedLines.set(this.#log.dropped);
 		this.#metrics.inFlight.set(this.#callers.running);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -250,7 +250,7 @@
 			memoryQueue: this.memoryQueue,
 			shares: this.shares,
 			findService: name => this.service(name),
-			findObstacle: upstream => this.#findObstacle(upstream),
+			findObstacle: upstream => this.findObstacle(upstream),
 			begin: job => {
 				this.loadUpdates.begin(job);
 			},
@@ -353,6 +353,33 @@
 		return this.service(this.upstreams.get(upstream)?.service ?? '')?.engine;
 	}
 
+	/** Whether the upstreams of a service have a limit while they are cold. */
+	get hasColdLimits(): boolean {
+		return this.#directory?.configuration.services.some(({coldStart}) => (coldStart?.rate ?? 0) > 0) ?? false;
+	}
+
+	/**
+	 * Hosts of this failure domain that check upstreams, as far as they are linked: all in a small fleet. In a large one only the relays are
+	 * linked with all others, so that only they agree on who checks what.
+	 */
+	get checkingHosts(): readonly string[] {
+		const {host: self, failureDomain} = this.#settings;
+		const {isLargeFleet, relays, hosts} = this.peers;
+		return isLargeFleet ? relays : [self, ...hosts.filter(host => host.failureDomain === failureDomain).map(host => host.name)];
+	}
+
+	/**
+	 * @param upstream - Registered upstream.
+	 * @returns What keeps it from accepting a request of this host at present; undefined if it accepts one.
+	 */
+	findObstacle(upstream: GatewayUpstream): Obstacle | undefined {
+		if (this.registrations.isEvacuated(upstream.failureDomain)) {
+			return {type: 'evacuation'};
+		}
+
+		return upstream.isDraining ? {type: 'departure'} : selectLonger(this.selfReports.findObstacle(upstream), this.coldStarts.findObstacle(upstream));
+	}
+
 	/**
 	 * @param service - Service.
 	 * @returns Whether the retry budget that all hosts share allows one more.
@@ -389,14 +416,6 @@
 		await this.peers[Symbol.asyncDispose]();
 	}
 
-	#findObstacle(upstream: GatewayUpstream): Obstacle | undefined {
-		if (this.registrations.isEvacuated(upstream.failureDomain)) {
-			return {type: 'evacuation'};
-		}
-
-		return upstream.isDraining ? {type: 'departure'} : selectLonger(this.selfReports.findObstacle(upstream), this.coldStarts.findObstacle(upstream));
-	}
-
 	/** Returns the registered process of an upstream, if there is one. */
 	#findProcess(id: string): UpstreamProcess | undefined {
 		const upstream = this.upstreams.get(id);
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -75,6 +75,7 @@
 	readonly unhealthy: Gauge;
 	readonly limited: Gauge;
 	readonly cold: Gauge;
+	readonly coldChecks: Counter;
 	readonly unreachable: Gauge;
 	readonly evacuated: Gauge;
 	readonly evacuatedJobs: Gauge;
@@ -114,6 +115,7 @@
 		this.unhealthy = createGauge(registry, 'upstreams_doubted', 'Upstreams that were left alone and have not answered since');
 		this.limited = createGauge(registry, 'upstreams_limited', 'Upstreams that limit the rate of requests from all hosts');
 		this.cold = createGauge(registry, 'upstreams_cold', 'Upstreams that are cold and take few requests');
+		this.coldChecks = createCounter(registry, 'cold_checks_total', 'Health checks that tell whether an upstream is cold, by result', ['result']);
 		this.uneven = createGauge(registry, 'engines_uneven', 'Engines whose pace differs clearly from the configured one');
 		this.badPaces = createGauge(registry, 'pace_reports_ignored', 'Reports of engine paces that could not be right, since the start');
 		this.unreachable = createGauge(registry, 'domains_unreachable', 'Failure domains out of reach');
--- a/src/gateway/peers/load-messages.ts
+++ b/src/gateway/peers/load-messages.ts
@@ -55,7 +55,13 @@
  * An upstream that is cold. Not a member of the reports above: a host that doesn't know a type of report refuses the whole message, but it
  * ignores a field that it doesn't know.
  */
-const coldSchema = z.object({upstream: shortText, started: amount.optional(), remaining: amount});
+const coldSchema = z.object({
+	upstream: shortText,
+	started: amount.optional(),
+	remaining: amount,
+	/** Health check that it got, sent by a host `age` milliseconds ago. */
+	check: z.object({host: shortText, age: amount}).optional(),
+});
 
 /** Pace of an engine, learned from its responses. Bad values are reported by the receiver, which goes on with the rest of the message. */
 const paceSchema = z.object({
@@ -253,8 +259,13 @@
  * @param now - Time in milliseconds.
  * @returns The report as sent to peers.
  */
-export function toWireCold({upstream, started, until}: ColdReport, now: number): WireCold {
-	return {upstream, started, remaining: Math.min(Math.max(Math.round(until - now), 0), maxColdTimeMs)};
+export function toWireCold({upstream, started, until, check}: ColdReport, now: number): WireCold {
+	return {
+		upstream,
+		started,
+		remaining: Math.min(Math.max(Math.round(until - now), 0), maxColdTimeMs),
+		...(check !== undefined && {check: {host: check.host, age: Math.max(Math.round(now - check.at), 0)}}),
+	};
 }
 
 /**
@@ -262,9 +273,13 @@
  * @param now - Time in milliseconds.
  * @returns The report, with times on this host's clock. A time that can't be right is replaced by the nearest that can.
  */
-export function fromWireCold({upstream, started, remaining}: WireCold, now: number): ColdReport {
+export function fromWireCold({upstream, started, remaining, check}: WireCold, now: number): ColdReport {
 	return {
-		type: 'cold', upstream, started, until: now + Math.min(Math.max(remaining, 0), maxColdTimeMs),
+		type: 'cold',
+		upstream,
+		started,
+		until: now + Math.min(Math.max(remaining, 0), maxColdTimeMs),
+		...(check !== undefined && {check: {host: check.host, at: now - Math.max(check.age, 0)}}),
 	};
 }
 
--- a/src/gateway/platform-adapter.ts
+++ b/src/gateway/platform-adapter.ts
@@ -96,3 +96,28 @@
 	readonly reserve: (engine: EngineProcess, hold: string, tokens: number, lease: number) => Promise<boolean>;
 	readonly release: (engine: EngineProcess, hold: string) => Promise<void>;
 };
+
+/** Upstream that a health check is sent to. */
+export type HealthTarget = {
+	readonly upstream: string;
+	readonly address: Address;
+	/** Path of the health checks of its service. */
+	readonly path: string;
+};
+
+/** What a health check shows of the cold time of an upstream; nothing about its health, which responses may state falsely. */
+export type HealthResult
+	/** It stays cold for this many milliseconds. */
+	= | {readonly type: 'cold'; readonly remaining: number}
+		| {readonly type: 'warm'}
+	/** The response is of no use: it didn't arrive in time, came from another upstream, or states an impossible time. */
+		| {readonly type: 'ignored'; readonly reason: 'different id' | 'invalid cold time' | 'no response'; readonly value?: string};
+
+/** Sends health checks. */
+export type HealthClient = {
+	/**
+	 * @param target - Upstream.
+	 * @returns What the check shows, within a second.
+	 */
+	readonly check: (target: HealthTarget) => Promise<HealthResult>;
+};
--- a/src/gateway/upstreams/cold-starts.ts
+++ b/src/gateway/upstreams/cold-starts.ts
@@ -4,7 +4,8 @@
 import {type Job} from '../../core/gateway/engines/load.js';
 import {Settling} from '../../core/gateway/limits/settling.js';
 import {type ColdStart, type GatewayUpstream} from '../../core/gateway/types.js';
-import {type ColdReport} from '../../core/gateway/limits/upstream-reports.js';
+import {type ColdReport, type ReportedCheck} from '../../core/gateway/limits/upstream-reports.js';
+import {dropOldest} from '../../core/utils/bounded.js';
 import {type Log} from '../../entry/logs.js';
 import {type RegistrationSource} from './upstreams.js';
 
@@ -30,7 +31,14 @@
 /** Wait for a cold upstream that is reported while this host knows none of its peers. */
 const unknownFleetWaitMs = 1000;
 
+/** Health checks of one host at one upstream are at least a second apart: one that is reported again sooner is the same. */
+const minCheckGapMs = 500;
+
+/** Checks of other hosts that are kept, to count each once. */
+const maxCounted = 2048;
+
 const ownAssumption = 'assumed';
+const ownCheck = 'health';
 
 /** What this host knows of the other hosts. */
 export type FleetView = {
@@ -73,6 +81,8 @@
 	readonly #options: ColdUpstreamsOptions;
 	readonly #coldStarts: ColdStarts;
 	readonly #settling: Settling;
+	/** When checks of other hosts were sent, by host and upstream. */
+	readonly #countedChecks = new Map<string, number>();
 	#firstRegistrationAt: number | undefined;
 	#view: {readonly at: number; readonly share: ColdShare} | undefined;
 
@@ -130,11 +140,62 @@
 	 * @param peer - Peer.
 	 * @param report - What it or another host knows of a cold upstream.
 	 */
-	applyPeerReport(peer: string, {upstream: id, started, until}: ColdReport): void {
+	applyPeerReport(peer: string, {upstream: id, started, until, check}: ColdReport): void {
 		const upstream = this.#options.findUpstream(id);
 		if (upstream !== undefined && (upstream.started ?? 0) <= (started ?? 0)) {
 			this.#record(upstream, until, peer, false);
 		}
+
+		if (check !== undefined) {
+			this.#countPeerCheck(id, check);
+		}
+	}
+
+	/**
+	 * @param upstream - Registered upstream.
+	 * @returns Until when it is cold; undefined if it has not been lately.
+	 */
+	getEnd({id}: GatewayUpstream): number | undefined {
+		return this.#coldStarts.getEnd(id);
+	}
+
+	/**
+	 * Counts a health check as a request, and tells the peers of it if the upstream is known to be cold.
+	 *
+	 * @param upstream - Upstream that this host is about to check.
+	 * @returns Whether it is known to be cold, so that the check was counted.
+	 */
+	countCheck({id, started}: GatewayUpstream): boolean {
+		const {self, now, publish} = this.#options;
+		const until = this.#coldStarts.getEnd(id);
+		if (until === undefined) {
+			return false;
+		}
+
+		this.#count(id, now(), true);
+		publish({
+			type: 'cold', upstream: id, started, until, check: {host: self, at: now()},
+		});
+		return true;
+	}
+
+	/**
+	 * Records that an upstream is cold according to its response to a health check of this host.
+	 *
+	 * @param upstream - Its registration.
+	 * @param remaining - Milliseconds for which it stays cold.
+	 * @param at - When the check was sent; undefined if it was counted then.
+	 */
+	recordHealth(upstream: GatewayUpstream, remaining: number, at: number | undefined): void {
+		const {now, self, publish} = this.#options;
+		const until = now() + remaining;
+		this.#record(upstream, until, ownCheck, at === undefined);
+		if (at !== undefined) {
+			this.#count(upstream.id, at, true);
+			publish({
+				type: 'cold', upstream: upstream.id, started: upstream.started, until, check: {host: self, at},
+			});
+		}
 	}
 
 	/**
@@ -211,6 +272,20 @@
 		}
 	}
 
+	#countPeerCheck(upstream: string, {host, at}: ReportedCheck): void {
+		const {self, now, isOfDomain} = this.#options;
+		const key = `${host} ${upstream}`;
+		const isRepeated = at - (this.#countedChecks.get(key) ?? Number.NEGATIVE_INFINITY) < minCheckGapMs;
+		if (host === self || isRepeated || now() - at > maxRequestAgeMs) {
+			return;
+		}
+
+		this.#countedChecks.delete(key);
+		this.#countedChecks.set(key, at);
+		dropOldest(this.#countedChecks, maxCounted);
+		this.#count(upstream, at, isOfDomain(host));
+	}
+
 	#record({id, service, started}: GatewayUpstream, until: number, source: string, isShared: boolean): void {
 		const {log, now, wall, findColdStart, publish} = this.#options;
 		const at = now();
--- a/stand-ins/gateway/upstream.ts
+++ b/stand-ins/gateway/upstream.ts
@@ -69,6 +69,7 @@
 });
 
 const loopback = '127.0.0.1';
+const healthPath = '/healthz';
 const notExecutedHeaders = {'x-not-executed': '1'};
 
 /** All listening upstreams by address: engines that share a prompt call each other directly. */
@@ -92,6 +93,8 @@
 	unreadStreams = 0;
 	/** How many times longer its iterations take than its configuration states. */
 	slowness = 1;
+	/** Cold time that it states in its responses to health checks instead of the true one. */
+	statedColdTime: string | undefined;
 	/** Seconds for which it wants no more requests from a host that it refuses; undefined if it doesn't say. */
 	retryAfter: number | undefined;
 	readonly #options: UpstreamOptions;
@@ -235,6 +238,11 @@
 			return;
 		}
 
+		if (incoming.url === healthPath) {
+			this.#answerHealthCheck(outgoing);
+			return;
+		}
+
 		if (incoming.url === '/v1/order') {
 			await this.#handleOrder(incoming, outgoing);
 			return;
@@ -279,6 +287,13 @@
 		await (this.#batch === undefined ? this.#servePlain(id, body, outgoing) : this.#serveStream(id, incoming, outgoing));
 	}
 
+	#answerHealthCheck(outgoing: ServerResponse): void {
+		this.#recordArrival('health', outgoing);
+		const remaining = Math.max(Math.round(this.#coldUntil - performance.now()), 0);
+		outgoing.writeHead(this.#isDraining ? 503 : 200, {'x-instance-id': this.id, 'x-cold-ms': this.statedColdTime ?? String(remaining)});
+		outgoing.end();
+	}
+
 	#recordArrival(request: string, outgoing: ServerResponse): void {
 		const arrival: Arrival = {
 			request, at: performance.now(), process: this.#startTime, isCold: performance.now() < this.#coldUntil,
