Engines that go on stating an invalid cold time are assumed cold only once

Cause: each renewal of a registration with an invalid ColdRemainingMs began the assumed cold time anew, so that the limit never ended, and counted as a change of the registry, so that relays sent all registrations again.

The assumption now holds once, until the statement is valid or the process another one. The test fails without the change; the tests of cold engines and of the registry pass.

--- a/src/core/gateway/__tests__/registry.test.ts
+++ b/src/core/gateway/__tests__/registry.test.ts
@@ -79,6 +79,8 @@
 			registry.apply(written('e1', 7, {sequence: 2, coldRemaining: 3000})),
 			registry.apply(written('e1', 8, {sequence: 3, coldRemaining: 3000})),
 			registry.apply(written('e1', 9, {sequence: 4})),
-		]).toEqual([true, false, true, false]);
+			registry.apply(written('e1', 10, {sequence: 5, isColdTimeUnknown: true})),
+			registry.apply(written('e1', 11, {sequence: 6, isColdTimeUnknown: true})),
+		]).toEqual([true, false, true, false, true, false]);
 	});
 });
--- a/src/core/gateway/registry/registry.ts
+++ b/src/core/gateway/registry/registry.ts
@@ -31,10 +31,11 @@
 
 export const noDifference: RegistryDifference = {written: [], removed: []};
 
-/** An upstream may become cold again while it runs, for the same time as before. */
+/** An upstream may become cold again while it runs, for the same time as before. One that goes on stating an invalid time tells nothing new. */
 function isEquallyCold(a: GatewayUpstream, b: GatewayUpstream): boolean {
 	const isWarm = b.coldRemaining === undefined && b.isColdTimeUnknown !== true;
-	return isWarm || (a.coldRemaining === b.coldRemaining && a.isColdTimeUnknown === b.isColdTimeUnknown && a.sequence === b.sequence);
+	const isRepeatedUnknown = a.isColdTimeUnknown === true && b.isColdTimeUnknown === true;
+	return isWarm || isRepeatedUnknown || (a.coldRemaining === b.coldRemaining && a.isColdTimeUnknown === b.isColdTimeUnknown && a.sequence === b.sequence);
 }
 
 function isEqual(a: GatewayUpstream | undefined, b: GatewayUpstream): boolean {
--- a/src/gateway/__tests__/cold-starts.test.ts
+++ b/src/gateway/__tests__/cold-starts.test.ts
@@ -124,6 +124,16 @@
 		expect(host.isCold).toBe(false);
 	});
 
+	it('only once if it goes on stating a time that can\'t be right: each renewal would extend its limit without an end', () => {
+		const host = new Harness();
+		for (let sequence = 2; sequence < 10; sequence++) {
+			host.register(createEngine({sequence, isColdTimeUnknown: true}));
+			host.run(1000);
+		}
+
+		expect(host.isCold).toBe(false);
+	});
+
 	it('after the evacuation of its domain', () => {
 		const host = new Harness();
 		host.cold.assumeCold(createEngine());
--- a/src/gateway/upstreams/cold-starts.ts
+++ b/src/gateway/upstreams/cold-starts.ts
@@ -115,7 +115,7 @@
 		this.#firstRegistrationAt ??= now;
 		const isFirstListing = now - this.#firstRegistrationAt < firstListingMs;
 		if (!isSameWrite(previous, upstream)) {
-			const stated = upstream.isColdTimeUnknown === true ? this.#durationOf(upstream) : upstream.coldRemaining ?? 0;
+			const stated = upstream.isColdTimeUnknown === true ? this.#assumeUnknown(upstream, previous) : upstream.coldRemaining ?? 0;
 			const origin = source.type === 'store' ? 'store' : source.peer;
 			this.#record(upstream, now + stated, origin, source.type === 'store');
 		}
@@ -312,6 +312,12 @@
 		return this.#options.findColdStart(service)?.duration ?? 0;
 	}
 
+	/** An upstream that goes on stating an invalid time is assumed cold only once: each renewal would extend its limit, without an end. */
+	#assumeUnknown(upstream: GatewayUpstream, previous: GatewayUpstream | undefined): number {
+		const isRepeated = previous?.isColdTimeUnknown === true && previous.started === upstream.started;
+		return isRepeated ? 0 : this.#durationOf(upstream);
+	}
+
 	/** Milliseconds for which an upstream that started before this host may still be cold, from the start that it states. */
 	#assumeRemaining(upstream: GatewayUpstream): number {
 		const duration = this.#durationOf(upstream);
