--- a/src/gateway/__tests__/cold-starts.test.ts
+++ b/src/gateway/__tests__/cold-starts.test.ts
@@ -175,6 +175,17 @@
 		expect(obstacle).toEqual({type: 'cold-start', wait: 800});
 	});
 
+	it('has the part that it prefills as a helper counted beside its reservation, of this host\'s jobs and of peers\'', () => {
+		const host = new Harness();
+		host.cold.assumeCold(createEngine());
+		host.cold.countReservation(['e9', 'e1']);
+		host.cold.countJob(host.createJob({upstream: 'e9', helpers: ['e1'], isHeld: true}));
+		host.cold.countJob(host.createJob({
+			host: 'h2', upstream: 'e9', helpers: ['e1'], isHeld: true,
+		}));
+		expect(host.cold.findObstacle(createEngine())).toEqual({type: 'cold-start', wait: 800});
+	});
+
 	it('has health checks counted once, those of this host and those that peers report', () => {
 		const host = new Harness();
 		host.cold.recordHealth(createEngine(), 3000, host.now);
--- a/src/gateway/upstreams/cold-starts.ts
+++ b/src/gateway/upstreams/cold-starts.ts
@@ -218,12 +218,8 @@
 
 		const isOwn = host === this.#options.self;
 		const isOfDomain = isOwn || this.#options.isOfDomain(host);
-		this.#count(upstream, began, isOfDomain);
-		if (isHeld && isOwn) {
-			return;
-		}
-
-		for (const engine of isHeld ? [upstream, ...helpers] : helpers) {
+		const reserved = isHeld && !isOwn ? [upstream, ...helpers] : [];
+		for (const engine of [upstream, ...helpers, ...reserved]) {
 			this.#count(engine, began, isOfDomain);
 		}
 	}
