Prefills are measured only beside jobs that the placement knew

The time to the first event was compared with the forecast although the engine helped with another prompt meanwhile (jobs that an engine only helps with are not among those that it decodes), or had one that a load update showed later. The new tests failed before; those of paces, in virtual time too, pass.

--- a/src/core/gateway/__tests__/paces.test.ts
+++ b/src/core/gateway/__tests__/paces.test.ts
@@ -184,9 +184,9 @@
 		};
 	}
 
-	function createSampler(load: Load): PaceSampler {
+	function createSampler(load: Load, tokens = 5000): PaceSampler {
 		return new PaceSampler({
-			load, model, prompt: {tokens: 5000, answer: 100}, placement, job: 'own', sent: now,
+			load, model, prompt: {tokens, answer: 100}, placement: {...placement, firstByte: tokens / model.readRate}, job: 'own', sent: now,
 		});
 	}
 
@@ -207,6 +207,20 @@
 		expect(sampler.noteEvents(now + 443)).toBeUndefined();
 	});
 
+	// Guards against paces from 0.2 to 2 that prefills on an even fleet gave beside prompts of which this host learned later.
+	it.each<[string, Partial<Job>]>([
+		['helps with', {
+			upstream: 'e1', helpers: ['e0'], began: now + 100, firstByte: now + 900,
+		}],
+		['got before, as a load update shows later', {began: now - 10, firstByte: now - 5}],
+	])('does not measure a prefill beside one that the engine %s', (_, change) => {
+		const load = createLoad();
+		const sampler = createSampler(load, 80_000);
+		load.begin(createJob('other', change), now + 300);
+		expect(sampler.noteEvents(now + 1000)).toBeUndefined();
+		expect(createSampler(createLoad(), 80_000).noteEvents(now + 1000)).toMatchObject({phase: 'prefill', configured: 440});
+	});
+
 	it('does not take a caller that reads slowly for a slow engine', () => {
 		const load = createLoad();
 		const sampler = createSampler(load);
--- a/src/core/gateway/engines/pace-sampler.ts
+++ b/src/core/gateway/engines/pace-sampler.ts
@@ -37,6 +37,8 @@
 
 export class PaceSampler {
 	readonly #options: PaceSamplerOptions;
+	/** Jobs at the engine that were known when the request was sent. */
+	readonly #knownJobs: ReadonlySet<string>;
 	#last: {readonly at: number; readonly times: IterationBounds} | undefined;
 	#isDelayed = false;
 
@@ -45,6 +47,7 @@
 	 */
 	constructor(options: PaceSamplerOptions) {
 		this.#options = options;
+		this.#knownJobs = new Set(options.load.findJobsAt(options.placement.upstream.id).map(({id}) => id));
 	}
 
 	/**
@@ -61,7 +64,7 @@
 		const times = this.#estimateIteration(forecast);
 		this.#last = {at: now, times};
 		if (previous === undefined) {
-			return this.#measurePrefill(forecast, now);
+			return this.#measurePrefill(now);
 		}
 
 		const shortest = Math.min(times.shortest, previous.times.shortest);
@@ -99,9 +102,9 @@
 	}
 
 	/** The queue and the backlog are subtracted as they were forecast, and the iteration that generates the first event. */
-	#measurePrefill({decoding, prefilling}: Forecast, now: number): PaceSample | undefined {
-		const {model, placement, prompt, sent, job} = this.#options;
-		if ([...decoding, ...prefilling].some(each => each.id !== job && (each.firstByte ?? each.began) >= sent)) {
+	#measurePrefill(now: number): PaceSample | undefined {
+		const {model, placement, prompt, sent} = this.#options;
+		if (this.#isDisturbed()) {
 			return undefined;
 		}
 
@@ -118,4 +121,13 @@
 			upstream: upstream.id, phase: 'prefill', configured, measured, at: now,
 		};
 	}
+
+	/**
+	 * Returns whether the engine prefilled another job, as its upstream or helper, since this one was sent, or has one that was not known then:
+	 * load updates may take longer than the time between two requests.
+	 */
+	#isDisturbed(): boolean {
+		const {load, job, placement, sent} = this.#options;
+		return load.findJobsAt(placement.upstream.id).some(({id, began, firstByte = began}) => id !== job && (firstByte >= sent || !this.#knownJobs.has(id)));
+	}
 }
