A shorter queue than forecast makes no fast engine

The forecast queue is subtracted from the time to the first event. A prefill now counts as faster than configured only if it was so with no queue at all.

--- a/src/core/gateway/__tests__/paces.test.ts
+++ b/src/core/gateway/__tests__/paces.test.ts
@@ -221,6 +221,14 @@
 		expect(createSampler(createLoad(), 80_000).noteEvents(now + 1000)).toMatchObject({phase: 'prefill', configured: 440});
 	});
 
+	it('does not take a queue that was shorter than forecast for a fast engine', () => {
+		const options = {
+			load: createLoad(), model, prompt: {tokens: 80_000, answer: 100}, job: 'own', sent: now,
+		};
+		const sampler = new PaceSampler({...options, placement: {...placement, firstByte: 540}});
+		expect(sampler.noteEvents(now + 443)).toMatchObject({phase: 'prefill', configured: 440, measured: 400});
+	});
+
 	it('does not take a caller that reads slowly for a slow engine', () => {
 		const load = createLoad();
 		const sampler = createSampler(load);
--- a/src/core/gateway/engines/pace-sampler.ts
+++ b/src/core/gateway/engines/pace-sampler.ts
@@ -116,7 +116,9 @@
 		}
 
 		const firstIteration = estimateDecodeIteration(model, [prompt.tokens]) / pace.decode;
-		const measured = Math.max(now - sent - (firstByte - predicted) - firstIteration, configured / 4);
+		const prefill = now - sent - firstIteration;
+		// The queue may have been shorter than forecast: an engine is fast only if it was faster than without any.
+		const measured = Math.max(prefill - (firstByte - predicted), Math.min(prefill, configured), configured / 4);
 		return {
 			upstream: upstream.id, phase: 'prefill', configured, measured, at: now,
 		};
