Hosts of a large failure domain receive short jobs of their group only

The relay of a failure domain sent every job of the fleet to every host: its traffic grew with the square of the fleet. In a domain of more than 48 hosts, each host that isn't a relay announces the number of groups in its heartbeats and hello. The relay sends it short jobs at the engines of its group, and all other jobs, reports, paces, claims and absences as before; a batch is encoded once a group. Hosts that announce nothing, older builds included, receive everything, and a domain of up to 48 hosts sends no new field.

- Jobs that are left out reach the group as sums by service and organisation, for shares and retry budgets.
Retries, and jobs at upstreams that are cold or limit their rate, are always sent.
- Prompts are placed at engines of the group while these serve them in time.
At others, the memory that short jobs may take in free slots counts as taken, and no pace is measured.
- A host whose group changes gets the jobs that it lacks, and removes those whose ends it would no longer get.

--- a/src/core/gateway/engines/load.ts
+++ b/src/core/gateway/engines/load.ts
@@ -38,6 +38,8 @@
 	readonly organisation?: string;
 	/** Whether the request is delayed because the upstreams of its service are full. */
 	readonly isDelayed?: boolean;
+	/** Whether every host receives the job, also those outside the group of its upstream; set if the host that sent it says so. */
+	readonly isForAll?: boolean;
 	readonly began: number;
 	/** When the first byte is due. */
 	readonly due: number;
@@ -70,6 +72,9 @@
 	readonly slowdown: number;
 };
 
+/** Returns the tokens of KV memory that unknown jobs may take at an engine, given the number of known ones that it answers. */
+export type UnknownMemoryEstimator = (upstream: string, model: EngineModel, known: number) => number;
+
 export type ForecastOptions = {
 	/** Rank in the queue of the request that the forecast is made for. */
 	readonly urgency?: number;
@@ -99,13 +104,16 @@
 	readonly #ended = new Map<string, number>();
 	readonly #engines = new Map<string, EngineState>();
 	readonly #findPace: PaceFinder;
+	readonly #estimateUnknownMemory: UnknownMemoryEstimator;
 	#removals = 0;
 
 	/**
 	 * @param findPace - Finds the pace of an engine.
+	 * @param estimateUnknownMemory - Estimates the memory that jobs of other hosts take which this host doesn't receive.
 	 */
-	constructor(findPace: PaceFinder = () => configuredPace) {
+	constructor(findPace: PaceFinder = () => configuredPace, estimateUnknownMemory: UnknownMemoryEstimator = () => 0) {
 		this.#findPace = findPace;
+		this.#estimateUnknownMemory = estimateUnknownMemory;
 	}
 
 	/** Number of known jobs. */
@@ -286,8 +294,9 @@
 		const pace = this.#findPace(upstream, now);
 		const slowdown = pace.decode < 1 ? estimateDecodeIteration(model, [0]) * ((1 / pace.decode) - 1) : 0;
 		if (state === undefined) {
+			const freeMemory = model.memory - this.#estimateUnknownMemory(upstream, model, 0);
 			return {
-				requests: 0, decoding: [], prefilling: [], backlog: 0, iteration: 0, slotWait: 0, freeMemory: model.memory, contexts: [], pace, slowdown,
+				requests: 0, decoding: [], prefilling: [], backlog: 0, iteration: 0, slotWait: 0, freeMemory, contexts: [], pace, slowdown,
 			};
 		}
 
@@ -328,7 +337,7 @@
 			backlog: Math.max(prefillUntil - now, minBacklog),
 			iteration,
 			slotWait: estimateSlotWait(model, occupants, iteration, urgency),
-			freeMemory,
+			freeMemory: freeMemory - this.#estimateUnknownMemory(upstream, model, occupants.length),
 			contexts,
 			pace,
 			slowdown,
--- a/src/core/gateway/limits/retries.ts
+++ b/src/core/gateway/limits/retries.ts
@@ -119,6 +119,20 @@
 		}
 	}
 
+	/**
+	 * Counts requests that other hosts of this failure domain have sent for the first time and that weren't reported one by one.
+	 *
+	 * @param service - Service that they were sent to.
+	 * @param count - Number of requests.
+	 * @param now - Time in milliseconds.
+	 */
+	countPeerRequests(service: string, count: number, now: number): void {
+		const {requests} = this.#recentTimes(service, now);
+		for (let index = 0; index < count; index++) {
+			requests.push(now);
+		}
+	}
+
 	/**
 	 * @param service - Service.
 	 * @param share - Hosts that share the allowance.
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -9,6 +9,8 @@
 import {
 	type EngineModel, type GatewayConfiguration, type GatewayService, type GatewayUpstream, type UpstreamProcess,
 } from '../core/gateway/types.js';
+import {computeUnknownMemory} from '../core/gateway/placement/job-audience.js';
+import {isEngineOf} from '../core/gateway/registry/host-groups.js';
 import {type Clock, type Timestamp} from '../entry/clock.js';
 import {type Log} from '../entry/logs.js';
 import {ColdUpstreams} from './upstreams/cold-starts.js';
@@ -92,7 +94,10 @@
 				this.loadUpdates.publishPace(report);
 			},
 		});
-		this.load = new Load((upstream, now) => this.paces.get(upstream, now));
+		this.load = new Load((upstream, now) => this.paces.get(upstream, now), (upstream, model, known) => {
+			const group = this.loadUpdates.groups.own;
+			return group === undefined || isEngineOf(upstream, group) ? 0 : computeUnknownMemory(model, known);
+		});
 		this.peers = new Peers({
 			self: {
 				name: settings.host,
@@ -121,8 +126,12 @@
 				summary: (from, summary) => {
 					this.sharing.handleSummary(from.name, summary);
 				},
+				groups: (from, count) => {
+					this.loadUpdates.handleGroups(from, count);
+				},
 			},
 			summarizeState: () => ({era: this.registrations.era, eraAge: this.registrations.eraAge, version: this.#directory?.configuration.version}),
+			countGroups: () => this.loadUpdates.groups.update(),
 		});
 		this.reputation = new Reputation({failureDomain: settings.failureDomain, log, silentDomains: now => this.peers.unreachableDomains(now)});
 		this.selfReports = new SelfReports({
@@ -222,6 +231,14 @@
 					this.retries.countPeerPlacement(service, job.placing, clock.now());
 				}
 			},
+			isCounted: upstream => this.selfReports.isLimited(upstream) || this.coldStarts.isCold(upstream),
+			findService: upstream => this.upstreams.get(upstream)?.service,
+			onSum: sum => {
+				if (this.service(sum.service) !== undefined) {
+					this.shares.countSum(sum);
+					this.retries.countPeerRequests(sum.service, sum.requests, clock.now());
+				}
+			},
 		});
 		this.shares = new OrganisationShares({
 			log,
@@ -251,6 +268,7 @@
 			shares: this.shares,
 			findService: name => this.service(name),
 			findObstacle: upstream => this.#findObstacle(upstream),
+			findGroup: () => this.loadUpdates.groups.own,
 			begin: job => {
 				this.loadUpdates.begin(job);
 			},
@@ -258,6 +276,7 @@
 
 		this.#expiryTimer = setInterval(() => {
 			this.load.removeExpired(clock.now());
+			this.loadUpdates.removeForeignJobs();
 		}, expiryIntervalMs);
 		this.#coldTimer = setInterval(() => {
 			this.coldStarts.update();
--- a/src/gateway/organisation-shares.ts
+++ b/src/gateway/organisation-shares.ts
@@ -2,6 +2,7 @@
 import {createHash} from 'node:crypto';
 import {overheadMs} from '../core/gateway/engines/losses.js';
 import {type Job} from '../core/gateway/engines/load.js';
+import {type JobSum} from '../core/gateway/limits/job-sums.js';
 import {type Placement} from '../core/gateway/placement/placement.js';
 import {Shares, type Excess} from '../core/gateway/limits/shares.js';
 import {
@@ -98,6 +99,29 @@
 		}
 	}
 
+	/**
+	 * Counts jobs of other hosts that were reported together; each counts with their mean weight.
+	 *
+	 * @param sum - Jobs of one service and organisation.
+	 */
+	countSum({service, organisation, count, delayed, weight}: JobSum): void {
+		if (organisation === undefined && delayed === 0) {
+			return;
+		}
+
+		const now = this.#options.now();
+		const shares = this.#sharesOf(service);
+		if (organisation !== undefined) {
+			for (let index = 0; index < count; index++) {
+				shares.count(organisation, weight / count, now);
+			}
+		}
+
+		if (delayed > 0) {
+			shares.recordPressure(now);
+		}
+	}
+
 	/**
 	 * @param demand - Request.
 	 * @param placement - Its placement.
--- a/src/gateway/peers/load-messages.ts
+++ b/src/gateway/peers/load-messages.ts
@@ -5,6 +5,7 @@
 import {type Job} from '../../core/gateway/engines/load.js';
 import {type MemoryClaim} from '../../core/gateway/engines/memory-admission.js';
 import {type PaceReport} from '../../core/gateway/engines/paces.js';
+import {type JobSum} from '../../core/gateway/limits/job-sums.js';
 import {type ColdReport, type UpstreamStatement} from '../../core/gateway/limits/upstream-reports.js';
 import {
 	amount, audienceSchema, maxListLength, shortText,
@@ -36,6 +37,7 @@
 	/** Tag of an organisation. An invalid one is ignored by the receiver, which goes on with the rest of the message. */
 	organisation: z.unknown().optional(),
 	isDelayed: z.boolean().optional(),
+	isForAll: z.boolean().optional(),
 });
 
 /** An upstream that could not be reached, or that another process has replaced. */
@@ -83,6 +85,16 @@
 	expires: amount,
 });
 
+/** Jobs that the relay leaves out of what it sends to the receiver's group. */
+const sumSchema = z.object({
+	service: shortText,
+	organisation: z.unknown().optional(),
+	count: z.number().int().positive().max(maxListLength),
+	delayed: z.number().int().nonnegative().max(maxListLength),
+	weight: amount.nonnegative(),
+	requests: z.number().int().nonnegative().max(maxListLength),
+});
+
 /** Changes of the jobs of a host, or of those that it forwards, and what it knows of upstreams. */
 export const loadSchema = z.object({
 	type: z.literal('load'),
@@ -94,6 +106,8 @@
 	cold: z.array(coldSchema).max(maxListLength).optional(),
 	paces: z.array(paceSchema).max(maxListLength).optional(),
 	claims: z.array(claimSchema).max(maxListLength).optional(),
+	/** Only sent to hosts that have announced a group. */
+	sums: z.array(sumSchema).max(maxListLength).optional(),
 	audience: audienceSchema,
 });
 
@@ -101,6 +115,7 @@
 export type WireCold = Readonly<z.infer<typeof coldSchema>>;
 export type WirePace = Readonly<z.infer<typeof paceSchema>>;
 export type WireClaim = Readonly<z.infer<typeof claimSchema>>;
+export type WireSum = Readonly<z.infer<typeof sumSchema>>;
 export type WireJob = Readonly<z.infer<typeof jobSchema>>;
 
 /**
@@ -113,7 +128,7 @@
  */
 export function toWireJob(job: Job, sender: string, now: number): WireJob {
 	const {id, upstream, helpers, prompt, answer, isHeld, read, readPerPass, pause, urgency, weight, placing} = job;
-	return {
+	const wireJob: WireJob = {
 		id,
 		host: job.host === sender ? undefined : job.host,
 		upstream,
@@ -134,6 +149,8 @@
 		organisation: job.organisation,
 		isDelayed: job.isDelayed === true ? true : undefined,
 	};
+	// A field that isn't set would take bytes as well.
+	return job.isForAll === true ? {...wireJob, isForAll: true} : wireJob;
 }
 
 /**
@@ -173,9 +190,26 @@
 		firstByte: firstByteAge === undefined ? undefined : now - firstByteAge,
 		organisation: isTag(wireJob.organisation) ? wireJob.organisation : undefined,
 		isDelayed: wireJob.isDelayed,
+		isForAll: wireJob.isForAll,
 	};
 }
 
+/**
+ * @param sum - Jobs left out of what a group receives.
+ * @returns The sum as sent to its hosts.
+ */
+export function toWireSum({weight, organisation, ...sum}: JobSum): WireSum {
+	return {...sum, weight: roundTo(weight, 3), ...(organisation === undefined ? {} : {organisation})};
+}
+
+/**
+ * @param wireSum - Sum as received.
+ * @returns The sum; without an organisation if its tag is invalid.
+ */
+export function fromWireSum({organisation, ...sum}: WireSum): JobSum {
+	return {...sum, organisation: isTag(organisation) ? organisation : undefined};
+}
+
 /**
  * @param claim - Memory that is kept for a waiting request.
  * @param now - Time in milliseconds.
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -41,6 +41,8 @@
 		type: z.literal('hello'), from: hostSchema, known: z.array(hostSchema).max(maxListLength), state: stateSummarySchema.optional(),
 		/** Absent from hosts that don't send it, and where hosts are authenticated by keys. */
 		fleet: fleetSchema.optional(),
+		/** As in heartbeats. */
+		groups: z.unknown().optional(),
 	}),
 	/** First message of both hosts if keys are set. */
 	z.object({type: z.literal('challenge'), nonce: secretSchema}),
@@ -54,6 +56,8 @@
 		known: z.array(hostSchema).max(maxListLength).optional(),
 		/** Failure domains from which the sender, a relay, receives nothing. */
 		silent: z.array(shortText).max(maxListLength).optional(),
+		/** Number of groups that the sender takes its failure domain to have, if it receives the short jobs of its group only. */
+		groups: z.unknown().optional(),
 		/** Sent for a while after the store has returned from a backup. */
 		state: stateSummarySchema.optional(),
 	}),
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -43,6 +43,8 @@
 	readonly lost: (host: Host, reason: string) => void;
 	/** A host has sent a summary of its state. */
 	readonly summary?: (from: Host, summary: StateSummary) => void;
+	/** A host of a large fleet has stated into how many groups it takes its failure domain to be divided; undefined if it receives everything. */
+	readonly groups?: (from: Host, count: unknown) => void;
 };
 
 export type PeersOptions = {
@@ -55,6 +57,8 @@
 	readonly events: PeerEvents;
 	/** Summarizes this host's state; absent if peers needn't know it. */
 	readonly summarizeState?: () => StateSummary;
+	/** Returns the number of groups to announce in heartbeats of a large fleet; undefined to receive everything. Absent to announce none. */
+	readonly countGroups?: () => number | undefined;
 };
 
 export class Peers implements AsyncDisposable {
@@ -245,6 +249,15 @@
 		this.#sender.sendToDomain(message, delay);
 	}
 
+	/**
+	 * @param hosts - Names of linked hosts.
+	 * @param message - Message, which is encoded once.
+	 * @param delay - Milliseconds that the message may wait to be sent together with others.
+	 */
+	sendToHosts(hosts: readonly string[], message: Message, delay = 0): void {
+		this.#sender.sendToHosts(hosts, message, delay);
+	}
+
 	/**
 	 * Sends the messages that wait for a host.
 	 *
@@ -306,8 +319,9 @@
 		const state = now < this.#stateAnnouncementEnd ? this.#options.summarizeState?.() : undefined;
 		const isCoveredByLoad = now - this.#lastLoadBroadcastAt < heartbeatIntervalMs && knownHosts === undefined && state === undefined && !this.isLargeFleet;
 		if (!isCoveredByLoad) {
+			const groups = this.#options.countGroups?.();
 			this.broadcast({
-				type: 'heartbeat', known: knownHosts, silent: this.isLargeFleet ? [...this.#reach.findSilentDomains(now)] : undefined, state,
+				type: 'heartbeat', known: knownHosts, silent: this.isLargeFleet ? [...this.#reach.findSilentDomains(now)] : undefined, state, ...(groups === undefined ? {} : {groups}),
 			});
 		}
 
@@ -339,8 +353,9 @@
 	}
 
 	#sendHello(link: Link): void {
+		const groups = this.#options.countGroups?.();
 		link.send({
-			type: 'hello', from: this.#options.self, known: [...this.#knownPeers.hosts], state: this.#options.summarizeState?.(), fleet: this.#gatekeeper.identity,
+			type: 'hello', from: this.#options.self, known: [...this.#knownPeers.hosts], state: this.#options.summarizeState?.(), fleet: this.#gatekeeper.identity, ...(groups === undefined ? {} : {groups}),
 		});
 	}
 
@@ -375,6 +390,7 @@
 			event: 'peer-linked', peer: from.name, domain: from.failureDomain, hosts: this.#reach.maxLinkedHosts,
 		});
 		this.#announcer.add(from);
+		this.#options.events.groups?.(from, hello.groups);
 		this.#options.events.joined(from, message => {
 			link.send(message);
 		});
@@ -423,13 +439,18 @@
 	}
 
 	/** The hosts that a peer is linked with are alive; a domain that is silent for a relay is out of reach from here as well. */
-	#handleHeartbeat(from: Host, {known, silent, state}: Heartbeat, now: number): void {
+	#handleHeartbeat(from: Host, {known, silent, state, groups}: Heartbeat, now: number): void {
 		this.#handleSummary(from, state);
 		const areNew = known?.map(host => this.#knownPeers.markAlive(host, now));
 		if (areNew?.includes(true) === true) {
 			this.#dialer.updateLinks();
 		}
 
+		// Only the periodic heartbeats of a large fleet name silent domains, and the groups along with them.
+		if (silent !== undefined) {
+			this.#options.events.groups?.(from, groups);
+		}
+
 		if (from.failureDomain === this.#options.self.failureDomain && silent !== undefined && silent.length > 0) {
 			this.#silenceDetector.recordReport(silent, now);
 		}
--- a/src/gateway/peers/sender.ts
+++ b/src/gateway/peers/sender.ts
@@ -42,6 +42,15 @@
 		this.#writeAll(message, [...this.#links.values()].filter(link => link.hello?.from.failureDomain === this.#failureDomain), delay);
 	}
 
+	/**
+	 * @param hosts - Names of linked hosts.
+	 * @param message - Message.
+	 * @param delay - Milliseconds that the message may wait to be sent together with others.
+	 */
+	sendToHosts(hosts: readonly string[], message: Message, delay: number): void {
+		this.#writeAll(message, hosts.flatMap(host => this.#links.get(host) ?? []), delay);
+	}
+
 	/**
 	 * @param message - Message.
 	 * @param isReceiver - Decides which linked hosts get it.
--- a/src/gateway/requests/placements.ts
+++ b/src/gateway/requests/placements.ts
@@ -8,9 +8,11 @@
 } from '../../core/gateway/placement/placement.js';
 import {defaultPolicy} from '../../core/gateway/placement/policy.js';
 import {type Eligibility} from '../../core/gateway/placement/attempts.js';
+import {type Preference} from '../../core/gateway/placement/preference.js';
 import {
 	computeShortestWait, countObstacles, type Obstacle, type ObstacleFinder,
 } from '../../core/gateway/placement/eligibility.js';
+import {isEngineOf, type HostGroup} from '../../core/gateway/registry/host-groups.js';
 import {type Demand, type EngineModel, type GatewayService} from '../../core/gateway/types.js';
 import {type OrganisationShares, type CountedShare} from '../organisation-shares.js';
 import {type Registrations} from '../upstreams/registrations.js';
@@ -35,6 +37,8 @@
 	readonly findService: (name: string) => GatewayService | undefined;
 	/** Finds what keeps an upstream from accepting a request of this host at present. */
 	readonly findObstacle: ObstacleFinder;
+	/** Returns the group of this host; undefined if it receives the jobs at all engines. */
+	readonly findGroup: () => HostGroup | undefined;
 	/** Publishes a job of this host. */
 	readonly begin: (job: Job) => void;
 };
@@ -208,11 +212,11 @@
 	 * @param demand - Demand of a request that is being sent.
 	 * @param placement - Its placement.
 	 * @param job - Id of its job.
-	 * @returns Measures the pace of its engine; undefined for plain services.
+	 * @returns Measures the pace of its engine; undefined for plain services, and at engines whose jobs this host doesn't all know.
 	 */
 	createPaceSampler({prompt, service}: Demand, placement: Placement, job: string): PaceSampler | undefined {
 		const model = this.#options.findService(service)?.engine;
-		return model === undefined || prompt === undefined
+		return model === undefined || prompt === undefined || !this.#isInGroup(placement.upstream.id)
 			? undefined
 			: new PaceSampler({
 				load: this.#options.load, model, prompt, placement, job, sent: this.#options.now(),
@@ -232,11 +236,22 @@
 			unreachable: this.#options.reputation.unreachableDomains,
 			findObstacle: this.#options.findObstacle,
 			eligibility,
+			preference: this.#createPreference(),
 			limitMemory: model === undefined ? undefined : this.#options.memoryQueue.createLimit(demand, model),
 			now,
 		};
 	}
 
+	/** Engines of this host's group are preferred for all prompts: of the others, only the long jobs are known. */
+	#createPreference(): Preference | undefined {
+		return this.#options.findGroup() === undefined ? undefined : {reason: 'group', prefers: upstream => this.#isInGroup(upstream)};
+	}
+
+	#isInGroup(engine: string): boolean {
+		const group = this.#options.findGroup();
+		return group === undefined || isEngineOf(engine, group);
+	}
+
 	#findModel(upstream: string): EngineModel | undefined {
 		return this.#options.findService(this.#options.upstreams.get(upstream)?.service ?? '')?.engine;
 	}
--- a/src/gateway/sharing/load-batch.ts
+++ b/src/gateway/sharing/load-batch.ts
@@ -17,18 +17,16 @@
 	readonly paces: readonly PaceReport[];
 	/** Memory that hosts keep for waiting requests. */
 	readonly claims: readonly MemoryClaim[];
+	/** Jobs among those that began which this host didn't know before. */
+	readonly fresh: readonly Job[];
+	/** Jobs that have progressed or ended, as far as this host knew them. */
+	readonly changed: readonly Job[];
 };
 
 export class LoadBatch {
 	readonly #delay: number;
 	readonly #send: (changes: LoadChanges) => void;
-	#began: Job[] = [];
-	#progressed: string[] = [];
-	#ended: string[] = [];
-	#absences: Absence[] = [];
-	#reports: UpstreamReport[] = [];
-	#paces: PaceReport[] = [];
-	#claims: MemoryClaim[] = [];
+	#changes = createChanges();
 	#timer: NodeJS.Timeout | undefined;
 
 	/**
@@ -42,21 +40,19 @@
 
 	/** Changes that wait to be sent; undefined if there are none. */
 	get pending(): LoadChanges | undefined {
-		return this.#timer === undefined
-			? undefined
-			: {
-				began: this.#began, progressed: this.#progressed, ended: this.#ended, absences: this.#absences, reports: this.#reports, paces: this.#paces, claims: this.#claims,
-			};
+		return this.#timer === undefined ? undefined : this.#changes;
 	}
 
-	add({began = [], progressed = [], ended = [], absences = [], reports = [], paces = [], claims = []}: Partial<LoadChanges>): void {
-		this.#began.push(...began);
-		this.#progressed.push(...progressed);
-		this.#ended.push(...ended);
-		this.#absences.push(...absences);
-		this.#reports.push(...reports);
-		this.#paces.push(...paces);
-		this.#claims.push(...claims);
+	add({began = [], progressed = [], ended = [], absences = [], reports = [], paces = [], claims = [], fresh = [], changed = []}: Partial<LoadChanges>): void {
+		this.#changes.began.push(...began);
+		this.#changes.progressed.push(...progressed);
+		this.#changes.ended.push(...ended);
+		this.#changes.absences.push(...absences);
+		this.#changes.reports.push(...reports);
+		this.#changes.paces.push(...paces);
+		this.#changes.claims.push(...claims);
+		this.#changes.fresh.push(...fresh);
+		this.#changes.changed.push(...changed);
 		this.#timer ??= setTimeout(() => {
 			this.flush();
 		}, this.#delay);
@@ -71,13 +67,15 @@
 
 		clearTimeout(this.#timer);
 		this.#timer = undefined;
-		this.#began = [];
-		this.#progressed = [];
-		this.#ended = [];
-		this.#absences = [];
-		this.#reports = [];
-		this.#paces = [];
-		this.#claims = [];
+		this.#changes = createChanges();
 		this.#send(changes);
 	}
 }
+
+type GrowingChanges = {-readonly [Key in keyof LoadChanges]: Array<LoadChanges[Key][number]>};
+
+function createChanges(): GrowingChanges {
+	return {
+		began: [], progressed: [], ended: [], absences: [], reports: [], paces: [], claims: [], fresh: [], changed: [],
+	};
+}
--- a/src/gateway/sharing/load-encoding.ts
+++ b/src/gateway/sharing/load-encoding.ts
@@ -1,10 +1,14 @@
 /** Load updates as changes of load on this host's clock, and as messages. */
 import {
-	fromWireClaim, fromWireCold, fromWireJob, fromWirePace, fromWireReport, isTag, toWireClaim, toWireCold, toWireJob, toWirePace, toWireReport,
+	fromWireClaim, fromWireCold, fromWireJob, fromWirePace, fromWireReport, isTag, toWireClaim, toWireCold, toWireJob, toWirePace, toWireReport, toWireSum,
 } from '../peers/load-messages.js';
 import {type LoadUpdate} from '../peers/messages.js';
+import {type JobSum} from '../../core/gateway/limits/job-sums.js';
 import {type LoadChanges} from './load-batch.js';
 
+/** Changes as received, before they are compared with what is known. */
+export type ReceivedChanges = Omit<LoadChanges, 'changed' | 'fresh'>;
+
 /**
  * @param changes - Changes to send.
  * @param self - Name of this host.
@@ -30,13 +34,23 @@
 	};
 }
 
+/**
+ * @param sums - Jobs left out of what a group receives.
+ * @returns The message for its hosts.
+ */
+export function encodeSums(sums: readonly JobSum[]): LoadUpdate {
+	return {
+		type: 'load', began: [], progressed: [], ended: [], sums: sums.map(sum => toWireSum(sum)),
+	};
+}
+
 /**
  * @param update - Message.
  * @param sender - Host that sent it.
  * @param now - Monotonic time in milliseconds.
  * @returns Its changes.
  */
-export function decodeChanges(update: LoadUpdate, sender: string, now: number): LoadChanges {
+export function decodeChanges(update: LoadUpdate, sender: string, now: number): ReceivedChanges {
 	return {
 		began: update.began.map(wireJob => fromWireJob(wireJob, sender, now)),
 		progressed: update.progressed,
--- a/src/gateway/sharing/load-forwarder.ts
+++ b/src/gateway/sharing/load-forwarder.ts
@@ -2,12 +2,13 @@
  * Forwards load updates as the relay of a failure domain: to the relays of the other domains with a short delay, and to the hosts of its own
  * domain in batches. A host gets the pending changes earlier, and again with its next batch, when it requests them before a placement or may
  * have to reroute a running request; the batches of the other hosts stay whole: with hundreds of hosts that each serve one or two requests a
- * second, a host needs most updates only when its next request arrives.
+ * second, a host needs most updates only when its next request arrives. In a large domain, hosts receive short jobs only for the engines of
+ * their group; a batch is encoded once for each group.
  */
 import {type Job, type Load} from '../../core/gateway/engines/load.js';
 import {canCauseReroute} from '../../core/gateway/placement/rerouting.js';
 import {type LoadUpdate} from '../peers/messages.js';
-import {type Peers} from '../peers/peers.js';
+import {GroupSums, type GroupSumsOptions} from './group-sums.js';
 import {LoadBatch, type LoadChanges} from './load-batch.js';
 import {encodeChanges} from './load-encoding.js';
 
@@ -21,25 +22,25 @@
 const domainDelayMs = 50;
 const linkDelayMs = 50;
 
-export type LoadForwarderOptions = {
-	readonly self: string;
+export type LoadForwarderOptions = GroupSumsOptions & {
 	readonly load: Load;
-	readonly peers: Peers;
-	readonly now: () => number;
 };
 
 export class LoadForwarder {
 	readonly #options: LoadForwarderOptions;
 	readonly #domainChanges = new LoadBatch(domainDelayMs, changes => {
-		this.#options.peers.sendToDomain(this.#encode(changes), linkDelayMs);
+		this.#sendToDomain(changes);
 	});
 
 	readonly #otherDomainsChanges = new LoadBatch(otherDomainsDelayMs, changes => {
 		this.#options.peers.sendToOtherDomains(this.#encode(changes, 'domain'));
 	});
 
+	readonly #sums: GroupSums;
+
 	constructor(options: LoadForwarderOptions) {
 		this.#options = options;
+		this.#sums = new GroupSums(options);
 	}
 
 	/**
@@ -65,13 +66,40 @@
 	 * @param host - Name of the host.
 	 */
 	sendPending(host: string): void {
-		const {peers} = this.#options;
+		const {peers, groups, audience} = this.#options;
 		const {pending} = this.#domainChanges;
-		if (pending === undefined) {
+		const group = groups.findGroup(host);
+		const selected = pending === undefined || group === undefined ? pending : audience.select(pending, group);
+		if (selected === undefined) {
 			peers.flush(host);
 		} else {
-			peers.send(host, this.#encode(pending));
+			peers.send(host, this.#encode(selected));
+		}
+	}
+
+	/** Sends everything that waits to be sent to this failure domain, before the group of a host changes. */
+	flush(): void {
+		this.#domainChanges.flush();
+		this.#sums.flush();
+	}
+
+	/** Encodes the changes once for all hosts that receive the same. */
+	#sendToDomain(changes: LoadChanges): void {
+		const {peers, groups, audience} = this.#options;
+		const {receivers} = groups;
+		if (receivers.every(({group}) => group === undefined)) {
+			peers.sendToDomain(this.#encode(changes), linkDelayMs);
+			return;
 		}
+
+		for (const {group, hosts} of receivers) {
+			const selected = group === undefined ? changes : audience.select(changes, group);
+			if (selected !== undefined) {
+				peers.sendToHosts(hosts, this.#encode(selected), linkDelayMs);
+			}
+		}
+
+		this.#sums.add(changes.fresh);
 	}
 
 	/** Sends pending updates at once to the hosts that may have to reroute a request because of new jobs. */
--- a/src/gateway/sharing/load-updates.ts
+++ b/src/gateway/sharing/load-updates.ts
@@ -7,12 +7,16 @@
 import {type MemoryClaim} from '../../core/gateway/engines/memory-admission.js';
 import {isPace, type PaceReport} from '../../core/gateway/engines/paces.js';
 import {type EngineModel} from '../../core/gateway/types.js';
+import {type JobSum} from '../../core/gateway/limits/job-sums.js';
 import {type UpstreamReport} from '../../core/gateway/limits/upstream-reports.js';
+import {fromWireSum, type WireSum} from '../peers/load-messages.js';
 import {
 	type Host, type HostsLost, type LoadUpdate, type LoadResponse, type LoadRequest, type Message,
 } from '../peers/messages.js';
 import {type Peers} from '../peers/peers.js';
+import {DomainGroups} from './domain-groups.js';
 import {HostLosses} from './host-losses.js';
+import {JobAudience} from './job-audience.js';
 import {LoadBatch, type LoadChanges} from './load-batch.js';
 import {decodeChanges, encodeChanges, hasInvalidTag} from './load-encoding.js';
 import {LoadForwarder} from './load-forwarder.js';
@@ -46,10 +50,19 @@
 	readonly onClaim: (claim: MemoryClaim) => void;
 	/** Called for each new job of another host of this failure domain. */
 	readonly sent: (job: Job) => void;
+	/** Whether the hosts together count the requests at an upstream, as it is cold or limits their rate. */
+	readonly isCounted: (upstream: string) => boolean;
+	/** Returns the service of an upstream, if it is known. */
+	readonly findService: (upstream: string) => string | undefined;
+	/** Called with the sum of jobs that the relay has left out of what this host's group receives. */
+	readonly onSum: (sum: JobSum) => void;
 };
 
 export class LoadUpdates {
+	/** Groups of the hosts of this failure domain. */
+	readonly groups: DomainGroups;
 	readonly #options: LoadUpdatesOptions;
+	readonly #audience: JobAudience;
 	readonly #rerouteNotifier: RerouteNotifier;
 	readonly #hostLosses: HostLosses;
 	readonly #forwarder: LoadForwarder;
@@ -69,18 +82,21 @@
 		this.#options = options;
 		this.#rerouteNotifier = new RerouteNotifier(options);
 		this.#hostLosses = new HostLosses(options);
-		this.#forwarder = new LoadForwarder(options);
+		this.groups = new DomainGroups({name: options.self, failureDomain: options.failureDomain}, options.peers);
+		this.#audience = new JobAudience(this.groups, options);
+		this.#forwarder = new LoadForwarder({...options, groups: this.groups, audience: this.#audience});
 	}
 
 	/**
 	 * @param job - Job that this host has just started.
 	 */
 	begin(job: Job): void {
-		const {load, now, onNewJob} = this.#options;
-		load.begin(job, now());
-		onNewJob(job);
-		this.#ownChanges.add({began: [job]});
-		this.#rerouteNotifier.notifyDisrupted(job);
+		const {load, now, onNewJob, isCounted} = this.#options;
+		const published = this.groups.count > 1 && isCounted(job.upstream) ? {...job, isForAll: true} : job;
+		load.begin(published, now());
+		onNewJob(published);
+		this.#ownChanges.add({began: [published], fresh: [published]});
+		this.#rerouteNotifier.notifyDisrupted(published);
 	}
 
 	/**
@@ -89,7 +105,7 @@
 	progress(id: string): void {
 		const {load, now} = this.#options;
 		load.recordFirstByte(id, now());
-		this.#ownChanges.add({progressed: [id]});
+		this.#ownChanges.add({progressed: [id], changed: this.#listKnown([id])});
 	}
 
 	/**
@@ -98,8 +114,8 @@
 	end(id: string): void {
 		const {load, now} = this.#options;
 		this.#rerouteNotifier.forget(id);
+		this.#ownChanges.add({ended: [id], changed: this.#listKnown([id])});
 		load.end(id, now());
-		this.#ownChanges.add({ended: [id]});
 	}
 
 	/**
@@ -156,7 +172,8 @@
 		if (relay === host.name) {
 			this.#sendOwnJobs(relay);
 		} else if (relay === undefined && host.failureDomain === failureDomain) {
-			send(this.#createUpdate({began: load.all.filter(job => job.host !== host.name), reports: reports()}));
+			const group = this.groups.findGroup(host.name);
+			send(this.#createUpdate({began: load.all.filter(job => job.host !== host.name && this.#audience.includes(job, group)), reports: reports()}));
 		} else if (relay === undefined) {
 			const own = new Set([self, ...peers.listDomainHosts(failureDomain)]);
 			send(this.#createUpdate({began: load.all.filter(job => own.has(job.host)), reports: reports()}, 'domain'));
@@ -206,6 +223,7 @@
 			this.#options.onInvalidTag(from.name);
 		}
 
+		const fresh = began.filter(({id}) => !load.isKnown(id));
 		this.#reportDomainJobs(began);
 		for (const job of began) {
 			this.#reportNewJob(job);
@@ -214,6 +232,7 @@
 			this.#rerouteNotifier.notifyPreceded(job);
 		}
 
+		const changed = this.#listKnown([...progressed, ...ended]);
 		for (const id of progressed) {
 			load.recordFirstByte(id, now());
 		}
@@ -239,11 +258,53 @@
 			this.#options.onClaim(claim);
 		}
 
+		this.#applySums(update.sums ?? []);
 		this.#forwarder.forward({
-			began, progressed, ended, absences, reports, paces: paces.filter(({pace}) => isPace(pace)), claims,
+			began, progressed, ended, absences, reports, paces: paces.filter(({pace}) => isPace(pace)), claims, fresh, changed,
 		}, update.audience);
 	}
 
+	/**
+	 * Notes the group of a host. If it has changed, sends the host the jobs that it hasn't received so far, as the relay of its failure domain.
+	 *
+	 * @param host - Linked host.
+	 * @param count - Number of groups that it announces; absent if it is to receive everything.
+	 */
+	handleGroups(host: Host, count: unknown): void {
+		if (host.failureDomain !== this.#options.failureDomain || !this.groups.isChange(host.name, count)) {
+			return;
+		}
+
+		const previous = this.groups.findGroup(host.name);
+		this.#forwarder.flush();
+		this.groups.record(host.name, count);
+		const group = this.groups.findGroup(host.name);
+		const missed = this.#findRelay() === undefined
+			? this.#options.load.all.filter(job => !this.#audience.includes(job, previous) && this.#audience.includes(job, group))
+			: [];
+		if (missed.length > 0) {
+			this.#options.peers.send(host.name, this.#createUpdate({began: missed}));
+		}
+	}
+
+	/**
+	 * Removes jobs that this host's group doesn't receive, to be called at intervals: their ends don't arrive after the group has changed, or
+	 * after their upstream is no longer cold or limited.
+	 */
+	removeForeignJobs(): void {
+		const {own} = this.groups;
+		if (own === undefined) {
+			return;
+		}
+
+		const {load, now, self} = this.#options;
+		for (const job of load.all) {
+			if (job.host !== self && !this.#audience.includes(job, own)) {
+				load.end(job.id, now());
+			}
+		}
+	}
+
 	/**
 	 * @param message - Hosts that a peer has lost.
 	 */
@@ -256,6 +317,7 @@
 	 * @param reason - `silent`, `released` or any other reason.
 	 */
 	handlePeerLost(host: Host, reason: string): void {
+		this.groups.forget(host.name);
 		this.#hostLosses.handlePeerLost(host, reason);
 	}
 
@@ -281,6 +343,19 @@
 		}
 	}
 
+	/** Applies the sums of a relay; a host that receives everything has counted these jobs already. */
+	#applySums(sums: readonly WireSum[]): void {
+		if (this.groups.own !== undefined) {
+			for (const sum of sums) {
+				this.#options.onSum(fromWireSum(sum));
+			}
+		}
+	}
+
+	#listKnown(ids: readonly string[]): readonly Job[] {
+		return ids.flatMap(id => this.#options.load.get(id) ?? []);
+	}
+
 	/** Returns the relay of this failure domain; undefined if that is this host. */
 	#findRelay(): string | undefined {
 		const {peers, self} = this.#options;
--- a/src/gateway/upstreams/cold-starts.ts
+++ b/src/gateway/upstreams/cold-starts.ts
@@ -137,6 +137,14 @@
 		}
 	}
 
+	/**
+	 * @param upstream - Upstream.
+	 * @returns Whether the requests of all hosts to it are counted, as it is or has just been cold.
+	 */
+	isCold(upstream: string): boolean {
+		return this.#coldStarts.getEnd(upstream) !== undefined;
+	}
+
 	/**
 	 * @param upstream - Upstream that is gone.
 	 */
--- a/src/gateway/upstreams/self-reports.ts
+++ b/src/gateway/upstreams/self-reports.ts
@@ -44,6 +44,14 @@
 		return this.#rateLimits.reports.filter(({rate, upstream}) => rate !== undefined && this.#options.findProcess(upstream) !== undefined).length;
 	}
 
+	/**
+	 * @param upstream - Upstream.
+	 * @returns Whether the requests of all hosts to it are counted, as it limits their rate.
+	 */
+	isLimited(upstream: string): boolean {
+		return this.#rateLimits.get(upstream)?.rate !== undefined;
+	}
+
 	/** All that is known, for a host that has just been linked. */
 	get all(): readonly UpstreamStatement[] {
 		return [
