--- a/src/core/gateway/engines/job.ts
+++ b/src/core/gateway/engines/job.ts
@@ -35,6 +35,8 @@
 	readonly organisation?: string;
 	/** Whether the request is delayed because the upstreams of its service are full. */
 	readonly isDelayed?: boolean;
+	/** Whether every host receives the job, also those outside the group of its upstream; set if the host that sent it says so. */
+	readonly isForAll?: boolean;
 	readonly began: number;
 	/** When the first byte is due. */
 	readonly due: number;
--- a/src/core/gateway/engines/load.ts
+++ b/src/core/gateway/engines/load.ts
@@ -7,6 +7,9 @@
 export {memoryAt, type Job, type PlacementKind} from './job.js';
 export {type Forecast} from './forecast.js';
 
+/** Returns the tokens of KV memory that unknown jobs may take at an engine, given the number of known ones that it answers. */
+export type UnknownMemoryEstimator = (upstream: string, model: EngineModel, known: number) => number;
+
 type EngineState = {
 	readonly jobs: Map<string, Job>;
 	/** When the prefill of all known jobs is expected to be done. */
@@ -26,13 +29,16 @@
 	readonly #ended = new Map<string, number>();
 	readonly #engines = new Map<string, EngineState>();
 	readonly #findPace: PaceFinder;
+	readonly #estimateUnknownMemory: UnknownMemoryEstimator;
 	#removals = 0;
 
 	/**
 	 * @param findPace - Finds the pace of an engine.
+	 * @param estimateUnknownMemory - Estimates the memory that jobs of other hosts take which this host doesn't receive.
 	 */
-	constructor(findPace: PaceFinder = () => configuredPace) {
+	constructor(findPace: PaceFinder = () => configuredPace, estimateUnknownMemory: UnknownMemoryEstimator = () => 0) {
 		this.#findPace = findPace;
+		this.#estimateUnknownMemory = estimateUnknownMemory;
 	}
 
 	/** Number of known jobs. */
@@ -209,7 +215,9 @@
 	 * @returns The expected state of the engine.
 	 */
 	forecast(upstream: string, model: EngineModel, now: number, options: ForecastOptions = {}): Forecast {
-		return forecastEngine(this.#engines.get(upstream), {upstream, model, pace: this.#findPace(upstream, now)}, now, options);
+		const forecast = forecastEngine(this.#engines.get(upstream), {upstream, model, pace: this.#findPace(upstream, now)}, now, options);
+		const unknownMemory = this.#estimateUnknownMemory(upstream, model, forecast.requests);
+		return unknownMemory === 0 ? forecast : {...forecast, freeMemory: forecast.freeMemory - unknownMemory};
 	}
 
 	#remove(id: string, now: number): void {
