Hosts of a large fleet send nothing to cold engines while their relay is silent

Cause: if all hosts of a large fleet lose all links at the same moment, each goes on for a second as if the others sent nothing. In virtual time with 71 and 340 hosts, 22 and 18 requests reached an engine in a second where 11 were allowed, and 46 and 51 where 26 were.

A host asks its relay before each placement, and gets a response within milliseconds. One whose relay has been silent for over 100 ms sends no request to cold engines until the relay is heard again or counts as lost after a second. The first relay of a domain has none; the schedule of the domain bounds it.

The test in virtual time fails without the change and passes with it, at a demand of five and ten times the rate.

--- a/src/core/gateway/__tests__/cold-starts.test.ts
+++ b/src/core/gateway/__tests__/cold-starts.test.ts
@@ -1,5 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import {createRandom} from '../../../../bench/model/workload.js';
+import {computeRelayWait} from '../limits/relay-silence.js';
 import {ColdStarts, warmUpMs, type ColdShare} from '../limits/cold-starts.js';
 
 const bound = {overage: 1.5, allowance: 5};
@@ -9,8 +10,8 @@
 const endMs = 12_000;
 
 type Situation = {
-	/** What a host is cut off from, from `cutAt` on: nothing, other domains, or for the first host everything. */
-	readonly cut: 'none' | 'domains' | 'one host';
+	/** What a host is cut off from, from `cutAt` on: nothing, other domains, everything, or for the first host everything. */
+	readonly cut: 'all hosts' | 'domains' | 'none' | 'one host';
 	readonly cutAt: number;
 	/** Hosts that start at `joinAt`, or are suspended for three seconds before it, as a share of the fleet. */
 	readonly joining: 'none' | 'started' | 'resumed';
@@ -41,14 +42,17 @@
 		each.record('e1', 1_000_000, 0);
 	}
 
-	const isCutOff = (a: number, b: number, now: number) => now >= cutAt && (cut === 'domains' ? a % domains !== b % domains : cut === 'one host' && (a === 0 || b === 0));
+	const isCutOff = (a: number, b: number, now: number) => now >= cutAt && (cut === 'all hosts' || (cut === 'domains' ? a % domains !== b % domains : cut === 'one host' && (a === 0 || b === 0)));
 	const isJoining = (host: number) => joining !== 'none' && host % 4 === 1;
 	const isAway = (host: number, now: number) => isJoining(host) && now < joinAt && (joining === 'started' || now >= joinAt - suspensionMs);
 	const shareOf = (host: number, now: number): ColdShare => {
 		const isNoticed = cut !== 'none' && now >= cutAt + noticeDelayMs;
-		const others = cut === 'domains' ? 1 / domains : (host === 0 ? 1 : hosts - 1) / hosts;
+		const others = cut === 'domains' ? 1 / domains : (cut === 'all hosts' || host === 0 ? 1 : hosts - 1) / hosts;
+		// The first host of each domain is its relay, and has none itself.
+		const hasSilentRelay = cut === 'all hosts' && now >= cutAt && !isNoticed && host >= domains;
+		const settling = isJoining(host) && now >= joinAt ? Math.max(joinAt + settlingMs - now, 0) : computeRelayWait(hasSilentRelay ? now - cutAt : undefined);
 		return {
-			visible: isNoticed ? others : 1, spread: 200, domains, settling: isJoining(host) && now >= joinAt ? Math.max(joinAt + settlingMs - now, 0) : 0,
+			visible: isNoticed ? others : 1, spread: 200, domains, settling,
 		};
 	};
 
@@ -105,6 +109,7 @@
 
 	it.each(rates.flatMap(rate => [
 		{rate, name: 'split in domains', situation: {...whole, cut: 'domains', cutAt: 4000} as const},
+		{rate, name: 'with all hosts alone', situation: {...whole, cut: 'all hosts', cutAt: 4000} as const},
 		{rate, name: 'with one host alone', situation: {...whole, cut: 'one host', cutAt: 4000} as const},
 		{rate, name: 'with hosts that have just started', situation: {...whole, joining: 'started', joinAt: 4000} as const},
 		{rate, name: 'with hosts that were suspended', situation: {...whole, joining: 'resumed', joinAt: 6000} as const},
--- a/src/gateway/__tests__/cold-starts.test.ts
+++ b/src/gateway/__tests__/cold-starts.test.ts
@@ -22,6 +22,7 @@
 class Harness {
 	now = 0;
 	rate: number | undefined = 4;
+	relaySilence: number | undefined;
 	view: FleetView = {
 		visible: 1, isLarge: false, domains: 1, isKnown: true,
 	};
@@ -43,6 +44,7 @@
 		findUpstream: id => this.upstreams.get(id),
 		findColdStart: () => ({duration: durationMs, rate: this.rate}),
 		viewFleet: () => this.view,
+		findRelaySilence: () => this.relaySilence,
 		isOfDomain: () => true,
 		publish: report => {
 			this.published.push(report);
@@ -165,6 +167,15 @@
 		expect(host.send()).toBe(0);
 	});
 
+	it('gets no request of a host whose relay is silent though not yet lost, and some as soon as it is heard again', () => {
+		const host = new Harness();
+		host.cold.assumeCold(createEngine());
+		host.relaySilence = 150;
+		expect(host.send()).toBe(0);
+		host.relaySilence = 5;
+		expect(host.send()).toBe(1);
+	});
+
 	it('has the requests of peers, reservations and helper parts counted', () => {
 		const host = new Harness();
 		host.cold.assumeCold(createEngine());
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -148,6 +148,7 @@
 			viewFleet: () => ({
 				visible: this.peers.computeVisibleShare(clock.now()), isLarge: this.peers.isLargeFleet, domains: this.peers.domainCount, isKnown: this.peers.isFleetKnown,
 			}),
+			findRelaySilence: () => this.peers.computeRelaySilence(clock.now()),
 			isOfDomain: host => this.peers.listDomainHosts(settings.failureDomain).includes(host),
 			publish: report => {
 				this.loadUpdates.publishReport(report);
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -209,6 +209,17 @@
 		return (this.#countVisibleHosts(activeLinks, now) + 1) / this.fleetSize;
 	}
 
+	/**
+	 * @param now - Monotonic time in milliseconds.
+	 * @returns Milliseconds since the last message of the relay that forwards load updates to this host; undefined if none does, or if it has
+	 * been silent for so long that the visible share doesn't include it.
+	 */
+	computeRelaySilence(now: number): number | undefined {
+		const link = this.isLargeFleet ? this.#links.get(this.relays[0] ?? '') : undefined;
+		const silence = link === undefined ? undefined : now - (this.#lastMessageAt.get(link) ?? now);
+		return silence === undefined || silence >= maxActiveGapMs ? undefined : silence;
+	}
+
 	/**
 	 * @param now - Monotonic time in milliseconds.
 	 * @returns Failure domains whose hosts are all silent, as observed here or by a relay of this domain.
--- a/src/gateway/upstreams/cold-starts.ts
+++ b/src/gateway/upstreams/cold-starts.ts
@@ -2,6 +2,7 @@
 import {ColdStarts, type ColdBound, type ColdShare} from '../../core/gateway/limits/cold-starts.js';
 import {type Obstacle} from '../../core/gateway/placement/eligibility.js';
 import {type Job} from '../../core/gateway/engines/load.js';
+import {computeRelayWait} from '../../core/gateway/limits/relay-silence.js';
 import {Settling} from '../../core/gateway/limits/settling.js';
 import {type ColdStart, type GatewayUpstream} from '../../core/gateway/types.js';
 import {type ColdReport, type ReportedCheck} from '../../core/gateway/limits/upstream-reports.js';
@@ -66,6 +67,8 @@
 	/** Returns how the upstreams of a service start, if that is configured. */
 	readonly findColdStart: (service: string) => ColdStart | undefined;
 	readonly viewFleet: () => FleetView;
+	/** Returns the milliseconds since the last message of the relay that tells of the others' requests; undefined if there is none. */
+	readonly findRelaySilence: () => number | undefined;
 	/** Whether a host is of the failure domain of this one. */
 	readonly isOfDomain: (host: string) => boolean;
 	/** Sends a report to all peers. */
@@ -329,16 +332,16 @@
 
 	#viewShare(now: number): ColdShare {
 		this.#settling.observe(now, this.#options.wall());
-		const settling = this.#settling.computeRemaining(now);
+		const settling = Math.max(this.#settling.computeRemaining(now), computeRelayWait(this.#options.findRelaySilence()));
 		if (this.#view !== undefined && now - this.#view.at < viewLifetimeMs) {
 			return {...this.#view.share, settling: Math.max(this.#view.share.settling, settling)};
 		}
 
 		const {visible, isLarge, domains, isKnown} = this.#options.viewFleet();
 		const share = {
-			visible, spread: isLarge ? largeFleetSpreadMs : smallFleetSpreadMs, domains, settling: isKnown ? settling : Math.max(settling, unknownFleetWaitMs),
+			visible, spread: isLarge ? largeFleetSpreadMs : smallFleetSpreadMs, domains, settling: isKnown ? 0 : unknownFleetWaitMs,
 		};
 		this.#view = {at: now, share};
-		return share;
+		return {...share, settling: Math.max(share.settling, settling)};
 	}
 }
