A host that states an impossible capacity is no relay

A capacity that isn't a finite number closed the link, and one of thousands of cores made a host the relay of its failure domain.

--- a/src/gateway/peers/__tests__/topology.test.ts
+++ b/src/gateway/peers/__tests__/topology.test.ts
@@ -1,6 +1,6 @@
 /** Selection of links: the same on every host, and with few links per host in a large fleet. */
 import {describe, expect, it} from 'vitest';
-import {type Host} from '../messages.js';
+import {createMessageReader, encode, type Host} from '../messages.js';
 import {selectNeighbours, selectRelays} from '../topology.js';
 
 function createFleet(domains: number, perDomain: number): readonly Host[] {
@@ -70,3 +70,21 @@
 		}
 	});
 });
+
+describe('a host that states an impossible capacity', () => {
+	const impossible = [0, -1, 1024.5, Number.NaN, Number.POSITIVE_INFINITY];
+
+	// Guards against a wrong setting on one host that makes it the relay of its failure domain.
+	it.each(impossible)('is no relay (%d cores)', capacity => {
+		const hosts = createFleet(1, 20).map((host, index) => index === 7 ? {...host, capacity} : host);
+		expect(selectRelays('domain-0', hosts).map(host => host.name)).not.toContain('host-7');
+		expect(selectRelays('domain-0', hosts.slice(7, 8))).toHaveLength(1);
+	});
+
+	it('is linked like any other, and the messages that name it are valid', () => {
+		const [from, ...known] = createFleet(1, 1 + impossible.length).map((host, index) => index === 0 ? host : {...host, capacity: impossible[index - 1]});
+		const [hello] = createMessageReader().push(encode({type: 'hello', from: from!, known}));
+		expect(hello).toMatchObject({type: 'hello', known: [{capacity: 0}, {capacity: -1}, {capacity: 1024.5}, {capacity: 0}, {capacity: 0}]});
+		expect(hello?.type === 'hello' && 'capacity' in hello.from).toBe(false);
+	});
+});
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -20,8 +20,8 @@
 	address: addressSchema,
 	/** Wall-clock start time, which distinguishes a restarted host from its former process. */
 	started: amount,
-	/** Processor cores that the host may use. */
-	capacity: amount.optional(),
+	/** Processor cores that the host may use; 0 in place of what isn't a finite number, so that it costs no other part of a message. */
+	capacity: z.preprocess(value => value === undefined || (typeof value === 'number' && Number.isFinite(value)) ? value : 0, amount.optional()).optional(),
 });
 
 /** What the sender knows of its fleet, as 32-bit hashes. */
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -16,6 +16,7 @@
 import {Sender} from './sender.js';
 import {type StateSummary} from './state.js';
 import {SilenceDetector} from './silence-detector.js';
+import {isPossibleCapacity} from './topology.js';
 
 /** Each heartbeat also updates the links. */
 const heartbeatIntervalMs = 500;
@@ -35,6 +36,9 @@
 /** Hosts named in such a heartbeat: within a minute, all are named. */
 const hostSampleSize = 6;
 
+/** Hosts whose impossible capacity is logged. */
+const maxLoggedCapacities = 256;
+
 export type PeerEvents = {
 	/** A host is linked; `send` writes to the new link. */
 	readonly joined: (host: Host, send: (message: Message) => void) => void;
@@ -85,6 +89,8 @@
 		},
 	});
 
+	/** Hosts whose capacity was logged as impossible. */
+	readonly #impossibleCapacities = new Set<string>();
 	#heartbeatCount = 0;
 	#lastLoadBroadcastAt = Number.NEGATIVE_INFINITY;
 	#stateAnnouncementEnd = Number.NEGATIVE_INFINITY;
@@ -389,6 +395,7 @@
 		this.#options.log.write({
 			event: 'peer-linked', peer: from.name, domain: from.failureDomain, hosts: this.#reach.maxLinkedHosts,
 		});
+		this.#noteCapacity(from);
 		this.#announcer.add(from);
 		this.#options.events.groups?.(from, hello.groups);
 		this.#options.events.joined(from, message => {
@@ -397,6 +404,18 @@
 		this.#handleSummary(from, state);
 	}
 
+	/** Logs once that a host can't become a relay because of its capacity. */
+	#noteCapacity({name, capacity}: Host): void {
+		if (isPossibleCapacity(capacity) || this.#impossibleCapacities.has(name) || this.#impossibleCapacities.size >= maxLoggedCapacities) {
+			return;
+		}
+
+		this.#impossibleCapacities.add(name);
+		this.#options.log.write({
+			event: 'peer-capacity-ignored', peer: name, capacity, reason: 'not a number of cores above 0 and up to 1024',
+		}, 'warn');
+	}
+
 	#handleSummary(from: Host, summary: StateSummary | undefined): void {
 		if (summary !== undefined) {
 			this.#options.events.summary?.(from, summary);
--- a/src/gateway/peers/topology.ts
+++ b/src/gateway/peers/topology.ts
@@ -16,22 +16,34 @@
 
 const relayHashKey = hashText('relays');
 
+/** Largest capacity in processor cores that can be right: no machine has more. */
+const maxCapacity = 1024;
+
 /** Capacity of a host that doesn't state it, in processor cores. */
 const defaultCapacity = 1;
 
 type RelayCandidate = Pick<Host, 'capacity' | 'failureDomain' | 'name'>;
 
+/**
+ * @param capacity - Processor cores that a host states; absent if it states none.
+ * @returns Whether they can be right.
+ */
+export function isPossibleCapacity(capacity: number | undefined): boolean {
+	return capacity === undefined || (capacity > 0 && capacity <= maxCapacity);
+}
+
 /**
  * Selects the hosts with the most processor time. A relay handles the load updates of all hosts; on the weakest host this takes all
- * processor time under high load, and unsent messages fill its memory.
+ * processor time under high load, and unsent messages fill its memory. A host that states an impossible capacity is selected only if all others do.
  *
  * @param failureDomain - Failure domain.
  * @param hosts - Candidates, of any failure domain.
  * @returns Relays of the failure domain in order of preference; the same on every host that knows the same candidates.
  */
 export function selectRelays<T extends RelayCandidate>(failureDomain: string, hosts: readonly T[]): readonly T[] {
-	return hosts
-		.filter(host => host.failureDomain === failureDomain)
+	const ofDomain = hosts.filter(host => host.failureDomain === failureDomain);
+	const possible = ofDomain.filter(host => isPossibleCapacity(host.capacity));
+	return (possible.length > 0 ? possible : ofDomain)
 		.map(host => ({host, capacity: host.capacity ?? defaultCapacity, weight: mixHashes(relayHashKey, hashText(host.name))}))
 		.toSorted((a, b) => b.capacity - a.capacity || b.weight - a.weight)
 		.slice(0, relaysPerDomain)
