Prefills of short prompts count by their sum

Prompts with less than 100 ms of prefill gave no evidence of the prefill pace. Their prefill is now measured with the time between their first two events as the engine's iteration, and counts once the prompts of 4 s at an engine sum up to 100 ms and the error of the sum, from the rest of the iterations that they waited for, is under a quarter.

--- a/bench/gateway/simulation.ts
+++ b/bench/gateway/simulation.ts
@@ -3,7 +3,8 @@
 import {Health} from '../../src/core/gateway/health/health.js';
 import {Load, type Job} from '../../src/core/gateway/engines/load.js';
 import {PaceSampler} from '../../src/core/gateway/engines/pace-sampler.js';
-import {Paces, type PaceSample} from '../../src/core/gateway/engines/paces.js';
+import {Paces, type PaceSample, type Phase} from '../../src/core/gateway/engines/paces.js';
+import {ShortPrefills} from '../../src/core/gateway/engines/short-prefills.js';
 import {hasToYield, isWorthRerouting} from '../../src/core/gateway/placement/rerouting.js';
 import {computeWeight} from '../../src/core/gateway/engines/losses.js';
 import {
@@ -81,6 +82,16 @@
 const longPromptTokens = 20_000;
 const longPromptEngineShare = 0.5;
 
+/** An engine and phase of which some host has learned that its pace differs from 1. Times are in milliseconds. */
+export type UnevenEngine = {
+	readonly engine: number;
+	readonly phase: Phase;
+	/** When a host learned it first. */
+	readonly learnedAt: number;
+	/** First event of the engine that any host received while it was slow, if it was. */
+	readonly firstEventAt?: number;
+};
+
 type RunningRequest = {
 	readonly arrival: Arrival;
 	readonly job: Job;
@@ -104,6 +115,7 @@
 	readonly #policy: Policy;
 	readonly #timeline = new Timeline();
 	readonly #paces: readonly Paces[];
+	readonly #shortPrefills: readonly ShortPrefills[];
 	readonly #loads: readonly Load[];
 	readonly #health = new Health();
 	readonly #upstreams: readonly GatewayUpstream[];
@@ -111,12 +123,16 @@
 	readonly #isIterating: boolean[];
 	readonly #running = new Map<string, RunningRequest>();
 	readonly #results: Result[] = [];
+	/** First events of engines while they were slow, by engine. */
+	readonly #firstSlowEvents = new Map<number, number>();
+	readonly #unevenEngines = new Map<string, UnevenEngine>();
 	readonly #random = createRandom(1);
 
 	constructor(options: SimulationOptions) {
 		this.#options = options;
 		this.#policy = options.policy ?? defaultPolicy;
 		this.#paces = Array.from({length: options.strategy === 'omniscient' ? 1 : options.hosts}, () => new Paces());
+		this.#shortPrefills = this.#paces.map(() => new ShortPrefills());
 		this.#loads = this.#paces.map(paces => new Load((upstream, now) => paces.get(upstream, now)));
 		this.#upstreams = Array.from({length: options.engines}, (_, index) => ({
 			id: `e${index}`, service: 's', address: {host: '10.0.0.1', port: index + 1}, failureDomain: `d${index % 3}`, slots: options.model.slots, isDraining: false,
@@ -145,6 +161,11 @@
 		return this.#results;
 	}
 
+	/** Engines that hosts took for slow or fast at some time. */
+	get unevenEngines(): readonly UnevenEngine[] {
+		return [...this.#unevenEngines.values()];
+	}
+
 	#handleArrival(arrival: Arrival, isRetry: boolean): void {
 		const {now} = this.#timeline;
 		const {kind} = arrival;
@@ -284,7 +305,7 @@
 		const engines = [upstream, ...helpers].map(each => this.#getEngineIndex(each));
 		this.#running.set(arrival.id, {
 			paceSampler: new PaceSampler({
-				load: this.#getLoad(arrival.host), model, prompt: demand.prompt!, placement: chosen, job: job.id, sent: now,
+				load: this.#getLoad(arrival.host), shortPrefills: this.#shortPrefills[arrival.host % this.#paces.length]!, model, prompt: demand.prompt!, placement: chosen, job: job.id, sent: now,
 			}),
 			arrival, job, host: arrival.host, engines, demand, place: chosen, isRerouted, pendingParts: engines.length, lastEvent: 0, longestPause: 0,
 		});
@@ -408,6 +429,14 @@
 		}
 
 		own.recordSample(sample);
+		const key = `${sample.upstream} ${sample.phase}`;
+		if (own.get(sample.upstream, sample.at)[sample.phase] !== 1 && !this.#unevenEngines.has(key)) {
+			const engine = Number(sample.upstream.slice(1));
+			this.#unevenEngines.set(key, {
+				engine, phase: sample.phase, learnedAt: sample.at, firstEventAt: this.#firstSlowEvents.get(engine),
+			});
+		}
+
 		const report = own.takeReport(sample.upstream, sample.phase, sample.at);
 		for (const paces of report === undefined ? [] : this.#paces) {
 			if (paces !== own) {
@@ -445,6 +474,11 @@
 	}
 
 	#handleEvent(running: RunningRequest, isFinished: boolean): void {
+		const engine = running.engines[0]!;
+		if (this.#getSlowness(engine) !== 1 && !this.#firstSlowEvents.has(engine)) {
+			this.#firstSlowEvents.set(engine, this.#timeline.now);
+		}
+
 		this.#recordPace(running.host, running.paceSampler.noteEvents(this.#timeline.now));
 		const at = this.#timeline.now + engineDelayMs + callerDelayMs - running.arrival.at;
 		if (running.firstEvent === undefined) {
--- a/src/core/gateway/__tests__/paces.test.ts
+++ b/src/core/gateway/__tests__/paces.test.ts
@@ -2,9 +2,10 @@
 import {describe, expect, it} from 'vitest';
 import {Load, type Job} from '../engines/load.js';
 import {
-	configuredPace, isPace, Paces, type PaceReport,
+	configuredPace, isPace, Paces, type PaceReport, type PaceSample,
 } from '../engines/paces.js';
 import {PaceSampler} from '../engines/pace-sampler.js';
+import {ShortPrefills, type ShortPrefill} from '../engines/short-prefills.js';
 import {type Placement} from '../placement/placement.js';
 import {type EngineModel} from '../types.js';
 import {createUpstream} from './fixtures.js';
@@ -26,6 +27,12 @@
 	}
 }
 
+function createJob(id: string, change: Partial<Job> = {}): Job {
+	return {
+		id, host: 'h', upstream: 'e0', helpers: [], prompt: 5000, answer: 100, isHeld: false, read: 25, readPerPass: 25, ...jobTimes, ...change,
+	};
+}
+
 function createReport(change: Partial<PaceReport> = {}): PaceReport {
 	return {
 		host: 'h1', upstream: 'e0', phase: 'decode', pace: 0.25, confidence: 6, at: now, ...change,
@@ -167,6 +174,7 @@
 });
 
 describe('a sampler', () => {
+	const shortPrefills = new ShortPrefills();
 	const upstream = createUpstream('e0', {slots: 8});
 	const placement: Placement = {
 		upstream, helpers: [], holdTokens: 0, prefill: {total: 25, perIteration: 25}, firstByte: 25, loss: 0,
@@ -178,15 +186,9 @@
 		return load;
 	}
 
-	function createJob(id: string, change: Partial<Job> = {}): Job {
-		return {
-			id, host: 'h', upstream: 'e0', helpers: [], prompt: 5000, answer: 100, isHeld: false, read: 25, readPerPass: 25, ...jobTimes, ...change,
-		};
-	}
-
 	function createSampler(load: Load, tokens = 5000): PaceSampler {
 		return new PaceSampler({
-			load, model, prompt: {tokens, answer: 100}, placement: {...placement, firstByte: tokens / model.readRate}, job: 'own', sent: now,
+			load, shortPrefills, model, prompt: {tokens, answer: 100}, placement: {...placement, firstByte: tokens / model.readRate}, job: 'own', sent: now,
 		});
 	}
 
@@ -223,7 +225,7 @@
 
 	it('does not take a queue that was shorter than forecast for a fast engine', () => {
 		const options = {
-			load: createLoad(), model, prompt: {tokens: 80_000, answer: 100}, job: 'own', sent: now,
+			load: createLoad(), shortPrefills, model, prompt: {tokens: 80_000, answer: 100}, job: 'own', sent: now,
 		};
 		const sampler = new PaceSampler({...options, placement: {...placement, firstByte: 540}});
 		expect(sampler.noteEvents(now + 443)).toMatchObject({phase: 'prefill', configured: 440, measured: 400});
@@ -240,6 +242,55 @@
 	});
 });
 
+describe('prefills of short prompts', () => {
+	function createPrefill(index: number, measured: number, variance = 0): ShortPrefill {
+		return {
+			upstream: 'e0', configured: 28, measured, variance, at: now + (index * 100),
+		};
+	}
+
+	function add(prefills: readonly ShortPrefill[]): readonly PaceSample[] {
+		const sums = new ShortPrefills();
+		return prefills.flatMap(each => sums.add(each) ?? []);
+	}
+
+	it('count by their sum, once', () => {
+		expect(add([0, 1, 2, 3, 4, 5, 6, 7].map(index => createPrefill(index, 112)))).toMatchObject([{configured: 112, measured: 448}, {configured: 112, measured: 448}]);
+	});
+
+	// Guards against paces from the time that a prompt waits for the end of an iteration, which is as long as its prefill.
+	it('that waited for an iteration count once enough of them make the sum certain', () => {
+		const variance = (44 ** 2) / 12;
+		const measured = Array.from({length: 16}, (_, index) => index % 2 === 0 ? 6 : 50);
+		expect(add(measured.slice(0, 13).map((each, index) => createPrefill(index, each, variance)))).toEqual([]);
+		expect(add(measured.map((each, index) => createPrefill(index, each, variance)))).toMatchObject([{configured: 392, measured: 392}]);
+	});
+
+	it('do not count beside those of seconds ago', () => {
+		expect(add([0, 20, 40, 60, 80].map(index => createPrefill(index, 112)))).toEqual([]);
+	});
+
+	// Guards against the time of an iteration, four times longer at a slow engine too, counting as prefill.
+	it.each([1, 4])('are measured with the engine %i times slower', slowness => {
+		const shortPrefills = new ShortPrefills();
+		const samples = [0, 1, 2, 3].flatMap(index => {
+			const sent = now + (index * 500);
+			const load = new Load();
+			load.begin(createJob('own', {began: sent}), sent);
+			const sampler = new PaceSampler({
+				load, shortPrefills, model, prompt: {tokens: 5000, answer: 100}, placement: {
+					upstream: createUpstream('e0'), helpers: [], holdTokens: 0, prefill: {total: 28, perIteration: 28}, firstByte: 28, loss: 0,
+				}, job: 'own', sent,
+			});
+			const first = sent + ((28 + 43) * slowness);
+			sampler.noteEvents(first);
+			load.recordFirstByte('own', first);
+			return sampler.noteEvents(first + (43 * slowness)) ?? [];
+		});
+		expect(samples.find(({phase}) => phase === 'prefill')).toMatchObject({configured: 112, measured: 112 + (4 * Math.max((28 * (slowness - 1)) - 12, 0))});
+	});
+});
+
 it('predicts longer times at a slow engine, and leaves others as they are', () => {
 	const paces = new Paces();
 	record(paces, [4, 4, 4]);
--- a/src/core/gateway/engines/pace-sampler.ts
+++ b/src/core/gateway/engines/pace-sampler.ts
@@ -3,12 +3,16 @@
 import {type EngineModel, type Prompt} from '../types.js';
 import {estimateDecodeIteration, estimatePrefill} from './engine.js';
 import {type Forecast, type Load} from './load.js';
+import {overheadMs} from './losses.js';
 import {configuredPace, type PaceSample} from './paces.js';
+import {minSampleMs, type ShortPrefills} from './short-prefills.js';
 
-/** Shortest prefill in milliseconds, and least share of the predicted time to the first event, from which the pace of prefills is derived. */
-const minPrefillMs = 100;
+/** Least share of the predicted time to the first event that a prefill makes up if the pace of prefills is derived from it alone. */
 const minPrefillShare = 0.75;
 
+/** Variance of a time that is uniform between 0 and 1: the rest of the iteration that runs when a prompt arrives, in iterations. */
+const uniformVariance = 1 / 12;
+
 /** Largest ratio of the bounds of an iteration for which a time between them is used. */
 const maxUncertainty = 1.3;
 
@@ -20,6 +24,8 @@
 
 export type PaceSamplerOptions = {
 	readonly load: Load;
+	/** Prefills of short prompts that this host has measured lately. */
+	readonly shortPrefills: ShortPrefills;
 	readonly model: EngineModel;
 	readonly prompt: Prompt;
 	readonly placement: Placement;
@@ -35,10 +41,20 @@
 	readonly longest: number;
 };
 
+/** First event of a short prompt at an engine whose state was predictable. Times are in milliseconds. */
+type ShortPrompt = {
+	readonly at: number;
+	/** Configured time of an iteration when the prompt was sent; 0 if the engine was idle. */
+	readonly iteration: number;
+};
+
 export class PaceSampler {
 	readonly #options: PaceSamplerOptions;
+	/** Configured time of an engine iteration before a short prompt; undefined if the prompt is long or has to wait for others. */
+	readonly #initialIteration: number | undefined;
 	/** Jobs at the engine that were known when the request was sent. */
 	readonly #knownJobs: ReadonlySet<string>;
+	#shortPrompt: ShortPrompt | undefined;
 	#last: {readonly at: number; readonly times: IterationBounds} | undefined;
 	#isDelayed = false;
 
@@ -48,11 +64,12 @@
 	constructor(options: PaceSamplerOptions) {
 		this.#options = options;
 		this.#knownJobs = new Set(options.load.findJobsAt(options.placement.upstream.id).map(({id}) => id));
+		this.#initialIteration = this.#findInitialIteration();
 	}
 
 	/**
 	 * @param now - Arrival of events.
-	 * @returns The engine's pace as it follows from them, if it does.
+	 * @returns The engine's pace as it follows from them, or from them and other short prompts, if it does.
 	 */
 	noteEvents(now: number): PaceSample | undefined {
 		const {load, model, placement} = this.#options;
@@ -64,9 +81,16 @@
 		const times = this.#estimateIteration(forecast);
 		this.#last = {at: now, times};
 		if (previous === undefined) {
+			this.#shortPrompt = this.#initialIteration === undefined ? undefined : {at: now, iteration: this.#initialIteration};
 			return this.#measurePrefill(now);
 		}
 
+		const shortPrefills = wasDelayed ? undefined : this.#measureShortPrefill(forecast, now);
+		this.#shortPrompt = undefined;
+		if (shortPrefills !== undefined) {
+			return shortPrefills;
+		}
+
 		const shortest = Math.min(times.shortest, previous.times.shortest);
 		const longest = Math.max(times.longest, previous.times.longest);
 		const measured = now - previous.at;
@@ -111,7 +135,7 @@
 		const {firstByte, helpers, pace = configuredPace, upstream} = placement;
 		const configured = estimatePrefill(model, prompt.tokens).total;
 		const predicted = configured / pace.prefill;
-		if (helpers.length > 0 || configured < minPrefillMs || predicted < firstByte * minPrefillShare) {
+		if (helpers.length > 0 || configured < minSampleMs || predicted < firstByte * minPrefillShare) {
 			return undefined;
 		}
 
@@ -124,6 +148,41 @@
 		};
 	}
 
+	/**
+	 * The time between the first two events is that of the iteration that generates an event. What else passed until the first event is the
+	 * prefill, and the rest of an iteration and a whole one if the engine was decoding.
+	 */
+	#measureShortPrefill(forecast: Forecast, now: number): PaceSample | undefined {
+		const {model, placement: {upstream}, prompt, sent, shortPrefills} = this.#options;
+		const first = this.#shortPrompt;
+		if (first === undefined || forecast.prefilling.length > 0 || now - first.at < minGapMs || this.#isDisturbed()) {
+			return undefined;
+		}
+
+		// At an engine that decodes, the prefill is a part of the iteration and adds no steps to it.
+		const configured = estimatePrefill(model, prompt.tokens).total - (first.iteration > 0 ? Math.ceil(prompt.tokens / model.chunk) * model.step : 0);
+		const iteration = now - first.at;
+		const initialIteration = first.iteration * iteration / estimateDecodeIteration(model, forecast.contexts);
+		const measured = first.at - sent - (initialIteration * 1.5) - iteration;
+		return shortPrefills.add({
+			upstream: upstream.id,
+			configured,
+			measured: measured - Math.min(Math.max(measured - configured, 0), overheadMs),
+			variance: uniformVariance * (initialIteration ** 2),
+			at: now,
+		});
+	}
+
+	#findInitialIteration(): number | undefined {
+		const {load, model, placement: {upstream, helpers}, prompt, sent, job} = this.#options;
+		if (helpers.length > 0 || estimatePrefill(model, prompt.tokens).total >= minSampleMs) {
+			return undefined;
+		}
+
+		const {prefilling, slotWait, iteration, pace} = load.forecast(upstream.id, model, sent, {excludedJob: job});
+		return prefilling.length > 0 || slotWait > 0 ? undefined : iteration * pace.decode;
+	}
+
 	/**
 	 * Returns whether the engine prefilled another job, as its upstream or helper, since this one was sent, or has one that was not known then:
 	 * load updates may take longer than the time between two requests.
--- a/src/core/gateway/engines/paces.ts
+++ b/src/core/gateway/engines/paces.ts
@@ -25,6 +25,8 @@
 	readonly measured: number;
 	/** Monotonic time in milliseconds. */
 	readonly at: number;
+	/** Whether the measured time is an estimate, so that a long sample counts no more than a short one. */
+	readonly isEstimate?: boolean;
 };
 
 /** Pace that a peer has learned. */
@@ -203,11 +205,11 @@
 	/**
 	 * @param sample - Measured duration; ignored if it isn't above zero.
 	 */
-	recordSample({upstream, phase, configured, measured, at}: PaceSample): void {
+	recordSample({upstream, phase, configured, measured, at, isEstimate = false}: PaceSample): void {
 		const pace = configured / measured;
 		if (isPace(pace) && isPace(measured)) {
 			this.#add(upstream, phase, {
-				logarithm: clampedLogarithm(pace), weight: configured >= strongSampleMs ? strongWeight : 1, at,
+				logarithm: clampedLogarithm(pace), weight: configured >= strongSampleMs && !isEstimate ? strongWeight : 1, at,
 			});
 		}
 	}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -247,6 +247,7 @@
 			registrations: this.registrations,
 			reputation: this.reputation,
 			load: this.load,
+			shortPrefills: this.paces.shortPrefills,
 			memoryQueue: this.memoryQueue,
 			shares: this.shares,
 			findService: name => this.service(name),
--- a/src/gateway/requests/placements.ts
+++ b/src/gateway/requests/placements.ts
@@ -2,6 +2,7 @@
 import {type MemoryDecision} from '../../core/gateway/engines/memory-admission.js';
 import {type Job, type Load, type PlacementKind} from '../../core/gateway/engines/load.js';
 import {PaceSampler} from '../../core/gateway/engines/pace-sampler.js';
+import {type ShortPrefills} from '../../core/gateway/engines/short-prefills.js';
 import {computeWeight} from '../../core/gateway/engines/losses.js';
 import {
 	findUsable, place, reevaluate, substitute, type Placement, type Reevaluation, type PlacementOptions,
@@ -29,6 +30,8 @@
 	readonly registrations: Registrations;
 	readonly reputation: Reputation;
 	readonly load: Load;
+	/** Prefills of short prompts that this host has measured lately. */
+	readonly shortPrefills: ShortPrefills;
 	readonly memoryQueue: MemoryQueue;
 	readonly shares: OrganisationShares;
 	/** Returns the configuration of a service, if it is known. */
@@ -215,7 +218,7 @@
 		return model === undefined || prompt === undefined
 			? undefined
 			: new PaceSampler({
-				load: this.#options.load, model, prompt, placement, job, sent: this.#options.now(),
+				load: this.#options.load, shortPrefills: this.#options.shortPrefills, model, prompt, placement, job, sent: this.#options.now(),
 			});
 	}
 
--- a/src/gateway/upstreams/engine-paces.ts
+++ b/src/gateway/upstreams/engine-paces.ts
@@ -2,6 +2,7 @@
 import {
 	configuredPace, isPace, Paces, type Pace, type PaceReport, type PaceSample,
 } from '../../core/gateway/engines/paces.js';
+import {ShortPrefills} from '../../core/gateway/engines/short-prefills.js';
 import {type UpstreamProcess} from '../../core/gateway/types.js';
 import {roundTo} from '../../core/utils/numbers.js';
 import {type Log} from '../../entry/logs.js';
@@ -28,6 +29,8 @@
 };
 
 export class EnginePaces {
+	/** Prefills of short prompts that count together. */
+	readonly shortPrefills = new ShortPrefills();
 	readonly #options: EnginePacesOptions;
 	readonly #paces = new Paces();
 	/** Engines whose logged pace differs from the configured one. */
@@ -107,6 +110,7 @@
 	 */
 	forget(upstream: string): void {
 		this.#paces.forget(upstream);
+		this.shortPrefills.forget(upstream);
 		this.#logged.delete(upstream);
 	}
 
