Memory of prompts that fit one engine is reserved while other hosts may take the rest unnoticed

Load updates take 50 to 100 ms. Two hosts that placed large prompts at the same engine meanwhile exceeded its memory, since only prompts split between engines were reserved. A prompt that needs an eighth of an engine's memory or more is reserved at its engine now if it leaves less than other hosts may take: the 95% quantile of what their running jobs took at one engine within 100 ms. After a refusal it goes to another engine, and waits after each fourth one. Shorter prompts never reserve, also not when no engine has the memory alone. holds_total, placed, hold-refused and hold-unused state the reason.

--- a/__tests__/gateway/memory-waits.test.ts
+++ b/__tests__/gateway/memory-waits.test.ts
@@ -38,6 +38,11 @@
 	await expect.poll(() => site.hosts[hostIndex]!.findLogLines('memory-wait', id).length, {timeout: 3000}).toBe(1);
 }
 
+function getAddress(engine: string): string {
+	const {host, port} = site.engines.find(each => each.id === engine)!.address;
+	return `${host}:${port}`;
+}
+
 async function expectNoHolds(): Promise<void> {
 	await expect.poll(() => site.engines.flatMap(each => each.tickets), {timeout: 6000}).toEqual([]);
 }
@@ -107,3 +112,28 @@
 	expect(performance.now() - stoppedAt).toBeLessThan(1000);
 	expect(await answer).toMatchObject({status: 200, isWhole: true});
 }, 60_000);
+
+it('reserves a large prompt at one engine while other hosts may take the rest unnoticed, and goes elsewhere if that engine refuses', async () => {
+	await startSite(3);
+	const ask = async (id: string, tokens: number, events: number, hostIndex = 0) => site.ask({path: '/ask/x', id, headers: createPromptHeaders(tokens, events)}, site.hosts[hostIndex]);
+	const other = ask('other', 60_000, 400, 1);
+	await expect.poll(() => site.hosts[1]!.findLogLines('placed', 'other').length, {timeout: 3000}).toBe(1);
+	await sleep(100);
+	expect(await ask('own', 60_000, 3)).toMatchObject({status: 200, isWhole: true});
+	const [host] = site.hosts;
+	expect(host!.findLogLines('placed', 'own')).toMatchObject([{holdReason: 'contested'}]);
+	const [placed] = host!.findLogLines('placed', 'own');
+	expect(String(site.ledger.findRuns('own')[0]!.headers['x-helpers']).split(',')[0]).toBe(`${getAddress(String(placed!.upstream))}/${String(placed!.hold)}`);
+	expect(await ask('short', 5000, 3)).toMatchObject({status: 200, isWhole: true});
+	expect(host!.findLogLines('placed', 'short')[0]!.hold).toBeUndefined();
+	for (const engine of site.engines) {
+		engine.isRefusingHolds = true;
+		expect(await ask(`refused-${engine.id}`, 60_000, 3)).toMatchObject({status: 200, isWhole: true});
+		engine.isRefusingHolds = false;
+		await sleep(1500);
+	}
+
+	expect(host!.findLogLines('hold-refused').length).toBeGreaterThan(0);
+	expect(await other).toMatchObject({status: 200, isWhole: true});
+	await expectNoHolds();
+}, 60_000);
--- a/src/cli/gateway-lines.ts
+++ b/src/cli/gateway-lines.ts
@@ -4,6 +4,9 @@
 
 const milliseconds = z.number().optional();
 
+/** Why memory was reserved; absent from lines of older hosts. */
+const reservationReason = z.enum(['contested', 'split']);
+
 export const gatewayLineSchema = z.discriminatedUnion('type', [
 	z.object({
 		type: z.literal('placed'),
@@ -11,6 +14,9 @@
 		upstream: z.string(),
 		helpers: z.array(z.string()),
 		hold: z.string().optional(),
+		holdReason: reservationReason.optional(),
+		/** Tokens at one engine that other hosts may take before they know of the request. */
+		margin: z.number().optional(),
 		tokens: z.number(),
 		predicted: z.number(),
 		loss: z.number(),
@@ -47,8 +53,12 @@
 		wait: z.number(),
 	}),
 	z.object({type: z.literal('retry-denied'), service: z.string(), hosts: z.number()}),
-	z.object({type: z.literal('hold-refused'), hold: z.string(), refused: z.array(z.string())}),
-	z.object({type: z.literal('hold-unused'), hold: z.string(), evacuated: z.array(z.string())}),
+	z.object({
+		type: z.literal('hold-refused'), hold: z.string(), reason: reservationReason.optional(), refused: z.array(z.string()),
+	}),
+	z.object({
+		type: z.literal('hold-unused'), hold: z.string(), reason: reservationReason.optional(), evacuated: z.array(z.string()),
+	}),
 	z.object({
 		type: z.literal('domain-evacuated'), domain: z.string(), upstreams: z.number(), source: z.string(), era: z.number(), revision: z.number(),
 	}),
@@ -88,9 +98,12 @@
 export type EndedLine = Extract<GatewayLine, {type: 'ended'}>;
 
 function describePlacement(line: PlacedLine): string {
-	const {attempt, upstream, helpers, hold, tokens, predicted, loss, jobs, left, version, confirmedAge} = line;
+	const {
+		attempt, upstream, helpers, hold, holdReason, margin, tokens, predicted, loss, jobs, left, version, confirmedAge,
+	} = line;
 	const helperText = helpers.length === 0 ? '' : `, prefilled together with ${helpers.join(', ')}`;
-	const holdText = hold === undefined ? '' : `, memory reserved by hold ${hold}`;
+	const reasonText = holdReason === 'contested' ? ` as other hosts may take ${margin ?? 0} tokens at the engine unnoticed` : '';
+	const holdText = hold === undefined ? '' : `, memory reserved by hold ${hold}${reasonText}`;
 	const sizeText = tokens === 0 ? '' : ` of ${tokens} tokens, first event expected after ${predicted} ms`;
 	return `Sent to ${upstream} as attempt ${attempt}${sizeText}${helperText}${holdText}: expected loss ${loss}, ${jobs} requests known at upstreams, `
 		+ `${left} ms left, configuration ${version ?? 'unknown'} confirmed ${confirmedAge} ms ago`;
--- a/src/core/gateway/placement/placement.ts
+++ b/src/core/gateway/placement/placement.ts
@@ -3,6 +3,7 @@
 import {
 	computePartMemory, footprint, estimatePrefill, type PrefillTime,
 } from '../engines/engine.js';
+import {isLarge} from '../engines/memory-reservation.js';
 import {type Health} from '../health/health.js';
 import {type Forecast, type Load} from '../engines/load.js';
 import {
@@ -171,6 +172,11 @@
 			continue;
 		}
 
+		// Short prompts reserve no memory: an order costs more than it saves them.
+		if (!isLarge(model, prompt)) {
+			continue;
+		}
+
 		const holdTokens = computePartMemory(model, neededMemory, parts);
 		const available = ranked.filter(candidate => candidate.forecast.freeMemory >= holdTokens + margin && candidate.forecast.requests < model.slots);
 		const answering = available.find(candidate => canAnswer(candidate));
--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -116,6 +116,7 @@
 				placed++;
 				return placements.shift();
 			},
+			planReservation: () => ({type: 'none'}),
 			beginJob: () => ({id: 'j0', weight: 1}),
 			createPaceSampler: () => undefined,
 			forecastIterationTime: () => 0,
@@ -206,6 +207,7 @@
 		service: () => undefined,
 		canRetry: () => false,
 		placements: {
+			planReservation: () => ({type: 'split', tokens: 500}),
 			beginJob: () => ({id: 'j0'}),
 			considerMemory: () => undefined,
 			computeWait: () => undefined,
--- a/src/gateway/__tests__/memory-fleet.ts
+++ b/src/gateway/__tests__/memory-fleet.ts
@@ -6,6 +6,7 @@
 import {Load, type Job} from '../../core/gateway/engines/load.js';
 import {computeWeight} from '../../core/gateway/engines/losses.js';
 import {type MemoryClaim} from '../../core/gateway/engines/memory-admission.js';
+import {planReservation, type ReservationPlan} from '../../core/gateway/engines/memory-reservation.js';
 import {
 	place, substitute, type Placement, type PlacementOptions,
 } from '../../core/gateway/placement/placement.js';
@@ -63,11 +64,14 @@
 	readonly outcomes: Outcome[] = [];
 	reservations = 0;
 	unusedReservations = 0;
+	/** Tokens of requests that were sent to engines without enough free memory, by job. */
+	readonly overruns = new Map<string, number>();
 	readonly #options: FleetOptions;
 	readonly #timeline = new Timeline();
 	readonly #random;
 	readonly #health = new Health();
 	readonly #upstreams: readonly GatewayUpstream[];
+	readonly #engines: readonly string[];
 	readonly #hosts: readonly Host[];
 	/** Memory in use at each engine, by job. */
 	readonly #memory = new Map<string, Map<string, number>>();
@@ -82,12 +86,13 @@
 		this.#upstreams = Array.from({length: options.engines}, (_, index) => ({
 			id: `e${String(index).padStart(2, '0')}`, service: 's', address: {host: '10.0.0.1', port: index + 1}, failureDomain: `d${index % 3}`, slots: fleetModel.slots, isDraining: false,
 		}));
+		this.#engines = this.#upstreams.map(({id}) => id);
 		this.#hosts = Array.from({length: options.hosts}, (_, index) => this.#createHost(`h${index}`));
 	}
 
 	/** Tokens in use at all engines. */
 	get used(): number {
-		return this.#upstreams.reduce((sum, {id}) => sum + this.#usedAt(id), 0);
+		return this.#engines.reduce((sum, id) => sum + this.#usedAt(id), 0);
 	}
 
 	/** Number of requests that wait at all hosts. */
@@ -131,12 +136,7 @@
 	}
 
 	#usedAt(engine: string): number {
-		let sum = 0;
-		for (const tokens of this.#memory.get(engine)?.values() ?? []) {
-			sum += tokens;
-		}
-
-		return sum;
+		return [...this.#memory.get(engine)?.values() ?? []].reduce((sum, tokens) => sum + tokens, 0);
 	}
 
 	#tellOthers(name: string, tell: (host: Host) => void): void {
@@ -172,15 +172,16 @@
 			return;
 		}
 
-		const job = this.#begin(demand, placement, host);
-		if (placement.holdTokens === 0) {
-			this.#send({
-				kind, demand, host, job, placement,
-			});
+		const plan = planReservation(demand.prompt!, placement, {
+			model: fleetModel, load: host.load, engines: this.#engines, host: host.name, now: this.#timeline.now,
+		});
+		const sent: Sent = {
+			kind, demand, host, job: this.#begin(demand, placement, host), placement, plan,
+		};
+		if (plan.type === 'none') {
+			this.#send(sent);
 		} else {
-			this.#reserve({
-				kind, demand, host, job, placement,
-			}, [], 0);
+			this.#reserve(sent, [], 0);
 		}
 	}
 
@@ -201,7 +202,7 @@
 
 	#wait(kind: Kind, demand: Demand, host: Host): void {
 		const {queue, load} = host;
-		const decision = queue.isContended(fleetModel, demand.prompt!) ? queue.consider(demand, demand.prompt!, fleetModel, this.#upstreams.map(each => each.id)) : undefined;
+		const decision = queue.isContended(fleetModel, demand.prompt!) ? queue.consider(demand, demand.prompt!, fleetModel, this.#engines) : undefined;
 		if (decision?.type !== 'wait') {
 			this.#conclude(kind, demand, 'refused');
 			return;
@@ -225,22 +226,10 @@
 	#begin(demand: Demand, placement: Placement, host: Host): Job {
 		const {now} = this.#timeline;
 		const job: Job = {
-			id: `j${this.#jobCount++}`,
-			host: host.name,
-			upstream: placement.upstream.id,
-			helpers: placement.helpers.map(each => each.id),
-			prompt: demand.prompt!.tokens,
-			answer: demand.prompt!.answer,
-			isHeld: placement.holdTokens > 0,
-			read: placement.prefill.total,
-			readPerPass: placement.prefill.perIteration,
-			pause: demand.pause,
-			urgency: placement.urgency,
-			weight: computeWeight(fleetModel, demand.prompt!),
-			placing: 'first',
-			began: now,
-			due: demand.due,
-			deadline: demand.deadline,
+			id: `j${this.#jobCount++}`, host: host.name, upstream: placement.upstream.id, helpers: placement.helpers.map(each => each.id),
+			prompt: demand.prompt!.tokens, answer: demand.prompt!.answer, isHeld: placement.holdTokens > 0,
+			read: placement.prefill.total, readPerPass: placement.prefill.perIteration, pause: demand.pause, urgency: placement.urgency,
+			weight: computeWeight(fleetModel, demand.prompt!), placing: 'first', began: now, due: demand.due, deadline: demand.deadline,
 		};
 		this.#publish(host, load => {
 			load.begin(job, this.#timeline.now);
@@ -257,16 +246,17 @@
 
 	/** Reserves the missing parts one after another, and replaces an engine that refuses as often as a host does. */
 	#reserve(sent: Sent, granted: readonly string[], substitutions: number): void {
-		const engine = [sent.job.upstream, ...sent.job.helpers].toSorted().find(each => !granted.includes(each));
-		if (engine === undefined) {
+		const {job, plan} = sent;
+		const engine = (plan.type === 'split' ? [job.upstream, ...job.helpers] : [job.upstream]).toSorted().find(each => !granted.includes(each));
+		if (engine === undefined || plan.type === 'none') {
 			this.reservations++;
 			this.#send(sent);
 			return;
 		}
 
 		this.#timeline.schedule(this.#timeline.now + orderMs, () => {
-			if (this.#usedAt(engine) + sent.placement.holdTokens <= fleetModel.memory) {
-				this.#take(engine, sent.job.id, sent.placement.holdTokens);
+			if (this.#usedAt(engine) + plan.tokens <= fleetModel.memory) {
+				this.#take(engine, job.id, plan.tokens);
 				this.#reserve(sent, [...granted, engine], substitutions);
 			} else {
 				this.#replace(sent, granted, engine, substitutions);
@@ -275,9 +265,9 @@
 	}
 
 	#replace(sent: Sent, granted: readonly string[], refused: string, substitutions: number): void {
-		const {kind, demand, host, job} = sent;
+		const {kind, demand, host, job, plan} = sent;
 		host.queue.noteRefusal(refused);
-		const placement = substitutions < maxSubstitutions
+		const placement = plan.type === 'split' && substitutions < maxSubstitutions
 			? substitute(sent.placement, refused, demand, fleetModel, this.#upstreams, this.#placementOptions(demand, host))
 			: undefined;
 		if (placement !== undefined) {
@@ -301,7 +291,9 @@
 			this.#end(host, job);
 			const shortages = (this.#shortages.get(demand.id) ?? 0) + 1;
 			this.#shortages.set(demand.id, shortages);
-			if (shortages < maxShortages) {
+			if (shortages < maxShortages && plan.type === 'contested' && shortages % maxSubstitutions > 0) {
+				this.#attempt(kind, demand, host);
+			} else if (shortages < maxShortages) {
 				this.#wait(kind, demand, host);
 			} else {
 				host.queue.leave(demand.id);
@@ -328,17 +320,18 @@
 
 	/** Sends a request. One without reservations waits at its engine until there is memory. */
 	#send(sent: Sent): void {
-		const {demand, host, job, placement} = sent;
+		const {demand, host, job, plan} = sent;
 		host.queue.leave(demand.id);
 		const tokens = footprint(fleetModel, demand.prompt!.tokens, demand.prompt!.answer);
-		if (placement.holdTokens === 0 && this.#usedAt(job.upstream) + tokens > fleetModel.memory) {
+		if (plan.type === 'none' && this.#usedAt(job.upstream) + tokens > fleetModel.memory) {
+			this.overruns.set(job.id, tokens);
 			this.#timeline.schedule(this.#timeline.now + checkIntervalMs, () => {
 				this.#send(sent);
 			});
 			return;
 		}
 
-		if (placement.holdTokens === 0) {
+		if (plan.type === 'none') {
 			this.#take(job.upstream, job.id, tokens);
 		}
 
@@ -376,4 +369,5 @@
 	readonly host: Host;
 	readonly job: Job;
 	readonly placement: Placement;
+	readonly plan: ReservationPlan;
 };
--- a/src/gateway/__tests__/memory-queue.test.ts
+++ b/src/gateway/__tests__/memory-queue.test.ts
@@ -41,11 +41,13 @@
 	it.each([1, 3])('reserves memory that it uses, and serves its largest prompts as others of their kind (%i times the long prompts)', factor => {
 		let reservations = 0;
 		let unused = 0;
+		let overruns = 0;
 		const long: Outcome[] = [];
 		for (const seed of [1, 2]) {
 			const fleet = playLoad(factor, seed);
 			reservations += fleet.reservations;
 			unused += fleet.unusedReservations;
+			overruns += [...fleet.overruns.values()].filter(tokens => tokens >= fleetModel.memory / 8).length;
 			long.push(...fleet.outcomes.filter(({kind}) => kind === 'long'));
 			expect([fleet.used, fleet.waiting]).toEqual([0, 0]);
 		}
@@ -53,6 +55,8 @@
 		const largest = long.toSorted((a, b) => b.tokens - a.tokens).slice(0, Math.ceil(long.length / 10));
 		expect(reservations).toBeGreaterThan(10);
 		expect(unused / reservations).toBeLessThan(0.02);
+		// Without reservations at single engines, 25 large prompts met a full engine at three times the long prompts.
+		expect(overruns).toBeLessThan(5);
 		expect(computeServedShare(long)).toBeGreaterThan(0.9);
 		expect(computeServedShare(largest)).toBeGreaterThan(computeServedShare(long) / 2);
 	}, 120_000);
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -93,7 +93,7 @@
 		this.requests = createCounter(registry, 'requests_total', 'Requests by how they ended', ['service', 'kind', 'length', 'outcome']);
 		this.attempts = createCounter(registry, 'attempts_total', 'Attempts at upstreams by how they ended', ['service', 'ending']);
 		this.retries = createCounter(registry, 'retries_total', 'Attempts after the first, and those the budget did not allow', ['service', 'allowed']);
-		this.holds = createCounter(registry, 'holds_total', 'Memory reserved at several engines', ['result']);
+		this.holds = createCounter(registry, 'holds_total', 'Reservations of memory at engines, by result and reason', ['result', 'reason']);
 		this.memoryWaits = createCounter(registry, 'memory_waits_total', 'Requests that waited for memory, by how the wait ended', ['result']);
 		this.memoryWaiting = createGauge(registry, 'memory_waiting', 'Requests that wait for memory');
 		this.shareRefusals = createCounter(registry, 'share_refusals_total', 'Requests refused as their organisation used far more than its usual share', ['service']);
--- a/src/gateway/requests/dispatch.ts
+++ b/src/gateway/requests/dispatch.ts
@@ -111,7 +111,9 @@
 	}
 
 	async #attempt(placement: Placement): Promise<AttemptEnding> {
-		return placement.holdTokens === 0 ? this.#sender.send(placement) : this.#reservedAttempt.run(placement);
+		const {services: {gateway}, demand} = this.#state;
+		const plan = gateway.placements.planReservation(demand, placement);
+		return plan.type === 'none' ? this.#sender.send(placement) : this.#reservedAttempt.run(placement, plan);
 	}
 
 	/** Returns the milliseconds until some upstream of the service accepts requests of this host. */
--- a/src/gateway/requests/helpers.ts
+++ b/src/gateway/requests/helpers.ts
@@ -5,10 +5,10 @@
 
 /**
  * @param placement - Placement of the request.
- * @param hold - Memory reserved for it at several engines, if any.
- * @returns The helper engines; with a hold, also the engine that answers, because it holds memory too.
+ * @param hold - Memory reserved for it, if any.
+ * @returns The helper engines. With a hold, the engine that answers is the first, because it holds memory too; helpers that hold none only prefill.
  */
 export function listHelpers(placement: Placement, hold: Hold | undefined): readonly Helper[] {
-	const helpers = placement.helpers.map(({address}) => ({address, hold: hold?.name}));
+	const helpers = placement.helpers.map(({id, address}) => ({address, hold: hold?.hasPart(id) === true ? hold.name : undefined}));
 	return hold === undefined ? helpers : [{address: placement.upstream.address, hold: hold.name}, ...helpers];
 }
--- a/src/gateway/requests/holds.ts
+++ b/src/gateway/requests/holds.ts
@@ -1,5 +1,6 @@
-/** Reserves KV memory at several engines for one prompt, all or nothing. Holds are renewed while in use and released at the end. */
+/** Reserves KV memory at one or several engines for one prompt, all or nothing. Holds are renewed while in use and released at the end. */
 import {messageOf} from '../../core/index.js';
+import {type PlannedReservation} from '../../core/gateway/engines/memory-reservation.js';
 import {type Log} from '../../entry/logs.js';
 import {type EngineControl, type EngineProcess} from '../platform-adapter.js';
 import {type GatewayMetrics} from '../metrics.js';
@@ -55,6 +56,14 @@
 		return this.#asked.length;
 	}
 
+	/**
+	 * @param upstream - Engine.
+	 * @returns Whether a part of the memory is reserved there.
+	 */
+	hasPart(upstream: string): boolean {
+		return this.#parts.some(part => part.upstream === upstream);
+	}
+
 	/**
 	 * Reserves the missing parts one after another, in the order of the engines' ids, and renews them until the hold is released. Stops at the first
 	 * part that isn't granted: of two hosts that compete for the same engines, one gets them all and the other mostly holds none.
@@ -184,9 +193,10 @@
 	 *
 	 * @param isGranted - Whether all engines granted the memory.
 	 * @param askedParts - Number of parts that were granted.
+	 * @param reason - Why the memory was reserved.
 	 */
-	count(isGranted: boolean, askedParts: number): void {
+	count(isGranted: boolean, askedParts: number, reason: PlannedReservation['type']): void {
 		const refusal = askedParts === 0 ? 'refused' : 'unused';
-		this.#metrics.holds.inc({result: isGranted ? 'granted' : refusal});
+		this.#metrics.holds.inc({result: isGranted ? 'granted' : refusal, reason});
 	}
 }
--- a/src/gateway/requests/memory-queue.ts
+++ b/src/gateway/requests/memory-queue.ts
@@ -115,11 +115,12 @@
 	/**
 	 * @param model - Performance model of the engines.
 	 * @param prompt - Size of a request.
-	 * @returns Whether the request may wait for memory: it, or one that runs or waits, needs more than one engine has.
+	 * @returns Whether the request may wait for memory: it, or one that runs or waits, needs more than one engine has, or an engine refused memory
+	 * lately.
 	 */
 	isContended(model: EngineModel, prompt: Prompt): boolean {
 		return footprint(model, prompt.tokens, prompt.answer) > model.memory
-			|| this.#waiting.size > 0 || this.claims.length > 0
+			|| this.#waiting.size > 0 || this.claims.length > 0 || this.#refusals.size > 0
 			|| this.#options.load.all.some(job => job.isHeld && footprint(model, job.prompt, job.answer) > model.memory);
 	}
 
--- a/src/gateway/requests/placements.ts
+++ b/src/gateway/requests/placements.ts
@@ -1,5 +1,6 @@
 /** Placements of requests at upstreams, and their jobs, from what this host knows of upstreams, load and peers. */
 import {type MemoryDecision} from '../../core/gateway/engines/memory-admission.js';
+import {planReservation, type ReservationPlan} from '../../core/gateway/engines/memory-reservation.js';
 import {type Job, type Load, type PlacementKind} from '../../core/gateway/engines/load.js';
 import {PaceSampler} from '../../core/gateway/engines/pace-sampler.js';
 import {computeWeight} from '../../core/gateway/engines/losses.js';
@@ -70,6 +71,21 @@
 			: substitute(placement, refusing, demand, model, this.#options.upstreams.listByService(demand.service), this.#buildPlacementOptions(eligibility, demand));
 	}
 
+	/**
+	 * @param demand - Request whose job has not begun.
+	 * @param placement - Its placement.
+	 * @returns Where its memory is reserved before it is sent.
+	 */
+	planReservation({service, prompt}: Demand, placement: Placement): ReservationPlan {
+		const {findService, load, host, now} = this.#options;
+		const model = findService(service)?.engine;
+		return model === undefined || prompt === undefined
+			? {type: 'none'}
+			: planReservation(prompt, placement, {
+				model, load, engines: this.#listEngines(service), host, now: now(),
+			});
+	}
+
 	/**
 	 * @param demand - Request.
 	 * @returns Whether it may wait for memory: it, or another one that runs or waits, needs more than one engine has.
@@ -237,6 +253,10 @@
 		};
 	}
 
+	#listEngines(service: string): readonly string[] {
+		return this.#options.upstreams.listByService(service).map(({id}) => id);
+	}
+
 	#findModel(upstream: string): EngineModel | undefined {
 		return this.#options.findService(this.#options.upstreams.get(upstream)?.service ?? '')?.engine;
 	}
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -72,7 +72,7 @@
 		this.#memoryWait.grant();
 		attempts.recordSent(placement.upstream.id);
 		const job = reservation?.job ?? this.#state.beginJob(placement, placementKind);
-		this.#logPlacement(placement, job, hold, remaining);
+		this.#logPlacement(placement, job, reservation, remaining);
 		const attempt = this.#createAttempt(placement, hold, remaining);
 		this.#currentAttempt = attempt;
 		if (attempts.canFailOver && route.kind === 'streaming') {
@@ -123,13 +123,15 @@
 		}, headerFormat, agent);
 	}
 
-	#logPlacement(placement: Placement, job: Job, hold: Hold | undefined, remaining: number): void {
+	#logPlacement(placement: Placement, job: Job, reservation: Reservation | undefined, remaining: number): void {
 		const {services: {gateway}, request: {demand}, trace} = this.#state;
 		trace.write('placed', {
 			attempt: job.id,
 			upstream: placement.upstream.id,
 			helpers: placement.helpers.map(each => each.id),
-			hold: hold?.name,
+			hold: reservation?.hold.name,
+			holdReason: reservation?.plan.type,
+			margin: reservation?.plan.type === 'contested' ? reservation.plan.margin : undefined,
 			tokens: demand.prompt?.tokens ?? 0,
 			predicted: Math.round(placement.firstByte),
 			loss: roundTo(placement.loss, 3),
