Memory is kept for the next waiting request once that for the first one was kept long enough

Memory is kept for one request of a host for at most four seconds. The first request kept its place after that, as the order of turns alone decided, and no other request of the host got a claim until it was gone. Requests whose time for claims is used up no longer count as first. The new test fails without the change. Lint, types and src/gateway/__tests__/memory-queue.test.ts pass.

--- a/src/gateway/__tests__/memory-queue.test.ts
+++ b/src/gateway/__tests__/memory-queue.test.ts
@@ -165,6 +165,17 @@
 	expect(published.at(-1)?.engines).toEqual([]);
 });
 
+it('keeps memory for the next request once that for the first one was kept for as long as allowed', () => {
+	const {consider, load, clock, published} = createQueue();
+	fillEngines(load, 150_000);
+	for (clock.now = 0; clock.now <= 4500; clock.now += 100) {
+		consider(createDemand('first', 380_000, {due: 60_000, deadline: 60_000}));
+		consider(createDemand('second', 340_000, {due: 60_000, deadline: 60_000}));
+	}
+
+	expect(published.at(-1)).toMatchObject({id: 'h0/second', engines: {length: 2}});
+});
+
 it('lets a bounded number of requests wait', () => {
 	const {consider, load, queue} = createQueue();
 	fillEngines(load, 190_000);
--- a/src/gateway/requests/memory-queue.ts
+++ b/src/gateway/requests/memory-queue.ts
@@ -84,6 +84,11 @@
 	return hasBegun === true || due - firstByte < arrived ? deadline - firstByte : due - firstByte;
 }
 
+/** Returns whether memory may still be kept for a request. */
+function mayClaim({claimedSince}: Waiter, now: number): boolean {
+	return claimedSince === undefined || now - claimedSince <= maxClaimMs;
+}
+
 export class MemoryQueue {
 	readonly #options: MemoryQueueOptions;
 	readonly #waiting = new Map<string, Waiter>();
@@ -233,20 +238,24 @@
 	#claim(waiter: Waiter, plan: MemoryPlan, model: EngineModel): void {
 		const now = this.#options.now();
 		const {demand} = waiter;
-		const isFirst = [...this.#waiting.values()].every(each => each === waiter || compareTurns(demand, each.demand, now) < 0);
+		const isFirst = [...this.#waiting.values()].every(each => each === waiter || !mayClaim(each, now) || compareTurns(demand, each.demand, now) < 0);
 		if (!isFirst || demand.tokens <= model.memory / 2) {
 			return;
 		}
 
+		if (!mayClaim(waiter, now)) {
+			if (this.#ownClaim?.claim.id === demand.id) {
+				this.#withdraw();
+			}
+
+			return;
+		}
+
 		if (this.#ownClaim !== undefined && this.#ownClaim.claim.id !== demand.id) {
 			this.#withdraw();
 		}
 
 		waiter.claimedSince ??= now;
-		if (now - waiter.claimedSince > maxClaimMs) {
-			this.#withdraw();
-			return;
-		}
 
 		if (this.#ownClaim === undefined || this.#ownClaim.renewAt <= now) {
 			const claim = {
