Demand for memory far beyond capacity: parts leave a margin, and requests that would wait in vain are refused at once

At six times the longest prompts a quarter of the reservations was unused: engines had been given requests, mostly short and middle ones, that the reserving host did not know yet, and no engine was left as a replacement. Parts of split prompts leave free now what other hosts may take unnoticed, at most a quarter of an engine's memory; replacements need no such margin. The largest prompts, which the fewest engines that hold them prefill too late, counted with their deadline and came last; they count with the engines that meet their target. A forecast wait includes the prefill ahead, and a request that doesn't wait yet needs 2.5 times its forecast wait, as later requests take a part of the memory.

The tests of src/core/gateway, src/gateway/__tests__/memory-queue.test.ts and __tests__/gateway/memory-waits.test.ts pass.

--- a/src/core/gateway/engines/memory-admission.ts
+++ b/src/core/gateway/engines/memory-admission.ts
@@ -6,6 +6,7 @@
 import {type EngineModel} from '../types.js';
 import {computePartMemory, estimatePrefill} from './engine.js';
 import {estimateFreeMemory, type EngineMemory} from './memory-forecast.js';
+import {computeMargin} from './memory-reservation.js';
 
 /** A request that waits for memory. Times are monotonic, in milliseconds. */
 export type MemoryDemand = {
@@ -39,6 +40,22 @@
 	readonly wait: number;
 };
 
+/** Engines that a request may use, and until when. */
+export type PlanningInput = {
+	/** Performance model of the engines. */
+	readonly model: EngineModel;
+	/** Their memory without what is kept for requests that are first. */
+	readonly engines: readonly EngineMemory[];
+	/** Largest number of engines that share a prompt. */
+	readonly maxParts: number;
+	/** Tokens at one engine that other hosts may take before this host knows of it. */
+	readonly unknownMemory: number;
+	/** Whether the request waits already. */
+	readonly isWaiting: boolean;
+	/** Finds the last time at which the request can be sent to a number of engines: more of them prefill it faster. */
+	readonly findLatestStart: (parts: number) => number;
+};
+
 export type MemoryDecision
 	/** The request waits; the memory of the plan is expected to be its own. */
 	= | {readonly type: 'wait'; readonly plan: MemoryPlan}
@@ -49,6 +66,12 @@
 const priorityRanks = 5;
 const ranksPerWait = 20;
 
+/**
+ * Factor by which the forecast wait of a request that doesn't wait yet may be exceeded: requests that arrive later take a part of the memory. With 1,
+ * at six times the long prompts, most of the refused ones were refused only after they had waited, up to 6.5 s.
+ */
+const newcomerUncertainty = 2.5;
+
 /** Returns the rank of a request: it grows as its time runs out. */
 function rankOf({arrived, latestStart, priority}: MemoryDemand, now: number): number {
 	const usedShare = Math.max(now - arrived, 0) / Math.max(latestStart - arrived, 1);
@@ -107,40 +130,78 @@
 	return free;
 }
 
-/** Returns the fewest engines that have the memory together after a wait, those with the most free memory first. */
-function findEngines(tokens: number, model: EngineModel, engines: readonly EngineMemory[], maxParts: number, wait: number): MemoryPlan | undefined {
-	const ranked = engines.map(engine => ({upstream: engine.upstream, free: estimateFreeMemory(engine, wait)})).toSorted((a, b) => b.free - a.free);
-	for (let parts = 1; parts <= Math.min(maxParts, ranked.length); parts++) {
-		const partTokens = computePartMemory(model, tokens, parts);
-		if (ranked[parts - 1]!.free >= partTokens) {
-			return {engines: ranked.slice(0, parts).map(each => each.upstream), partTokens, wait};
+/** Engines by the memory that is free there after a wait, the most first. */
+type RankedEngines = ReadonlyArray<{readonly upstream: string; readonly free: number; readonly backlog: number}>;
+
+/** Free memory of engines after each of the waits at which more of it becomes free. */
+class FreeMemoryTimeline {
+	/** Waits in milliseconds, the shortest first. */
+	readonly waits: readonly number[];
+	readonly #engines: readonly EngineMemory[];
+	readonly #ranked = new Map<number, RankedEngines>();
+
+	constructor(engines: readonly EngineMemory[]) {
+		this.#engines = engines;
+		this.waits = [...new Set([0, ...engines.flatMap(engine => engine.releases.map(release => release.wait))])].toSorted((a, b) => a - b);
+	}
+
+	/** Returns the engines after the wait with this index. */
+	rank(index: number): RankedEngines {
+		const known = this.#ranked.get(index);
+		if (known !== undefined) {
+			return known;
 		}
+
+		const ranked = this.#engines.map(engine => ({...engine, free: estimateFreeMemory(engine, this.waits[index]!)})).toSorted((a, b) => b.free - a.free);
+		this.#ranked.set(index, ranked);
+		return ranked;
 	}
 
-	return undefined;
+	/**
+	 * Returns the index of the shortest wait, among the first ones, after which several engines each have some memory free. Free memory only grows
+	 * with the wait, so that it is found by bisection.
+	 */
+	findFirst(parts: number, tokens: number, count: number): number | undefined {
+		const isEnough = (index: number) => this.rank(index)[parts - 1]!.free >= tokens;
+		let low = 0;
+		let high = count - 1;
+		if (high < 0 || !isEnough(high)) {
+			return undefined;
+		}
+
+		while (low < high) {
+			const middle = Math.floor((low + high) / 2);
+			if (isEnough(middle)) {
+				high = middle;
+			} else {
+				low = middle + 1;
+			}
+		}
+
+		return low;
+	}
 }
 
-/**
- * @param tokens - KV memory in tokens that a request needs in all.
- * @param model - Performance model of the engines.
- * @param engines - Memory of the engines that it may use.
- * @param maxParts - Largest number of engines that share a prompt.
- * @returns The engines that are the first to have the memory; undefined if it will not be free, as far as is known.
- */
-export function planMemory(tokens: number, model: EngineModel, engines: readonly EngineMemory[], maxParts: number): MemoryPlan | undefined {
-	const waits = [0, ...engines.flatMap(engine => engine.releases.map(release => release.wait))].toSorted((a, b) => a - b);
-	// Free memory only grows with the wait, so that the shortest sufficient one is found by bisection.
-	let low = 0;
-	let high = waits.length - 1;
-	let best = findEngines(tokens, model, engines, maxParts, waits[high]!);
-	while (best !== undefined && low < high) {
-		const middle = Math.floor((low + high) / 2);
-		const plan = findEngines(tokens, model, engines, maxParts, waits[middle]!);
-		if (plan === undefined) {
-			low = middle + 1;
-		} else {
-			best = plan;
-			high = middle;
+/** Finds the fewest engines that are the first to have the memory, among those whose wait is accepted. */
+function planMemory(tokens: number, {model, engines, maxParts, unknownMemory}: PlanningInput, isInTime: (wait: number, parts: number) => boolean): MemoryPlan | undefined {
+	const timeline = new FreeMemoryTimeline(engines);
+	const maxUsedParts = Math.min(maxParts, engines.length);
+	const margin = computeMargin(model, tokens, maxUsedParts, unknownMemory);
+	let count = timeline.waits.length;
+	let best: MemoryPlan | undefined;
+	for (let parts = 1; parts <= maxUsedParts; parts++) {
+		const partTokens = computePartMemory(model, tokens, parts);
+		// Only shorter waits are better than that of fewer engines.
+		const index = timeline.findFirst(parts, partTokens + (parts === 1 ? 0 : margin), count);
+		if (index === undefined) {
+			continue;
+		}
+
+		const wait = timeline.waits[index]!;
+		const chosen = timeline.rank(index).slice(0, parts);
+		if (isInTime(Math.max(wait, ...chosen.map(each => each.backlog)), parts)) {
+			count = index;
+			best = {engines: chosen.map(each => each.upstream), partTokens, wait};
 		}
 	}
 
@@ -149,17 +210,14 @@
 
 /**
  * @param demand - Request without a placement.
- * @param model - Performance model of the engines.
- * @param engines - Memory of the engines that it may use, without what is kept for requests that are first.
- * @param maxParts - Largest number of engines that share a prompt.
+ * @param input - Engines that it may use, and until when.
  * @param now - Time.
  * @returns Whether it waits for memory or is refused.
  */
-export function decideWait(demand: MemoryDemand, model: EngineModel, engines: readonly EngineMemory[], maxParts: number, now: number): MemoryDecision {
-	const plan = planMemory(demand.tokens, model, engines, maxParts);
-	if (plan === undefined || now + plan.wait > demand.latestStart) {
-		return {type: 'refused', wait: plan?.wait};
-	}
-
-	return {type: 'wait', plan};
+export function decideWait({tokens}: MemoryDemand, input: PlanningInput, now: number): MemoryDecision {
+	const uncertainty = input.isWaiting ? 1 : newcomerUncertainty;
+	const plan = planMemory(tokens, input, (wait, parts) => now + (wait * uncertainty) <= input.findLatestStart(parts));
+	return plan === undefined
+		? {type: 'refused', wait: planMemory(tokens, input, () => true)?.wait}
+		: {type: 'wait', plan};
 }
--- a/src/core/gateway/engines/memory-forecast.ts
+++ b/src/core/gateway/engines/memory-forecast.ts
@@ -15,6 +15,8 @@
 	readonly upstream: string;
 	/** Free memory now. Negative if waiting requests claim more of it than is free. */
 	readonly free: number;
+	/** Milliseconds of prefill ahead of a new prompt. */
+	readonly backlog: number;
 	/** Expected releases, the earliest first. */
 	readonly releases: readonly MemoryRelease[];
 };
@@ -33,7 +35,9 @@
 		wait: job.firstByte === undefined ? backlog + usualDuration : estimateRemainingTime(now - job.firstByte, usualDuration),
 		tokens: memoryAt(job, upstream, model),
 	}));
-	return {upstream, free: freeMemory, releases: releases.filter(each => each.tokens > 0).toSorted((a, b) => a.wait - b.wait)};
+	return {
+		upstream, free: freeMemory, backlog, releases: releases.filter(each => each.tokens > 0).toSorted((a, b) => a.wait - b.wait),
+	};
 }
 
 /**
--- a/src/core/gateway/engines/memory-reservation.ts
+++ b/src/core/gateway/engines/memory-reservation.ts
@@ -3,7 +3,7 @@
  * large prompts at the same engine meanwhile would exceed its memory, and the engine would preempt a stream or crash.
  */
 import {type EngineModel, type Prompt} from '../types.js';
-import {footprint} from './engine.js';
+import {computePartMemory, footprint} from './engine.js';
 import {memoryAt, type Job, type Load} from './load.js';
 
 export type ReservationPlan
@@ -19,6 +19,9 @@
 /** Part of an engine's memory from which a prompt counts as large. Smaller ones never reserve: an order costs more than it saves them. */
 const largeMemoryShare = 1 / 8;
 
+/** Largest part of an engine's memory that parts of prompts leave free. A larger one would refuse more of them than it saves of others. */
+const maxMarginShare = 1 / 4;
+
 /** Time in milliseconds within which all hosts have learned of a placement. */
 const updateWindowMs = 100;
 
@@ -28,6 +31,23 @@
  */
 const coveredShare = 0.95;
 
+/**
+ * Computes what the parts of a prompt that is larger than an engine leave free at each engine, so that reservations aren't refused because of
+ * requests that this host doesn't know yet, and short prompts find memory besides.
+ *
+ * @param model - Performance model of the engine.
+ * @param tokens - KV memory in tokens that the request needs in all.
+ * @param maxParts - Largest number of engines that may share it.
+ * @param unknownMemory - Tokens at one engine that other hosts may take before this host knows of it.
+ * @returns Tokens.
+ */
+export function computeMargin(model: EngineModel, tokens: number, maxParts: number, unknownMemory: number): number {
+	const wanted = Math.max(Math.min(unknownMemory, model.memory * maxMarginShare), footprint(model, model.usualPrompt, model.usualAnswer));
+	// Few engines would never have the margin besides a prompt that nearly fills them.
+	const possible = Math.max(model.memory - computePartMemory(model, tokens, maxParts), 0) / 2;
+	return Math.min(wanted, possible);
+}
+
 /**
  * @param model - Performance model of the engines.
  * @param prompt - Size of a request.
--- a/src/core/gateway/placement/placement.ts
+++ b/src/core/gateway/placement/placement.ts
@@ -3,7 +3,7 @@
 import {
 	computePartMemory, footprint, estimatePrefill, type PrefillTime,
 } from '../engines/engine.js';
-import {isLarge} from '../engines/memory-reservation.js';
+import {computeMargin, isLarge} from '../engines/memory-reservation.js';
 import {type Health} from '../health/health.js';
 import {type Forecast, type Load} from '../engines/load.js';
 import {
@@ -52,6 +52,8 @@
 	readonly eligibility: Eligibility;
 	/** Finds what keeps an upstream from accepting a request. */
 	readonly findObstacle: ObstacleFinder;
+	/** Tokens at one engine that other hosts may take before this host knows of it; 0 if absent. */
+	readonly unknownMemory?: number;
 	/** Returns the part of an engine's free memory that this request may take, in tokens; absent if it may take all of it. */
 	readonly limitMemory?: (upstream: string, free: number) => number;
 	/** Job of this request to leave out of forecasts, as if it had not been sent. */
@@ -143,18 +145,8 @@
 	return candidates.toSorted((a, b) => cost.get(a)! - cost.get(b)!);
 }
 
-/**
- * Finds the possible splits of a prompt. One that is larger than an engine prefers engines that have room for another usual request besides:
- * other hosts may have sent one there that is not known yet, and the reservation would be refused.
- */
+/** Finds the possible splits of a prompt. */
 function findSplits(prompt: Prompt, model: EngineModel, candidates: readonly Candidate[], options: PlacementOptions): readonly PromptSplit[] {
-	const isOversized = footprint(model, prompt.tokens, prompt.answer) > model.memory;
-	const margin = isOversized ? footprint(model, model.usualPrompt, model.usualAnswer) : 0;
-	const splits = findSplitsWithMargin(prompt, model, candidates, options, margin);
-	return splits.length > 0 || margin === 0 ? splits : findSplitsWithMargin(prompt, model, candidates, options, 0);
-}
-
-function findSplitsWithMargin(prompt: Prompt, model: EngineModel, candidates: readonly Candidate[], options: PlacementOptions, margin: number): readonly PromptSplit[] {
 	const {eligibility, policy} = options;
 	const neededMemory = footprint(model, prompt.tokens, prompt.answer);
 	const canAnswer = (candidate: Candidate) => eligibility.permitted?.has(candidate.upstream.id) ?? true;
@@ -164,7 +156,9 @@
 		return splits;
 	}
 
-	for (let parts = 2; parts <= Math.min(policy.maxParts, candidates.length); parts++) {
+	const maxParts = Math.min(policy.maxParts, candidates.length);
+	const margin = computeMargin(model, neededMemory, maxParts, options.unknownMemory ?? 0);
+	for (let parts = 2; parts <= maxParts; parts++) {
 		const ranked = rankCandidates(candidates, estimatePrefill(model, prompt.tokens, parts), options);
 		const first = ranked.find(candidate => fitting.includes(candidate));
 		if (first !== undefined) {
--- a/src/gateway/__tests__/memory-fleet.ts
+++ b/src/gateway/__tests__/memory-fleet.ts
@@ -116,6 +116,7 @@
 		const load = new Load();
 		const queue = new MemoryQueue({
 			self: name,
+			host: name,
 			load,
 			now: () => this.#timeline.now,
 			publish: (claim: MemoryClaim) => {
@@ -196,6 +197,7 @@
 			findObstacle: () => undefined,
 			eligibility: {excluded: new Set()},
 			limitMemory: host.queue.createLimit(demand, fleetModel),
+			unknownMemory: host.queue.estimateUnknownMemory(fleetModel, this.#engines),
 			now: this.#timeline.now,
 		};
 	}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -231,6 +231,7 @@
 		});
 		this.memoryQueue = new MemoryQueue({
 			self: this.incarnation,
+			host: settings.host,
 			load: this.load,
 			now: () => clock.now(),
 			publish: claim => {
--- a/src/gateway/requests/memory-queue.ts
+++ b/src/gateway/requests/memory-queue.ts
@@ -3,12 +3,13 @@
  * updates; a claim that is not renewed lapses, so that a host that dies or is cut off keeps no memory from others.
  */
 import {estimatePrefill, footprint} from '../../core/gateway/engines/engine.js';
+import {computeLatestStart, findUsualParts} from '../../core/gateway/engines/latest-start.js';
 import {type Load} from '../../core/gateway/engines/load.js';
-import {overheadMs} from '../../core/gateway/engines/losses.js';
 import {
 	compareTurns, decideWait, limitMemory, subtractClaims, type MemoryClaim, type MemoryDecision, type MemoryDemand, type MemoryPlan,
 } from '../../core/gateway/engines/memory-admission.js';
 import {forecastMemory} from '../../core/gateway/engines/memory-forecast.js';
+import {estimateUnknownMemory} from '../../core/gateway/engines/memory-reservation.js';
 import {defaultPolicy} from '../../core/gateway/placement/policy.js';
 import {type Demand, type EngineModel, type Prompt} from '../../core/gateway/types.js';
 
@@ -44,6 +45,8 @@
 
 export type MemoryQueueOptions = {
 	readonly self: string;
+	/** Name of this host. */
+	readonly host: string;
 	readonly load: Load;
 	readonly now: () => number;
 	/** Announces a claim of this host; one without engines is withdrawn. */
@@ -74,16 +77,6 @@
 	return now + estimatePrefill(model, tokens).total + decode;
 }
 
-/**
- * Returns the last time at which a request can be sent and meet its latency target. For an answer that has begun, and for a request that can
- * only be late, the deadline counts.
- */
-function computeLatestStart(model: EngineModel, {due, deadline, arrived, hasBegun}: Demand, {tokens, answer}: Prompt): number {
-	const parts = Math.max(Math.ceil(footprint(model, tokens, answer) / model.memory), 1);
-	const firstByte = estimatePrefill(model, tokens, parts).total + overheadMs;
-	return hasBegun === true || due - firstByte < arrived ? deadline - firstByte : due - firstByte;
-}
-
 /** Returns whether memory may still be kept for a request. */
 function mayClaim({claimedSince}: Waiter, now: number): boolean {
 	return claimedSince === undefined || now - claimedSince <= maxClaimMs;
@@ -140,14 +133,24 @@
 	 */
 	consider(demand: Demand, prompt: Prompt, model: EngineModel, engines: readonly string[]): MemoryDecision {
 		const {load, now} = this.#options;
+		const {maxParts} = defaultPolicy;
+		const isWaiting = this.#waiting.has(demand.id);
 		const waiter = this.#waiting.get(demand.id) ?? {demand: this.#createDemand(demand, prompt, model)};
-		if (!this.#waiting.has(demand.id) && this.#waiting.size >= maxWaiting) {
+		if (!isWaiting && this.#waiting.size >= maxWaiting) {
 			return {type: 'refused', wait: undefined};
 		}
 
 		const claims = this.#findClaimsBefore(waiter.demand);
 		const memories = engines.map(engine => subtractClaims(forecastMemory(engine, model, load, now()), claims, model, now()));
-		const decision = decideWait(waiter.demand, model, memories, defaultPolicy.maxParts, now());
+		const usualParts = findUsualParts(model, demand, prompt, maxParts);
+		const decision = decideWait(waiter.demand, {
+			model,
+			engines: memories,
+			maxParts,
+			unknownMemory: this.estimateUnknownMemory(model, engines),
+			isWaiting,
+			findLatestStart: parts => computeLatestStart(model, demand, prompt, Math.min(parts, usualParts)),
+		}, now());
 		if (decision.type === 'refused') {
 			this.leave(demand.id);
 			return decision;
@@ -158,6 +161,15 @@
 		return decision;
 	}
 
+	/**
+	 * @param model - Performance model of the engines.
+	 * @param engines - Ids of the engines of a service.
+	 * @returns Tokens at one engine that other hosts may take before this host knows of it.
+	 */
+	estimateUnknownMemory(model: EngineModel, engines: readonly string[]): number {
+		return estimateUnknownMemory(this.#options.load, engines, model, this.#options.host);
+	}
+
 	/**
 	 * @param request - Waiting request.
 	 * @returns Milliseconds for which it leaves memory that has just become free to those that are first.
@@ -230,7 +242,7 @@
 			tokens: footprint(model, prompt.tokens, prompt.answer),
 			priority: demand.priority,
 			arrived: demand.arrived,
-			latestStart: computeLatestStart(model, demand, prompt),
+			latestStart: computeLatestStart(model, demand, prompt, findUsualParts(model, demand, prompt, defaultPolicy.maxParts)),
 		};
 	}
 
--- a/src/gateway/requests/placements.ts
+++ b/src/gateway/requests/placements.ts
@@ -1,6 +1,6 @@
 /** Placements of requests at upstreams, and their jobs, from what this host knows of upstreams, load and peers. */
 import {type MemoryDecision} from '../../core/gateway/engines/memory-admission.js';
-import {planReservation, type ReservationPlan} from '../../core/gateway/engines/memory-reservation.js';
+import {isLarge, planReservation, type ReservationPlan} from '../../core/gateway/engines/memory-reservation.js';
 import {type Job, type Load, type PlacementKind} from '../../core/gateway/engines/load.js';
 import {PaceSampler} from '../../core/gateway/engines/pace-sampler.js';
 import {computeWeight} from '../../core/gateway/engines/losses.js';
@@ -249,6 +249,7 @@
 			findObstacle: this.#options.findObstacle,
 			eligibility,
 			limitMemory: model === undefined ? undefined : this.#options.memoryQueue.createLimit(demand, model),
+			unknownMemory: model !== undefined && isLarge(model, demand.prompt) ? this.#options.memoryQueue.estimateUnknownMemory(model, this.#listEngines(demand.service)) : undefined,
 			now,
 		};
 	}
