--- a/src/gateway/requests/memory-queue.ts
+++ b/src/gateway/requests/memory-queue.ts
@@ -3,12 +3,13 @@
  * updates; a claim that is not renewed lapses, so that a host that dies or is cut off keeps no memory from others.
  */
 import {estimatePrefill, footprint} from '../../core/gateway/engines/engine.js';
+import {computeLatestStart, findUsualParts} from '../../core/gateway/engines/latest-start.js';
 import {type Load} from '../../core/gateway/engines/load.js';
-import {overheadMs} from '../../core/gateway/engines/losses.js';
 import {
 	compareTurns, decideWait, limitMemory, subtractClaims, type MemoryClaim, type MemoryDecision, type MemoryDemand, type MemoryPlan,
 } from '../../core/gateway/engines/memory-admission.js';
 import {forecastMemory} from '../../core/gateway/engines/memory-forecast.js';
+import {estimateUnknownMemory} from '../../core/gateway/engines/memory-reservation.js';
 import {defaultPolicy} from '../../core/gateway/placement/policy.js';
 import {type Demand, type EngineModel, type Prompt} from '../../core/gateway/types.js';
 
@@ -44,6 +45,8 @@
 
 export type MemoryQueueOptions = {
 	readonly self: string;
+	/** Name of this host. */
+	readonly host: string;
 	readonly load: Load;
 	readonly now: () => number;
 	/** Announces a claim of this host; one without engines is withdrawn. */
@@ -74,14 +77,9 @@
 	return now + estimatePrefill(model, tokens).total + decode;
 }
 
-/**
- * Returns the last time at which a request can be sent and meet its latency target. For an answer that has begun, and for a request that can
- * only be late, the deadline counts.
- */
-function computeLatestStart(model: EngineModel, {due, deadline, arrived, hasBegun}: Demand, {tokens, answer}: Prompt): number {
-	const parts = Math.max(Math.ceil(footprint(model, tokens, answer) / model.memory), 1);
-	const firstByte = estimatePrefill(model, tokens, parts).total + overheadMs;
-	return hasBegun === true || due - firstByte < arrived ? deadline - firstByte : due - firstByte;
+/** Returns whether memory may still be kept for a request. */
+function mayClaim({claimedSince}: Waiter, now: number): boolean {
+	return claimedSince === undefined || now - claimedSince <= maxClaimMs;
 }
 
 export class MemoryQueue {
@@ -115,11 +113,12 @@
 	/**
 	 * @param model - Performance model of the engines.
 	 * @param prompt - Size of a request.
-	 * @returns Whether the request may wait for memory: it, or one that runs or waits, needs more than one engine has.
+	 * @returns Whether the request may wait for memory: it, or one that runs or waits, needs more than one engine has, or an engine refused memory
+	 * lately.
 	 */
 	isContended(model: EngineModel, prompt: Prompt): boolean {
 		return footprint(model, prompt.tokens, prompt.answer) > model.memory
-			|| this.#waiting.size > 0 || this.claims.length > 0
+			|| this.#waiting.size > 0 || this.claims.length > 0 || this.#refusals.size > 0
 			|| this.#options.load.all.some(job => job.isHeld && footprint(model, job.prompt, job.answer) > model.memory);
 	}
 
@@ -134,14 +133,24 @@
 	 */
 	consider(demand: Demand, prompt: Prompt, model: EngineModel, engines: readonly string[]): MemoryDecision {
 		const {load, now} = this.#options;
+		const {maxParts} = defaultPolicy;
+		const isWaiting = this.#waiting.has(demand.id);
 		const waiter = this.#waiting.get(demand.id) ?? {demand: this.#createDemand(demand, prompt, model)};
-		if (!this.#waiting.has(demand.id) && this.#waiting.size >= maxWaiting) {
+		if (!isWaiting && this.#waiting.size >= maxWaiting) {
 			return {type: 'refused', wait: undefined};
 		}
 
 		const claims = this.#findClaimsBefore(waiter.demand);
 		const memories = engines.map(engine => subtractClaims(forecastMemory(engine, model, load, now()), claims, model, now()));
-		const decision = decideWait(waiter.demand, model, memories, defaultPolicy.maxParts, now());
+		const usualParts = findUsualParts(model, demand, prompt, maxParts);
+		const decision = decideWait(waiter.demand, {
+			model,
+			engines: memories,
+			maxParts,
+			unknownMemory: this.estimateUnknownMemory(model, engines),
+			isWaiting,
+			findLatestStart: parts => computeLatestStart(model, demand, prompt, Math.min(parts, usualParts)),
+		}, now());
 		if (decision.type === 'refused') {
 			this.leave(demand.id);
 			return decision;
@@ -152,6 +161,15 @@
 		return decision;
 	}
 
+	/**
+	 * @param model - Performance model of the engines.
+	 * @param engines - Ids of the engines of a service.
+	 * @returns Tokens at one engine that other hosts may take before this host knows of it.
+	 */
+	estimateUnknownMemory(model: EngineModel, engines: readonly string[]): number {
+		return estimateUnknownMemory(this.#options.load, engines, model, this.#options.host);
+	}
+
 	/**
 	 * @param request - Waiting request.
 	 * @returns Milliseconds for which it leaves memory that has just become free to those that are first.
@@ -224,7 +242,7 @@
 			tokens: footprint(model, prompt.tokens, prompt.answer),
 			priority: demand.priority,
 			arrived: demand.arrived,
-			latestStart: computeLatestStart(model, demand, prompt),
+			latestStart: computeLatestStart(model, demand, prompt, findUsualParts(model, demand, prompt, defaultPolicy.maxParts)),
 		};
 	}
 
@@ -232,20 +250,24 @@
 	#claim(waiter: Waiter, plan: MemoryPlan, model: EngineModel): void {
 		const now = this.#options.now();
 		const {demand} = waiter;
-		const isFirst = [...this.#waiting.values()].every(each => each === waiter || compareTurns(demand, each.demand, now) < 0);
+		const isFirst = [...this.#waiting.values()].every(each => each === waiter || !mayClaim(each, now) || compareTurns(demand, each.demand, now) < 0);
 		if (!isFirst || demand.tokens <= model.memory / 2) {
 			return;
 		}
 
+		if (!mayClaim(waiter, now)) {
+			if (this.#ownClaim?.claim.id === demand.id) {
+				this.#withdraw();
+			}
+
+			return;
+		}
+
 		if (this.#ownClaim !== undefined && this.#ownClaim.claim.id !== demand.id) {
 			this.#withdraw();
 		}
 
 		waiter.claimedSince ??= now;
-		if (now - waiter.claimedSince > maxClaimMs) {
-			this.#withdraw();
-			return;
-		}
 
 		if (this.#ownClaim === undefined || this.#ownClaim.renewAt <= now) {
 			const claim = {
