--- a/src/gateway/peers/fleet-reach.ts
+++ b/src/gateway/peers/fleet-reach.ts
@@ -7,7 +7,7 @@
 import {selectRelays, maxFullMeshHosts} from './topology.js';
 
 /** Longest gap between messages over a link whose load updates arrive without delay: two heartbeats. */
-const maxActiveGapMs = 1000;
+export const maxActiveGapMs = 1000;
 
 export type FleetReachOptions = {
 	readonly self: Host;
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -6,7 +6,7 @@
 import {Announcer} from './announcer.js';
 import {KnownPeers} from './known-peers.js';
 import {Dialer} from './dialer.js';
-import {FleetReach} from './fleet-reach.js';
+import {FleetReach, maxActiveGapMs} from './fleet-reach.js';
 import {type RefusalReason} from './foreign-hosts.js';
 import {Gatekeeper, type Identification} from './gatekeeper.js';
 import {Link, type LinkEvents} from './link.js';
