A host takes over health checks 3 s after the loss of a link

Cause: with 18 processes in three domains, a store that is away and the first relay of one domain killed, four other hosts of that domain sent checks beside the second relay: until they were linked with the successor, 1.8 to 2.4 s after the loss, each took itself for it, and the delay was 1 s.

The delay is 3 s, and the pause after a suspension has a limit of its own.

--- a/src/core/gateway/limits/cold-checks.ts
+++ b/src/core/gateway/limits/cold-checks.ts
@@ -17,10 +17,13 @@
 const msPerSecond = 1000;
 
 /**
- * Time for which a host must have been selected before it checks an upstream that another one checked: the links of the others to the lost
- * host end at slightly different times, and several would take over at once.
+ * Time for which a host must have been selected before it checks an upstream that another one checked. Until the hosts of a large fleet are
+ * linked with the successor of a lost relay, 1.8 to 2.4 s after the loss, each of them takes itself for the successor.
  */
-const takeoverDelayMs = 1000;
+const takeoverDelayMs = 3000;
+
+/** Time after a suspension or stall in which the registrations may not have been confirmed yet. */
+const resumeDelayMs = 1000;
 
 /** Longest time between two updates of a host that was neither suspended nor stalled; several times the usual one. */
 const maxGapMs = 700;
@@ -79,6 +82,7 @@
 	/** Members before the last changes, if they were the same for the time after which a host takes over. */
 	#previous: readonly Member[] = [];
 	#updatedAt = Number.NEGATIVE_INFINITY;
+	#resumedAt = Number.NEGATIVE_INFINITY;
 	#isUnconfirmed = false;
 	/** When each upstream is due for its next check, by upstream. */
 	readonly #nextAt = new Map<string, number>();
@@ -98,25 +102,25 @@
 	}
 
 	/**
-	 * Records the situation of this host; to be called several times a second. After a suspension or stall the host knows neither its links
-	 * nor its registrations, and checks nothing for the time after which a host takes over.
+	 * Records the situation of this host; to be called several times a second. After a suspension or stall the host has had no chance to
+	 * confirm its registrations, and checks nothing for a second.
 	 *
 	 * @param situation - Present situation.
 	 */
 	update({now, confirmedAge, hosts}: CheckSituation): void {
 		const members = hosts.map(name => ({name, hash: hashText(name)})).toSorted((a, b) => a.hash - b.hash);
 		if (now - this.#updatedAt > maxGapMs) {
-			this.#previous = [];
-			this.#members = members;
-			this.#changedAt = now;
-		} else if (!isSame(members, this.#members)) {
+			this.#resumedAt = now;
+		}
+
+		if (!isSame(members, this.#members)) {
 			this.#previous = this.#isSettled(now) ? this.#members : this.#previous;
 			this.#members = members;
 			this.#changedAt = now;
 		}
 
 		this.#updatedAt = now;
-		this.#isUnconfirmed = confirmedAge > maxConfirmedAgeMs;
+		this.#isUnconfirmed = confirmedAge > maxConfirmedAgeMs && now - this.#resumedAt >= resumeDelayMs;
 	}
 
 	/**
