--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -203,7 +203,9 @@
 			},
 		});
 		const timer = setInterval(() => {
-			checks.update();
+			if (gateway.hasColdLimits || checks.isActive) {
+				checks.update();
+			}
 		}, healthCheckIntervalMs);
 		this.#disposal.defer(() => {
 			clearInterval(timer);
--- a/src/gateway/upstreams/health-checks.ts
+++ b/src/gateway/upstreams/health-checks.ts
@@ -55,7 +55,12 @@
 		this.#checks = new ColdChecks(options.self, options.failureDomain);
 	}
 
-	/** Sends the checks that are due; to be called several times a second. */
+	/** Whether checking has begun and not ended. */
+	get isActive(): boolean {
+		return this.#period !== undefined;
+	}
+
+	/** Sends the checks that are due; to be called several times a second while a service has a limit for cold upstreams, or checking is active. */
 	update(): void {
 		const {now, confirmedAge, listHosts, onResult} = this.#options;
 		this.#checks.update({now: now(), confirmedAge: confirmedAge(), hosts: listHosts()});
