Silent organisations are looked for once a second instead of for each request

Cause: with 8,192 organisations, a count cost 8.2 us: the search for the one that has been silent for longest begins at the start of a map and skips the entries that were removed there. Change: it runs once a second, and when there are too many organisations. The tests of shares (23) pass.

--- a/src/core/gateway/limits/shares.ts
+++ b/src/core/gateway/limits/shares.ts
@@ -23,6 +23,9 @@
 /** Organisations that have sent nothing for this long, in milliseconds, are forgotten. */
 export const retentionMs = 600_000;
 
+/** How often silent organisations are looked for, in milliseconds: for each request, it costs 8 us with 8,192 organisations. */
+const forgetIntervalMs = 1000;
+
 /** Largest weight of a request that is counted: far above any prompt. The square of a larger one could make the sums infinite for good. */
 const maxWeight = 1e6;
 
@@ -63,6 +66,7 @@
 	readonly #organisations = new Map<string, OrganisationUse>();
 	#total: Sums | undefined;
 	#historyStart = 0;
+	#forgetAt = 0;
 	/** Organisations that a peer knows and did not name; they count in the mean. */
 	#unnamed = 0;
 	#learnedAt = Number.NEGATIVE_INFINITY;
@@ -222,6 +226,11 @@
 	}
 
 	#forget(now: number): void {
+		if (now < this.#forgetAt && this.#organisations.size <= maxOrganisations) {
+			return;
+		}
+
+		this.#forgetAt = now + forgetIntervalMs;
 		for (const [organisation, {at}] of this.#organisations) {
 			if (at + retentionMs > now && this.#organisations.size <= maxOrganisations) {
 				return;
