Handshakes name at most 64 hosts, and relays send the others to hosts that know fewer

Each hello named all known hosts. In one start of 180 hosts in three domains and one process, hellos took 15.7 MB and some hosts knew 110 of 180 after 16 s. A hello now names a rotating sample of 64. In fleets of more, hosts state in heartbeats how many they know, and relays send the rest, 64 in a heartbeat, to those that know fewer. Fleets of up to 64 send as before.

--- a/src/gateway/peers/known-peers.ts
+++ b/src/gateway/peers/known-peers.ts
@@ -50,6 +50,7 @@
 	readonly #startupEnd: number;
 	readonly #byAddress = new Map<string, KnownPeer>();
 	#hostCount = 0;
+	#sampleStart = 0;
 
 	/**
 	 * @param self - This host, which is never added.
@@ -69,6 +70,21 @@
 		return [...this.#byAddress.values()].flatMap(each => each.host ?? []);
 	}
 
+	/**
+	 * @param size - Number of peers at most.
+	 * @returns Identified peers: all of them, or a sample that rotates with each call.
+	 */
+	nextSample(size: number): readonly Host[] {
+		const {hosts} = this;
+		if (hosts.length <= size) {
+			return hosts;
+		}
+
+		const start = this.#sampleStart % hosts.length;
+		this.#sampleStart = start + size;
+		return [...hosts, ...hosts].slice(start, start + size);
+	}
+
 	/**
 	 * @param now - Monotonic time in milliseconds.
 	 * @returns Whether this host has started recently.
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -24,6 +24,8 @@
 	capacity: z.preprocess(value => value === undefined || (typeof value === 'number' && Number.isFinite(value)) ? value : 0, amount.optional()).optional(),
 });
 
+const hostCountSchema = z.number().int().nonnegative().optional();
+
 /** What the sender knows of its fleet, as 32-bit hashes. */
 const hashSchema = z.number().int().min(0).max(0xFF_FF_FF_FF);
 const fleetSchema = z.object({stores: z.array(hashSchema).max(maxStores).readonly(), upstreams: z.array(hashSchema).max(maxSampledUpstreams).readonly()});
@@ -43,6 +45,7 @@
 		fleet: fleetSchema.optional(),
 		/** As in heartbeats. */
 		groups: z.unknown().optional(),
+		hostCount: hostCountSchema,
 	}),
 	/** First message of both hosts if keys are set. */
 	z.object({type: z.literal('challenge'), nonce: secretSchema}),
@@ -54,6 +57,10 @@
 		type: z.literal('heartbeat'),
 		/** A sample of the hosts that the sender is linked with. */
 		known: z.array(hostSchema).max(maxListLength).optional(),
+		/** Hosts that the sender, a relay, knows of, whether they are alive or not. */
+		others: z.array(hostSchema).max(maxListLength).optional(),
+		/** Number of hosts that the sender knows; only in fleets with more than a message names. */
+		hostCount: hostCountSchema,
 		/** Failure domains from which the sender, a relay, receives nothing. */
 		silent: z.array(shortText).max(maxListLength).optional(),
 		/** Number of groups that the sender takes its failure domain to have, if it receives the short jobs of its group only. */
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -9,6 +9,7 @@
 import {FleetReach} from './fleet-reach.js';
 import {type RefusalReason} from './foreign-hosts.js';
 import {Gatekeeper, type Identification} from './gatekeeper.js';
+import {HostLists} from './host-lists.js';
 import {Link, type LinkEvents} from './link.js';
 import {
 	type Heartbeat, type Hello, type Host, type Message,
@@ -73,6 +74,7 @@
 	/** Links that one end no longer needs. */
 	readonly #releasedLinks = new WeakSet<Link>();
 	readonly #knownPeers: KnownPeers;
+	readonly #hostLists: HostLists;
 	readonly #gatekeeper: Gatekeeper;
 	readonly #silenceDetector: SilenceDetector;
 	/** Time of the last message over each link. */
@@ -98,6 +100,7 @@
 	constructor(options: PeersOptions) {
 		this.#options = options;
 		this.#knownPeers = new KnownPeers(options.self, options.now());
+		this.#hostLists = new HostLists(this.#knownPeers);
 		this.#gatekeeper = new Gatekeeper({
 			identification: options.identification ?? {type: 'none'}, log: options.log, now: options.now, knownPeers: this.#knownPeers,
 		});
@@ -326,9 +329,11 @@
 		const isCoveredByLoad = now - this.#lastLoadBroadcastAt < heartbeatIntervalMs && knownHosts === undefined && state === undefined && !this.isLargeFleet;
 		if (!isCoveredByLoad) {
 			const groups = this.#options.countGroups?.();
+			const {hostCount} = this.#hostLists;
 			this.broadcast({
-				type: 'heartbeat', known: knownHosts, silent: this.isLargeFleet ? [...this.#reach.findSilentDomains(now)] : undefined, state, ...(groups === undefined ? {} : {groups}),
+				type: 'heartbeat', known: knownHosts, silent: this.isLargeFleet ? [...this.#reach.findSilentDomains(now)] : undefined, state, ...(groups === undefined ? {} : {groups}), ...(hostCount === undefined ? {} : {hostCount}),
 			});
+			this.#completeHostLists();
 		}
 
 		for (const link of this.#openLinks) {
@@ -340,6 +345,14 @@
 		this.#dialer.updateLinks();
 	}
 
+	/** Sends a part of the known hosts, as a relay, to peers that know fewer. */
+	#completeHostLists(): void {
+		const part = this.isLargeFleet && this.relays.includes(this.#options.self.name) ? this.#hostLists.nextPart(this.#links.values()) : undefined;
+		if (part !== undefined) {
+			this.#sender.sendToLinks(part.message, link => part.links.has(link));
+		}
+	}
+
 	/** A sample of the linked hosts, which rotates with each call. */
 	#nextHostSample(): Host[] {
 		const all = this.hosts;
@@ -360,8 +373,9 @@
 
 	#sendHello(link: Link): void {
 		const groups = this.#options.countGroups?.();
+		const {hostCount} = this.#hostLists;
 		link.send({
-			type: 'hello', from: this.#options.self, known: [...this.#knownPeers.hosts], state: this.#options.summarizeState?.(), fleet: this.#gatekeeper.identity, ...(groups === undefined ? {} : {groups}),
+			type: 'hello', from: this.#options.self, known: [...this.#hostLists.sample], state: this.#options.summarizeState?.(), fleet: this.#gatekeeper.identity, ...(groups === undefined ? {} : {groups}), ...(hostCount === undefined ? {} : {hostCount}),
 		});
 	}
 
@@ -370,7 +384,8 @@
 			return;
 		}
 
-		const {from, known, state} = hello;
+		const {from, known, state, hostCount} = hello;
+		this.#hostLists.record(link, hostCount);
 		const now = this.#options.now();
 		const areNew = known.map(host => this.#knownPeers.add(host.address, host, now));
 		this.#knownPeers.markAlive(from, now);
@@ -451,6 +466,7 @@
 		if (message.type === 'release') {
 			this.#releasedLinks.add(link);
 		} else if (message.type === 'heartbeat') {
+			this.#hostLists.record(link, message.hostCount);
 			this.#handleHeartbeat(from, message, now);
 		} else {
 			this.#options.events.message(from, message);
@@ -458,10 +474,10 @@
 	}
 
 	/** The hosts that a peer is linked with are alive; a domain that is silent for a relay is out of reach from here as well. */
-	#handleHeartbeat(from: Host, {known, silent, state, groups}: Heartbeat, now: number): void {
+	#handleHeartbeat(from: Host, {known = [], others = [], silent, state, groups}: Heartbeat, now: number): void {
 		this.#handleSummary(from, state);
-		const areNew = known?.map(host => this.#knownPeers.markAlive(host, now));
-		if (areNew?.includes(true) === true) {
+		const areNew = [...known.map(host => this.#knownPeers.markAlive(host, now)), ...others.map(host => this.#knownPeers.add(host.address, host, now))];
+		if (areNew.includes(true)) {
 			this.#dialer.updateLinks();
 		}
 
