--- a/src/core/gateway/engines/memory-admission.ts
+++ b/src/core/gateway/engines/memory-admission.ts
@@ -67,8 +67,8 @@
 const ranksPerWait = 20;
 
 /**
- * Factor by which the forecast wait of a request that doesn't wait yet may be exceeded: requests that arrive later take a part of the memory. With 1,
- * at six times the long prompts, most of the refused ones were refused only after they had waited, up to 6.5 s.
+ * Factor by which the forecast wait of a request that doesn't wait yet may be exceeded, as requests that arrive later take a part of the memory.
+ * A request that would probably be refused after a long wait is refused at once.
  */
 const newcomerUncertainty = 2.5;
 
--- a/src/core/gateway/limits/cold-checks.ts
+++ b/src/core/gateway/limits/cold-checks.ts
@@ -64,7 +64,7 @@
 
 type Member = {readonly name: string; readonly hash: number};
 
-/** Whether a check could tell something of use: an upstream that has left or is evacuated gets no requests. */
+/** Whether the result of a check matters: an upstream that has left or is evacuated gets no requests. */
 function isUseful({coldUntil, obstacle, isReachable}: CheckTarget, now: number): boolean {
 	const isKnownCold = coldUntil !== undefined && coldUntil - now > recheckLeadMs;
 	return isReachable && !isKnownCold && obstacle?.type !== 'departure' && obstacle?.type !== 'evacuation';
--- a/src/core/gateway/limits/relay-silence.ts
+++ b/src/core/gateway/limits/relay-silence.ts
@@ -1,5 +1,5 @@
 /**
- * Determines whether a host of a large fleet may use a limit that hosts share, from the silence of the relay that tells it of the others'
+ * Determines whether a host of a large fleet may use a limit that hosts share, from the silence of the relay that forwards the others'
  * requests. A host asks its relay before each placement. If all hosts lose all links at the same moment, each would go on for a second, until it
  * notices, as if the others sent nothing. Times are in milliseconds.
  */
@@ -7,7 +7,7 @@
 /** Longest silence of a relay that is linked: it responds within a few milliseconds, and sends its batches after at most 100. */
 const maxSilenceMs = 100;
 
-/** Time after which the relay may have been heard again: the next placement asks it. */
+/** Time after which the relay may have sent a message again: the next placement sends it a request. */
 const retryMs = 100;
 
 /**
--- a/src/core/gateway/limits/share-history.ts
+++ b/src/core/gateway/limits/share-history.ts
@@ -1,4 +1,4 @@
-/** What a host tells one that has started of the use of a service by organisations. Times are relative to the moment of sending. */
+/** What a host sends to one that has started about the use of a service by organisations. Times are relative to the moment of sending. */
 
 /** Largest number of organisations of a service that are named, those with the most use first. */
 export const maxNamedOrganisations = 256;
--- a/src/core/gateway/limits/upstream-reports.ts
+++ b/src/core/gateway/limits/upstream-reports.ts
@@ -1,4 +1,4 @@
-/** What upstreams report about themselves in their responses and hosts tell each other. */
+/** What upstreams report about themselves in their responses and hosts forward to each other. */
 import {type UpstreamProcess} from '../types.js';
 import {type RateLimitReport} from './rate-limits.js';
 
--- a/src/core/gateway/registry/registry.ts
+++ b/src/core/gateway/registry/registry.ts
@@ -31,7 +31,7 @@
 
 export const noDifference: RegistryDifference = {written: [], removed: []};
 
-/** An upstream may become cold again while it runs, for the same time as before. One that goes on stating an invalid time tells nothing new. */
+/** An upstream may become cold again while it runs, for the same time as before. One that goes on stating an invalid time adds no information. */
 function isEquallyCold(a: GatewayUpstream, b: GatewayUpstream): boolean {
 	const isWarm = b.coldRemaining === undefined && b.isColdTimeUnknown !== true;
 	const isRepeatedUnknown = a.isColdTimeUnknown === true && b.isColdTimeUnknown === true;
--- a/src/gateway/upstreams/registry-update.ts
+++ b/src/gateway/upstreams/registry-update.ts
@@ -1,4 +1,4 @@
-/** Message content by which hosts tell each other the state of the registry. */
+/** Message content with the state of the registry that hosts send each other. */
 import {type StorePosition} from '../../core/gateway/registry/position.js';
 import {type GatewayUpstream} from '../../core/gateway/types.js';
 
