--- a/src/core/gateway/__tests__/placement.test.ts
+++ b/src/core/gateway/__tests__/placement.test.ts
@@ -178,12 +178,12 @@
 });
 
 describe('a preference', () => {
-	const preference: Preference = {reason: 'reserved capacity', prefers: upstream => upstream !== 'e0'};
+	const preference: Preference = {reason: 'group', prefers: upstream => upstream !== 'e0'};
 
 	it('keeps a prompt away from other engines, also from idle ones', () => {
 		const fixture = new Fixture();
 		fixture.addPrefill('e1', 300);
-		expect(fixture.place(demand(45_000), upstreams(2), {preference})).toMatchObject({upstream: {id: 'e1'}, helpers: [], preference: {reason: 'reserved capacity', isMet: true}});
+		expect(fixture.place(demand(45_000), upstreams(2), {preference})).toMatchObject({upstream: {id: 'e1'}, helpers: [], preference: {reason: 'group', isMet: true}});
 	});
 
 	// Guards against a prompt that is late at a preferred engine, or makes others late there, while another engine is idle.
--- a/src/core/gateway/placement/preference.ts
+++ b/src/core/gateway/placement/preference.ts
@@ -1,12 +1,9 @@
-/**
- * Prefers some engines of a service for a class of prompts. Reserved capacity applies to long prompts and groups of engines apply to short
- * ones, so that a request has at most one preference.
- */
+/** Prefers some engines of a service for a request; others are considered if these can't serve it in time. */
 import {computeWeight, lateLoss} from '../engines/losses.js';
 import {type EngineModel, type GatewayUpstream, type Prompt} from '../types.js';
 
-/** Why some engines are preferred: the others are reserved for short prompts, or belong to other groups. */
-export type PreferenceReason = 'group' | 'reserved capacity';
+/** Why some engines are preferred: the others belong to other groups. */
+export type PreferenceReason = 'group';
 
 /** Engines that a request prefers. */
 export type Preference = {
