Metrics of groups of hosts and of bytes sent to peers by kind of message

cranberrytide_host_groups is the number of groups of the failure domain, cranberrytide_peer_bytes_sent the bytes by kind of message, which show what the traffic of a relay consists of. host-groups.test.ts compares the latter with the frames written; it passed, with relays, state-sync, start and announcements tests.

--- a/src/gateway/__tests__/host-groups.test.ts
+++ b/src/gateway/__tests__/host-groups.test.ts
@@ -176,11 +176,13 @@
 	const jobs: string[] = [];
 	const decoder = new Decoder({useRecords: true, mapsAsObjects: true});
 	const {write, writeBatched} = Link.prototype;
+	let loadBytes = 0;
 	const record = (frame: Uint8Array) => {
 		// A frame starts with the length of its message in four bytes.
 		const message: unknown = decoder.decode(frame.subarray(4));
 		const entries = typeof message === 'object' && message !== null ? Object.entries(message) : [];
 		seen.add(`${entries[0]?.[1]}: ${entries.map(([name]) => name).join(' ')}`);
+		loadBytes += entries[0]?.[1] === 'load' ? frame.length : 0;
 		jobs.push(JSON.stringify(entries.filter(([name]) => name === 'began')));
 	};
 
@@ -197,6 +199,7 @@
 	await fleet.untilKnown('short', true);
 	await fleet.until(() => [...seen].some(message => message.includes('silent')));
 	vi.restoreAllMocks();
+	expect(fleet.all.reduce((sum, member) => sum + (member.peers.sentBytes.get('load') ?? 0), 0)).toBe(loadBytes);
 	expect([...seen].filter(message => /^(?:hello|load):/v.test(message)).toSorted()).toEqual([
 		'hello: type from known state fleet',
 		'load: type began progressed ended absences reports cold paces claims audience',
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -179,6 +179,11 @@
 			this.#metrics.refusedPeers.set({reason}, count);
 		}
 
+		for (const [kind, bytes] of this.#gateway.peers.sentBytes) {
+			this.#metrics.peerBytes.set({kind}, bytes);
+		}
+
+		this.#metrics.groups.set(this.#gateway.loadUpdates.groups.count);
 		this.#metrics.version.set(this.#gateway.directory?.configuration.version ?? 0);
 		this.#metrics.confirmedAge.set(this.#gateway.confirmedAge);
 		this.#metrics.storeEra.set(this.#gateway.registrations.era);
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -68,6 +68,8 @@
 	readonly knownJobs: Gauge;
 	readonly peers: Gauge;
 	readonly refusedPeers: Gauge;
+	readonly peerBytes: Gauge;
+	readonly groups: Gauge;
 	readonly version: Gauge;
 	readonly confirmedAge: Gauge;
 	readonly storeEra: Gauge;
@@ -107,6 +109,8 @@
 		this.knownJobs = createGauge(registry, 'upstream_jobs_known', 'Requests at upstreams, own and of peers');
 		this.peers = createGauge(registry, 'peers_linked', 'Hosts linked');
 		this.refusedPeers = createGauge(registry, 'peer_connections_refused', 'Connections refused since the start, by reason', ['reason']);
+		this.peerBytes = createGauge(registry, 'peer_bytes_sent', 'Bytes sent to other hosts since the start, by kind of message', ['kind']);
+		this.groups = createGauge(registry, 'host_groups', 'Groups into which the hosts of this failure domain are divided; 1 if every host receives every job');
 		this.version = createGauge(registry, 'configuration_version', 'Version in force');
 		this.confirmedAge = createGauge(registry, 'configuration_confirmed_age_milliseconds', 'Time since the store last confirmed the version in force');
 		this.storeEra = createGauge(registry, 'store_era', 'Era of the platform store: rises each time it returns from a backup');
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -156,6 +156,11 @@
 		}, heartbeatIntervalMs);
 	}
 
+	/** Bytes sent to peers since the start, by kind of message. */
+	get sentBytes(): ReadonlyMap<Message['type'], number> {
+		return this.#sender.bytes;
+	}
+
 	/** Connections refused since the start of this host, by reason. */
 	get refusals(): ReadonlyMap<RefusalReason, number> {
 		return this.#gatekeeper.refusals;
@@ -287,9 +292,10 @@
 	/**
 	 * @param host - Name of a host; nothing is sent if it isn't linked.
 	 * @param frame - Message, encoded once for several hosts.
+	 * @param type - Its kind.
 	 */
-	sendFrame(host: string, frame: Uint8Array): void {
-		this.#sender.sendFrame(host, frame);
+	sendFrame(host: string, frame: Uint8Array, type: Message['type']): void {
+		this.#sender.sendFrame(host, frame, type);
 	}
 
 	/**
@@ -374,7 +380,7 @@
 	#sendHello(link: Link): void {
 		const groups = this.#options.countGroups?.();
 		const {hostCount} = this.#hostLists;
-		link.send({
+		this.#sender.sendOver(link, {
 			type: 'hello', from: this.#options.self, known: [...this.#hostLists.sample], state: this.#options.summarizeState?.(), fleet: this.#gatekeeper.identity, ...(groups === undefined ? {} : {groups}), ...(hostCount === undefined ? {} : {hostCount}),
 		});
 	}
@@ -414,7 +420,7 @@
 		this.#announcer.add(from);
 		this.#options.events.groups?.(from, hello.groups);
 		this.#options.events.joined(from, message => {
-			link.send(message);
+			this.#sender.sendOver(link, message);
 		});
 		this.#handleSummary(from, state);
 	}
--- a/src/gateway/peers/sender.ts
+++ b/src/gateway/peers/sender.ts
@@ -6,6 +6,8 @@
 
 export class Sender {
 	readonly #failureDomain: string;
+	/** Bytes sent since the start, by kind of message. */
+	readonly #bytes = new Map<Message['type'], number>();
 	readonly #links: ReadonlyMap<string, Link>;
 	readonly #reach: FleetReach;
 
@@ -20,6 +22,11 @@
 		this.#reach = reach;
 	}
 
+	/** Bytes sent since the start, by kind of message; messages of the authentication and of the end of a link are left out. */
+	get bytes(): ReadonlyMap<Message['type'], number> {
+		return this.#bytes;
+	}
+
 	/**
 	 * @param message - Message for all linked hosts.
 	 */
@@ -48,7 +55,7 @@
 	 * @param delay - Milliseconds that the message may wait to be sent together with others.
 	 */
 	sendToHosts(hosts: readonly string[], message: Message, delay: number): void {
-		this.#writeAll(message, hosts.flatMap(host => this.#links.get(host) ?? []), delay);
+		this.#writeAll(message, this.#findLinks(hosts), delay);
 	}
 
 	/**
@@ -64,15 +71,27 @@
 	 * @param message - Message.
 	 */
 	send(host: string, message: Message): void {
-		this.#links.get(host)?.send(message);
+		this.#writeAll(message, this.#findLinks([host]));
 	}
 
 	/**
 	 * @param host - Name of a host; nothing is sent if it isn't linked.
 	 * @param frame - Message, encoded once for several hosts.
+	 * @param type - Its kind.
+	 */
+	sendFrame(host: string, frame: Uint8Array, type: Message['type']): void {
+		for (const link of this.#findLinks([host])) {
+			this.#count(type, frame.length);
+			link.write(frame);
+		}
+	}
+
+	/**
+	 * @param link - New link, whose peer may not be identified yet.
+	 * @param message - Message.
 	 */
-	sendFrame(host: string, frame: Uint8Array): void {
-		this.#links.get(host)?.write(frame);
+	sendOver(link: Link, message: Message): void {
+		this.#writeAll(message, [link]);
 	}
 
 	/**
@@ -84,6 +103,14 @@
 		this.#links.get(host)?.flush();
 	}
 
+	#findLinks(hosts: readonly string[]): readonly Link[] {
+		return hosts.flatMap(host => this.#links.get(host) ?? []);
+	}
+
+	#count(type: Message['type'], bytes: number): void {
+		this.#bytes.set(type, (this.#bytes.get(type) ?? 0) + bytes);
+	}
+
 	/** Links to the first relay of each other failure domain. */
 	#linksToOtherDomains(): readonly Link[] {
 		const {hosts} = this.#reach;
@@ -101,6 +128,7 @@
 		}
 
 		const bytes = encode(message);
+		this.#count(message.type, bytes.length * links.length);
 		for (const link of links) {
 			if (delay > 0) {
 				link.writeBatched(bytes, delay);
--- a/src/gateway/sharing/state-sync.ts
+++ b/src/gateway/sharing/state-sync.ts
@@ -198,7 +198,7 @@
 
 		if (this.#sentVersions.get(host) !== version) {
 			this.#sentVersions.set(host, version);
-			this.#gateway.peers.sendFrame(host, this.#configurationFrame.bytes);
+			this.#gateway.peers.sendFrame(host, this.#configurationFrame.bytes, 'configuration');
 		}
 	}
 
