Memory that other hosts may take unnoticed is summed in one pass over the jobs of an engine

For each job, the jobs of its window were collected anew. Lint, types and the tests in memory-reservation.test.ts and memory-queue.test.ts pass.

--- a/src/core/gateway/engines/memory-reservation.ts
+++ b/src/core/gateway/engines/memory-reservation.ts
@@ -60,10 +60,19 @@
 /** Returns what the jobs that began within one update window take together, for each of the jobs as the last one of its window. */
 function sumWindows(jobs: readonly Job[], upstream: string, model: EngineModel): readonly number[] {
 	const ordered = jobs.toSorted((a, b) => a.began - b.began);
-	return ordered.map((last, index) => ordered
-		.slice(0, index + 1)
-		.filter(job => last.began - job.began <= updateWindowMs)
-		.reduce((sum, job) => sum + memoryAt(job, upstream, model), 0));
+	const sums: number[] = [];
+	let first = 0;
+	let sum = 0;
+	for (const last of ordered) {
+		sum += memoryAt(last, upstream, model);
+		for (; last.began - ordered[first]!.began > updateWindowMs; first++) {
+			sum -= memoryAt(ordered[first]!, upstream, model);
+		}
+
+		sums.push(sum);
+	}
+
+	return sums;
 }
 
 /**
