--- a/__tests__/gateway/organisation-shares.test.ts
+++ b/__tests__/gateway/organisation-shares.test.ts
@@ -55,6 +55,26 @@
 	}
 }, 60_000);
 
+/** Guards against a priority that is lost between the configuration and placement, and against one that moves requests without being set. */
+it('moves requests only of organisations whose priority differs from that of their route', async () => {
+	site = await Site.start({hosts: 1, engines: 1, plains: 1});
+	const priorities = {
+		none: undefined, same: 1, better: 0, worse: 4,
+	};
+	const organisations = Object.entries(priorities).map(([name, priority]) => ({Name: name, ApiKeys: [`key-of-${name}`], Priority: priority}));
+	site.store.put('op/config', createConfiguration(2, {Tenants: organisations}));
+	await expect.poll(() => site.hosts[0]!.findLogLines('configuration').some(line => line.version === 2), {timeout: 10_000}).toBe(true);
+	for (const organisation of Object.keys(priorities)) {
+		await sendLoad(organisation, 10, 100);
+	}
+
+	const {host, port} = site.hosts[0]!.metrics;
+	const response = await fetch(`http://${host}:${port}/metrics`);
+	const text = await response.text();
+	const counted = text.split('\n').filter(line => line.startsWith('cranberrytide_prioritised_requests_total{'));
+	expect(counted.map(line => /served="(\w+)"/v.exec(line)?.[1])).toEqual(['earlier', 'later']);
+}, 60_000);
+
 function computeServedShare(answers: readonly Answer[]): number {
 	return answers.filter(answer => answer.status === 200).length / answers.length;
 }
--- a/src/gateway/callers/exchange.ts
+++ b/src/gateway/callers/exchange.ts
@@ -127,6 +127,7 @@
 		this.#trace.service = demand.service;
 		this.#callerResponse.resumeAfter(metadata.lastEventId);
 		gateway.retries.countRequest(demand.service, now);
+		this.#countPriority(demand);
 		const request = {
 			incoming: this.#incoming, body, route, organisation: organisation?.name, tag: gateway.shares.findTag(gateway.directory?.configuration, route, organisation?.name), demand,
 		};
@@ -143,6 +144,12 @@
 		await this.#callerResponse.delivered(() => demand.deadline - clock.now());
 	}
 
+	#countPriority({service, organisationPriority}: Demand): void {
+		if (organisationPriority !== undefined) {
+			this.#services.metrics.prioritised.inc({service, served: organisationPriority < 0 ? 'earlier' : 'later'});
+		}
+	}
+
 	#cancel(reason: StopReason): void {
 		if (this.#stopReason !== undefined || this.#outgoing.writableFinished) {
 			return;
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -58,6 +58,7 @@
 	readonly memoryWaits: Counter;
 	readonly memoryWaiting: Gauge;
 	readonly shareRefusals: Counter;
+	readonly prioritised: Counter;
 	readonly servicesPressed: Gauge;
 	readonly sharesKept: Gauge;
 	readonly sharesLearned: Gauge;
@@ -98,6 +99,7 @@
 		this.memoryWaits = createCounter(registry, 'memory_waits_total', 'Requests that waited for memory, by how the wait ended', ['result']);
 		this.memoryWaiting = createGauge(registry, 'memory_waiting', 'Requests that wait for memory');
 		this.shareRefusals = createCounter(registry, 'share_refusals_total', 'Requests refused as their organisation used far more than its usual share', ['service']);
+		this.prioritised = createCounter(registry, 'prioritised_requests_total', 'Requests of organisations whose priority differs from that of the route', ['service', 'served']);
 		this.servicesPressed = createGauge(registry, 'services_full', 'Services whose upstreams were full within the last seconds');
 		this.sharesKept = createGauge(registry, 'organisation_shares', 'Organisations whose use of a service is kept');
 		this.sharesLearned = createGauge(registry, 'organisation_shares_learned', 'Organisations whose use was learned from a peer after the start');
--- a/src/gateway/requests/dispatch.ts
+++ b/src/gateway/requests/dispatch.ts
@@ -254,7 +254,7 @@
 		metrics.shareRefusals.inc({service: demand.service});
 		// Rounded apart: a use that exceeds its share by little must not look equal to it.
 		this.#trace.write('share-exceeded', {
-			organisation, route: route.name, use: roundUpTo(excess.use, 2), share: roundDownTo(excess.share, 2), returnAfter: Math.round(returnAfter),
+			organisation, route: route.name, priority: demand.organisationPriority, use: roundUpTo(excess.use, 2), share: roundDownTo(excess.share, 2), returnAfter: Math.round(returnAfter),
 		});
 		this.#callerResponse.refuse('overloaded', returnAfter / 1000);
 		return true;
