--- a/src/gateway/requests/refusals.ts
+++ b/src/gateway/requests/refusals.ts
@@ -42,7 +42,7 @@
 		metrics.shareRefusals.inc({service: demand.service});
 		// Rounded apart: a use that exceeds its share by little must not look equal to it.
 		trace.write('share-exceeded', {
-			organisation, route: route.name, use: roundUpTo(excess.use, 2), share: roundDownTo(excess.share, 2), returnAfter: Math.round(returnAfter),
+			organisation, route: route.name, priority: demand.organisationPriority, use: roundUpTo(excess.use, 2), share: roundDownTo(excess.share, 2), returnAfter: Math.round(returnAfter),
 		});
 		callerResponse.refuse('overloaded', returnAfter / 1000);
 		return true;
