A link is closed at a second hello

An accepted peer that sent a second hello under another name was linked under both; the first name stayed among the linked hosts after the connection had closed. repeated-hello.test.ts fails without the change and passes with it; start, announcements and foreign-hosts tests pass.

--- a/src/gateway/peers/link.ts
+++ b/src/gateway/peers/link.ts
@@ -200,6 +200,12 @@
 
 		switch (message.type) {
 			case 'hello': {
+				if (this.#hello !== undefined) {
+					// Under a second name, the link would remain listed under the first one when it closes.
+					this.close('repeated hello');
+					return;
+				}
+
 				this.#hello = message;
 				this.#events.hello(this, message);
 				return;
