--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -131,6 +131,8 @@
 			helpers: placement.helpers.map(each => each.id),
 			hold: reservation?.hold.name,
 			holdReason: reservation?.plan.type,
+			preference: placement.preference?.reason,
+			isPreferred: placement.preference?.isMet,
 			margin: reservation?.plan.type === 'contested' ? reservation.plan.margin : undefined,
 			tokens: demand.prompt?.tokens ?? 0,
 			predicted: Math.round(placement.firstByte),
