Test of shares counted from sums of jobs

The same use counted one by one and in sums gives the same excess. The test fails if a sum counts as one job with their mean weight (tried by changing countSum), and passes on the code as it is.

--- a/src/gateway/__tests__/organisation-shares.test.ts
+++ b/src/gateway/__tests__/organisation-shares.test.ts
@@ -2,7 +2,8 @@
 import {expect, it} from 'vitest';
 import {createUpstream} from '../../core/gateway/__tests__/fixtures.js';
 import {type Job} from '../../core/gateway/engines/load.js';
-import {type GatewayConfiguration, type Route} from '../../core/gateway/types.js';
+import {type Demand, type GatewayConfiguration, type Route} from '../../core/gateway/types.js';
+import {ignore} from '../../entry/ignore.js';
 import {type LogLine} from '../../entry/logs.js';
 import {OrganisationShares} from '../organisation-shares.js';
 import {fromWireJob, toWireJob} from '../peers/load-messages.js';
@@ -75,3 +76,34 @@
 	shares.reportInvalidTag('b');
 	expect(lines).toEqual([{event: 'organisation-tag-invalid', peer: 'b'}]);
 });
+
+// Guards against use that counts less, or more, where a relay reports jobs in sums.
+it('finds the same excess from sums as from the jobs one by one', () => {
+	let now = 0;
+	const [bySums, byJobs] = [0, 1].map(() => new OrganisationShares({
+		log: {write: ignore}, now: () => now, findUpstream: id => createUpstream(id), countRequests: () => 0,
+	}));
+	const {service} = createUpstream('u');
+	for (let second = 0; second < 40; second++) {
+		for (const organisation of ['usual', 'large']) {
+			now = second * 1000;
+			const count = organisation === 'large' && second >= 35 ? 50 : 5;
+			bySums!.countSum({
+				service, organisation, count, delayed: second >= 35 ? 1 : 0, weight: count * 2, requests: 0,
+			});
+			for (let index = 0; index < count; index++) {
+				byJobs!.countJob({
+					...job, organisation, weight: 2, began: now, isDelayed: second >= 35 && index === 0 ? true : undefined,
+				});
+			}
+		}
+	}
+
+	const demand: Demand = {
+		id: 'd', service, arrived: now, due: now, deadline: now, priority: 0, kind: 'idempotent',
+	};
+	const [expected, excess] = [byJobs, bySums].map(shares => shares!.findExcess('large', demand, undefined));
+	expect(expected?.use).toBeGreaterThan(0);
+	expect(excess).toEqual(expected);
+	expect(bySums!.findExcess('usual', demand, undefined)).toBeUndefined();
+});
