--- a/__tests__/gateway/evacuation.test.ts
+++ b/__tests__/gateway/evacuation.test.ts
@@ -75,7 +75,7 @@
 
 it('sends no work to an evacuated domain while the order stands, whether or not hosts reach the store, and uses it after the revocation', async () => {
 	await startSite(['a', 'b'], 4);
-	site.store.secondaryMode = 'reset';
+	site.store.cutSecondaryAddress();
 	const before = performance.now();
 	expect(findRefused(await sendLoad(1000))).toEqual([]);
 	expect(findArrivals('b', before).length).toBeGreaterThan(0);
--- a/stand-ins/gateway/store.ts
+++ b/stand-ins/gateway/store.ts
@@ -40,7 +40,7 @@
 export class StoreStandIn implements AsyncDisposable {
 	/** How new calls are answered; pending watches are not affected. */
 	mode: StoreMode = 'serving';
-	/** How calls to the secondary address are answered. */
+	/** How new calls to the secondary address are answered. */
 	secondaryMode: StoreMode = 'serving';
 	/** Number of calls received. */
 	calls = 0;
@@ -71,6 +71,12 @@
 		return {host: loopback, port: getPort(this.#server)};
 	}
 
+	/** Resets all connections to the secondary address, those of pending watches too, and each new one. */
+	cutSecondaryAddress(): void {
+		this.secondaryMode = 'reset';
+		this.#secondaryServer.closeAllConnections();
+	}
+
 	/** A second address of the same store, so that some hosts can lose the store while others keep it. */
 	get secondaryAddress(): Address {
 		return {host: loopback, port: getPort(this.#secondaryServer)};
