Idle engines hold parts of a prompt that leave no margin

A part needs at most the memory of an idle engine now. The tests of the memory queue and of placement pass.

--- a/src/core/gateway/engines/memory-admission.ts
+++ b/src/core/gateway/engines/memory-admission.ts
@@ -6,7 +6,7 @@
 import {type EngineModel} from '../types.js';
 import {computePartMemory, estimatePrefill} from './engine.js';
 import {estimateFreeMemory, type EngineMemory} from './memory-forecast.js';
-import {computeMargin} from './memory-reservation.js';
+import {computeMargin, computeRequiredMemory} from './memory-reservation.js';
 
 /** A request that waits for memory. Times are monotonic, in milliseconds. */
 export type MemoryDemand = {
@@ -192,7 +192,7 @@
 	for (let parts = 1; parts <= maxUsedParts; parts++) {
 		const partTokens = computePartMemory(model, tokens, parts);
 		// Only shorter waits are better than that of fewer engines.
-		const index = timeline.findFirst(parts, partTokens + (parts === 1 ? 0 : margin), count);
+		const index = timeline.findFirst(parts, parts === 1 ? partTokens : computeRequiredMemory(model, partTokens, margin), count);
 		if (index === undefined) {
 			continue;
 		}
--- a/src/core/gateway/engines/memory-reservation.ts
+++ b/src/core/gateway/engines/memory-reservation.ts
@@ -48,6 +48,16 @@
 	return Math.min(wanted, possible);
 }
 
+/**
+ * @param model - Performance model of the engine.
+ * @param partTokens - Tokens of one part.
+ * @param margin - Tokens that it should leave free.
+ * @returns Tokens that must be free for the part; never more than an idle engine has.
+ */
+export function computeRequiredMemory({memory}: EngineModel, partTokens: number, margin: number): number {
+	return Math.max(Math.min(partTokens + margin, memory), partTokens);
+}
+
 /**
  * @param model - Performance model of the engines.
  * @param prompt - Size of a request.
--- a/src/core/gateway/placement/placement.ts
+++ b/src/core/gateway/placement/placement.ts
@@ -3,7 +3,7 @@
 import {
 	computePartMemory, footprint, estimatePrefill, type PrefillTime,
 } from '../engines/engine.js';
-import {computeMargin, isLarge} from '../engines/memory-reservation.js';
+import {computeMargin, computeRequiredMemory, isLarge} from '../engines/memory-reservation.js';
 import {type Health} from '../health/health.js';
 import {type Forecast, type Load} from '../engines/load.js';
 import {
@@ -180,7 +180,7 @@
 		}
 
 		const holdTokens = computePartMemory(model, neededMemory, parts);
-		const available = ranked.filter(candidate => candidate.forecast.freeMemory >= holdTokens + margin && candidate.forecast.requests < model.slots);
+		const available = ranked.filter(candidate => candidate.forecast.freeMemory >= computeRequiredMemory(model, holdTokens, margin) && candidate.forecast.requests < model.slots);
 		const answering = available.find(candidate => canAnswer(candidate));
 		if (available.length >= parts && answering !== undefined) {
 			splits.push({first: answering, helpers: available.filter(candidate => candidate !== answering).slice(0, parts - 1), holdTokens});
--- a/src/gateway/requests/reserved-attempt.ts
+++ b/src/gateway/requests/reserved-attempt.ts
@@ -7,12 +7,12 @@
 import {type RequestState} from './request-state.js';
 import {type Hold, type HoldPart} from './holds.js';
 
-/**
- * Engines that may be replaced during one reservation, so that it ends long before the leases of its first parts. Also the refusals after which a
- * prompt that fits one engine waits for its turn before it tries another one.
- */
+/** Engines that may be replaced during one reservation, so that it ends long before the leases of its first parts. */
 const maxSubstitutions = 4;
 
+/** Refusals after which a prompt that fits one engine waits for its turn before it tries another one. */
+const refusalsBeforeWait = 4;
+
 /** Memory that was reserved for an attempt, and the job that was published for it. */
 export type Reservation = {
 	readonly hold: Hold;
@@ -51,7 +51,7 @@
 	}
 
 	/**
-	 * @returns Whether an engine has refused memory since the last call: the request then waits for its turn before it tries again.
+	 * @returns Whether the request should wait for its turn before it is placed again; false until an engine has refused memory once more.
 	 */
 	takeMemoryShortage(): boolean {
 		const isMemoryShort = this.#isMemoryShort;
@@ -146,7 +146,7 @@
 		}
 
 		this.#refusalCount++;
-		this.#isMemoryShort = type === 'split' || this.#refusalCount % maxSubstitutions === 0;
+		this.#isMemoryShort = type === 'split' || this.#refusalCount % refusalsBeforeWait === 0;
 		attempts.recordMemoryShortage();
 	}
 }
