A refused reservation uses nothing of the retry budget

The budget is charged once for each attempt that is sent; one that reached no upstream leaves its charge to the next. The tests of dispatch pass; none plays this case.

--- a/src/gateway/requests/dispatch.ts
+++ b/src/gateway/requests/dispatch.ts
@@ -95,6 +95,7 @@
 				return;
 			}
 
+			const {sent} = attempts;
 			const ending = await this.#attempt(placement);
 			if (ending.type === 'answered') {
 				gateway.convictions.acquit(this.#fingerprint);
@@ -103,7 +104,7 @@
 			}
 
 			this.#notePossibleRun(ending);
-			if (!this.#canAttemptAgain(ending)) {
+			if (!this.#canAttemptAgain(ending, sent)) {
 				callerResponse.conclude(selectAnswer(ending), this.#state.stopReason, this.#computeServiceWait());
 				return;
 			}
@@ -189,14 +190,14 @@
 		}
 	}
 
-	#canAttemptAgain(ending: AttemptEnding): boolean {
+	#canAttemptAgain(ending: AttemptEnding, sentBefore: number): boolean {
 		const {attempts, isOver} = this.#state;
 		if (isOver || !attempts.canRetryAfter(ending)) {
 			return false;
 		}
 
-		// A request that hasn't reached any upstream yet is not a retry.
-		return attempts.sent === 0 || this.#isRetryAllowed();
+		// An attempt that reached no upstream, for example as its reservation was refused, has used nothing of the retry budget.
+		return attempts.sent <= sentBefore || this.#isRetryAllowed();
 	}
 
 	/** Checks the retry budget that all hosts share. */
