A prefill that is unknown here makes no engine look fast

A sample with a lengthened iteration counts as configured at least. The new case of the test fails without the change's bound, as the sum is then clamped to a quarter.

--- a/src/core/gateway/__tests__/paces.test.ts
+++ b/src/core/gateway/__tests__/paces.test.ts
@@ -270,8 +270,8 @@
 		expect(add([0, 20, 40, 60, 80].map(index => createPrefill(index, 112)))).toEqual([]);
 	});
 
-	// Guards against the time of an iteration, four times longer at a slow engine too, counting as prefill.
-	it.each([1, 4])('are measured with the engine %i times slower', slowness => {
+	// Guards against the time of an iteration counting as prefill: four times longer at a slow engine, or lengthened by a prefill that is unknown here.
+	it.each([[1, 43], [4, 172], [1, 300]])('are measured with the engine %i times slower and %i ms between events', (slowness, gap) => {
 		const shortPrefills = new ShortPrefills();
 		const samples = [0, 1, 2, 3].flatMap(index => {
 			const sent = now + (index * 500);
@@ -285,7 +285,7 @@
 			const first = sent + ((28 + 43) * slowness);
 			sampler.noteEvents(first);
 			load.recordFirstByte('own', first);
-			return sampler.noteEvents(first + (43 * slowness)) ?? [];
+			return sampler.noteEvents(first + gap) ?? [];
 		});
 		expect(samples.find(({phase}) => phase === 'prefill')).toMatchObject({configured: 112, measured: 112 + (4 * Math.max((28 * (slowness - 1)) - 12, 0))});
 	});
--- a/src/core/gateway/engines/pace-sampler.ts
+++ b/src/core/gateway/engines/pace-sampler.ts
@@ -162,8 +162,12 @@
 		// At an engine that decodes, the prefill is a part of the iteration and adds no steps to it.
 		const configured = estimatePrefill(model, prompt.tokens).total - (first.iteration > 0 ? Math.ceil(prompt.tokens / model.chunk) * model.step : 0);
 		const iteration = now - first.at;
-		const initialIteration = first.iteration * iteration / estimateDecodeIteration(model, forecast.contexts);
-		const measured = first.at - sent - (initialIteration * 1.5) - iteration;
+		const expectedIteration = estimateDecodeIteration(model, forecast.contexts);
+		const initialIteration = first.iteration * iteration / expectedIteration;
+		const remaining = first.at - sent - (initialIteration * 1.5) - iteration;
+		// A prefill that isn't known here may have lengthened the iteration, so that too little remains: that makes no fast engine.
+		const isLengthened = iteration > (expectedIteration / forecast.pace.decode * maxUncertainty) + timingErrorMs;
+		const measured = isLengthened ? Math.max(remaining, configured) : remaining;
 		return shortPrefills.add({
 			upstream: upstream.id,
 			configured,
