No request is ranked ahead of an answer that has begun

A better priority ranked short prompts 0 or 1, ahead of answers that have begun at 1, also those of organisations without a priority. New requests are ranked 1 at best now. The expected ranks in the test change from 0 to 1 for that reason.

--- a/src/core/gateway/engines/urgency.ts
+++ b/src/core/gateway/engines/urgency.ts
@@ -20,8 +20,8 @@
 export const defaultUrgency: number = urgencies.patient;
 
 /**
- * Ranks a request by the length of its prompt, moved by the priority of its organisation. An answer that has begun is ranked first, and
- * never moved back: the work done for it is lost if the caller leaves.
+ * Ranks a request by the length of its prompt, moved by the priority of its organisation. No other request is ranked ahead of an answer that
+ * has begun, which is never moved back: the work done for it is lost if the caller leaves.
  *
  * @param prompt - Size of the request.
  * @param hasBegun - Whether its caller has received part of the answer.
@@ -30,8 +30,9 @@
  */
 export function urgencyOf(prompt: Prompt, hasBegun: boolean, organisationPriority?: number): number {
 	const shift = toPriorityShift(organisationPriority);
-	const moved = hasBegun ? urgencies.begun + Math.min(shift, 0) : rankByLength(prompt) + shift;
-	return Math.min(Math.max(moved, 0), maxUrgency);
+	return hasBegun
+		? Math.max(urgencies.begun + Math.min(shift, 0), 0)
+		: Math.min(Math.max(rankByLength(prompt) + shift, urgencies.begun), maxUrgency);
 }
 
 function rankByLength({tokens}: Prompt): number {
