Learned organisations are ranked by present use, and sums count in one step

The largest organisations of an answer were chosen by sums as of their last request: one that had been silent for nine minutes displaced active ones. They are decayed to the time of the answer. Sums of jobs are added in one step instead of once for each job, and may hold 65,536 jobs: 4,096 could be exceeded within half a second, which would have made the message invalid.

--- a/src/core/gateway/limits/organisation-use.ts
+++ b/src/core/gateway/limits/organisation-use.ts
@@ -77,13 +77,23 @@
 }
 
 /**
- * @param sums - Sums that a request is added to.
- * @param weight - Weight of the request, relative to a usual one.
+ * @param use - Sums of one organisation.
+ * @param now - Monotonic time in milliseconds.
+ * @returns Its use within the usual window, silences included, decayed as of the time.
+ */
+export function computeOverall({overall, at}: OrganisationUse, now: number): number {
+	return overall * Math.exp(Math.min(at - now, 0) / usualWindowMs);
+}
+
+/**
+ * @param sums - Sums that requests are added to.
+ * @param weight - Weight of each request, relative to a usual one.
+ * @param count - Number of requests.
  */
-export function add(sums: Sums, weight: number): void {
-	sums.present += weight;
-	sums.usual += weight;
-	sums.squares += weight ** 2;
+export function add(sums: Sums, weight: number, count: number): void {
+	sums.present += weight * count;
+	sums.usual += weight * count;
+	sums.squares += (weight ** 2) * count;
 }
 
 /** Returns the part of a window, in milliseconds, that a history of some length covers: sums of a short history are too small otherwise. */
--- a/src/core/gateway/limits/shares.ts
+++ b/src/core/gateway/limits/shares.ts
@@ -3,7 +3,7 @@
  * share. Without it, an organisation that sends ten times its usual takes the capacity of all others in proportion.
  */
 import {
-	add, computeLevels, presentWindowMs, updateTotal, updateUse, type Levels, type OrganisationUse, type Sums,
+	add, computeLevels, computeOverall, presentWindowMs, updateTotal, updateUse, type Levels, type OrganisationUse, type Sums,
 } from './organisation-use.js';
 import {maxPriorityShift} from './priority.js';
 import {maxNamedOrganisations, type NamedUse, type ShareHistory} from './share-history.js';
@@ -94,7 +94,7 @@
 		updateTotal(this.#total, now);
 		const {present, usual, squares} = this.#total;
 		const organisations = [...this.#organisations]
-			.toSorted(([, a], [, b]) => b.overall - a.overall)
+			.toSorted(([, a], [, b]) => computeOverall(b, now) - computeOverall(a, now))
 			.slice(0, maxNamedOrganisations)
 			.map(([organisation, {at, restrictedUntil, ...use}]): NamedUse => ({
 				...use, organisation, age: now - at, restricted: restrictedUntil?.map(until => Math.max(until - now, 0)),
@@ -134,8 +134,9 @@
 	 * @param organisation - Tag of the organisation of a request that is sent.
 	 * @param weight - Weight of the request, relative to a usual one.
 	 * @param now - Time.
+	 * @param count - Number of requests with this weight.
 	 */
-	count(organisation: string, weight: number, now: number): void {
+	count(organisation: string, weight: number, now: number, count = 1): void {
 		if (!(weight > 0 && weight <= maxWeight)) {
 			return;
 		}
@@ -152,9 +153,9 @@
 		this.#organisations.set(organisation, use);
 		updateUse(use, now);
 		updateTotal(this.#total, now);
-		add(use, weight);
-		use.overall += weight;
-		add(this.#total, weight);
+		add(use, weight, count);
+		use.overall += weight * count;
+		add(this.#total, weight, count);
 		this.#forget(now);
 		this.#restrict(use, now);
 	}
--- a/src/gateway/organisations/organisation-shares.ts
+++ b/src/gateway/organisations/organisation-shares.ts
@@ -115,9 +115,7 @@
 		const now = this.#options.now();
 		const shares = this.#sharesOf(service);
 		if (organisation !== undefined) {
-			for (let index = 0; index < count; index++) {
-				shares.count(organisation, weight / count, now);
-			}
+			shares.count(organisation, weight / count, now, count);
 		}
 
 		if (delayed > 0) {
--- a/src/gateway/peers/load-messages.ts
+++ b/src/gateway/peers/load-messages.ts
@@ -89,14 +89,17 @@
 	expires: amount,
 });
 
+/** Most jobs in one sum: several times those that the largest fleet begins between two sums. */
+const maxSummedJobs = 65_536;
+
 /** Jobs that the relay leaves out of what it sends to the receiver's group. */
 const sumSchema = z.object({
 	service: shortText,
 	organisation: z.unknown().optional(),
-	count: z.number().int().positive().max(maxListLength),
-	delayed: z.number().int().nonnegative().max(maxListLength),
+	count: z.number().int().positive().max(maxSummedJobs),
+	delayed: z.number().int().nonnegative().max(maxSummedJobs),
 	weight: amount.nonnegative(),
-	requests: z.number().int().nonnegative().max(maxListLength),
+	requests: z.number().int().nonnegative().max(maxSummedJobs),
 });
 
 /** Changes of the jobs of a host, or of those that it forwards, and what it knows of upstreams. */
