Groups count hosts that were alive a short time ago, and no job twice for the retry budget

From a review of groups of hosts: a failure domain whose hosts were replaced at new addresses counted those that are gone, and was divided though small; jobs that a host gets as its group changes were counted again as requests, which allows more retries; sums were dropped at a host that becomes a relay; and engines with 16 slots or more outside the group never had free memory.

--- a/src/core/gateway/limits/job-sums.ts
+++ b/src/core/gateway/limits/job-sums.ts
@@ -11,7 +11,7 @@
  * Oldest job, in milliseconds, that is counted. Jobs arrive within 100 ms of their start; older ones are sent again to a new relay, and the
  * previous one has counted them.
  */
-const maxJobAgeMs = 500;
+export const maxSummedJobAgeMs = 500;
 
 /** Jobs of one service and organisation. */
 export type JobSum = {
@@ -43,7 +43,7 @@
 	 * @param now - Time.
 	 */
 	add(job: Pick<Job, 'began' | 'isDelayed' | 'organisation' | 'placing' | 'weight'>, service: string, isOfDomain: boolean, now: number): void {
-		if (now - job.began > maxJobAgeMs) {
+		if (now - job.began > maxSummedJobAgeMs) {
 			return;
 		}
 
--- a/src/core/gateway/placement/job-audience.ts
+++ b/src/core/gateway/placement/job-audience.ts
@@ -8,6 +8,9 @@
 /** Share of an engine's memory from which a job counts as long. */
 const longMemoryShare = 1 / 16;
 
+/** Largest share of an engine's memory that unknown jobs are assumed to take: an engine with many slots would otherwise never look free. */
+const maxUnknownShare = 1 / 2;
+
 /** What a host knows of upstreams that decides who receives a job. */
 export type JobContext = {
 	/** Performance model of an engine; undefined for upstreams of plain services and unknown ones. */
@@ -52,5 +55,5 @@
  * @returns Tokens of KV memory.
  */
 export function computeUnknownMemory({memory, slots}: Pick<EngineModel, 'memory' | 'slots'>, known: number): number {
-	return Math.max(slots - known, 0) * longMemoryShare * memory;
+	return Math.min(Math.max(slots - known, 0) * longMemoryShare, maxUnknownShare) * memory;
 }
--- a/src/gateway/peers/fleet-reach.ts
+++ b/src/gateway/peers/fleet-reach.ts
@@ -96,6 +96,15 @@
 		return this.#options.knownPeers.hosts.filter(host => host.failureDomain === failureDomain).map(host => host.name);
 	}
 
+	/**
+	 * @param failureDomain - Failure domain.
+	 * @param now - Time.
+	 * @returns Number of the known hosts of the domain, without this one, that were alive a short time ago.
+	 */
+	countRecentDomainHosts(failureDomain: string, now: number): number {
+		return this.#options.knownPeers.countRecent(failureDomain, now);
+	}
+
 	/**
 	 * @param now - Time.
 	 * @returns Share of the fleet whose load updates arrive here without delay, this host included; above 0 and at most 1.
--- a/src/gateway/peers/known-peers.ts
+++ b/src/gateway/peers/known-peers.ts
@@ -21,6 +21,9 @@
 /** How long a peer that can't be reached is kept. */
 const retentionMs = 60_000;
 
+/** Time within which heartbeats name each host of a large failure domain several times. */
+const recentMs = 300_000;
+
 /** Consecutive failed dials after which a peer is no longer a candidate for a link. */
 const maxDialFailures = 2;
 
@@ -70,6 +73,20 @@
 		return [...this.#byAddress.values()].flatMap(each => each.host ?? []);
 	}
 
+	/**
+	 * @param failureDomain - Failure domain.
+	 * @param now - Monotonic time in milliseconds.
+	 * @returns Number of its identified peers that this host or a peer was linked with a short time ago.
+	 */
+	countRecent(failureDomain: string, now: number): number {
+		let count = 0;
+		for (const {host, lastSeen} of this.#byAddress.values()) {
+			count += host?.failureDomain === failureDomain && now - lastSeen < recentMs ? 1 : 0;
+		}
+
+		return count;
+	}
+
 	/**
 	 * @param size - Number of peers at most.
 	 * @returns Identified peers: all of them, or a sample that rotates with each call.
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -201,6 +201,14 @@
 		return this.#reach.domainHostCount;
 	}
 
+	/**
+	 * @param failureDomain - Failure domain.
+	 * @returns Number of the known hosts of the domain, without this one, that were alive a short time ago.
+	 */
+	countRecentDomainHosts(failureDomain: string): number {
+		return this.#reach.countRecentDomainHosts(failureDomain, this.#options.now());
+	}
+
 	/**
 	 * @param failureDomain - Failure domain.
 	 * @returns Names of the known hosts of the domain, linked or not, without this one.
--- a/src/gateway/sharing/domain-groups.ts
+++ b/src/gateway/sharing/domain-groups.ts
@@ -51,7 +51,7 @@
 		const peers = this.#peers;
 		const {name, failureDomain} = this.#self;
 		this.#hosts = new Set([name, ...peers.listDomainHosts(failureDomain)]);
-		this.#count = peers.isLargeFleet ? computeGroupCount(this.#hosts.size) : 1;
+		this.#count = peers.isLargeFleet ? computeGroupCount(peers.countRecentDomainHosts(failureDomain) + 1) : 1;
 		this.#own = this.#isRelay() ? undefined : findHostGroup(name, this.#count);
 		return this.#own?.count;
 	}
--- a/src/gateway/sharing/load-updates.ts
+++ b/src/gateway/sharing/load-updates.ts
@@ -7,7 +7,7 @@
 import {type MemoryClaim} from '../../core/gateway/engines/memory-admission.js';
 import {isPace, type PaceReport} from '../../core/gateway/engines/paces.js';
 import {type EngineModel} from '../../core/gateway/types.js';
-import {type JobSum} from '../../core/gateway/limits/job-sums.js';
+import {maxSummedJobAgeMs, type JobSum} from '../../core/gateway/limits/job-sums.js';
 import {type UpstreamReport} from '../../core/gateway/limits/upstream-reports.js';
 import {fromWireSum, type WireSum} from '../peers/load-messages.js';
 import {
@@ -321,6 +321,11 @@
 		this.#hostLosses.handlePeerLost(host, reason);
 	}
 
+	/** Whether sums have covered a job: as the group of a host changes, its relay sends the running jobs that it has left out before. */
+	#isCovered(job: Job): boolean {
+		return this.groups.own !== undefined && this.#options.now() - job.began > maxSummedJobAgeMs;
+	}
+
 	/** Reports a job of another host, once although updates may arrive over two paths. */
 	#reportNewJob(job: Job): void {
 		if (!this.#options.load.isKnown(job.id)) {
@@ -337,18 +342,16 @@
 		const {load, peers, failureDomain, sent} = this.#options;
 		const domainHosts = new Set(peers.listDomainHosts(failureDomain));
 		for (const job of began) {
-			if (domainHosts.has(job.host) && !load.isKnown(job.id)) {
+			if (domainHosts.has(job.host) && !load.isKnown(job.id) && !this.#isCovered(job)) {
 				sent(job);
 			}
 		}
 	}
 
-	/** Applies the sums of a relay; a host that receives everything has counted these jobs already. */
+	/** Applies the sums of a relay. They only cover jobs that were left out, also if this host is to receive everything by now. */
 	#applySums(sums: readonly WireSum[]): void {
-		if (this.groups.own !== undefined) {
-			for (const sum of sums) {
-				this.#options.onSum(fromWireSum(sum));
-			}
+		for (const sum of sums) {
+			this.#options.onSum(fromWireSum(sum));
 		}
 	}
 
