Samplers of prefills name the largest pace instead of repeating it

A bare 4 stood twice beside the constant of paces.ts. Four comments are in plainer words. No behaviour changes; types, lint of the changed files and the tests of paces pass.

--- a/src/core/gateway/engines/pace-sampler.ts
+++ b/src/core/gateway/engines/pace-sampler.ts
@@ -4,7 +4,7 @@
 import {estimateDecodeIteration, estimatePrefill} from './engine.js';
 import {type Forecast, type Load} from './load.js';
 import {overheadMs} from './losses.js';
-import {configuredPace, type PaceSample} from './paces.js';
+import {configuredPace, maxPace, type PaceSample} from './paces.js';
 import {minSampleMs, type ShortPrefills} from './short-prefills.js';
 
 /** Least share of the predicted time to the first event that a prefill makes up if the pace of prefills is derived from it alone. */
@@ -142,7 +142,7 @@
 		const firstIteration = estimateDecodeIteration(model, [prompt.tokens]) / pace.decode;
 		const prefill = now - sent - firstIteration;
 		// The queue may have been shorter than forecast: an engine is fast only if it was faster than without any.
-		const measured = Math.max(prefill - (firstByte - predicted), Math.min(prefill, configured), configured / 4);
+		const measured = Math.max(prefill - (firstByte - predicted), Math.min(prefill, configured), configured / maxPace);
 		return {
 			upstream: upstream.id, phase: 'prefill', configured, measured, at: now,
 		};
--- a/src/core/gateway/engines/paces.ts
+++ b/src/core/gateway/engines/paces.ts
@@ -59,7 +59,7 @@
 
 /** Slowest and fastest pace; values beyond are clamped. */
 const minPace = 1 / 16;
-const maxPace = 4;
+export const maxPace = 4;
 
 /** Paces within this factor of 1 count as 1: the prefill of a prompt that is not known here yet lengthens single iterations as much. */
 const clearFactor = 1.6;
--- a/src/core/gateway/engines/short-prefills.ts
+++ b/src/core/gateway/engines/short-prefills.ts
@@ -2,7 +2,7 @@
  * Adds up the prefills of short prompts at each engine. One of 25 ms is measured with an error of its own length, as the prompt waits for the
  * end of an iteration that may just have begun; the sum of several shows the pace of an engine that gets only such prompts.
  */
-import {type PaceSample} from './paces.js';
+import {maxPace, type PaceSample} from './paces.js';
 
 /** Measured prefill of one short prompt. Times are in milliseconds. */
 export type ShortPrefill = Omit<PaceSample, 'isEstimate' | 'phase'> & {
@@ -50,7 +50,7 @@
 		const error = errorDeviations * Math.sqrt(sum(recent, each => each.variance));
 		if (configured >= minSampleMs && error <= maxError * Math.max(configured, measured)) {
 			return {
-				upstream, phase: 'prefill', configured, measured: Math.max(measured, configured / 4), at, isEstimate: true,
+				upstream, phase: 'prefill', configured, measured: Math.max(measured, configured / maxPace), at, isEstimate: true,
 			};
 		}
 
--- a/src/gateway/peers/known-peers.ts
+++ b/src/gateway/peers/known-peers.ts
@@ -179,7 +179,7 @@
 	}
 
 	/**
-	 * Records that a host of another fleet has answered at an address: whoever was known there is gone.
+	 * Records that a host of another fleet has answered at an address: the host that was known there is gone.
 	 *
 	 * @param address - Address that was dialled.
 	 */
--- a/src/gateway/peers/link.ts
+++ b/src/gateway/peers/link.ts
@@ -133,7 +133,7 @@
 		this.#reader.setLimit(maxMessageBytes);
 	}
 
-	/** Tells the peer that it belongs to another fleet, closes the connection and reads nothing more. */
+	/** Informs the peer that it belongs to another fleet, closes the connection and reads nothing more. */
 	refuseForeign(): void {
 		if (!this.#isRefused) {
 			this.#isRefused = true;
--- a/src/gateway/upstreams/cold-starts.ts
+++ b/src/gateway/upstreams/cold-starts.ts
@@ -67,7 +67,7 @@
 	/** Returns how the upstreams of a service start, if that is configured. */
 	readonly findColdStart: (service: string) => ColdStart | undefined;
 	readonly viewFleet: () => FleetView;
-	/** Returns the milliseconds since the last message of the relay that tells of the others' requests; undefined if there is none. */
+	/** Returns the milliseconds since the last message of the relay that forwards the others' requests; undefined if there is none. */
 	readonly findRelaySilence: () => number | undefined;
 	/** Whether a host is of the failure domain of this one. */
 	readonly isOfDomain: (host: string) => boolean;
@@ -163,7 +163,7 @@
 	}
 
 	/**
-	 * Counts a health check as a request, and tells the peers of it if the upstream is known to be cold.
+	 * Counts a health check as a request, and reports it to the peers if the upstream is known to be cold.
 	 *
 	 * @param upstream - Upstream that this host is about to check.
 	 * @returns Whether it is known to be cold, so that the check was counted.
