Log lines tell how a response was framed and what was left of an event

The lines of the incident don't tell whether a broken-off stream ended with its connection and inside an event, or was reset unnoticed. attempt-ended has the framing and the bytes after the last event now. No logic is changed.

--- a/src/core/gateway/limits/retries.ts
+++ b/src/core/gateway/limits/retries.ts
@@ -11,14 +11,14 @@
 
 /** What is known for certain about an attempt that has ended. */
 export type AttemptEnding
-	/** The upstream answered, and its complete answer was forwarded. */
-	= | {readonly type: 'answered'; readonly status: number}
+	/** The upstream answered, and its complete answer was forwarded; `unfinished` is the number of bytes after the last event of a stream. */
+	= | {readonly type: 'answered'; readonly status: number; readonly unfinished?: number}
 	/** The upstream certainly did not run it; `isShed` if it refused because of its load. */
 		| {readonly type: 'not-run'; readonly reason: string; readonly isShed: boolean}
 	/** The upstream ran it and answered with an error that another upstream may not return. */
 		| {readonly type: 'failed'; readonly status: number}
 	/** It was sent, but no complete answer arrived. */
-		| {readonly type: 'unknown'; readonly reason: string}
+		| {readonly type: 'unknown'; readonly reason: string; readonly unfinished?: number}
 	/** This host cancelled it. */
 		| {readonly type: 'cancelled'; readonly reason: CancelReason};
 
--- a/src/gateway/callers/response-forwarding.ts
+++ b/src/gateway/callers/response-forwarding.ts
@@ -42,6 +42,11 @@
 	outgoing.writeHead(reply.status, headers);
 }
 
+/** Returns the bytes after the last complete event; undefined if there are none. */
+function countUnfinished({rest}: EventSplitter): number | undefined {
+	return rest.length === 0 ? undefined : rest.length;
+}
+
 const noSpaceReason = 'no space to hold the answer';
 const brokenOffReason = 'the answer broke off';
 
@@ -71,16 +76,16 @@
 		}
 	} catch (error) {
 		buffer.countUnbegun(0);
-		return {type: 'unknown', reason: buffer.hasEnded ? noSpaceReason : messageOf(error)};
+		return {type: 'unknown', reason: buffer.hasEnded ? noSpaceReason : messageOf(error), unfinished: countUnfinished(splitter)};
 	}
 
 	if (!await reply.isComplete()) {
 		buffer.countUnbegun(0);
-		return {type: 'unknown', reason: brokenOffReason};
+		return {type: 'unknown', reason: brokenOffReason, unfinished: countUnfinished(splitter)};
 	}
 
 	await buffer.write([splitter.rest]);
-	return {type: 'answered', status: reply.status};
+	return {type: 'answered', status: reply.status, unfinished: countUnfinished(splitter)};
 }
 
 /** A complete body, the buffered beginning of a long one and an iterator over the rest, or the reason why it ended early. */
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -88,7 +88,7 @@
 		try {
 			const ending = await this.#finishAttempt(attempt, placement.upstream, job.id, {stallDetector, paceSampler: gateway.placements.createPaceSampler(demand, placement, job.id)});
 			metrics.attempts.inc({service: demand.service, ending: ending.type});
-			this.#logEnding(placement, job.id, ending);
+			this.#logEnding(placement, job.id, ending, attempt);
 			return ending;
 		} finally {
 			stallDetector.stop();
@@ -145,10 +145,10 @@
 		});
 	}
 
-	#logEnding(placement: Placement, attempt: string, ending: AttemptEnding): void {
+	#logEnding(placement: Placement, job: string, ending: AttemptEnding, {framing}: Attempt): void {
 		const {type, ...details} = ending;
 		this.#state.trace.write('attempt-ended', {
-			attempt, upstream: placement.upstream.id, ending: type, ...details,
+			attempt: job, upstream: placement.upstream.id, ending: type, framing, ...details,
 		});
 	}
 
--- a/src/gateway/upstreams/attempt.ts
+++ b/src/gateway/upstreams/attempt.ts
@@ -6,6 +6,7 @@
 import {type Socket} from 'node:net';
 import {type Address} from '../../core/index.js';
 import {type AttemptEnding, type CancelReason} from '../../core/gateway/limits/retries.js';
+import {findFraming, type Framing} from '../../protocol/response-framing.js';
 import {type HeaderFormat, type ResponseMetadata} from '../platform-adapter.js';
 
 /**
@@ -98,6 +99,7 @@
 	#isConnected = false;
 	#cancelled: CancelReason | undefined;
 	#isBroken = false;
+	#framing: Framing | undefined;
 	#timer: NodeJS.Timeout | undefined;
 
 	/**
@@ -124,6 +126,11 @@
 		return this.#cancelled;
 	}
 
+	/** What marks the end of the response; undefined if its head hasn't been received. */
+	get framing(): Framing | undefined {
+		return this.#framing;
+	}
+
 	/** Sends the request; resolves with the head of the response, or with how the attempt ended without one. */
 	async reply(): Promise<Reply | EndedAttempt> {
 		const outgoing = this.#outgoing;
@@ -176,6 +183,7 @@
 	#readHead(body: IncomingMessage): Reply | EndedAttempt {
 		const status = body.statusCode ?? 0;
 		const metadata = this.#headerFormat.parseResponse(status, body.headers);
+		this.#framing = findFraming(this.#request.method, status, body.headers);
 		const mismatch = findMismatch(this.#request.id, status, metadata, body);
 		if (mismatch !== undefined) {
 			this.#outgoing.destroy();
