The end of a response is found by its framing as HTTP defines it

A response with a transfer coding other than chunked ends with its connection, so a reset must be told from an end there too; a response with status 204 or 304 has no body and needn't wait for the end of its connection: it waited until the upstream closed the idle connection (1.5 s in the test). A response that this host cancelled isn't complete, however its connection ended.

--- a/src/gateway/upstreams/attempt.ts
+++ b/src/gateway/upstreams/attempt.ts
@@ -21,6 +21,8 @@
 	readonly status: number;
 	readonly rawHeaders: readonly string[];
 	readonly metadata: ResponseMetadata;
+	/** What marks the end of the body. */
+	readonly framing: Framing;
 	readonly body: IncomingMessage;
 	/** Whether the body was received completely; to be called after its end. */
 	readonly isComplete: () => Promise<boolean>;
@@ -62,11 +64,6 @@
 	return status >= 200 && status < 300 && !metadata.isSigned ? 'unsigned answer' : undefined;
 }
 
-/** Whether the response's length or encoding marks the end of its body. */
-function isFramed({headers}: IncomingMessage): boolean {
-	return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-}
-
 /**
  * Distinguishes an end from a reset for a response whose body lasts until the connection ends. When bytes and a reset arrive together,
  * libuv reports an end and drops the reset (about 1 in 12 responses cut off this way). A write reveals the reset because it fails. The
@@ -183,7 +180,8 @@
 	#readHead(body: IncomingMessage): Reply | EndedAttempt {
 		const status = body.statusCode ?? 0;
 		const metadata = this.#headerFormat.parseResponse(status, body.headers);
-		this.#framing = findFraming(this.#request.method, status, body.headers);
+		const framing = findFraming(this.#request.method, status, body.headers);
+		this.#framing = framing;
 		const mismatch = findMismatch(this.#request.id, status, metadata, body);
 		if (mismatch !== undefined) {
 			this.#outgoing.destroy();
@@ -196,17 +194,18 @@
 				this.#outgoing.destroy();
 			}
 		});
-		const properEnd = isFramed(body) ? true : probeEnd(body.socket);
+		const properEnd = framing === 'connection' ? probeEnd(body.socket) : true;
 		return {
 			type: 'reply',
 			status,
 			rawHeaders: body.rawHeaders,
 			metadata,
+			framing,
 			body,
-			// Node.js reports a body without a length as complete even if its connection was reset.
+			// Node.js reports a body without a length as complete even if its connection was reset, or destroyed by this host.
 			isComplete: async () => {
 				const isProper = await properEnd;
-				return body.complete && !this.#isBroken && isProper;
+				return body.complete && !this.#isBroken && this.#cancelled === undefined && isProper;
 			},
 		};
 	}
