A response that breaks off is reset for callers that get no chunks

Callers with HTTP/1.0 get neither a length nor chunks, so that the proper end of a connection completes the response: each answer that broke off looked complete to them. Such connections are reset now, also at the stop of the process.

--- a/src/gateway/callers/caller-response.ts
+++ b/src/gateway/callers/caller-response.ts
@@ -5,6 +5,7 @@
 import {type Route} from '../../core/gateway/types.js';
 import {type Reply} from '../upstreams/attempt.js';
 import {type RequestTrace} from '../requests/trace.js';
+import {breakOff} from './break-off.js';
 import {sendAnswer, notRunStatuses, type AnswerName} from './answers.js';
 import {
 	isStream, readBody, forwardEvents, forwardLongBody, writeHead, type ResponseBody,
@@ -115,7 +116,7 @@
 
 		if (outgoing.headersSent) {
 			if (!outgoing.writableEnded) {
-				outgoing.destroy();
+				breakOff(outgoing);
 				this.#trace.finish('broken off');
 			}
 
--- a/src/gateway/callers/response-buffer.ts
+++ b/src/gateway/callers/response-buffer.ts
@@ -4,6 +4,7 @@
 import {type ServerResponse} from 'node:http';
 import {setImmediate as turn} from 'node:timers/promises';
 import {type RequestTrace} from '../requests/trace.js';
+import {breakOff} from './break-off.js';
 import {type ResponseBuffers} from './response-buffers.js';
 
 /** Most bytes that are handed to a socket at once; a caller's progress is noticed per piece. */
@@ -168,7 +169,7 @@
 		this.#free();
 		this.#endHandler?.();
 		if (this.#outgoing.headersSent) {
-			this.#outgoing.destroy();
+			breakOff(this.#outgoing);
 		}
 	}
 
--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -1,7 +1,8 @@
 /** HTTP servers for callers, and for the balancer's readiness checks. */
-import {createServer, type Server} from 'node:http';
+import {createServer, type Server, type ServerResponse} from 'node:http';
 import {messageOf, type Address} from '../../core/index.js';
 import {type GatewayServices} from '../services.js';
+import {breakOff} from './break-off.js';
 import {Exchange} from './exchange.js';
 import {closeServer, openServer} from './listening.js';
 
@@ -13,23 +14,23 @@
 
 export class CallerListener implements AsyncDisposable {
 	readonly #server: Server;
-	#running = 0;
+	readonly #running = new Set<ServerResponse>();
 
 	/**
 	 * @param services - Services shared by all requests.
 	 */
 	constructor(services: GatewayServices) {
 		this.#server = createServer({maxHeaderSize: maxHeaderBytes, requestTimeout: requestTimeoutMs, keepAlive: true}, (incoming, outgoing) => {
-			this.#running++;
+			this.#running.add(outgoing);
 			const exchange = new Exchange(services, incoming, outgoing);
 			void (async () => {
 				try {
 					await exchange.run();
 				} catch (error) {
 					services.log.write({event: 'exchange-failed', detail: messageOf(error), stack: error instanceof Error ? error.stack : undefined}, 'error');
-					outgoing.destroy();
+					breakOff(outgoing);
 				} finally {
-					this.#running--;
+					this.#running.delete(outgoing);
 				}
 			})();
 		});
@@ -42,7 +43,7 @@
 
 	/** Number of requests in progress. */
 	get running(): number {
-		return this.#running;
+		return this.#running.size;
 	}
 
 	/** Closes connections without a request in progress. */
@@ -63,6 +64,10 @@
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
+		for (const outgoing of this.#running) {
+			breakOff(outgoing);
+		}
+
 		if (this.#server.listening) {
 			await closeServer(this.#server);
 		} else {
