Entry daemon: passed-on streams that end inside an event, and resets of responses without a length, are not done

The same class as in the gateway: runOnPlain took any proper end for the end of a stream, so that callers got x-outcome done for half an event; a response without a length whose reset came together with its last bytes was done as well (as in the gateway before). A passed-on stream that failed midway ended with an error event, which the rest of an unfinished event would have swallowed; its connection is closed now, reset for callers with HTTP/1.0. Frames of a resumed engine stream lost their id after a connection that broke off inside a character, since the decoder kept its first bytes.

--- a/src/entry/callers/answer.ts
+++ b/src/entry/callers/answer.ts
@@ -1,6 +1,7 @@
 /** The answer of one request: streamed to its callers, and kept if a caller may ask for it again. */
 import {once} from 'node:events';
 import {codes, type Outcome} from '../../core/index.js';
+import {breakOff} from '../../protocol/break-off.js';
 import {
 	endAnswer,
 	writePart,
@@ -157,7 +158,7 @@
 		for (const receiver of blocked) {
 			if (receiver.response.writableLength > maxBufferedBytes) {
 				this.detach(receiver);
-				receiver.response.destroy();
+				breakOff(receiver.response);
 			}
 		}
 	}
--- a/src/entry/callers/receivers.ts
+++ b/src/entry/callers/receivers.ts
@@ -1,6 +1,7 @@
 /** Writes an answer to one caller, as an event stream, a JSON body or the unchanged bytes of an upstream. */
 import {Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
+import {breakOff} from '../../protocol/break-off.js';
 import {frameSchema, streamEnd, type Frame} from '../../upstream/protocol.js';
 import {assertNever, type Outcome} from '../../core/index.js';
 import {
@@ -146,11 +147,12 @@
 }
 
 function endInterrupted(receiver: Receiver, outcome: Outcome): void {
-	const {response} = receiver;
-	if (String(response.getHeader('content-type')).startsWith(eventStreamType)) {
+	const {response, form} = receiver;
+	// The bytes of an upstream may have ended inside an event, to which another one would be joined.
+	if (form === 'stream') {
 		response.end(`event: error\ndata: ${JSON.stringify(createErrorBody(receiver.request, outcome))}\n\n`);
 	} else {
-		response.destroy();
+		breakOff(response);
 	}
 }
 
--- a/src/gateway/__tests__/bytes.test.ts
+++ b/src/gateway/__tests__/bytes.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {isFailure} from '../../core/index.js';
-import {EventSplitter} from '../callers/events.js';
+import {EventSplitter} from '../../protocol/event-splitter.js';
 import {filterEndToEndHeaders} from '../callers/headers.js';
 import {fromWireJob, toWireJob} from '../peers/load-messages.js';
 import {encode, createMessageReader, type Message} from '../peers/messages.js';
--- a/src/gateway/callers/caller-response.ts
+++ b/src/gateway/callers/caller-response.ts
@@ -3,9 +3,9 @@
 import {assertNever} from '../../core/index.js';
 import {isIdempotent, type AttemptEnding, type CancelReason} from '../../core/gateway/limits/retries.js';
 import {type Route} from '../../core/gateway/types.js';
+import {breakOff} from '../../protocol/break-off.js';
 import {type Reply} from '../upstreams/attempt.js';
 import {type RequestTrace} from '../requests/trace.js';
-import {breakOff} from './break-off.js';
 import {sendAnswer, notRunStatuses, type AnswerName} from './answers.js';
 import {
 	isStream, readBody, forwardEvents, forwardLongBody, writeHead, type ResponseBody,
--- a/src/gateway/callers/response-buffer.ts
+++ b/src/gateway/callers/response-buffer.ts
@@ -3,8 +3,8 @@
 import {once} from 'node:events';
 import {type ServerResponse} from 'node:http';
 import {setImmediate as turn} from 'node:timers/promises';
+import {breakOff} from '../../protocol/break-off.js';
 import {type RequestTrace} from '../requests/trace.js';
-import {breakOff} from './break-off.js';
 import {type ResponseBuffers} from './response-buffers.js';
 
 /** Most bytes that are handed to a socket at once; a caller's progress is noticed per piece. */
--- a/src/gateway/callers/response-forwarding.ts
+++ b/src/gateway/callers/response-forwarding.ts
@@ -3,16 +3,14 @@
 import {type ServerResponse} from 'node:http';
 import {messageOf} from '../../core/index.js';
 import {type AttemptEnding} from '../../core/gateway/limits/retries.js';
+import {EventSplitter, isEventStreamType} from '../../protocol/event-splitter.js';
 import {type Reply} from '../upstreams/attempt.js';
-import {EventSplitter} from './events.js';
 import {filterEndToEndHeaders} from './headers.js';
 import {type ReadingObserver, type ResponseBuffer} from './response-buffer.js';
 
 /** A body up to this size is buffered until it is complete; a longer one is forwarded as it arrives. */
 const maxBufferedBytes = 1_000_000;
 
-const eventStreamType = /^text\/event-stream\s*(?:;|$)/iv;
-
 const contentLengthOnly: ReadonlySet<string> = new Set(['content-length']);
 
 /** Notified of the progress of a stream. */
@@ -26,7 +24,7 @@
  * @returns Whether its body is a stream of server-sent events.
  */
 export function isStream(reply: Reply): boolean {
-	return reply.status >= 200 && reply.status < 300 && eventStreamType.test(reply.body.headers['content-type'] ?? '');
+	return reply.status >= 200 && reply.status < 300 && isEventStreamType(reply.body.headers['content-type']);
 }
 
 /**
--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -1,8 +1,8 @@
 /** HTTP servers for callers, and for the balancer's readiness checks. */
 import {createServer, type Server, type ServerResponse} from 'node:http';
 import {messageOf, type Address} from '../../core/index.js';
+import {breakOff} from '../../protocol/break-off.js';
 import {type GatewayServices} from '../services.js';
-import {breakOff} from './break-off.js';
 import {Exchange} from './exchange.js';
 import {closeServer, openServer} from './listening.js';
 
--- a/src/gateway/upstreams/attempt.ts
+++ b/src/gateway/upstreams/attempt.ts
@@ -3,9 +3,9 @@
 import {
 	request, type Agent, type ClientRequest, type IncomingMessage,
 } from 'node:http';
-import {type Socket} from 'node:net';
 import {type Address} from '../../core/index.js';
 import {type AttemptEnding, type CancelReason} from '../../core/gateway/limits/retries.js';
+import {probeEnd} from '../../protocol/connection-end.js';
 import {findFraming, type Framing} from '../../protocol/response-framing.js';
 import {type HeaderFormat, type ResponseMetadata} from '../platform-adapter.js';
 
@@ -64,30 +64,6 @@
 	return status >= 200 && status < 300 && !metadata.isSigned ? 'unsigned answer' : undefined;
 }
 
-/**
- * Distinguishes an end from a reset for a response whose body lasts until the connection ends. When bytes and a reset arrive together,
- * libuv reports an end and drops the reset (about 1 in 12 responses cut off this way). A write reveals the reset because it fails. The
- * empty line that is written has no effect: no request follows on this connection.
- *
- * @param socket - Connection of the response.
- * @returns Whether the connection ended without a reset.
- */
-async function probeEnd(socket: Socket): Promise<boolean> {
-	return new Promise(resolve => {
-		socket.once('error', () => {
-			resolve(false);
-		});
-		socket.once('close', hadError => {
-			resolve(!hadError);
-		});
-		socket.prependOnceListener('end', () => {
-			socket.write('\r\n', error => {
-				resolve(error === undefined || error === null);
-			});
-		});
-	});
-}
-
 /** One attempt to have a request answered by one upstream; the request is sent by `reply`. */
 export class Attempt {
 	readonly #request: UpstreamRequest;
--- a/src/gateway/callers/events.ts
+++ b/src/protocol/event-splitter.ts
@@ -4,6 +4,8 @@
 /** A longer unfinished event is passed on as it is. */
 const maxEventBytes = 1_000_000;
 
+const eventStreamType = /^text\/event-stream\s*(?:;|$)/iv;
+
 const blankLine = /(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r(?!\n))/gv;
 const idLine = /(?:^|[\r\n])id: ?([^\r\n]*)/gv;
 
@@ -16,6 +18,14 @@
 /** Ids that a header can carry. */
 const sendableId = /^[\u0021-\u007E](?:[\u0020-\u007E]*[\u0021-\u007E])?$/v;
 
+/**
+ * @param type - Content type of a response, if it has one.
+ * @returns Whether the response is a stream of server-sent events.
+ */
+export function isEventStreamType(type: string | undefined): boolean {
+	return type !== undefined && eventStreamType.test(type);
+}
+
 /** Complete events. */
 export type WholeEvents = {
 	readonly bytes: Buffer;
--- a/src/upstream/follower.ts
+++ b/src/upstream/follower.ts
@@ -23,7 +23,7 @@
 export class FrameFollower {
 	readonly #sink: FrameSink;
 	readonly #idPrefix: string;
-	readonly #decoder = new TextDecoder();
+	#decoder = new TextDecoder();
 	#nextOffset: number;
 	#tokens = 0;
 	#cachedTokens: number | undefined;
@@ -56,6 +56,7 @@
 	startConnection(): void {
 		this.#connectionEnd = undefined;
 		this.#parser = this.#createParser();
+		this.#decoder = new TextDecoder();
 	}
 
 	/**
--- a/src/upstream/plain.ts
+++ b/src/upstream/plain.ts
@@ -1,10 +1,14 @@
 /** Passes calls to plain services, legacy endpoints and other hosts, and streams their responses back unchanged. */
-import {type IncomingMessage} from 'node:http';
+import {Buffer} from 'node:buffer';
+import {type ClientRequest, type IncomingMessage} from 'node:http';
 import {type Method} from 'got';
 import {
 	messageOf, codes, type Address, type Ending,
 } from '../core/index.js';
+import {probeEnd} from '../protocol/connection-end.js';
+import {EventSplitter, isEventStreamType} from '../protocol/event-splitter.js';
 import {hopByHopHeaders} from '../protocol/hop-by-hop-headers.js';
+import {findFraming} from '../protocol/response-framing.js';
 import {getClient, SendTracker, createUrl} from './connection.js';
 
 export type EndToEndHeaders = Readonly<Record<string, string | readonly string[]>>;
@@ -64,6 +68,50 @@
 	return isBodiless && body.byteLength === 0 ? {} : {body, allowGetBody: true};
 }
 
+/** Tells whether a response is complete whose framing says so. */
+class ResponseEnd {
+	readonly #method: string;
+	/** Set for a stream of events. */
+	#splitter: EventSplitter | undefined;
+	#properEnd: Promise<boolean> | undefined;
+
+	constructor(method: string) {
+		this.#method = method;
+	}
+
+	/** Observes a response from its head on. */
+	observe(response: IncomingMessage): void {
+		if (isEventStreamType(response.headers['content-type'])) {
+			this.#splitter = new EventSplitter();
+		}
+
+		if (findFraming(this.#method, response.statusCode ?? 0, response.headers) === 'connection') {
+			this.#properEnd = probeEnd(response.socket);
+		}
+	}
+
+	push(bytes: Uint8Array): void {
+		this.#splitter?.push(Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength));
+	}
+
+	/** Returns why a response is not complete that has ended as its framing demands. */
+	async findBreak(): Promise<string | undefined> {
+		if (this.#splitter?.isInsideEvent === true) {
+			return 'the stream ended inside an event';
+		}
+
+		if (this.#properEnd === undefined) {
+			return undefined;
+		}
+
+		if (this.#splitter?.hasEvents === false) {
+			return 'the connection ended before the first event';
+		}
+
+		return await this.#properEnd ? undefined : 'the connection was reset';
+	}
+}
+
 /**
  * Sends one call and streams its response to the sink.
  *
@@ -78,6 +126,12 @@
 		signal: call.signal,
 	});
 	stream.once('request', tracker.createRequestListener(sink.written));
+	const end = new ResponseEnd(call.method);
+	stream.once('request', (request: ClientRequest) => {
+		request.once('response', response => {
+			end.observe(response);
+		});
+	});
 	let hasAnswered = false;
 	stream.once('response', (response: IncomingMessage) => {
 		hasAnswered = true;
@@ -85,13 +139,18 @@
 	});
 	try {
 		for await (const chunk of stream) {
-			const backpressure = sink.bytes(toBytes(chunk));
+			const bytes = toBytes(chunk);
+			end.push(bytes);
+			const backpressure = sink.bytes(bytes);
 			if (backpressure !== undefined) {
 				await backpressure;
 			}
 		}
 
-		return {type: 'done', tokens: 0};
+		const brokenOff = await end.findBreak();
+		return brokenOff === undefined
+			? {type: 'done', tokens: 0}
+			: createInterruptedEnding(tracker.isWritten, hasAnswered, call.signal, brokenOff);
 	} catch (error) {
 		return createInterruptedEnding(tracker.isWritten, hasAnswered, call.signal, messageOf(error));
 	} finally {
--- a/xo.config.js
+++ b/xo.config.js
@@ -83,6 +83,13 @@
 			],
 		},
 	},
+	{
+		files: ['src/protocol/event-splitter.ts'],
+		rules: {
+			// Streams and HTTP of Node.js use Buffer.
+			'@typescript-eslint/no-restricted-types': 'off',
+		},
+	},
 	{
 		files: ['src/gateway/**/*.ts'],
 		rules: {
