--- a/bench/soak/plan.ts
+++ b/bench/soak/plan.ts
@@ -2,6 +2,11 @@
 import {type Random} from '../../src/core/index.js';
 import {createRandom} from '../model/workload.js';
 
+/** How an upstream fails requests, or frames its responses. */
+const upstreamFaults = ['shed', 'error', 'lost', 'dark', 'cut', 'extra', 'unframed', 'unframed-cut', 'unframed-reset', 'unframed-reset-at-once', 'ended-inside'] as const;
+
+type UpstreamFault = typeof upstreamFaults[number];
+
 /** A fault; times are in milliseconds. */
 export type Fault
 	/** SIGKILL, then a restart after `down`. */
@@ -19,7 +24,7 @@
 	/** The store gets a new configuration version. */
 		| {readonly type: 'publish'}
 	/** An upstream fails requests in the given way. */
-		| {readonly type: 'upstream'; readonly upstream: number; readonly fault: 'shed' | 'error' | 'lost' | 'dark' | 'cut' | 'extra' | 'unframed-reset'; readonly length: number}
+		| {readonly type: 'upstream'; readonly upstream: number; readonly fault: UpstreamFault; readonly length: number}
 	/** An upstream's registration is removed, and added again after `length`. */
 		| {readonly type: 'leave'; readonly upstream: number; readonly length: number}
 	/** Upstreams state a rate limit, in requests per second. */
@@ -151,7 +156,7 @@
 
 		case 'upstream': {
 			return {
-				type, upstream, fault: pick(random, ['shed', 'error', 'lost', 'dark', 'cut', 'extra', 'unframed-reset']), length,
+				type, upstream, fault: pick(random, upstreamFaults), length,
 			};
 		}
 
--- a/src/gateway/__tests__/bytes.test.ts
+++ b/src/gateway/__tests__/bytes.test.ts
@@ -34,6 +34,27 @@
 		}));
 	});
 
+	it('end inside an event exactly where a part of one is missing, wherever the stream and its chunks are cut', () => {
+		const line = fc.constantFrom('\n', '\r', '\r\n');
+		const field = fc.constantFrom('id: 7', 'data: ü', 'data:', 'event: x', 'retry: 1');
+		const event = fc.tuple(fc.array(field, {minLength: 1, maxLength: 3}), line).map(([fields, end]) => fields.map(each => each + end).join('') + end);
+		fc.assert(fc.property(fc.array(event, {minLength: 1, maxLength: 5}), fc.nat(), fc.array(fc.nat(), {maxLength: 6}), (all, cut, cuts) => {
+			const bytes = Buffer.from(all.join(''));
+			const length = cut % (bytes.length + 1);
+			const offsets = [0, ...cuts.map(each => each % (length + 1)).toSorted((a, b) => a - b), length];
+			const splitter = new EventSplitter();
+			const passed = offsets.slice(1).map((to, index) => splitter.push(bytes.subarray(offsets[index], to)).bytes);
+			// A line end of two characters ends the event with its first one.
+			let end = 0;
+			const isWhole = length === 0 || all.some(each => {
+				end += Buffer.byteLength(each);
+				return end === length || (each.endsWith('\r\n') && end - 1 === length);
+			});
+			expect(splitter.isInsideEvent).toBe(!isWhole);
+			expect(Buffer.concat([...passed, splitter.rest]).equals(bytes.subarray(0, length))).toBe(true);
+		}), {numRuns: 2000});
+	});
+
 	it.each(['\n', '\r', '\r\n'])('have their ids found with lines that end with %j', line => {
 		const splitter = new EventSplitter();
 		expect(splitter.push(Buffer.from(['id:', 'data: id: 8', '', 'id:9', 'data: \u2028id: 10', '', ''].join(line)))).toMatchObject({count: 2, lastId: '9'});
