--- a/bench/gateway/site.ts
+++ b/bench/gateway/site.ts
@@ -3,11 +3,13 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {z} from 'zod';
 import {claimWorkerPort} from '../fleet/ports.js';
 import {type Address} from '../../src/core/index.js';
 import {Ledger} from '../../stand-ins/gateway/ledger.js';
 import {StoreStandIn} from '../../stand-ins/gateway/store.js';
 import {UpstreamStandIn} from '../../stand-ins/gateway/upstream.js';
+import {SeverableLink, type Severance} from '../../stand-ins/proxy/severable-link.js';
 import {sendRequest, type Answer, type CallerRequest} from './caller-requests.js';
 import {createConfiguration, apiKey, engineModel} from './configuration.js';
 import {Host} from './host.js';
@@ -15,6 +17,9 @@
 /** Time within which a host must be ready; on a busy machine it takes seconds. */
 const readyTimeoutMs = 30_000;
 
+/** Shared by hosts that see upstreams at different addresses. */
+const fleetKey = 'key of the hosts of one site';
+
 export type SiteOptions = {
 	readonly hosts?: number;
 	readonly engines?: number;
@@ -27,6 +32,8 @@
 	readonly extraSeeds?: readonly Address[];
 	/** Index of the host that uses the secondary address of the store. */
 	readonly secondaryStoreHost?: number;
+	/** Whether each host has links of its own to the upstreams, which `sever` severs. Hosts see different addresses, and know each other by a key. */
+	readonly hasSeverableLinks?: boolean;
 	/** Wraps a target address, for example in a proxy link, and returns the address to connect to. */
 	readonly link?: (name: string, target: Address) => Promise<Address>;
 };
@@ -58,8 +65,13 @@
 
 		site.store.put('op/config', createConfiguration(1));
 		for (let index = 0; index < (options.hosts ?? 1); index++) {
-			const address = index === options.secondaryStoreHost ? site.store.secondaryAddress : await site.#link(`store-host-${index}`, site.store.address);
-			await site.#addHost(`host-${index}`, options.extraSeeds ?? [], {failureDomain: domainOf(index), store: formatAddress(address), ...options.settings});
+			const name = `host-${index}`;
+			const address = index === options.secondaryStoreHost ? site.store.secondaryAddress : await site.#link(`store-${name}`, site.store.address);
+			const store = options.hasSeverableLinks === true ? await site.#openSeverableLinks(name) : address;
+			const fleet = options.hasSeverableLinks === true ? {fleet: {keys: [fleetKey]}} : {};
+			await site.#addHost(name, options.extraSeeds ?? [], {
+				failureDomain: domainOf(index), store: formatAddress(store), ...fleet, ...options.settings,
+			});
 		}
 
 		await Promise.all(site.hosts.map(async host => site.waitUntilReady(host)));
@@ -74,12 +86,31 @@
 	readonly #link: (name: string, target: Address) => Promise<Address>;
 	/** Addresses at which hosts reach the upstreams, by upstream id. */
 	readonly #upstreamAddresses = new Map<string, Address>();
+	/** Links to the upstreams, by host and upstream. */
+	readonly #severableLinks = new Map<string, Map<string, SeverableLink>>();
 	readonly #directory = mkdtempSync(path.join(tmpdir(), 'site-'));
 
 	private constructor(link: (name: string, target: Address) => Promise<Address>) {
 		this.#link = link;
 	}
 
+	/**
+	 * Severs links between a host and upstreams.
+	 *
+	 * @param host - Index of the host.
+	 * @param severance - What becomes of its connections.
+	 * @param upstreams - Ids of the upstreams; all if absent.
+	 */
+	async sever(host: number, severance: Severance, upstreams?: readonly string[]): Promise<void> {
+		const links = [...this.#severableLinks.get(`host-${host}`) ?? []].filter(([upstream]) => upstreams?.includes(upstream) ?? true);
+		await Promise.all(links.map(async ([, link]) => link.sever(severance)));
+	}
+
+	/** Restores all links of a host. */
+	async restore(host: number): Promise<void> {
+		await Promise.all([...this.#severableLinks.get(`host-${host}`)?.values() ?? []].map(async link => link.restore()));
+	}
+
 	/** Writes the current registration of an upstream to the store. */
 	register(upstream: UpstreamStandIn): void {
 		this.store.put(`servers/${upstream.id}`, {...upstream.createRegistration(), Address: formatAddress(this.#upstreamAddresses.get(upstream.id) ?? upstream.address)});
@@ -121,6 +152,7 @@
 
 	async [Symbol.asyncDispose](): Promise<void> {
 		await Promise.all(this.hosts.map(async host => host.kill()));
+		await Promise.all([...this.#severableLinks.values()].flatMap(links => [...links.values()].map(async link => link[Symbol.asyncDispose]())));
 		for (const upstream of [...this.engines, ...this.plains]) {
 			await upstream[Symbol.asyncDispose]();
 		}
@@ -129,9 +161,23 @@
 		rmSync(this.#directory, {recursive: true, force: true});
 	}
 
+	/** Opens links from a host to all upstreams, and returns the address of a store that shows their addresses. */
+	async #openSeverableLinks(host: string): Promise<Address> {
+		const links = new Map<string, SeverableLink>();
+		for (const upstream of [...this.engines, ...this.plains]) {
+			links.set(upstream.id, await SeverableLink.open(upstream.address));
+		}
+
+		this.#severableLinks.set(host, links);
+		return this.store.listenAs((key, value) => {
+			const link = links.get(key.replace('servers/', ''));
+			return link === undefined ? value : {...z.looseObject({}).parse(value), Address: formatAddress(link.address)};
+		});
+	}
+
 	async #addHost(name: string, extraSeeds: readonly Address[], settings: Readonly<Record<string, unknown>>): Promise<void> {
 		const ports: number[] = [];
-		while (ports.length < 4) {
+		while (ports.length < 5) {
 			ports.push(await claimWorkerPort());
 		}
 
@@ -143,6 +189,7 @@
 			ready: formatAddress(host.ready),
 			peer: formatAddress(host.peer),
 			metrics: formatAddress(host.metrics),
+			relay: formatAddress(host.relay),
 			seeds: [(this.hosts[0] ?? host).peer, ...extraSeeds].map(seed => formatAddress(seed)),
 			...settings,
 		}));
--- a/stand-ins/gateway/store.ts
+++ b/stand-ins/gateway/store.ts
@@ -27,7 +27,11 @@
 	readonly revision: number;
 };
 
+/** What one reader sees in place of the value of a key. */
+export type StoreView = (key: string, value: unknown) => unknown;
+
 type PendingWatch = {
+	readonly view: StoreView | undefined;
 	readonly prefix: string;
 	readonly after: number;
 	readonly outgoing: ServerResponse;
@@ -50,6 +54,7 @@
 	onRange: (() => void) | undefined;
 	readonly #server: Server;
 	readonly #secondaryServer: Server;
+	readonly #viewServers: Server[] = [];
 	#items = new Map<string, Item>();
 	#history: Event[] = [];
 	#compactedRevision = 0;
@@ -82,6 +87,23 @@
 		return {host: loopback, port: getPort(this.#secondaryServer)};
 	}
 
+	/**
+	 * Opens another address of the same store.
+	 *
+	 * @param view - Changes what its readers see.
+	 * @returns The address.
+	 */
+	async listenAs(view: StoreView): Promise<Address> {
+		const server = createServer((incoming, outgoing) => {
+			this.calls++;
+			this.#handleCall(this.mode, incoming, outgoing, view);
+		});
+		this.#viewServers.push(server);
+		server.listen(0, loopback);
+		await once(server, 'listening');
+		return {host: loopback, port: getPort(server)};
+	}
+
 	/** Starts to listen on free ports. */
 	async listen(): Promise<void> {
 		for (const server of [this.#server, this.#secondaryServer]) {
@@ -135,7 +157,7 @@
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
-		for (const server of [this.#server, this.#secondaryServer]) {
+		for (const server of [this.#server, this.#secondaryServer, ...this.#viewServers]) {
 			const closed = once(server, 'close');
 			server.close();
 			server.closeAllConnections();
@@ -155,7 +177,7 @@
 		for (const watch of this.#pendingWatches) {
 			if (event.Key.startsWith(watch.prefix)) {
 				this.#removeWatch(watch);
-				this.#sendEvents(watch.prefix, watch.after, watch.outgoing);
+				this.#sendEvents(watch);
 			}
 		}
 	}
@@ -165,14 +187,14 @@
 		this.#pendingWatches.delete(watch);
 	}
 
-	#handleCall(mode: StoreMode, incoming: IncomingMessage, outgoing: ServerResponse): void {
+	#handleCall(mode: StoreMode, incoming: IncomingMessage, outgoing: ServerResponse, view?: StoreView): void {
 		if (this.era !== undefined) {
 			outgoing.setHeader('Store-Era', this.era);
 		}
 
 		switch (mode) {
 			case 'serving': {
-				this.#serve(incoming, outgoing);
+				this.#serve(incoming, outgoing, view);
 				return;
 			}
 
@@ -197,17 +219,19 @@
 		}
 	}
 
-	#serve(incoming: IncomingMessage, outgoing: ServerResponse): void {
+	#serve(incoming: IncomingMessage, outgoing: ServerResponse, view: StoreView | undefined): void {
 		const url = new URL(incoming.url ?? '/', 'http://store');
 		const prefix = url.searchParams.get('Prefix') ?? '';
 		switch (url.pathname) {
 			case '/v1/kv-range': {
-				this.#sendRange(prefix, url.searchParams.get('After') ?? '', outgoing);
+				this.#sendRange(prefix, url.searchParams.get('After') ?? '', outgoing, view);
 				return;
 			}
 
 			case '/v1/kv-watch': {
-				this.#watch(prefix, Number(url.searchParams.get('After')), Number(url.searchParams.get('WaitMs')), outgoing);
+				this.#watch({
+					view, prefix, after: Number(url.searchParams.get('After')), outgoing,
+				}, Number(url.searchParams.get('WaitMs')));
 				return;
 			}
 
@@ -218,27 +242,26 @@
 		}
 	}
 
-	#sendRange(prefix: string, after: string, outgoing: ServerResponse): void {
+	#sendRange(prefix: string, after: string, outgoing: ServerResponse, view: StoreView | undefined): void {
 		this.onRange?.();
 		const keys = [...this.#items.keys()].filter(key => key.startsWith(prefix) && key > after).toSorted();
 		const page = keys.slice(0, maxPageItems);
-		sendJson(outgoing, {Items: page.map(key => this.#items.get(key)), MorePages: keys.length > page.length, AsOf: this.#revision});
+		sendJson(outgoing, {Items: page.map(key => applyView(this.#items.get(key)!, view)), MorePages: keys.length > page.length, AsOf: this.#revision});
 	}
 
-	#watch(prefix: string, after: number, timeout: number, outgoing: ServerResponse): void {
+	#watch(query: Omit<PendingWatch, 'timer'>, timeout: number): void {
+		const {prefix, after} = query;
 		const hasEvents = this.#history.some(event => event.Revision > after && event.Key.startsWith(prefix));
 		if (hasEvents || !this.#hasHistoryAfter(after)) {
-			this.#sendEvents(prefix, after, outgoing);
+			this.#sendEvents(query);
 			return;
 		}
 
 		const watch: PendingWatch = {
-			prefix,
-			after,
-			outgoing,
+			...query,
 			timer: setTimeout(() => {
 				this.#pendingWatches.delete(watch);
-				this.#sendEvents(prefix, after, outgoing);
+				this.#sendEvents(query);
 			}, timeout),
 		};
 		this.#pendingWatches.add(watch);
@@ -248,7 +271,9 @@
 		return revision >= this.#compactedRevision && revision <= this.#revision;
 	}
 
-	#sendEvents(prefix: string, after: number, outgoing: ServerResponse): void {
+	#sendEvents({
+		prefix, after, outgoing, view,
+	}: Omit<PendingWatch, 'timer'>): void {
 		if (!this.#hasHistoryAfter(after)) {
 			outgoing.writeHead(410);
 			outgoing.end();
@@ -256,8 +281,17 @@
 		}
 
 		const events = this.#history.filter(event => event.Revision > after && event.Key.startsWith(prefix));
-		sendJson(outgoing, {events, AsOf: this.#revision});
+		sendJson(outgoing, {events: events.map(event => 'Value' in event ? applyView(event, view) : event), AsOf: this.#revision});
+	}
+}
+
+function applyView(item: Item, view: StoreView | undefined): Item {
+	if (view === undefined) {
+		return item;
 	}
+
+	const value: unknown = JSON.parse(Buffer.from(item.Value, 'base64').toString('utf8'));
+	return {...item, Value: Buffer.from(JSON.stringify(view(item.Key, value))).toString('base64')};
 }
 
 function sendJson(outgoing: ServerResponse, value: unknown): void {
