Tests of tunnels and links, and of a tunnel's host that fails halfway or stops

A host that dies while it carries a stream and a request that may run once: the stream goes on elsewhere, the request isn't repeated and gets 502 or 504. A planned stop of it cuts nothing. An engine that is silent for a second is no cut; without cuts there is no tunnel.

--- a/__tests__/gateway/cut-from-upstreams.test.ts
+++ b/__tests__/gateway/cut-from-upstreams.test.ts
@@ -94,3 +94,96 @@
 	expect(await findUnservedOf(deployment, 0, 'cut-0', 4)).toEqual([]);
 	expect(await findUnservedOf(deployment, 1, 'cut-1', 4)).toEqual([]);
 });
+
+/** Cuts host 0 from all upstreams, and waits until it knows. */
+async function cutFirstHost(deployment: Site): Promise<void> {
+	await deployment.sever(0, 'reset');
+	await Promise.all([sleep(learningTimeMs), findUnserved(deployment, 0, 'learning')]);
+	expect(deployment.hosts[0]!.findLogLines('tunnel-opened').length).toBeGreaterThan(0);
+}
+
+function findTunnelPeers(deployment: Site): readonly string[] {
+	return deployment.hosts[0]!.findLogLines('tunnel-opened').map(({peer}) => String(peer));
+}
+
+describe('a host that opens tunnels for another one', () => {
+	it('dies halfway: streams go on elsewhere, what may have run isn\'t repeated, and nothing false is promised', async () => {
+		const deployment = await startSite();
+		await cutFirstHost(deployment);
+		for (const plain of deployment.plains) {
+			plain.fault = 'dark';
+		}
+
+		const host = deployment.hosts[0];
+		const stream = deployment.ask({path: '/ask/x', id: 'half-ask', headers: createPromptHeaders(1000, 400)}, host);
+		const once = deployment.ask({path: '/once/x', id: 'half-once', body: 'b'}, host);
+		await expect.poll(() => deployment.ledger.findRuns('half-ask').length + deployment.ledger.findRuns('half-once').length, {timeout: 3000}).toBe(2);
+		const peer = deployment.hosts.find(({name}) => name === findTunnelPeers(deployment).at(-1))!;
+		await peer.kill();
+		await sleep(300);
+		for (const plain of deployment.plains) {
+			plain.fault = 'none';
+		}
+
+		const [streamed, answered] = await Promise.all([stream, once]);
+		expect(parseEventIds(streamed)).toEqual(Array.from({length: 400}, (_, index) => index + 1));
+		expect([502, 504]).toContain(answered.status);
+		expect(deployment.ledger.findRuns('half-once')).toHaveLength(1);
+		expect(await findUnservedOf(deployment, 0, 'after-death', 3)).toEqual([]);
+	});
+
+	it('stops as planned: it lets requests in its tunnels end, and new ones go over another host', async () => {
+		const deployment = await startSite();
+		await cutFirstHost(deployment);
+		const pending = Array.from({length: 6}, async (_, index) => deployment.ask({path: '/ask/x', id: `stop-${index}`, headers: createPromptHeaders(1000, 200)}, deployment.hosts[0]));
+		await sleep(50);
+		const peer = deployment.hosts.find(({name}) => name === findTunnelPeers(deployment).at(-1))!;
+		peer.process.kill('SIGTERM');
+		await sleep(200);
+		expect(await findUnservedOf(deployment, 0, 'while-stopping', 4)).toEqual([]);
+		for (const answer of await Promise.all(pending)) {
+			expect(parseEventIds(answer)).toHaveLength(200);
+		}
+
+		const listEndings = () => deployment.hosts[0]!.findLogLines('attempt-ended').filter(({request}) => String(request).startsWith('stop-')).map(({ending}) => ending);
+		await expect.poll(listEndings).toEqual(pending.map(() => 'answered'));
+	});
+});
+
+it('takes an engine that is silent for a second for no cut', async () => {
+	const deployment = await startSite();
+	for (const engine of deployment.engines) {
+		engine.slowness = 600;
+	}
+
+	const pending = deployment.ask({path: '/ask/x', id: 'slow', headers: createPromptHeaders(1000, 2)});
+	await sleep(1200);
+	for (const engine of deployment.engines) {
+		engine.slowness = 1;
+	}
+
+	const answer = await pending;
+	expect(answer.status).toBe(200);
+	expect(deployment.hosts.flatMap(host => host.findLogLines('link-cut'))).toEqual([]);
+});
+
+it('opens no tunnel while all links are sound', async () => {
+	const deployment = await startSite();
+	for (const host of [0, 1, 2]) {
+		expect(await findUnservedOf(deployment, host, `calm-${host}`, 4)).toEqual([]);
+	}
+
+	expect(deployment.hosts.flatMap(host => [...host.findLogLines('tunnel-opened'), ...host.findLogLines('tunnel-served')])).toEqual([]);
+});
+
+it('is told by the logs of both hosts which host carried a request', async () => {
+	const deployment = await startSite();
+	await cutFirstHost(deployment);
+	await findUnserved(deployment, 0, 'traced');
+	const findLine = () => deployment.hosts[0]!.findLogLines('attempt-ended', 'traced-ask')[0];
+	await expect.poll(() => findLine()?.tunnel).toBeDefined();
+	const tunnel = findLine()?.tunnel;
+	const opened = deployment.hosts[0]!.findLogLines('tunnel-opened').find(line => line.tunnel === tunnel);
+	const peer = deployment.hosts.find(({name}) => name === opened?.peer)!;
+	expect(peer.findLogLines('tunnel-served').filter(line => line.tunnel === tunnel)).toMatchObject([{peer: 'host-0', upstream: opened!.upstream}]);
+});
--- a/src/core/gateway/health/links.ts
+++ b/src/core/gateway/health/links.ts
@@ -153,7 +153,7 @@
 		}
 
 		const domains = new Set(cuts.map(each => each.domain));
-		const isHostCut = cuts.length >= hostThreshold && domains.size > 1 && [...domains, domain].every(each => this.#isUnconnectedSince(cuts, each));
+		const isHostCut = cuts.length >= hostThreshold && domains.size > 1 && [...this.#connectedAt.keys()].every(each => this.#isUnconnectedSince(cuts, each));
 		return isHostCut ? cuts.at(-1)!.failure : undefined;
 	}
 
