Soak draws hosts that lose their links to upstreams

Each host gets links of its own to the upstreams; single hosts, or all but one, lose those to some or all of them: they hang, are reset, or refuse new connections.

--- a/bench/gateway/site.ts
+++ b/bench/gateway/site.ts
@@ -66,8 +66,8 @@
 		site.store.put('op/config', createConfiguration(1));
 		for (let index = 0; index < (options.hosts ?? 1); index++) {
 			const name = `host-${index}`;
-			const address = index === options.secondaryStoreHost ? site.store.secondaryAddress : await site.#link(`store-${name}`, site.store.address);
-			const store = options.hasSeverableLinks === true ? await site.#openSeverableLinks(name) : address;
+			const seen = options.hasSeverableLinks === true ? await site.#openSeverableLinks(name) : site.store.address;
+			const store = index === options.secondaryStoreHost ? site.store.secondaryAddress : await site.#link(`store-${name}`, seen);
 			const fleet = options.hasSeverableLinks === true ? {fleet: {keys: [fleetKey]}} : {};
 			await site.#addHost(name, options.extraSeeds ?? [], {
 				failureDomain: domainOf(index), store: formatAddress(store), ...fleet, ...options.settings,
@@ -165,7 +165,7 @@
 	async #openSeverableLinks(host: string): Promise<Address> {
 		const links = new Map<string, SeverableLink>();
 		for (const upstream of [...this.engines, ...this.plains]) {
-			links.set(upstream.id, await SeverableLink.open(upstream.address));
+			links.set(upstream.id, await SeverableLink.open(this.#upstreamAddresses.get(upstream.id) ?? upstream.address));
 		}
 
 		this.#severableLinks.set(host, links);
--- a/bench/soak/__tests__/soak.test.ts
+++ b/bench/soak/__tests__/soak.test.ts
@@ -139,23 +139,24 @@
 
 describe('planFaults', () => {
 	const options = {
-		hosts: 3, upstreams: 5, engines: 3, links: 5, domains: 2, length: 60_000,
+		hosts: 3, upstreams: 5, engines: 3, links: 5, domains: 2, length: 60_000, hasSeverableLinks: true,
 	};
 
 	it('returns the same plan for the same seed, and draws every type of fault', () => {
 		const all = Array.from({length: 10}, (_, seed) => planFaults(seed + 1, options));
 		expect(planFaults(1, options)).toEqual(all[0]);
-		expect(new Set(all.flat().map(({fault}) => fault.type)).size).toBe(18);
+		expect(new Set(all.flat().map(({fault}) => fault.type)).size).toBe(19);
 	});
 });
 
 describe('real gateway processes', () => {
 	it.each([
-		[3, 'a caller that connected as a stop ended lost its connection'],
-		[404, 'a caller whose connection was not accepted when the socket closed lost it'],
-	])('keep every guarantee (seed %i: %s)', {timeout: 120_000}, async seed => {
+		[3, false, 'a caller that connected as a stop ended lost its connection'],
+		[404, false, 'a caller whose connection was not accepted when the socket closed lost it'],
+		[110_002, true, 'hosts lose their links to upstreams'],
+	])('keep every guarantee (seed %i, severable links %s: %s)', {timeout: 120_000}, async (seed, hasSeverableLinks) => {
 		const result = await runSoak({
-			seed, hosts: 3, clients: 8, length: 12_000,
+			seed, hosts: 3, clients: 8, length: 12_000, hasSeverableLinks,
 		});
 		expect(result.broken, result.history.join('\n')).toEqual([]);
 		expect(result.served).toBeGreaterThan(50);
--- a/bench/soak/plan.ts
+++ b/bench/soak/plan.ts
@@ -1,5 +1,6 @@
 /** Plans the faults of a soak and their times from a seed. */
 import {type Random} from '../../src/core/index.js';
+import {type Severance} from '../../stand-ins/proxy/severable-link.js';
 import {createRandom} from '../model/workload.js';
 
 /** How an upstream fails requests, or frames its responses. */
@@ -41,6 +42,8 @@
 		| {readonly type: 'foreign-seed'; readonly host: number}
 	/** SIGKILL, then a host of another fleet at the same peer address for `length`, then a restart. */
 		| {readonly type: 'foreign-address'; readonly host: number; readonly length: number}
+	/** Hosts lose their links to some upstreams, or to all. Only where each host has links of its own. */
+		| {readonly type: 'sever'; readonly hosts: readonly number[]; readonly upstreams: readonly number[]; readonly how: Severance; readonly length: number}
 	/** A fault of the link to the store or to a plain service. */
 		| {readonly type: 'link'; readonly link: number; readonly how: 'delay' | 'cut' | 'refuse' | 'black-hole'; readonly length: number};
 
@@ -58,6 +61,8 @@
 	readonly links: number;
 	/** Number of failure domains. */
 	readonly domains: number;
+	/** Whether each host has links of its own to the upstreams. */
+	readonly hasSeverableLinks: boolean;
 	/** Milliseconds in which faults begin. */
 	readonly length: number;
 };
@@ -96,6 +101,12 @@
 const foreignSeedOffset = 5_000_003;
 const gapBetweenForeignHosts = {least: 3000, most: 12_000};
 
+/** The same for links that are severed, and milliseconds between two of these faults. */
+const severanceSeedOffset = 6_000_003;
+const gapBetweenSeverances = {least: 1000, most: 6000};
+const severanceLengthMs = {least: 1000, most: 7000};
+const severances: readonly Severance[] = ['hang', 'reset', 'refuse-new'];
+
 const foreignTypes = ['foreign-seed', 'foreign-address'] as const;
 
 const statementTypes = ['limit', 'depart', 'refuse'] as const;
@@ -188,6 +199,17 @@
 			return {type, domain: random.integer(0, options.domains - 1), length: random.integer(evacuationLengthMs.least, evacuationLengthMs.most)};
 		}
 
+		case 'sever': {
+			const isOne = random.integer(0, 1) === 0;
+			return {
+				type,
+				hosts: Array.from({length: options.hosts}, (_, index) => index).filter(index => (index === host) === isOne),
+				upstreams: random.integer(0, 2) === 0 ? drawUpstreams(random, options) : Array.from({length: options.upstreams}, (_, index) => index),
+				how: pick(random, severances),
+				length: random.integer(severanceLengthMs.least, severanceLengthMs.most),
+			};
+		}
+
 		case 'link': {
 			return {
 				type, link: random.integer(0, options.links - 1), how: pick(random, ['delay', 'cut', 'refuse', 'black-hole']), length,
@@ -196,57 +218,41 @@
 	}
 }
 
-function planStatements(seed: number, options: PlanOptions): readonly PlannedFault[] {
-	const random = createRandom(seed + statementSeedOffset);
-	const planned: PlannedFault[] = [];
-	for (let at = random.integer(0, gapBetweenStatements.most); at < options.length; at += random.integer(gapBetweenStatements.least, gapBetweenStatements.most)) {
-		planned.push({at, fault: drawFault(random, pick(random, statementTypes), options)});
-	}
-
-	return planned;
-}
-
-function planColdEngines(seed: number, options: PlanOptions): readonly PlannedFault[] {
-	const random = createRandom(seed + coldSeedOffset);
-	const planned: PlannedFault[] = [];
-	for (let at = random.integer(0, gapBetweenColdEngines.most); at < options.length; at += random.integer(gapBetweenColdEngines.least, gapBetweenColdEngines.most)) {
-		planned.push({at, fault: drawFault(random, 'cold', options)});
-	}
-
-	return planned;
-}
+type Gap = {
+	/** Milliseconds between the beginnings of two faults. */
+	readonly least: number;
+	readonly most: number;
+};
 
-function planRestores(seed: number, options: PlanOptions): readonly PlannedFault[] {
-	const random = createRandom(seed + restoreSeedOffset);
+/** Plans faults whose draws don't change those of others. */
+function planSeparately(random: Random, length: number, gap: Gap, draw: (random: Random) => Fault): readonly PlannedFault[] {
 	const planned: PlannedFault[] = [];
-	for (let at = random.integer(0, gapBetweenRestores.most); at < options.length; at += random.integer(gapBetweenRestores.least, gapBetweenRestores.most)) {
-		planned.push({at, fault: drawFault(random, 'restore', options)});
+	for (let at = random.integer(0, gap.most); at < length; at += random.integer(gap.least, gap.most)) {
+		planned.push({at, fault: draw(random)});
 	}
 
 	return planned;
 }
 
-function planEvacuations(seed: number, options: PlanOptions): readonly PlannedFault[] {
-	const random = createRandom(seed + evacuationSeedOffset);
-	const planned: PlannedFault[] = [];
-	// The first draws of consecutive seeds hardly differ.
+/** The first draws of consecutive seeds hardly differ. */
+function createRandomAfterFirst(seed: number): Random {
+	const random = createRandom(seed);
 	random.integer(0, 1);
-	for (let at = random.integer(0, gapBetweenEvacuations.most); at < options.length; at += random.integer(gapBetweenEvacuations.least, gapBetweenEvacuations.most)) {
-		planned.push({at, fault: drawFault(random, 'evacuate', options)});
-	}
-
-	return planned;
+	return random;
 }
 
-function planForeignHosts(seed: number, options: PlanOptions): readonly PlannedFault[] {
-	const random = createRandom(seed + foreignSeedOffset);
-	const planned: PlannedFault[] = [];
-	random.integer(0, 1);
-	for (let at = random.integer(0, gapBetweenForeignHosts.most); at < options.length; at += random.integer(gapBetweenForeignHosts.least, gapBetweenForeignHosts.most)) {
-		planned.push({at, fault: drawFault(random, pick(random, foreignTypes), options)});
-	}
-
-	return planned;
+function planSeparateFaults(seed: number, options: PlanOptions): readonly PlannedFault[] {
+	const {length} = options;
+	const draw = (type: Fault['type']) => (random: Random) => drawFault(random, type, options);
+	const drawOneOf = (types: ReadonlyArray<Fault['type']>) => (random: Random) => drawFault(random, pick(random, types), options);
+	return [
+		planSeparately(createRandom(seed + restoreSeedOffset), length, gapBetweenRestores, draw('restore')),
+		planSeparately(createRandom(seed + statementSeedOffset), length, gapBetweenStatements, drawOneOf(statementTypes)),
+		planSeparately(createRandom(seed + coldSeedOffset), length, gapBetweenColdEngines, draw('cold')),
+		planSeparately(createRandomAfterFirst(seed + evacuationSeedOffset), length, gapBetweenEvacuations, draw('evacuate')),
+		planSeparately(createRandomAfterFirst(seed + foreignSeedOffset), length, gapBetweenForeignHosts, drawOneOf(foreignTypes)),
+		options.hasSeverableLinks ? planSeparately(createRandomAfterFirst(seed + severanceSeedOffset), length, gapBetweenSeverances, draw('sever')) : [],
+	].flat();
 }
 
 /**
@@ -269,6 +275,5 @@
 		at += random.integer(gapBetweenSeriesMs.least, gapBetweenSeriesMs.most);
 	}
 
-	const others = [planRestores, planStatements, planColdEngines, planEvacuations, planForeignHosts].flatMap(plan => plan(seed, options));
-	return [...planned, ...others].toSorted((a, b) => a.at - b.at);
+	return [...planned, ...planSeparateFaults(seed, options)].toSorted((a, b) => a.at - b.at);
 }
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -21,6 +21,8 @@
 	readonly clients: number;
 	/** Milliseconds in which faults begin. */
 	readonly length: number;
+	/** Whether each host has links of its own to the upstreams, which are severed; hosts then know each other by a key. */
+	readonly hasSeverableLinks: boolean;
 };
 
 export type SoakResult = {
@@ -39,10 +41,10 @@
  */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
 	using lag = new EventLoopLag();
-	await using testbed = await Testbed.start(options.hosts);
+	await using testbed = await Testbed.start(options.hosts, options.hasSeverableLinks);
 	const {site} = testbed;
 	const planned = planFaults(options.seed, {
-		hosts: options.hosts, upstreams: engineCount + plainCount, engines: engineCount, links: testbed.links, domains: failureDomains.length, length: options.length,
+		hosts: options.hosts, upstreams: engineCount + plainCount, engines: engineCount, links: testbed.links, domains: failureDomains.length, length: options.length, hasSeverableLinks: options.hasSeverableLinks,
 	});
 	const clients = Array.from({length: options.clients}, (_, index) => {
 		const seed = (options.seed * 1000) + index;
--- a/bench/soak/testbed.ts
+++ b/bench/soak/testbed.ts
@@ -3,6 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {assertNever} from '../../src/core/index.js';
 import {type UpstreamStandIn} from '../../stand-ins/gateway/upstream.js';
+import {type Severance} from '../../stand-ins/proxy/severable-link.js';
 import {FaultProxy, settingsSchema} from '../../stand-ins/proxy/service.js';
 import {createConfiguration, engineConfiguration} from '../gateway/configuration.js';
 import {type Host} from '../gateway/host.js';
@@ -53,13 +54,14 @@
 export class Testbed implements AsyncDisposable {
 	/**
 	 * @param hosts - Number of gateway processes.
+	 * @param hasSeverableLinks - Whether each host has links of its own to the upstreams.
 	 * @returns A testbed whose hosts are ready, each with its own proxied links.
 	 */
-	static async start(hosts: number): Promise<Testbed> {
+	static async start(hosts: number, hasSeverableLinks: boolean): Promise<Testbed> {
 		const proxy = await FaultProxy.start(settingsSchema.parse({}));
 		const links: string[] = [];
 		const site = await Site.start({
-			hosts, engines: engineCount, plains: plainCount, failureDomains, settings: {grace: stopGraceMs, memory: hostMemoryMegabytes}, async link(name, target) {
+			hosts, engines: engineCount, plains: plainCount, failureDomains, hasSeverableLinks, settings: {grace: stopGraceMs, memory: hostMemoryMegabytes}, async link(name, target) {
 				links.push(name);
 				return proxy.openLink({name, target, listen: {host: '127.0.0.1', port: 0}});
 			},
@@ -91,6 +93,8 @@
 	#storeFault: Extract<Fault, {readonly type: 'store'}>['mode'] | undefined;
 	/** Restores during which the store is away. */
 	#runningRestores = 0;
+	/** Hosts whose links are severed. */
+	readonly #severed = new Set<number>();
 
 	private constructor(site: Site, proxy: FaultProxy, links: readonly string[], foreignFleet: ForeignFleet) {
 		this.site = site;
@@ -263,6 +267,12 @@
 				return;
 			}
 
+			case 'sever': {
+				const upstreams = fault.upstreams.map(index => this.#upstreams[index]!.id);
+				await Promise.all(fault.hosts.map(async host => this.#sever(host, fault.how, upstreams, fault.length)));
+				return;
+			}
+
 			case 'link': {
 				const where = {link: this.#links[fault.link]};
 				this.#proxy.apply(fault.how === 'delay' ? {type: 'delay', where, delay: linkDelayMs} : {type: fault.how, where});
@@ -289,6 +299,19 @@
 		}
 	}
 
+	/** Severs links of a host for a while; does nothing if some are severed already. */
+	async #sever(host: number, how: Severance, upstreams: readonly string[], length: number): Promise<void> {
+		if (this.#severed.has(host)) {
+			return;
+		}
+
+		this.#severed.add(host);
+		await this.site.sever(host, how, upstreams);
+		await sleep(length);
+		await this.site.restore(host);
+		this.#severed.delete(host);
+	}
+
 	#restartUpstream(upstream: UpstreamStandIn): void {
 		upstream.restart();
 		this.#registerUnlessRemoved(upstream);
