A retry uses no idle connection of its upstream

When a host loses its links by resets, these arrive over milliseconds: a stream that was cut off went on over an idle connection that was about to be reset, and had no attempt left. A retry over a new connection finds the link refused and goes over another host.

--- a/__tests__/gateway/cut-from-upstreams.test.ts
+++ b/__tests__/gateway/cut-from-upstreams.test.ts
@@ -106,6 +106,24 @@
 	return deployment.hosts[0]!.findLogLines('tunnel-opened').map(({peer}) => String(peer));
 }
 
+it('lets streams go on whose connections are reset as the links are lost, though idle connections are reset as well', async () => {
+	const deployment = await startSite();
+	const askAll = async (name: string, count: number, requests: number) => Promise.all(Array.from({length: requests}, async (_, index) =>
+		deployment.ask({path: '/ask/x', id: `${name}-${index}`, headers: createPromptHeaders(1000, count)}, deployment.hosts[0])));
+	await askAll('before', 30, 28);
+	const pending = askAll('reset', 300, 8);
+	await sleep(150);
+	// New connections are refused at once, while resets arrive over tens of milliseconds.
+	await deployment.sever(0, 'refuse-new');
+	for (const engine of deployment.engines) {
+		await deployment.sever(0, 'reset', [engine.id]);
+		await sleep(20);
+	}
+
+	const answers = await pending;
+	expect(answers.map(answer => parseEventIds(answer).length)).toEqual(answers.map(() => 300));
+});
+
 describe('a host that opens tunnels for another one', () => {
 	it('dies halfway: streams go on elsewhere, what may have run isn\'t repeated, and nothing false is promised', async () => {
 		const deployment = await startSite();
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -73,7 +73,7 @@
 		attempts.recordSent(placement.upstream.id);
 		const job = reservation?.job ?? this.#state.beginJob(placement, placementKind);
 		this.#logPlacement(placement, job, reservation, remaining);
-		const attempt = this.#createAttempt(placement, hold, remaining);
+		const attempt = this.#createAttempt(placement, hold, remaining, placementKind === 'retry');
 		this.#currentAttempt = attempt;
 		const {canFailOver} = attempts;
 		if (canFailOver && route.kind === 'streaming') {
@@ -106,7 +106,7 @@
 		}
 	}
 
-	#createAttempt(placement: Placement, hold: Hold | undefined, remaining: number): Attempt {
+	#createAttempt(placement: Placement, hold: Hold | undefined, remaining: number, isRetry: boolean): Attempt {
 		const {services: {headerFormat, agent}, request: {incoming, body, demand, organisation}, callerResponse} = this.#state;
 		const headers = [...headerFormat.formatUpstreamHeaders(incoming.rawHeaders, {
 			left: Math.floor(remaining),
@@ -120,6 +120,11 @@
 			headers.push('Content-Length', String(body.length));
 		}
 
+		if (isRetry) {
+			// What broke the connection before may have broken idle ones, of which this host hasn't been told yet.
+			agent.closeIdle(placement.upstream.address);
+		}
+
 		return new Attempt({
 			id: demand.id,
 			method: incoming.method ?? 'GET',
--- a/src/gateway/services.ts
+++ b/src/gateway/services.ts
@@ -1,5 +1,4 @@
 /** Services shared by all requests of this host. */
-import {type Agent} from 'node:http';
 import {type Clock} from '../entry/clock.js';
 import {type Log} from '../entry/logs.js';
 import {type HeaderFormat} from './platform-adapter.js';
@@ -7,11 +6,12 @@
 import {type Holds} from './requests/holds.js';
 import {type GatewayMetrics} from './metrics.js';
 import {type ResponseBuffers} from './callers/response-buffers.js';
+import {type UpstreamAgent} from './upstreams/agent.js';
 
 export type GatewayServices = {
 	readonly gateway: Gateway;
 	readonly headerFormat: HeaderFormat;
-	readonly agent: Agent;
+	readonly agent: UpstreamAgent;
 	readonly holds: Holds;
 	readonly metrics: GatewayMetrics;
 	readonly responseBuffers: ResponseBuffers;
--- a/src/gateway/upstreams/agent.ts
+++ b/src/gateway/upstreams/agent.ts
@@ -2,7 +2,7 @@
 import {Agent, type ClientRequest, type ClientRequestArgs} from 'node:http';
 import {type Duplex} from 'node:stream';
 import {Socket, type TcpNetConnectOpts} from 'node:net';
-import {assertNever} from '../../core/index.js';
+import {assertNever, type Address} from '../../core/index.js';
 import {type LinkRoute} from '../../core/gateway/health/links.js';
 import {connectDirectly} from '../tunnels/direct-connection.js';
 import {findTunnel, takeSocket, type Connector} from './connector.js';
@@ -68,6 +68,19 @@
 		}
 	}
 
+	/**
+	 * Closes the idle connections to an upstream.
+	 *
+	 * @param address - Address of the upstream.
+	 */
+	closeIdle({host, port}: Address): void {
+		for (const socket of this.#idleConnections) {
+			if (this.#addresses.get(socket) === `${host}:${port}`) {
+				socket.destroy();
+			}
+		}
+	}
+
 	override createConnection(options: ClientRequestArgs, callback?: (error: Error | null, socket: Duplex) => void): Duplex | null | undefined {
 		void (async () => {
 			try {
@@ -80,6 +93,7 @@
 				callback?.(error as Error, undefined as unknown as Duplex);
 			}
 		})();
+
 		return undefined;
 	}
 
