--- a/src/cli/gateway-lines.ts
+++ b/src/cli/gateway-lines.ts
@@ -34,6 +34,8 @@
 		ending: z.enum(['answered', 'not-run', 'failed', 'unknown', 'cancelled']),
 		reason: z.string().optional(),
 		status: z.number().optional(),
+		/** Id of the tunnel that carried it over another host. */
+		tunnel: z.string().optional(),
 	}),
 	z.object({
 		type: z.literal('not-placed'),
@@ -109,8 +111,11 @@
 		+ `${left} ms left, configuration ${version ?? 'unknown'} confirmed ${confirmedAge} ms ago`;
 }
 
-function describeAttempt({attempt, upstream, ending, reason, status}: AttemptEndedLine): string {
-	const reasonText = reason ?? (status === undefined ? '' : `status ${status}`);
+function describeAttempt({
+	attempt, upstream, ending, reason, status, tunnel,
+}: AttemptEndedLine): string {
+	const route = tunnel === undefined ? '' : `, over tunnel ${tunnel}`;
+	const reasonText = (reason ?? (status === undefined ? '' : `status ${status}`)) + route;
 	switch (ending) {
 		case 'answered': {
 			return `Attempt ${attempt} was answered by ${upstream}: ${reasonText}`;
