The connections to upstreams and what watches their links are one module

The daemon assembled them itself and had grown past its other jobs. Names and comments after a read of the change.

--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -6,9 +6,7 @@
 import {DisposalStack} from '../entry/disposal-stack.js';
 import {type Log} from '../entry/logs.js';
 import {TunnelServer} from './tunnels/tunnel-server.js';
-import {UpstreamAgent} from './upstreams/agent.js';
-import {Connector} from './upstreams/connector.js';
-import {LinkWatch} from './upstreams/link-watch.js';
+import {UpstreamPool} from './upstreams/upstream-pool.js';
 import {
 	type EngineControl, type EngineControlOptions, type HeaderFormat, type HealthClient,
 } from './platform-adapter.js';
@@ -69,8 +67,8 @@
 	readonly #callers: CallerListener;
 	readonly #metrics = new GatewayMetrics();
 	readonly #responseBuffers: ResponseBuffers;
+	readonly #upstreamPool: UpstreamPool;
 	readonly #tunnelServer: TunnelServer | undefined;
-	#linkWatch: LinkWatch | undefined;
 	/** When the stop was requested, on the monotonic clock. */
 	#stopRequestedAt: number | undefined;
 
@@ -87,7 +85,11 @@
 			suspensions[Symbol.dispose]();
 		});
 		this.#gateway = this.#disposal.use(new Gateway(settings, this.#clock, log));
-		const agent = this.#createAgent();
+		this.#upstreamPool = new UpstreamPool(this.#gateway, this.#metrics, this.#clock, log);
+		this.#disposal.defer(() => {
+			this.#upstreamPool[Symbol.dispose]();
+		});
+		const {agent} = this.#upstreamPool;
 		this.#tunnelServer = this.#createTunnelServer();
 		this.#startHealthChecks(adapter.createHealthClient(agent));
 		const engineControl = adapter.createEngineControl({
@@ -221,49 +223,6 @@
 		});
 	}
 
-	/** Creates the pool of connections to upstreams, which uses tunnels of other hosts where a link of this host is cut. */
-	#createAgent(): UpstreamAgent {
-		const {links, tunnelPeers, upstreams} = this.#gateway;
-		const log = this.#log;
-		const now = () => this.#clock.now();
-		const findUpstream = (address: string) => upstreams.findByAddress(address);
-		const connector = new Connector({
-			links,
-			peers: tunnelPeers,
-			log,
-			now,
-			findUpstream,
-			onCut: () => {
-				agent.closeUnfit();
-				this.#linkWatch?.startChecks();
-				this.#gateway.stallDetectors.hurry();
-			},
-			onTunnel: result => {
-				this.#metrics.tunnelSearches.inc({result});
-			},
-		});
-		const agent: UpstreamAgent = new UpstreamAgent(connector);
-		this.#disposal.defer(() => {
-			agent.destroy();
-		});
-		this.#gateway.onTunnelsLost(() => {
-			agent.closeUnfit();
-		});
-		const watch = new LinkWatch({
-			agent, links, connector, now, findUpstream, listUpstreams: () => upstreams.all, onCheck: () => {
-				this.#metrics.linkChecks.inc();
-			},
-		});
-		this.#linkWatch = watch;
-		this.#gateway.stallDetectors.onSilence(upstream => {
-			watch.suspect(upstream);
-		});
-		this.#disposal.defer(() => {
-			watch[Symbol.dispose]();
-		});
-		return agent;
-	}
-
 	#createTunnelServer(): TunnelServer | undefined {
 		const {links, upstreams} = this.#gateway;
 		const address = this.#settings.tunnel;
@@ -279,7 +238,7 @@
 					this.#metrics.tunnelRequests.inc({result});
 				},
 				onAbsent: upstream => {
-					this.#linkWatch?.suspect(upstream);
+					this.#upstreamPool.linkWatch.suspect(upstream);
 				},
 			}));
 	}
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -121,7 +121,7 @@
 		}
 
 		if (isRetry) {
-			// What broke the connection before may have broken idle ones, of which this host hasn't been told yet.
+			// Idle connections may have been reset as well, although this host hasn't received that yet.
 			agent.closeIdle(placement.upstream.address);
 		}
 
@@ -202,7 +202,7 @@
 		});
 		const isCancelled = forwarded.type === 'unknown' && attempt.cancelled !== undefined;
 		const ending: AttemptEnding = isCancelled ? {type: 'cancelled', reason: attempt.cancelled} : forwarded;
-		// Silence over a link that is cut tells nothing about the upstream.
+		// Silence over a cut link is no fault of the upstream.
 		const isLinkSilent = isCancelled && attempt.cancelled === 'silent' && attempt.tunnel === undefined && gateway.links.findRoute(target).type === 'tunnel';
 		if (!isLinkSilent) {
 			this.#verdicts.recordEnding(ending, upstream);
--- a/src/gateway/tunnels/messages.ts
+++ b/src/gateway/tunnels/messages.ts
@@ -13,7 +13,7 @@
 
 const keySchema = z.custom<Uint8Array>(value => value instanceof Uint8Array && value.length === tunnelKeyBytes, `must have ${tunnelKeyBytes} bytes`);
 
-/** What a host tells the hosts it is linked with about the tunnels that it opens for them. */
+/** Offer of a host to the hosts that it is linked with. */
 export const tunnelOfferSchema = z.discriminatedUnion('type', [
 	z.object({
 		type: z.literal('open'), host: shortText.min(1), port: z.number().int().min(1).max(65_535), key: keySchema,
--- a/src/gateway/upstreams/agent.ts
+++ b/src/gateway/upstreams/agent.ts
@@ -22,7 +22,7 @@
 	return seconds === undefined ? maxIdleMs : Math.min(Number(seconds) * 1000 * reuseShare, maxIdleMs);
 }
 
-/** Makes connections, and tells which ones may be used again. */
+/** Makes connections, and decides which ones may be used again. */
 export type UpstreamConnector = Pick<Connector, 'connect' | 'findRoute' | 'isOffered'>;
 
 /** Uses the link of this host only. */
--- a/src/gateway/upstreams/connector.ts
+++ b/src/gateway/upstreams/connector.ts
@@ -3,6 +3,7 @@
  * shows that the link is cut.
  */
 import {type Socket, type TcpNetConnectOpts} from 'node:net';
+import {assertNever} from '../../core/index.js';
 import {type LinkFailure, type Links, type LinkRoute} from '../../core/gateway/health/links.js';
 import {type GatewayUpstream} from '../../core/gateway/types.js';
 import {type Log} from '../../entry/logs.js';
@@ -144,6 +145,10 @@
 				this.#recordDirect(upstream, result);
 				return takeSocket(result);
 			}
+
+			default: {
+				return assertNever(search);
+			}
 		}
 	}
 
--- a/src/protocol/connection-end.ts
+++ b/src/protocol/connection-end.ts
@@ -1,4 +1,4 @@
-/** Tells how a connection ended whose end is that of a response. */
+/** Distinguishes how a connection ended whose end is that of a response. */
 import {type Socket} from 'node:net';
 
 /**
--- a/src/protocol/response-framing.ts
+++ b/src/protocol/response-framing.ts
@@ -1,4 +1,4 @@
-/** Tells how the end of an HTTP response is recognised. */
+/** Finds what marks the end of an HTTP response. */
 import {type IncomingHttpHeaders} from 'node:http';
 
 /** What marks the end of a response: its head, a length, the last chunk, or the end of its connection. */
--- a/src/upstream/plain.ts
+++ b/src/upstream/plain.ts
@@ -68,7 +68,7 @@
 	return isBodiless && body.byteLength === 0 ? {} : {body, allowGetBody: true};
 }
 
-/** Tells whether a response is complete whose framing says so. */
+/** Checks a response that ended as its framing demands for missing parts. */
 class ResponseEnd {
 	readonly #method: string;
 	/** Set for a stream of events. */
