Severed links of tests keep a port that no other process chooses

Its port came from the range of outgoing connections and was free while the link was severed, so that a connection took it. Links take claimed ports below that range now. A fault of the testbed; the test is unchanged.

--- a/bench/gateway/site.ts
+++ b/bench/gateway/site.ts
@@ -165,7 +165,7 @@
 	async #openSeverableLinks(host: string): Promise<Address> {
 		const links = new Map<string, SeverableLink>();
 		for (const upstream of [...this.engines, ...this.plains]) {
-			links.set(upstream.id, await SeverableLink.open(this.#upstreamAddresses.get(upstream.id) ?? upstream.address));
+			links.set(upstream.id, await SeverableLink.open(this.#upstreamAddresses.get(upstream.id) ?? upstream.address, await claimWorkerPort()));
 		}
 
 		this.#severableLinks.set(host, links);
--- a/stand-ins/proxy/severable-link.ts
+++ b/stand-ins/proxy/severable-link.ts
@@ -6,7 +6,6 @@
 // eslint-disable-next-line @typescript-eslint/no-restricted-imports -- A listener that never accepts blocks its thread.
 import {Worker} from 'node:worker_threads';
 import {assertNever, type Address} from '../../src/core/index.js';
-import {getPort} from '../../src/entry/ports.js';
 import {type FaultEffect} from './faults.js';
 import {Pipe} from './pipe.js';
 
@@ -36,22 +35,29 @@
 const queueFillers = 3;
 
 export class SeverableLink implements AsyncDisposable {
-	/** Opens a link to an address. */
-	static async open(target: Address): Promise<SeverableLink> {
-		const link = new SeverableLink(target);
-		await link.#listen(0);
+	/**
+	 * Opens a link.
+	 *
+	 * @param target - Address that it leads to.
+	 * @param port - Port to listen on. It is free while the link is severed, so that no other process may choose it.
+	 * @returns The link.
+	 */
+	static async open(target: Address, port: number): Promise<SeverableLink> {
+		const link = new SeverableLink(target, port);
+		await link.#listen();
 		return link;
 	}
 
 	readonly #target: Address;
+	readonly #port: number;
 	readonly #pipes = new Set<Pipe>();
 	readonly #fillers: Socket[] = [];
 	#server: Server | undefined;
-	#port = 0;
 	#hanging: Worker | undefined;
 
-	private constructor(target: Address) {
+	private constructor(target: Address, port: number) {
 		this.#target = target;
+		this.#port = port;
 	}
 
 	/** Address at which it listens. */
@@ -93,7 +99,7 @@
 		await this.#stopHanging();
 		this.#setEffect(noEffect);
 		if (this.#server === undefined) {
-			await this.#listen(this.#port);
+			await this.#listen();
 		}
 	}
 
@@ -105,16 +111,15 @@
 		}
 	}
 
-	async #listen(port: number): Promise<void> {
+	async #listen(): Promise<void> {
 		const server = createServer({allowHalfOpen: true, pauseOnConnect: true}, socket => {
 			const pipe = new Pipe(socket, this.#target, {from: undefined, to: undefined, link: ''}, noEffect);
 			this.#pipes.add(pipe);
 			void pipe.closed.then(() => this.#pipes.delete(pipe));
 		});
-		server.listen(port, loopback);
+		server.listen(this.#port, loopback);
 		await once(server, 'listening');
 		this.#server = server;
-		this.#port = getPort(server);
 	}
 
 	#setEffect(effect: FaultEffect): void {
