--- a/src/gateway/tunnels/__tests__/tunnels.test.ts
+++ b/src/gateway/tunnels/__tests__/tunnels.test.ts
@@ -139,6 +139,29 @@
 		expect([received, isReset]).toEqual([size, name === 'by a reset']);
 	});
 
+	it('ends by a reset that comes together with the last bytes, each time', async () => {
+		const {offer} = await startServer(await startUpstream(socket => {
+			socket.once('data', () => {
+				socket.write('answe');
+				socket.resetAndDestroy();
+			});
+		}));
+		for (let turn = 0; turn < 40; turn++) {
+			const socket = await openConnected(offer);
+			let isReset = false;
+			socket.resume().on('error', () => {
+				isReset = true;
+			}).prependOnceListener('end', () => {
+				socket.write('\r\n');
+			});
+			socket.write('go');
+			await new Promise(resolve => {
+				socket.once('close', resolve);
+			});
+			expect(isReset).toBe(true);
+		}
+	});
+
 	it('closes the connection to the upstream when its host closes it', async () => {
 		const upstreamSockets: Socket[] = [];
 		const {offer} = await startServer(await startUpstream(upstreamSocket => {
--- a/stand-ins/proxy/__tests__/proxy.test.ts
+++ b/stand-ins/proxy/__tests__/proxy.test.ts
@@ -41,6 +41,35 @@
 	});
 }
 
+it('passes on a reset that comes together with the last bytes as a reset', async () => {
+	const server = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.once('data', () => {
+			socket.write('part');
+			socket.resetAndDestroy();
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const target = server.address();
+	await using proxy = await FaultProxy.start(settingsSchema.parse({}));
+	const address = await proxy.openLink({name: 'reset', target: {host: '127.0.0.1', port: typeof target === 'object' ? target!.port : 0}});
+	for (let turn = 0; turn < 20; turn++) {
+		const socket = connect(address.port, address.host);
+		let isReset = false;
+		socket.resume().on('error', () => {
+			isReset = true;
+		}).prependOnceListener('end', () => {
+			socket.write('\r\n');
+		});
+		socket.write('go');
+		await closed(socket);
+		expect(isReset).toBe(true);
+	}
+
+	server.close();
+});
+
 describe('fault proxy', () => {
 	let echo: Echo;
 	let proxy: FaultProxy;
--- a/stand-ins/proxy/pipe.ts
+++ b/stand-ins/proxy/pipe.ts
@@ -2,6 +2,7 @@
 import {connect, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Address} from '../../src/core/index.js';
+import {probeEnd} from '../../src/protocol/connection-end.js';
 import {type FaultEffect, type Route} from './faults.js';
 
 export class Pipe {
@@ -27,8 +28,9 @@
 		});
 		this.#effect = effect;
 		client.setNoDelay(true);
-		this.#forward(client, this.#targetSocket);
-		this.#forward(this.#targetSocket, client);
+		this.#forward(client, this.#targetSocket, async () => true);
+		const properEnd = probeEnd(this.#targetSocket);
+		this.#forward(this.#targetSocket, client, async () => properEnd);
 		this.closed = Promise.all([client, this.#targetSocket].map(async socket => new Promise<void>(resolve => {
 			socket.once('close', () => {
 				resolve();
@@ -67,7 +69,8 @@
 		this.#targetSocket.destroy();
 	}
 
-	#forward(source: Socket, destination: Socket): void {
+	/** Forwards bytes and the end of one side; `isProperEnd` is whether the side that ended did so properly, and not by a reset. */
+	#forward(source: Socket, destination: Socket, isProperEnd: () => Promise<boolean>): void {
 		let delivered = Promise.resolve();
 		source.on('data', chunk => {
 			const due = performance.now() + this.#effect.delay;
@@ -82,7 +85,13 @@
 			});
 		});
 		source.on('end', () => {
-			void delivered.then(() => destination.end());
+			void delivered.then(async () => {
+				if (await isProperEnd()) {
+					destination.end();
+				} else {
+					destination.resetAndDestroy();
+				}
+			});
 		});
 		source.on('error', () => {
 			destination.resetAndDestroy();
