--- a/bench/gateway/site.ts
+++ b/bench/gateway/site.ts
@@ -8,7 +8,7 @@
 import {type Address} from '../../src/core/index.js';
 import {Ledger} from '../../stand-ins/gateway/ledger.js';
 import {StoreStandIn} from '../../stand-ins/gateway/store.js';
-import {UpstreamStandIn} from '../../stand-ins/gateway/upstream.js';
+import {UpstreamStandIn, type Return} from '../../stand-ins/gateway/upstream.js';
 import {SeverableLink, type Severance} from '../../stand-ins/proxy/severable-link.js';
 import {sendRequest, type Answer, type CallerRequest} from './caller-requests.js';
 import {createConfiguration, apiKey, engineModel} from './configuration.js';
@@ -88,6 +88,7 @@
 	readonly #upstreamAddresses = new Map<string, Address>();
 	/** Links to the upstreams, by host and upstream. */
 	readonly #severableLinks = new Map<string, Map<string, SeverableLink>>();
+	#isDisposed = false;
 	readonly #directory = mkdtempSync(path.join(tmpdir(), 'site-'));
 
 	private constructor(link: (name: string, target: Address) => Promise<Address>) {
@@ -116,6 +117,21 @@
 		this.store.put(`servers/${upstream.id}`, {...upstream.createRegistration(), Address: formatAddress(this.#upstreamAddresses.get(upstream.id) ?? upstream.address)});
 	}
 
+	/**
+	 * Lets an upstream crash under parts of prompts, and come back after some time. Its registration expires meanwhile.
+	 *
+	 * @param upstream - Upstream.
+	 * @param parts - Parts of prompts that crash it.
+	 * @param absence - Milliseconds from the crash until it is back.
+	 * @param as - Id of the process that comes back.
+	 */
+	crashUnder(upstream: UpstreamStandIn, parts: ReadonlySet<string>, absence: number, as: Return = 'new id'): void {
+		upstream.crashingParts = parts;
+		upstream.onCrash = () => {
+			void this.#bringBack(upstream, absence, as);
+		};
+	}
+
 	/** Waits until a host is ready; throws if it takes too long. */
 	async waitUntilReady(host: Host): Promise<void> {
 		const end = performance.now() + readyTimeoutMs;
@@ -151,6 +167,7 @@
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
+		this.#isDisposed = true;
 		await Promise.all(this.hosts.map(async host => host.kill()));
 		await Promise.all([...this.#severableLinks.values()].flatMap(links => [...links.values()].map(async link => link[Symbol.asyncDispose]())));
 		for (const upstream of [...this.engines, ...this.plains]) {
@@ -161,6 +178,20 @@
 		rmSync(this.#directory, {recursive: true, force: true});
 	}
 
+	async #bringBack(upstream: UpstreamStandIn, absence: number, as: Return): Promise<void> {
+		const former = upstream.id;
+		await sleep(absence / 2);
+		if (as === 'new id') {
+			this.store.remove(`servers/${former}`);
+		}
+
+		await sleep(absence / 2);
+		if (!this.#isDisposed) {
+			await upstream.comeBack(as);
+			this.register(upstream);
+		}
+	}
+
 	/** Opens links from a host to all upstreams, and returns the address of a store that shows their addresses. */
 	async #openSeverableLinks(host: string): Promise<Address> {
 		const links = new Map<string, SeverableLink>();
--- a/stand-ins/gateway/upstream.ts
+++ b/stand-ins/gateway/upstream.ts
@@ -61,10 +61,15 @@
 	pendingParts: number;
 	readonly helpers: readonly UpstreamStandIn[];
 	readonly padding: string;
+	/** Whether its prompt has a part that crashes engines. */
+	readonly isCrashing: boolean;
 	/** Takes the place of the response once its head is sent: one without framing, or one that is cut off if it remains unread. */
 	writer?: UnframedResponse | UnreadWatch;
 };
 
+/** Whether an engine comes back under a new id, as platforms do it, or as another process with the id that it had. */
+export type Return = 'new id' | 'same id';
+
 const orderSchema = z.object({
 	Operation: z.string(), Id: z.string(), Tokens: z.number().optional(), HoldMs: z.number().optional(),
 });
@@ -117,6 +122,14 @@
 	statedColdTime: string | undefined;
 	/** Seconds for which it wants no more requests from a host that it refuses; undefined if it doesn't say. */
 	retryAfter: number | undefined;
+	/** Parts of prompts under which it crashes as it begins to write an answer; never the last part of a prompt. */
+	crashingParts: ReadonlySet<string> = new Set();
+	/** Called as it crashes. */
+	onCrash: (() => void) | undefined;
+	/** Version of its software, as in its registration. */
+	version = 'v1';
+	/** Times at which it crashed; monotonic milliseconds. */
+	readonly crashes: number[] = [];
 	readonly #options: UpstreamOptions;
 	readonly #server: Server;
 	readonly #batch: Batch | undefined;
@@ -125,9 +138,13 @@
 	readonly #arrivals: Arrival[] = [];
 	#isIterating = false;
 	#isDraining = false;
+	/** Number of times that it came back under a new id. */
+	#newIds = 0;
 	#registrationCount = 0;
 	/** When it stops being cold; monotonic milliseconds. */
 	#coldUntil = 0;
+	/** Address at which it listened last. */
+	#lastAddress: Address = {host: loopback, port: 0};
 	/** Unix time in milliseconds. */
 	#startTime = Date.now();
 
@@ -140,7 +157,7 @@
 	}
 
 	get id(): string {
-		return this.#options.id;
+		return this.#newIds === 0 ? this.#options.id : `${this.#options.id}-${this.#newIds}`;
 	}
 
 	/** Whether it is a model engine. */
@@ -158,7 +175,7 @@
 	}
 
 	get address(): Address {
-		return {host: loopback, port: getPort(this.#server)};
+		return this.#server.listening ? {host: loopback, port: getPort(this.#server)} : this.#lastAddress;
 	}
 
 	/** Names of the current memory reservations. */
@@ -183,7 +200,7 @@
 			Service: service,
 			Address: `${this.address.host}:${this.address.port}`,
 			Zone: failureDomain,
-			Version: 'v1',
+			Version: this.version,
 			Slots: slots,
 			State: this.#isDraining ? 'draining' : 'ready',
 			ColdRemainingMs: Math.max(Math.round(this.#coldUntil - performance.now()), 0),
@@ -208,6 +225,20 @@
 		this.rateLimit = undefined;
 	}
 
+	/**
+	 * Listens again at its former address after a crash, as a new process.
+	 *
+	 * @param as - Id of the process.
+	 */
+	async comeBack(as: Return): Promise<void> {
+		const {port} = this.#lastAddress;
+		this.#newIds += as === 'new id' ? 1 : 0;
+		this.#startTime = Math.max(Date.now(), this.#startTime + 1);
+		this.#server.listen(port, loopback);
+		await once(this.#server, 'listening');
+		upstreamsByAddress.set(`${loopback}:${port}`, this);
+	}
+
 	/** Marks its registration as draining; it keeps serving. */
 	drain(): void {
 		this.#isDraining = true;
@@ -215,7 +246,14 @@
 
 	/** Closes all connections and stops listening, like a killed process. */
 	async crash(): Promise<void> {
+		this.#lastAddress = this.address;
 		upstreamsByAddress.delete(`${this.address.host}:${this.address.port}`);
+		this.crashes.push(performance.now());
+		for (const id of this.#streams.keys()) {
+			this.#batch?.remove(id);
+		}
+
+		this.#streams.clear();
 		const closed = once(this.#server, 'close');
 		this.#server.close();
 		this.#server.closeAllConnections();
@@ -387,7 +425,7 @@
 			id, prompt, engineCount: helpers.length + 1, events, priority: Number(incoming.headers['x-request-priority'] ?? 5), memory,
 		};
 		this.#streams.set(id, {
-			job, outgoing, first, next: first + 1, pendingParts: helpers.length + 1, helpers, padding: '.'.repeat(Number(incoming.headers['x-event-padding'] ?? this.eventPadding)),
+			isCrashing: this.#hasCrashingPart(incoming), job, outgoing, first, next: first + 1, pendingParts: helpers.length + 1, helpers, padding: '.'.repeat(Number(incoming.headers['x-event-padding'] ?? this.eventPadding)),
 		});
 		outgoing.once('close', () => {
 			this.#streams.delete(id);
@@ -401,6 +439,12 @@
 		this.#startIteration();
 	}
 
+	/** The last part of a prompt belongs to the request alone. */
+	#hasCrashingPart(incoming: IncomingMessage): boolean {
+		const parts = String(incoming.headers['x-prefix-hash'] ?? '').split(',').map(part => part.split(':')[0]!);
+		return parts.slice(0, -1).some(part => this.crashingParts.has(part));
+	}
+
 	/** Returns the helpers except this engine, or the address of one that is missing, refuses to help or lacks the reservation. */
 	#resolveHelpers(incoming: IncomingMessage): readonly UpstreamStandIn[] | string {
 		const helpers: UpstreamStandIn[] = [];
@@ -447,6 +491,12 @@
 			}
 
 			const stream = this.#streams.get(progress.job.id);
+			if (progress.hasEvent && stream?.isCrashing === true) {
+				this.onCrash?.();
+				void this.crash();
+				return;
+			}
+
 			if (progress.hasEvent && stream !== undefined) {
 				this.#writeEvent(stream, progress.isFinished);
 			}
