--- a/__tests__/gateway/crashing-parts.test.ts
+++ b/__tests__/gateway/crashing-parts.test.ts
@@ -1,5 +1,4 @@
 /** Parts of prompts that crash every engine which begins to write an answer on them, while requests with them come at all hosts. */
-import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	afterEach, describe, expect, it,
@@ -96,7 +95,7 @@
 ] as const;
 
 describe.each(places)('a part that crashes engines and comes %s', (_, listBadParts) => {
-	it.runIf(process.env.KNOWN_RED !== undefined)('reaches no engine after the fifth crash, and sound requests with the other parts are served as before', async () => {
+	it('reaches no engine after the fifth crash, and sound requests with the other parts are served as before', async () => {
 		site = await Site.start({hosts: 3, engines: 12, failureDomains: ['a', 'b', 'c']});
 		for (const engine of site.engines) {
 			site.crashUnder(engine, new Set(['bad']), absenceMs);
--- a/src/core/gateway/__tests__/gateway-state.test.ts
+++ b/src/core/gateway/__tests__/gateway-state.test.ts
@@ -7,9 +7,7 @@
 import {Load, type Job} from '../engines/load.js';
 import {Reachability} from '../health/reachability.js';
 import {isRepeatable, RetryBudget} from '../limits/retries.js';
-import {Suspects, type Crash} from '../health/suspects.js';
 import {type EngineModel, type Route} from '../types.js';
-import {createRandom} from '../../../../bench/model/workload.js';
 
 const model: EngineModel = {
 	slots: 11, memory: 232_000, stride: 43, step: 1, perRequest: 0, perThousand: 0, readRate: 200, pairs: 0.1, chunk: 2048, hop: 0, usualPrompt: 12_000, usualAnswer: 1300,
@@ -192,85 +190,6 @@
 	});
 });
 
-describe('suspects', () => {
-	const crash = (id: string, change: Partial<Crash> = {}): Crash => ({
-		fingerprint: 'f', id, upstream: id.split('.')[0]!, started: 1, ...change,
-	});
-
-	it('are acquitted by an answer: lost answers of a request that many callers send do not add up to a conviction', () => {
-		const suspects = new Suspects();
-		for (const id of ['e1.1', 'e2.1']) {
-			suspects.record(crash(id), 0);
-		}
-
-		expect([suspects.acquit('f').map(({id}) => id), suspects.acquit('f'), suspects.countCrashes('f', 10)]).toEqual([['e1.1', 'e2.1'], [], 0]);
-		suspects.record(crash('e3.1'), 20);
-		expect(suspects.isConvicted('f', 30)).toBe(false);
-	});
-
-	it('are convicted by three distinct crashes within a minute', () => {
-		const suspects = new Suspects();
-		expect(suspects.record(crash('e1.1'), 0)).toBe(true);
-		expect(suspects.record(crash('e1.1'), 0)).toBe(false);
-		suspects.record(crash('e2.1'), 10);
-		expect(suspects.isConvicted('f', 20)).toBe(false);
-		suspects.record(crash('e3.1'), 20);
-		expect([suspects.isConvicted('f', 30), suspects.isConvicted('g', 30), suspects.isConvicted('f', 61_000)]).toEqual([true, false, false]);
-	});
-
-	it('are not convicted of a crash whose acquittal arrives before its report', () => {
-		const suspects = new Suspects();
-		expect(suspects.clear([crash('e1.1')], 0)).toBe(true);
-		expect([suspects.clear([crash('e1.1')], 1), suspects.record(crash('e1.1'), 2), suspects.countCrashes('f', 3)]).toEqual([false, false, 0]);
-	});
-
-	it('are cleared only of crashes whose upstream is still the same process', () => {
-		const suspects = new Suspects();
-		for (const id of ['e1.1', 'e2.1', 'e3.1']) {
-			suspects.record(crash(id), 0);
-		}
-
-		expect(suspects.clearSurvived('f', ({upstream}) => upstream === 'e2').map(({id}) => id)).toEqual(['e2.1']);
-		expect([suspects.countCrashes('f', 10), suspects.isConvicted('f', 10)]).toEqual([2, false]);
-	});
-
-	it.each([1, 2, 3, 4, 5])('are forwarded in a fleet until every host has received them, and no longer (order %i)', seed => {
-		const random = createRandom(seed);
-		const hosts = Array.from({length: 6}, () => new Suspects());
-		const messages: Array<{readonly to: number; readonly isCleared: boolean}> = [];
-		const broadcast = (from: number, isCleared: boolean) => {
-			for (const to of hosts.keys()) {
-				if (to !== from) {
-					messages.push({to, isCleared});
-				}
-			}
-		};
-
-		hosts[0]!.record(crash('e1.1'), 0);
-		broadcast(0, false);
-		let received = 0;
-		let isAnswered = false;
-		while (messages.length > 0 && received < 1000) {
-			const [next] = messages.splice(random.integer(0, messages.length - 1), 1);
-			const {to, isCleared} = next!;
-			received++;
-			const host = hosts[to]!;
-			if (isCleared ? host.clear([crash('e1.1')], 0) : host.record(crash('e1.1'), 0)) {
-				broadcast(to, isCleared);
-			}
-
-			if (!isAnswered && to === 3) {
-				isAnswered = true;
-				host.acquit('f');
-				broadcast(3, true);
-			}
-		}
-
-		expect(received).toBeLessThanOrEqual(2 * hosts.length * (hosts.length - 1));
-		expect(hosts.map(host => host.countCrashes('f', 0))).toEqual(hosts.map(() => 0));
-	});
-});
-
 describe('the directory', () => {
 	const route = (name: string, prefix: string, isPublic = false): Route => ({
 		name, authority: 'Api.example', prefix, kind: 'idempotent', timeout: 1, objective: 1, priority: 0, targets: [], attempts: 1, isPublic, isResumable: false,
--- /dev/null
+++ b/src/core/gateway/__tests__/suspicion.test.ts
@@ -0,0 +1,253 @@
+/** Which causes are blamed for crashes: never one that only ran beside another, and soon the one that crashed engines. */
+import {describe, expect, it} from 'vitest';
+import {createRandom} from '../../../../bench/model/workload.js';
+import {type Cause} from '../suspicion/causes.js';
+import {Crashes, type CrashReport} from '../suspicion/crashes.js';
+import {listAvoided, rankForCause} from '../suspicion/quarantine.js';
+import {Suspects, type Assessment} from '../suspicion/suspects.js';
+import {computeTrialTime} from '../suspicion/trials.js';
+import {type GatewayUpstream} from '../types.js';
+
+const service = 'model';
+const scope = {service, version: 'v1'};
+const noTurn = () => 0;
+let attempts = 0;
+
+function report(upstream: string, at: number, parts: string, change: Partial<CrashReport> = {}): CrashReport {
+	attempts++;
+	return {
+		attempt: `a${attempts}`, upstream, started: 1, scope, causes: [...parts].map((part): Cause => `part:${part}`), hasBegun: false, sent: at - 100, at, ...change,
+	};
+}
+
+function record(suspects: Suspects, reports: readonly CrashReport[]): void {
+	for (const each of reports) {
+		suspects.recordCrash(each, each.at);
+	}
+}
+
+function assess(suspects: Suspects, parts: string, now = 1000, versions: readonly string[] = ['v1']): Assessment {
+	return suspects.assess({service, causes: [...parts].map((part): Cause => `part:${part}`), versions}, noTurn, now);
+}
+
+function typesOf(suspects: Suspects, requests: readonly string[], now = 1000): readonly string[] {
+	return requests.map(parts => assess(suspects, parts, now).type);
+}
+
+function listConvicted(suspects: Suspects): readonly string[] {
+	return suspects.convictions.map(({causes}) => causes.map(cause => cause.replace('part:', '')).join('')).toSorted();
+}
+
+describe('a part that crashes engines', () => {
+	it.each([['first', 'BA'], ['in the middle', 'AB']])('is convicted by its third crash when it comes %s, and its shared neighbours are not', (_, shared) => {
+		const suspects = new Suspects();
+		suspects.recordAnswers(scope, ['part:A'], 0);
+		record(suspects, [report('e1', 100, `${shared}1`), report('e2', 300, `${shared}2`)]);
+		expect(typesOf(suspects, [`${shared}3`, 'A4'])).toEqual(['suspected', 'unsuspected']);
+		record(suspects, [report('e3', 500, `${shared}3`)]);
+		expect([listConvicted(suspects), typesOf(suspects, [`${shared}4`, 'A4', '1', '9'])]).toEqual([['B'], ['convicted', 'unsuspected', 'unsuspected', 'unsuspected']]);
+	});
+
+	it('takes along requests that ran beside it, unbegun ones too, and convicts none of their parts', () => {
+		const suspects = new Suspects();
+		for (const [index, at] of [100, 300, 500, 700].entries()) {
+			record(suspects, [report(`e${index}`, at, `B${index}`), report(`e${index}`, at, 'S'), report(`e${index}`, at, 'T', {hasBegun: true})]);
+		}
+
+		expect(listConvicted(suspects)).toEqual(['B', 'S']);
+		suspects.recordAnswers(scope, ['part:S'], 710);
+		expect([listConvicted(suspects), typesOf(suspects, ['S', 'T', 'B'])]).toEqual([['B'], ['unsuspected', 'unsuspected', 'convicted']]);
+	});
+
+	it('is told from another one that crashes engines at the same time', () => {
+		const suspects = new Suspects();
+		for (const [index, at] of [100, 300, 500].entries()) {
+			record(suspects, [report(`e${index}`, at, `B${index}`), report(`f${index}`, at + 50, `C${index + 3}`)]);
+		}
+
+		expect(listConvicted(suspects)).toEqual(['B', 'C']);
+	});
+
+	it('is convicted together with a part that always came with it, until one of them comes alone', () => {
+		const suspects = new Suspects();
+		record(suspects, [report('e1', 100, 'BC1'), report('e2', 300, 'BC2'), report('e3', 500, 'BC3')]);
+		expect([listConvicted(suspects), typesOf(suspects, ['BC4', 'B4', 'C4'])]).toEqual([['BC'], ['convicted', 'suspected', 'suspected']]);
+		record(suspects, [report('e4', 700, 'B5')]);
+		expect([listConvicted(suspects), typesOf(suspects, ['BC6', 'B6', 'C6'])]).toEqual([['B'], ['convicted', 'convicted', 'unsuspected']]);
+	});
+
+	it('is convicted as soon as a second request with it comes, however rarely', () => {
+		const suspects = new Suspects();
+		record(suspects, [report('e1', 0, 'B1'), report('e2', 300, 'B1'), report('e3', 600, 'B1')]);
+		expect(typesOf(suspects, ['B1', 'B2'])).toEqual(['convicted', 'suspected']);
+		record(suspects, [report('e4', 400_000, 'B2')]);
+		expect(typesOf(suspects, ['B3'], 400_001)).toEqual(['convicted']);
+	});
+
+	it('is convicted though its engines start anew as the same id, with and without a start time', () => {
+		for (const started of [undefined, 1]) {
+			const suspects = new Suspects();
+			for (const [index, at] of [1000, 5000, 9000].entries()) {
+				record(suspects, [report('e1', at, `B${index}`, {started: started === undefined ? undefined : index})]);
+			}
+
+			expect(listConvicted(suspects)).toEqual(['B']);
+		}
+	});
+
+	it('that was answered before and crashes only sometimes is convicted later', () => {
+		const suspects = new Suspects();
+		suspects.recordAnswers(scope, ['part:B'], 0);
+		for (let index = 1; index <= 5; index++) {
+			record(suspects, [report(`e${index}`, index * 200, `B${index}`)]);
+		}
+
+		expect(typesOf(suspects, ['B9'], 2000)).toEqual(['suspected']);
+		record(suspects, [report('e6', 1200, 'B6')]);
+		expect(typesOf(suspects, ['B9'], 2000)).toEqual(['convicted']);
+	});
+});
+
+describe('sound requests', () => {
+	it('are not convicted by engines that crash in a group without a cause', () => {
+		const suspects = new Suspects();
+		record(suspects, [report('e1', 100, 'N1'), report('e2', 101, 'N2'), report('e3', 102, 'N3'), report('e4', 103, 'N4')]);
+		expect(listConvicted(suspects)).toEqual([]);
+		suspects.recordAnswers(scope, ['part:N'], 400);
+		expect(typesOf(suspects, ['N5'])).toEqual(['unsuspected']);
+	});
+
+	it('are not suspected for connections that broke at engines that go on', () => {
+		const suspects = new Suspects();
+		record(suspects, [report('e1', 100, 'N1'), report('e2', 300, 'N2'), report('e3', 500, 'N3')]);
+		expect(listConvicted(suspects)).toEqual(['N']);
+		suspects.recordSurvival({upstream: 'e2', started: 1}, 600);
+		expect([listConvicted(suspects), suspects.recordCrash(report('e2', 301, 'N7'), 700)]).toEqual([[], false]);
+	});
+
+	it('are cleared by an answer whose report arrives before that of the crash', () => {
+		const suspects = new Suspects();
+		suspects.recordAnswers(scope, ['part:N'], 900);
+		record(suspects, [report('e1', 100, 'N1'), report('e2', 300, 'N2'), report('e3', 500, 'N3')]);
+		expect(typesOf(suspects, ['N5'])).toEqual(['unsuspected']);
+	});
+});
+
+describe('a conviction', () => {
+	function convict(): Suspects {
+		const suspects = new Suspects();
+		record(suspects, [report('e1', 100, 'B1'), report('e2', 300, 'B2'), report('e3', 500, 'B3')]);
+		return suspects;
+	}
+
+	it('ends with an answer at any host', () => {
+		const suspects = convict();
+		expect(suspects.recordAnswers(scope, ['part:B', 'part:X'], 800)).toEqual(['part:B']);
+		expect([listConvicted(suspects), typesOf(suspects, ['B4'])]).toEqual([[], ['unsuspected']]);
+	});
+
+	it('is tested by one request after ten minutes, and after twice as long each time that this fails', () => {
+		const suspects = convict();
+		expect(typesOf(suspects, ['B4'], 600_400)).toEqual(['convicted']);
+		const trial = assess(suspects, 'B4', 600_600);
+		expect(trial).toMatchObject({type: 'trial', versions: ['v1']});
+		suspects.recordTrial(trial.type === 'trial' ? trial.key : '', 600_600);
+		expect(typesOf(suspects, ['B5'], 600_700)).toEqual(['convicted']);
+		record(suspects, [report('e4', 600_800, 'B4')]);
+		expect([typesOf(suspects, ['B5'], 1_700_000), typesOf(suspects, ['B5'], 1_800_900)]).toEqual([['convicted'], ['trial']]);
+		expect(computeTrialTime([0, 400_000, 1_000_000])).toBe(1_000_000 + 2_400_000);
+	});
+
+	it('is tested by one host after the other', () => {
+		const suspects = convict();
+		const request = {service, causes: ['part:B' as const], versions: ['v1']};
+		expect([0, 2].map(turn => suspects.assess(request, () => turn, 601_000).type)).toEqual(['trial', 'convicted']);
+		expect(suspects.assess(request, () => 2, 603_000).type).toBe('trial');
+	});
+
+	it('is tested once at engines of another version, which one crash convicts too', () => {
+		const suspects = convict();
+		expect(assess(suspects, 'B4', 1000, ['v1', 'v2']).type).toBe('convicted');
+		const trial = assess(suspects, 'B4', 2500, ['v1', 'v2']);
+		expect(trial).toMatchObject({type: 'trial', versions: ['v2']});
+		suspects.recordTrial(trial.type === 'trial' ? trial.key : '', 2500);
+		expect(assess(suspects, 'B5', 2600, ['v1', 'v2']).type).toBe('convicted');
+		record(suspects, [report('n1', 2700, 'B4', {scope: {service, version: 'v2'}})]);
+		expect(assess(suspects, 'B5', 30_000, ['v1', 'v2']).type).toBe('convicted');
+	});
+
+	it('holds for the former version only once engines of another one have answered', () => {
+		const suspects = convict();
+		suspects.recordAnswers({service, version: 'v2'}, ['part:B'], 2600);
+		expect([assess(suspects, 'B5', 2700, ['v1', 'v2']), assess(suspects, 'B5', 2700, ['v1']).type]).toEqual([{type: 'unsuspected', versions: ['v2']}, 'convicted']);
+	});
+
+	it('is lifted by an operator until the next crash, and added without one', () => {
+		const suspects = convict();
+		const order = {
+			service, cause: 'part:B', given: 10, reason: 'test', at: 900,
+		} as const;
+		expect([suspects.recordOrder({...order, action: 'lift'}), suspects.recordOrder({...order, action: 'add', given: 9})]).toEqual([true, false]);
+		expect(typesOf(suspects, ['B4'])).toEqual(['unsuspected']);
+		record(suspects, [report('e4', 1000, 'B4')]);
+		expect(typesOf(suspects, ['B5'])).toEqual(['convicted']);
+		suspects.recordOrder({...order, cause: 'part:X', action: 'add'});
+		expect(assess(suspects, 'X').type).toBe('convicted');
+	});
+
+	it.each([1, 2, 3, 4, 5])('is the same at all hosts, in whatever order they learn of crashes and answers (order %i)', seed => {
+		const random = createRandom(seed);
+		const events: Array<(suspects: Suspects) => void> = [];
+		for (const [index, at] of [100, 300, 500, 700].entries()) {
+			for (const each of [report(`e${index}`, at, `AB${index}`), report(`e${index}`, at + 2, 'AS'), report(`e${index}`, at, 'T', {hasBegun: true})]) {
+				events.push(suspects => {
+					suspects.recordCrash(each, 1000);
+				});
+			}
+		}
+
+		events.push(suspects => {
+			suspects.recordAnswers(scope, ['part:A', 'part:S'], 800);
+		}, suspects => {
+			suspects.recordSurvival({upstream: 'e3', started: 1}, 900);
+		});
+		const suspects = new Suspects();
+		while (events.length > 0) {
+			const [next] = events.splice(random.integer(0, events.length - 1), 1);
+			next!(suspects);
+		}
+
+		expect(listConvicted(suspects)).toEqual(['B']);
+	});
+});
+
+it('evidence is bounded, and that of convictions is dropped last', () => {
+	const crashes = new Crashes();
+	for (let index = 0; index < 3000; index++) {
+		crashes.record(report(`e${index}`, index, `${index % 10}`));
+	}
+
+	crashes.prune(3000, ({upstream}) => upstream === 'e0');
+	expect([crashes.reportCount, [...crashes.all][0]!.upstream]).toEqual([1000, 'e0']);
+	crashes.prune(1_000_000, ({upstream}) => upstream === 'e0');
+	expect(crashes.reportCount).toBe(1);
+});
+
+describe('suspected requests', () => {
+	const engines = Array.from({length: 12}, (_, index): GatewayUpstream => ({
+		id: `e${index}`, service, address: {host: 'h', port: index}, failureDomain: 'a', slots: 8, isDraining: false,
+	}));
+
+	it('go to the same engine from every host, and to the next one if that is gone', () => {
+		const ranked = rankForCause('part:B', engines).map(({id}) => id);
+		const shuffled = rankForCause('part:B', engines.toReversed()).map(({id}) => id);
+		expect([shuffled, rankForCause('part:B', engines.filter(({id}) => id !== ranked[0]))[0]!.id]).toEqual([ranked, ranked[1]]);
+	});
+
+	it('have an engine to themselves from the second crash on, for a while, and at most a quarter of the engines', () => {
+		const suspect = (cause: Cause, crashes: number, last = 0) => ({cause, crashes, last});
+		expect([...listAvoided([suspect('part:B', 2), suspect('part:N', 1)], engines, 1000)]).toEqual([rankForCause('part:B', engines)[0]!.id]);
+		expect(listAvoided([suspect('part:B', 2)], engines, 4000).size).toBe(0);
+		expect(listAvoided([...'abcdefgh'].map(part => suspect(`part:${part}`, 2)), engines, 0).size).toBeLessThanOrEqual(3);
+	});
+});
--- a/src/core/gateway/health/reachability.ts
+++ b/src/core/gateway/health/reachability.ts
@@ -45,6 +45,15 @@
 		this.#failures.set(domain, known);
 	}
 
+	/**
+	 * @param upstream - Upstream that failed for another reason than its link.
+	 */
+	forgetFailure(upstream: string): void {
+		for (const upstreams of this.#failures.values()) {
+			upstreams.delete(upstream);
+		}
+	}
+
 	/**
 	 * @param now - Time in milliseconds.
 	 * @returns Failure domains that are considered unreachable.
--- a/src/core/gateway/limits/retries.ts
+++ b/src/core/gateway/limits/retries.ts
@@ -4,10 +4,10 @@
 import {type Route} from '../types.js';
 
 /**
- * Why a host cancels an attempt: the caller has left, its time is over, the memory of its hold is lost, it is rerouted (`moved`), or the
- * engine is unresponsive (`silent`).
+ * Why a host cancels an attempt: the caller has left, its time is over, the memory of its hold is lost, it is rerouted (`moved`), the
+ * engine is unresponsive (`silent`), or it turns out to crash engines (`convicted`).
  */
-export type CancelReason = 'caller left' | 'memory lost' | 'moved' | 'silent' | 'time over';
+export type CancelReason = 'caller left' | 'convicted' | 'memory lost' | 'moved' | 'silent' | 'time over';
 
 /** What is known for certain about an attempt that has ended. */
 export type AttemptEnding
@@ -17,8 +17,8 @@
 		| {readonly type: 'not-run'; readonly reason: string; readonly isShed: boolean}
 	/** The upstream ran it and answered with an error that another upstream may not return. */
 		| {readonly type: 'failed'; readonly status: number}
-	/** It was sent, but no complete answer arrived. */
-		| {readonly type: 'unknown'; readonly reason: string; readonly unfinished?: number}
+	/** It was sent, but no complete answer arrived; `isDisconnected` if its connection broke, as when the upstream crashes. */
+		| {readonly type: 'unknown'; readonly reason: string; readonly unfinished?: number; readonly isDisconnected?: boolean}
 	/** This host cancelled it. */
 		| {readonly type: 'cancelled'; readonly reason: CancelReason};
 
@@ -35,6 +35,9 @@
 /** Share of the limits that is used: hosts know the fleet size only roughly, and windows slide. */
 const usedShare = 0.7;
 
+/** Share of these that suspected requests may use. */
+const suspectedShare = 0.5;
+
 type AttemptTimes = {
 	/** Times of requests and of retries within the last window. */
 	readonly requests: number[];
@@ -137,12 +140,13 @@
 	 * @param service - Service.
 	 * @param share - Hosts that share the allowance.
 	 * @param now - Time in milliseconds.
+	 * @param isSuspected - Whether the request may have crashed its upstream; such requests leave a part of the budget to those that they interrupt.
 	 * @returns Whether this host may make one more retry.
 	 */
-	allowsRetry(service: string, {hosts, counted}: BudgetShare, now: number): boolean {
+	allowsRetry(service: string, {hosts, counted}: BudgetShare, now: number, isSuspected = false): boolean {
 		const {requests, retries} = this.#recentTimes(service, now);
 		const earned = requests.length * this.#limits.ratio;
-		return retries.length + 1 <= ((this.#limits.allowance * counted / hosts) + earned) * usedShare;
+		return retries.length + 1 <= ((this.#limits.allowance * counted / hosts) + earned) * usedShare * (isSuspected ? suspectedShare : 1);
 	}
 
 	#recentTimes(service: string, now: number): AttemptTimes {
--- a/src/core/gateway/placement/preference.ts
+++ b/src/core/gateway/placement/preference.ts
@@ -2,8 +2,8 @@
 import {computeWeight, lateLoss} from '../engines/losses.js';
 import {type EngineModel, type GatewayUpstream, type Prompt} from '../types.js';
 
-/** Why some engines are preferred: the others belong to other groups. */
-export type PreferenceReason = 'group';
+/** Why some engines are preferred: the others belong to other groups, or are left to requests that may crash them. */
+export type PreferenceReason = 'group' | 'suspicion';
 
 /** Engines that a request prefers. */
 export type Preference = {
--- /dev/null
+++ b/src/core/gateway/suspicion/inference.ts
@@ -0,0 +1,172 @@
+/**
+ * Infers from crashes which causes are to blame. A crash ends everything that ran at its engine, so that most attempts which ended with it
+ * are innocent: a cause is convicted if engines crashed again and again under it, nothing with it was ever answered, and no other cause
+ * explains the same crashes better.
+ */
+import {type Cause} from './causes.js';
+import {type Crash, type CrashReport} from './crashes.js';
+
+/** Crashes that convict a cause: two may be a coincidence if engines fail in groups. */
+const convictingCrashes = 3;
+
+/** The same for a cause that was answered before, and crashes engines only sometimes. */
+const convictingCrashesIfAnswered = 6;
+
+/** Crashes under a cause that was answered before from which on it is suspected. */
+const suspectingCrashesIfAnswered = 3;
+
+/** How long an answer speaks for a cause. */
+const trustMs = 600_000;
+
+/** What is known of causes besides crashes. */
+export type CauseKnowledge = {
+	/** Returns when a request with the cause was last answered by engines of this version; undefined if it never was. */
+	readonly findAnswer: (cause: Cause) => number | undefined;
+	/** Returns the time up to which crashes don't count, as an operator has lifted the conviction since. */
+	readonly findPardon: (cause: Cause) => number | undefined;
+	/** Returns whether it crashed engines of another version, or had been convicted before it was pardoned. */
+	readonly hasRecord: (cause: Cause) => boolean;
+};
+
+/** Causes that are to blame together, as no request that crashed had only some of them. */
+export type Blame = {
+	/** Requests with all of them crash engines. */
+	readonly causes: readonly Cause[];
+	readonly crashes: readonly Crash[];
+};
+
+/** Crashes that speak against a cause and that no convicted one explains. */
+export type Suspicion = {
+	readonly crashes: number;
+	/** Time of the last one. */
+	readonly last: number;
+};
+
+export type Findings = {
+	readonly blames: readonly Blame[];
+	readonly suspicions: ReadonlyMap<Cause, Suspicion>;
+};
+
+type Charge = {
+	readonly cause: Cause;
+	readonly reports: Map<Crash, CrashReport[]>;
+	readonly isTrusted: boolean;
+};
+
+/** Returns whether crashes under a cause count, and if so, whether an earlier answer speaks for it. */
+function judge(cause: Cause, crash: Crash, knowledge: CauseKnowledge): 'counted' | 'cleared' | 'trusted' {
+	const answer = knowledge.findAnswer(cause);
+	const pardon = knowledge.findPardon(cause);
+	if ((answer !== undefined && answer >= crash.at) || (pardon !== undefined && pardon >= crash.at)) {
+		return 'cleared';
+	}
+
+	return answer !== undefined && crash.at - answer < trustMs ? 'trusted' : 'counted';
+}
+
+/** Adds what one crash says against causes: attempts whose answers had begun are blamed only if there is nothing else to blame. */
+function addCrash(charges: Map<Cause, Charge>, crash: Crash, knowledge: CauseKnowledge): void {
+	for (const hasBegun of [false, true]) {
+		let isBlamed = false;
+		for (const report of crash.reports.filter(each => each.hasBegun === hasBegun)) {
+			for (const cause of report.causes) {
+				const verdict = judge(cause, crash, knowledge);
+				if (verdict === 'cleared') {
+					continue;
+				}
+
+				const isTrusted = verdict === 'trusted';
+				isBlamed ||= !isTrusted;
+				const charge = charges.get(cause) ?? {cause, reports: new Map<Crash, CrashReport[]>(), isTrusted};
+				charge.reports.set(crash, [...charge.reports.get(crash) ?? [], report]);
+				charges.set(cause, charge);
+			}
+		}
+
+		if (isBlamed) {
+			return;
+		}
+	}
+}
+
+function listUnexplained({reports}: Charge, explained: ReadonlySet<Crash>): readonly Crash[] {
+	return [...reports.keys()].filter(crash => !explained.has(crash));
+}
+
+/** Whether one of the attempts was sent after an engine had crashed under the cause: engines that fail in a group do so at once. */
+function hasRepetition({reports}: Charge, crashes: readonly Crash[]): boolean {
+	const first = Math.min(...crashes.map(({at}) => at));
+	return crashes.some(crash => reports.get(crash)!.some(({sent}) => sent > first));
+}
+
+function isConvicting(charge: Charge, crashes: readonly Crash[], knowledge: CauseKnowledge): boolean {
+	if (!charge.isTrusted && knowledge.hasRecord(charge.cause)) {
+		return crashes.length > 0;
+	}
+
+	return crashes.length >= (charge.isTrusted ? convictingCrashesIfAnswered : convictingCrashes) && hasRepetition(charge, crashes);
+}
+
+/** Returns the causes that all attempts with a given one had in common, and that are as likely to blame. */
+function findCompanions(charge: Charge, crashes: readonly Crash[], charges: ReadonlyMap<Cause, Charge>, {hasRecord}: CauseKnowledge): readonly Cause[] {
+	const reports = crashes.flatMap(crash => charge.reports.get(crash)!);
+	return reports[0]!.causes.filter(cause => {
+		const other = charges.get(cause);
+		return other?.isTrusted === charge.isTrusted
+			&& (hasRecord(cause) || !hasRecord(charge.cause))
+			&& reports.every(report => report.causes.includes(cause));
+	});
+}
+
+/**
+ * @param crashes - Crashes of engines of one service and version.
+ * @param knowledge - What else is known of causes.
+ * @returns Which causes are to blame, and which may be.
+ */
+export function infer(crashes: Iterable<Crash>, knowledge: CauseKnowledge): Findings {
+	const charges = new Map<Cause, Charge>();
+	for (const crash of crashes) {
+		addCrash(charges, crash, knowledge);
+	}
+
+	const explained = new Set<Crash>();
+	const blames = new Map<string, Blame>();
+	for (;;) {
+		const convicted = [...charges.values()]
+			.map(charge => ({charge, unexplained: listUnexplained(charge, explained)}))
+			.filter(({charge, unexplained}) => isConvicting(charge, unexplained, knowledge));
+		if (convicted.length === 0) {
+			break;
+		}
+
+		// Those with most crashes explain them to the others.
+		const most = Math.max(...convicted.map(({unexplained}) => unexplained.length));
+		for (const {charge, unexplained} of convicted.filter(each => each.unexplained.length === most)) {
+			const causes = findCompanions(charge, unexplained, charges, knowledge);
+			blames.set(causes.toSorted().join(' '), {causes, crashes: unexplained});
+			for (const crash of unexplained) {
+				explained.add(crash);
+			}
+		}
+	}
+
+	return {blames: [...blames.values()], suspicions: listSuspicions(charges, explained, blames.values())};
+}
+
+function listSuspicions(charges: ReadonlyMap<Cause, Charge>, explained: ReadonlySet<Crash>, blames: Iterable<Blame>): ReadonlyMap<Cause, Suspicion> {
+	const suspicions = new Map<Cause, Suspicion>();
+	for (const {causes, crashes} of blames) {
+		for (const cause of causes) {
+			suspicions.set(cause, {crashes: crashes.length, last: Math.max(...crashes.map(({at}) => at))});
+		}
+	}
+
+	for (const charge of charges.values()) {
+		const unexplained = listUnexplained(charge, explained);
+		if (unexplained.length >= (charge.isTrusted ? suspectingCrashesIfAnswered : 1)) {
+			suspicions.set(charge.cause, {crashes: unexplained.length, last: Math.max(...unexplained.map(({at}) => at))});
+		}
+	}
+
+	return suspicions;
+}
--- /dev/null
+++ b/src/core/gateway/suspicion/suspects.ts
@@ -0,0 +1,330 @@
+/** Decides whether a request may run, from the crashes and answers that all hosts have observed. */
+import {type UpstreamProcess} from '../types.js';
+import {Answers} from './answers.js';
+import {formatScope, type Cause, type Scope} from './causes.js';
+import {Crashes, type Crash, type CrashReport} from './crashes.js';
+import {
+	infer, type Blame, type CauseKnowledge, type Findings,
+} from './inference.js';
+import {Orders, type ReceivedOrder} from './orders.js';
+import {type Suspect} from './quarantine.js';
+import {
+	computeTrialTime, computeVersionTrialTime, Trials, type TrialKey,
+} from './trials.js';
+
+/** Requests that are refused, as they crash engines of one version or as an operator has said so. */
+export type Conviction = {
+	readonly service: string;
+	/** Version of the engines; undefined for all. */
+	readonly version?: string;
+	/** Requests with all of these causes are refused. */
+	readonly causes: readonly Cause[];
+	readonly basis: {readonly type: 'crashes'; readonly crashes: readonly Crash[]} | {readonly type: 'order'; readonly order: ReceivedOrder};
+};
+
+/** What is known against a request. */
+export type Assessment
+	/** It may run, at engines of the given versions only if these are set. */
+	= | {readonly type: 'unsuspected'; readonly versions?: readonly string[]}
+	/** The same, apart from others; most is known against `cause`. */
+		| {readonly type: 'suspected'; readonly cause: Cause; readonly crashes: number; readonly versions?: readonly string[]}
+	/** It may run once to test its conviction, at engines of the given version. */
+		| {readonly type: 'trial'; readonly key: TrialKey; readonly cause: Cause; readonly conviction: Conviction; readonly versions: readonly string[]}
+	/** It must not run; `until` is when it may be tried again, if that is known. */
+		| {readonly type: 'convicted'; readonly conviction: Conviction; readonly until?: number};
+
+export type Request = {
+	readonly service: string;
+	readonly causes: readonly Cause[];
+	/** Versions of the engines that are registered. */
+	readonly versions: readonly string[];
+};
+
+/** Returns how many hosts come before this one in the order in which they test a conviction. */
+export type TurnFinder = (key: TrialKey) => number;
+
+/** How often old evidence is dropped, in milliseconds. */
+const pruneIntervalMs = 5000;
+
+export class Suspects {
+	readonly #crashes = new Crashes();
+	readonly #answers = new Answers();
+	readonly #orders = new Orders();
+	readonly #trials = new Trials();
+	/** Findings by scope, as of the change count. */
+	#findings = new Map<string, {readonly scope: Scope; readonly findings: Findings}>();
+	#inferredAt = 0;
+	#changeCount = 0;
+	#prunedAt = 0;
+
+	/** Crashes in memory. */
+	get crashes(): Iterable<Crash> {
+		return this.#crashes.all;
+	}
+
+	/** Number of attempts in memory that ended with a crash. */
+	get reportCount(): number {
+		return this.#crashes.reportCount;
+	}
+
+	get orders(): Iterable<ReceivedOrder> {
+		return this.#orders.all;
+	}
+
+	get trials(): Iterable<readonly [TrialKey, number]> {
+		return this.#trials.all;
+	}
+
+	/** Changes with every change of what is known against any request. */
+	get changeCount(): number {
+		return this.#changeCount + this.#crashes.changeCount;
+	}
+
+	/**
+	 * @param report - Attempt that ended with a crash.
+	 * @param now - Time.
+	 * @returns Whether it is new.
+	 */
+	recordCrash(report: CrashReport, now: number): boolean {
+		this.#prune(now);
+		return this.#crashes.record(report);
+	}
+
+	/**
+	 * @param scope - Engines that answered.
+	 * @param causes - Causes of answered requests.
+	 * @param at - Time of the answer.
+	 * @returns Those under which an engine has crashed since the answer before.
+	 */
+	recordAnswers(scope: Scope, causes: readonly Cause[], at: number): readonly Cause[] {
+		const cleared = causes.filter(cause => this.#isNews(scope, cause, at));
+		for (const cause of causes) {
+			this.#answers.record(scope, cause, at);
+		}
+
+		this.#changeCount += cleared.length > 0 ? 1 : 0;
+		return cleared;
+	}
+
+	/**
+	 * @param scope - Engines.
+	 * @param cause - Cause.
+	 * @returns When a request with it was last answered there; undefined if that isn't known.
+	 */
+	findAnswer(scope: Scope, cause: Cause): number | undefined {
+		return this.#answers.findTime(scope, cause);
+	}
+
+	/**
+	 * @param process - Process that is alive after a supposed crash.
+	 * @param at - Time at which it was.
+	 * @returns Whether that disproves a crash.
+	 */
+	recordSurvival(process: UpstreamProcess, at: number): boolean {
+		return this.#crashes.disprove(process, at);
+	}
+
+	/**
+	 * @param order - Order of an operator.
+	 * @returns Whether it is new.
+	 */
+	recordOrder(order: ReceivedOrder): boolean {
+		const isNew = this.#orders.apply(order);
+		this.#changeCount += isNew ? 1 : 0;
+		return isNew;
+	}
+
+	/**
+	 * @param key - Trial of a conviction.
+	 * @param at - When a host started it.
+	 * @returns Whether it is new.
+	 */
+	recordTrial(key: TrialKey, at: number): boolean {
+		return this.#trials.record(key, at);
+	}
+
+	/**
+	 * @param upstream - Id of an upstream.
+	 * @param since - Time.
+	 * @returns Its last crash since then, if there was one.
+	 */
+	findCrash(upstream: string, since: number): Crash | undefined {
+		return this.#crashes.findSince(upstream, since);
+	}
+
+	/** Convictions in force. */
+	get convictions(): readonly Conviction[] {
+		const byCrashes = [...this.#infer().values()].flatMap(({scope: {service, version}, findings}) => findings.blames.map((blame): Conviction => ({
+			service, version, causes: blame.causes, basis: {type: 'crashes', crashes: blame.crashes},
+		})));
+		const byOrder = [...this.#orders.all].filter(({action}) => action === 'add').map((order): Conviction => ({
+			service: order.service, causes: [order.cause], basis: {type: 'order', order},
+		}));
+		return [...byOrder, ...byCrashes];
+	}
+
+	/**
+	 * @param service - Service.
+	 * @returns Causes that are suspected at its engines and not convicted.
+	 */
+	listSuspects(service: string): readonly Suspect[] {
+		const suspects: Suspect[] = [];
+		for (const {scope, findings} of this.#infer().values()) {
+			if (scope.service === service) {
+				suspects.push(...[...findings.suspicions].map(([cause, suspicion]) => ({cause, ...suspicion})));
+			}
+		}
+
+		return suspects;
+	}
+
+	/**
+	 * @param request - Request.
+	 * @param findTurn - Finds the turn of this host.
+	 * @param now - Time.
+	 * @returns What is known against it.
+	 */
+	assess(request: Request, findTurn: TurnFinder, now: number): Assessment {
+		const {service, causes, versions} = request;
+		for (const cause of causes) {
+			const order = this.#orders.findOrder(service, cause);
+			if (order?.action === 'add') {
+				return {type: 'convicted', conviction: {service, causes: [cause], basis: {type: 'order', order}}};
+			}
+		}
+
+		const convictions = this.#findConvictions(request);
+		if (convictions.size === 0) {
+			return this.#assessSuspicion(request);
+		}
+
+		const open = versions.filter(version => !convictions.has(version) && this.#hasAnswered(request, version));
+		return open.length > 0 ? {...this.#assessSuspicion({...request, versions: open}), versions: open} : this.#assessTrial(request, convictions, findTurn, now);
+	}
+
+	/** Returns the convictions that apply to a request, by version. */
+	#findConvictions({service, causes}: Request): ReadonlyMap<string, Conviction> {
+		const convictions = new Map<string, Conviction>();
+		for (const {scope, findings} of this.#infer().values()) {
+			const blame = scope.service === service ? findings.blames.find(each => each.causes.every(cause => causes.includes(cause))) : undefined;
+			if (blame !== undefined) {
+				convictions.set(scope.version, {
+					service, version: scope.version, causes: blame.causes, basis: {type: 'crashes', crashes: blame.crashes},
+				});
+			}
+		}
+
+		return convictions;
+	}
+
+	/** Whether engines of a version have answered a request with causes that crash those of another version. */
+	#hasAnswered({service, causes}: Request, version: string): boolean {
+		const scope = {service, version};
+		return [...this.#infer().values()]
+			.filter(each => each.scope.service === service)
+			.flatMap(({findings}) => findings.blames)
+			.filter(blame => blame.causes.every(cause => causes.includes(cause)))
+			.every(blame => blame.causes.some(cause => this.#answers.findTime(scope, cause) !== undefined));
+	}
+
+	#assessSuspicion({service, causes, versions}: Request): Extract<Assessment, {readonly type: 'suspected' | 'unsuspected'}> {
+		let worst: Suspect | undefined;
+		for (const {scope, findings} of this.#infer().values()) {
+			if (scope.service !== service || !versions.includes(scope.version)) {
+				continue;
+			}
+
+			for (const cause of causes) {
+				const suspicion = findings.suspicions.get(cause);
+				if (suspicion !== undefined && suspicion.crashes > (worst?.crashes ?? 0)) {
+					worst = {cause, ...suspicion};
+				}
+			}
+		}
+
+		return worst === undefined ? {type: 'unsuspected'} : {type: 'suspected', cause: worst.cause, crashes: worst.crashes};
+	}
+
+	#assessTrial({service, versions}: Request, convictions: ReadonlyMap<string, Conviction>, findTurn: TurnFinder, now: number): Assessment {
+		const times = [...convictions.values()].map(({basis}) => basis.type === 'crashes' ? basis.crashes.map(({at}) => at) : []);
+		const lastCrash = Math.max(...times.flat());
+		let until: number | undefined;
+		for (const version of versions) {
+			const own = convictions.get(version);
+			const {causes} = own ?? [...convictions.values()][0]!;
+			const scope = formatScope({service, version});
+			const key = `${scope} ${causes.toSorted().join(' ')}`;
+			const due = own?.basis.type === 'crashes'
+				? computeTrialTime(own.basis.crashes.map(({at}) => at))
+				: computeVersionTrialTime(lastCrash, this.#trials.noteVersion(scope, now));
+			if (this.#trials.mayStart(key, due, findTurn(key), now)) {
+				return {
+					type: 'trial', key, cause: causes[0]!, conviction: [...convictions.values()][0]!, versions: [version],
+				};
+			}
+
+			until = Math.min(until ?? due, due);
+		}
+
+		return {type: 'convicted', conviction: [...convictions.values()][0]!, until};
+	}
+
+	/** Returns the findings of all scopes, inferred again if anything has changed. Findings in one scope count in the others. */
+	#infer(): ReadonlyMap<string, {readonly scope: Scope; readonly findings: Findings}> {
+		if (this.#inferredAt === this.changeCount) {
+			return this.#findings;
+		}
+
+		const byScope = new Map<string, {readonly scope: Scope; readonly crashes: Crash[]}>();
+		for (const crash of this.#crashes.all) {
+			const key = formatScope(crash.scope);
+			const known = byScope.get(key) ?? {scope: crash.scope, crashes: []};
+			known.crashes.push(crash);
+			byScope.set(key, known);
+		}
+
+		let blames: ReadonlyArray<Blame & {readonly scope: Scope}> = [];
+		for (let pass = 0; pass < Math.min(byScope.size, 2) || pass === 0; pass++) {
+			const known = blames;
+			this.#findings = new Map([...byScope].map(([key, {scope, crashes}]) => [key, {scope, findings: infer(crashes, this.#knowledgeOf(scope, known))}]));
+			blames = [...this.#findings.values()].flatMap(({scope, findings}) => findings.blames.map(blame => ({...blame, scope})));
+		}
+
+		this.#inferredAt = this.changeCount;
+		return this.#findings;
+	}
+
+	#knowledgeOf(scope: Scope, blames: ReadonlyArray<Blame & {readonly scope: Scope}>): CauseKnowledge {
+		const {service, version} = scope;
+		return {
+			findAnswer: cause => this.#answers.findTime(scope, cause),
+			findPardon: cause => {
+				const order = this.#orders.findOrder(service, cause);
+				return order?.action === 'lift' ? order.at : undefined;
+			},
+			hasRecord: cause => this.#orders.findOrder(service, cause)?.action === 'lift'
+				|| blames.some(blame => blame.scope.service === service && blame.scope.version !== version && blame.causes.includes(cause)),
+		};
+	}
+
+	/** Whether an answer changes what is known: it is the first one, or the first one since a crash under the cause. */
+	#isNews(scope: Scope, cause: Cause, at: number): boolean {
+		const crash = this.#crashes.findLastUnder(scope, cause);
+		if (crash === undefined) {
+			return false;
+		}
+
+		const previous = this.#answers.findTime(scope, cause);
+		return previous === undefined || (previous < crash && at >= crash);
+	}
+
+	#prune(now: number): void {
+		if (now - this.#prunedAt < pruneIntervalMs) {
+			return;
+		}
+
+		this.#prunedAt = now;
+		const needed = new Set([...this.#infer().values()].flatMap(({findings}) => findings.blames.flatMap(({crashes}) => crashes)));
+		this.#crashes.prune(now, crash => needed.has(crash));
+	}
+}
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -111,6 +111,8 @@
 	readonly failureDomain: string;
 	readonly slots: number;
 	readonly isDraining: boolean;
+	/** Version of its software, if it states one. */
+	readonly version?: string;
 	/** Start of its process in milliseconds since 1970, if the upstream reports it. */
 	readonly started?: number;
 	/** Number of this registration among those that its process has written, if the upstream reports it. */
@@ -130,8 +132,10 @@
 	readonly started?: number;
 };
 
-/** Size of a model request. */
+/** Prompt of a model request. */
 export type Prompt = {
+	/** Ids of its parts, in order; requests share parts, except the last one. Absent if unknown. */
+	readonly parts?: readonly string[];
 	readonly tokens: number;
 	/** Maximum length of the answer in tokens. */
 	readonly answer: number;
--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -12,6 +12,15 @@
 import {type RequestTrace} from '../requests/trace.js';
 import {StallDetectors} from '../upstreams/stall-detectors.js';
 
+const noConvictions = {
+	assess: () => ({type: 'unsuspected'}),
+	listPermitted: () => undefined,
+	track: () => ({[Symbol.dispose]: () => undefined}),
+	recordBroken: () => undefined,
+	recordAnswered: () => undefined,
+	noteLife: () => undefined,
+};
+
 it('ends a request whose deadline passed before it was sent, even if no timer could fire', async () => {
 	const server = createServer();
 	server.listen(0, '127.0.0.1');
@@ -25,7 +34,7 @@
 		upstream: {id: 'e0', address: {host: '127.0.0.1', port: 1}}, helpers: [], holdTokens: 0, loss: 0, firstByte: 0,
 	};
 	const gateway = {
-		convictions: {isConvicted: () => false},
+		convictions: noConvictions,
 		loadUpdates: {refresh: async () => undefined},
 		canRetry: () => true,
 		retries: {countRetry: () => undefined},
@@ -61,7 +70,7 @@
 		upstream: {id: 'e0', address: {host: '127.0.0.1', port: 1}}, helpers: [], holdTokens: 0, loss: 60, firstByte: 900, prefill: {total: 400, perIteration: 400},
 	};
 	const gateway = {
-		convictions: {isConvicted: () => false},
+		convictions: noConvictions,
 		loadUpdates: {refresh: async () => undefined},
 		service: () => ({engine: {usualPrompt: 1000, usualAnswer: 500, step: 1}}),
 		placements: {
@@ -104,7 +113,7 @@
 	}];
 	let placed = 0;
 	const gateway = {
-		convictions: {isConvicted: () => false},
+		convictions: noConvictions,
 		loadUpdates: {refresh: async () => undefined, end: () => undefined},
 		canRetry: () => false,
 		service: () => undefined,
@@ -158,7 +167,7 @@
 	const concluded: Array<readonly [string, number | undefined]> = [];
 	let placed = 0;
 	const gateway = {
-		convictions: {isConvicted: () => false},
+		convictions: noConvictions,
 		loadUpdates: {refresh: async () => undefined},
 		placements: {
 			place() {
@@ -207,7 +216,7 @@
 		upstream: {id: 'e0', address: {host: '127.0.0.1', port: 1}}, helpers: [{id: 'e1', address: {host: '127.0.0.1', port: 1}}], holdTokens: 500, loss: 0, firstByte: 0,
 	}];
 	const gateway = {
-		convictions: {isConvicted: () => false},
+		convictions: noConvictions,
 		loadUpdates: {refresh: async () => undefined, end: () => undefined},
 		coldStarts: {countReservation: () => undefined},
 		service: () => undefined,
--- a/src/gateway/callers/answers.ts
+++ b/src/gateway/callers/answers.ts
@@ -23,6 +23,7 @@
 	badBody: 400,
 	upstreamFailed: 502,
 	outcomeUnknown: 502,
+	convictedAfterRun: 502,
 	deadlinePassed: 504,
 	internal: 502,
 } as const satisfies Partial<Record<CodeName, number>>;
--- a/src/gateway/callers/caller-response.ts
+++ b/src/gateway/callers/caller-response.ts
@@ -192,7 +192,7 @@
 		listener.began();
 		switch (body.type) {
 			case 'broken': {
-				return {type: 'unknown', reason: body.reason};
+				return {type: 'unknown', reason: body.reason, isDisconnected: body.isDisconnected};
 			}
 
 			case 'long': {
@@ -246,7 +246,7 @@
 	/** Returns an answer that claims only what is known: that the request has not run only if no attempt may have run it. */
 	#toProvenAnswer(name: AnswerName): AnswerName {
 		if (this.#mayHaveRun) {
-			return name === 'deadlinePassed' ? name : 'outcomeUnknown';
+			return name === 'convicted' ? 'convictedAfterRun' : (name === 'deadlinePassed' ? name : 'outcomeUnknown');
 		}
 
 		return name === 'deadlinePassed' ? 'deadlineBeforeStart' : name;
--- a/src/gateway/callers/response-forwarding.ts
+++ b/src/gateway/callers/response-forwarding.ts
@@ -87,12 +87,16 @@
 		}
 	} catch (error) {
 		buffer.countUnbegun(0);
-		return {type: 'unknown', reason: buffer.hasEnded ? noSpaceReason : messageOf(error), unfinished: countUnfinished(splitter)};
+		return {
+			type: 'unknown', reason: buffer.hasEnded ? noSpaceReason : messageOf(error), unfinished: countUnfinished(splitter), isDisconnected: !buffer.hasEnded,
+		};
 	}
 
 	if (!await reply.isComplete()) {
 		buffer.countUnbegun(0);
-		return {type: 'unknown', reason: brokenOffReason, unfinished: countUnfinished(splitter)};
+		return {
+			type: 'unknown', reason: brokenOffReason, unfinished: countUnfinished(splitter), isDisconnected: true,
+		};
 	}
 
 	const brokenOff = findBreak(splitter, reply);
@@ -109,7 +113,7 @@
 export type ResponseBody
 	= | {readonly type: 'whole'; readonly chunks: readonly Buffer[]; readonly length: number}
 		| {readonly type: 'long'; readonly begin: readonly Buffer[]; readonly rest: AsyncIterator<Buffer>}
-		| {readonly type: 'broken'; readonly reason: string};
+		| {readonly type: 'broken'; readonly reason: string; readonly isDisconnected: boolean};
 
 /**
  * Reads a body, up to the maximum that is buffered. While memory is short, it is read only as far as the head shows that it can be passed on.
@@ -132,7 +136,7 @@
 			length += next.value.length;
 			buffer.countUnbegun(keptBytes + length);
 			if (buffer.hasEnded) {
-				return {type: 'broken', reason: noSpaceReason};
+				return {type: 'broken', reason: noSpaceReason, isDisconnected: false};
 			}
 
 			if (length > maxBufferedBytes || (buffer.isShortOfSpace && reply.status < 300)) {
@@ -141,12 +145,12 @@
 		}
 	} catch (error) {
 		buffer.countUnbegun(keptBytes);
-		return {type: 'broken', reason: buffer.hasEnded ? noSpaceReason : messageOf(error)};
+		return {type: 'broken', reason: buffer.hasEnded ? noSpaceReason : messageOf(error), isDisconnected: !buffer.hasEnded};
 	}
 
 	if (!await reply.isComplete()) {
 		buffer.countUnbegun(keptBytes);
-		return {type: 'broken', reason: brokenOffReason};
+		return {type: 'broken', reason: brokenOffReason, isDisconnected: true};
 	}
 
 	return {type: 'whole', chunks, length};
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -285,6 +285,8 @@
 		this.#metrics.responsesUnread.set(this.#responseBuffers.stoppedCount);
 		this.#metrics.evacuated.set(this.#gateway.registrations.evacuatedDomains.length);
 		this.#metrics.evacuatedJobs.set(this.#gateway.placements.evacuatedJobCount);
-		this.#metrics.suspects.set(this.#gateway.reputation.suspects.size);
+		this.#metrics.suspects.set(this.#gateway.convictions.reportCount);
+		this.#metrics.convictions.set(this.#gateway.convictions.all.length);
+		this.#metrics.ignoredEvidence.set(this.#gateway.convictions.exchange.ignoredCount);
 	}
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -15,7 +15,7 @@
 import {type Clock, type Timestamp} from '../entry/clock.js';
 import {type Log} from '../entry/logs.js';
 import {ColdUpstreams} from './upstreams/cold-starts.js';
-import {Convictions} from './upstreams/convictions.js';
+import {Convictions} from './suspicion/convictions.js';
 import {LoadUpdates} from './sharing/load-updates.js';
 import {EnginePaces} from './upstreams/engine-paces.js';
 import {MemoryQueue} from './requests/memory-queue.js';
@@ -130,6 +130,7 @@
 				joined: (host, send) => {
 					this.sharing.handlePeerJoined(host.name);
 					this.loadUpdates.handlePeerJoined(host, send);
+					this.convictions.exchange.handlePeerJoined(send);
 					this.shareLearning.proceed();
 					if (this.#tunnelOffer !== undefined) {
 						send({type: 'heartbeat', tunnel: this.#tunnelOffer});
@@ -217,7 +218,17 @@
 			this.peers.announceState();
 		});
 		this.convictions = new Convictions({
-			reputation: this.reputation, upstreams: this.upstreams, peers: this.peers, clock, confirmedAge: () => this.confirmedAge,
+			self: settings.host,
+			failureDomain: settings.failureDomain,
+			upstreams: this.upstreams,
+			peers: this.peers,
+			clock,
+			log,
+			random: Math.random,
+			confirmedAge: () => this.confirmedAge,
+			onForeignCrash: upstream => {
+				this.reputation.noteCrash(upstream, clock.now());
+			},
 		});
 		this.loadUpdates = new LoadUpdates({
 			self: settings.host,
@@ -307,6 +318,7 @@
 			findService: name => this.service(name),
 			findObstacle: upstream => this.findObstacle(upstream),
 			findGroup: () => this.loadUpdates.groups.own,
+			listAvoided: service => this.convictions.listAvoided(service),
 			begin: job => {
 				this.loadUpdates.begin(job);
 			},
@@ -440,11 +452,12 @@
 
 	/**
 	 * @param service - Service.
+	 * @param isSuspected - Whether the request may have crashed its upstream.
 	 * @returns Whether the retry budget that all hosts share allows one more.
 	 */
-	canRetry(service: string): boolean {
+	canRetry(service: string, isSuspected = false): boolean {
 		const {fleetSize: hosts, isLargeFleet, domainHostCount} = this.peers;
-		return this.retries.allowsRetry(service, {hosts, counted: isLargeFleet ? domainHostCount : 1}, this.#clock.now());
+		return this.retries.allowsRetry(service, {hosts, counted: isLargeFleet ? domainHostCount : 1}, this.#clock.now(), isSuspected);
 	}
 
 	/**
@@ -452,9 +465,15 @@
 	 *
 	 * @param upstream - Id of the upstream.
 	 * @param verdict - Verdict of the attempt.
+	 * @param isCrash - Whether a request that was suspected before has probably crashed it, so that its link isn't to blame.
 	 */
-	recordVerdict(upstream: string, verdict: Verdict): void {
-		this.reputation.recordVerdict(upstream, this.upstreams.get(upstream), verdict, this.#clock.now());
+	recordVerdict(upstream: string, verdict: Verdict, isCrash = false): void {
+		const now = this.#clock.now();
+		if (isCrash) {
+			this.reputation.noteCrash(upstream, now);
+		}
+
+		this.reputation.recordVerdict(upstream, this.upstreams.get(upstream), verdict, now);
 	}
 
 	/**
@@ -471,6 +490,7 @@
 		clearInterval(this.#expiryTimer);
 		clearInterval(this.#coldTimer);
 		this.shareLearning[Symbol.dispose]();
+		this.convictions[Symbol.dispose]();
 		this.registrations[Symbol.dispose]();
 		await this.peers[Symbol.asyncDispose]();
 	}
@@ -535,7 +555,7 @@
 
 			case 'crash':
 			case 'acquittal': {
-				this.convictions.handleMessage(message);
+				this.convictions.exchange.handleMessage(from, message);
 				return;
 			}
 
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -86,6 +86,8 @@
 	readonly uneven: Gauge;
 	readonly badPaces: Gauge;
 	readonly suspects: Gauge;
+	readonly convictions: Gauge;
+	readonly ignoredEvidence: Gauge;
 	readonly responseBytes: Gauge;
 	readonly responseBudget: Gauge;
 	readonly responsesUnread: Gauge;
@@ -134,7 +136,9 @@
 		this.unreachable = createGauge(registry, 'domains_unreachable', 'Failure domains out of reach');
 		this.evacuated = createGauge(registry, 'domains_evacuated', 'Failure domains that the operator has evacuated');
 		this.evacuatedJobs = createGauge(registry, 'evacuated_jobs', 'Requests that still run in evacuated failure domains, own and of peers');
-		this.suspects = createGauge(registry, 'requests_suspected', 'Requests during which a connection of their upstream broke');
+		this.suspects = createGauge(registry, 'requests_suspected', 'Attempts of any host that ended as their upstream crashed, in the last ten minutes');
+		this.convictions = createGauge(registry, 'convictions', 'Parts of prompts and whole requests that are refused, as they crash engines or an operator says so');
+		this.ignoredEvidence = createGauge(registry, 'evidence_ignored', 'Pieces of evidence of other hosts that were invalid, since the start');
 		this.responseBytes = createGauge(registry, 'response_bytes_held', 'Bytes of responses that callers have not read');
 		this.responseBudget = createGauge(registry, 'response_bytes_budget', 'Bytes of responses that may be held for callers; 0 without a limit');
 		this.responsesUnread = createGauge(registry, 'responses_unread', 'Responses that are not read from their upstreams at present, as memory is short');
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -87,9 +87,10 @@
 	}),
 	/** Failed or stopped hosts, whose jobs have ended. */
 	z.object({type: z.literal('hosts-lost'), hosts: z.array(shortText).max(maxListLength), audience: audienceSchema}),
-	z.object({type: z.literal('crash'), crash: crashSchema}),
-	/** Withdraws suspected crashes: the request was answered, or the upstream still runs. */
-	z.object({type: z.literal('acquittal'), crashes: z.array(crashSchema).max(maxListLength)}),
+	/** `crash` is for hosts that know of whole requests only; `evidence` has the causes of the attempt. */
+	z.object({type: z.literal('crash'), crash: crashSchema, evidence: z.unknown().optional()}),
+	/** Withdraws suspected crashes at hosts that know of whole requests only; `evidence` is any for the others. */
+	z.object({type: z.literal('acquittal'), crashes: z.array(crashSchema).max(maxListLength), evidence: z.unknown().optional()}),
 	stateRequestSchema,
 	configurationMessageSchema,
 	stateSchema,
--- a/src/gateway/peers/state.ts
+++ b/src/gateway/peers/state.ts
@@ -60,6 +60,7 @@
 	failureDomain: nameSchema,
 	slots: z.number(),
 	isDraining: z.boolean(),
+	version: nameSchema.optional(),
 	started: z.number().optional(),
 	sequence: z.number().optional(),
 	era: eraSchema,
--- a/src/gateway/requests/dispatch.ts
+++ b/src/gateway/requests/dispatch.ts
@@ -1,6 +1,7 @@
 /** Places a request at one upstream after another, as far as retries are allowed, until its caller has an answer or a refusal. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {assertNever} from '../../core/index.js';
+import {listCauses} from '../../core/gateway/suspicion/causes.js';
 import {type Placement} from '../../core/gateway/placement/placement.js';
 import {type AttemptEnding} from '../../core/gateway/limits/retries.js';
 import {type Eligibility} from '../../core/gateway/placement/attempts.js';
@@ -11,6 +12,7 @@
 import {RequestState, type AdmittedRequest} from './request-state.js';
 import {MemoryWait} from './memory-wait.js';
 import {Refusals} from './refusals.js';
+import {RequestSuspicion} from './request-suspicion.js';
 import {ReservedAttempt} from './reserved-attempt.js';
 import {Sender} from './sender.js';
 import {type RequestTrace} from './trace.js';
@@ -22,9 +24,9 @@
 
 export class Dispatch {
 	readonly #state: RequestState;
-	readonly #fingerprint: string;
 	readonly #memoryWait: MemoryWait;
 	readonly #refusals: Refusals;
+	readonly #suspicion: RequestSuspicion;
 	readonly #sender: Sender;
 	readonly #reservedAttempt: ReservedAttempt;
 
@@ -36,10 +38,12 @@
 	 */
 	constructor(services: GatewayServices, request: AdmittedRequest, callerResponse: CallerResponse, trace: RequestTrace) {
 		this.#state = new RequestState(services, request, callerResponse, trace);
-		this.#fingerprint = computeFingerprint(request.incoming, request.organisation, request.body);
+		const fingerprint = computeFingerprint(request.incoming, request.organisation, request.body);
+		const causes = listCauses(fingerprint, request.demand.prompt?.parts);
+		this.#suspicion = new RequestSuspicion(this.#state, causes);
 		this.#memoryWait = new MemoryWait(services, request.demand.id, trace);
 		this.#refusals = new Refusals(this.#state);
-		this.#sender = new Sender(this.#state, this.#fingerprint, this.#memoryWait);
+		this.#sender = new Sender(this.#state, {fingerprint, causes, suspicion: this.#suspicion}, this.#memoryWait);
 		this.#reservedAttempt = new ReservedAttempt(this.#state, async (placement, reservation) => this.#sender.send(placement, reservation));
 		trace.attempts = this.#state.attempts;
 	}
@@ -65,11 +69,6 @@
 
 	async #serve(): Promise<void> {
 		const {services: {gateway, clock}, request, attempts, callerResponse, trace} = this.#state;
-		if (gateway.convictions.isConvicted(this.#fingerprint)) {
-			callerResponse.refuse('convicted');
-			return;
-		}
-
 		for (;;) {
 			await gateway.loadUpdates.refresh();
 			// The deadline's timer may not have fired yet: after a stall of the process, or while this loop repeats without waiting.
@@ -78,7 +77,11 @@
 				return;
 			}
 
-			const placement = this.#reservedAttempt.takeMemoryShortage() ? undefined : gateway.placements.place(this.#state.demand, attempts.eligibility);
+			if (this.#suspicion.refuseIfConvicted()) {
+				return;
+			}
+
+			const placement = this.#reservedAttempt.takeMemoryShortage() ? undefined : this.#suspicion.place();
 			if (this.#refusals.refuseIfExcessive(placement)) {
 				return;
 			}
@@ -98,13 +101,19 @@
 			const {sent} = attempts;
 			const ending = await this.#attempt(placement);
 			if (ending.type === 'answered') {
-				gateway.convictions.acquit(this.#fingerprint);
 				trace.finish('answered');
 				return;
 			}
 
 			this.#notePossibleRun(ending);
-			if (!this.#canAttemptAgain(ending, sent)) {
+			const canRepeat = this.#canRepeat(ending);
+			// Other hosts may have found out more in the meantime.
+			if (canRepeat && this.#suspicion.refuseIfConvicted()) {
+				return;
+			}
+
+			// An attempt that reached no upstream, for example as its reservation was refused, has used nothing of the retry budget.
+			if (!canRepeat || (attempts.sent > sent && !this.#isRetryAllowed())) {
 				callerResponse.conclude(selectAnswer(ending), this.#state.stopReason, this.#computeServiceWait());
 				return;
 			}
@@ -190,20 +199,16 @@
 		}
 	}
 
-	#canAttemptAgain(ending: AttemptEnding, sentBefore: number): boolean {
+	/** Whether the request may be sent again, apart from the retry budget. */
+	#canRepeat(ending: AttemptEnding): boolean {
 		const {attempts, isOver, callerResponse} = this.#state;
-		if (isOver || !callerResponse.canContinue || !attempts.canRetryAfter(ending)) {
-			return false;
-		}
-
-		// An attempt that reached no upstream, for example as its reservation was refused, has used nothing of the retry budget.
-		return attempts.sent <= sentBefore || this.#isRetryAllowed();
+		return !isOver && callerResponse.canContinue && attempts.canRetryAfter(ending);
 	}
 
 	/** Checks the retry budget that all hosts share. */
 	#isRetryAllowed(): boolean {
 		const {services: {gateway, clock, metrics}, request: {demand: {service}}, trace} = this.#state;
-		const isAllowed = gateway.canRetry(service);
+		const isAllowed = gateway.canRetry(service, this.#suspicion.isSuspected);
 		metrics.retries.inc({service, allowed: String(isAllowed)});
 		if (isAllowed) {
 			gateway.retries.countRetry(service, clock.now());
--- a/src/gateway/requests/placements.ts
+++ b/src/gateway/requests/placements.ts
@@ -43,6 +43,8 @@
 	readonly findObstacle: ObstacleFinder;
 	/** Returns the group of this host; undefined if it receives the jobs at all engines. */
 	readonly findGroup: () => HostGroup | undefined;
+	/** Returns the engines of a service that are left to suspected requests. */
+	readonly listAvoided: (service: string) => ReadonlySet<string>;
 	/** Publishes a job of this host. */
 	readonly begin: (job: Job) => void;
 };
@@ -255,16 +257,24 @@
 			unreachable: this.#options.reputation.unreachableDomains,
 			findObstacle: this.#options.findObstacle,
 			eligibility,
-			preference: this.#createPreference(),
+			preference: this.#createPreference(demand.service),
 			limitMemory: model === undefined ? undefined : this.#options.memoryQueue.createLimit(demand, model),
 			unknownMemory: model !== undefined && isLarge(model, demand.prompt) ? this.#options.memoryQueue.estimateUnknownMemory(model, this.#listEngines(demand.service)) : undefined,
 			now,
 		};
 	}
 
-	/** Engines of this host's group are preferred for all prompts: of the others, only the long jobs are known. */
-	#createPreference(): Preference | undefined {
-		return this.#options.findGroup() === undefined ? undefined : {reason: 'group', prefers: upstream => this.#isInGroup(upstream)};
+	/**
+	 * Engines of this host's group are preferred for all prompts: of the others, only the long jobs are known. Engines with suspected requests
+	 * are avoided, as they may crash.
+	 */
+	#createPreference(service: string): Preference | undefined {
+		const avoided = this.#options.listAvoided(service);
+		if (this.#options.findGroup() !== undefined) {
+			return {reason: 'group', prefers: upstream => this.#isInGroup(upstream) && !avoided.has(upstream)};
+		}
+
+		return avoided.size === 0 ? undefined : {reason: 'suspicion', prefers: upstream => !avoided.has(upstream)};
 	}
 
 	#isInGroup(engine: string): boolean {
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -3,19 +3,29 @@
 import {type PaceSampler} from '../../core/gateway/engines/pace-sampler.js';
 import {type AttemptEnding} from '../../core/gateway/limits/retries.js';
 import {type Placement} from '../../core/gateway/placement/placement.js';
+import {type Cause} from '../../core/gateway/suspicion/causes.js';
 import {type GatewayUpstream} from '../../core/gateway/types.js';
 import {roundTo} from '../../core/utils/numbers.js';
 import {type StopReason} from '../callers/caller-response.js';
 import {Attempt} from '../upstreams/attempt.js';
+import {type RunningAttempt} from '../suspicion/running-attempts.js';
 import {AttemptVerdicts} from '../upstreams/attempt-verdicts.js';
 import {type StallDetector} from '../upstreams/stall-detector.js';
 import {type RequestState} from './request-state.js';
 import {listHelpers} from './helpers.js';
 import {type Hold} from './holds.js';
 import {type MemoryWait} from './memory-wait.js';
+import {type RequestSuspicion} from './request-suspicion.js';
 import {type Reservation} from './reserved-attempt.js';
 import {Rerouter} from './rerouter.js';
 
+/** By which a request that crashes engines is recognised, and what is known against it. */
+export type RequestIdentity = {
+	readonly fingerprint: string;
+	readonly causes: readonly Cause[];
+	readonly suspicion: RequestSuspicion;
+};
+
 /** Notified of the events of an attempt. */
 type EventObservers = {
 	readonly stallDetector: StallDetector;
@@ -27,18 +37,20 @@
 	readonly #memoryWait: MemoryWait;
 	readonly #verdicts: AttemptVerdicts;
 	readonly #rerouter: Rerouter;
+	readonly #identity: RequestIdentity;
 	#currentAttempt: Attempt | undefined;
 
 	/**
 	 * @param state - Request.
-	 * @param fingerprint - Fingerprint of the request, by which one that crashes engines is recognised.
+	 * @param identity - By which a request that crashes engines is recognised.
 	 * @param memoryWait - Wait of the request for memory, which ends as it is sent.
 	 */
-	constructor(state: RequestState, fingerprint: string, memoryWait: MemoryWait) {
+	constructor(state: RequestState, identity: RequestIdentity, memoryWait: MemoryWait) {
 		const {services: {gateway}, attempts, trace} = state;
 		this.#state = state;
 		this.#memoryWait = memoryWait;
-		this.#verdicts = new AttemptVerdicts(gateway, attempts, fingerprint);
+		this.#identity = identity;
+		this.#verdicts = new AttemptVerdicts(gateway, attempts);
 		this.#rerouter = new Rerouter(gateway, attempts, trace);
 	}
 
@@ -76,7 +88,10 @@
 		const attempt = this.#createAttempt(placement, hold, remaining, placementKind === 'retry');
 		this.#currentAttempt = attempt;
 		const {canFailOver} = attempts;
-		if (canFailOver && route.kind === 'streaming') {
+		this.#identity.suspicion.announce();
+		const running = this.#createRunning(placement, job, attempt);
+		using _ = gateway.convictions.track(running);
+		if (canFailOver && route.kind === 'streaming' && !this.#identity.suspicion.isSuspected) {
 			this.#rerouter.watch({
 				job: job.id, place: placement, attempt, demand: () => this.#state.demand,
 			});
@@ -93,7 +108,7 @@
 			forecastIterationTime: () => gateway.placements.forecastIterationTime(placement.upstream.id),
 		});
 		try {
-			const ending = await this.#finishAttempt(attempt, placement.upstream, job.id, {stallDetector, paceSampler: gateway.placements.createPaceSampler(demand, placement, job.id)});
+			const ending = await this.#finishAttempt(attempt, running, placement.upstream, {stallDetector, paceSampler: gateway.placements.createPaceSampler(demand, placement, job.id)});
 			metrics.attempts.inc({service: demand.service, ending: ending.type});
 			this.#logEnding(placement, job.id, ending, attempt);
 			return ending;
@@ -164,13 +179,35 @@
 		});
 	}
 
-	async #finishAttempt(attempt: Attempt, target: GatewayUpstream, job: string, {stallDetector, paceSampler}: EventObservers): Promise<AttemptEnding> {
+	#createRunning({upstream, helpers}: Placement, {id}: Job, attempt: Attempt): RunningAttempt {
+		const {services: {clock}, callerResponse} = this.#state;
+		const {fingerprint, causes} = this.#identity;
+		return {
+			attempt: id,
+			upstream: upstream.id,
+			started: upstream.started,
+			scope: {service: upstream.service, version: upstream.version ?? ''},
+			causes,
+			fingerprint,
+			helpers: helpers.map(each => each.id),
+			sent: clock.now(),
+			hasBegun: () => callerResponse.hasBegun,
+			cancel() {
+				attempt.cancel('convicted');
+			},
+		};
+	}
+
+	async #finishAttempt(attempt: Attempt, running: RunningAttempt, target: GatewayUpstream, {stallDetector, paceSampler}: EventObservers): Promise<AttemptEnding> {
 		const {services: {gateway, clock}, request: {route}, callerResponse, trace} = this.#state;
+		const {isSuspected} = this.#identity.suspicion;
 		const {id: upstream, started} = target;
 		const sent = clock.now();
 		const reply = await attempt.reply();
 		if (reply.type === 'ended') {
-			return this.#verdicts.recordUnanswered(reply, upstream);
+			const ending = this.#verdicts.recordUnanswered(reply, upstream, isSuspected);
+			this.#recordCrash(ending, attempt, running, target);
+			return ending;
 		}
 
 		if (!reply.metadata.isMisdirected) {
@@ -182,17 +219,23 @@
 			return this.#verdicts.recordNotRun(reply, upstream);
 		}
 
+		let isReadLate = false;
 		const forwarded = await callerResponse.forward(reply, route, {
 			began() {
 				trace.noteFirstByte();
-				gateway.loadUpdates.progress(job);
+				gateway.loadUpdates.progress(running.attempt);
 			},
 			receivedEvents() {
 				stallDetector.noteEvents();
+				if (!isReadLate) {
+					gateway.convictions.noteLife(running);
+				}
+
 				gateway.paces.recordSample(paceSampler?.noteEvents(clock.now()));
 			},
 			stopped() {
 				// The next events may have arrived before they are read.
+				isReadLate = true;
 				paceSampler?.noteDelay();
 				stallDetector.stop();
 			},
@@ -205,9 +248,22 @@
 		// Silence over a cut link is no fault of the upstream.
 		const isLinkSilent = isCancelled && attempt.cancelled === 'silent' && attempt.tunnel === undefined && gateway.links.findRoute(target).type === 'tunnel';
 		if (!isLinkSilent) {
-			this.#verdicts.recordEnding(ending, upstream);
+			this.#verdicts.recordEnding(ending, upstream, isSuspected);
+			this.#recordCrash(ending, attempt, running, target);
+		}
+
+		if (ending.type === 'answered' && ending.status < 300) {
+			gateway.convictions.recordAnswered(running);
 		}
 
 		return ending;
 	}
+
+	/** A connection over a cut link or another host breaks for other reasons than a crash. */
+	#recordCrash(ending: AttemptEnding, {tunnel}: Attempt, running: RunningAttempt, target: GatewayUpstream): void {
+		const {gateway} = this.#state.services;
+		if (ending.type === 'unknown' && ending.isDisconnected === true && tunnel === undefined && gateway.links.findRoute(target).type !== 'tunnel') {
+			gateway.convictions.recordBroken(running);
+		}
+	}
 }
--- a/src/gateway/upstreams/attempt-verdicts.ts
+++ b/src/gateway/upstreams/attempt-verdicts.ts
@@ -8,27 +8,25 @@
 export class AttemptVerdicts {
 	readonly #gateway: Gateway;
 	readonly #attempts: Attempts;
-	readonly #fingerprint: string;
 
 	/**
 	 * @param gateway - Gateway that records the verdicts.
 	 * @param attempts - Attempts of the request.
-	 * @param fingerprint - Equal for repetitions of the same request.
 	 */
-	constructor(gateway: Gateway, attempts: Attempts, fingerprint: string) {
+	constructor(gateway: Gateway, attempts: Attempts) {
 		this.#gateway = gateway;
 		this.#attempts = attempts;
-		this.#fingerprint = fingerprint;
 	}
 
 	/**
 	 * @param ended - Attempt that ended without an answer.
 	 * @param upstream - Upstream of the attempt.
+	 * @param isSuspected - Whether the request was suspected of crashing engines.
 	 * @returns Ending of the attempt.
 	 */
-	recordUnanswered({ending, absence}: EndedAttempt, upstream: string): AttemptEnding {
+	recordUnanswered({ending, absence}: EndedAttempt, upstream: string, isSuspected: boolean): AttemptEnding {
 		if (absence === undefined) {
-			this.recordEnding(ending, upstream);
+			this.recordEnding(ending, upstream, isSuspected);
 		} else {
 			this.#gateway.recordVerdict(upstream, 'unreachable');
 			this.#gateway.publishAbsence(upstream, absence);
@@ -63,19 +61,16 @@
 	/**
 	 * @param ending - Ending of an attempt that was sent.
 	 * @param upstream - Upstream of the attempt.
+	 * @param isSuspected - Whether the request was suspected of crashing engines.
 	 */
-	recordEnding(ending: AttemptEnding, upstream: string): void {
+	recordEnding(ending: AttemptEnding, upstream: string, isSuspected: boolean): void {
 		const verdict = endingToVerdict(ending);
 		if (verdict !== undefined) {
-			this.#gateway.recordVerdict(upstream, verdict);
+			this.#gateway.recordVerdict(upstream, verdict, verdict === 'broken' && isSuspected);
 		}
 
 		if (verdict === 'unreachable') {
 			this.#gateway.publishAbsence(upstream, 'silent');
 		}
-
-		if (ending.type === 'unknown') {
-			this.#gateway.convictions.suspect(this.#fingerprint, upstream);
-		}
 	}
 }
--- a/src/gateway/upstreams/attempt.ts
+++ b/src/gateway/upstreams/attempt.ts
@@ -192,6 +192,6 @@
 			return createEnded({type: 'cancelled', reason: this.#cancelled});
 		}
 
-		return createEnded({type: 'unknown', reason});
+		return createEnded({type: 'unknown', reason, isDisconnected: true});
 	}
 }
--- a/src/gateway/upstreams/reputation.ts
+++ b/src/gateway/upstreams/reputation.ts
@@ -1,12 +1,16 @@
-/** Tracks the health of upstreams, the reachability of failure domains and suspected requests from attempts and peers; logs each change. */
+/** Tracks the health of upstreams, the reachability of failure domains from attempts and peers; logs each change. */
 import {absenceToVerdict, type Absence} from '../../core/gateway/health/absences.js';
 import {Health, type Verdict} from '../../core/gateway/health/health.js';
 import {Reachability} from '../../core/gateway/health/reachability.js';
-import {Suspects, type Crash} from '../../core/gateway/health/suspects.js';
 import {type GatewayUpstream} from '../../core/gateway/types.js';
+import {dropOldest} from '../../core/utils/bounded.js';
 import {roundTo} from '../../core/utils/numbers.js';
 import {type Log} from '../../entry/logs.js';
 
+/** Time in milliseconds for which the connections of a crashed upstream break for that reason, and most upstreams that are kept. */
+const crashMs = 1000;
+const maxCrashed = 256;
+
 export type ReputationOptions = {
 	readonly failureDomain: string;
 	readonly log: Pick<Log, 'write'>;
@@ -16,11 +20,12 @@
 
 export class Reputation {
 	readonly health = new Health();
-	readonly suspects = new Suspects();
 	readonly #options: ReputationOptions;
 	readonly #reachability = new Reachability();
 	/** Upstreams that were excluded and have not answered since. */
 	readonly #unhealthy = new Set<string>();
+	/** When upstreams crashed. */
+	readonly #crashed = new Map<string, number>();
 	#unreachableDomains: ReadonlySet<string> = new Set();
 
 	constructor(options: ReputationOptions) {
@@ -78,6 +83,10 @@
 		}
 
 		if (verdict === 'unreachable' || verdict === 'broken') {
+			if (now - (this.#crashed.get(id) ?? Number.NEGATIVE_INFINITY) < crashMs) {
+				return;
+			}
+
 			this.#reachability.recordFailure(domain, id, now);
 		} else {
 			this.#reachability.recordSuccess(domain, now);
@@ -109,62 +118,16 @@
 	}
 
 	/**
-	 * Records a crash that a request may have caused.
-	 *
-	 * @param crash - Crash observed by this host.
-	 * @param now - Time in milliseconds.
-	 * @returns Whether the crash is new.
-	 */
-	suspect(crash: Crash, now: number): boolean {
-		const isNew = this.suspects.record(crash, now);
-		if (isNew) {
-			this.#options.log.write({event: 'suspected', ...crash, crashes: this.suspects.countCrashes(crash.fingerprint, now)}, 'warn');
-		}
-
-		return isNew;
-	}
-
-	/**
-	 * Acquits a request.
+	 * Notes that an upstream has crashed, so that its broken connections say nothing about the link to its failure domain.
 	 *
-	 * @param fingerprint - Request that was answered completely.
-	 * @returns Crashes that the request was suspected of.
-	 */
-	acquit(fingerprint: string): readonly Crash[] {
-		return this.#logAcquittals(this.suspects.acquit(fingerprint), 'answered');
-	}
-
-	/**
-	 * Checks the suspected crashes of a request and withdraws those that did not happen.
-	 *
-	 * @param fingerprint - Request.
-	 * @param survived - Returns whether the process of the upstream before the suspected crash still runs.
-	 * @returns Withdrawn crashes.
-	 */
-	review(fingerprint: string, survived: (crash: Crash, at: number) => boolean): readonly Crash[] {
-		return this.#logAcquittals(this.suspects.clearSurvived(fingerprint, survived), 'the upstream runs on');
-	}
-
-	/**
-	 * @param crashes - Crashes that a peer has withdrawn.
+	 * @param id - Upstream.
 	 * @param now - Time in milliseconds.
-	 * @returns Whether any of them was not yet withdrawn here.
 	 */
-	clear(crashes: readonly Crash[], now: number): boolean {
-		const isNew = this.suspects.clear(crashes, now);
-		if (isNew) {
-			this.#logAcquittals(crashes, 'cleared by a peer');
-		}
-
-		return isNew;
-	}
-
-	#logAcquittals(crashes: readonly Crash[], reason: string): readonly Crash[] {
-		for (const fingerprint of new Set(crashes.map(crash => crash.fingerprint))) {
-			this.#options.log.write({event: 'acquitted', fingerprint, reason});
-		}
-
-		return crashes;
+	noteCrash(id: string, now: number): void {
+		this.#crashed.delete(id);
+		this.#crashed.set(id, now);
+		dropOldest(this.#crashed, maxCrashed);
+		this.#reachability.forgetFailure(id);
 	}
 
 	#logHealthChange(upstream: string, verdict: Verdict, now: number): void {
