Streams that a crash has interrupted go on, apart from the next one

What callers saw: beside requests that crash engines, 6 of 1,500 sound streams broke off: the engine of their second attempt crashed as well.

Change: requests that were sent before avoid the engines of all suspected causes, not only of those with two crashes. An attempt at an engine that crashed under another request with a culprit isn't counted against the limit of the route, twice at most.

New tests: two such parts at once with a host that is killed and started; engines that crash in a group.

--- a/__tests__/gateway/crashing-parts.test.ts
+++ b/__tests__/gateway/crashing-parts.test.ts
@@ -23,7 +23,7 @@
 /** Crashes under one part after which no further request with it may be sent to an engine. */
 const permittedCrashes = 5;
 
-type Sent = {readonly id: string; readonly at: number; readonly isServed: boolean};
+type Sent = {readonly id: string; readonly host: number; readonly at: number; readonly isServed: boolean};
 
 /** Sends requests at a steady rate, in turn to all hosts, until it is stopped. */
 class Traffic {
@@ -53,23 +53,28 @@
 		await Promise.all(this.#pending);
 	}
 
-	/** Returns the share of the requests sent in a span that were answered completely. */
-	share(name: string, from: number, to: number): number {
-		const counted = this.sent.filter(each => each.id.startsWith(`${name}-`) && each.at >= from && each.at < to);
+	/** Returns the share of the requests sent in a span that were answered completely, to all hosts or all but one. */
+	share(name: string, from: number, to: number, except?: number): number {
+		const counted = this.sent.filter(each => each.id.startsWith(`${name}-`) && each.at >= from && each.at < to && each.host !== except);
 		expect(counted.length).toBeGreaterThan(20);
 		return counted.filter(each => each.isServed).length / counted.length;
 	}
 
 	async #send(id: string, parts: readonly string[], index: number): Promise<void> {
 		const at = performance.now();
+		const host = index % this.#site.hosts.length;
 		const headers = {...createPromptHeaders(3000, events), 'X-Prefix-Hash': [...parts, `own-${id}`].map(part => `${part}:500`).join(',')};
 		try {
 			const answer = await this.#site.ask({
 				path: '/ask/x', id, body: id, headers,
-			}, this.#site.hosts[index % this.#site.hosts.length]);
-			this.sent.push({id, at, isServed: answer.status === 200 && answer.isWhole && parseEventIds(answer).length === events});
+			}, this.#site.hosts[host]);
+			this.sent.push({
+				id, host, at, isServed: answer.status === 200 && answer.isWhole && parseEventIds(answer).length === events,
+			});
 		} catch {
-			this.sent.push({id, at, isServed: false});
+			this.sent.push({
+				id, host, at, isServed: false,
+			});
 		}
 	}
 }
@@ -115,3 +120,48 @@
 		expect(traffic.share('sound', settled, ended)).toBeGreaterThanOrEqual(traffic.share('sound', 0, began) - 0.02);
 	});
 });
+
+it('two parts that crash engines at the same time reach no engine after their fifth crashes, nor do they at a host that has just started', async () => {
+	site = await Site.start({hosts: 4, engines: 12, failureDomains: ['a', 'b']});
+	for (const engine of site.engines) {
+		site.crashUnder(engine, new Set(['bad', 'worse']), absenceMs, 'same id');
+	}
+
+	const traffic = new Traffic(site);
+	void traffic.run('sound', 40, index => [sharedParts[index % 3]!]);
+	await sleep(1500);
+	const began = performance.now();
+	void traffic.run('bad', 170, () => ['a0', 'bad']);
+	void traffic.run('worse', 230, () => ['worse', 'a1']);
+	await sleep(4000);
+	const settled = performance.now();
+	const restarted = site.hosts[3]!;
+	await restarted.kill();
+	restarted.start();
+	await site.waitUntilReady(restarted);
+	await sleep(3000);
+	await traffic.stop();
+	const crashes = listCrashes(site);
+	expect(crashes.length).toBeLessThanOrEqual(2 * permittedCrashes);
+	expect([...listArrivals(site, 'bad'), ...listArrivals(site, 'worse')].filter(at => at > crashes.at(-1)! + underWayMs).length).toBe(0);
+	expect(traffic.share('sound', settled, performance.now(), 3)).toBeGreaterThanOrEqual(traffic.share('sound', 0, began, 3) - 0.02);
+	const learned = restarted.lines.findLastIndex(line => line.event === 'started');
+	expect(restarted.lines.slice(learned).filter(line => line.event === 'refused-as-convicted').length).toBeGreaterThan(5);
+});
+
+it('engines that crash in a group, without a cause, let no host refuse a request', async () => {
+	site = await Site.start({hosts: 3, engines: 9, failureDomains: ['a', 'b', 'c']});
+	const traffic = new Traffic(site);
+	void traffic.run('sound', 15, index => [sharedParts[index % 3]!, `rare-${index % 40}`]);
+	await sleep(1500);
+	for (const engine of [0, 3, 6, 1].map(index => site!.engines[index]!)) {
+		site.crashUnder(engine, new Set(), 2000);
+		engine.onCrash?.();
+		void engine.crash();
+	}
+
+	await sleep(5000);
+	await traffic.stop();
+	expect(site.hosts.flatMap(host => host.findLogLines('refused-as-convicted'))).toEqual([]);
+	expect(traffic.share('sound', 0, performance.now())).toBeGreaterThanOrEqual(0.98);
+});
--- a/src/core/gateway/__tests__/attempts.test.ts
+++ b/src/core/gateway/__tests__/attempts.test.ts
@@ -30,6 +30,18 @@
 		expect([...attempts.eligibility.excluded]).toEqual(['a', 'b']);
 	});
 
+	it('is sent once more for each of two upstreams that crashed under other requests, and never to these again', () => {
+		const attempts = new Attempts(rules);
+		const results = ['a', 'b', 'c', 'd'].map(upstream => {
+			attempts.recordSent(upstream);
+			attempts.recordCrashed('a');
+			attempts.recordCrashed('b');
+			attempts.recordCrashed('c');
+			return attempts.canRetryAfter(unknown);
+		});
+		expect([results, [...attempts.eligibility.excluded]]).toEqual([[true, true, true, false], ['a', 'b', 'c', 'd']]);
+	});
+
 	it('does not count upstreams without a connection as attempts, but is given up after eight of them', () => {
 		const attempts = new Attempts(rules);
 		const results = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'].map(upstream => {
--- a/src/core/gateway/placement/attempts.ts
+++ b/src/core/gateway/placement/attempts.ts
@@ -21,6 +21,9 @@
  */
 const maxUnreachedUpstreams = 8;
 
+/** Upstreams that crashed under other requests and that don't count against the limit of the route. */
+const maxCrashedUpstreams = 2;
+
 type RetryRules = Pick<Route, 'attempts' | 'isResumable' | 'kind'>;
 
 /** Upstreams that a request may be sent to next. */
@@ -44,6 +47,7 @@
 	#memoryShortages = 0;
 	#missingHelpers = 0;
 	#unreached = 0;
+	#crashed = 0;
 
 	/**
 	 * @param rules - Retry rules of the route.
@@ -57,6 +61,11 @@
 		return {excluded: this.#excluded, permitted: this.#hasUpstreamsLeft ? undefined : this.#askableAgain};
 	}
 
+	/** Upstreams that received the request and count against the limit of the route. */
+	get contacted(): Iterable<string> {
+		return this.#contacted;
+	}
+
 	/** Number of times that the request was sent. */
 	get sent(): number {
 		return this.#sent;
@@ -97,6 +106,17 @@
 		this.#contacted.delete(upstream);
 	}
 
+	/**
+	 * Excuses an attempt at an upstream that crashed under another request.
+	 *
+	 * @param upstream - Upstream; it gets the request no more.
+	 */
+	recordCrashed(upstream: string): void {
+		if (this.#crashed < maxCrashedUpstreams && this.#contacted.delete(upstream)) {
+			this.#crashed++;
+		}
+	}
+
 	/**
 	 * @param upstream - Engine that did not run the request.
 	 * @param helper - Engine that should have helped and did not.
--- a/src/core/gateway/suspicion/quarantine.ts
+++ b/src/core/gateway/suspicion/quarantine.ts
@@ -9,11 +9,15 @@
 /** Crashes under a cause from which on others avoid its engine: most engines that crash once do so for other reasons. */
 const avoidingCrashes = 2;
 
+/** The same for requests that a crash has interrupted: they must not meet with the next one. */
+const avoidingCrashesIfInterrupted = 1;
+
 /** Time in milliseconds after the last crash for which others avoid the engine. */
 const avoidingMs = 3000;
 
-/** Largest share of the engines that others avoid. */
+/** Largest share of the engines that others avoid, and that interrupted requests do. */
 const maxAvoidedShare = 0.25;
+const maxAvoidedShareIfInterrupted = 0.5;
 
 /**
  * @param cause - Suspected cause.
@@ -37,16 +41,20 @@
  * @param suspects - Suspected causes.
  * @param upstreams - Upstreams of their service that didn't crash lately.
  * @param now - Time.
+ * @param isInterrupted - Whether the request was sent before.
  * @returns Ids of the upstreams that requests without these causes avoid.
  */
-export function listAvoided(suspects: readonly Suspect[], upstreams: readonly GatewayUpstream[], now: number): ReadonlySet<string> {
+export function listAvoided(suspects: readonly Suspect[], upstreams: readonly GatewayUpstream[], now: number, isInterrupted = false): ReadonlySet<string> {
+	const threshold = isInterrupted ? avoidingCrashesIfInterrupted : avoidingCrashes;
 	const recent = suspects
-		.filter(({crashes, last}) => crashes >= avoidingCrashes && now - last < avoidingMs)
+		.filter(({crashes, last}) => crashes >= threshold && now - last < avoidingMs)
 		.toSorted((a, b) => b.crashes - a.crashes || (a.cause < b.cause ? -1 : 1));
-	const limit = Math.floor(upstreams.length * maxAvoidedShare);
+	const limit = Math.floor(upstreams.length * (isInterrupted ? maxAvoidedShareIfInterrupted : maxAvoidedShare));
 	const avoided = new Set<string>();
-	for (const {cause} of recent.slice(0, limit)) {
-		avoided.add(rankForCause(cause, upstreams)[0]!.id);
+	for (const {cause} of recent) {
+		if (avoided.size < limit) {
+			avoided.add(rankForCause(cause, upstreams)[0]!.id);
+		}
 	}
 
 	return avoided;
--- a/src/core/gateway/suspicion/suspects.ts
+++ b/src/core/gateway/suspicion/suspects.ts
@@ -178,6 +178,15 @@
 		return suspects;
 	}
 
+	/**
+	 * @param service - Service.
+	 * @returns Causes under which several of its engines have crashed.
+	 */
+	listCulprits(service: string): ReadonlySet<Cause> {
+		const culprits = this.listSuspects(service).filter(({crashes}) => crashes > 1).map(({cause}) => cause);
+		return new Set([...culprits, ...this.convictions.filter(each => each.service === service).flatMap(({causes}) => causes)]);
+	}
+
 	/**
 	 * @param request - Request.
 	 * @param findTurn - Finds the turn of this host.
--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -19,6 +19,7 @@
 	recordBroken: () => undefined,
 	recordAnswered: () => undefined,
 	noteLife: () => undefined,
+	hasCrashedUnderOthers: () => false,
 };
 
 it('ends a request whose deadline passed before it was sent, even if no timer could fire', async () => {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -318,7 +318,7 @@
 			findService: name => this.service(name),
 			findObstacle: upstream => this.findObstacle(upstream),
 			findGroup: () => this.loadUpdates.groups.own,
-			listAvoided: service => this.convictions.listAvoided(service),
+			listAvoided: (service, isInterrupted) => this.convictions.listAvoided(service, isInterrupted),
 			begin: job => {
 				this.loadUpdates.begin(job);
 			},
--- a/src/gateway/requests/dispatch.ts
+++ b/src/gateway/requests/dispatch.ts
@@ -106,6 +106,10 @@
 			}
 
 			this.#notePossibleRun(ending);
+			if (ending.type === 'unknown') {
+				this.#suspicion.excuseCrashes();
+			}
+
 			const canRepeat = this.#canRepeat(ending);
 			// Other hosts may have found out more in the meantime.
 			if (canRepeat && this.#suspicion.refuseIfConvicted()) {
--- a/src/gateway/requests/placements.ts
+++ b/src/gateway/requests/placements.ts
@@ -44,7 +44,7 @@
 	/** Returns the group of this host; undefined if it receives the jobs at all engines. */
 	readonly findGroup: () => HostGroup | undefined;
 	/** Returns the engines of a service that are left to suspected requests. */
-	readonly listAvoided: (service: string) => ReadonlySet<string>;
+	readonly listAvoided: (service: string, isInterrupted: boolean) => ReadonlySet<string>;
 	/** Publishes a job of this host. */
 	readonly begin: (job: Job) => void;
 };
@@ -257,7 +257,7 @@
 			unreachable: this.#options.reputation.unreachableDomains,
 			findObstacle: this.#options.findObstacle,
 			eligibility,
-			preference: this.#createPreference(demand.service),
+			preference: this.#createPreference(demand.service, eligibility.excluded.size > 0),
 			limitMemory: model === undefined ? undefined : this.#options.memoryQueue.createLimit(demand, model),
 			unknownMemory: model !== undefined && isLarge(model, demand.prompt) ? this.#options.memoryQueue.estimateUnknownMemory(model, this.#listEngines(demand.service)) : undefined,
 			now,
@@ -268,8 +268,8 @@
 	 * Engines of this host's group are preferred for all prompts: of the others, only the long jobs are known. Engines with suspected requests
 	 * are avoided, as they may crash.
 	 */
-	#createPreference(service: string): Preference | undefined {
-		const avoided = this.#options.listAvoided(service);
+	#createPreference(service: string, isInterrupted: boolean): Preference | undefined {
+		const avoided = this.#options.listAvoided(service, isInterrupted);
 		if (this.#options.findGroup() !== undefined) {
 			return {reason: 'group', prefers: upstream => this.#isInGroup(upstream) && !avoided.has(upstream)};
 		}
--- a/src/gateway/requests/request-suspicion.ts
+++ b/src/gateway/requests/request-suspicion.ts
@@ -65,6 +65,16 @@
 		return this.#placeAmongFirst(permitted, eligibility) ?? (this.#isBoundToVersions ? undefined : this.#placeAmong(eligibility));
 	}
 
+	/** Excuses attempts at engines that crashed under other requests: this one may be sent once more for each of them. */
+	excuseCrashes(): void {
+		const {services: {gateway}, attempts} = this.#state;
+		for (const upstream of attempts.contacted) {
+			if (gateway.convictions.hasCrashedUnderOthers(upstream, this.#causes)) {
+				attempts.recordCrashed(upstream);
+			}
+		}
+	}
+
 	/** Tells the other hosts if the request is sent to test its conviction. */
 	announce(): void {
 		const {services: {gateway}, trace} = this.#state;
--- a/src/gateway/suspicion/convictions.ts
+++ b/src/gateway/suspicion/convictions.ts
@@ -166,9 +166,10 @@
 
 	/**
 	 * @param service - Service.
+	 * @param isInterrupted - Whether the request was sent before.
 	 * @returns Ids of the engines that requests without a suspected cause avoid.
 	 */
-	listAvoided(service: string): ReadonlySet<string> {
+	listAvoided(service: string, isInterrupted: boolean): ReadonlySet<string> {
 		const {upstreams, clock} = this.#options;
 		const suspects = this.#suspects.listSuspects(service);
 		if (suspects.length === 0) {
@@ -177,7 +178,22 @@
 
 		const now = clock.now();
 		const eligible = upstreams.listByService(service).filter(each => !each.isDraining && this.#suspects.findCrash(each.id, now - recentCrashMs) === undefined);
-		return listAvoided(suspects, eligible, now);
+		return listAvoided(suspects, eligible, now, isInterrupted);
+	}
+
+	/**
+	 * @param upstream - Upstream that an attempt of a request was sent to.
+	 * @param causes - Causes of the request.
+	 * @returns Whether it has crashed, probably under another request that crashes engines again and again.
+	 */
+	hasCrashedUnderOthers(upstream: string, causes: readonly Cause[]): boolean {
+		const crash = this.#suspects.findCrash(upstream, this.#options.clock.now() - watchMs);
+		if (crash === undefined) {
+			return false;
+		}
+
+		const culprits = this.#suspects.listCulprits(crash.scope.service);
+		return crash.reports.some(report => report.causes.some(cause => culprits.has(cause) && !causes.includes(cause)));
 	}
 
 	/**
