Operators list, add and lift convictions, and see why a request was refused

`cranberrytide convictions` talks to a new, optional admin address of the gateway; one host that takes an order tells the others and those linked later.

--- a/bench/gateway/host.ts
+++ b/bench/gateway/host.ts
@@ -18,6 +18,7 @@
 	readonly peer: Address;
 	readonly metrics: Address;
 	readonly tunnel: Address;
+	readonly admin: Address;
 	/** Path of the settings file. */
 	readonly settingsFile: string;
 	readonly lines: Array<Record<string, unknown>> = [];
@@ -31,6 +32,7 @@
 		this.peer = {host: loopback, port: ports[2]!};
 		this.metrics = {host: loopback, port: ports[3]!};
 		this.tunnel = {host: loopback, port: ports[4]!};
+		this.admin = {host: loopback, port: ports[5]!};
 		this.settingsFile = settingsFile;
 	}
 
--- a/bench/gateway/site.ts
+++ b/bench/gateway/site.ts
@@ -208,7 +208,7 @@
 
 	async #addHost(name: string, extraSeeds: readonly Address[], settings: Readonly<Record<string, unknown>>): Promise<void> {
 		const ports: number[] = [];
-		while (ports.length < 5) {
+		while (ports.length < 6) {
 			ports.push(await claimWorkerPort());
 		}
 
@@ -221,6 +221,7 @@
 			peer: formatAddress(host.peer),
 			metrics: formatAddress(host.metrics),
 			tunnel: formatAddress(host.tunnel),
+			admin: formatAddress(host.admin),
 			seeds: [(this.hosts[0] ?? host).peer, ...extraSeeds].map(seed => formatAddress(seed)),
 			...settings,
 		}));
--- a/src/admin/client.ts
+++ b/src/admin/client.ts
@@ -5,11 +5,14 @@
 	isFailure, raise, type Address, type Failure,
 } from '../core/index.js';
 import {
+	convictionsSchema,
 	decisionsSchema,
 	drainResponseSchema,
 	errorSchema,
 	configurationInForceSchema,
 	statusSchema,
+	type ConvictionOrder,
+	type Convictions,
 	type Decisions,
 	type DrainResponse,
 	type DrainRequest,
@@ -63,6 +66,25 @@
 	return fetchContent(address, {path: 'drain', body: wanted}, drainResponseSchema);
 }
 
+/**
+ * @param address - Admin address of a gateway's host.
+ * @returns The convictions in force there.
+ * @throws Failure `unreachableHost` or `refusedByHost`.
+ */
+export async function fetchConvictions(address: Address): Promise<Convictions> {
+	return fetchContent(address, {path: 'convictions'}, convictionsSchema);
+}
+
+/**
+ * @param address - Admin address of a gateway's host, which tells the others.
+ * @param order - Conviction to add or lift.
+ * @returns The convictions in force there after the order.
+ * @throws Failure `unreachableHost` or `refusedByHost`.
+ */
+export async function sendConvictionOrder(address: Address, order: ConvictionOrder): Promise<Convictions> {
+	return fetchContent(address, {path: 'convictions', body: order}, convictionsSchema);
+}
+
 /**
  * @param addresses - Admin addresses of the hosts.
  * @param fetch - Queries one host.
@@ -87,7 +109,7 @@
 
 type Query = {
 	readonly path: string;
-	readonly body?: DrainRequest;
+	readonly body?: ConvictionOrder | DrainRequest;
 	/** Timeout in milliseconds. */
 	readonly timeout?: number;
 };
--- a/src/cli/commands/explain.ts
+++ b/src/cli/commands/explain.ts
@@ -38,6 +38,10 @@
 	'cold-checks-ended',
 	'configuration',
 	'suspected',
+	'acquitted',
+	'convicted',
+	'conviction-ended',
+	'conviction-ordered',
 	'domain-evacuated',
 	'domain-evacuation-ended',
 ]);
--- a/src/cli/commands/incidents.ts
+++ b/src/cli/commands/incidents.ts
@@ -57,6 +57,11 @@
 	'evacuation-value',
 	'suspected',
 	'acquitted',
+	'convicted',
+	'conviction-ended',
+	'conviction-ordered',
+	'conviction-tested',
+	'evidence-ignored',
 	'lines-dropped',
 	'exchange-failed',
 ]);
@@ -67,7 +72,7 @@
 /** Event that one or more hosts logged. */
 export type Incident = {
 	readonly event: string;
-	/** What the event concerns: an upstream, a peer, a failure domain, a fingerprint or a version; may be empty. */
+	/** What the event concerns: an upstream, a peer, a failure domain, a fingerprint, causes of crashes or a version; may be empty. */
 	readonly subject: string;
 	/** Milliseconds since 1970. */
 	readonly from: number;
@@ -135,13 +140,16 @@
 	peer: z.string().optional(),
 	domain: z.string().optional(),
 	fingerprint: z.string().optional(),
-	version: z.number().optional(),
+	/** Causes of a conviction. */
+	causes: z.array(z.string()).optional(),
+	/** Of the configuration if it is a number, of engines otherwise. */
+	version: z.union([z.number(), z.string()]).optional(),
 	draining: z.boolean().optional(),
 });
 
 function getSubject({decision}: LogEntry): string {
-	const {upstream, peer, fingerprint, domain, version, draining} = subjectSchema.safeParse(decision).data ?? {};
-	const subject = upstream ?? peer ?? fingerprint ?? domain ?? (version === undefined ? '' : `version ${version}`);
+	const {upstream, peer, fingerprint, domain, causes, version, draining} = subjectSchema.safeParse(decision).data ?? {};
+	const subject = upstream ?? peer ?? fingerprint ?? domain ?? causes?.join(' ') ?? (version === undefined ? '' : `version ${version}`);
 	return `${subject}${draining === true ? ' draining' : ''}`;
 }
 
--- a/src/cli/gateway-lines.ts
+++ b/src/cli/gateway-lines.ts
@@ -75,6 +75,17 @@
 	}),
 	z.object({type: z.literal('memory-granted'), waited: z.number()}),
 	z.object({type: z.literal('memory-refused'), waited: z.number(), returnAfter: z.number().optional()}),
+	z.object({type: z.literal('placed-apart'), cause: z.string(), crashes: z.number()}),
+	z.object({type: z.literal('conviction-tested'), causes: z.array(z.string()), versions: z.array(z.string())}),
+	z.object({
+		type: z.literal('refused-as-convicted'),
+		causes: z.array(z.string()),
+		version: z.string().optional(),
+		crashes: z.number().optional(),
+		/** In the words of the operator who added the conviction. */
+		reason: z.string().optional(),
+		returnAfter: z.number(),
+	}),
 	z.object({
 		type: z.literal('ended'),
 		outcome: z.string(),
@@ -97,6 +108,7 @@
 export type PlacedLine = Extract<GatewayLine, {type: 'placed'}>;
 export type NotPlacedLine = Extract<GatewayLine, {type: 'not-placed'}>;
 export type AttemptEndedLine = Extract<GatewayLine, {type: 'attempt-ended'}>;
+export type RefusedAsConvictedLine = Extract<GatewayLine, {type: 'refused-as-convicted'}>;
 export type EndedLine = Extract<GatewayLine, {type: 'ended'}>;
 
 function describePlacement(line: PlacedLine): string {
@@ -143,6 +155,13 @@
 	}
 }
 
+function describeConviction({causes, version, crashes, reason, returnAfter}: RefusedAsConvictedLine): string {
+	const basis = crashes === undefined
+		? `an operator says so (${reason === undefined || reason === '' ? 'no reason given' : reason})`
+		: `${crashes} engines of version ${version ?? ''} crashed under requests with it`;
+	return `Refused because of ${causes.join(' with ')}: ${basis}; the caller may retry after ${returnAfter} ms`;
+}
+
 function describeEnd({outcome, route, attempts, firstByte, longestPause, took}: EndedLine): string {
 	const firstText = firstByte === undefined ? 'no byte of an answer' : `first byte after ${firstByte} ms`;
 	const pauseText = longestPause === undefined ? '' : `, longest pause ${longestPause} ms`;
@@ -209,6 +228,18 @@
 			return `Refused after ${line.waited} ms: its memory ${expected}`;
 		}
 
+		case 'placed-apart': {
+			return `Suspected: engines have crashed under ${line.cause} (crashes: ${line.crashes}), so that it goes to one that others avoid`;
+		}
+
+		case 'conviction-tested': {
+			return `Sent to find out whether ${line.causes.join(' with ')} still crashes engines of version ${line.versions.join(', ')}`;
+		}
+
+		case 'refused-as-convicted': {
+			return describeConviction(line);
+		}
+
 		case 'ended': {
 			return describeEnd(line);
 		}
--- a/src/cli/losses/causes.ts
+++ b/src/cli/losses/causes.ts
@@ -116,6 +116,9 @@
 		case 'memory-wait':
 		case 'memory-granted':
 		case 'memory-refused':
+		case 'placed-apart':
+		case 'conviction-tested':
+		case 'refused-as-convicted':
 		case 'retry-denied': {
 			return;
 		}
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -7,6 +7,7 @@
 	type Code,
 } from '../core/index.js';
 import {addCheckCommand} from './commands/check.js';
+import {addConvictionsCommand} from './commands/convictions.js';
 import {addCompletionCommand} from './commands/completion.js';
 import {addDiffCommand} from './commands/diff.js';
 import {addDrainCommand} from './commands/drain.js';
@@ -27,6 +28,7 @@
 	addShowCommand,
 	addStatusCommand,
 	addDrainCommand,
+	addConvictionsCommand,
 	addExplainCommand,
 	addIncidentsCommand,
 	addLossesCommand,
--- a/src/core/gateway/suspicion/suspects.ts
+++ b/src/core/gateway/suspicion/suspects.ts
@@ -134,6 +134,15 @@
 		return isNew;
 	}
 
+	/**
+	 * @param service - Service.
+	 * @param cause - Cause.
+	 * @returns Unix time in milliseconds of the last order about it; 0 if there was none.
+	 */
+	findOrderTime(service: string, cause: Cause): number {
+		return this.#orders.findOrder(service, cause)?.given ?? 0;
+	}
+
 	/**
 	 * @param key - Trial of a conviction.
 	 * @param at - When a host started it.
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -13,6 +13,7 @@
 import {Gateway} from './gateway.js';
 import {HealthChecks} from './upstreams/health-checks.js';
 import {Holds} from './requests/holds.js';
+import {AdminListener} from './admin/admin-listener.js';
 import {GatewayMetrics, MetricsListener} from './metrics.js';
 import {ResponseBuffers} from './callers/response-buffers.js';
 import {CallerListener, ReadyListener} from './callers/server.js';
@@ -124,9 +125,9 @@
 			&& this.#gateway.confirmedAge < maxReadyAgeMs;
 	}
 
-	/** Starts listening for peers, callers, the balancer and, if configured, metrics. */
+	/** Starts listening for peers, callers, the balancer and, if configured, metrics and operators. */
 	async start(): Promise<void> {
-		const {caller, ready, metrics} = this.#settings;
+		const {caller, ready, metrics, admin, host} = this.#settings;
 		const readiness = this.#disposal.use(new ReadyListener(() => this.isReady));
 		await this.#gateway.peers.start();
 		await this.#callers.listen(caller);
@@ -143,6 +144,13 @@
 			await listener.listen(metrics);
 		}
 
+		if (admin !== undefined) {
+			const listener = this.#disposal.use(new AdminListener({
+				host, convictions: this.#gateway.convictions, now: () => this.#clock.now(), wall: () => this.#clock.wall(), log: this.#log,
+			}));
+			await listener.listen(admin);
+		}
+
 		this.#log.write({event: 'started', domain: this.#settings.failureDomain, sinceStart: Math.round(this.#clock.now())});
 	}
 
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -22,6 +22,8 @@
 	peer: addressSchema,
 	/** Address that serves metrics as text; not served if absent. */
 	metrics: addressSchema.optional(),
+	/** Address for the operators' command line, which callers must not reach; not served if absent. */
+	admin: addressSchema.optional(),
 	/** Address at which this host opens tunnels to upstreams for hosts that don't reach them; it opens none if absent. */
 	tunnel: addressSchema.optional(),
 	/** Processor capacity of this host: cores, and the share of each that it may use. Hosts with more capacity become relays. */
--- a/src/gateway/suspicion/convictions.ts
+++ b/src/gateway/suspicion/convictions.ts
@@ -282,7 +282,9 @@
 	 * @param order - Order of an operator.
 	 */
 	give(order: Order): void {
-		const received = {...order, at: this.#options.clock.now()};
+		// The clock of the host that took the last order may be ahead of this one's.
+		const given = Math.max(order.given, this.#suspects.findOrderTime(order.service, order.cause) + 1);
+		const received = {...order, given, at: this.#options.clock.now()};
 		this.exchange.apply({type: 'order', order: received});
 		this.#noteChanges();
 		this.exchange.send([{type: 'order', order: received}]);
--- a/src/protocol/admin.ts
+++ b/src/protocol/admin.ts
@@ -113,6 +113,41 @@
 	unfinished: z.number().int(),
 }).readonly();
 
+/** One conviction of the gateway. Ages are in milliseconds. */
+export const convictionReportSchema = z.object({
+	service: z.string(),
+	/** Version of the engines that crash; absent for all. */
+	version: z.string().optional(),
+	/** Requests with all of these are refused. */
+	causes: z.array(z.string()).readonly(),
+	/** Number of crashes; 0 if an operator has added it. */
+	crashes: z.number().int(),
+	/** Since the first crash, or since the operator's order. */
+	since: z.number(),
+	/** Since the last crash. */
+	last: z.number().optional(),
+	/** In the operator's words. */
+	reason: z.string().optional(),
+}).readonly();
+
+export const convictionsSchema = z.object({
+	host: z.string(),
+	/** Attempts in memory that ended with a crash. */
+	attempts: z.number().int(),
+	convictions: z.array(convictionReportSchema).readonly(),
+}).readonly();
+
+/** Longest name of a service and reason of an order, in characters. */
+const maxOrderTextLength = 200;
+
+export const convictionOrderSchema = z.object({
+	service: z.string().min(1).max(maxOrderTextLength),
+	/** `part:ID` or `request:FINGERPRINT`. */
+	cause: z.string(),
+	action: z.enum(['add', 'lift']),
+	reason: z.string().max(maxOrderTextLength).default(''),
+}).readonly();
+
 export const errorSchema = z.object({
 	error: z.object({
 		code: z.number().int(),
@@ -124,5 +159,8 @@
 export type ConfigurationInForce = z.infer<typeof configurationInForceSchema>;
 export type LoggedDecision = z.infer<typeof loggedDecisionSchema>;
 export type Decisions = z.infer<typeof decisionsSchema>;
+export type ConvictionReport = z.infer<typeof convictionReportSchema>;
+export type Convictions = z.infer<typeof convictionsSchema>;
+export type ConvictionOrder = z.infer<typeof convictionOrderSchema>;
 export type DrainRequest = z.infer<typeof drainRequestSchema>;
 export type DrainResponse = z.infer<typeof drainResponseSchema>;
