The retry budget of a small fleet is where callers arrive

Cause: each host had an even part of the allowance, of which five parts went unused. Change: hosts of a small fleet count each other's requests and retries, as those of a failure domain of a large one did before, and share the allowance as far as they see each other.

--- a/src/core/gateway/limits/retries.ts
+++ b/src/core/gateway/limits/retries.ts
@@ -62,9 +62,9 @@
 };
 
 /**
- * Retry budget of this host, by service. In a large fleet the hosts of a failure domain count each other's requests and share one part of
- * the allowance: if a fault affects a few of hundreds of hosts, the part of a single host is only a retry or two, while the parts of the
- * others go unused. A failure domain or host that is cut off uses only the parts of the hosts that it receives updates from.
+ * Retry budget, by service. Hosts count each other's requests and share the allowance, in a large fleet those of one failure domain their part
+ * of it: the budget is then there where callers arrive, and where a fault affects a few of the hosts. Hosts that are cut off use only the
+ * parts of the hosts that they receive updates from.
  */
 export class RetryBudget {
 	readonly #limits: RetryLimits;
@@ -94,7 +94,7 @@
 	}
 
 	/**
-	 * Counts a request that another host of this failure domain has sent.
+	 * Counts a request that another host has sent with which this one shares the allowance.
 	 *
 	 * @param service - Service that it was sent to.
 	 * @param kind - Kind of its placement.
@@ -123,7 +123,7 @@
 	}
 
 	/**
-	 * Counts requests that other hosts of this failure domain have sent for the first time and that weren't reported one by one.
+	 * Counts requests that such hosts have sent for the first time and that weren't reported one by one.
 	 *
 	 * @param service - Service that they were sent to.
 	 * @param count - Number of requests.
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -264,7 +264,7 @@
 			},
 			sent: job => {
 				const service = this.upstreams.get(job.upstream)?.service;
-				if (service !== undefined && this.peers.isLargeFleet) {
+				if (service !== undefined) {
 					this.retries.countPeerPlacement(service, job.placing, clock.now());
 				}
 			},
@@ -457,7 +457,9 @@
 	 */
 	canRetry(service: string, isSuspected = false): boolean {
 		const {fleetSize: hosts, isLargeFleet, domainHostCount} = this.peers;
-		return this.retries.allowsRetry(service, {hosts, counted: isLargeFleet ? domainHostCount : 1}, this.#clock.now(), isSuspected);
+		const now = this.#clock.now();
+		const counted = isLargeFleet ? domainHostCount : Math.max(Math.floor(hosts * this.peers.computeVisibleShare(now)), 1);
+		return this.retries.allowsRetry(service, {hosts, counted}, now, isSuspected);
 	}
 
 	/**
--- a/src/gateway/sharing/load-updates.ts
+++ b/src/gateway/sharing/load-updates.ts
@@ -48,7 +48,7 @@
 	readonly onPace: (peer: string, pace: PaceReport) => void;
 	/** Called when another host keeps memory for a waiting request, or no longer does. */
 	readonly onClaim: (claim: MemoryClaim) => void;
-	/** Called for each new job of another host of this failure domain. */
+	/** Called for each new job of another host; in a large fleet, of one of this failure domain. */
 	readonly sent: (job: Job) => void;
 	/** Whether the hosts together count the requests at an upstream, as it is cold or limits their rate. */
 	readonly isCounted: (upstream: string) => boolean;
@@ -224,7 +224,7 @@
 		}
 
 		const fresh = began.filter(({id}) => !load.isKnown(id));
-		this.#reportDomainJobs(began);
+		this.#reportSharedJobs(began);
 		for (const job of began) {
 			this.#reportNewJob(job);
 			load.begin(job, now());
@@ -333,8 +333,8 @@
 		}
 	}
 
-	/** Reports new jobs of other hosts of this failure domain, once per job although updates may arrive over two paths. */
-	#reportDomainJobs(began: readonly Job[]): void {
+	/** Reports new jobs of the hosts that share a retry budget with this one, once per job although updates may arrive over two paths. */
+	#reportSharedJobs(began: readonly Job[]): void {
 		if (began.length === 0) {
 			return;
 		}
@@ -342,7 +342,7 @@
 		const {load, peers, failureDomain, sent} = this.#options;
 		const domainHosts = new Set(peers.listDomainHosts(failureDomain));
 		for (const job of began) {
-			if (domainHosts.has(job.host) && !load.isKnown(job.id) && !this.#isCovered(job)) {
+			if ((!peers.isLargeFleet || domainHosts.has(job.host)) && !load.isKnown(job.id) && !this.#isCovered(job)) {
 				sent(job);
 			}
 		}
