The part of cold upstreams that a failure domain may use follows its callers

Cause: a domain could use 1.1 times an even part of the rate. Change: its part is the share of requests that its hosts have sent, one to two seconds late, so that domains which don't see each other send 1.25 times the rate at most until they notice. Measured: __tests__/gateway/crowded-hosts.test.ts failed for cold engines and retries before, and passes; engines with rate limits passed before.

--- a/src/core/gateway/limits/cold-starts.ts
+++ b/src/core/gateway/limits/cold-starts.ts
@@ -1,10 +1,11 @@
 /**
  * Limits the requests to cold upstreams. An upstream that has just started takes few requests per second and crashes at a rate well above, so
  * in no second may it get more than its bound, from all hosts together. Two schedules hold it: one at the rate of the upstream, advanced by
- * the requests of all hosts, and one for the failure domain of this host at little more than the domain's part. The second one holds while
+ * the requests of all hosts, and one for the failure domain of this host at little more than its part of them. The second one holds while
  * a partition has not been noticed yet. Times are monotonic, in milliseconds.
  */
 import {dropOldest} from '../../utils/bounded.js';
+import {DomainPart} from './domain-part.js';
 import {RateSchedule, type RateShare} from './rate-schedule.js';
 
 /** Cold upstreams kept; more than any fleet has. */
@@ -33,9 +34,6 @@
 /** Hosts learn at about the same time that an upstream is cold, and spread their first use of the schedule over this time. */
 const firstUseSpreadMs = 500;
 
-/** Part of the rate that a failure domain may use, as a multiple of an even part. */
-const domainFactor = 1.1;
-
 /** Margin between the rate of the schedule and the bound, for requests that hosts send before they know of each other. */
 const boundFactor = 1.5;
 
@@ -78,6 +76,7 @@
 	readonly #bound: ColdBound;
 	readonly #random: () => number;
 	readonly #entries = new Map<string, Entry>();
+	readonly #domainPart = new DomainPart();
 
 	/**
 	 * @param bound - Bound on the requests in any second.
@@ -170,11 +169,12 @@
 			return;
 		}
 
+		this.#domainPart.count(at, isOfDomain);
 		const interval = this.#computeInterval(entry, rate, at);
 		const delay = this.#random() * share.spread;
 		entry.fleet.count(at, interval / share.visible, delay);
 		if (isOfDomain) {
-			entry.domain.count(at, interval * share.domains / domainFactor, delay);
+			entry.domain.count(at, interval / this.#domainPart.compute(share.domains), delay);
 		}
 	}
 
@@ -197,7 +197,7 @@
 
 		this.#noteVisibleShare(entry, rate, now, share);
 		const interval = this.#computeInterval(entry, rate, now);
-		const domainInterval = interval * share.domains / domainFactor;
+		const domainInterval = interval / this.#domainPart.compute(share.domains);
 		const wait = Math.max(
 			entry.fleet.computeWait(now, Math.max(interval * burstShare, burstTimeMs)),
 			entry.domain.computeWait(now, Math.max(domainInterval * domainBurstShare, burstTimeMs)),
--- a/stand-ins/gateway/upstream.ts
+++ b/stand-ins/gateway/upstream.ts
@@ -130,6 +130,8 @@
 	version = 'v1';
 	/** Times at which it crashed; monotonic milliseconds. */
 	readonly crashes: number[] = [];
+	/** Of so many requests, one is run and its connection reset in place of an answer; 0 for none. */
+	lossInterval = 0;
 	readonly #options: UpstreamOptions;
 	readonly #server: Server;
 	readonly #batch: Batch | undefined;
@@ -141,6 +143,7 @@
 	/** Number of times that it came back under a new id. */
 	#newIds = 0;
 	#registrationCount = 0;
+	#requestCount = 0;
 	/** When it stops being cold; monotonic milliseconds. */
 	#coldUntil = 0;
 	/** Address at which it listened last. */
@@ -337,7 +340,8 @@
 			return;
 		}
 
-		if (this.fault === 'lost') {
+		this.#requestCount++;
+		if (this.fault === 'lost' || (this.lossInterval > 0 && this.#requestCount % this.lossInterval === 0)) {
 			incoming.socket.resetAndDestroy();
 			return;
 		}
