Convictions in error: causes of begun answers and of attempts at dead engines aren't blamed

What all requests have in common is at every crash, and right after the start nothing with it has been answered; and where something in front of a dead engine accepts connections, whatever is sent there looks like one more crash.

Change: causes with which answers have begun anywhere are blamed only if nothing else is left. What is sent after a crash is no evidence of it. A process with a start time crashes once.

The soak draws parts that crash engines, engines that crash without a cause and hosts that get all new connections, and checks that neither too many of the former reach engines nor any sound request is refused for them.

--- a/bench/soak/clients.ts
+++ b/bench/soak/clients.ts
@@ -6,6 +6,7 @@
 	ConnectionError, parseEventIds, createPromptHeaders, type Answer, type CallerRequest,
 } from '../gateway/caller-requests.js';
 import {type Site} from '../gateway/site.js';
+import {createSoundParts} from './poison.js';
 import {type RequestKind, type RequestResult, type RequestRecord} from './guarantees.js';
 
 /** Time limits of the site's routes. */
@@ -31,10 +32,17 @@
 
 type PlannedRequest = Pick<RequestRecord, 'id' | 'kind' | 'expected'> & {readonly asking: CallerRequest};
 
+export type ClientOptions = {
+	readonly site: Site;
+	/** Returns the host that gets all new connections at present, if there is one. */
+	readonly findCrowdedHost: () => number | undefined;
+};
+
 export class Client {
 	readonly records: RequestRecord[] = [];
 	readonly #name: string;
 	readonly #site: Site;
+	readonly #findCrowdedHost: () => number | undefined;
 	readonly #random: Random;
 	readonly #readingRandom: Random;
 	#host: number;
@@ -43,13 +51,14 @@
 
 	/**
 	 * @param name - Name of the client, unique in the soak.
-	 * @param site - Hosts to send requests to.
+	 * @param options - Hosts to send requests to.
 	 * @param random - Draws requests and pauses.
 	 * @param readingRandom - Draws which answers are read late; separate, so that it changes no other draw.
 	 */
-	constructor(name: string, site: Site, random: Random, readingRandom: Random) {
+	constructor(name: string, {site, findCrowdedHost}: ClientOptions, random: Random, readingRandom: Random) {
 		this.#name = name;
 		this.#site = site;
+		this.#findCrowdedHost = findCrowdedHost;
 		this.#random = random;
 		this.#readingRandom = readingRandom;
 		this.#host = random.integer(0, site.hosts.length - 1);
@@ -62,6 +71,7 @@
 	 */
 	async run(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
+			this.#followCrowd();
 			const request = await this.#sendNext();
 			this.records.push(request);
 			if (request.result.type !== 'answered') {
@@ -74,6 +84,16 @@
 		this.#agent.destroy();
 	}
 
+	/** Opens a new connection to the host that gets all of them. */
+	#followCrowd(): void {
+		const crowded = this.#findCrowdedHost();
+		if (crowded !== undefined && crowded !== this.#host) {
+			this.#agent.destroy();
+			this.#agent = new Agent({keepAlive: true, maxSockets: 1});
+			this.#host = crowded;
+		}
+	}
+
 	/** Switches to the next host that reports ready, over a new connection. */
 	async #switchHost(): Promise<void> {
 		this.#agent.destroy();
@@ -95,7 +115,7 @@
 		if (kind === 'ask') {
 			const sizes = this.#random.integer(1, requestsPerLargePrompt) === 1 ? largePromptTokens : usualPromptTokens;
 			const events = this.#random.integer(1, maxEvents);
-			const headers = createPromptHeaders(this.#random.integer(sizes.least, sizes.most), events);
+			const headers = {...createPromptHeaders(this.#random.integer(sizes.least, sizes.most), events), 'X-Prefix-Hash': createSoundParts(this.#sent, id)};
 			return {
 				id, kind, expected: events, asking: this.#drawReading({path: '/ask/x', id, headers}),
 			};
--- a/bench/soak/plan.ts
+++ b/bench/soak/plan.ts
@@ -42,6 +42,12 @@
 		| {readonly type: 'foreign-seed'; readonly host: number}
 	/** SIGKILL, then a host of another fleet at the same peer address for `length`, then a restart. */
 		| {readonly type: 'foreign-address'; readonly host: number; readonly length: number}
+	/** Requests come with a part of their prompts that crashes engines. */
+		| {readonly type: 'poison'; readonly length: number}
+	/** Engines crash without a cause, and are back after `length` as other processes with their ids. */
+		| {readonly type: 'crash'; readonly upstreams: readonly number[]; readonly length: number}
+	/** One host gets all new connections. */
+		| {readonly type: 'crowd'; readonly host: number; readonly length: number}
 	/** Hosts lose their links to some upstreams, or to all. Only where each host has links of its own. */
 		| {readonly type: 'sever'; readonly hosts: readonly number[]; readonly upstreams: readonly number[]; readonly how: Severance; readonly length: number}
 	/** A fault of the link to the store or to a plain service. */
@@ -107,6 +113,16 @@
 const severanceLengthMs = {least: 1000, most: 7000};
 const severances: readonly Severance[] = ['hang', 'reset', 'refuse-new'];
 
+/** The same for parts of prompts that crash engines, for engines that crash without a cause, and for hosts that get all new connections. */
+const poisonSeedOffset = 7_000_003;
+const gapBetweenPoisons = {least: 3000, most: 10_000};
+const poisonLengthMs = {least: 3000, most: 8000};
+const crashSeedOffset = 8_000_003;
+const gapBetweenCrashes = {least: 1500, most: 8000};
+const crowdSeedOffset = 9_000_003;
+const gapBetweenCrowds = {least: 2000, most: 8000};
+const crowdLengthMs = {least: 1500, most: 5000};
+
 const foreignTypes = ['foreign-seed', 'foreign-address'] as const;
 
 const statementTypes = ['limit', 'depart', 'refuse'] as const;
@@ -129,6 +145,17 @@
 	return Array.from({length: upstreams}, (_, index) => index).filter(index => (index < engines) === isEngine);
 }
 
+function drawSeverance(random: Random, host: number, options: PlanOptions): Fault {
+	const isOne = random.integer(0, 1) === 0;
+	return {
+		type: 'sever',
+		hosts: Array.from({length: options.hosts}, (_, index) => index).filter(index => (index === host) === isOne),
+		upstreams: random.integer(0, 2) === 0 ? drawUpstreams(random, options) : Array.from({length: options.upstreams}, (_, index) => index),
+		how: pick(random, severances),
+		length: random.integer(severanceLengthMs.least, severanceLengthMs.most),
+	};
+}
+
 function drawFault(random: Random, type: Fault['type'], options: PlanOptions): Fault {
 	const host = random.integer(0, options.hosts - 1);
 	const upstream = random.integer(0, options.upstreams - 1);
@@ -200,14 +227,20 @@
 		}
 
 		case 'sever': {
-			const isOne = random.integer(0, 1) === 0;
-			return {
-				type,
-				hosts: Array.from({length: options.hosts}, (_, index) => index).filter(index => (index === host) === isOne),
-				upstreams: random.integer(0, 2) === 0 ? drawUpstreams(random, options) : Array.from({length: options.upstreams}, (_, index) => index),
-				how: pick(random, severances),
-				length: random.integer(severanceLengthMs.least, severanceLengthMs.most),
-			};
+			return drawSeverance(random, host, options);
+		}
+
+		case 'poison': {
+			return {type, length: random.integer(poisonLengthMs.least, poisonLengthMs.most)};
+		}
+
+		case 'crash': {
+			const first = random.integer(0, options.engines - 1);
+			return {type, upstreams: random.integer(0, 2) === 0 ? Array.from({length: options.engines}, (_, index) => index) : [first], length};
+		}
+
+		case 'crowd': {
+			return {type, host, length: random.integer(crowdLengthMs.least, crowdLengthMs.most)};
 		}
 
 		case 'link': {
@@ -251,6 +284,9 @@
 		planSeparately(createRandom(seed + coldSeedOffset), length, gapBetweenColdEngines, draw('cold')),
 		planSeparately(createRandomAfterFirst(seed + evacuationSeedOffset), length, gapBetweenEvacuations, draw('evacuate')),
 		planSeparately(createRandomAfterFirst(seed + foreignSeedOffset), length, gapBetweenForeignHosts, drawOneOf(foreignTypes)),
+		planSeparately(createRandomAfterFirst(seed + poisonSeedOffset), length, gapBetweenPoisons, draw('poison')),
+		planSeparately(createRandomAfterFirst(seed + crashSeedOffset), length, gapBetweenCrashes, draw('crash')),
+		planSeparately(createRandomAfterFirst(seed + crowdSeedOffset), length, gapBetweenCrowds, draw('crowd')),
 		options.hasSeverableLinks ? planSeparately(createRandomAfterFirst(seed + severanceSeedOffset), length, gapBetweenSeverances, draw('sever')) : [],
 	].flat();
 }
--- a/bench/soak/testbed.ts
+++ b/bench/soak/testbed.ts
@@ -8,11 +8,13 @@
 import {createConfiguration, engineConfiguration} from '../gateway/configuration.js';
 import {type Host} from '../gateway/host.js';
 import {Site} from '../gateway/site.js';
+import {createRandom} from '../model/workload.js';
 import {coldStartConfiguration} from './cold-engines.js';
 import {EvacuationOrders, type StoreGap} from './evacuations.js';
 import {ForeignFleet} from './foreign-fleet.js';
 import {type Fault} from './plan.js';
 import {type Outage} from './guarantees.js';
+import {PoisonSender} from './poison.js';
 
 /** Number of upstreams of each kind. */
 export const engineCount = 3;
@@ -33,6 +35,12 @@
 /** Time after which engines cut off a stream of which nothing is read. */
 const unreadTimeoutMs = 2000;
 
+/** Time from the crash of an engine under a part of a prompt until it is back. */
+const crashAbsenceMs = 1200;
+
+/** Seed of the hosts and pauses of requests that crash engines. */
+const poisonSeed = 77;
+
 /** Delay of a slowed link. */
 const linkDelayMs = 80;
 
@@ -81,6 +89,9 @@
 	/** When hosts could not read the store, apart from their own outages. */
 	readonly storeGaps: StoreGap[] = [];
 	readonly evacuations: EvacuationOrders;
+	readonly poison: PoisonSender;
+	/** Hosts that get all new connections; the last one counts. */
+	readonly #crowded: number[] = [];
 	/** Number of log lines that each host had written when each of its runs began. */
 	readonly #runStarts: number[][];
 	readonly #proxy: FaultProxy;
@@ -98,6 +109,13 @@
 
 	private constructor(site: Site, proxy: FaultProxy, links: readonly string[], foreignFleet: ForeignFleet) {
 		this.site = site;
+		this.poison = new PoisonSender(site, createRandom(poisonSeed));
+		for (const engine of site.engines) {
+			engine.onCrash = () => {
+				this.#activeFaults.push(this.#bringBack(engine, crashAbsenceMs));
+			};
+		}
+
 		this.evacuations = new EvacuationOrders(site.store);
 		this.#proxy = proxy;
 		this.#foreignFleet = foreignFleet;
@@ -106,6 +124,11 @@
 		this.#isDown = site.hosts.map(() => false);
 	}
 
+	/** Host that gets all new connections at present, if there is one. */
+	get crowdedHost(): number | undefined {
+		return this.#crowded.at(-1);
+	}
+
 	get links(): number {
 		return this.#links.length;
 	}
@@ -118,7 +141,12 @@
 
 	/** Waits until every fault is over, heals all links and publishes the final configuration. */
 	async settle(): Promise<void> {
-		await Promise.all(this.#activeFaults);
+		let waited = 0;
+		while (waited < this.#activeFaults.length) {
+			waited = this.#activeFaults.length;
+			await Promise.all(this.#activeFaults);
+		}
+
 		this.#proxy.apply({type: 'heal'});
 		this.#publish(finalVersion);
 	}
@@ -267,6 +295,23 @@
 				return;
 			}
 
+			case 'poison': {
+				await this.poison.run(fault.length);
+				return;
+			}
+
+			case 'crash': {
+				await Promise.all(fault.upstreams.map(async index => this.#crash(this.#upstreams[index]!, fault.length)));
+				return;
+			}
+
+			case 'crowd': {
+				this.#crowded.push(fault.host);
+				await sleep(fault.length);
+				this.#crowded.splice(this.#crowded.indexOf(fault.host), 1);
+				return;
+			}
+
 			case 'sever': {
 				const upstreams = fault.upstreams.map(index => this.#upstreams[index]!.id);
 				await Promise.all(fault.hosts.map(async host => this.#sever(host, fault.how, upstreams, fault.length)));
@@ -299,6 +344,20 @@
 		}
 	}
 
+	/** Crashes an engine, which is back later with its id; does nothing if it is down already. */
+	async #crash(upstream: UpstreamStandIn, length: number): Promise<void> {
+		if (upstream.isListening) {
+			await upstream.crash();
+			await this.#bringBack(upstream, length);
+		}
+	}
+
+	async #bringBack(upstream: UpstreamStandIn, absence: number): Promise<void> {
+		await sleep(absence);
+		await upstream.comeBack('same id');
+		this.#registerUnlessRemoved(upstream);
+	}
+
 	/** Severs links of a host for a while; does nothing if some are severed already. */
 	async #sever(host: number, how: Severance, upstreams: readonly string[], length: number): Promise<void> {
 		if (this.#severed.has(host)) {
--- a/src/core/gateway/suspicion/crashes.ts
+++ b/src/core/gateway/suspicion/crashes.ts
@@ -88,7 +88,13 @@
 			return false;
 		}
 
+		this.#dropSurvived(report);
 		const known = this.#find(report);
+		// What was sent to an upstream that had crashed has not caused it, though something in between may have accepted the connection.
+		if (known !== undefined && report.sent > known.at) {
+			return false;
+		}
+
 		if (known === undefined) {
 			const {upstream, started, scope, at} = report;
 			this.#crashes.add({
@@ -187,6 +193,13 @@
 		}
 	}
 
+	/** A process that has a start of its own crashes once: one that took a later request has survived what came before. */
+	#dropSurvived({upstream, started, sent}: CrashReport): void {
+		if (started !== undefined) {
+			this.disprove({upstream, started}, sent - sameCrashMs);
+		}
+	}
+
 	#find(report: CrashReport): KnownCrash | undefined {
 		const process = formatProcess(report);
 		const scope = formatScope(report.scope);
--- a/src/core/gateway/suspicion/inference.ts
+++ b/src/core/gateway/suspicion/inference.ts
@@ -22,6 +22,8 @@
 export type CauseKnowledge = {
 	/** Returns when a request with the cause was last answered by engines of this version; undefined if it never was. */
 	readonly findAnswer: (cause: Cause) => number | undefined;
+	/** Returns whether an answer to a request with the cause has begun at engines of this version. */
+	readonly hasBegun: (cause: Cause) => boolean;
 	/** Returns the time up to which crashes don't count, as an operator has lifted the conviction since. */
 	readonly findPardon: (cause: Cause) => number | undefined;
 	/** Returns whether it crashed engines of another version, or had been convicted before it was pardoned. */
@@ -64,14 +66,14 @@
 	return answer !== undefined && crash.at - answer < trustMs ? 'trusted' : 'counted';
 }
 
-/** Adds what one crash says against causes: attempts whose answers had begun are blamed only if there is nothing else to blame. */
-function addCrash(charges: Map<Cause, Charge>, crash: Crash, knowledge: CauseKnowledge): void {
-	for (const hasBegun of [false, true]) {
+/** Adds what one crash says against causes: those with which answers have begun are blamed only if there is nothing else to blame. */
+function addCrash(charges: Map<Cause, Charge>, crash: Crash, hasBegun: (cause: Cause) => boolean, knowledge: CauseKnowledge): void {
+	for (const isBegun of [false, true]) {
 		let isBlamed = false;
-		for (const report of crash.reports.filter(each => each.hasBegun === hasBegun)) {
+		for (const report of crash.reports) {
 			for (const cause of report.causes) {
 				const verdict = judge(cause, crash, knowledge);
-				if (verdict === 'cleared') {
+				if (verdict === 'cleared' || (report.hasBegun || hasBegun(cause)) !== isBegun) {
 					continue;
 				}
 
@@ -125,8 +127,10 @@
  */
 export function infer(crashes: Iterable<Crash>, knowledge: CauseKnowledge): Findings {
 	const charges = new Map<Cause, Charge>();
-	for (const crash of crashes) {
-		addCrash(charges, crash, knowledge);
+	const all = [...crashes];
+	const begun = new Set(all.flatMap(({reports}) => reports.filter(({hasBegun}) => hasBegun).flatMap(({causes}) => causes)));
+	for (const crash of all) {
+		addCrash(charges, crash, cause => begun.has(cause) || knowledge.hasBegun(cause), knowledge);
 	}
 
 	const explained = new Set<Crash>();
@@ -150,7 +154,13 @@
 		}
 	}
 
-	return {blames: [...blames.values()], suspicions: listSuspicions(charges, explained, blames.values())};
+	const least = listLeast([...blames.values()]);
+	return {blames: least, suspicions: listSuspicions(charges, explained, least)};
+}
+
+/** Leaves out blames for causes of which another blame needs only some. */
+function listLeast(blames: readonly Blame[]): readonly Blame[] {
+	return blames.filter(({causes}) => !blames.some(other => other.causes.length < causes.length && other.causes.every(cause => causes.includes(cause))));
 }
 
 function listSuspicions(charges: ReadonlyMap<Cause, Charge>, explained: ReadonlySet<Crash>, blames: Iterable<Blame>): ReadonlyMap<Cause, Suspicion> {
--- a/src/core/gateway/suspicion/suspects.ts
+++ b/src/core/gateway/suspicion/suspects.ts
@@ -49,6 +49,8 @@
 export class Suspects {
 	readonly #crashes = new Crashes();
 	readonly #answers = new Answers();
+	/** When answers to requests with a cause last began. */
+	readonly #beginnings = new Answers();
 	readonly #orders = new Orders();
 	readonly #trials = new Trials();
 	/** Findings by scope, as of the change count. */
@@ -106,6 +108,33 @@
 		return cleared;
 	}
 
+	/**
+	 * Records that answers have begun, which shows that their causes don't crash engines as these begin to write.
+	 *
+	 * @param scope - Engines that answer.
+	 * @param causes - Causes of the requests.
+	 * @param at - Time.
+	 * @returns Those of which this wasn't known, and under which engines have crashed.
+	 */
+	recordBeginnings(scope: Scope, causes: readonly Cause[], at: number): readonly Cause[] {
+		const fresh = causes.filter(cause => this.#beginnings.findTime(scope, cause) === undefined && this.#crashes.findLastUnder(scope, cause) !== undefined);
+		for (const cause of causes) {
+			this.#beginnings.record(scope, cause, at);
+		}
+
+		this.#changeCount += fresh.length > 0 ? 1 : 0;
+		return fresh;
+	}
+
+	/**
+	 * @param scope - Engines.
+	 * @param cause - Cause.
+	 * @returns When an answer to a request with it last began there; undefined if that isn't known.
+	 */
+	findBeginning(scope: Scope, cause: Cause): number | undefined {
+		return this.#beginnings.findTime(scope, cause);
+	}
+
 	/**
 	 * @param scope - Engines.
 	 * @param cause - Cause.
@@ -273,7 +302,7 @@
 			const scope = formatScope({service, version});
 			const key = `${scope} ${causes.toSorted().join(' ')}`;
 			const due = own?.basis.type === 'crashes'
-				? computeTrialTime(own.basis.crashes.map(({at}) => at))
+				? computeTrialTime(times.flat())
 				: computeVersionTrialTime(lastCrash, this.#trials.noteVersion(scope, now));
 			if (this.#trials.mayStart(key, due, findTurn(key), now)) {
 				return {
@@ -316,6 +345,7 @@
 		const {service, version} = scope;
 		return {
 			findAnswer: cause => this.#answers.findTime(scope, cause),
+			hasBegun: cause => this.#beginnings.findTime(scope, cause) !== undefined,
 			findPardon: cause => {
 				const order = this.#orders.findOrder(service, cause);
 				return order?.action === 'lift' ? order.at : undefined;
--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -19,6 +19,7 @@
 	recordBroken: () => undefined,
 	recordAnswered: () => undefined,
 	noteLife: () => undefined,
+	recordBegun: () => undefined,
 	hasCrashedUnderOthers: () => false,
 };
 
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -223,6 +223,10 @@
 		const forwarded = await callerResponse.forward(reply, route, {
 			began() {
 				trace.noteFirstByte();
+				if (route.kind === 'streaming') {
+					gateway.convictions.recordBegun(running);
+				}
+
 				gateway.loadUpdates.progress(running.attempt);
 			},
 			receivedEvents() {
--- a/src/gateway/suspicion/convictions.ts
+++ b/src/gateway/suspicion/convictions.ts
@@ -253,6 +253,22 @@
 		}
 	}
 
+	/**
+	 * Records that an answer has begun.
+	 *
+	 * @param attempt - Attempt.
+	 */
+	recordBegun({scope, causes}: RunningAttempt): void {
+		const at = this.#options.clock.now();
+		const fresh = this.#suspects.recordBeginnings(scope, causes, at);
+		if (fresh.length > 0) {
+			this.exchange.send([{
+				type: 'beginnings', scope, causes: fresh, at,
+			}]);
+			this.#noteChanges();
+		}
+	}
+
 	/**
 	 * Records that bytes of an answer have arrived: a crash of its engine that is older than the connection's last bytes did not happen.
 	 *
--- a/src/gateway/suspicion/defences.ts
+++ b/src/gateway/suspicion/defences.ts
@@ -1,10 +1,10 @@
-/** Speaks for causes of other hosts' crashes that this host has answered before, unless another host does so first. */
+/** Speaks for causes of other hosts' crashes that this host has answered before, or begun to answer, unless another host does so first. */
 import {formatScope, type Cause, type Scope} from '../../core/gateway/suspicion/causes.js';
 import {type Suspects} from '../../core/gateway/suspicion/suspects.js';
 import {maxPieces, type Evidence} from './evidence.js';
 
 export type DefencesOptions = {
-	readonly suspects: Pick<Suspects, 'findAnswer'>;
+	readonly suspects: Pick<Suspects, 'findAnswer' | 'findBeginning'>;
 	/** Returns the milliseconds to wait for other hosts. */
 	readonly computeDelay: () => number;
 	readonly send: (evidence: readonly Evidence[]) => void;
@@ -25,7 +25,8 @@
 	 * @param causes - Causes of an attempt that ended with the crash.
 	 */
 	add(scope: Scope, causes: readonly Cause[]): void {
-		const known = causes.filter(cause => this.#options.suspects.findAnswer(scope, cause) !== undefined);
+		const {suspects} = this.#options;
+		const known = causes.filter(cause => suspects.findAnswer(scope, cause) !== undefined || suspects.findBeginning(scope, cause) !== undefined);
 		if (known.length === 0) {
 			return;
 		}
@@ -58,10 +59,11 @@
 		const evidence: Evidence[] = [];
 		for (const {scope, causes} of this.#pending.values()) {
 			for (const cause of causes) {
-				const at = this.#options.suspects.findAnswer(scope, cause);
+				const answer = this.#options.suspects.findAnswer(scope, cause);
+				const at = answer ?? this.#options.suspects.findBeginning(scope, cause);
 				if (at !== undefined) {
 					evidence.push({
-						type: 'answers', scope, causes: [cause], at,
+						type: answer === undefined ? 'beginnings' : 'answers', scope, causes: [cause], at,
 					});
 				}
 			}
--- a/src/gateway/suspicion/evidence-exchange.ts
+++ b/src/gateway/suspicion/evidence-exchange.ts
@@ -1,6 +1,6 @@
 /** Exchanges with other hosts what is known of crashes. */
 import {assertNever} from '../../core/utils/common.js';
-import {formatScope, type Cause, type Scope} from '../../core/gateway/suspicion/causes.js';
+import {type Cause, type Scope} from '../../core/gateway/suspicion/causes.js';
 import {type Suspects} from '../../core/gateway/suspicion/suspects.js';
 import {type Clock} from '../../entry/clock.js';
 import {type Log} from '../../entry/logs.js';
@@ -94,6 +94,10 @@
 				return cleared.length > 0;
 			}
 
+			case 'beginnings': {
+				return this.#options.suspects.recordBeginnings(evidence.scope, evidence.causes, evidence.at).length > 0;
+			}
+
 			case 'survival': {
 				const isNew = this.#options.suspects.recordSurvival(evidence.process, evidence.at);
 				if (isNew) {
@@ -177,28 +181,15 @@
 
 	/** Everything that another host needs to draw the same conclusions. */
 	#listEvidence(): readonly Evidence[] {
+		const {suspects} = this.#options;
 		const evidence: Evidence[] = [];
-		const answered = new Map<string, {readonly scope: Scope; readonly causes: Map<Cause, number>}>();
-		for (const {reports} of this.#options.suspects.crashes) {
-			for (const report of reports) {
-				evidence.push({type: 'crash', report});
-				for (const cause of report.causes) {
-					const at = this.#options.suspects.findAnswer(report.scope, cause);
-					if (at !== undefined) {
-						const key = `${formatScope(report.scope)} ${at}`;
-						const known = answered.get(key) ?? {scope: report.scope, causes: new Map<Cause, number>()};
-						known.causes.set(cause, at);
-						answered.set(key, known);
-					}
-				}
-			}
-		}
-
-		for (const {scope, causes} of answered.values()) {
-			const [at] = causes.values();
-			evidence.push({
-				type: 'answers', scope, causes: [...causes.keys()], at: at!,
-			});
+		for (const {reports, scope} of suspects.crashes) {
+			evidence.push(...reports.map(report => ({type: 'crash', report}) as const));
+			const causes = [...new Set(reports.flatMap(report => report.causes))];
+			evidence.push(
+				...groupByTime('answers', scope, causes, cause => suspects.findAnswer(scope, cause)),
+				...groupByTime('beginnings', scope, causes, cause => suspects.findBeginning(scope, cause)),
+			);
 		}
 
 		for (const [key, at] of this.#options.suspects.trials) {
@@ -217,3 +208,18 @@
 		return known === undefined ? undefined : {service: known.service, version: known.version ?? ''};
 	}
 }
+
+/** Returns what speaks for causes, those of the same time together. */
+function groupByTime(type: 'answers' | 'beginnings', scope: Scope, causes: readonly Cause[], findTime: (cause: Cause) => number | undefined): readonly Evidence[] {
+	const byTime = new Map<number, Cause[]>();
+	for (const cause of causes) {
+		const at = findTime(cause);
+		if (at !== undefined) {
+			byTime.set(at, [...byTime.get(at) ?? [], cause]);
+		}
+	}
+
+	return [...byTime].map(([at, grouped]) => ({
+		type, scope, causes: grouped, at,
+	}));
+}
--- a/src/gateway/suspicion/evidence.ts
+++ b/src/gateway/suspicion/evidence.ts
@@ -33,6 +33,10 @@
 	z.object({
 		kind: z.literal('answers'), ...scope, causes, age,
 	}),
+	/** Answers to requests with these causes have begun. */
+	z.object({
+		kind: z.literal('beginnings'), ...scope, causes, age,
+	}),
 	/** A process is alive after its supposed crash. */
 	z.object({kind: z.literal('survival'), ...upstreamProcess, age}),
 	/** A host tests a conviction. */
@@ -52,6 +56,7 @@
 export type Evidence
 	= | {readonly type: 'crash'; readonly report: CrashReport}
 		| {readonly type: 'answers'; readonly scope: Scope; readonly causes: readonly Cause[]; readonly at: number}
+		| {readonly type: 'beginnings'; readonly scope: Scope; readonly causes: readonly Cause[]; readonly at: number}
 		| {readonly type: 'survival'; readonly process: UpstreamProcess; readonly at: number}
 		| {readonly type: 'trial'; readonly key: string; readonly at: number}
 		| {readonly type: 'order'; readonly order: ReceivedOrder};
@@ -70,9 +75,10 @@
 			};
 		}
 
-		case 'answers': {
+		case 'answers':
+		case 'beginnings': {
 			return {
-				kind: 'answers', ...evidence.scope, causes: [...evidence.causes], age: Math.max(now - evidence.at, 0),
+				kind: evidence.type, ...evidence.scope, causes: [...evidence.causes], age: Math.max(now - evidence.at, 0),
 			};
 		}
 
@@ -115,10 +121,11 @@
 			};
 		}
 
-		case 'answers': {
+		case 'answers':
+		case 'beginnings': {
 			const {service, version} = piece;
 			return {
-				type: 'answers', scope: {service, version}, causes: toCauses(piece.causes), at,
+				type: piece.kind, scope: {service, version}, causes: toCauses(piece.causes), at,
 			};
 		}
 
--- a/stand-ins/gateway/upstream.ts
+++ b/stand-ins/gateway/upstream.ts
@@ -61,8 +61,8 @@
 	pendingParts: number;
 	readonly helpers: readonly UpstreamStandIn[];
 	readonly padding: string;
-	/** Whether its prompt has a part that crashes engines. */
-	readonly isCrashing: boolean;
+	/** Part of its prompt that crashes engines, if there is one. */
+	readonly crashingPart?: string;
 	/** Takes the place of the response once its head is sent: one without framing, or one that is cut off if it remains unread. */
 	writer?: UnframedResponse | UnreadWatch;
 };
@@ -130,6 +130,8 @@
 	version = 'v1';
 	/** Times at which it crashed; monotonic milliseconds. */
 	readonly crashes: number[] = [];
+	/** Parts of prompts under which it crashed, with the times. */
+	readonly crashedUnder: Array<{readonly part: string; readonly at: number}> = [];
 	/** Of so many requests, one is run and its connection reset in place of an answer; 0 for none. */
 	lossInterval = 0;
 	readonly #options: UpstreamOptions;
@@ -168,6 +170,11 @@
 		return this.#options.model !== undefined;
 	}
 
+	/** Whether its process runs. */
+	get isListening(): boolean {
+		return this.#server.listening;
+	}
+
 	get failureDomain(): string {
 		return this.#options.failureDomain;
 	}
@@ -429,7 +436,7 @@
 			id, prompt, engineCount: helpers.length + 1, events, priority: Number(incoming.headers['x-request-priority'] ?? 5), memory,
 		};
 		this.#streams.set(id, {
-			isCrashing: this.#hasCrashingPart(incoming), job, outgoing, first, next: first + 1, pendingParts: helpers.length + 1, helpers, padding: '.'.repeat(Number(incoming.headers['x-event-padding'] ?? this.eventPadding)),
+			crashingPart: this.#findCrashingPart(incoming), job, outgoing, first, next: first + 1, pendingParts: helpers.length + 1, helpers, padding: '.'.repeat(Number(incoming.headers['x-event-padding'] ?? this.eventPadding)),
 		});
 		outgoing.once('close', () => {
 			this.#streams.delete(id);
@@ -444,9 +451,9 @@
 	}
 
 	/** The last part of a prompt belongs to the request alone. */
-	#hasCrashingPart(incoming: IncomingMessage): boolean {
+	#findCrashingPart(incoming: IncomingMessage): string | undefined {
 		const parts = String(incoming.headers['x-prefix-hash'] ?? '').split(',').map(part => part.split(':')[0]!);
-		return parts.slice(0, -1).some(part => this.crashingParts.has(part));
+		return parts.slice(0, -1).find(part => this.crashingParts.has(part));
 	}
 
 	/** Returns the helpers except this engine, or the address of one that is missing, refuses to help or lacks the reservation. */
@@ -495,7 +502,8 @@
 			}
 
 			const stream = this.#streams.get(progress.job.id);
-			if (progress.hasEvent && stream?.isCrashing === true) {
+			if (progress.hasEvent && stream?.crashingPart !== undefined) {
+				this.crashedUnder.push({part: stream.crashingPart, at: performance.now()});
 				this.onCrash?.();
 				void this.crash();
 				return;
