--- a/src/admin/client.ts
+++ b/src/admin/client.ts
@@ -76,7 +76,7 @@
 }
 
 /**
- * @param address - Admin address of a gateway's host, which tells the others.
+ * @param address - Admin address of a gateway's host, which notifies the others.
  * @param order - Conviction to add or lift.
  * @returns The convictions in force there after the order.
  * @throws Failure `unreachableHost` or `refusedByHost`.
--- a/src/cli/commands/convictions.ts
+++ b/src/cli/commands/convictions.ts
@@ -63,7 +63,7 @@
 	for (const address of addresses) {
 		const answer = await giveTo(address, given);
 		if (answer.type === 'answered') {
-			terminal.write(`${answer.content.host} ${given.action === 'add' ? 'refuses' : 'runs'} requests of ${given.service} with ${given.cause} from now on, and tells the other hosts.\n`);
+			terminal.write(`${answer.content.host} ${given.action === 'add' ? 'refuses' : 'runs'} requests of ${given.service} with ${given.cause} from now on, and notifies the other hosts.\n`);
 			return getResultCode([]);
 		}
 
--- a/src/core/gateway/suspicion/suspects.ts
+++ b/src/core/gateway/suspicion/suspects.ts
@@ -33,7 +33,8 @@
 	/** It must not run; `until` is when it may be tried again, if that is known. */
 		| {readonly type: 'convicted'; readonly conviction: Conviction; readonly until?: number};
 
-export type Request = {
+/** A request, and the engines that it may be sent to. */
+export type AssessedRequest = {
 	readonly service: string;
 	readonly causes: readonly Cause[];
 	/** Versions of the engines that are registered. */
@@ -231,7 +232,7 @@
 	 * @param now - Time.
 	 * @returns What is known against it.
 	 */
-	assess(request: Request, findTurn: TurnFinder, now: number): Assessment {
+	assess(request: AssessedRequest, findTurn: TurnFinder, now: number): Assessment {
 		const {service, causes, versions} = request;
 		for (const cause of causes) {
 			const order = this.#orders.findOrder(service, cause);
@@ -250,7 +251,7 @@
 	}
 
 	/** Returns the convictions that apply to a request, by version. */
-	#findConvictions({service, causes}: Request): ReadonlyMap<string, Conviction> {
+	#findConvictions({service, causes}: AssessedRequest): ReadonlyMap<string, Conviction> {
 		const convictions = new Map<string, Conviction>();
 		for (const {scope, findings} of this.#infer().values()) {
 			const blame = scope.service === service ? findings.blames.find(each => each.causes.every(cause => causes.includes(cause))) : undefined;
@@ -265,7 +266,7 @@
 	}
 
 	/** Whether engines of a version have answered a request with causes that crash those of another version. */
-	#hasAnswered({service, causes}: Request, version: string): boolean {
+	#hasAnswered({service, causes}: AssessedRequest, version: string): boolean {
 		const scope = {service, version};
 		return [...this.#infer().values()]
 			.filter(each => each.scope.service === service)
@@ -274,7 +275,7 @@
 			.every(blame => blame.causes.some(cause => this.#answers.findTime(scope, cause) !== undefined));
 	}
 
-	#assessSuspicion({service, causes, versions}: Request): Extract<Assessment, {readonly type: 'suspected' | 'unsuspected'}> {
+	#assessSuspicion({service, causes, versions}: AssessedRequest): Extract<Assessment, {readonly type: 'suspected' | 'unsuspected'}> {
 		let worst: Suspect | undefined;
 		for (const {scope, findings} of this.#infer().values()) {
 			if (scope.service !== service || !versions.includes(scope.version)) {
@@ -292,7 +293,7 @@
 		return worst === undefined ? {type: 'unsuspected'} : {type: 'suspected', cause: worst.cause, crashes: worst.crashes};
 	}
 
-	#assessTrial({service, versions}: Request, convictions: ReadonlyMap<string, Conviction>, findTurn: TurnFinder, now: number): Assessment {
+	#assessTrial({service, versions}: AssessedRequest, convictions: ReadonlyMap<string, Conviction>, findTurn: TurnFinder, now: number): Assessment {
 		const times = [...convictions.values()].map(({basis}) => basis.type === 'crashes' ? basis.crashes.map(({at}) => at) : []);
 		const lastCrash = Math.max(...times.flat());
 		let until: number | undefined;
--- a/src/core/gateway/suspicion/trials.ts
+++ b/src/core/gateway/suspicion/trials.ts
@@ -26,7 +26,7 @@
 /** Time in milliseconds by which the next host in the order waits for the one before it. */
 const turnMs = 1000;
 
-/** Time in milliseconds after which a trial whose result isn't known no longer holds up the next one. */
+/** Time in milliseconds after which the next trial may start though the result of the last one isn't known. */
 const trialDurationMs = 20_000;
 
 const maxTrials = 1024;
--- a/src/gateway/requests/request-suspicion.ts
+++ b/src/gateway/requests/request-suspicion.ts
@@ -75,7 +75,7 @@
 		}
 	}
 
-	/** Tells the other hosts if the request is sent to test its conviction. */
+	/** Logs that the request is sent apart from others, or to test its conviction, of which it notifies the other hosts. */
 	announce(): void {
 		const {services: {gateway}, trace} = this.#state;
 		const assessment = this.#assessment;
--- a/src/gateway/suspicion/convictions.ts
+++ b/src/gateway/suspicion/convictions.ts
@@ -121,7 +121,7 @@
 	}
 
 	/**
-	 * Tells the other hosts that this one tests a conviction.
+	 * Notifies the other hosts that this one tests a conviction.
 	 *
 	 * @param trial - Trial that may start.
 	 */
--- a/src/gateway/suspicion/crash-reports.ts
+++ b/src/gateway/suspicion/crash-reports.ts
@@ -1,4 +1,4 @@
-/** Collects the crashes that this host observes, and tells real ones from broken links. */
+/** Collects the crashes that this host observes, and separates real ones from broken links. */
 import {type CrashReport} from '../../core/gateway/suspicion/crashes.js';
 
 /** Reports are collected for this time, in milliseconds, before they are sent. */
@@ -14,7 +14,7 @@
 };
 
 export type CrashReportsOptions = {
-	/** Called with crashes to tell other hosts of. */
+	/** Called with crashes to report to other hosts. */
 	readonly onCrashes: (reports: readonly OwnReport[]) => void;
 	/** Called with reports of upstreams that probably run on. */
 	readonly onBrokenLinks: (reports: readonly OwnReport[]) => void;
--- a/src/gateway/suspicion/evidence.ts
+++ b/src/gateway/suspicion/evidence.ts
@@ -1,4 +1,4 @@
-/** What hosts tell each other about crashes, as part of messages that hosts without it accept. Ages are in milliseconds. */
+/** Evidence of crashes that hosts exchange, as part of messages that hosts without it accept. Ages are in milliseconds. */
 import {z} from 'zod';
 import {
 	isCause, maxCauseLength, type Cause, type Scope,
