--- a/__tests__/gateway/crowded-hosts.test.ts
+++ b/__tests__/gateway/crowded-hosts.test.ts
@@ -22,6 +22,9 @@
 /** Time in milliseconds for the hosts to notice that one of them is crowded. */
 const settlingMs = 3000;
 
+/** Time in milliseconds within which callers expect that a request on a new connection is read. */
+const readingTimeMs = 1000;
+
 /** Least share of requests served at the crowded host, relative to what all hosts served before. */
 const leastRelativeShare = 0.95;
 
@@ -101,3 +104,14 @@
 	expect(before).toBeGreaterThan(0.9);
 	expect(crowded).toBeGreaterThanOrEqual(before * leastRelativeShare);
 });
+
+it('new connections are read at once while the crowded host relays streams', async () => {
+	await startSite({engines: 9, plains: 6});
+	const streams = Array.from({length: 120}, async (_, index) => site.ask({path: '/ask/x', id: `stream-${index}`, headers: createPromptHeaders(2000, 60)}, site.hosts[0]));
+	await sleep(200);
+	const reads = await Promise.all(Array.from({length: 60}, async (_, index) => site.ask({path: '/read/x', id: `read-${index}`, method: 'GET'}, site.hosts[0])));
+	expect(reads.filter(({status}) => status !== 200)).toEqual([]);
+	expect(Math.max(...reads.map(({took}) => took))).toBeLessThan(readingTimeMs);
+	const whole = await Promise.all(streams);
+	expect(whole.filter(answer => answer.status === 200 && parseEventIds(answer).length === 60).length).toBe(120);
+});
--- a/src/core/gateway/__tests__/suspicion.test.ts
+++ b/src/core/gateway/__tests__/suspicion.test.ts
@@ -115,6 +115,30 @@
 	});
 });
 
+describe('a whole request that crashes engines', () => {
+	const causes = ['part:A', 'part:own', 'request:F'] as const;
+	const typeOf = (suspects: Suspects, ...each: readonly Cause[]) => suspects.assess({service, causes: each, versions: ['v1']}, noTurn, 1000).type;
+
+	it('is convicted by its third crash, with and without a prompt, and others of its caller are not', () => {
+		for (const own of [causes, ['request:F'] as const]) {
+			const suspects = new Suspects();
+			suspects.recordAnswers(scope, ['part:A'], 0);
+			record(suspects, [100, 300, 500].map((at, index) => report(`e${index}`, at, '', {causes: own})));
+			expect([typeOf(suspects, ...own), typeOf(suspects, 'part:A', 'part:other', 'request:G')]).toEqual(['convicted', 'unsuspected']);
+		}
+	});
+
+	it('is not convicted of answers that were lost on the way, as it is answered in between', () => {
+		const suspects = new Suspects();
+		for (const [index, at] of [100, 300, 500, 700].entries()) {
+			record(suspects, [report(`e${index}`, at, '', {causes})]);
+			suspects.recordAnswers(scope, causes, at + 100);
+		}
+
+		expect(typeOf(suspects, ...causes)).toBe('unsuspected');
+	});
+});
+
 describe('sound requests', () => {
 	it('are not convicted by engines that crash in a group without a cause', () => {
 		const suspects = new Suspects();
