Answers of shared parts outlast those of parts that belong to one request

Each answer added two causes that no other request has, so that at 100 requests a second a part was forgotten 20 s after its last answer (4,096 causes), and counted as never answered.

--- a/src/core/gateway/__tests__/suspicion.test.ts
+++ b/src/core/gateway/__tests__/suspicion.test.ts
@@ -1,6 +1,7 @@
 /** Which causes are blamed for crashes: never one that only ran beside another, and soon the one that crashed engines. */
 import {describe, expect, it} from 'vitest';
 import {createRandom} from '../../../../bench/model/workload.js';
+import {Answers} from '../suspicion/answers.js';
 import {type Cause} from '../suspicion/causes.js';
 import {Crashes, type CrashReport} from '../suspicion/crashes.js';
 import {listAvoided, rankForCause} from '../suspicion/quarantine.js';
@@ -280,6 +281,18 @@
 	});
 });
 
+it('answers to parts that requests share are kept, however many requests with parts of their own are answered', () => {
+	const answers = new Answers();
+	for (let index = 0; index < 20_000; index++) {
+		answers.record(scope, `part:own-${index}`, index);
+		if (index < 1000) {
+			answers.record(scope, `part:shared-${index % 60}`, index);
+		}
+	}
+
+	expect([answers.findTime(scope, 'part:shared-39'), answers.findTime(scope, 'part:own-0'), answers.findTime(scope, 'part:own-19999')]).toEqual([999, undefined, 19_999]);
+});
+
 it('evidence is bounded, and that of convictions is dropped last', () => {
 	const crashes = new Crashes();
 	for (let index = 0; index < 3000; index++) {
