Changes of what is known of crashes are collected before convictions are inferred

They are collected for 5 ms now. A test asked another host at once after the third crash, in 502 instead of 503 once at load 12, before the report had been sent; it now waits until both hosts list the conviction, which it checked only afterwards.

--- a/__tests__/gateway/convictions.test.ts
+++ b/__tests__/gateway/convictions.test.ts
@@ -48,11 +48,11 @@
 		expect(await ask('sound', 'good', 0)).toMatchObject({status: 200});
 		expect(await ask('first', 'bad', 0)).toMatchObject({status: 502});
 		expect(await ask('second', 'bad', 1)).toMatchObject({status: 502, body: JSON.stringify({code: 4004, message: 'The upstream crashed while it ran the request, which is not run again as it, or a part of its prompt, has crashed others.'})});
+		await expect.poll(async () => run('list'), {timeout: 3000}).toMatch(/^model +v1 +part:bad +3 .+ 2\/2$/mv);
 		const refused = await ask('third', 'bad', 0);
 		expect([refused.status, refused.body]).toEqual([503, JSON.stringify({code: 2007, message: 'The request, or a part of its prompt, has crashed upstreams, and it is not run.'})]);
 		expect(Number(refused.retryAfter)).toBeGreaterThan(5);
 		expect(Number(refused.retryAfter)).toBeLessThan(12);
-		await expect.poll(async () => run('list'), {timeout: 3000}).toMatch(/^model +v1 +part:bad +3 .+ 2\/2$/mv);
 		const file = path.join(directory, 'host.log');
 		await expect.poll(() => site.hosts[0]!.findLogLines('ended', 'third').length, {timeout: 3000}).toBe(1);
 		writeFileSync(file, site.hosts[0]!.lines.map(line => JSON.stringify(line)).join('\n'));
--- a/src/gateway/suspicion/convictions.ts
+++ b/src/gateway/suspicion/convictions.ts
@@ -32,6 +32,9 @@
  */
 const crashSettleMs = 5000;
 
+/** Time in milliseconds in which changes are collected before convictions are inferred again: a crash ends many attempts at many hosts. */
+const noteDelayMs = 5;
+
 /** Time after a crash, in milliseconds, for which suspected requests aren't sent to its engine: it may be about to come back. */
 const recentCrashMs = 3000;
 
@@ -66,6 +69,7 @@
 	readonly #convictionLog: ConvictionLog;
 	readonly #crashReports: CrashReports;
 	#notedChanges = 0;
+	#noteTimer: NodeJS.Timeout | undefined;
 	/** Upstreams that are watched for signs of life, and until when. */
 	readonly #watched = new Map<string, number>();
 
@@ -313,6 +317,7 @@
 	}
 
 	[Symbol.dispose](): void {
+		clearTimeout(this.#noteTimer);
 		this.#crashReports[Symbol.dispose]();
 		this.exchange[Symbol.dispose]();
 	}
@@ -366,6 +371,13 @@
 
 	/** Logs what has changed, and gives up what has just been sent to engines that it would crash. */
 	#noteChanges(): void {
+		this.#noteTimer ??= setTimeout(() => {
+			this.#noteTimer = undefined;
+			this.#updateConvictions();
+		}, noteDelayMs);
+	}
+
+	#updateConvictions(): void {
 		if (this.#notedChanges !== this.#suspects.changeCount) {
 			this.#notedChanges = this.#suspects.changeCount;
 			this.#convictionLog.update(this.#suspects.convictions, conviction => this.#running.cancelUnbegun(conviction));
