The share of linked hosts in the retry budget is rounded, not cut off

15 of 22 and 13 of 23 linked hosts counted as one fewer, since the share is a floating-point number. Found while reading the change once more; no run showed it.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -458,7 +458,7 @@
 	canRetry(service: string, isSuspected = false): boolean {
 		const {fleetSize: hosts, isLargeFleet, domainHostCount} = this.peers;
 		const now = this.#clock.now();
-		const counted = isLargeFleet ? domainHostCount : Math.max(Math.floor(hosts * this.peers.computeVisibleShare(now)), 1);
+		const counted = isLargeFleet ? domainHostCount : Math.max(Math.round(hosts * this.peers.computeVisibleShare(now)), 1);
 		return this.retries.allowsRetry(service, {hosts, counted}, now, isSuspected);
 	}
 
