Convictions: one list of blames and of sound engines, no work while nothing has crashed

Read once more: the blames of a request were searched in two loops, conviction records built in two places, sound engines filtered twice, and a cause checked twice by the admin listener. Requests listed the versions of their engines though no crash was known. Behaviour is the same.

--- a/src/core/gateway/suspicion/crashes.ts
+++ b/src/core/gateway/suspicion/crashes.ts
@@ -26,7 +26,7 @@
 const sameCrashMs = 1500;
 
 /** Time for which a crash is evidence: rare requests crash an engine every few minutes. */
-export const crashRetentionMs = 600_000;
+const crashRetentionMs = 600_000;
 
 /** Most reports in memory. */
 const maxReports = 1000;
--- a/src/core/gateway/suspicion/suspects.ts
+++ b/src/core/gateway/suspicion/suspects.ts
@@ -47,6 +47,12 @@
 /** How often old evidence is dropped, in milliseconds. */
 const pruneIntervalMs = 5000;
 
+function toConviction({service, version}: Scope, {causes, crashes}: Blame): Conviction {
+	return {
+		service, version, causes, basis: {type: 'crashes', crashes},
+	};
+}
+
 export class Suspects {
 	readonly #crashes = new Crashes();
 	readonly #answers = new Answers();
@@ -60,6 +66,13 @@
 	#changeCount = 0;
 	#prunedAt = 0;
 
+	/** Whether nothing is known against any request. */
+	get isEmpty(): boolean {
+		const [crash] = this.#crashes.all;
+		const [order] = this.#orders.all;
+		return crash === undefined && order === undefined;
+	}
+
 	/** Crashes in memory. */
 	get crashes(): Iterable<Crash> {
 		return this.#crashes.all;
@@ -193,9 +206,7 @@
 
 	/** Convictions in force. */
 	get convictions(): readonly Conviction[] {
-		const byCrashes = [...this.#infer().values()].flatMap(({scope: {service, version}, findings}) => findings.blames.map((blame): Conviction => ({
-			service, version, causes: blame.causes, basis: {type: 'crashes', crashes: blame.crashes},
-		})));
+		const byCrashes = [...this.#infer().values()].flatMap(({scope, findings}) => findings.blames.map(blame => toConviction(scope, blame)));
 		const byOrder = [...this.#orders.all].filter(({action}) => action === 'add').map((order): Conviction => ({
 			service: order.service, causes: [order.cause], basis: {type: 'order', order},
 		}));
@@ -250,15 +261,20 @@
 		return open.length > 0 ? {...this.#assessSuspicion({...request, versions: open}), versions: open} : this.#assessTrial(request, convictions, findTurn, now);
 	}
 
-	/** Returns the convictions that apply to a request, by version. */
-	#findConvictions({service, causes}: AssessedRequest): ReadonlyMap<string, Conviction> {
+	/** Returns the blames that apply to a request, with the engines that crashed. */
+	#listBlames({service, causes}: AssessedRequest): ReadonlyArray<{readonly scope: Scope; readonly blame: Blame}> {
+		return [...this.#infer().values()]
+			.filter(({scope}) => scope.service === service)
+			.flatMap(({scope, findings}) => findings.blames.map(blame => ({scope, blame})))
+			.filter(({blame}) => blame.causes.every(cause => causes.includes(cause)));
+	}
+
+	/** Returns one conviction of each version that applies to a request, by version. */
+	#findConvictions(request: AssessedRequest): ReadonlyMap<string, Conviction> {
 		const convictions = new Map<string, Conviction>();
-		for (const {scope, findings} of this.#infer().values()) {
-			const blame = scope.service === service ? findings.blames.find(each => each.causes.every(cause => causes.includes(cause))) : undefined;
-			if (blame !== undefined) {
-				convictions.set(scope.version, {
-					service, version: scope.version, causes: blame.causes, basis: {type: 'crashes', crashes: blame.crashes},
-				});
+		for (const {scope, blame} of this.#listBlames(request)) {
+			if (!convictions.has(scope.version)) {
+				convictions.set(scope.version, toConviction(scope, blame));
 			}
 		}
 
@@ -266,13 +282,9 @@
 	}
 
 	/** Whether engines of a version have answered a request with causes that crash those of another version. */
-	#hasAnswered({service, causes}: AssessedRequest, version: string): boolean {
-		const scope = {service, version};
-		return [...this.#infer().values()]
-			.filter(each => each.scope.service === service)
-			.flatMap(({findings}) => findings.blames)
-			.filter(blame => blame.causes.every(cause => causes.includes(cause)))
-			.every(blame => blame.causes.some(cause => this.#answers.findTime(scope, cause) !== undefined));
+	#hasAnswered(request: AssessedRequest, version: string): boolean {
+		const scope = {service: request.service, version};
+		return this.#listBlames(request).every(({blame}) => blame.causes.some(cause => this.#answers.findTime(scope, cause) !== undefined));
 	}
 
 	#assessSuspicion({service, causes, versions}: AssessedRequest): Extract<Assessment, {readonly type: 'suspected' | 'unsuspected'}> {
@@ -294,27 +306,28 @@
 	}
 
 	#assessTrial({service, versions}: AssessedRequest, convictions: ReadonlyMap<string, Conviction>, findTurn: TurnFinder, now: number): Assessment {
-		const times = [...convictions.values()].map(({basis}) => basis.type === 'crashes' ? basis.crashes.map(({at}) => at) : []);
-		const lastCrash = Math.max(...times.flat());
+		const [conviction] = convictions.values();
+		const times = [...convictions.values()].flatMap(({basis}) => basis.type === 'crashes' ? basis.crashes.map(({at}) => at) : []);
+		const lastCrash = Math.max(...times);
 		let until: number | undefined;
 		for (const version of versions) {
 			const own = convictions.get(version);
-			const {causes} = own ?? [...convictions.values()][0]!;
+			const {causes} = own ?? conviction!;
 			const scope = formatScope({service, version});
 			const key = `${scope} ${causes.toSorted().join(' ')}`;
 			const due = own?.basis.type === 'crashes'
-				? computeTrialTime(times.flat())
+				? computeTrialTime(times)
 				: computeVersionTrialTime(lastCrash, this.#trials.noteVersion(scope, now));
 			if (this.#trials.mayStart(key, due, findTurn(key), now)) {
 				return {
-					type: 'trial', key, cause: causes[0]!, conviction: [...convictions.values()][0]!, versions: [version],
+					type: 'trial', key, cause: causes[0]!, conviction: conviction!, versions: [version],
 				};
 			}
 
 			until = Math.min(until ?? due, due);
 		}
 
-		return {type: 'convicted', conviction: [...convictions.values()][0]!, until};
+		return {type: 'convicted', conviction: conviction!, until};
 	}
 
 	/** Returns the findings of all scopes, inferred again if anything has changed. Findings in one scope count in the others. */
--- a/src/gateway/admin/admin-listener.ts
+++ b/src/gateway/admin/admin-listener.ts
@@ -7,9 +7,10 @@
 	codes, isFailure, messageOf, raise, type Address, type Code,
 } from '../../core/index.js';
 import {isCause} from '../../core/gateway/suspicion/causes.js';
+import {type Order} from '../../core/gateway/suspicion/orders.js';
 import {type Log} from '../../entry/logs.js';
 import {
-	convictionOrderSchema, type ConvictionOrder, type ConvictionReport, type Convictions as ConvictionsResponse,
+	convictionOrderSchema, type ConvictionReport, type Convictions as ConvictionsResponse,
 } from '../../protocol/admin.js';
 import {closeServer, openServer} from '../callers/listening.js';
 import {type Conviction} from '../../core/gateway/suspicion/suspects.js';
@@ -94,10 +95,8 @@
 		}
 
 		if (method === 'POST') {
-			const {service, cause, action, reason} = await readOrder(incoming);
-			this.#options.convictions.give({
-				service, cause: isCause(cause) ? cause : raise('badBody', 'cause'), action, given: this.#options.wall(), reason,
-			});
+			const order = await readOrder(incoming);
+			this.#options.convictions.give({...order, given: this.#options.wall()});
 		} else {
 			incoming.resume();
 		}
@@ -133,7 +132,7 @@
 	}
 }
 
-async function readOrder(incoming: IncomingMessage): Promise<ConvictionOrder> {
+async function readOrder(incoming: IncomingMessage): Promise<Omit<Order, 'given'>> {
 	// Pages of other sites can't send this type without asking first.
 	if (incoming.headers['content-type'] !== 'application/json') {
 		return raise('badBody', 'the content type must be application/json');
@@ -163,5 +162,6 @@
 		return raise('badBody', `${issue?.path.join('.') ?? ''}: ${issue?.message ?? ''}`);
 	}
 
-	return isCause(parsed.data.cause) ? parsed.data : raise('badBody', `cause: "${parsed.data.cause}" is neither part:ID nor request:FINGERPRINT`);
+	const {cause} = parsed.data;
+	return isCause(cause) ? {...parsed.data, cause} : raise('badBody', `cause: "${cause}" is neither part:ID nor request:FINGERPRINT`);
 }
--- a/src/gateway/suspicion/convictions.ts
+++ b/src/gateway/suspicion/convictions.ts
@@ -9,6 +9,7 @@
 import {listAvoided, rankForCause} from '../../core/gateway/suspicion/quarantine.js';
 import {Suspects, type Assessment, type Conviction} from '../../core/gateway/suspicion/suspects.js';
 import {computeTurn} from '../../core/gateway/suspicion/trials.js';
+import {type GatewayUpstream} from '../../core/gateway/types.js';
 import {type Clock} from '../../entry/clock.js';
 import {type Log} from '../../entry/logs.js';
 import {type Peers} from '../peers/peers.js';
@@ -114,6 +115,11 @@
 	 * @returns What is known against it.
 	 */
 	assess({service, causes}: RecognisedRequest): Assessment {
+		// Nothing has crashed at most times.
+		if (this.#suspects.isEmpty) {
+			return {type: 'unsuspected'};
+		}
+
 		const {upstreams, clock} = this.#options;
 		const versions = [...new Set(upstreams.listByService(service).map(each => each.version ?? ''))];
 		const assessment = this.#suspects.assess({service, causes, versions}, key => this.#findTurn(key), clock.now());
@@ -142,7 +148,7 @@
 	 * @returns Ids of the upstreams that it may be sent to, the best first and fewer at first; undefined for any.
 	 */
 	listPermitted(assessment: Assessment, service: string): readonly string[] | undefined {
-		const {upstreams, clock} = this.#options;
+		const {upstreams} = this.#options;
 		switch (assessment.type) {
 			case 'convicted': {
 				return undefined;
@@ -156,9 +162,7 @@
 			case 'suspected':
 			case 'trial': {
 				const {versions, cause} = assessment;
-				const since = clock.now() - recentCrashMs;
-				const eligible = upstreams.listByService(service)
-					.filter(each => (versions?.includes(each.version ?? '') ?? true) && !each.isDraining && this.#suspects.findCrash(each.id, since) === undefined);
+				const eligible = this.#listSound(service).filter(each => versions?.includes(each.version ?? '') ?? true);
 				return rankForCause(cause, eligible).map(({id}) => id);
 			}
 
@@ -174,15 +178,12 @@
 	 * @returns Ids of the engines that requests without a suspected cause avoid.
 	 */
 	listAvoided(service: string, isInterrupted: boolean): ReadonlySet<string> {
-		const {upstreams, clock} = this.#options;
 		const suspects = this.#suspects.listSuspects(service);
 		if (suspects.length === 0) {
 			return new Set();
 		}
 
-		const now = clock.now();
-		const eligible = upstreams.listByService(service).filter(each => !each.isDraining && this.#suspects.findCrash(each.id, now - recentCrashMs) === undefined);
-		return listAvoided(suspects, eligible, now, isInterrupted);
+		return listAvoided(suspects, this.#listSound(service), this.#options.clock.now(), isInterrupted);
 	}
 
 	/**
@@ -339,6 +340,13 @@
 		this.#noteChanges();
 	}
 
+	/** Upstreams of a service that stay and haven't crashed lately. */
+	#listSound(service: string): readonly GatewayUpstream[] {
+		const {upstreams, clock} = this.#options;
+		const since = clock.now() - recentCrashMs;
+		return upstreams.listByService(service).filter(each => !each.isDraining && this.#suspects.findCrash(each.id, since) === undefined);
+	}
+
 	/** Drops crashes whose upstream is still registered with the same start long after: only its connections broke. Returns whether there were such. */
 	#review(crashes: readonly Crash[]): boolean {
 		const {upstreams, clock, confirmedAge} = this.#options;
