Log lines tell on whose evidence an upstream is doubted

The logs couldn't tell apart whether a host doubts an upstream after an attempt of its own or because a peer reported it, which two hypotheses of the incident differ in. The line `upstream-doubted` has the verdict, and the peer if there is one.

--- a/src/gateway/__tests__/reputation.test.ts
+++ b/src/gateway/__tests__/reputation.test.ts
@@ -108,7 +108,7 @@
 	const {log} = createRecorder();
 	const reputation = new Reputation({failureDomain: 'a', log, silentDomains: () => new Set()});
 	for (let now = 0; now < 200; now += 10) {
-		reputation.recordAbsence({upstream: 'e1', reason: 'refused', isForAll: true}, now);
+		reputation.recordAbsence({upstream: 'e1', reason: 'refused', isForAll: true}, 'h2', now);
 	}
 
 	expect([reputation.health.isBackedOff('e1', 240), reputation.health.isBackedOff('e1', 260)]).toEqual([true, false]);
@@ -118,7 +118,15 @@
 	const {log} = createRecorder();
 	const reputation = new Reputation({failureDomain: 'a', log, silentDomains: () => new Set()});
 	const before = reputation.health.failureProbability('e1', 0);
-	reputation.recordAbsence({upstream: 'e1', reason: 'silent', isForAll: true}, 0);
+	reputation.recordAbsence({upstream: 'e1', reason: 'silent', isForAll: true}, 'h2', 0);
 	expect(reputation.health.isBackedOff('e1', 1)).toBe(false);
 	expect(reputation.health.failureProbability('e1', 1)).toBeGreaterThan(before + 0.1);
 });
+
+it('names the peer whose report excluded an upstream in the log', () => {
+	const {lines, log} = createRecorder();
+	const reputation = new Reputation({failureDomain: 'a', log, silentDomains: () => new Set()});
+	reputation.recordAbsence({upstream: 'e1', reason: 'refused', isForAll: true}, 'h2', 0);
+	reputation.recordVerdict('e2', upstream('e2', 'a'), 'unreachable', 0);
+	expect(lines).toMatchObject([{upstream: 'e1', verdict: 'unreachable', peer: 'h2'}, {upstream: 'e2', verdict: 'unreachable', peer: undefined}]);
+});
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -237,8 +237,8 @@
 			peers: this.peers,
 			now: () => clock.now(),
 			modelAt: upstream => this.modelAt(upstream),
-			onAbsence: absence => {
-				this.reputation.recordAbsence(absence, clock.now());
+			onAbsence: (absence, peer) => {
+				this.reputation.recordAbsence(absence, peer, clock.now());
 			},
 			onNewJob: job => {
 				this.selfReports.countRequest(job.upstream, job.began);
--- a/src/gateway/sharing/load-updates.ts
+++ b/src/gateway/sharing/load-updates.ts
@@ -35,7 +35,7 @@
 	/** Timing model of an engine, if known. */
 	readonly modelAt: (upstream: string) => EngineModel | undefined;
 	/** Called when a peer reports an upstream unreachable or replaced. */
-	readonly onAbsence: (absence: Absence) => void;
+	readonly onAbsence: (absence: Absence, peer: string) => void;
 	/** Called for each new job, of this host or another one. */
 	readonly onNewJob: (job: Job) => void;
 	/** Called when a peer sends jobs with invalid tags of organisations. */
@@ -243,7 +243,7 @@
 
 		const absences = reported.filter(absence => appliesIn(absence, from.failureDomain, this.#options.failureDomain));
 		for (const absence of absences) {
-			this.#options.onAbsence(absence);
+			this.#options.onAbsence(absence, from.name);
 		}
 
 		for (const report of reports) {
--- a/src/gateway/upstreams/reputation.ts
+++ b/src/gateway/upstreams/reputation.ts
@@ -97,16 +97,17 @@
 	 * Records the report of a peer; ignored if the upstream is already excluded.
 	 *
 	 * @param absence - Upstream that the peer found unreachable or replaced.
+	 * @param peer - Name of the peer that sent the report.
 	 * @param now - Time in milliseconds.
 	 */
-	recordAbsence({upstream, reason}: Absence, now: number): void {
+	recordAbsence({upstream, reason}: Absence, peer: string, now: number): void {
 		if (this.health.isBackedOff(upstream, now)) {
 			return;
 		}
 
 		const verdict = absenceToVerdict(reason);
 		this.health.record(upstream, verdict, now);
-		this.#logHealthChange(upstream, verdict, now);
+		this.#logHealthChange(upstream, verdict, now, peer);
 	}
 
 	/**
@@ -130,14 +131,15 @@
 		this.#reachability.forgetFailure(id);
 	}
 
-	#logHealthChange(upstream: string, verdict: Verdict, now: number): void {
+	/** The evidence is an attempt of this host, or the report of a peer. */
+	#logHealthChange(upstream: string, verdict: Verdict, now: number, peer?: string): void {
 		if (verdict === 'sound') {
 			if (this.#unhealthy.delete(upstream)) {
 				this.#options.log.write({event: 'upstream-trusted', upstream});
 			}
 		} else if (this.health.isBackedOff(upstream, now) && !this.#unhealthy.has(upstream)) {
 			this.#unhealthy.add(upstream);
-			this.#options.log.write({event: 'upstream-doubted', upstream, risk: roundTo(this.health.failureProbability(upstream, now), 2)}, 'warn');
+			this.#options.log.write({event: 'upstream-doubted', upstream, verdict, peer, risk: roundTo(this.health.failureProbability(upstream, now), 2)}, 'warn');
 		}
 	}
 }
