--- a/src/gateway/upstreams/reputation.ts
+++ b/src/gateway/upstreams/reputation.ts
@@ -139,7 +139,10 @@
 			}
 		} else if (this.health.isBackedOff(upstream, now) && !this.#unhealthy.has(upstream)) {
 			this.#unhealthy.add(upstream);
-			this.#options.log.write({event: 'upstream-doubted', upstream, verdict, peer, risk: roundTo(this.health.failureProbability(upstream, now), 2)}, 'warn');
+			const risk = roundTo(this.health.failureProbability(upstream, now), 2);
+			this.#options.log.write({
+				event: 'upstream-doubted', upstream, verdict, peer, risk,
+			}, 'warn');
 		}
 	}
 }
