--- a/__tests__/gateway/cut-in-large-fleets.test.ts
+++ b/__tests__/gateway/cut-in-large-fleets.test.ts
@@ -1,5 +1,4 @@
 /** Hosts of a fleet with relays that have lost their links to upstreams, while callers, the store and the other hosts reach them. */
-import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	afterEach, expect, it,
@@ -10,8 +9,6 @@
 import {maxFullMeshHosts, selectRelays} from '../../src/gateway/peers/topology.js';
 import {type Severance} from '../../stand-ins/proxy/severable-link.js';
 
-const itRed = it.runIf(process.env.KNOWN_RED !== undefined);
-
 const failureDomains = ['a', 'b'];
 const hostCount = maxFullMeshHosts + 2;
 const events = 3;
@@ -72,7 +69,7 @@
 	return hosts.filter(host => host.findLogLines('upstream-doubted').length > 0).map(({name}) => name);
 }
 
-itRed.each(['reset', 'hang'] as const)('find a way over hosts of other failure domains if their relays are cut off as well: %s', {timeout: 60_000}, async severance => {
+it.each(['reset', 'hang'] as const)('find a way over hosts of other failure domains if their relays are cut off as well: %s', {timeout: 60_000}, async severance => {
 	const deployment = await startSite();
 	const ofDomain = all.filter(index => findDomain(index) === 'a');
 	const cut = [...ofDomain.filter(index => relays.has(index)), ...ofDomain.filter(index => !relays.has(index)).slice(0, 3)];
@@ -86,7 +83,7 @@
 	expect(deployment.hosts.flatMap(host => host.findLogLines('convicted'))).toEqual([]);
 });
 
-itRed('find a way if nine of ten hosts are cut off, with and without traffic until then, and a host that starts later does', {timeout: 60_000}, async () => {
+it('find a way if nine of ten hosts are cut off, with and without traffic until then, and a host that starts later does', {timeout: 60_000}, async () => {
 	const deployment = await startSite();
 	const kept = all.filter(index => !relays.has(index)).slice(0, 2);
 	const cut = all.filter(index => !kept.includes(index));
@@ -104,7 +101,7 @@
 	expect(givers).toEqual(new Set(kept.map(index => `host-${index}`)));
 });
 
-itRed('refuse at once if no host reaches an upstream, and find a way once one does', {timeout: 60_000}, async () => {
+it('refuse at once if no host reaches an upstream, and find a way once one does', {timeout: 60_000}, async () => {
 	const deployment = await startSite();
 	await sever(deployment, all, 'hang');
 	const asked = all.slice(0, 4);
--- a/bench/crashes/fleet.ts
+++ b/bench/crashes/fleet.ts
@@ -206,6 +206,7 @@
 			random: () => random.integer(0, 999) / 1000,
 			confirmedAge: () => Number.POSITIVE_INFINITY,
 			onForeignCrash: ignore,
+			areLinksInDoubt: () => false,
 		});
 	}
 
--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -120,7 +120,8 @@
 		canRetry: () => false,
 		service: () => undefined,
 		load: {size: 1},
-		stallDetectors: new StallDetectors(new Links()),
+		tunnels: {links: new Links(), noteUnanswered: () => undefined},
+		stallDetectors: new StallDetectors({links: new Links(), noteUnanswered: () => undefined}),
 		recordVerdict: () => undefined,
 		publishAbsence: () => undefined,
 		placements: {
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -86,7 +86,9 @@
 			suspensions[Symbol.dispose]();
 		});
 		this.#gateway = this.#disposal.use(new Gateway(settings, this.#clock, log));
-		this.#upstreamPool = new UpstreamPool(this.#gateway, this.#metrics, this.#clock, log);
+		this.#upstreamPool = new UpstreamPool({
+			gateway: this.#gateway, metrics: this.#metrics, clock: this.#clock, log, createHealthClient: used => adapter.createHealthClient(used),
+		});
 		this.#disposal.defer(() => {
 			this.#upstreamPool[Symbol.dispose]();
 		});
@@ -133,7 +135,7 @@
 		await this.#callers.listen(caller);
 		if (this.#tunnelServer !== undefined) {
 			await this.#tunnelServer.listen();
-			this.#gateway.offerTunnels(this.#tunnelServer.offer);
+			this.#offerTunnels(this.#tunnelServer);
 		}
 
 		await readiness.listen(ready);
@@ -232,7 +234,7 @@
 	}
 
 	#createTunnelServer(): TunnelServer | undefined {
-		const {links, upstreams} = this.#gateway;
+		const {tunnels: {links}, upstreams} = this.#gateway;
 		const address = this.#settings.tunnel;
 		return address === undefined
 			? undefined
@@ -242,6 +244,7 @@
 				now: () => this.#clock.now(),
 				findUpstream: id => upstreams.get(id),
 				findRoute: upstream => links.findRoute(upstream),
+				findSoundScope: async upstream => this.#upstreamPool.findSoundScope(upstream),
 				onResult: result => {
 					this.#metrics.tunnelRequests.inc({result});
 				},
@@ -251,17 +254,22 @@
 			}));
 	}
 
+	#offerTunnels(server: TunnelServer): void {
+		this.#gateway.tunnels.offer(host => server.createOffer(host));
+	}
+
 	/** Lets hosts that use tunnels of this one close them as their requests end. */
 	#withdrawTunnels(): void {
 		if (this.#tunnelServer !== undefined) {
 			this.#tunnelServer.leave();
-			this.#gateway.offerTunnels(this.#tunnelServer.offer);
+			this.#offerTunnels(this.#tunnelServer);
 		}
 	}
 
 	#updateGauges(): void {
 		this.#metrics.tunnelsServed.set(this.#tunnelServer?.size ?? 0);
-		this.#metrics.linksCut.set(this.#gateway.links.cutCount);
+		this.#metrics.tunnelHosts.set(this.#gateway.tunnels.peers.introducedCount);
+		this.#metrics.linksCut.set(this.#gateway.tunnels.links.cutCount);
 		this.#metrics.droppedLines.set(this.#log.dropped);
 		this.#metrics.inFlight.set(this.#callers.running);
 		this.#metrics.memoryWaiting.set(this.#gateway.memoryQueue.size);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,7 +3,6 @@
 import {createAbsence, type AbsenceReason} from '../core/gateway/health/absences.js';
 import {Directory} from '../core/gateway/registry/directory.js';
 import {type Verdict} from '../core/gateway/health/health.js';
-import {Links} from '../core/gateway/health/links.js';
 import {Load} from '../core/gateway/engines/load.js';
 import {RetryBudget} from '../core/gateway/limits/retries.js';
 import {selectLonger, type Obstacle} from '../core/gateway/placement/eligibility.js';
@@ -31,8 +30,7 @@
 import {SelfReports} from './upstreams/self-reports.js';
 import {StallDetectors} from './upstreams/stall-detectors.js';
 import {type Settings} from './settings.js';
-import {type TunnelOffer} from './tunnels/messages.js';
-import {TunnelPeers} from './tunnels/tunnel-peers.js';
+import {FleetTunnels} from './tunnels/fleet-tunnels.js';
 import {StateSync} from './sharing/state-sync.js';
 import {Upstreams} from './upstreams/upstreams.js';
 
@@ -69,17 +67,14 @@
 	readonly shares: OrganisationShares;
 	readonly shareLearning: ShareLearning;
 	readonly placements: Placements;
-	readonly links = new Links();
-	readonly stallDetectors = new StallDetectors(this.links);
-	readonly tunnelPeers: TunnelPeers;
+	readonly tunnels: FleetTunnels;
+	readonly stallDetectors: StallDetectors;
 	readonly #settings: Settings;
 	readonly #clock: Clock;
 	readonly #log: Log;
 	readonly #startedAt: number;
 	readonly #expiryTimer: NodeJS.Timeout;
 	readonly #coldTimer: NodeJS.Timeout;
-	readonly #tunnelListeners: Array<() => void> = [];
-	#tunnelOffer: TunnelOffer | undefined;
 	#directory: Directory | undefined;
 	#confirmedAt: Timestamp | undefined;
 	/** When the keys of the configuration in force were last known to be current. */
@@ -109,9 +104,10 @@
 			const group = this.loadUpdates.groups.own;
 			return group === undefined || isEngineOf(upstream, group) ? 0 : computeUnknownMemory(model, known);
 		});
-		this.tunnelPeers = new TunnelPeers({
-			host: settings.host, failureDomain: settings.failureDomain, incarnation: this.incarnation, log, now: () => clock.now(),
+		this.tunnels = new FleetTunnels({
+			host: settings.host, failureDomain: settings.failureDomain, incarnation: this.incarnation, log, now: () => clock.now(), peers: () => this.peers,
 		});
+		this.stallDetectors = new StallDetectors(this.tunnels);
 		this.peers = new Peers({
 			self: {
 				name: settings.host,
@@ -132,8 +128,9 @@
 					this.loadUpdates.handlePeerJoined(host, send);
 					this.convictions.exchange.handlePeerJoined(send);
 					this.shareLearning.proceed();
-					if (this.#tunnelOffer !== undefined) {
-						send({type: 'heartbeat', tunnel: this.#tunnelOffer});
+					const offer = this.tunnels.createOffer(host.name);
+					if (offer !== undefined) {
+						send({type: 'heartbeat', tunnel: offer});
 					}
 				},
 				message: (from, message) => {
@@ -141,12 +138,16 @@
 				},
 				lost: (host, reason) => {
 					this.loadUpdates.handlePeerLost(host, reason);
-					this.#loseTunnels(host.name);
+					this.tunnels.handleHostLost(host.name);
 				},
 				tunnel: (from, offer) => {
-					if (this.tunnelPeers.applyOffer(from, offer)) {
-						this.#loseTunnels(from.name);
-					}
+					this.tunnels.handleOffer(from, offer);
+				},
+				tunnelLinkLost: host => {
+					this.tunnels.handleHostLost(host);
+				},
+				linksLost: (from, alert) => {
+					this.tunnels.handleAlert(from, alert);
 				},
 				summary: (from, summary) => {
 					this.sharing.handleSummary(from.name, summary);
@@ -157,6 +158,7 @@
 			},
 			summarizeState: () => ({era: this.registrations.era, eraAge: this.registrations.eraAge, version: this.#directory?.configuration.version}),
 			countGroups: () => this.loadUpdates.groups.update(),
+			createTunnelOffer: host => this.tunnels.createOffer(host),
 		});
 		this.reputation = new Reputation({failureDomain: settings.failureDomain, log, silentDomains: now => this.peers.unreachableDomains(now)});
 		this.selfReports = new SelfReports({
@@ -193,11 +195,12 @@
 				this.load.forgetUpstream(id, clock.now());
 				this.paces.forget(id);
 				this.reputation.forgetUpstream(id);
+				this.tunnels.links.forget(id);
 			},
 			removed: id => {
 				this.paces.forget(id);
 				this.reputation.forgetUpstream(id);
-				this.links.forget(id);
+				this.tunnels.links.forget(id);
 				this.coldStarts.forget(id);
 			},
 			registered: (upstream, previous, source) => {
@@ -229,6 +232,7 @@
 			onForeignCrash: upstream => {
 				this.reputation.noteCrash(upstream, clock.now());
 			},
+			areLinksInDoubt: () => this.tunnels.links.hasCuts,
 		});
 		this.loadUpdates = new LoadUpdates({
 			self: settings.host,
@@ -478,6 +482,27 @@
 		this.reputation.recordVerdict(upstream, this.upstreams.get(upstream), verdict, now);
 	}
 
+	/**
+	 * Records that this host couldn't connect to an upstream, although nothing shows that it is gone: the own link may be to blame.
+	 *
+	 * @param upstream - Id of the upstream.
+	 */
+	recordUnlinked(upstream: string): void {
+		this.reputation.recordUnlinked(upstream, this.#clock.now());
+	}
+
+	/** Takes back what was recorded against upstreams that this host doesn't reach over its own links. */
+	excuseUnlinked(): void {
+		const isUnlinked = (upstream: GatewayUpstream | undefined) => upstream !== undefined && this.tunnels.links.findRoute(upstream).type === 'tunnel';
+		for (const upstream of this.upstreams.all) {
+			if (isUnlinked(upstream)) {
+				this.reputation.excuse(upstream.id);
+			}
+		}
+
+		this.convictions.excuseCrashes(id => isUnlinked(this.upstreams.get(id)));
+	}
+
 	/**
 	 * Notifies peers of an upstream that is absent.
 	 *
@@ -497,30 +522,6 @@
 		await this.peers[Symbol.asyncDispose]();
 	}
 
-	/**
-	 * Offers tunnels to the hosts that are linked, now and later.
-	 *
-	 * @param offer - Offer; it replaces the one before.
-	 */
-	offerTunnels(offer: TunnelOffer): void {
-		this.#tunnelOffer = offer;
-		this.peers.broadcast({type: 'heartbeat', tunnel: offer});
-	}
-
-	/**
-	 * @param listener - Called when a host no longer opens tunnels.
-	 */
-	onTunnelsLost(listener: () => void): void {
-		this.#tunnelListeners.push(listener);
-	}
-
-	#loseTunnels(peer: string): void {
-		this.tunnelPeers.remove(peer);
-		for (const listener of this.#tunnelListeners) {
-			listener();
-		}
-	}
-
 	/** Returns the registered process of an upstream, if there is one. */
 	#findProcess(id: string): UpstreamProcess | undefined {
 		const upstream = this.upstreams.get(id);
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -98,6 +98,8 @@
 	readonly tunnelsServed: Gauge;
 	readonly linksCut: Gauge;
 	readonly linkChecks: Counter;
+	readonly linkProbes: Counter;
+	readonly tunnelHosts: Gauge;
 	readonly #registry = new Registry();
 
 	constructor() {
@@ -148,6 +150,8 @@
 		this.tunnelsServed = createGauge(registry, 'tunnels_served', 'Tunnels that are open for other hosts');
 		this.linksCut = createGauge(registry, 'links_cut', 'Upstreams that other hosts reach and this one does not');
 		this.linkChecks = createCounter(registry, 'link_checks_total', 'Connections made only to check a link', []);
+		this.linkProbes = createCounter(registry, 'link_probes_total', 'Health checks that tell whether an upstream answers over a link', []);
+		this.tunnelHosts = createGauge(registry, 'tunnel_hosts', 'Hosts that are linked for tunnels only');
 		this.responsesEnded = createCounter(registry, 'responses_ended_total', 'Responses that were cut off as memory was short or their caller did not read', ['reason']);
 	}
 
--- a/src/gateway/peers/link.ts
+++ b/src/gateway/peers/link.ts
@@ -21,7 +21,16 @@
 	readonly closed: (link: Link, reason: string) => void;
 };
 
+/** What a link is for. */
+export type LinkPurpose
+	/** Everything that linked hosts exchange. */
+	= | 'all'
+	/** Offers of tunnels only. */
+		| 'tunnels';
+
 export type Handshake = {
+	/** What this host opened the connection for; everything if absent. */
+	readonly purpose?: LinkPurpose;
 	/** Address that this host dialled; absent if the peer opened the connection. */
 	readonly dialledAddress?: Address;
 	/** Authentication that precedes all other messages, if one is needed. */
@@ -35,6 +44,8 @@
 	readonly dialledAddress: Address | undefined;
 	/** IP address of the peer. */
 	readonly remoteAddress: string;
+	/** What this host opened the connection for. */
+	readonly #purpose: LinkPurpose;
 	readonly #socket: Socket;
 	readonly #reader = createMessageReader(maxHelloBytes);
 	readonly #events: LinkEvents;
@@ -55,9 +66,10 @@
 	 * @param events - Listeners.
 	 * @param handshake - What the handshake needs.
 	 */
-	constructor(socket: Socket, isDialled: boolean, events: LinkEvents, {dialledAddress, authentication}: Handshake = {}) {
+	constructor(socket: Socket, isDialled: boolean, events: LinkEvents, {dialledAddress, authentication, purpose = 'all'}: Handshake = {}) {
 		this.isDialled = isDialled;
 		this.dialledAddress = dialledAddress;
+		this.#purpose = purpose;
 		this.remoteAddress = socket.remoteAddress ?? 'unknown';
 		this.#authentication = authentication;
 		this.#socket = socket;
@@ -87,6 +99,11 @@
 		return this.#hello;
 	}
 
+	/** What the link is for, as the host that opened the connection says. */
+	get purpose(): LinkPurpose {
+		return this.isDialled ? this.#purpose : this.#hello?.purpose ?? 'all';
+	}
+
 	/**
 	 * Sends a frame after the pending ones. Closes the connection if the send buffer is full, as the peer reads too slowly.
 	 *
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -46,6 +46,8 @@
 		/** As in heartbeats. */
 		groups: z.unknown().optional(),
 		hostCount: hostCountSchema,
+		/** Purpose of the link; absent if it is for everything that linked hosts exchange. */
+		purpose: z.literal('tunnels').optional(),
 	}),
 	/** First message of both hosts if keys are set. */
 	z.object({type: z.literal('challenge'), nonce: secretSchema}),
@@ -69,6 +71,8 @@
 		state: stateSummarySchema.optional(),
 		/** Offer of tunnels, after the handshake and when it changes. */
 		tunnel: z.unknown().optional(),
+		/** Failure domains to which a host has lost its links, for others to check theirs. */
+		linksLost: z.unknown().optional(),
 	}),
 	/** The sender no longer needs this link and closes it; the sender itself goes on. */
 	z.object({type: z.literal('release')}),
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -10,12 +10,13 @@
 import {type RefusalReason} from './foreign-hosts.js';
 import {Gatekeeper, type Identification} from './gatekeeper.js';
 import {HostLists} from './host-lists.js';
-import {Link, type LinkEvents} from './link.js';
+import {Link, type LinkEvents, type LinkPurpose} from './link.js';
 import {
 	type Heartbeat, type Hello, type Host, type Message,
 } from './messages.js';
 import {Sender} from './sender.js';
 import {type StateSummary} from './state.js';
+import {TunnelLinks} from './tunnel-links.js';
 import {SilenceDetector} from './silence-detector.js';
 import {isPossibleCapacity} from './topology.js';
 
@@ -52,6 +53,10 @@
 	readonly groups?: (from: Host, count: unknown) => void;
 	/** A host has offered tunnels, or withdrawn its offer. */
 	readonly tunnel?: (from: Host, offer: unknown) => void;
+	/** A host that was dialled for tunnels can't be linked, or no longer is. */
+	readonly tunnelLinkLost?: (host: string) => void;
+	/** A host has lost its links to upstreams of some failure domains, as it or a relay says. */
+	readonly linksLost?: (from: Host, report: unknown) => void;
 };
 
 export type PeersOptions = {
@@ -66,6 +71,8 @@
 	readonly summarizeState?: () => StateSummary;
 	/** Returns the number of groups to announce in heartbeats of a large fleet; undefined to receive everything. Absent to announce none. */
 	readonly countGroups?: () => number | undefined;
+	/** Returns the offer of tunnels for a host, if there is one. */
+	readonly createTunnelOffer?: (host: string) => unknown;
 };
 
 export class Peers implements AsyncDisposable {
@@ -73,6 +80,9 @@
 	readonly #server: Server;
 	readonly #links = new Map<string, Link>();
 	readonly #openLinks = new Set<Link>();
+	readonly #tunnelLinks: TunnelLinks;
+	/** Links over which this host has sent its handshake. */
+	readonly #greeted = new WeakSet<Link>();
 	/** Links that one end no longer needs. */
 	readonly #releasedLinks = new WeakSet<Link>();
 	readonly #knownPeers: KnownPeers;
@@ -127,9 +137,21 @@
 				link.closeAfterFlush();
 			},
 		});
+		this.#tunnelLinks = new TunnelLinks({
+			connected: (socket, address) => {
+				this.#openLink(socket, address, 'tunnels');
+			},
+			onClosed(host) {
+				options.events.tunnelLinkLost?.(host);
+			},
+			onOffer(from, offer) {
+				options.events.tunnel?.(from, offer);
+			},
+			createOffer: host => options.createTunnelOffer?.(host),
+		});
 		this.#linkEvents = {
 			authenticated: link => {
-				this.#sendHello(link);
+				this.#greet(link);
 			},
 			failed: (link, reason, detail) => {
 				this.#gatekeeper.refuse(link, reason, detail);
@@ -168,6 +190,11 @@
 		return this.#gatekeeper.refusals;
 	}
 
+	/** Known hosts that this one isn't to be linked with, since they are linked through relays. */
+	get unlinkedHosts(): readonly Host[] {
+		return this.isLargeFleet ? this.#knownPeers.reachableHosts.filter(({name}) => !this.#links.has(name)) : [];
+	}
+
 	/** Hosts that are linked at present. */
 	get hosts(): readonly Host[] {
 		return this.#reach.hosts;
@@ -264,6 +291,31 @@
 		this.broadcast({type: 'heartbeat', state: this.#options.summarizeState?.()});
 	}
 
+	/** Sends every linked host its offer of tunnels. */
+	offerTunnels(): void {
+		for (const host of this.#links.keys()) {
+			this.send(host, {type: 'heartbeat', tunnel: this.#options.createTunnelOffer?.(host)});
+		}
+
+		this.#tunnelLinks.announceOffer();
+	}
+
+	/**
+	 * Opens a link for tunnels only.
+	 *
+	 * @param host - Known host that isn't linked.
+	 */
+	dialForTunnels(host: Host): void {
+		this.#tunnelLinks.dial(host);
+	}
+
+	/**
+	 * @param host - Name of a host whose link for tunnels isn't needed any more.
+	 */
+	releaseTunnelLink(host: string): void {
+		this.#tunnelLinks.release(host);
+	}
+
 	/** Records that a load update was just sent to every linked host: it replaces the next heartbeat. */
 	recordLoadBroadcast(): void {
 		this.#lastLoadBroadcastAt = this.#options.now();
@@ -339,6 +391,7 @@
 		clearInterval(this.#heartbeatTimer);
 		this.#announcer[Symbol.dispose]();
 		this.#dialer[Symbol.dispose]();
+		this.#tunnelLinks[Symbol.dispose]();
 		const closed = once(this.#server, 'close');
 		this.#server.close();
 		for (const link of this.#openLinks) {
@@ -369,6 +422,7 @@
 			}
 		}
 
+		this.#tunnelLinks.heartbeat();
 		this.#dialer.updateLinks();
 	}
 
@@ -387,22 +441,36 @@
 		return [...all, ...all].slice(start, start + Math.min(hostSampleSize, all.length));
 	}
 
-	#openLink(socket: Socket, dialledAddress: Address | undefined): void {
+	#openLink(socket: Socket, dialledAddress: Address | undefined, purpose?: LinkPurpose): void {
 		const authentication = this.#gatekeeper.createAuthentication(dialledAddress !== undefined);
-		const link = new Link(socket, dialledAddress !== undefined, this.#linkEvents, {dialledAddress, authentication});
+		const link = new Link(socket, dialledAddress !== undefined, this.#linkEvents, {dialledAddress, authentication, purpose});
 		this.#openLinks.add(link);
 		this.#gatekeeper.addPending(link);
 		this.#lastMessageAt.set(link, this.#options.now());
 		if (authentication === undefined) {
-			this.#sendHello(link);
+			this.#greet(link);
 		}
 	}
 
-	#sendHello(link: Link): void {
+	/** Sends the handshake. In a large fleet, a host that was dialled waits for that of the other, which says whether to name known hosts. */
+	#greet(link: Link): void {
+		if (this.#greeted.has(link) || (this.isLargeFleet && !link.isDialled && link.hello === undefined)) {
+			return;
+		}
+
+		this.#greeted.add(link);
+		const {identity: fleet} = this.#gatekeeper;
+		if (link.purpose === 'tunnels') {
+			this.#sender.sendOver(link, {
+				type: 'hello', from: this.#options.self, known: [], fleet, purpose: 'tunnels',
+			});
+			return;
+		}
+
 		const groups = this.#options.countGroups?.();
 		const {hostCount} = this.#hostLists;
 		this.#sender.sendOver(link, {
-			type: 'hello', from: this.#options.self, known: [...this.#hostLists.sample], state: this.#options.summarizeState?.(), fleet: this.#gatekeeper.identity, ...(groups === undefined ? {} : {groups}), ...(hostCount === undefined ? {} : {hostCount}),
+			type: 'hello', from: this.#options.self, known: [...this.#hostLists.sample], state: this.#options.summarizeState?.(), fleet, ...(groups === undefined ? {} : {groups}), ...(hostCount === undefined ? {} : {hostCount}),
 		});
 	}
 
@@ -411,6 +479,12 @@
 			return;
 		}
 
+		this.#greet(link);
+		if (link.purpose === 'tunnels') {
+			this.#tunnelLinks.add(link);
+			return;
+		}
+
 		const {from, known, state, hostCount} = hello;
 		this.#hostLists.record(link, hostCount);
 		const now = this.#options.now();
@@ -489,6 +563,11 @@
 
 		const now = this.#options.now();
 		this.#lastMessageAt.set(link, now);
+		if (link.purpose === 'tunnels') {
+			this.#tunnelLinks.handleMessage(link, message);
+			return;
+		}
+
 		this.#silenceDetector.recordMessage(from.failureDomain, now);
 		if (message.type === 'release') {
 			this.#releasedLinks.add(link);
@@ -502,13 +581,17 @@
 
 	/** The hosts that a peer is linked with are alive; a domain that is silent for a relay is out of reach from here as well. */
 	#handleHeartbeat(from: Host, {
-		known = [], others = [], silent, state, groups, tunnel,
+		known = [], others = [], silent, state, groups, tunnel, linksLost,
 	}: Heartbeat, now: number): void {
 		this.#handleSummary(from, state);
 		if (tunnel !== undefined) {
 			this.#options.events.tunnel?.(from, tunnel);
 		}
 
+		if (linksLost !== undefined) {
+			this.#options.events.linksLost?.(from, linksLost);
+		}
+
 		const areNew = [...known.map(host => this.#knownPeers.markAlive(host, now)), ...others.map(host => this.#knownPeers.add(host.address, host, now))];
 		if (areNew.includes(true)) {
 			this.#dialer.updateLinks();
@@ -528,6 +611,11 @@
 		this.#openLinks.delete(link);
 		this.#gatekeeper.forget(link);
 		this.#lastMessageAt.delete(link);
+		if (link.purpose === 'tunnels') {
+			this.#tunnelLinks.handleClose(link);
+			return;
+		}
+
 		const from = link.hello?.from;
 		if (from === undefined || this.#links.get(from.name) !== link) {
 			return;
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -206,10 +206,18 @@
 		const reply = await attempt.reply();
 		if (reply.type === 'ended') {
 			const ending = this.#verdicts.recordUnanswered(reply, upstream, isSuspected);
+			if (ending.type === 'unknown') {
+				gateway.tunnels.noteUnanswered(target, attempt.tunnel);
+			}
+
 			this.#recordCrash(ending, attempt, running, target);
 			return ending;
 		}
 
+		if (attempt.tunnel === undefined) {
+			gateway.tunnels.links.recordTraffic(target, clock.now());
+		}
+
 		if (!reply.metadata.isMisdirected) {
 			gateway.selfReports.record({upstream, started}, reply.metadata.report, sent);
 		}
@@ -249,9 +257,11 @@
 		});
 		const isCancelled = forwarded.type === 'unknown' && attempt.cancelled !== undefined;
 		const ending: AttemptEnding = isCancelled ? {type: 'cancelled', reason: attempt.cancelled} : forwarded;
-		// Silence over a cut link is no fault of the upstream.
-		const isLinkSilent = isCancelled && attempt.cancelled === 'silent' && attempt.tunnel === undefined && gateway.links.findRoute(target).type === 'tunnel';
-		if (!isLinkSilent) {
+		const isSilent = isCancelled && attempt.cancelled === 'silent';
+		if (isSilent && attempt.tunnel !== undefined) {
+			// The host that the tunnel leads over may be to blame as well.
+			gateway.recordUnlinked(upstream);
+		} else if (!isSilent || gateway.tunnels.links.findRoute(target).type === 'direct') {
 			this.#verdicts.recordEnding(ending, upstream, isSuspected);
 			this.#recordCrash(ending, attempt, running, target);
 		}
@@ -266,7 +276,7 @@
 	/** A connection over a cut link or another host breaks for other reasons than a crash. */
 	#recordCrash(ending: AttemptEnding, {tunnel}: Attempt, running: RunningAttempt, target: GatewayUpstream): void {
 		const {gateway} = this.#state.services;
-		if (ending.type === 'unknown' && ending.isDisconnected === true && tunnel === undefined && gateway.links.findRoute(target).type !== 'tunnel') {
+		if (ending.type === 'unknown' && ending.isDisconnected === true && tunnel === undefined && gateway.tunnels.links.findRoute(target).type !== 'tunnel') {
 			gateway.convictions.recordBroken(running);
 		}
 	}
--- a/src/gateway/suspicion/__tests__/convictions.test.ts
+++ b/src/gateway/suspicion/__tests__/convictions.test.ts
@@ -65,6 +65,7 @@
 	readonly lines: Line[] = [];
 	readonly crashedElsewhere: string[] = [];
 	isCut = false;
+	areLinksInDoubt = false;
 	attempts = 0;
 
 	constructor(fleet: Fleet, name: string, failureDomain: string) {
@@ -94,6 +95,7 @@
 			},
 			random: () => 0.5,
 			confirmedAge: () => Number.POSITIVE_INFINITY,
+			areLinksInDoubt: () => this.areLinksInDoubt,
 			onForeignCrash: upstream => {
 				this.crashedElsewhere.push(upstream);
 			},
@@ -304,3 +306,39 @@
 		expect(fleet.sent).toBe(sent);
 	});
 });
+
+describe('a host that has lost its links to upstreams', () => {
+	it('reports no broken connection as a crash to others', async () => {
+		const fleet = new Fleet(3);
+		const [cut, other] = fleet.hosts;
+		cut!.areLinksInDoubt = true;
+		cut!.convictions.recordBroken(cut!.attempt('e1', 'AB'));
+		await vi.advanceTimersByTimeAsync(60);
+		cut!.convictions.excuseCrashes(() => true);
+		await vi.advanceTimersByTimeAsync(500);
+		expect(fleet.sent).toBe(0);
+		expect([cut!.assess('AB'), other!.assess('AB')]).toEqual(['unsuspected', 'unsuspected']);
+	});
+
+	it('takes back what only it has reported, and nothing that another host has observed', async () => {
+		const fleet = new Fleet(3);
+		const [cut, other] = fleet.hosts;
+		await cut!.crash('e1', 'AB');
+		await cut!.crash('e2', 'CD');
+		await other!.crash('e2', 'CE');
+		expect(other!.convictions.reportCount).toBe(2);
+		cut!.convictions.excuseCrashes(() => true);
+		await vi.advanceTimersByTimeAsync(50);
+		expect(other!.convictions.reportCount).toBe(1);
+	});
+
+	it('takes back a crash of an upstream that another host connects to', async () => {
+		const fleet = new Fleet(3);
+		const [cut, other] = fleet.hosts;
+		await cut!.crash('e1', 'AB');
+		await other!.crash('e1', 'AC');
+		cut!.convictions.recordReached('e1');
+		await vi.advanceTimersByTimeAsync(50);
+		expect(other!.convictions.reportCount).toBe(0);
+	});
+});
--- a/src/gateway/suspicion/convictions.ts
+++ b/src/gateway/suspicion/convictions.ts
@@ -53,6 +53,8 @@
 	readonly confirmedAge: () => number;
 	/** Called when a host of another failure domain reports that an upstream has crashed, so that no link is to blame. */
 	readonly onForeignCrash: (upstream: string) => void;
+	/** Whether some links of this host to upstreams are cut. */
+	readonly areLinksInDoubt: () => boolean;
 };
 
 /** A request as far as it can be recognised again. */
@@ -78,11 +80,12 @@
 		this.#options = options;
 		this.#convictionLog = new ConvictionLog(options.log);
 		this.#crashReports = new CrashReports({
+			areLinksInDoubt: options.areLinksInDoubt,
 			onCrashes: reports => {
 				this.#sendCrashes(reports);
 			},
 			onBrokenLinks: reports => {
-				this.#withdrawCrashes(reports);
+				this.#withdrawCrashes(reports, 'many connections broke at once');
 			},
 		});
 		this.exchange = new EvidenceExchange({
@@ -303,6 +306,40 @@
 		}
 	}
 
+	/**
+	 * Takes back the crashes that only this host has reported, of upstreams that it doesn't reach over its own links: connections broke, no more.
+	 *
+	 * @param isUnlinked - Returns whether this host has lost its link to an upstream.
+	 */
+	excuseCrashes(isUnlinked: (upstream: string) => boolean): void {
+		const {clock, self} = this.#options;
+		const now = clock.now();
+		const dropped = this.#crashReports.drop(isUnlinked);
+		if (dropped.length > 0) {
+			this.#withdrawCrashes(dropped, 'the link is cut');
+		}
+
+		for (const upstream of this.#watched.keys()) {
+			const crash = isUnlinked(upstream) ? this.#suspects.findCrash(upstream, now - watchMs) : undefined;
+			if (crash?.reports.every(({attempt}) => attempt.startsWith(`${self}.`))) {
+				this.#disprove(crash, now);
+			}
+		}
+	}
+
+	/**
+	 * Records that another host has connected to an upstream: a crash that was reported didn't happen.
+	 *
+	 * @param upstream - Upstream.
+	 */
+	recordReached(upstream: string): void {
+		const now = this.#options.clock.now();
+		const crash = this.#suspects.findCrash(upstream, now - watchMs);
+		if (crash !== undefined) {
+			this.#disprove(crash, now);
+		}
+	}
+
 	/**
 	 * Adds or lifts a conviction at all hosts.
 	 *
@@ -330,9 +367,10 @@
 		}
 	}
 
-	#withdrawCrashes(reports: readonly OwnReport[]): void {
+	/** Takes back crashes that no other host knows of. */
+	#withdrawCrashes(reports: readonly OwnReport[], reason: string): void {
 		const {clock, log} = this.#options;
-		log.write({event: 'acquitted', upstreams: [...new Set(reports.map(({report}) => report.upstream))], reason: 'many connections broke at once'});
+		log.write({event: 'acquitted', upstreams: [...new Set(reports.map(({report}) => report.upstream))], reason});
 		for (const {report: {upstream, started}} of reports) {
 			this.#suspects.recordSurvival({upstream, started}, clock.now());
 		}
--- a/src/gateway/suspicion/crash-reports.ts
+++ b/src/gateway/suspicion/crash-reports.ts
@@ -1,8 +1,9 @@
 /** Collects the crashes that this host observes, and separates real ones from broken links. */
 import {type CrashReport} from '../../core/gateway/suspicion/crashes.js';
 
-/** Reports are collected for this time, in milliseconds, before they are sent. */
+/** Reports are collected for this time, in milliseconds, before they are sent, and for longer while the links of this host are in doubt. */
 const collectingMs = 10;
+const doubtfulCollectingMs = 150;
 
 /** Upstreams whose connections break within that time from which on the links of this host are to blame. */
 const brokenLinkUpstreams = 4;
@@ -14,6 +15,8 @@
 };
 
 export type CrashReportsOptions = {
+	/** Whether some links of this host are cut, so that connections may have broken for that reason. */
+	readonly areLinksInDoubt: () => boolean;
 	/** Called with crashes to report to other hosts. */
 	readonly onCrashes: (reports: readonly OwnReport[]) => void;
 	/** Called with reports of upstreams that probably run on. */
@@ -24,6 +27,7 @@
 	readonly #options: CrashReportsOptions;
 	#collected: OwnReport[] = [];
 	#timer: NodeJS.Timeout | undefined;
+	#waited = 0;
 
 	constructor(options: CrashReportsOptions) {
 		this.#options = options;
@@ -34,23 +38,45 @@
 	 */
 	add(report: OwnReport): void {
 		this.#collected.push(report);
-		this.#timer ??= setTimeout(() => {
-			this.#release();
-		}, collectingMs);
+		this.#wait();
+	}
+
+	/**
+	 * Drops reports that haven't been sent.
+	 *
+	 * @param isUnlinked - Returns whether this host has lost its link to an upstream.
+	 * @returns The dropped reports.
+	 */
+	drop(isUnlinked: (upstream: string) => boolean): readonly OwnReport[] {
+		const dropped = this.#collected.filter(({report}) => isUnlinked(report.upstream));
+		this.#collected = this.#collected.filter(({report}) => !isUnlinked(report.upstream));
+		return dropped;
 	}
 
 	[Symbol.dispose](): void {
 		clearTimeout(this.#timer);
 	}
 
+	#wait(): void {
+		this.#timer ??= setTimeout(() => {
+			this.#timer = undefined;
+			this.#waited += collectingMs;
+			if (this.#waited < doubtfulCollectingMs && this.#options.areLinksInDoubt()) {
+				this.#wait();
+			} else {
+				this.#waited = 0;
+				this.#release();
+			}
+		}, collectingMs);
+	}
+
 	#release(): void {
-		this.#timer = undefined;
 		const reports = this.#collected;
 		this.#collected = [];
 		const upstreams = new Set(reports.map(({report}) => report.upstream));
 		if (upstreams.size >= brokenLinkUpstreams) {
 			this.#options.onBrokenLinks(reports);
-		} else {
+		} else if (reports.length > 0) {
 			this.#options.onCrashes(reports);
 		}
 	}
--- a/src/gateway/tunnels/__tests__/tunnels.test.ts
+++ b/src/gateway/tunnels/__tests__/tunnels.test.ts
@@ -9,12 +9,12 @@
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
-import {type LinkRoute} from '../../../core/gateway/health/links.js';
+import {type LinkRoute, type LinkScope} from '../../../core/gateway/health/links.js';
 import {type GatewayUpstream} from '../../../core/gateway/types.js';
 import {type Host} from '../../peers/messages.js';
 import {type OpenTunnelOffer} from '../messages.js';
 import {openTunnel, type TunnelResult} from '../tunnel-client.js';
-import {TunnelPeers} from '../tunnel-peers.js';
+import {TunnelPeers, type TunnelPeersOptions} from '../tunnel-peers.js';
 import {TunnelServer} from '../tunnel-server.js';
 
 const disposables: Array<() => Promise<unknown>> = [];
@@ -63,19 +63,20 @@
 
 const direct: LinkRoute = {type: 'direct'};
 
-async function startServer(upstreamPort: number, route: LinkRoute = direct): Promise<{readonly server: TunnelServer; readonly offer: OpenTunnelOffer}> {
+async function startServer(upstreamPort: number, route: LinkRoute = direct, scope: LinkScope = 'group'): Promise<{readonly server: TunnelServer; readonly offer: OpenTunnelOffer}> {
 	const server = new TunnelServer({
 		address: {host: '127.0.0.1', port: await findFreePort()},
 		log,
 		now: () => performance.now(),
 		findUpstream: id => id === 'e' ? {id, address: {host: '127.0.0.1', port: upstreamPort}} as unknown as GatewayUpstream : undefined,
 		findRoute: () => route,
+		findSoundScope: async () => scope,
 		onAbsent: () => undefined,
 		onResult: () => undefined,
 	});
 	await server.listen();
 	disposables.push(async () => server[Symbol.asyncDispose]());
-	return {server, offer: server.offer as OpenTunnelOffer};
+	return {server, offer: server.createOffer('h') as OpenTunnelOffer};
 }
 
 async function open(offer: OpenTunnelOffer, upstream = 'e'): Promise<TunnelResult> {
@@ -208,19 +209,19 @@
 	});
 
 	it('to an upstream that this host reaches over a tunnel only: none leads through a third host', async () => {
-		const {offer} = await startServer(await startUpstream(() => undefined), {type: 'tunnel', failure: 'silent'});
+		const {offer} = await startServer(await startUpstream(() => undefined), {type: 'tunnel', fault: 'silent', isShown: true});
 		expect(await open(offer)).toEqual({type: 'refused', reason: 'cut'});
 	});
 
 	it('to an upstream that refuses connections', async () => {
 		const {offer} = await startServer(await findFreePort());
-		expect(await open(offer)).toEqual({type: 'absent', failure: 'refused'});
+		expect(await open(offer)).toEqual({type: 'absent', failure: 'refused', scope: 'group'});
 	});
 
 	it('by a host that is about to stop', async () => {
 		const {server, offer} = await startServer(await startUpstream(() => undefined));
 		server.leave();
-		expect(server.offer).toEqual({type: 'closed'});
+		expect(server.createOffer('h')).toEqual({type: 'closed'});
 		expect(await open(offer)).toEqual({type: 'refused', reason: 'leaving'});
 	});
 
@@ -242,15 +243,25 @@
 });
 
 describe('the search for a tunnel', () => {
-	const createPeers = () => new TunnelPeers({
-		host: 'h', failureDomain: 'a', incarnation: 'h.1', log, now: () => performance.now(),
+	const createPeers = (changes: Partial<TunnelPeersOptions> = {}) => new TunnelPeers({
+		host: 'h',
+		failureDomain: 'a',
+		incarnation: 'h.1',
+		log,
+		now: () => performance.now(),
+		listLostGroups: () => [],
+		listUnlinkedHosts: () => [],
+		dial: () => undefined,
+		release: () => undefined,
+		onWay: () => undefined,
+		...changes,
 	});
-	const upstream = {id: 'e', failureDomain: 'b'};
+	const upstream = {id: 'e', service: 's', failureDomain: 'b'};
 	const createHost = (name: string, failureDomain: string) => ({name, failureDomain}) as unknown as Host;
 
 	it('goes on to another host after one that is cut, gone or silent', async () => {
 		const port = await startUpstream(() => undefined);
-		const cut = await startServer(port, {type: 'tunnel', failure: 'silent'});
+		const cut = await startServer(port, {type: 'tunnel', fault: 'silent', isShown: true});
 		const sound = await startServer(port);
 		const silent = await startUpstream(() => undefined);
 		for (let turn = 0; turn < 6; turn++) {
--- a/src/gateway/tunnels/direct-connection.ts
+++ b/src/gateway/tunnels/direct-connection.ts
@@ -10,7 +10,13 @@
 
 export type ConnectionResult
 	= | {readonly type: 'connected'; readonly socket: Socket}
-		| {readonly type: 'failed'; readonly failure: LinkFailure; readonly detail: string};
+		| {
+			readonly type: 'failed';
+			readonly failure: LinkFailure;
+			/** Whether something accepted the connection and reset it at once. */
+			readonly isReset: boolean;
+			readonly detail: string;
+		};
 
 /**
  * @param options - Address and socket options.
@@ -20,14 +26,17 @@
 export async function connectDirectly(options: TcpNetConnectOpts, open: (options: TcpNetConnectOpts) => Socket = connect): Promise<ConnectionResult> {
 	return new Promise(resolve => {
 		const socket = open(options);
-		const fail = (failure: LinkFailure, detail: string) => {
+		const fail = (failure: LinkFailure, detail: string, isReset = false) => {
 			clearTimeout(timer);
 			socket.destroy();
-			resolve({type: 'failed', failure, detail});
+			resolve({
+				type: 'failed', failure, isReset, detail,
+			});
 		};
 
 		const handleError = (error: NodeJS.ErrnoException) => {
-			fail(error.code === 'ECONNREFUSED' || error.code === 'ECONNRESET' ? 'refused' : 'silent', error.message);
+			const isReset = error.code === 'ECONNRESET';
+			fail(error.code === 'ECONNREFUSED' || isReset ? 'refused' : 'silent', error.message, isReset);
 		};
 
 		const timer = setTimeout(() => {
--- a/src/gateway/tunnels/messages.ts
+++ b/src/gateway/tunnels/messages.ts
@@ -8,6 +8,9 @@
 /** Bytes of the key by which a host knows that a connection comes from a host it is linked with. */
 export const tunnelKeyBytes = 16;
 
+/** Groups of upstreams that an offer may name as lost. */
+export const maxLostGroups = 64;
+
 /** Largest message of either side. */
 const maxMessageBytes = 1024;
 
@@ -17,6 +20,8 @@
 export const tunnelOfferSchema = z.discriminatedUnion('type', [
 	z.object({
 		type: z.literal('open'), host: shortText.min(1), port: z.number().int().min(1).max(65_535), key: keySchema,
+		/** Groups of upstreams that the host doesn't reach itself. */
+		lost: z.array(shortText).max(maxLostGroups).optional(),
 	}),
 	/** It opens no more, since it is about to stop. */
 	z.object({type: z.literal('closed')}),
@@ -34,9 +39,17 @@
 
 const replySchema = z.discriminatedUnion('type', [
 	/** Bytes that follow come from the upstream. */
-	z.object({type: z.literal('connected')}),
+	z.object({
+		type: z.literal('connected'),
+		/** Tunnels that the host serves. */
+		tunnels: z.number().int().nonnegative().optional(),
+	}),
 	/** The upstream refused the connection, or didn't respond. */
-	z.object({type: z.literal('absent'), failure: z.enum(['refused', 'silent'])}),
+	z.object({
+		type: z.literal('absent'), failure: z.enum(['refused', 'silent']),
+		/** To which other upstreams the links of the host are sound; absent from a host that doesn't say. */
+		scope: z.enum(['group', 'elsewhere', 'none']).optional(),
+	}),
 	/** The host didn't try: it doesn't reach the upstream itself either, doesn't know it, has too many tunnels, or is about to stop. */
 	z.object({type: z.literal('refused'), reason: z.enum(['busy', 'cut', 'leaving', 'unknown'])}),
 ]);
--- a/src/gateway/tunnels/tunnel-client.ts
+++ b/src/gateway/tunnels/tunnel-client.ts
@@ -9,7 +9,7 @@
 const openTimeoutMs = 300;
 
 export type TunnelResult
-	= | {readonly type: 'connected'; readonly socket: Socket}
+	= | {readonly type: 'connected'; readonly socket: Socket; readonly tunnels?: number}
 		| Exclude<TunnelReply, {readonly type: 'connected'}>
 	/** The other host gave no reply. */
 		| {readonly type: 'unreachable'; readonly detail: string};
@@ -68,7 +68,7 @@
 			try {
 				const [reply] = reader.push(chunk);
 				if (reply !== undefined) {
-					finish(reply.type === 'connected' ? {type: 'connected', socket} : reply);
+					finish(reply.type === 'connected' ? {...reply, socket} : reply);
 				}
 			} catch (error) {
 				fail(messageOf(error));
--- a/src/gateway/tunnels/tunnel-peers.ts
+++ b/src/gateway/tunnels/tunnel-peers.ts
@@ -1,29 +1,20 @@
-/** Tunnels that the linked hosts offer, and the search for one that connects to an upstream. */
-import {type LinkedUpstream, type LinkFailure} from '../../core/gateway/health/links.js';
-import {rankTunnelPeers, TunnelRefusals, type TunnelPeer} from '../../core/gateway/health/tunnel-peers.js';
+/** Hosts that offer tunnels, and the search for one that connects to an upstream. */
+import {type Socket} from 'node:net';
+import {findLinkGroup, type LinkedUpstream} from '../../core/gateway/health/links.js';
+import {Prospects} from '../../core/gateway/health/prospects.js';
+import {rankTunnelPeers, TunnelRefusals} from '../../core/gateway/health/tunnel-peers.js';
 import {type Log} from '../../entry/logs.js';
 import {type Host} from '../peers/messages.js';
-import {tunnelOfferSchema, type OpenTunnelOffer} from './messages.js';
+import {Introductions} from './introductions.js';
+import {tunnelOfferSchema} from './messages.js';
 import {openTunnel, type TunnelResult} from './tunnel-client.js';
+import {TunnelSearch, type Offerer, type TunnelSearchResult} from './tunnel-search.js';
 
-/** Hosts that are asked for one connection. */
-const maxAskedHosts = 4;
+/** Hosts that reach upstreams which this one doesn't to keep at hand, so that its tunnels are spread. */
+const wantedOfferers = 5;
 
-/** Failure domains with a host that couldn't connect, after which no other is asked: the upstream is gone. */
-const conclusiveDomains = 2;
-
-/** Time in milliseconds after which a further host is asked while those before it haven't replied. */
-const nextHostDelayMs = 40;
-
-type Offerer = TunnelPeer & {readonly offer: OpenTunnelOffer};
-
-/** Result of a search. */
-export type TunnelSearch
-	= | {readonly type: 'connected'; readonly tunnel: string; readonly peer: string; readonly result: Extract<TunnelResult, {readonly type: 'connected'}>}
-	/** Hosts that tried couldn't connect either; the reason is that of the last one. */
-		| {readonly type: 'absent'; readonly failure: LinkFailure}
-	/** No host tried. */
-		| {readonly type: 'none'};
+/** Time in milliseconds for which an answer over a host shows that its links to a group of upstreams are sound. */
+const verificationMs = 2000;
 
 export type TunnelPeersOptions = {
 	readonly host: string;
@@ -32,19 +23,41 @@
 	readonly incarnation: string;
 	readonly log: Pick<Log, 'write'>;
 	readonly now: () => number;
+	/** Returns the groups of upstreams that this host doesn't reach over its own links. */
+	readonly listLostGroups: () => readonly string[];
+	/** Returns the known hosts that this one isn't linked with. */
+	readonly listUnlinkedHosts: () => readonly Host[];
+	/** Opens a link for tunnels only. */
+	readonly dial: (host: Host) => void;
+	/** Closes a link for tunnels only. */
+	readonly release: (host: string) => void;
+	/** Called when a host connects to upstreams that none has reached before. */
+	readonly onWay: () => void;
 };
 
+/** Returns whether an answer of the upstream came back over a connection, which it closes. */
+export type TunnelVerification = (socket: Socket) => Promise<boolean>;
+
 export class TunnelPeers {
 	readonly #options: TunnelPeersOptions;
 	readonly #offerers = new Map<string, Offerer>();
 	readonly #refusals = new TunnelRefusals();
-	#tunnelCount = 0;
+	readonly #prospects = new Prospects();
+	readonly #introductions: Introductions;
+	readonly #searches = new Set<TunnelSearch>();
+	/** Times at which an answer came back over a host, by its name and the group of the upstream. */
+	readonly #verifiedAt = new Map<string, number>();
+	#searchCount = 0;
 
 	/**
-	 * @param options - This host.
+	 * @param options - This host, and how it gets to others.
 	 */
 	constructor(options: TunnelPeersOptions) {
+		const {listUnlinkedHosts: listHosts, dial, release, now} = options;
 		this.#options = options;
+		this.#introductions = new Introductions({
+			now, listHosts, dial, release, rank: hosts => this.#rank(hosts, {id: '', service: '', failureDomain: options.failureDomain}),
+		});
 	}
 
 	/** Whether there is a host to ask. */
@@ -52,6 +65,11 @@
 		return this.#offerers.size > 0;
 	}
 
+	/** Number of hosts that are linked for tunnels only. */
+	get introducedCount(): number {
+		return this.#introductions.size;
+	}
+
 	/**
 	 * @param peer - Name of a host.
 	 * @returns Whether it opens tunnels.
@@ -61,121 +79,168 @@
 	}
 
 	/**
-	 * @param peer - Linked host.
+	 * @param upstream - Upstream that this host doesn't reach.
+	 * @returns Whether no host gave a connection a moment ago, so that a search would only delay the refusal.
+	 */
+	isHopeless(upstream: LinkedUpstream): boolean {
+		return this.#prospects.isHopeless(upstream, this.#options.now());
+	}
+
+	/**
+	 * @param peer - Host that is linked, if only for tunnels.
 	 * @param offer - Its offer, as received; an invalid one is ignored.
 	 * @returns Whether it no longer opens tunnels.
 	 */
-	applyOffer({name, failureDomain}: Host, offer: unknown): boolean {
+	applyOffer({name, failureDomain, capacity}: Host, offer: unknown): boolean {
 		const parsed = tunnelOfferSchema.safeParse(offer);
 		if (!parsed.success) {
 			this.#options.log.write({event: 'tunnel-offer-ignored', peer: name, problem: parsed.error.issues[0]?.message}, 'warn');
 			return false;
 		}
 
-		if (parsed.data.type === 'closed') {
-			return this.#offerers.delete(name);
+		const isOpen = parsed.data.type === 'open';
+		const wasOpen = this.#offerers.has(name);
+		if (parsed.data.type === 'open') {
+			const {lost = []} = parsed.data;
+			this.#offerers.set(name, {
+				name, failureDomain, capacity, tunnels: this.#offerers.get(name)?.tunnels, lost: new Set(lost), offer: parsed.data,
+			});
+			this.#introductions.recordOffer(name, this.#isUseful(lost));
+		} else {
+			this.#offerers.delete(name);
+			this.#introductions.recordOffer(name, false);
 		}
 
-		this.#offerers.set(name, {name, failureDomain, offer: parsed.data});
-		return false;
+		this.#proceed();
+		return wasOpen && !isOpen;
 	}
 
 	/**
-	 * @param peer - Name of a host that is no longer linked.
+	 * @param peer - Name of a host that is no longer linked, or couldn't be linked for tunnels.
 	 */
 	remove(peer: string): void {
 		this.#offerers.delete(peer);
+		for (const key of this.#verifiedAt.keys()) {
+			if (key.startsWith(`${peer} `)) {
+				this.#verifiedAt.delete(key);
+			}
+		}
+
+		this.#introductions.recordClosed(peer);
+		this.#proceed();
+	}
+
+	/** Gets further offers if few of the hosts at hand reach what this one doesn't, as far as they say. */
+	prepare(): void {
+		const useful = [...this.#offerers.values()].filter(({lost}) => this.#isUseful([...lost]));
+		if (useful.length < wantedOfferers) {
+			this.#introductions.request(new Set(this.#offerers.keys()));
+		}
+	}
+
+	/** Closes the links that are for tunnels only. */
+	releaseIntroduced(): void {
+		this.#introductions.releaseAll();
 	}
 
 	/**
-	 * Asks hosts for a connection, one after another, until one has it.
+	 * Asks hosts for a connection until one has it.
 	 *
 	 * @param upstream - Upstream to connect to.
 	 * @param signal - Ends the search.
+	 * @param verify - Checks the connection of each host; absent if connecting is enough.
 	 * @returns The first connection, or why there is none.
 	 */
-	async search(upstream: LinkedUpstream, signal: AbortSignal): Promise<TunnelSearch> {
-		this.#tunnelCount++;
-		const hosts = rankTunnelPeers([...this.#offerers.values()], upstream, {
-			ownDomain: this.#options.failureDomain, refusals: this.#refusals, turn: this.#tunnelCount, now: this.#options.now(),
-		}).slice(0, maxAskedHosts);
-		const ended = new AbortController();
-		const end = () => {
-			ended.abort();
-		};
-
-		signal.addEventListener('abort', end, {once: true});
+	async search(upstream: LinkedUpstream, signal: AbortSignal, verify?: TunnelVerification): Promise<TunnelSearchResult> {
+		this.#searchCount++;
+		const turn = this.#searchCount;
+		const group = findLinkGroup(upstream);
+		const search = new TunnelSearch({
+			id: `${this.#options.incarnation}.t${turn}`,
+			rank: asked => this.#rank([...this.#offerers.values()].filter(({name, lost}) => !asked.has(name) && !lost.has(group)), upstream, turn),
+			introduce: asked => this.#introductions.request(asked),
+			open: async (host, tunnel, ended) => this.#open(host, tunnel, upstream, ended, verify),
+			onRefusal: host => {
+				this.#refusals.record(host.name, group, this.#options.now());
+			},
+		});
+		this.#searches.add(search);
 		try {
-			return await this.#ask(hosts, upstream, ended);
+			const result = await search.run(signal);
+			if (!signal.aborted && this.#prospects.record(upstream, result.type !== 'none', this.#options.now()) && result.type === 'connected') {
+				this.#options.onWay();
+			}
+
+			return result;
 		} finally {
-			signal.removeEventListener('abort', end);
-			ended.abort();
+			this.#searches.delete(search);
 		}
 	}
 
-	async #ask(hosts: readonly Offerer[], upstream: LinkedUpstream, ended: AbortController): Promise<TunnelSearch> {
-		let outcome: TunnelSearch = {type: 'none'};
-		const search = this.#tunnelCount;
-		return new Promise(resolve => {
-			const absentDomains = new Set<string>();
-			let next = 0;
-			let running = 0;
-			let isFinished = false;
-			let timer: NodeJS.Timeout | undefined;
-			const finish = (result: TunnelSearch) => {
-				isFinished = true;
-				clearTimeout(timer);
-				resolve(result);
-			};
-
-			const askNext = () => {
-				clearTimeout(timer);
-				const host = isFinished || ended.signal.aborted ? undefined : hosts[next];
-				if (host === undefined) {
-					if (running === 0) {
-						finish(outcome);
-					}
-
-					return;
-				}
-
-				next++;
-				running++;
-				const tunnel = `${this.#options.incarnation}.t${search}.${next}`;
-				void (async () => {
-					const result = await openTunnel(host.offer, {id: tunnel, from: this.#options.host, upstream: upstream.id}, ended.signal);
-					running--;
-					if (result.type === 'connected') {
-						if (isFinished || ended.signal.aborted) {
-							result.socket.destroy();
-						}
-
-						finish({
-							type: 'connected', tunnel, peer: host.name, result,
-						});
-						return;
-					}
-
-					if (!isFinished && !ended.signal.aborted) {
-						this.#refusals.record(host.name, upstream.failureDomain, this.#options.now());
-					}
-
-					if (result.type === 'absent') {
-						outcome = {type: 'absent', failure: result.failure};
-						absentDomains.add(host.failureDomain);
-					}
-
-					if (absentDomains.size >= conclusiveDomains) {
-						finish(outcome);
-					} else {
-						askNext();
-					}
-				})();
-
-				timer = setTimeout(askNext, nextHostDelayMs);
-			};
-
-			askNext();
+	/**
+	 * Asks a host later than others, since requests over it got no answer.
+	 *
+	 * @param peer - Name of the host.
+	 * @param upstream - Upstream.
+	 */
+	distrust(peer: string, upstream: LinkedUpstream): void {
+		const group = findLinkGroup(upstream);
+		this.#verifiedAt.delete(`${peer} ${group}`);
+		this.#refusals.record(peer, group, this.#options.now());
+	}
+
+	/** Whether a host that doesn't reach some groups itself reaches one that this host doesn't. */
+	#isUseful(lost: readonly string[]): boolean {
+		const needed = this.#options.listLostGroups();
+		return lost.length === 0 || needed.some(group => !lost.includes(group));
+	}
+
+	async #open(host: Offerer, tunnel: string, upstream: LinkedUpstream, signal: AbortSignal, verify: TunnelVerification | undefined): Promise<TunnelResult> {
+		const target = {id: tunnel, from: this.#options.host, upstream: upstream.id};
+		const result = await openTunnel(host.offer, target, signal);
+		if (result.type === 'connected') {
+			this.#noteTunnels(host.name, result.tunnels);
+			if (verify === undefined || this.#isVerified(host.name, upstream)) {
+				this.#refusals.forget(host.name, findLinkGroup(upstream));
+				return result;
+			}
+
+			if (!(await verify(result.socket))) {
+				return {type: 'refused', reason: 'cut'};
+			}
+
+			this.#verifiedAt.set(`${host.name} ${findLinkGroup(upstream)}`, this.#options.now());
+			return this.#open(host, tunnel, upstream, signal, undefined);
+		}
+
+		const isOfUse = result.type === 'absent' && result.scope !== undefined && result.scope !== 'none';
+		if (!isOfUse && !signal.aborted) {
+			this.#introductions.recordOffer(host.name, false);
+		}
+
+		return result;
+	}
+
+	#isVerified(peer: string, upstream: LinkedUpstream): boolean {
+		return this.#options.now() - (this.#verifiedAt.get(`${peer} ${findLinkGroup(upstream)}`) ?? Number.NEGATIVE_INFINITY) < verificationMs;
+	}
+
+	#noteTunnels(peer: string, tunnels: number | undefined): void {
+		const offerer = this.#offerers.get(peer);
+		if (offerer !== undefined && tunnels !== undefined) {
+			this.#offerers.set(peer, {...offerer, tunnels});
+		}
+	}
+
+	#rank<T extends Offerer | Host>(hosts: readonly T[], upstream: LinkedUpstream, turn = this.#searchCount): readonly T[] {
+		return rankTunnelPeers(hosts, upstream, {
+			ownDomain: this.#options.failureDomain, refusals: this.#refusals, turn, now: this.#options.now(),
 		});
 	}
+
+	#proceed(): void {
+		for (const search of this.#searches) {
+			search.proceed();
+		}
+	}
 }
--- a/src/gateway/tunnels/tunnel-server.ts
+++ b/src/gateway/tunnels/tunnel-server.ts
@@ -1,9 +1,9 @@
 /** Connects other hosts of the fleet to upstreams that they don't reach themselves. */
 import {once} from 'node:events';
-import {randomBytes, timingSafeEqual} from 'node:crypto';
+import {createHmac, randomBytes, timingSafeEqual} from 'node:crypto';
 import {createServer, type Server, type Socket} from 'node:net';
 import {assertNever, messageOf, type Address} from '../../core/index.js';
-import {type LinkRoute} from '../../core/gateway/health/links.js';
+import {type LinkRoute, type LinkScope} from '../../core/gateway/health/links.js';
 import {type GatewayUpstream} from '../../core/gateway/types.js';
 import {type Log} from '../../entry/logs.js';
 import {probeEnd} from '../../protocol/connection-end.js';
@@ -30,6 +30,8 @@
 	readonly findUpstream: (id: string) => GatewayUpstream | undefined;
 	/** Returns how this host reaches an upstream. */
 	readonly findRoute: (upstream: GatewayUpstream) => LinkRoute;
+	/** Finds out to which other upstreams the links of this host are sound. */
+	readonly findSoundScope: (upstream: GatewayUpstream) => Promise<LinkScope>;
 	/** Called with an upstream that this host couldn't connect to. */
 	readonly onAbsent: (upstream: GatewayUpstream) => void;
 	/** Called with the result of each request. */
@@ -38,10 +40,13 @@
 
 export class TunnelServer implements AsyncDisposable {
 	readonly #options: TunnelServerOptions;
-	readonly #key = randomBytes(tunnelKeyBytes);
+	/** From which the keys of the other hosts are derived; new with each process. */
+	readonly #secret = randomBytes(tunnelKeyBytes);
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
 	#isLeaving = false;
+	/** Port on which it listens. */
+	#port: number | undefined;
 	#invalidLoggedAt = Number.NEGATIVE_INFINITY;
 
 	/**
@@ -54,9 +59,19 @@
 		});
 	}
 
-	/** Offer for the hosts that are linked with this one. */
-	get offer(): TunnelOffer {
-		return this.#isLeaving ? {type: 'closed'} : {type: 'open', ...this.#options.address, key: this.#key};
+	/**
+	 * @param host - Name of another host.
+	 * @returns Offer with a key that is valid for that host only.
+	 */
+	createOffer(host: string): TunnelOffer {
+		if (this.#isLeaving) {
+			return {type: 'closed'};
+		}
+
+		const {host: address, port} = this.#options.address;
+		return {
+			type: 'open', host: address, port: this.#port ?? port, key: this.#createKey(host),
+		};
 	}
 
 	/** Number of tunnels that are open or being opened. */
@@ -68,6 +83,8 @@
 	async listen(): Promise<void> {
 		this.#server.listen({...this.#options.address});
 		await once(this.#server, 'listening');
+		const bound = this.#server.address();
+		this.#port = typeof bound === 'object' && bound !== null ? bound.port : undefined;
 	}
 
 	/** Opens no more tunnels; open ones stay. */
@@ -118,7 +135,7 @@
 	}
 
 	async #open(socket: Socket, request: TunnelRequest): Promise<void> {
-		if (!timingSafeEqual(request.key, this.#key)) {
+		if (!timingSafeEqual(request.key, this.#createKey(request.from))) {
 			this.#refuseInvalid(socket, 'no valid key');
 			return;
 		}
@@ -133,7 +150,8 @@
 
 		const connection = await connectDirectly({...upstream.address, noDelay: true});
 		if (connection.type === 'failed') {
-			this.#reply(socket, request, {type: 'absent', failure: connection.failure});
+			const scope = await this.#options.findSoundScope(upstream);
+			this.#reply(socket, request, {type: 'absent', failure: connection.failure, scope});
 			this.#options.onAbsent(upstream);
 			socket.end();
 			return;
@@ -144,10 +162,14 @@
 			return;
 		}
 
-		this.#reply(socket, request, {type: 'connected'});
+		this.#reply(socket, request, {type: 'connected', tunnels: this.#sockets.size});
 		carry(socket, connection.socket);
 	}
 
+	#createKey(host: string): Uint8Array {
+		return createHmac('sha256', this.#secret).update(host).digest().subarray(0, tunnelKeyBytes);
+	}
+
 	#findRefusal(upstream: GatewayUpstream | undefined): TunnelReply | undefined {
 		if (this.#isLeaving) {
 			return {type: 'refused', reason: 'leaving'};
@@ -173,7 +195,9 @@
 
 			case 'absent': {
 				this.#options.onResult('absent');
-				this.#options.log.write({event: 'tunnel-refused', ...fields, reason: `upstream ${reply.failure}`});
+				this.#options.log.write({
+					event: 'tunnel-refused', ...fields, reason: `upstream ${reply.failure}`, scope: reply.scope,
+				});
 				return;
 			}
 
--- a/src/gateway/upstreams/agent.ts
+++ b/src/gateway/upstreams/agent.ts
@@ -68,6 +68,19 @@
 		}
 	}
 
+	/**
+	 * Closes the idle connections over another host.
+	 *
+	 * @param peer - Name of the host.
+	 */
+	closeTunnels(peer: string): void {
+		for (const socket of this.#idleConnections) {
+			if (findTunnel(socket)?.peer === peer) {
+				socket.destroy();
+			}
+		}
+	}
+
 	/**
 	 * Closes the idle connections to an upstream.
 	 *
@@ -146,8 +159,8 @@
 		}
 
 		case 'tunnel': {
-			// Open connections may outlive a link that refuses new ones.
-			return isTunnel || route.failure === 'refused';
+			// Open connections may outlive a link that refuses new ones, and are of use as long as no other host is known to connect.
+			return isTunnel || (route.fault === 'refused' && !route.isShown);
 		}
 
 		default: {
--- a/src/gateway/upstreams/attempt-verdicts.ts
+++ b/src/gateway/upstreams/attempt-verdicts.ts
@@ -3,7 +3,7 @@
 import {type AttemptEnding} from '../../core/gateway/limits/retries.js';
 import {type Attempts} from '../../core/gateway/placement/attempts.js';
 import {type Gateway} from '../gateway.js';
-import {type EndedAttempt, type Reply} from './attempt.js';
+import {type ConnectionAbsence, type EndedAttempt, type Reply} from './attempt.js';
 
 export class AttemptVerdicts {
 	readonly #gateway: Gateway;
@@ -28,8 +28,7 @@
 		if (absence === undefined) {
 			this.recordEnding(ending, upstream, isSuspected);
 		} else {
-			this.#gateway.recordVerdict(upstream, 'unreachable');
-			this.#gateway.publishAbsence(upstream, absence);
+			this.#recordAbsence(upstream, absence);
 			this.#attempts.recordUnreached(upstream);
 		}
 
@@ -73,4 +72,14 @@
 			this.#gateway.publishAbsence(upstream, 'silent');
 		}
 	}
+
+	/** A host that may have lost its link doesn't report the upstream to others. */
+	#recordAbsence(upstream: string, {failure, isLinkDoubtful}: ConnectionAbsence): void {
+		if (isLinkDoubtful) {
+			this.#gateway.recordUnlinked(upstream);
+		} else {
+			this.#gateway.recordVerdict(upstream, 'unreachable');
+			this.#gateway.publishAbsence(upstream, failure);
+		}
+	}
 }
--- a/src/gateway/upstreams/attempt.ts
+++ b/src/gateway/upstreams/attempt.ts
@@ -38,13 +38,24 @@
 	readonly type: 'ended';
 	readonly ending: AttemptEnding;
 	/** Why no connection was established; undefined if there was one or the attempt was cancelled. */
-	readonly absence?: LinkFailure;
+	readonly absence?: ConnectionAbsence;
 };
 
-function createEnded(ending: AttemptEnding, absence?: EndedAttempt['absence']): EndedAttempt {
+/** Why no connection was established. */
+export type ConnectionAbsence = {
+	readonly failure: LinkFailure;
+	/** Whether the link of this host may be to blame. */
+	readonly isLinkDoubtful: boolean;
+};
+
+function createEnded(ending: AttemptEnding, absence?: ConnectionAbsence): EndedAttempt {
 	return {type: 'ended', ending, absence};
 }
 
+function findAbsence(error: Error): ConnectionAbsence {
+	return error instanceof ConnectionFailure ? {failure: error.failure, isLinkDoubtful: error.isLinkDoubtful} : {failure: 'silent', isLinkDoubtful: false};
+}
+
 /** Returns why a response can't be accepted as that of this request, or undefined. */
 function findMismatch(id: string, status: number, metadata: ResponseMetadata, reply: IncomingMessage): string | undefined {
 	if (metadata.request !== undefined && metadata.request !== id) {
@@ -127,10 +138,10 @@
 			});
 			outgoing.on('error', error => {
 				this.#isBroken = true;
-				resolve(this.#endWithoutReply(error.message, error instanceof ConnectionFailure ? error.failure : 'silent'));
+				resolve(this.#endWithoutReply(error.message, findAbsence(error)));
 			});
 			outgoing.on('close', () => {
-				resolve(this.#endWithoutReply('closed', 'silent'));
+				resolve(this.#endWithoutReply('closed', {failure: 'silent', isLinkDoubtful: false}));
 			});
 			outgoing.end(this.#request.body);
 		});
@@ -183,7 +194,7 @@
 		};
 	}
 
-	#endWithoutReply(reason: string, absence: EndedAttempt['absence']): EndedAttempt {
+	#endWithoutReply(reason: string, absence: ConnectionAbsence | undefined): EndedAttempt {
 		if (!this.#isConnected) {
 			return createEnded({type: 'not-run', reason, isShed: false}, this.#cancelled === undefined ? absence : undefined);
 		}
--- a/src/gateway/upstreams/connector.ts
+++ b/src/gateway/upstreams/connector.ts
@@ -1,18 +1,27 @@
 /**
- * Connects to upstreams: over the link of this host, or over another host if that link is cut. A tunnel that opens while the own link fails
- * shows that the link is cut.
+ * Connects to upstreams: over the link of this host, or over another host if that link is cut. What another host gets from an upstream while
+ * this one doesn't shows that the link is cut.
  */
+import {setTimeout as sleep} from 'node:timers/promises';
 import {type Socket, type TcpNetConnectOpts} from 'node:net';
 import {assertNever} from '../../core/index.js';
-import {type LinkFailure, type Links, type LinkRoute} from '../../core/gateway/health/links.js';
+import {
+	type LinkFailure, type LinkFault, type Links, type LinkRoute, type LinkScope,
+} from '../../core/gateway/health/links.js';
 import {type GatewayUpstream} from '../../core/gateway/types.js';
 import {type Log} from '../../entry/logs.js';
 import {connectDirectly, type ConnectionResult} from '../tunnels/direct-connection.js';
-import {type TunnelPeers, type TunnelSearch} from '../tunnels/tunnel-peers.js';
+import {type TunnelPeers, type TunnelVerification} from '../tunnels/tunnel-peers.js';
+import {type TunnelSearchResult} from '../tunnels/tunnel-search.js';
+import {type LinkProbe} from './link-probe.js';
 
 /** Time in milliseconds after which a tunnel is opened beside a connection that isn't established yet. */
 const tunnelDelayMs = 60;
 
+/** Time in milliseconds without an answer to a check after which another host is asked, and after an answer over that host. */
+const answerDelayMs = 150;
+const muteMarginMs = 250;
+
 /** Tunnel that a connection leads through. */
 export type Tunnel = {
 	/** Id of the tunnel, in the logs of both hosts. */
@@ -24,28 +33,44 @@
 /** No connection could be established: nothing was sent. */
 export class ConnectionFailure extends Error {
 	readonly failure: LinkFailure;
+	/** Whether the own link may be to blame, as nothing shows that the upstream is gone. */
+	readonly isLinkDoubtful: boolean;
 
 	/**
 	 * @param failure - How it failed.
 	 * @param detail - What happened.
+	 * @param isLinkDoubtful - Whether the own link may be to blame.
 	 */
-	constructor(failure: LinkFailure, detail: string) {
+	constructor(failure: LinkFailure, detail: string, isLinkDoubtful = false) {
 		super(detail);
 		this.failure = failure;
+		this.isLinkDoubtful = isLinkDoubtful;
 	}
 }
 
+/** What has become known of a link. */
+export type LinkChange
+	/** Another host reaches an upstream, and this one doesn't. */
+	= | {readonly type: 'cut'; readonly upstream: GatewayUpstream}
+	/** No host that was asked reaches an upstream, and nothing shows that it is gone. */
+		| {readonly type: 'lost'}
+		| {readonly type: 'restored'};
+
 export type ConnectorOptions = {
 	readonly links: Links;
 	readonly peers: TunnelPeers;
+	readonly probe: Pick<LinkProbe, 'isAnswered'>;
 	readonly log: Pick<Log, 'write'>;
 	readonly now: () => number;
 	/** Returns the upstream that is registered at an address. */
 	readonly findUpstream: (address: string) => GatewayUpstream | undefined;
-	/** Called when links are found to be cut. */
-	readonly onCut: () => void;
+	/** Returns other upstreams of the group of an upstream. */
+	readonly listNeighbours: (upstream: GatewayUpstream) => readonly GatewayUpstream[];
+	/** Uniform from 0 to 1. */
+	readonly random: () => number;
+	readonly onChange: (change: LinkChange) => void;
 	/** Called with the result of each search for a tunnel. */
-	readonly onTunnel: (result: TunnelSearch['type']) => void;
+	readonly onTunnel: (result: TunnelSearchResult['type']) => void;
 };
 
 const neverAborted = new AbortController().signal;
@@ -100,50 +125,156 @@
 			return takeSocket(await connectDirectly(options));
 		}
 
-		return links.findRoute(upstream).type === 'tunnel' ? this.#connectOverTunnel(upstream, options) : this.#race(upstream, options);
+		const route = links.findRoute(upstream);
+		return route.type === 'tunnel' ? this.#connectOverTunnel(upstream, options, route.fault) : this.#race(upstream, options);
 	}
 
 	/**
-	 * Checks the link to an upstream with a connection that is closed at once.
+	 * Checks the link to an upstream with a connection that is closed afterwards.
 	 *
 	 * @param upstream - Upstream.
 	 */
 	async check(upstream: GatewayUpstream): Promise<void> {
-		const options = {...upstream.address};
-		if (this.#options.links.findRoute(upstream).type === 'tunnel') {
-			const result = await connectDirectly(options);
-			this.#recordDirect(upstream, result);
-			if (result.type === 'connected') {
-				result.socket.destroy();
+		const route = this.#options.links.findRoute(upstream);
+		switch (route.type) {
+			case 'direct': {
+				await this.#compare(upstream);
+				return;
+			}
+
+			case 'tunnel': {
+				await this.#checkRestored(upstream, route.fault);
+				return;
+			}
+
+			default: {
+				assertNever(route);
 			}
+		}
+	}
+
+	/**
+	 * Looks for a host that connects to an upstream again after searches have failed.
+	 *
+	 * @param upstream - Upstream that this host doesn't reach over its own link.
+	 */
+	async scout(upstream: GatewayUpstream): Promise<void> {
+		const route = this.#options.links.findRoute(upstream);
+		const search = await this.#search(upstream, neverAborted, route.type === 'tunnel' ? this.#createVerification(upstream, route.fault) : undefined);
+		if (search.type === 'connected') {
+			search.result.socket.destroy();
+		}
+	}
 
+	/**
+	 * Finds out whether the links of this host are sound, after it couldn't connect to an upstream.
+	 *
+	 * @param upstream - Upstream.
+	 * @returns To which other upstreams they are.
+	 */
+	async findSoundScope(upstream: GatewayUpstream): Promise<LinkScope> {
+		const {links, now, listNeighbours, random} = this.#options;
+		const known = links.findSoundScope(upstream, now());
+		const neighbours = known === 'group' ? [] : listNeighbours(upstream);
+		const neighbour = neighbours[Math.floor(random() * neighbours.length)];
+		if (neighbour === undefined) {
+			return known;
+		}
+
+		const result = await connectDirectly({...neighbour.address});
+		this.#recordDirect(neighbour, result);
+		closeConnection(result);
+		return links.findSoundScope(upstream, now());
+	}
+
+	/** Compares what this host and another one get from an upstream: first connections, then answers. */
+	async #compare(upstream: GatewayUpstream): Promise<void> {
+		const {peers} = this.#options;
+		const connecting = connectDirectly({...upstream.address});
+		const finding = this.#findOwnFault(upstream, connecting);
+		const early = await Promise.race([connecting, sleep(tunnelDelayMs, 'late' as const)]);
+		if (early !== 'late' && early.type === 'connected' && await Promise.race([finding, sleep(answerDelayMs, 'late' as const)]) === 'none') {
 			return;
 		}
 
-		try {
-			const socket = await this.#race(upstream, options);
+		const search = peers.isAvailable ? await this.#search(upstream, neverAborted) : undefined;
+		const result = await connecting;
+		if (search?.type === 'connected') {
+			await this.#compareWith(search, upstream, {result, finding});
+		} else if (search?.type === 'none' && result.type === 'failed') {
+			this.#recordLoss(upstream, result.failure);
+		}
+	}
+
+	async #compareWith({peer, result: {socket}}: Extract<TunnelSearchResult, {readonly type: 'connected'}>, upstream: GatewayUpstream, own: {
+		readonly result: ConnectionResult;
+		readonly finding: Promise<LinkFault | 'none'>;
+	}): Promise<void> {
+		if (own.result.type === 'failed') {
 			socket.destroy();
-		} catch {
-			// The upstream is gone, which the next request finds as well.
+			this.#recordCut(upstream, findFault(own.result));
+			return;
+		}
+
+		if (!(await this.#options.probe.isAnswered(upstream, socket))) {
+			this.#options.peers.distrust(peer, upstream);
+			return;
+		}
+
+		const fault = await Promise.race([own.finding, sleep(muteMarginMs, 'mute' as const)]);
+		if (fault !== 'none') {
+			this.#recordCut(upstream, fault);
+		}
+	}
+
+	/** Returns what is wrong with the own link to an upstream, as far as the own link shows. */
+	async #findOwnFault(upstream: GatewayUpstream, connecting: Promise<ConnectionResult>): Promise<LinkFault | 'none'> {
+		const result = await connecting;
+		if (result.type === 'failed') {
+			return findFault(result);
+		}
+
+		this.#recordDirect(upstream, result);
+		return await this.#isAnsweredDirectly(upstream, result.socket) ? 'none' : 'mute';
+	}
+
+	async #isAnsweredDirectly(upstream: GatewayUpstream, socket: Socket): Promise<boolean> {
+		const {probe, links, now} = this.#options;
+		const isAnswered = await probe.isAnswered(upstream, socket);
+		if (isAnswered) {
+			this.#noteRestored(upstream, links.recordAnswer(upstream, now()));
 		}
+
+		return isAnswered;
 	}
 
-	async #connectOverTunnel(upstream: GatewayUpstream, options: TcpNetConnectOpts): Promise<Socket> {
-		const search = await this.#search(upstream, neverAborted);
-		switch (search.type) {
+	/** Links behind something that accepts connections are restored by an answer only. */
+	async #checkRestored(upstream: GatewayUpstream, fault: LinkFault): Promise<void> {
+		const result = await connectDirectly({...upstream.address});
+		this.#recordDirect(upstream, result);
+		if (result.type === 'connected' && fault === 'mute') {
+			await this.#isAnsweredDirectly(upstream, result.socket);
+		}
+
+		closeConnection(result);
+	}
+
+	async #connectOverTunnel(upstream: GatewayUpstream, options: TcpNetConnectOpts, fault: LinkFault): Promise<Socket> {
+		const {peers, links} = this.#options;
+		const search = peers.isHopeless(upstream) ? undefined : await this.#search(upstream, neverAborted, this.#createVerification(upstream, fault));
+		switch (search?.type) {
 			case 'connected': {
 				return search.result.socket;
 			}
 
 			case 'absent': {
-				this.#options.links.forget(upstream.id);
+				links.forget(upstream.id);
 				throw new ConnectionFailure(search.failure, `${search.failure} at other hosts as well`);
 			}
 
-			case 'none': {
-				const result = await connectDirectly(options);
-				this.#recordDirect(upstream, result);
-				return takeSocket(result);
+			case 'none':
+			case undefined: {
+				return this.#connectInVain(upstream, options, fault);
 			}
 
 			default: {
@@ -152,6 +283,17 @@
 		}
 	}
 
+	/** Tries the own link only where that fails at once: callers are refused rather than kept waiting. */
+	async #connectInVain(upstream: GatewayUpstream, options: TcpNetConnectOpts, fault: LinkFault): Promise<Socket> {
+		if (fault !== 'refused') {
+			throw new ConnectionFailure('silent', 'no host reaches it', true);
+		}
+
+		const result = await connectDirectly(options);
+		this.#recordDirect(upstream, result);
+		return takeSocket(result, true);
+	}
+
 	/** Connects directly, and over a tunnel if that fails or takes long; returns the first connection. */
 	async #race(upstream: GatewayUpstream, options: TcpNetConnectOpts): Promise<Socket> {
 		const connected = new AbortController();
@@ -167,7 +309,12 @@
 		connected.abort();
 		void closeUnused(searching);
 		this.#recordDirect(upstream, result);
-		return takeSocket(result);
+		const isLinkDoubtful = result.type === 'failed' && search?.type !== 'absent';
+		if (isLinkDoubtful) {
+			this.#recordLoss(upstream, result.failure);
+		}
+
+		return takeSocket(result, isLinkDoubtful);
 	}
 
 	/** Records what became of a direct connection that a tunnel was faster than. */
@@ -177,12 +324,12 @@
 			result.socket.destroy();
 			this.#recordDirect(upstream, result);
 		} else {
-			this.#recordCut(upstream, result.failure);
+			this.#recordCut(upstream, findFault(result));
 		}
 	}
 
 	/** Searches for a tunnel once the direct connection has failed or takes long. */
-	async #searchAfter(upstream: GatewayUpstream, connecting: Promise<ConnectionResult>, signal: AbortSignal): Promise<TunnelSearch> {
+	async #searchAfter(upstream: GatewayUpstream, connecting: Promise<ConnectionResult>, signal: AbortSignal): Promise<TunnelSearchResult> {
 		const delay = new Promise<'late'>(resolve => {
 			const timer = setTimeout(resolve, tunnelDelayMs, 'late');
 			signal.addEventListener('abort', () => {
@@ -190,11 +337,17 @@
 			}, {once: true});
 		});
 		const first = await Promise.race([connecting, delay]);
-		return first !== 'late' && first.type === 'connected' ? {type: 'none'} : this.#search(upstream, signal);
+		const isNeedless = (first !== 'late' && first.type === 'connected') || this.#options.peers.isHopeless(upstream);
+		return isNeedless ? {type: 'none'} : this.#search(upstream, signal);
 	}
 
-	async #search(upstream: GatewayUpstream, signal: AbortSignal): Promise<TunnelSearch> {
-		const search = await this.#options.peers.search(upstream, signal);
+	/** Where something accepts connections without passing anything, a connection of another host needs an answer as well. */
+	#createVerification(upstream: GatewayUpstream, fault: LinkFault): TunnelVerification | undefined {
+		return fault === 'mute' ? async socket => this.#options.probe.isAnswered(upstream, socket) : undefined;
+	}
+
+	async #search(upstream: GatewayUpstream, signal: AbortSignal, verify?: TunnelVerification): Promise<TunnelSearchResult> {
+		const search = await this.#options.peers.search(upstream, signal, verify);
 		if (!signal.aborted) {
 			this.#options.onTunnel(search.type);
 		}
@@ -210,36 +363,61 @@
 	}
 
 	#recordDirect(upstream: GatewayUpstream, result: ConnectionResult): void {
-		const {links, log, now} = this.#options;
-		if (result.type === 'connected' && links.recordConnection(upstream, now())) {
+		const {links, now} = this.#options;
+		if (result.type === 'connected') {
+			this.#noteRestored(upstream, links.recordConnection(upstream, now()));
+		}
+	}
+
+	#noteRestored(upstream: GatewayUpstream, isRestored: boolean): void {
+		const {log, onChange} = this.#options;
+		if (isRestored) {
 			log.write({event: 'link-restored', upstream: upstream.id, domain: upstream.failureDomain});
+			onChange({type: 'restored'});
 		}
 	}
 
-	#recordCut(upstream: GatewayUpstream, failure: LinkFailure): void {
-		const {links, log, now, onCut} = this.#options;
-		if (links.recordCut(upstream, failure, now())) {
+	#recordCut(upstream: GatewayUpstream, fault: LinkFault): void {
+		const {links, log, now, onChange} = this.#options;
+		if (links.recordCut(upstream, fault, now())) {
 			log.write({
-				event: 'link-cut', upstream: upstream.id, domain: upstream.failureDomain, failure,
+				event: 'link-cut', upstream: upstream.id, domain: upstream.failureDomain, failure: fault,
 			}, 'warn');
-			onCut();
+			onChange({type: 'cut', upstream});
 		}
 	}
+
+	#recordLoss(upstream: GatewayUpstream, failure: LinkFailure): void {
+		const {links, now, onChange} = this.#options;
+		links.recordLoss(upstream, failure, now());
+		onChange({type: 'lost'});
+	}
 }
 
 /**
  * @param result - Result of a direct connection.
+ * @param isLinkDoubtful - Whether the own link may be to blame if there is no connection.
  * @returns The connection.
  * @throws ConnectionFailure if there is none.
  */
-export function takeSocket(result: ConnectionResult): Socket {
+export function takeSocket(result: ConnectionResult, isLinkDoubtful = false): Socket {
 	if (result.type === 'failed') {
-		throw new ConnectionFailure(result.failure, result.detail);
+		throw new ConnectionFailure(result.failure, result.detail, isLinkDoubtful);
 	}
 
 	return result.socket;
 }
 
+function findFault({failure, isReset}: Extract<ConnectionResult, {readonly type: 'failed'}>): LinkFault {
+	return isReset ? 'mute' : failure;
+}
+
+function closeConnection(result: ConnectionResult): void {
+	if (result.type === 'connected') {
+		result.socket.destroy();
+	}
+}
+
 /** Resolves once a connection is established; never if it fails. */
 async function waitUntilConnected(connecting: Promise<ConnectionResult>): Promise<undefined> {
 	return new Promise(resolve => {
@@ -252,7 +430,7 @@
 	});
 }
 
-async function closeUnused(searching: Promise<TunnelSearch>): Promise<void> {
+async function closeUnused(searching: Promise<TunnelSearchResult>): Promise<void> {
 	const search = await searching;
 	if (search.type === 'connected') {
 		search.result.socket.destroy();
--- a/src/gateway/upstreams/link-watch.ts
+++ b/src/gateway/upstreams/link-watch.ts
@@ -1,6 +1,8 @@
-/** Notices that links to upstreams are cut or restored: checks them if all connections are silent, and while some are cut. */
-import {type Links} from '../../core/gateway/health/links.js';
+/** Notices that links to upstreams are cut or restored: checks them if all connections are silent, on alerts, and while some are cut. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {findLinkGroup, type Links} from '../../core/gateway/health/links.js';
 import {type GatewayUpstream} from '../../core/gateway/types.js';
+import {type TunnelPeers} from '../tunnels/tunnel-peers.js';
 import {type Connector} from './connector.js';
 import {type UpstreamAgent} from './agent.js';
 
@@ -11,18 +13,35 @@
 /** Looks without a byte from any upstream after which a link is checked. */
 const silentLooks = 2;
 
-/** Time in milliseconds between two such checks. */
+/** Time in milliseconds between two such checks, and between two searches for further links that are cut. */
 const checkGapMs = 2000;
+const surveyGapMs = 500;
+
+/** Upstreams of a group that are checked on an alert, and longest wait in milliseconds before that, so that hosts check at various times. */
+const surveyedUpstreams = 2;
+const maxSurveyDelayMs = 40;
+
+/** Time in milliseconds between two searches for a way to upstreams that no host reached, and between two requests for further offers. */
+const scoutIntervalMs = 250;
+const prepareIntervalMs = 500;
+
+/** Time in milliseconds without cut links after which the links to hosts that were opened for tunnels only are closed. */
+const keepMs = 10_000;
 
 export type LinkWatchOptions = {
 	readonly agent: Pick<UpstreamAgent, 'closeUnfit' | 'directConnections' | 'findAddress'>;
 	readonly links: Links;
-	readonly connector: Pick<Connector, 'check'>;
+	readonly connector: Pick<Connector, 'check' | 'scout'>;
+	readonly peers: Pick<TunnelPeers, 'introducedCount' | 'isHopeless' | 'prepare' | 'releaseIntroduced'>;
+	/** Uniform from 0 to 1. */
+	readonly random: () => number;
 	readonly now: () => number;
 	readonly listUpstreams: () => readonly GatewayUpstream[];
 	readonly findUpstream: (address: string) => GatewayUpstream | undefined;
 	/** Called for each check of a link. */
 	readonly onCheck: () => void;
+	/** Called while links are cut, at intervals. */
+	readonly onUpdate: () => void;
 };
 
 export class LinkWatch implements Disposable {
@@ -32,6 +51,12 @@
 	#receivedBytes = 0;
 	#silentLooks = 0;
 	#checkedAt = Number.NEGATIVE_INFINITY;
+	#preparedAt = Number.NEGATIVE_INFINITY;
+	#scoutedAt = Number.NEGATIVE_INFINITY;
+	#isScouting = false;
+	#cutAt = Number.NEGATIVE_INFINITY;
+	/** Times of the last surveys, by group. */
+	readonly #surveyedAt = new Map<string, number>();
 
 	/**
 	 * @param options - Connections and links.
@@ -57,6 +82,31 @@
 		}
 	}
 
+	/**
+	 * Checks links to some upstreams of groups that may be cut.
+	 *
+	 * @param groups - Groups; those of all upstreams if absent.
+	 */
+	survey(groups?: readonly string[]): void {
+		const {now, listUpstreams, links, random} = this.#options;
+		const upstreams = listUpstreams();
+		const lost = new Set(links.lostGroups);
+		const present = new Set(upstreams.map(upstream => findLinkGroup(upstream)));
+		for (const group of groups ?? present) {
+			const isDue = now() - (this.#surveyedAt.get(group) ?? Number.NEGATIVE_INFINITY) >= surveyGapMs;
+			if (!isDue || lost.has(group) || !present.has(group)) {
+				continue;
+			}
+
+			this.#surveyedAt.set(group, now());
+			const candidates = upstreams.filter(upstream => findLinkGroup(upstream) === group);
+			const first = Math.floor(random() * candidates.length);
+			for (let index = 0; index < Math.min(surveyedUpstreams, candidates.length); index++) {
+				void this.#checkSoon(candidates[(first + index) % candidates.length]!, group);
+			}
+		}
+	}
+
 	/** Checks cut links until none is left. */
 	startChecks(): void {
 		this.#checkTimer ??= setInterval(() => {
@@ -69,14 +119,31 @@
 		clearInterval(this.#checkTimer);
 	}
 
+	/** Hosts that are alerted together check at various times. A group that is found to be lost meanwhile needs no check. */
+	async #checkSoon(upstream: GatewayUpstream, group: string): Promise<void> {
+		const {links, connector, onCheck, random} = this.#options;
+		await sleep(random() * maxSurveyDelayMs);
+		if (!links.lostGroups.includes(group)) {
+			onCheck();
+			await connector.check(upstream);
+		}
+	}
+
 	#checkCutLinks(): void {
-		const {links, connector, listUpstreams, now, onCheck, agent} = this.#options;
-		if (!links.hasCuts) {
+		const {links, connector, listUpstreams, now, onCheck, agent, peers, onUpdate} = this.#options;
+		onUpdate();
+		if (links.hasCuts) {
+			this.#cutAt = now();
+		} else if (now() - this.#cutAt >= keepMs || peers.introducedCount === 0) {
+			peers.releaseIntroduced();
 			clearInterval(this.#checkTimer);
 			this.#checkTimer = undefined;
 			return;
 		}
 
+		this.#prepare();
+		void this.#scout();
+
 		for (const upstream of links.selectChecks(listUpstreams(), now())) {
 			onCheck();
 			void (async () => {
@@ -86,6 +153,34 @@
 		}
 	}
 
+	/** Gets offers of further hosts while all links to some groups are lost. */
+	#prepare(): void {
+		const {links, peers, now} = this.#options;
+		if (links.lostGroups.length > 0 && now() - this.#preparedAt >= prepareIntervalMs) {
+			this.#preparedAt = now();
+			peers.prepare();
+		}
+	}
+
+	/** Looks for a way to upstreams that no host reached a moment ago, in place of the requests. */
+	async #scout(): Promise<void> {
+		const {links, peers, connector, listUpstreams, now, random} = this.#options;
+		if (this.#isScouting || now() - this.#scoutedAt < scoutIntervalMs) {
+			return;
+		}
+
+		const hopeless = listUpstreams().filter(each => links.findRoute(each).type === 'tunnel' && peers.isHopeless(each));
+		const upstream = hopeless[Math.floor(random() * hopeless.length)];
+		if (upstream === undefined) {
+			return;
+		}
+
+		this.#isScouting = true;
+		await connector.scout(upstream);
+		this.#isScouting = false;
+		this.#scoutedAt = now();
+	}
+
 	/** Suspects an upstream if no connection in use has received a byte for a while. */
 	#look(): void {
 		const {agent, findUpstream} = this.#options;
--- a/src/gateway/upstreams/reputation.ts
+++ b/src/gateway/upstreams/reputation.ts
@@ -110,6 +110,30 @@
 		this.#logHealthChange(upstream, verdict, now, peer);
 	}
 
+	/**
+	 * Records that this host couldn't connect to an upstream, perhaps only as its own link is cut.
+	 *
+	 * @param id - Upstream.
+	 * @param now - Time in milliseconds.
+	 */
+	recordUnlinked(id: string, now: number): void {
+		this.health.record(id, 'unreachable', now);
+		this.#logHealthChange(id, 'unreachable', now);
+	}
+
+	/**
+	 * Takes back what was recorded against an upstream while the link of this host was to blame.
+	 *
+	 * @param id - Upstream.
+	 */
+	excuse(id: string): void {
+		this.health.forget(id);
+		this.#reachability.forgetFailure(id);
+		if (this.#unhealthy.delete(id)) {
+			this.#options.log.write({event: 'upstream-trusted', upstream: id, reason: 'the link is cut'});
+		}
+	}
+
 	/**
 	 * @param id - Upstream that was restarted or removed.
 	 */
--- a/src/gateway/upstreams/stall-detectors.ts
+++ b/src/gateway/upstreams/stall-detectors.ts
@@ -1,6 +1,6 @@
 /** The stall detectors of all attempts in progress. */
-import {type Links} from '../../core/gateway/health/links.js';
 import {type GatewayUpstream} from '../../core/gateway/types.js';
+import {type FleetTunnels} from '../tunnels/fleet-tunnels.js';
 import {type Attempt} from './attempt.js';
 import {StallDetector} from './stall-detector.js';
 
@@ -17,22 +17,14 @@
 };
 
 export class StallDetectors {
-	readonly #links: Links;
+	readonly #tunnels: Pick<FleetTunnels, 'links' | 'noteUnanswered'>;
 	readonly #detectors = new Map<Attempt, {readonly upstream: GatewayUpstream; readonly detector: StallDetector}>();
-	#silenceListener: ((upstream: GatewayUpstream) => void) | undefined;
 
 	/**
-	 * @param links - Links of this host.
+	 * @param tunnels - Links of this host, and its tunnels over others.
 	 */
-	constructor(links: Links) {
-		this.#links = links;
-	}
-
-	/**
-	 * @param listener - Called with the upstream of an attempt over the link of this host that was cancelled as it was silent.
-	 */
-	onSilence(listener: (upstream: GatewayUpstream) => void): void {
-		this.#silenceListener = listener;
+	constructor(tunnels: Pick<FleetTunnels, 'links' | 'noteUnanswered'>) {
+		this.#tunnels = tunnels;
 	}
 
 	/**
@@ -45,9 +37,7 @@
 			forecastIterationTime,
 			cancel: () => {
 				attempt.cancel('silent');
-				if (attempt.tunnel === undefined) {
-					this.#silenceListener?.(upstream);
-				}
+				this.#tunnels.noteUnanswered(upstream, attempt.tunnel);
 			},
 		}, predicted);
 		this.#detectors.set(attempt, {upstream, detector});
@@ -62,11 +52,11 @@
 		this.#detectors.delete(attempt);
 	}
 
-	/** Waits only briefly for attempts over links that were found to be cut and silent. */
+	/** Waits only briefly for attempts over links that were found to be cut and to pass nothing. */
 	hurry(): void {
 		for (const [attempt, {upstream, detector}] of this.#detectors) {
-			const route = this.#links.findRoute(upstream);
-			if (route.type === 'tunnel' && route.failure === 'silent' && attempt.tunnel === undefined) {
+			const route = this.#tunnels.links.findRoute(upstream);
+			if (route.type === 'tunnel' && route.fault !== 'refused' && attempt.tunnel === undefined) {
 				detector.hurry();
 			}
 		}
--- a/src/gateway/upstreams/upstream-pool.ts
+++ b/src/gateway/upstreams/upstream-pool.ts
@@ -1,63 +1,140 @@
 /** Connections to upstreams over the links of this host and over other hosts, and what watches the links. */
+import {type Agent} from 'node:http';
+import {assertNever} from '../../core/index.js';
+import {type GatewayUpstream} from '../../core/gateway/types.js';
+import {type LinkScope} from '../../core/gateway/health/links.js';
 import {type Clock} from '../../entry/clock.js';
 import {type Log} from '../../entry/logs.js';
 import {type Gateway} from '../gateway.js';
 import {type GatewayMetrics} from '../metrics.js';
+import {type HealthClient} from '../platform-adapter.js';
 import {UpstreamAgent} from './agent.js';
-import {Connector} from './connector.js';
+import {Connector, type LinkChange} from './connector.js';
+import {LinkProbe} from './link-probe.js';
 import {LinkWatch} from './link-watch.js';
 
+export type UpstreamPoolOptions = {
+	/** State of this host. */
+	readonly gateway: Gateway;
+	/** Counts tunnels and checks. */
+	readonly metrics: Pick<GatewayMetrics, 'linkChecks' | 'linkProbes' | 'tunnelSearches'>;
+	readonly clock: Pick<Clock, 'now'>;
+	readonly log: Pick<Log, 'write'>;
+	readonly createHealthClient: (agent: Agent) => HealthClient;
+};
+
 export class UpstreamPool implements Disposable {
 	readonly agent: UpstreamAgent;
 	readonly linkWatch: LinkWatch;
+	readonly #connector: Connector;
 
 	/**
-	 * @param gateway - State of this host.
-	 * @param metrics - Counts tunnels and checks.
-	 * @param clock - Monotonic time.
-	 * @param log - Log.
+	 * @param options - State of this host, and how it reaches upstreams.
 	 */
-	constructor(gateway: Gateway, metrics: Pick<GatewayMetrics, 'linkChecks' | 'tunnelSearches'>, clock: Pick<Clock, 'now'>, log: Pick<Log, 'write'>) {
-		const {links, tunnelPeers, upstreams, stallDetectors} = gateway;
+	constructor({gateway, metrics, clock, log, createHealthClient}: UpstreamPoolOptions) {
+		const {tunnels, upstreams} = gateway;
+		const {links, peers} = tunnels;
 		const now = () => clock.now();
 		const findUpstream = (address: string) => upstreams.findByAddress(address);
-		const connector = new Connector({
+		this.#connector = new Connector({
 			links,
-			peers: tunnelPeers,
+			peers,
+			probe: new LinkProbe({
+				createHealthClient,
+				findHealthPath: service => gateway.service(service)?.healthPath ?? '/',
+				onSent({id}) {
+					metrics.linkProbes.inc();
+					gateway.selfReports.countRequest(id, now());
+				},
+			}),
 			log,
 			now,
 			findUpstream,
-			onCut: () => {
-				this.agent.closeUnfit();
-				this.linkWatch.startChecks();
-				stallDetectors.hurry();
+			listNeighbours: ({id, service, failureDomain}) => upstreams.listByService(service).filter(each => each.failureDomain === failureDomain && each.id !== id),
+			random: Math.random,
+			onChange: change => {
+				this.#applyChange(gateway, change);
 			},
 			onTunnel(result) {
 				metrics.tunnelSearches.inc({result});
 			},
 		});
-		this.agent = new UpstreamAgent(connector);
+		this.agent = new UpstreamAgent(this.#connector);
 		this.linkWatch = new LinkWatch({
 			agent: this.agent,
 			links,
-			connector,
+			connector: this.#connector,
+			peers,
+			random: Math.random,
 			now,
 			findUpstream,
 			listUpstreams: () => upstreams.all,
 			onCheck() {
 				metrics.linkChecks.inc();
 			},
+			onUpdate() {
+				tunnels.update();
+			},
 		});
-		gateway.onTunnelsLost(() => {
-			this.agent.closeUnfit();
-		});
-		stallDetectors.onSilence(upstream => {
-			this.linkWatch.suspect(upstream);
+		tunnels.listen({
+			lost: () => {
+				this.agent.closeUnfit();
+			},
+			alerted: groups => {
+				this.linkWatch.survey(groups);
+			},
+			suspected: upstream => {
+				this.linkWatch.suspect(upstream);
+			},
+			distrusted: peer => {
+				this.agent.closeTunnels(peer);
+			},
+			found() {
+				gateway.excuseUnlinked();
+			},
 		});
 	}
 
+	/**
+	 * @param upstream - Upstream that this host couldn't connect to.
+	 * @returns To which other upstreams its links are sound.
+	 */
+	async findSoundScope(upstream: GatewayUpstream): Promise<LinkScope> {
+		return this.#connector.findSoundScope(upstream);
+	}
+
 	[Symbol.dispose](): void {
 		this.linkWatch[Symbol.dispose]();
 		this.agent.destroy();
 	}
+
+	/** Uses no connection that a cut link leaves behind, and takes back what was blamed on upstreams that other hosts reach. */
+	#applyChange(gateway: Gateway, change: LinkChange): void {
+		gateway.tunnels.update();
+		this.agent.closeUnfit();
+		switch (change.type) {
+			case 'cut': {
+				gateway.excuseUnlinked();
+				gateway.convictions.recordReached(change.upstream.id);
+				gateway.stallDetectors.hurry();
+				this.linkWatch.startChecks();
+				this.linkWatch.survey();
+				return;
+			}
+
+			case 'lost': {
+				this.linkWatch.startChecks();
+				this.linkWatch.survey();
+				return;
+			}
+
+			case 'restored': {
+				return;
+			}
+
+			default: {
+				assertNever(change);
+			}
+		}
+	}
 }
