Tests of links behind something that accepts connections and passes nothing

A stand-in that accepts connections and passes nothing, resets them at once, or resets them after the head of a request.

--- a/__tests__/gateway/cut-from-upstreams.test.ts
+++ b/__tests__/gateway/cut-from-upstreams.test.ts
@@ -78,6 +78,25 @@
 	});
 });
 
+describe.each(['accept', 'accept-reset', 'reset-after-head'] as const)('a host whose connections to all upstreams are accepted by something in between that passes nothing: %s', severance => {
+	it('serves its callers over other hosts, and over its own links soon after answers arrive over these', async () => {
+		const deployment = await startSite();
+		await findUnservedOf(deployment, 0, 'before', 3);
+		await deployment.sever(0, severance);
+		await Promise.all([sleep(3000), findUnservedOf(deployment, 0, 'learning', 2)]);
+		expect(await findUnservedOf(deployment, 0, 'cut', 8)).toEqual([]);
+		expect(await findUnservedOf(deployment, 1, 'others', 3)).toEqual([]);
+		expect(deployment.hosts[0]!.findLogLines('link-cut').length).toBeGreaterThan(0);
+		expect(deployment.hosts[0]!.findLogLines('link-restored')).toEqual([]);
+		await deployment.restore(0);
+		await sleep(2500);
+		const opened = deployment.hosts[0]!.findLogLines('tunnel-opened').length;
+		expect(await findUnservedOf(deployment, 0, 'after', 3)).toEqual([]);
+		expect(deployment.hosts[0]!.findLogLines('tunnel-opened')).toHaveLength(opened);
+		expect(findRepeated(deployment)).toEqual([]);
+	});
+});
+
 it('serves callers at two of three hosts that are cut from all upstreams', async () => {
 	const deployment = await startSite();
 	await Promise.all([deployment.sever(0, 'hang'), deployment.sever(1, 'reset')]);
--- a/stand-ins/proxy/severable-link.ts
+++ b/stand-ins/proxy/severable-link.ts
@@ -16,7 +16,16 @@
 	/** Open ones are reset, and new ones refused. */
 		| 'reset'
 	/** Open ones live on, and new ones are refused. */
-		| 'refuse-new';
+		| 'refuse-new'
+	/** Open ones hang, and new ones are accepted, without any byte passing. */
+		| 'accept'
+	/** Open ones are reset, and new ones as soon as they are accepted. */
+		| 'accept-reset'
+	/** Open ones are reset, and new ones with the first bytes that arrive over them. */
+		| 'reset-after-head';
+
+/** What becomes of a connection that is accepted. */
+type Acceptance = 'carry' | 'swallow' | 'reset' | 'reset-after-head';
 
 const loopback = '127.0.0.1';
 const noEffect: FaultEffect = {
@@ -52,6 +61,9 @@
 	readonly #port: number;
 	readonly #pipes = new Set<Pipe>();
 	readonly #fillers: Socket[] = [];
+	/** Connections that are accepted and lead nowhere. */
+	readonly #deadEnds = new Set<Socket>();
+	#acceptance: Acceptance = 'carry';
 	#server: Server | undefined;
 	#hanging: Worker | undefined;
 
@@ -67,24 +79,29 @@
 
 	/** Severs the link until `restore`. */
 	async sever(severance: Severance): Promise<void> {
-		this.#server?.close();
-		this.#server = undefined;
 		switch (severance) {
-			case 'hang': {
+			case 'accept': {
+				this.#acceptance = 'swallow';
 				this.#setEffect({...noEffect, isBlackHoled: true});
-				await this.#hang();
 				return;
 			}
 
-			case 'reset': {
-				for (const pipe of this.#pipes) {
-					pipe.reset();
-				}
+			case 'accept-reset': {
+				this.#acceptance = 'reset';
+				this.#resetPipes();
+				return;
+			}
 
+			case 'reset-after-head': {
+				this.#acceptance = 'reset-after-head';
+				this.#resetPipes();
 				return;
 			}
 
+			case 'hang':
+			case 'reset':
 			case 'refuse-new': {
+				await this.#close(severance);
 				return;
 			}
 
@@ -97,6 +114,8 @@
 	/** Carries bytes and accepts connections again. */
 	async restore(): Promise<void> {
 		await this.#stopHanging();
+		this.#acceptance = 'carry';
+		this.#closeDeadEnds();
 		this.#setEffect(noEffect);
 		if (this.#server === undefined) {
 			await this.#listen();
@@ -105,23 +124,103 @@
 
 	async [Symbol.asyncDispose](): Promise<void> {
 		await this.#stopHanging();
+		this.#closeDeadEnds();
 		this.#server?.close();
 		for (const pipe of this.#pipes) {
 			pipe.destroy();
 		}
 	}
 
+	/** Accepts no more connections. */
+	async #close(severance: 'hang' | 'refuse-new' | 'reset'): Promise<void> {
+		this.#server?.close();
+		this.#server = undefined;
+		switch (severance) {
+			case 'hang': {
+				this.#setEffect({...noEffect, isBlackHoled: true});
+				await this.#hang();
+				return;
+			}
+
+			case 'reset': {
+				this.#resetPipes();
+				return;
+			}
+
+			case 'refuse-new': {
+				return;
+			}
+
+			default: {
+				assertNever(severance);
+			}
+		}
+	}
+
 	async #listen(): Promise<void> {
 		const server = createServer({allowHalfOpen: true, pauseOnConnect: true}, socket => {
-			const pipe = new Pipe(socket, this.#target, {from: undefined, to: undefined, link: ''}, noEffect);
-			this.#pipes.add(pipe);
-			void pipe.closed.then(() => this.#pipes.delete(pipe));
+			this.#accept(socket);
 		});
 		server.listen(this.#port, loopback);
 		await once(server, 'listening');
 		this.#server = server;
 	}
 
+	#accept(socket: Socket): void {
+		switch (this.#acceptance) {
+			case 'carry': {
+				const pipe = new Pipe(socket, this.#target, {from: undefined, to: undefined, link: ''}, noEffect);
+				this.#pipes.add(pipe);
+				void pipe.closed.then(() => this.#pipes.delete(pipe));
+				return;
+			}
+
+			case 'swallow': {
+				this.#keepDeadEnd(socket);
+				socket.resume();
+				return;
+			}
+
+			case 'reset': {
+				socket.resetAndDestroy();
+				return;
+			}
+
+			case 'reset-after-head': {
+				this.#keepDeadEnd(socket);
+				socket.once('data', () => {
+					socket.resetAndDestroy();
+				});
+				socket.resume();
+				return;
+			}
+
+			default: {
+				assertNever(this.#acceptance);
+			}
+		}
+	}
+
+	#keepDeadEnd(socket: Socket): void {
+		this.#deadEnds.add(socket);
+		socket.on('error', () => undefined);
+		socket.once('close', () => {
+			this.#deadEnds.delete(socket);
+		});
+	}
+
+	#closeDeadEnds(): void {
+		for (const socket of this.#deadEnds) {
+			socket.destroy();
+		}
+	}
+
+	#resetPipes(): void {
+		for (const pipe of this.#pipes) {
+			pipe.reset();
+		}
+	}
+
 	#setEffect(effect: FaultEffect): void {
 		for (const pipe of this.#pipes) {
 			pipe.setEffect(effect);
