--- a/src/gateway/__tests__/attempt.test.ts
+++ b/src/gateway/__tests__/attempt.test.ts
@@ -55,7 +55,7 @@
 	await vi.advanceTimersByTimeAsync(150);
 	await turn();
 	await turn();
-	expect(replies).toEqual([{type: 'ended', ending: {type: 'not-run', reason: 'no connection in time', isShed: false}, absence: 'silent'}]);
+	expect(replies).toEqual([{type: 'ended', ending: {type: 'not-run', reason: 'no connection in time', isShed: false}, absence: {failure: 'silent', isLinkDoubtful: false}}]);
 });
 
 it('ends at once without having run if it is cancelled while it has no connection', async () => {
