--- a/src/gateway/tunnels/link-alerts.ts
+++ b/src/gateway/tunnels/link-alerts.ts
@@ -46,6 +46,8 @@
 		const due = this.#takeDue(this.#raisedAt, groups.slice(0, maxLostGroups));
 		if (due.length > 0) {
 			this.#options.log.write({event: 'links-lost', groups: due}, 'warn');
+			// Relays send the alert back.
+			this.#takeDue(this.#actedAt, due);
 			this.#send(due, 'fleet');
 		}
 	}
