--- a/bench/soak/plan.ts
+++ b/bench/soak/plan.ts
@@ -111,7 +111,7 @@
 const severanceSeedOffset = 6_000_003;
 const gapBetweenSeverances = {least: 1000, most: 6000};
 const severanceLengthMs = {least: 1000, most: 7000};
-const severances: readonly Severance[] = ['hang', 'reset', 'refuse-new'];
+const severances: readonly Severance[] = ['hang', 'reset', 'refuse-new', 'accept', 'accept-reset', 'reset-after-head'];
 
 /** The same for parts of prompts that crash engines, for engines that crash without a cause, and for hosts that get all new connections. */
 const poisonSeedOffset = 7_000_003;
@@ -145,11 +145,32 @@
 	return Array.from({length: upstreams}, (_, index) => index).filter(index => (index < engines) === isEngine);
 }
 
+/** Draws one host, all but one, those of a failure domain, or all. */
+function drawHosts(random: Random, host: number, {hosts, domains}: PlanOptions): readonly number[] {
+	const all = Array.from({length: hosts}, (_, index) => index);
+	switch (pick(random, ['one', 'others', 'domain', 'all'] as const)) {
+		case 'one': {
+			return [host];
+		}
+
+		case 'others': {
+			return all.filter(index => index !== host);
+		}
+
+		case 'domain': {
+			return all.filter(index => index % domains === host % domains);
+		}
+
+		case 'all': {
+			return all;
+		}
+	}
+}
+
 function drawSeverance(random: Random, host: number, options: PlanOptions): Fault {
-	const isOne = random.integer(0, 1) === 0;
 	return {
 		type: 'sever',
-		hosts: Array.from({length: options.hosts}, (_, index) => index).filter(index => (index === host) === isOne),
+		hosts: drawHosts(random, host, options),
 		upstreams: random.integer(0, 2) === 0 ? drawUpstreams(random, options) : Array.from({length: options.upstreams}, (_, index) => index),
 		how: pick(random, severances),
 		length: random.integer(severanceLengthMs.least, severanceLengthMs.most),
