Tunnels are offered without a setting, and their absence shows

A host without the setting `tunnel` offered nothing to others, in silence. It now listens at a free port on its address for other hosts, which the line `started` names; `none` switches it off, with a warning at the start and a metric.

--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -133,11 +133,14 @@
 		const readiness = this.#disposal.use(new ReadyListener(() => this.isReady));
 		await this.#gateway.peers.start();
 		await this.#callers.listen(caller);
-		if (this.#tunnelServer !== undefined) {
+		if (this.#tunnelServer === undefined) {
+			this.#log.write({event: 'tunnels-off', reason: 'the setting "tunnel" is "none"'}, 'warn');
+		} else {
 			await this.#tunnelServer.listen();
 			this.#offerTunnels(this.#tunnelServer);
 		}
 
+		this.#metrics.tunnelsOffered.set(this.#tunnelServer === undefined ? 0 : 1);
 		await readiness.listen(ready);
 		if (metrics !== undefined) {
 			const listener = this.#disposal.use(new MetricsListener(this.#metrics, () => {
@@ -153,7 +156,9 @@
 			await listener.listen(admin);
 		}
 
-		this.#log.write({event: 'started', domain: this.#settings.failureDomain, sinceStart: Math.round(this.#clock.now())});
+		this.#log.write({
+			event: 'started', domain: this.#settings.failureDomain, tunnels: this.#tunnelServer?.port, sinceStart: Math.round(this.#clock.now()),
+		});
 	}
 
 	/**
@@ -235,11 +240,11 @@
 
 	#createTunnelServer(): TunnelServer | undefined {
 		const {tunnels: {links}, upstreams} = this.#gateway;
-		const address = this.#settings.tunnel;
-		return address === undefined
+		const {tunnel, peer} = this.#settings;
+		return tunnel === 'none'
 			? undefined
 			: this.#disposal.use(new TunnelServer({
-				address,
+				address: tunnel ?? {host: peer.host, port: 0},
 				log: this.#log,
 				now: () => this.#clock.now(),
 				findUpstream: id => upstreams.get(id),
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -100,6 +100,7 @@
 	readonly linkChecks: Counter;
 	readonly linkProbes: Counter;
 	readonly tunnelHosts: Gauge;
+	readonly tunnelsOffered: Gauge;
 	readonly #registry = new Registry();
 
 	constructor() {
@@ -151,6 +152,7 @@
 		this.linksCut = createGauge(registry, 'links_cut', 'Upstreams that other hosts reach and this one does not');
 		this.linkChecks = createCounter(registry, 'link_checks_total', 'Connections made only to check a link', []);
 		this.linkProbes = createCounter(registry, 'link_probes_total', 'Health checks that tell whether an upstream answers over a link', []);
+		this.tunnelsOffered = createGauge(registry, 'tunnels_offered', 'Whether this host connects others to upstreams that they do not reach: 1 or 0');
 		this.tunnelHosts = createGauge(registry, 'tunnel_hosts', 'Hosts that are linked for tunnels only');
 		this.responsesEnded = createCounter(registry, 'responses_ended_total', 'Responses that were cut off as memory was short or their caller did not read', ['reason']);
 	}
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -24,8 +24,8 @@
 	metrics: addressSchema.optional(),
 	/** Address for the operators' command line, which callers must not reach; not served if absent. */
 	admin: addressSchema.optional(),
-	/** Address at which this host opens tunnels to upstreams for hosts that don't reach them; it opens none if absent. */
-	tunnel: addressSchema.optional(),
+	/** Address at which this host opens tunnels to upstreams for hosts that don't reach them; a free port beside `peer` if absent. */
+	tunnel: z.union([z.literal('none'), addressSchema]).optional(),
 	/** Processor capacity of this host: cores, and the share of each that it may use. Hosts with more capacity become relays. */
 	processor: z.object({cores: z.number().positive(), share: z.number().positive()}).readonly().default({cores: 1, share: 1}),
 	/** Addresses of the first peers to contact. */
--- a/src/gateway/tunnels/tunnel-server.ts
+++ b/src/gateway/tunnels/tunnel-server.ts
@@ -74,6 +74,11 @@
 		};
 	}
 
+	/** Port on which it listens; undefined until then. */
+	get port(): number | undefined {
+		return this.#port;
+	}
+
 	/** Number of tunnels that are open or being opened. */
 	get size(): number {
 		return this.#sockets.size;
