--- a/src/gateway/tunnels/tunnel-peers.ts
+++ b/src/gateway/tunnels/tunnel-peers.ts
@@ -11,7 +11,7 @@
 import {TunnelSearch, type Offerer, type TunnelSearchResult} from './tunnel-search.js';
 
 /** Hosts that reach upstreams which this one doesn't to keep at hand, so that its tunnels are spread. */
-const wantedOfferers = 5;
+const wantedOfferers = 8;
 
 /** Time in milliseconds for which an answer over a host shows that its links to a group of upstreams are sound. */
 const verificationMs = 2000;
