--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -232,7 +232,7 @@
 			onForeignCrash: upstream => {
 				this.reputation.noteCrash(upstream, clock.now());
 			},
-			areLinksInDoubt: () => this.tunnels.links.hasCuts,
+			areLinksInDoubt: () => this.tunnels.areLinksInDoubt,
 		});
 		this.loadUpdates = new LoadUpdates({
 			self: settings.host,
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -206,11 +206,7 @@
 		const reply = await attempt.reply();
 		if (reply.type === 'ended') {
 			const ending = this.#verdicts.recordUnanswered(reply, upstream, isSuspected);
-			if (ending.type === 'unknown') {
-				gateway.tunnels.noteUnanswered(target, attempt.tunnel);
-			}
-
-			this.#recordCrash(ending, attempt, running, target);
+			this.#recordBreak(ending, attempt, running, target);
 			return ending;
 		}
 
@@ -263,7 +259,7 @@
 			gateway.recordUnlinked(upstream);
 		} else if (!isSilent || gateway.tunnels.links.findRoute(target).type === 'direct') {
 			this.#verdicts.recordEnding(ending, upstream, isSuspected);
-			this.#recordCrash(ending, attempt, running, target);
+			this.#recordBreak(ending, attempt, running, target);
 		}
 
 		if (ending.type === 'answered' && ending.status < 300) {
@@ -274,9 +270,14 @@
 	}
 
 	/** A connection over a cut link or another host breaks for other reasons than a crash. */
-	#recordCrash(ending: AttemptEnding, {tunnel}: Attempt, running: RunningAttempt, target: GatewayUpstream): void {
+	#recordBreak(ending: AttemptEnding, {tunnel}: Attempt, running: RunningAttempt, target: GatewayUpstream): void {
 		const {gateway} = this.#state.services;
-		if (ending.type === 'unknown' && ending.isDisconnected === true && tunnel === undefined && gateway.tunnels.links.findRoute(target).type !== 'tunnel') {
+		if (ending.type !== 'unknown' || ending.isDisconnected !== true) {
+			return;
+		}
+
+		gateway.tunnels.noteUnanswered(target, tunnel);
+		if (tunnel === undefined && gateway.tunnels.links.findRoute(target).type !== 'tunnel') {
 			gateway.convictions.recordBroken(running);
 		}
 	}
--- a/src/gateway/tunnels/fleet-tunnels.ts
+++ b/src/gateway/tunnels/fleet-tunnels.ts
@@ -43,6 +43,7 @@
 	#alerts: LinkAlerts | undefined;
 	#source: OfferSource | undefined;
 	#listener: TunnelListener | undefined;
+	#runningChecks = 0;
 	/** Groups of upstreams without links, as last announced. */
 	#lostGroups: readonly string[] = [];
 
@@ -68,6 +69,21 @@
 		});
 	}
 
+	/** Whether some links of this host are cut, or being checked. */
+	get areLinksInDoubt(): boolean {
+		return this.links.hasCuts || this.#runningChecks > 0;
+	}
+
+	/** @returns Ends a check of a link that begins now when disposed of. */
+	trackCheck(): Disposable {
+		this.#runningChecks++;
+		return {
+			[Symbol.dispose]: () => {
+				this.#runningChecks--;
+			},
+		};
+	}
+
 	/**
 	 * @param host - Name of a host.
 	 * @returns The offer for it; undefined while this host offers no tunnels.
--- a/src/gateway/upstreams/link-watch.ts
+++ b/src/gateway/upstreams/link-watch.ts
@@ -38,8 +38,8 @@
 	readonly now: () => number;
 	readonly listUpstreams: () => readonly GatewayUpstream[];
 	readonly findUpstream: (address: string) => GatewayUpstream | undefined;
-	/** Called for each check of a link. */
-	readonly onCheck: () => void;
+	/** Called for each check of a link, which has ended once the result is disposed of. */
+	readonly track: () => Disposable;
 	/** Called while links are cut, at intervals. */
 	readonly onUpdate: () => void;
 };
@@ -74,11 +74,10 @@
 	 * @param upstream - Upstream.
 	 */
 	suspect(upstream: GatewayUpstream): void {
-		const {now, onCheck, connector} = this.#options;
+		const {now} = this.#options;
 		if (now() - this.#checkedAt >= checkGapMs) {
 			this.#checkedAt = now();
-			onCheck();
-			void connector.check(upstream);
+			void this.#check(upstream);
 		}
 	}
 
@@ -121,16 +120,20 @@
 
 	/** Hosts that are alerted together check at various times. A group that is found to be lost meanwhile needs no check. */
 	async #checkSoon(upstream: GatewayUpstream, group: string): Promise<void> {
-		const {links, connector, onCheck, random} = this.#options;
+		const {links, random} = this.#options;
 		await sleep(random() * maxSurveyDelayMs);
 		if (!links.lostGroups.includes(group)) {
-			onCheck();
-			await connector.check(upstream);
+			await this.#check(upstream);
 		}
 	}
 
+	async #check(upstream: GatewayUpstream): Promise<void> {
+		using _ = this.#options.track();
+		await this.#options.connector.check(upstream);
+	}
+
 	#checkCutLinks(): void {
-		const {links, connector, listUpstreams, now, onCheck, agent, peers, onUpdate} = this.#options;
+		const {links, listUpstreams, now, agent, peers, onUpdate} = this.#options;
 		onUpdate();
 		if (links.hasCuts) {
 			this.#cutAt = now();
@@ -145,9 +148,8 @@
 		void this.#scout();
 
 		for (const upstream of links.selectChecks(listUpstreams(), now())) {
-			onCheck();
 			void (async () => {
-				await connector.check(upstream);
+				await this.#check(upstream);
 				agent.closeUnfit();
 			})();
 		}
--- a/src/gateway/upstreams/upstream-pool.ts
+++ b/src/gateway/upstreams/upstream-pool.ts
@@ -69,8 +69,9 @@
 			now,
 			findUpstream,
 			listUpstreams: () => upstreams.all,
-			onCheck() {
+			track() {
 				metrics.linkChecks.inc();
+				return tunnels.trackCheck();
 			},
 			onUpdate() {
 				tunnels.update();
