--- a/src/gateway/tunnels/tunnel-peers.ts
+++ b/src/gateway/tunnels/tunnel-peers.ts
@@ -38,6 +38,14 @@
 /** Returns whether an answer of the upstream came back over a connection, which it closes. */
 export type TunnelVerification = (socket: Socket) => Promise<boolean>;
 
+/** A connection to ask a host for. */
+type TunnelToOpen = {
+	/** Id of the tunnel. */
+	readonly tunnel: string;
+	readonly upstream: LinkedUpstream;
+	readonly verify?: TunnelVerification;
+};
+
 export class TunnelPeers {
 	readonly #options: TunnelPeersOptions;
 	readonly #offerers = new Map<string, Offerer>();
@@ -159,7 +167,7 @@
 			id: `${this.#options.incarnation}.t${turn}`,
 			rank: asked => this.#rank([...this.#offerers.values()].filter(({name, lost}) => !asked.has(name) && !lost.has(group)), upstream, turn),
 			introduce: asked => this.#introductions.request(asked),
-			open: async (host, tunnel, ended) => this.#open(host, tunnel, upstream, ended, verify),
+			open: async (host, tunnel, ended) => this.#open(host, {tunnel, upstream, verify}, ended),
 			onRefusal: host => {
 				this.#refusals.record(host.name, group, this.#options.now());
 			},
@@ -195,7 +203,8 @@
 		return lost.length === 0 || needed.some(group => !lost.includes(group));
 	}
 
-	async #open(host: Offerer, tunnel: string, upstream: LinkedUpstream, signal: AbortSignal, verify: TunnelVerification | undefined): Promise<TunnelResult> {
+	async #open(host: Offerer, request: TunnelToOpen, signal: AbortSignal): Promise<TunnelResult> {
+		const {tunnel, upstream, verify} = request;
 		const target = {id: tunnel, from: this.#options.host, upstream: upstream.id};
 		const result = await openTunnel(host.offer, target, signal);
 		if (result.type === 'connected') {
@@ -210,7 +219,7 @@
 			}
 
 			this.#verifiedAt.set(`${host.name} ${findLinkGroup(upstream)}`, this.#options.now());
-			return this.#open(host, tunnel, upstream, signal, undefined);
+			return this.#open(host, {tunnel, upstream}, signal);
 		}
 
 		const isOfUse = result.type === 'absent' && result.scope !== undefined && result.scope !== 'none';
