Hosts vouch for their links only by what has worked since they were asked

Cause: a host that had just been cut off as well, and had had traffic a second before, was taken for a witness that an upstream was gone.

Change: a host that can't connect for another one connects to an upstream of the same group and one of another group before it answers. Upstreams that want no requests at present get no health checks of links either, and those that are cold have them counted.

--- a/__tests__/gateway/cut-in-large-fleets.test.ts
+++ b/__tests__/gateway/cut-in-large-fleets.test.ts
@@ -65,8 +65,9 @@
 	return unserved;
 }
 
-function listDoubting(hosts: readonly Host[]): readonly string[] {
-	return hosts.filter(host => host.findLogLines('upstream-doubted').length > 0).map(({name}) => name);
+/** Returns which upstreams hosts doubted, and on whose evidence. */
+function listDoubts(hosts: readonly Host[]): readonly string[] {
+	return hosts.flatMap(host => host.findLogLines('upstream-doubted').map(({upstream, verdict, peer = 'an attempt'}) => `${host.name}: ${String(upstream)} ${String(verdict)} by ${String(peer)}`));
 }
 
 it.each(['reset', 'hang'] as const)('find a way over hosts of other failure domains if their relays are cut off as well: %s', {timeout: 60_000}, async severance => {
@@ -79,7 +80,7 @@
 	await Promise.all([sleep(learningTimeMs), findUnserved(deployment, cut.slice(0, 3), 'learning')]);
 	expect(await findUnserved(deployment, cut, 'cut', 3)).toEqual([]);
 	expect(await findUnserved(deployment, sound, 'sound', 2)).toEqual([]);
-	expect(listDoubting(sound.map(index => deployment.hosts[index]!))).toEqual([]);
+	expect(listDoubts(sound.map(index => deployment.hosts[index]!))).toEqual([]);
 	expect(deployment.hosts.flatMap(host => host.findLogLines('convicted'))).toEqual([]);
 });
 
--- a/src/core/gateway/__tests__/links.test.ts
+++ b/src/core/gateway/__tests__/links.test.ts
@@ -80,14 +80,14 @@
 		expect(findTunnelled(links)).toEqual(['e3']);
 	});
 
-	it('are sound where something came back lately, and nowhere once all are presumed to be cut', () => {
+	it('are sound where something came back since, and nowhere once all are presumed to be cut', () => {
 		const links = new Links();
 		expect(links.findSoundScope(upstreams[0]!, 0)).toBe('none');
 		links.recordTraffic(upstreams[1]!, 0);
-		expect([links.findSoundScope(upstreams[1]!, 100), links.findSoundScope(upstreams[0]!, 100), links.findSoundScope(upstreams[1]!, 5000)]).toEqual(['group', 'elsewhere', 'none']);
+		expect([links.findSoundScope(upstreams[1]!, 0), links.findSoundScope(upstreams[0]!, 0), links.findSoundScope(upstreams[1]!, 1)]).toEqual(['group', 'elsewhere', 'none']);
 		links.recordCut(upstreams[1]!, 'silent', 100);
 		links.recordCut(upstreams[4]!, 'silent', 100);
-		expect(links.findSoundScope(upstreams[1]!, 200)).toBe('none');
+		expect(links.findSoundScope(upstreams[1]!, 0)).toBe('none');
 	});
 
 	it('that are cut are checked one at a time, and all within 2 s once one is back', () => {
@@ -98,13 +98,13 @@
 
 		let checks = 0;
 		for (let now = 0; now <= 10_000; now += 50) {
-			checks += links.selectChecks(upstreams, now).length;
+			checks += links.selectChecks(() => upstreams, now).length;
 		}
 
 		expect(checks).toBeLessThanOrEqual(25);
 		let now = 10_000;
 		for (; links.hasCuts && now < 20_000; now += 50) {
-			for (const each of links.selectChecks(upstreams, now)) {
+			for (const each of links.selectChecks(() => upstreams, now)) {
 				links.recordConnection(each, now);
 			}
 		}
@@ -139,7 +139,7 @@
 			const checked = new Set<string>();
 			for (let turn = 0; turn < 12; turn++) {
 				now += 2000;
-				for (const {id} of links.selectChecks(upstreams, now)) {
+				for (const {id} of links.selectChecks(() => upstreams, now)) {
 					checked.add(id);
 				}
 			}
--- a/src/core/gateway/health/links.ts
+++ b/src/core/gateway/health/links.ts
@@ -44,9 +44,6 @@
 /** Time in milliseconds for which a link counts as lost after no host connected to its upstream, unless others are lost meanwhile. */
 const lossMemoryMs = 2000;
 
-/** Time in milliseconds for which a connection or answer shows that the links to a failure domain are sound. */
-const soundMs = 1500;
-
 const direct: LinkRoute = {type: 'direct'};
 
 type Cut = {
@@ -230,12 +227,12 @@
 
 	/**
 	 * @param upstream - Upstream that this host doesn't reach.
-	 * @param now - Time in milliseconds.
-	 * @returns To which other upstreams the links of this host are sound.
+	 * @param since - Time in milliseconds. What worked before may have been lost together with the link to the upstream.
+	 * @returns To which other upstreams the links of this host have worked since then.
 	 */
-	findSoundScope(upstream: LinkedUpstream, now: number): LinkScope {
+	findSoundScope(upstream: LinkedUpstream, since: number): LinkScope {
 		const isSound = ({group, connected, answered, received}: Signs) =>
-			now - Math.max(connected, answered, received) < soundMs && this.#findPresumedFault(group) === undefined;
+			Math.max(connected, answered, received) >= since && this.#findPresumedFault(group) === undefined;
 		if (isSound(this.#getSigns(upstream))) {
 			return 'group';
 		}
@@ -246,18 +243,18 @@
 	/**
 	 * Selects links to check now, in turn.
 	 *
-	 * @param upstreams - Registered upstreams.
+	 * @param listUpstreams - Returns the upstreams that may be checked; called if a check is due.
 	 * @param now - Time in milliseconds.
 	 * @returns Upstreams to connect to over the own link.
 	 */
-	selectChecks<T extends LinkedUpstream>(upstreams: readonly T[], now: number): readonly T[] {
+	selectChecks<T extends LinkedUpstream>(listUpstreams: () => readonly T[], now: number): readonly T[] {
 		const isRestoring = now - this.#restoredAt < restorationMs;
 		if (!this.hasCuts || now - this.#checkedAt < (isRestoring ? restoredCheckIntervalMs : checkIntervalMs)) {
 			return [];
 		}
 
 		this.#checkedAt = now;
-		const avoided = upstreams.filter(each => this.#losses.has(each.id) || this.findRoute(each).type === 'tunnel');
+		const avoided = listUpstreams().filter(each => this.#losses.has(each.id) || this.findRoute(each).type === 'tunnel');
 		const count = Math.min(isRestoring ? restoredChecks : 1, avoided.length);
 		const first = this.#checkOffset;
 		this.#checkOffset += count;
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -249,7 +249,7 @@
 				now: () => this.#clock.now(),
 				findUpstream: id => upstreams.get(id),
 				findRoute: upstream => links.findRoute(upstream),
-				findSoundScope: async upstream => this.#upstreamPool.findSoundScope(upstream),
+				findSoundScope: async (upstream, since) => this.#upstreamPool.findSoundScope(upstream, since),
 				onResult: result => {
 					this.#metrics.tunnelRequests.inc({result});
 				},
--- a/src/gateway/tunnels/tunnel-server.ts
+++ b/src/gateway/tunnels/tunnel-server.ts
@@ -31,7 +31,7 @@
 	/** Returns how this host reaches an upstream. */
 	readonly findRoute: (upstream: GatewayUpstream) => LinkRoute;
 	/** Finds out to which other upstreams the links of this host are sound. */
-	readonly findSoundScope: (upstream: GatewayUpstream) => Promise<LinkScope>;
+	readonly findSoundScope: (upstream: GatewayUpstream, since: number) => Promise<LinkScope>;
 	/** Called with an upstream that this host couldn't connect to. */
 	readonly onAbsent: (upstream: GatewayUpstream) => void;
 	/** Called with the result of each request. */
@@ -153,9 +153,10 @@
 			return;
 		}
 
+		const since = this.#options.now();
 		const connection = await connectDirectly({...upstream.address, noDelay: true});
 		if (connection.type === 'failed') {
-			const scope = await this.#options.findSoundScope(upstream);
+			const scope = await this.#options.findSoundScope(upstream, since);
 			this.#reply(socket, request, {type: 'absent', failure: connection.failure, scope});
 			this.#options.onAbsent(upstream);
 			socket.end();
--- a/src/gateway/upstreams/connector.ts
+++ b/src/gateway/upstreams/connector.ts
@@ -64,10 +64,8 @@
 	readonly now: () => number;
 	/** Returns the upstream that is registered at an address. */
 	readonly findUpstream: (address: string) => GatewayUpstream | undefined;
-	/** Returns other upstreams of the group of an upstream. */
-	readonly listNeighbours: (upstream: GatewayUpstream) => readonly GatewayUpstream[];
-	/** Uniform from 0 to 1. */
-	readonly random: () => number;
+	/** Draws another upstream of the group of an upstream, and one of another group, as far as there are any. */
+	readonly listOthers: (upstream: GatewayUpstream) => readonly GatewayUpstream[];
 	readonly onChange: (change: LinkChange) => void;
 	/** Called with the result of each search for a tunnel. */
 	readonly onTunnel: (result: TunnelSearchResult['type']) => void;
@@ -170,21 +168,20 @@
 	 * Finds out whether the links of this host are sound, after it couldn't connect to an upstream.
 	 *
 	 * @param upstream - Upstream.
+	 * @param since - Time in milliseconds; only what has worked since then counts.
 	 * @returns To which other upstreams they are.
 	 */
-	async findSoundScope(upstream: GatewayUpstream): Promise<LinkScope> {
-		const {links, now, listNeighbours, random} = this.#options;
-		const known = links.findSoundScope(upstream, now());
-		const neighbours = known === 'group' ? [] : listNeighbours(upstream);
-		const neighbour = neighbours[Math.floor(random() * neighbours.length)];
-		if (neighbour === undefined) {
-			return known;
+	async findSoundScope(upstream: GatewayUpstream, since: number): Promise<LinkScope> {
+		const {links, listOthers} = this.#options;
+		if (links.findSoundScope(upstream, since) !== 'group') {
+			await Promise.all(listOthers(upstream).map(async other => {
+				const result = await connectDirectly({...other.address});
+				this.#recordDirect(other, result);
+				closeConnection(result);
+			}));
 		}
 
-		const result = await connectDirectly({...neighbour.address});
-		this.#recordDirect(neighbour, result);
-		closeConnection(result);
-		return links.findSoundScope(upstream, now());
+		return links.findSoundScope(upstream, since);
 	}
 
 	/** Compares what this host and another one get from an upstream: first connections, then answers. */
--- a/src/gateway/upstreams/link-watch.ts
+++ b/src/gateway/upstreams/link-watch.ts
@@ -37,6 +37,8 @@
 	readonly random: () => number;
 	readonly now: () => number;
 	readonly listUpstreams: () => readonly GatewayUpstream[];
+	/** Returns whether an upstream may get health checks at present. */
+	readonly mayCheck: (upstream: GatewayUpstream) => boolean;
 	readonly findUpstream: (address: string) => GatewayUpstream | undefined;
 	/** Called for each check of a link, which has ended once the result is disposed of. */
 	readonly track: () => Disposable;
@@ -74,8 +76,8 @@
 	 * @param upstream - Upstream.
 	 */
 	suspect(upstream: GatewayUpstream): void {
-		const {now} = this.#options;
-		if (now() - this.#checkedAt >= checkGapMs) {
+		const {now, mayCheck} = this.#options;
+		if (now() - this.#checkedAt >= checkGapMs && mayCheck(upstream)) {
 			this.#checkedAt = now();
 			void this.#check(upstream);
 		}
@@ -87,8 +89,8 @@
 	 * @param groups - Groups; those of all upstreams if absent.
 	 */
 	survey(groups?: readonly string[]): void {
-		const {now, listUpstreams, links, random} = this.#options;
-		const upstreams = listUpstreams();
+		const {now, links, random} = this.#options;
+		const upstreams = this.#listCheckable();
 		const lost = new Set(links.lostGroups);
 		const present = new Set(upstreams.map(upstream => findLinkGroup(upstream)));
 		for (const group of groups ?? present) {
@@ -127,13 +129,18 @@
 		}
 	}
 
+	#listCheckable(): readonly GatewayUpstream[] {
+		const {listUpstreams, mayCheck} = this.#options;
+		return listUpstreams().filter(upstream => mayCheck(upstream));
+	}
+
 	async #check(upstream: GatewayUpstream): Promise<void> {
 		using _ = this.#options.track();
 		await this.#options.connector.check(upstream);
 	}
 
 	#checkCutLinks(): void {
-		const {links, listUpstreams, now, agent, peers, onUpdate} = this.#options;
+		const {links, now, agent, peers, onUpdate} = this.#options;
 		onUpdate();
 		if (links.hasCuts) {
 			this.#cutAt = now();
@@ -147,7 +154,7 @@
 		this.#prepare();
 		void this.#scout();
 
-		for (const upstream of links.selectChecks(listUpstreams(), now())) {
+		for (const upstream of links.selectChecks(() => this.#listCheckable(), now())) {
 			void (async () => {
 				await this.#check(upstream);
 				agent.closeUnfit();
@@ -166,12 +173,12 @@
 
 	/** Looks for a way to upstreams that no host reached a moment ago, in place of the requests. */
 	async #scout(): Promise<void> {
-		const {links, peers, connector, listUpstreams, now, random} = this.#options;
+		const {links, peers, connector, now, random} = this.#options;
 		if (this.#isScouting || now() - this.#scoutedAt < scoutIntervalMs) {
 			return;
 		}
 
-		const hopeless = listUpstreams().filter(each => links.findRoute(each).type === 'tunnel' && peers.isHopeless(each));
+		const hopeless = this.#listCheckable().filter(each => links.findRoute(each).type === 'tunnel' && peers.isHopeless(each));
 		const upstream = hopeless[Math.floor(random() * hopeless.length)];
 		if (upstream === undefined) {
 			return;
--- a/src/gateway/upstreams/upstream-pool.ts
+++ b/src/gateway/upstreams/upstream-pool.ts
@@ -2,7 +2,7 @@
 import {type Agent} from 'node:http';
 import {assertNever} from '../../core/index.js';
 import {type GatewayUpstream} from '../../core/gateway/types.js';
-import {type LinkScope} from '../../core/gateway/health/links.js';
+import {findLinkGroup, type LinkScope} from '../../core/gateway/health/links.js';
 import {type Clock} from '../../entry/clock.js';
 import {type Log} from '../../entry/logs.js';
 import {type Gateway} from '../gateway.js';
@@ -35,6 +35,8 @@
 		const {tunnels, upstreams} = gateway;
 		const {links, peers} = tunnels;
 		const now = () => clock.now();
+		// Upstreams that want no requests at present get no health checks either.
+		const mayCheck = (upstream: GatewayUpstream) => gateway.findObstacle(upstream) === undefined;
 		const findUpstream = (address: string) => upstreams.findByAddress(address);
 		this.#connector = new Connector({
 			links,
@@ -42,16 +44,16 @@
 			probe: new LinkProbe({
 				createHealthClient,
 				findHealthPath: service => gateway.service(service)?.healthPath ?? '/',
-				onSent({id}) {
+				onSent(upstream) {
 					metrics.linkProbes.inc();
-					gateway.selfReports.countRequest(id, now());
+					gateway.coldStarts.countCheck(upstream);
+					gateway.selfReports.countRequest(upstream.id, now());
 				},
 			}),
 			log,
 			now,
 			findUpstream,
-			listNeighbours: ({id, service, failureDomain}) => upstreams.listByService(service).filter(each => each.failureDomain === failureDomain && each.id !== id),
-			random: Math.random,
+			listOthers: upstream => drawOthers(upstream, upstreams.all.filter(each => mayCheck(each))),
 			onChange: change => {
 				this.#applyChange(gateway, change);
 			},
@@ -69,6 +71,7 @@
 			now,
 			findUpstream,
 			listUpstreams: () => upstreams.all,
+			mayCheck,
 			track() {
 				metrics.linkChecks.inc();
 				return tunnels.trackCheck();
@@ -98,10 +101,11 @@
 
 	/**
 	 * @param upstream - Upstream that this host couldn't connect to.
+	 * @param since - Monotonic time in milliseconds; only what has worked since then counts.
 	 * @returns To which other upstreams its links are sound.
 	 */
-	async findSoundScope(upstream: GatewayUpstream): Promise<LinkScope> {
-		return this.#connector.findSoundScope(upstream);
+	async findSoundScope(upstream: GatewayUpstream, since: number): Promise<LinkScope> {
+		return this.#connector.findSoundScope(upstream, since);
 	}
 
 	[Symbol.dispose](): void {
@@ -139,3 +143,11 @@
 		}
 	}
 }
+
+/** Draws another upstream of the group of an upstream, and one of another group. */
+function drawOthers(upstream: GatewayUpstream, all: readonly GatewayUpstream[]): readonly GatewayUpstream[] {
+	const isNeighbour = (other: GatewayUpstream) => findLinkGroup(other) === findLinkGroup(upstream);
+	const others = all.filter(({id}) => id !== upstream.id);
+	return [others.filter(other => isNeighbour(other)), others.filter(other => !isNeighbour(other))]
+		.flatMap(candidates => candidates[Math.floor(Math.random() * candidates.length)] ?? []);
+}
