Surveys of links cost four checks at once, and searches no warning of Node.js

Searches shared one signal that is never aborted, so that Node.js warned of a leak.

Change: a survey checks one upstream of four groups at most, ten times a second at most, and none whose link is known to be cut.

--- a/src/gateway/upstreams/connector.ts
+++ b/src/gateway/upstreams/connector.ts
@@ -71,8 +71,6 @@
 	readonly onTunnel: (result: TunnelSearchResult['type']) => void;
 };
 
-const neverAborted = new AbortController().signal;
-
 const tunnels = new WeakMap<Socket, Tunnel>();
 
 /**
@@ -158,7 +156,7 @@
 	 */
 	async scout(upstream: GatewayUpstream): Promise<void> {
 		const route = this.#options.links.findRoute(upstream);
-		const search = await this.#search(upstream, neverAborted, route.type === 'tunnel' ? this.#createVerification(upstream, route.fault) : undefined);
+		const search = await this.#search(upstream, createEndlessSignal(), route.type === 'tunnel' ? this.#createVerification(upstream, route.fault) : undefined);
 		if (search.type === 'connected') {
 			search.result.socket.destroy();
 		}
@@ -194,7 +192,7 @@
 			return;
 		}
 
-		const search = peers.isAvailable ? await this.#search(upstream, neverAborted) : undefined;
+		const search = peers.isAvailable ? await this.#search(upstream, createEndlessSignal()) : undefined;
 		const result = await connecting;
 		if (search?.type === 'connected') {
 			await this.#compareWith(search, upstream, {result, finding});
@@ -258,7 +256,7 @@
 
 	async #connectOverTunnel(upstream: GatewayUpstream, options: TcpNetConnectOpts, fault: LinkFault): Promise<Socket> {
 		const {peers, links} = this.#options;
-		const search = peers.isHopeless(upstream) ? undefined : await this.#search(upstream, neverAborted, this.#createVerification(upstream, fault));
+		const search = peers.isHopeless(upstream) ? undefined : await this.#search(upstream, createEndlessSignal(), this.#createVerification(upstream, fault));
 		switch (search?.type) {
 			case 'connected': {
 				return search.result.socket;
@@ -409,6 +407,11 @@
 	return isReset ? 'mute' : failure;
 }
 
+/** A signal for one search that nobody ends: Node.js warns of signals with many listeners. */
+function createEndlessSignal(): AbortSignal {
+	return new AbortController().signal;
+}
+
 function closeConnection(result: ConnectionResult): void {
 	if (result.type === 'connected') {
 		result.socket.destroy();
--- a/src/gateway/upstreams/link-watch.ts
+++ b/src/gateway/upstreams/link-watch.ts
@@ -13,13 +13,16 @@
 /** Looks without a byte from any upstream after which a link is checked. */
 const silentLooks = 2;
 
-/** Time in milliseconds between two such checks, and between two searches for further links that are cut. */
+/** Time in milliseconds between two such checks, and between two checks of a group for further links that are cut. */
 const checkGapMs = 2000;
-const surveyGapMs = 500;
+const groupGapMs = 500;
 
-/** Upstreams of a group that are checked on an alert, and longest wait in milliseconds before that, so that hosts check at various times. */
-const surveyedUpstreams = 2;
-const maxSurveyDelayMs = 40;
+/** Groups of which an upstream is checked at once: enough to presume that all links are cut. All hosts of a fleet may check together. */
+const surveyedGroups = 4;
+const surveyIntervalMs = 100;
+
+/** Longest wait in milliseconds before such a check, so that hosts that are alerted together check at various times. */
+const maxSurveyDelayMs = 60;
 
 /** Time in milliseconds between two searches for a way to upstreams that no host reached, and between two requests for further offers. */
 const scoutIntervalMs = 250;
@@ -57,7 +60,8 @@
 	#scoutedAt = Number.NEGATIVE_INFINITY;
 	#isScouting = false;
 	#cutAt = Number.NEGATIVE_INFINITY;
-	/** Times of the last surveys, by group. */
+	/** Time of the last survey, and of the last one of each group. */
+	#lastSurveyAt = Number.NEGATIVE_INFINITY;
 	readonly #surveyedAt = new Map<string, number>();
 
 	/**
@@ -90,21 +94,26 @@
 	 */
 	survey(groups?: readonly string[]): void {
 		const {now, links, random} = this.#options;
-		const upstreams = this.#listCheckable();
-		const lost = new Set(links.lostGroups);
-		const present = new Set(upstreams.map(upstream => findLinkGroup(upstream)));
-		for (const group of groups ?? present) {
-			const isDue = now() - (this.#surveyedAt.get(group) ?? Number.NEGATIVE_INFINITY) >= surveyGapMs;
-			if (!isDue || lost.has(group) || !present.has(group)) {
-				continue;
+		if (now() - this.#lastSurveyAt < surveyIntervalMs) {
+			return;
+		}
+
+		this.#lastSurveyAt = now();
+		const byGroup = new Map<string, GatewayUpstream[]>();
+		for (const upstream of this.#listCheckable()) {
+			const group = findLinkGroup(upstream);
+			const isDue = (groups?.includes(group) ?? true) && now() - (this.#surveyedAt.get(group) ?? Number.NEGATIVE_INFINITY) >= groupGapMs;
+			if (isDue && links.findRoute(upstream).type === 'direct') {
+				byGroup.set(group, [...byGroup.get(group) ?? [], upstream]);
 			}
+		}
 
+		const due = [...byGroup];
+		const first = Math.floor(random() * due.length);
+		for (let index = 0; index < Math.min(surveyedGroups, due.length); index++) {
+			const [group, upstreams] = due[(first + index) % due.length]!;
 			this.#surveyedAt.set(group, now());
-			const candidates = upstreams.filter(upstream => findLinkGroup(upstream) === group);
-			const first = Math.floor(random() * candidates.length);
-			for (let index = 0; index < Math.min(surveyedUpstreams, candidates.length); index++) {
-				void this.#checkSoon(candidates[(first + index) % candidates.length]!, group);
-			}
+			void this.#checkSoon(upstreams[Math.floor(random() * upstreams.length)]!, group);
 		}
 	}
 
