Concurrent claims of one idempotency key no longer seal it

Cause: a host that had promised a key to a third one was not counted as having promised itself to the host that asked it as well. Hosts that claimed one key at the same moment then lacked a promise, and sealed the key: all callers got 409. Change: an answer that names another keeper counts as a promise of the host that gives it.

--- a/src/core/__tests__/keys.test.ts
+++ b/src/core/__tests__/keys.test.ts
@@ -1,6 +1,7 @@
+import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {
-	codes, type Event, type Member, type State,
+	codes, type Effect, type Event, type Member, type State,
 } from '../index.js';
 import {parseMintTime} from '../features/keys/queries.js';
 import {createKey} from '../../../bench/fuzz/callers.js';
@@ -15,8 +16,8 @@
 }
 
 /** Returns the state of a host that completed the handshake with its peers at the start. */
-function createJoinedState(peers: readonly Member[] = [peer]): State {
-	const listed = applyEvents(createServingState(createMember('a1')), 0, {type: 'hosts-listed', members: peers, leaving: []}, {type: 'tick'});
+function createJoinedState(peers: readonly Member[] = [peer], self: Member = createMember('a1')): State {
+	const listed = applyEvents(createServingState(self), 0, {type: 'hosts-listed', members: peers, leaving: []}, {type: 'tick'});
 	const joined = peers.map((member): Event => ({
 		type: 'peer-message', from: member.incarnation.host, message: {
 			type: 'key-joined', member, members: [], ended: [],
@@ -25,7 +26,54 @@
 	return applyEvents(applyEvents(listed.state, 10, ...joined).state, 10_000, {type: 'tick'}).state;
 }
 
+/**
+ * Presents one key to all hosts of a list at once.
+ *
+ * @param random - Returns which of a number of links delivers its next message.
+ * @returns The effects of all hosts. Messages of one host to another one arrive in order.
+ */
+function presentToAll(names: readonly string[], random: (links: number) => number): readonly Effect[] {
+	const members = names.map(name => createMember(name));
+	const states = new Map(members.map(self => [self.incarnation.host, createJoinedState(members.filter(each => each !== self), self)]));
+	const links = new Map<string, Event[]>();
+	const all: Effect[] = [];
+	const apply = (host: string, event: Event): void => {
+		const {state, effects} = applyEvents(states.get(host)!, 20_000, event);
+		states.set(host, state);
+		all.push(...effects);
+		for (const {to, message} of effectsOf(effects, 'peer-send')) {
+			const link = `${host} ${to}`;
+			links.set(link, [...links.get(link) ?? [], {type: 'peer-message', from: host, message}]);
+		}
+	};
+
+	for (const name of names) {
+		links.set(`caller ${name}`, [createArrival(`r-${name}`, 20_000)]);
+	}
+
+	while (links.size > 0) {
+		const [link, [event, ...rest]] = [...links][random(links.size)]!;
+		if (rest.length === 0) {
+			links.delete(link);
+		} else {
+			links.set(link, rest);
+		}
+
+		apply(link.split(' ')[1]!, event!);
+	}
+
+	return all;
+}
+
 describe('an idempotency key without a ticket', () => {
+	it('runs once when all hosts claim it at the same time, in whatever order they learn of each other', () => {
+		fc.assert(fc.property(fc.infiniteStream(fc.nat()), order => {
+			const effects = presentToAll(['a1', 'a2', 'b1', 'b2'], links => order.next().value % links);
+			expect(effectsOf(effects, 'send')).toHaveLength(1);
+			expect(effectsOf(effects, 'answer')).toEqual([]);
+		}), {numRuns: 1000, seed: 1});
+	});
+
 	it('carries its creation time only as a UUID of version 7', () => {
 		expect(parseMintTime(createKey(contextAt(5).wall, 7))).toBe(contextAt(5).wall);
 		expect(parseMintTime('0f8fad5b-d9cb-469f-a165-70867728950e')).toBeUndefined();
--- a/src/core/features/keys/commands/claims.ts
+++ b/src/core/features/keys/commands/claims.ts
@@ -1,6 +1,6 @@
 /** Claims: before a host runs a key, it asks every other host to promise never to run it. */
 import {type KeyMessage, type Member} from '../../../types/peer.js';
-import {type Request} from '../../../types/request.js';
+import {type Incarnation, type Request} from '../../../types/request.js';
 import {type StepContext, type State, type StepResult} from '../../../types/state.js';
 import {assertNever, chain, withoutEffects} from '../../../utils/common.js';
 import {isServing} from '../../membership/queries.js';
@@ -154,11 +154,24 @@
 		: withoutEffects(putClaim(state, right, {...claim, progress: {...progress, waiting: [...progress.waiting, request]}}));
 }
 
+function findAnswerer(state: State, from: string, message: AnswerMessage): Incarnation | undefined {
+	return message.answerer ?? state.keys.knownPeers.get(from)?.member.incarnation;
+}
+
+function addPromise(progress: Claiming, from: string, answerer: Incarnation | undefined): Claiming {
+	return {
+		...progress,
+		promised: answerer === undefined ? progress.promised : [...progress.promised, answerer],
+		pending: progress.pending.filter(each => each !== from),
+	};
+}
+
 /**
  * Handles the answer of a host that has promised the key to another one. The answering host never runs it either, so it counts
  * as promised, and the other host has to answer itself. If that host has ended, only it could have known the key's outcome.
  */
-function handleKeptAnswer(state: State, from: string, right: string, keeper: Member): StepResult {
+function handleKeptAnswer(state: State, from: string, message: AnswerMessage, keeper: Member): StepResult {
+	const {id: right} = message;
 	const claim = state.keys.claims.get(right);
 	if (claim?.progress.type !== 'claiming') {
 		return withoutEffects(state);
@@ -170,10 +183,8 @@
 		return yieldClaim(state, right, claim, keeper);
 	}
 
-	const {progress} = claim;
-	return advanceClaim(state, right, claim, {
-		...progress, keepers: [...progress.keepers, keeper.incarnation], pending: progress.pending.filter(each => each !== from),
-	});
+	const progress = addPromise(claim.progress, from, findAnswerer(state, from, message));
+	return advanceClaim(state, right, claim, {...progress, keepers: [...progress.keepers, keeper.incarnation]});
 }
 
 /**
@@ -193,17 +204,11 @@
 		case 'yielded':
 		case 'unsure': {
 			const isNotRunConfirmed = progress.isNotRunConfirmed || answer.type === 'yielded';
-			const answerer = message.answerer ?? state.keys.knownPeers.get(from)?.member.incarnation;
-			return advanceClaim(state, right, claim, {
-				...progress,
-				isNotRunConfirmed,
-				promised: answerer === undefined ? progress.promised : [...progress.promised, answerer],
-				pending: progress.pending.filter(each => each !== from),
-			});
+			return advanceClaim(state, right, claim, {...addPromise(progress, from, findAnswerer(state, from, message)), isNotRunConfirmed});
 		}
 
 		case 'kept': {
-			return handleKeptAnswer(state, from, right, answer.by);
+			return handleKeptAnswer(state, from, message, answer.by);
 		}
 
 		// The answering host may not know this host as a peer, so it may run the key without asking.
