Fingerprints of requests include the parts of their prompts

Cause: requests with equal bodies and different prompts counted as one request. Change: the parts of the prompt are hashed as well.

--- a/__tests__/gateway/crashing-parts.test.ts
+++ b/__tests__/gateway/crashing-parts.test.ts
@@ -165,3 +165,28 @@
 	expect(site.hosts.flatMap(host => host.findLogLines('refused-as-convicted'))).toEqual([]);
 	expect(traffic.share('sound', 0, performance.now())).toBeGreaterThanOrEqual(0.98);
 });
+
+it('engines that crash one after the other before anything is answered convict nothing but the prompt of one request', async () => {
+	site = await Site.start({hosts: 3, engines: 9, failureDomains: ['a', 'b', 'c']});
+	const deployment = site;
+	for (const engine of deployment.engines) {
+		engine.slowness = 100;
+	}
+
+	const asked = Array.from({length: 60}, async (_, index) => {
+		await sleep(index * 20);
+		const headers = {...createPromptHeaders(3000, events), 'X-Prefix-Hash': `own-${index}:3000`};
+		return deployment.ask({path: '/ask/x', id: `alike-${index}`, headers}, deployment.hosts[index % 3]);
+	});
+	for (const engine of [0, 4, 8, 1, 5].map(index => deployment.engines[index]!)) {
+		await sleep(250);
+		deployment.crashUnder(engine, new Set(), 2000);
+		engine.onCrash?.();
+		void engine.crash();
+	}
+
+	await Promise.all(asked);
+	expect(deployment.engines.flatMap(({crashes}) => crashes)).toHaveLength(5);
+	const convictions = deployment.hosts.flatMap(host => host.findLogLines('convicted')).map(({causes}) => String(causes));
+	expect(convictions.filter(causes => !causes.includes('part:own-'))).toEqual([]);
+});
--- a/src/gateway/callers/admission.ts
+++ b/src/gateway/callers/admission.ts
@@ -59,14 +59,14 @@
  * @param incoming - Request of a caller.
  * @param organisation - Organisation of the caller, if known.
  * @param body - Body of the request.
+ * @param parts - Ids of the parts of its prompt, in order; none if it has no prompt, or its prompt is in the body.
  * @returns A hash that is equal for repetitions of the same request.
  */
-export function computeFingerprint(incoming: IncomingMessage, organisation: string | undefined, body: Buffer): string {
-	return createHash('sha1')
-		.update(incoming.url ?? '')
-		.update('\0')
-		.update(organisation ?? '')
-		.update('\0')
-		.update(body)
-		.digest('base64url');
+export function computeFingerprint(incoming: IncomingMessage, organisation: string | undefined, body: Buffer, parts: readonly string[] = []): string {
+	const hash = createHash('sha1');
+	for (const field of [incoming.url ?? '', organisation ?? '', ...parts]) {
+		hash.update(field).update('\0');
+	}
+
+	return hash.update(body).digest('base64url');
 }
--- a/src/gateway/requests/dispatch.ts
+++ b/src/gateway/requests/dispatch.ts
@@ -38,8 +38,9 @@
 	 */
 	constructor(services: GatewayServices, request: AdmittedRequest, callerResponse: CallerResponse, trace: RequestTrace) {
 		this.#state = new RequestState(services, request, callerResponse, trace);
-		const fingerprint = computeFingerprint(request.incoming, request.organisation, request.body);
-		const causes = listCauses(fingerprint, request.demand.prompt?.parts);
+		const parts = request.demand.prompt?.parts;
+		const fingerprint = computeFingerprint(request.incoming, request.organisation, request.body, parts);
+		const causes = listCauses(fingerprint, parts);
 		this.#suspicion = new RequestSuspicion(this.#state, causes);
 		this.#memoryWait = new MemoryWait(services, request.demand.id, trace);
 		this.#refusals = new Refusals(this.#state);
