Crashes that other hosts report are not put down to broken links

Cause: connections to four upstreams that broke within 10 to 150 ms counted as broken links of this host, and the reports of other hosts on these upstreams were dropped together with its own. Beside doubtful links, a correct conviction ended at once, and its part went on crashing engines. Change: only what no other host has reported is put down to the links. Result: a unit test kept 0, 4 and 4 of 8 reports before, and keeps all.

--- a/src/gateway/suspicion/__tests__/convictions.test.ts
+++ b/src/gateway/suspicion/__tests__/convictions.test.ts
@@ -255,6 +255,19 @@
 		expect(hosts.map(host => host.convictions.reportCount)).toEqual([0, 0, 0]);
 	});
 
+	it('stays a crash beside doubtful links if another host has reported it, though more upstreams crash meanwhile', async () => {
+		const {hosts} = new Fleet(3);
+		hosts[0]!.areLinksInDoubt = true;
+		for (const index of [1, 2, 3, 4]) {
+			hosts[1]!.convictions.recordBroken(hosts[1]!.attempt(`e${index}`, `A${index}`));
+			hosts[0]!.convictions.recordBroken(hosts[0]!.attempt(`e${index}`, `B${index}`));
+			await vi.advanceTimersByTimeAsync(30);
+		}
+
+		await vi.advanceTimersByTimeAsync(200);
+		expect(hosts.map(host => host.convictions.reportCount)).toEqual([8, 8, 8]);
+	});
+
 	it('is no crash of an engine that gives up what its crashed helper has not finished', async () => {
 		const {hosts} = new Fleet(2);
 		await hosts[1]!.crash('e1', 'N1');
--- a/src/gateway/suspicion/convictions.ts
+++ b/src/gateway/suspicion/convictions.ts
@@ -81,6 +81,7 @@
 		this.#convictionLog = new ConvictionLog(options.log);
 		this.#crashReports = new CrashReports({
 			areLinksInDoubt: options.areLinksInDoubt,
+			isReportedElsewhere: upstream => this.#isReportedElsewhere(upstream),
 			onCrashes: reports => {
 				this.#sendCrashes(reports);
 			},
@@ -312,8 +313,7 @@
 	 * @param isUnlinked - Returns whether this host has lost its link to an upstream.
 	 */
 	excuseCrashes(isUnlinked: (upstream: string) => boolean): void {
-		const {clock, self} = this.#options;
-		const now = clock.now();
+		const now = this.#options.clock.now();
 		const dropped = this.#crashReports.drop(isUnlinked);
 		if (dropped.length > 0) {
 			this.#withdrawCrashes(dropped, 'the link is cut');
@@ -321,7 +321,7 @@
 
 		for (const upstream of this.#watched.keys()) {
 			const crash = isUnlinked(upstream) ? this.#suspects.findCrash(upstream, now - watchMs) : undefined;
-			if (crash?.reports.every(({attempt}) => attempt.startsWith(`${self}.`))) {
+			if (crash !== undefined && !this.#hasOthersReports(crash)) {
 				this.#disprove(crash, now);
 			}
 		}
@@ -378,6 +378,15 @@
 		this.#noteChanges();
 	}
 
+	#hasOthersReports({reports}: Crash): boolean {
+		return reports.some(({attempt}) => !attempt.startsWith(`${this.#options.self}.`));
+	}
+
+	#isReportedElsewhere(upstream: string): boolean {
+		const crash = this.#suspects.findCrash(upstream, this.#options.clock.now() - recentCrashMs);
+		return crash !== undefined && this.#hasOthersReports(crash);
+	}
+
 	/** Upstreams of a service that stay and haven't crashed lately. */
 	#listSound(service: string): readonly GatewayUpstream[] {
 		const {upstreams, clock} = this.#options;
--- a/src/gateway/suspicion/crash-reports.ts
+++ b/src/gateway/suspicion/crash-reports.ts
@@ -17,6 +17,8 @@
 export type CrashReportsOptions = {
 	/** Whether some links of this host are cut, so that connections may have broken for that reason. */
 	readonly areLinksInDoubt: () => boolean;
+	/** Whether another host has reported that an upstream crashed. */
+	readonly isReportedElsewhere: (upstream: string) => boolean;
 	/** Called with crashes to report to other hosts. */
 	readonly onCrashes: (reports: readonly OwnReport[]) => void;
 	/** Called with reports of upstreams that probably run on. */
@@ -71,13 +73,19 @@
 	}
 
 	#release(): void {
+		const {isReportedElsewhere, onBrokenLinks, onCrashes} = this.#options;
 		const reports = this.#collected;
 		this.#collected = [];
-		const upstreams = new Set(reports.map(({report}) => report.upstream));
-		if (upstreams.size >= brokenLinkUpstreams) {
-			this.#options.onBrokenLinks(reports);
-		} else if (reports.length > 0) {
-			this.#options.onCrashes(reports);
+		// What another host has seen as well isn't due to the links of this one.
+		const unshared = reports.filter(({report}) => !isReportedElsewhere(report.upstream));
+		const isLinkBroken = new Set(unshared.map(({report}) => report.upstream)).size >= brokenLinkUpstreams;
+		const crashes = isLinkBroken ? reports.filter(each => !unshared.includes(each)) : reports;
+		if (isLinkBroken) {
+			onBrokenLinks(unshared);
+		}
+
+		if (crashes.length > 0) {
+			onCrashes(crashes);
 		}
 	}
 }
