Causes that were answered before are not convicted beside likelier ones

Cause: a sound part that came with bad ones in all crashes was convicted with them, although it had been answered and one or two causes that never were explain all crashes (soak). Change: an answered cause is convicted only for crashes that at most two unanswered ones don't explain. Result: the new unit test failed before.

--- a/src/core/gateway/__tests__/suspicion.test.ts
+++ b/src/core/gateway/__tests__/suspicion.test.ts
@@ -114,6 +114,24 @@
 		record(suspects, [report('e6', 1200, 'B6')]);
 		expect(typesOf(suspects, ['B9'], 2000)).toEqual(['convicted']);
 	});
+
+	it('is told from one that was answered before and came with it and with another one that crashes engines', () => {
+		const suspects = new Suspects();
+		suspects.recordAnswers(scope, ['part:S'], 0);
+		record(suspects, [report('e1', 100, 'SB1'), report('e2', 200, 'SB1'), report('e3', 300, 'SB1')]);
+		record(suspects, [report('f1', 400, 'SC2'), report('f2', 500, 'SC2'), report('f3', 600, 'SC2')]);
+		expect(typesOf(suspects, ['S3', 'SB1', 'SC2'])).toEqual(['unsuspected', 'convicted', 'convicted']);
+	});
+
+	it('that was answered before is convicted by the first crash of a third request if two requests were sent again and again', () => {
+		const suspects = new Suspects();
+		suspects.recordAnswers(scope, ['part:S'], 0);
+		record(suspects, [100, 200, 300].map(at => report(`e${at}`, at, 'S1')));
+		record(suspects, [400, 500, 600].map(at => report(`e${at}`, at, 'S2')));
+		expect(typesOf(suspects, ['S9'])).toEqual(['unsuspected']);
+		record(suspects, [report('e700', 700, 'S3')]);
+		expect(typesOf(suspects, ['S9'])).toEqual(['convicted']);
+	});
 });
 
 describe('a whole request that crashes engines', () => {
--- a/src/core/gateway/suspicion/inference.ts
+++ b/src/core/gateway/suspicion/inference.ts
@@ -15,6 +15,9 @@
 /** Crashes under a cause that was answered before from which on it is suspected. */
 const suspectingCrashesIfAnswered = 3;
 
+/** Largest number of causes that were never answered and are likelier to crash engines together than one that was answered before. */
+const maxLikelierCauses = 2;
+
 /** How long an answer speaks for a cause. */
 const trustMs = 600_000;
 
@@ -114,6 +117,19 @@
 	return crashes.length >= (charge.isTrusted ? convictingCrashesIfAnswered : convictingCrashes) && hasRepetition(charge, crashes);
 }
 
+/** Whether all of the crashes happened under a few of the given charges. */
+function isCovered(crashes: readonly Crash[], charges: readonly Charge[], most: number): boolean {
+	const [first] = crashes;
+	return first === undefined || (most > 0 && charges.some(({reports}) => reports.has(first) && isCovered(crashes.filter(crash => !reports.has(crash)), charges, most - 1)));
+}
+
+/** Returns the charges that may convict; of those against answered causes, the ones whose crashes a few causes don't explain that were never answered. */
+function listConvictable(charges: readonly Charge[], knowledge: CauseKnowledge): readonly Charge[] {
+	const convicting = charges.filter(charge => isConvicting(charge, [...charge.reports.keys()], knowledge));
+	const likelier = convicting.filter(({isTrusted}) => !isTrusted);
+	return convicting.filter(({isTrusted, reports}) => !isTrusted || !isCovered([...reports.keys()], likelier, maxLikelierCauses));
+}
+
 /** Returns the causes that all attempts with a given one had in common, and that are as likely to blame. */
 function findCompanions(charge: Charge, crashes: readonly Crash[], charges: ReadonlyMap<Cause, Charge>, {hasRecord}: CauseKnowledge): readonly Cause[] {
 	const reports = crashes.flatMap(crash => charge.reports.get(crash)!);
@@ -140,8 +156,9 @@
 
 	const explained = new Set<Crash>();
 	const blames = new Map<string, Blame>();
+	const convictable = listConvictable([...charges.values()], knowledge);
 	for (;;) {
-		const convicted = [...charges.values()]
+		const convicted = convictable
 			.map(charge => ({charge, unexplained: listUnexplained(charge, explained)}))
 			.filter(({charge, unexplained}) => isConvicting(charge, unexplained, knowledge));
 		if (convicted.length === 0) {
