Sockets that are reset in the turn of their end are closed

Cause: Node.js leaves a socket in state closing that is reset in the same turn in which its end arrives, and then never exits.

--- a/src/gateway/tunnels/tunnel-server.ts
+++ b/src/gateway/tunnels/tunnel-server.ts
@@ -7,6 +7,7 @@
 import {type GatewayUpstream} from '../../core/gateway/types.js';
 import {type Log} from '../../entry/logs.js';
 import {probeEnd} from '../../protocol/connection-end.js';
+import {resetSocket} from '../../protocol/reset-socket.js';
 import {connectDirectly} from './direct-connection.js';
 import {
 	createTunnelRequestReader, encodeTunnelMessage, tunnelKeyBytes, type TunnelOffer, type TunnelReply, type TunnelRequest,
@@ -99,7 +100,7 @@
 
 	async [Symbol.asyncDispose](): Promise<void> {
 		for (const socket of this.#sockets) {
-			socket.resetAndDestroy();
+			resetSocket(socket);
 		}
 
 		if (this.#server.listening) {
@@ -234,21 +235,21 @@
 function carry(host: Socket, upstream: Socket): void {
 	const properEnd = probeEnd(upstream);
 	upstream.on('error', () => {
-		host.resetAndDestroy();
+		resetSocket(host);
 	});
 	upstream.once('end', () => {
 		void (async () => {
 			if (await properEnd) {
 				host.end();
 			} else {
-				host.resetAndDestroy();
+				resetSocket(host);
 			}
 		})();
 	});
 	upstream.once('close', () => {
 		// After a proper end, what is left is still sent.
 		if (!upstream.readableEnded) {
-			host.resetAndDestroy();
+			resetSocket(host);
 		}
 	});
 	host.once('close', () => {
--- a/stand-ins/proxy/pipe.ts
+++ b/stand-ins/proxy/pipe.ts
@@ -3,6 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Address} from '../../src/core/index.js';
 import {probeEnd} from '../../src/protocol/connection-end.js';
+import {resetSocket} from '../../src/protocol/reset-socket.js';
 import {type FaultEffect, type Route} from './faults.js';
 
 export class Pipe {
@@ -59,7 +60,7 @@
 	/** Resets both sockets. */
 	reset(): void {
 		for (const socket of [this.#clientSocket, this.#targetSocket]) {
-			socket.resetAndDestroy();
+			resetSocket(socket);
 		}
 	}
 
@@ -89,12 +90,12 @@
 				if (await isProperEnd()) {
 					destination.end();
 				} else {
-					destination.resetAndDestroy();
+					resetSocket(destination);
 				}
 			});
 		});
 		source.on('error', () => {
-			destination.resetAndDestroy();
+			resetSocket(destination);
 		});
 		source.on('close', hadError => {
 			if (hadError) {
