Silence of an engine is not learned as the pace of its prefills

Cause: all streams of an engine that was stopped for a second showed the same pause, which counted once for each and for prefills as well: the engine was taken for a slow one after it had gone on. Change: a pause that may be silence counts once, and says nothing of the prefills within it. Result: the new unit tests failed before.

--- a/src/core/gateway/__tests__/paces.test.ts
+++ b/src/core/gateway/__tests__/paces.test.ts
@@ -76,6 +76,37 @@
 		expect(paces.get('e0', now + 10).prefill).toBeCloseTo(0.25);
 	});
 
+	// Guards against engines that were silent for a second being learned as slow, once for each stream that was waiting.
+	it('does not follow a silence that many streams show, nor prefills that it has interrupted', () => {
+		const paces = new Paces();
+		paces.recordSample({
+			upstream: 'e0', phase: 'prefill', configured: 400, measured: 1500, at: now,
+		});
+		for (let stream = 0; stream < 8; stream++) {
+			paces.recordSample({
+				upstream: 'e0', phase: 'decode', configured: 43, measured: 1150 - stream, at: now + stream,
+			});
+		}
+
+		paces.recordSample({
+			upstream: 'e0', phase: 'prefill', configured: 400, measured: 1500, at: now + 10,
+		});
+		expect(paces.get('e0', now + 10)).toBe(configuredPace);
+		expect(paces.takeReport('e0', 'decode', now + 10)).toBeUndefined();
+		expect(paces.takeReport('e0', 'prefill', now + 10)).toBeUndefined();
+	});
+
+	it('follows an engine that is so slow that each of its events comes after a second', () => {
+		const paces = new Paces();
+		for (const at of [now, now + 1150]) {
+			paces.recordSample({
+				upstream: 'e0', phase: 'decode', configured: 100, measured: 1150, at,
+			});
+		}
+
+		expect(paces.get('e0', now + 1150).decode).toBeCloseTo(100 / 1150);
+	});
+
 	it('does not follow a single slow event', () => {
 		const paces = new Paces();
 		record(paces, [30]);
--- a/src/core/gateway/engines/paces.ts
+++ b/src/core/gateway/engines/paces.ts
@@ -51,6 +51,15 @@
 	readonly at: number;
 	/** Host that reported it; undefined for a sample of this host. */
 	readonly host?: string;
+	/** When this host has measured it. */
+	readonly span?: Span;
+	/** Whether the engine may have been silent then. */
+	readonly isGap?: boolean;
+};
+
+type Span = {
+	readonly from: number;
+	readonly to: number;
 };
 
 type EngineEvidence = Record<Phase, Evidence[]> & {
@@ -80,6 +89,12 @@
 const halfLifeMs = 700;
 const maxAgeMs = 6000;
 
+/**
+ * Time between two events, in milliseconds beyond the configured one, that may be silence of the engine: all streams show the same silence,
+ * which counts once and says nothing of prefills. An engine that is slow shows it again with the next events.
+ */
+const gapMs = 800;
+
 /** Bounds of what is kept. */
 const maxEvidence = 9;
 const maxEngines = 2048;
@@ -95,6 +110,11 @@
 	return Number.isFinite(pace) && pace > 0;
 }
 
+/** Whether most of a measured time is a gap. */
+function isWithin({from, to}: Span, gap: Span): boolean {
+	return Math.min(to, gap.to) - Math.max(from, gap.from) > Math.max(gapMs, (to - from) / 2);
+}
+
 function clampedLogarithm(pace: number): number {
 	return Math.log(Math.min(Math.max(pace, minPace), maxPace));
 }
@@ -207,10 +227,23 @@
 	 */
 	recordSample({upstream, phase, configured, measured, at, isEstimate = false}: PaceSample): void {
 		const pace = configured / measured;
-		if (isPace(pace) && isPace(measured)) {
-			this.#add(upstream, phase, {
-				logarithm: clampedLogarithm(pace), weight: configured >= strongSampleMs && !isEstimate ? strongWeight : 1, at,
-			});
+		if (!isPace(pace) || !isPace(measured)) {
+			return;
+		}
+
+		const span = {from: at - measured, to: at};
+		if (this.#engines.get(upstream)?.decode.some(each => each.isGap === true && isWithin(span, each.span!)) === true) {
+			return;
+		}
+
+		const isGap = phase === 'decode' && measured - configured > gapMs;
+		const isStrong = configured >= strongSampleMs && !isEstimate && !isGap;
+		this.#add(upstream, phase, {
+			logarithm: clampedLogarithm(pace), weight: isStrong ? strongWeight : 1, at, span, isGap,
+		});
+		if (isGap) {
+			const {prefill} = this.#engines.get(upstream)!;
+			prefill.splice(0, prefill.length, ...prefill.filter(each => each.span === undefined || !isWithin(each.span, span)));
 		}
 	}
 
