--- a/bench/gateway/site.ts
+++ b/bench/gateway/site.ts
@@ -47,13 +47,13 @@
 		await site.store.listen();
 		for (let index = 0; index < (options.engines ?? 2); index++) {
 			site.engines.push(new UpstreamStandIn({
-				id: `engine-${index}`, service: 'model', failureDomain: domainOf(index), slots: 8, ledger: site.ledger, model: engineModel,
+				id: `engine-${index}`, service: 'model', failureDomain: domainOf(index), slots: 8, ledger: site.ledger, model: engineModel, port: await claimWorkerPort(),
 			}));
 		}
 
 		for (let index = 0; index < (options.plains ?? 2); index++) {
 			site.plains.push(new UpstreamStandIn({
-				id: `plain-${index}`, service: 'plain', failureDomain: domainOf(index), slots: 6, ledger: site.ledger, answerDelay: 20,
+				id: `plain-${index}`, service: 'plain', failureDomain: domainOf(index), slots: 6, ledger: site.ledger, answerDelay: 20, port: await claimWorkerPort(),
 			}));
 		}
 
--- a/stand-ins/gateway/batch.ts
+++ b/stand-ins/gateway/batch.ts
@@ -51,11 +51,17 @@
 	readonly #running: Entry[] = [];
 	readonly #waiting: Entry[] = [];
 	readonly #heldTokens = new Map<string, number>();
+	readonly #onAdmitted: ((job: BatchJob) => void) | undefined;
 	#order = 0;
 	#progress: JobProgress[] | undefined;
 
-	constructor(model: EngineModel) {
+	/**
+	 * @param model - Figures of the engine.
+	 * @param onAdmitted - Called with each job that gets a slot and memory.
+	 */
+	constructor(model: EngineModel, onAdmitted?: (job: BatchJob) => void) {
 		this.#model = model;
+		this.#onAdmitted = onAdmitted;
 	}
 
 	/** Number of jobs being prefilled or decoded, without those this engine only helps with. */
@@ -257,6 +263,7 @@
 
 			this.#waiting.shift();
 			this.#running.push(next);
+			this.#onAdmitted?.(next.job);
 		}
 	}
 }
--- /dev/null
+++ b/stand-ins/gateway/messages.ts
@@ -0,0 +1,48 @@
+/** Settings of an engine in a process of its own, and the messages that it sends to the process that started it. */
+import {z} from 'zod';
+import {type EngineModel} from '../../src/core/gateway/types.js';
+
+const modelSchema = z.object({
+	slots: z.number(),
+	memory: z.number(),
+	stride: z.number(),
+	step: z.number(),
+	perRequest: z.number(),
+	perThousand: z.number(),
+	readRate: z.number(),
+	pairs: z.number(),
+	chunk: z.number(),
+	hop: z.number(),
+	usualPrompt: z.number(),
+	usualAnswer: z.number(),
+}) satisfies z.ZodType<EngineModel>;
+
+export const settingsSchema = z.object({
+	id: z.string(),
+	service: z.string(),
+	failureDomain: z.string(),
+	slots: z.number(),
+	model: modelSchema,
+});
+
+export type Settings = Readonly<z.infer<typeof settingsSchema>>;
+
+const runSchema = z.object({
+	request: z.string(),
+	upstream: z.string(),
+	method: z.string(),
+	path: z.string(),
+	headers: z.record(z.string(), z.union([z.string(), z.array(z.string())]).optional()),
+	body: z.string(),
+	/** Unix time in milliseconds: processes have monotonic clocks of their own. */
+	at: z.number(),
+});
+
+export const messageSchema = z.discriminatedUnion('type', [
+	/** It listens and can be registered. */
+	z.object({type: z.literal('listening'), registration: z.record(z.string(), z.unknown())}),
+	/** It has run a request. */
+	z.object({type: z.literal('run'), run: runSchema}),
+]);
+
+export type Message = z.infer<typeof messageSchema>;
--- a/stand-ins/gateway/upstream.ts
+++ b/stand-ins/gateway/upstream.ts
@@ -4,6 +4,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {text} from 'node:stream/consumers';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {z} from 'zod';
 import {type Address} from '../../src/core/index.js';
 import {getPort} from '../../src/entry/ports.js';
@@ -25,6 +26,8 @@
 	readonly model?: EngineModel;
 	/** Milliseconds that a plain service takes to answer. */
 	readonly answerDelay?: number;
+	/** Port that it listens on; a free one if absent, which something else may take before it comes back. */
+	readonly port?: number;
 };
 
 /** What an upstream states about itself in a response. */
@@ -118,6 +121,8 @@
 	unreadStreams = 0;
 	/** How many times longer its iterations take than its configuration states. */
 	slowness = 1;
+	/** Milliseconds that a plain service takes to answer single requests, by their ids. */
+	answerDelays: ReadonlyMap<string, number> = new Map();
 	/** Cold time that it states in its responses to health checks instead of the true one. */
 	statedColdTime: string | undefined;
 	/** Seconds for which it wants no more requests from a host that it refuses; undefined if it doesn't say. */
@@ -146,6 +151,8 @@
 	#newIds = 0;
 	#registrationCount = 0;
 	#requestCount = 0;
+	/** When it goes on after a pause; monotonic milliseconds. */
+	#pausedUntil = 0;
 	/** When it stops being cold; monotonic milliseconds. */
 	#coldUntil = 0;
 	/** Address at which it listened last. */
@@ -155,7 +162,13 @@
 
 	constructor(options: UpstreamOptions) {
 		this.#options = options;
-		this.#batch = options.model === undefined ? undefined : new Batch(options.model);
+		this.#batch = options.model === undefined
+			? undefined
+			: new Batch(options.model, job => {
+				if (job.events > 0) {
+					options.ledger.recordBeginning(job.id, this.id);
+				}
+			});
 		this.#server = createServer({keepAliveTimeout: 5000}, (incoming, outgoing) => {
 			void this.#handleRequest(incoming, outgoing);
 		});
@@ -202,6 +215,15 @@
 		this.#coldUntil = performance.now() + duration;
 	}
 
+	/**
+	 * Sends nothing and starts nothing for some time, as a process that is stopped and continued by signals: connections stay open.
+	 *
+	 * @param duration - Milliseconds.
+	 */
+	pause(duration: number): void {
+		this.#pausedUntil = Math.max(this.#pausedUntil, performance.now() + duration);
+	}
+
 	/** Returns its next registration record for the store. */
 	createRegistration(): Readonly<Record<string, unknown>> {
 		this.#registrationCount++;
@@ -219,10 +241,10 @@
 		};
 	}
 
-	/** Starts to listen on a free port. */
+	/** Starts to listen. */
 	async listen(): Promise<void> {
 		this.#startTime = Date.now();
-		this.#server.listen(0, loopback);
+		this.#server.listen(this.#options.port ?? 0, loopback);
 		await once(this.#server, 'listening');
 		upstreamsByAddress.set(`${this.address.host}:${this.address.port}`, this);
 	}
@@ -298,6 +320,11 @@
 	}
 
 	async #handleRequest(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+		await this.#continued();
+		if (outgoing.destroyed) {
+			return;
+		}
+
 		this.#reportState(outgoing);
 		if (incoming.headers['x-expect-instance'] !== this.id) {
 			incoming.resume();
@@ -398,8 +425,9 @@
 
 	async #servePlain(id: string, body: string, outgoing: ServerResponse): Promise<void> {
 		await new Promise(resolve => {
-			setTimeout(resolve, this.#options.answerDelay ?? 1);
+			setTimeout(resolve, this.answerDelays.get(id) ?? this.#options.answerDelay ?? 1);
 		});
+		await this.#continued();
 		this.#reportState(outgoing);
 		await sendPlainAnswer(outgoing, {
 			fault: this.fault, id, signature: this.id, payload: `answer to ${id}: ${body}`,
@@ -436,7 +464,14 @@
 			id, prompt, engineCount: helpers.length + 1, events, priority: Number(incoming.headers['x-request-priority'] ?? 5), memory,
 		};
 		this.#streams.set(id, {
-			crashingPart: this.#findCrashingPart(incoming), job, outgoing, first, next: first + 1, pendingParts: helpers.length + 1, helpers, padding: '.'.repeat(Number(incoming.headers['x-event-padding'] ?? this.eventPadding)),
+			crashingPart: this.#findCrashingPart(incoming),
+			job,
+			outgoing,
+			first,
+			next: first + 1,
+			pendingParts: helpers.length + 1,
+			helpers,
+			padding: '.'.repeat(Number(incoming.headers['x-event-padding'] ?? this.eventPadding)),
 		});
 		outgoing.once('close', () => {
 			this.#streams.delete(id);
@@ -486,11 +521,22 @@
 		}
 
 		this.#isIterating = true;
-		setTimeout(() => {
-			this.#isIterating = false;
-			this.#finishIteration();
-			this.#startIteration();
-		}, time * this.slowness);
+		void this.#iterate(time * this.slowness);
+	}
+
+	async #iterate(time: number): Promise<void> {
+		await sleep(time);
+		await this.#continued();
+		this.#isIterating = false;
+		this.#finishIteration();
+		this.#startIteration();
+	}
+
+	/** Resolves at once unless it is paused. */
+	async #continued(): Promise<void> {
+		for (let left = this.#pausedUntil - performance.now(); left > 0; left = this.#pausedUntil - performance.now()) {
+			await sleep(left);
+		}
 	}
 
 	#finishIteration(): void {
