--- a/src/cli/__tests__/losses.test.ts
+++ b/src/cli/__tests__/losses.test.ts
@@ -54,6 +54,11 @@
 		expect(causes(placed(0, 'a'), placed(200, 'b', {upstream: 'e2', tokens: 90_000}), ended(900, 'a', {longestPause: 400}))).toEqual([['a', 'pause', 1.5]]);
 	});
 
+	it('its engine, and not to an attempt at another one that was outrun', () => {
+		const lines = [placed(0, 'a'), placed(400, 'a'), attempt(500, 'a', 'cancelled', 'outrun'), attempt(900, 'a', 'answered'), ended(900, 'a', {longestPause: 400, attempts: 2})];
+		expect(causes(...lines)).toEqual([['a', 'pause', 1.5]]);
+	});
+
 	it('an unreachable failure domain that was detected soon after', () => {
 		expect(causes(placed(0, 'a'), ended(1500, 'a', {longestPause: 1200}), line(1900, 'domain-unreachable', {domain: 'b'}))).toEqual([['a', 'pause while a domain was out of reach', 1.5]]);
 	});
--- a/src/cli/gateway-lines.ts
+++ b/src/cli/gateway-lines.ts
@@ -55,6 +55,12 @@
 		wait: z.number(),
 	}),
 	z.object({type: z.literal('retry-denied'), service: z.string(), hosts: z.number()}),
+	z.object({
+		type: z.literal('successor-sent'), from: z.string(), to: z.string(), reason: z.string(), silentEngines: z.number(),
+	}),
+	z.object({
+		type: z.literal('successor-missing'), from: z.string(), reason: z.string(), obstacle: z.string(), silentEngines: z.number(),
+	}),
 	z.object({
 		type: z.literal('hold-refused'), hold: z.string(), reason: reservationReason.optional(), refused: z.array(z.string()),
 	}),
@@ -195,6 +201,14 @@
 			return `Not sent once more: this host's part of the retries for ${line.service} is used up (hosts that share them: ${line.hosts})`;
 		}
 
+		case 'successor-sent': {
+			return `Sent to ${line.to} as well (${line.reason} at ${line.from}, silent engines: ${line.silentEngines}): the attempt that sends something first is kept`;
+		}
+
+		case 'successor-missing': {
+			return `Goes on at ${line.from} (${line.reason}): none may take its place (${line.obstacle}, silent engines: ${line.silentEngines})`;
+		}
+
 		case 'hold-refused': {
 			return `Hold ${line.hold} was refused by ${line.refused.join(', ')}`;
 		}
--- a/src/cli/losses/causes.ts
+++ b/src/cli/losses/causes.ts
@@ -119,7 +119,9 @@
 		case 'placed-apart':
 		case 'conviction-tested':
 		case 'refused-as-convicted':
-		case 'retry-denied': {
+		case 'retry-denied':
+		case 'successor-sent':
+		case 'successor-missing': {
 			return;
 		}
 
@@ -145,7 +147,8 @@
 
 /** Why the first attempt was followed by another. */
 function findCauseOfRetry(history: History): Cause | undefined {
-	const [first] = history.endings;
+	// An attempt that was outrun has changed nothing.
+	const first = history.endings.find(({reason}) => reason !== 'outrun');
 	if (history.placed.length < 2 || first === undefined) {
 		return undefined;
 	}
@@ -154,6 +157,10 @@
 		return 'moved';
 	}
 
+	if (first.ending === 'answered') {
+		return undefined;
+	}
+
 	return first.ending === 'not-run' && first.reason?.startsWith('refused') !== true ? 'no connection' : 'new attempt';
 }
 
--- a/src/core/gateway/__tests__/absences.test.ts
+++ b/src/core/gateway/__tests__/absences.test.ts
@@ -70,7 +70,7 @@
 		const absence = createAbsence(upstream, 'refused', 'a', 'a');
 		for (const [index, health] of this.#healths.entries()) {
 			if (this.#isReporting && index !== host && appliesIn(absence, 'a', 'a') && !health.isBackedOff(upstream, now)) {
-				health.record(upstream, absenceToVerdict(absence.reason), now);
+				health.record(upstream, absenceToVerdict('refused'), now);
 			}
 		}
 	}
--- a/src/core/gateway/__tests__/attempts.test.ts
+++ b/src/core/gateway/__tests__/attempts.test.ts
@@ -82,6 +82,54 @@
 		expect([results.filter(Boolean).length, attempts.eligibility.excluded.size]).toEqual([23, 0]);
 	});
 
+	it('whose successor was outrun may go to that engine again, though no further one is allowed', () => {
+		const attempts = new Attempts(rules);
+		attempts.recordSent('a');
+		attempts.recordSent('b');
+		expect([attempts.canFailOver, attempts.canRetryAfter(unknown)]).toEqual([false, false]);
+		attempts.recordDropped('b');
+		expect([attempts.canFailOver, attempts.canRetryAfter(unknown)]).toEqual([true, true]);
+		expect([[...attempts.eligibility.excluded], [...attempts.eligibility.permitted ?? []]]).toEqual([['a'], ['b']]);
+	});
+
+	it('is not sent to a third engine in place of one that was outrun, and to that one only once', () => {
+		const attempts = new Attempts(rules);
+		attempts.recordSent('a');
+		attempts.recordSent('b');
+		attempts.recordDropped('b');
+		attempts.recordSent('b');
+		expect([attempts.sent, [...attempts.contacted], [...attempts.eligibility.excluded], [...attempts.eligibility.permitted ?? []]]).toEqual([3, ['a', 'b'], ['a', 'b'], []]);
+		expect([attempts.canFailOver, attempts.canRetryAfter(unknown), attempts.placementKind]).toEqual([false, false, 'retry']);
+	});
+
+	it('may go back to the engine that it left for a successor, but is not moved there for speed', () => {
+		const attempts = new Attempts(rules);
+		attempts.recordSent('a');
+		expect([attempts.canMove, attempts.untried.permitted, [...attempts.untried.excluded]]).toEqual([true, undefined, ['a']]);
+		attempts.recordSent('b');
+		attempts.recordDropped('a');
+		expect([attempts.canFailOver, [...attempts.eligibility.excluded], [...attempts.eligibility.permitted ?? []]]).toEqual([true, ['b'], ['a']]);
+		expect([attempts.canMove, [...attempts.untried.excluded], [...attempts.untried.permitted ?? []]]).toEqual([false, ['b', 'a'], []]);
+	});
+
+	it('is not sent to a third engine since one that it went back to was out of reach', () => {
+		const attempts = new Attempts(rules);
+		attempts.recordSent('a');
+		attempts.recordSent('b');
+		attempts.recordDropped('a');
+		attempts.recordSent('a');
+		attempts.recordUnreached('a');
+		expect([[...attempts.contacted], attempts.sent, [...attempts.eligibility.permitted ?? []]]).toEqual([['a', 'b'], 2, []]);
+	});
+
+	it('does not lose further engines of its route by one that was outrun', () => {
+		const attempts = new Attempts({...rules, attempts: 3});
+		attempts.recordSent('a');
+		attempts.recordSent('b');
+		attempts.recordDropped('b');
+		expect([attempts.canFailOver, attempts.eligibility.permitted, [...attempts.eligibility.excluded]]).toEqual([true, undefined, ['a']]);
+	});
+
 	it('is given up after three refused holds, and excludes the engines that refused', () => {
 		const attempts = new Attempts(rules);
 		const results = [['a', 'b'], ['c'], ['d']].map(engines => {
@@ -93,6 +141,13 @@
 	});
 });
 
+it('a non-idempotent request is not repeated because its attempt was outrun', () => {
+	const attempts = new Attempts({kind: 'non-idempotent', isResumable: false, attempts: 2});
+	attempts.recordSent('a');
+	attempts.recordDropped('a');
+	expect([attempts.canFailOver, attempts.canRetryAfter({type: 'cancelled', reason: 'outrun'})]).toEqual([false, false]);
+});
+
 it('a stream can fail over to another engine only if it can be resumed', () => {
 	for (const isResumable of [true, false]) {
 		const attempts = new Attempts({kind: 'streaming', isResumable, attempts: 2});
--- a/src/core/gateway/__tests__/placement.test.ts
+++ b/src/core/gateway/__tests__/placement.test.ts
@@ -208,3 +208,45 @@
 		}
 	});
 });
+
+describe('a request to a plain service', () => {
+	const all = upstreams(4).filter(each => each.failureDomain === 'a');
+
+	/** Places requests that are answered at once, and returns the share of one upstream among them. */
+	function measureShare(fixture: Fixture, from: number, options: {readonly to: number; readonly intervalMs: number; readonly excluded?: readonly string[]}): number {
+		const {to, intervalMs, excluded = []} = options;
+		let [total, count] = [0, 0];
+		for (let at = from; at < to; at += intervalMs) {
+			const request: Demand = {...demand(1000, {id: `r${at}`}), prompt: undefined};
+			const {upstream} = place(request, all, undefined, {
+				policy: defaultPolicy, load: fixture.load, health: fixture.health, host: 'h', failureDomain: 'a', unreachable: new Set(), findObstacle: findDeparture,
+				eligibility: {excluded: new Set(excluded)}, now: at,
+			})!;
+			fixture.health.record(upstream.id, 'sound', at);
+			total++;
+			count += upstream.id === 'e0' ? 1 : 0;
+		}
+
+		return count / total;
+	}
+
+	it.each([20, 50, 200, 1000])('is not kept at an upstream just as it has answered lately (one request in %i ms)', intervalMs => {
+		const fixture = new Fixture();
+		const end = now + 10_000;
+		measureShare(fixture, now, {to: end, intervalMs, excluded: ['e0']});
+		const share = measureShare(fixture, end, {to: end + (intervalMs * 200), intervalMs});
+		expect(share).toBeGreaterThan(0.4);
+		expect(share).toBeLessThan(0.6);
+	});
+
+	it('goes to an upstream that failed as before, some seconds after its last failure', () => {
+		const fixture = new Fixture();
+		for (let index = 0; index < 4; index++) {
+			fixture.health.record('e0', 'broken', now);
+		}
+
+		expect(measureShare(fixture, now, {to: now + 2000, intervalMs: 50})).toBe(0);
+		expect(measureShare(fixture, now + 2000, {to: now + 25_000, intervalMs: 50, excluded: ['e0']})).toBe(0);
+		expect(measureShare(fixture, now + 25_000, {to: now + 35_000, intervalMs: 50})).toBeGreaterThan(0.4);
+	});
+});
--- a/src/core/gateway/health/absences.ts
+++ b/src/core/gateway/health/absences.ts
@@ -35,21 +35,24 @@
 	return {upstream, reason, isForAll: reason === 'replaced' || upstreamDomain === hostDomain};
 }
 
+/** An upstream that a host has reported as silent answers again. */
+export type UpstreamReturn = Omit<Absence, 'reason'>;
+
 /**
- * @param absence - Absence that a peer reported.
+ * @param report - Absence or return that a peer reported.
  * @param senderDomain - Failure domain of the peer.
  * @param hostDomain - Failure domain of the receiving host.
- * @returns Whether the absence applies to the receiving host.
+ * @returns Whether it applies to the receiving host.
  */
-export function appliesIn({isForAll}: Absence, senderDomain: string, hostDomain: string): boolean {
+export function appliesIn({isForAll}: Pick<Absence, 'isForAll'>, senderDomain: string, hostDomain: string): boolean {
 	return isForAll || senderDomain === hostDomain;
 }
 
 /**
- * @param reason - How a peer found an upstream absent.
- * @returns Verdict for this host. Silence counts less, since the peer's own link or a lost packet may be the cause.
+ * @param reason - How a peer found an upstream absent, unless it was silent.
+ * @returns Verdict for this host.
  */
-export function absenceToVerdict(reason: AbsenceReason): Verdict {
+export function absenceToVerdict(reason: Exclude<AbsenceReason, 'silent'>): Verdict {
 	switch (reason) {
 		case 'refused': {
 			return 'unreachable';
@@ -59,10 +62,6 @@
 			return 'replaced';
 		}
 
-		case 'silent': {
-			return 'broken';
-		}
-
 		default: {
 			return assertNever(reason);
 		}
--- a/src/core/gateway/health/health.ts
+++ b/src/core/gateway/health/health.ts
@@ -1,13 +1,16 @@
 /** Tracks the health of upstreams from how attempts ended: failure probability and backoff. */
 import {assertNever} from '../../utils/common.js';
 import {type AttemptEnding} from '../limits/retries.js';
+import {SilentUpstreams} from './silent-upstreams.js';
 
 /** Half-life of recorded attempts, in milliseconds: engines that crash are back within 3 to 5 s. */
 const halfLifeMs = 2500;
 
-/** Prior of an unknown upstream: assumed attempts, and how many of them failed. */
-const priorAttempts = 4;
-const priorFailures = 0.04;
+/** Share of attempts that fail without a reason that lies in the upstream, also at those that have always answered. */
+const baseProbability = 0.01;
+
+/** Successful attempts that an upstream is assumed to have had. */
+const assumedAttempts = 4;
 
 /**
  * Backoff after a failed connection, in milliseconds; doubles with each failure up to the maximum. An upstream that was replaced is
@@ -26,7 +29,7 @@
 		| 'broken'
 	/** Another process answers at its address. */
 		| 'replaced'
-	/** No connection could be made, or it became unresponsive. */
+	/** No connection could be made. */
 		| 'unreachable';
 
 /**
@@ -49,7 +52,7 @@
 		}
 
 		case 'cancelled': {
-			return ending.reason === 'silent' ? 'unreachable' : undefined;
+			return undefined;
 		}
 
 		default: {
@@ -69,6 +72,7 @@
 
 /** Failure records of upstreams, which decay with time. */
 export class Health {
+	readonly silent = new SilentUpstreams();
 	readonly #entries = new Map<string, HealthRecord>();
 
 	/**
@@ -116,16 +120,21 @@
 	 */
 	forget(upstream: string): void {
 		this.#entries.delete(upstream);
+		this.silent.forget(upstream);
 	}
 
 	/**
+	 * Answers outweigh failures, but don't make an upstream safer than an unused one: requests would be kept there.
+	 *
 	 * @param upstream - Upstream.
 	 * @param now - Time in milliseconds.
 	 * @returns Expected share of attempts that fail there, 0 to 1.
 	 */
 	failureProbability(upstream: string, now: number): number {
 		const {attempts, failures} = this.#decayed(upstream, now);
-		return (failures + priorFailures) / (attempts + priorAttempts);
+		const unanswered = this.silent.computeWeight(upstream, now);
+		const failed = (failures + unanswered) / (attempts + unanswered + assumedAttempts);
+		return baseProbability + ((1 - baseProbability) * failed);
 	}
 
 	/**
@@ -134,7 +143,7 @@
 	 * @returns Whether it is backed off now.
 	 */
 	isBackedOff(upstream: string, now: number): boolean {
-		return (this.#entries.get(upstream)?.backedOffUntil ?? 0) > now;
+		return (this.#entries.get(upstream)?.backedOffUntil ?? 0) > now || this.silent.isBackedOff(upstream, now);
 	}
 
 	#decayed(upstream: string, now: number): HealthRecord {
--- a/src/core/gateway/limits/retries.ts
+++ b/src/core/gateway/limits/retries.ts
@@ -4,10 +4,16 @@
 import {type Route} from '../types.js';
 
 /**
- * Why a host cancels an attempt: the caller has left, its time is over, the memory of its hold is lost, it is rerouted (`moved`), the
- * engine is unresponsive (`silent`), or it turns out to crash engines (`convicted`).
+ * Why an attempt is replaced by another one of the same request: the memory of its hold is lost, it is rerouted (`moved`), or its engine is
+ * unresponsive (`silent`).
  */
-export type CancelReason = 'caller left' | 'convicted' | 'memory lost' | 'moved' | 'silent' | 'time over';
+export type SuccessionReason = 'memory lost' | 'moved' | 'silent';
+
+/**
+ * Why a host cancels an attempt: the caller has left, its time is over, it turns out to crash engines (`convicted`), another attempt takes
+ * its place, or the one that it should replace has sent something first (`outrun`).
+ */
+export type CancelReason = SuccessionReason | 'caller left' | 'convicted' | 'outrun' | 'time over';
 
 /** What is known for certain about an attempt that has ended. */
 export type AttemptEnding
--- a/src/core/gateway/placement/attempts.ts
+++ b/src/core/gateway/placement/attempts.ts
@@ -38,9 +38,9 @@
 export class Attempts {
 	readonly #rules: RetryRules;
 	readonly #excluded = new Set<string>();
-	/** Upstreams that the request was sent to. */
-	readonly #contacted = new Set<string>();
-	/** Upstreams that only lacked a helper. Sending the request to them again does not count against the limit of the route. */
+	/** Upstreams that the request was sent to, and how often. */
+	readonly #contacted = new Map<string, number>();
+	/** Upstreams that lacked a helper, or whose attempt gave way to another. Sending the request to them again does not count against the limit of the route. */
 	readonly #askableAgain = new Set<string>();
 	#sent = 0;
 	#refusedHolds = 0;
@@ -61,9 +61,14 @@
 		return {excluded: this.#excluded, permitted: this.#hasUpstreamsLeft ? undefined : this.#askableAgain};
 	}
 
+	/** Upstreams that a stream may move to: none that has had the request. */
+	get untried(): Eligibility {
+		return {excluded: new Set([...this.#excluded, ...this.#contacted.keys()]), permitted: this.#hasUpstreamsLeft ? undefined : new Set()};
+	}
+
 	/** Upstreams that received the request and count against the limit of the route. */
 	get contacted(): Iterable<string> {
-		return this.#contacted;
+		return this.#contacted.keys();
 	}
 
 	/** Number of times that the request was sent. */
@@ -82,6 +87,11 @@
 
 	/** Whether the request may move from an unresponsive engine to another one. */
 	get canFailOver(): boolean {
+		return (this.#hasUpstreamsLeft || this.#askableAgain.size > 0) && isIdempotent(this.#rules);
+	}
+
+	/** Whether the request may move to an engine that hasn't had it. */
+	get canMove(): boolean {
 		return this.#hasUpstreamsLeft && isIdempotent(this.#rules);
 	}
 
@@ -91,7 +101,7 @@
 	recordSent(upstream: string): void {
 		this.#sent++;
 		this.#excluded.add(upstream);
-		this.#contacted.add(upstream);
+		this.#contacted.set(upstream, (this.#contacted.get(upstream) ?? 0) + 1);
 		this.#askableAgain.delete(upstream);
 	}
 
@@ -101,9 +111,21 @@
 	 * @param upstream - Upstream that could not be connected to, so that nothing was sent.
 	 */
 	recordUnreached(upstream: string): void {
-		this.#sent--;
+		this.#takeBack(upstream);
 		this.#unreached++;
-		this.#contacted.delete(upstream);
+	}
+
+	/**
+	 * Takes back an attempt that was cancelled before it was sent.
+	 *
+	 * @param upstream - Upstream; it may be asked again.
+	 */
+	recordUnsent(upstream: string): void {
+		this.#takeBack(upstream);
+		this.#excluded.delete(upstream);
+		if (this.#contacted.has(upstream)) {
+			this.#askableAgain.add(upstream);
+		}
 	}
 
 	/**
@@ -117,6 +139,14 @@
 		}
 	}
 
+	/**
+	 * @param upstream - Upstream whose attempt ended as another one was kept; it may be asked again.
+	 */
+	recordDropped(upstream: string): void {
+		this.#excluded.delete(upstream);
+		this.#askableAgain.add(upstream);
+	}
+
 	/**
 	 * @param upstream - Engine that did not run the request.
 	 * @param helper - Engine that should have helped and did not.
@@ -158,6 +188,16 @@
 			&& this.#unreached < maxUnreachedUpstreams;
 	}
 
+	#takeBack(upstream: string): void {
+		this.#sent--;
+		const count = this.#contacted.get(upstream) ?? 0;
+		if (count > 1) {
+			this.#contacted.set(upstream, count - 1);
+		} else {
+			this.#contacted.delete(upstream);
+		}
+	}
+
 	get #hasUpstreamsLeft(): boolean {
 		return this.#contacted.size < this.#rules.attempts;
 	}
--- a/src/core/gateway/placement/placement.ts
+++ b/src/core/gateway/placement/placement.ts
@@ -81,6 +81,8 @@
 	readonly pace?: Pace;
 	/** Predicted milliseconds until the first byte. */
 	readonly firstByte: number;
+	/** Of these, milliseconds until the engine that answers has a free slot; undefined for plain services. */
+	readonly slotWait?: number;
 	/** Rank in the queue of the engine, 0 is first; undefined for plain services. */
 	readonly urgency?: number;
 	/** Expected loss, in requests of usual weight. */
@@ -138,6 +140,7 @@
 		prefill,
 		pace: first.forecast.pace,
 		firstByte,
+		slotWait: first.forecast.slotWait,
 		urgency: urgencyOf(prompt, demand.hasBegun === true, demand.organisationPriority),
 		loss,
 	};
--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -121,7 +121,9 @@
 		service: () => undefined,
 		load: {size: 1},
 		tunnels: {links: new Links(), noteUnanswered: () => undefined},
-		stallDetectors: new StallDetectors({links: new Links(), noteUnanswered: () => undefined}),
+		stallDetectors: new StallDetectors({
+			tunnels: {links: new Links(), noteUnanswered: () => undefined}, clock: {now: () => 0}, forecastIterationTime: () => 0, onLife: () => undefined,
+		}),
 		recordVerdict: () => undefined,
 		publishAbsence: () => undefined,
 		placements: {
--- a/src/gateway/__tests__/relays.test.ts
+++ b/src/gateway/__tests__/relays.test.ts
@@ -136,6 +136,18 @@
 		}
 	});
 
+	it('reports the return of an upstream to the hosts to which its silence was reported', {timeout: 60_000}, async () => {
+		await using fleet = await TestFleet.start(3, 6);
+		const [plain] = fleet.nonRelays('domain-0');
+		plain!.loadUpdates.publishReturn({upstream: 'abroad', isForAll: false});
+		plain!.loadUpdates.publishReturn({upstream: 'at home', isForAll: true});
+		const others = fleet.all.filter(member => member !== plain);
+		await fleet.until(() => others.every(member => member.reportedReturns.includes('at home')));
+		for (const {host, reportedReturns} of others) {
+			expect(reportedReturns).toEqual(host.failureDomain === 'domain-0' ? ['abroad', 'at home'] : ['at home']);
+		}
+	});
+
 	it('reports each job of the other hosts of a domain once, and no job of other domains', {timeout: 60_000}, async () => {
 		await using fleet = await TestFleet.start(3, 6);
 		const [relay] = fleet.relays('domain-0');
--- a/src/gateway/__tests__/reputation.test.ts
+++ b/src/gateway/__tests__/reputation.test.ts
@@ -130,3 +130,60 @@
 	reputation.recordVerdict('e2', upstream('e2', 'a'), 'unreachable', 0);
 	expect(lines).toMatchObject([{upstream: 'e1', verdict: 'unreachable', peer: 'h2'}, {upstream: 'e2', verdict: 'unreachable', peer: undefined}]);
 });
+
+it('logs silence that a peer reports, and its end by a sign of life or a peer, with the risk that placement sees', () => {
+	const {lines, log} = createRecorder();
+	const reputation = new Reputation({failureDomain: 'a', log, silentDomains: () => new Set()});
+	for (const id of ['e1', 'e2']) {
+		reputation.recordAbsence({upstream: id, reason: 'silent', isForAll: true}, 'h2', 0);
+		reputation.recordAbsence({upstream: id, reason: 'silent', isForAll: true}, 'h3', 1);
+	}
+
+	expect(reputation.recordLife(upstream('e1', 'a'), 100)).toBe(false);
+	reputation.recordReturn('e2', 'h2', 100);
+	reputation.recordReturn('e2', 'h3', 101);
+	expect(lines).toEqual([
+		{
+			event: 'silence-reported', upstream: 'e1', peer: 'h2', risk: 0.21,
+		},
+		{
+			event: 'silence-reported', upstream: 'e2', peer: 'h2', risk: 0.21,
+		},
+		{
+			event: 'silence-ended', upstream: 'e1', peer: undefined, risk: 0.01,
+		},
+		{
+			event: 'silence-ended', upstream: 'e2', peer: 'h2', risk: 0.01,
+		},
+	]);
+});
+
+it('doubts an upstream whose silence it has met until it sends something, and tells peers then', () => {
+	const {lines, log} = createRecorder();
+	const reputation = new Reputation({failureDomain: 'a', log, silentDomains: () => new Set()});
+	const engine = upstream('e1', 'a');
+	reputation.recordSilence(engine, 0);
+	reputation.recordReturn('e1', 'h2', 50);
+	expect([reputation.health.isBackedOff('e1', 60), reputation.unhealthyCount]).toEqual([true, 1]);
+	expect([reputation.recordLife(engine, 100), reputation.recordLife(engine, 101)]).toEqual([true, false]);
+	expect([reputation.health.isBackedOff('e1', 110), reputation.unhealthyCount]).toEqual([false, 0]);
+	expect(lines).toEqual([
+		{
+			event: 'upstream-doubted', upstream: 'e1', verdict: 'silent', peer: undefined, risk: 0.21,
+		},
+		{
+			event: 'upstream-trusted', upstream: 'e1', reason: 'it sends again', risk: 0.01,
+		},
+	]);
+});
+
+it('keeps what else was held against an upstream when its silence ends', () => {
+	const {log} = createRecorder();
+	const reputation = new Reputation({failureDomain: 'a', log, silentDomains: () => new Set()});
+	const engine = upstream('e1', 'a');
+	reputation.recordVerdict('e1', engine, 'faulty', 0);
+	const before = reputation.health.failureProbability('e1', 0);
+	reputation.recordSilence(engine, 0);
+	reputation.recordLife(engine, 0);
+	expect(reputation.health.failureProbability('e1', 0)).toBe(before);
+});
--- a/src/gateway/__tests__/response-buffers.test.ts
+++ b/src/gateway/__tests__/response-buffers.test.ts
@@ -4,8 +4,10 @@
 import {type ServerResponse} from 'node:http';
 import {Readable} from 'node:stream';
 import {describe, expect, it} from 'vitest';
+import {type Route} from '../../core/gateway/types.js';
 import {type Reply} from '../upstreams/attempt.js';
 import {GatewayMetrics} from '../metrics.js';
+import {CallerResponse} from '../callers/caller-response.js';
 import {ResponseBuffer} from '../callers/response-buffer.js';
 import {ResponseBuffers} from '../callers/response-buffers.js';
 import {forwardEvents, readBody} from '../callers/response-forwarding.js';
@@ -20,6 +22,10 @@
 	received = '';
 	#pending: (() => void) | undefined;
 
+	writeHead(): void {
+		this.headersSent = true;
+	}
+
 	write(bytes: Buffer, callback?: () => void): boolean {
 		this.received += bytes.toString();
 		this.#pending = callback;
@@ -65,14 +71,14 @@
 	}
 }
 
-function createReply(chunks: Iterable<Buffer>, status = 200): Reply {
+function createReply(chunks: Iterable<Buffer>, status = 200, signal?: AbortSignal): Reply {
 	return {
-		type: 'reply', status, rawHeaders: [], body: Readable.from(chunks), isComplete: async () => true,
+		type: 'reply', status, rawHeaders: [], body: Readable.from(chunks), signal, isComplete: async () => true,
 	} as unknown as Reply;
 }
 
 const noObserver = {
-	onEvents: () => undefined, stopped: () => undefined, resumed: () => undefined,
+	yielding: undefined, leads: () => true, onEvents: () => undefined, onComplete: () => undefined, stopped: () => undefined, resumed: () => undefined,
 };
 
 describe('a stream whose caller doesn\'t read', () => {
@@ -122,7 +128,7 @@
 		const notices: string[] = [];
 		const event = `data: ${'x'.repeat(20_000)}\n\n`;
 		const forwarded = forwardEvents(buffer, createReply(Array.from({length: 10}, () => Buffer.from(event))), {
-			onEvents: () => undefined,
+			...noObserver,
 			stopped() {
 				notices.push('stopped');
 			},
@@ -145,6 +151,50 @@
 		expect(fixture.lines.length).toBe(1);
 	});
 
+	it('lets an attempt that another one has replaced end at once, and the other one go on', {timeout: 5000}, async () => {
+		const fixture = new Fixture(100_000);
+		const {caller, buffer} = fixture.open();
+		const event = Buffer.from(`data: ${'x'.repeat(20_000)}\n\n`);
+		const cancellation = new AbortController();
+		const replies = [createReply(Array.from({length: 10}, () => event), 200, cancellation.signal), createReply([event, event])];
+		let leader = 0;
+		const forward = async (index: number) => forwardEvents(buffer, replies[index]!, {...noObserver, leads: () => index === leader});
+		const replaced = forward(0);
+		await expect.poll(() => fixture.buffers.stoppedCount).toBe(1);
+		leader = 1;
+		const kept = forward(1);
+		await expect.poll(() => replies[1]!.body.readableDidRead).toBe(true);
+		cancellation.abort();
+		replies[0]!.body.destroy(new Error('aborted'));
+		await expect(replaced).resolves.toMatchObject({type: 'unknown'});
+		const timer = setInterval(() => {
+			caller.take();
+		}, 1);
+		await expect(kept).resolves.toMatchObject({type: 'answered'});
+		clearInterval(timer);
+		expect(fixture.buffers.stoppedCount).toBe(0);
+	});
+
+	it('is not continued by another attempt once all of it has arrived', async () => {
+		const fixture = new Fixture(1_000_000);
+		const caller = new Caller();
+		const trace = {noteEvents: () => undefined} as unknown as RequestTrace;
+		const response = new CallerResponse(caller as unknown as ServerResponse, trace, () => 0, fixture.buffers);
+		const reply = createReply([Buffer.from('id: 1\ndata: x\n\n'), Buffer.from('id: 2\ndata: y\n\n')]);
+		Object.assign(reply.body, {headers: {'content-type': 'text/event-stream'}});
+		const couldContinue: boolean[] = [];
+		const ending = await response.forward(reply, {kind: 'streaming', isResumable: true} as unknown as Route, {
+			...noObserver,
+			began: () => undefined,
+			receivedEvents() {
+				couldContinue.push(response.canContinue);
+			},
+		});
+		expect(ending).toMatchObject({type: 'answered'});
+		expect(couldContinue).toEqual([true, true]);
+		expect([caller.destroyed, response.canContinue, response.lastEventId]).toEqual([false, false, '2']);
+	});
+
 	it('frees its bytes and stops waiting when its caller leaves', async () => {
 		const fixture = new Fixture(10_000);
 		const {caller, buffer} = fixture.open();
@@ -188,7 +238,7 @@
 		void slow.buffer.write([Buffer.alloc(79_000)]);
 		fixture.now = 1000;
 		const {buffer} = fixture.open();
-		const body = await readBody(createReply([Buffer.alloc(10_000), Buffer.alloc(10_000)]), buffer, 0);
+		const body = await readBody(createReply([Buffer.alloc(10_000), Buffer.alloc(10_000)]), buffer);
 		expect(body.type).toBe('long');
 	});
 
@@ -196,7 +246,7 @@
 		const fixture = new Fixture(100_000);
 		const {caller, buffer} = fixture.open();
 		const reply = createReply(Array.from({length: 20}, () => Buffer.alloc(10_000)), 500);
-		await expect(readBody(reply, buffer, 0)).resolves.toMatchObject({type: 'broken', reason: 'no space to hold the answer'});
+		await expect(readBody(reply, buffer)).resolves.toMatchObject({type: 'broken', reason: 'no space to hold the answer'});
 		expect([caller.destroyed, buffer.hasEnded, reply.body.destroyed, fixture.buffers.held]).toEqual([false, true, true, 0]);
 	});
 });
--- a/src/gateway/__tests__/response-ends.test.ts
+++ b/src/gateway/__tests__/response-ends.test.ts
@@ -33,7 +33,7 @@
 } as unknown as RequestTrace;
 
 const listener = {
-	began: () => undefined, receivedEvents: () => undefined, stopped: () => undefined, resumed: () => undefined,
+	yielding: undefined, leads: () => true, began: () => undefined, receivedEvents: () => undefined, stopped: () => undefined, resumed: () => undefined,
 };
 
 type Framing = 'chunks' | 'connection' | 'length' | 'other coding';
--- a/src/gateway/__tests__/test-fleet.ts
+++ b/src/gateway/__tests__/test-fleet.ts
@@ -28,6 +28,7 @@
 	readonly loadUpdates: LoadUpdates;
 	/** Upstreams that peers reported unreachable or replaced. */
 	readonly reportedAbsences: string[] = [];
+	readonly reportedReturns: string[] = [];
 	/** Jobs of other hosts of the same failure domain. */
 	readonly domainJobs: string[] = [];
 	/** Number of load updates received. */
@@ -68,6 +69,9 @@
 			self: host.name, failureDomain: host.failureDomain, load: this.load, peers: this.peers, now, modelAt: () => undefined, onAbsence: absence => {
 				this.reportedAbsences.push(absence.upstream);
 			},
+			onReturn: upstream => {
+				this.reportedReturns.push(upstream);
+			},
 			onNewJob: ignore,
 			onInvalidTag: ignore,
 			reports: () => [],
--- a/src/gateway/callers/caller-response.ts
+++ b/src/gateway/callers/caller-response.ts
@@ -8,7 +8,7 @@
 import {type RequestTrace} from '../requests/trace.js';
 import {sendAnswer, notRunStatuses, type AnswerName} from './answers.js';
 import {
-	isStream, readBody, forwardEvents, forwardLongBody, writeHead, type ResponseBody,
+	isStream, readBody, forwardEvents, forwardLongBody, outrunReason, writeHead, type ResponseBody,
 } from './response-forwarding.js';
 import {ResponseBuffer, type ReadingObserver} from './response-buffer.js';
 import {type ResponseBuffers} from './response-buffers.js';
@@ -18,6 +18,10 @@
 
 /** Callbacks for the progress of an upstream's response. */
 export type ReplyListener = ReadingObserver & {
+	/** Resolves once events of a stream may be passed on; undefined if they may be now. */
+	readonly yielding: Promise<void> | undefined;
+	/** Called before anything of the response is passed on; returns false if another attempt is kept, so that nothing may be. */
+	readonly leads: () => boolean;
 	/** Called at the first event of a stream, or when the body has been read. */
 	readonly began: () => void;
 	/** Called when events of a stream arrive. */
@@ -37,7 +41,7 @@
 	readonly #buffer: ResponseBuffer;
 	#mayHaveRun = false;
 	#lastEventId: string | undefined;
-	/** Whether a stream that has begun can be continued by another attempt. */
+	/** Whether a stream that has begun, and hasn't arrived as a whole, can be continued by another attempt. */
 	#isContinuable = false;
 	#lastReply: {readonly reply: Reply; readonly body: WholeBody} | undefined;
 
@@ -165,6 +169,10 @@
 	async #forwardStream(reply: Reply, listener: ReplyListener): Promise<AttemptEnding> {
 		let isFirst = true;
 		const ending = await forwardEvents(this.#buffer, reply, {
+			get yielding() {
+				return listener.yielding;
+			},
+			leads: listener.leads,
 			stopped: listener.stopped,
 			resumed: listener.resumed,
 			onEvents: (lastId, canContinue) => {
@@ -178,9 +186,12 @@
 					this.#ensureHead(reply);
 				}
 			},
+			onComplete: () => {
+				this.#isContinuable = false;
+				this.#ensureHead(reply);
+			},
 		});
 		if (ending.type === 'answered') {
-			this.#ensureHead(reply);
 			this.#buffer.finish();
 		}
 
@@ -188,7 +199,7 @@
 	}
 
 	async #forwardBody(reply: Reply, route: Route, listener: ReplyListener): Promise<AttemptEnding> {
-		const body = await readBody(reply, this.#buffer, this.#lastReply?.body.length ?? 0);
+		const body = await readBody(reply, this.#buffer);
 		listener.began();
 		switch (body.type) {
 			case 'broken': {
@@ -196,8 +207,13 @@
 			}
 
 			case 'long': {
+				if (!listener.leads()) {
+					this.#buffer.countUnbegun({source: reply, bytes: 0});
+					return {type: 'unknown', reason: outrunReason};
+				}
+
 				writeHead(this.#outgoing, reply);
-				if (await forwardLongBody(this.#buffer, body) && await reply.isComplete()) {
+				if (await forwardLongBody(this.#buffer, reply, body) && await reply.isComplete()) {
 					this.#buffer.finish();
 					return {type: 'answered', status: reply.status};
 				}
@@ -206,7 +222,7 @@
 			}
 
 			case 'whole': {
-				return this.#forwardWhole(reply, body, route);
+				return this.#forwardWhole(reply, body, route, listener);
 			}
 
 			default: {
@@ -215,18 +231,28 @@
 		}
 	}
 
-	#forwardWhole(reply: Reply, body: WholeBody, route: Route): AttemptEnding {
+	#forwardWhole(reply: Reply, body: WholeBody, route: Route, {leads}: ReplyListener): AttemptEnding {
 		const {status} = reply;
 		// To callers such a status guarantees that nothing ran, but this upstream didn't state that.
 		if (notRunStatuses.has(status)) {
+			this.#buffer.countUnbegun({source: reply, bytes: 0});
 			return {type: 'failed', status};
 		}
 
 		if (status >= 500 && isIdempotent(route)) {
+			if (this.#lastReply !== undefined) {
+				this.#buffer.countUnbegun({source: this.#lastReply.reply, bytes: 0});
+			}
+
 			this.#lastReply = {reply, body};
 			return {type: 'failed', status};
 		}
 
+		if (!leads()) {
+			this.#buffer.countUnbegun({source: reply, bytes: 0});
+			return {type: 'unknown', reason: outrunReason};
+		}
+
 		this.#sendWhole(reply, body);
 		return {type: 'answered', status};
 	}
--- a/src/gateway/callers/response-buffer.ts
+++ b/src/gateway/callers/response-buffer.ts
@@ -1,6 +1,5 @@
 /** The part of one response that its caller hasn't received yet. */
 import {Buffer} from 'node:buffer';
-import {once} from 'node:events';
 import {type ServerResponse} from 'node:http';
 import {setImmediate as turn} from 'node:timers/promises';
 import {breakOff} from '../../protocol/break-off.js';
@@ -32,10 +31,19 @@
 	readonly held: number;
 };
 
+/** Bytes that were read and can't be sent yet. */
+export type UnbegunBytes = {
+	/** Response of an upstream that they were read from; several may be read at once. */
+	readonly source: object;
+	readonly bytes: number;
+};
+
 export type WriteOptions = {
-	/** Bytes that were read and can't be sent yet. */
-	readonly unbegun?: number;
+	/** Bytes of the same response that can't be sent yet. */
+	readonly unbegun?: UnbegunBytes;
 	readonly observer?: ReadingObserver;
+	/** Ends the wait: nothing more is read from the upstream. */
+	readonly signal?: AbortSignal;
 };
 
 export class ResponseBuffer {
@@ -43,12 +51,12 @@
 	readonly #outgoing: ServerResponse;
 	readonly #shared: ResponseBuffers;
 	readonly #queue: QueuedBuffer[] = [];
-	#endHandler: (() => void) | undefined;
+	readonly #endHandlers = new Set<() => void>();
 	#isWriting = false;
 	#isFinishing = false;
 	#hasEnded = false;
 	#hasStopped = false;
-	#unbegunBytes = 0;
+	readonly #unbegun = new Map<object, number>();
 	/** Small buffers in a row at the end of the queue. */
 	#smallCount = 0;
 
@@ -89,18 +97,16 @@
 	/**
 	 * @param endHandler - Called if the response is ended because it holds too much.
 	 */
-	setEndHandler(endHandler: () => void): void {
-		this.#endHandler = endHandler;
+	addEndHandler(endHandler: () => void): void {
+		this.#endHandlers.add(endHandler);
 	}
 
 	/**
-	 * @param bytes - Bytes that were read and can't be sent yet; replaces the previous number.
+	 * @param unbegun - Bytes that were read and can't be sent yet; replaces the previous number of the same source.
 	 */
-	countUnbegun(bytes: number): void {
+	countUnbegun(unbegun: UnbegunBytes): void {
 		if (this.#shared.isEnabled && !this.#isGone) {
-			const change = bytes - this.#unbegunBytes;
-			this.#unbegunBytes = bytes;
-			this.#count(change);
+			this.#count(this.#updateUnbegun(unbegun));
 		}
 	}
 
@@ -111,24 +117,24 @@
 	 * @param options - Bytes that remain unsent, and whom to notify if the response has to wait.
 	 * @returns Resolves when more may be read from the upstream.
 	 */
-	async write(chunks: readonly Buffer[], {unbegun = 0, observer}: WriteOptions = {}): Promise<void> {
+	async write(chunks: readonly Buffer[], {unbegun, observer, signal}: WriteOptions = {}): Promise<void> {
 		if (!this.#shared.isEnabled) {
-			await this.#writeThrough(chunks, observer);
+			await this.#writeThrough(chunks, observer, signal);
 			return;
 		}
 
-		this.#enqueue(chunks, unbegun);
+		this.#enqueue(chunks, unbegun === undefined ? 0 : this.#updateUnbegun(unbegun));
 		if (this.#shared.mayRead(this)) {
 			return;
 		}
 
 		// A caller that reads has taken the bytes by the end of this turn.
 		await turn();
-		while (!this.#isGone && !this.#shared.mayRead(this)) {
+		while (!this.#isGone && signal?.aborted !== true && !this.#shared.mayRead(this)) {
 			const isFirst = !this.#hasStopped;
 			this.#hasStopped = true;
 			observer?.stopped();
-			await this.#shared.waitForSpace(this, isFirst);
+			await this.#shared.waitForSpace(this, isFirst, signal);
 			observer?.resumed();
 		}
 	}
@@ -145,7 +151,7 @@
 		}
 
 		this.#isFinishing = true;
-		this.#enqueue(chunks, 0);
+		this.#enqueue(chunks, -this.#takeUnbegun());
 		this.#writeNext();
 	}
 
@@ -167,7 +173,10 @@
 	end(): void {
 		this.#hasEnded = true;
 		this.#free();
-		this.#endHandler?.();
+		for (const endHandler of this.#endHandlers) {
+			endHandler();
+		}
+
 		if (this.#outgoing.headersSent) {
 			breakOff(this.#outgoing);
 		}
@@ -177,16 +186,29 @@
 		return this.#hasEnded || this.#outgoing.destroyed;
 	}
 
-	async #writeThrough(chunks: readonly Buffer[], observer: ReadingObserver | undefined): Promise<void> {
+	async #writeThrough(chunks: readonly Buffer[], observer: ReadingObserver | undefined, signal: AbortSignal | undefined): Promise<void> {
 		const outgoing = this.#outgoing;
 		const bytes = Buffer.concat(chunks);
 		if (bytes.length > 0 && !outgoing.write(bytes) && !outgoing.destroyed) {
 			observer?.stopped();
-			await Promise.race([once(outgoing, 'drain'), once(outgoing, 'close')]);
+			await this.#waitForDrain(signal);
 			observer?.resumed();
 		}
 	}
 
+	async #waitForDrain(signal: AbortSignal | undefined): Promise<void> {
+		await new Promise<void>(resolve => {
+			const end = () => {
+				this.#outgoing.off('drain', end).off('close', end);
+				signal?.removeEventListener('abort', end);
+				resolve();
+			};
+
+			this.#outgoing.on('drain', end).on('close', end);
+			signal?.addEventListener('abort', end);
+		});
+	}
+
 	/** Resolves when the response is closed, at the latest after a time in milliseconds. */
 	async #waitForClose(time: number): Promise<void> {
 		await new Promise<void>(resolve => {
@@ -209,14 +231,31 @@
 		}
 	}
 
-	/** Queues bytes, which were counted as unbegun so far if they were counted at all. */
-	#enqueue(chunks: readonly Buffer[], unbegun: number): void {
+	/** Returns by how many bytes the number of a source changes. */
+	#updateUnbegun({source, bytes}: UnbegunBytes): number {
+		const previous = this.#unbegun.get(source) ?? 0;
+		this.#unbegun.set(source, bytes);
+		return bytes - previous;
+	}
+
+	/** Forgets the unbegun bytes of all sources, and returns their number. */
+	#takeUnbegun(): number {
+		let bytes = 0;
+		for (const each of this.#unbegun.values()) {
+			bytes += each;
+		}
+
+		this.#unbegun.clear();
+		return bytes;
+	}
+
+	/** Queues bytes; `unbegunChange` tells how many of these and others were counted as unbegun so far. */
+	#enqueue(chunks: readonly Buffer[], unbegunChange: number): void {
 		if (this.#isGone) {
 			return;
 		}
 
-		let change = unbegun - this.#unbegunBytes;
-		this.#unbegunBytes = unbegun;
+		let change = unbegunChange;
 		for (const bytes of chunks) {
 			if (bytes.length > 0) {
 				const held = bytes.length + overheadBytes;
@@ -290,7 +329,7 @@
 	#free(): void {
 		this.#queue.length = 0;
 		this.#smallCount = 0;
-		this.#unbegunBytes = 0;
+		this.#unbegun.clear();
 		this.#shared.delete(this);
 	}
 }
--- a/src/gateway/callers/response-buffers.ts
+++ b/src/gateway/callers/response-buffers.ts
@@ -11,14 +11,20 @@
 	readonly metrics: Pick<GatewayMetrics, 'responsesStopped' | 'responsesEnded'>;
 };
 
+/** An attempt that isn't read until its response has space. */
+type Wait = {
+	readonly response: ResponseBuffer;
+	readonly resume: () => void;
+};
+
 /** The unsent bytes of all responses of this host. */
 export class ResponseBuffers {
 	readonly #clock: Pick<Clock, 'now'>;
 	readonly #metrics: ResponseBuffersOptions['metrics'];
 	readonly #budget: number | undefined;
 	readonly #decision: Decision<ResponseBuffer>;
-	/** Resumes the responses that aren't read at present. */
-	readonly #waits = new Map<ResponseBuffer, () => void>();
+	/** Attempts that aren't read at present; a response may have one that is being replaced, and the one that replaces it. */
+	readonly #waits = new Set<Wait>();
 
 	/**
 	 * @param options - Budget, and what observes it.
@@ -42,7 +48,7 @@
 
 	/** Responses that aren't read at present. */
 	get stoppedCount(): number {
-		return this.#waits.size;
+		return new Set([...this.#waits].map(({response}) => response)).size;
 	}
 
 	/**
@@ -91,8 +97,7 @@
 	 */
 	delete(response: ResponseBuffer): void {
 		this.#decision.delete(response);
-		this.#waits.get(response)?.();
-		this.#resume();
+		this.#resume(response);
 	}
 
 	/**
@@ -110,19 +115,26 @@
 	/**
 	 * @param response - Response that stops being read.
 	 * @param isFirst - Whether it stops for the first time.
+	 * @param signal - Ends the wait.
 	 * @returns Resolves once it may be read again, or has ended.
 	 */
-	async waitForSpace(response: ResponseBuffer, isFirst: boolean): Promise<void> {
+	async waitForSpace(response: ResponseBuffer, isFirst: boolean, signal?: AbortSignal): Promise<void> {
 		if (isFirst) {
 			this.#metrics.responsesStopped.inc();
 			response.log('response-stopped', this.#describe(response));
 		}
 
 		await new Promise<void>(resolve => {
-			this.#waits.set(response, () => {
-				this.#waits.delete(response);
-				resolve();
-			});
+			const wait: Wait = {
+				response,
+				resume: () => {
+					this.#waits.delete(wait);
+					signal?.removeEventListener('abort', wait.resume);
+					resolve();
+				},
+			};
+			this.#waits.add(wait);
+			signal?.addEventListener('abort', wait.resume);
 		});
 	}
 
@@ -135,9 +147,10 @@
 		};
 	}
 
-	#resume(): void {
-		for (const [response, resume] of this.#waits) {
-			if (this.mayRead(response)) {
+	/** Resumes responses that have space, and one that has ended. */
+	#resume(ended?: ResponseBuffer): void {
+		for (const {response, resume} of this.#waits) {
+			if (response === ended || this.mayRead(response)) {
 				resume();
 			}
 		}
--- a/src/gateway/callers/response-forwarding.ts
+++ b/src/gateway/callers/response-forwarding.ts
@@ -6,7 +6,7 @@
 import {EventSplitter, isEventStreamType} from '../../protocol/event-splitter.js';
 import {type Reply} from '../upstreams/attempt.js';
 import {filterEndToEndHeaders} from './headers.js';
-import {type ReadingObserver, type ResponseBuffer} from './response-buffer.js';
+import {type ReadingObserver, type ResponseBuffer, type UnbegunBytes} from './response-buffer.js';
 
 /** A body up to this size is buffered until it is complete; a longer one is forwarded as it arrives. */
 const maxBufferedBytes = 1_000_000;
@@ -15,8 +15,14 @@
 
 /** Notified of the progress of a stream. */
 export type StreamObserver = ReadingObserver & {
+	/** Resolves once events may be forwarded; undefined if they may be now. */
+	readonly yielding: Promise<void> | undefined;
+	/** Called before bytes are forwarded; returns false if another attempt is kept, so that none may be. */
+	readonly leads: () => boolean;
 	/** Called just before bytes are forwarded, with the id of the last event that has one, and whether the stream can be continued after them. */
 	readonly onEvents: (lastId: string | undefined, canContinue: boolean) => void;
+	/** Called once all of the stream has arrived, just before its last bytes are forwarded. */
+	readonly onComplete: () => void;
 };
 
 /**
@@ -59,6 +65,9 @@
 const noSpaceReason = 'no space to hold the answer';
 const brokenOffReason = 'the answer broke off';
 const insideEventReason = 'the stream ended inside an event';
+
+/** Ending of an attempt that another one has outrun. */
+export const outrunReason = 'another attempt is kept';
 const noEventReason = 'the connection ended before the first event';
 
 /**
@@ -74,11 +83,22 @@
 	try {
 		for await (const chunk of reply.body as AsyncIterable<Buffer>) {
 			const events = splitter.push(chunk);
-			if (events.bytes.length > 0) {
+			const {yielding} = progress;
+			if (events.bytes.length > 0 && yielding !== undefined) {
+				progress.stopped();
+				await yielding;
+				progress.resumed();
+			}
+
+			const unbegun: UnbegunBytes = {source: reply, bytes: splitter.rest.length};
+			if (events.bytes.length === 0) {
+				buffer.countUnbegun(unbegun);
+			} else if (progress.leads()) {
 				progress.onEvents(events.lastId, splitter.isLastIdentified && !splitter.hasPassedPart);
-				await buffer.write([events.bytes], {unbegun: splitter.rest.length, observer: progress});
+				await buffer.write([events.bytes], {unbegun, observer: progress, signal: reply.signal});
 			} else {
-				buffer.countUnbegun(splitter.rest.length);
+				buffer.countUnbegun({source: reply, bytes: 0});
+				return {type: 'unknown', reason: outrunReason};
 			}
 
 			if (buffer.hasEnded) {
@@ -86,14 +106,14 @@
 			}
 		}
 	} catch (error) {
-		buffer.countUnbegun(0);
+		buffer.countUnbegun({source: reply, bytes: 0});
 		return {
 			type: 'unknown', reason: buffer.hasEnded ? noSpaceReason : messageOf(error), unfinished: countUnfinished(splitter), isDisconnected: !buffer.hasEnded,
 		};
 	}
 
 	if (!await reply.isComplete()) {
-		buffer.countUnbegun(0);
+		buffer.countUnbegun({source: reply, bytes: 0});
 		return {
 			type: 'unknown', reason: brokenOffReason, unfinished: countUnfinished(splitter), isDisconnected: true,
 		};
@@ -101,11 +121,17 @@
 
 	const brokenOff = findBreak(splitter, reply);
 	if (brokenOff !== undefined) {
-		buffer.countUnbegun(0);
+		buffer.countUnbegun({source: reply, bytes: 0});
 		return {type: 'unknown', reason: brokenOff, unfinished: countUnfinished(splitter)};
 	}
 
-	await buffer.write([splitter.rest]);
+	if (!progress.leads()) {
+		buffer.countUnbegun({source: reply, bytes: 0});
+		return {type: 'unknown', reason: outrunReason};
+	}
+
+	progress.onComplete();
+	await buffer.write([splitter.rest], {unbegun: {source: reply, bytes: 0}, observer: progress, signal: reply.signal});
 	return {type: 'answered', status: reply.status, unfinished: countUnfinished(splitter)};
 }
 
@@ -119,14 +145,13 @@
  * Reads a body, up to the maximum that is buffered. While memory is short, it is read only as far as the head shows that it can be passed on.
  *
  * @param reply - Response of an upstream.
- * @param buffer - Counts the bytes that are held, and those of a body that was kept before.
- * @param keptBytes - Bytes of a body that was kept before.
+ * @param buffer - Counts the bytes that are held.
  * @returns Body.
  */
-export async function readBody(reply: Reply, buffer: ResponseBuffer, keptBytes: number): Promise<ResponseBody> {
+export async function readBody(reply: Reply, buffer: ResponseBuffer): Promise<ResponseBody> {
 	const chunks: Buffer[] = [];
 	let length = 0;
-	buffer.setEndHandler(() => {
+	buffer.addEndHandler(() => {
 		reply.body.destroy();
 	});
 	const iterator = (reply.body as AsyncIterable<Buffer>)[Symbol.asyncIterator]();
@@ -134,7 +159,7 @@
 		for (let next = await iterator.next(); !next.done; next = await iterator.next()) {
 			chunks.push(next.value);
 			length += next.value.length;
-			buffer.countUnbegun(keptBytes + length);
+			buffer.countUnbegun({source: reply, bytes: length});
 			if (buffer.hasEnded) {
 				return {type: 'broken', reason: noSpaceReason, isDisconnected: false};
 			}
@@ -144,12 +169,12 @@
 			}
 		}
 	} catch (error) {
-		buffer.countUnbegun(keptBytes);
+		buffer.countUnbegun({source: reply, bytes: 0});
 		return {type: 'broken', reason: buffer.hasEnded ? noSpaceReason : messageOf(error), isDisconnected: !buffer.hasEnded};
 	}
 
 	if (!await reply.isComplete()) {
-		buffer.countUnbegun(keptBytes);
+		buffer.countUnbegun({source: reply, bytes: 0});
 		return {type: 'broken', reason: brokenOffReason, isDisconnected: true};
 	}
 
@@ -158,12 +183,13 @@
 
 /**
  * @param buffer - Bytes for the caller, to whom the head has been sent.
+ * @param reply - Response that it belongs to.
  * @param body - Body that is too long to buffer.
  * @returns Whether all of it was forwarded.
  */
-export async function forwardLongBody(buffer: ResponseBuffer, body: Extract<ResponseBody, {type: 'long'}>): Promise<boolean> {
+export async function forwardLongBody(buffer: ResponseBuffer, reply: Reply, body: Extract<ResponseBody, {type: 'long'}>): Promise<boolean> {
 	try {
-		await buffer.write(body.begin);
+		await buffer.write(body.begin, {unbegun: {source: reply, bytes: 0}});
 		for (let next = await body.rest.next(); !next.done; next = await body.rest.next()) {
 			await buffer.write([next.value]);
 			if (buffer.hasEnded) {
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -11,7 +11,9 @@
 	type EngineControl, type EngineControlOptions, type HeaderFormat, type HealthClient,
 } from './platform-adapter.js';
 import {Gateway} from './gateway.js';
+import {EngineChecks, type EngineChecksOptions} from './upstreams/engine-checks.js';
 import {HealthChecks} from './upstreams/health-checks.js';
+import {ReturnChecks} from './upstreams/return-checks.js';
 import {Holds} from './requests/holds.js';
 import {AdminListener} from './admin/admin-listener.js';
 import {GatewayMetrics, MetricsListener} from './metrics.js';
@@ -47,6 +49,13 @@
 /** How often to look for health checks that are due. */
 const healthCheckIntervalMs = 200;
 
+/**
+ * Upstreams that are asked for a sign of life at once: before they take over answers, which many look for while all engines are silent, and
+ * after silence.
+ */
+const maxSuccessorChecks = 3;
+const maxReturnChecks = 8;
+
 /** This host counts as ready until its configuration and upstreams have gone unconfirmed by the store for this long. */
 const maxReadyAgeMs = 20_000;
 
@@ -59,6 +68,11 @@
 	readonly startFollower: (gateway: Gateway, clock: Clock, metrics: GatewayMetrics) => AsyncDisposable;
 };
 
+/** What upstreams are asked for a sign of life for. */
+type EngineCheckPurpose = Pick<EngineChecksOptions, 'maxPending' | 'onSilence'> & {
+	readonly counter: Pick<GatewayMetrics['engineChecks'], 'inc'>;
+};
+
 export class Daemon implements AsyncDisposable {
 	readonly #settings: Settings;
 	readonly #log: Log;
@@ -95,6 +109,7 @@
 		const {agent} = this.#upstreamPool;
 		this.#tunnelServer = this.#createTunnelServer();
 		this.#startHealthChecks(adapter.createHealthClient(agent));
+		this.#startReturnChecks(adapter.createHealthClient(agent));
 		const engineControl = adapter.createEngineControl({
 			agent,
 			clock: this.#clock,
@@ -109,6 +124,13 @@
 			gateway: this.#gateway,
 			headerFormat: adapter.headerFormat,
 			agent,
+			engineChecks: this.#createEngineChecks(adapter.createHealthClient(agent), {
+				maxPending: maxSuccessorChecks,
+				counter: this.#metrics.engineChecks,
+				onSilence: upstream => {
+					this.#gateway.stallDetectors.recordFailedCheck(upstream);
+				},
+			}),
 			holds: new Holds(engineControl, log, this.#metrics, this.#gateway.incarnation),
 			metrics: this.#metrics,
 			responseBuffers: this.#responseBuffers,
@@ -238,6 +260,47 @@
 		});
 	}
 
+	#startReturnChecks(client: HealthClient): void {
+		const {stallDetectors, reputation, upstreams, tunnels: {links}} = this.#gateway;
+		const checks = this.#createEngineChecks(client, {
+			maxPending: maxReturnChecks,
+			counter: this.#metrics.returnChecks,
+			onSilence: upstream => {
+				this.#gateway.recordUnanswered(upstream);
+			},
+		});
+		const returnChecks = new ReturnChecks({
+			silent: reputation.health.silent,
+			checks,
+			now: () => this.#clock.now(),
+			findUpstream: id => upstreams.get(id),
+			mayCheck: upstream => this.#gateway.findObstacle(upstream) === undefined && links.findRoute(upstream).type === 'direct',
+			isAwaited: id => stallDetectors.isAwaited(id),
+		});
+		this.#disposal.defer(() => {
+			returnChecks[Symbol.dispose]();
+		});
+	}
+
+	#createEngineChecks(client: HealthClient, {maxPending, counter, onSilence}: EngineCheckPurpose): EngineChecks {
+		const {coldStarts, selfReports, stallDetectors} = this.#gateway;
+		return new EngineChecks({
+			client,
+			random: Math.random,
+			maxPending,
+			findService: name => this.#gateway.service(name),
+			onSent: upstream => {
+				counter.inc();
+				coldStarts.countCheck(upstream);
+				selfReports.countRequest(upstream.id, this.#clock.now());
+			},
+			onAnswer(upstream) {
+				stallDetectors.recordLife(upstream);
+			},
+			onSilence,
+		});
+	}
+
 	#createTunnelServer(): TunnelServer | undefined {
 		const {tunnels: {links}, upstreams} = this.#gateway;
 		const {tunnel, peer} = this.#settings;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -107,7 +107,16 @@
 		this.tunnels = new FleetTunnels({
 			host: settings.host, failureDomain: settings.failureDomain, incarnation: this.incarnation, log, now: () => clock.now(), peers: () => this.peers,
 		});
-		this.stallDetectors = new StallDetectors(this.tunnels);
+		this.stallDetectors = new StallDetectors({
+			tunnels: this.tunnels,
+			clock,
+			forecastIterationTime: engine => this.placements.forecastIterationTime(engine),
+			onLife: engine => {
+				if (this.reputation.recordLife(engine, clock.now())) {
+					this.#publishReturn(engine);
+				}
+			},
+		});
 		this.peers = new Peers({
 			self: {
 				name: settings.host,
@@ -242,7 +251,13 @@
 			now: () => clock.now(),
 			modelAt: upstream => this.modelAt(upstream),
 			onAbsence: (absence, peer) => {
-				this.reputation.recordAbsence(absence, peer, clock.now());
+				// Its own answers show this host more than the silence that a peer meets.
+				if (absence.reason !== 'silent' || !this.stallDetectors.isLive(absence.upstream)) {
+					this.reputation.recordAbsence(absence, peer, clock.now());
+				}
+			},
+			onReturn: (upstream, peer) => {
+				this.reputation.recordReturn(upstream, peer, clock.now());
 			},
 			onNewJob: job => {
 				this.selfReports.countRequest(job.upstream, job.began);
@@ -482,6 +497,33 @@
 		this.reputation.recordVerdict(upstream, this.upstreams.get(upstream), verdict, now);
 	}
 
+	/**
+	 * Records that an engine is silent and that an answer is about to go on elsewhere. Silence of most engines at once says nothing of one of them.
+	 *
+	 * @param upstream - Engine.
+	 * @param isTunnelled - Whether another host is the way to it, and may be to blame as well.
+	 */
+	recordSilence(upstream: GatewayUpstream, isTunnelled: boolean): void {
+		if (isTunnelled) {
+			this.recordUnlinked(upstream.id);
+		} else if (this.#isSilentAlone(upstream) && this.tunnels.links.findRoute(upstream).type === 'direct') {
+			this.reputation.recordSilence(upstream, this.#clock.now());
+			this.publishAbsence(upstream.id, 'silent');
+		}
+	}
+
+	/**
+	 * Records that an upstream that was found silent gave no answer to a health check either.
+	 *
+	 * @param upstream - Upstream.
+	 */
+	recordUnanswered(upstream: GatewayUpstream): void {
+		this.stallDetectors.recordFailedCheck(upstream);
+		if (this.reputation.recordUnanswered(upstream.id, this.#clock.now())) {
+			this.publishAbsence(upstream.id, 'silent');
+		}
+	}
+
 	/**
 	 * Records that this host couldn't connect to an upstream, although nothing shows that it is gone: the own link may be to blame.
 	 *
@@ -522,6 +564,16 @@
 		await this.peers[Symbol.asyncDispose]();
 	}
 
+	#isSilentAlone({id, service}: GatewayUpstream): boolean {
+		const {silent, isCommon} = this.stallDetectors.view(service);
+		return silent.has(id) && !isCommon;
+	}
+
+	#publishReturn({id, failureDomain}: GatewayUpstream): void {
+		const {isForAll} = createAbsence(id, 'silent', failureDomain, this.#settings.failureDomain);
+		this.loadUpdates.publishReturn({upstream: id, isForAll});
+	}
+
 	/** Returns the registered process of an upstream, if there is one. */
 	#findProcess(id: string): UpstreamProcess | undefined {
 		const upstream = this.upstreams.get(id);
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -54,6 +54,9 @@
 	readonly requests: Counter;
 	readonly attempts: Counter;
 	readonly retries: Counter;
+	readonly successions: Counter;
+	readonly engineChecks: Counter;
+	readonly returnChecks: Counter;
 	readonly holds: Counter;
 	readonly memoryWaits: Counter;
 	readonly memoryWaiting: Gauge;
@@ -107,6 +110,9 @@
 		const registry = this.#registry;
 		this.requests = createCounter(registry, 'requests_total', 'Requests by how they ended', ['service', 'kind', 'length', 'outcome']);
 		this.attempts = createCounter(registry, 'attempts_total', 'Attempts at upstreams by how they ended', ['service', 'ending']);
+		this.successions = createCounter(registry, 'successions_total', 'Attempts that another one of their request replaced, and those outrun by the one to replace', ['service', 'reason']);
+		this.engineChecks = createCounter(registry, 'engine_checks_total', 'Health checks of engines that were to take over answers', []);
+		this.returnChecks = createCounter(registry, 'return_checks_total', 'Health checks of upstreams that were found silent', []);
 		this.retries = createCounter(registry, 'retries_total', 'Attempts after the first, and those the budget did not allow', ['service', 'allowed']);
 		this.holds = createCounter(registry, 'holds_total', 'Reservations of memory at engines, by result and reason', ['result', 'reason']);
 		this.memoryWaits = createCounter(registry, 'memory_waits_total', 'Requests that waited for memory, by how the wait ended', ['result']);
--- a/src/gateway/peers/load-messages.ts
+++ b/src/gateway/peers/load-messages.ts
@@ -44,6 +44,9 @@
 /** An upstream that could not be reached, or that another process has replaced. */
 const absenceSchema = z.object({upstream: shortText, reason: z.enum(['refused', 'replaced', 'silent']), isForAll: z.boolean()});
 
+/** An upstream that the sender has reported as silent and that answers again. */
+const returnSchema = z.object({upstream: shortText, isForAll: z.boolean()});
+
 /** What an upstream reported about itself. Times are relative to the time of sending. */
 const reportSchema = z.discriminatedUnion('type', [
 	/** A rate limit; `rate` is absent if the upstream has none. */
@@ -109,6 +112,8 @@
 	progressed: z.array(shortText).max(maxListLength),
 	ended: z.array(shortText).max(maxListLength),
 	absences: z.array(absenceSchema).max(maxListLength).optional(),
+	/** Hosts of older versions ignore it, as they do every field that they don't know. */
+	returns: z.array(returnSchema).max(maxListLength).optional(),
 	reports: z.array(reportSchema).max(maxListLength).optional(),
 	cold: z.array(coldSchema).max(maxListLength).optional(),
 	paces: z.array(paceSchema).max(maxListLength).optional(),
--- a/src/gateway/requests/dispatch.ts
+++ b/src/gateway/requests/dispatch.ts
@@ -15,6 +15,8 @@
 import {RequestSuspicion} from './request-suspicion.js';
 import {ReservedAttempt} from './reserved-attempt.js';
 import {Sender} from './sender.js';
+import {type Run} from './run.js';
+import {Succession} from './succession.js';
 import {type RequestTrace} from './trace.js';
 
 /** Longest time, in milliseconds, until a waiting request notices that its caller has left. */
@@ -28,7 +30,9 @@
 	readonly #refusals: Refusals;
 	readonly #suspicion: RequestSuspicion;
 	readonly #sender: Sender;
+	/** Reserves memory for attempts that replace none. */
 	readonly #reservedAttempt: ReservedAttempt;
+	#succession: Succession | undefined;
 
 	/**
 	 * @param services - Services shared by all requests.
@@ -45,7 +49,7 @@
 		this.#memoryWait = new MemoryWait(services, request.demand.id, trace);
 		this.#refusals = new Refusals(this.#state);
 		this.#sender = new Sender(this.#state, {fingerprint, causes, suspicion: this.#suspicion}, this.#memoryWait);
-		this.#reservedAttempt = new ReservedAttempt(this.#state, async (placement, reservation) => this.#sender.send(placement, reservation));
+		this.#reservedAttempt = this.#createReservedAttempt();
 		trace.attempts = this.#state.attempts;
 	}
 
@@ -65,7 +69,7 @@
 	 */
 	cancel(reason: StopReason): void {
 		this.#state.stopReason = reason;
-		this.#sender.cancel(reason);
+		this.#succession?.cancel(reason);
 	}
 
 	async #serve(): Promise<void> {
@@ -106,11 +110,6 @@
 				return;
 			}
 
-			this.#notePossibleRun(ending);
-			if (ending.type === 'unknown') {
-				this.#suspicion.excuseCrashes();
-			}
-
 			const canRepeat = this.#canRepeat(ending);
 			// Other hosts may have found out more in the meantime.
 			if (canRepeat && this.#suspicion.refuseIfConvicted()) {
@@ -125,10 +124,27 @@
 		}
 	}
 
-	async #attempt(placement: Placement): Promise<AttemptEnding> {
+	/** Sends the request, and further attempts in place of one that is unresponsive or better off elsewhere. */
+	async #attempt(first: Placement): Promise<AttemptEnding> {
+		this.#succession = new Succession({
+			state: this.#state,
+			suspicion: this.#suspicion,
+			send: async (placement, run) => this.#send(placement, run, placement === first ? this.#reservedAttempt : this.#createReservedAttempt()),
+			onEnded: ending => {
+				this.#noteEnded(ending);
+			},
+		});
+		return this.#succession.run(first);
+	}
+
+	async #send(placement: Placement, run: Run, reservedAttempt: ReservedAttempt): Promise<AttemptEnding> {
 		const {services: {gateway}, demand} = this.#state;
 		const plan = gateway.placements.planReservation(demand, placement);
-		return plan.type === 'none' ? this.#sender.send(placement) : this.#reservedAttempt.run(placement, plan);
+		return plan.type === 'none' ? this.#sender.send(placement, run) : reservedAttempt.run(placement, plan, run);
+	}
+
+	#createReservedAttempt(): ReservedAttempt {
+		return new ReservedAttempt(this.#state, async (placement, run, reservation) => this.#sender.send(placement, run, reservation));
 	}
 
 	/** Returns the milliseconds until some upstream of the service accepts requests of this host. */
@@ -197,11 +213,15 @@
 		}
 	}
 
-	#notePossibleRun(ending: AttemptEnding): void {
-		const isRerouted = ending.type === 'cancelled' && !this.#state.isOver;
-		if (ending.type === 'unknown' || ending.type === 'failed' || isRerouted) {
+	#noteEnded(ending: AttemptEnding): void {
+		const isReplaced = ending.type === 'cancelled' && !this.#state.isOver;
+		if (ending.type === 'unknown' || ending.type === 'failed' || isReplaced) {
 			this.#state.callerResponse.noteMayHaveRun();
 		}
+
+		if (ending.type === 'unknown') {
+			this.#suspicion.excuseCrashes();
+		}
 	}
 
 	/** Whether the request may be sent again, apart from the retry budget. */
--- a/src/gateway/requests/holds.ts
+++ b/src/gateway/requests/holds.ts
@@ -107,7 +107,7 @@
 	}
 
 	/**
-	 * @param lossHandler - Called when an engine stops responding: its memory ends with the lease, so the attempt using the hold must end.
+	 * @param lossHandler - Called when an engine stops responding, and again as long as it does: its memory ends with the lease.
 	 */
 	setLossHandler(lossHandler: () => void): void {
 		this.#lossHandler = lossHandler;
@@ -124,7 +124,7 @@
 		const grant = await this.#reserve(part);
 		const missedRenewals = grant === 'unanswered' ? (this.#missedRenewals.get(upstream) ?? 0) + 1 : 0;
 		this.#missedRenewals.set(upstream, missedRenewals);
-		if (missedRenewals === maxMissedRenewals) {
+		if (missedRenewals >= maxMissedRenewals) {
 			this.#lossHandler?.();
 		}
 	}
--- a/src/gateway/requests/request-suspicion.ts
+++ b/src/gateway/requests/request-suspicion.ts
@@ -1,5 +1,6 @@
 /** What is known against one request: refuses it if it crashes engines, and keeps it apart from others while that is open. */
 import {assertNever} from '../../core/index.js';
+import {type SilenceView} from '../../core/gateway/health/silences.js';
 import {type Placement} from '../../core/gateway/placement/placement.js';
 import {type Eligibility} from '../../core/gateway/placement/attempts.js';
 import {type Cause} from '../../core/gateway/suspicion/causes.js';
@@ -56,13 +57,27 @@
 	 * @returns The placement of the request, at few engines if it is suspected; undefined if no upstream takes it now.
 	 */
 	place(): Placement | undefined {
-		const {services: {gateway}, request: {demand: {service}}, attempts: {eligibility}} = this.#state;
-		const permitted = gateway.convictions.listPermitted(this.#assessment, service);
-		if (permitted === undefined) {
-			return this.#placeAmong(eligibility);
+		return this.#place(this.#state.attempts.eligibility);
+	}
+
+	/**
+	 * @param eligibility - Upstreams that may get it.
+	 * @param view - What the engines do; any of them may be used if absent.
+	 * @returns The placement of an attempt that may replace one in progress; undefined if no other upstream takes it now.
+	 */
+	placeSuccessor(eligibility: Eligibility, view?: Pick<SilenceView, 'live' | 'silent'>): Placement | undefined {
+		const {services: {gateway}, request: {demand: {service}}} = this.#state;
+		this.#assessment = gateway.convictions.assess({service, causes: this.#causes});
+		if (this.#assessment.type === 'convicted') {
+			return undefined;
 		}
 
-		return this.#placeAmongFirst(permitted, eligibility) ?? (this.#isBoundToVersions ? undefined : this.#placeAmong(eligibility));
+		return this.#place(view === undefined
+			? eligibility
+			: {
+				excluded: new Set([...eligibility.excluded, ...view.silent]),
+				permitted: eligibility.permitted === undefined ? view.live : new Set([...view.live].filter(id => eligibility.permitted!.has(id))),
+			});
 	}
 
 	/** Excuses attempts at engines that crashed under other requests: this one may be sent once more for each of them. */
@@ -107,6 +122,16 @@
 		return this.#assessment.type !== 'convicted' && this.#assessment.versions !== undefined;
 	}
 
+	#place(eligibility: Eligibility): Placement | undefined {
+		const {services: {gateway}, request: {demand: {service}}} = this.#state;
+		const permitted = gateway.convictions.listPermitted(this.#assessment, service);
+		if (permitted === undefined) {
+			return this.#placeAmong(eligibility);
+		}
+
+		return this.#placeAmongFirst(permitted, eligibility) ?? (this.#isBoundToVersions ? undefined : this.#placeAmong(eligibility));
+	}
+
 	#placeAmongFirst(ranked: readonly string[], eligibility: Eligibility): Placement | undefined {
 		const {services: {clock}} = this.#state;
 		const {due} = this.#state.demand;
--- a/src/gateway/requests/rerouter.ts
+++ b/src/gateway/requests/rerouter.ts
@@ -4,15 +4,15 @@
 import {roundTo} from '../../core/utils/numbers.js';
 import {type Attempts} from '../../core/gateway/placement/attempts.js';
 import {type Demand} from '../../core/gateway/types.js';
-import {type Attempt} from '../upstreams/attempt.js';
 import {type Gateway} from '../gateway.js';
+import {type Run} from './run.js';
 import {type RequestTrace} from './trace.js';
 
 /** A stream that is running at an engine. */
 export type RunningStream = {
 	readonly job: string;
 	readonly place: Placement;
-	readonly attempt: Attempt;
+	readonly run: Run;
 	/** Returns the current demand of the request. */
 	readonly demand: () => Demand;
 };
@@ -41,7 +41,7 @@
 	watch(stream: RunningStream): void {
 		this.#gateway.loadUpdates.watch(stream.job, {
 			preceded: () => {
-				const assessment = this.#gateway.placements.reevaluate(stream.demand(), stream.place, stream.job, this.#attempts.eligibility);
+				const assessment = this.#gateway.placements.reevaluate(stream.demand(), stream.place, stream.job, this.#attempts.untried);
 				this.#rerouteIfWorthwhile(stream, assessment?.staying ?? 0, assessment?.best);
 			},
 			disrupted: loss => {
@@ -62,20 +62,15 @@
 			return;
 		}
 
-		const placement = this.#gateway.placements.place(demand, this.#attempts.eligibility);
+		const placement = this.#gateway.placements.place(demand, this.#attempts.untried);
 		if (placement?.helpers.length === 0) {
 			this.#rerouteIfWorthwhile(stream, staying, placement);
 		}
 	}
 
-	#rerouteIfWorthwhile({attempt, demand}: RunningStream, staying: number, placement: Placement | undefined): void {
-		if (placement === undefined || attempt.cancelled !== undefined || !isWorthRerouting(staying, placement.loss)) {
-			return;
-		}
-
-		if (this.#gateway.canRetry(demand().service)) {
+	#rerouteIfWorthwhile({run}: RunningStream, staying: number, placement: Placement | undefined): void {
+		if (placement !== undefined && isWorthRerouting(staying, placement.loss) && run.requestSuccessor('moved', placement)) {
 			this.#trace.write('moving', {to: placement.upstream.id, loss: roundTo(placement.loss, 3), staying: roundTo(staying, 3)});
-			attempt.cancel('moved');
 		}
 	}
 }
--- a/src/gateway/requests/reserved-attempt.ts
+++ b/src/gateway/requests/reserved-attempt.ts
@@ -5,6 +5,7 @@
 import {type Placement} from '../../core/gateway/placement/placement.js';
 import {type GatewayUpstream} from '../../core/gateway/types.js';
 import {type RequestState} from './request-state.js';
+import {type Run} from './run.js';
 import {type Hold, type HoldPart} from './holds.js';
 
 /** Engines that may be replaced during one reservation, so that it ends long before the leases of its first parts. */
@@ -21,7 +22,7 @@
 };
 
 /** Sends a request whose memory is reserved. */
-export type ReservedSender = (placement: Placement, reservation: Reservation) => Promise<AttemptEnding>;
+export type ReservedSender = (placement: Placement, run: Run, reservation: Reservation) => Promise<AttemptEnding>;
 
 function toHoldPart({id, started, address}: GatewayUpstream, tokens: number): HoldPart {
 	return {
@@ -65,9 +66,10 @@
 	 *
 	 * @param first - Placement of the request.
 	 * @param plan - Memory to reserve.
+	 * @param run - Attempt among those of the request.
 	 * @returns How the attempt ended.
 	 */
-	async run(first: Placement, plan: PlannedReservation): Promise<AttemptEnding> {
+	async run(first: Placement, plan: PlannedReservation, run: Run): Promise<AttemptEnding> {
 		const {services: {gateway, holds}, trace} = this.#state;
 		let placement = first;
 		let job = this.#beginJob(placement);
@@ -76,7 +78,7 @@
 			await using hold = holds.prepare(holders.map(engine => toHoldPart(engine, plan.tokens)));
 			gateway.coldStarts.countReservation(holders.map(each => each.id));
 			let refused = await hold.acquire();
-			for (let substitutions = 0; refused.length > 0 && substitutions < maxSubstitutions && !this.#state.isOver; substitutions++) {
+			for (let substitutions = 0; refused.length > 0 && substitutions < maxSubstitutions && !this.#state.isOver && !run.isDropped; substitutions++) {
 				const changed = this.#substitute(hold, placement, refused[0]!, plan);
 				if (changed === undefined) {
 					break;
@@ -89,6 +91,10 @@
 			}
 
 			holds.count(refused.length === 0, hold.askedParts, plan.type);
+			if (run.isDropped) {
+				return {type: 'not-run', reason: 'no longer needed', isShed: false};
+			}
+
 			if (refused.length > 0 || this.#state.isOver) {
 				this.#recordRefusedHold(hold, refused, plan);
 				return {type: 'not-run', reason: 'memory not granted', isShed: true};
@@ -102,7 +108,7 @@
 			}
 
 			// Awaited before returning, because the hold must not be released before the attempt ends.
-			const ending = await this.#send(placement, {hold, job, plan});
+			const ending = await this.#send(placement, run, {hold, job, plan});
 			return ending;
 		} finally {
 			gateway.loadUpdates.end(job.id);
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -6,11 +6,9 @@
 import {type Cause} from '../../core/gateway/suspicion/causes.js';
 import {type GatewayUpstream} from '../../core/gateway/types.js';
 import {roundTo} from '../../core/utils/numbers.js';
-import {type StopReason} from '../callers/caller-response.js';
 import {Attempt} from '../upstreams/attempt.js';
 import {type RunningAttempt} from '../suspicion/running-attempts.js';
 import {AttemptVerdicts} from '../upstreams/attempt-verdicts.js';
-import {type StallDetector} from '../upstreams/stall-detector.js';
 import {type RequestState} from './request-state.js';
 import {listHelpers} from './helpers.js';
 import {type Hold} from './holds.js';
@@ -18,6 +16,7 @@
 import {type RequestSuspicion} from './request-suspicion.js';
 import {type Reservation} from './reserved-attempt.js';
 import {Rerouter} from './rerouter.js';
+import {type Run} from './run.js';
 
 /** By which a request that crashes engines is recognised, and what is known against it. */
 export type RequestIdentity = {
@@ -28,7 +27,7 @@
 
 /** Notified of the events of an attempt. */
 type EventObservers = {
-	readonly stallDetector: StallDetector;
+	readonly run: Run;
 	readonly paceSampler: PaceSampler | undefined;
 };
 
@@ -38,7 +37,6 @@
 	readonly #verdicts: AttemptVerdicts;
 	readonly #rerouter: Rerouter;
 	readonly #identity: RequestIdentity;
-	#currentAttempt: Attempt | undefined;
 
 	/**
 	 * @param state - Request.
@@ -54,31 +52,23 @@
 		this.#rerouter = new Rerouter(gateway, attempts, trace);
 	}
 
-	/**
-	 * Cancels the current attempt, if there is one.
-	 *
-	 * @param reason - Why it is cancelled.
-	 */
-	cancel(reason: StopReason): void {
-		if (this.#currentAttempt !== undefined && reason === 'time over') {
-			this.#state.callerResponse.noteMayHaveRun();
-		}
-
-		this.#currentAttempt?.cancel(reason);
-	}
-
 	/**
 	 * @param placement - Where to send the request.
+	 * @param run - Attempt among those of the request.
 	 * @param reservation - Its reserved memory and its job; without it, a job is published for the attempt.
 	 * @returns How the attempt ended.
 	 */
-	async send(placement: Placement, reservation?: Reservation): Promise<AttemptEnding> {
+	async send(placement: Placement, run: Run, reservation?: Reservation): Promise<AttemptEnding> {
 		const {services: {gateway, clock, metrics}, request: {demand, route}, attempts, callerResponse} = this.#state;
 		const remaining = demand.deadline - clock.now();
 		if (remaining <= 0) {
 			return {type: 'not-run', reason: 'no time left', isShed: false};
 		}
 
+		if (run.isDropped) {
+			return {type: 'not-run', reason: 'no longer needed', isShed: false};
+		}
+
 		const {placementKind} = attempts;
 		const hold = reservation?.hold;
 		this.#memoryWait.grant();
@@ -86,41 +76,58 @@
 		const job = reservation?.job ?? this.#state.beginJob(placement, placementKind);
 		this.#logPlacement(placement, job, reservation, remaining);
 		const attempt = this.#createAttempt(placement, hold, remaining, placementKind === 'retry');
-		this.#currentAttempt = attempt;
-		const {canFailOver} = attempts;
+		run.begin(attempt, placement);
+		const {canMove} = attempts;
 		this.#identity.suspicion.announce();
 		const running = this.#createRunning(placement, job, attempt);
 		using _ = gateway.convictions.track(running);
-		if (canFailOver && route.kind === 'streaming' && !this.#identity.suspicion.isSuspected) {
+		if (canMove && route.kind === 'streaming' && !this.#identity.suspicion.isSuspected) {
 			this.#rerouter.watch({
-				job: job.id, place: placement, attempt, demand: () => this.#state.demand,
+				job: job.id, place: placement, run, demand: () => this.#state.demand,
 			});
 		}
 
 		hold?.setLossHandler(() => {
-			attempt.cancel('memory lost');
+			run.requestSuccessor('memory lost');
 		});
-		const stallDetector = gateway.stallDetectors.add({
+		gateway.stallDetectors.add({
 			attempt,
 			upstream: placement.upstream,
-			canContinue: () => canFailOver && callerResponse.canContinue,
 			predicted: placement.firstByte,
-			forecastIterationTime: () => gateway.placements.forecastIterationTime(placement.upstream.id),
+			canContinue: () => attempts.canFailOver && callerResponse.canContinue,
+			onQuiet() {
+				run.prepareSuccessor();
+			},
+			onStall() {
+				run.requestSuccessor('silent');
+			},
 		});
 		try {
-			const ending = await this.#finishAttempt(attempt, running, placement.upstream, {stallDetector, paceSampler: gateway.placements.createPaceSampler(demand, placement, job.id)});
+			const ending = await this.#finishAttempt(attempt, running, placement.upstream, {run, paceSampler: gateway.placements.createPaceSampler(demand, placement, job.id)});
+			if (run.isDropped && attempt.cancelled !== undefined) {
+				this.#recordDropped(ending, placement.upstream.id);
+			}
+
 			metrics.attempts.inc({service: demand.service, ending: ending.type});
 			this.#logEnding(placement, job.id, ending, attempt);
 			return ending;
 		} finally {
 			gateway.stallDetectors.delete(attempt);
-			this.#currentAttempt = undefined;
 			if (reservation === undefined) {
 				gateway.loadUpdates.end(job.id);
 			}
 		}
 	}
 
+	#recordDropped({type}: AttemptEnding, upstream: string): void {
+		const {attempts} = this.#state;
+		if (type === 'cancelled') {
+			attempts.recordDropped(upstream);
+		} else if (type === 'not-run') {
+			attempts.recordUnsent(upstream);
+		}
+	}
+
 	#createAttempt(placement: Placement, hold: Hold | undefined, remaining: number, isRetry: boolean): Attempt {
 		const {services: {headerFormat, agent}, request: {incoming, body, demand, organisation}, callerResponse} = this.#state;
 		const headers = [...headerFormat.formatUpstreamHeaders(incoming.rawHeaders, {
@@ -198,12 +205,14 @@
 		};
 	}
 
-	async #finishAttempt(attempt: Attempt, running: RunningAttempt, target: GatewayUpstream, {stallDetector, paceSampler}: EventObservers): Promise<AttemptEnding> {
+	async #finishAttempt(attempt: Attempt, running: RunningAttempt, target: GatewayUpstream, {run, paceSampler}: EventObservers): Promise<AttemptEnding> {
 		const {services: {gateway, clock}, request: {route}, callerResponse, trace} = this.#state;
 		const {isSuspected} = this.#identity.suspicion;
 		const {id: upstream, started} = target;
 		const sent = clock.now();
-		const reply = await attempt.reply();
+		const reply = await attempt.reply(() => {
+			run.noteConnected();
+		});
 		if (reply.type === 'ended') {
 			const ending = this.#verdicts.recordUnanswered(reply, upstream, isSuspected);
 			this.#recordBreak(ending, attempt, running, target);
@@ -224,7 +233,12 @@
 		}
 
 		let isReadLate = false;
+		gateway.stallDetectors.recordLife(target);
 		const forwarded = await callerResponse.forward(reply, route, {
+			get yielding() {
+				return run.yielding;
+			},
+			leads: () => run.lead(),
 			began() {
 				trace.noteFirstByte();
 				if (route.kind === 'streaming') {
@@ -234,8 +248,9 @@
 				gateway.loadUpdates.progress(running.attempt);
 			},
 			receivedEvents() {
-				stallDetector.noteEvents();
+				gateway.stallDetectors.noteEvents(attempt);
 				if (!isReadLate) {
+					gateway.stallDetectors.recordLife(target);
 					gateway.convictions.noteLife(running);
 				}
 
@@ -245,22 +260,16 @@
 				// The next events may have arrived before they are read.
 				isReadLate = true;
 				paceSampler?.noteDelay();
-				stallDetector.stop();
+				gateway.stallDetectors.pause(attempt);
 			},
 			resumed() {
-				stallDetector.noteEvents();
+				gateway.stallDetectors.noteEvents(attempt);
 			},
 		});
 		const isCancelled = forwarded.type === 'unknown' && attempt.cancelled !== undefined;
 		const ending: AttemptEnding = isCancelled ? {type: 'cancelled', reason: attempt.cancelled} : forwarded;
-		const isSilent = isCancelled && attempt.cancelled === 'silent';
-		if (isSilent && attempt.tunnel !== undefined) {
-			// The host that the tunnel leads over may be to blame as well.
-			gateway.recordUnlinked(upstream);
-		} else if (!isSilent || gateway.tunnels.links.findRoute(target).type === 'direct') {
-			this.#verdicts.recordEnding(ending, upstream, isSuspected);
-			this.#recordBreak(ending, attempt, running, target);
-		}
+		this.#verdicts.recordEnding(ending, upstream, isSuspected);
+		this.#recordBreak(ending, attempt, running, target);
 
 		if (ending.type === 'answered' && ending.status < 300) {
 			gateway.convictions.recordAnswered(running);
--- a/src/gateway/services.ts
+++ b/src/gateway/services.ts
@@ -7,11 +7,13 @@
 import {type GatewayMetrics} from './metrics.js';
 import {type ResponseBuffers} from './callers/response-buffers.js';
 import {type UpstreamAgent} from './upstreams/agent.js';
+import {type EngineChecks} from './upstreams/engine-checks.js';
 
 export type GatewayServices = {
 	readonly gateway: Gateway;
 	readonly headerFormat: HeaderFormat;
 	readonly agent: UpstreamAgent;
+	readonly engineChecks: EngineChecks;
 	readonly holds: Holds;
 	readonly metrics: GatewayMetrics;
 	readonly responseBuffers: ResponseBuffers;
--- a/src/gateway/sharing/job-audience.ts
+++ b/src/gateway/sharing/job-audience.ts
@@ -41,7 +41,7 @@
 			progressed: changes.progressed.filter(id => isReceived(id)),
 			ended: changes.ended.filter(id => isReceived(id)),
 		};
-		const {began, progressed, ended, absences, reports, paces, claims} = selected;
-		return [began, progressed, ended, absences, reports, paces, claims].some(list => list.length > 0) ? selected : undefined;
+		const {began, progressed, ended, absences, returns, reports, paces, claims} = selected;
+		return [began, progressed, ended, absences, returns, reports, paces, claims].some(list => list.length > 0) ? selected : undefined;
 	}
 }
--- a/src/gateway/sharing/load-batch.ts
+++ b/src/gateway/sharing/load-batch.ts
@@ -1,5 +1,5 @@
 /** Collects changes of load that are sent in one message. */
-import {type Absence} from '../../core/gateway/health/absences.js';
+import {type Absence, type UpstreamReturn} from '../../core/gateway/health/absences.js';
 import {type Job} from '../../core/gateway/engines/load.js';
 import {type MemoryClaim} from '../../core/gateway/engines/memory-admission.js';
 import {type PaceReport} from '../../core/gateway/engines/paces.js';
@@ -11,6 +11,8 @@
 	readonly ended: readonly string[];
 	/** Upstreams found unreachable or replaced. */
 	readonly absences: readonly Absence[];
+	/** Upstreams that answer again after hosts have reported them as silent. */
+	readonly returns: readonly UpstreamReturn[];
 	/** What upstreams reported about themselves. */
 	readonly reports: readonly UpstreamReport[];
 	/** Paces of engines that hosts have learned. */
@@ -43,11 +45,12 @@
 		return this.#timer === undefined ? undefined : this.#changes;
 	}
 
-	add({began = [], progressed = [], ended = [], absences = [], reports = [], paces = [], claims = [], fresh = [], changed = []}: Partial<LoadChanges>): void {
+	add({began = [], progressed = [], ended = [], absences = [], returns = [], reports = [], paces = [], claims = [], fresh = [], changed = []}: Partial<LoadChanges>): void {
 		this.#changes.began.push(...began);
 		this.#changes.progressed.push(...progressed);
 		this.#changes.ended.push(...ended);
 		this.#changes.absences.push(...absences);
+		this.#changes.returns.push(...returns);
 		this.#changes.reports.push(...reports);
 		this.#changes.paces.push(...paces);
 		this.#changes.claims.push(...claims);
@@ -76,6 +79,6 @@
 
 function createChanges(): GrowingChanges {
 	return {
-		began: [], progressed: [], ended: [], absences: [], reports: [], paces: [], claims: [], fresh: [], changed: [],
+		began: [], progressed: [], ended: [], absences: [], returns: [], reports: [], paces: [], claims: [], fresh: [], changed: [],
 	};
 }
--- a/src/gateway/sharing/load-encoding.ts
+++ b/src/gateway/sharing/load-encoding.ts
@@ -17,7 +17,7 @@
  * @returns The message.
  */
 export function encodeChanges(changes: Partial<LoadChanges>, self: string, now: number, audience?: LoadUpdate['audience']): LoadUpdate {
-	const {began = [], progressed = [], ended = [], absences = [], reports = [], paces = [], claims = []} = changes;
+	const {began = [], progressed = [], ended = [], absences = [], returns = [], reports = [], paces = [], claims = []} = changes;
 	const statements = reports.filter(report => report.type !== 'cold');
 	const cold = reports.filter(report => report.type === 'cold');
 	return {
@@ -26,6 +26,8 @@
 		progressed: [...progressed],
 		ended: [...ended],
 		absences: absences.length === 0 ? undefined : [...absences],
+		// Rare, and a field that isn't set would take bytes as well.
+		...(returns.length > 0 && {returns: [...returns]}),
 		reports: statements.length === 0 ? undefined : statements.map(report => toWireReport(report, now)),
 		cold: cold.length === 0 ? undefined : cold.map(report => toWireCold(report, now)),
 		paces: paces.length === 0 ? undefined : paces.map(pace => toWirePace(pace, now)),
@@ -56,6 +58,7 @@
 		progressed: update.progressed,
 		ended: update.ended,
 		absences: update.absences ?? [],
+		returns: update.returns ?? [],
 		reports: [
 			...(update.reports ?? []).map(report => fromWireReport(report, now)),
 			...(update.cold ?? []).map(report => fromWireCold(report, now)),
--- a/src/gateway/sharing/load-forwarder.ts
+++ b/src/gateway/sharing/load-forwarder.ts
@@ -54,7 +54,9 @@
 
 		this.#domainChanges.add(changes);
 		if (audience === 'fleet') {
-			this.#otherDomainsChanges.add({...changes, absences: changes.absences.filter(absence => absence.isForAll)});
+			this.#otherDomainsChanges.add({
+				...changes, absences: changes.absences.filter(each => each.isForAll), returns: changes.returns.filter(each => each.isForAll),
+			});
 		}
 
 		this.#flushAffectedHosts(changes.began);
--- a/src/gateway/sharing/load-updates.ts
+++ b/src/gateway/sharing/load-updates.ts
@@ -2,7 +2,7 @@
  * Exchanges load updates between hosts, so that each knows the jobs at all upstreams. In a small fleet every host broadcasts its own. In a
  * large one it sends them to the relay of its failure domain, which forwards them (`LoadForwarder`).
  */
-import {appliesIn, type Absence} from '../../core/gateway/health/absences.js';
+import {appliesIn, type Absence, type UpstreamReturn} from '../../core/gateway/health/absences.js';
 import {type Job, type Load} from '../../core/gateway/engines/load.js';
 import {type MemoryClaim} from '../../core/gateway/engines/memory-admission.js';
 import {isPace, type PaceReport} from '../../core/gateway/engines/paces.js';
@@ -34,8 +34,10 @@
 	readonly now: () => number;
 	/** Timing model of an engine, if known. */
 	readonly modelAt: (upstream: string) => EngineModel | undefined;
-	/** Called when a peer reports an upstream unreachable or replaced. */
+	/** Called when a peer reports an upstream unreachable, replaced or silent. */
 	readonly onAbsence: (absence: Absence, peer: string) => void;
+	/** Called when a peer reports that an upstream answers again. */
+	readonly onReturn: (upstream: string, peer: string) => void;
 	/** Called for each new job, of this host or another one. */
 	readonly onNewJob: (job: Job) => void;
 	/** Called when a peer sends jobs with invalid tags of organisations. */
@@ -125,6 +127,13 @@
 		this.#ownChanges.add({absences: [absence]});
 	}
 
+	/**
+	 * @param upstreamReturn - Upstream that this host has reported as silent, and that answers again.
+	 */
+	publishReturn(upstreamReturn: UpstreamReturn): void {
+		this.#ownChanges.add({returns: [upstreamReturn]});
+	}
+
 	/**
 	 * @param report - What an upstream reported about itself to this host.
 	 */
@@ -217,7 +226,7 @@
 	 */
 	handleUpdate(from: Host, update: LoadUpdate): void {
 		const {load, now, self} = this.#options;
-		const {began: jobs, progressed, ended, absences: reported, reports, paces, claims} = decodeChanges(update, from.name, now());
+		const {began: jobs, progressed, ended, absences: reported, returns: returned, reports, paces, claims} = decodeChanges(update, from.name, now());
 		const began = jobs.filter(job => job.host !== self);
 		if (hasInvalidTag(update)) {
 			this.#options.onInvalidTag(from.name);
@@ -246,6 +255,11 @@
 			this.#options.onAbsence(absence, from.name);
 		}
 
+		const returns = returned.filter(each => appliesIn(each, from.failureDomain, this.#options.failureDomain));
+		for (const {upstream} of returns) {
+			this.#options.onReturn(upstream, from.name);
+		}
+
 		for (const report of reports) {
 			this.#options.onReport(from.name, report);
 		}
@@ -260,7 +274,7 @@
 
 		this.#applySums(update.sums ?? []);
 		this.#forwarder.forward({
-			began, progressed, ended, absences, reports, paces: paces.filter(({pace}) => isPace(pace)), claims, fresh, changed,
+			began, progressed, ended, absences, returns, reports, paces: paces.filter(({pace}) => isPace(pace)), claims, fresh, changed,
 		}, update.audience);
 	}
 
--- a/src/gateway/upstreams/attempt-verdicts.ts
+++ b/src/gateway/upstreams/attempt-verdicts.ts
@@ -25,11 +25,12 @@
 	 * @returns Ending of the attempt.
 	 */
 	recordUnanswered({ending, absence}: EndedAttempt, upstream: string, isSuspected: boolean): AttemptEnding {
-		if (absence === undefined) {
-			this.recordEnding(ending, upstream, isSuspected);
-		} else {
+		if (absence !== undefined) {
 			this.#recordAbsence(upstream, absence);
 			this.#attempts.recordUnreached(upstream);
+		} else if (ending.type !== 'not-run') {
+			// One that was cancelled before it had a connection says nothing about the upstream.
+			this.recordEnding(ending, upstream, isSuspected);
 		}
 
 		return ending;
--- a/src/gateway/upstreams/attempt.ts
+++ b/src/gateway/upstreams/attempt.ts
@@ -20,6 +20,8 @@
 	/** What marks the end of the body. */
 	readonly framing: Framing;
 	readonly body: IncomingMessage;
+	/** Aborted as this host cancels the attempt. */
+	readonly signal: AbortSignal;
 	/** Whether the body was received completely; to be called after its end. */
 	readonly isComplete: () => Promise<boolean>;
 };
@@ -75,6 +77,7 @@
 	readonly #headerFormat: HeaderFormat;
 	readonly #outgoing: ClientRequest;
 	#isConnected = false;
+	readonly #cancellation = new AbortController();
 	#cancelled: CancelReason | undefined;
 	#isBroken = false;
 	#framing: Framing | undefined;
@@ -115,8 +118,13 @@
 		return this.#tunnel;
 	}
 
-	/** Sends the request; resolves with the head of the response, or with how the attempt ended without one. */
-	async reply(): Promise<Reply | EndedAttempt> {
+	/**
+	 * Sends the request.
+	 *
+	 * @param onConnected - Called once there is a connection for it.
+	 * @returns The head of the response, or how the attempt ended without one.
+	 */
+	async reply(onConnected?: () => void): Promise<Reply | EndedAttempt> {
 		const outgoing = this.#outgoing;
 		return new Promise(resolve => {
 			this.#endUnsent = () => {
@@ -128,9 +136,11 @@
 				if (socket.connecting) {
 					socket.once('connect', () => {
 						this.#isConnected = true;
+						onConnected?.();
 					});
 				} else {
 					this.#isConnected = true;
+					onConnected?.();
 				}
 			});
 			outgoing.on('response', body => {
@@ -155,6 +165,7 @@
 	cancel(reason: CancelReason): void {
 		this.#cancelled ??= reason;
 		this.#outgoing.destroy();
+		this.#cancellation.abort();
 		if (!this.#isConnected) {
 			// A connection that is established later is not used.
 			this.#endUnsent?.();
@@ -186,6 +197,7 @@
 			metadata,
 			framing,
 			body,
+			signal: this.#cancellation.signal,
 			// Node.js reports a body without a length as complete even if its connection was reset, or destroyed by this host.
 			isComplete: async () => {
 				const isProper = await properEnd;
--- a/src/gateway/upstreams/reputation.ts
+++ b/src/gateway/upstreams/reputation.ts
@@ -77,30 +77,79 @@
 	recordVerdict(id: string, upstream: GatewayUpstream | undefined, verdict: Verdict, now: number): void {
 		this.health.record(id, verdict, now);
 		this.#logHealthChange(id, verdict, now);
-		const domain = upstream?.failureDomain;
-		if (domain === undefined || domain === this.#options.failureDomain) {
-			return;
+		if (upstream !== undefined) {
+			this.#recordReach(upstream, verdict !== 'unreachable' && verdict !== 'broken', now);
 		}
+	}
 
-		if (verdict === 'unreachable' || verdict === 'broken') {
-			if (now - (this.#crashed.get(id) ?? Number.NEGATIVE_INFINITY) < crashMs) {
-				return;
-			}
+	/**
+	 * Records that an upstream sends nothing while others do.
+	 *
+	 * @param upstream - Upstream.
+	 * @param now - Time in milliseconds.
+	 */
+	recordSilence(upstream: GatewayUpstream, now: number): void {
+		this.health.silent.meet(upstream.id, now);
+		this.#logHealthChange(upstream.id, 'silent', now);
+		this.#recordReach(upstream, false, now);
+	}
+
+	/**
+	 * Trusts an upstream as before once it sends something again, unless it falls silent again and again.
+	 *
+	 * @param upstream - Upstream that has sent something.
+	 * @param now - Time in milliseconds.
+	 * @returns Whether peers are to be told, as this host had met its silence.
+	 */
+	recordLife(upstream: GatewayUpstream, now: number): boolean {
+		const {id} = upstream;
+		const end = this.health.silent.recordLife(id, now);
+		if (end === undefined) {
+			return false;
+		}
 
-			this.#reachability.recordFailure(domain, id, now);
+		if (!this.health.isBackedOff(id, now) && this.#unhealthy.delete(id)) {
+			this.#options.log.write({
+				event: 'upstream-trusted', upstream: id, reason: 'it sends again', risk: this.#computeRisk(id, now),
+			});
 		} else {
-			this.#reachability.recordSuccess(domain, now);
+			this.#logReturn(id, now);
+		}
+
+		if (end === 'met') {
+			this.#recordReach(upstream, true, now);
 		}
+
+		return end === 'met';
+	}
+
+	/**
+	 * Records that an upstream that this host found silent has not answered a health check either.
+	 *
+	 * @param id - Upstream.
+	 * @param now - Time in milliseconds.
+	 * @returns Whether peers are to be told that it is still silent.
+	 */
+	recordUnanswered(id: string, now: number): boolean {
+		return this.health.silent.recordUnanswered(id, now);
 	}
 
 	/**
 	 * Records the report of a peer; ignored if the upstream is already excluded.
 	 *
-	 * @param absence - Upstream that the peer found unreachable or replaced.
+	 * @param absence - Upstream that the peer found unreachable, replaced or silent.
 	 * @param peer - Name of the peer that sent the report.
 	 * @param now - Time in milliseconds.
 	 */
 	recordAbsence({upstream, reason}: Absence, peer: string, now: number): void {
+		if (reason === 'silent') {
+			if (this.health.silent.recordReport(upstream, now)) {
+				this.#logSilence(upstream, now, peer);
+			}
+
+			return;
+		}
+
 		if (this.health.isBackedOff(upstream, now)) {
 			return;
 		}
@@ -110,6 +159,19 @@
 		this.#logHealthChange(upstream, verdict, now, peer);
 	}
 
+	/**
+	 * Records the report of a peer that an upstream answers again.
+	 *
+	 * @param id - Upstream.
+	 * @param peer - Name of the peer that sent the report.
+	 * @param now - Time in milliseconds.
+	 */
+	recordReturn(id: string, peer: string, now: number): void {
+		if (this.health.silent.recordReturn(id, now)) {
+			this.#logReturn(id, now, peer);
+		}
+	}
+
 	/**
 	 * Records that this host couldn't connect to an upstream, perhaps only as its own link is cut.
 	 *
@@ -155,17 +217,45 @@
 		this.#reachability.forgetFailure(id);
 	}
 
+	/** Notes whether the failure domain of an upstream was reached, unless the upstream has just crashed. */
+	#recordReach({id, failureDomain}: GatewayUpstream, isReached: boolean, now: number): void {
+		if (failureDomain === this.#options.failureDomain) {
+			return;
+		}
+
+		if (isReached) {
+			this.#reachability.recordSuccess(failureDomain, now);
+		} else if (now - (this.#crashed.get(id) ?? Number.NEGATIVE_INFINITY) >= crashMs) {
+			this.#reachability.recordFailure(failureDomain, id, now);
+		}
+	}
+
+	#computeRisk(upstream: string, now: number): number {
+		return roundTo(this.health.failureProbability(upstream, now), 2);
+	}
+
+	#logSilence(upstream: string, now: number, peer: string): void {
+		this.#options.log.write({
+			event: 'silence-reported', upstream, peer, risk: this.#computeRisk(upstream, now),
+		});
+	}
+
+	#logReturn(upstream: string, now: number, peer?: string): void {
+		this.#options.log.write({
+			event: 'silence-ended', upstream, peer, risk: this.#computeRisk(upstream, now),
+		});
+	}
+
 	/** The evidence is an attempt of this host, or the report of a peer. */
-	#logHealthChange(upstream: string, verdict: Verdict, now: number, peer?: string): void {
+	#logHealthChange(upstream: string, verdict: Verdict | 'silent', now: number, peer?: string): void {
 		if (verdict === 'sound') {
 			if (this.#unhealthy.delete(upstream)) {
 				this.#options.log.write({event: 'upstream-trusted', upstream});
 			}
 		} else if (this.health.isBackedOff(upstream, now) && !this.#unhealthy.has(upstream)) {
 			this.#unhealthy.add(upstream);
-			const risk = roundTo(this.health.failureProbability(upstream, now), 2);
 			this.#options.log.write({
-				event: 'upstream-doubted', upstream, verdict, peer, risk,
+				event: 'upstream-doubted', upstream, verdict, peer, risk: this.#computeRisk(upstream, now),
 			}, 'warn');
 		}
 	}
--- a/src/gateway/upstreams/stall-detector.ts
+++ b/src/gateway/upstreams/stall-detector.ts
@@ -1,44 +1,44 @@
 /** Detects engines that have stopped sending events. */
-
-/** An engine counts as unresponsive without a first event after the predicted time, multiplied by the factor, plus the margin. */
-const firstEventMarginMs = 900;
-const predictionFactor = 2;
-
-/** Time without an event in mid-stream: callers give up on a stream after 2 s. */
-const maxEventGapMs = 1200;
+import {
+	computePatience, firstEventMarginMs, maxEventGapMs, notificationIntervalMs, preparationMs, predictionFactor,
+} from '../../core/gateway/health/stall-times.js';
 
 /** Time without an event after the link of the attempt was found to be cut. */
 const hurriedSilenceMs = 300;
 
 export type StallDetectorOptions = {
-	/** Returns whether another engine could continue. */
-	readonly canContinue: () => boolean;
 	/** Forecasts the milliseconds that an iteration of the engine may take now. */
 	readonly forecastIterationTime: () => number;
-	readonly cancel: () => void;
+	/** Called some time before the engine counts as unresponsive. */
+	readonly onQuiet: () => void;
+	/** Called when the engine counts as unresponsive, and again as long as it does. */
+	readonly onStall: (isFirst: boolean) => void;
 };
 
-/** Cancels an attempt at an unresponsive engine if another engine could continue. */
+/** Notices that the engine of an attempt is unresponsive. */
 export class StallDetector {
 	readonly #options: StallDetectorOptions;
 	#timer: NodeJS.Timeout | undefined;
+	#immediate: NodeJS.Immediate | undefined;
 	#isHurried = false;
 	#isStopped = false;
+	#hasStalled = false;
 
 	/**
-	 * @param options - Attempt to cancel.
+	 * @param options - Whom to notify.
 	 * @param predicted - Predicted milliseconds until the first event.
 	 */
 	constructor(options: StallDetectorOptions, predicted: number) {
 		this.#options = options;
-		this.#schedule(firstEventMarginMs + (predicted * predictionFactor), 0);
+		this.#prepare(firstEventMarginMs + (predicted * predictionFactor));
 	}
 
 	/** Notes that events have arrived from the engine. */
 	noteEvents(): void {
 		this.#isHurried = false;
 		this.#isStopped = false;
-		this.#schedule(maxEventGapMs, 0);
+		this.#hasStalled = false;
+		this.#prepare(maxEventGapMs);
 	}
 
 	/** Expects the next event soon, as the link may be cut. */
@@ -51,23 +51,49 @@
 
 	stop(): void {
 		this.#isStopped = true;
-		clearTimeout(this.#timer);
+		this.#clear();
 	}
 
-	/** An engine iteration with a long prefill sends no events either, like a failed engine: waits as long as its forecast says. */
-	#schedule(time: number, waited: number): void {
+	#clear(): void {
 		clearTimeout(this.#timer);
+		clearImmediate(this.#immediate);
+	}
+
+	/** Runs a function after some time without events. Events that arrived while this process was held up are read first. */
+	#runAfter(time: number, run: () => void): void {
+		this.#clear();
 		this.#timer = setTimeout(() => {
+			this.#immediate = setImmediate(run);
+		}, time);
+	}
+
+	#prepare(time: number): void {
+		this.#runAfter(time - preparationMs, () => {
+			if (this.#computeRest(time) <= 0) {
+				this.#options.onQuiet();
+			}
+
+			this.#schedule(preparationMs, time - preparationMs);
+		});
+	}
+
+	#schedule(time: number, waited: number): void {
+		this.#runAfter(time, () => {
 			const silence = waited + time;
-			const rest = this.#isHurried ? 0 : firstEventMarginMs + this.#options.forecastIterationTime() - silence;
+			const rest = this.#isHurried ? 0 : this.#computeRest(silence);
 			if (rest > 0) {
 				this.#schedule(rest, silence);
 				return;
 			}
 
-			if (this.#options.canContinue()) {
-				this.#options.cancel();
-			}
-		}, time);
+			const isFirst = !this.#hasStalled;
+			this.#hasStalled = true;
+			this.#schedule(notificationIntervalMs, silence);
+			this.#options.onStall(isFirst);
+		});
+	}
+
+	#computeRest(silence: number): number {
+		return computePatience(silence, this.#options.forecastIterationTime());
 	}
 }
