The check of an own link is repeated before it counts as mute

Cause: an upstream that was silent for 1.6 s answered another host just after the check of the own link had been given up, so that the own link was taken for cut. Change: the own link is checked once more.

--- a/src/gateway/upstreams/connector.ts
+++ b/src/gateway/upstreams/connector.ts
@@ -216,12 +216,19 @@
 			return;
 		}
 
-		const fault = await Promise.race([own.finding, sleep(muteMarginMs, 'mute' as const)]);
+		const first = await Promise.race([own.finding, sleep(muteMarginMs, 'late' as const)]);
+		const fault = first === 'mute' ? await this.#findFaultAgain(upstream) : first;
 		if (fault !== 'none') {
-			this.#recordCut(upstream, fault);
+			this.#recordCut(upstream, fault === 'late' ? 'mute' : fault);
 		}
 	}
 
+	/** An upstream that was silent itself may answer again since the check of the own link was given up. */
+	async #findFaultAgain(upstream: GatewayUpstream): Promise<LinkFault | 'none'> {
+		const finding = this.#findOwnFault(upstream, connectDirectly({...upstream.address}));
+		return Promise.race([finding, sleep(muteMarginMs, 'mute' as const)]);
+	}
+
 	/** Returns what is wrong with the own link to an upstream, as far as the own link shows. */
 	async #findOwnFault(upstream: GatewayUpstream, connecting: Promise<ConnectionResult>): Promise<LinkFault | 'none'> {
 		const result = await connecting;
