Emulator, model, fuzz and soak pause engines, and check each answer that has begun

Change: the emulator and the model draw silences of one engine, some, a domain or all, overlapping changes; fuzz:silences plays them in virtual time, bench:silence with real processes.

--- a/bench/gateway/results.ts
+++ b/bench/gateway/results.ts
@@ -1,5 +1,5 @@
 /** Rates the outcomes of requests. */
-import {type Result} from './simulation.js';
+import {type Loss, type Result} from './simulation.js';
 
 /**
  * @returns Whether a request was answered completely, with the first event and all pauses within their targets.
@@ -29,3 +29,28 @@
 
 	return earned / total;
 }
+
+/** What became of answers that began. */
+export type AnswerCounts = {
+	readonly begun: number;
+	/** Answers that aren't whole, by why. */
+	readonly brokenOff: number;
+	readonly enginesUsedUp: number;
+	readonly lateSuccessor: number;
+	/** Requests that were sent to an engine more than once, whether their answers began or not. */
+	readonly sentAgain: number;
+};
+
+/**
+ * @returns What became of the answers that began, and how many requests were sent more than once.
+ */
+export function countAnswers(results: readonly Result[]): AnswerCounts {
+	const count = (wanted: Loss) => results.filter(({loss}) => loss === wanted).length;
+	return {
+		begun: results.filter(({firstEvent}) => firstEvent !== undefined).length,
+		brokenOff: count('broken off'),
+		enginesUsedUp: count('engines used up'),
+		lateSuccessor: count('late successor'),
+		sentAgain: results.filter(({sent}) => sent > 1).length,
+	};
+}
--- a/bench/model/fleet.ts
+++ b/bench/model/fleet.ts
@@ -20,6 +20,7 @@
 import {getOwnDemands} from '../../src/core/features/limits/queries.js';
 import {getOwnMixes} from '../../src/core/features/routing/segments.js';
 import {listOwnLoads} from '../../src/core/features/membership/heartbeat.js';
+import {EngineClocks, type EngineSilence} from '../gateway/silences.js';
 import {ModelEngine, type ModelEngineOptions, type Job} from './engine.js';
 import {Timeline} from './timeline.js';
 import {createRandom, type Arrival} from './workload.js';
@@ -33,6 +34,10 @@
 	/** Milliseconds. */
 	readonly deadline: number;
 	readonly weights: {readonly slowdown: number; readonly firstToken: number};
+	/** Silences of engines, which send neither tokens nor reports meanwhile. */
+	readonly silences?: readonly EngineSilence[];
+	/** When the configuration changes, in milliseconds; the services and upstreams stay the same. */
+	readonly configurationChanges?: readonly number[];
 };
 
 /** Result of one request; times in milliseconds. */
@@ -100,11 +105,14 @@
 	readonly #random: Random;
 	readonly #states: State[];
 	readonly #engines: readonly ModelEngine[];
+	readonly #clocks: EngineClocks;
+	#revision = 1;
 	readonly #results = new Map<string, RequestResult>();
 
 	constructor(options: FleetOptions, seed: number) {
 		this.#options = options;
 		this.#random = createRandom(seed);
+		this.#clocks = new EngineClocks(options.silences ?? []);
 		this.#states = Array.from({length: options.hosts}, (_, index) => initialState(buildMember(index)));
 		this.#engines = Array.from({length: options.engines}, () => new ModelEngine(options.engineOptions));
 		const document = buildConfiguration(options);
@@ -120,6 +128,18 @@
 			});
 		}
 
+		for (const [index, at] of (options.configurationChanges ?? []).entries()) {
+			const revision = index + 2;
+			this.#timeline.schedule(at, () => {
+				this.#revision = revision;
+				for (let host = 0; host < options.hosts; host++) {
+					this.#dispatch(host, {
+						type: 'configuration-received', source: {type: 'file'}, configuration: {...document, revision}, digest: `d${revision}`, text: '',
+					});
+				}
+			});
+		}
+
 		for (let engine = 0; engine < options.engines; engine++) {
 			this.#scheduleEvery(reportIntervalMs, () => {
 				this.#sendReport(engine);
@@ -262,12 +282,24 @@
 	}
 
 	#runIterations(engine: ModelEngine): void {
+		const {now} = this.#timeline;
+		const index = this.#engines.indexOf(engine);
+		if (this.#clocks.isSilent(index, now)) {
+			this.#timeline.schedule(this.#clocks.computeEnd(index, now, 0), () => {
+				if (!engine.isBusy) {
+					this.#runIterations(engine);
+				}
+			});
+			return;
+		}
+
 		const duration = engine.startIteration();
 		if (duration === undefined) {
 			return;
 		}
 
-		this.#timeline.schedule(this.#timeline.now + duration, () => {
+		this.#timeline.schedule(this.#clocks.computeEnd(index, now, duration), () => {
+			engine.isBusy = false;
 			for (const {job, cached, produced, isFinished} of engine.finishIteration()) {
 				this.#sendProgress(job, cached, produced, isFinished);
 			}
@@ -301,6 +333,10 @@
 	}
 
 	#sendReport(index: number): void {
+		if (this.#clocks.isSilent(index, this.#timeline.now)) {
+			return;
+		}
+
 		const engine = this.#engines[index]!;
 		const report = {
 			upstream: `e${index}`,
@@ -335,8 +371,8 @@
 			changed: 0,
 			sequence: 0,
 			hasAllLoads: true,
-			revision: 1,
-			digest: 'd',
+			revision: this.#revision,
+			digest: this.#revision === 1 ? 'd' : `d${this.#revision}`,
 			loads,
 			demands: getOwnDemands(state, now),
 			mixes: getOwnMixes(state, now),
--- a/bench/model/scenarios.ts
+++ b/bench/model/scenarios.ts
@@ -1,5 +1,6 @@
 /** Scenarios shared by tests and benchmarks. */
 import {type Policy} from '../../src/core/index.js';
+import {drawSilences, type SilenceScope} from '../gateway/silences.js';
 import {Fleet, type FleetOptions, type RequestResult} from './fleet.js';
 import {type ModelEngineOptions} from './engine.js';
 import {generateArrivals, maxShortTokens, type Workload} from './workload.js';
@@ -40,10 +41,28 @@
 	readonly isShortAlone?: boolean;
 	/** Milliseconds. */
 	readonly deadline?: number;
+	/** Engines that are silent for about a second, in series, each with a change of the configuration meanwhile. */
+	readonly silent?: SilenceScope;
 };
 
 const defaultDeadlineMs = 120_000;
 
+/** Times in milliseconds of the first silence, and from the beginning of a silence to the change of the configuration. */
+const firstSilenceMs = 3000;
+const changeLagMs = 300;
+
+function drawFaults({seed, silent, duration}: Scenario): Pick<FleetOptions, 'configurationChanges' | 'silences'> {
+	if (silent === undefined) {
+		return {};
+	}
+
+	const silences = drawSilences({
+		engines, scope: silent, from: firstSilenceMs, until: duration,
+	}, seed);
+	const beginnings = silences.filter(({from}, index) => index === 0 || from - silences[index - 1]!.from > changeLagMs);
+	return {silences, configurationChanges: beginnings.map(({from}) => from + changeLagMs)};
+}
+
 /**
  * @param scenario - Scenario.
  * @returns Results of the requests, and the share of the engines' time spent on prefill.
@@ -58,6 +77,7 @@
 		organisations,
 		deadline,
 		weights: {slowdown: 1, firstToken: 1},
+		...drawFaults(scenario),
 	};
 	const workload: Workload = {
 		seed: scenario.seed,
--- a/bench/soak/plan.ts
+++ b/bench/soak/plan.ts
@@ -8,6 +8,11 @@
 
 type UpstreamFault = typeof upstreamFaults[number];
 
+/** What becomes of a link to the store or to a plain service. */
+const linkFaults = ['delay', 'cut', 'refuse', 'black-hole'] as const;
+
+export type LinkFault = typeof linkFaults[number];
+
 /** A fault; times are in milliseconds. */
 export type Fault
 	/** SIGKILL, then a restart after `down`. */
@@ -46,12 +51,14 @@
 		| {readonly type: 'poison'; readonly length: number}
 	/** Engines crash without a cause, and are back after `length` as other processes with their ids. */
 		| {readonly type: 'crash'; readonly upstreams: readonly number[]; readonly length: number}
+	/** SIGSTOP to engines in processes of their own, then SIGCONT after `length`. */
+		| {readonly type: 'pause-engines'; readonly engines: readonly number[]; readonly length: number}
 	/** One host gets all new connections. */
 		| {readonly type: 'crowd'; readonly host: number; readonly length: number}
 	/** Hosts lose their links to some upstreams, or to all. Only where each host has links of its own. */
 		| {readonly type: 'sever'; readonly hosts: readonly number[]; readonly upstreams: readonly number[]; readonly how: Severance; readonly length: number}
 	/** A fault of the link to the store or to a plain service. */
-		| {readonly type: 'link'; readonly link: number; readonly how: 'delay' | 'cut' | 'refuse' | 'black-hole'; readonly length: number};
+		| {readonly type: 'link'; readonly link: number; readonly how: LinkFault; readonly length: number};
 
 export type PlannedFault = {
 	/** Milliseconds after the start. */
@@ -64,6 +71,8 @@
 	/** Engines first, then plain services. */
 	readonly upstreams: number;
 	readonly engines: number;
+	/** Number of engines in processes of their own. */
+	readonly pausableEngines: number;
 	readonly links: number;
 	/** Number of failure domains. */
 	readonly domains: number;
@@ -123,6 +132,11 @@
 const gapBetweenCrowds = {least: 2000, most: 8000};
 const crowdLengthMs = {least: 1500, most: 5000};
 
+/** The same for engines that signals stop, and milliseconds for which they are stopped. */
+const enginePauseSeedOffset = 10_000_019;
+const gapBetweenEnginePauses = {least: 300, most: 4000};
+const enginePauseLengthMs = {least: 1000, most: 1900};
+
 const foreignTypes = ['foreign-seed', 'foreign-address'] as const;
 
 const statementTypes = ['limit', 'depart', 'refuse'] as const;
@@ -167,6 +181,32 @@
 	}
 }
 
+/** Draws one engine, or all. */
+function drawCrashing(random: Random, {engines}: PlanOptions): readonly number[] {
+	const first = random.integer(0, engines - 1);
+	return random.integer(0, 2) === 0 ? Array.from({length: engines}, (_, index) => index) : [first];
+}
+
+/** Draws one engine in a process of its own, some, or all. */
+function drawPausableEngines(random: Random, {pausableEngines}: PlanOptions): readonly number[] {
+	const all = Array.from({length: pausableEngines}, (_, index) => index);
+	const first = random.integer(0, pausableEngines - 1);
+	switch (pick(random, ['one', 'some', 'all'] as const)) {
+		case 'one': {
+			return [first];
+		}
+
+		case 'some': {
+			const count = random.integer(2, Math.max(pausableEngines - 1, 2));
+			return all.filter(index => (index - first + pausableEngines) % pausableEngines < count);
+		}
+
+		case 'all': {
+			return all;
+		}
+	}
+}
+
 function drawSeverance(random: Random, host: number, options: PlanOptions): Fault {
 	return {
 		type: 'sever',
@@ -256,8 +296,11 @@
 		}
 
 		case 'crash': {
-			const first = random.integer(0, options.engines - 1);
-			return {type, upstreams: random.integer(0, 2) === 0 ? Array.from({length: options.engines}, (_, index) => index) : [first], length};
+			return {type, upstreams: drawCrashing(random, options), length};
+		}
+
+		case 'pause-engines': {
+			return {type, engines: drawPausableEngines(random, options), length: random.integer(enginePauseLengthMs.least, enginePauseLengthMs.most)};
 		}
 
 		case 'crowd': {
@@ -266,7 +309,7 @@
 
 		case 'link': {
 			return {
-				type, link: random.integer(0, options.links - 1), how: pick(random, ['delay', 'cut', 'refuse', 'black-hole']), length,
+				type, link: random.integer(0, options.links - 1), how: pick(random, linkFaults), length,
 			};
 		}
 	}
@@ -308,6 +351,7 @@
 		planSeparately(createRandomAfterFirst(seed + poisonSeedOffset), length, gapBetweenPoisons, draw('poison')),
 		planSeparately(createRandomAfterFirst(seed + crashSeedOffset), length, gapBetweenCrashes, draw('crash')),
 		planSeparately(createRandomAfterFirst(seed + crowdSeedOffset), length, gapBetweenCrowds, draw('crowd')),
+		planSeparately(createRandomAfterFirst(seed + enginePauseSeedOffset), length, gapBetweenEnginePauses, draw('pause-engines')),
 		options.hasSeverableLinks ? planSeparately(createRandomAfterFirst(seed + severanceSeedOffset), length, gapBetweenSeverances, draw('sever')) : [],
 	].flat();
 }
