Streams without framing are not taken for complete if their engine has died

Its engine answered without framing and was crashed just after an event. Cause: the kernel ends the connections of a process that dies as the process ends those of responses without a length. Change: the end of such a response counts only if its upstream still answers over the own link, or is silent, or leaves. Otherwise the attempt has broken off: a stream goes on elsewhere, and one that may not be resumed breaks off for its caller as well.

--- a/__tests__/gateway/upstreams.test.ts
+++ b/__tests__/gateway/upstreams.test.ts
@@ -9,6 +9,7 @@
 import {type Fault} from '../../stand-ins/gateway/faults.js';
 import {type UpstreamStandIn} from '../../stand-ins/gateway/upstream.js';
 import {parseEventIds, createPromptHeaders} from '../../bench/gateway/caller-requests.js';
+import {createConfiguration, routes} from '../../bench/gateway/configuration.js';
 import {Site} from '../../bench/gateway/site.js';
 
 let site: Site;
@@ -103,6 +104,25 @@
 		expect(parseEventIds(answer)).toEqual([1, 2, 3, 4, 5, 6, 7, 8]);
 	});
 
+	it.each([['goes on at another engine', true], ['never looks complete', false]])('without framing %s if its engine dies just after an event, and it may be resumed: %s', async (_, isWhole) => {
+		site.store.put('op/config', createConfiguration(2, {Routes: routes.map(route => ({...route, StreamResume: isWhole}))}));
+		await expect.poll(() => site.hosts[0]!.findLogLines('configuration').at(-1)?.version, {timeout: 5000}).toBe(2);
+		setFault(site.engines, 'unframed');
+		for (const engine of site.engines) {
+			engine.slowness = 4;
+		}
+
+		const id = `died-${String(isWhole)}`;
+		const pending = site.ask({path: '/ask/x', id, headers: createPromptHeaders(1000, 20)});
+		await expect.poll(() => site.ledger.findRuns(id).length, {interval: 5}).toBe(1);
+		await sleep(600);
+		await site.engines.find(engine => engine.id === site.ledger.findRuns(id)[0]!.upstream)!.crash();
+		const answer = await pending;
+		const ids = parseEventIds(answer);
+		expect(ids).toEqual(Array.from({length: ids.length}, (_, index) => index + 1));
+		expect([answer.isWhole, ids.length === 20]).toEqual([isWhole, isWhole]);
+	});
+
 	it.each(['unframed-cut', 'unframed-reset', 'ended-inside'] as const)('never looks complete when it ends inside an event: %s', async fault => {
 		setFault(site.engines, fault);
 		const answer = await site.ask({path: '/ask/x', id: `inside-${fault}`, headers: createPromptHeaders(1000, 8)});
--- a/bench/silences/host.ts
+++ b/bench/silences/host.ts
@@ -195,6 +195,7 @@
 		const agent = new UpstreamAgent({
 			connect: async ({port}) => this.#connect(port),
 			findRoute: () => ({type: 'direct'}),
+			isGone: async () => false,
 			isOffered: () => false,
 		});
 		const engineControl = {
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -6,7 +6,7 @@
 import {type Cause} from '../../core/gateway/suspicion/causes.js';
 import {type GatewayUpstream} from '../../core/gateway/types.js';
 import {roundTo} from '../../core/utils/numbers.js';
-import {Attempt} from '../upstreams/attempt.js';
+import {Attempt, type Reply} from '../upstreams/attempt.js';
 import {type RunningAttempt} from '../suspicion/running-attempts.js';
 import {AttemptVerdicts} from '../upstreams/attempt-verdicts.js';
 import {type RequestState} from './request-state.js';
@@ -234,7 +234,7 @@
 
 		let isReadLate = false;
 		gateway.stallDetectors.recordLife(target);
-		const forwarded = await callerResponse.forward(reply, route, {
+		const forwarded = await callerResponse.forward(this.#confirmEnd(reply, target, attempt), route, {
 			get yielding() {
 				return run.yielding;
 			},
@@ -278,6 +278,21 @@
 		return ending;
 	}
 
+	/** The connection of an upstream that dies ends like that of a response without a length; one that leaves ends its last response and dies. */
+	#confirmEnd(reply: Reply, target: GatewayUpstream, {tunnel}: Attempt): Reply {
+		if (reply.framing !== 'connection' || tunnel !== undefined) {
+			return reply;
+		}
+
+		return {...reply, isComplete: async () => await reply.isComplete() && !(await this.#hasDied(target))};
+	}
+
+	async #hasDied({id}: GatewayUpstream): Promise<boolean> {
+		const {services: {gateway, agent}} = this.#state;
+		const registered = gateway.upstreams.get(id);
+		return registered !== undefined && gateway.findObstacle(registered)?.type !== 'departure' && agent.isGone(registered);
+	}
+
 	/** A connection over a cut link or another host breaks for other reasons than a crash. */
 	#recordBreak(ending: AttemptEnding, {tunnel}: Attempt, running: RunningAttempt, target: GatewayUpstream): void {
 		const {gateway} = this.#state.services;
--- a/src/gateway/tunnels/direct-connection.ts
+++ b/src/gateway/tunnels/direct-connection.ts
@@ -55,3 +55,12 @@
 		});
 	});
 }
+
+/**
+ * @param result - Connection that isn't needed, if there is one.
+ */
+export function closeConnection(result: ConnectionResult): void {
+	if (result.type === 'connected') {
+		result.socket.destroy();
+	}
+}
--- a/src/gateway/upstreams/connector.ts
+++ b/src/gateway/upstreams/connector.ts
@@ -10,7 +10,7 @@
 } from '../../core/gateway/health/links.js';
 import {type GatewayUpstream} from '../../core/gateway/types.js';
 import {type Log} from '../../entry/logs.js';
-import {connectDirectly, type ConnectionResult} from '../tunnels/direct-connection.js';
+import {closeConnection, connectDirectly, type ConnectionResult} from '../tunnels/direct-connection.js';
 import {type TunnelPeers, type TunnelVerification} from '../tunnels/tunnel-peers.js';
 import {type TunnelSearchResult} from '../tunnels/tunnel-search.js';
 import {type LinkProbe} from './link-probe.js';
@@ -22,6 +22,9 @@
 const answerDelayMs = 150;
 const muteMarginMs = 250;
 
+/** Time in milliseconds for a sign of life of an upstream whose response has just ended with its connection. */
+const lastSignMs = 300;
+
 /** Tunnel that a connection leads through. */
 export type Tunnel = {
 	/** Id of the tunnel, in the logs of both hosts. */
@@ -149,6 +152,22 @@
 		}
 	}
 
+	/**
+	 * Asks an upstream over the own link whether it still runs, just after a response that ended with its connection: the connection of a
+	 * process that has died ends in the same way.
+	 *
+	 * @param upstream - Upstream.
+	 * @returns Whether nothing answers at its address. Not if it is silent: a process that has stopped ends no connections.
+	 */
+	async isGone(upstream: GatewayUpstream): Promise<boolean> {
+		const result = await connectDirectly({...upstream.address});
+		if (result.type === 'failed') {
+			return result.failure === 'refused';
+		}
+
+		return Promise.race([this.#isUnanswered(upstream, result.socket), sleep(lastSignMs, false)]);
+	}
+
 	/**
 	 * Looks for a host that connects to an upstream again after searches have failed.
 	 *
@@ -240,6 +259,10 @@
 		return await this.#isAnsweredDirectly(upstream, result.socket) ? 'none' : 'mute';
 	}
 
+	async #isUnanswered(upstream: GatewayUpstream, socket: Socket): Promise<boolean> {
+		return !(await this.#options.probe.isAnswered(upstream, socket));
+	}
+
 	async #isAnsweredDirectly(upstream: GatewayUpstream, socket: Socket): Promise<boolean> {
 		const {probe, links, now} = this.#options;
 		const isAnswered = await probe.isAnswered(upstream, socket);
@@ -419,12 +442,6 @@
 	return new AbortController().signal;
 }
 
-function closeConnection(result: ConnectionResult): void {
-	if (result.type === 'connected') {
-		result.socket.destroy();
-	}
-}
-
 /** Resolves once a connection is established; never if it fails. */
 async function waitUntilConnected(connecting: Promise<ConnectionResult>): Promise<undefined> {
 	return new Promise(resolve => {
