--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -1,10 +1,12 @@
 #!/usr/bin/env node
 /** Runs soaks for consecutive seeds: `npm run soak -- --seeds 50 --seed 1`. */
+import {mkdir, writeFile} from 'node:fs/promises';
+import path from 'node:path';
 import process from 'node:process';
 import {Command, Option} from 'commander';
 import {parsePositiveInteger} from '../options.js';
 import {type PausableCounts} from './pausable-engines.js';
-import {runSoak} from './run.js';
+import {runSoak, type SoakResult} from './run.js';
 
 type Options = {
 	readonly seeds: number;
@@ -14,6 +16,8 @@
 	readonly length: number;
 	readonly links: Links;
 	readonly retries: Retries;
+	/** Folder for the logs of hosts under which a guarantee was broken. */
+	readonly logs?: string;
 };
 
 /** Whether hosts share the links to upstreams, or have links of their own, which are severed. */
@@ -37,6 +41,13 @@
 	return `at engines that were only paused: ${requests} requests, ${begun} begun, ${whole} whole; ${commonlyPaused} while all were paused, ${repeated} of these sent again meanwhile`;
 }
 
+/** Writes the faults, the broken guarantees and what the hosts logged; one line of JSON each. */
+async function writeLogs(folder: string, seed: number, {history, broken, logs}: SoakResult): Promise<void> {
+	const summary = {began: new Date(performance.timeOrigin).toISOString(), history, broken};
+	await mkdir(folder, {recursive: true});
+	await writeFile(path.join(folder, `soak-${seed}.jsonl`), [summary, ...logs].map(line => `${JSON.stringify(line)}\n`).join(''));
+}
+
 const command = new Command('soak')
 	.description('Runs real gateway processes under injected faults; exit code 1 if a guarantee was broken.')
 	.option('--seeds <n>', 'number of soaks, one after another', parsePositiveInteger, 1)
@@ -46,8 +57,9 @@
 	.option('--length <s>', 'seconds in which faults begin', parsePositiveInteger, 12)
 	.addOption(new Option('--links <kind>', 'links to upstreams: shared by all hosts, severable for each host, or alternate with the seed').choices(linkKinds).default('alternate'))
 	.addOption(new Option('--retries <kind>', 'retries of the hosts: within the usual budget, none, or alternate with the seed').choices(retryKinds).default('alternate'))
+	.option('--logs <folder>', 'where to write the logs of the hosts if a guarantee was broken')
 	.action(async ({
-		seeds, seed, hosts, clients, length, links, retries,
+		seeds, seed, hosts, clients, length, links, retries, logs,
 	}: Options) => {
 		for (let index = 0; index < seeds; index++) {
 			const result = await runSoak({
@@ -64,6 +76,10 @@
 				process.stdout.write(`  ${each}\n`);
 				process.exitCode = 1;
 			}
+
+			if (logs !== undefined && result.broken.length > 0) {
+				await writeLogs(logs, seed + index, result);
+			}
 		}
 	});
 
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -42,6 +42,8 @@
 	readonly broken: readonly string[];
 	/** Faults and outages in order, to trace the cause of a broken guarantee. */
 	readonly history: readonly string[];
+	/** Log lines of all hosts, by time. */
+	readonly logs: ReadonlyArray<Record<string, unknown>>;
 };
 
 /**
@@ -94,6 +96,7 @@
 		faults: planned.length,
 		pausable: countPausable(requests, id => site.ledger.findRuns(id), testbed.pausableEngines.pauses),
 		history: testbed.history,
+		logs: site.hosts.flatMap(host => host.lines).toSorted((a, b) => String(a.time).localeCompare(String(b.time))),
 		broken: [
 			...findBrokenGuarantees(requests, id => site.ledger.findRuns(id), testbed.outages, lag.most),
 			...findIgnoredStatements(upstreams, requests, testbed.outages, lag.most),
--- a/bench/soak/testbed.ts
+++ b/bench/soak/testbed.ts
@@ -154,6 +154,7 @@
 		this.poison = new PoisonSender(site, createRandom(poisonSeed));
 		for (const engine of site.engines) {
 			engine.onCrash = () => {
+				this.history.push(`${Math.round(performance.now())} ms ${engine.id} crashed under a part of a prompt`);
 				this.#activeFaults.push(this.#bringBack(engine, crashAbsenceMs));
 			};
 		}
