Hosts that dial each other at the same time don't lose each other

Cause: the end that takes the link of the host with the smaller name closed the former one at once, before the other end had got the answer to its own dial: that end lost the host, and linked it again some milliseconds later. Change: a link that another one to the same process replaces is closed two seconds later.

--- a/src/gateway/peers/__tests__/start.test.ts
+++ b/src/gateway/peers/__tests__/start.test.ts
@@ -1,4 +1,8 @@
 /** Hosts that start together, as after a power failure, must discover each other before callers return. */
+import {once} from 'node:events';
+import {
+	connect, createServer, type Server, type Socket,
+} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	afterEach, beforeEach, expect, it, vi,
@@ -27,12 +31,12 @@
 	vi.advanceTimersByTime(time);
 }
 
-function peersOf(name: string, port: number, seed: number): Peers {
+function peersOf(name: string, port: number, seed: number, lost: (host: Host, reason: string) => void = ignore): Peers {
 	const self: Host = {
 		name, failureDomain: 'a', address: {host: loopback, port}, started: 1,
 	};
 	return new Peers({
-		self, seeds: [{host: loopback, port: seed}], log: {write: ignore}, now: () => clock, events: {joined: ignore, message: ignore, lost: ignore},
+		self, seeds: [{host: loopback, port: seed}], log: {write: ignore}, now: () => clock, events: {joined: ignore, message: ignore, lost},
 	});
 }
 
@@ -67,3 +71,51 @@
 	await expectLinked(first, 2);
 	await expectLinked(second, 2);
 });
+
+/** Forwards connections, with delays in milliseconds: `request` of what the dialling host sends, `answer` of what it gets. */
+async function delay(from: number, to: number, {request, answer}: {readonly request: number; readonly answer: number}): Promise<Server> {
+	const server = createServer(socket => {
+		const target = connect(to, loopback);
+		const pass = (source: Socket, sink: Socket, time: number) => {
+			source.on('error', ignore);
+			source.on('data', (chunk: Uint8Array) => {
+				setTimeout(() => {
+					sink.write(chunk);
+				}, time);
+			});
+			source.on('close', () => {
+				sink.destroy();
+			});
+		};
+
+		pass(socket, target, request);
+		pass(target, socket, answer);
+	});
+	server.listen(from, loopback);
+	await once(server, 'listening');
+	return server;
+}
+
+it('hosts that dial each other at the same time don\'t lose each other', async () => {
+	const ports = [await claimWorkerPort(), await claimWorkerPort(), await claimWorkerPort()] as const;
+	const server = await delay(ports[2], ports[1], {request: 60, answer: 400});
+	const lost: string[] = [];
+	const record = ({name}: Host, reason: string) => {
+		lost.push(`${name}: ${reason}`);
+	};
+
+	{
+		await using first = peersOf('first', ports[0], ports[2], record);
+		await using second = peersOf('second', ports[1], ports[0], record);
+		// The first dial of the seed is refused; the second one follows while the other host has dialled as well.
+		await first.start();
+		await sleep(50);
+		await second.start();
+		await Promise.all([expectLinked(first, 1), expectLinked(second, 1)]);
+		advance(500);
+		await sleep(500);
+		expect(lost).toEqual([]);
+	}
+
+	server.close();
+});
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -29,6 +29,9 @@
  */
 const silenceTimeoutMs = 2000;
 
+/** Time in milliseconds after which a link is closed that another one to the same process has replaced. */
+const replacedLinkMs = 2000;
+
 /** One heartbeat in this many names other hosts, so that hosts that lost track of each other are linked again within seconds. */
 const heartbeatsPerHostSample = 8;
 
@@ -503,11 +506,10 @@
 		this.#links.set(from.name, link);
 		this.#reach.noteLinksChanged();
 		this.#silenceDetector.recordMessage(from.failureDomain, now);
-		if (previous !== undefined && previous.hello?.from.started !== from.started) {
-			this.#options.events.lost(from, 'started anew');
+		if (previous !== undefined) {
+			this.#replace(previous, from);
 		}
 
-		previous?.close('replaced');
 		this.#options.log.write({
 			event: 'peer-linked', peer: from.name, domain: from.failureDomain, hosts: this.#reach.maxLinkedHosts,
 		});
@@ -544,6 +546,19 @@
 		this.#sender.sendToLinks({type: 'heartbeat', known: [...joined]}, link => !isOnlyNewcomer(link));
 	}
 
+	/** The other end uses the former link until the answer to its own dial has arrived, and would lose this host if it were closed before. */
+	#replace(previous: Link, from: Host): void {
+		if (previous.hello?.from.started === from.started) {
+			setTimeout(() => {
+				previous.close('replaced');
+			}, replacedLinkMs).unref();
+			return;
+		}
+
+		this.#options.events.lost(from, 'started anew');
+		previous.close('replaced');
+	}
+
 	/** Both ends keep the link that was dialled by the host with the smaller name, unless the other host has restarted. */
 	#isReplacement(link: Link, previous: Link, from: Host): boolean {
 		if (previous.hello?.from.started !== from.started) {
