A host that finds its links cut keeps what others report of crashes

Cause: a host that found links to upstreams cut dropped its own reports that were not sent yet, and took the crashes for disproved with them, those too that other hosts had reported meanwhile. Change: only what no other host has reported is dropped.

--- a/src/gateway/suspicion/__tests__/convictions.test.ts
+++ b/src/gateway/suspicion/__tests__/convictions.test.ts
@@ -344,6 +344,18 @@
 		expect(other!.convictions.reportCount).toBe(2);
 	});
 
+	it('keeps what another host has observed, though its own report was not sent yet', async () => {
+		const {hosts} = new Fleet(3);
+		const [cut, other] = hosts;
+		cut!.areLinksInDoubt = true;
+		other!.convictions.recordBroken(other!.attempt('e1', 'AC'));
+		cut!.convictions.recordBroken(cut!.attempt('e1', 'AB'));
+		await vi.advanceTimersByTimeAsync(60);
+		cut!.convictions.excuseCrashes(() => true);
+		await vi.advanceTimersByTimeAsync(500);
+		expect(hosts.map(host => host.convictions.reportCount)).toEqual([2, 2, 2]);
+	});
+
 	it('takes back a crash of an upstream that another host connects to', async () => {
 		const fleet = new Fleet(3);
 		const [cut, other] = fleet.hosts;
--- a/src/gateway/suspicion/convictions.ts
+++ b/src/gateway/suspicion/convictions.ts
@@ -314,7 +314,7 @@
 	 */
 	excuseCrashes(isUnlinked: (upstream: string) => boolean): void {
 		const now = this.#options.clock.now();
-		const dropped = this.#crashReports.drop(isUnlinked);
+		const dropped = this.#crashReports.drop(upstream => isUnlinked(upstream) && !this.#isReportedElsewhere(upstream));
 		if (dropped.length > 0) {
 			this.#withdrawCrashes(dropped, 'the link is cut');
 		}
