--- a/src/gateway/peers/state.ts
+++ b/src/gateway/peers/state.ts
@@ -6,7 +6,8 @@
 const nameSchema = z.string().max(512);
 const timeSchema = z.number().nonnegative();
 
-const engineSchema = z.object({
+/** Resources and speed of an engine. */
+export const engineSchema = z.object({
 	slots: z.number(),
 	memory: z.number(),
 	stride: z.number(),
--- a/stand-ins/gateway/messages.ts
+++ b/stand-ins/gateway/messages.ts
@@ -1,28 +1,13 @@
 /** Settings of an engine in a process of its own, and the messages that it sends to the process that started it. */
 import {z} from 'zod';
-import {type EngineModel} from '../../src/core/gateway/types.js';
-
-const modelSchema = z.object({
-	slots: z.number(),
-	memory: z.number(),
-	stride: z.number(),
-	step: z.number(),
-	perRequest: z.number(),
-	perThousand: z.number(),
-	readRate: z.number(),
-	pairs: z.number(),
-	chunk: z.number(),
-	hop: z.number(),
-	usualPrompt: z.number(),
-	usualAnswer: z.number(),
-}) satisfies z.ZodType<EngineModel>;
+import {engineSchema} from '../../src/gateway/peers/state.js';
 
 export const settingsSchema = z.object({
 	id: z.string(),
 	service: z.string(),
 	failureDomain: z.string(),
 	slots: z.number(),
-	model: modelSchema,
+	model: engineSchema,
 });
 
 export type Settings = Readonly<z.infer<typeof settingsSchema>>;
