The end of an unframed answer is checked over tunnels that were only faster

Cause: an answer that came over another host was not checked, also where this host's own link was sound and only slower to connect, as on a busy machine. Change: the check depends on the own link.

--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -234,7 +234,7 @@
 
 		let isReadLate = false;
 		gateway.stallDetectors.recordLife(target);
-		const forwarded = await callerResponse.forward(this.#confirmEnd(reply, target, attempt), route, {
+		const forwarded = await callerResponse.forward(this.#confirmEnd(reply, target), route, {
 			get yielding() {
 				return run.yielding;
 			},
@@ -279,8 +279,8 @@
 	}
 
 	/** The connection of an upstream that dies ends like that of a response without a length; one that leaves ends its last response and dies. */
-	#confirmEnd(reply: Reply, target: GatewayUpstream, {tunnel}: Attempt): Reply {
-		if (reply.framing !== 'connection' || tunnel !== undefined) {
+	#confirmEnd(reply: Reply, target: GatewayUpstream): Reply {
+		if (reply.framing !== 'connection') {
 			return reply;
 		}
 
@@ -290,7 +290,12 @@
 	async #hasDied({id}: GatewayUpstream): Promise<boolean> {
 		const {services: {gateway, agent}} = this.#state;
 		const registered = gateway.upstreams.get(id);
-		return registered !== undefined && gateway.findObstacle(registered)?.type !== 'departure' && agent.isGone(registered);
+		if (registered === undefined || gateway.findObstacle(registered)?.type === 'departure') {
+			return false;
+		}
+
+		// A cut link would show the same as a process that has died.
+		return gateway.tunnels.links.findRoute(registered).type === 'direct' && agent.isGone(registered);
 	}
 
 	/** A connection over a cut link or another host breaks for other reasons than a crash. */
