Tunnels are asked for on the host of the peer only

Cause: an offer of tunnels names an address, and any address counted: a linked host that is wrong or false could have had this one send requests anywhere, although a peer's claims must lead to registered upstreams over linked hosts only. Change: offers that name another host than the peer's own are ignored and logged; settings that would make such offers are refused at the start, with the reason. Without the setting, hosts offer a port on their own host, as before.

--- a/src/gateway/__tests__/settings.test.ts
+++ b/src/gateway/__tests__/settings.test.ts
@@ -1,4 +1,4 @@
-/** Keys of the fleet in the settings: an invalid one must end the start and name its field. */
+/** Settings: an invalid one must end the start and name its field. */
 import {expect, it} from 'vitest';
 import {parseSettings} from '../../protocol/settings.js';
 import {settingsSchema} from '../settings.js';
@@ -26,3 +26,9 @@
 	expect(parseSettings(settingsSchema, {...settings, fleet: {keys: keys.slice(1)}}).fleet?.keys).toEqual(keys.slice(1));
 	expect(parseSettings(settingsSchema, settings).fleet).toBeUndefined();
 });
+
+it('refuses an address for tunnels that other hosts would ignore', () => {
+	expect(() => parseSettings(settingsSchema, {...settings, tunnel: '127.0.0.2:5'})).toThrow('tunnel');
+	expect(parseSettings(settingsSchema, {...settings, tunnel: '127.0.0.1:5'}).tunnel).toEqual({host: '127.0.0.1', port: 5});
+	expect(parseSettings(settingsSchema, {...settings, tunnel: 'none'}).tunnel).toBe('none');
+});
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -24,7 +24,7 @@
 	metrics: addressSchema.optional(),
 	/** Address for the operators' command line, which callers must not reach; not served if absent. */
 	admin: addressSchema.optional(),
-	/** Address at which this host opens tunnels to upstreams for hosts that don't reach them; a free port beside `peer` if absent. */
+	/** Address at which this host opens tunnels to upstreams for hosts that don't reach them, on the host of `peer`; a free port if absent. */
 	tunnel: z.union([z.literal('none'), addressSchema]).optional(),
 	/** Processor capacity of this host: cores, and the share of each that it may use. Hosts with more capacity become relays. */
 	processor: z.object({cores: z.number().positive(), share: z.number().positive()}).readonly().default({cores: 1, share: 1}),
@@ -58,6 +58,8 @@
 		window: milliseconds.default(10_000),
 		allowance: z.number().nonnegative().default(100),
 	}).readonly().default({ratio: 0.2, window: 10_000, allowance: 100}),
+}).refine(({peer, tunnel}) => tunnel === undefined || tunnel === 'none' || tunnel.host === peer.host, {
+	path: ['tunnel'], error: 'must be on the host of peer: others ignore offers of tunnels at another address',
 }).readonly();
 
 export type Settings = z.infer<typeof settingsSchema>;
--- a/src/gateway/tunnels/__tests__/tunnels.test.ts
+++ b/src/gateway/tunnels/__tests__/tunnels.test.ts
@@ -257,7 +257,7 @@
 		...changes,
 	});
 	const upstream = {id: 'e', service: 's', failureDomain: 'b'};
-	const createHost = (name: string, failureDomain: string) => ({name, failureDomain}) as unknown as Host;
+	const createHost = (name: string, failureDomain: string) => ({name, failureDomain, address: {host: '127.0.0.1', port: 1}}) as unknown as Host;
 
 	it('goes on to another host after one that is cut, gone or silent', async () => {
 		const port = await startUpstream(() => undefined);
@@ -289,6 +289,19 @@
 		expect(lines.filter(({event}) => event === 'tunnel-refused')).toHaveLength(2);
 	});
 
+	it('asks nothing at an address that isn\'t that of the host that offers it', async () => {
+		let connections = 0;
+		const port = await startUpstream(() => {
+			connections++;
+		});
+		const {offer} = await startServer(port);
+		const peers = createPeers();
+		expect(peers.applyOffer(createHost('false', 'a'), {...offer, host: 'localhost', port})).toBe(false);
+		expect(lines).toMatchObject([{event: 'tunnel-offer-ignored', peer: 'false'}]);
+		expect(await peers.search(upstream, new AbortController().signal)).toEqual({type: 'none'});
+		expect(connections).toBe(0);
+	});
+
 	it('asks no host whose offer is invalid, withdrawn, or no longer linked', async () => {
 		const {offer} = await startServer(await startUpstream(() => undefined));
 		const peers = createPeers();
--- a/src/gateway/tunnels/tunnel-peers.ts
+++ b/src/gateway/tunnels/tunnel-peers.ts
@@ -96,14 +96,18 @@
 
 	/**
 	 * @param peer - Host that is linked, if only for tunnels.
-	 * @param offer - Its offer, as received; an invalid one is ignored.
+	 * @param offer - Its offer, as received; ignored if it is invalid or names the address of another host.
 	 * @returns Whether it no longer opens tunnels.
 	 */
-	applyOffer({name, failureDomain, capacity}: Host, offer: unknown): boolean {
+	applyOffer({name, failureDomain, capacity, address}: Host, offer: unknown): boolean {
 		const parsed = tunnelOfferSchema.safeParse(offer);
 		if (!parsed.success) {
-			this.#options.log.write({event: 'tunnel-offer-ignored', peer: name, problem: parsed.error.issues[0]?.message}, 'warn');
-			return false;
+			return this.#ignore(name, parsed.error.issues[0]?.message);
+		}
+
+		// Requests go over hosts that this one is linked with, wherever else a peer would have them go.
+		if (parsed.data.type === 'open' && parsed.data.host !== address.host) {
+			return this.#ignore(name, `address of another host than ${address.host}: ${parsed.data.host}`);
 		}
 
 		const isOpen = parsed.data.type === 'open';
@@ -197,6 +201,11 @@
 		this.#refusals.record(peer, group, this.#options.now());
 	}
 
+	#ignore(peer: string, problem: string | undefined): false {
+		this.#options.log.write({event: 'tunnel-offer-ignored', peer, problem}, 'warn');
+		return false;
+	}
+
 	/** Whether a host that doesn't reach some groups itself reaches one that this host doesn't. */
 	#isUseful(lost: readonly string[]): boolean {
 		const needed = this.#options.listLostGroups();
