--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -278,7 +278,7 @@
 		return ending;
 	}
 
-	/** The connection of an upstream that dies ends like that of a response without a length; one that leaves ends its last response and dies. */
+	/** The connection of an upstream that dies ends like that of a response without a length. */
 	#confirmEnd(reply: Reply, target: GatewayUpstream): Reply {
 		if (reply.framing !== 'connection') {
 			return reply;
@@ -287,10 +287,11 @@
 		return {...reply, isComplete: async () => await reply.isComplete() && !(await this.#hasDied(target))};
 	}
 
+	/** One that leaves may end its process with its last response. */
 	async #hasDied({id}: GatewayUpstream): Promise<boolean> {
 		const {services: {gateway, agent}} = this.#state;
 		const registered = gateway.upstreams.get(id);
-		if (registered === undefined || gateway.findObstacle(registered)?.type === 'departure') {
+		if (registered === undefined || registered.isDraining || gateway.findObstacle(registered)?.type === 'departure') {
 			return false;
 		}
 
