--- a/src/gateway/suspicion/__tests__/convictions.test.ts
+++ b/src/gateway/suspicion/__tests__/convictions.test.ts
@@ -353,7 +353,21 @@
 		await vi.advanceTimersByTimeAsync(60);
 		cut!.convictions.excuseCrashes(() => true);
 		await vi.advanceTimersByTimeAsync(500);
-		expect(hosts.map(host => host.convictions.reportCount)).toEqual([2, 2, 2]);
+		expect(hosts.map(host => host.convictions.reportCount)).toEqual([2, 1, 1]);
+	});
+
+	it('does not confirm what another host reports that has lost the same links', async () => {
+		const {hosts} = new Fleet(3);
+		const [first, second] = hosts;
+		second!.areLinksInDoubt = true;
+		first!.convictions.recordBroken(first!.attempt('e1', 'AC'));
+		second!.convictions.recordBroken(second!.attempt('e1', 'AB'));
+		await vi.advanceTimersByTimeAsync(60);
+		second!.convictions.excuseCrashes(() => true);
+		await vi.advanceTimersByTimeAsync(500);
+		first!.convictions.excuseCrashes(() => true);
+		await vi.advanceTimersByTimeAsync(50);
+		expect(hosts.map(host => host.convictions.reportCount)).toEqual([0, 0, 0]);
 	});
 
 	it('takes back a crash of an upstream that another host connects to', async () => {
