An upstream counts as dead only if it answers no other host either

Found by a reviewer: eight streams without framing that ended whole counted as broken off where new connections over the host's own link were refused and open ones lived on, and before the host had recorded the cut: each ran twice, and their callers got an event twice. Health answers that state no id counted as none, and evacuation hid that an upstream had said that it leaves. Change: where the own link shows nothing, another host is asked for a connection, and the upstream for an answer over it. Any answer that doesn't state another id is one.

--- a/__tests__/gateway/cut-from-upstreams.test.ts
+++ b/__tests__/gateway/cut-from-upstreams.test.ts
@@ -143,6 +143,22 @@
 	expect(answers.map(answer => parseEventIds(answer).length)).toEqual(answers.map(() => 300));
 });
 
+it('lets streams without framing end whose connections live on as new ones are refused', async () => {
+	const deployment = await startSite();
+	for (const engine of deployment.engines) {
+		engine.fault = 'unframed';
+	}
+
+	const pending = Promise.all(Array.from({length: 8}, async (_, index) =>
+		deployment.ask({path: '/ask/x', id: `unframed-${index}`, headers: createPromptHeaders(1000, 20)}, deployment.hosts[0])));
+	await expect.poll(() => deployment.ledger.findRuns('unframed-7').length, {interval: 5}).toBe(1);
+	await sleep(150);
+	await deployment.sever(0, 'refuse-new');
+	const answers = await pending;
+	expect(answers.filter(answer => answer.isWhole).map(answer => parseEventIds(answer).length)).toEqual(answers.map(() => 20));
+	expect(answers.flatMap((_, index) => deployment.ledger.findRuns(`unframed-${index}`))).toHaveLength(answers.length);
+});
+
 describe('a host that opens tunnels for another one', () => {
 	it('dies halfway: streams go on elsewhere, what may have run isn\'t repeated, and nothing false is promised', async () => {
 		const deployment = await startSite();
--- a/__tests__/gateway/upstreams.test.ts
+++ b/__tests__/gateway/upstreams.test.ts
@@ -119,6 +119,7 @@
 		await site.engines.find(engine => engine.id === site.ledger.findRuns(id)[0]!.upstream)!.crash();
 		const answer = await pending;
 		const ids = parseEventIds(answer);
+		expect(ids.length).toBeGreaterThan(0);
 		expect(ids).toEqual(Array.from({length: ids.length}, (_, index) => index + 1));
 		expect([answer.isWhole, ids.length === 20]).toEqual([isWhole, isWhole]);
 	});
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -291,7 +291,7 @@
 	async #hasDied({id}: GatewayUpstream): Promise<boolean> {
 		const {services: {gateway, agent}} = this.#state;
 		const registered = gateway.upstreams.get(id);
-		if (registered === undefined || registered.isDraining || gateway.findObstacle(registered)?.type === 'departure') {
+		if (registered === undefined || registered.isDraining || gateway.selfReports.findObstacle(registered)?.type === 'departure') {
 			return false;
 		}
 
--- a/src/gateway/upstreams/connector.ts
+++ b/src/gateway/upstreams/connector.ts
@@ -62,7 +62,7 @@
 export type ConnectorOptions = {
 	readonly links: Links;
 	readonly peers: TunnelPeers;
-	readonly probe: Pick<LinkProbe, 'isAnswered'>;
+	readonly probe: Pick<LinkProbe, 'isAnswered' | 'isReplaced'>;
 	readonly log: Pick<Log, 'write'>;
 	readonly now: () => number;
 	/** Returns the upstream that is registered at an address. */
@@ -153,19 +153,19 @@
 	}
 
 	/**
-	 * Asks an upstream over the own link whether it still runs, just after a response that ended with its connection: the connection of a
-	 * process that has died ends in the same way.
+	 * Finds out whether an upstream still runs, just after a response that ended with its connection: the connection of a process that has
+	 * died ends in the same way. Asks over the own link, and over another host where that finds nothing: the link may have been cut just now.
 	 *
 	 * @param upstream - Upstream.
 	 * @returns Whether nothing answers at its address. Not if it is silent: a process that has stopped ends no connections.
 	 */
 	async isGone(upstream: GatewayUpstream): Promise<boolean> {
-		const result = await connectDirectly({...upstream.address});
-		if (result.type === 'failed') {
-			return result.failure === 'refused';
+		if (!await this.#isReplaced(upstream, await connectDirectly({...upstream.address}))) {
+			return false;
 		}
 
-		return Promise.race([this.#isUnanswered(upstream, result.socket), sleep(lastSignMs, false)]);
+		const search = this.#options.peers.isAvailable ? await this.#search(upstream, createEndlessSignal()) : undefined;
+		return search?.type !== 'connected' || this.#isReplaced(upstream, search.result);
 	}
 
 	/**
@@ -259,8 +259,10 @@
 		return await this.#isAnsweredDirectly(upstream, result.socket) ? 'none' : 'mute';
 	}
 
-	async #isUnanswered(upstream: GatewayUpstream, socket: Socket): Promise<boolean> {
-		return !(await this.#options.probe.isAnswered(upstream, socket));
+	async #isReplaced(upstream: GatewayUpstream, result: ConnectionResult): Promise<boolean> {
+		return result.type === 'failed'
+			? result.failure === 'refused'
+			: Promise.race([this.#options.probe.isReplaced(upstream, result.socket), sleep(lastSignMs, false)]);
 	}
 
 	async #isAnsweredDirectly(upstream: GatewayUpstream, socket: Socket): Promise<boolean> {
--- a/src/gateway/upstreams/link-probe.ts
+++ b/src/gateway/upstreams/link-probe.ts
@@ -3,7 +3,7 @@
 import {type Duplex} from 'node:stream';
 import {type Socket} from 'node:net';
 import {type GatewayUpstream} from '../../core/gateway/types.js';
-import {type HealthClient} from '../platform-adapter.js';
+import {type HealthClient, type HealthResult} from '../platform-adapter.js';
 
 /** Uses one connection for one request. */
 class ConnectionAgent extends Agent {
@@ -46,12 +46,26 @@
 	 * @returns Whether the upstream itself answered a health check, whatever the answer says.
 	 */
 	async isAnswered(upstream: GatewayUpstream, socket: Socket): Promise<boolean> {
+		const result = await this.#check(upstream, socket);
+		return result.type !== 'ignored' || result.reason === 'invalid cold time';
+	}
+
+	/**
+	 * @param upstream - Upstream.
+	 * @param socket - Established connection to it; it is closed.
+	 * @returns Whether nothing answered a health check, or another upstream did.
+	 */
+	async isReplaced(upstream: GatewayUpstream, socket: Socket): Promise<boolean> {
+		const result = await this.#check(upstream, socket);
+		return result.type === 'ignored' && (result.reason === 'no response' || (result.reason === 'different id' && result.value !== undefined));
+	}
+
+	async #check(upstream: GatewayUpstream, socket: Socket): Promise<HealthResult> {
 		const {createHealthClient, findHealthPath, onSent} = this.#options;
 		const agent = new ConnectionAgent(socket);
 		onSent(upstream);
 		try {
-			const result = await createHealthClient(agent).check({upstream: upstream.id, address: upstream.address, path: findHealthPath(upstream.service)});
-			return result.type !== 'ignored' || result.reason === 'invalid cold time';
+			return await createHealthClient(agent).check({upstream: upstream.id, address: upstream.address, path: findHealthPath(upstream.service)});
 		} finally {
 			agent.destroy();
 			socket.destroy();
