Show that requests over tunnels crash servers without end

A request that crashes each server that runs it is refused after three crashes, but not at a gateway that is cut off from the servers: breaks of connections over other gateways are no evidence, so it is never recognised (BUDGET).

--- a/review/common/link.js
+++ b/review/common/link.js
@@ -27,18 +27,24 @@
 		return this.#port;
 	}
 
+	/** Accepts connections, at the same port as before if it listened already. */
 	async listen() {
 		this.#server = createServer(socket => {
 			this.#carry(socket);
 		});
-		this.#server.listen(0, loopback);
+		this.#server.listen(this.#port ?? 0, loopback);
 		await once(this.#server, 'listening');
 		this.#port = this.#server.address().port;
 	}
 
+	/** Refuses new connections, as a server does whose process has ended. */
+	refuse() {
+		this.#server.close();
+	}
+
 	/** Cuts the link: open connections are reset, new ones are refused. */
 	cut() {
-		this.#server.close();
+		this.refuse();
 		for (const socket of this.#sockets) {
 			socket.resetAndDestroy();
 		}
