Show that an entry with an invalid port ends gateways

An entry of another writer in the store whose Address has the port 86099 is taken for a server. The first request that is placed there ends the gateway with an unhandled rejection, again after each restart (LOST, Fault).

--- a/review/common/store.js
+++ b/review/common/store.js
@@ -40,7 +40,7 @@
 		return this.#watches.size;
 	}
 
-	/** Writes a key; its value is stored as JSON. Readers learn of it at once if they watch. */
+	/** Writes a key; its value is stored as JSON, a buffer as it is. Readers learn of it at once if they watch. */
 	put(key, value) {
 		this.#revision++;
 		const item = {
@@ -135,6 +135,11 @@
 	}
 
 	#encode({value, ...item}, view) {
-		return item.Deleted === true ? item : {...item, Value: Buffer.from(JSON.stringify(view(item.Key, value))).toString('base64')};
+		if (item.Deleted === true) {
+			return item;
+		}
+
+		const bytes = Buffer.isBuffer(value) ? value : Buffer.from(JSON.stringify(view(item.Key, value)));
+		return {...item, Value: bytes.toString('base64')};
 	}
 }
