--- a/review/common/configuration.js
+++ b/review/common/configuration.js
@@ -21,6 +21,18 @@
 			StreamResume: true,
 			GapTargetMs: 250,
 		},
+		{
+			...route,
+			Name: 'dossier-review',
+			Prefix: '/volo102/',
+			RouteType: 'streaming',
+			TimeoutMs: 15_000,
+			TargetLatencyMs: 2500,
+			Service: 'pool',
+			SessionAffinity: true,
+			StreamResume: true,
+			GapTargetMs: 1000,
+		},
 		{
 			...route, Name: 'member-booking', Prefix: '/cuti104/', RouteType: 'safe', TimeoutMs: 1200, TargetLatencyMs: 150, Service: 'portal',
 		},
