End the processes of a case also if it can't be played

An error outside of the play, such as a port that something else has taken, exits with 2 and leaves no process behind.

--- a/review/1/main.js
+++ b/review/1/main.js
@@ -10,6 +10,7 @@
 import {Gateways} from '../common/gateways.js';
 import {Link} from '../common/link.js';
 import {Record} from '../common/record.js';
+import {runCase} from '../common/run-case.js';
 import {Store} from '../common/store.js';
 import {
 	eventCount, formatAnswer, formatEvent, Server,
@@ -139,14 +140,7 @@
 	return partial.includes(true);
 }
 
-let exitCode = 2;
-try {
-	const isBroken = await play();
-	record.add(isBroken ? 'the rule MIXED was broken' : 'the rule MIXED held');
-	exitCode = isBroken ? 1 : 0;
-} catch (error) {
-	record.add(`not run: ${error.stack}`);
-} finally {
+async function close() {
 	await gateways.close();
 	for (const server of servers) {
 		server.close();
@@ -155,4 +149,6 @@
 	store.close();
 }
 
-process.exit(exitCode);
+await runCase({
+	record, rule: 'MIXED', play, close,
+});
