Count crashes over tunnels whose carriers say that the upstream ended the connection

Cause: connections over tunnels that broke were no evidence, since the carrier or its link might have ended them. The carrier doesn't know the request, so that nobody learned. Reports would also have been taken back as the host's own links are cut, and disproved as a peer reaches the next process of the server.

Change: the carrier is asked how the tunnel ended; a break counts if it says that the upstream ended the connection while its own links to others were sound. Such reports count like those of another host, and a peer that reaches an upstream disproves only the crash of the process that is registered.

--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -3,6 +3,7 @@
 import {type PaceSampler} from '../../core/gateway/engines/pace-sampler.js';
 import {isIdempotent, type AttemptEnding} from '../../core/gateway/limits/retries.js';
 import {type Placement} from '../../core/gateway/placement/placement.js';
+import {isUpstreamsEnd} from '../../core/gateway/health/connection-ends.js';
 import {type Cause} from '../../core/gateway/suspicion/causes.js';
 import {type GatewayUpstream} from '../../core/gateway/types.js';
 import {roundTo} from '../../core/utils/numbers.js';
@@ -221,7 +222,7 @@
 		});
 		if (reply.type === 'ended') {
 			const ending = this.#verdicts.recordUnanswered(reply, upstream, isSuspected);
-			this.#recordBreak(ending, attempt, running, target);
+			await this.#recordBreak(ending, attempt, running, target);
 			return ending;
 		}
 
@@ -280,7 +281,7 @@
 		const isCancelled = forwarded.type === 'unknown' && attempt.cancelled !== undefined;
 		const ending: AttemptEnding = isCancelled ? {type: 'cancelled', reason: attempt.cancelled} : forwarded;
 		this.#verdicts.recordEnding(ending, upstream, isSuspected);
-		this.#recordBreak(ending, attempt, running, target);
+		await this.#recordBreak(ending, attempt, running, target);
 
 		if (ending.type === 'answered' && ending.status < 300) {
 			gateway.convictions.recordAnswered(running);
@@ -289,16 +290,22 @@
 		return ending;
 	}
 
-	/** A connection over a cut link or another host breaks for other reasons than a crash. */
-	#recordBreak(ending: AttemptEnding, {tunnel}: Attempt, running: RunningAttempt, target: GatewayUpstream): void {
-		const {gateway} = this.#state.services;
+	/** A connection that breaks is evidence of a crash if its upstream has ended it, rather than a link or the host that carried it. */
+	async #recordBreak(ending: AttemptEnding, {tunnel}: Attempt, running: RunningAttempt, target: GatewayUpstream): Promise<void> {
+		const {convictions, tunnels} = this.#state.services.gateway;
 		if (ending.type !== 'unknown' || ending.isDisconnected !== true) {
 			return;
 		}
 
-		gateway.tunnels.noteUnanswered(target, tunnel);
-		if (tunnel === undefined && gateway.tunnels.links.findRoute(target).type !== 'tunnel') {
-			gateway.convictions.recordBroken(running);
+		if (tunnel === undefined) {
+			tunnels.noteUnanswered(target, tunnel);
+			if (tunnels.links.findRoute(target).type !== 'tunnel') {
+				convictions.recordBroken(running);
+			}
+		} else if (isUpstreamsEnd(await tunnel.askEnd())) {
+			convictions.recordBroken(running, true);
+		} else {
+			tunnels.noteUnanswered(target, tunnel);
 		}
 	}
 }
--- a/src/gateway/suspicion/__tests__/convictions.test.ts
+++ b/src/gateway/suspicion/__tests__/convictions.test.ts
@@ -371,12 +371,34 @@
 		expect(hosts.map(host => host.convictions.reportCount)).toEqual([0, 0, 0]);
 	});
 
+	it('keeps a crash over another host that has said so, though this host has lost its links', async () => {
+		const {hosts} = new Fleet(3);
+		const [cut, other] = hosts;
+		cut!.areLinksInDoubt = true;
+		cut!.convictions.recordBroken(cut!.attempt('e1', 'AB'), true);
+		cut!.convictions.excuseCrashes(() => true);
+		await vi.advanceTimersByTimeAsync(500);
+		cut!.convictions.excuseCrashes(() => true);
+		cut!.convictions.recordReached({upstream: 'e1', started: 1});
+		await vi.advanceTimersByTimeAsync(50);
+		expect([cut!.convictions.reportCount, other!.convictions.reportCount]).toEqual([1, 1]);
+	});
+
+	it('keeps a crash of an upstream whose next process another host connects to', async () => {
+		const {hosts} = new Fleet(3);
+		const [cut, other] = hosts;
+		await cut!.crash('e1', 'AB');
+		cut!.convictions.recordReached({upstream: 'e1', started: 2});
+		await vi.advanceTimersByTimeAsync(50);
+		expect(other!.convictions.reportCount).toBe(1);
+	});
+
 	it('takes back a crash of an upstream that another host connects to', async () => {
 		const fleet = new Fleet(3);
 		const [cut, other] = fleet.hosts;
 		await cut!.crash('e1', 'AB');
 		await other!.crash('e1', 'AC');
-		cut!.convictions.recordReached('e1');
+		cut!.convictions.recordReached({upstream: 'e1', started: 1});
 		await vi.advanceTimersByTimeAsync(50);
 		expect(other!.convictions.reportCount).toBe(0);
 	});
--- a/src/gateway/suspicion/convictions.ts
+++ b/src/gateway/suspicion/convictions.ts
@@ -2,6 +2,7 @@
  * Finds out, together with the other hosts, which requests crash the engines that run them, by the parts of their prompts and as a whole.
  * Hosts send each other the attempts that ended with a crash, and what speaks for their causes; each draws the same conclusions from that.
  */
+import {dropOldest} from '../../core/utils/bounded.js';
 import {assertNever} from '../../core/utils/common.js';
 import {type Cause} from '../../core/gateway/suspicion/causes.js';
 import {type Crash} from '../../core/gateway/suspicion/crashes.js';
@@ -9,7 +10,7 @@
 import {listAvoided, rankForCause} from '../../core/gateway/suspicion/quarantine.js';
 import {Suspects, type Assessment, type Conviction} from '../../core/gateway/suspicion/suspects.js';
 import {computeTurn} from '../../core/gateway/suspicion/trials.js';
-import {type GatewayUpstream} from '../../core/gateway/types.js';
+import {type GatewayUpstream, type UpstreamProcess} from '../../core/gateway/types.js';
 import {type Clock} from '../../entry/clock.js';
 import {type Log} from '../../entry/logs.js';
 import {type Peers} from '../peers/peers.js';
@@ -39,6 +40,9 @@
 /** Time after a crash, in milliseconds, for which suspected requests aren't sent to its engine: it may be about to come back. */
 const recentCrashMs = 3000;
 
+/** Attempts in memory whose connections ended over other hosts. */
+const maxWitnessed = 1000;
+
 export type ConvictionsOptions = {
 	/** Name of this host. */
 	readonly self: string;
@@ -73,6 +77,8 @@
 	readonly #crashReports: CrashReports;
 	#notedChanges = 0;
 	#noteTimer: NodeJS.Timeout | undefined;
+	/** Attempts of this host whose connections upstreams ended that another host carried, and when. */
+	readonly #witnessed = new Map<string, number>();
 	/** Upstreams that are watched for signs of life, and until when. */
 	readonly #watched = new Map<string, number>();
 
@@ -217,8 +223,9 @@
 	 * Records that the connection of an attempt broke: its upstream may have crashed.
 	 *
 	 * @param attempt - Attempt.
+	 * @param isWitnessed - Whether another host, which carried the connection, says that the upstream ended it: the links of this host are not to blame.
 	 */
-	recordBroken(attempt: RunningAttempt): void {
+	recordBroken(attempt: RunningAttempt, isWitnessed = false): void {
 		const now = this.#options.clock.now();
 		// Engines give up what a helper has not finished some time after it has crashed.
 		if (attempt.helpers.some(helper => this.#suspects.findCrash(helper, now - recentCrashMs) !== undefined)) {
@@ -236,6 +243,11 @@
 		this.#options.log.write({
 			event: 'suspected', upstream, started, version: scope.version, attempt: attempt.attempt, causes, begun: report.hasBegun,
 		}, 'warn');
+		if (isWitnessed) {
+			this.#witnessed.set(attempt.attempt, now);
+			dropOldest(this.#witnessed, maxWitnessed);
+		}
+
 		this.#watch(upstream, now);
 		this.#crashReports.add({report, fingerprint});
 		this.#noteChanges();
@@ -328,14 +340,14 @@
 	}
 
 	/**
-	 * Records that another host has connected to an upstream: a crash that was reported didn't happen.
+	 * Records that another host has connected to an upstream: a crash of this process that was reported didn't happen.
 	 *
-	 * @param upstream - Upstream.
+	 * @param process - Process of the upstream, as it is registered.
 	 */
-	recordReached(upstream: string): void {
+	recordReached({upstream, started}: UpstreamProcess): void {
 		const now = this.#options.clock.now();
 		const crash = this.#suspects.findCrash(upstream, now - watchMs);
-		if (crash !== undefined) {
+		if (crash !== undefined && crash.started === started && !crash.reports.some(({attempt}) => this.#witnessed.has(attempt))) {
 			this.#disprove(crash, now);
 		}
 	}
@@ -378,8 +390,9 @@
 		this.#noteChanges();
 	}
 
+	/** Whether another host has seen a crash, or has carried a connection that ended with it. */
 	#hasOthersReports({reports}: Crash): boolean {
-		return reports.some(({attempt}) => !attempt.startsWith(`${this.#options.self}.`));
+		return reports.some(({attempt}) => !attempt.startsWith(`${this.#options.self}.`) || this.#witnessed.has(attempt));
 	}
 
 	#isReportedElsewhere(upstream: string): boolean {
--- a/src/gateway/upstreams/upstream-pool.ts
+++ b/src/gateway/upstreams/upstream-pool.ts
@@ -145,7 +145,7 @@
 		switch (change.type) {
 			case 'cut': {
 				gateway.excuseUnlinked();
-				gateway.convictions.recordReached(change.upstream.id);
+				gateway.convictions.recordReached({upstream: change.upstream.id, started: change.upstream.started});
 				gateway.stallDetectors.hurry();
 				this.linkWatch.startChecks();
 				this.linkWatch.survey();
