--- a/src/gateway/callers/exchange.ts
+++ b/src/gateway/callers/exchange.ts
@@ -14,6 +14,9 @@
 /** Retry-After of callers refused because the configuration may be missing or stale: the store is read once per second. */
 const unconfiguredRetryAfterSeconds = 1;
 
+/** Longest time of a timer of Node.js in milliseconds; a longer one ends at once. */
+const maxTimerMs = (2 ** 31) - 1;
+
 export class Exchange {
 	readonly #services: GatewayServices;
 	readonly #incoming: IncomingMessage;
@@ -134,7 +137,7 @@
 		this.#dispatch = new Dispatch(this.#services, request, this.#callerResponse, this.#trace);
 		const timer = setTimeout(() => {
 			this.#cancel('time over');
-		}, Math.max(demand.deadline - now, 0));
+		}, Math.min(Math.max(demand.deadline - now, 0), maxTimerMs));
 		try {
 			await this.#dispatch.run();
 		} finally {
--- a/src/gateway/tunnels/direct-connection.ts
+++ b/src/gateway/tunnels/direct-connection.ts
@@ -1,5 +1,6 @@
 /** Connects to an upstream over the link of this host. */
 import {connect, type Socket, type TcpNetConnectOpts} from 'node:net';
+import {messageOf} from '../../core/index.js';
 import {type LinkFailure} from '../../core/gateway/health/links.js';
 
 /**
@@ -24,8 +25,17 @@
  * @returns The connection, or how it failed.
  */
 export async function connectDirectly(options: TcpNetConnectOpts, open: (options: TcpNetConnectOpts) => Socket = connect): Promise<ConnectionResult> {
+	let socket: Socket;
+	try {
+		socket = open(options);
+	} catch (error) {
+		// Node.js throws if the address can't be one, which a peer may have passed on.
+		return {
+			type: 'failed', failure: 'refused', isReset: false, detail: messageOf(error),
+		};
+	}
+
 	return new Promise(resolve => {
-		const socket = open(options);
 		const fail = (failure: LinkFailure, detail: string, isReset = false) => {
 			clearTimeout(timer);
 			socket.destroy();
