Bound what upstreams send that is no answer

An engine that sent interim responses (103) without end took a host's whole core; in a stream, bytes without the end of an event kept every caller until its deadline.

Cause: nothing bounded interim responses, and an event over 1 MB was passed on in parts, each of which counted as a sign of life.

Change: the settings responses.interim (16) and responses.eventBytes (1,000,000). An attempt that exceeds one ends, closes its connection, may go on elsewhere, and counts as failed against its upstream, not as a crash. Calls to the store and health checks have the same bound on interim responses.

--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -144,6 +144,7 @@
 		gateway,
 		clock: {now: () => 0},
 		headerFormat: {formatUpstreamHeaders: () => []},
+		responseBounds: {eventBytes: 1_000_000, interim: 16},
 		metrics: {attempts: {inc: () => undefined}, retries: {inc: () => undefined}},
 	} as unknown as GatewayServices;
 	const callerResponse = {
--- a/src/gateway/__tests__/sender.test.ts
+++ b/src/gateway/__tests__/sender.test.ts
@@ -35,6 +35,7 @@
 		clock: {now: () => 0},
 		headerFormat: {formatUpstreamHeaders: () => []},
 		agent: Object.assign(new Agent(), {closeIdle: () => undefined}),
+		responseBounds: {eventBytes: 1_000_000, interim: 16},
 		metrics: {attempts: {inc: () => undefined}},
 	} as unknown as GatewayServices;
 	const admitted = {
--- a/src/gateway/callers/caller-response.ts
+++ b/src/gateway/callers/caller-response.ts
@@ -18,6 +18,8 @@
 
 /** Callbacks for the progress of an upstream's response. */
 export type ReplyListener = ReadingObserver & {
+	/** Bytes of a stream without the end of an event after which it is given up. */
+	readonly maxEventBytes: number;
 	/** Resolves once events of a stream may be passed on; undefined if they may be now. */
 	readonly yielding: Promise<void> | undefined;
 	/** Called before anything of the response is passed on; returns false if another attempt is kept, so that nothing may be. */
@@ -172,6 +174,7 @@
 			get yielding() {
 				return listener.yielding;
 			},
+			maxEventBytes: listener.maxEventBytes,
 			leads: listener.leads,
 			stopped: listener.stopped,
 			resumed: listener.resumed,
--- a/src/gateway/callers/response-forwarding.ts
+++ b/src/gateway/callers/response-forwarding.ts
@@ -15,6 +15,8 @@
 
 /** Notified of the progress of a stream. */
 export type StreamObserver = ReadingObserver & {
+	/** Bytes without the end of an event after which the response is given up. */
+	readonly maxEventBytes: number;
 	/** Resolves once events may be forwarded; undefined if they may be now. */
 	readonly yielding: Promise<void> | undefined;
 	/** Called before bytes are forwarded; returns false if another attempt is kept, so that none may be. */
@@ -79,10 +81,15 @@
  * @returns How the attempt ended.
  */
 export async function forwardEvents(buffer: ResponseBuffer, reply: Reply, progress: StreamObserver): Promise<AttemptEnding> {
-	const splitter = new EventSplitter();
+	const splitter = new EventSplitter(progress.maxEventBytes);
 	try {
 		for await (const chunk of reply.body as AsyncIterable<Buffer>) {
 			const events = splitter.push(chunk);
+			if (splitter.bytesWithoutEvent > progress.maxEventBytes) {
+				buffer.countUnbegun({source: reply, bytes: 0});
+				return {type: 'unknown', reason: `no event ended within ${progress.maxEventBytes} bytes`, unfinished: splitter.bytesWithoutEvent};
+			}
+
 			const {yielding} = progress;
 			if (events.bytes.length > 0 && yielding !== undefined) {
 				progress.stopped();
@@ -94,7 +101,8 @@
 			if (events.bytes.length === 0) {
 				buffer.countUnbegun(unbegun);
 			} else if (progress.leads()) {
-				progress.onEvents(events.lastId, splitter.isLastIdentified && !splitter.hasPassedPart);
+				// Comments before the first event are no part of the stream.
+				progress.onEvents(events.lastId, splitter.isLastIdentified || !splitter.hasEvents);
 				await buffer.write([events.bytes], {unbegun, observer: progress, signal: reply.signal});
 			} else {
 				buffer.countUnbegun({source: reply, bytes: 0});
--- a/src/gateway/calls.ts
+++ b/src/gateway/calls.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {request, type Agent, type IncomingHttpHeaders} from 'node:http';
 import {messageOf, raise, type Address} from '../core/index.js';
+import {limitInterimResponses} from '../protocol/interim-responses.js';
 
 export type Call = {
 	readonly address: Address;
@@ -20,8 +21,9 @@
 	readonly text: string;
 };
 
-/** Longer responses fail the call. */
+/** Longer responses fail the call, and so do more interim responses. */
 const maxResponseBytes = 16_000_000;
+const maxInterimResponses = 16;
 
 /**
  * @param call - Request, address and timeout.
@@ -40,6 +42,7 @@
 			agent,
 			headers: payload === undefined ? headers : {'content-type': 'application/json', 'content-length': payload.length, ...headers},
 		});
+		limitInterimResponses(outgoing, maxInterimResponses);
 		const timer = setTimeout(() => {
 			outgoing.destroy(new Error(`no response within ${timeout} ms`));
 		}, timeout);
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -135,6 +135,7 @@
 			holds: new Holds(engineControl, log, this.#metrics, this.#gateway.incarnation),
 			metrics: this.#metrics,
 			responseBuffers: this.#responseBuffers,
+			responseBounds: settings.responses,
 			log,
 			clock: this.#clock,
 			isStopping: () => this.#stopRequestedAt !== undefined,
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -136,7 +136,7 @@
 	}
 
 	#createAttempt(placement: Placement, hold: Hold | undefined, remaining: number, isRetry: boolean): Attempt {
-		const {services: {headerFormat, agent}, request: {incoming, body, demand, organisation}, callerResponse} = this.#state;
+		const {services: {headerFormat, agent, responseBounds}, request: {incoming, body, demand, organisation}, callerResponse} = this.#state;
 		const headers = [...headerFormat.formatUpstreamHeaders(incoming.rawHeaders, {
 			left: Math.floor(remaining),
 			upstream: placement.upstream.id,
@@ -161,6 +161,7 @@
 			headers,
 			body,
 			address: placement.upstream.address,
+			maxInterimResponses: responseBounds.interim,
 		}, headerFormat, agent);
 	}
 
@@ -213,7 +214,7 @@
 	}
 
 	async #finishAttempt(attempt: Attempt, running: RunningAttempt, target: GatewayUpstream, {run, paceSampler}: EventObservers): Promise<AttemptEnding> {
-		const {services: {gateway, clock, responseEnds}, request: {route}, callerResponse, trace} = this.#state;
+		const {services: {gateway, clock, responseEnds, responseBounds}, request: {route}, callerResponse, trace} = this.#state;
 		const {isSuspected} = this.#identity.suspicion;
 		const {id: upstream, started} = target;
 		const sent = clock.now();
@@ -250,6 +251,7 @@
 			get yielding() {
 				return run.yielding;
 			},
+			maxEventBytes: responseBounds.eventBytes,
 			leads: () => run.lead(),
 			began() {
 				trace.noteFirstByte();
--- a/src/gateway/services.ts
+++ b/src/gateway/services.ts
@@ -5,6 +5,7 @@
 import {type Gateway} from './gateway.js';
 import {type Holds} from './requests/holds.js';
 import {type GatewayMetrics} from './metrics.js';
+import {type Settings} from './settings.js';
 import {type ResponseBuffers} from './callers/response-buffers.js';
 import {type UpstreamAgent} from './upstreams/agent.js';
 import {type EngineChecks} from './upstreams/engine-checks.js';
@@ -19,6 +20,8 @@
 	readonly holds: Holds;
 	readonly metrics: GatewayMetrics;
 	readonly responseBuffers: ResponseBuffers;
+	/** Bounds on what upstreams send that is no answer. */
+	readonly responseBounds: Settings['responses'];
 	readonly log: Log;
 	readonly clock: Clock;
 	/** Whether this host is about to stop: connections of callers are closed after their response. */
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -52,6 +52,13 @@
 	}).readonly().optional(),
 	/** Memory that this process may use, in megabytes. */
 	memory: z.number().positive().optional(),
+	/** Bounds on what an upstream sends that is no answer: an attempt that exceeds one ends, and counts against its upstream. */
+	responses: z.object({
+		/** Bytes of a stream without the end of an event. */
+		eventBytes: z.number().int().positive().default(1_000_000),
+		/** Interim responses (1xx) before the response. */
+		interim: z.number().int().nonnegative().default(16),
+	}).readonly().default({eventBytes: 1_000_000, interim: 16}),
 	/** Retry budget of all hosts together: a share of the requests within a window, plus an allowance per window. */
 	retries: z.object({
 		ratio: z.number().min(0).default(0.2),
--- a/src/gateway/upstreams/attempt.ts
+++ b/src/gateway/upstreams/attempt.ts
@@ -7,6 +7,7 @@
 import {type LinkFailure} from '../../core/gateway/health/links.js';
 import {type AttemptEnding, type CancelReason} from '../../core/gateway/limits/retries.js';
 import {probeEnd} from '../../protocol/connection-end.js';
+import {limitInterimResponses} from '../../protocol/interim-responses.js';
 import {findFraming, type Framing} from '../../protocol/response-framing.js';
 import {type HeaderFormat, type ResponseMetadata} from '../platform-adapter.js';
 import {ConnectionFailure, findTunnel, type Tunnel} from './connector.js';
@@ -33,6 +34,8 @@
 	readonly headers: readonly string[];
 	readonly body: Buffer;
 	readonly address: Address;
+	/** Interim responses that the upstream may send before its response. */
+	readonly maxInterimResponses: number;
 };
 
 /** An attempt that ended without a response. */
@@ -76,6 +79,7 @@
 	readonly #request: UpstreamRequest;
 	readonly #headerFormat: HeaderFormat;
 	readonly #outgoing: ClientRequest;
+	readonly #isOverrun: () => boolean;
 	#isConnected = false;
 	readonly #cancellation = new AbortController();
 	#cancelled: CancelReason | undefined;
@@ -101,6 +105,7 @@
 			setHost: false,
 			agent,
 		});
+		this.#isOverrun = limitInterimResponses(this.#outgoing, upstreamRequest.maxInterimResponses);
 	}
 
 	/** Why the attempt was cancelled, if it was. */
@@ -215,6 +220,6 @@
 			return createEnded({type: 'cancelled', reason: this.#cancelled});
 		}
 
-		return createEnded({type: 'unknown', reason, isDisconnected: true});
+		return createEnded({type: 'unknown', reason, isDisconnected: !this.#isOverrun()});
 	}
 }
--- a/src/protocol/event-splitter.ts
+++ b/src/protocol/event-splitter.ts
@@ -1,8 +1,8 @@
 /** Splits a stream of server-sent events at event boundaries without changing a byte. */
 import {Buffer} from 'node:buffer';
 
-/** A longer unfinished event is passed on as it is. */
-const maxEventBytes = 1_000_000;
+/** Usual limit of an event in bytes. */
+const usualEventBytes = 1_000_000;
 
 const eventStreamType = /^text\/event-stream\s*(?:;|$)/iv;
 
@@ -52,11 +52,25 @@
 }
 
 export class EventSplitter {
+	readonly #maxEventBytes: number;
 	#pending: Buffer = Buffer.alloc(0);
 	/** Part of an unfinished event that has been passed on; undefined if there is none. */
 	#passedPart: {readonly id?: string} | undefined;
 	#hasEvents = false;
 	#isLastIdentified = false;
+	#bytesWithoutEvent = 0;
+
+	/**
+	 * @param maxEventBytes - A longer unfinished event is passed on in parts.
+	 */
+	constructor(maxEventBytes = usualEventBytes) {
+		this.#maxEventBytes = maxEventBytes;
+	}
+
+	/** Bytes since the end of the last event, blank lines and comments included. */
+	get bytesWithoutEvent(): number {
+		return this.#bytesWithoutEvent;
+	}
 
 	/** Bytes after the last event that haven't been passed on. */
 	get rest(): Buffer {
@@ -92,27 +106,31 @@
 		// Latin-1 maps each byte to one character, so offsets in the text are offsets in the bytes.
 		const text = bytes.toString('latin1');
 		const {events, end} = splitEvents(text);
-		if (end === 0 && bytes.length > maxEventBytes) {
+		this.#bytesWithoutEvent += chunk.length;
+		if (end === 0 && bytes.length > this.#maxEventBytes) {
 			return this.#passPart(bytes, text);
 		}
 
 		this.#pending = bytes.subarray(end);
 		let lastId: string | undefined;
+		let rest = bytes.length;
 		for (const event of events) {
-			lastId = this.#noteEvent(event) ?? lastId;
+			rest -= event.length;
+			lastId = this.#noteEvent(event, rest) ?? lastId;
 		}
 
 		return {bytes: bytes.subarray(0, end), count: events.length, lastId};
 	}
 
-	/** Returns the id of a complete event, if it has one. */
-	#noteEvent(event: string): string | undefined {
+	/** Notes a complete event and the number of bytes after it; returns its id, if it has one. */
+	#noteEvent(event: string, rest: number): string | undefined {
 		const passedPart = this.#passedPart;
 		this.#passedPart = undefined;
 		if (passedPart === undefined && noEvent.test(event)) {
 			return undefined;
 		}
 
+		this.#bytesWithoutEvent = rest;
 		const id = findId(event) ?? passedPart?.id;
 		this.#hasEvents = true;
 		this.#isLastIdentified = id !== undefined;
