--- a/review/7/case.js
+++ b/review/7/case.js
@@ -1,62 +1,70 @@
-/** The platform sends SIGTERM twice; the second one ends the gateway at once, with the requests that it has accepted. */
+/** One of three servers runs payments and fails with 503, without saying that it has not run them; the body is long, and the gateway passes the status on. */
 import {Buffer} from 'node:buffer';
-import {Agent} from 'node:http';
 import path from 'node:path';
+import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	ask, BackEnd, callerHeaders, isTroubled, runCase,
 } from '../common-2/site.js';
 
-const streamCount = 8;
+/** Share of its requests that a grey server fails, as the site file has it. */
+const failingShare = 0.45;
 
-/** A stream lasts 4 s, and ends long before the grace period of 8 s. */
-const eventCount = 20;
-const pauseMs = 200;
+/** One of three, as the share of the site file is that of one server at least. */
+const serverCount = 3;
 
-/** Milliseconds from the first signal to the second one. */
-const signalGapMs = 1000;
+const paymentCount = 60;
 
-await runCase(path.resolve(import.meta.dirname), async (site, record) => {
-	const engine = new BackEnd({
-		id: 'i-engine',
-		service: 'cranberrytide-pool',
+/** Longer than what the gateway holds back. */
+const errorBytes = 1_200_000;
+
+/** One failure has a short body, for comparison: the gateway avoids the server after it. */
+const shortFailure = 4;
+const shortErrorBytes = 100;
+
+await runCase(path.dirname(process.argv[1]), async (site, record) => {
+	let received = 0;
+	let failed = 0;
+	const createPortal = (id, isGrey) => new BackEnd({
+		id,
+		service: 'coop-portal',
+		slots: 6,
 		record,
 		async handle(incoming, outgoing) {
-			const id = incoming.headers['x-request-id'];
-			outgoing.writeHead(200, {'Content-Type': 'text/event-stream', 'X-Request-Id': id, 'X-Response-Signature': `sig-${id}`});
-			for (let event = 1; event <= eventCount && !outgoing.destroyed; event++) {
-				outgoing.write(`id: ${event}\ndata: piece ${event}\n\n`);
-				await sleep(pauseMs);
+			const requestId = incoming.headers['x-request-id'];
+			await sleep(20);
+			received += isGrey ? 1 : 0;
+			const isFailing = isTroubled && isGrey && failed < Math.floor(received * failingShare);
+			const head = {'X-Request-Id': requestId, 'X-Response-Signature': `sig-${requestId}`};
+			if (isFailing) {
+				failed++;
+				const body = Buffer.alloc(failed === shortFailure ? shortErrorBytes : errorBytes, 'x');
+				outgoing.writeHead(503, {...head, 'Content-Type': 'text/plain', 'Content-Length': body.length});
+				outgoing.end(body);
+				return;
 			}
 
-			outgoing.end();
+			outgoing.writeHead(200, {...head, 'Content-Length': 2});
+			outgoing.end('ok');
 		},
 	});
-	await site.start({backEnds: [engine]});
+	const portals = Array.from({length: serverCount}, (_, index) => createPortal(`i-portal-${index + 1}`, index === 0));
+	await site.start({backEnds: portals});
 	const [gateway] = site.gateways;
 	await sleep(3500);
-	const agent = new Agent({keepAlive: true});
-	const streams = Array.from({length: streamCount}, async (_, index) => {
-		const id = `stream-${index}`;
+	const answers = [];
+	for (const id of Array.from({length: paymentCount}, (_, index) => `payment-${index}`)) {
 		record.write(`client sends ${id}`);
 		const answer = await ask({
-			port: gateway.port, path: '/crew/1', method: 'POST', id, agent, body: Buffer.from('a question'), headers: callerHeaders(10_000, {'X-Model': 'm', 'X-Token-Count': '1000,860'}),
+			port: gateway.port, path: '/dues/1', method: 'POST', id, body: Buffer.from('12 dues'), headers: callerHeaders(2500),
 		});
-		const pieces = [...answer.body.matchAll(/^id: \d+$/gmv)].length;
-		record.write(`client gets ${answer.status} for ${id}, ${answer.isWhole ? 'complete' : `broken off (${answer.failure})`}, ${pieces} of ${eventCount} pieces`);
-		return answer;
-	});
-	await sleep(500);
-	record.write('the platform sends SIGTERM');
-	gateway.child.kill('SIGTERM');
-	if (isTroubled) {
-		await sleep(signalGapMs);
-		record.write('the platform sends SIGTERM again');
-		gateway.child.kill('SIGTERM');
+		const signature = answer.headers['x-response-signature'];
+		record.write(`client gets ${answer.status} for ${id}, ${answer.isWhole ? 'whole' : answer.failure}, ${answer.body.length} bytes, signature ${signature ?? 'none'}`);
+		answers.push({id, ...answer});
+		await sleep(50);
 	}
 
-	const answers = await Promise.all(streams);
-	const lost = answers.filter(({isWhole}) => !isWhole);
-	record.write(`the gateway ended with ${gateway.child.signalCode ?? gateway.child.exitCode ?? 'nothing yet'}`);
-	return lost.length > 0 ? `${lost.length} of ${answers.length} requests that the gateway had read and passed on have no complete answer` : undefined;
+	const refused = answers.filter(({id, status, isWhole}) => status === 503 && isWhole && portals.some(({runs}) => runs.includes(id)));
+	record.write(`i-portal-1 got ${received} payments and failed ${failed}`);
+	return refused.length > 0 ? `${refused.length} of ${answers.length} payments were answered 503 and have run` : undefined;
 });
--- a/review/common-2/site.js
+++ b/review/common-2/site.js
@@ -256,6 +256,7 @@
 /** A gateway process, started with the command of the deploy file. */
 export class Gateway {
 	name;
+	host = loopback;
 	port;
 	readyPort;
 	child;
@@ -296,6 +297,20 @@
 		}));
 	}
 
+	/**
+	 * Uses settings that were made otherwise.
+	 *
+	 * @param text - Content of the settings file.
+	 * @param addresses - `host`, and the ports for callers and for readiness checks.
+	 */
+	use(text, {host, port, readyPort}) {
+		this.host = host;
+		this.port = port;
+		this.readyPort = readyPort;
+		this.#settingsFile = path.join(this.#directory, `${this.name}.json`);
+		writeFileSync(this.#settingsFile, text);
+	}
+
 	start() {
 		const command = /^run = "(?<command>[^"]+)"$/mv.exec(readFileSync('deploy/system.toml', 'utf8')).groups.command.split(' ');
 		this.child = spawn(command[0], command.slice(1), {
@@ -317,7 +332,9 @@
 	}
 
 	async isReady() {
-		const answer = await ask({port: this.readyPort, path: '/v1/readyz', timeout: 1000});
+		const answer = await ask({
+			host: this.host, port: this.readyPort, path: '/v1/readyz', timeout: 1000,
+		});
 		return answer.status === 200;
 	}
 
@@ -333,7 +350,7 @@
  *
  * @returns The status (0 without an answer), the body, whether the answer is complete by its framing, and what failed.
  */
-export async function ask({port, path: target, method = 'GET', id, headers = {}, body, timeout = 15_000, agent}) {
+export async function ask({host = loopback, port, path: target, method = 'GET', id, headers = {}, body, timeout = 15_000, agent}) {
 	const began = performance.now();
 	return new Promise(resolve => {
 		let status = 0;
@@ -347,7 +364,7 @@
 		};
 
 		const outgoing = request({
-			host: loopback,
+			host,
 			port,
 			path: target,
 			method,
@@ -412,7 +429,7 @@
 ];
 
 /** `Engine` of the model service. */
-const engine = JSON.parse(readFileSync(path.join(import.meta.dirname, 'engine.json'), 'utf8'));
+const engine = JSON.parse(readFileSync('review/common-2/engine.json', 'utf8'));
 
 export function createConfiguration(version, change = {}) {
 	return {
@@ -445,7 +462,7 @@
 		this.record = record;
 	}
 
-	async start({backEnds, gateways = 1, configuration = createConfiguration(1), settings = {}}) {
+	async start({backEnds, gateways = 1, configuration = createConfiguration(1), settings = {}, configure}) {
 		await this.store.listen();
 		for (const backEnd of backEnds) {
 			await backEnd.listen();
@@ -461,7 +478,9 @@
 		}, heartbeatMs);
 		for (let index = 0; index < gateways; index++) {
 			const gateway = new Gateway(`edge-hall-nord-${index + 1}`, this.#directory);
-			await gateway.configure(this.store.address, this.gateways.map(({peerPort}) => `${loopback}:${peerPort}`), settings);
+			await (configure === undefined
+				? gateway.configure(this.store.address, this.gateways.map(({peerPort}) => `${loopback}:${peerPort}`), settings)
+				: configure(gateway, this.store.address));
 			this.gateways.push(gateway);
 			gateway.start();
 		}
