--- a/review/4/case.js
+++ b/review/4/case.js
@@ -1,6 +1,7 @@
 /** An engine sends comment lines in place of the answer to one stream; afterwards the gateway answers nobody. */
 import {Buffer} from 'node:buffer';
 import path from 'node:path';
+import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	ask, BackEnd, callerHeaders, isTroubled, runCase,
@@ -12,7 +13,7 @@
 
 const troubledRequest = 'stream-troubled';
 
-await runCase(path.resolve(import.meta.dirname), async (site, record) => {
+await runCase(path.dirname(process.argv[1]), async (site, record) => {
 	const engine = new BackEnd({
 		id: 'i-engine',
 		service: 'cranberrytide-pool',
