Judge the head of a response once, before its body

Status 000 and 099 reset their connections, 101 and 600 were passed on, a 204 with a body left them waiting, and bodies without end after a 500 or a refusal held callers and connections.

--- a/src/gateway/__tests__/attempt.test.ts
+++ b/src/gateway/__tests__/attempt.test.ts
@@ -32,7 +32,7 @@
 		isOffered: () => false,
 	});
 	return new Attempt({
-		id: 'r', method: 'GET', path: '/', headers: [], body: Buffer.alloc(0), address: {host: '127.0.0.1', port: 1}, maxInterimResponses: 16,
+		id: 'r', method: 'GET', path: '/', headers: [], body: Buffer.alloc(0), address: {host: '127.0.0.1', port: 1}, isIdempotent: false, maxInterimResponses: 16,
 	}, headerFormat, agent);
 }
 
--- a/src/gateway/__tests__/response-buffers.test.ts
+++ b/src/gateway/__tests__/response-buffers.test.ts
@@ -4,7 +4,6 @@
 import {type ServerResponse} from 'node:http';
 import {Readable} from 'node:stream';
 import {describe, expect, it} from 'vitest';
-import {type Route} from '../../core/gateway/types.js';
 import {type Reply} from '../upstreams/attempt.js';
 import {GatewayMetrics} from '../metrics.js';
 import {CallerResponse} from '../callers/caller-response.js';
@@ -183,7 +182,7 @@
 		const reply = createReply([Buffer.from('id: 1\ndata: x\n\n'), Buffer.from('id: 2\ndata: y\n\n')]);
 		Object.assign(reply.body, {headers: {'content-type': 'text/event-stream'}});
 		const couldContinue: boolean[] = [];
-		const ending = await response.forward(reply, {kind: 'streaming', isResumable: true} as unknown as Route, {
+		const ending = await response.forward({...reply, verdict: {type: 'stream'}}, {
 			...noObserver,
 			began: () => undefined,
 			receivedEvents() {
--- a/src/gateway/__tests__/response-ends.test.ts
+++ b/src/gateway/__tests__/response-ends.test.ts
@@ -11,7 +11,6 @@
 	afterEach, describe, expect, it,
 } from 'vitest';
 import {type AttemptEnding} from '../../core/gateway/limits/retries.js';
-import {type Route} from '../../core/gateway/types.js';
 import {CallerResponse} from '../callers/caller-response.js';
 import {ResponseBuffers} from '../callers/response-buffers.js';
 import {GatewayMetrics} from '../metrics.js';
@@ -130,7 +129,7 @@
 			const buffers = new ResponseBuffers({budget, clock: {now: () => performance.now()}, metrics: new GatewayMetrics()});
 			const callerResponse = new CallerResponse(outgoing, trace, () => 0, buffers);
 			const attempt = new Attempt({
-				id: 'r', method: 'GET', path: '/', headers: ['Host', 'a'], body: Buffer.alloc(0), address: {host: '127.0.0.1', port}, maxInterimResponses: 16,
+				id: 'r', method: 'GET', path: '/', headers: ['Host', 'a'], body: Buffer.alloc(0), address: {host: '127.0.0.1', port}, isIdempotent: false, maxInterimResponses: 16,
 			}, headerFormat, agent);
 			if (cancelAfter !== undefined) {
 				setTimeout(() => {
@@ -139,7 +138,7 @@
 			}
 
 			const reply = await attempt.reply();
-			const ending = reply.type === 'ended' ? reply.ending : await callerResponse.forward(reply, {kind: 'once', isResumable: false} as unknown as Route, listener);
+			const ending = reply.type === 'ended' ? reply.ending : await callerResponse.forward(reply, listener);
 			const {canContinue} = callerResponse;
 			if (ending.type !== 'answered') {
 				callerResponse.conclude('outcomeUnknown', undefined);
--- a/src/gateway/callers/answers.ts
+++ b/src/gateway/callers/answers.ts
@@ -30,9 +30,6 @@
 
 export type AnswerName = keyof typeof statuses;
 
-/** Statuses that guarantee that the request has not run. */
-export const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-
 /**
  * @param ending - How the last attempt ended.
  * @returns The answer to the caller, if nothing more specific is known.
--- a/src/gateway/callers/caller-response.ts
+++ b/src/gateway/callers/caller-response.ts
@@ -1,14 +1,15 @@
 /** The response to one caller: forwards the upstreams' responses, or sends one of the gateway's own answers. */
 import {type ServerResponse} from 'node:http';
 import {assertNever} from '../../core/index.js';
-import {isIdempotent, type AttemptEnding, type CancelReason} from '../../core/gateway/limits/retries.js';
-import {type Route} from '../../core/gateway/types.js';
+import {type AttemptEnding, type CancelReason} from '../../core/gateway/limits/retries.js';
 import {breakOff} from '../../protocol/break-off.js';
+import {discardBody} from '../../protocol/discard.js';
 import {type Reply} from '../upstreams/attempt.js';
 import {type RequestTrace} from '../requests/trace.js';
-import {sendAnswer, notRunStatuses, type AnswerName} from './answers.js';
+import {sendAnswer, type AnswerName} from './answers.js';
+import {KeptFailure} from './kept-failure.js';
 import {
-	isStream, readBody, forwardEvents, forwardLongBody, outrunReason, writeHead, type ResponseBody,
+	readBody, forwardEvents, forwardLongBody, outrunReason, writeHead, type WholeBody,
 } from './response-forwarding.js';
 import {ResponseBuffer, type ReadingObserver} from './response-buffer.js';
 import {type ResponseBuffers} from './response-buffers.js';
@@ -30,8 +31,6 @@
 	readonly receivedEvents: () => void;
 };
 
-type WholeBody = Extract<ResponseBody, {readonly type: 'whole'}>;
-
 /** Retry-After of refused callers: the mean duration of a usual answer, spread so that callers don't return at the same time. */
 export const baseRetryAfterSeconds = 0.4;
 const retryAfterSpreadSeconds = 0.6;
@@ -45,7 +44,9 @@
 	#lastEventId: string | undefined;
 	/** Whether a stream that has begun, and hasn't arrived as a whole, can be continued by another attempt. */
 	#isContinuable = false;
-	#lastReply: {readonly reply: Reply; readonly body: WholeBody} | undefined;
+	/** Passed on if no other attempt answers. */
+	#failure: KeptFailure | undefined;
+	#conclusion: Promise<void> | undefined;
 
 	/**
 	 * @param outgoing - Response to the caller.
@@ -75,6 +76,11 @@
 		return this.#outgoing.destroyed || this.#buffer.hasEnded;
 	}
 
+	/** Resolves once a conclusion that waits for the body of a failure is sent. */
+	get concluded(): Promise<void> | undefined {
+		return this.#conclusion;
+	}
+
 	/** Id of the last event of the stream that the caller has received. */
 	get lastEventId(): string | undefined {
 		return this.#lastEventId;
@@ -96,21 +102,41 @@
 	 * Forwards an upstream's response.
 	 *
 	 * @param reply - Head of the response.
-	 * @param route - Route of the request.
 	 * @param listener - Callbacks for the response's progress.
 	 * @returns How the attempt ended.
 	 */
-	async forward(reply: Reply, route: Route, listener: ReplyListener): Promise<AttemptEnding> {
-		if (isStream(reply)) {
+	async forward(reply: Reply, listener: ReplyListener): Promise<AttemptEnding> {
+		if (reply.verdict.type === 'stream') {
 			return this.#forwardStream(reply, listener);
 		}
 
 		if (this.#outgoing.headersSent) {
-			reply.body.resume();
+			discardBody(reply.body);
 			return {type: 'failed', status: reply.status};
 		}
 
-		return this.#forwardBody(reply, route, listener);
+		return this.#forwardBody(reply, listener);
+	}
+
+	/**
+	 * Keeps a failure while other attempts run, in place of an earlier one.
+	 *
+	 * @param reply - Head of the response.
+	 * @returns Resolves once its body has been read or given up.
+	 */
+	async keepFailure(reply: Reply): Promise<void> {
+		if (this.#outgoing.headersSent || this.isClosed) {
+			discardBody(reply.body);
+			return;
+		}
+
+		const failure = new KeptFailure(reply, this.#buffer);
+		this.#failure?.drop();
+		this.#failure = failure;
+		this.#outgoing.once('close', () => {
+			failure.drop();
+		});
+		await failure.body;
 	}
 
 	/**
@@ -136,13 +162,12 @@
 			return;
 		}
 
-		if (this.#lastReply !== undefined && stopReason === undefined) {
-			this.#sendWhole(this.#lastReply.reply, this.#lastReply.body);
-			this.#trace.finish('failed');
+		if (this.#failure !== undefined && stopReason === undefined) {
+			this.#conclusion = this.#concludeWith(this.#failure, name, wait);
 			return;
 		}
 
-		this.refuse(this.#toProvenAnswer(name), Math.max(baseRetryAfterSeconds, wait / 1000) + (this.#random() * retryAfterSpreadSeconds));
+		this.#refuseProven(name, wait);
 	}
 
 	/**
@@ -201,7 +226,7 @@
 		return ending;
 	}
 
-	async #forwardBody(reply: Reply, route: Route, listener: ReplyListener): Promise<AttemptEnding> {
+	async #forwardBody(reply: Reply, listener: ReplyListener): Promise<AttemptEnding> {
 		const body = await readBody(reply, this.#buffer);
 		listener.began();
 		switch (body.type) {
@@ -225,7 +250,7 @@
 			}
 
 			case 'whole': {
-				return this.#forwardWhole(reply, body, route, listener);
+				return this.#forwardWhole(reply, body, listener);
 			}
 
 			default: {
@@ -234,30 +259,34 @@
 		}
 	}
 
-	#forwardWhole(reply: Reply, body: WholeBody, route: Route, {leads}: ReplyListener): AttemptEnding {
-		const {status} = reply;
-		// To callers such a status guarantees that nothing ran, but this upstream didn't state that.
-		if (notRunStatuses.has(status)) {
+	#forwardWhole(reply: Reply, body: WholeBody, {leads}: ReplyListener): AttemptEnding {
+		if (!leads()) {
 			this.#buffer.countUnbegun({source: reply, bytes: 0});
-			return {type: 'failed', status};
+			return {type: 'unknown', reason: outrunReason};
 		}
 
-		if (status >= 500 && isIdempotent(route)) {
-			if (this.#lastReply !== undefined) {
-				this.#buffer.countUnbegun({source: this.#lastReply.reply, bytes: 0});
-			}
+		this.#sendWhole(reply, body);
+		return {type: 'answered', status: reply.status};
+	}
 
-			this.#lastReply = {reply, body};
-			return {type: 'failed', status};
+	/** Passes on a failure, unless its body can't be read or the request has ended meanwhile. */
+	async #concludeWith({reply, body}: KeptFailure, name: AnswerName, wait: number): Promise<void> {
+		const whole = await body;
+		if (this.#outgoing.headersSent || this.#outgoing.destroyed) {
+			return;
 		}
 
-		if (!leads()) {
-			this.#buffer.countUnbegun({source: reply, bytes: 0});
-			return {type: 'unknown', reason: outrunReason};
+		if (whole === undefined) {
+			this.#refuseProven(name, wait);
+			return;
 		}
 
-		this.#sendWhole(reply, body);
-		return {type: 'answered', status};
+		this.#sendWhole(reply, whole);
+		this.#trace.finish('failed');
+	}
+
+	#refuseProven(name: AnswerName, wait: number): void {
+		this.refuse(this.#toProvenAnswer(name), Math.max(baseRetryAfterSeconds, wait / 1000) + (this.#random() * retryAfterSpreadSeconds));
 	}
 
 	/** Sends the head of a stream unless a previous attempt has sent it. */
--- a/src/gateway/callers/response-forwarding.ts
+++ b/src/gateway/callers/response-forwarding.ts
@@ -3,7 +3,7 @@
 import {type ServerResponse} from 'node:http';
 import {messageOf} from '../../core/index.js';
 import {type AttemptEnding} from '../../core/gateway/limits/retries.js';
-import {EventSplitter, isEventStreamType} from '../../protocol/event-splitter.js';
+import {EventSplitter} from '../../protocol/event-splitter.js';
 import {type Reply} from '../upstreams/attempt.js';
 import {filterEndToEndHeaders} from './headers.js';
 import {type ReadingObserver, type ResponseBuffer, type UnbegunBytes} from './response-buffer.js';
@@ -12,6 +12,7 @@
 const maxBufferedBytes = 1_000_000;
 
 const contentLengthOnly: ReadonlySet<string> = new Set(['content-length']);
+const noHeaders: ReadonlySet<string> = new Set();
 
 /** Notified of the progress of a stream. */
 export type StreamObserver = ReadingObserver & {
@@ -27,22 +28,16 @@
 	readonly onComplete: () => void;
 };
 
-/**
- * @param reply - Response of an upstream.
- * @returns Whether its body is a stream of server-sent events.
- */
-export function isStream(reply: Reply): boolean {
-	return reply.status >= 200 && reply.status < 300 && isEventStreamType(reply.body.headers['content-type']);
-}
-
 /**
  * @param outgoing - Response to the caller.
  * @param reply - Response of the upstream.
  * @param length - Bytes of the body, if known.
  */
 export function writeHead(outgoing: ServerResponse, reply: Reply, length?: number): void {
-	const headers = filterEndToEndHeaders(reply.rawHeaders, contentLengthOnly);
-	if (length !== undefined) {
+	const isBodiless = reply.framing === 'head';
+	// A response without a body, as to HEAD, may state the length of the one that it stands for.
+	const headers = filterEndToEndHeaders(reply.rawHeaders, isBodiless ? noHeaders : contentLengthOnly);
+	if (length !== undefined && !isBodiless) {
 		headers.push('Content-Length', String(length));
 	}
 
@@ -143,9 +138,12 @@
 	return {type: 'answered', status: reply.status, unfinished: countUnfinished(splitter)};
 }
 
+/** A complete body. */
+export type WholeBody = {readonly type: 'whole'; readonly chunks: readonly Buffer[]; readonly length: number};
+
 /** A complete body, the buffered beginning of a long one and an iterator over the rest, or the reason why it ended early. */
 export type ResponseBody
-	= | {readonly type: 'whole'; readonly chunks: readonly Buffer[]; readonly length: number}
+	= | WholeBody
 		| {readonly type: 'long'; readonly begin: readonly Buffer[]; readonly rest: AsyncIterator<Buffer>}
 		| {readonly type: 'broken'; readonly reason: string; readonly isDisconnected: boolean};
 
--- a/src/gateway/requests/dispatch.ts
+++ b/src/gateway/requests/dispatch.ts
@@ -57,6 +57,7 @@
 	async run(): Promise<void> {
 		try {
 			await this.#serve();
+			await this.#state.callerResponse.concluded;
 		} finally {
 			this.#memoryWait[Symbol.dispose]();
 		}
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -7,8 +7,9 @@
 import {type Cause} from '../../core/gateway/suspicion/causes.js';
 import {type GatewayUpstream} from '../../core/gateway/types.js';
 import {roundTo} from '../../core/utils/numbers.js';
+import {discardBody} from '../../protocol/discard.js';
 import {Attempt, type Reply} from '../upstreams/attempt.js';
-import {type FollowedResponse} from '../upstreams/response-ends.js';
+import {type FollowedResponse, type ResponseOrigin} from '../upstreams/response-ends.js';
 import {type RunningAttempt} from '../suspicion/running-attempts.js';
 import {AttemptVerdicts} from '../upstreams/attempt-verdicts.js';
 import {type RequestState} from './request-state.js';
@@ -136,7 +137,11 @@
 	}
 
 	#createAttempt(placement: Placement, hold: Hold | undefined, remaining: number, isRetry: boolean): Attempt {
-		const {services: {headerFormat, agent, responseBounds}, request: {incoming, body, demand, organisation}, callerResponse} = this.#state;
+		const {
+			services: {headerFormat, agent, responseBounds}, request: {
+				incoming, body, demand, organisation, route,
+			}, callerResponse,
+		} = this.#state;
 		const headers = [...headerFormat.formatUpstreamHeaders(incoming.rawHeaders, {
 			left: Math.floor(remaining),
 			upstream: placement.upstream.id,
@@ -161,6 +166,7 @@
 			headers,
 			body,
 			address: placement.upstream.address,
+			isIdempotent: isIdempotent(route),
 			maxInterimResponses: responseBounds.interim,
 		}, headerFormat, agent);
 	}
@@ -214,7 +220,7 @@
 	}
 
 	async #finishAttempt(attempt: Attempt, running: RunningAttempt, target: GatewayUpstream, {run, paceSampler}: EventObservers): Promise<AttemptEnding> {
-		const {services: {gateway, clock, responseEnds, responseBounds}, request: {route}, callerResponse, trace} = this.#state;
+		const {services: {gateway, clock, responseBounds}, request: {route}, callerResponse, trace} = this.#state;
 		const {isSuspected} = this.#identity.suspicion;
 		const {id: upstream, started} = target;
 		const sent = clock.now();
@@ -235,19 +241,30 @@
 			gateway.selfReports.record({upstream, started}, reply.metadata.report, sent);
 		}
 
-		if (reply.metadata.isNotRun || reply.metadata.isMisdirected) {
-			reply.body.resume();
+		if (reply.verdict.type === 'not-run') {
+			discardBody(reply.body);
 			return this.#verdicts.recordNotRun(reply, upstream);
 		}
 
-		let isReadLate = false;
 		gateway.stallDetectors.recordLife(target);
-		using followed = reply.framing === 'connection'
-			? responseEnds.follow(reply, {
-				upstream: target, tunnel: attempt.tunnel, sent, isRepeatable: isIdempotent(route),
-			})
-			: undefined;
-		const forwarded = await callerResponse.forward(confirmEnd(reply, followed), route, {
+		const origin: ResponseOrigin = {
+			upstream: target, tunnel: attempt.tunnel, sent, isRepeatable: isIdempotent(route),
+		};
+		if (reply.verdict.type === 'failed') {
+			if (reply.verdict.isKept) {
+				void this.#keepFailure(reply, origin);
+			} else {
+				discardBody(reply.body);
+			}
+
+			const ending: AttemptEnding = {type: 'failed', status: reply.status};
+			this.#verdicts.recordEnding(ending, upstream, isSuspected);
+			return ending;
+		}
+
+		let isReadLate = false;
+		using followed = this.#follow(reply, origin);
+		const forwarded = await callerResponse.forward(confirmEnd(reply, followed), {
 			get yielding() {
 				return run.yielding;
 			},
@@ -292,6 +309,17 @@
 		return ending;
 	}
 
+	/** Follows a response that ends with its connection. */
+	#follow(reply: Reply, origin: ResponseOrigin): FollowedResponse | undefined {
+		return reply.framing === 'connection' ? this.#state.services.responseEnds.follow(reply, origin) : undefined;
+	}
+
+	/** Lets a failure be read while other attempts run. */
+	async #keepFailure(reply: Reply, origin: ResponseOrigin): Promise<void> {
+		using followed = this.#follow(reply, origin);
+		await this.#state.callerResponse.keepFailure(confirmEnd(reply, followed));
+	}
+
 	/** A connection that breaks is evidence of a crash if its upstream has ended it, rather than a link or the host that carried it. */
 	async #recordBreak(ending: AttemptEnding, {tunnel}: Attempt, running: RunningAttempt, target: GatewayUpstream): Promise<void> {
 		const {convictions, tunnels} = this.#state.services.gateway;
--- a/src/gateway/upstreams/attempt.ts
+++ b/src/gateway/upstreams/attempt.ts
@@ -5,8 +5,10 @@
 } from 'node:http';
 import {type Address} from '../../core/index.js';
 import {type LinkFailure} from '../../core/gateway/health/links.js';
+import {judgeHead, type HeadVerdict, type ResponseHead} from '../../core/gateway/responses/head.js';
 import {type AttemptEnding, type CancelReason} from '../../core/gateway/limits/retries.js';
 import {probeEnd} from '../../protocol/connection-end.js';
+import {isEventStreamType} from '../../protocol/event-splitter.js';
 import {limitInterimResponses} from '../../protocol/interim-responses.js';
 import {findFraming, type Framing} from '../../protocol/response-framing.js';
 import {type HeaderFormat, type ResponseMetadata} from '../platform-adapter.js';
@@ -15,6 +17,8 @@
 /** Head of an upstream's response; the body hasn't been read yet. */
 export type Reply = {
 	readonly type: 'reply';
+	/** What becomes of the response. */
+	readonly verdict: Exclude<HeadVerdict, {readonly type: 'broken'}>;
 	readonly status: number;
 	readonly rawHeaders: readonly string[];
 	readonly metadata: ResponseMetadata;
@@ -34,6 +38,8 @@
 	readonly headers: readonly string[];
 	readonly body: Buffer;
 	readonly address: Address;
+	/** Whether it may run again. */
+	readonly isIdempotent: boolean;
 	/** Interim responses that the upstream may send before its response. */
 	readonly maxInterimResponses: number;
 };
@@ -61,17 +67,16 @@
 	return error instanceof ConnectionFailure ? {failure: error.failure, isLinkDoubtful: error.isLinkDoubtful} : {failure: 'silent', isLinkDoubtful: false};
 }
 
-/** Returns why a response can't be accepted as that of this request, or undefined. */
-function findMismatch(id: string, status: number, metadata: ResponseMetadata, reply: IncomingMessage): string | undefined {
-	if (metadata.request !== undefined && metadata.request !== id) {
-		return 'answer of another request';
-	}
-
-	if (reply.headers['content-encoding'] !== undefined) {
-		return 'encoded answer';
-	}
-
-	return status >= 200 && status < 300 && !metadata.isSigned ? 'unsigned answer' : undefined;
+function describeHead(id: string, status: number, metadata: ResponseMetadata, {headers}: IncomingMessage): ResponseHead {
+	return {
+		status,
+		isForeign: metadata.request !== undefined && metadata.request !== id,
+		isEncoded: headers['content-encoding'] !== undefined,
+		hasContent: headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0,
+		isEventStream: isEventStreamType(headers['content-type']),
+		isSigned: metadata.isSigned,
+		isNotRun: metadata.isNotRun || metadata.isMisdirected,
+	};
 }
 
 /** One attempt to have a request answered by one upstream; the request is sent by `reply`. */
@@ -151,6 +156,10 @@
 			outgoing.on('response', body => {
 				resolve(this.#readHead(body));
 			});
+			outgoing.on('upgrade', (response, socket) => {
+				socket.destroy();
+				resolve(this.#readHead(response));
+			});
 			outgoing.on('error', error => {
 				this.#isBroken = true;
 				resolve(this.#endWithoutReply(error.message, findAbsence(error)));
@@ -182,10 +191,10 @@
 		const metadata = this.#headerFormat.parseResponse(status, body.headers);
 		const framing = findFraming(this.#request.method, status, body.headers);
 		this.#framing = framing;
-		const mismatch = findMismatch(this.#request.id, status, metadata, body);
-		if (mismatch !== undefined) {
+		const verdict = judgeHead(describeHead(this.#request.id, status, metadata, body), this.#request.isIdempotent);
+		if (verdict.type === 'broken') {
 			this.#outgoing.destroy();
-			return createEnded({type: 'unknown', reason: mismatch});
+			return createEnded({type: 'unknown', reason: verdict.reason});
 		}
 
 		body.once('end', () => {
@@ -197,6 +206,7 @@
 		const properEnd = framing === 'connection' ? probeEnd(body.socket) : true;
 		return {
 			type: 'reply',
+			verdict,
 			status,
 			rawHeaders: body.rawHeaders,
 			metadata,
--- a/src/upstream/plain.ts
+++ b/src/upstream/plain.ts
@@ -5,6 +5,7 @@
 import {
 	messageOf, codes, type Address, type Ending,
 } from '../core/index.js';
+import {isFinalStatus} from '../core/gateway/responses/head.js';
 import {probeEnd} from '../protocol/connection-end.js';
 import {EventSplitter, isEventStreamType} from '../protocol/event-splitter.js';
 import {hopByHopHeaders} from '../protocol/hop-by-hop-headers.js';
@@ -134,8 +135,14 @@
 	});
 	let hasAnswered = false;
 	stream.once('response', (response: IncomingMessage) => {
+		const status = response.statusCode ?? 0;
+		if (!isFinalStatus(status)) {
+			stream.destroy(new Error(`status ${status} is not final`));
+			return;
+		}
+
 		hasAnswered = true;
-		sink.head(response.statusCode ?? 0, filterEndToEndHeaders(response.headers));
+		sink.head(status, filterEndToEndHeaders(response.headers));
 	});
 	try {
 		for await (const chunk of stream) {
