--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -1,14 +1,23 @@
-/** Schema of the gateway's settings file (JSON). Times are in milliseconds. */
+/** Schema of the gateway's settings file (JSON). Times are in milliseconds, or in an object that names their unit. */
 import {z} from 'zod';
 
-const addressSchema = z.string().regex(/^[^:]+:\d+$/v, 'must be host:port').transform(text => {
-	const at = text.lastIndexOf(':');
-	return {host: text.slice(0, at), port: Number(text.slice(at + 1))};
-});
+const maxPort = 65_535;
+
+function parsePort(text: string): number {
+	return Number(text.slice(text.lastIndexOf(':') + 1));
+}
+
+const addressSchema = z.string()
+	.refine(text => /^[^:]+:\d+$/v.test(text) && parsePort(text) <= maxPort, {error: ({input}) => `must be host:port, is ${JSON.stringify(input)}`})
+	.transform(text => ({host: text.slice(0, text.lastIndexOf(':')), port: parsePort(text)}));
 /** Shortest key of a fleet in characters, without spaces at its ends. */
 const minKeyLength = 16;
 const fleetKeySchema = z.string().trim().min(minKeyLength);
-const milliseconds = z.number().positive();
+const msPerSecond = 1000;
+const duration = z.preprocess(
+	value => typeof value === 'object' && value !== null && 'seconds' in value && typeof value.seconds === 'number' ? value.seconds * msPerSecond : value,
+	z.number().positive(),
+);
 
 export const settingsSchema = z.object({
 	/** Name of this host, unique in the fleet. */
@@ -25,7 +34,7 @@
 	/** Address for the operators' command line, which callers must not reach; not served if absent. */
 	admin: addressSchema.optional(),
 	/** Address at which this host opens tunnels to upstreams for hosts that don't reach them, on the host of `peer`; a free port if absent. */
-	tunnel: z.union([z.literal('none'), addressSchema]).optional(),
+	tunnel: z.union([z.literal('none'), addressSchema], {error: ({input}) => `must be "none" or host:port, is ${JSON.stringify(input)}`}).optional(),
 	/** Processor capacity of this host: cores, and the share of each that it may use. Hosts with more capacity become relays. */
 	processor: z.object({cores: z.number().positive(), share: z.number().positive()}).readonly().default({cores: 1, share: 1}),
 	/** Addresses of the first peers to contact. */
@@ -33,14 +42,14 @@
 	/** Address of the platform's store. */
 	store: addressSchema,
 	/** Time from SIGTERM until the process is killed. */
-	grace: milliseconds.default(8000),
+	grace: duration.default(8000),
 	/** Time within which a revoked key of an organisation must stop working; 0 if there is no such requirement. */
 	revocation: z.number().nonnegative().default(5000),
 	/** Time within which a change of the configuration must take effect, and within which a leaving upstream must no longer be used. */
-	configurationDelay: milliseconds.default(2000),
-	drainDelay: milliseconds.default(2000),
+	configurationDelay: duration.default(2000),
+	drainDelay: duration.default(2000),
 	/** Time within which an evacuated failure domain must get no more requests. */
-	evacuationDelay: milliseconds.default(5000),
+	evacuationDelay: duration.default(5000),
 	/** Most requests that a cold upstream may get in one second from all hosts together: a multiple of its rate, plus an allowance. */
 	coldStarts: z.object({
 		overage: z.number().min(1).default(1.5),
@@ -62,7 +71,7 @@
 	/** Retry budget of all hosts together: a share of the requests within a window, plus an allowance per window. */
 	retries: z.object({
 		ratio: z.number().min(0).default(0.2),
-		window: milliseconds.default(10_000),
+		window: duration.default(10_000),
 		allowance: z.number().nonnegative().default(100),
 	}).readonly().default({ratio: 0.2, window: 10_000, allowance: 100}),
 }).refine(({peer, tunnel}) => tunnel === undefined || tunnel === 'none' || tunnel.host === peer.host, {
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -17,10 +17,24 @@
 		return result.data;
 	}
 
-	const mistakes = result.error.issues.map(issue => `${issue.path.join('.') || '(root)'}: ${issue.message}`);
+	const mistakes = result.error.issues.map(issue => `${issue.path.join('.') || '(root)'}: ${issue.message}${describeFigure(value, issue.path)}`);
 	return raise('badSettings', mistakes.join('; '));
 }
 
+/** Returns the value at a path, if it is no text, which may be a key: ", is 7.5". */
+function describeFigure(root: unknown, path: readonly PropertyKey[]): string {
+	let value = root;
+	for (const key of path) {
+		value = typeof value === 'object' && value !== null && Object.hasOwn(value, key) ? Reflect.get(value, key) : undefined;
+	}
+
+	if (typeof value === 'object' && value !== null && 'seconds' in value) {
+		return describeFigure(value, ['seconds']);
+	}
+
+	return value === null || typeof value === 'number' || typeof value === 'boolean' ? `, is ${String(value)}` : '';
+}
+
 /**
  * Reads and validates a settings file.
  *
