Don't parse entries that are longer than the store's values may be

An entry of another writer of 6 MB, nested three million deep, took the memory of hosts: the platform bounds its values, but nothing here did. An entry is refused by its length now, and the list is followed on, as odd-entries.test.ts shows.

--- a/__tests__/gateway/odd-entries.test.ts
+++ b/__tests__/gateway/odd-entries.test.ts
@@ -1,4 +1,5 @@
 /** Entries of other writers in the store, and configurations with odd values: no process may end because of what it reads there. */
+import {Buffer} from 'node:buffer';
 import {
 	afterAll, beforeAll, describe, expect, it,
 } from 'vitest';
@@ -92,6 +93,20 @@
 	});
 });
 
+it('an entry that is longer than the store\'s values may be is not parsed, and the list is followed on', async () => {
+	const depth = 3_000_000;
+	await putUntilLogged('servers/long', Buffer.from(`{"Service":"plain","Version":${'['.repeat(depth)}${']'.repeat(depth)}}`), 'registration-refused');
+	for (const host of site.hosts) {
+		const line = host.findLogLines('registration-refused').at(-1);
+		expect(line?.key).toBe('servers/long');
+		expect(line?.detail).toContain('is longer than 1048576');
+	}
+
+	expect(await findUnserved('long')).toEqual([]);
+	await putUntilLogged('servers/next', {...entry, Service: 'unused'}, 'upstream');
+	expectAllRunning();
+});
+
 const engine = (fields: Readonly<Record<string, unknown>>) => ({Services: createServices(fields)});
 const route = (fields: Readonly<Record<string, unknown>>) => ({Routes: routes.map(each => ({...each, ...fields}))});
 
--- a/bench/propagation/member.ts
+++ b/bench/propagation/member.ts
@@ -113,6 +113,7 @@
 			gateway,
 			clock: this.#clock,
 			log: log as Log,
+			maxValueBytes: Number.POSITIVE_INFINITY,
 			stalenessBound: stalenessBoundMs,
 			revocation: revocationMs,
 			random: this.#random,
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -19,6 +19,9 @@
 	z.number().positive(),
 );
 
+/** The platform's limit on the values of its store. */
+const usualValueBytes = 1_048_576;
+
 export const settingsSchema = z.object({
 	/** Name of this host, unique in the fleet. */
 	host: z.string().min(1),
@@ -41,6 +44,8 @@
 	seeds: z.array(addressSchema).readonly().default([]),
 	/** Address of the platform's store. */
 	store: addressSchema,
+	/** Longest value of the store that is read, in bytes; a longer one counts as invalid. */
+	storeValueBytes: z.number().positive().default(usualValueBytes),
 	/** Time from SIGTERM until the process is killed. */
 	grace: duration.default(8000),
 	/** Time within which a revoked key of an organisation must stop working; 0 if there is no such requirement. */
