--- a/bench/silences/host.ts
+++ b/bench/silences/host.ts
@@ -238,8 +238,7 @@
 			responseBounds: {eventBytes: 1_000_000, interim: 16},
 			log: this.#log,
 			clock,
-			isStopping: () => false,
-			isRefusing: () => false,
+			findStop: () => undefined,
 			random,
 		};
 	}
--- a/src/core/gateway/engines/forecast.ts
+++ b/src/core/gateway/engines/forecast.ts
@@ -6,6 +6,24 @@
 import {estimateSlotWait, type Occupant} from './queue.js';
 import {defaultUrgency} from './urgency.js';
 
+/** Request for which the time of its answer is estimated. */
+export type AnswerSize = {
+	/** Length of the prompt and maximum length of the answer, in tokens. */
+	readonly tokens: number;
+	readonly answer: number;
+};
+
+/**
+ * @param model - Performance model of an engine.
+ * @param forecast - Its expected state without the request.
+ * @param size - Request.
+ * @returns Milliseconds from the first byte to the end of its answer.
+ */
+export function estimateDecoding(model: EngineModel, {contexts, pace}: Forecast, {tokens, answer}: AnswerSize): number {
+	const iteration = estimateDecodeIteration(model, [...contexts, tokens]) / pace.decode;
+	return answer * Math.max(iteration / model.stride, model.step);
+}
+
 /** Expected state of an engine. */
 export type Forecast = {
 	/** Jobs that the engine answers, waiting ones included; jobs that it only helps to prefill are excluded. */
--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -79,7 +79,9 @@
 			place: () => placement,
 		},
 	};
-	const services = {gateway, clock: {now: () => 0}, random: () => 0.5} as unknown as GatewayServices;
+	const services = {
+		gateway, findStop: () => undefined, clock: {now: () => 0}, random: () => 0.5,
+	} as unknown as GatewayServices;
 	const callerResponse = {
 		refuse(name: string, after?: number) {
 			refused.push([name, after]);
@@ -141,6 +143,7 @@
 		},
 	};
 	const services = {
+		findStop: () => undefined,
 		gateway,
 		clock: {now: () => 0},
 		headerFormat: {formatUpstreamHeaders: () => []},
@@ -185,7 +188,7 @@
 			considerMemory: () => undefined,
 		},
 	};
-	const services = {gateway, clock: {now: () => 0}} as unknown as GatewayServices;
+	const services = {gateway, findStop: () => undefined, clock: {now: () => 0}} as unknown as GatewayServices;
 	const callerResponse = {
 		isClosed: false,
 		canContinue: true,
@@ -248,7 +251,9 @@
 		},
 	};
 	const holds = {prepare: () => hold, count: () => undefined};
-	const services = {gateway, holds, clock: {now: () => 0}} as unknown as GatewayServices;
+	const services = {
+		gateway, holds, findStop: () => undefined, clock: {now: () => 0},
+	} as unknown as GatewayServices;
 	const callerResponse = {
 		isClosed: false,
 		canContinue: true,
--- a/src/gateway/callers/exchange.ts
+++ b/src/gateway/callers/exchange.ts
@@ -24,6 +24,7 @@
 	readonly #trace: RequestTrace;
 	readonly #callerResponse: CallerResponse;
 	#dispatch: Dispatch | undefined;
+	#isReadingBody = false;
 	#stopReason: StopReason | undefined;
 
 	/**
@@ -49,11 +50,12 @@
 		});
 		const metadata = this.#services.headerFormat.parseRequest(this.#incoming.headers);
 		this.#trace.metadata = metadata;
-		if (this.#services.isStopping()) {
+		const stop = this.#services.findStop();
+		if (stop !== undefined) {
 			outgoing.shouldKeepAlive = false;
 		}
 
-		if (this.#services.isRefusing()) {
+		if (stop !== undefined && this.#services.clock.now() > stop.refusesFrom) {
 			this.#incoming.resume();
 			this.#callerResponse.refuse('leaving', baseRetryAfterSeconds);
 			return;
@@ -65,11 +67,17 @@
 			return;
 		}
 
+		this.#isReadingBody = true;
 		const body = await this.#readBody();
+		this.#isReadingBody = false;
 		if (body === undefined) {
 			return;
 		}
 
+		if (this.#services.findStop() !== undefined) {
+			outgoing.shouldKeepAlive = false;
+		}
+
 		const admission = admit(this.#services.gateway, this.#incoming, metadata.key);
 		if (admission.type === 'refused') {
 			this.#callerResponse.refuse(admission.answer, unconfiguredRetryAfterSeconds);
@@ -79,6 +87,14 @@
 		await this.#serve(metadata, body, admission);
 	}
 
+	/** Refuses the request if its body isn't complete: the host has no time left for it. */
+	refuseIncomplete(): void {
+		if (this.#isReadingBody && !this.#outgoing.headersSent) {
+			this.#outgoing.shouldKeepAlive = false;
+			this.#callerResponse.refuse('leaving', baseRetryAfterSeconds);
+		}
+	}
+
 	/** Returns the body of the request, or undefined if the request has been refused or its caller has left. */
 	async #readBody(): Promise<Buffer | undefined> {
 		const limit = this.#services.gateway.directory?.configuration.limits.bodyBytes ?? Number.POSITIVE_INFINITY;
@@ -101,6 +117,10 @@
 			return undefined;
 		}
 
+		if (this.#outgoing.headersSent) {
+			return undefined;
+		}
+
 		if (this.#stopReason !== undefined || this.#outgoing.destroyed) {
 			this.#callerResponse.conclude('outcomeUnknown', 'caller left');
 			return undefined;
--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -14,15 +14,15 @@
 
 export class CallerListener implements AsyncDisposable {
 	readonly #server: Server;
-	readonly #running = new Set<ServerResponse>();
+	readonly #running = new Map<ServerResponse, Exchange>();
 
 	/**
 	 * @param services - Services shared by all requests.
 	 */
 	constructor(services: GatewayServices) {
 		this.#server = createServer({maxHeaderSize: maxHeaderBytes, requestTimeout: requestTimeoutMs, keepAlive: true}, (incoming, outgoing) => {
-			this.#running.add(outgoing);
 			const exchange = new Exchange(services, incoming, outgoing);
+			this.#running.set(outgoing, exchange);
 			void (async () => {
 				try {
 					await exchange.run();
@@ -51,6 +51,13 @@
 		this.#server.closeIdleConnections();
 	}
 
+	/** Refuses the requests whose bodies aren't complete. */
+	refuseIncomplete(): void {
+		for (const exchange of this.#running.values()) {
+			exchange.refuseIncomplete();
+		}
+	}
+
 	/** Stops accepting connections; open ones are still served. */
 	refuse(): void {
 		this.#server.close();
@@ -64,7 +71,7 @@
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
-		for (const outgoing of this.#running) {
+		for (const outgoing of this.#running.keys()) {
 			breakOff(outgoing);
 		}
 
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -1,6 +1,7 @@
 /** Assembles a gateway process, and shuts it down gracefully without cutting off responses. */
 import {type Agent} from 'node:http';
 import {setImmediate as turn, setTimeout as sleep} from 'node:timers/promises';
+import {planStop, type Stop} from '../core/gateway/limits/stop.js';
 import {computeResponseBudget} from '../core/gateway/limits/response-buffers.js';
 import {Clock} from '../entry/clock.js';
 import {DisposalStack} from '../entry/disposal-stack.js';
@@ -25,18 +26,9 @@
 /** How long the balancer may keep sending callers here after this host reports not ready: two health checks, one per second. */
 const balancerLagMs = 2600;
 
-/**
- * Requests that arrive later than this after the stop signal are refused: the balancer has noticed by then, and a request accepted later
- * may still be running when the process is killed. Without it, callers on keep-alive connections went on sending for 9 s.
- */
-const acceptWindowMs = 2600;
-
 /** How long idle connections stay open after the stop signal, so that callers that have just been answered can learn of the stop first. */
 const idleGraceMs = 800;
 
-/** Running requests are given up this long before the process is killed. */
-const killMarginMs = 700;
-
 /**
  * Time from the end of listening to the end of the process. A caller that has just connected can send its request and receives the
  * answer that this host is leaving; without it, such a caller was cut off.
@@ -84,8 +76,7 @@
 	readonly #responseBuffers: ResponseBuffers;
 	readonly #upstreamPool: UpstreamPool;
 	readonly #tunnelServer: TunnelServer | undefined;
-	/** When the stop was requested, on the monotonic clock. */
-	#stopRequestedAt: number | undefined;
+	#stop: Stop | undefined;
 
 	/**
 	 * @param settings - Settings of this host.
@@ -138,8 +129,7 @@
 			responseBounds: settings.responses,
 			log,
 			clock: this.#clock,
-			isStopping: () => this.#stopRequestedAt !== undefined,
-			isRefusing: () => this.#stopRequestedAt !== undefined && this.#clock.now() - this.#stopRequestedAt > acceptWindowMs,
+			findStop: () => this.#stop,
 			random: Math.random,
 		}));
 		this.#disposal.use(adapter.startFollower(this.#gateway, this.#clock, this.#metrics));
@@ -147,7 +137,7 @@
 
 	/** Whether the balancer may send callers here. */
 	get isReady(): boolean {
-		return this.#stopRequestedAt === undefined && this.#gateway.directory !== undefined && this.#gateway.upstreams.size > 0
+		return this.#stop === undefined && this.#gateway.directory !== undefined && this.#gateway.upstreams.size > 0
 			&& this.#gateway.confirmedAge < maxReadyAgeMs;
 	}
 
@@ -200,12 +190,12 @@
 	/** Stops accepting callers and lets running requests end; resolves when all have ended or the grace period is over. */
 	async stop(): Promise<void> {
 		const startedAt = this.#clock.now();
-		this.#stopRequestedAt = startedAt;
-		const stopDeadline = startedAt + this.#settings.grace - killMarginMs;
+		const stop = planStop(startedAt, this.#settings.grace);
+		this.#stop = stop;
 		this.#log.write({event: 'stopping', running: this.#callers.running, tunnels: this.#tunnelServer?.size});
 		this.#withdrawTunnels();
-		await sleep(idleGraceMs);
-		while (this.#clock.now() < stopDeadline) {
+		await sleep(Math.min(idleGraceMs, stop.cutsAt - startedAt));
+		while (this.#clock.now() < stop.cutsAt) {
 			this.#callers.closeIdle();
 			const isDone = this.#callers.running === 0 && (this.#tunnelServer?.isIdle ?? true) && this.#clock.now() - startedAt > balancerLagMs;
 			if (isDone) {
@@ -218,6 +208,7 @@
 		// Accepts connections that are pending first: they would be reset when listening ends.
 		await turn();
 		this.#callers.refuse();
+		this.#callers.refuseIncomplete();
 		await sleep(lateRequestGraceMs);
 		this.#log.write({event: 'stopped', running: this.#callers.running, took: Math.round(this.#clock.now() - startedAt)});
 	}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,6 +4,7 @@
 import {Directory} from '../core/gateway/registry/directory.js';
 import {type Verdict} from '../core/gateway/health/health.js';
 import {Load} from '../core/gateway/engines/load.js';
+import {AnswerTimes} from '../core/gateway/limits/answer-times.js';
 import {RetryBudget} from '../core/gateway/limits/retries.js';
 import {selectLonger, type Obstacle} from '../core/gateway/placement/eligibility.js';
 import {
@@ -59,6 +60,8 @@
 	readonly selfReports: SelfReports;
 	readonly coldStarts: ColdUpstreams;
 	readonly retries: RetryBudget;
+	/** How long the answers of plain services took lately. */
+	readonly answerTimes = new AnswerTimes();
 	readonly peers: Peers;
 	readonly sharing: StateSync;
 	readonly loadUpdates: LoadUpdates;
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -61,6 +61,7 @@
 	readonly memoryWaits: Counter;
 	readonly memoryWaiting: Gauge;
 	readonly shareRefusals: Counter;
+	readonly stopRefusals: Counter;
 	readonly prioritised: Counter;
 	readonly servicesPressed: Gauge;
 	readonly sharesKept: Gauge;
@@ -119,6 +120,7 @@
 		this.memoryWaits = createCounter(registry, 'memory_waits_total', 'Requests that waited for memory, by how the wait ended', ['result']);
 		this.memoryWaiting = createGauge(registry, 'memory_waiting', 'Requests that wait for memory');
 		this.shareRefusals = createCounter(registry, 'share_refusals_total', 'Requests refused as their organisation used far more than its usual share', ['service']);
+		this.stopRefusals = createCounter(registry, 'stop_refusals_total', 'Requests refused as their answers could not be complete before this host stops', ['service']);
 		this.prioritised = createCounter(registry, 'prioritised_requests_total', 'Requests of organisations whose priority differs from that of the route', ['service', 'served']);
 		this.servicesPressed = createGauge(registry, 'services_full', 'Services whose upstreams were full within the last seconds');
 		this.sharesKept = createGauge(registry, 'organisation_shares', 'Organisations whose use of a service is kept');
--- a/src/gateway/requests/dispatch.ts
+++ b/src/gateway/requests/dispatch.ts
@@ -100,7 +100,7 @@
 				return;
 			}
 
-			if (this.#refusals.refuseIfHarmful(placement)) {
+			if (this.#refusals.refuseIfUnfinishable(placement) || this.#refusals.refuseIfHarmful(placement)) {
 				return;
 			}
 
--- a/src/gateway/requests/memory-wait.ts
+++ b/src/gateway/requests/memory-wait.ts
@@ -44,7 +44,7 @@
 	 * @returns How the wait ended; undefined if the request doesn't wait for memory.
 	 */
 	async wait(demand: Demand, eligibility: Eligibility, isOver: () => boolean): Promise<MemoryWaitResult | undefined> {
-		const {gateway, metrics, clock, isStopping} = this.#services;
+		const {gateway, metrics, clock, findStop} = this.#services;
 		const decision = gateway.placements.considerMemory(demand, eligibility);
 		if (decision === undefined) {
 			return undefined;
@@ -57,7 +57,7 @@
 			return {type: 'refused', wait: decision.wait ?? 0};
 		}
 
-		if (isStopping()) {
+		if (findStop() !== undefined) {
 			return {type: 'stopping'};
 		}
 
@@ -101,7 +101,7 @@
 
 	/** Waits until a job has ended, and then for the turn of the request. */
 	async #sleepUntilChange(isOver: () => boolean): Promise<void> {
-		const {gateway, clock, isStopping} = this.#services;
+		const {gateway, clock, findStop} = this.#services;
 		const {removals} = gateway.load;
 		const lastRetryAt = clock.now() + retryIntervalMs;
 		let retryAt: number | undefined;
@@ -110,6 +110,6 @@
 			if (gateway.load.removals !== removals || clock.now() >= lastRetryAt) {
 				retryAt ??= clock.now() + gateway.memoryQueue.computeTurnDelay(this.#id);
 			}
-		} while ((retryAt === undefined || clock.now() < retryAt) && !isOver() && !isStopping());
+		} while ((retryAt === undefined || clock.now() < retryAt) && !isOver() && findStop() === undefined);
 	}
 }
--- a/src/gateway/requests/placements.ts
+++ b/src/gateway/requests/placements.ts
@@ -1,6 +1,7 @@
 /** Placements of requests at upstreams, and their jobs, from what this host knows of upstreams, load and peers. */
 import {type MemoryDecision} from '../../core/gateway/engines/memory-admission.js';
 import {isLarge, planReservation, type ReservationPlan} from '../../core/gateway/engines/memory-reservation.js';
+import {estimateDecoding} from '../../core/gateway/engines/forecast.js';
 import {type Job, type Load, type PlacementKind} from '../../core/gateway/engines/load.js';
 import {PaceSampler} from '../../core/gateway/engines/pace-sampler.js';
 import {type ShortPrefills} from '../../core/gateway/engines/short-prefills.js';
@@ -66,6 +67,17 @@
 		return place(demand, this.#options.upstreams.listByService(demand.service), this.#options.findService(demand.service)?.engine, this.#buildPlacementOptions(eligibility, demand));
 	}
 
+	/**
+	 * @param demand - Demand of a request.
+	 * @param placement - Its placement.
+	 * @returns Milliseconds until its answer is expected to be complete; undefined for plain services.
+	 */
+	estimateAnswerTime({service, prompt}: Demand, {upstream, firstByte}: Placement): number | undefined {
+		const {findService, load, now} = this.#options;
+		const model = findService(service)?.engine;
+		return model === undefined || prompt === undefined ? undefined : firstByte + estimateDecoding(model, load.forecast(upstream.id, model, now()), prompt);
+	}
+
 	/**
 	 * @param placement - Placement with reservations at several engines.
 	 * @param refusing - Id of the engine that refused its reservation.
--- a/src/gateway/requests/refusals.ts
+++ b/src/gateway/requests/refusals.ts
@@ -1,6 +1,7 @@
 /** Refuses requests that have not been sent yet: those beyond the share of their organisation, and those that cost others too much. */
 import {computeReturnDelay} from '../../core/gateway/limits/shares.js';
 import {computeWeight} from '../../core/gateway/engines/losses.js';
+import {canFinish} from '../../core/gateway/limits/stop.js';
 import {type Placement} from '../../core/gateway/placement/placement.js';
 import {defaultPolicy} from '../../core/gateway/placement/policy.js';
 import {isHarmful, estimateRetryDelay} from '../../core/gateway/placement/refusal.js';
@@ -48,6 +49,31 @@
 		return true;
 	}
 
+	/**
+	 * Refuses the request if this host is about to stop and would have to cut its answer.
+	 *
+	 * @param placement - Its placement.
+	 * @returns Whether it was refused.
+	 */
+	refuseIfUnfinishable(placement: Placement): boolean {
+		const {services: {gateway, clock, findStop, metrics}, request: {demand, route}, trace, callerResponse, stopReason} = this.#state;
+		const stop = findStop();
+		if (stop === undefined || callerResponse.hasBegun) {
+			return false;
+		}
+
+		const now = clock.now();
+		const expected = gateway.placements.estimateAnswerTime(demand, placement) ?? gateway.answerTimes.estimate(route.name) ?? demand.deadline - now;
+		if (canFinish(stop, expected, now)) {
+			return false;
+		}
+
+		metrics.stopRefusals.inc({service: demand.service});
+		trace.write('unfinishable', {upstream: placement.upstream.id, expected: Math.round(expected), left: Math.round(stop.cutsAt - now)});
+		callerResponse.conclude('leaving', stopReason);
+		return true;
+	}
+
 	/**
 	 * Refuses the request if serving it would cost other requests more than its weight.
 	 *
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -302,8 +302,11 @@
 		this.#verdicts.recordEnding(ending, upstream, isSuspected);
 		await this.#recordBreak(ending, attempt, running, target);
 
-		if (ending.type === 'answered' && ending.status < 300) {
-			gateway.convictions.recordAnswered(running);
+		if (ending.type === 'answered') {
+			gateway.answerTimes.record(route.name, clock.now() - sent);
+			if (ending.status < 300) {
+				gateway.convictions.recordAnswered(running);
+			}
 		}
 
 		return ending;
--- a/src/gateway/services.ts
+++ b/src/gateway/services.ts
@@ -1,6 +1,7 @@
 /** Services shared by all requests of this host. */
 import {type Clock} from '../entry/clock.js';
 import {type Log} from '../entry/logs.js';
+import {type Stop} from '../core/gateway/limits/stop.js';
 import {type HeaderFormat} from './platform-adapter.js';
 import {type Gateway} from './gateway.js';
 import {type Holds} from './requests/holds.js';
@@ -24,10 +25,8 @@
 	readonly responseBounds: Settings['responses'];
 	readonly log: Log;
 	readonly clock: Clock;
-	/** Whether this host is about to stop: connections of callers are closed after their response. */
-	readonly isStopping: () => boolean;
-	/** Whether the host is too close to its stop to accept a request that could take long. */
-	readonly isRefusing: () => boolean;
+	/** Returns the stop that was requested of this host, if it was: connections of callers are closed after their response. */
+	readonly findStop: () => Stop | undefined;
 	/** Uniform from 0 to 1. */
 	readonly random: () => number;
 };
