--- a/__tests__/support/raw-upstream.ts
+++ b/__tests__/support/raw-upstream.ts
@@ -3,6 +3,7 @@
 import {createServer, type Server, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {getPort} from '../../src/entry/ports.js';
+import {assertNever} from '../../src/core/index.js';
 import {type Site} from '../../bench/gateway/site.js';
 
 /** What is sent in answer to a request. */
@@ -12,12 +13,35 @@
 	readonly next?: string;
 	/** Milliseconds between two of them; as fast as they are read if absent. */
 	readonly interval?: number;
-	/** How its connection ends, some milliseconds after the first bytes. */
-	readonly end?: {readonly type: 'close' | 'reset'; readonly after: number};
+	/** How its connection ends, some milliseconds after the first bytes; what comes until then isn't read if it breaks off. */
+	readonly end?: {readonly type: 'break off' | 'close' | 'reset'; readonly after: number};
 };
 
 let startCount = 0;
 
+function endConnection(socket: Socket, type: NonNullable<RawAnswer['end']>['type']): void {
+	switch (type) {
+		case 'break off': {
+			socket.destroy();
+			break;
+		}
+
+		case 'close': {
+			socket.end();
+			break;
+		}
+
+		case 'reset': {
+			socket.resetAndDestroy();
+			break;
+		}
+
+		default: {
+			assertNever(type);
+		}
+	}
+}
+
 export class RawUpstream implements AsyncDisposable {
 	/**
 	 * Starts an upstream, and waits until all hosts of a site know it.
@@ -108,12 +132,12 @@
 	#goOn(socket: Socket): void {
 		const {next, interval, end} = this.#answer;
 		if (end !== undefined) {
+			if (end.type !== 'close') {
+				socket.pause();
+			}
+
 			setTimeout(() => {
-				if (end.type === 'reset') {
-					socket.resetAndDestroy();
-				} else {
-					socket.end();
-				}
+				endConnection(socket, end.type);
 			}, end.after);
 		}
 
