Bound the bodies that are passed on

A body without end, such as one called JSON, was passed on until its caller's deadline, and didn't count against its upstream. A body without end that comes slowly is still passed on until the deadline.

--- a/src/gateway/callers/caller-response.ts
+++ b/src/gateway/callers/caller-response.ts
@@ -9,7 +9,7 @@
 import {sendAnswer, type AnswerName} from './answers.js';
 import {KeptFailure} from './kept-failure.js';
 import {
-	readBody, forwardEvents, forwardLongBody, outrunReason, writeHead, type WholeBody,
+	brokenOffReason, readBody, forwardEvents, forwardLongBody, outrunReason, writeHead, type LongBody, type WholeBody,
 } from './response-forwarding.js';
 import {ResponseBuffer, type ReadingObserver} from './response-buffer.js';
 import {type ResponseBuffers} from './response-buffers.js';
@@ -21,6 +21,8 @@
 export type ReplyListener = ReadingObserver & {
 	/** Bytes of a stream without the end of an event after which it is given up. */
 	readonly maxEventBytes: number;
+	/** Bytes of a body that is no stream, after which it is given up. */
+	readonly maxBodyBytes: number;
 	/** Resolves once events of a stream may be passed on; undefined if they may be now. */
 	readonly yielding: Promise<void> | undefined;
 	/** Called before anything of the response is passed on; returns false if another attempt is kept, so that nothing may be. */
@@ -240,13 +242,7 @@
 					return {type: 'unknown', reason: outrunReason};
 				}
 
-				writeHead(this.#outgoing, reply);
-				if (await forwardLongBody(this.#buffer, reply, body) && await reply.isComplete()) {
-					this.#buffer.finish();
-					return {type: 'answered', status: reply.status};
-				}
-
-				return {type: 'unknown', reason: 'the answer broke off'};
+				return this.#forwardLong(reply, body, listener);
 			}
 
 			case 'whole': {
@@ -259,6 +255,22 @@
 		}
 	}
 
+	async #forwardLong(reply: Reply, body: LongBody, {maxBodyBytes}: ReplyListener): Promise<AttemptEnding> {
+		writeHead(this.#outgoing, reply);
+		const obstacle = await forwardLongBody(this.#buffer, reply, body, maxBodyBytes);
+		if (obstacle !== undefined) {
+			reply.body.destroy();
+			return {type: 'unknown', reason: obstacle};
+		}
+
+		if (!await reply.isComplete()) {
+			return {type: 'unknown', reason: brokenOffReason};
+		}
+
+		this.#buffer.finish();
+		return {type: 'answered', status: reply.status};
+	}
+
 	#forwardWhole(reply: Reply, body: WholeBody, {leads}: ReplyListener): AttemptEnding {
 		if (!leads()) {
 			this.#buffer.countUnbegun({source: reply, bytes: 0});
--- a/src/gateway/callers/response-forwarding.ts
+++ b/src/gateway/callers/response-forwarding.ts
@@ -60,7 +60,8 @@
 }
 
 const noSpaceReason = 'no space to hold the answer';
-const brokenOffReason = 'the answer broke off';
+/** Ending of an attempt whose response isn't complete. */
+export const brokenOffReason = 'the answer broke off';
 const insideEventReason = 'the stream ended inside an event';
 
 /** Ending of an attempt that another one has outrun. */
@@ -141,10 +142,13 @@
 /** A complete body. */
 export type WholeBody = {readonly type: 'whole'; readonly chunks: readonly Buffer[]; readonly length: number};
 
+/** The buffered beginning of a long body, and an iterator over the rest. */
+export type LongBody = {readonly type: 'long'; readonly begin: readonly Buffer[]; readonly rest: AsyncIterator<Buffer>};
+
 /** A complete body, the buffered beginning of a long one and an iterator over the rest, or the reason why it ended early. */
 export type ResponseBody
 	= | WholeBody
-		| {readonly type: 'long'; readonly begin: readonly Buffer[]; readonly rest: AsyncIterator<Buffer>}
+		| LongBody
 		| {readonly type: 'broken'; readonly reason: string; readonly isDisconnected: boolean};
 
 /**
@@ -191,21 +195,28 @@
  * @param buffer - Bytes for the caller, to whom the head has been sent.
  * @param reply - Response that it belongs to.
  * @param body - Body that is too long to buffer.
- * @returns Whether all of it was forwarded.
+ * @param maxBytes - Bytes after which it is given up.
+ * @returns Why it was not forwarded completely; undefined if it was.
  */
-export async function forwardLongBody(buffer: ResponseBuffer, reply: Reply, body: Extract<ResponseBody, {type: 'long'}>): Promise<boolean> {
+export async function forwardLongBody(buffer: ResponseBuffer, reply: Reply, body: LongBody, maxBytes: number): Promise<string | undefined> {
+	let length = body.begin.reduce((sum, chunk) => sum + chunk.length, 0);
 	try {
 		await buffer.write(body.begin, {unbegun: {source: reply, bytes: 0}});
 		for (let next = await body.rest.next(); !next.done; next = await body.rest.next()) {
+			length += next.value.length;
+			if (length > maxBytes) {
+				return `the body didn't end within ${maxBytes} bytes`;
+			}
+
 			await buffer.write([next.value]);
 			if (buffer.hasEnded) {
-				return false;
+				return noSpaceReason;
 			}
 		}
 
-		return true;
-	} catch {
+		return undefined;
+	} catch (error) {
 		// The caller notices the failure as this host does: its connection ends before the body is complete.
-		return false;
+		return messageOf(error);
 	}
 }
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -269,6 +269,7 @@
 				return run.yielding;
 			},
 			maxEventBytes: responseBounds.eventBytes,
+			maxBodyBytes: responseBounds.bodyBytes,
 			leads: () => run.lead(),
 			began() {
 				trace.noteFirstByte();
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -72,7 +72,9 @@
 		eventBytes: z.number().int().positive().default(1_000_000),
 		/** Interim responses (1xx) before the response. */
 		interim: z.number().int().nonnegative().default(16),
-	}).readonly().default({eventBytes: 1_000_000, interim: 16}),
+		/** Bytes of a body that is no stream. */
+		bodyBytes: z.number().int().positive().default(100_000_000),
+	}).readonly().prefault({}),
 	/** Retry budget of all hosts together: a share of the requests within a window, plus an allowance per window. */
 	retries: z.object({
 		ratio: z.number().min(0).default(0.2),
