Bound the memory of the bodies of all requests together

Bodies share a budget now; those that find no space are read later or refused as not run, while short ones get through.

--- a/bench/silences/host.ts
+++ b/bench/silences/host.ts
@@ -10,6 +10,7 @@
 import {ignore} from '../../src/entry/ignore.js';
 import {Log, type LogLine} from '../../src/entry/logs.js';
 import {Exchange} from '../../src/gateway/callers/exchange.js';
+import {RequestBodies} from '../../src/gateway/callers/request-bodies.js';
 import {ResponseBuffers} from '../../src/gateway/callers/response-buffers.js';
 import {Gateway} from '../../src/gateway/gateway.js';
 import {GatewayMetrics} from '../../src/gateway/metrics.js';
@@ -235,6 +236,7 @@
 			holds: new Holds(engineControl, this.#log, metrics, gateway.incarnation),
 			metrics,
 			responseBuffers: new ResponseBuffers({budget: 50_000_000, clock, metrics}),
+			requestBodies: new RequestBodies(undefined, metrics),
 			responseBounds: {eventBytes: 1_000_000, interim: 16, bodyBytes: 100_000_000},
 			log: this.#log,
 			clock,
--- a/src/gateway/callers/exchange.ts
+++ b/src/gateway/callers/exchange.ts
@@ -1,19 +1,27 @@
 /** Handles one request of a caller from its head to the end of the response. */
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {compareWithRoute} from '../../core/gateway/limits/priority.js';
 import {chooseService} from '../../core/gateway/registry/directory.js';
 import {type Demand} from '../../core/gateway/types.js';
+import {ByteBuffer} from '../../protocol/byte-buffer.js';
 import {type RequestMetadata} from '../platform-adapter.js';
 import {Dispatch} from '../requests/dispatch.js';
 import {type GatewayServices} from '../services.js';
 import {RequestTrace} from '../requests/trace.js';
 import {CallerResponse, baseRetryAfterSeconds, type StopReason} from './caller-response.js';
+import {type BodySpace} from './request-bodies.js';
 import {admit, type RoutedResolution} from './admission.js';
 
 /** Retry-After of callers refused because the configuration may be missing or stale: the store is read once per second. */
 const unconfiguredRetryAfterSeconds = 1;
 
+/** Retry-After of callers whose bodies find no memory here. */
+const bodyRetryAfterSeconds = 1;
+
+/** Longest body that memory is allocated for before it comes. */
+const maxAllocatedBytes = 8_000_000;
+
 /** Longest time of a timer of Node.js in milliseconds; a longer one ends at once. */
 const maxTimerMs = (2 ** 31) - 1;
 
@@ -68,7 +76,8 @@
 		}
 
 		this.#isReadingBody = true;
-		const body = await this.#readBody();
+		using space = await this.#reserveSpace();
+		const body = space === undefined ? undefined : await this.#readBody(space);
 		this.#isReadingBody = false;
 		if (body === undefined) {
 			return;
@@ -95,21 +104,50 @@
 		}
 	}
 
+	/** Returns space for the body, or undefined if the request has been refused: nothing is read of a body that has no space. */
+	async #reserveSpace(): Promise<BodySpace | undefined> {
+		if (this.#statedLength > this.#maxBodyBytes) {
+			this.#refuseBody('bodyTooLarge');
+			return undefined;
+		}
+
+		const space = await this.#services.requestBodies.reserve(this.#statedLength);
+		if (space === undefined) {
+			this.#refuseBody('overloaded');
+		}
+
+		return space;
+	}
+
+	/** Length of the body as its head states it; 0 if it doesn't. */
+	get #statedLength(): number {
+		return Number(this.#incoming.headers['content-length'] ?? 0);
+	}
+
+	get #maxBodyBytes(): number {
+		return this.#services.gateway.directory?.configuration.limits.bodyBytes ?? Number.POSITIVE_INFINITY;
+	}
+
+	/** Refuses the request, and drops the rest of its body. */
+	#refuseBody(name: 'bodyTooLarge' | 'overloaded'): void {
+		this.#outgoing.shouldKeepAlive = false;
+		this.#incoming.resume();
+		this.#callerResponse.refuse(name, bodyRetryAfterSeconds);
+	}
+
 	/** Returns the body of the request, or undefined if the request has been refused or its caller has left. */
-	async #readBody(): Promise<Buffer | undefined> {
-		const limit = this.#services.gateway.directory?.configuration.limits.bodyBytes ?? Number.POSITIVE_INFINITY;
-		const chunks: Buffer[] = [];
-		let length = 0;
+	async #readBody(space: BodySpace): Promise<Buffer | undefined> {
+		const bytes = new ByteBuffer(Math.min(this.#statedLength, maxAllocatedBytes));
+		let refusal: 'bodyTooLarge' | 'overloaded' | undefined;
 		try {
-			for await (const chunk of this.#incoming as AsyncIterable<Buffer>) {
-				length += chunk.length;
-				if (length > limit) {
-					this.#outgoing.shouldKeepAlive = false;
-					this.#callerResponse.refuse('bodyTooLarge');
-					return undefined;
+			for await (const chunk of this.#incoming.iterator({destroyOnReturn: false}) as AsyncIterable<Buffer>) {
+				const length = bytes.length + chunk.length;
+				if (length > this.#maxBodyBytes || !space.extendTo(length)) {
+					refusal = length > this.#maxBodyBytes ? 'bodyTooLarge' : 'overloaded';
+					break;
 				}
 
-				chunks.push(chunk);
+				bytes.append(chunk);
 			}
 		} catch {
 			// Reading fails only if the caller disconnects before its request is complete: nothing was forwarded, and no caller is waiting.
@@ -117,6 +155,11 @@
 			return undefined;
 		}
 
+		if (refusal !== undefined) {
+			this.#refuseBody(refusal);
+			return undefined;
+		}
+
 		if (this.#outgoing.headersSent) {
 			return undefined;
 		}
@@ -126,7 +169,7 @@
 			return undefined;
 		}
 
-		return Buffer.concat(chunks);
+		return bytes.take();
 	}
 
 	async #serve(metadata: RequestMetadata, body: Buffer, {route, organisation}: RoutedResolution): Promise<void> {
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -1,6 +1,7 @@
 /** Assembles a gateway process, and shuts it down gracefully without cutting off responses. */
 import {type Agent} from 'node:http';
 import {setImmediate as turn, setTimeout as sleep} from 'node:timers/promises';
+import {computeBodyBudget} from '../core/gateway/limits/request-bodies.js';
 import {planStop, type Stop} from '../core/gateway/limits/stop.js';
 import {computeResponseBudget} from '../core/gateway/limits/response-buffers.js';
 import {Clock} from '../entry/clock.js';
@@ -18,6 +19,7 @@
 import {Holds} from './requests/holds.js';
 import {AdminListener} from './admin/admin-listener.js';
 import {GatewayMetrics, MetricsListener} from './metrics.js';
+import {RequestBodies} from './callers/request-bodies.js';
 import {ResponseBuffers} from './callers/response-buffers.js';
 import {CallerListener, ReadyListener} from './callers/server.js';
 import {type Settings} from './settings.js';
@@ -74,6 +76,7 @@
 	readonly #callers: CallerListener;
 	readonly #metrics = new GatewayMetrics();
 	readonly #responseBuffers: ResponseBuffers;
+	readonly #requestBodies: RequestBodies;
 	readonly #upstreamPool: UpstreamPool;
 	readonly #tunnelServer: TunnelServer | undefined;
 	#stop: Stop | undefined;
@@ -111,6 +114,7 @@
 		const budget = settings.memory === undefined ? undefined : computeResponseBudget(settings.memory);
 		this.#metrics.responseBudget.set(budget ?? 0);
 		this.#responseBuffers = new ResponseBuffers({budget, clock: this.#clock, metrics: this.#metrics});
+		this.#requestBodies = new RequestBodies(settings.memory === undefined ? undefined : computeBodyBudget(settings.memory), this.#metrics);
 		this.#callers = this.#disposal.use(new CallerListener({
 			gateway: this.#gateway,
 			headerFormat: adapter.headerFormat,
@@ -126,6 +130,7 @@
 			holds: new Holds(engineControl, log, this.#metrics, this.#gateway.incarnation),
 			metrics: this.#metrics,
 			responseBuffers: this.#responseBuffers,
+			requestBodies: this.#requestBodies,
 			responseBounds: settings.responses,
 			log,
 			clock: this.#clock,
@@ -358,6 +363,7 @@
 		this.#metrics.uneven.set(this.#gateway.paces.unevenCount);
 		this.#metrics.badPaces.set(this.#gateway.paces.ignoredCount);
 		this.#metrics.unreachable.set(this.#gateway.reputation.unreachableDomains.size);
+		this.#metrics.bodyBytes.set(this.#requestBodies.held);
 		this.#metrics.responseBytes.set(this.#responseBuffers.held);
 		this.#metrics.responsesUnread.set(this.#responseBuffers.stoppedCount);
 		this.#metrics.evacuated.set(this.#gateway.registrations.evacuatedDomains.length);
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -62,6 +62,9 @@
 	readonly memoryWaiting: Gauge;
 	readonly shareRefusals: Counter;
 	readonly stopRefusals: Counter;
+	readonly bodyBytes: Gauge;
+	readonly bodiesWaited: Counter;
+	readonly bodiesRefused: Counter;
 	readonly prioritised: Counter;
 	readonly servicesPressed: Gauge;
 	readonly sharesKept: Gauge;
@@ -121,6 +124,9 @@
 		this.memoryWaiting = createGauge(registry, 'memory_waiting', 'Requests that wait for memory');
 		this.shareRefusals = createCounter(registry, 'share_refusals_total', 'Requests refused as their organisation used far more than its usual share', ['service']);
 		this.stopRefusals = createCounter(registry, 'stop_refusals_total', 'Requests refused as their answers could not be complete before this host stops', ['service']);
+		this.bodyBytes = createGauge(registry, 'request_body_bytes', 'Memory that the bodies of requests take');
+		this.bodiesWaited = createCounter(registry, 'request_bodies_waited_total', 'Requests whose bodies were read later, as memory was short', []);
+		this.bodiesRefused = createCounter(registry, 'request_bodies_refused_total', 'Requests refused as there was no memory for their bodies', []);
 		this.prioritised = createCounter(registry, 'prioritised_requests_total', 'Requests of organisations whose priority differs from that of the route', ['service', 'served']);
 		this.servicesPressed = createGauge(registry, 'services_full', 'Services whose upstreams were full within the last seconds');
 		this.sharesKept = createGauge(registry, 'organisation_shares', 'Organisations whose use of a service is kept');
--- a/src/gateway/services.ts
+++ b/src/gateway/services.ts
@@ -7,6 +7,7 @@
 import {type Holds} from './requests/holds.js';
 import {type GatewayMetrics} from './metrics.js';
 import {type Settings} from './settings.js';
+import {type RequestBodies} from './callers/request-bodies.js';
 import {type ResponseBuffers} from './callers/response-buffers.js';
 import {type UpstreamAgent} from './upstreams/agent.js';
 import {type EngineChecks} from './upstreams/engine-checks.js';
@@ -21,6 +22,8 @@
 	readonly holds: Holds;
 	readonly metrics: GatewayMetrics;
 	readonly responseBuffers: ResponseBuffers;
+	/** Space for the bodies of requests. */
+	readonly requestBodies: RequestBodies;
 	/** Bounds on what upstreams send that is no answer. */
 	readonly responseBounds: Settings['responses'];
 	readonly log: Log;
--- a/src/protocol/byte-buffer.ts
+++ b/src/protocol/byte-buffer.ts
@@ -6,9 +6,16 @@
  * pieces take no more memory than a few large ones.
  */
 export class ByteBuffer {
-	#block: Buffer = Buffer.alloc(0);
+	#block: Buffer;
 	#length = 0;
 
+	/**
+	 * @param expected - Bytes that are expected, for which no copies are made.
+	 */
+	constructor(expected = 0) {
+		this.#block = Buffer.allocUnsafe(expected);
+	}
+
 	/** Number of bytes. */
 	get length(): number {
 		return this.#length;
