Soak: draw odd heads, long and endless failures, late bodies and second signals

Responses with status 000, 101 and 600, long and endless 503 and 429, endless 500; bodies whose second half comes late; a second SIGTERM in each stop. The draws of other faults are as before. A payment that ran and was answered 408, 421, 429 or 503 breaks a guarantee now, as one with the platform's header did.

--- a/bench/gateway/caller-requests.ts
+++ b/bench/gateway/caller-requests.ts
@@ -24,6 +24,8 @@
 	readonly body?: string;
 	readonly agent?: Agent;
 	readonly signal?: AbortSignal;
+	/** Milliseconds between the halves of the body. */
+	readonly bodyDelay?: number;
 	/** Milliseconds for which nothing is read after the head of the answer. */
 	readonly readingDelay?: number;
 	/** Called with each chunk of the body. */
@@ -90,7 +92,18 @@
 				reject(new ConnectionError(error, outgoing.reusedSocket));
 			}
 		});
-		outgoing.end(callerRequest.body);
+		const {body = '', bodyDelay} = callerRequest;
+		if (bodyDelay === undefined) {
+			outgoing.end(callerRequest.body);
+			return;
+		}
+
+		const half = Math.ceil(body.length / 2);
+		outgoing.setHeader('Content-Length', body.length);
+		outgoing.write(body.slice(0, half));
+		setTimeout(() => {
+			outgoing.end(body.slice(half));
+		}, bodyDelay);
 	});
 }
 
--- a/bench/soak/__tests__/soak.test.ts
+++ b/bench/soak/__tests__/soak.test.ts
@@ -43,6 +43,7 @@
 		['never answered', buildRequest({type: 'never'}), 1],
 		['for another request', buildRequest({type: 'answered', answer: buildAnswer(), received: 'b'}), 1],
 		['reported as not executed, but ran', buildRequest({type: 'answered', answer: buildAnswer({status: 503, headers: {'x-not-executed': '1'}}), received: ''}), 1],
+		['a promise that nothing ran, though it ran', buildRequest({type: 'answered', answer: buildAnswer({status: 429}), received: ''}), 1],
 		['cut', buildRequest(cut), 1],
 		['executed twice', buildRequest(whole), 2],
 	])('are broken by an answer that is %s', (_, request, runs) => {
--- a/bench/soak/plan.ts
+++ b/bench/soak/plan.ts
@@ -1,6 +1,7 @@
 /** Plans the faults of a soak and their times from a seed. */
 import {type Random} from '../../src/core/index.js';
 import {type Severance} from '../../stand-ins/proxy/severable-link.js';
+import {oddHeads, type OddHead} from '../../stand-ins/gateway/odd-heads.js';
 import {createRandom} from '../model/workload.js';
 
 /** How an upstream fails requests, or frames its responses. */
@@ -19,7 +20,7 @@
 	= | {readonly type: 'kill'; readonly host: number; readonly down: number}
 	/** SIGSTOP, then SIGCONT after `length`. */
 		| {readonly type: 'pause'; readonly host: number; readonly length: number}
-	/** SIGTERM, then a restart once the process has ended. */
+	/** SIGTERM, and again before the process has ended; then a restart. */
 		| {readonly type: 'stop'; readonly host: number}
 	/** SIGHUP. */
 		| {readonly type: 'reload'; readonly host: number}
@@ -30,7 +31,7 @@
 	/** The store gets a new configuration version. */
 		| {readonly type: 'publish'}
 	/** An upstream fails requests in the given way. */
-		| {readonly type: 'upstream'; readonly upstream: number; readonly fault: UpstreamFault; readonly length: number}
+		| {readonly type: 'upstream'; readonly upstream: number; readonly fault: OddHead | UpstreamFault; readonly length: number}
 	/** An upstream's registration is removed, and added again after `length`. */
 		| {readonly type: 'leave'; readonly upstream: number; readonly length: number}
 	/** Upstreams state a rate limit, in requests per second. */
@@ -137,6 +138,11 @@
 const gapBetweenEnginePauses = {least: 300, most: 4000};
 const enginePauseLengthMs = {least: 1000, most: 1900};
 
+/** The same for upstreams whose responses have heads that can't be passed on. */
+const oddHeadSeedOffset = 11_000_027;
+const gapBetweenOddHeads = {least: 1000, most: 5000};
+const oddHeadLengthMs = {least: 200, most: 1500};
+
 const foreignTypes = ['foreign-seed', 'foreign-address'] as const;
 
 const statementTypes = ['limit', 'depart', 'refuse'] as const;
@@ -217,6 +223,12 @@
 	};
 }
 
+function drawOddHead(random: Random, {upstreams}: PlanOptions): Fault {
+	return {
+		type: 'upstream', upstream: random.integer(0, upstreams - 1), fault: pick(random, oddHeads), length: random.integer(oddHeadLengthMs.least, oddHeadLengthMs.most),
+	};
+}
+
 function drawFault(random: Random, type: Fault['type'], options: PlanOptions): Fault {
 	const host = random.integer(0, options.hosts - 1);
 	const upstream = random.integer(0, options.upstreams - 1);
@@ -351,6 +363,7 @@
 		planSeparately(createRandomAfterFirst(seed + poisonSeedOffset), length, gapBetweenPoisons, draw('poison')),
 		planSeparately(createRandomAfterFirst(seed + crashSeedOffset), length, gapBetweenCrashes, draw('crash')),
 		planSeparately(createRandomAfterFirst(seed + crowdSeedOffset), length, gapBetweenCrowds, draw('crowd')),
+		planSeparately(createRandomAfterFirst(seed + oddHeadSeedOffset), length, gapBetweenOddHeads, random => drawOddHead(random, options)),
 		planSeparately(createRandomAfterFirst(seed + enginePauseSeedOffset), length, gapBetweenEnginePauses, draw('pause-engines')),
 		options.hasSeverableLinks ? planSeparately(createRandomAfterFirst(seed + severanceSeedOffset), length, gapBetweenSeverances, draw('sever')) : [],
 	].flat();
--- a/bench/soak/testbed.ts
+++ b/bench/soak/testbed.ts
@@ -30,6 +30,9 @@
  */
 const stopGraceMs = 12_000;
 
+/** Milliseconds between the signals of a stop. */
+const secondSignalDelayMs = 400;
+
 /** Time after the store's return from a backup within which everything is written to it again. */
 const rewriteTimeMs = 2000;
 
@@ -538,7 +541,11 @@
 		await this.#recordOutage(host, 'stopping', async process => {
 			const ended = once(process.process, 'exit');
 			process.process.kill('SIGTERM');
+			const again = setTimeout(() => {
+				process.process.kill('SIGTERM');
+			}, secondSignalDelayMs);
 			await ended;
+			clearTimeout(again);
 			await this.#restart(host, process);
 		});
 	}
--- a/stand-ins/gateway/faults.ts
+++ b/stand-ins/gateway/faults.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
 import {assertNever} from '../../src/core/index.js';
+import {isOddHead, sendOddHead, type OddHead} from './odd-heads.js';
 import {UnframedResponse} from './unframed-response.js';
 
 /** How an upstream treats requests. */
@@ -36,7 +37,9 @@
 	/** Sends a second, unsolicited answer shortly after the first. */
 		| 'extra'
 	/** Answers before it has read the request body. */
-		| 'early';
+		| 'early'
+	/** Runs the request and answers with a head that can't be passed on. */
+		| OddHead;
 
 /** Delay between separately sent parts of an answer. */
 const partDelayMs = 20;
@@ -87,6 +90,11 @@
 export async function sendPlainAnswer(outgoing: ServerResponse, answer: PlainAnswer): Promise<void> {
 	const {fault, id, signature, payload} = answer;
 	const head = {'x-request-id': id, 'x-response-signature': signature};
+	if (isOddHead(fault)) {
+		sendOddHead(outgoing, id, signature, fault);
+		return;
+	}
+
 	switch (fault) {
 		case 'error': {
 			sendWithLength(outgoing, 500, head);
--- a/stand-ins/gateway/upstream.ts
+++ b/stand-ins/gateway/upstream.ts
@@ -11,6 +11,7 @@
 import {type EngineModel} from '../../src/core/gateway/types.js';
 import {Batch, computeMemory, type BatchJob} from './batch.js';
 import {sendPlainAnswer, type Fault} from './faults.js';
+import {isOddHead, sendOddHead} from './odd-heads.js';
 import {type Ledger} from './ledger.js';
 import {Tickets} from './tickets.js';
 import {UnframedResponse} from './unframed-response.js';
@@ -453,6 +454,11 @@
 	}
 
 	async #serveStream(id: string, incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+		if (isOddHead(this.fault)) {
+			sendOddHead(outgoing, id, this.id, this.fault);
+			return;
+		}
+
 		if (this.fault === 'error') {
 			outgoing.writeHead(500, {'x-request-id': id, 'x-response-signature': this.id, 'content-length': 0});
 			outgoing.end();
