Don't take bytes that are no response for a crash

An upstream that answered with bytes that Node.js's parser refuses counted as crashed under the request, as evidence by which requests, and parts that sound ones share, are refused. The connection was closed by this host, not by the upstream.

response-heads.test.ts, 'no head' and 'a chunk without a length': both failed before (reports of crashes; an upstream that got no request), and pass now.

--- a/__tests__/gateway/response-heads.test.ts
+++ b/__tests__/gateway/response-heads.test.ts
@@ -47,6 +47,8 @@
 	'status 600': answerWith('600 Odd'),
 	'status 999': answerWith('999 Odd'),
 	'status 204 with a body': answerWith('204 No Content'),
+	'no head': {first: () => 'no response\r\n\r\n'},
+	'a chunk without a length': answerWith('200 OK', 'Transfer-Encoding: chunked\r\n', '5\r\nhello\r\nno length\r\n'),
 	...Object.fromEntries(['503 Busy', '429 Busy', '408 Late'].flatMap((status): ReadonlyArray<readonly [string, RawAnswer]> => [
 		[`a long ${status} with a length`, answerWith(status, `Content-Length: ${longBytes}\r\n`, longText)],
 		[`a long ${status} in chunks`, answerWith(status, 'Transfer-Encoding: chunked\r\n', `${longBytes.toString(16)}\r\n${longText}\r\n0\r\n\r\n`)],
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -325,9 +325,9 @@
 	}
 
 	/** A connection that breaks is evidence of a crash if its upstream has ended it, rather than a link or the host that carried it. */
-	async #recordBreak(ending: AttemptEnding, {tunnel}: Attempt, running: RunningAttempt, target: GatewayUpstream): Promise<void> {
+	async #recordBreak(ending: AttemptEnding, {tunnel, isMalformed}: Attempt, running: RunningAttempt, target: GatewayUpstream): Promise<void> {
 		const {convictions, tunnels} = this.#state.services.gateway;
-		if (ending.type !== 'unknown' || ending.isDisconnected !== true) {
+		if (ending.type !== 'unknown' || ending.isDisconnected !== true || isMalformed) {
 			return;
 		}
 
--- a/src/gateway/upstreams/attempt.ts
+++ b/src/gateway/upstreams/attempt.ts
@@ -67,6 +67,11 @@
 	return error instanceof ConnectionFailure ? {failure: error.failure, isLinkDoubtful: error.isLinkDoubtful} : {failure: 'silent', isLinkDoubtful: false};
 }
 
+/** Whether the parser of Node.js has refused bytes, rather than met the end of the connection. */
+function isParseError(error: Error & {readonly code?: string}): boolean {
+	return error.code?.startsWith('HPE_') === true && error.code !== 'HPE_INVALID_EOF_STATE';
+}
+
 function describeHead(id: string, status: number, metadata: ResponseMetadata, {headers}: IncomingMessage): ResponseHead {
 	return {
 		status,
@@ -89,6 +94,7 @@
 	readonly #cancellation = new AbortController();
 	#cancelled: CancelReason | undefined;
 	#isBroken = false;
+	#isMalformed = false;
 	#framing: Framing | undefined;
 	#tunnel: Tunnel | undefined;
 	#endUnsent: (() => void) | undefined;
@@ -118,6 +124,11 @@
 		return this.#cancelled;
 	}
 
+	/** Whether the upstream has sent bytes that are no response; this host has closed the connection then. */
+	get isMalformed(): boolean {
+		return this.#isMalformed;
+	}
+
 	/** What marks the end of the response; undefined if its head hasn't been received. */
 	get framing(): Framing | undefined {
 		return this.#framing;
@@ -162,6 +173,7 @@
 			});
 			outgoing.on('error', error => {
 				this.#isBroken = true;
+				this.#isMalformed ||= isParseError(error);
 				resolve(this.#endWithoutReply(error.message, findAbsence(error)));
 			});
 			outgoing.on('close', () => {
