Keep responses to calls and whole bodies in one block, and bound answers of engines

Orders and health checks accepted 16 MB, which a faulty engine could send in chunks of a byte, each of them a buffer of its own.

--- a/src/gateway/callers/caller-response.ts
+++ b/src/gateway/callers/caller-response.ts
@@ -308,9 +308,9 @@
 		}
 	}
 
-	#sendWhole(reply: Reply, {chunks, length}: WholeBody): void {
-		writeHead(this.#outgoing, reply, length);
-		this.#buffer.finish(chunks);
+	#sendWhole(reply: Reply, {bytes}: WholeBody): void {
+		writeHead(this.#outgoing, reply, bytes.length);
+		this.#buffer.finish([bytes]);
 	}
 
 	/** Returns an answer that claims only what is known: that the request has not run only if no attempt may have run it. */
--- a/src/gateway/callers/response-forwarding.ts
+++ b/src/gateway/callers/response-forwarding.ts
@@ -3,6 +3,7 @@
 import {type ServerResponse} from 'node:http';
 import {messageOf} from '../../core/index.js';
 import {type AttemptEnding} from '../../core/gateway/limits/retries.js';
+import {ByteBuffer} from '../../protocol/byte-buffer.js';
 import {EventSplitter} from '../../protocol/event-splitter.js';
 import {type Reply} from '../upstreams/attempt.js';
 import {filterEndToEndHeaders} from './headers.js';
@@ -140,10 +141,10 @@
 }
 
 /** A complete body. */
-export type WholeBody = {readonly type: 'whole'; readonly chunks: readonly Buffer[]; readonly length: number};
+export type WholeBody = {readonly type: 'whole'; readonly bytes: Buffer};
 
 /** The buffered beginning of a long body, and an iterator over the rest. */
-export type LongBody = {readonly type: 'long'; readonly begin: readonly Buffer[]; readonly rest: AsyncIterator<Buffer>};
+export type LongBody = {readonly type: 'long'; readonly begin: Buffer; readonly rest: AsyncIterator<Buffer>};
 
 /** A complete body, the buffered beginning of a long one and an iterator over the rest, or the reason why it ended early. */
 export type ResponseBody
@@ -159,23 +160,21 @@
  * @returns Body.
  */
 export async function readBody(reply: Reply, buffer: ResponseBuffer): Promise<ResponseBody> {
-	const chunks: Buffer[] = [];
-	let length = 0;
+	const bytes = new ByteBuffer();
 	buffer.addEndHandler(() => {
 		reply.body.destroy();
 	});
 	const iterator = (reply.body as AsyncIterable<Buffer>)[Symbol.asyncIterator]();
 	try {
 		for (let next = await iterator.next(); !next.done; next = await iterator.next()) {
-			chunks.push(next.value);
-			length += next.value.length;
-			buffer.countUnbegun({source: reply, bytes: length});
+			bytes.append(next.value);
+			buffer.countUnbegun({source: reply, bytes: bytes.length});
 			if (buffer.hasEnded) {
 				return {type: 'broken', reason: noSpaceReason, isDisconnected: false};
 			}
 
-			if (length > maxBufferedBytes || (buffer.isShortOfSpace && reply.status < 300)) {
-				return {type: 'long', begin: chunks, rest: iterator};
+			if (bytes.length > maxBufferedBytes || (buffer.isShortOfSpace && reply.status < 300)) {
+				return {type: 'long', begin: bytes.take(), rest: iterator};
 			}
 		}
 	} catch (error) {
@@ -188,7 +187,7 @@
 		return {type: 'broken', reason: brokenOffReason, isDisconnected: true};
 	}
 
-	return {type: 'whole', chunks, length};
+	return {type: 'whole', bytes: bytes.take()};
 }
 
 /**
@@ -199,9 +198,9 @@
  * @returns Why it was not forwarded completely; undefined if it was.
  */
 export async function forwardLongBody(buffer: ResponseBuffer, reply: Reply, body: LongBody, maxBytes: number): Promise<string | undefined> {
-	let length = body.begin.reduce((sum, chunk) => sum + chunk.length, 0);
+	let {length} = body.begin;
 	try {
-		await buffer.write(body.begin, {unbegun: {source: reply, bytes: 0}});
+		await buffer.write([body.begin], {unbegun: {source: reply, bytes: 0}});
 		for (let next = await body.rest.next(); !next.done; next = await body.rest.next()) {
 			length += next.value.length;
 			if (length > maxBytes) {
--- a/src/gateway/calls.ts
+++ b/src/gateway/calls.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {request, type Agent, type IncomingHttpHeaders} from 'node:http';
 import {messageOf, raise, type Address} from '../core/index.js';
+import {ByteBuffer} from '../protocol/byte-buffer.js';
 import {limitInterimResponses} from '../protocol/interim-responses.js';
 
 export type Call = {
@@ -12,6 +13,8 @@
 	readonly headers?: Readonly<Record<string, string>>;
 	/** Milliseconds for the whole call. */
 	readonly timeout: number;
+	/** Longest response in bytes; that of an engine's answer to an order or a health check if absent. */
+	readonly maxResponseBytes?: number;
 	readonly agent: Agent;
 };
 
@@ -22,7 +25,7 @@
 };
 
 /** Longer responses fail the call, and so do more interim responses. */
-const maxResponseBytes = 16_000_000;
+const usualMaxResponseBytes = 1_000_000;
 const maxInterimResponses = 16;
 
 /**
@@ -31,7 +34,9 @@
  * @throws Error if no complete response arrives in time.
  */
 export async function callJson(call: Call): Promise<CallResponse> {
-	const {address, method, path, body, timeout, agent, headers} = call;
+	const {
+		address, method, path, body, timeout, agent, headers, maxResponseBytes = usualMaxResponseBytes,
+	} = call;
 	const payload = body === undefined ? undefined : Buffer.from(JSON.stringify(body));
 	return new Promise((resolve, reject) => {
 		const outgoing = request({
@@ -53,19 +58,19 @@
 
 		outgoing.on('error', fail);
 		outgoing.on('response', response => {
-			const chunks: Buffer[] = [];
-			let length = 0;
+			const bytes = new ByteBuffer();
 			response.on('data', (chunk: Buffer) => {
-				chunks.push(chunk);
-				length += chunk.length;
-				if (length > maxResponseBytes) {
-					outgoing.destroy(new Error('response too long'));
+				if (bytes.length + chunk.length > maxResponseBytes) {
+					outgoing.destroy(new Error(`response longer than ${maxResponseBytes} bytes`));
+					return;
 				}
+
+				bytes.append(chunk);
 			});
 			response.on('error', fail);
 			response.on('end', () => {
 				clearTimeout(timer);
-				resolve({status: response.statusCode ?? 0, headers: response.headers, text: Buffer.concat(chunks).toString('utf8')});
+				resolve({status: response.statusCode ?? 0, headers: response.headers, text: bytes.bytes.toString('utf8')});
 			});
 		});
 		outgoing.end(payload);
