Keep a part of the budget of bodies for short ones, whatever long ones take

A single body that exceeds the budget kept requests without a body waiting. Long and short bodies are counted apart now. A failure whose body is still read as its caller leaves is logged as ended by the caller.

--- a/src/core/gateway/limits/request-bodies.ts
+++ b/src/core/gateway/limits/request-bodies.ts
@@ -11,7 +11,7 @@
 /** Budget on a host that has little or no spare memory, as a share of its memory. */
 const leastShare = 1 / 16;
 
-/** Bodies up to this length may use the whole budget, longer ones a share of it. */
+/** Longer bodies take at most this share of the budget, so that shorter ones always find a part. */
 const shortBytes = 65_536;
 const longShare = 7 / 8;
 
@@ -23,10 +23,15 @@
 	return Math.max((memory - processMegabytes) * spareShare, memory * leastShare) * bytesPerMegabyte;
 }
 
+function isShort(bytes: number): boolean {
+	return bytes <= shortBytes;
+}
+
 /** Bytes of the bodies of all requests of a host. */
 export class BodyBudget {
 	readonly #budget: number;
-	#total = 0;
+	#short = 0;
+	#long = 0;
 
 	/**
 	 * @param budget - Bytes that all bodies may take together.
@@ -37,28 +42,40 @@
 
 	/** Bytes that are taken. */
 	get total(): number {
-		return this.#total;
+		return this.#short + this.#long;
 	}
 
 	/**
 	 * @param bytes - Length of a body.
-	 * @returns Whether there is space for it. A single body always has space.
+	 * @returns Whether there is space for it. A single long body always has space.
 	 */
 	hasSpace(bytes: number): boolean {
-		return this.#total === 0 || this.#total + bytes <= this.#budget * (bytes <= shortBytes ? 1 : longShare);
+		if (isShort(bytes)) {
+			return bytes === 0 || this.#short + bytes <= Math.max(this.#budget - this.#long, this.#budget * (1 - longShare));
+		}
+
+		return this.#long === 0 || this.#long + bytes <= this.#budget * longShare;
 	}
 
 	/**
-	 * @param bytes - Bytes that are taken from now on.
+	 * @param bytes - Length of a body that is held from now on.
 	 */
 	take(bytes: number): void {
-		this.#total += bytes;
+		this.#add(bytes, bytes);
 	}
 
 	/**
-	 * @param bytes - Bytes that are free again.
+	 * @param bytes - Length of a body that is no longer held.
 	 */
 	release(bytes: number): void {
-		this.#total -= bytes;
+		this.#add(bytes, -bytes);
+	}
+
+	#add(length: number, change: number): void {
+		if (isShort(length)) {
+			this.#short += change;
+		} else {
+			this.#long += change;
+		}
 	}
 }
--- a/src/gateway/callers/caller-response.ts
+++ b/src/gateway/callers/caller-response.ts
@@ -284,7 +284,12 @@
 	/** Passes on a failure, unless its body can't be read or the request has ended meanwhile. */
 	async #concludeWith({reply, body}: KeptFailure, name: AnswerName, wait: number): Promise<void> {
 		const whole = await body;
-		if (this.#outgoing.headersSent || this.#outgoing.destroyed) {
+		if (this.#outgoing.destroyed) {
+			this.#trace.finish('caller left');
+			return;
+		}
+
+		if (this.#outgoing.headersSent) {
 			return;
 		}
 
--- a/src/gateway/callers/request-bodies.ts
+++ b/src/gateway/callers/request-bodies.ts
@@ -79,18 +79,19 @@
 		this.#budget.take(bytes);
 		return {
 			extendTo: length => {
-				const missing = length - taken;
-				if (missing > 0) {
-					if (!this.#budget.hasSpace(missing)) {
-						this.#metrics.bodiesRefused.inc();
-						return false;
-					}
+				if (length <= taken) {
+					return true;
+				}
 
-					this.#budget.take(missing);
-					taken = length;
+				this.#budget.release(taken);
+				const hasSpace = this.#budget.hasSpace(length);
+				taken = hasSpace ? length : taken;
+				this.#budget.take(taken);
+				if (!hasSpace) {
+					this.#metrics.bodiesRefused.inc();
 				}
 
-				return true;
+				return hasSpace;
 			},
 			[Symbol.dispose]: () => {
 				this.#budget.release(taken);
