Place a request again if an upstream accepts it just after none did

Cause: a request for which no upstream was free was placed at one moment, and what keeps upstreams was looked up some milliseconds later.

It is placed once more then.

--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -212,6 +212,11 @@
 	expect(await runWithoutUpstream({waits: [700], hasBegun: false})).toEqual([['overloaded', 700], 1]);
 });
 
+it('places a request once more if an upstream accepts it just after none did', async () => {
+	expect(await runWithoutUpstream({waits: [0, 250], hasBegun: false})).toEqual([['overloaded', 250], 2]);
+	expect(await runWithoutUpstream({waits: [0, 0], hasBegun: false})).toEqual([['noUpstream', 0], 2]);
+});
+
 it('waits for an upstream if the caller has part of its stream, and ends it once none is left', async () => {
 	expect(await runWithoutUpstream({waits: [20, 10, undefined], hasBegun: true})).toEqual([['noUpstream', 0], 3]);
 });
--- a/src/gateway/requests/dispatch.ts
+++ b/src/gateway/requests/dispatch.ts
@@ -33,6 +33,8 @@
 	/** Reserves memory for attempts that replace none. */
 	readonly #reservedAttempt: ReservedAttempt;
 	#succession: Succession | undefined;
+	/** Whether the request was placed again as an upstream accepted it just after none did. */
+	#hasRetriedPlacement = false;
 
 	/**
 	 * @param services - Services shared by all requests.
@@ -188,13 +190,20 @@
 	}
 
 	/**
-	 * Handles a request that no upstream accepts now. One whose caller has part of its answer waits, any other ends at once.
+	 * Handles a request that was not placed. One whose caller has part of its answer waits, any other ends at once.
 	 *
 	 * @returns Whether to try again.
 	 */
 	async #waitOrConclude(): Promise<boolean> {
 		const {services: {gateway}, request: {demand}, attempts, callerResponse, stopReason} = this.#state;
-		const wait = gateway.placements.computeWait(demand.service, attempts.eligibility) ?? 0;
+		const shortestWait = gateway.placements.computeWait(demand.service, attempts.eligibility);
+		// What kept an upstream from accepting the request may have ended since. Only once, as it may also lack something else.
+		if (shortestWait === 0 && !this.#hasRetriedPlacement) {
+			this.#hasRetriedPlacement = true;
+			return true;
+		}
+
+		const wait = shortestWait ?? 0;
 		if (wait > 0 && callerResponse.hasBegun) {
 			await sleep(Math.min(wait, maxSleepMs));
 			return true;
