Judge the bytes of each response before the HTTP parser of Node.js reads them

A server sent responses in whose heads the name of a field held a blank or a control byte. Callers got such a line passed on, a body with the frames of its chunks (2,012 bytes for 2,000), or a reset though other servers were sound. Nothing but the parser of Node.js judged the grammar of a head, and what it accepts depends on its release and options: that of 20.10.0, which package.json allows, takes names with a blank, and joins folded lines.

ResponseValidator judges status lines, fields, lengths, chunks and trailers byte by byte, as part of the connection, and at most 16 KB of a head. All readers of responses use such connections: direct ones and tunnels, checks, orders, the store, the calls of the entry daemon, the configuration service, the command line. What is refused ends the connection, counts against the upstream, and is no evidence of a crash. What passes is read in the same way by every parser.

Tests that gave readers an agent of Node.js give them a validating one.

--- a/bench/gateway/host.ts
+++ b/bench/gateway/host.ts
@@ -10,6 +10,9 @@
 /** Address on which all processes of a site listen. */
 export const loopback = '127.0.0.1';
 
+/** Node.js that runs the processes; another release than that of the tests may be set. */
+const nodePath = process.env.GATEWAY_NODE ?? process.execPath;
+
 /** One gateway process and the log lines that it wrote. */
 export class Host {
 	readonly name: string;
@@ -22,10 +25,18 @@
 	/** Path of the settings file. */
 	readonly settingsFile: string;
 	readonly lines: Array<Record<string, unknown>> = [];
+	readonly #nodeOptions: readonly string[];
 	#process: ChildProcess | undefined;
 	#partialLine = '';
 
-	constructor(name: string, ports: readonly number[], settingsFile: string) {
+	/**
+	 * @param name - Name of the host.
+	 * @param ports - Ports of its listeners.
+	 * @param settingsFile - Path of its settings file.
+	 * @param nodeOptions - Options of Node.js for its process.
+	 */
+	constructor(name: string, ports: readonly number[], settingsFile: string, nodeOptions: readonly string[] = []) {
+		this.#nodeOptions = nodeOptions;
 		this.name = name;
 		this.caller = {host: loopback, port: ports[0]!};
 		this.ready = {host: loopback, port: ports[1]!};
@@ -42,7 +53,7 @@
 
 	/** Starts the process. */
 	start(): void {
-		this.#process = spawn(process.execPath, ['dist/platform/main.js'], {
+		this.#process = spawn(nodePath, [...this.#nodeOptions, 'dist/platform/main.js'], {
 			env: {...process.env, CRANBERRYTIDE_CONFIG: this.settingsFile}, stdio: ['ignore', 'pipe', 'inherit'],
 		});
 		this.#process.stdout!.on('data', chunk => {
--- a/bench/gateway/site.ts
+++ b/bench/gateway/site.ts
@@ -28,6 +28,8 @@
 	readonly failureDomains?: readonly string[];
 	/** Host settings that replace the defaults. */
 	readonly settings?: Readonly<Record<string, unknown>>;
+	/** Options of Node.js for the processes of the hosts. */
+	readonly nodeOptions?: readonly string[];
 	/** Peer addresses that every host gets as seeds after the first host of the site. */
 	readonly extraSeeds?: readonly Address[];
 	/** Index of the host that uses the secondary address of the store. */
@@ -41,7 +43,7 @@
 export class Site implements AsyncDisposable {
 	/** Starts a site and waits until all its hosts are ready. */
 	static async start(options: SiteOptions = {}): Promise<Site> {
-		const site = new Site(options.link ?? (async (_, target) => target));
+		const site = new Site(options.link ?? (async (_, target) => target), options.nodeOptions ?? []);
 		const domains = options.failureDomains ?? ['a'];
 		const domainOf = (index: number) => domains[index % domains.length]!;
 		await site.store.listen();
@@ -84,6 +86,7 @@
 	readonly engines: UpstreamStandIn[] = [];
 	readonly plains: UpstreamStandIn[] = [];
 	readonly #link: (name: string, target: Address) => Promise<Address>;
+	readonly #nodeOptions: readonly string[];
 	/** Addresses at which hosts reach the upstreams, by upstream id. */
 	readonly #upstreamAddresses = new Map<string, Address>();
 	/** Links to the upstreams, by host and upstream. */
@@ -91,8 +94,9 @@
 	#isDisposed = false;
 	readonly #directory = mkdtempSync(path.join(tmpdir(), 'site-'));
 
-	private constructor(link: (name: string, target: Address) => Promise<Address>) {
+	private constructor(link: (name: string, target: Address) => Promise<Address>, nodeOptions: readonly string[]) {
 		this.#link = link;
+		this.#nodeOptions = nodeOptions;
 	}
 
 	/**
@@ -213,7 +217,7 @@
 		}
 
 		const file = path.join(this.#directory, `${name}.json`);
-		const host = new Host(name, ports, file);
+		const host = new Host(name, ports, file, this.#nodeOptions);
 		writeFileSync(file, JSON.stringify({
 			host: name,
 			caller: formatAddress(host.caller),
--- a/bench/silences/engines.ts
+++ b/bench/silences/engines.ts
@@ -103,9 +103,9 @@
 		this.#silentUntil = Math.max(this.#silentUntil, this.#options.now() + duration);
 	}
 
-	/** Returns the client's end of a new connection to it. */
+	/** Returns the client's end of a new connection to it; there is nothing to validate in the responses of this process. */
 	connect(): Duplex {
-		return connectTo(this.#server);
+		return Object.assign(connectTo(this.#server), {expectResponse: () => undefined});
 	}
 
 	/** Closes its connections, as the end of its process does. */
--- a/src/admin/client.ts
+++ b/src/admin/client.ts
@@ -1,5 +1,5 @@
 /** Client of the hosts' admin endpoints, shared by the command line and the console. */
-import {got, type Response} from 'got';
+import {type Response} from 'got';
 import {type z} from 'zod';
 import {
 	isFailure, raise, type Address, type Failure,
@@ -20,6 +20,7 @@
 	type Status,
 } from '../protocol/admin.js';
 import {formatAddress} from '../protocol/address.js';
+import {client} from '../protocol/http/client.js';
 
 const answerTimeoutMs = 5000;
 
@@ -131,7 +132,7 @@
 	const url = `http://${formatAddress(address)}/admin/${path}`;
 	const common = {throwHttpErrors: false, retry: {limit: 0}, timeout: {request: timeout}} as const;
 	try {
-		return body === undefined ? await got.get(url, common) : await got.post(url, {...common, json: body});
+		return body === undefined ? await client.get(url, common) : await client.post(url, {...common, json: body});
 	} catch (error) {
 		return raise('unreachableHost', `${formatAddress(address)}: ${error instanceof Error ? error.message : 'no answer'}`);
 	}
--- a/src/cli/sending/call.ts
+++ b/src/cli/sending/call.ts
@@ -1,10 +1,9 @@
 /** Sends one HTTP request and returns its answer as a stream. */
 import {Buffer} from 'node:buffer';
-import {
-	got, type Method, type PlainResponse, type Request,
-} from 'got';
+import {type Method, type PlainResponse, type Request} from 'got';
 import {type Address} from '../../core/index.js';
 import {formatAddress} from '../../protocol/address.js';
+import {client} from '../../protocol/http/client.js';
 
 /** HTTP request, without the address of the host. */
 export type Call = {
@@ -31,7 +30,7 @@
  * @returns The answer; its body throws if the connection is lost.
  */
 export async function sendCall(address: Address, call: Call): Promise<Reply> {
-	const stream = got.stream(`http://${formatAddress(address)}${call.path}`, {
+	const stream = client.stream(`http://${formatAddress(address)}${call.path}`, {
 		method: call.method,
 		headers: call.headers,
 		...(call.body !== undefined && {body: call.body}),
--- a/src/configuration-service/client.ts
+++ b/src/configuration-service/client.ts
@@ -1,6 +1,6 @@
 /** Client of the platform's configuration service and host list. */
-import got from 'got';
 import {type Address, type Member} from '../core/index.js';
+import {client} from '../protocol/http/client.js';
 import {hostsSchema} from './protocol.js';
 
 /** Added to the requested wait of a long poll. */
@@ -60,7 +60,7 @@
 
 	async #get(path: string, wait: number, signal: AbortSignal) {
 		this.#calls++;
-		return got(`http://${this.#address.host}:${this.#address.port}${path}`, {
+		return client(`http://${this.#address.host}:${this.#address.port}${path}`, {
 			retry: {limit: 0},
 			timeout: {request: wait + answerTimeoutMs},
 			signal,
--- a/src/gateway/__tests__/calls.test.ts
+++ b/src/gateway/__tests__/calls.test.ts
@@ -1,9 +1,9 @@
 /** Calls to the store and to control endpoints: what a server sends without end is not kept. */
 import {once} from 'node:events';
-import {Agent} from 'node:http';
 import {createServer, type Server, type Socket} from 'node:net';
 import {afterEach, expect, it} from 'vitest';
 import {getPort} from '../../entry/ports.js';
+import {ValidatingAgent} from '../../protocol/http/validated-request.js';
 import {callJson} from '../calls.js';
 
 let server: Server | undefined;
@@ -46,7 +46,7 @@
 	['10,000 bytes', `2710\r\n${'x'.repeat(10_000)}\r\n`],
 ])('a response without end fails the call, and its connection is closed, if its chunks have %s', async (_, piece) => {
 	const port = await listen(piece);
-	const agent = new Agent();
+	const agent = new ValidatingAgent();
 	const call = callJson({
 		address: {host: '127.0.0.1', port}, method: 'GET', path: '/', timeout: 10_000, agent, maxResponseBytes: 100_000,
 	});
--- a/src/gateway/__tests__/dispatch.test.ts
+++ b/src/gateway/__tests__/dispatch.test.ts
@@ -5,6 +5,7 @@
 import {type AddressInfo} from 'node:net';
 import {expect, it} from 'vitest';
 import {Links} from '../../core/gateway/health/links.js';
+import {ValidatingAgent} from '../../protocol/http/validated-request.js';
 import {type CallerResponse} from '../callers/caller-response.js';
 import {Dispatch} from '../requests/dispatch.js';
 import {type AdmittedRequest} from '../requests/request-state.js';
@@ -147,6 +148,7 @@
 		gateway,
 		clock: {now: () => 0},
 		headerFormat: {formatUpstreamHeaders: () => []},
+		agent: new ValidatingAgent(),
 		responseBounds: {eventBytes: 1_000_000, interim: 16},
 		metrics: {attempts: {inc: () => undefined}, retries: {inc: () => undefined}},
 	} as unknown as GatewayServices;
--- a/src/gateway/__tests__/sender.test.ts
+++ b/src/gateway/__tests__/sender.test.ts
@@ -1,9 +1,9 @@
 /* eslint-disable @typescript-eslint/no-unsafe-type-assertion -- The mocks contain only the members that these tests use. */
 import {Buffer} from 'node:buffer';
-import {Agent} from 'node:http';
 import {expect, it} from 'vitest';
 import {Links} from '../../core/gateway/health/links.js';
 import {type Placement} from '../../core/gateway/placement/placement.js';
+import {ValidatingAgent} from '../../protocol/http/validated-request.js';
 import {type CallerResponse} from '../callers/caller-response.js';
 import {type MemoryWait} from '../requests/memory-wait.js';
 import {RequestState, type AdmittedRequest} from '../requests/request-state.js';
@@ -34,7 +34,7 @@
 		gateway,
 		clock: {now: () => 0},
 		headerFormat: {formatUpstreamHeaders: () => []},
-		agent: Object.assign(new Agent(), {closeIdle: () => undefined}),
+		agent: Object.assign(new ValidatingAgent(), {closeIdle: () => undefined}),
 		responseBounds: {eventBytes: 1_000_000, interim: 16, bodyBytes: 100_000_000},
 		metrics: {attempts: {inc: () => undefined}},
 	} as unknown as GatewayServices;
--- a/src/gateway/calls.ts
+++ b/src/gateway/calls.ts
@@ -1,8 +1,9 @@
 /** JSON calls over HTTP to the store and to the control endpoints of engines. */
 import {Buffer} from 'node:buffer';
-import {request, type Agent, type IncomingHttpHeaders} from 'node:http';
+import {type Agent, type IncomingHttpHeaders} from 'node:http';
 import {messageOf, raise, type Address} from '../core/index.js';
 import {ByteBuffer} from '../protocol/byte-buffer.js';
+import {requestValidated} from '../protocol/http/validated-request.js';
 import {limitInterimResponses} from '../protocol/interim-responses.js';
 
 export type Call = {
@@ -39,7 +40,7 @@
 	} = call;
 	const payload = body === undefined ? undefined : Buffer.from(JSON.stringify(body));
 	return new Promise((resolve, reject) => {
-		const outgoing = request({
+		const outgoing = requestValidated({
 			host: address.host,
 			port: address.port,
 			method,
--- a/src/gateway/tunnels/direct-connection.ts
+++ b/src/gateway/tunnels/direct-connection.ts
@@ -1,7 +1,8 @@
 /** Connects to an upstream over the link of this host. */
-import {connect, type Socket, type TcpNetConnectOpts} from 'node:net';
+import {type Socket, type TcpNetConnectOpts} from 'node:net';
 import {messageOf} from '../../core/index.js';
 import {type LinkFailure} from '../../core/gateway/health/links.js';
+import {openConnection} from '../../protocol/http/validated-socket.js';
 
 /**
  * Covers several round trips between regions. A lost SYN packet is retransmitted only after a second; failing earlier leaves time for
@@ -24,7 +25,7 @@
  * @param open - Opens a socket.
  * @returns The connection, or how it failed.
  */
-export async function connectDirectly(options: TcpNetConnectOpts, open: (options: TcpNetConnectOpts) => Socket = connect): Promise<ConnectionResult> {
+export async function connectDirectly(options: TcpNetConnectOpts, open: (options: TcpNetConnectOpts) => Socket = openConnection): Promise<ConnectionResult> {
 	let socket: Socket;
 	try {
 		socket = open(options);
--- a/src/gateway/tunnels/tunnel-client.ts
+++ b/src/gateway/tunnels/tunnel-client.ts
@@ -1,7 +1,8 @@
 /** Asks other hosts for a connection to an upstream, and how it ended. */
-import {connect, type Socket} from 'node:net';
+import {type Socket} from 'node:net';
 import {assertNever, messageOf} from '../../core/index.js';
 import {type StatedEnd} from '../../core/gateway/health/connection-ends.js';
+import {openConnection} from '../../protocol/http/validated-socket.js';
 import {
 	createTunnelReplyReader, encodeTunnelMessage, type OpenTunnelOffer, type TunnelReply, type TunnelRequest,
 } from './messages.js';
@@ -83,7 +84,7 @@
 async function request(offer: OpenTunnelOffer, message: TunnelRequest, signal: AbortSignal): Promise<Exchange> {
 	return new Promise(resolve => {
 		const reader = createTunnelReplyReader();
-		const socket = connect({host: offer.host, port: offer.port, noDelay: true});
+		const socket = openConnection({host: offer.host, port: offer.port, noDelay: true});
 		const finish = (exchange: Exchange) => {
 			clearTimeout(timer);
 			signal.removeEventListener('abort', giveUp);
--- a/src/gateway/upstreams/attempt.ts
+++ b/src/gateway/upstreams/attempt.ts
@@ -1,14 +1,14 @@
 /** Sends a request to one upstream and waits for the head of its response. */
 import {type Buffer} from 'node:buffer';
-import {
-	request, type Agent, type ClientRequest, type IncomingMessage,
-} from 'node:http';
+import {type Agent, type ClientRequest, type IncomingMessage} from 'node:http';
 import {type Address} from '../../core/index.js';
 import {type LinkFailure} from '../../core/gateway/health/links.js';
 import {judgeHead, type HeadVerdict, type ResponseHead} from '../../core/gateway/responses/head.js';
 import {type AttemptEnding, type CancelReason} from '../../core/gateway/limits/retries.js';
 import {probeEnd} from '../../protocol/connection-end.js';
 import {isEventStreamType} from '../../protocol/event-splitter.js';
+import {requestValidated} from '../../protocol/http/validated-request.js';
+import {MalformedResponse} from '../../protocol/http/validated-socket.js';
 import {limitInterimResponses} from '../../protocol/interim-responses.js';
 import {findFraming, type Framing} from '../../protocol/response-framing.js';
 import {type HeaderFormat, type ResponseMetadata} from '../platform-adapter.js';
@@ -67,9 +67,9 @@
 	return error instanceof ConnectionFailure ? {failure: error.failure, isLinkDoubtful: error.isLinkDoubtful} : {failure: 'silent', isLinkDoubtful: false};
 }
 
-/** Whether the parser of Node.js has refused bytes, rather than met the end of the connection. */
+/** Whether bytes were refused, rather than the end of the connection met. */
 function isParseError(error: Error & {readonly code?: string}): boolean {
-	return error.code?.startsWith('HPE_') === true && error.code !== 'HPE_INVALID_EOF_STATE';
+	return error instanceof MalformedResponse || (error.code?.startsWith('HPE_') === true && error.code !== 'HPE_INVALID_EOF_STATE');
 }
 
 function describeHead(id: string, status: number, metadata: ResponseMetadata, {headers}: IncomingMessage): ResponseHead {
@@ -107,7 +107,7 @@
 	constructor(upstreamRequest: UpstreamRequest, headerFormat: HeaderFormat, agent: Agent) {
 		this.#request = upstreamRequest;
 		this.#headerFormat = headerFormat;
-		this.#outgoing = request({
+		this.#outgoing = requestValidated({
 			host: upstreamRequest.address.host,
 			port: upstreamRequest.address.port,
 			method: upstreamRequest.method,
--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -1,8 +1,10 @@
 /** HTTP clients for upstreams, and tracking of whether a failed call may have reached its upstream. */
-import http from 'node:http';
+import {type ClientRequest} from 'node:http';
 import {type Socket} from 'node:net';
-import got, {type Got} from 'got';
+import {type Got} from 'got';
 import {type Address} from '../core/index.js';
+import {client} from '../protocol/http/client.js';
+import {ValidatingAgent} from '../protocol/http/validated-request.js';
 
 export const connectTimeoutMs = 2000;
 
@@ -12,13 +14,13 @@
 const idleTimeoutMs = 4000;
 
 /** For calls that may be repeated. */
-export const keepAliveAgent = new http.Agent({keepAlive: true, maxFreeSockets: maxIdleSockets, timeout: idleTimeoutMs});
+export const keepAliveAgent = new ValidatingAgent({keepAlive: true, maxFreeSockets: maxIdleSockets, timeout: idleTimeoutMs});
 
 /** For other calls: a reused connection may close while a call is written, which leaves the outcome of the call unknown. */
-export const singleUseAgent = new http.Agent({keepAlive: false});
+export const singleUseAgent = new ValidatingAgent({keepAlive: false});
 
 /** Created once, because got spends more time on merging options than on a call. */
-const baseClient = got.extend({
+const baseClient = client.extend({
 	retry: {limit: 0},
 	throwHttpErrors: false,
 	followRedirect: false,
@@ -50,7 +52,7 @@
 	 * @param onConnected - Called once, as soon as bytes may be sent.
 	 * @returns Listener for the `request` event of got.
 	 */
-	createRequestListener(onConnected: () => void): (request: http.ClientRequest) => void {
+	createRequestListener(onConnected: () => void): (request: ClientRequest) => void {
 		const handleConnected = () => {
 			if (!this.#isConnected) {
 				this.#isConnected = true;
