Don't take a failure to write events for one to read them

A caller got a 200 without the events that an engine had sent, framed as whole. forwardEvents caught whatever was thrown while events were forwarded as a failure of the upstream: the request went on at another engine behind events that no caller had received, and was suspected of a crash. Only what the response throws counts as that now; anything else ends the exchange, logged, and breaks the caller's connection off.

--- a/src/gateway/callers/response-forwarding.ts
+++ b/src/gateway/callers/response-forwarding.ts
@@ -46,6 +46,20 @@
 	outgoing.writeHead(reply.status, headers);
 }
 
+/** A response could not be read to its end. */
+class ReadingFailure extends Error {
+	override readonly name = 'ReadingFailure';
+}
+
+/** Reads a body, so that its failures differ from those of what is done with its bytes. */
+async function * readChunks({body}: Reply): AsyncGenerator<Buffer, void> {
+	try {
+		yield * body as AsyncIterable<Buffer>;
+	} catch (error) {
+		throw new ReadingFailure(messageOf(error), {cause: error});
+	}
+}
+
 /** Returns the bytes after the last complete event; undefined if there are none. */
 function countUnfinished({rest}: EventSplitter): number | undefined {
 	return rest.length === 0 ? undefined : rest.length;
@@ -70,7 +84,8 @@
 const noEventReason = 'the connection ended before the first event';
 
 /**
- * Forwards complete events as they arrive. Leaves the response to the caller open: another attempt may continue it.
+ * Forwards complete events as they arrive. Leaves the response to the caller open: another attempt may continue it. A failure to write them
+ * is thrown: which events the caller has received isn't known then, so that no other attempt can continue.
  *
  * @param buffer - Bytes for the caller.
  * @param reply - Response of the upstream.
@@ -80,7 +95,7 @@
 export async function forwardEvents(buffer: ResponseBuffer, reply: Reply, progress: StreamObserver): Promise<AttemptEnding> {
 	const splitter = new EventSplitter(progress.maxEventBytes);
 	try {
-		for await (const chunk of reply.body as AsyncIterable<Buffer>) {
+		for await (const chunk of readChunks(reply)) {
 			const events = splitter.push(chunk);
 			if (splitter.bytesWithoutEvent > progress.maxEventBytes) {
 				buffer.countUnbegun({source: reply, bytes: 0});
@@ -112,6 +127,10 @@
 		}
 	} catch (error) {
 		buffer.countUnbegun({source: reply, bytes: 0});
+		if (!(error instanceof ReadingFailure)) {
+			throw error;
+		}
+
 		return {
 			type: 'unknown', reason: buffer.hasEnded ? noSpaceReason : messageOf(error), unfinished: countUnfinished(splitter), isDisconnected: !buffer.hasEnded,
 		};
