Refuse callers' requests whose fields break the grammar

A request with a field such as "X Odd: 1" or "Content-Length : 10" was reset, and left its job at the host for good: Sender began the job, and creating the attempt then threw for the field, which the parser of Node.js 20.10.0 accepts.

--- a/src/gateway/callers/answers.ts
+++ b/src/gateway/callers/answers.ts
@@ -21,6 +21,7 @@
 	missingId: 400,
 	bodyTooLarge: 413,
 	badBody: 400,
+	badHeader: 400,
 	upstreamFailed: 502,
 	outcomeUnknown: 502,
 	convictedAfterRun: 502,
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -81,9 +81,10 @@
 		const hold = reservation?.hold;
 		this.#memoryWait.grant();
 		attempts.recordSent(placement.upstream.id);
+		// Before its job, which would not end if the request can't be sent.
+		const attempt = this.#createAttempt(placement, hold, remaining, placementKind === 'retry');
 		const job = reservation?.job ?? this.#state.beginJob(placement, placementKind);
 		this.#logPlacement(placement, job, reservation, remaining);
-		const attempt = this.#createAttempt(placement, hold, remaining, placementKind === 'retry');
 		run.begin(attempt, placement);
 		const {canMove} = attempts;
 		this.#identity.suspicion.announce();
