--- a/__tests__/gateway/malformed-responses.test.ts
+++ b/__tests__/gateway/malformed-responses.test.ts
@@ -158,7 +158,10 @@
 	['lenient', ['--insecure-http-parser']],
 ])('a malformed response never reaches a caller where the parser of Node.js is %s', (_, nodeOptions) => {
 	beforeAll(async () => {
-		site = await Site.start({engines: 2, plains: 2, nodeOptions});
+		// Every case repeats some requests.
+		site = await Site.start({
+			engines: 2, plains: 2, nodeOptions, settings: {retries: {allowance: 1000}},
+		});
 	});
 	afterAll(async () => {
 		await site[Symbol.asyncDispose]();
