Refuse responses in a transfer coding that no request asks for

"Transfer-Encoding: chunked, odd" was read to the end of the connection, and passed on as a 200 with the coded body. Parsers also differ in how they read several codings. Only chunked alone is accepted now; anything else breaks the grammar of a response.

Before: 'a coding that no request asks for' of malformed-responses.test.ts fails with either parser under 20.20.2, and 5 tests of the validator; now they pass.

--- a/src/protocol/http/response-validator.ts
+++ b/src/protocol/http/response-validator.ts
@@ -191,10 +191,15 @@
 			return `Content-Length "${lengths[0]}"`;
 		}
 
+		// No request asks for another coding.
+		if (codings.length > 0 && listTokens(codings).join(',') !== 'chunked') {
+			return `Transfer-Encoding "${codings.join(', ')}"`;
+		}
+
 		if (isBodiless) {
 			this.#part = isInterim ? start : this.#end();
 		} else if (codings.length > 0) {
-			this.#beginCoded(listTokens(codings));
+			this.#part = {type: 'chunk line', line: new ChunkLine()};
 		} else {
 			this.#expectContent(lengths.length === 0 ? Number.POSITIVE_INFINITY : length);
 		}
@@ -202,14 +207,6 @@
 		return undefined;
 	}
 
-	#beginCoded(codings: readonly string[]): void {
-		if (codings.at(-1) === 'chunked') {
-			this.#part = {type: 'chunk line', line: new ChunkLine()};
-		} else {
-			this.#expectContent(Number.POSITIVE_INFINITY);
-		}
-	}
-
 	#expectContent(length: number): void {
 		this.#contentLeft = length;
 		this.#part = length === 0 ? this.#end() : {type: 'content', isChunk: false};
