--- a/__tests__/gateway/malformed-responses.test.ts
+++ b/__tests__/gateway/malformed-responses.test.ts
@@ -4,6 +4,7 @@
 } from 'vitest';
 import {createPromptHeaders, parseEventIds, type Answer} from '../../bench/gateway/caller-requests.js';
 import {Site} from '../../bench/gateway/site.js';
+import {malformedHeads} from '../../stand-ins/gateway/odd-heads.js';
 import {RawUpstream, type RawAnswer} from '../support/raw-upstream.js';
 
 /** Bytes of a response beside its status line, id and signature. */
@@ -189,3 +190,25 @@
 		expect(listFailures().slice(failures.length)).toEqual([]);
 	});
 });
+
+it.each(malformedHeads)('a malformed response never reaches a caller over another host: %s', async head => {
+	await using deployment = await Site.start({
+		hosts: 2, engines: 2, plains: 2, hasSeverableLinks: true, nodeOptions: ['--insecure-http-parser'],
+	});
+	const [host] = deployment.hosts;
+	const askHost = async (path: string) => Promise.all(Array.from({length: 8}, async (_, index): Promise<Exchange> => {
+		const id = `${path.replaceAll('/', '')}-${index}`;
+		return {id, answer: await deployment.ask({path: path + id, id}, host)};
+	}));
+	await expect.poll(() => host!.findLogLines('peer-linked').length, {timeout: 5000}).toBeGreaterThan(0);
+	await deployment.sever(0, 'refuse-new');
+	expect(listWrong(await askHost('/read/sound/'), isSoundAnswer)).toEqual([]);
+	expect(host!.findLogLines('tunnel-opened').length).toBeGreaterThan(0);
+	const [odd] = deployment.plains;
+	odd!.fault = head;
+	const [payments, calls] = await Promise.all([askHost('/once/odd/'), askHost('/read/odd/')]);
+	const reached = new Set(odd!.arrivals.map(({request}) => request));
+	expect([...payments, ...calls].some(({id}) => reached.has(id))).toBe(true);
+	expect(listWrong(payments, (id, answer) => reached.has(id) ? answer.status === 502 : isSoundAnswer(id, answer))).toEqual([]);
+	expect(listWrong(calls, isSoundAnswer)).toEqual([]);
+});
--- a/stand-ins/gateway/odd-heads.ts
+++ b/stand-ins/gateway/odd-heads.ts
@@ -4,7 +4,10 @@
 /** How the response to a request that has run is odd. */
 export const oddHeads = ['status-000', 'status-101', 'status-600', 'long-promise', 'endless-promise', 'endless-error'] as const;
 
-export type OddHead = typeof oddHeads[number];
+/** Heads that break the grammar of HTTP, which some parsers accept. */
+export const malformedHeads = ['spaced-name', 'spaced-colon', 'folded-line', 'folded-coding', 'control-name'] as const;
+
+export type OddHead = typeof oddHeads[number] | typeof malformedHeads[number];
 
 type OddResponse = {
 	readonly status: string;
@@ -26,6 +29,10 @@
 	};
 }
 
+function malformed(line: string): OddResponse {
+	return {...short('200 OK'), fields: `X-Before: 1\r\n${line}\r\nContent-Length: 2\r\n`};
+}
+
 const responses: Readonly<Record<OddHead, OddResponse>> = {
 	'status-000': short('000 None'),
 	'status-101': short('101 Switching Protocols'),
@@ -39,6 +46,13 @@
 	'endless-error': {
 		status: '500 Failed', fields: chunked, body: piece, isEndless: true,
 	},
+	'spaced-name': malformed('X Odd: 1'),
+	'spaced-colon': malformed('Connection : keep-alive'),
+	'folded-line': malformed(' X-Odd: 1'),
+	'folded-coding': {
+		status: '200 OK', fields: `X-Before: 1\r\n ${chunked}`, body: '2\r\nok\r\n0\r\n\r\n', isEndless: false,
+	},
+	'control-name': malformed('X\u0001Odd: 1'),
 };
 
 /**
