--- a/src/protocol/http/response-validator.ts
+++ b/src/protocol/http/response-validator.ts
@@ -191,14 +191,16 @@
 			return `Content-Length "${lengths[0]}"`;
 		}
 
-		// No request asks for another coding.
-		if (codings.length > 0 && listTokens(codings).join(',') !== 'chunked') {
+		// Parsers differ in whether chunks are read beside another coding.
+		const tokens = listTokens(codings);
+		const isChunked = tokens.includes('chunked');
+		if (isChunked && tokens.length > 1) {
 			return `Transfer-Encoding "${codings.join(', ')}"`;
 		}
 
 		if (isBodiless) {
 			this.#part = isInterim ? start : this.#end();
-		} else if (codings.length > 0) {
+		} else if (isChunked) {
 			this.#part = {type: 'chunk line', line: new ChunkLine()};
 		} else {
 			this.#expectContent(lengths.length === 0 ? Number.POSITIVE_INFINITY : length);
