Use the statuses without a body, and the idle timeout, that exist

The validation of responses had a copy of the statuses without a body, and the clients of upstreams one of the idle timeout.

--- a/src/protocol/http/client.ts
+++ b/src/protocol/http/client.ts
@@ -5,7 +5,7 @@
 import {validateResponse, ValidatingAgent} from './validated-request.js';
 
 /** Time in milliseconds for which an idle connection is kept: shorter than the five seconds usual for servers. */
-const idleTimeoutMs = 4000;
+export const idleTimeoutMs = 4000;
 
 /** Validates responses. Keeps connections, unless a call has an agent of its own, which has to be a `ValidatingAgent`. */
 export const client = got.extend({
--- a/src/protocol/http/response-validator.ts
+++ b/src/protocol/http/response-validator.ts
@@ -2,9 +2,8 @@
  * Validates the bytes of the responses to one request. What the HTTP parser of Node.js accepts depends on its release and its options, and
  * it hides folded lines; bytes that pass here are read by all of them in the same way.
  */
-import {
-	carriageReturn, describeByte, lineFeed,
-} from './bytes.js';
+import {bodilessStatuses} from '../response-framing.js';
+import {carriageReturn, describeByte, lineFeed} from './bytes.js';
 import {ChunkLine} from './chunk-line.js';
 import {FieldSection} from './field-section.js';
 import {StatusLine} from './status-line.js';
@@ -12,8 +11,6 @@
 /** Longest head, trailer section, and extensions of all chunks of a response, in bytes each: the default of Node.js. */
 export const maxHeadBytes = 16_384;
 
-/** Statuses whose responses have no body. */
-const noContentStatuses: ReadonlySet<number> = new Set([204, 304]);
 const switchingProtocolsStatus = 101;
 const firstFinalStatus = 200;
 
@@ -172,7 +169,7 @@
 		}
 
 		const isInterim = status >= 100 && status < firstFinalStatus;
-		return this.#beginBody(fields, isInterim || this.#method === 'HEAD' || noContentStatuses.has(status), isInterim);
+		return this.#beginBody(fields, isInterim || this.#method === 'HEAD' || bodilessStatuses.has(status), isInterim);
 	}
 
 	#beginBody(fields: FieldSection, isBodiless: boolean, isInterim: boolean): string | undefined {
--- a/src/protocol/http/validated-socket.ts
+++ b/src/protocol/http/validated-socket.ts
@@ -26,6 +26,7 @@
 	return 'expectResponse' in connection;
 }
 
+/** Socket that passes on only what a response may hold; what breaks the grammar destroys it. */
 export class ValidatedSocket extends Socket implements ValidatingConnection {
 	#validator: ResponseValidator | undefined;
 
--- a/src/protocol/response-framing.ts
+++ b/src/protocol/response-framing.ts
@@ -5,7 +5,7 @@
 export type Framing = 'head' | 'length' | 'chunks' | 'connection';
 
 /** Statuses whose responses have no body. */
-const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+export const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 /**
  * @param method - Method of the request.
--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -3,16 +3,13 @@
 import {type Socket} from 'node:net';
 import {type Got} from 'got';
 import {type Address} from '../core/index.js';
-import {client} from '../protocol/http/client.js';
+import {client, idleTimeoutMs} from '../protocol/http/client.js';
 import {ValidatingAgent} from '../protocol/http/validated-request.js';
 
 export const connectTimeoutMs = 2000;
 
 const maxIdleSockets = 64;
 
-/** Shorter than the five seconds usual for servers, so that the server does not close a connection just as it is reused. */
-const idleTimeoutMs = 4000;
-
 /** For calls that may be repeated. */
 export const keepAliveAgent = new ValidatingAgent({keepAlive: true, maxFreeSockets: maxIdleSockets, timeout: idleTimeoutMs});
 
